The whole path, thin: a streamed answer through three stages in separate processes

Cause: nothing was there yet. The first thing that must hold is that a caller's request goes end to end through a pipeline that an intent and its confirmed plan placed.

Change: the library, the daemons deckcourse-entry and deckcourse-controller, the command line, and stand-ins for engines, a plain service, the table service, the object store and the instance list.

--- /dev/null
+++ b/deckcourse/asgi.py
@@ -0,0 +1,153 @@
+"""The little that the HTTP applications share: reading a body, sending JSON, serving."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve as hypercorn_serve
+
+__all__ = ["App", "BodyTooLarge", "Request", "read_body", "send_json", "send_whole", "serve"]
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+App = Callable[[dict[str, Any], Receive, Send], Awaitable[None]]
+JSON_TYPE = b"application/json"
+LARGEST_HEADERS = 64 * 1024
+KEEPALIVE_SECONDS = 30.0
+BACKLOG = 1024
+
+_encode = msgspec.json.Encoder().encode
+
+
+@dataclass(frozen=True)
+class BodyTooLarge:
+    """A request's body is larger than `limit` bytes."""
+
+    limit: int
+
+
+class Request:
+    """One HTTP request and the way to answer it."""
+
+    def __init__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        self._scope = scope
+        self.receive = receive
+        self.send = send
+        self._headers = {name.lower(): value for name, value in scope["headers"]}
+
+    @property
+    def method(self) -> str:
+        """The HTTP method."""
+        return self._scope["method"]
+
+    @property
+    def path(self) -> str:
+        """The path, decoded."""
+        return self._scope["path"]
+
+    @property
+    def target(self) -> str:
+        """The path as it came, with the query."""
+        query = self._scope.get("query_string", b"").decode("ascii", "replace")
+        path = self._scope.get("raw_path") or self.path.encode()
+        return path.decode("ascii", "replace").partition("?")[0] + (f"?{query}" if query else "")
+
+    def header(self, name: str) -> str:
+        """Return a header, empty where it's absent."""
+        return self._headers.get(name.encode(), b"").decode("latin-1")
+
+
+async def read_body(request: Request, limit: int) -> bytes | BodyTooLarge:
+    """Return the whole body."""
+    body = bytearray()
+    more = True
+    while more:
+        message = await request.receive()
+        if message["type"] != "http.request":
+            break
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+        if len(body) > limit:
+            return BodyTooLarge(limit)
+    return bytes(body)
+
+
+async def send_whole(
+    request: Request,
+    status: int,
+    body: bytes,
+    content_type: bytes = JSON_TYPE,
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+) -> None:
+    """Send a whole response."""
+    length = str(len(body)).encode()
+    every = [(b"content-type", content_type), (b"content-length", length), *headers]
+    await request.send({"type": "http.response.start", "status": status, "headers": every})
+    await request.send({"type": "http.response.body", "body": body})
+
+
+async def send_json(
+    request: Request, status: int, value: Any, headers: tuple[tuple[bytes, bytes], ...] = ()
+) -> None:
+    """Send a value as JSON."""
+    await send_whole(request, status, _encode(value), JSON_TYPE, headers)
+
+
+async def serve(
+    handle: Callable[[Request], Awaitable[None]],
+    bind: str,
+    shutdown: trio.Event,
+    graceful_seconds: float = 0.0,
+    task_status=trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an application until `shutdown` is set.
+
+    Args:
+      handle: answers one request.
+      bind: IP:port; port 0 takes a free one.
+      shutdown: set to stop; streams in flight may then go on for `graceful_seconds`.
+      graceful_seconds: see `shutdown`.
+      task_status: started with the bound IP:port.
+    """
+
+    async def app(scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            await handle(Request(scope, receive, send))
+
+    config = Config()
+    config.bind = [bind]
+    config.graceful_timeout = graceful_seconds
+    config.keep_alive_timeout = KEEPALIVE_SECONDS
+    config.h11_max_incomplete_size = LARGEST_HEADERS
+    config.backlog = BACKLOG
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    async with trio.open_nursery() as nursery:
+        bound = await nursery.start(_serve, app, config, shutdown)
+        task_status.started(bound)
+
+
+async def _serve(app: App, config: Config, shutdown: trio.Event, task_status) -> None:
+    class Started:
+        """Passes the bound address on without its scheme."""
+
+        def started(self, binds: list[str]) -> None:
+            task_status.started(binds[0].removeprefix("http://"))
+
+    await hypercorn_serve(
+        app, config, shutdown_trigger=shutdown.wait, mode="asgi", task_status=Started()
+    )
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/deckcourse/cli.py
@@ -0,0 +1,277 @@
+"""The program deckcourse: a table of commands over `deckcourse.porcelain`."""
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+import msgspec
+import trio
+
+from deckcourse import __version__
+from deckcourse.errors import CommandError, InvariantError
+from deckcourse.intents import KINDS
+from deckcourse.porcelain import (
+    Operator,
+    check_settings,
+    confirm_plan,
+    hash_key,
+    read_plan,
+    state_intent,
+    status,
+)
+from deckcourse.trial import run_trial
+
+__all__ = ["main"]
+
+REFUSED_EXIT = 1
+USAGE_EXIT = 2
+SETTINGS_EXIT = 78
+
+Controller = Annotated[
+    str,
+    cappa.Arg(
+        long=True,
+        help="the controller's IP:port",
+        default=cappa.Env("DECKCOURSE_CONTROLLER", default="127.0.0.1:8090"),
+    ),
+]
+TokenFile = Annotated[
+    str,
+    cappa.Arg(
+        long=True,
+        help="file with the operators' token",
+        default=cappa.Env("DECKCOURSE_TOKEN_FILE", default="operator.token"),
+    ),
+]
+Json = Annotated[bool, cappa.Arg(long="--json", help="print JSON", default=False)]
+
+
+@dataclass
+@cappa.command(name="intent")
+class IntentCommand:
+    """State an intent and read its plan; nothing changes until the plan is confirmed.
+
+    The fields are name=value, such as: serve model=m depth=12 capacity=60
+    """
+
+    kind: Annotated[str, cappa.Arg(help=f"one of {', '.join(KINDS)}")]
+    fields: Annotated[list[str], cappa.Arg(help="name=value", default=[])]
+    controller: Controller
+    token_file: TokenFile
+    json: Json
+
+
+@dataclass
+@cappa.command(name="plan")
+class PlanCommand:
+    """Read a plan."""
+
+    plan: Annotated[str, cappa.Arg(help="the plan's name")]
+    controller: Controller
+    token_file: TokenFile
+    json: Json
+
+
+@dataclass
+@cappa.command(name="confirm")
+class ConfirmCommand:
+    """Confirm a plan; a repeat is answered like the first."""
+
+    plan: Annotated[str, cappa.Arg(help="the plan's name")]
+    controller: Controller
+    token_file: TokenFile
+    json: Json
+
+
+@dataclass
+@cappa.command(name="status")
+class StatusCommand:
+    """Show version, models, runners, peers and the lease."""
+
+    controller: Controller
+    token_file: TokenFile
+    json: Json
+
+
+@dataclass
+@cappa.command(name="check")
+class SettingsCheckCommand:
+    """Check a settings file and tell every problem."""
+
+    file: Annotated[str, cappa.Arg(help="the INI file")]
+
+
+@dataclass
+@cappa.command(name="settings")
+class SettingsCommand:
+    """Work with settings files."""
+
+    action: cappa.Subcommands[SettingsCheckCommand]
+
+
+@dataclass
+@cappa.command(name="hash-key")
+class HashKeyCommand:
+    """Read an API key from standard input and print the hash that an account intent takes."""
+
+
+@dataclass
+@cappa.command(name="try")
+class TryCommand:
+    """Show the main job on loopback: a pipeline, a stage killed halfway, the answer whole."""
+
+
+@dataclass
+@cappa.command(name="deckcourse")
+class DeckcourseCommand:
+    """Route requests over pipelines of borrowed accelerators."""
+
+    command: cappa.Subcommands[
+        IntentCommand
+        | PlanCommand
+        | ConfirmCommand
+        | StatusCommand
+        | SettingsCommand
+        | HashKeyCommand
+        | TryCommand
+    ]
+
+
+def _operator(command: Any) -> Operator:
+    try:
+        token = Path(command.token_file).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        message = f"--token-file {command.token_file}: {error.strerror}"
+        raise CommandError(f"{message}; want the file with the operators' token") from error
+    return Operator(command.controller, token)
+
+
+def _fields(kind: str, pairs: list[str]) -> dict[str, Any]:
+    fields: dict[str, Any] = {"kind": kind}
+    for pair in pairs:
+        name, equals, value = pair.partition("=")
+        if not equals:
+            raise CommandError(f"{pair}: want name=value, such as capacity=60")
+        fields[name] = _value(value)
+    return fields
+
+
+def _value(text: str) -> Any:
+    """Return a number or truth value where the text is one, else the text."""
+    try:
+        value = msgspec.json.decode(text)
+    except msgspec.MsgspecError:
+        return text
+    return value if isinstance(value, bool | int | float) else text
+
+
+def _intent(command: IntentCommand) -> int:
+    fields = _fields(command.kind, command.fields)
+    _print_plan(trio.run(state_intent, _operator(command), fields), command.json)
+    return 0
+
+
+def _plan(command: PlanCommand) -> int:
+    _print_plan(trio.run(read_plan, _operator(command), command.plan), command.json)
+    return 0
+
+
+def _confirm(command: ConfirmCommand) -> int:
+    done = trio.run(confirm_plan, _operator(command), command.plan)
+    if command.json:
+        _print_json(done)
+    else:
+        print(f"plan {done['plan']} is accepted as version {done['version']}")
+    return 0
+
+
+def _status(command: StatusCommand) -> int:
+    seen = trio.run(status, _operator(command))
+    if command.json:
+        _print_json(seen)
+    else:
+        _print_status(seen)
+    return 0
+
+
+def _settings(command: SettingsCommand) -> int:
+    problems = check_settings(command.action.file)
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    if problems:
+        return SETTINGS_EXIT
+    print(f"{command.action.file}: right")
+    return 0
+
+
+def _hash_key(command: HashKeyCommand) -> int:
+    key = sys.stdin.readline().strip()
+    if not key:
+        raise CommandError("standard input: empty; want the API key on one line")
+    print(hash_key(key))
+    return 0
+
+
+def _try(command: TryCommand) -> int:
+    trio.run(run_trial)
+    return 0
+
+
+def _print_json(value: Any) -> None:
+    print(msgspec.json.encode(value).decode())
+
+
+def _print_plan(plan: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        _print_json(plan)
+        return
+    print(f"plan {plan['name']} ({plan['state']}), made on version {plan['base']}")
+    for step in plan["steps"]:
+        print(f"  {step}")
+    print(
+        f"  capacity in tokens/s: {plan['capacity_before']:g} now, "
+        f"{plan['capacity_lowest']:g} at the lowest, {plan['capacity_after']:g} after"
+    )
+    print(f"  requests cut: {plan['cuts']}")
+    for warning in plan["warnings"]:
+        print(f"  warning: {warning}")
+    print(f"confirm it with: deckcourse confirm {plan['name']}")
+
+
+def _print_status(seen: dict[str, Any]) -> None:
+    print(f"version {seen['version']}, lease {seen['lease']}, peers {', '.join(seen['peers'])}")
+    for model in seen["models"]:
+        print(f"model {model['name']}: {model['depth']} layers, {model['capacity']:g} tokens/s")
+    for runner in seen["runners"]:
+        load = runner["load"] or {"model": "", "first": 0, "end": 0, "streams": 0}
+        held = f"{load['model']} {load['first']}-{load['end']}" if load["model"] else "nothing"
+        sign = " leaving" if runner["leaving"] else ""
+        print(
+            f"{runner['instance']} ({runner['domain']}): holds {held}, "
+            f"{load['streams']} streams{sign}"
+        )
+
+
+HANDLERS: dict[type, Callable[[Any], int]] = {
+    IntentCommand: _intent,
+    PlanCommand: _plan,
+    ConfirmCommand: _confirm,
+    StatusCommand: _status,
+    SettingsCommand: _settings,
+    HashKeyCommand: _hash_key,
+    TryCommand: _try,
+}
+
+
+def main() -> None:
+    """Run the program; exit codes: 0 done, 1 refused, 2 wrong usage, 78 wrong settings."""
+    command = cappa.parse(DeckcourseCommand, version=__version__).command
+    try:
+        code = HANDLERS[type(command)](command)
+    except (CommandError, InvariantError) as error:
+        print(f"deckcourse: {error}", file=sys.stderr)
+        code = REFUSED_EXIT
+    raise SystemExit(code)
--- /dev/null
+++ b/deckcourse/controller.py
@@ -0,0 +1,230 @@
+"""The controller: plans for operators, and the orders of the lease's holder that realise them."""
+
+from collections.abc import Callable
+from uuid import uuid4
+
+import trio
+from returns.result import Failure, Success
+
+from deckcourse.configuration import Change, Placement
+from deckcourse.configuration_store import ChangeAccepted
+from deckcourse.engine import EngineLoad, Fence, LoadOrder, OrderReply, UnloadOrder
+from deckcourse.errors import InvariantError
+from deckcourse.flow import LinkRate
+from deckcourse.instance_list import InstanceKind, ListedInstance
+from deckcourse.intents import intent_from
+from deckcourse.lease import Lease
+from deckcourse.node import Node
+from deckcourse.planner import Fleet, PlanRefused, Runner, heal
+from deckcourse.plans import Confirmed, ConfirmResult, Plan, PlanStore, PlatformOut
+
+__all__ = ["Controller"]
+
+ROUND_SECONDS = 0.5
+# A placed runner that nobody heard of for this long is replaced.
+LOST_AFTER_SECONDS = 4.0
+ORDER_SECONDS = 1.5
+# How long a part that is no longer placed must have been without a stream before it's unloaded:
+# the time in which a configuration is in force everywhere, and a report's lag.
+DRAIN_SECONDS = 6.0
+
+
+class Controller:
+    """Plans and confirms for operators; orders upstreams while it holds the lease."""
+
+    def __init__(
+        self, node: Node, link_rate: LinkRate, new_name: Callable[[], str] = lambda: uuid4().hex[:8]
+    ) -> None:
+        self._node = node
+        self._link_rate = link_rate
+        self._new_name = new_name
+        self._plans = PlanStore(node.ports.table, node.store)
+        self._lease = Lease(node.ports.table, node.identity.incarnation)
+        self._missing: dict[str, float] = {}
+        self._unwanted: dict[str, float] = {}
+
+    @property
+    def node(self) -> Node:
+        """The node behind the controller."""
+        return self._node
+
+    @property
+    def lease(self) -> Lease:
+        """This process's view of the lease."""
+        return self._lease
+
+    async def run(self) -> None:
+        """Follow the system, seek the lease, and carry out what is confirmed."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._node.run)
+            nursery.start_soon(self._lease.run)
+            nursery.start_soon(self._carry_out)
+
+    async def propose(self, message: dict) -> Plan | PlanRefused | PlatformOut:
+        """Plan an operator's intent, given as its message."""
+        match intent_from(message):
+            case Failure(wrong):
+                return PlanRefused(wrong)
+            case Success(intent):
+                name = self._new_name()
+                newest = await self._newest()
+                if newest is None:
+                    return PlatformOut()
+                return await self._plans.propose(name, newest, self._fleet(), intent, message)
+        raise InvariantError("an intent was neither right nor wrong")
+
+    async def plan(self, name: str):
+        """Return a plan by name."""
+        return await self._plans.get(name)
+
+    async def confirm(self, name: str) -> ConfirmResult:
+        """Accept a plan; once accepted it's spread to the peers at once."""
+        configuration = self._node.holder.configuration
+        result = await self._plans.confirm(name, configuration, self._fleet(), self._new_name())
+        if isinstance(result, Confirmed):
+            await self._spread(result.change)
+        return result
+
+    async def _spread(self, change: Change) -> None:
+        self._node.holder.apply(change)
+        if self._node.holder.version < change.version:
+            await self._newest()
+
+    async def _newest(self):
+        match await self._node.store.catch_up(self._node.holder.configuration):
+            case Success(newest):
+                self._node.holder.replace(newest)
+                return self._node.holder.configuration
+        return None
+
+    def _fleet(self) -> Fleet:
+        now = trio.current_time()
+        listed = {each.name: each for each in self._node.membership.listed(InstanceKind.RUNNER)}
+        runners = {
+            name: _runner(listed[name], report.load)
+            for name, report in self._node.membership.reports.items()
+            if name in listed
+            and report.deadline >= now
+            and not self._node.membership.is_leaving(name, report.load.incarnation)
+        }
+        return Fleet(runners, self._link_rate)
+
+    async def _carry_out(self) -> None:
+        while True:
+            if self._lease.held() and self._node.holder.confirmed:
+                await self._heal()
+                await self._order_all()
+            await trio.sleep(ROUND_SECONDS)
+
+    async def _heal(self) -> None:
+        configuration = self._node.holder.configuration
+        fleet = self._fleet()
+        change = heal(configuration, fleet, self._gone(fleet))
+        if change is None:
+            return
+        match await self._node.store.commit(change):
+            case Success(ChangeAccepted()):
+                self._node.counters.count("healed")
+                await self._spread(change)
+            case _:
+                # Another change came first, or nobody knows: the table's state decides.
+                await self._newest()
+        await self._node.store.write_snapshot(self._node.holder.configuration)
+
+    def _gone(self, fleet: Fleet) -> frozenset[str]:
+        """Return the placed instances to drop: lost for long, or leaving with no stream left."""
+        now = trio.current_time()
+        gone: set[str] = set()
+        placements = self._node.holder.configuration.placements
+        for name, place in placements.items():
+            runner = fleet.runners.get(name)
+            if runner is not None and runner.incarnation == place.incarnation:
+                self._missing.pop(name, None)
+                if self._is_retired(place) and runner.streams == 0:
+                    gone.add(name)
+                continue
+            since = self._missing.setdefault(name, now)
+            if now - since >= LOST_AFTER_SECONDS and not self._still_serves(place):
+                gone.add(name)
+        for name in self._missing.keys() - placements.keys():
+            del self._missing[name]
+        return frozenset(gone)
+
+    def _is_retired(self, place: Placement) -> bool:
+        return self._node.holder.configuration.is_retired(place.instance, place.incarnation)
+
+    def _still_serves(self, place: Placement) -> bool:
+        """Return whether a leaving upstream still has streams."""
+        report = self._node.membership.report_of(place.instance)
+        if report is None or report.deadline < trio.current_time():
+            return False
+        return report.load.incarnation == place.incarnation and report.load.streams > 0
+
+    async def _order_all(self) -> None:
+        """Bring each runner to what is placed on it."""
+        listed = {each.name: each for each in self._node.membership.listed(InstanceKind.RUNNER)}
+        async with trio.open_nursery() as nursery:
+            for name, report in self._node.membership.reports.items():
+                if name in listed and report.deadline >= trio.current_time():
+                    nursery.start_soon(self._bring_to_plan, listed[name], report.load)
+
+    async def _bring_to_plan(self, listed: ListedInstance, load: EngineLoad) -> None:
+        place = self._node.holder.configuration.placements.get(listed.name)
+        if place is not None and place.incarnation != load.incarnation:
+            return
+        wanted = ("", 0, 0) if place is None else (place.model, place.first, place.end)
+        if wanted == (load.model, load.first, load.end):
+            self._unwanted.pop(listed.name, None)
+            return
+        if load.model and not self._is_drained(listed.name, load):
+            return
+        engine = self._node.ports.engine(listed.name, listed.address)
+        if not load.checks_fence:
+            # Nobody stops an old order here: read the state again, under the lease, first.
+            load = await engine.load()
+            if not isinstance(load, EngineLoad) or (load.model and load.streams > 0):
+                return
+        await self._order(engine, place, load)
+
+    def _is_drained(self, name: str, load: EngineLoad) -> bool:
+        """Return whether what a runner holds beside the plan can go: unused for long enough.
+
+        Until every entry has the configuration in force, one may still send it a stream.
+        """
+        now = trio.current_time()
+        if load.streams > 0:
+            self._unwanted[name] = now
+        since = self._unwanted.setdefault(name, now)
+        return now - since >= DRAIN_SECONDS
+
+    async def _order(self, engine, place: Placement | None, load: EngineLoad) -> None:
+        fence = Fence(self._lease.epoch, self._lease.next_sequence())
+        if place is None:
+            order = UnloadOrder(fence)
+        else:
+            order = LoadOrder(fence, place.model, place.first, place.end)
+        deadline = min(self._lease.order_deadline, trio.current_time() + ORDER_SECONDS)
+        if trio.current_time() >= deadline:
+            return
+        with trio.move_on_at(deadline):
+            match await engine.order(order):
+                case OrderReply(True, after):
+                    self._node.counters.count("order.done")
+                    self._node.membership.see_load(after, trio.current_time())
+                case OrderReply(False):
+                    self._node.counters.count("order.fenced")
+                case _:
+                    # Done or not, the next report of the upstream's state tells.
+                    self._node.counters.count("order.lost")
+
+
+def _runner(listed: ListedInstance, load: EngineLoad) -> Runner:
+    return Runner(
+        listed.name,
+        load.incarnation,
+        listed.address,
+        listed.domain,
+        load.layer_rate,
+        load.layer_room,
+        load.streams,
+    )
--- /dev/null
+++ b/deckcourse/gossip.py
@@ -0,0 +1,161 @@
+"""Gossip among the system's processes: configuration, leaving upstreams, load and demand.
+
+Each round sends a digest to a few peers at random, so that what a node sends doesn't grow with
+the number of nodes. A new configuration version starts a round at once.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+
+from deckcourse.configuration_holder import ConfigurationHolder
+from deckcourse.counters import Counters
+from deckcourse.membership import Membership
+from deckcourse.peer_link import Digest, Exchange, PeerLink
+
+__all__ = ["Gossip", "Peer", "PeerState"]
+
+ROUND_SECONDS = 0.5
+PEERS_PER_ROUND = 3
+# A peer that wasn't heard of for this long counts as gone.
+PEER_LIFETIME_SECONDS = 5.0
+LOADS_PER_DIGEST = 64
+ENTRY_ROLE = "entry"
+
+
+@dataclass(frozen=True)
+class Peer:
+    """Another process of the system, by name and address."""
+
+    name: str
+    address: str
+
+
+@dataclass(frozen=True)
+class PeerState:
+    """What a peer last said; it counts as gone after `deadline`."""
+
+    digest: Digest
+    deadline: float
+
+
+class Gossip:
+    """The exchanges of one process with its peers."""
+
+    def __init__(
+        self,
+        own: Callable[[], Digest],
+        holder: ConfigurationHolder,
+        membership: Membership,
+        link: Callable[[str], PeerLink],
+        counters: Counters,
+        random: Random,
+    ) -> None:
+        self._own = own
+        self._holder = holder
+        self._membership = membership
+        self._link = link
+        self._counters = counters
+        self._random = random
+        self._states: dict[str, PeerState] = {}
+        self._peers: dict[str, Peer] = {}
+        self._wakes: dict[str, trio.Event] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    @property
+    def live(self) -> dict[str, Digest]:
+        """The digests of the peers heard of lately, by name."""
+        now = trio.current_time()
+        return {name: state.digest for name, state in self._states.items() if state.deadline >= now}
+
+    def live_entries(self) -> tuple[str, ...]:
+        """Return the names of the live peers that are entries."""
+        return tuple(
+            name
+            for name, digest in self.live.items()
+            if digest.role == ENTRY_ROLE and not digest.stopping
+        )
+
+    def is_live(self, incarnation: str) -> bool:
+        """Return whether the process incarnation was heard of lately."""
+        return any(digest.incarnation == incarnation for digest in self.live.values())
+
+    def set_peers(self, peers: tuple[Peer, ...]) -> None:
+        """Set the peers that there are."""
+        self._peers = {peer.name: peer for peer in peers}
+
+    async def run(self) -> None:
+        """Exchange digests until cancelled: one task for each peer, woken by the rounds."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._wake_on_change)
+            while True:
+                self._match_tasks(nursery)
+                self._wake_some()
+                await trio.sleep(ROUND_SECONDS)
+
+    def _match_tasks(self, nursery: trio.Nursery) -> None:
+        for name in self._scopes.keys() - self._peers.keys():
+            self._scopes.pop(name).cancel()
+            self._wakes.pop(name)
+        for name in self._peers.keys() - self._scopes.keys():
+            self._scopes[name] = trio.CancelScope()
+            self._wakes[name] = trio.Event()
+            nursery.start_soon(self._peer_task, self._peers[name], self._scopes[name])
+
+    def _wake_some(self) -> None:
+        names = sorted(self._wakes)
+        for name in self._random.sample(names, min(PEERS_PER_ROUND, len(names))):
+            self._wakes[name].set()
+
+    async def _wake_on_change(self) -> None:
+        while True:
+            await self._holder.changed.wait()
+            self._wake_some()
+
+    async def _peer_task(self, peer: Peer, scope: trio.CancelScope) -> None:
+        link = self._link(peer.address)
+        with scope:
+            while True:
+                await self._wakes[peer.name].wait()
+                self._wakes[peer.name] = trio.Event()
+                await self._exchange_until_even(peer, link)
+
+    async def _exchange_until_even(self, peer: Peer, link: PeerLink) -> None:
+        """Exchange, and once more where the reply shows that the peer is behind."""
+        for _ in range(2):
+            reply = await link.exchange(self._message_to(peer.name))
+            if reply is None:
+                self._counters.count("gossip.lost")
+                return
+            self._take(reply)
+            if reply.digest.version >= self._holder.version:
+                return
+
+    async def answer(self, message: Exchange) -> Exchange:
+        """Answer a peer's message."""
+        self._take(message)
+        return self._message_to(message.digest.name)
+
+    def _message_to(self, name: str) -> Exchange:
+        state = self._states.get(name)
+        digest = self._own()
+        if state is None or state.digest.version >= self._holder.version:
+            return Exchange(digest)
+        changes = self._holder.changes_after(state.digest.version)
+        if changes is None:
+            return Exchange(digest, snapshot=self._holder.configuration)
+        return Exchange(digest, changes)
+
+    def _take(self, message: Exchange) -> None:
+        now = trio.current_time()
+        digest = message.digest
+        self._states[digest.name] = PeerState(digest, now + PEER_LIFETIME_SECONDS)
+        if message.snapshot is not None:
+            self._holder.replace(message.snapshot)
+        for change in message.changes:
+            self._holder.apply(change)
+        self._membership.see_leaving(digest.leaving)
+        for load in digest.loads:
+            self._membership.see_load(load, now)
--- /dev/null
+++ b/deckcourse/http_client.py
@@ -0,0 +1,103 @@
+"""One HTTP call over httpcore with its failures as values: not sent, or sent and lost."""
+
+from dataclasses import dataclass
+
+import httpcore
+import trio
+
+__all__ = ["HttpReply", "NotSent", "ReplyLost", "fresh_pool", "http_call", "kept_pool"]
+
+MAX_CONNECTIONS = 1000
+MAX_IDLE = 200
+KEEPALIVE_SECONDS = 30.0
+CONNECT_SECONDS = 1.0
+# Failures in which no byte of the request has left; everything else may have been run.
+NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+# A raw OSError is in here since a reset may surface as one; it's never taken for "not sent".
+LOST_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, OSError)
+
+
+@dataclass(frozen=True)
+class HttpReply:
+    """A whole reply."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first header called `name` (lower case), empty where it's absent."""
+        return next((value for key, value in self.headers if key.lower() == name), b"")
+
+
+@dataclass(frozen=True)
+class NotSent:
+    """Connecting failed: the other side can't have seen the request."""
+
+    message: str
+
+
+@dataclass(frozen=True)
+class ReplyLost:
+    """The request went out, in part at least, and no whole reply came back."""
+
+    message: str
+
+
+def kept_pool() -> httpcore.AsyncConnectionPool:
+    """Return a pool that keeps connections, for calls that may be repeated."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_IDLE,
+        keepalive_expiry=KEEPALIVE_SECONDS,
+    )
+
+
+def fresh_pool() -> httpcore.AsyncConnectionPool:
+    """Return a pool that opens a connection for each call, for calls that may not be repeated.
+
+    A kept connection may be half closed, and then nobody knows whether the call ran.
+    """
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+    )
+
+
+async def http_call(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    body: bytes = b"",
+    headers: tuple[tuple[str, str], ...] = (),
+    deadline: float | None = None,
+) -> HttpReply | NotSent | ReplyLost:
+    """Make one call.
+
+    Args:
+      pool: where connections come from.
+      method: the HTTP method.
+      url: absolute, with an IP address.
+      body: the request's body.
+      headers: further headers.
+      deadline: on trio's clock; past it the call counts as lost.
+
+    Returns:
+      The reply, or which kind of failure it was.
+    """
+    end = trio.current_time() + KEEPALIVE_SECONDS if deadline is None else deadline
+    with trio.move_on_at(end):
+        return await _call(pool, method, url, body, headers)
+    return ReplyLost(f"{method} {url}: no whole reply before the deadline")
+
+
+async def _call(pool, method, url, body, headers) -> HttpReply | NotSent | ReplyLost:
+    extensions = {"timeout": {"connect": CONNECT_SECONDS}}
+    try:
+        response = await pool.request(
+            method, url, content=body, headers=list(headers), extensions=extensions
+        )
+    except NOT_SENT_ERRORS as error:
+        return NotSent(f"{method} {url}: {error or type(error).__name__}")
+    except LOST_ERRORS as error:
+        return ReplyLost(f"{method} {url}: {error or type(error).__name__}")
+    return HttpReply(response.status, tuple(response.headers), response.content)
--- /dev/null
+++ b/deckcourse/pipeline.py
@@ -0,0 +1,296 @@
+"""One completion over as many attempts as it takes: route, relay, detect, resume."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from contextlib import aclosing
+from dataclasses import dataclass, replace
+
+import trio
+
+from deckcourse.configuration import Configuration
+from deckcourse.counters import Counters
+from deckcourse.engine import (
+    Engine,
+    EngineLoad,
+    EngineRefusal,
+    Hop,
+    Lost,
+    Refused,
+    StreamLostError,
+    StreamStart,
+    TokenFrame,
+    Unreachable,
+)
+from deckcourse.membership import Membership
+from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
+from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
+from deckcourse.relay import Relay
+from deckcourse.retry_budget import RetryBudget
+from deckcourse.route import Route, Stage
+from deckcourse.router import Avoid, Router
+from deckcourse.token_gap import TokenGap
+
+__all__ = ["Completion", "Pipeline", "TokenSink"]
+
+# How long a probe of a suspected stage may take.
+PROBE_SECONDS = 0.3
+# Between two looks for a route while none is usable: a replacement may be on its way.
+ROUTE_WAIT_SECONDS = 0.1
+CANCEL_SECONDS = 1.0
+
+TokenSink = Callable[[Sequence[TokenFrame]], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Completion:
+    """One request for tokens; `deadline` is on trio's clock."""
+
+    request: str
+    account: str
+    model: str
+    prompt: str
+    max_tokens: int
+    deadline: float
+    priority: int = 0
+    action: str = ""
+
+
+@dataclass(frozen=True)
+class _Stalled:
+    """No frame came before the deadline."""
+
+
+_AttemptEnd = Unreachable | Refused | Lost | _Stalled | None
+
+
+class Pipeline:
+    """Runs completions for one entry."""
+
+    def __init__(
+        self,
+        router: Router,
+        membership: Membership,
+        configuration: Callable[[], Configuration],
+        dial: Callable[[str, str], Engine],
+        budget: RetryBudget,
+        counters: Counters,
+    ) -> None:
+        self._router = router
+        self._membership = membership
+        self._configuration = configuration
+        self._dial = dial
+        self._budget = budget
+        self._counters = counters
+        self._gaps: dict[str, TokenGap] = {}
+
+    async def run(self, completion: Completion, sink: TokenSink) -> Outcome:
+        """Run one completion.
+
+        Args:
+          completion: what is asked for.
+          sink: gets the tokens in order, each once.
+
+        Returns:
+          The outcome; after Answered, the sink had every token.
+        """
+        return await _Run(self, completion, sink).run()
+
+
+class _Run:
+    """The state of one completion over its attempts."""
+
+    def __init__(self, pipeline: Pipeline, completion: Completion, sink: TokenSink) -> None:
+        self._pipeline = pipeline
+        self._completion = completion
+        self._sink = sink
+        self._relay = Relay(completion.max_tokens)
+        self._attempt = 0
+        self._may_have_run = False
+        self._avoid = Avoid()
+        self._stages: dict[str, Stage] = {}
+        self._gap = pipeline._gaps.setdefault(completion.model, TokenGap())
+
+    async def run(self) -> Outcome:
+        self._pipeline._budget.earn()
+        whole = False
+        try:
+            with trio.move_on_at(self._completion.deadline):
+                outcome = await self._attempts()
+                whole = isinstance(outcome, Answered)
+                return outcome
+        finally:
+            if not whole and self._may_have_run:
+                await self._cancel_all()
+        return self._given_up(
+            NotRunReason.DEADLINE, UnknownReason.DEADLINE_PASSED, "the deadline passed"
+        )
+
+    async def _attempts(self) -> Outcome:
+        while True:
+            route = await self._route()
+            if route is None:
+                return self._given_up(
+                    NotRunReason.NO_ROUTE,
+                    UnknownReason.NO_ROUTE,
+                    f"no usable upstreams cover every layer of {self._completion.model}",
+                )
+            self._attempt += 1
+            end = await self._try(route)
+            if end is None:
+                return Answered(len(self._relay.delivered))
+            self._avoid = replace(self._avoid, keep=route.instances)
+            reason = await self._learn(route, end)
+            self._pipeline._counters.count(f"retry.{reason}")
+            if not self._pipeline._budget.spend():
+                return self._given_up(
+                    NotRunReason.RETRY_BUDGET, UnknownReason.RETRY_BUDGET, "too many retries"
+                )
+
+    async def _route(self) -> Route | None:
+        route = self._choose()
+        if route is None and self._avoid != Avoid():
+            # What was avoided may be back; better it than nothing.
+            self._avoid = Avoid()
+            route = self._choose()
+        while route is None and self._may_have_run:
+            await trio.sleep(ROUTE_WAIT_SECONDS)
+            route = self._choose()
+        return route
+
+    def _choose(self) -> Route | None:
+        pipeline = self._pipeline
+        return pipeline._router.choose(
+            pipeline._configuration(), self._completion.model, trio.current_time(), self._avoid
+        )
+
+    async def _try(self, route: Route) -> _AttemptEnd:
+        self._pipeline._router.begin(route)
+        self._stages |= {stage.instance: stage for stage in route.stages}
+        try:
+            return await self._relay_attempt(route)
+        except StreamLostError as lost:
+            return lost.failure
+        finally:
+            self._pipeline._router.end(route)
+
+    async def _relay_attempt(self, route: Route) -> _AttemptEnd:
+        self._relay.begin(self._attempt, route.trace)
+        engine = self._dial(route.stages[0])
+        deadline = self._gap.first_deadline(trio.current_time())
+        with trio.move_on_at(deadline) as scope:
+            ran_before, self._may_have_run = self._may_have_run, True
+            async with engine.stream(self._start(route)) as frames:
+                if isinstance(frames, Unreachable | Refused):
+                    self._may_have_run = ran_before
+                    return frames
+                if isinstance(frames, Lost):
+                    return frames
+                return await self._relay_frames(frames, scope)
+        return _Stalled()
+
+    async def _relay_frames(self, frames, scope: trio.CancelScope) -> _AttemptEnd:
+        relay = self._relay
+        last = trio.current_time()
+        async with aclosing(frames):
+            async for batch in frames:
+                scope.deadline = float("inf")
+                now = trio.current_time()
+                ready = relay.accept(batch)
+                if ready:
+                    await self._sink(ready)
+                    if ready[0].index > 0:
+                        self._gap.observe((now - last) / len(ready))
+                if relay.fault is not None:
+                    return Lost("", relay.fault.message)
+                if relay.finished:
+                    return None
+                last = trio.current_time()
+                scope.deadline = self._gap.next_deadline(last)
+        return Lost("", "the stream ended without a finish frame")
+
+    def _start(self, route: Route) -> StreamStart:
+        completion = self._completion
+        return StreamStart(
+            request=completion.request,
+            attempt=self._attempt,
+            model=completion.model,
+            route=tuple(_hop(stage) for stage in route.stages),
+            prompt=completion.prompt,
+            delivered=self._relay.delivered,
+            max_tokens=completion.max_tokens,
+            priority=completion.priority,
+            action=completion.action,
+        )
+
+    def _dial(self, stage: Stage) -> Engine:
+        return self._pipeline._dial(stage.instance, stage.address)
+
+    async def _cancel_all(self) -> None:
+        """Tell every upstream that was given a part to let go of it, as far as they answer."""
+        with trio.move_on_after(CANCEL_SECONDS, shield=True):
+            async with trio.open_nursery() as nursery:
+                for stage in self._stages.values():
+                    engine = self._dial(stage)
+                    nursery.start_soon(engine.cancel, self._completion.request, self._attempt)
+
+    async def _learn(self, route: Route, end: _AttemptEnd) -> RetryReason:
+        """Add to what later attempts avoid; return why there is one."""
+        if isinstance(end, Unreachable):
+            self._blame(route, end.instance)
+            return RetryReason.UNREACHABLE
+        if isinstance(end, Refused):
+            return self._learn_refusal(route, end)
+        if isinstance(end, Lost) and end.instance in route.instances:
+            self._blame(route, end.instance)
+            return RetryReason.STAGE_LOST
+        silent = await self._silent_stages(route)
+        for instance in silent:
+            self._blame(route, instance)
+        if not silent:
+            self._avoid_links(route)
+        return RetryReason.STAGE_STALLED if isinstance(end, _Stalled) else RetryReason.BAD_FRAME
+
+    def _learn_refusal(self, route: Route, end: Refused) -> RetryReason:
+        if end.refusal == EngineRefusal.FENCED:
+            return RetryReason.FENCED
+        instances = self._avoid.instances | {end.instance}
+        self._avoid = replace(self._avoid, instances=instances)
+        return RetryReason.REFUSED
+
+    def _blame(self, route: Route, instance: str) -> None:
+        domains = {each.domain for each in route.stages if each.instance == instance}
+        self._avoid = replace(
+            self._avoid,
+            instances=self._avoid.instances | {instance},
+            domains=self._avoid.domains | domains,
+        )
+        self._pipeline._membership.forget_load(instance)
+
+    def _avoid_links(self, route: Route) -> None:
+        names = ("", *(stage.instance for stage in route.stages))
+        links = frozenset(zip(names, names[1:], strict=False))
+        self._avoid = replace(self._avoid, links=self._avoid.links | links)
+
+    async def _silent_stages(self, route: Route) -> list[str]:
+        """Ask each stage for its load at once; return those that don't answer in time."""
+        answered: set[str] = set()
+
+        async def probe(stage: Stage) -> None:
+            if isinstance(await self._dial(stage).load(), EngineLoad):
+                answered.add(stage.instance)
+                if len(answered) == len(route.stages):
+                    nursery.cancel_scope.cancel()
+
+        with trio.move_on_after(PROBE_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for stage in route.stages:
+                    nursery.start_soon(probe, stage)
+        return [each.instance for each in route.stages if each.instance not in answered]
+
+    def _given_up(self, not_run: NotRunReason, unknown: UnknownReason, message: str) -> Outcome:
+        if self._may_have_run:
+            return Unknown(unknown, message)
+        return NotRun(not_run, message)
+
+
+def _hop(stage: Stage) -> Hop:
+    return Hop(stage.instance, stage.address, stage.layers.first, stage.layers.end)
