--- a/deckcourse/claims.py
+++ b/deckcourse/claims.py
@@ -20,17 +20,20 @@
 from deckcourse.table import ABSENT, Committed, Conflict, Row, TableFailure, TableService, Write
 
 __all__ = [
+    "CLAIM_PREFIX",
     "Claim",
     "ClaimBusy",
     "ClaimGranted",
     "ClaimMismatch",
     "ClaimRecorded",
     "ClaimUnavailable",
+    "ClaimState",
     "Claims",
     "RecordedReply",
     "request_digest",
 ]
 
+CLAIM_PREFIX = "claim/"
 # A transaction of the platform takes at most this many writes.
 WRITES_PER_TRANSACTION = 100
 CALL_SECONDS = 2.0
@@ -41,7 +44,9 @@
 LONGEST_PAUSE_SECONDS = 5.0
 
 
-class _State(StrEnum):
+class ClaimState(StrEnum):
+    """How far a claimed request has come."""
+
     CLAIMED = "claimed"
     DONE = "done"
     # Given up before any dispatch; the next claim of the key may take the row over.
@@ -74,7 +79,7 @@
     attempt: str
     holder: str
     digest: str
-    state: str = _State.CLAIMED
+    state: ClaimState = ClaimState.CLAIMED
     reply: RecordedReply | None = None
 
 
@@ -181,7 +186,7 @@
           attempt: unique to this call; tells an own claim whose reply was lost from others.
           digest: see `request_digest`.
         """
-        row_key = f"claim/{account}/{key}"
+        row_key = f"{CLAIM_PREFIX}{account}/{key}"
         waiting = _Waiting(row_key, Claim(attempt, self._holder, digest))
         self._send.send_nowait(waiting)
         try:
@@ -274,7 +279,7 @@
 
         The row is marked, not deleted: a write of the claim that still arrives then fails.
         """
-        await self._write_until_settled(key, claim, replace(claim, state=_State.RELEASED))
+        await self._write_until_settled(key, claim, replace(claim, state=ClaimState.RELEASED))
 
     async def record(self, granted: ClaimGranted, reply: RecordedReply) -> bool:
         """Put the result into the claimed row, again until it's there.
@@ -283,7 +288,7 @@
           Whether it's there; after an outage that outlasts all tries a repeat is told that the
           outcome is unknown.
         """
-        value = replace(granted.claim, state=_State.DONE, reply=reply)
+        value = replace(granted.claim, state=ClaimState.DONE, reply=reply)
         return await self._write_until_settled(granted.key, granted.claim, value)
 
     async def _write_until_settled(self, key: str, claim: Claim, value: Claim) -> bool:
@@ -321,7 +326,7 @@
     claim = _decode(row)
     if claim.attempt == waiting.claim.attempt:
         return ClaimGranted(row.key, claim, row.version)
-    if claim.state == _State.RELEASED:
+    if claim.state == ClaimState.RELEASED:
         return None
     if claim.digest != waiting.claim.digest:
         return ClaimMismatch()
--- a/deckcourse/controller.py
+++ b/deckcourse/controller.py
@@ -16,7 +16,14 @@
 from deckcourse.lease import Lease
 from deckcourse.node import Node
 from deckcourse.planner import Fleet, PlanRefused, Runner, heal
-from deckcourse.plans import Confirmed, ConfirmResult, Plan, PlanStore, PlatformOut
+from deckcourse.plans import (
+    Confirmed,
+    ConfirmResult,
+    ConfirmUnknown,
+    Plan,
+    PlanStore,
+    PlatformOut,
+)
 
 __all__ = ["Controller"]
 
@@ -24,6 +31,10 @@
 # A placed runner that nobody heard of for this long is replaced.
 LOST_AFTER_SECONDS = 4.0
 ORDER_SECONDS = 1.5
+# A confirmation is answered once this many peers have the change, or this much later.
+SPREAD_PEERS = 2
+SPREAD_SECONDS = 2.0
+SPREAD_LOOK_SECONDS = 0.02
 # How long a part that is no longer placed must have been without a stream before it's unloaded:
 # the time in which a configuration is in force everywhere, and a report's lag.
 DRAIN_SECONDS = 6.0
@@ -81,10 +92,27 @@
         """Accept a plan; once accepted it's spread to the peers at once."""
         configuration = self._node.holder.configuration
         result = await self._plans.confirm(name, configuration, self._fleet(), self._new_name())
-        if isinstance(result, Confirmed):
-            await self._spread(result.change)
+        if isinstance(result, Confirmed) and not await self._is_in_force(result.change):
+            return ConfirmUnknown()
         return result
 
+    async def _is_in_force(self, change: Change) -> bool:
+        """Spread an accepted change; return whether it's sure to come into force in time.
+
+        It is once peers have it, or while the platform, where they look for it, can be read.
+        """
+        await self._spread(change)
+        with trio.move_on_after(SPREAD_SECONDS):
+            while not self._peers_have(change.version):
+                await trio.sleep(SPREAD_LOOK_SECONDS)
+            return True
+        return isinstance(await self._node.store.head(), Success)
+
+    def _peers_have(self, version: int) -> bool:
+        live = self._node.gossip.live.values()
+        having = sum(digest.version >= version for digest in live)
+        return having >= min(SPREAD_PEERS, len(live))
+
     async def _spread(self, change: Change) -> None:
         self._node.holder.apply(change)
         if self._node.holder.version < change.version:
@@ -140,7 +168,7 @@
             runner = fleet.runners.get(name)
             if runner is not None and runner.incarnation == place.incarnation:
                 self._missing.pop(name, None)
-                if self._is_retired(place) and runner.streams == 0:
+                if self._is_retired(place) and self._is_drained(name, runner.streams):
                     gone.add(name)
                 continue
             since = self._missing.setdefault(name, now)
@@ -174,9 +202,10 @@
             return
         wanted = ("", 0, 0) if place is None else (place.model, place.first, place.end)
         if wanted == (load.model, load.first, load.end):
-            self._unwanted.pop(listed.name, None)
+            if place is None or not self._is_retired(place):
+                self._unwanted.pop(listed.name, None)
             return
-        if load.model and not self._is_drained(listed.name, load):
+        if load.model and not self._is_drained(listed.name, load.streams):
             return
         engine = self._node.ports.engine(listed.name, listed.address)
         if not load.checks_fence:
@@ -186,13 +215,14 @@
                 return
         await self._order(engine, place, load)
 
-    def _is_drained(self, name: str, load: EngineLoad) -> bool:
-        """Return whether what a runner holds beside the plan can go: unused for long enough.
+    def _is_drained(self, name: str, streams: int) -> bool:
+        """Return whether what a runner holds and should not can go: unused for long enough.
 
-        Until every entry has the configuration in force, one may still send it a stream.
+        Until every entry has the configuration in force, one may still send it a stream, and a
+        report of no streams may be older than the last of them.
         """
         now = trio.current_time()
-        if load.streams > 0:
+        if streams > 0:
             self._unwanted[name] = now
         since = self._unwanted.setdefault(name, now)
         return now - since >= DRAIN_SECONDS
--- a/deckcourse/membership.py
+++ b/deckcourse/membership.py
@@ -88,12 +88,22 @@
         """Return whether this incarnation gets no new work."""
         return incarnation_name(instance, incarnation) in self._leaving
 
-    def usable(self, configuration: Configuration, model: str, now: float) -> tuple[Placement, ...]:
-        """Return the placements of a model that may be given new work now."""
+    def usable(
+        self,
+        configuration: Configuration,
+        model: str,
+        now: float,
+        keep: frozenset[str] = frozenset(),
+    ) -> tuple[Placement, ...]:
+        """Return the placements of a model that may be given work now.
+
+        Instances in `keep` already have a part in the request: to go on there is no new work,
+        leaving or not, and needs no fresh report.
+        """
         return tuple(
             each
             for each in configuration.placed(model)
-            if self._is_usable(configuration, each, now)
+            if each.instance in keep or self._is_usable(configuration, each, now)
         )
 
     def _is_usable(self, configuration: Configuration, place: Placement, now: float) -> bool:
--- a/deckcourse/pipeline.py
+++ b/deckcourse/pipeline.py
@@ -1,7 +1,7 @@
 """One completion over as many attempts as it takes: route, relay, detect, resume."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from contextlib import aclosing
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, replace
 
 import trio
@@ -36,6 +36,9 @@
 # Between two looks for a route while none is usable: a replacement may be on its way.
 ROUTE_WAIT_SECONDS = 0.1
 CANCEL_SECONDS = 1.0
+# A deadline that is acted on this much too late says that this process was paused: whether the
+# upstream was silent isn't known.
+LATE_SECONDS = 0.1
 
 TokenSink = Callable[[Sequence[TokenFrame]], Awaitable[None]]
 
@@ -56,10 +59,19 @@
 
 @dataclass(frozen=True)
 class _Stalled:
-    """No frame came before the deadline."""
+    """No frame came before the deadline; `late` if this process itself looked late."""
 
+    late: bool
 
-_AttemptEnd = Unreachable | Refused | Lost | _Stalled | None
+
+@dataclass(frozen=True)
+class _BadFrame:
+    """The stream sent what no correct attempt sends."""
+
+    message: str
+
+
+_AttemptEnd = Unreachable | Refused | Lost | _Stalled | _BadFrame | None
 
 
 class Pipeline:
@@ -107,6 +119,8 @@
         self._may_have_run = False
         self._avoid = Avoid()
         self._stages: dict[str, Stage] = {}
+        self._progress = -1
+        self._parity = 0
         self._gap = pipeline._gaps.setdefault(completion.model, TokenGap())
 
     async def run(self) -> Outcome:
@@ -146,20 +160,17 @@
                 )
 
     async def _route(self) -> Route | None:
-        route = self._choose()
-        if route is None and self._avoid != Avoid():
-            # What was avoided may be back; better it than nothing.
-            self._avoid = Avoid()
-            route = self._choose()
-        while route is None and self._may_have_run:
+        """Choose a route; one that began is waited for, since a replacement may be on its way."""
+        while True:
+            route = self._choose(self._avoid) or self._choose(Avoid(keep=self._avoid.keep))
+            if route is not None or not self._may_have_run:
+                return route
             await trio.sleep(ROUTE_WAIT_SECONDS)
-            route = self._choose()
-        return route
 
-    def _choose(self) -> Route | None:
+    def _choose(self, avoid: Avoid) -> Route | None:
         pipeline = self._pipeline
         return pipeline._router.choose(
-            pipeline._configuration(), self._completion.model, trio.current_time(), self._avoid
+            pipeline._configuration(), self._completion.model, trio.current_time(), avoid
         )
 
     async def _try(self, route: Route) -> _AttemptEnd:
@@ -175,37 +186,42 @@
     async def _relay_attempt(self, route: Route) -> _AttemptEnd:
         self._relay.begin(self._attempt, route.trace)
         engine = self._dial(route.stages[0])
-        deadline = self._gap.first_deadline(trio.current_time())
-        with trio.move_on_at(deadline) as scope:
-            ran_before, self._may_have_run = self._may_have_run, True
-            async with engine.stream(self._start(route)) as frames:
-                if isinstance(frames, Unreachable | Refused):
-                    self._may_have_run = ran_before
-                    return frames
-                if isinstance(frames, Lost):
-                    return frames
-                return await self._relay_frames(frames, scope)
-        return _Stalled()
-
-    async def _relay_frames(self, frames, scope: trio.CancelScope) -> _AttemptEnd:
+        due = self._gap.first_deadline(trio.current_time())
+        ran_before, self._may_have_run = self._may_have_run, True
+        async with AsyncExitStack() as stack:
+            frames = None
+            with trio.move_on_at(due):
+                frames = await stack.enter_async_context(engine.stream(self._start(route)))
+            if isinstance(frames, Unreachable | Refused):
+                self._may_have_run = ran_before
+            if frames is None or isinstance(frames, Unreachable | Refused | Lost):
+                return frames or _stalled(due)
+            return await self._relay_frames(frames, due)
+
+    async def _relay_frames(self, frames, due: float) -> _AttemptEnd:
         relay = self._relay
         last = trio.current_time()
-        async with aclosing(frames):
-            async for batch in frames:
-                scope.deadline = float("inf")
-                now = trio.current_time()
-                ready = relay.accept(batch)
-                if ready:
-                    await self._sink(ready)
-                    if ready[0].index > 0:
-                        self._gap.observe((now - last) / len(ready))
-                if relay.fault is not None:
-                    return Lost("", relay.fault.message)
-                if relay.finished:
-                    return None
-                last = trio.current_time()
-                scope.deadline = self._gap.next_deadline(last)
-        return Lost("", "the stream ended without a finish frame")
+        while True:
+            batch = None
+            # Only the wait is bounded: tokens that are here always get to the caller.
+            with trio.move_on_at(due) as scope:
+                batch = await anext(frames, None)
+            if scope.cancelled_caught:
+                return _stalled(due)
+            if batch is None:
+                return _BadFrame("the stream ended without a finish frame")
+            now = trio.current_time()
+            ready = relay.accept(batch)
+            if ready:
+                await self._sink(ready)
+                if ready[0].index > 0:
+                    self._gap.observe((now - last) / len(ready))
+            if relay.fault is not None:
+                return _BadFrame(relay.fault.message)
+            if relay.finished:
+                return None
+            last = trio.current_time()
+            due = self._gap.next_deadline(last)
 
     def _start(self, route: Route) -> StreamStart:
         completion = self._completion
@@ -233,42 +249,65 @@
                     nursery.start_soon(engine.cancel, self._completion.request, self._attempt)
 
     async def _learn(self, route: Route, end: _AttemptEnd) -> RetryReason:
-        """Add to what later attempts avoid; return why there is one."""
-        if isinstance(end, Unreachable):
-            self._blame(route, end.instance)
-            return RetryReason.UNREACHABLE
+        """Add to what later attempts avoid; return why there is one.
+
+        Upstreams that answer a probe keep what they computed, so the next attempt goes on with
+        them; only where the same route fails again without a token are they given up.
+        """
         if isinstance(end, Refused):
-            return self._learn_refusal(route, end)
-        if isinstance(end, Lost) and end.instance in route.instances:
-            self._blame(route, end.instance)
-            return RetryReason.STAGE_LOST
+            return self._learn_refusal(end)
+        if isinstance(end, _BadFrame):
+            self._blame(route, route.stages[0].instance)
+            return RetryReason.BAD_FRAME
         silent = await self._silent_stages(route)
-        for instance in silent:
-            self._blame(route, instance)
-        if not silent:
-            self._avoid_links(route)
-        return RetryReason.STAGE_STALLED if isinstance(end, _Stalled) else RetryReason.BAD_FRAME
+        if len(silent) == len(route.stages) > 1:
+            # More likely this process is cut off than all of them at once.
+            await self._wait_for_any(route)
+        elif silent:
+            for instance in silent:
+                self._blame(route, instance)
+        elif isinstance(end, _Stalled):
+            if not end.late:
+                self._avoid_links(route)
+        elif not self._progressed():
+            self._blame(route, end.instance)
+        return _retry_reason(end)
 
-    def _learn_refusal(self, route: Route, end: Refused) -> RetryReason:
+    def _progressed(self) -> bool:
+        """Return whether a token came since the last time that this was asked."""
+        before, self._progress = self._progress, len(self._relay.delivered)
+        return self._progress > before
+
+    async def _wait_for_any(self, route: Route) -> None:
+        while len(await self._silent_stages(route)) == len(route.stages):
+            await trio.sleep(ROUTE_WAIT_SECONDS)
+
+    def _learn_refusal(self, end: Refused) -> RetryReason:
         if end.refusal == EngineRefusal.FENCED:
             return RetryReason.FENCED
-        instances = self._avoid.instances | {end.instance}
-        self._avoid = replace(self._avoid, instances=instances)
+        self._give_up_on(frozenset((end.instance,)))
         return RetryReason.REFUSED
 
     def _blame(self, route: Route, instance: str) -> None:
         domains = {each.domain for each in route.stages if each.instance == instance}
-        self._avoid = replace(
-            self._avoid,
-            instances=self._avoid.instances | {instance},
-            domains=self._avoid.domains | domains,
-        )
+        self._avoid = replace(self._avoid, domains=self._avoid.domains | domains)
+        self._give_up_on(frozenset((instance,)))
         self._pipeline._membership.forget_load(instance)
 
     def _avoid_links(self, route: Route) -> None:
-        names = ("", *(stage.instance for stage in route.stages))
-        links = frozenset(zip(names, names[1:], strict=False))
-        self._avoid = replace(self._avoid, links=self._avoid.links | links)
+        """Leave every link between stages by replacing as few of them as possible.
+
+        All answer this process, so a link between two of them is at fault, and nobody says
+        which: every second stage has a part in each link. The other half is next.
+        """
+        self._parity = 1 - self._parity
+        chosen = route.stages[self._parity :: 2] or route.stages
+        instances = frozenset(stage.instance for stage in chosen)
+        self._give_up_on(instances)
+
+    def _give_up_on(self, instances: frozenset[str]) -> None:
+        avoided = self._avoid.instances | instances
+        self._avoid = replace(self._avoid, instances=avoided, keep=self._avoid.keep - instances)
 
     async def _silent_stages(self, route: Route) -> list[str]:
         """Ask each stage for its load at once; return those that don't answer in time."""
@@ -292,5 +331,18 @@
         return NotRun(not_run, message)
 
 
+def _stalled(due: float) -> _Stalled:
+    return _Stalled(trio.current_time() - due > LATE_SECONDS)
+
+
+def _retry_reason(end: _AttemptEnd) -> RetryReason:
+    match end:
+        case Unreachable():
+            return RetryReason.UNREACHABLE
+        case _Stalled():
+            return RetryReason.STAGE_STALLED
+    return RetryReason.STAGE_LOST
+
+
 def _hop(stage: Stage) -> Hop:
     return Hop(stage.instance, stage.address, stage.layers.first, stage.layers.end)
--- a/deckcourse/plans.py
+++ b/deckcourse/plans.py
@@ -24,6 +24,7 @@
     "ConfirmUnknown",
 ]
 
+PLAN_PREFIX = "plan/"
 CONFIRM_TRIES = 5
 
 
@@ -81,7 +82,7 @@
 
 @dataclass(frozen=True)
 class ConfirmUnknown:
-    """The reply was lost and can't be read yet; confirming again by the same name settles it."""
+    """The reply was lost, or nobody has the change yet; confirming again by name settles it."""
 
 
 ConfirmResult = Confirmed | PlanConflict | NoSuchPlan | PlatformOut | ConfirmUnknown
@@ -206,7 +207,7 @@
 
 
 def _key(name: str) -> str:
-    return f"plan/{name}"
+    return f"{PLAN_PREFIX}{name}"
 
 
 def _decode(row: Row) -> Plan:
--- a/deckcourse/router.py
+++ b/deckcourse/router.py
@@ -18,14 +18,13 @@
 
 @dataclass(frozen=True)
 class Avoid:
-    """What earlier attempts showed: upstreams, failure domains and links that are bad.
+    """What earlier attempts showed: upstreams and failure domains that are bad.
 
     `keep` holds upstreams that did their part and still have the request's KV cache.
     """
 
     instances: frozenset[str] = frozenset()
     domains: frozenset[str] = frozenset()
-    links: frozenset[tuple[str, str]] = frozenset()
     keep: frozenset[str] = frozenset()
 
 
@@ -55,8 +54,8 @@
     ) -> Route | None:
         """Draw a route.
 
-        Upstreams in `avoid` are never taken; its failure domains and links only where nothing
-        else carries the stage.
+        Upstreams in `avoid` are never taken; its failure domains only where nothing else
+        carries the stage.
 
         Returns:
           The route, or None where the usable replicas don't cover every layer.
@@ -64,7 +63,7 @@
         spec = configuration.models.get(model)
         if spec is None:
             return None
-        usable = self._membership.usable(configuration, model, now)
+        usable = self._membership.usable(configuration, model, now, avoid.keep)
         places = [each for each in usable if each.instance not in avoid.instances]
         complete = _completable(places, spec.depth)
         stages: list[Placement] = []
@@ -86,7 +85,7 @@
     ) -> Placement:
         source = stages[-1].instance if stages else ""
         kept = [each for each in options if each.instance in avoid.keep]
-        preferred = [each for each in kept or options if not _is_avoided(each, source, avoid)]
+        preferred = [each for each in kept or options if not _is_avoided(each, avoid)]
         preferred = preferred or options
         weights = self._weights(configuration, preferred, source)
         drawn = self._random.choices(preferred, weights, k=CHOICES)
@@ -112,9 +111,7 @@
         return (streams + 1) * (place.end - place.first) / report.load.layer_rate
 
 
-def _is_avoided(place: Placement, source: str, avoid: Avoid) -> bool:
-    if (source, place.instance) in avoid.links:
-        return True
+def _is_avoided(place: Placement, avoid: Avoid) -> bool:
     return place.domain in avoid.domains and place.instance not in avoid.keep
 
 
--- a/deckcourse/standin_service.py
+++ b/deckcourse/standin_service.py
@@ -49,6 +49,10 @@
         self._dead = True
         self._thawed.set()
 
+    def revive(self) -> None:
+        """Come back after `kill`; the record is kept."""
+        self._dead = False
+
     def freeze(self) -> None:
         """Stop answering until `thaw`."""
         self._thawed = trio.Event()
--- /dev/null
+++ b/deckcourse/virtual_site.py
@@ -0,0 +1,288 @@
+"""A whole site in memory for a virtual clock: what it runs, and the faults that can hit it."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import trio
+
+from deckcourse.controller import Controller
+from deckcourse.counters import MemoryCounters
+from deckcourse.entry import Entry, ServiceRequest
+from deckcourse.flow import LinkRate
+from deckcourse.gossip import ENTRY_ROLE
+from deckcourse.instance_list import InstanceKind, ListedInstance, MemoryInstanceList
+from deckcourse.node import CONTROLLER_ROLE, Node, NodeIdentity, Ports
+from deckcourse.object_store import MemoryObjectStore
+from deckcourse.outcomes import Outcome
+from deckcourse.pipeline import Completion, TokenSink
+from deckcourse.standin_engine import EngineSpec, StandinEngine
+from deckcourse.standin_platform import FaultyInstanceList, FaultyObjectStore, FaultyTable
+from deckcourse.standin_service import StandinService
+from deckcourse.table import MemoryTable
+from deckcourse.virtual_links import Gate, Links, Step, Steps
+from deckcourse.virtual_ports import (
+    Crossing,
+    VirtualEngine,
+    VirtualList,
+    VirtualObjects,
+    VirtualPeerLink,
+    VirtualService,
+    VirtualStage,
+    VirtualTable,
+)
+
+__all__ = ["Broken", "Process", "VirtualPlan", "VirtualSite"]
+
+
+@dataclass(frozen=True)
+class Broken:
+    """What a caller sees of an entry that died: a connection that broke."""
+
+
+@dataclass(frozen=True)
+class VirtualPlan:
+    """What a virtual site is made of."""
+
+    entries: int = 2
+    controllers: int = 2
+    engines: tuple[EngineSpec, ...] = ()
+    services: dict[str, str] = field(default_factory=dict)
+    domains: tuple[str, ...] = ("hall-a", "hall-b", "hall-c")
+    list_lag: float = 0.0
+    link_rate: LinkRate = lambda source, target: 1e6
+    seed: int = 1
+
+
+class Process:
+    """One process of the system: it can be paused, and killed and started again."""
+
+    def __init__(self, name: str, role: str, domain: str) -> None:
+        self.name = name
+        self.role = role
+        self.domain = domain
+        self.gate = Gate()
+        self.node: Node | None = None
+        self.entry: Entry | None = None
+        self.controller: Controller | None = None
+        self.dead = trio.Event()
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs, paused or not."""
+        return self.node is not None and not self.dead.is_set()
+
+
+class VirtualSite:
+    """The running parts, by name."""
+
+    def __init__(self, plan: VirtualPlan) -> None:
+        self.plan = plan
+        self.random = Random(plan.seed)
+        self.links = Links()
+        self.steps = Steps()
+        self.memory_table = MemoryTable()
+        self.memory_list = MemoryInstanceList()
+        self.table = FaultyTable(self.memory_table)
+        self.objects = FaultyObjectStore(MemoryObjectStore())
+        self.list = FaultyInstanceList(self.memory_list, plan.list_lag)
+        self.engines: dict[str, StandinEngine] = {}
+        self.past_engines: list[StandinEngine] = []
+        self.services: dict[str, StandinService] = {}
+        self.processes: dict[str, Process] = {}
+        self._nursery: trio.Nursery | None = None
+        self._build()
+
+    def _build(self) -> None:
+        for spec in self.plan.engines:
+            self.add_engine(spec)
+        for number, (name, service) in enumerate(self.plan.services.items()):
+            self.services[name] = StandinService(name)
+            domain = self._domain(number)
+            line = ListedInstance(name, 1, InstanceKind.SERVICE, name, domain, service=service)
+            self.memory_list.put(line)
+        for number in range(self.plan.entries):
+            self._add_process(f"entry-{number + 1}", ENTRY_ROLE, number)
+        for number in range(self.plan.controllers):
+            self._add_process(f"controller-{number + 1}", CONTROLLER_ROLE, number)
+
+    def _domain(self, number: int) -> str:
+        return self.plan.domains[number % len(self.plan.domains)]
+
+    def _add_process(self, name: str, role: str, number: int) -> None:
+        self.processes[name] = Process(name, role, self._domain(number))
+        line = ListedInstance(
+            name, 1, InstanceKind.ROUTER, name, self._domain(number), peer_addresses=(name,)
+        )
+        self.memory_list.put(line)
+
+    def add_engine(self, spec: EngineSpec) -> StandinEngine:
+        """Add an engine, or a new incarnation of one, and list it."""
+        if spec.name in self.engines:
+            self.past_engines.append(self.engines[spec.name])
+
+        def dial(hop):
+            return VirtualStage(self.links, spec.name, hop, lambda: self.engines[hop.instance])
+
+        engine = StandinEngine(replace(spec, address=spec.name), dial)
+        self.engines[spec.name] = engine
+        self.memory_list.put(
+            ListedInstance(spec.name, spec.incarnation, InstanceKind.RUNNER, spec.name, spec.domain)
+        )
+        return engine
+
+    def restart_engine(self, name: str) -> StandinEngine:
+        """Give an instance's name to a new, empty incarnation."""
+        spec = self.engines[name].spec
+        self.engines[name].kill()
+        return self.add_engine(replace(spec, incarnation=spec.incarnation + 1))
+
+    @property
+    def every_engine(self) -> list[StandinEngine]:
+        """All engines, earlier incarnations too."""
+        return [*self.past_engines, *self.engines.values()]
+
+    @property
+    def entries(self) -> list[Process]:
+        """The entries that run."""
+        return [each for each in self.processes.values() if each.entry and each.alive]
+
+    @property
+    def controllers(self) -> list[Process]:
+        """The controllers that run."""
+        return [each for each in self.processes.values() if each.controller and each.alive]
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Run every process until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for name in self.processes:
+                self.start(name)
+            task_status.started()
+            await trio.sleep_forever()
+
+    def start(self, name: str) -> None:
+        """Start a process, or start it again with nothing kept."""
+        process = self.processes[name]
+        process.gate = Gate()
+        process.dead = trio.Event()
+        identity = NodeIdentity(
+            name, process.role, process.domain, name, f"{name}/{self.random.getrandbits(48):x}"
+        )
+        random = Random(self.random.getrandbits(32))
+        process.node = Node(identity, self._ports(process), MemoryCounters(), random)
+        if process.role == ENTRY_ROLE:
+            process.entry = Entry(process.node)
+            self._nursery.start_soon(self._run_process, process, process.entry.run)
+        else:
+            process.controller = Controller(process.node, self.plan.link_rate, self._plan_name)
+            self._nursery.start_soon(self._run_process, process, process.controller.run)
+
+    def _plan_name(self) -> str:
+        return f"{self.random.getrandbits(32):08x}"
+
+    async def _run_process(self, process: Process, run: Callable[[], Awaitable[None]]) -> None:
+        dead = process.dead
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            await dead.wait()
+            nursery.cancel_scope.cancel()
+
+    def kill(self, name: str) -> None:
+        """Kill a process or an engine; a paused one dies too."""
+        if name in self.engines:
+            self.engines[name].kill()
+            return
+        if name in self.services:
+            self.services[name].kill()
+            return
+        process = self.processes[name]
+        process.dead.set()
+        process.gate.kill()
+
+    def freeze(self, name: str) -> None:
+        """Pause a process, an engine or a service."""
+        if name in self.processes:
+            self.processes[name].gate.shut()
+        else:
+            (self.engines.get(name) or self.services[name]).freeze()
+
+    def thaw(self, name: str) -> None:
+        """Let a paused one go on."""
+        if name in self.processes:
+            self.processes[name].gate.open()
+        else:
+            (self.engines.get(name) or self.services[name]).thaw()
+
+    def platform_out(self, out: bool) -> None:
+        """Switch the platform's outage."""
+        for service in (self.table, self.objects, self.list):
+            service.out = out
+
+    def platform_delay(self, seconds: float) -> None:
+        """Set how long the platform takes for an answer."""
+        for service in (self.table, self.objects, self.list):
+            service.delay = seconds
+
+    def _ports(self, process: Process) -> Ports:
+        crossing = Crossing(process.name, process.gate, self.links, self.steps)
+        return Ports(
+            table=VirtualTable(crossing, self.table),
+            objects=VirtualObjects(crossing, self.objects),
+            instance_list=VirtualList(crossing, self.list),
+            engine=lambda instance, address: VirtualEngine(
+                crossing, instance, lambda: self.engines[instance]
+            ),
+            service=lambda upstream, fresh: VirtualService(
+                crossing, upstream.name, self.services[upstream.name]
+            ),
+            peer=lambda address: VirtualPeerLink(crossing, address, lambda: self._answer(address)),
+        )
+
+    def _answer(self, name: str):
+        process = self.processes[name]
+        if not process.alive:
+            return None
+
+        async def answer(message):
+            await process.gate.wait_open()
+            return await process.node.gossip.answer(message)
+
+        return answer
+
+    async def complete(
+        self, entry: str, completion: Completion, sink: TokenSink
+    ) -> Outcome | Broken:
+        """Ask an entry for a completion."""
+        process = self.processes[entry]
+        self.steps.reach(Step.ADMIT, entry)
+
+        async def gated_sink(tokens) -> None:
+            await process.gate.wait_open()
+            await sink(tokens)
+
+        return await self._within(process, lambda: process.entry.complete(completion, gated_sink))
+
+    async def call(self, entry: str, request: ServiceRequest) -> Outcome | Broken:
+        """Ask an entry to call a plain service."""
+        process = self.processes[entry]
+        return await self._within(process, lambda: process.entry.call(request))
+
+    async def _within(self, process: Process, work: Callable[[], Awaitable]) -> Outcome | Broken:
+        if not process.alive:
+            return Broken()
+        await process.gate.wait_open()
+        result: Outcome | Broken = Broken()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when, process.dead, nursery.cancel_scope)
+            done = await work()
+            await process.gate.wait_open()
+            if not process.dead.is_set():
+                result = done
+            nursery.cancel_scope.cancel()
+        return result
+
+
+async def _cancel_when(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -4,9 +4,11 @@
 """
 
 import json
+import os
 import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -26,26 +28,70 @@
     return {line.split("|")[0].strip(): line for line in lines}
 
 
-def run_behave(arguments: list[str]) -> tuple[dict[str, str], int]:
-    """Run behave; return each scenario's status by name, and behave's exit code."""
+def run_behave(feature: str) -> tuple[str, dict[str, str], int, str]:
+    """Run one feature file; return it, each scenario's status, behave's exit code and output."""
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
-        formats = ["--format", "json", "--outfile", str(report), "--format", "progress"]
-        command = [sys.executable, "-m", "behave", *formats, "--no-capture", *arguments]
-        code = subprocess.run(command, cwd=ROOT, check=False).returncode
-        features = json.loads(report.read_text(encoding="utf-8") or "[]")
+        formats = ["--format", "json", "--outfile", str(report)]
+        command = [sys.executable, "-m", "behave", *formats, "--no-capture", feature]
+        environment = {**os.environ, "PYTHONHASHSEED": "0"}
+        done = subprocess.run(
+            command,
+            cwd=ROOT,
+            check=False,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            env=environment,
+        )
+        text = report.read_text(encoding="utf-8") if report.exists() else "[]"
     statuses = {}
-    for feature in features:
-        for element in feature.get("elements", []):
-            if element["type"] == "scenario":
-                place = f"{element['name']} ({element['location']})"
-                statuses[place] = element.get("status", "untested")
-    return statuses, code
+    messages = []
+    for element in _scenarios(text):
+        place = f"{element['name']} ({element['location']})"
+        statuses[place] = element.get("status", "untested")
+        messages += _messages(place, element)
+    return feature, statuses, done.returncode, "\n".join([*messages, done.stdout])
+
+
+def _scenarios(text: str) -> list[dict]:
+    elements = [
+        each for feature in json.loads(text or "[]") for each in feature.get("elements", [])
+    ]
+    return [element for element in elements if element["type"] == "scenario"]
+
+
+def _messages(place: str, element: dict) -> list[str]:
+    results = [step.get("result", {}) for step in element.get("steps", [])]
+    errors = [result["error_message"] for result in results if "error_message" in result]
+    lines = [error if isinstance(error, list) else error.splitlines() for error in errors]
+    return ["\n".join([place, *error[:12]]) for error in lines]
+
+
+def run_all(features: list[str]) -> tuple[dict[str, str], list[str]]:
+    """Run the files side by side; return each scenario's status, and the files that broke."""
+    statuses: dict[str, str] = {}
+    broken: list[str] = []
+    workers = max(1, (os.cpu_count() or 2) // 2)
+    with ThreadPoolExecutor(workers) as pool:
+        for feature, found, code, output in pool.map(run_behave, features):
+            statuses |= found
+            red = [status for status in found.values() if status not in (GOOD, *NOT_RUN)]
+            print(f"{feature}: {len(found)} scenarios, {len(red)} red", flush=True)
+            if code != 0:
+                print(output)
+            if not found or (code != 0 and not red):
+                broken.append(feature)
+    return statuses, broken
 
 
 def main() -> int:
     """Run and report."""
-    statuses, code = run_behave(sys.argv[1:])
+    features = sys.argv[1:] or sorted(
+        (str(path.relative_to(ROOT)) for path in (ROOT / "features").glob("*.feature")),
+        key=lambda name: ("fault_matrix" not in name and "processes" not in name, name),
+    )
+    statuses, broken = run_all(features)
     listed = known_red()
     passed = [name for name, status in statuses.items() if status == GOOD]
     red = [name for name, status in statuses.items() if status not in (GOOD, *NOT_RUN)]
@@ -55,9 +101,9 @@
         print(f"known red, passed over: {listed[name.rsplit(' (', 1)[0]]}")
     for name in failed:
         print(f"failed: {name}")
-    if not statuses or (code != 0 and not red):
-        print(f"behave ended with {code} and {len(statuses)} scenarios; its output says why")
-        failed.append("behave")
+    for feature in broken:
+        print(f"failed: {feature} did not run to its end")
+    failed += broken
     print(f"{len(passed)} passed, {len(failed)} failed")
     return 1 if failed else 0
 
