--- a/deckcourse/claims.py
+++ b/deckcourse/claims.py
@@ -15,6 +15,7 @@
 import trio
 from returns.result import Failure, Success
 
+from deckcourse.background import Background
 from deckcourse.counters import Counters
 from deckcourse.reasons import RetryReason
 from deckcourse.table import ABSENT, Committed, Conflict, Row, TableFailure, TableService, Write
@@ -147,20 +148,19 @@
 class Claims:
     """The claims of one entry; `run` must be running for any to be granted."""
 
-    def __init__(self, table: TableService, holder: str, counters: Counters) -> None:
+    def __init__(
+        self, table: TableService, holder: str, counters: Counters, background: Background
+    ) -> None:
         self._table = table
+        self._background = background
         self._holder = holder
         self._counters = counters
         self._send, self._receive = trio.open_memory_channel[_Waiting](float("inf"))
-        self._nursery: trio.Nursery | None = None
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    async def run(self) -> None:
         """Commit the waiting claims, all that are there in one transaction."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
-            async for first in self._receive:
-                await self._commit(self._gather(first))
+        async for first in self._receive:
+            await self._commit(self._gather(first))
 
     def _gather(self, first: _Waiting) -> list[_Waiting]:
         """Take what waits already, one for each key; a second of a key waits for the next."""
@@ -198,8 +198,7 @@
 
     def _abandon(self, waiting: _Waiting) -> None:
         """The caller is gone while its claim may be under way: release it when it's there."""
-        if self._nursery is not None:
-            self._nursery.start_soon(self._release_when_known, waiting)
+        self._background.start(self._release_when_known, waiting)
 
     async def _release_when_known(self, waiting: _Waiting) -> None:
         await waiting.done.wait()
@@ -263,7 +262,7 @@
         not stand in the way of the caller's repeat.
         """
         waiting.settle(ClaimUnavailable())
-        self._nursery.start_soon(self.release, waiting.key, waiting.claim)
+        self._background.start(self.release, waiting.key, waiting.claim)
 
     async def _read(self, keys: list[str]) -> tuple[Row | None, ...] | None:
         for _ in range(READ_TRIES):
--- a/deckcourse/entry.py
+++ b/deckcourse/entry.py
@@ -9,6 +9,7 @@
 import trio
 
 from deckcourse.admission import Admission, AdmissionRequest, Capacity
+from deckcourse.background import Background
 from deckcourse.claims import (
     ClaimBusy,
     ClaimGranted,
@@ -71,13 +72,15 @@
             self._budget,
             node.counters,
         )
-        self._claims = Claims(node.ports.table, node.identity.incarnation, node.counters)
+        self._background = Background()
+        self._claims = Claims(
+            node.ports.table, node.identity.incarnation, node.counters, self._background
+        )
         self._quota = Quota()
         self._admissions: dict[str, Admission] = {}
         self._capacity_deadlines: dict[str, float] = {}
         self._requests = 0
         self._turned_away = False
-        self._recordings: trio.Nursery | None = None
         node.demand = lambda: self._quota.demand(trio.current_time())
 
     @property
@@ -90,6 +93,11 @@
         """How many requests are in flight."""
         return self._requests
 
+    @property
+    def unfinished(self) -> int:
+        """How many requests, and recordings of results, are in flight."""
+        return self._requests + self._background.unfinished
+
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
@@ -99,13 +107,12 @@
         """Tell the balancer to send nobody more; who comes all the same is still served."""
         self._turned_away = True
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    async def run(self) -> None:
         """Do the entry's background work until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._recordings = nursery
             nursery.start_soon(self._node.run)
-            await nursery.start(self._claims.run)
-            task_status.started()
+            nursery.start_soon(self._claims.run)
+            nursery.start_soon(self._background.run)
 
     def account_of(self, key: str) -> Account | None:
         """Return the client account of an API key, None where it's nobody's."""
@@ -324,9 +331,9 @@
         outcome = await self._call_once(request, granted.claim.attempt)
         if isinstance(outcome, Answered):
             reply = RecordedReply.of(outcome.status, outcome.content_type, outcome.body)
-            self._recordings.start_soon(self._claims.record, granted, reply)
+            self._background.start(self._claims.record, granted, reply)
         elif isinstance(outcome, NotRun):
-            self._recordings.start_soon(self._claims.release, granted.key, granted.claim)
+            self._background.start(self._claims.release, granted.key, granted.claim)
         return outcome
 
     def _counted(self, outcome: Outcome) -> Outcome:
--- a/deckcourse/entry_server.py
+++ b/deckcourse/entry_server.py
@@ -42,7 +42,7 @@
         listener = PynngListener(self._entry.node.identity.peer_address)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(listener.run, self._entry.node.gossip.answer)
-            await nursery.start(self._entry.run)
+            nursery.start_soon(self._entry.run)
             app = EntryApp(self._entry, self._limits)
             bound = await nursery.start(serve, app, self._listen, shutdown, CLOSE_SECONDS)
             task_status.started(bound)
@@ -58,5 +58,5 @@
         self._entry.turn_away()
         await trio.sleep(self._balancer_lag)
         self._entry.node.stopping = True
-        while self._entry.requests and trio.current_time() < give_up_at:
+        while self._entry.unfinished and trio.current_time() < give_up_at:
             await trio.sleep(DRAIN_LOOK_SECONDS)
