--- a/deckcourse/pipeline.py
+++ b/deckcourse/pipeline.py
@@ -119,6 +119,7 @@
         self._may_have_run = False
         self._avoid = Avoid()
         self._stages: dict[str, Stage] = {}
+        self._last_end: _AttemptEnd = None
         self._progress = -1
         self._parity = 0
         self._gap = pipeline._gaps.setdefault(completion.model, TokenGap())
@@ -142,13 +143,9 @@
         while True:
             route = await self._route()
             if route is None:
-                return self._given_up(
-                    NotRunReason.NO_ROUTE,
-                    UnknownReason.NO_ROUTE,
-                    f"no usable upstreams cover every layer of {self._completion.model}",
-                )
+                return self._no_route()
             self._attempt += 1
-            end = await self._try(route)
+            self._last_end = end = await self._try(route)
             if end is None:
                 return Answered(len(self._relay.delivered))
             self._avoid = replace(self._avoid, keep=route.instances)
@@ -159,13 +156,24 @@
                     NotRunReason.RETRY_BUDGET, UnknownReason.RETRY_BUDGET, "too many retries"
                 )
 
+    def _no_route(self) -> Outcome:
+        model = self._completion.model
+        match self._last_end:
+            case Refused(message=message):
+                return NotRun(NotRunReason.UPSTREAM_REFUSED, f"{model}: {message}")
+            case Unreachable(message=message):
+                return NotRun(NotRunReason.UPSTREAM_UNREACHABLE, f"{model}: {message}")
+        return NotRun(NotRunReason.NO_ROUTE, f"no usable upstreams cover every layer of {model}")
+
     async def _route(self) -> Route | None:
         """Choose a route; one that began is waited for, since a replacement may be on its way."""
-        while True:
-            route = self._choose(self._avoid) or self._choose(Avoid(keep=self._avoid.keep))
-            if route is not None or not self._may_have_run:
-                return route
-            await trio.sleep(ROUTE_WAIT_SECONDS)
+        route = self._choose(self._avoid)
+        while route is None and self._may_have_run:
+            # What was avoided may have come back; better it than nothing.
+            route = self._choose(Avoid(keep=self._avoid.keep))
+            if route is None:
+                await trio.sleep(ROUTE_WAIT_SECONDS)
+        return route
 
     def _choose(self, avoid: Avoid) -> Route | None:
         pipeline = self._pipeline
--- a/deckcourse/reasons.py
+++ b/deckcourse/reasons.py
@@ -31,7 +31,6 @@
     UPSTREAM_LOST = "upstream-lost"
     DEADLINE_PASSED = "deadline-passed"
     RETRY_BUDGET = "retry-budget"
-    NO_ROUTE = "no-route"
     CALLER_GONE = "caller-gone"
     IN_PROGRESS = "in-progress"
     HOLDER_GONE = "holder-gone"
--- a/deckcourse/standin_engine.py
+++ b/deckcourse/standin_engine.py
@@ -45,6 +45,7 @@
 FINISH_LENGTH = "length"
 # A position of a prompt costs this much of a generated one: prefill is done in large batches.
 PREFILL_COST = 0.05
+FINISH_SECONDS = 1.0
 # What a request left behind is dropped after this long without a step.
 IDLE_SECONDS = 30.0
 # Ended requests are remembered, so that an attempt that wakes late starts nothing anew.
@@ -154,12 +155,18 @@
         self._thawed = trio.Event()
         self._thawed.set()
         self._orders: list[Order] = []
+        self._refuse_with: EngineRefusal | None = None
 
     @property
     def spec(self) -> EngineSpec:
         """What kind of machine this is."""
         return self._spec
 
+    @property
+    def alive(self) -> bool:
+        """Whether the machine is there, frozen or not."""
+        return not self._dead.is_set()
+
     @property
     def runs(self) -> tuple[LayerRun, ...]:
         """The record of every layer run."""
@@ -194,6 +201,10 @@
         """Go on after `freeze`."""
         self._thawed.set()
 
+    def refuse(self, refusal: EngineRefusal | None) -> None:
+        """Refuse every new stream, None for none."""
+        self._refuse_with = refusal
+
     def leave(self) -> None:
         """Show the sign of an instance that is being taken back."""
         self._leaving = True
@@ -225,6 +236,8 @@
             return EngineRefusal.BAD_REQUEST
         if start.request in self._sessions:
             return None
+        if self._refuse_with is not None:
+            return self._refuse_with
         if self._leaving:
             return EngineRefusal.LEAVING
         if not self._holds(start.model, start.route[0]):
@@ -255,6 +268,7 @@
     ) -> AsyncIterator[tuple[Frame, ...]]:
         inputs = prompt_inputs(start.prompt) + start.delivered
         first = 0
+        whole = False
         self._streams[start.request] = start.attempt
         try:
             for index in range(len(start.delivered), start.max_tokens):
@@ -270,11 +284,15 @@
                 yield (TokenFrame(start.attempt, index, reply.output, text, reply.trace),)
                 first += len(inputs)
                 inputs = (reply.output,)
+            whole = True
             yield (FinishFrame(start.attempt, start.max_tokens, FINISH_LENGTH),)
-            await self.finish(start.request, start.attempt, start.route)
         finally:
             if self._streams.get(start.request) == start.attempt:
                 del self._streams[start.request]
+            if whole:
+                # Whoever has the finish frame reads no further, so this is done on closing.
+                with trio.move_on_after(FINISH_SECONDS, shield=True):
+                    await self.finish(start.request, start.attempt, start.route)
 
     async def finish(self, request: str, attempt: int, hops: tuple[Hop, ...]) -> None:
         """Let go of what this stage, and those after it, hold of a request."""
--- a/deckcourse/standin_platform.py
+++ b/deckcourse/standin_platform.py
@@ -61,11 +61,23 @@
         super().__init__()
         self._table = table
         self._lose: list[Callable[[Write], bool]] = []
+        self._hold: list[Callable[[Write], bool]] = []
+        self._held: list[Sequence[Write]] = []
 
     def lose_reply(self, of: Callable[[Write], bool]) -> None:
         """Do the next transaction with such a write, but lose its reply."""
         self._lose.append(of)
 
+    def hold(self, of: Callable[[Write], bool]) -> None:
+        """Keep the next transaction with such a write on its way; it gets no reply."""
+        self._hold.append(of)
+
+    async def let_arrive(self) -> None:
+        """Do the transactions that were kept on their way, as if they arrived now."""
+        for writes in self._held:
+            await self._table.transact(writes)
+        self._held.clear()
+
     async def read(self, keys: Sequence[str]) -> Result[tuple[Row | None, ...], TableFailure]:
         """Return the rows of `keys`, None for each that is absent."""
         if not await self.pass_through():
@@ -76,6 +88,11 @@
         """Do all writes or none."""
         if not await self.pass_through():
             return Failure(TableFailure.UNAVAILABLE)
+        for held in self._hold:
+            if any(held(write) for write in writes):
+                self._hold.remove(held)
+                self._held.append(writes)
+                await trio.sleep_forever()
         result = await self._table.transact(writes)
         for lost in self._lose:
             if any(lost(write) for write in writes):
--- a/features/faults.py
+++ b/features/faults.py
@@ -24,6 +24,7 @@
         self.step = Step(step)
         self.came = 0
         self.wanted = times
+        self.seconds = OUTAGE_SECONDS
 
     def arm(self) -> None:
         """Let the fault come each time the step is reached, as often as wanted."""
@@ -118,7 +119,7 @@
 
     def _platform_outage(self, by: str) -> None:
         self.world.site.platform_out(True)
-        self._later(OUTAGE_SECONDS, self.world.site.platform_out, False)
+        self._later(self.seconds, self.world.site.platform_out, False)
 
     def _slow_platform(self, by: str) -> None:
         self.world.site.platform_delay(SLOW_PLATFORM_SECONDS)
--- a/features/whole_answer.feature
+++ b/features/whole_answer.feature
@@ -1,7 +1,40 @@
-@whole-answer
-Feature: Every caller gets the whole answer to its own request
+@whole-answer @layers-once
+Feature: Every caller gets the whole answer to its own request, each layer run once for each token
 
   Scenario: A streamed answer through three stages
     When fitter asks for 12 tokens
     Then fitter has the whole answer
+    And fitter was served in 1 attempt
     And everything that must hold holds
+
+  Scenario: Many callers at once get each their own answer
+    When 20 callers ask for 8 tokens at once
+    Then every caller has the whole answer
+    And everything that must hold holds
+
+  Scenario Outline: The link between two stages is <fault>
+    Given the links between the middle and the last stages are <fault> once 3 tokens came to fitter
+    When fitter asks for 14 tokens
+    Then fitter has the whole answer
+    And the pause of fitter was at most 1.5 seconds
+    And everything that must hold holds
+
+    Examples:
+      | fault |
+      | cut   |
+      | slow  |
+
+  Scenario Outline: An engine that <does> is left at once
+    Given a head engine <does>
+    When fitter asks for 12 tokens
+    Then fitter has the whole answer
+    And everything that must hold holds
+
+    Examples:
+      | does                                |
+      | doubles every frame                 |
+      | sends frames out of order           |
+      | sends frames of an older attempt    |
+      | leaves a stage out of the trace     |
+      | ends the stream without a finish    |
+      | says that it finished too early     |
