--- a/deckcourse/gossip.py
+++ b/deckcourse/gossip.py
@@ -1,7 +1,7 @@
 """Gossip among the system's processes: configuration, leaving upstreams, load and demand.
 
-Each round sends a digest to a few peers at random, so that what a node sends doesn't grow with
-the number of nodes. A new configuration version starts a round at once.
+Each round sends a digest to a few peers in a random order, so that what a node sends doesn't
+grow with the number of nodes. A new configuration version starts a round at once.
 """
 
 from collections.abc import Callable
@@ -13,7 +13,7 @@
 from deckcourse.configuration_holder import ConfigurationHolder
 from deckcourse.counters import Counters
 from deckcourse.membership import Membership
-from deckcourse.peer_link import Digest, Exchange, PeerLink
+from deckcourse.peer_link import Digest, Exchange, PeerLink, load_of
 
 __all__ = ["Gossip", "Peer", "PeerState"]
 
@@ -63,6 +63,7 @@
         self._peers: dict[str, Peer] = {}
         self._wakes: dict[str, trio.Event] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
+        self._turns: list[str] = []
 
     @property
     def live(self) -> dict[str, Digest]:
@@ -116,9 +117,18 @@
             nursery.start_soon(self._peer_task, self._peers[name], self._scopes[name])
 
     def _wake_some(self) -> None:
-        names = sorted(self._wakes)
-        for name in self._random.sample(names, min(PEERS_PER_ROUND, len(names))):
-            self._wakes[name].set()
+        """Wake the next few peers; each has its turn once before any has it again."""
+        for _ in range(min(PEERS_PER_ROUND, len(self._wakes))):
+            self._next_peer().set()
+
+    def _next_peer(self) -> trio.Event:
+        while True:
+            if not self._turns:
+                self._turns = sorted(self._wakes)
+                self._random.shuffle(self._turns)
+            wake = self._wakes.get(self._turns.pop())
+            if wake is not None:
+                return wake
 
     async def _wake_on_change(self) -> None:
         while True:
@@ -168,5 +178,5 @@
         for change in message.changes:
             self._holder.apply(change)
         self._membership.see_leaving(digest.leaving)
-        for load in digest.loads:
-            self._membership.see_load(load, now)
+        for row in digest.loads:
+            self._membership.see_load(load_of(row), now)
--- a/deckcourse/node.py
+++ b/deckcourse/node.py
@@ -16,7 +16,7 @@
 from deckcourse.instance_list import InstanceKind, InstanceList, ListedInstance
 from deckcourse.membership import Membership
 from deckcourse.object_store import ObjectStore
-from deckcourse.peer_link import Digest, PeerLink
+from deckcourse.peer_link import Digest, PeerLink, row_of
 from deckcourse.plain_service import PlainService
 from deckcourse.rendezvous import owner
 from deckcourse.table import TableService
@@ -106,7 +106,7 @@
             stopping=self.stopping,
             leaving=tuple(sorted(self.membership.leaving)),
             demand=self.demand(),
-            loads=tuple(loads),
+            loads=tuple(row_of(load) for load in loads),
         )
 
     async def run(self) -> None:
--- a/deckcourse/peer_link.py
+++ b/deckcourse/peer_link.py
@@ -1,7 +1,7 @@
 """The exchange between two of the system's processes: its messages, its port and its links."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field
 from typing import Protocol
 
 import msgspec
@@ -11,12 +11,52 @@
 from deckcourse.configuration import Change, Configuration
 from deckcourse.engine import EngineLoad
 
-__all__ = ["Digest", "Exchange", "PeerLink", "PynngLink", "PynngListener", "decode_exchange"]
+__all__ = [
+    "Digest",
+    "Exchange",
+    "LoadRow",
+    "PeerLink",
+    "PynngLink",
+    "PynngListener",
+    "decode_exchange",
+    "load_of",
+    "row_of",
+]
 
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 _encode = msgspec.msgpack.Encoder().encode
 
 
+class LoadRow(msgspec.Struct, frozen=True, array_like=True):
+    """A load report without the names of its fields, which would be two thirds of its bytes."""
+
+    instance: str
+    incarnation: int
+    model: str
+    first: int
+    end: int
+    streams: int
+    slots: int
+    layer_rate: float
+    layer_room: int
+    leaving: bool
+    fence_epoch: int
+    fence_sequence: int
+    checks_fence: bool
+    step_seconds: float
+    as_of: int
+
+
+def row_of(load: EngineLoad) -> LoadRow:
+    """Return a load report as it's sent to peers."""
+    return LoadRow(*astuple(load))
+
+
+def load_of(row: LoadRow) -> EngineLoad:
+    """Return a load report as it came from a peer."""
+    return EngineLoad(*msgspec.structs.astuple(row))
+
+
 @dataclass(frozen=True)
 class Digest:
     """What a process says of itself and of the upstreams that it polled.
@@ -35,7 +75,7 @@
     stopping: bool = False
     leaving: tuple[str, ...] = ()
     demand: dict[str, float] = field(default_factory=dict)
-    loads: tuple[EngineLoad, ...] = ()
+    loads: tuple[LoadRow, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/deckcourse/relay_bench.py
+++ b/deckcourse/relay_bench.py
@@ -6,7 +6,9 @@
 
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from random import Random
+from resource import RUSAGE_SELF, getrusage
 from time import process_time
 from typing import Any
 
@@ -27,11 +29,12 @@
 from deckcourse.node import Node, NodeIdentity
 from deckcourse.porcelain import hash_key
 
-__all__ = ["bench_relay"]
+__all__ = ["RelayCost", "bench_relay", "relay_cost"]
 
 STREAMS = 8
 TOKENS = 400
 ROUNDS = 5
+KINDS = ("source", "bare", "entry")
 KEY = "k"
 MODEL = "m"
 TRACE = "runner-1:0-4"
@@ -41,14 +44,14 @@
 
 async def _source(request: Request) -> None:
     """Send the frames of an answer, each by itself, as fast as they are taken."""
-    await read_body(request, BODY_LIMIT)
+    wanted = msgspec.json.decode(await read_body(request, BODY_LIMIT))["max_tokens"]
     headers = [(b"content-type", b"application/x-ndjson")]
     await request.send({"type": "http.response.start", "status": 200, "headers": headers})
-    for index in range(TOKENS):
+    for index in range(wanted):
         line = encode_frame(TokenFrame(1, index, index, "word ", TRACE))
         await request.send({"type": "http.response.body", "body": line, "more_body": True})
         await trio.lowlevel.checkpoint()
-    last = encode_frame(FinishFrame(1, TOKENS, "length"))
+    last = encode_frame(FinishFrame(1, wanted, "length"))
     await request.send({"type": "http.response.body", "body": last})
 
 
@@ -83,8 +86,10 @@
     return EntryApp(Entry(node))
 
 
-async def _client(pool: httpcore.AsyncConnectionPool, url: str, first: list[float]) -> None:
-    body = {"model": MODEL, "prompt": "p", "max_tokens": TOKENS, "stream": True}
+async def _client(
+    pool: httpcore.AsyncConnectionPool, url: str, tokens: int, first: list[float]
+) -> None:
+    body = {"model": MODEL, "prompt": "p", "max_tokens": tokens, "stream": True}
     headers = [("authorization", f"Bearer {KEY}"), ("content-type", "application/json")]
     began = trio.current_time()
     stream = pool.stream("POST", url, headers=headers, content=msgspec.json.encode(body))
@@ -104,44 +109,64 @@
     stop.set()
 
 
-async def _round(url: str) -> tuple[float, float, float]:
-    """Run the streams once; return seconds, processor seconds, and the median first token."""
+@dataclass(frozen=True)
+class _Round:
+    """One round of streams: seconds, processor seconds, and the median first token."""
+
+    took: float
+    used: float
+    first: float
+
+
+async def _round(url: str, streams: int, tokens: int) -> _Round:
     first: list[float] = []
     async with kept_pool() as pool:
         began, used = trio.current_time(), process_time()
         async with trio.open_nursery() as nursery:
-            for _ in range(STREAMS):
-                nursery.start_soon(_client, pool, url, first)
+            for _ in range(streams):
+                nursery.start_soon(_client, pool, url, tokens, first)
         took, used = trio.current_time() - began, process_time() - used
-    return took, used, sorted(first)[len(first) // 2]
+    return _Round(took, used, sorted(first)[len(first) // 2])
+
+
+@dataclass(frozen=True)
+class RelayCost:
+    """Processor seconds for all streams of a round: the least of some rounds of each kind."""
+
+    source: float
+    bare: float
+    entry: float
+
+
+async def relay_cost(streams: int, tokens: int) -> RelayCost:
+    """Measure the source alone, a bare relay and an entry with the same streams."""
+    rounds = await _rounds(streams, tokens)
+    return RelayCost(*(min(each.used for each in rounds[kind]) for kind in KINDS))
 
 
-async def _bench() -> dict[str, Any]:
+async def _rounds(streams: int, tokens: int) -> dict[str, list[_Round]]:
     async with trio.open_nursery() as nursery:
         async with (
             _served(nursery, _source) as source,
             _served(nursery, _bare_relay(source)) as bare,
             _served(nursery, _entry_app(source)) as entry,
         ):
-            urls = {
-                "source": f"http://{source}/v1/completions",
-                "bare": f"http://{bare}/v1/completions",
-                "entry": f"http://{entry}/v1/completions",
-            }
-            results = {name: [] for name in urls}
+            addresses = dict(zip(KINDS, (source, bare, entry), strict=True))
+            results: dict[str, list[_Round]] = {kind: [] for kind in KINDS}
             for _ in range(ROUNDS):
-                for name, url in urls.items():
-                    results[name].append(await _round(url))
+                for kind, address in addresses.items():
+                    url = f"http://{address}/v1/completions"
+                    results[kind].append(await _round(url, streams, tokens))
         nursery.cancel_scope.cancel()
-    return _summary(results)
+    return results
 
 
-def _summary(results: dict[str, list[tuple[float, float, float]]]) -> dict[str, Any]:
+def _summary(rounds: dict[str, list[_Round]]) -> dict[str, Any]:
     tokens = STREAMS * TOKENS
-    cost = {name: _median([used for _, used, _ in runs]) / tokens for name, runs in results.items()}
+    cost = {kind: _median([each.used for each in rounds[kind]]) / tokens for kind in KINDS}
     bare, entry = cost["bare"] - cost["source"], cost["entry"] - cost["source"]
-    took = {name: _median([took for took, _, _ in runs]) for name, runs in results.items()}
-    first = {name: _median([first for _, _, first in runs]) for name, runs in results.items()}
+    took = {kind: _median([each.took for each in rounds[kind]]) for kind in KINDS}
+    first = {kind: _median([each.first for each in rounds[kind]]) for kind in KINDS}
     return {
         "streams": STREAMS,
         "tokens": TOKENS,
@@ -152,6 +177,7 @@
         "bare_tokens_per_second": round(tokens / took["bare"]),
         "entry_tokens_per_second": round(tokens / took["entry"]),
         "first_token_added_ms": round((first["entry"] - first["bare"]) * 1000, 2),
+        "peak_memory_mib": round(getrusage(RUSAGE_SELF).ru_maxrss / 1024),
     }
 
 
@@ -161,4 +187,4 @@
 
 def bench_relay() -> dict[str, Any]:
     """Measure the entry's relay against a bare one in one run."""
-    return trio.run(_bench)
+    return _summary(trio.run(_rounds, STREAMS, TOKENS))
--- /dev/null
+++ b/deckcourse/slopes.py
@@ -0,0 +1,468 @@
+"""Measured slopes: what one more request, token, peer, upstream, account or change costs.
+
+Each measurement runs at four sizes or more and is fitted by a line; docs/CAPACITY.md is written
+from these fits. Processor time is this process's own; sources and clients that run in the same
+process are measured by themselves and taken off.
+"""
+
+import gc
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from random import Random
+from time import perf_counter, process_time
+
+import msgspec
+import numpy as np
+import trio
+from trio.testing import MockClock
+
+from deckcourse.asgi import serve
+from deckcourse.background import Background
+from deckcourse.claims import Claims
+from deckcourse.configuration import (
+    Account,
+    Change,
+    Configuration,
+    FlowWeight,
+    ModelSpec,
+    Placement,
+)
+from deckcourse.configuration_holder import ConfigurationHolder
+from deckcourse.counters import MemoryCounters
+from deckcourse.engine import EngineLoad
+from deckcourse.engine_http import HttpEngine
+from deckcourse.http_client import kept_pool
+from deckcourse.intents import HoldCapacity
+from deckcourse.membership import Membership
+from deckcourse.peer_link import Digest, Exchange, PynngLink, PynngListener, row_of
+from deckcourse.planner import Fleet, Runner, draft_plan
+from deckcourse.quota import Quota
+from deckcourse.relay_bench import relay_cost
+from deckcourse.router import Router
+from deckcourse.site import free_address
+from deckcourse.standin_engine import EngineSpec, StandinEngine
+from deckcourse.standin_engine_http import EngineApp
+from deckcourse.table import MemoryTable
+from deckcourse.virtual_site import VirtualPlan, VirtualSite
+
+__all__ = ["Slope", "measure_all"]
+
+REPEATS = 3
+MODELS = 17
+STAGES = 4
+LAYERS = 8
+DOMAINS = tuple(f"domain-{number}" for number in range(6))
+
+
+@dataclass(frozen=True)
+class Slope:
+    """Points and their line: `y` = `base` + `each` times `x`.
+
+    `residual` is the root of the mean squared distance, as a part of the largest `y`.
+    """
+
+    name: str
+    unit: str
+    per: str
+    x: tuple[float, ...]
+    y: tuple[float, ...]
+    base: float
+    each: float
+    residual: float
+
+
+def fit(name: str, unit: str, per: str, points: Sequence[tuple[float, float]]) -> Slope:
+    """Return the line through points."""
+    x, y = (tuple(float(point[axis]) for point in points) for axis in (0, 1))
+    each, base = np.polyfit(x, y, 1)
+    distance = np.array(y) - (base + each * np.array(x))
+    residual = float(np.sqrt(np.mean(distance**2)) / max(map(abs, y)))
+    return Slope(name, unit, per, x, y, float(base), float(each), residual)
+
+
+def _least(measure: Callable[[], float]) -> float:
+    """Return the least of a few tries: what else the machine does only ever adds."""
+    found = []
+    for _ in range(REPEATS):
+        gc.collect()
+        found.append(measure())
+    return min(found)
+
+
+def _processor(work: Callable[[], object]) -> float:
+    began = process_time()
+    work()
+    return process_time() - began
+
+
+def _tokens() -> list[Slope]:
+    sizes = (50, 100, 200, 400)
+    costs = [trio.run(relay_cost, 4, size) for size in sizes]
+    net = [(4 * size, cost.entry - cost.source) for size, cost in zip(sizes, costs, strict=True)]
+    return [fit("token through an entry", "s", "token", net)]
+
+
+def _requests() -> list[Slope]:
+    sizes = (10, 20, 40, 80)
+    costs = [trio.run(relay_cost, size, 1) for size in sizes]
+    net = [(size, cost.entry - cost.source) for size, cost in zip(sizes, costs, strict=True)]
+    return [fit("request of one token through an entry", "s", "request", net)]
+
+
+async def _claim_many(count: int) -> MemoryTable:
+    table = MemoryTable()
+    background = Background()
+    claims = Claims(table, "holder", MemoryCounters(), background)
+
+    async def one(number: int) -> None:
+        await claims.claim("account", f"key-{number}", f"attempt-{number}", "digest")
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(claims.run)
+        async with trio.open_nursery() as inner:
+            for number in range(count):
+                inner.start_soon(one, number)
+        nursery.cancel_scope.cancel()
+    return table
+
+
+def _claims() -> list[Slope]:
+    sizes = (200, 400, 800, 1600)
+    cpu = [
+        (size, _least(lambda size=size: _processor(lambda: trio.run(_claim_many, size))))
+        for size in sizes
+    ]
+    transactions = [(size, trio.run(_claim_many, size).transactions) for size in sizes]
+    return [
+        fit("claim, waiting ones together", "s", "claim", cpu),
+        fit("transactions for claims that wait together", "transactions", "claim", transactions),
+    ]
+
+
+def _load(number: int) -> EngineLoad:
+    return EngineLoad(
+        f"runner-{number}", 3, "model-07", 16, 24, 12, 32, 1234.5, 8, False, 17, 240, True, 0.021, 9
+    )
+
+
+def _digest(loads: int = 0, accounts: int = 0, leaving: int = 0) -> Exchange:
+    return Exchange(
+        Digest(
+            "router-123-entry",
+            "10.0.0.123:7801",
+            "router-123-entry/0123456789ab",
+            "entry",
+            "domain-1",
+            123456,
+            True,
+            False,
+            tuple(f"runner-{number}/3" for number in range(leaving)),
+            {f"account-{number}": 123.4 for number in range(accounts)},
+            tuple(row_of(_load(number)) for number in range(loads)),
+        )
+    )
+
+
+def _digest_bytes() -> list[Slope]:
+    encode = msgspec.msgpack.Encoder().encode
+    kinds = {
+        "load report in a digest": ("load", (0, 16, 32, 64), lambda size: _digest(loads=size)),
+        "account in a digest": ("account", (0, 55, 110, 220), lambda size: _digest(accounts=size)),
+        "leaving upstream in a digest": (
+            "upstream",
+            (0, 25, 50, 100),
+            lambda size: _digest(leaving=size),
+        ),
+    }
+    return [
+        fit(name, "B", per, [(size, len(encode(make(size)))) for size in sizes])
+        for name, (per, sizes, make) in kinds.items()
+    ]
+
+
+async def _exchange_many(count: int, loads: int) -> float:
+    address = free_address()
+    listener = PynngListener(address)
+    message = _digest(loads, 50)
+
+    async def answer(_: Exchange) -> Exchange:
+        return message
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.run, answer)
+        link = PynngLink(address, 5.0)
+        await link.exchange(message)
+        began = process_time()
+        for _ in range(count):
+            await link.exchange(message)
+        used = process_time() - began
+        link.close()
+        nursery.cancel_scope.cancel()
+    return used
+
+
+def _exchanges() -> list[Slope]:
+    sizes = (50, 100, 200, 400)
+    points = [
+        (size, _least(lambda size=size: trio.run(_exchange_many, size, 16))) for size in sizes
+    ]
+    by_loads = [
+        (loads, _least(lambda loads=loads: trio.run(_exchange_many, 100, loads)) / 100)
+        for loads in (0, 16, 32, 64)
+    ]
+    return [
+        fit("exchange with a peer, both sides, 16 loads", "s", "exchange", points),
+        fit("load report in an exchange, both sides", "s", "load", by_loads),
+    ]
+
+
+async def _poll_many(count: int) -> float:
+    spec = EngineSpec("runner-1", "", "a")
+    engine = StandinEngine(spec, lambda hop: None)
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(serve, EngineApp(engine), "127.0.0.1:0", stop)
+        async with kept_pool() as pool:
+            upstream = HttpEngine(pool, "runner-1", address)
+            await upstream.load()
+            began = process_time()
+            for _ in range(count):
+                await upstream.load()
+            used = process_time() - began
+        nursery.cancel_scope.cancel()
+    return used
+
+
+def _polls() -> list[Slope]:
+    sizes = (50, 100, 200, 400)
+    points = [(size, _least(lambda size=size: trio.run(_poll_many, size))) for size in sizes]
+    return [fit("poll of an upstream, both sides", "s", "poll", points)]
+
+
+def _placements(runners: int) -> tuple[Placement, ...]:
+    return tuple(
+        Placement(
+            f"runner-{number}",
+            3,
+            f"10.0.{number // 256}.{number % 256}:9000",
+            DOMAINS[number % 6],
+            f"model-{number % MODELS:02}",
+            LAYERS * (number // MODELS % STAGES),
+            LAYERS * (number // MODELS % STAGES) + LAYERS,
+        )
+        for number in range(runners)
+    )
+
+
+def _configuration(runners: int, accounts: int = 220) -> Configuration:
+    weights = {
+        f"model-{model:02}": tuple(
+            FlowWeight(f"model-{model:02}", f"runner-{number}", f"runner-{number + 1}", 12.5)
+            for number in range(2 * runners // MODELS)
+        )
+        for model in range(MODELS)
+    }
+    specs = {name: ModelSpec(name, STAGES * LAYERS, 100.0) for name in weights}
+    people = {f"account-{n}": Account(f"account-{n}", f"{n:064x}", 1e4) for n in range(accounts)}
+    placed = {each.instance: each for each in _placements(runners)}
+    return Configuration(1, specs, placed, weights, frozenset(), people, {})
+
+
+def _memory(make: Callable[[], object]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def _membership(runners: int) -> Membership:
+    membership = Membership()
+    for number in range(runners):
+        membership.see_load(_load(number), 0.0)
+    return membership
+
+
+def _state() -> list[Slope]:
+    runners = (300, 600, 1200, 2300)
+    accounts = (55, 110, 220, 440)
+    configuration = [(size, _memory(lambda size=size: _configuration(size))) for size in runners]
+    reports = [(size, _memory(lambda size=size: _membership(size))) for size in runners]
+    people = [
+        (size, _memory(lambda size=size: _configuration(10, accounts=size))) for size in accounts
+    ]
+    encoded = [(size, len(msgspec.json.encode(_configuration(size)))) for size in runners]
+    return [
+        fit("configuration in memory", "B", "runner", configuration),
+        fit("load reports in memory", "B", "runner", reports),
+        fit("accounts in memory", "B", "account", people),
+        fit("snapshot of the configuration", "B", "runner", encoded),
+    ]
+
+
+def _apply_many(base: Configuration, count: int) -> None:
+    holder = ConfigurationHolder()
+    holder.replace(base)
+    place = next(iter(base.placements.values()))
+    for version in range(2, count + 2):
+        holder.apply(Change(version, "p", placements=(place,)))
+
+
+def _changes() -> list[Slope]:
+    runners = (300, 600, 1200, 2300)
+    by_runners = []
+    for size in runners:
+        base = _configuration(size)
+        used = _least(lambda base=base: _processor(lambda: _apply_many(base, 200)))
+        by_runners.append((size, used / 200))
+    places = _placements(64)
+    change = Change(2, "0123456789ab")
+    sizes = [
+        (count, len(msgspec.json.encode(replace(change, placements=places[:count]))))
+        for count in (1, 4, 16, 64)
+    ]
+    return [
+        fit("apply a change, by runners placed", "s", "runner", by_runners),
+        fit("a change's row", "B", "placement", sizes),
+    ]
+
+
+def _fleet(runners: int) -> Fleet:
+    return Fleet(
+        {
+            f"runner-{number}": Runner(
+                f"runner-{number}",
+                3,
+                "",
+                DOMAINS[number % 6],
+                400.0 * (1 + number % 6),
+                LAYERS,
+            )
+            for number in range(runners)
+        }
+    )
+
+
+def _plan_once(runners: int) -> None:
+    configuration = _configuration(runners * 9 // 10)
+    draft_plan(configuration, _fleet(runners), HoldCapacity("model-00", 1e9))
+
+
+def _heal_flow(runners: int) -> None:
+    configuration = _configuration(runners)
+    fleet = _fleet(runners)
+    for model in configuration.models:
+        fleet.weights(configuration, model)
+
+
+def _plans() -> list[Slope]:
+    runners = (300, 600, 1200, 2300)
+    one = [
+        (size, _least(lambda size=size: _processor(lambda: _plan_once(size)))) for size in runners
+    ]
+    every = [
+        (size, _least(lambda size=size: _processor(lambda: _heal_flow(size)))) for size in runners
+    ]
+    return [
+        fit("plan of one intent, by runners", "s", "runner", one),
+        fit("flow of all 17 models, by runners", "s", "runner", every),
+    ]
+
+
+def _routes() -> list[Slope]:
+    points = []
+    for runners in (300, 600, 1200, 2300):
+        configuration = _configuration(runners)
+        membership = Membership()
+        for place in configuration.placements.values():
+            load = replace(
+                _load(0),
+                instance=place.instance,
+                model=place.model,
+                first=place.first,
+                end=place.end,
+            )
+            membership.see_load(load, 0.0)
+        router = Router(membership, Random(1))
+
+        def choose(router=router, configuration=configuration) -> None:
+            for _ in range(100):
+                router.choose(configuration, "model-00", 1.0)
+
+        points.append((runners, _least(lambda choose=choose: _processor(choose)) / 100))
+    return [fit("choice of a route, by runners in the configuration", "s", "runner", points)]
+
+
+def _accounts() -> list[Slope]:
+    points = []
+    for count in (55, 110, 220, 440):
+        people = [f"account-{number}" for number in range(count)]
+        quota = Quota()
+        others = {f"entry-{peer}": dict.fromkeys(people, 1.0) for peer in range(20)}
+
+        def admit(quota=quota, people=people, others=others) -> None:
+            for name in people:
+                quota.admit(name, 10.0, 1e6, others, 1.0)
+
+        points.append((count, _least(lambda admit=admit: _processor(admit))))
+    return [fit("limit check of each account, 20 peers known", "s", "account", points)]
+
+
+async def _spread_time(entries: int) -> float:
+    site = VirtualSite(VirtualPlan(entries=entries, controllers=1, seed=entries))
+    async with trio.open_nursery() as nursery:
+        await nursery.start(site.run)
+        await trio.sleep(4)
+        # With the platform out, gossip is the only way.
+        await site.intend({"kind": "service", "service": "a", "repeatable": True})
+        await trio.sleep(4)
+        controller = next(iter(site.controllers))
+        site.platform_out(True)
+        version = controller.node.holder.version + 1
+        began = trio.current_time()
+        controller.node.holder.apply(Change(version, "p"))
+        while any(each.node.holder.version < version for each in site.entries):
+            await trio.sleep(0.02)
+        took = trio.current_time() - began
+        nursery.cancel_scope.cancel()
+    return took
+
+
+def _spread() -> list[Slope]:
+    points = []
+    for entries in (9, 18, 36, 72):
+        clock = MockClock(autojump_threshold=0)
+        took = trio.run(_spread_time, entries, clock=clock)
+        points.append((float(np.log2(entries)), took))
+    return [fit("spread of a change to all entries, by gossip alone", "s", "doubling", points)]
+
+
+MEASUREMENTS: tuple[Callable[[], list[Slope]], ...] = (
+    _requests,
+    _tokens,
+    _claims,
+    _digest_bytes,
+    _exchanges,
+    _polls,
+    _state,
+    _changes,
+    _plans,
+    _routes,
+    _accounts,
+    _spread,
+)
+
+
+def measure_all(say: Callable[[str], None]) -> list[Slope]:
+    """Measure every slope; tell each as it is known."""
+    slopes: list[Slope] = []
+    for measure in MEASUREMENTS:
+        began = perf_counter()
+        for slope in measure():
+            slopes.append(slope)
+            say(f"{slope.name}: {slope.base:.3g} + {slope.each:.3g} {slope.unit} a {slope.per}")
+        say(f"  took {perf_counter() - began:.1f} s")
+    return slopes
