A controller that lost sight of runners no longer drops them; a kept stage is kept with its layers

A stream that woke kept its stages by name, found runner-4 under other layers, and delivered the memoised output of the wrong layers: ten wrong tokens.

Ruled out: the relay (order and trace were right for the route as built). Change: the holder asks missing runners itself before it counts them as lost, and drops nothing where more than half is out of sight at once. A kept stage is named with its layers. The stand-in refuses a step for layers that it does not hold for the request. Also: an address of the settings' own type in a digest ended every daemon; it's plain text now.

--- a/deckcourse/controller.py
+++ b/deckcourse/controller.py
@@ -31,6 +31,9 @@
 # A placed runner that nobody heard of for this long is replaced.
 LOST_AFTER_SECONDS = 4.0
 ORDER_SECONDS = 1.5
+LOOK_SECONDS = 0.5
+# Where more than this part of the placed runners is out of sight at once, nothing is dropped.
+MOST_LOST = 0.5
 # A confirmation is answered once this many peers have the change, or this much later.
 SPREAD_PEERS = 2
 SPREAD_SECONDS = 2.0
@@ -149,9 +152,13 @@
             await trio.sleep(ROUND_SECONDS)
 
     async def _heal(self) -> None:
-        configuration = self._node.holder.configuration
+        await self._look_for_missing()
         fleet = self._fleet()
-        change = heal(configuration, fleet, self._gone(fleet))
+        gone = self._gone(fleet)
+        if self._is_blind(gone):
+            self._node.counters.count("heal.held")
+            return
+        change = heal(self._node.holder.configuration, fleet, gone)
         if change is None:
             return
         match await self._node.store.commit(change):
@@ -163,6 +170,26 @@
                 await self._newest()
         await self._node.store.write_snapshot(self._node.holder.configuration)
 
+    async def _look_for_missing(self) -> None:
+        """Ask placed runners that nobody reported lately: the reporters may be gone, not they."""
+        fleet = self._fleet()
+        placements = self._node.holder.configuration.placements
+        missing = [place for name, place in placements.items() if name not in fleet.runners]
+        with trio.move_on_after(LOOK_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for place in missing:
+                    nursery.start_soon(self._look_for, place)
+
+    async def _look_for(self, place: Placement) -> None:
+        load = await self._node.ports.engine(place.instance, place.address).load()
+        if isinstance(load, EngineLoad):
+            self._node.membership.see_load(load, trio.current_time())
+
+    def _is_blind(self, gone: frozenset[str]) -> bool:
+        """Return whether so many are out of sight that this process is more likely cut off."""
+        lost = sum(name not in self._fleet().runners for name in gone)
+        return lost > MOST_LOST * len(self._node.holder.configuration.placements)
+
     def _gone(self, fleet: Fleet) -> frozenset[str]:
         """Return the placed instances to drop: lost for long, or leaving with no stream left."""
         now = trio.current_time()
--- a/deckcourse/daemon.py
+++ b/deckcourse/daemon.py
@@ -39,7 +39,7 @@
 def build_node(settings: Settings, role: str, peer_address: str) -> Node:
     """Return the node that the settings describe."""
     node = settings.node
-    identity = NodeIdentity.start(f"{node.name}-{role}", role, node.domain, peer_address)
+    identity = NodeIdentity.start(f"{node.name}-{role}", role, node.domain, str(peer_address))
     seeds = [Peer(address, address) for address in node.peers]
     return Node(
         identity, http_ports(node.platform), _counters(settings.statsd), SystemRandom(), seeds
--- a/deckcourse/membership.py
+++ b/deckcourse/membership.py
@@ -97,13 +97,13 @@
     ) -> tuple[Placement, ...]:
         """Return the placements of a model that may be given work now.
 
-        Instances in `keep` already have a part in the request: to go on there is no new work,
-        leaving or not, and needs no fresh report.
+        Stages in `keep` (by their trace) already have their part in the request: to go on there
+        is no new work, leaving or not, and needs no fresh report.
         """
         return tuple(
             each
             for each in configuration.placed(model)
-            if each.instance in keep or self._is_usable(configuration, each, now)
+            if each.stage.trace in keep or self._is_usable(configuration, each, now)
         )
 
     def _is_usable(self, configuration: Configuration, place: Placement, now: float) -> bool:
--- a/deckcourse/pipeline.py
+++ b/deckcourse/pipeline.py
@@ -148,7 +148,7 @@
             self._last_end = end = await self._try(route)
             if end is None:
                 return Answered(len(self._relay.delivered))
-            self._avoid = replace(self._avoid, keep=route.instances)
+            self._avoid = replace(self._avoid, keep=route.stage_traces)
             reason = await self._learn(route, end)
             self._pipeline._counters.count(f"retry.{reason}")
             if not self._pipeline._budget.spend():
@@ -183,7 +183,7 @@
 
     async def _try(self, route: Route) -> _AttemptEnd:
         self._pipeline._router.begin(route)
-        self._stages |= {stage.instance: stage for stage in route.stages}
+        self._stages |= {stage.trace: stage for stage in route.stages}
         try:
             return await self._relay_attempt(route)
         except StreamLostError as lost:
@@ -315,7 +315,8 @@
 
     def _give_up_on(self, instances: frozenset[str]) -> None:
         avoided = self._avoid.instances | instances
-        self._avoid = replace(self._avoid, instances=avoided, keep=self._avoid.keep - instances)
+        gone = {stage.trace for stage in self._stages.values() if stage.instance in instances}
+        self._avoid = replace(self._avoid, instances=avoided, keep=self._avoid.keep - gone)
 
     async def _silent_stages(self, route: Route) -> list[str]:
         """Ask each stage for its load at once; return those that don't answer in time."""
--- a/deckcourse/route.py
+++ b/deckcourse/route.py
@@ -64,6 +64,11 @@
         """The trace that every token of this route must carry."""
         return ",".join(stage.trace for stage in self.stages)
 
+    @property
+    def stage_traces(self) -> frozenset[str]:
+        """The traces of the stages."""
+        return frozenset(stage.trace for stage in self.stages)
+
     @property
     def instances(self) -> frozenset[str]:
         """The names of the upstreams on the route."""
--- a/deckcourse/router.py
+++ b/deckcourse/router.py
@@ -21,7 +21,8 @@
 class Avoid:
     """What earlier attempts showed: upstreams and failure domains that are bad.
 
-    `keep` holds upstreams that did their part and still have the request's KV cache.
+    `keep` holds the stages, by their trace, that did their part and still have the request's KV
+    cache: the same upstream with other layers has not.
     """
 
     instances: frozenset[str] = frozenset()
@@ -100,7 +101,7 @@
         avoid: Avoid,
     ) -> Placement:
         source = stages[-1].instance if stages else ""
-        kept = [each for each in options if each.instance in avoid.keep]
+        kept = [each for each in options if each.stage.trace in avoid.keep]
         preferred = [each for each in kept or options if not _is_avoided(each, avoid)]
         return self._pick(configuration, preferred or options, source)
 
@@ -132,7 +133,7 @@
 
 
 def _is_avoided(place: Placement, avoid: Avoid) -> bool:
-    return place.domain in avoid.domains and place.instance not in avoid.keep
+    return place.domain in avoid.domains and place.stage.trace not in avoid.keep
 
 
 def _completable(places: Sequence[Placement], depth: int) -> list[Placement]:
--- a/deckcourse/standin_engine.py
+++ b/deckcourse/standin_engine.py
@@ -125,10 +125,11 @@
 class _Session:
     """What an engine holds of one request: its KV caches and each position's output."""
 
-    def __init__(self, layers: int) -> None:
+    def __init__(self, first: int, end: int) -> None:
+        self.layers = (first, end)
         self.attempt = 0
         self.idle_deadline = 0.0
-        self.caches = [0] * layers
+        self.caches = [0] * (end - first)
         self.outputs: list[int] = []
 
 
@@ -253,6 +254,13 @@
     def _holds(self, model: str, hop: Hop) -> bool:
         return self.held == (model, hop.first, hop.end)
 
+    def _can_run(self, call: StepCall, hop: Hop) -> bool:
+        """Return whether the layers wanted are those that are held, for this request or at all."""
+        session = self._sessions.get(call.request)
+        if session is None:
+            return self._holds(call.model, hop)
+        return session.layers == (hop.first, hop.end)
+
     def _newest_attempt(self, request: str) -> int:
         session = self._sessions.get(request)
         held = 0 if session is None else session.attempt
@@ -263,7 +271,7 @@
 
     def _session(self, request: str) -> _Session:
         if request not in self._sessions:
-            session = self._sessions[request] = _Session(self._end - self._first)
+            session = self._sessions[request] = _Session(self._first, self._end)
             session.idle_deadline = trio.current_time() + IDLE_SECONDS
         return self._sessions[request]
 
@@ -319,7 +327,7 @@
 
     async def _step(self, call: StepCall) -> StepReply | StepMissing | EngineFailure:
         hop = call.hops[0]
-        if call.request not in self._sessions and not self._holds(call.model, hop):
+        if not self._can_run(call, hop):
             message = f"{self._spec.name} does not hold {hop.first}-{hop.end}"
             return Refused(self._spec.name, EngineRefusal.NOT_LOADED, message)
         if call.attempt < self._newest_attempt(call.request) or self._has_ended(call):
