Peers are known by address, so that a change is pushed to them; the solver loads when needed

Cause: what a peer last said was kept under its name, but looked up under its address: outside the virtual site, where both were the same, a change was never pushed, only pulled. The virtual site now gives peers addresses of their own. And each controller took 85 MB, 30 of them for a solver that only a planning controller uses.

--- a/deckcourse/daemon.py
+++ b/deckcourse/daemon.py
@@ -10,7 +10,6 @@
 from returns.result import Failure, Success
 
 from deckcourse.counters import Counters, MemoryCounters, StatsdCounters
-from deckcourse.gossip import Peer
 from deckcourse.http_ports import http_ports
 from deckcourse.logs import log_to_stderr
 from deckcourse.node import Node, NodeIdentity
@@ -40,7 +39,7 @@
     """Return the node that the settings describe."""
     node = settings.node
     identity = NodeIdentity.start(f"{node.name}-{role}", role, node.domain, str(peer_address))
-    seeds = [Peer(address, address) for address in node.peers]
+    seeds = [str(address) for address in node.peers]
     return Node(
         identity, http_ports(node.platform), _counters(settings.statsd), SystemRandom(), seeds
     )
--- a/deckcourse/flow.py
+++ b/deckcourse/flow.py
@@ -4,13 +4,13 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
-
-import numpy as np
-from scipy.sparse import csr_matrix
-from scipy.sparse.csgraph import maximum_flow
+from typing import TYPE_CHECKING
 
 from deckcourse.configuration import FlowWeight, Placement
 
+if TYPE_CHECKING:
+    from scipy.sparse import csr_matrix
+
 __all__ = ["LinkRate", "model_flow"]
 
 # Capacities are whole numbers to the solver, in these parts of a token a second.
@@ -67,8 +67,16 @@
 
 def _solve(
     places: Sequence[Placement], depth: int, rates: Mapping[str, float], link_rate: LinkRate
-) -> tuple[int, csr_matrix]:
-    """Solve on a graph in which replica i is split into the nodes 2 + 2i and 3 + 2i."""
+) -> "tuple[int, csr_matrix]":
+    """Solve on a graph in which replica i is split into the nodes 2 + 2i and 3 + 2i.
+
+    The solver is imported here: it takes some 30 MB, and a controller that never plans, as most
+    of them, does without.
+    """
+    import numpy as np
+    from scipy.sparse import csr_matrix
+    from scipy.sparse.csgraph import maximum_flow
+
     rows: list[int] = []
     columns: list[int] = []
     capacities: list[int] = []
@@ -97,7 +105,7 @@
     return int(result.flow_value), result.flow
 
 
-def _weights(places: Sequence[Placement], flow: csr_matrix) -> tuple[FlowWeight, ...]:
+def _weights(places: Sequence[Placement], flow: "csr_matrix") -> tuple[FlowWeight, ...]:
     weights: list[FlowWeight] = []
     entries = flow.tocoo()
     for start, end, value in zip(entries.row, entries.col, entries.data, strict=True):
--- a/deckcourse/gossip.py
+++ b/deckcourse/gossip.py
@@ -4,7 +4,7 @@
 grow with the number of nodes. A new configuration version starts a round at once.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -15,7 +15,7 @@
 from deckcourse.membership import Membership
 from deckcourse.peer_link import Digest, Exchange, PeerLink, load_of
 
-__all__ = ["Gossip", "Peer", "PeerState"]
+__all__ = ["Gossip", "PeerState"]
 
 ROUND_SECONDS = 0.5
 PEERS_PER_ROUND = 3
@@ -25,14 +25,6 @@
 ENTRY_ROLE = "entry"
 
 
-@dataclass(frozen=True)
-class Peer:
-    """Another process of the system, by name and address."""
-
-    name: str
-    address: str
-
-
 @dataclass(frozen=True)
 class PeerState:
     """What a peer last said; it counts as gone after `deadline`."""
@@ -60,7 +52,7 @@
         self._counters = counters
         self._random = random
         self._states: dict[str, PeerState] = {}
-        self._peers: dict[str, Peer] = {}
+        self._peers: frozenset[str] = frozenset()
         self._wakes: dict[str, trio.Event] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._turns: list[str] = []
@@ -69,7 +61,8 @@
     def live(self) -> dict[str, Digest]:
         """The digests of the peers heard of lately, by name."""
         now = trio.current_time()
-        return {name: state.digest for name, state in self._states.items() if state.deadline >= now}
+        states = self._states.values()
+        return {state.digest.name: state.digest for state in states if state.deadline >= now}
 
     def live_entries(self) -> tuple[str, ...]:
         """Return the names of the live peers that are entries."""
@@ -83,8 +76,8 @@
         """Return the other entries: live ones, and those out of reach that are still listed."""
         now = trio.current_time()
         return {
-            name: state
-            for name, state in self._states.items()
+            state.digest.name: state
+            for state in self._states.values()
             if state.digest.role == ENTRY_ROLE
             and not state.digest.stopping
             and (state.deadline >= now or state.digest.address in self._peers)
@@ -94,9 +87,9 @@
         """Return whether the process incarnation was heard of lately."""
         return any(digest.incarnation == incarnation for digest in self.live.values())
 
-    def set_peers(self, peers: tuple[Peer, ...]) -> None:
-        """Set the peers that there are."""
-        self._peers = {peer.name: peer for peer in peers}
+    def set_peers(self, addresses: Iterable[str]) -> None:
+        """Set the addresses of the peers that there are."""
+        self._peers = frozenset(addresses)
 
     async def run(self) -> None:
         """Exchange digests until cancelled: one task for each peer, woken by the rounds."""
@@ -108,13 +101,13 @@
                 await trio.sleep(ROUND_SECONDS)
 
     def _match_tasks(self, nursery: trio.Nursery) -> None:
-        for name in self._scopes.keys() - self._peers.keys():
-            self._scopes.pop(name).cancel()
-            self._wakes.pop(name)
-        for name in self._peers.keys() - self._scopes.keys():
-            self._scopes[name] = trio.CancelScope()
-            self._wakes[name] = trio.Event()
-            nursery.start_soon(self._peer_task, self._peers[name], self._scopes[name])
+        for address in self._scopes.keys() - self._peers:
+            self._scopes.pop(address).cancel()
+            self._wakes.pop(address)
+        for address in sorted(self._peers - self._scopes.keys()):
+            self._scopes[address] = trio.CancelScope()
+            self._wakes[address] = trio.Event()
+            nursery.start_soon(self._peer_task, address, self._scopes[address])
 
     def _wake_some(self) -> None:
         """Wake the next few peers; each has its turn once before any has it again."""
@@ -135,18 +128,18 @@
             await self._holder.changed.wait()
             self._wake_some()
 
-    async def _peer_task(self, peer: Peer, scope: trio.CancelScope) -> None:
-        link = self._link(peer.address)
+    async def _peer_task(self, address: str, scope: trio.CancelScope) -> None:
+        link = self._link(address)
         with scope:
             while True:
-                await self._wakes[peer.name].wait()
-                self._wakes[peer.name] = trio.Event()
-                await self._exchange_until_even(peer, link)
+                await self._wakes[address].wait()
+                self._wakes[address] = trio.Event()
+                await self._exchange_until_even(address, link)
 
-    async def _exchange_until_even(self, peer: Peer, link: PeerLink) -> None:
+    async def _exchange_until_even(self, address: str, link: PeerLink) -> None:
         """Exchange, and once more where the reply shows that the peer is behind."""
         for _ in range(2):
-            reply = await link.exchange(self._message_to(peer.name))
+            reply = await link.exchange(self._message_to(address))
             if reply is None:
                 self._counters.count("gossip.lost")
                 return
@@ -157,10 +150,10 @@
     async def answer(self, message: Exchange) -> Exchange:
         """Answer a peer's message."""
         self._take(message)
-        return self._message_to(message.digest.name)
+        return self._message_to(message.digest.address)
 
-    def _message_to(self, name: str) -> Exchange:
-        state = self._states.get(name)
+    def _message_to(self, address: str) -> Exchange:
+        state = self._states.get(address)
         digest = self._own()
         if state is None or state.digest.version >= self._holder.version:
             return Exchange(digest)
@@ -172,7 +165,7 @@
     def _take(self, message: Exchange) -> None:
         now = trio.current_time()
         digest = message.digest
-        self._states[digest.name] = PeerState(digest, now + PEER_LIFETIME_SECONDS)
+        self._states[digest.address] = PeerState(digest, now + PEER_LIFETIME_SECONDS)
         if message.snapshot is not None:
             self._holder.replace(message.snapshot)
         for change in message.changes:
--- a/deckcourse/node.py
+++ b/deckcourse/node.py
@@ -12,7 +12,7 @@
 from deckcourse.configuration_store import ConfigurationStore
 from deckcourse.counters import Counters
 from deckcourse.engine import Engine, EngineLoad
-from deckcourse.gossip import ENTRY_ROLE, LOADS_PER_DIGEST, Gossip, Peer
+from deckcourse.gossip import ENTRY_ROLE, LOADS_PER_DIGEST, Gossip
 from deckcourse.instance_list import InstanceKind, InstanceList, ListedInstance
 from deckcourse.membership import Membership
 from deckcourse.object_store import ObjectStore
@@ -72,7 +72,7 @@
         ports: Ports,
         counters: Counters,
         random: Random,
-        seeds: Sequence[Peer] = (),
+        seeds: Sequence[str] = (),
     ) -> None:
         self.identity = identity
         self.ports = ports
@@ -158,16 +158,10 @@
                         self.gossip.set_peers(self._known_peers(instances))
             await trio.sleep(self._spread(LIST_SECONDS))
 
-    def _known_peers(self, instances: Sequence[ListedInstance]) -> tuple[Peer, ...]:
-        listed = (
-            Peer(address, address)
-            for each in instances
-            if each.kind == InstanceKind.ROUTER
-            for address in each.peer_addresses
-        )
-        peers = {peer.address: peer for peer in (*self._seeds, *listed)}
-        peers.pop(self.identity.peer_address, None)
-        return tuple(peers.values())
+    def _known_peers(self, instances: Sequence[ListedInstance]) -> set[str]:
+        routers = (each for each in instances if each.kind == InstanceKind.ROUTER)
+        listed = {address for each in routers for address in each.peer_addresses}
+        return (listed | set(self._seeds)) - {self.identity.peer_address}
 
     async def _poll_owned(self) -> None:
         """Poll the runners that rendezvous hashing gives to this entry, one task for each."""
--- a/deckcourse/virtual_site.py
+++ b/deckcourse/virtual_site.py
@@ -115,7 +115,12 @@
     def _add_process(self, name: str, role: str, number: int) -> None:
         self.processes[name] = Process(name, role, self._domain(number))
         line = ListedInstance(
-            name, 1, InstanceKind.ROUTER, name, self._domain(number), peer_addresses=(name,)
+            name,
+            1,
+            InstanceKind.ROUTER,
+            name,
+            self._domain(number),
+            peer_addresses=(_peer_address(name),),
         )
         self.memory_list.put(line)
 
@@ -170,7 +175,11 @@
         process.gate = Gate()
         process.dead = trio.Event()
         identity = NodeIdentity(
-            name, process.role, process.domain, name, f"{name}/{self.random.getrandbits(48):x}"
+            name,
+            process.role,
+            process.domain,
+            _peer_address(name),
+            f"{name}/{self.random.getrandbits(48):x}",
         )
         random = Random(self.random.getrandbits(32))
         process.node = Node(identity, self._ports(process), MemoryCounters(), random)
@@ -239,7 +248,9 @@
             service=lambda upstream, fresh: VirtualService(
                 crossing, upstream.name, self.services[upstream.name]
             ),
-            peer=lambda address: VirtualPeerLink(crossing, address, lambda: self._answer(address)),
+            peer=lambda address: VirtualPeerLink(
+                crossing, _peer_name(address), lambda: self._answer(_peer_name(address))
+            ),
         )
 
     def _answer(self, name: str):
@@ -300,6 +311,17 @@
         return result
 
 
+PEER_SUFFIX = " peers"
+
+
+def _peer_address(name: str) -> str:
+    return name + PEER_SUFFIX
+
+
+def _peer_name(address: str) -> str:
+    return address.removesuffix(PEER_SUFFIX)
+
+
 async def _cancel_when(event: trio.Event, scope: trio.CancelScope) -> None:
     await event.wait()
     scope.cancel()
