--- a/deckcourse/reasons.py
+++ b/deckcourse/reasons.py
@@ -34,8 +34,6 @@
     CALLER_GONE = "caller-gone"
     IN_PROGRESS = "in-progress"
     HOLDER_GONE = "holder-gone"
-    RECORD_UNREADABLE = "record-unreadable"
-    STOPPED = "stopped"
 
 
 class RetryReason(StrEnum):
