Two holders at once, and a holder that lost sight of the runners: scenarios and an invariant

Found: the takeover wait had no scenario that went red without it; every scenario now checks that no two controllers hold the lease at a moment. A paused process at a scenario's end kept it from ending: the world lets all go on first, and the runner bounds each feature file.

--- a/features/invariants.py
+++ b/features/invariants.py
@@ -139,7 +139,13 @@
     return wrong
 
 
+def one_holder(world: World) -> list[str]:
+    """No two controllers hold the lease, with time for an order, at the same moment."""
+    return [f"at {at} {names} held the lease" for at, names in world.two_holders]
+
+
 ALL = (
+    one_holder,
     whole_answers,
     layers_once,
     not_run,
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -344,6 +344,20 @@
     Lease._on_row = eager
 
 
+@mutant("the holder asks missing runners itself", "fault_matrix_twice", "orders")
+def no_look_for_missing():
+    async def nothing(self):
+        return None
+
+    controller_module.Controller._look_for_missing = nothing
+    controller_module.MOST_LOST = 1.0
+
+
+@mutant("a holder that lost sight of most runners drops none", "orders", "fault_matrix_control")
+def no_blind_check():
+    controller_module.MOST_LOST = 1.0
+
+
 @mutant("each holder of the lease has an epoch of its own", *CONTROL)
 def epochs_do_not_rise():
     write = Lease._write
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -33,6 +33,18 @@
       | 2     | check    |
       | 1     | check no |
 
+  Scenario: A holder that is cut off from the runners and their reporters drops none of them
+    Given the reporters are paused and the holder of the lease is cut off from every runner
+    When 15 seconds pass
+    Then nothing was dropped
+    And everything that must hold holds
+
+  Scenario: Nobody reports for a while
+    Given the reporters are paused
+    When 15 seconds pass
+    Then nothing was dropped
+    And everything that must hold holds
+
   Scenario: A lost runner is replaced without asking, within what is confirmed
     When a runner of the middle stage dies
     And 20 seconds pass
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -297,3 +297,36 @@
     world = context.world.finish()
     for first in (0, 4, 8):
         assert len(world.held(first)) >= count, first
+
+
+@given("the reporters are paused")
+def reporters_paused(context):
+    world = context.world
+
+    async def pause() -> None:
+        world.notes["version"] = world.site.controllers[0].node.holder.version
+        for process in world.site.entries:
+            world.faulted.add(process.name)
+            world.site.freeze(process.name)
+
+    world.do(pause)
+
+
+@given("the reporters are paused and the holder of the lease is cut off from every runner")
+def holder_blind(context):
+    reporters_paused(context)
+    world = context.world
+
+    async def cut() -> None:
+        for controller in world.site.controllers:
+            for runner in world.site.engines:
+                world.site.links.cut(controller.name, runner)
+
+    world.do(cut)
+
+
+@then("nothing was dropped")
+def nothing_dropped(context):
+    world = context.world.finish()
+    later = [each for each in changes(world) if each.version > world.notes["version"]]
+    assert not [each.drop_placements for each in later], later
--- a/features/world.py
+++ b/features/world.py
@@ -109,6 +109,7 @@
         self.accepted: list[tuple[int, float]] = []
         self.versions: dict[str, list[tuple[float, int]]] = {}
         self.ready: dict[str, list[tuple[float, int]]] = {}
+        self.two_holders: list[tuple[float, list[str]]] = []
         self.signs: dict[str, float] = {}
         self.notes: dict[str, object] = {}
         self.faulted: set[str] = set()
@@ -141,7 +142,9 @@
                     self.nursery = nursery
                     for action in self.actions:
                         await action()
-                self.notes["ended"] = trio.current_time()
+                for process in self.site.processes.values():
+                    # A paused process would never take notice that it's cancelled.
+                    process.gate.open()
                 outer.cancel_scope.cancel()
 
     async def _prepare(self) -> None:
@@ -165,6 +168,9 @@
                 if process.alive and process.entry and process.entry.ready:
                     ready = self.ready.setdefault(process.node.identity.incarnation, [])
                     ready.append((trio.current_time(), process.node.holder.version))
+            holding = [each.name for each in self.site.controllers if each.controller.lease.held()]
+            if len(holding) > 1:
+                self.two_holders.append((trio.current_time(), holding))
             await trio.sleep(0.25)
 
     def held(self, first: int) -> list:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -14,6 +14,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
+# A feature file that runs this long hangs.
+FEATURE_SECONDS = 400
 GOOD = "passed"
 NOT_RUN = ("skipped", "untested")
 
@@ -35,15 +37,19 @@
         formats = ["--format", "json", "--outfile", str(report)]
         command = [sys.executable, "-m", "behave", *formats, "--no-capture", feature]
         environment = {**os.environ, "PYTHONHASHSEED": "0"}
-        done = subprocess.run(
-            command,
-            cwd=ROOT,
-            check=False,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-            env=environment,
-        )
+        try:
+            done = subprocess.run(
+                command,
+                cwd=ROOT,
+                check=False,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+                env=environment,
+                timeout=FEATURE_SECONDS,
+            )
+        except subprocess.TimeoutExpired:
+            return feature, {}, 1, f"{feature} did not end in {FEATURE_SECONDS} s"
         text = report.read_text(encoding="utf-8") if report.exists() else "[]"
     statuses = {}
     messages = []
