--- a/deckcourse/asgi.py
+++ b/deckcourse/asgi.py
@@ -9,7 +9,16 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve as hypercorn_serve
 
-__all__ = ["App", "BodyTooLarge", "Request", "read_body", "send_json", "send_whole", "serve"]
+__all__ = [
+    "App",
+    "BodyTooLarge",
+    "Request",
+    "cancel_when_gone",
+    "read_body",
+    "send_json",
+    "send_whole",
+    "serve",
+]
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -96,6 +105,15 @@
     await send_whole(request, status, _encode(value), JSON_TYPE, headers)
 
 
+async def cancel_when_gone(request: Request, scope: trio.CancelScope) -> None:
+    """Cancel the work for a request as soon as its sender closes the connection."""
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
 async def serve(
     handle: Callable[[Request], Awaitable[None]],
     bind: str,
--- a/deckcourse/bench.py
+++ b/deckcourse/bench.py
@@ -28,8 +28,8 @@
 from deckcourse.node import Node
 from deckcourse.outcomes import Answered
 from deckcourse.pipeline import Completion
-from deckcourse.standin_engine import EngineSpec
 from deckcourse.standin_model import expected_tokens
+from deckcourse.standin_stage import EngineSpec
 from deckcourse.virtual_site import VirtualPlan, VirtualSite
 
 __all__ = ["POLICIES", "Policy", "bench_goodput", "bench_quota", "bench_recovery"]
--- a/deckcourse/completion_api.py
+++ b/deckcourse/completion_api.py
@@ -11,10 +11,13 @@
 from deckcourse.outcomes import NotRun, Unknown
 
 __all__ = [
+    "CHAT_PATH",
+    "TEXT_PATH",
     "CompletionForm",
     "CompletionQuery",
     "completion_query",
     "error_body",
+    "error_event",
     "model_list",
 ]
 
@@ -155,6 +158,3 @@
         {"id": name, "object": "model", "created": 0, "owned_by": "deckcourse"} for name in models
     ]
     return {"object": "list", "data": data}
-
-
-__all__ += ["CHAT_PATH", "TEXT_PATH", "error_event"]
--- a/deckcourse/configuration.py
+++ b/deckcourse/configuration.py
@@ -14,6 +14,7 @@
     "Placement",
     "ServiceSpec",
     "apply_change",
+    "incarnation_name",
 ]
 
 
@@ -160,6 +161,3 @@
     for weight in weights:
         by_model[weight.model] = (*by_model.get(weight.model, ()), weight)
     return by_model
-
-
-__all__ += ["incarnation_name"]
--- a/deckcourse/configuration_store.py
+++ b/deckcourse/configuration_store.py
@@ -10,7 +10,13 @@
 from deckcourse.object_store import ObjectStore
 from deckcourse.table import ABSENT, Committed, Row, TableFailure, TableService, Write
 
-__all__ = ["ChangeAccepted", "ChangeConflict", "ConfigurationStore", "Head"]
+__all__ = [
+    "ChangeAccepted",
+    "ChangeConflict",
+    "ConfigurationStore",
+    "Head",
+    "change_key",
+]
 
 HEAD_KEY = "configuration/head"
 # A reader that is further behind than this takes a snapshot first.
@@ -150,6 +156,3 @@
     if row is None:
         raise InvariantError("a change that the head row names is not in the table")
     return msgspec.json.decode(row.value, type=Change)
-
-
-__all__ += ["change_key"]
--- a/deckcourse/engine.py
+++ b/deckcourse/engine.py
@@ -22,10 +22,11 @@
     "Order",
     "OrderReply",
     "Refused",
+    "StreamLostError",
     "StreamStart",
     "TokenFrame",
-    "Unreachable",
     "UnloadOrder",
+    "Unreachable",
 ]
 
 
@@ -223,6 +224,3 @@
     def __init__(self, failure: Lost | Refused) -> None:
         super().__init__(failure.message)
         self.failure = failure
-
-
-__all__ += ["StreamLostError"]
--- a/deckcourse/engine_http.py
+++ b/deckcourse/engine_http.py
@@ -32,7 +32,18 @@
     http_call,
 )
 
-__all__ = ["HttpEngine", "decode_frames", "encode_frame"]
+__all__ = [
+    "CANCEL_PATH",
+    "LOAD_MODEL_PATH",
+    "LOAD_PATH",
+    "REFUSED_STATUS",
+    "STREAMS_PATH",
+    "UNLOAD_PATH",
+    "EngineRefusal",
+    "HttpEngine",
+    "decode_frames",
+    "encode_frame",
+]
 
 STREAMS_PATH = "/v1/streams"
 LOAD_PATH = "/v1/load"
@@ -187,7 +198,3 @@
             return msgspec.json.decode(reply.body, type=kind)
         except msgspec.MsgspecError as error:
             return Lost(self._instance, f"{path}: {error}")
-
-
-__all__ += ["CANCEL_PATH", "EngineRefusal", "LOAD_MODEL_PATH", "LOAD_PATH", "STREAMS_PATH"]
-__all__ += ["REFUSED_STATUS", "UNLOAD_PATH"]
--- a/deckcourse/entry_app.py
+++ b/deckcourse/entry_app.py
@@ -9,7 +9,14 @@
 from eliot import start_action
 from returns.result import Failure, Success
 
-from deckcourse.asgi import BodyTooLarge, Request, read_body, send_json, send_whole
+from deckcourse.asgi import (
+    BodyTooLarge,
+    Request,
+    cancel_when_gone,
+    read_body,
+    send_json,
+    send_whole,
+)
 from deckcourse.completion_api import (
     CHAT_PATH,
     TEXT_PATH,
@@ -172,7 +179,7 @@
         form = CompletionForm(query, completion.request, int(time()))
         known: list[Outcome] = []
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, request, nursery.cancel_scope)
+            nursery.start_soon(cancel_when_gone, request, nursery.cancel_scope)
             send = self._stream if query.stream else self._whole
             await send(request, form, completion, known)
             nursery.cancel_scope.cancel()
@@ -257,15 +264,6 @@
         await send_json(request, head.status, error_body(outcome), head.headers)
 
 
-async def _cancel_when_gone(request: Request, scope: trio.CancelScope) -> None:
-    """Cancel the work as soon as the caller closes the connection."""
-    while True:
-        message = await request.receive()
-        if message["type"] == "http.disconnect":
-            scope.cancel()
-            return
-
-
 def _log_fields(outcome: Outcome) -> dict[str, str]:
     if isinstance(outcome, Answered):
         return {"outcome": "answered"}
--- a/deckcourse/experiment.py
+++ b/deckcourse/experiment.py
@@ -10,7 +10,7 @@
 
 from deckcourse.outcomes import Answered, NotRun, Outcome
 from deckcourse.pipeline import Completion
-from deckcourse.standin_engine import EngineSpec
+from deckcourse.standin_stage import EngineSpec
 from deckcourse.virtual_site import Broken, VirtualPlan, VirtualSite
 
 __all__ = [
@@ -20,6 +20,7 @@
     "Served",
     "arrivals",
     "fleet_specs",
+    "run_load",
     "run_virtual",
     "serve_model",
     "worth_bound",
@@ -196,6 +197,3 @@
     gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
     first = times[0] - began if times else None
     served.append(Served(arrival, outcome, ended - began, first, max(gaps, default=0.0)))
-
-
-__all__ += ["run_load"]
--- a/deckcourse/site.py
+++ b/deckcourse/site.py
@@ -19,10 +19,11 @@
 from deckcourse.http_ports import http_ports
 from deckcourse.instance_list import InstanceKind, ListedInstance
 from deckcourse.node import CONTROLLER_ROLE, Node, NodeIdentity
-from deckcourse.standin_engine import EngineSpec, StandinEngine
+from deckcourse.standin_engine import StandinEngine
 from deckcourse.standin_engine_http import EngineApp, HttpStage, ServiceApp
 from deckcourse.standin_platform import PlatformApp
 from deckcourse.standin_service import StandinService
+from deckcourse.standin_stage import EngineSpec
 
 __all__ = ["Site", "SitePlan", "free_address"]
 
--- a/deckcourse/slopes.py
+++ b/deckcourse/slopes.py
@@ -7,8 +7,8 @@
 
 import gc
 import tracemalloc
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from time import perf_counter, process_time
 
@@ -41,61 +41,21 @@
 from deckcourse.relay_bench import relay_cost
 from deckcourse.router import Router
 from deckcourse.site import free_address
-from deckcourse.standin_engine import EngineSpec, StandinEngine
+from deckcourse.slope_fit import Slope, fit, least, processor
+from deckcourse.standin_engine import StandinEngine
 from deckcourse.standin_engine_http import EngineApp
+from deckcourse.standin_stage import EngineSpec
 from deckcourse.table import MemoryTable
 from deckcourse.virtual_site import VirtualPlan, VirtualSite
 
-__all__ = ["Slope", "measure_all"]
+__all__ = ["measure_all"]
 
-REPEATS = 3
 MODELS = 17
 STAGES = 4
 LAYERS = 8
 DOMAINS = tuple(f"domain-{number}" for number in range(6))
 
 
-@dataclass(frozen=True)
-class Slope:
-    """Points and their line: `y` = `base` + `each` times `x`.
-
-    `residual` is the root of the mean squared distance, as a part of the largest `y`.
-    """
-
-    name: str
-    unit: str
-    per: str
-    x: tuple[float, ...]
-    y: tuple[float, ...]
-    base: float
-    each: float
-    residual: float
-
-
-def fit(name: str, unit: str, per: str, points: Sequence[tuple[float, float]]) -> Slope:
-    """Return the line through points."""
-    x, y = (tuple(float(point[axis]) for point in points) for axis in (0, 1))
-    each, base = np.polyfit(x, y, 1)
-    distance = np.array(y) - (base + each * np.array(x))
-    residual = float(np.sqrt(np.mean(distance**2)) / max(map(abs, y)))
-    return Slope(name, unit, per, x, y, float(base), float(each), residual)
-
-
-def _least(measure: Callable[[], float]) -> float:
-    """Return the least of a few tries: what else the machine does only ever adds."""
-    found = []
-    for _ in range(REPEATS):
-        gc.collect()
-        found.append(measure())
-    return min(found)
-
-
-def _processor(work: Callable[[], object]) -> float:
-    began = process_time()
-    work()
-    return process_time() - began
-
-
 def _tokens() -> list[Slope]:
     sizes = (50, 100, 200, 400)
     costs = [trio.run(relay_cost, 4, size) for size in sizes]
@@ -130,7 +90,7 @@
 def _claims() -> list[Slope]:
     sizes = (200, 400, 800, 1600)
     cpu = [
-        (size, _least(lambda size=size: _processor(lambda: trio.run(_claim_many, size))))
+        (size, least(lambda size=size: processor(lambda: trio.run(_claim_many, size))))
         for size in sizes
     ]
     transactions = [(size, trio.run(_claim_many, size).transactions) for size in sizes]
@@ -204,11 +164,9 @@
 
 def _exchanges() -> list[Slope]:
     sizes = (50, 100, 200, 400)
-    points = [
-        (size, _least(lambda size=size: trio.run(_exchange_many, size, 16))) for size in sizes
-    ]
+    points = [(size, least(lambda size=size: trio.run(_exchange_many, size, 16))) for size in sizes]
     by_loads = [
-        (loads, _least(lambda loads=loads: trio.run(_exchange_many, 100, loads)) / 100)
+        (loads, least(lambda loads=loads: trio.run(_exchange_many, 100, loads)) / 100)
         for loads in (0, 16, 32, 64)
     ]
     return [
@@ -236,7 +194,7 @@
 
 def _polls() -> list[Slope]:
     sizes = (50, 100, 200, 400)
-    points = [(size, _least(lambda size=size: trio.run(_poll_many, size))) for size in sizes]
+    points = [(size, least(lambda size=size: trio.run(_poll_many, size))) for size in sizes]
     return [fit("poll of an upstream, both sides", "s", "poll", points)]
 
 
@@ -316,7 +274,7 @@
     by_runners = []
     for size in runners:
         base = _configuration(size)
-        used = _least(lambda base=base: _processor(lambda: _apply_many(base, 200)))
+        used = least(lambda base=base: processor(lambda: _apply_many(base, 200)))
         by_runners.append((size, used / 200))
     places = _placements(64)
     change = Change(2, "0123456789ab")
@@ -360,11 +318,9 @@
 
 def _plans() -> list[Slope]:
     runners = (300, 600, 1200, 2300)
-    one = [
-        (size, _least(lambda size=size: _processor(lambda: _plan_once(size)))) for size in runners
-    ]
+    one = [(size, least(lambda size=size: processor(lambda: _plan_once(size)))) for size in runners]
     every = [
-        (size, _least(lambda size=size: _processor(lambda: _heal_flow(size)))) for size in runners
+        (size, least(lambda size=size: processor(lambda: _heal_flow(size)))) for size in runners
     ]
     return [
         fit("plan of one intent, by runners", "s", "runner", one),
@@ -392,7 +348,7 @@
             for _ in range(100):
                 router.choose(configuration, "model-00", 1.0)
 
-        points.append((runners, _least(lambda choose=choose: _processor(choose)) / 100))
+        points.append((runners, least(lambda choose=choose: processor(choose)) / 100))
     return [fit("choice of a route, by runners in the configuration", "s", "runner", points)]
 
 
@@ -407,7 +363,7 @@
             for name in people:
                 quota.admit(name, 10.0, 1e6, others, 1.0)
 
-        points.append((count, _least(lambda admit=admit: _processor(admit))))
+        points.append((count, least(lambda admit=admit: processor(admit))))
     return [fit("limit check of each account, 20 peers known", "s", "account", points)]
 
 
--- a/deckcourse/standin_daemon.py
+++ b/deckcourse/standin_daemon.py
@@ -14,10 +14,11 @@
 from deckcourse.daemon import run_until_stopped
 from deckcourse.http_client import kept_pool
 from deckcourse.instance_list import ListedInstance
-from deckcourse.standin_engine import EngineSpec, StandinEngine
+from deckcourse.standin_engine import StandinEngine
 from deckcourse.standin_engine_http import EngineApp, HttpStage, ServiceApp
 from deckcourse.standin_platform import PlatformApp
 from deckcourse.standin_service import StandinService
+from deckcourse.standin_stage import EngineSpec
 
 __all__ = ["main"]
 
--- a/deckcourse/standin_engine_http.py
+++ b/deckcourse/standin_engine_http.py
@@ -6,7 +6,14 @@
 import msgspec
 import trio
 
-from deckcourse.asgi import BodyTooLarge, Request, read_body, send_json, send_whole
+from deckcourse.asgi import (
+    BodyTooLarge,
+    Request,
+    cancel_when_gone,
+    read_body,
+    send_json,
+    send_whole,
+)
 from deckcourse.engine import (
     EngineFailure,
     Hop,
@@ -30,8 +37,9 @@
 from deckcourse.http_client import HttpReply, NotSent, http_call
 from deckcourse.plain_service import ServiceCall, ServiceReply
 from deckcourse.plain_service_http import REQUEST_HEADER
-from deckcourse.standin_engine import StandinEngine, StandinStage, StepCall, StepMissing, StepReply
+from deckcourse.standin_engine import StandinEngine
 from deckcourse.standin_service import StandinService
+from deckcourse.standin_stage import StandinStage, StepCall, StepMissing, StepReply
 
 __all__ = ["EngineApp", "HttpStage", "ServiceApp"]
 
@@ -150,7 +158,7 @@
                 await self._send(request, frames)
                 return
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_cancel_when_gone, request, nursery.cancel_scope)
+                nursery.start_soon(cancel_when_gone, request, nursery.cancel_scope)
                 await self._send_frames(request, frames)
                 nursery.cancel_scope.cancel()
 
@@ -199,11 +207,3 @@
             await send_whole(request, reply.status, reply.body, kind)
         else:
             await send_whole(request, LOST_STATUS, b"")
-
-
-async def _cancel_when_gone(request: Request, scope: trio.CancelScope) -> None:
-    while True:
-        message = await request.receive()
-        if message["type"] == "http.disconnect":
-            scope.cancel()
-            return
--- a/deckcourse/virtual_ports.py
+++ b/deckcourse/virtual_ports.py
@@ -31,7 +31,7 @@
 from deckcourse.peer_link import Exchange
 from deckcourse.plain_service import PlainService, ServiceCall, ServiceReply
 from deckcourse.plans import PLAN_PREFIX, PlanState
-from deckcourse.standin_engine import StandinStage, StepCall, StepMissing, StepReply
+from deckcourse.standin_stage import StandinStage, StepCall, StepMissing, StepReply
 from deckcourse.table import Committed, Conflict, Row, TableFailure, TableService, Write
 from deckcourse.virtual_links import Gate, Links, Step, Steps
 
--- a/deckcourse/virtual_site.py
+++ b/deckcourse/virtual_site.py
@@ -18,9 +18,10 @@
 from deckcourse.outcomes import Outcome
 from deckcourse.pipeline import Completion, TokenSink
 from deckcourse.plans import Confirmed, Plan
-from deckcourse.standin_engine import EngineSpec, StandinEngine
+from deckcourse.standin_engine import StandinEngine
 from deckcourse.standin_platform import FaultyInstanceList, FaultyObjectStore, FaultyTable
 from deckcourse.standin_service import StandinService
+from deckcourse.standin_stage import EngineSpec
 from deckcourse.table import MemoryTable
 from deckcourse.virtual_links import Gate, Links, Step, Steps
 from deckcourse.virtual_ports import (
--- a/features/world.py
+++ b/features/world.py
@@ -12,8 +12,8 @@
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
 from deckcourse.pipeline import Completion
 from deckcourse.plans import Confirmed, Plan
-from deckcourse.standin_engine import EngineSpec
 from deckcourse.standin_model import expected_tokens
+from deckcourse.standin_stage import EngineSpec
 from deckcourse.virtual_site import Broken, VirtualPlan, VirtualSite
 
 # Tasks are scheduled in the same order on every run.
