--- a/deckcourse/trial.py
+++ b/deckcourse/trial.py
@@ -12,7 +12,7 @@
 from deckcourse.site import Site, SitePlan
 from deckcourse.standin_model import expected_tokens, token_text
 
-__all__ = ["run_trial"]
+__all__ = ["run_trial", "show_trial"]
 
 MODEL = "demo-12"
 DEPTH = 12
@@ -36,11 +36,12 @@
     site = Site(SitePlan())
     async with trio.open_nursery() as nursery:
         await nursery.start(site.run)
-        await _tell(site, say)
+        await show_trial(site, say)
         nursery.cancel_scope.cancel()
 
 
-async def _tell(site: Site, say: Say) -> None:
+async def show_trial(site: Site, say: Say) -> None:
+    """Show the main job on a running site; raises as `run_trial` does."""
     say(f"entry (callers)        http://{site.entry_address}")
     say(f"controller (operators) http://{site.controller_address}")
     say(f"{len(site.engines)} stand-in runners in 3 failure domains, a platform, a plain service\n")
