Headers over 32 KiB are refused in the interface's error shape

Cause: 100,000 bytes of headers were let through (seen on a real entry: 401 for the missing key): the HTTP library bounds what it buffers, not what it takes in whole. Change: the entry checks the sum. Ruled out: the library's own limit (it answers before the application, in another shape).

--- a/deckcourse/asgi.py
+++ b/deckcourse/asgi.py
@@ -64,6 +64,11 @@
         path = self._scope.get("raw_path") or self.path.encode()
         return path.decode("ascii", "replace").partition("?")[0] + (f"?{query}" if query else "")
 
+    @property
+    def header_bytes(self) -> int:
+        """The size of all headers together."""
+        return sum(len(name) + len(value) for name, value in self._scope["headers"])
+
     def header(self, name: str) -> str:
         """Return a header, empty where it's absent."""
         return self._headers.get(name.encode(), b"").decode("latin-1")
--- a/deckcourse/entry_app.py
+++ b/deckcourse/entry_app.py
@@ -43,6 +43,8 @@
 OUTCOME_ANSWERED = ((b"deckcourse-outcome", b"answered"),)
 EVENT_STREAM = b"text/event-stream"
 LONGEST_KEY = 255
+# The HTTP library bounds what it buffers, not quite what it lets through.
+LARGEST_HEADERS = 32 * 1024
 
 
 @dataclass(frozen=True)
@@ -102,6 +104,10 @@
             await self._answer_known_caller(request)
 
     async def _answer_known_caller(self, request: Request) -> None:
+        if request.header_bytes > LARGEST_HEADERS:
+            message = f"headers: larger than {LARGEST_HEADERS} bytes together"
+            await self._send_error(request, NotRun(NotRunReason.TOO_LARGE, message))
+            return
         scheme, _, key = request.header("authorization").partition(" ")
         account = self._entry.account_of(key.strip()) if scheme.lower() == "bearer" else None
         if account is None:
--- a/features/processes_stops.feature
+++ b/features/processes_stops.feature
@@ -38,5 +38,6 @@
       | a wrong place   | 404 not-run not-found    | /v1/nothing   |
       | a strange model | 404 not-run not-found    | nobody        |
       | a large body    | 413 not-run too-large    | body          |
+      | large headers   | 413 not-run too-large    | headers       |
       | a bad timeout   | 400 not-run bad-request  | timeout       |
     And entry-1 completes 3 tokens whole
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -293,5 +293,7 @@
         body = b" " * (2 * 1024 * 1024)
     path = "/v1/nothing" if what == "a wrong place" else "/v1/completions"
     headers = {"x-deckcourse-timeout-ms": "soon"} if what == "a bad timeout" else {}
+    if what == "large headers":
+        headers = {"x-padding": "x" * 50_000}
     key = "nobody's" if what == "a wrong key" else KEY
     context.replies.append(context.site.request(entry, "POST", path, body, headers, key))
