--- /dev/null
+++ b/deckcourse/change_feed.py
@@ -0,0 +1,130 @@
+"""A feed of changes to a table's rows, and the follower that keeps a copy up to date by it."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+import trio
+from returns.result import Failure, Result, Success
+
+from deckcourse.table import Row, TableFailure
+
+__all__ = ["ChangeFeed", "Changes", "Follower", "Snapshot"]
+
+# How long one question for changes waits for one at the store, seconds. Its answer is also the
+# sign that the store is in reach: a shorter wait costs calls, a longer one delays that sign.
+WAIT_SECONDS = 1.0
+# How long an answer may take beyond that, seconds: a slow store takes 60 times its 4 ms.
+ANSWER_SECONDS = 0.8
+# Changes that come in quick succession are fetched together after this pause, seconds.
+PAUSE_SECONDS = 0.1
+# Between two tries while the store does not answer, seconds, and the same again by chance.
+RETRY_SECONDS = 0.15
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """All rows of a table as of `version`."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+@dataclass(frozen=True)
+class Changes:
+    """Rows that changed, in order, up to `version`; a row without value is gone.
+
+    `complete` is false where the store no longer has every change: a snapshot is due.
+    """
+
+    rows: tuple[tuple[str, bytes | None], ...]
+    version: int
+    complete: bool = True
+
+
+class ChangeFeed(Protocol):
+    """Reads tables and waits for changes."""
+
+    async def snapshot(self, table: str) -> Result[Snapshot, TableFailure]:
+        """Return all rows of a table."""
+
+    async def changes(
+        self, table: str, after: int, seconds: float
+    ) -> Result[Changes, TableFailure]:
+        """Return what changed after a version, as soon as something did or time is over."""
+
+
+class Follower:
+    """Keeps up with one table."""
+
+    def __init__(
+        self,
+        feed: ChangeFeed,
+        table: str,
+        on_all: Callable[[Sequence[Row]], None],
+        on_change: Callable[[str, bytes | None], None],
+        random: Random,
+        on_contact: Callable[[bool], None] = lambda regained: None,
+    ) -> None:
+        self._feed = feed
+        self._table = table
+        self._on_all = on_all
+        self._on_change = on_change
+        self._random = random
+        self._on_contact = on_contact
+        self._version: int | None = None
+        self._as_of = float("-inf")
+        self._lost = False
+
+    @property
+    def as_of(self) -> float:
+        """Every change before this moment of trio's clock is known."""
+        return self._as_of
+
+    @property
+    def known(self) -> bool:
+        """Whether the table was read at least once."""
+        return self._as_of > float("-inf")
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            asked_at = trio.current_time()
+            if await self._round():
+                self._contact(asked_at)
+                await trio.sleep(PAUSE_SECONDS)
+            else:
+                if not self._lost:
+                    self._lost = True
+                    self._on_contact(False)
+                await trio.sleep(RETRY_SECONDS * (1 + self._random.random()))
+
+    def _contact(self, asked_at: float) -> None:
+        self._as_of = asked_at
+        if self._lost:
+            self._lost = False
+            self._on_contact(True)
+
+    async def _round(self) -> bool:
+        """Ask once; return whether the store answered."""
+        answer: Result = Failure(TableFailure.UNAVAILABLE)
+        with trio.move_on_after(WAIT_SECONDS + ANSWER_SECONDS):
+            if self._version is None:
+                answer = await self._feed.snapshot(self._table)
+            else:
+                answer = await self._feed.changes(self._table, self._version, WAIT_SECONDS)
+        match answer:
+            case Success(Snapshot(rows, version)):
+                self._version = version
+                self._on_all(rows)
+                return True
+            case Success(Changes(rows, version, True)):
+                self._version = version
+                for key, value in rows:
+                    self._on_change(key, value)
+                return True
+            case Success(_):
+                self._version = None
+                return await self._round()
+        return False
--- /dev/null
+++ b/deckcourse/gateway/dialect.py
@@ -0,0 +1,103 @@
+"""What the gateway needs to know of the messages that it passes on, apart from how they spell it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from deckcourse.gateway.upstreams import Upstream
+from deckcourse.http1.client import UpstreamReply
+from deckcourse.http1.message import Headers
+from deckcourse.http1.server import IncomingRequest
+from deckcourse.layers.paths import LayerPath
+
+__all__ = [
+    "CallerRequest",
+    "Dialect",
+    "Dispatch",
+    "MoveResult",
+    "ReplyFacts",
+    "StallReport",
+    "StreamControl",
+]
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A caller's request with what its headers say; `patience` in seconds, None for no word."""
+
+    message: IncomingRequest
+    request_id: str
+    host: str
+    path: str
+    key: str
+    patience: float | None
+    last_event: int | None
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """One sending of a request to one upstream; `seconds` is what is left of its time."""
+
+    instance: str
+    seconds: float
+    account: str = ""
+    priority: int | None = None
+    path: LayerPath | None = None
+    last_event: int | None = None
+
+
+@dataclass(frozen=True)
+class ReplyFacts:
+    """What the head of an answer says.
+
+    `not_run` is the upstream's promise; `at_fault` the address of the one that could not take its
+    part, empty where it's the one that was asked; `sealed` whether the answer is an upstream's
+    own.
+    """
+
+    request_id: str
+    not_run: bool
+    at_fault: str
+    sealed: bool
+
+
+@dataclass(frozen=True)
+class StallReport:
+    """The requests that wait at the first upstream of their path, each with whom it waits for."""
+
+    waiting_for: Mapping[str, str]
+
+
+class MoveResult(StrEnum):
+    """What the first upstream said to a new path of a running request."""
+
+    MOVED = "moved"
+    UNKNOWN_REQUEST = "unknown-request"
+    PART_MISSING = "part-missing"
+    UNANSWERED = "unanswered"
+
+
+class Dialect(Protocol):
+    """Reads and writes the headers of requests and answers."""
+
+    def read(self, message: IncomingRequest) -> CallerRequest:
+        """Return what a caller's headers say."""
+
+    def headers_for(self, request: CallerRequest, dispatch: Dispatch) -> Headers:
+        """Return the headers with which a request goes to an upstream."""
+
+    def facts(self, reply: UpstreamReply) -> ReplyFacts:
+        """Return what the head of an answer says."""
+
+
+class StreamControl(Protocol):
+    """Asks an upstream about its streams, and moves them."""
+
+    async def stalled(self, upstream: Upstream) -> StallReport | None:
+        """Return the requests that wait at the first upstream of their path, None unanswered."""
+
+    async def move(
+        self, upstream: Upstream, request_id: str, path: LayerPath
+    ) -> tuple[MoveResult, str]:
+        """Give a running request another path; the address at fault comes with PART_MISSING."""
--- /dev/null
+++ b/deckcourse/gateway/gateway.py
@@ -0,0 +1,118 @@
+"""The gateway: a caller's request from its head to its outcome."""
+
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from deckcourse.gateway.context import Admitted, GatewayContext
+from deckcourse.gateway.desired import DesiredState, RouteSpec
+from deckcourse.gateway.dialect import CallerRequest
+from deckcourse.gateway.lookup import Lookup
+from deckcourse.gateway.stream import StreamCall
+from deckcourse.http1.server import Exchange, IncomingRequest
+from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown, response_head
+from deckcourse.reasons import NotRunReason, UnknownReason
+
+__all__ = ["Gateway"]
+
+# When to come back to an entry that doesn't know its configuration, seconds: another one may.
+NOT_READY_RETRY_SECONDS = 0.1
+
+
+class Gateway:
+    """Answers callers' requests by the desired state in force."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        desired: Callable[[], DesiredState | None],
+        domain: str,
+    ) -> None:
+        self._context = context
+        self._desired = desired
+        self._domain = domain
+        self._requests = 0
+
+    @property
+    def requests(self) -> int:
+        """How many requests are in flight."""
+        return self._requests
+
+    async def handle(self, message: IncomingRequest, exchange: Exchange) -> None:
+        """Answer one request; returns with the answer unfinished where it must be cut off."""
+        self._requests += 1
+        arrived = trio.current_time()
+        caller = self._context.dialect.read(message)
+        outcome: Outcome = Unknown(UnknownReason.CALLER_GONE, "the caller is gone")
+        try:
+            outcome = await self._serve(caller, exchange)
+            if not isinstance(outcome, Answered) and not exchange.started:
+                await _tell(exchange, outcome)
+        finally:
+            self._requests -= 1
+            self._note(caller, outcome, trio.current_time() - arrived)
+
+    async def _serve(self, caller: CallerRequest, exchange: Exchange) -> Outcome:
+        admitted = self._admit(caller, exchange)
+        if isinstance(admitted, NotRun):
+            return admitted
+        if admitted.service.model is not None:
+            return await StreamCall(self._context, admitted).run()
+        return await Lookup(self._context, admitted, self._domain).run()
+
+    def _admit(self, caller: CallerRequest, exchange: Exchange) -> Admitted | NotRun:
+        desired = self._desired()
+        if desired is None:
+            return _not_ready("this entry does not know its configuration yet")
+        route = desired.route_of(caller.host, caller.path)
+        if route is None:
+            if not self._context.may_send():
+                return _not_ready("this entry's configuration may be out of date")
+            return NotRun(NotRunReason.NOT_FOUND, "no route for this host and path")
+        account = None
+        if desired.has_accounts and not route.public:
+            if not self._context.may_send():
+                return _not_ready("this entry's configuration may be out of date")
+            account = desired.account_of(caller.key)
+            if account is None:
+                return NotRun(NotRunReason.UNAUTHORIZED, "no client account has this key")
+        service = desired.services.get(route.service_for(caller.request_id))
+        if service is None:
+            return NotRun(NotRunReason.NO_ROUTE, f"route {route.name} has no service")
+        deadline = trio.current_time() + _seconds(caller, route)
+        return Admitted(caller, route, service, account, deadline, exchange)
+
+    def _note(self, caller: CallerRequest, outcome: Outcome, seconds: float) -> None:
+        context = self._context
+        context.timing("hold", seconds)
+        match outcome:
+            case Answered():
+                context.count("answered")
+            case NotRun(reason, message):
+                context.count(f"refused.{reason}")
+                context.log(
+                    "refused", request=caller.request_id, reason=str(reason), what=message,
+                    held_ms=round(seconds * 1000),
+                )  # fmt: skip
+            case Unknown(reason, message):
+                context.count(f"unknown.{reason}")
+                context.log(
+                    "unknown", request=caller.request_id, reason=str(reason), what=message,
+                    held_ms=round(seconds * 1000),
+                )  # fmt: skip
+
+
+def _seconds(caller: CallerRequest, route: RouteSpec) -> float:
+    return min(route.timeout, caller.patience if caller.patience is not None else route.timeout)
+
+
+def _not_ready(message: str) -> NotRun:
+    return NotRun(NotRunReason.NOT_READY, message, NOT_READY_RETRY_SECONDS)
+
+
+async def _tell(exchange: Exchange, outcome: NotRun | Unknown) -> None:
+    head = response_head(outcome, fractions=True)
+    body = msgspec.json.encode({"error": outcome.message, "reason": str(outcome.reason)})
+    headers = (*head.headers, (b"content-type", b"application/json"))
+    await exchange.whole(head.status, headers, body)
--- /dev/null
+++ b/deckcourse/gateway/lookup.py
@@ -0,0 +1,211 @@
+"""One call to a plain service: tried again only where the route and the upstream allow it."""
+
+from dataclasses import dataclass
+
+import trio
+
+from deckcourse.gateway.context import Admitted, GatewayContext
+from deckcourse.gateway.dialect import Dispatch
+from deckcourse.gateway.upstreams import Upstream
+from deckcourse.http1.client import UpstreamConnection, UpstreamReply
+from deckcourse.http1.message import ConnectionFailure, FailureKind, Headers, end_to_end
+from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
+from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
+
+__all__ = ["Lookup"]
+
+# Refusals and failed connections that one request may meet before it is refused itself.
+MOST_TRIES = 4
+# When to come back after every upstream refused, seconds: their calls take some 60 ms.
+RETRY_SECONDS = 0.1
+# What another failure domain counts for against calls in flight.
+REMOTE_PENALTY = 0.5
+# What an upstream whose calls all failed of late counts for against calls in flight.
+FAILURE_PENALTY = 20.0
+# A call that must not run twice takes no connection that rested longer, seconds: one that the
+# upstream closed meanwhile would leave it open whether the call ran.
+FRESH_SECONDS = 1.0
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True)
+class _Whole:
+    """A whole answer of an upstream."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True)
+class _Refused:
+    """Nobody ran the call."""
+
+    reason: RetryReason
+    message: str
+
+
+@dataclass(frozen=True)
+class _Lost:
+    """The call may have run."""
+
+    message: str
+
+
+class Lookup:
+    """One call from admission to its outcome."""
+
+    def __init__(self, context: GatewayContext, admitted: Admitted, domain: str) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._domain = domain
+        self._tried: set[str] = set()
+        self._runs = 0
+        self._failure: _Whole | None = None
+
+    async def run(self) -> Outcome:
+        """Return the outcome; an answer has been sent to the caller."""
+        self._context.budget(self._admitted.service.name).earn()
+        outcome: Outcome | None = None
+        with trio.move_on_at(self._admitted.deadline):
+            outcome = await self._tries()
+        if outcome is not None:
+            return outcome
+        if self._runs:
+            return Unknown(UnknownReason.DEADLINE_PASSED, "the time for the answer is over")
+        return NotRun(NotRunReason.DEADLINE, "the time was over before an upstream took it")
+
+    async def _tries(self) -> Outcome:
+        last: _Refused | _Lost | None = None
+        for number in range(MOST_TRIES):
+            upstream = self._choose()
+            if upstream is None:
+                break
+            if number and not self._context.budget(self._admitted.service.name).spend():
+                break
+            if not self._context.may_send():
+                return NotRun(NotRunReason.NOT_READY, "the configuration may be out of date", 0.2)
+            self._tried.add(upstream.instance)
+            result = await self._send(upstream)
+            if isinstance(result, _Whole):
+                if not self._worth_another(result):
+                    return await self._deliver(result)
+                self._failure = result
+            elif isinstance(result, _Refused):
+                last = result
+                self._context.count(f"retry.{result.reason}")
+            else:
+                last = result
+                if not self._may_repeat():
+                    break
+                self._context.count(f"retry.{RetryReason.REPLY_LOST}")
+        return await self._give_up(last)
+
+    def _may_repeat(self) -> bool:
+        route = self._admitted.route
+        return route.repeatable and self._runs < route.attempts
+
+    def _worth_another(self, answer: _Whole) -> bool:
+        return answer.status >= SERVER_ERROR and self._may_repeat()
+
+    async def _give_up(self, last: _Refused | _Lost | None) -> Outcome:
+        if self._failure is not None:
+            return await self._deliver(self._failure)
+        if self._runs:
+            message = last.message if last is not None else "the answer was lost"
+            return Unknown(UnknownReason.UPSTREAM_LOST, message)
+        if isinstance(last, _Refused):
+            return NotRun(NotRunReason.UPSTREAM_REFUSED, last.message, RETRY_SECONDS)
+        return NotRun(NotRunReason.NO_ROUTE, "no usable upstream", RETRY_SECONDS * 5)
+
+    def _choose(self) -> Upstream | None:
+        upstreams = self._context.upstreams
+        name = self._admitted.service.name
+        options = upstreams.usable(name) or [
+            each for each in upstreams.of_service(name) if not each.leaving
+        ]
+        options = [each for each in options if each.instance not in self._tried]
+        return min(options, key=self._load, default=None)
+
+    def _load(self, upstream: Upstream) -> float:
+        upstreams = self._context.upstreams
+        load = upstreams.in_flight(upstream.instance) * 6.0 / max(1, upstream.slots)
+        if upstream.domain != self._domain:
+            load += REMOTE_PENALTY
+        return load + FAILURE_PENALTY * upstreams.failure_share(upstream.instance) ** 2
+
+    async def _send(self, upstream: Upstream) -> _Whole | _Refused | _Lost:
+        context = self._context
+        context.upstreams.begin(upstream.instance)
+        connection: UpstreamConnection | None = None
+        done = False
+        try:
+            longest_idle = FRESH_SECONDS if not self._admitted.route.repeatable else 60.0
+            connection = await context.pool.acquire(upstream.address, longest_idle)
+            result = await self._exchange(connection, upstream)
+            done = True
+        except ConnectionFailure as failure:
+            result = self._on_failure(upstream, failure)
+        finally:
+            context.upstreams.end(upstream.instance)
+            if connection is not None:
+                if done:
+                    context.pool.release(connection)
+                else:
+                    connection.abort()
+        failed = not isinstance(result, _Whole) or result.status >= SERVER_ERROR
+        context.upstreams.note(upstream.instance, failed)
+        if failed:
+            self._log_try(upstream, result)
+        return result
+
+    def _on_failure(self, upstream: Upstream, failure: ConnectionFailure) -> _Refused | _Lost:
+        if failure.kind is FailureKind.UNSENT:
+            self._context.pool.forget(upstream.address)
+            return _Refused(RetryReason.UNREACHABLE, failure.message)
+        return _Lost(failure.message)
+
+    async def _exchange(
+        self, connection: UpstreamConnection, upstream: Upstream
+    ) -> _Whole | _Refused | _Lost:
+        admitted = self._admitted
+        message = admitted.caller.message
+        dispatch = Dispatch(
+            upstream.instance,
+            admitted.deadline - trio.current_time(),
+            admitted.account_name,
+            admitted.priority,
+        )
+        headers = self._context.dialect.headers_for(admitted.caller, dispatch)
+        self._runs += 1
+        try:
+            reply = await connection.call(message.method, message.target, headers, message.body)
+        except ConnectionFailure as failure:
+            self._runs -= failure.kind is FailureKind.UNSENT
+            raise
+        facts = self._context.dialect.facts(reply)
+        if facts.request_id != admitted.caller.request_id:
+            raise ConnectionFailure(FailureKind.MALFORMED, "the answer is another request's")
+        body = await reply.whole_body()
+        if facts.not_run:
+            self._runs -= 1
+            return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
+        return _Whole(reply.status, _kept(reply), body)
+
+    async def _deliver(self, answer: _Whole) -> Outcome:
+        await self._admitted.exchange.whole(answer.status, answer.headers, answer.body)
+        return Answered(0, answer.status)
+
+    def _log_try(self, upstream: Upstream, result: _Whole | _Refused | _Lost) -> None:
+        what = f"status {result.status}" if isinstance(result, _Whole) else result.message
+        self._context.log(
+            "try-failed",
+            request=self._admitted.caller.request_id,
+            instance=upstream.instance,
+            what=what,
+            runs=self._runs,
+        )
+
+
+def _kept(reply: UpstreamReply) -> Headers:
+    return end_to_end(reply.headers)
--- /dev/null
+++ b/deckcourse/gateway/node.py
@@ -0,0 +1,261 @@
+"""One gateway process: it follows the store, serves callers and takes part in the placement."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+import trio
+from returns.result import Failure, Result, Success
+
+from deckcourse.change_feed import ChangeFeed, Follower
+from deckcourse.counters import Counters
+from deckcourse.gateway.context import GatewayContext
+from deckcourse.gateway.desired import CallerBounds, DesiredState
+from deckcourse.gateway.dialect import Dialect, StreamControl
+from deckcourse.gateway.gateway import Gateway
+from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.stalls import StallMonitor
+from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.layers.healer import Healer, Orderer
+from deckcourse.layers.plan_book import PlanBook
+from deckcourse.table import Row, TableService
+
+__all__ = ["GatewayIdentity", "GatewayNode", "GatewayPorts", "RowReader"]
+
+# The part of the revocation time after which nothing that needs a key is sent any more: a key
+# taken away just after the last sign of the store must not open anything when that time is over.
+STALE_SHARE = 0.8
+# The part of it after which the process calls itself not ready: the balancer then turns to
+# others, which may see the store.
+UNREADY_SHARE = 0.5
+
+
+class RowReader(Protocol):
+    """Decodes rows of the store."""
+
+    operator_table: str
+    upstream_table: str
+    desired_key: str
+
+    def desired_state(self, value: bytes) -> Result[DesiredState, str]:
+        """Return the desired state that a row holds, or what is wrong."""
+
+    def upstream(self, instance: str, value: bytes) -> Result[Upstream, str]:
+        """Return the upstream that a row tells of, or what is wrong."""
+
+
+@dataclass(frozen=True)
+class GatewayIdentity:
+    """Who the process is; `author` is new at each start."""
+
+    name: str
+    domain: str
+    author: str
+
+
+@dataclass(frozen=True)
+class GatewayPorts:
+    """The outside systems and the ways to reach them."""
+
+    table: TableService
+    feed: ChangeFeed
+    rows: RowReader
+    dialect: Dialect
+    orderer: Orderer
+    control: StreamControl
+    pool: ConnectionPool
+
+
+class GatewayNode:
+    """The parts of one process and how they hang together."""
+
+    def __init__(
+        self,
+        identity: GatewayIdentity,
+        ports: GatewayPorts,
+        revocation: Callable[[], float],
+        counters: Counters,
+        log: Callable[..., None],
+        random: Random,
+    ) -> None:
+        self._identity = identity
+        self._ports = ports
+        self._revocation = revocation
+        self._counters = counters
+        self._log = log
+        self._random = random
+        self._desired: DesiredState | None = None
+        self._desired_changed = trio.Event()
+        self._upstreams = UpstreamTable(trio.current_time)
+        self._choices: dict[str, PathChoice] = {}
+        self._healers: dict[str, Healer] = {}
+        self._book = PlanBook(ports.table, identity.author)
+        self._stopping = False
+        rows = ports.rows
+        self._operator_feed = Follower(
+            ports.feed, rows.operator_table, self._on_operator_rows, self._on_operator_row,
+            random, self._on_contact,
+        )  # fmt: skip
+        self._upstream_feed = Follower(
+            ports.feed, rows.upstream_table, self._on_upstream_rows, self._on_upstream_row, random
+        )
+        self._monitor = StallMonitor(
+            self._upstreams, ports.control, self._choice, self._witness, counters.count, log
+        )
+        context = GatewayContext(
+            upstreams=self._upstreams,
+            dialect=ports.dialect,
+            pool=ports.pool,
+            monitor=self._monitor,
+            choices=self._choice,
+            may_send=self.may_send,
+            count=counters.count,
+            timing=counters.timing,
+            log=log,
+        )
+        self._gateway = Gateway(context, lambda: self._desired, identity.domain)
+
+    @property
+    def gateway(self) -> Gateway:
+        """What answers callers' requests."""
+        return self._gateway
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process is on its way to its end."""
+        return self._stopping
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send new connections here."""
+        if self._stopping or self._desired is None or not self._upstream_feed.known:
+            return False
+        return self._age() < self._revocation() * UNREADY_SHARE
+
+    @property
+    def bounds(self) -> CallerBounds:
+        """What callers may send and how long they may take."""
+        return self._desired.bounds if self._desired is not None else CallerBounds()
+
+    def stop(self) -> None:
+        """Turn new callers away; what is in flight goes on."""
+        self._stopping = True
+
+    def may_send(self) -> bool:
+        """Return whether the configuration is fresh enough for what needs a key."""
+        return self._age() < self._revocation() * STALE_SHARE
+
+    def _age(self) -> float:
+        return trio.current_time() - self._operator_feed.as_of
+
+    async def run(self) -> None:
+        """Do the background work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._operator_feed.run)
+            nursery.start_soon(self._upstream_feed.run)
+            nursery.start_soon(self._monitor.run)
+            nursery.start_soon(self._start_healers, nursery)
+
+    async def _start_healers(self, nursery: trio.Nursery) -> None:
+        """Start a healer for each service whose upstreams hold layers."""
+        while True:
+            changed = self._desired_changed
+            services = self._desired.services if self._desired is not None else {}
+            for name, service in services.items():
+                if service.model is not None and name not in self._healers:
+                    healer = Healer(
+                        name, self._upstreams, self._book, self._ports.orderer, self._random,
+                        self._log,
+                    )  # fmt: skip
+                    self._healers[name] = healer
+                    nursery.start_soon(healer.run, self._model_of(name), self._may_heal)
+            await changed.wait()
+
+    def _model_of(self, service: str):
+        def model():
+            spec = self._desired.services.get(service) if self._desired is not None else None
+            return spec.model if spec is not None else None
+
+        return model
+
+    def _may_heal(self) -> bool:
+        return not self._stopping and self._upstream_feed.known and self.may_send()
+
+    def _choice(self, service: str) -> PathChoice:
+        if service not in self._choices:
+            self._choices[service] = PathChoice(
+                service, self._identity.domain, self._upstreams, trio.current_time
+            )
+        return self._choices[service]
+
+    def _witness(self, domain: str) -> None:
+        for healer in self._healers.values():
+            healer.witness(domain)
+
+    def _on_contact(self, regained: bool) -> None:
+        if regained:
+            self._upstreams.store_returned()
+        self._counters.count("store.regained" if regained else "store.lost")
+        self._log("store-regained" if regained else "store-lost", age=round(self._age(), 3))
+
+    def _on_operator_rows(self, rows: Sequence[Row]) -> None:
+        for row in rows:
+            self._on_operator_row(row.key.partition("/")[2], row.value)
+
+    def _on_operator_row(self, key: str, value: bytes | None) -> None:
+        if key != self._ports.rows.desired_key or value is None:
+            return
+        match self._ports.rows.desired_state(value):
+            case Success(desired):
+                self._take(desired)
+            case Failure(problem):
+                self._counters.count("malformed.desired-state")
+                self._log("malformed", what=problem)
+
+    def _take(self, desired: DesiredState) -> None:
+        known = self._desired.version if self._desired is not None else None
+        if known is not None and desired.version <= known:
+            return
+        self._desired = desired
+        self._desired_changed.set()
+        self._desired_changed = trio.Event()
+        self._log("configuration", version=desired.version, before=known)
+
+    def _on_upstream_rows(self, rows: Sequence[Row]) -> None:
+        found = [self._decode(row.key.partition("/")[2], row.value) for row in rows]
+        self._upstreams.replace_all(each for each in found if each is not None)
+
+    def _on_upstream_row(self, key: str, value: bytes | None) -> None:
+        if value is None:
+            self._note_gone(key)
+            self._upstreams.remove(key)
+            return
+        row = self._decode(key, value)
+        if row is None:
+            return
+        known = self._upstreams.get(key)
+        if known is None or (known.first, known.end, known.leaving) != (
+            row.first, row.end, row.leaving
+        ):  # fmt: skip
+            self._log(
+                "upstream", instance=key, address=row.address, domain=row.domain, kind=row.kind,
+                first=row.first, end=row.end, leaving=row.leaving,
+            )  # fmt: skip
+        self._upstreams.put(row)
+
+    def _note_gone(self, key: str) -> None:
+        known = self._upstreams.get(key)
+        if known is not None:
+            self._ports.pool.forget(known.address)
+            self._log("upstream-gone", instance=key, address=known.address)
+
+    def _decode(self, key: str, value: bytes) -> Upstream | None:
+        match self._ports.rows.upstream(key, value):
+            case Success(row):
+                return row
+            case Failure(problem):
+                self._counters.count("malformed.upstream")
+                self._log("malformed", what=problem)
+        return None
--- /dev/null
+++ b/deckcourse/gateway/path_choice.py
@@ -0,0 +1,86 @@
+"""The choice of a path for one request, from what this process knows at the moment."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from deckcourse.gateway.upstreams import UpstreamTable
+from deckcourse.layers.model import ModelSpec
+from deckcourse.layers.paths import LayerPath, PathFinder, PathPart
+
+__all__ = ["PathChoice"]
+
+# A path that begins in another failure domain counts this much dearer: its tokens cross.
+REMOTE_WEIGHT = 1.1
+# An upstream that said it was full is left out for so long where another path exists, seconds.
+FULL_SECONDS = 0.15
+
+
+class PathChoice:
+    """Chooses paths for one service; the paths themselves are kept until something changes."""
+
+    def __init__(
+        self, service: str, domain: str, upstreams: UpstreamTable, clock: Callable[[], float]
+    ) -> None:
+        self._service = service
+        self._domain = domain
+        self._upstreams = upstreams
+        self._clock = clock
+        self._cached: tuple[tuple[int, ModelSpec], list[LayerPath]] | None = None
+        self._full_until: dict[str, float] = {}
+
+    def note_full(self, instance: str) -> None:
+        """Note that an upstream has no room at the moment."""
+        self._full_until[instance] = self._clock() + FULL_SECONDS
+
+    def choose(self, model: ModelSpec, avoid: frozenset[str] = frozenset()) -> LayerPath | None:
+        """Return the path to take, None where the usable upstreams don't hold every layer.
+
+        Args:
+          model: what is asked for.
+          avoid: upstreams that this request must not meet again.
+        """
+        now = self._clock()
+        full = {name for name, until in self._full_until.items() if until > now}
+        self._full_until = {name: self._full_until[name] for name in full}
+        path = self._best(self._paths(model, avoid | full)) if full - avoid else None
+        return path or self._best(self._paths(model, avoid))
+
+    def _paths(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
+        key = (self._upstreams.changes, model)
+        if self._cached is None or self._cached[0] != key:
+            finder = PathFinder(model, self._upstreams.layer_hosts(self._service))
+            self._cached = (key, finder.starts())
+        paths = self._cached[1]
+        if not avoid:
+            return paths
+        clear = [each for each in paths if not each.instances & avoid]
+        return clear or self._finder_without(model, avoid).starts()
+
+    def _finder_without(
+        self, model: ModelSpec, avoid: frozenset[str], cuts: tuple[int, ...] = ()
+    ) -> PathFinder:
+        hosts = (
+            replace(each, usable=each.usable and each.instance not in avoid)
+            for each in self._upstreams.layer_hosts(self._service)
+        )
+        return PathFinder(model, hosts, extra_cuts=cuts)
+
+    def _best(self, paths: list[LayerPath]) -> LayerPath | None:
+        return min(paths, key=self._score, default=None)
+
+    def _score(self, path: LayerPath) -> float:
+        first = path.parts[0].instance
+        row = self._upstreams.get(first)
+        slots = row.slots if row is not None else 1
+        load = 1.0 + self._upstreams.in_flight(first) / max(1, slots)
+        return path.cost * load * (1.0 if path.domain == self._domain else REMOTE_WEIGHT)
+
+    def onward(
+        self, model: ModelSpec, first: PathPart, avoid: frozenset[str]
+    ) -> LayerPath | None:
+        """Return another path for a running request; its first part can't change."""
+        row = self._upstreams.get(first.instance)
+        if row is None:
+            return None
+        finder = self._finder_without(model, avoid | {first.instance}, (first.end,))
+        return finder.onward(first, row.domain)
--- /dev/null
+++ b/deckcourse/gateway/server.py
@@ -0,0 +1,117 @@
+"""The gateway's listeners, and its way from the first signal to its end."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from deckcourse.gateway.desired import CallerBounds
+from deckcourse.gateway.node import GatewayNode
+from deckcourse.http1.server import Exchange, IncomingRequest, serve_connection
+from deckcourse.settings import Address
+
+__all__ = ["GatewayServer", "ListenAddresses"]
+
+BACKLOG = 512
+# New callers come for so long after SIGTERM: the balancer asks once a second, and two misses count.
+BALANCER_SECONDS = 2.6
+# What is left of the grace at the end, for the process to go, seconds.
+LAST_SECONDS = 0.7
+LOOK_SECONDS = 0.05
+# After a failure to accept (no descriptors left), seconds.
+ACCEPT_PAUSE_SECONDS = 0.1
+
+Handler = Callable[[IncomingRequest, Exchange], Awaitable[None]]
+
+
+class ListenAddresses:
+    """Where the gateway listens."""
+
+    def __init__(self, callers: Address, ready: Address, metrics: Address) -> None:
+        self.callers = callers
+        self.ready = ready
+        self.metrics = metrics
+
+
+class GatewayServer:
+    """Serves callers, the balancer's question and the metrics of one node."""
+
+    def __init__(
+        self,
+        node: GatewayNode,
+        addresses: ListenAddresses,
+        stop_grace: Callable[[], float],
+        metrics: Callable[[], bytes],
+        ready_path: bytes,
+        log: Callable[..., None],
+    ) -> None:
+        self._node = node
+        self._addresses = addresses
+        self._stop_grace = stop_grace
+        self._metrics = metrics
+        self._ready_path = ready_path
+        self._log = log
+        self._stop = trio.Event()
+        self._draining = False
+
+    def stop(self) -> None:
+        """Begin the orderly stop."""
+        self._node.stop()
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until `stop`, then until nothing is in flight or the grace is over."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._node.run)
+            await self._listen(nursery, self._addresses.ready, self._answer_ready)
+            await self._listen(nursery, self._addresses.metrics, self._answer_metrics)
+            await self._listen(nursery, self._addresses.callers, self._node.gateway.handle)
+            await self._stop.wait()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+
+    async def _drain(self) -> None:
+        grace = self._stop_grace()
+        started = trio.current_time()
+        self._log("stopping", requests=self._node.gateway.requests, grace=grace)
+        await trio.sleep(min(BALANCER_SECONDS, grace / 2))
+        self._draining = True
+        while self._node.gateway.requests:
+            if trio.current_time() >= started + grace - LAST_SECONDS:
+                break
+            await trio.sleep(LOOK_SECONDS)
+        self._log("stopped", unfinished=self._node.gateway.requests)
+
+    async def _listen(self, nursery: trio.Nursery, address: Address, handler: Handler) -> None:
+        host, _, port = address.rpartition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        nursery.start_soon(self._accept, listeners[0], handler, nursery)
+
+    async def _accept(
+        self, listener: trio.SocketListener, handler: Handler, nursery: trio.Nursery
+    ) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                self._log("accept-failed", what=str(error))
+                await trio.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            nursery.start_soon(self._serve, stream, handler)
+
+    async def _serve(self, stream: trio.SocketStream, handler: Handler) -> None:
+        try:
+            await serve_connection(stream, handler, self._bounds, lambda: self._node.stopping)
+        except Exception as error:  # One connection's fault must not end the process.
+            self._log("connection-failed", what=repr(error))
+
+    def _bounds(self) -> CallerBounds:
+        return self._node.bounds
+
+    async def _answer_ready(self, request: IncomingRequest, exchange: Exchange) -> None:
+        found = request.target.partition(b"?")[0] == self._ready_path
+        status = 404 if not found else 200 if self._node.ready else 503
+        await exchange.whole(status, (), b"")
+
+    async def _answer_metrics(self, request: IncomingRequest, exchange: Exchange) -> None:
+        kind = (b"content-type", b"text/plain; version=0.0.4")
+        await exchange.whole(200, (kind,), self._metrics())
--- /dev/null
+++ b/deckcourse/gateway/stalls.py
@@ -0,0 +1,224 @@
+"""Streams that stand still: who holds them up, and what becomes of them.
+
+A stream that brings nothing for longer than usual is asked about at the first upstream of its
+path, which names the upstream that it waits for. All streams through that one get another path;
+where the first one itself is silent, they begin anew elsewhere.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import trio
+
+from deckcourse.gateway.dialect import MoveResult, StreamControl
+from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.layers.model import ModelSpec
+from deckcourse.layers.paths import LayerPath
+
+__all__ = ["ActiveStream", "Interruption", "StallMonitor"]
+
+# Between two looks at the streams, seconds.
+LOOK_SECONDS = 0.02
+# Events come each 17 to 40 ms where all is well, and a pause over 200 ms is late: a stream is
+# asked about after this long, seconds.
+GAP_SECONDS = 0.09
+# A first event may take longer, since prompts are read and others go first, seconds.
+FIRST_GAP_SECONDS = 0.2
+# Questions about streams that turn out not to be stalled become rarer, up to this pause, seconds.
+SHORTEST_ASK_SECONDS = 0.06
+LONGEST_ASK_SECONDS = 0.8
+# For how long an upstream that holds streams up gets no new work, seconds: until its row is gone
+# or it was restarted.
+SUSPECT_SECONDS = 4.0
+# So many unanswered questions in a row tell that the first upstream itself is gone.
+SILENT_QUESTIONS = 2
+
+
+class Interruption(StrEnum):
+    """Why a stream was taken from its upstream."""
+
+    FIRST_SILENT = "first-silent"
+    NO_OTHER_PATH = "no-other-path"
+
+
+@dataclass(eq=False)
+class ActiveStream:
+    """One stream on its way; `progress_at` is when something last came, or when it was sent."""
+
+    request_id: str
+    service: str
+    model: ModelSpec
+    path: LayerPath
+    progress_at: float
+    begun: bool = False
+    waiting: bool = True
+    moving: bool = False
+    interruption: Interruption | None = None
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def interrupt(self, why: Interruption) -> None:
+        """Take the stream from its upstream; its task goes on elsewhere."""
+        self.interruption = why
+        self.scope.cancel()
+
+    def stands(self, now: float) -> bool:
+        """Return whether it brings nothing for longer than usual."""
+        limit = GAP_SECONDS if self.begun else FIRST_GAP_SECONDS
+        return self.waiting and not self.moving and now - self.progress_at > limit
+
+
+@dataclass
+class _Asking:
+    """What is known of the questions to one first upstream."""
+
+    next_at: float = 0.0
+    pause: float = SHORTEST_ASK_SECONDS
+    unanswered: int = 0
+    under_way: bool = False
+
+
+class StallMonitor:
+    """Watches all streams of this process."""
+
+    def __init__(
+        self,
+        upstreams: UpstreamTable,
+        control: StreamControl,
+        choices: Callable[[str], PathChoice],
+        witness: Callable[[str], None],
+        count: Callable[[str], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._upstreams = upstreams
+        self._control = control
+        self._choices = choices
+        self._witness = witness
+        self._count = count
+        self._log = log
+        self._streams: set[ActiveStream] = set()
+        self._asking: dict[str, _Asking] = defaultdict(_Asking)
+
+    def add(self, stream: ActiveStream) -> None:
+        """Watch a stream."""
+        self._streams.add(stream)
+
+    def discard(self, stream: ActiveStream) -> None:
+        """Stop watching a stream."""
+        self._streams.discard(stream)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._look(nursery)
+                await trio.sleep(LOOK_SECONDS)
+
+    def _look(self, nursery: trio.Nursery) -> None:
+        now = trio.current_time()
+        standing = {each.path.parts[0].instance for each in self._streams if each.stands(now)}
+        for instance in list(self._asking):
+            if instance not in standing and not self._asking[instance].under_way:
+                del self._asking[instance]
+        for instance in standing:
+            asking = self._asking[instance]
+            if not asking.under_way and now >= asking.next_at:
+                asking.under_way = True
+                nursery.start_soon(self._ask, instance, asking)
+
+    async def _ask(self, instance: str, asking: _Asking) -> None:
+        try:
+            upstream = self._upstreams.get(instance)
+            if upstream is None:
+                self._interrupt_first(instance, "gone")
+                return
+            report = await self._control.stalled(upstream)
+            if report is None:
+                asking.unanswered += 1
+                if asking.unanswered >= SILENT_QUESTIONS:
+                    self._give_up_first(upstream)
+            else:
+                asking.unanswered = 0
+                await self._act_on(upstream, report.waiting_for, asking)
+        finally:
+            asking.under_way = False
+            asking.next_at = trio.current_time() + asking.pause
+
+    def _give_up_first(self, upstream: Upstream) -> None:
+        self._upstreams.suspect(upstream.instance, SUSPECT_SECONDS)
+        self._witness(upstream.domain)
+        self._interrupt_first(upstream.instance, "silent")
+
+    def _interrupt_first(self, instance: str, how: str) -> None:
+        hit = [each for each in self._streams if each.path.parts[0].instance == instance]
+        self._log("first-upstream-lost", instance=instance, how=how, streams=len(hit))
+        for stream in hit:
+            self._count("stall.first-silent")
+            stream.interrupt(Interruption.FIRST_SILENT)
+
+    async def _act_on(self, first: Upstream, waiting_for, asking: _Asking) -> None:
+        if not waiting_for:
+            asking.pause = min(asking.pause * 2, LONGEST_ASK_SECONDS)
+            return
+        asking.pause = SHORTEST_ASK_SECONDS
+        for address in set(waiting_for.values()):
+            culprit = self._upstreams.at_address(address, first.service)
+            if culprit is None:
+                self._log("stall-unknown-upstream", address=address)
+            elif not self._upstreams.is_suspect(culprit.instance):
+                self._upstreams.suspect(culprit.instance, SUSPECT_SECONDS)
+                self._witness(culprit.domain)
+                self._log(
+                    "stall",
+                    instance=culprit.instance,
+                    address=address,
+                    told_by=first.instance,
+                    requests=len(waiting_for),
+                )
+        await self._move_all()
+
+    async def _move_all(self) -> None:
+        """Move every stream that passes a suspect, all at once."""
+        async with trio.open_nursery() as nursery:
+            for stream in list(self._streams):
+                if not stream.moving and self._passes_suspect(stream):
+                    stream.moving = True
+                    nursery.start_soon(self._move, stream)
+
+    def _passes_suspect(self, stream: ActiveStream) -> bool:
+        return any(self._upstreams.is_suspect(each.instance) for each in stream.path.parts[1:])
+
+    async def _move(self, stream: ActiveStream) -> None:
+        try:
+            avoid: set[str] = set()
+            for _ in range(3):
+                path = self._choices(stream.service).onward(
+                    stream.model, stream.path.parts[0], frozenset(avoid)
+                )
+                first = self._upstreams.get(stream.path.parts[0].instance)
+                if path is None or first is None:
+                    break
+                result, at_fault = await self._control.move(first, stream.request_id, path)
+                self._count(f"move.{result}")
+                self._log(
+                    "move",
+                    request=stream.request_id,
+                    result=str(result),
+                    parts=len(path.parts),
+                    at_fault=at_fault,
+                )
+                if result is MoveResult.MOVED:
+                    stream.path = path
+                    stream.progress_at = trio.current_time()
+                    return
+                if result is not MoveResult.PART_MISSING:
+                    break
+                culprit = self._upstreams.at_address(at_fault, stream.service)
+                if culprit is None:
+                    break
+                avoid.add(culprit.instance)
+            stream.interrupt(Interruption.NO_OTHER_PATH)
+        finally:
+            stream.moving = False
--- /dev/null
+++ b/deckcourse/gateway/stream.py
@@ -0,0 +1,295 @@
+"""One stream of events: each event on at once, each once, in order, over as many paths as needed.
+
+An event goes to the caller only when it is whole. Where the upstream breaks off, a route that
+may be resumed goes on at another one behind the last event; the caller sees one answer.
+"""
+
+from dataclasses import dataclass
+
+import trio
+
+from deckcourse.gateway.context import Admitted, GatewayContext
+from deckcourse.gateway.dialect import Dispatch, ReplyFacts
+from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.stalls import ActiveStream
+from deckcourse.http1.client import UpstreamConnection, UpstreamReply
+from deckcourse.http1.message import ConnectionFailure, FailureKind, end_to_end
+from deckcourse.layers.paths import LayerPath
+from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
+from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
+
+__all__ = ["StreamCall"]
+
+# Refusals and breaks that one request may meet before it is given up.
+MOST_TRIES = 5
+# A caller gives a stream up after a pause of two seconds; no new path is looked for later.
+LONGEST_PAUSE_SECONDS = 1.8
+# Between two looks for a path while a stream that has begun has none, seconds.
+PATH_WAIT_SECONDS = 0.03
+# When to come back while a model isn't whole, seconds: neighbours load missing layers by then.
+NO_PATH_RETRY_SECONDS = 0.8
+# When to come back after every path was full, seconds.
+FULL_RETRY_SECONDS = 0.25
+# For how long an upstream that resets or refuses connections gets no new work, seconds.
+UNREACHABLE_SECONDS = 2.0
+OK = 200
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True)
+class _Finished:
+    """The caller has the whole answer."""
+
+    status: int
+
+
+@dataclass(frozen=True)
+class _Refused:
+    """Nobody ran it; `full` where there was no room, else a part was missing or unreachable."""
+
+    reason: RetryReason
+    message: str
+
+
+@dataclass(frozen=True)
+class _Broken:
+    """It ran, at least in part, and can't go on where it was."""
+
+    message: str
+
+
+_End = _Finished | _Refused | _Broken
+
+
+class StreamCall:
+    """One stream from admission to its outcome."""
+
+    def __init__(self, context: GatewayContext, admitted: Admitted) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._choice = context.choices(admitted.service.name)
+        self._avoid: set[str] = set()
+        self._runs = 0
+        self._last_event = admitted.caller.last_event
+        self._progress_at = trio.current_time()
+        self._arrived_at = trio.current_time()
+
+    @property
+    def _begun(self) -> bool:
+        return self._admitted.exchange.started
+
+    async def run(self) -> Outcome:
+        """Return the outcome; after Answered the caller has the whole answer."""
+        self._context.budget(self._admitted.service.name).earn()
+        outcome: Outcome | None = None
+        with trio.move_on_at(self._admitted.deadline):
+            outcome = await self._tries()
+        if outcome is not None:
+            return outcome
+        if self._runs:
+            return Unknown(UnknownReason.DEADLINE_PASSED, "the time for the answer is over")
+        return NotRun(NotRunReason.DEADLINE, "the time was over before an upstream took it")
+
+    async def _tries(self) -> Outcome:
+        last: _Refused | _Broken | None = None
+        for number in range(MOST_TRIES):
+            path = await self._path()
+            if path is None:
+                return self._give_up(last, NotRunReason.NO_ROUTE, NO_PATH_RETRY_SECONDS)
+            if number and not self._context.budget(self._admitted.service.name).spend():
+                return self._give_up(last, NotRunReason.RETRY_BUDGET, FULL_RETRY_SECONDS)
+            if not self._context.may_send():
+                return self._give_up(last, NotRunReason.NOT_READY, FULL_RETRY_SECONDS)
+            end = await self._attempt(path)
+            if isinstance(end, _Finished):
+                return Answered(0, end.status)
+            last = end
+            self._log_try(path, end)
+            if isinstance(end, _Broken) and not self._may_go_on():
+                break
+        return self._give_up(last, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_SECONDS)
+
+    def _may_go_on(self) -> bool:
+        route = self._admitted.route
+        return route.repeatable and self._runs <= route.attempts
+
+    def _give_up(
+        self, last: _Refused | _Broken | None, reason: NotRunReason, retry_after: float
+    ) -> Outcome:
+        message = last.message if last is not None else "no usable upstreams hold every layer"
+        if self._runs:
+            return Unknown(UnknownReason.UPSTREAM_LOST, message)
+        return NotRun(reason, message, retry_after)
+
+    async def _path(self) -> LayerPath | None:
+        """Return a path; a stream that has begun waits a little for one."""
+        while True:
+            avoid = frozenset(self._avoid)
+            path = self._choice.choose(self._admitted.service.model, avoid)
+            if path is None and avoid and self._begun:
+                path = self._choice.choose(self._admitted.service.model)
+            if path is not None or not self._begun:
+                return path
+            if trio.current_time() >= self._progress_at + LONGEST_PAUSE_SECONDS:
+                return None
+            await trio.sleep(PATH_WAIT_SECONDS)
+
+    async def _attempt(self, path: LayerPath) -> _End:
+        context = self._context
+        first = path.parts[0]
+        stream = ActiveStream(
+            self._admitted.caller.request_id,
+            self._admitted.service.name,
+            self._admitted.service.model,
+            path,
+            trio.current_time(),
+        )
+        connection: UpstreamConnection | None = None
+        end: _End | None = None
+        whole = False
+        context.upstreams.begin(first.instance)
+        context.monitor.add(stream)
+        try:
+            with stream.scope:
+                connection = await context.pool.acquire(first.address)
+                end, whole = await self._exchange(connection, stream)
+        except ConnectionFailure as failure:
+            end = self._on_failure(stream, failure)
+        finally:
+            context.monitor.discard(stream)
+            context.upstreams.end(first.instance)
+            if connection is not None:
+                if whole:
+                    context.pool.release(connection)
+                else:
+                    connection.abort()
+        if end is None:
+            return self._on_interruption(stream)
+        return end
+
+    def _on_interruption(self, stream: ActiveStream) -> _End:
+        self._avoid.add(stream.path.parts[0].instance)
+        self._context.count(f"retry.{RetryReason.STAGE_STALLED}")
+        return _Broken(str(stream.interruption))
+
+    def _on_failure(self, stream: ActiveStream, failure: ConnectionFailure) -> _End:
+        instance = stream.path.parts[0].instance
+        self._avoid.add(instance)
+        if failure.kind is FailureKind.UNSENT:
+            self._context.upstreams.suspect(instance, UNREACHABLE_SECONDS)
+            self._context.pool.forget(stream.path.parts[0].address)
+            self._context.count(f"retry.{RetryReason.UNREACHABLE}")
+            return _Refused(RetryReason.UNREACHABLE, failure.message)
+        self._context.count(f"retry.{RetryReason.STAGE_LOST}")
+        return _Broken(failure.message)
+
+    async def _exchange(
+        self, connection: UpstreamConnection, stream: ActiveStream
+    ) -> tuple[_End, bool]:
+        """Send the request and pass its answer on; also tell whether the connection is clean."""
+        admitted = self._admitted
+        message = admitted.caller.message
+        dispatch = Dispatch(
+            stream.path.parts[0].instance,
+            admitted.deadline - trio.current_time(),
+            admitted.account_name,
+            admitted.priority,
+            stream.path,
+            self._last_event,
+        )
+        headers = self._context.dialect.headers_for(admitted.caller, dispatch)
+        stream.progress_at = trio.current_time()
+        self._runs += 1
+        try:
+            reply = await connection.call(message.method, message.target, headers, message.body)
+        except ConnectionFailure as failure:
+            self._runs -= failure.kind is FailureKind.UNSENT
+            raise
+        facts = self._context.dialect.facts(reply)
+        if facts.request_id != admitted.caller.request_id:
+            raise ConnectionFailure(FailureKind.MALFORMED, "the answer is another request's")
+        if reply.status == OK:
+            return await self._relay(reply, stream), True
+        stream.waiting = False
+        body = await reply.whole_body()
+        if facts.not_run:
+            self._runs -= 1
+            return self._on_refusal(stream, reply.status, facts), True
+        return await self._on_other_answer(reply, body), True
+
+    async def _on_other_answer(self, reply: UpstreamReply, body: bytes) -> _End:
+        if self._begun or (reply.status >= SERVER_ERROR and self._may_go_on()):
+            return _Broken(f"upstream answered {reply.status}")
+        await self._admitted.exchange.whole(reply.status, end_to_end(reply.headers), body)
+        return _Finished(reply.status)
+
+    def _on_refusal(self, stream: ActiveStream, status: int, facts: ReplyFacts) -> _End:
+        """Learn from a refusal: who is full, gone or without its part."""
+        culprit = stream.path.parts[0].instance
+        if facts.at_fault:
+            row = self._context.upstreams.at_address(facts.at_fault, stream.service)
+            culprit = row.instance if row is not None else culprit
+        self._avoid.add(culprit)
+        self._choice.note_full(culprit)
+        self._context.count(f"retry.{RetryReason.REFUSED}.{status}")
+        return _Refused(RetryReason.REFUSED, f"{culprit} answered {status}")
+
+    async def _relay(self, reply: UpstreamReply, stream: ActiveStream) -> _End:
+        reader = EventReader()
+        while True:
+            stream.waiting = True
+            data = await reply.next_data()
+            stream.waiting = False
+            if data is None:
+                break
+            events = [each for each in reader.feed(data) if self._is_next(each)]
+            if events:
+                await self._pass_on(reply, events)
+                stream.begun = True
+                stream.progress_at = trio.current_time()
+        if reader.incomplete:
+            raise ConnectionFailure(FailureKind.LOST, "the stream ended inside an event")
+        await self._start(reply)
+        await self._admitted.exchange.finish()
+        return _Finished(OK)
+
+    def _is_next(self, event: Event) -> bool:
+        """Return whether the caller lacks an event; one too far ahead breaks the stream off."""
+        if event.id is None:
+            return True
+        last = self._last_event
+        if last is not None and event.id <= last:
+            return False
+        if last is not None and event.id > last + 1:
+            raise ConnectionFailure(FailureKind.MALFORMED, f"event {event.id} follows {last}")
+        return True
+
+    async def _pass_on(self, reply: UpstreamReply, events: list[Event]) -> None:
+        now = trio.current_time()
+        timing = "gap" if self._begun else "first-event"
+        self._context.timing(timing, now - (self._progress_at if self._begun else self._arrived_at))
+        await self._start(reply)
+        await self._admitted.exchange.send(b"".join(each.data for each in events))
+        self._progress_at = trio.current_time()
+        for each in events:
+            if each.id is not None:
+                self._last_event = each.id
+
+    async def _start(self, reply: UpstreamReply) -> None:
+        if not self._begun:
+            headers = tuple(
+                each for each in end_to_end(reply.headers) if each[0] != b"content-length"
+            )
+            await self._admitted.exchange.start(OK, headers)
+
+    def _log_try(self, path: LayerPath, end: _Refused | _Broken) -> None:
+        self._context.log(
+            "try-failed",
+            request=self._admitted.caller.request_id,
+            instance=path.parts[0].instance,
+            parts=len(path.parts),
+            kind=type(end).__name__.strip("_").lower(),
+            what=end.message,
+            last_event=self._last_event,
+            runs=self._runs,
+        )
--- /dev/null
+++ b/deckcourse/gateway/upstreams.py
@@ -0,0 +1,210 @@
+"""The upstreams as one process sees them: listed rows, suspicions and work in flight.
+
+A row says what an upstream said of itself, some time ago. What a process saw on its own
+connections since then is kept beside it, as suspicions that run out by themselves.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from deckcourse.layers.placement import LayerHost
+
+__all__ = ["Upstream", "UpstreamTable"]
+
+# A row that is gone while the store was away a moment ago may be back by then, seconds: the
+# platform's word is "within about two seconds of its return".
+LAPSE_GRACE_SECONDS = 2.0
+# The share of the last calls to an upstream that failed is halved by each success and each of
+# these, seconds.
+FAILURE_HALF_LIFE_SECONDS = 4.0
+
+
+@dataclass(frozen=True)
+class Upstream:
+    """One start of an upstream; `instance` is new at each start.
+
+    `first` and `end` are the layers held, `end` left out; 0 and 0 for none. `orders` counts the
+    orders that it has taken since its start.
+    """
+
+    instance: str
+    service: str
+    address: str
+    domain: str
+    leaving: bool = False
+    slots: int = 1
+    kind: str = ""
+    models: tuple[str, ...] = ()
+    first: int = 0
+    end: int = 0
+    orders: int = 0
+
+
+class _Failures:
+    """How often calls to one upstream failed of late, between 0 and 1."""
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._at = 0.0
+
+    def note(self, failed: bool, now: float) -> None:
+        self._share = self.share(now) * 0.5 + (0.5 if failed else 0.0)
+        self._at = now
+
+    def share(self, now: float) -> float:
+        return self._share * 0.5 ** ((now - self._at) / FAILURE_HALF_LIFE_SECONDS)
+
+
+class UpstreamTable:
+    """All upstreams that this process knows."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._rows: dict[str, Upstream] = {}
+        self._lapsing: dict[str, float] = {}
+        self._suspect_until: dict[str, float] = {}
+        self._failures: dict[str, _Failures] = {}
+        self._in_flight: Counter[str] = Counter()
+        self._changes = 0
+        self._store_back_at = float("-inf")
+        self._next_expiry = float("inf")
+
+    @property
+    def changes(self) -> int:
+        """Rises with every change that may make another path the best one."""
+        self._expire()
+        return self._changes
+
+    def store_returned(self) -> None:
+        """Note that the store answers again after it was away."""
+        self._store_back_at = self._clock()
+
+    def replace_all(self, rows: Iterable[Upstream]) -> None:
+        """Take in a reading of all rows."""
+        rows = {each.instance: each for each in rows}
+        for instance in list(self._rows):
+            if instance not in rows:
+                self.remove(instance)
+        for each in rows.values():
+            self.put(each)
+
+    def put(self, row: Upstream) -> None:
+        """Take in one row."""
+        known = self._rows.get(row.instance)
+        self._lapsing.pop(row.instance, None)
+        if known == row:
+            return
+        self._rows[row.instance] = row
+        self._changes += 1
+
+    def remove(self, instance: str) -> None:
+        """Take in that a row is gone."""
+        now = self._clock()
+        if now - self._store_back_at < LAPSE_GRACE_SECONDS and instance in self._rows:
+            deadline = self._store_back_at + LAPSE_GRACE_SECONDS
+            self._lapsing.setdefault(instance, deadline)
+            self._next_expiry = min(self._next_expiry, deadline)
+            return
+        self._drop(instance)
+
+    def _drop(self, instance: str) -> None:
+        if self._rows.pop(instance, None) is not None:
+            self._changes += 1
+        self._lapsing.pop(instance, None)
+        self._failures.pop(instance, None)
+        self._suspect_until.pop(instance, None)
+
+    def _expire(self) -> None:
+        now = self._clock()
+        if now < self._next_expiry:
+            return
+        for instance in [name for name, at in self._lapsing.items() if at <= now]:
+            self._drop(instance)
+        for instance in [name for name, at in self._suspect_until.items() if at <= now]:
+            del self._suspect_until[instance]
+            self._changes += 1
+        deadlines = [*self._lapsing.values(), *self._suspect_until.values()]
+        self._next_expiry = min(deadlines, default=float("inf"))
+
+    def suspect(self, instance: str, seconds: float) -> None:
+        """Give an upstream no new work for a while."""
+        deadline = self._clock() + seconds
+        if instance not in self._suspect_until:
+            self._changes += 1
+        self._suspect_until[instance] = max(deadline, self._suspect_until.get(instance, deadline))
+        self._next_expiry = min(self._next_expiry, deadline)
+
+    def clear(self, instance: str) -> None:
+        """Drop a suspicion: the upstream has answered since."""
+        if self._suspect_until.pop(instance, None) is not None:
+            self._changes += 1
+
+    def is_suspect(self, instance: str) -> bool:
+        """Return whether an upstream is under suspicion."""
+        self._expire()
+        return instance in self._suspect_until
+
+    def get(self, instance: str) -> Upstream | None:
+        """Return one upstream's row."""
+        return self._rows.get(instance)
+
+    def at_address(self, address: str, service: str) -> Upstream | None:
+        """Return the upstream of a service at an address; the newest listed where two claim it."""
+        found = None
+        for each in self._rows.values():
+            if each.address == address and each.service == service:
+                found = each
+        return found
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return all listed upstreams of a service, leaving ones included."""
+        self._expire()
+        return [each for each in self._rows.values() if each.service == service]
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that may get new work."""
+        return [
+            each
+            for each in self.of_service(service)
+            if not each.leaving and each.instance not in self._suspect_until
+        ]
+
+    def layer_hosts(self, service: str) -> tuple[LayerHost, ...]:
+        """Return the upstreams of a service as the planner and the path finder see them."""
+        return tuple(
+            LayerHost(
+                each.instance,
+                each.domain,
+                each.kind,
+                each.first,
+                each.end,
+                each.address,
+                not each.leaving and each.instance not in self._suspect_until,
+            )
+            for each in self.of_service(service)
+        )
+
+    def begin(self, instance: str) -> None:
+        """Count a call in flight."""
+        self._in_flight[instance] += 1
+
+    def end(self, instance: str) -> None:
+        """Stop counting a call."""
+        self._in_flight[instance] -= 1
+        if self._in_flight[instance] <= 0:
+            del self._in_flight[instance]
+
+    def in_flight(self, instance: str) -> int:
+        """Return this process's own calls in flight to an upstream."""
+        return self._in_flight[instance]
+
+    def note(self, instance: str, failed: bool) -> None:
+        """Note how a call to an upstream ended."""
+        if instance in self._rows:
+            self._failures.setdefault(instance, _Failures()).note(failed, self._clock())
+
+    def failure_share(self, instance: str) -> float:
+        """Return how often calls to an upstream failed of late, between 0 and 1."""
+        failures = self._failures.get(instance)
+        return failures.share(self._clock()) if failures else 0.0
--- /dev/null
+++ b/deckcourse/http1/client.py
@@ -0,0 +1,223 @@
+"""Connections to upstreams over h11, and the pool that keeps idle ones for the next call."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+import h11
+import trio
+
+from deckcourse.http1.message import (
+    READ_BYTES,
+    ConnectionFailure,
+    FailureKind,
+    Headers,
+    header_value,
+)
+
+__all__ = ["ConnectionPool", "UpstreamConnection", "UpstreamReply"]
+
+# An address in the same region answers within 2 ms; one whose first packet was dropped answers
+# the second after a second, too late for most calls. Seconds.
+CONNECT_SECONDS = 0.4
+# Idle connections are kept this long where the upstream names no time of its own, seconds.
+IDLE_SECONDS = 20.0
+# An upstream's own idle time is given in whole seconds; stop this long before it, seconds.
+IDLE_MARGIN_SECONDS = 0.6
+# The largest answer that is kept in memory whole, bytes.
+LARGEST_WHOLE = 4 * 1024 * 1024
+
+
+class UpstreamReply:
+    """The head of an answer, and its body as it comes."""
+
+    def __init__(self, status: int, headers: Headers, connection: "UpstreamConnection") -> None:
+        self.status = status
+        self.headers = headers
+        self._connection = connection
+
+    async def next_data(self) -> bytes | None:
+        """Return the next bytes of the body, None after its proper end.
+
+        Raises:
+          ConnectionFailure: the body broke off.
+        """
+        return await self._connection.next_data()
+
+    async def whole_body(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+          ConnectionFailure: the body broke off or is larger than memory allows.
+        """
+        body = bytearray()
+        while (data := await self.next_data()) is not None:
+            body += data
+            if len(body) > LARGEST_WHOLE:
+                raise ConnectionFailure(FailureKind.MALFORMED, "the answer is too large to keep")
+        return bytes(body)
+
+
+class UpstreamConnection:
+    """One connection; one call at a time."""
+
+    def __init__(self, address: str, stream: trio.SocketStream, reused: bool = False) -> None:
+        self.address = address
+        self.reused = reused
+        self.idle_deadline = 0.0
+        self._stream = stream
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._closing = False
+        self._keep_seconds = IDLE_SECONDS
+
+    async def call(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> UpstreamReply:
+        """Send a request and return the head of its answer.
+
+        Raises:
+          ConnectionFailure: LOST once a byte may have left, MALFORMED for what is no answer.
+        """
+        try:
+            data = self._h11.send(
+                h11.Request(method=method, target=target, headers=list(headers))
+            )
+            if body:
+                data += self._h11.send(h11.Data(data=body))
+            data += self._h11.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise ConnectionFailure(FailureKind.UNSENT, str(error)) from error
+        try:
+            await self._stream.send_all(data)
+            return await self._read_head()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionFailure(FailureKind.LOST, _reason(error)) from error
+
+    async def _read_head(self) -> UpstreamReply:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
+                self._note_keeping(headers)
+                return UpstreamReply(event.status_code, headers, self)
+            if not isinstance(event, h11.InformationalResponse):
+                raise ConnectionFailure(FailureKind.LOST, "closed without an answer")
+
+    def _note_keeping(self, headers: Headers) -> None:
+        if b"close" in header_value(headers, b"connection").lower():
+            self._closing = True
+        for part in header_value(headers, b"keep-alive").split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.strip().isdigit():
+                self._keep_seconds = float(value) - IDLE_MARGIN_SECONDS
+
+    async def next_data(self) -> bytes | None:
+        """See `UpstreamReply.next_data`."""
+        try:
+            event = await self._next_event()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionFailure(FailureKind.LOST, _reason(error)) from error
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ConnectionFailure(FailureKind.LOST, "the answer broke off")
+
+    async def _next_event(self) -> h11.Event:
+        try:
+            while True:
+                event = self._h11.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._h11.receive_data(await self._stream.receive_some(READ_BYTES))
+        except h11.RemoteProtocolError as error:
+            broken = "incomplete" in str(error) or "closed" in str(error)
+            kind = FailureKind.LOST if broken else FailureKind.MALFORMED
+            raise ConnectionFailure(kind, str(error)) from error
+
+    def reusable(self) -> bool:
+        """Return whether another call may follow: whole answer read, nothing behind it."""
+        if self._closing or self._h11.our_state is not h11.DONE:
+            return False
+        if self._h11.their_state is not h11.DONE or self._h11.trailing_data[0]:
+            return False
+        return self._keep_seconds > 0
+
+    def park(self) -> None:
+        """Make ready for the next call."""
+        self._h11.start_next_cycle()
+        self.idle_deadline = trio.current_time() + self._keep_seconds
+        self.reused = True
+
+    def sound(self) -> bool:
+        """Return whether an idle connection is neither old nor closed nor has surplus bytes."""
+        if trio.current_time() >= self.idle_deadline:
+            return False
+        return not self._stream.socket.is_readable()
+
+    def abort(self) -> None:
+        """Close at once; the upstream sees it and stops what it does for this call."""
+        self._stream.socket.close()
+
+
+class ConnectionPool:
+    """Idle connections by address; the newest is taken first, so that the others can age out."""
+
+    def __init__(self, count: Callable[[str], None]) -> None:
+        self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
+        self._count = count
+
+    async def acquire(self, address: str, longest_idle: float = IDLE_SECONDS) -> UpstreamConnection:
+        """Return a connection to `IP:port`, an idle one if there is a sound one.
+
+        Args:
+          address: where to.
+          longest_idle: an idle connection older than this isn't taken, seconds.
+
+        Raises:
+          ConnectionFailure: UNSENT, the address can't be reached.
+        """
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            rested = trio.current_time() - (connection.idle_deadline - connection._keep_seconds)
+            if connection.sound() and rested <= longest_idle:
+                self._count("connection.reused")
+                return connection
+            connection.abort()
+        self._count("connection.opened")
+        return await _connect(address)
+
+    def release(self, connection: UpstreamConnection) -> None:
+        """Give a connection back; it is kept only if the call on it ended properly."""
+        if not connection.reusable():
+            connection.abort()
+            return
+        connection.park()
+        self._idle[connection.address].append(connection)
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections of an address that is gone."""
+        for connection in self._idle.pop(address, []):
+            connection.abort()
+
+
+async def _connect(address: str) -> UpstreamConnection:
+    host, _, port = address.rpartition(":")
+    socket = trio.socket.socket()
+    try:
+        with trio.fail_after(CONNECT_SECONDS):
+            await socket.connect((host, int(port)))
+    except trio.TooSlowError as error:
+        socket.close()
+        raise ConnectionFailure(FailureKind.UNSENT, f"no connection in time: {address}") from error
+    except (OSError, ValueError) as error:
+        socket.close()
+        raise ConnectionFailure(FailureKind.UNSENT, f"{address}: {error}") from error
+    except BaseException:
+        socket.close()
+        raise
+    return UpstreamConnection(address, trio.SocketStream(socket))
+
+
+def _reason(error: BaseException) -> str:
+    return str(error.__cause__ or error)
--- /dev/null
+++ b/deckcourse/http1/server.py
@@ -0,0 +1,248 @@
+"""One accepted HTTP/1.1 connection: requests in, answers out, and the sender's leaving noticed.
+
+h11 frames the messages; this module decides when a connection may be kept and when it closes,
+which the HTTP server library does not leave to its application.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import h11
+import trio
+
+from deckcourse.http1.message import READ_BYTES, Headers
+
+__all__ = ["ConnectionLimits", "Exchange", "IncomingRequest", "serve_connection"]
+
+# The time for one answer to an unusable request to leave, seconds.
+LAST_ANSWER_SECONDS = 1.0
+# What a caller may send ahead of an answer that it is still waiting for, bytes.
+LARGEST_AHEAD = 64 * 1024
+
+
+class ConnectionLimits(Protocol):
+    """What a caller may send and how long it may take; seconds and bytes.
+
+    They are read anew for each request, since the configuration may change meanwhile.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_seconds: float
+    idle_seconds: float
+
+
+@dataclass(frozen=True)
+class IncomingRequest:
+    """A whole request; `target` is the path and query byte for byte."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+class _UnusableRequestError(Exception):
+    """The request can't be served; `status` tells the sender why."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class _SenderGoneError(Exception):
+    """The sender closed the connection or fell silent between requests."""
+
+
+class Exchange:
+    """The answer to one request; a 2xx begins with `start`, everything short is one `whole`."""
+
+    def __init__(self, connection: "_Connection") -> None:
+        self._connection = connection
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of an answer was sent."""
+        return self._started
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose body follows; chunked where no length is given."""
+        self._started = True
+        await self._connection.send_head(status, headers)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body at once."""
+        await self._connection.send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """Say that the body is whole."""
+        await self._connection.send(h11.EndOfMessage())
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        kept = tuple(each for each in headers if each[0] != b"content-length")
+        self._started = True
+        await self._connection.send_whole(status, (*kept, length), body)
+
+
+Handler = Callable[[IncomingRequest, Exchange], Awaitable[None]]
+
+
+async def serve_connection(
+    stream: trio.SocketStream,
+    handler: Handler,
+    limits: Callable[[], ConnectionLimits],
+    closing: Callable[[], bool],
+) -> None:
+    """Serve the requests of one connection until either side closes it.
+
+    Args:
+      stream: the accepted connection; closed on return.
+      handler: answers one request; cancelled when the sender leaves. An answer that it began and
+        did not finish is cut off, so that it can't look whole.
+      limits: returns the limits in force.
+      closing: tells whether answers should ask the sender to close.
+    """
+    connection = _Connection(stream, handler, limits, closing)
+    try:
+        await connection.run()
+    except (trio.BrokenResourceError, trio.ClosedResourceError, _SenderGoneError):
+        pass  # The sender left; there is nobody to tell.
+    finally:
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + LAST_ANSWER_SECONDS):
+            await trio.aclose_forcefully(stream)
+
+
+class _Connection:
+    """The state of one accepted connection."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        handler: Handler,
+        limits: Callable[[], ConnectionLimits],
+        closing: Callable[[], bool],
+    ) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._closing = closing
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=READ_BYTES * 4)
+
+    async def run(self) -> None:
+        while True:
+            try:
+                request = await self._read_request()
+            except _UnusableRequestError as unusable:
+                await self._refuse(unusable.status)
+                return
+            await self._answer(request)
+            if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+                return
+            self._h11.start_next_cycle()
+
+    async def _answer(self, request: IncomingRequest) -> None:
+        """Run the handler; leave off as soon as the sender is gone."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_sender, nursery.cancel_scope)
+            await self._handler(request, Exchange(self))
+            nursery.cancel_scope.cancel()
+        if self._h11.our_state is not h11.DONE:
+            raise _SenderGoneError
+
+    async def _watch_sender(self, scope: trio.CancelScope) -> None:
+        ahead = 0
+        while ahead < LARGEST_AHEAD:
+            try:
+                data = await self._stream.receive_some(READ_BYTES)
+            except trio.BrokenResourceError:
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            ahead += len(data)
+            self._h11.receive_data(data)
+
+    async def _read_request(self) -> IncomingRequest:
+        limits = self._limits()
+        try:
+            head = await self._read_head(limits)
+            body = await self._read_body(limits)
+        except h11.RemoteProtocolError as error:
+            raise _UnusableRequestError(error.error_status_hint) from error
+        headers = tuple((bytes(name), bytes(value)) for name, value in head.headers)
+        return IncomingRequest(bytes(head.method), bytes(head.target), headers, body)
+
+    async def _read_head(self, limits: ConnectionLimits) -> h11.Request:
+        event = self._h11.next_event()
+        if event is h11.NEED_DATA:
+            await self._receive(trio.current_time() + limits.idle_seconds, None)
+            event = self._h11.next_event()
+        deadline = trio.current_time() + limits.header_seconds
+        while event is h11.NEED_DATA:
+            await self._receive(deadline, 408)
+            event = self._h11.next_event()
+        if not isinstance(event, h11.Request):
+            raise _SenderGoneError
+        size = sum(len(name) + len(value) for name, value in event.headers) + len(event.target)
+        if size > limits.header_bytes:
+            raise _UnusableRequestError(431)
+        return event
+
+    async def _read_body(self, limits: ConnectionLimits) -> bytes:
+        if self._h11.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        body = bytearray()
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                await self._receive(trio.current_time() + limits.idle_seconds, 408)
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.body_bytes:
+                    raise _UnusableRequestError(413)
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            else:
+                raise _SenderGoneError
+
+    async def _receive(self, deadline: float, late_status: int | None) -> None:
+        data = None
+        with trio.move_on_at(deadline):
+            data = await self._stream.receive_some(READ_BYTES)
+        if data is None and late_status is not None:
+            raise _UnusableRequestError(late_status)
+        if not data:
+            raise _SenderGoneError
+        self._h11.receive_data(data)
+
+    async def send(self, event: h11.Event) -> None:
+        data = self._h11.send(event)
+        if data:
+            await self._stream.send_all(data)
+
+    def _head(self, status: int, headers: Headers) -> h11.Response:
+        if self._closing():
+            headers = (*headers, (b"connection", b"close"))
+        return h11.Response(status_code=status, headers=list(headers))
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        await self.send(self._head(status, headers))
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        data = self._h11.send(self._head(status, headers)) or b""
+        data += self._h11.send(h11.Data(data=body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        await self._stream.send_all(data)
+
+    async def _refuse(self, status: int) -> None:
+        """Answer a request that could not be read, and close."""
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = ((b"content-length", b"0"), (b"connection", b"close"))
+        with trio.move_on_after(LAST_ANSWER_SECONDS):
+            await self.send(h11.Response(status_code=status, headers=list(headers)))
+            await self.send(h11.EndOfMessage())
--- /dev/null
+++ b/deckcourse/layers/healer.py
@@ -0,0 +1,224 @@
+"""Keeps a model whole: compares what is held with the plan and orders what is missing.
+
+Every process runs one. The author of the last plan acts at once; the others wait a little
+longer, each by chance, so that usually one of them writes. Whoever sees more, acts sooner.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+from typing import Protocol
+
+import trio
+
+from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.layers.model import ModelSpec
+from deckcourse.layers.placement import Assignment, Group, groups_of, plan_group
+from deckcourse.layers.plan_book import ClaimLost, PlanBook, PlanRecord, PlanWon
+
+__all__ = ["Healer", "OrderResult", "Orderer"]
+
+# Between two looks at the upstreams while nothing changes, seconds.
+LOOK_SECONDS = 0.15
+# The author of the last plan acts at once; another process waits this long and up to the same
+# again by chance, so that one of them writes first, seconds.
+OTHERS_WAIT_SECONDS = 0.5
+# A process that saw a failure on its own connections need not wait that long, seconds.
+WITNESS_WAIT_SECONDS = 0.1
+# Rows come in over the first seconds after the start; the first placement waits for them to stop
+# coming for so long, seconds.
+SETTLED_SECONDS = 1.2
+# An order may be given this long after its plan was asked for: whoever was paused in between
+# gives none, seconds.
+ORDER_SECONDS = 1.5
+# How long a row may lag behind what an upstream did, seconds.
+ROW_LAG_SECONDS = 1.2
+
+
+class OrderResult(StrEnum):
+    """What an upstream answered to an order."""
+
+    TAKEN = "taken"
+    HELD = "held"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
+class Orderer(Protocol):
+    """Gives orders to upstreams."""
+
+    async def place(self, upstream: Upstream, first: int, end: int, orders: int) -> OrderResult:
+        """Order a range of layers, if the upstream has taken `orders` orders so far."""
+
+    async def order_count(self, upstream: Upstream) -> int | None:
+        """Return how many orders an upstream has taken, None without an answer."""
+
+
+@dataclass(frozen=True)
+class _Pending:
+    """An ordered range; it counts until its deadline or until the row shows it."""
+
+    first: int
+    end: int
+    deadline: float
+
+
+Log = Callable[..., None]
+
+
+class Healer:
+    """One process's part in the placement of one model."""
+
+    def __init__(
+        self,
+        service: str,
+        upstreams: UpstreamTable,
+        book: PlanBook,
+        orderer: Orderer,
+        random: Random,
+        log: Log,
+    ) -> None:
+        self._service = service
+        self._upstreams = upstreams
+        self._book = book
+        self._orderer = orderer
+        self._random = random
+        self._log = log
+        self._pending: dict[str, _Pending] = {}
+        self._wanted_since: dict[str, float] = {}
+        self._patience: dict[str, float] = {}
+        self._known_hosts: frozenset[str] = frozenset()
+        self._settled_at = 0.0
+        self._witnessed: set[str] = set()
+
+    def witness(self, domain: str) -> None:
+        """Note that this process itself saw an upstream of a failure domain fail."""
+        self._witnessed.add(domain)
+
+    async def run(self, model: Callable[[], ModelSpec | None], allowed: Callable[[], bool]) -> None:
+        """Look and order until cancelled; nothing while `allowed` says no."""
+        while True:
+            spec = model()
+            if spec is not None and allowed():
+                await self._round(spec)
+            await trio.sleep(LOOK_SECONDS)
+
+    async def _round(self, model: ModelSpec) -> None:
+        now = trio.current_time()
+        hosts = self._upstreams.layer_hosts(self._service)
+        self._note_settling(hosts, now)
+        self._drop_done(now)
+        for group in groups_of(model, hosts):
+            await self._heal(model, group, now)
+
+    def _note_settling(self, hosts, now: float) -> None:
+        names = frozenset(each.instance for each in hosts)
+        if names != self._known_hosts:
+            self._known_hosts = names
+            self._settled_at = now + SETTLED_SECONDS
+
+    def _drop_done(self, now: float) -> None:
+        for instance, pending in list(self._pending.items()):
+            row = self._upstreams.get(instance)
+            done = row is not None and (row.first, row.end) == (pending.first, pending.end)
+            if done or row is None or now >= pending.deadline:
+                del self._pending[instance]
+
+    async def _heal(self, model: ModelSpec, group: Group, now: float) -> None:
+        pending = {name: (each.first, each.end) for name, each in self._pending.items()}
+        assignments = plan_group(model, group, pending)
+        if not assignments:
+            self._wanted_since.pop(group.name, None)
+            return
+        since = self._wanted_since.setdefault(group.name, now)
+        first_time = all(each.empty for each in group.hosts)
+        if first_time and now < self._settled_at:
+            return
+        if now >= since + self._wait(group):
+            await self._claim(model, group, assignments)
+
+    def _wait(self, group: Group) -> float:
+        """Return how long this process leaves a need to others, drawn once for each need."""
+        record = self._book.known(group.name)
+        if record is not None and record.author == self._book.author:
+            return 0.0
+        base = OTHERS_WAIT_SECONDS
+        if self._witnessed & {each.domain for each in group.hosts}:
+            base = WITNESS_WAIT_SECONDS
+        share = self._patience.setdefault(group.name, self._random.random())
+        return base * (1 + share)
+
+    async def _claim(
+        self, model: ModelSpec, group: Group, assignments: tuple[Assignment, ...]
+    ) -> None:
+        deadline = trio.current_time() + ORDER_SECONDS
+        self._wanted_since.pop(group.name, None)
+        self._patience.pop(group.name, None)
+        with trio.move_on_at(deadline):
+            match await self._book.claim(group.name, model.name, assignments):
+                case PlanWon(record):
+                    self._log("plan", **_described(group, record))
+                    self._expect(model, record)
+                    await self._order_all(record, deadline)
+                case ClaimLost(record):
+                    self._log("plan-lost", group=group.name, author=record and record.author)
+                    if record is not None:
+                        self._expect(model, record)
+                case _:
+                    self._log("plan-unanswered", group=group.name)
+
+    def _expect(self, model: ModelSpec, record: PlanRecord) -> None:
+        """Count what a plan orders as under way, for as long as it may take."""
+        now = trio.current_time()
+        count = max(1, len(record.assignments) / max(1, model.parallel_loads))
+        for each in record.assignments:
+            row = self._upstreams.get(each.instance)
+            if row is None:
+                continue
+            new = len(set(range(each.first, each.end)) - set(range(row.first, row.end)))
+            seconds = model.load_seconds * new / model.layers * count + ROW_LAG_SECONDS
+            self._pending[each.instance] = _Pending(each.first, each.end, now + seconds)
+
+    async def _order_all(self, record: PlanRecord, deadline: float) -> None:
+        async with trio.open_nursery() as nursery:
+            for each in record.assignments:
+                nursery.start_soon(self._order, each, deadline)
+
+    async def _order(self, assignment: Assignment, deadline: float) -> None:
+        row = self._upstreams.get(assignment.instance)
+        if row is None:
+            return
+        orders: int | None = row.orders
+        result = OrderResult.UNANSWERED
+        for _ in range(2):
+            if orders is None or trio.current_time() >= deadline:
+                break
+            result = await self._orderer.place(row, assignment.first, assignment.end, orders)
+            if result is not OrderResult.CONFLICT:
+                break
+            orders = await self._orderer.order_count(row)
+        if result not in (OrderResult.TAKEN, OrderResult.HELD):
+            self._pending.pop(assignment.instance, None)
+        self._log(
+            "order",
+            instance=assignment.instance,
+            address=row.address,
+            first=assignment.first,
+            end=assignment.end,
+            reason=assignment.reason,
+            result=str(result),
+        )
+
+
+def _described(group: Group, record: PlanRecord) -> dict[str, object]:
+    return {
+        "group": group.name,
+        "number": record.number,
+        "copies": group.copies,
+        "assignments": [
+            f"{each.instance} {each.first}-{each.end} ({each.reason})"
+            for each in record.assignments
+        ],
+    }
--- /dev/null
+++ b/deckcourse/layers/model.py
@@ -0,0 +1,68 @@
+"""The figures of a model whose layers are spread over upstreams."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["AcceleratorKind", "ModelSpec"]
+
+
+@dataclass(frozen=True)
+class AcceleratorKind:
+    """A kind of accelerator; both factors are against the model's own figures, 1 the fastest."""
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    prefill_factor: float
+
+
+@dataclass(frozen=True)
+class ModelSpec:
+    """A model, by what its operators say of it; the times are for all its layers together.
+
+    Attributes:
+      name: what requests call it.
+      layers: how many there are.
+      layer_mb: the memory that one layer's weights take.
+      load_seconds: the time to load all layers, on one upstream.
+      step_ms: one token for one stream, milliseconds.
+      stream_step_ms: what each further stream adds to a step, milliseconds.
+      prefill_per_ms: tokens of a prompt that are read in a millisecond.
+      activation_bytes: what one token's activations take between two upstreams.
+      cache_bytes: the KV cache of one token in all layers, bytes.
+      pipe_mbps: what all upstreams of one failure domain share towards another, Mbit/s.
+      domain_delays: one-way delay between failure domains, seconds, either order.
+      requests: how many requests an upstream works on at once as the first of a path.
+      parallel_loads: how many loads at once keep their speed.
+      kinds: the accelerators, by name.
+    """
+
+    name: str
+    layers: int
+    layer_mb: float
+    load_seconds: float = 10.0
+    step_ms: float = 1.0
+    stream_step_ms: float = 0.0
+    prefill_per_ms: float = 100.0
+    activation_bytes: float = 16_384.0
+    cache_bytes: float = 0.0
+    pipe_mbps: float = 10_000.0
+    domain_delays: dict[tuple[str, str], float] = field(default_factory=dict)
+    requests: int = 64
+    parallel_loads: int = 4
+    kinds: dict[str, AcceleratorKind] = field(default_factory=dict)
+
+    def kind_of(self, name: str) -> AcceleratorKind:
+        """Return a kind; one that nobody described counts as fast and large as the model's own."""
+        default = AcceleratorKind(name, self.layer_mb * self.layers, 1.0, 1.0)
+        return self.kinds.get(name, default)
+
+    def most_layers(self, kind: str, fill: float = 1.0) -> int:
+        """Return how many layers fit into a part of an accelerator's memory."""
+        return int(self.kind_of(kind).memory_mb * fill / self.layer_mb)
+
+    def delay(self, domain: str, other: str) -> float:
+        """Return the one-way delay between failure domains, seconds."""
+        if domain == other:
+            return 0.0
+        pairs = self.domain_delays
+        return pairs.get((domain, other), pairs.get((other, domain), 0.0))
--- /dev/null
+++ b/deckcourse/layers/paths.py
@@ -0,0 +1,186 @@
+"""Paths over layers: for one request, which upstream runs which layers, in order.
+
+Upstreams may overlap, and a path may use any part of what one holds. The cheapest path is found
+from the last layer backwards; its cost is the time that a usual request takes on it.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from deckcourse.layers.model import ModelSpec
+from deckcourse.layers.placement import LayerHost
+
+__all__ = ["LayerPath", "PathFinder", "PathPart"]
+
+# What a usual request reads and writes, tokens: it sets how much a step weighs against the
+# reading of the prompt. The sites' own figures are 770 and 154.
+USUAL_PROMPT = 770
+USUAL_ANSWER = 154
+# One more upstream in the same failure domain costs this much a token, milliseconds (0.2 ms of
+# delay is what both sites state).
+HOP_MS = 0.2
+# A pipe between failure domains is shared by all requests that cross it; a crossing weighs this
+# many times its own time.
+PIPE_WEIGHT = 3.0
+# An engine accepts no more parts than this in one path.
+MOST_PARTS = 32
+
+
+@dataclass(frozen=True)
+class PathPart:
+    """One upstream and the layers `first` up to `end` that it runs."""
+
+    instance: str
+    address: str
+    first: int
+    end: int
+
+
+@dataclass(frozen=True)
+class LayerPath:
+    """A request's way through every layer once; `cost` in milliseconds of a usual request."""
+
+    parts: tuple[PathPart, ...]
+    domain: str
+    cost: float
+
+    @property
+    def instances(self) -> frozenset[str]:
+        """The upstreams on the path."""
+        return frozenset(each.instance for each in self.parts)
+
+
+@dataclass(frozen=True)
+class _Step:
+    """The best way on from one layer: who takes over, up to where, and the cost of all the rest."""
+
+    host: LayerHost
+    end: int
+    cost: float
+
+
+class PathFinder:
+    """The cheapest paths over one set of hosts.
+
+    `weight` multiplies the time that a host takes; it may tell of load or of past failures.
+    """
+
+    def __init__(
+        self,
+        model: ModelSpec,
+        hosts: Iterable[LayerHost],
+        weight: Callable[[LayerHost], float] = lambda host: 1.0,
+        extra_cuts: Sequence[int] = (),
+    ) -> None:
+        self._model = model
+        self._hosts = [each for each in hosts if each.usable and not each.empty]
+        self._layer_ms = {
+            each.instance: self._layer_time(each) * weight(each) for each in self._hosts
+        }
+        ends = {point for each in self._hosts for point in (each.first, each.end)}
+        self._cuts = sorted(
+            point for point in ends | {0, model.layers, *extra_cuts} if 0 <= point <= model.layers
+        )
+        self._domains = {each.domain for each in self._hosts}
+        self._taking_over: dict[int, dict[str, _Step]] = {}
+        self._onward: dict[tuple[int, str], _Step | None] = {}
+        self._solve()
+
+    def _layer_time(self, host: LayerHost) -> float:
+        model = self._model
+        kind = model.kind_of(host.kind)
+        prompt = USUAL_PROMPT / model.prefill_per_ms * kind.prefill_factor
+        answer = USUAL_ANSWER * model.step_ms * kind.step_factor
+        return (prompt + answer) / model.layers
+
+    def _crossing(self, domain: str, other: str) -> float:
+        hop = HOP_MS * USUAL_ANSWER
+        if domain == other:
+            return hop
+        model = self._model
+        prompt_bits = USUAL_PROMPT * model.activation_bytes * 8
+        pipe_ms = prompt_bits / (model.pipe_mbps * 1000)
+        return hop + pipe_ms * PIPE_WEIGHT + model.delay(domain, other) * 1000 * USUAL_ANSWER
+
+    def _solve(self) -> None:
+        covering: dict[int, list[LayerHost]] = defaultdict(list)
+        for host in self._hosts:
+            for cut in self._cuts:
+                if host.first <= cut < host.end:
+                    covering[cut].append(host)
+        for cut in reversed(self._cuts[:-1]):
+            steps = {}
+            for host in covering[cut]:
+                step = self._best_end(host, cut)
+                if step is not None:
+                    steps[host.instance] = step
+            self._taking_over[cut] = steps
+            for domain in self._domains:
+                self._onward[cut, domain] = self._best_onward(cut, domain)
+
+    def _best_end(self, host: LayerHost, cut: int) -> _Step | None:
+        best = None
+        for end in self._cuts:
+            if not cut < end <= host.end:
+                continue
+            cost = (end - cut) * self._layer_ms[host.instance]
+            if end < self._model.layers:
+                onward = self._onward[end, host.domain]
+                if onward is None:
+                    continue
+                cost += onward.cost
+            if best is None or cost < best.cost:
+                best = _Step(host, end, cost)
+        return best
+
+    def _best_onward(self, cut: int, domain: str) -> _Step | None:
+        best = None
+        for step in self._taking_over[cut].values():
+            cost = step.cost + self._crossing(domain, step.host.domain)
+            if best is None or cost < best.cost:
+                best = _Step(step.host, step.end, cost)
+        return best
+
+    def starts(self) -> list[LayerPath]:
+        """Return the best path from each host that can be the first of one, cheapest first."""
+        paths = [self._follow(step, ()) for step in self._taking_over.get(0, {}).values()]
+        return sorted((each for each in paths if each is not None), key=lambda each: each.cost)
+
+    def onward(self, first: PathPart, domain: str) -> LayerPath | None:
+        """Return the best path whose first part is given, None where there is none."""
+        if first.end >= self._model.layers:
+            return LayerPath((first,), domain, 0.0)
+        step = self._onward.get((first.end, domain))
+        return None if step is None else self._follow(step, (first,), domain)
+
+    def _follow(
+        self, step: _Step, before: tuple[PathPart, ...], domain: str = ""
+    ) -> LayerPath | None:
+        parts = list(before)
+        cost = step.cost
+        domain = domain or step.host.domain
+        at = parts[-1].end if parts else 0
+        while True:
+            host = step.host
+            _append(parts, PathPart(host.instance, host.address, at, step.end))
+            if step.end >= self._model.layers:
+                break
+            at = step.end
+            step = self._onward[at, host.domain]
+        if len(parts) > MOST_PARTS:
+            return None
+        return LayerPath(tuple(parts), domain, cost)
+
+
+def _append(parts: list[PathPart], part: PathPart) -> None:
+    """Add a part; a path that comes back to a host lets that host run what lies between as well.
+
+    An engine takes no path that names an upstream twice, and what a host holds has no gap.
+    """
+    for index, known in enumerate(parts):
+        if known.instance == part.instance:
+            del parts[index:]
+            part = PathPart(known.instance, known.address, known.first, part.end)
+            break
+    parts.append(part)
--- /dev/null
+++ b/deckcourse/layers/placement.py
@@ -0,0 +1,365 @@
+"""The placement of a model's layers: what each upstream should hold, worked out from what is held.
+
+The planner keeps no state of its own. It reads who is there and what they hold, and returns the
+assignments that bring the model nearer to being whole in each group of upstreams. A group is a
+failure domain that can hold the model by itself, so that no activations cross between domains;
+upstreams of domains that can't are put together in one group.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from deckcourse.layers.model import ModelSpec
+
+__all__ = ["Assignment", "Group", "LayerHost", "groups_of", "plan_group"]
+
+# Parts of an accelerator's memory that weights may take; the rest holds the KV cache of requests.
+# Trials: 16 of 20 layers leave room for what a calm day needs, 19 of 20 refuse most requests.
+EVEN_FILL = 0.60
+HEALING_FILL = 0.80
+LARGEST_FILL = 0.92
+# A host this much fuller than EVEN_FILL gives up layers that others hold too.
+TRIM_FILL = 0.72
+# A second copy is placed where this much of a model's memory stays free for each copy.
+MEMORY_PER_COPY = 1.65
+
+
+@dataclass(frozen=True)
+class LayerHost:
+    """An upstream that holds the layers `first` up to `end`, none where both are 0.
+
+    `usable` is false for one that leaves or that this process suspects.
+    """
+
+    instance: str
+    domain: str
+    kind: str
+    first: int = 0
+    end: int = 0
+    address: str = ""
+    usable: bool = True
+
+    @property
+    def empty(self) -> bool:
+        """Whether it holds nothing."""
+        return self.end <= self.first
+
+
+@dataclass(frozen=True)
+class Assignment:
+    """What one upstream should hold from now on, and why."""
+
+    instance: str
+    first: int
+    end: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class Group:
+    """Upstreams that are to hold `copies` of a model together."""
+
+    name: str
+    hosts: tuple[LayerHost, ...]
+    copies: int
+
+
+def groups_of(model: ModelSpec, hosts: Iterable[LayerHost]) -> tuple[Group, ...]:
+    """Return the groups of the usable hosts; hosts of a rest that can't hold the model are none.
+
+    Args:
+      model: the model to place.
+      hosts: every upstream of its service.
+    """
+    by_domain: dict[str, list[LayerHost]] = defaultdict(list)
+    for host in hosts:
+        if host.usable:
+            by_domain[host.domain].append(host)
+    groups = []
+    rest: list[LayerHost] = []
+    for domain, members in sorted(by_domain.items()):
+        if _can_hold(model, members):
+            groups.append(_group(model, domain, members))
+        else:
+            rest += members
+    if rest and _can_hold(model, rest):
+        groups.append(_group(model, "+".join(sorted({each.domain for each in rest})), rest))
+    return tuple(groups)
+
+
+def _can_hold(model: ModelSpec, hosts: Sequence[LayerHost]) -> bool:
+    return sum(model.most_layers(each.kind, LARGEST_FILL) for each in hosts) >= model.layers
+
+
+def _group(model: ModelSpec, name: str, hosts: Sequence[LayerHost]) -> Group:
+    memory = sum(model.kind_of(each.kind).memory_mb for each in hosts)
+    copies = int(memory / (MEMORY_PER_COPY * model.layers * model.layer_mb))
+    ordered = tuple(sorted(hosts, key=lambda each: each.instance))
+    return Group(name, ordered, max(1, copies))
+
+
+def plan_group(
+    model: ModelSpec, group: Group, pending: Mapping[str, tuple[int, int]] = {}
+) -> tuple[Assignment, ...]:
+    """Return what should be ordered now, nothing where the group is as it should be.
+
+    Args:
+      model: the model to place.
+      group: who is there and what they hold.
+      pending: ranges that are ordered and not yet held, by instance.
+    """
+    # `loaded` is what can be used now, `promised` what will be once pending orders are done.
+    loaded = list(group.hosts)
+    promised = [
+        replace(each, first=pending[each.instance][0], end=pending[each.instance][1])
+        if each.instance in pending
+        else each
+        for each in group.hosts
+    ]
+    if all(each.empty for each in promised):
+        return _first_placement(model, group)
+    gaps = _gaps(model, promised, 1)
+    if gaps:
+        return _fill_all(model, promised, gaps, pending) or _slice_anew(model, promised)
+    if pending or _gaps(model, loaded, 1):
+        return ()
+    thin = _gaps(model, promised, group.copies) if group.copies > 1 else []
+    idle = [each for each in promised if each.empty]
+    if thin and idle:
+        return _fill_all(model, promised, thin[:1], pending, only_idle=True)
+    return _relieve(model, loaded) or _trim(model, loaded, group.copies)
+
+
+def _first_placement(model: ModelSpec, group: Group) -> tuple[Assignment, ...]:
+    """Deal the hosts to the copies by memory, and slice each copy over its hosts."""
+    decks: list[list[LayerHost]] = [[] for _ in range(group.copies)]
+    ordered = sorted(
+        group.hosts, key=lambda each: (-model.kind_of(each.kind).memory_mb, each.instance)
+    )
+    for host in ordered:
+        min(decks, key=lambda deck: _memory(model, deck)).append(host)
+    assignments: list[Assignment] = []
+    for deck in decks:
+        assignments += _slice(model, deck, 0, model.layers, LARGEST_FILL, "first placement")
+    return tuple(assignments)
+
+
+def _memory(model: ModelSpec, hosts: Sequence[LayerHost]) -> float:
+    return sum(model.kind_of(each.kind).memory_mb for each in hosts)
+
+
+def _slice(
+    model: ModelSpec,
+    hosts: Sequence[LayerHost],
+    first: int,
+    end: int,
+    fill: float,
+    reason: str,
+) -> list[Assignment]:
+    """Cut a range into one slice for each host, in proportion to memory, within `fill`."""
+    assignments = []
+    at = first
+    for index, host in enumerate(hosts):
+        remaining = hosts[index:]
+        share = model.kind_of(host.kind).memory_mb / _memory(model, remaining)
+        room_after = sum(model.most_layers(each.kind, fill) for each in hosts[index + 1 :])
+        count = min(
+            max(round((end - at) * share), end - at - room_after),
+            model.most_layers(host.kind, fill),
+            end - at,
+        )
+        if count > 0:
+            assignments.append(Assignment(host.instance, at, at + count, reason))
+            at += count
+    return assignments if at == end else []
+
+
+def _gaps(model: ModelSpec, hosts: Sequence[LayerHost], depth: int) -> list[tuple[int, int]]:
+    """Return the ranges that fewer than `depth` hosts hold."""
+    count = [0] * model.layers
+    for host in hosts:
+        for layer in range(host.first, min(host.end, model.layers)):
+            count[layer] += 1
+    gaps = []
+    start = None
+    for layer in range(model.layers + 1):
+        short = layer < model.layers and count[layer] < depth
+        if short and start is None:
+            start = layer
+        if not short and start is not None:
+            gaps.append((start, layer))
+            start = None
+    return gaps
+
+
+def _fill_all(
+    model: ModelSpec,
+    hosts: Sequence[LayerHost],
+    gaps: Sequence[tuple[int, int]],
+    pending: Mapping[str, tuple[int, int]],
+    only_idle: bool = False,
+) -> tuple[Assignment, ...]:
+    """Fill gaps by neighbours and idle hosts; nothing where one of the gaps is left."""
+    now = {each.instance: each for each in hosts}
+    changed: dict[str, Assignment] = {}
+    # The largest gap has the first choice of idle hosts.
+    for gap in sorted(gaps, key=lambda each: each[0] - each[1]):
+        filled = None
+        for fill in (HEALING_FILL, LARGEST_FILL):
+            filled = _fill(model, list(now.values()), gap, fill, pending, only_idle)
+            if filled:
+                break
+        if not filled:
+            return ()
+        for each in filled:
+            changed[each.instance] = each
+            now[each.instance] = replace(now[each.instance], first=each.first, end=each.end)
+    return tuple(changed.values())
+
+
+def _fill(
+    model: ModelSpec,
+    hosts: Sequence[LayerHost],
+    gap: tuple[int, int],
+    fill: float,
+    pending: Mapping[str, tuple[int, int]],
+    only_idle: bool,
+) -> list[Assignment]:
+    """Share a gap between the host before it, idle hosts and the host behind it.
+
+    All load at the same time, so that equal shares are done first.
+    """
+    first, end = gap
+    idle = [each for each in hosts if each.empty and each.instance not in pending]
+    if not idle and not only_idle:
+        idle = _redundant(model, hosts, pending)
+    before = None if only_idle else _roomiest(model, hosts, fill, lambda each: each.end == first)
+    behind = None if only_idle else _roomiest(model, hosts, fill, lambda each: each.first == end)
+    idle.sort(key=lambda each: (-model.kind_of(each.kind).memory_mb, each.instance))
+    fillers = [each for each in (before, *idle, behind) if each is not None]
+    spare = [_spare(model, each, fill, each in idle) for each in fillers]
+    shares = _even_shares(end - first, spare)
+    if shares is None:
+        return []
+    assignments = []
+    at = first
+    for host, share in zip(fillers, shares, strict=True):
+        if share == 0:
+            continue
+        low, high = at, at + share
+        if host is before:
+            low = host.first
+        elif host is behind:
+            high = host.end
+        assignments.append(Assignment(host.instance, low, high, f"gap {first}-{end}"))
+        at += share
+    return assignments
+
+
+def _spare(model: ModelSpec, host: LayerHost, fill: float, idle: bool) -> int:
+    held = 0 if idle else host.end - host.first
+    return max(0, model.most_layers(host.kind, fill) - held)
+
+
+def _roomiest(model: ModelSpec, hosts: Sequence[LayerHost], fill: float, fits) -> LayerHost | None:
+    options = [each for each in hosts if not each.empty and fits(each)]
+    return max(options, key=lambda each: _spare(model, each, fill, False), default=None)
+
+
+def _even_shares(total: int, limits: Sequence[int]) -> list[int] | None:
+    """Split a number into shares as even as their limits allow, None where it doesn't fit."""
+    if sum(limits) < total:
+        return None
+    shares = [0] * len(limits)
+    for _ in range(total):
+        open_ones = [index for index, limit in enumerate(limits) if shares[index] < limit]
+        shares[min(open_ones, key=lambda index: shares[index])] += 1
+    return shares
+
+
+def _redundant(
+    model: ModelSpec, hosts: Sequence[LayerHost], pending: Mapping[str, tuple[int, int]]
+) -> list[LayerHost]:
+    """Return at most one host all of whose layers another host holds as well."""
+    for host in hosts:
+        if host.empty or host.instance in pending:
+            continue
+        others = [each for each in hosts if each is not host]
+        if not any(low < host.end and host.first < high for low, high in _gaps(model, others, 1)):
+            return [host]
+    return []
+
+
+def _slice_anew(model: ModelSpec, hosts: Sequence[LayerHost]) -> tuple[Assignment, ...]:
+    """Slice the model over all hosts in their present order, keeping what still fits.
+
+    A host keeps its old layers beside the new ones where both fit, so that what works now goes
+    on; a later plan trims them.
+    """
+    ordered = sorted(hosts, key=lambda each: (each.first, each.end, each.instance))
+    by_instance = {each.instance: each for each in hosts}
+    assignments = []
+    for wanted in _slice(model, ordered, 0, model.layers, LARGEST_FILL, "slice anew"):
+        host = by_instance[wanted.instance]
+        low, high = min(host.first, wanted.first), max(host.end, wanted.end)
+        if host.empty or high - low > model.most_layers(host.kind, LARGEST_FILL):
+            low, high = wanted.first, wanted.end
+        if (low, high) != (host.first, host.end):
+            assignments.append(replace(wanted, first=low, end=high))
+    return tuple(assignments)
+
+
+def _fill_of(model: ModelSpec, host: LayerHost) -> float:
+    return (host.end - host.first) * model.layer_mb / model.kind_of(host.kind).memory_mb
+
+
+def _relieve(model: ModelSpec, hosts: Sequence[LayerHost]) -> tuple[Assignment, ...]:
+    """Let idle hosts take layers of the fullest ones; they are trimmed once that is loaded."""
+    assignments = []
+    fullest = sorted(
+        (each for each in hosts if not each.empty), key=lambda each: -_fill_of(model, each)
+    )
+    for idle, full in zip((each for each in hosts if each.empty), fullest, strict=False):
+        count = model.most_layers(idle.kind, EVEN_FILL)
+        if count == 0:
+            continue
+        low = max(0, min(full.first, model.layers - count))
+        assignments.append(Assignment(idle.instance, low, low + count, "relieves the fullest"))
+    return tuple(assignments)
+
+
+def _trim(model: ModelSpec, hosts: Sequence[LayerHost], copies: int) -> tuple[Assignment, ...]:
+    """Take layers from one host that is too full, where enough others hold them."""
+    for host in sorted(hosts, key=lambda each: -_fill_of(model, each)):
+        if host.empty or _fill_of(model, host) <= TRIM_FILL:
+            return ()
+        others = [each for each in hosts if each is not host]
+        needed = _gaps(model, others, copies)
+        low, high = _still_needed(host, needed)
+        keep = max(1, model.most_layers(host.kind, EVEN_FILL))
+        low, high = _at_least(host, low, high, keep)
+        if (low, high) != (host.first, host.end):
+            return (Assignment(host.instance, low, high, "trimmed"),)
+    return ()
+
+
+def _still_needed(host: LayerHost, needed: Sequence[tuple[int, int]]) -> tuple[int, int]:
+    inside = [
+        (max(low, host.first), min(high, host.end))
+        for low, high in needed
+        if low < host.end and host.first < high
+    ]
+    if not inside:
+        return host.first, host.first
+    return inside[0][0], inside[-1][1]
+
+
+def _at_least(host: LayerHost, low: int, high: int, keep: int) -> tuple[int, int]:
+    """Widen a part of a host's range to `keep` layers within that range."""
+    while high - low < keep and (low > host.first or high < host.end):
+        if high < host.end:
+            high += 1
+        elif low > host.first:
+            low -= 1
+    return low, high
--- /dev/null
+++ b/deckcourse/layers/plan_book.py
@@ -0,0 +1,100 @@
+"""The plans in force, one row for each group of upstreams, written under a condition.
+
+Whoever writes the next version of a row is the one that gives the orders in it. There is no
+lease to renew: a process that was paused, cut off or killed has nothing that others must wait
+for, and what it still orders late is turned down by the count of orders at each upstream.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+from returns.result import Success
+
+from deckcourse.layers.placement import Assignment
+from deckcourse.table import ABSENT, Committed, Row, TableService, Write
+
+__all__ = ["ClaimLost", "ClaimUnanswered", "PlanBook", "PlanRecord", "PlanWon"]
+
+KEY_PREFIX = "plans/"
+
+
+@dataclass(frozen=True)
+class PlanRecord:
+    """A plan: who decided it, over which group, and what is ordered."""
+
+    number: int
+    author: str
+    model: str
+    assignments: tuple[Assignment, ...]
+
+
+@dataclass(frozen=True)
+class PlanWon:
+    """The plan is in force and its author may give its orders."""
+
+    record: PlanRecord
+
+
+@dataclass(frozen=True)
+class ClaimLost:
+    """Another process wrote first; its plan, where it can be read."""
+
+    record: PlanRecord | None
+
+
+@dataclass(frozen=True)
+class ClaimUnanswered:
+    """The table gave no answer: the plan may be in force, but nobody may act on it."""
+
+
+class PlanBook:
+    """One process's view of the plans."""
+
+    def __init__(self, table: TableService, author: str) -> None:
+        self._table = table
+        self._author = author
+        self._rows: dict[str, Row | None] = {}
+
+    @property
+    def author(self) -> str:
+        """Under which name this process writes."""
+        return self._author
+
+    def known(self, group: str) -> PlanRecord | None:
+        """Return the plan of a group as last seen."""
+        row = self._rows.get(group)
+        return None if row is None else _decode(row)
+
+    async def look(self, group: str) -> PlanRecord | None:
+        """Read the plan of a group anew; the last one seen where the table gives no answer."""
+        match await self._table.read([KEY_PREFIX + group]):
+            case Success((row,)):
+                self._rows[group] = row
+        return self.known(group)
+
+    async def claim(
+        self, group: str, model: str, assignments: tuple[Assignment, ...]
+    ) -> PlanWon | ClaimLost | ClaimUnanswered:
+        """Write the next plan of a group, if nobody else did since it was last seen."""
+        row = self._rows.get(group)
+        known = self.known(group)
+        number = 1 if known is None else known.number + 1
+        record = PlanRecord(number, self._author, model, assignments)
+        value = msgspec.json.encode(record)
+        expected = ABSENT if row is None else row.version
+        match await self._table.transact([Write(KEY_PREFIX + group, value, expected)]):
+            case Success(Committed((version,))):
+                self._rows[group] = Row(KEY_PREFIX + group, version, value)
+                return PlanWon(record)
+            case Success(_):
+                return ClaimLost(await self.look(group))
+        # Whether it was written isn't known; the next claim must see the row as it is.
+        await self.look(group)
+        return ClaimUnanswered()
+
+
+def _decode(row: Row) -> PlanRecord | None:
+    try:
+        return msgspec.json.decode(row.value, type=PlanRecord)
+    except msgspec.DecodeError:
+        return None
--- a/deckcourse/outcomes.py
+++ b/deckcourse/outcomes.py
@@ -87,28 +87,35 @@
     headers: tuple[tuple[bytes, bytes], ...]
 
 
-def response_head(outcome: NotRun | Unknown) -> ResponseHead:
-    """Return the HTTP form of an outcome that is no answer."""
+def response_head(outcome: NotRun | Unknown, fractions: bool = False) -> ResponseHead:
+    """Return the HTTP form of an outcome that is no answer.
+
+    Args:
+      outcome: what happened.
+      fractions: whether the time to come back may be told in fractions of a second.
+    """
     if isinstance(outcome, NotRun):
-        return _not_run_head(outcome)
+        return _not_run_head(outcome, fractions)
     headers = [(OUTCOME_HEADER, b"unknown"), (REASON_HEADER, outcome.reason.encode())]
     if outcome.repeatable:
-        headers.append((RETRY_AFTER_HEADER, _whole_seconds(outcome.retry_after)))
+        headers.append((RETRY_AFTER_HEADER, _seconds(outcome.retry_after, fractions)))
     else:
         headers.append((SHOULD_RETRY_HEADER, b"false"))
     status = UNKNOWN_STATUS.get(outcome.reason, UNKNOWN_DEFAULT_STATUS)
     return ResponseHead(status, tuple(headers))
 
 
-def _not_run_head(outcome: NotRun) -> ResponseHead:
+def _not_run_head(outcome: NotRun, fractions: bool) -> ResponseHead:
     headers = [(OUTCOME_HEADER, b"not-run"), (REASON_HEADER, outcome.reason.encode())]
     if outcome.reason in FINAL_REFUSALS:
         headers.append((SHOULD_RETRY_HEADER, b"false"))
     else:
-        headers.append((RETRY_AFTER_HEADER, _whole_seconds(outcome.retry_after)))
+        headers.append((RETRY_AFTER_HEADER, _seconds(outcome.retry_after, fractions)))
     status = NOT_RUN_STATUS.get(outcome.reason, NOT_RUN_DEFAULT_STATUS)
     return ResponseHead(status, tuple(headers))
 
 
-def _whole_seconds(seconds: float) -> bytes:
+def _seconds(seconds: float, fractions: bool) -> bytes:
+    if fractions:
+        return f"{seconds:.2f}".encode()
     return str(max(1, ceil(seconds))).encode()
--- /dev/null
+++ b/deckcourse/platform/names.py
@@ -0,0 +1,33 @@
+"""The platform's names on the wire; nothing outside this folder knows them."""
+
+__all__: list[str] = []
+
+SETTINGS_VARIABLE = "DECKCOURSE_BOOT"
+
+# Headers, in lower case.
+REQUEST_ID = b"x-request-id"
+DEADLINE_MS = b"x-deadline-ms"
+AUTHORIZATION = b"authorization"
+KEY_SCHEME = b"token"
+ACCOUNT = b"x-tenant"
+EXPECTED_INSTANCE = b"x-expected-instance"
+LAST_EVENT_ID = b"last-event-id"
+PATH = b"path"
+PRIORITY = b"priority"
+# The runner's promise that it did not run the request.
+NOT_RUN = b"x-not-executed"
+# The runner's mark on its own answers.
+SEAL = b"x-response-seal"
+# Of several runners on a path, the one at fault.
+AT_FAULT = b"at-server"
+INSTANCE = b"x-instance-id"
+EXPECTED_WEIGHTS = b"expect-version"
+
+READY = b"/v1/ready"
+REPORT = b"/v1/report"
+ORDER = b"/v1/order"
+
+# The store's tables that the platform itself fills, and the key of the desired state.
+OPERATOR_TABLE = "op"
+RUNNER_TABLE = "servers"
+DESIRED_STATE_KEY = "config"
--- /dev/null
+++ b/deckcourse/platform/rows.py
@@ -0,0 +1,244 @@
+"""Rows of the store, decoded once: the desired state, and what runners say of themselves."""
+
+import msgspec
+from msgspec import Struct, field
+from returns.result import Failure, Result, Success
+
+from deckcourse.gateway.desired import (
+    AccountSpec,
+    CallerBounds,
+    DesiredState,
+    RouteKind,
+    RouteSpec,
+    Target,
+    UpstreamService,
+)
+from deckcourse.gateway.upstreams import Upstream
+from deckcourse.layers.model import AcceleratorKind, ModelSpec
+
+__all__ = ["desired_state", "upstream"]
+
+_KINDS = {
+    "idempotent": RouteKind.REPEATABLE,
+    "non_idempotent": RouteKind.AT_MOST_ONCE,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class _Backend(Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(Struct):
+    """A route; `sloMs` is the time within which an answer has its full worth."""
+
+    name: str
+    host: str
+    pathPrefix: str  # noqa: N815
+    kind: str
+    timeoutMs: float  # noqa: N815
+    sloMs: float = 0.0  # noqa: N815
+    priority: int = 5
+    service: str = ""
+    backends: list[_Backend] = []
+    maxAttempts: int = 1  # noqa: N815
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _Kind(Struct):
+    """A card; `pace` multiplies the time of a step, `read_x` that of reading a prompt."""
+
+    name: str
+    mb: float
+    pace: float = 1.0
+    read_x: float = 1.0
+
+
+class _Delay(Struct):
+    """The one-way delay between two zones, which the wire calls as it calls ends of a range."""
+
+    rangeStart: str  # noqa: N815
+    targetVersion: str  # noqa: N815
+    delay_ms: float
+
+
+class _Model(Struct):
+    name: str
+    load_s: float = 10.0
+
+
+class _Engine(Struct):
+    """The engines of a service; `kvTokenBytes` counts one token in all layers."""
+
+    slots: int = 64
+    models: list[_Model] = []
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    read_per_s: float = 100_000.0
+    kvTokenBytes: float = 0.0  # noqa: N815
+    layers: int = 0
+    layer_mb: float = 0.0
+    act_bytes: float = 0.0
+    pipe_mbps: float = 10_000.0
+    loads_at_once: int = 4
+    kinds: list[_Kind] = []
+    delays: list[_Delay] = []
+
+
+class _Service(Struct):
+    name: str
+    maxConns: int = 100  # noqa: N815
+    engine: _Engine | None = None
+
+
+class _Limits(Struct):
+    maxHeaderBytes: int = 16 * 1024  # noqa: N815
+    maxBodyBytes: int = 1024 * 1024  # noqa: N815
+    headerTimeoutMs: float = 3000.0  # noqa: N815
+    idleTimeoutMs: float = 15000.0  # noqa: N815
+
+
+class _Tenant(Struct):
+    name: str
+    apiKeys: list[str] = []  # noqa: N815
+    priority: int | None = None
+
+
+class _Config(Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+class _LayerRange(Struct):
+    """The layers that a runner holds; `targetVersion` is the end of the range, left out."""
+
+    rangeStart: int  # noqa: N815
+    targetVersion: int  # noqa: N815
+
+
+class _RunnerModel(Struct):
+    name: str
+
+
+class _Runner(Struct):
+    """A runner's row; `sequence` counts the orders that it has taken."""
+
+    service: str
+    address: str
+    zone: str
+    state: str = "ready"
+    slots: int = 1
+    kind: str = ""
+    sequence: int = 0
+    models: list[_RunnerModel] = []
+    layers: _LayerRange | list[_LayerRange] | None = None
+
+
+def desired_state(value: bytes) -> Result[DesiredState, str]:
+    """Return the desired state that a row holds, or what is wrong with it."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        return Success(
+            DesiredState(
+                config.version,
+                tuple(_route(each) for each in config.routes),
+                {each.name: _service(each) for each in config.services},
+                _bounds(config.limits),
+                tuple(
+                    AccountSpec(each.name, tuple(each.apiKeys), each.priority)
+                    for each in config.tenants
+                ),
+            )
+        )
+    except (msgspec.MsgspecError, KeyError) as error:
+        return Failure(f"desired state: {error}")
+
+
+def _route(route: _Route) -> RouteSpec:
+    targets = [Target(each.service, each.weight) for each in route.backends]
+    return RouteSpec(
+        route.name,
+        route.host.lower(),
+        route.pathPrefix,
+        _KINDS[route.kind],
+        route.timeoutMs / 1000,
+        route.sloMs / 1000,
+        route.priority,
+        tuple(targets or [Target(route.service, 1.0)]),
+        route.maxAttempts,
+        route.public,
+        route.resumable,
+        route.gap_aim_ms / 1000,
+    )
+
+
+def _service(service: _Service) -> UpstreamService:
+    engine = service.engine
+    model = _model(engine) if engine is not None and engine.layers else None
+    return UpstreamService(service.name, service.maxConns, model)
+
+
+def _model(engine: _Engine) -> ModelSpec:
+    model = engine.models[0] if engine.models else _Model("")
+    return ModelSpec(
+        name=model.name,
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        load_seconds=model.load_s,
+        step_ms=engine.step_ms,
+        stream_step_ms=engine.per_seq_ms,
+        prefill_per_ms=engine.read_per_s / 1000,
+        activation_bytes=engine.act_bytes,
+        cache_bytes=engine.kvTokenBytes,
+        pipe_mbps=engine.pipe_mbps,
+        domain_delays={
+            (each.rangeStart, each.targetVersion): each.delay_ms / 1000 for each in engine.delays
+        },
+        requests=engine.slots,
+        parallel_loads=engine.loads_at_once,
+        kinds={
+            each.name: AcceleratorKind(each.name, each.mb, each.pace, each.read_x)
+            for each in engine.kinds
+        },
+    )
+
+
+def _bounds(limits: _Limits) -> CallerBounds:
+    return CallerBounds(
+        limits.maxHeaderBytes,
+        limits.maxBodyBytes,
+        limits.headerTimeoutMs / 1000,
+        limits.idleTimeoutMs / 1000,
+    )
+
+
+def upstream(instance: str, value: bytes) -> Result[Upstream, str]:
+    """Return the upstream that a row tells of, or what is wrong with the row."""
+    try:
+        runner = msgspec.json.decode(value, type=_Runner)
+    except msgspec.MsgspecError as error:
+        return Failure(f"runner {instance}: {error}")
+    held = runner.layers
+    if isinstance(held, list):
+        held = held[0] if held else None
+    return Success(
+        Upstream(
+            instance,
+            runner.service,
+            runner.address,
+            runner.zone,
+            runner.state != "ready",
+            runner.slots,
+            runner.kind,
+            tuple(each.name for each in runner.models),
+            held.rangeStart if held else 0,
+            held.targetVersion if held else 0,
+            runner.sequence,
+        )
+    )
--- /dev/null
+++ b/deckcourse/platform/runners.py
@@ -0,0 +1,137 @@
+"""Orders to runners and their reports."""
+
+from typing import TypeVar
+
+import msgspec
+import trio
+from msgspec import Struct
+
+from deckcourse.gateway.dialect import MoveResult, StallReport
+from deckcourse.gateway.upstreams import Upstream
+from deckcourse.http1.client import ConnectionPool, UpstreamConnection
+from deckcourse.http1.message import ConnectionFailure
+from deckcourse.layers.healer import OrderResult
+from deckcourse.layers.paths import LayerPath
+from deckcourse.platform.dialect import path_text
+from deckcourse.platform.names import EXPECTED_INSTANCE, ORDER, REPORT
+
+__all__ = ["RunnerControl"]
+
+# A runner answers a report within some 2 ms; one that takes longer is gone or cut off, seconds.
+_Decoded = TypeVar("_Decoded", bound=Struct)
+
+REPORT_SECONDS = 0.15
+ORDER_SECONDS = 0.5
+
+
+class _Waiting(Struct):
+    """A request that waits, and the address of the runner that it waits for."""
+
+    id: str
+    address: str = ""
+
+
+class _Report(Struct):
+    """A runner's report; `sequence` counts the orders that it has taken."""
+
+    sequence: int = 0
+    stalled: list[_Waiting] = []
+
+
+class _Fault(Struct):
+    """An order's answer; `address` names the runner whose part is missing."""
+
+    address: str = ""
+
+
+class RunnerControl:
+    """Gives orders to runners and reads their reports."""
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self._pool = pool
+
+    async def place(self, upstream: Upstream, first: int, end: int, orders: int) -> OrderResult:
+        """Order a range of layers, if the runner has taken `orders` orders so far."""
+        body = {
+            "op": "place",
+            "rangeStart": first,
+            "targetVersion": end,
+            "how": "wait",
+            "expectedRev": orders,
+        }
+        answer = await self._call(upstream, b"POST", ORDER, body, ORDER_SECONDS)
+        if answer is None:
+            return OrderResult.UNANSWERED
+        results = {200: OrderResult.HELD, 202: OrderResult.TAKEN, 409: OrderResult.CONFLICT}
+        return results.get(answer[0], OrderResult.REFUSED)
+
+    async def order_count(self, upstream: Upstream) -> int | None:
+        """Return how many orders a runner has taken, None without an answer."""
+        report = await self._report(upstream)
+        return None if report is None else report.sequence
+
+    async def stalled(self, upstream: Upstream) -> StallReport | None:
+        """Return the requests that wait at the first runner of their path, None unanswered."""
+        report = await self._report(upstream)
+        if report is None:
+            return None
+        return StallReport({each.id: each.address for each in report.stalled})
+
+    async def move(
+        self, upstream: Upstream, request_id: str, path: LayerPath
+    ) -> tuple[MoveResult, str]:
+        """Give a running request another path; the address at fault comes with PART_MISSING."""
+        body = {"op": "repath", "id": request_id, "path": path_text(path)}
+        answer = await self._call(upstream, b"POST", ORDER, body, REPORT_SECONDS)
+        if answer is None:
+            return MoveResult.UNANSWERED, ""
+        status, content = answer
+        if status in (200, 202):
+            return MoveResult.MOVED, ""
+        if status == 409:
+            return MoveResult.PART_MISSING, _decoded(content, _Fault).address
+        return MoveResult.UNKNOWN_REQUEST, ""
+
+    async def _report(self, upstream: Upstream) -> _Report | None:
+        answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
+        if answer is None or answer[0] != 200:
+            return None
+        return _decoded(answer[1], _Report)
+
+    async def _call(
+        self, upstream: Upstream, method: bytes, target: bytes, value: object, seconds: float
+    ) -> tuple[int, bytes] | None:
+        """Return an answer's status and body, None where there was none in time."""
+        body = b"" if value is None else msgspec.json.encode(value)
+        headers = [
+            (b"host", upstream.address.encode()),
+            (EXPECTED_INSTANCE, upstream.instance.encode()),
+        ]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+            headers.append((b"content-length", str(len(body)).encode()))
+        connection: UpstreamConnection | None = None
+        done = False
+        try:
+            with trio.move_on_after(seconds):
+                connection = await self._pool.acquire(upstream.address)
+                reply = await connection.call(method, target, tuple(headers), body)
+                answer = (reply.status, await reply.whole_body())
+                done = True
+                return answer
+        except ConnectionFailure:
+            return None  # The caller counts it: an answer that is missing is a value here.
+        finally:
+            if connection is not None:
+                if done:
+                    self._pool.release(connection)
+                else:
+                    connection.abort()
+        return None
+
+
+def _decoded(content: bytes, kind: type[_Decoded]) -> _Decoded:
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.MsgspecError:
+        return kind()
--- /dev/null
+++ b/deckcourse/platform/store.py
@@ -0,0 +1,172 @@
+"""The platform's store over HTTP, as the product's table and change feed."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Sequence
+from urllib.parse import urlencode
+
+import msgspec
+import trio
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from deckcourse.change_feed import Changes, Snapshot
+from deckcourse.http1.client import ConnectionPool, UpstreamConnection
+from deckcourse.http1.message import ConnectionFailure, FailureKind
+from deckcourse.table import Committed, Conflict, Row, TableFailure, Write
+
+__all__ = ["Store"]
+
+# Until when an answer that isn't a long wait may come, seconds: a slow store takes 60 times 4 ms.
+CALL_SECONDS = 1.0
+# The store's answers hold this many rows at the most.
+PAGE_ROWS = 500
+UNUSED_PART = ""
+
+
+class _StoredRow(Struct):
+    """A row of the store; `tlsKey` is its key, and `gone` says that it was removed."""
+
+    tlsKey: str  # noqa: N815
+    ver: int = 0
+    value: str | None = None
+    gone: bool = False
+    table: str = ""
+    part: str = ""
+
+
+class _Rows(Struct):
+    """An answer with rows; `ver` is the newest version of the whole store."""
+
+    rows: list[_StoredRow] = []
+    ver: int = 0
+    more: bool = False
+
+
+class Store:
+    """The one client of the platform's store; keys are `TABLE/KEY`, without parts."""
+
+    def __init__(self, pool: ConnectionPool, address: str) -> None:
+        self._pool = pool
+        self._address = address
+
+    async def read(self, keys: Sequence[str]) -> Result[tuple[Row | None, ...], TableFailure]:
+        """Return the rows of `keys`, None for each that is absent."""
+        rows = []
+        for key in keys:
+            table, _, name = key.partition("/")
+            query = {"table": table, "part": UNUSED_PART, "rangeStart": name, "limit": 1}
+            match await self._rows("/v1/rows-get", query, CALL_SECONDS):
+                case Failure(failure):
+                    return Failure(failure)
+                case Success(page):
+                    found = [each for each in page.rows if each.tlsKey == name]
+                    rows.append(_row(table, found[0]) if found else None)
+        return Success(tuple(rows))
+
+    async def transact(self, writes: Sequence[Write]) -> Result[Committed | Conflict, TableFailure]:
+        """Do all writes or none."""
+        body = msgspec.json.encode(_transaction(writes))
+        match await self._call(b"POST", "/v1/rows-tx", body, CALL_SECONDS):
+            case Success((200, answer)):
+                version = msgspec.json.decode(answer, type=_Rows).ver
+                return Success(Committed((version,) * len(writes)))
+            case Success((412, answer)):
+                rows = msgspec.json.decode(answer, type=_Rows).rows
+                return Success(Conflict(tuple(f"{each.table}/{each.tlsKey}" for each in rows)))
+            case Success((status, _)):
+                refused = status in (429, 503)
+                return Failure(TableFailure.UNAVAILABLE if refused else TableFailure.UNKNOWN)
+        return Failure(TableFailure.UNKNOWN)
+
+    async def snapshot(self, table: str) -> Result[Snapshot, TableFailure]:
+        """Return all rows of a table."""
+        rows: list[Row] = []
+        version: int | None = None
+        query: dict[str, object] = {"table": table, "part": UNUSED_PART, "limit": PAGE_ROWS}
+        while True:
+            match await self._rows("/v1/rows-get", query, CALL_SECONDS):
+                case Failure(failure):
+                    return Failure(failure)
+                case Success(page):
+                    # Pages are of different moments: what changed since the first comes again.
+                    version = page.ver if version is None else version
+                    rows += [_row(table, each) for each in page.rows]
+                    if not page.more or not page.rows:
+                        return Success(Snapshot(tuple(rows), version))
+                    query["rangeStart"] = page.rows[-1].tlsKey + "\x00"
+
+    async def changes(
+        self, table: str, after: int, seconds: float
+    ) -> Result[Changes, TableFailure]:
+        """Return what changed after a version, as soon as something did or time is over."""
+        query = {"table": table, "afterRev": after, "waitMs": round(seconds * 1000)}
+        target = f"/v1/rows-feed?{urlencode(query)}"
+        match await self._call(b"GET", target, b"", seconds + CALL_SECONDS):
+            case Success((200, body)):
+                page = msgspec.json.decode(body, type=_Rows)
+                changed = tuple(
+                    (each.tlsKey, None if each.gone else _value(each)) for each in page.rows
+                )
+                return Success(Changes(changed, page.ver))
+            case Success((410, _)):
+                return Success(Changes((), after, complete=False))
+        return Failure(TableFailure.UNAVAILABLE)
+
+    async def _rows(
+        self, path: str, query: dict[str, object], seconds: float
+    ) -> Result[_Rows, TableFailure]:
+        match await self._call(b"GET", f"{path}?{urlencode(query)}", b"", seconds):
+            case Success((200, body)):
+                return Success(msgspec.json.decode(body, type=_Rows))
+        return Failure(TableFailure.UNAVAILABLE)
+
+    async def _call(
+        self, method: bytes, target: str, body: bytes, seconds: float
+    ) -> Result[tuple[int, bytes], TableFailure]:
+        """Make one call on a connection of its own; a lost answer ends that connection."""
+        connection: UpstreamConnection | None = None
+        headers = [(b"host", self._address.encode()), (b"content-length", str(len(body)).encode())]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        done = False
+        try:
+            with trio.move_on_after(seconds):
+                connection = await self._pool.acquire(self._address)
+                reply = await connection.call(method, target.encode(), tuple(headers), body)
+                answer = (reply.status, await reply.whole_body())
+                done = True
+                return Success(answer)
+        except ConnectionFailure as failure:
+            if failure.kind is FailureKind.UNSENT:
+                return Failure(TableFailure.UNAVAILABLE)
+        finally:
+            if connection is not None:
+                if done:
+                    self._pool.release(connection)
+                else:
+                    connection.abort()
+        return Failure(TableFailure.UNKNOWN)
+
+
+def _value(row: _StoredRow) -> bytes:
+    return b64decode(row.value or "")
+
+
+def _row(table: str, row: _StoredRow) -> Row:
+    return Row(f"{table}/{row.tlsKey}", row.ver, _value(row))
+
+
+def _transaction(writes: Sequence[Write]) -> dict[str, list[dict[str, object]]]:
+    expected: list[dict[str, object]] = []
+    put: list[dict[str, object]] = []
+    remove: list[dict[str, object]] = []
+    for write in writes:
+        table, _, key = write.key.partition("/")
+        place = {"table": table, "part": UNUSED_PART, "tlsKey": key}
+        if write.expected is not None:
+            expected.append({**place, "ver": write.expected})
+        if write.value is None:
+            remove.append(place)
+        else:
+            put.append({**place, "value": b64encode(write.value).decode()})
+    return {"expectedRev": expected, "put": put, "remove": remove}
--- a/deckcourse/settings.py
+++ b/deckcourse/settings.py
@@ -15,6 +15,7 @@
     "CallerSettings",
     "ControllerSettings",
     "EntrySettings",
+    "GatewaySettings",
     "LinkSettings",
     "LogSettings",
     "NodeSettings",
@@ -65,6 +66,21 @@
     longest_stop: Duration = Duration(120)
 
 
+@dataclass(frozen=True)
+class GatewaySettings:
+    """The gateway's listeners, how it stops, and how long it may serve without the store.
+
+    `stop_grace` is the time from SIGTERM to the end; `revocation` the longest time after which a
+    key that was taken away may still open something, anywhere.
+    """
+
+    listen: Address = Address("127.0.0.1:8080")
+    ready_listen: Address = Address("127.0.0.1:8081")
+    metrics_listen: Address = Address("127.0.0.1:9464")
+    stop_grace: Duration = Duration(8)
+    revocation: Duration = Duration(5)
+
+
 @dataclass(frozen=True)
 class CallerSettings:
     """Bounds on what a caller may send and ask."""
@@ -115,6 +131,7 @@
 
     node: NodeSettings
     entry: EntrySettings = field(default_factory=EntrySettings)
+    gateway: GatewaySettings = field(default_factory=GatewaySettings)
     callers: CallerSettings = field(default_factory=CallerSettings)
     controller: ControllerSettings = field(default_factory=ControllerSettings)
     statsd: StatsdSettings = field(default_factory=StatsdSettings)
