--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -76,6 +76,7 @@
         self._version: int | None = None
         self._as_of = float("-inf")
         self._lost = False
+        self._changed = True
 
     @property
     def as_of(self) -> float:
@@ -92,7 +93,7 @@
         while True:
             asked_at = trio.current_time()
             if await self._round():
-                self._contact(asked_at)
+                self._contact(asked_at + self._waited(asked_at))
                 await trio.sleep(PAUSE_SECONDS)
             else:
                 if not self._lost:
@@ -100,8 +101,16 @@
                     self._on_contact(False)
                 await trio.sleep(RETRY_SECONDS * (1 + self._random.random()))
 
-    def _contact(self, asked_at: float) -> None:
-        self._as_of = asked_at
+    def _waited(self, asked_at: float) -> float:
+        """Return how long the store surely waited for changes before it answered.
+
+        An answer without changes is made when the wait is over: until then nothing changed.
+        """
+        full = not self._changed and trio.current_time() - asked_at >= WAIT_SECONDS
+        return WAIT_SECONDS if full else 0.0
+
+    def _contact(self, as_of: float) -> None:
+        self._as_of = as_of
         if self._lost:
             self._lost = False
             self._on_contact(True)
@@ -109,6 +118,7 @@
     async def _round(self) -> bool:
         """Ask once; return whether the store answered."""
         answer: Result = Failure(TableFailure.UNAVAILABLE)
+        self._changed = True
         with trio.move_on_after(WAIT_SECONDS + ANSWER_SECONDS):
             if self._version is None:
                 answer = await self._feed.snapshot(self._table)
@@ -121,6 +131,7 @@
                 return True
             case Success(Changes(rows, version, True)):
                 self._version = version
+                self._changed = bool(rows)
                 for key, value in rows:
                     self._on_change(key, value)
                 return True
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -29,7 +29,7 @@
 STALE_SHARE = 0.8
 # The part of it after which the process calls itself not ready: the balancer then turns to
 # others, which may see the store.
-UNREADY_SHARE = 0.5
+UNREADY_SHARE = 0.35
 
 
 class RowReader(Protocol):
@@ -181,7 +181,8 @@
         return model
 
     def _may_heal(self) -> bool:
-        return not self._stopping and self._upstream_feed.known and self.may_send()
+        known = self._upstream_feed.known and self._upstreams.settled
+        return not self._stopping and known and self.may_send()
 
     def _choice(self, service: str) -> PathChoice:
         if service not in self._choices:
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -68,6 +68,11 @@
         self._store_back_at = float("-inf")
         self._next_expiry = float("inf")
 
+    @property
+    def settled(self) -> bool:
+        """Whether the rows can be relied on: the store has been back for long enough."""
+        return self._clock() - self._store_back_at >= LAPSE_GRACE_SECONDS
+
     @property
     def changes(self) -> int:
         """Rises with every change that may make another path the best one."""
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -32,6 +32,9 @@
 # An order may be given this long after its plan was asked for: whoever was paused in between
 # gives none, seconds.
 ORDER_SECONDS = 1.5
+# An upstream that is still busy with an order turns the next one down; it is left alone for so
+# long, seconds.
+BUSY_SECONDS = 0.6
 # How long a row may lag behind what an upstream did, seconds.
 ROW_LAG_SECONDS = 1.2
 
@@ -58,11 +61,15 @@
 
 @dataclass(frozen=True)
 class _Pending:
-    """An ordered range; it counts until its deadline or until the row shows it."""
+    """An ordered range; it counts until its deadline or until the row shows it.
+
+    With `busy`, it is what an upstream holds that takes no order before the deadline.
+    """
 
     first: int
     end: int
     deadline: float
+    busy: bool = False
 
 
 Log = Callable[..., None]
@@ -122,8 +129,8 @@
     def _drop_done(self, now: float) -> None:
         for instance, pending in list(self._pending.items()):
             row = self._upstreams.get(instance)
-            done = row is not None and (row.first, row.end) == (pending.first, pending.end)
-            if done or row is None or now >= pending.deadline:
+            held = row is not None and (row.first, row.end) == (pending.first, pending.end)
+            if (held and not pending.busy) or row is None or now >= pending.deadline:
                 del self._pending[instance]
 
     async def _heal(self, model: ModelSpec, group: Group, now: float) -> None:
@@ -201,7 +208,10 @@
             if result is not OrderResult.CONFLICT:
                 break
             orders = await self._orderer.order_count(row)
-        if result not in (OrderResult.TAKEN, OrderResult.HELD):
+        if result is OrderResult.CONFLICT:
+            busy_until = trio.current_time() + BUSY_SECONDS
+            self._pending[row.instance] = _Pending(row.first, row.end, busy_until, True)
+        elif result not in (OrderResult.TAKEN, OrderResult.HELD):
             self._pending.pop(assignment.instance, None)
         self._log(
             "order",
--- a/deckcourse/layers/placement.py
+++ b/deckcourse/layers/placement.py
@@ -12,15 +12,16 @@
 
 from deckcourse.layers.model import ModelSpec
 
-__all__ = ["Assignment", "Group", "LayerHost", "groups_of", "plan_group"]
+__all__ = ["EVEN_FILL", "Assignment", "Group", "LayerHost", "groups_of", "plan_group"]
 
 # Parts of an accelerator's memory that weights may take; the rest holds the KV cache of requests.
 # Trials: 16 of 20 layers leave room for what a calm day needs, 19 of 20 refuse most requests.
 EVEN_FILL = 0.60
 HEALING_FILL = 0.80
 LARGEST_FILL = 0.92
-# A host this much fuller than EVEN_FILL gives up layers that others hold too.
-TRIM_FILL = 0.72
+# A host fuller than this gives up layers that others hold too. While it does, it takes no other
+# order, so it is not done for less.
+TRIM_FILL = 0.88
 # A second copy is placed where this much of a model's memory stays free for each copy.
 MEMORY_PER_COPY = 1.65
 
@@ -121,7 +122,9 @@
         return _first_placement(model, group)
     gaps = _gaps(model, promised, 1)
     if gaps:
-        return _fill_all(model, promised, gaps, pending) or _slice_anew(model, promised)
+        filled = _fill_all(model, promised, gaps, pending)
+        # What is under way may be what is missing; only without it the model is sliced anew.
+        return filled if filled or pending else _slice_anew(model, promised)
     if pending or _gaps(model, loaded, 1):
         return ()
     thin = _gaps(model, promised, group.copies) if group.copies > 1 else []
@@ -234,8 +237,9 @@
     idle = [each for each in hosts if each.empty and each.instance not in pending]
     if not idle and not only_idle:
         idle = _redundant(model, hosts, pending)
-    before = None if only_idle else _roomiest(model, hosts, fill, lambda each: each.end == first)
-    behind = None if only_idle else _roomiest(model, hosts, fill, lambda each: each.first == end)
+    free = [] if only_idle else [each for each in hosts if each.instance not in pending]
+    before = _roomiest(model, free, fill, lambda each: each.end == first)
+    behind = _roomiest(model, free, fill, lambda each: each.first == end)
     idle.sort(key=lambda each: (-model.kind_of(each.kind).memory_mb, each.instance))
     fillers = [each for each in (before, *idle, behind) if each is not None]
     spare = [_spare(model, each, fill, each in idle) for each in fillers]
