--- /dev/null
+++ b/features/layers.feature
@@ -0,0 +1,70 @@
+Feature: Layers over upstreams: placement, healing and paths
+
+  Scenario Outline: A group is brought nearer to the whole model: <case>
+    Given a model of 80 layers of 1750 MB and a group holding <held>
+    When the group is planned with pending <pending>
+    Then the plan is <plan>
+
+    Examples:
+      | case                          | held                                  | pending  | plan                |
+      | nothing is missing            | big 0-40, big 40-80                   | none     | nothing             |
+      | neighbours share a gap        | big 0-38, big 42-80                   | none     | a 0-40, b 40-80     |
+      | one neighbour has no room     | full 0-20, big 24-80                  | none     | b 20-80             |
+      | a pending order is waited for | big 0-38, big 42-80                   | a 0-42   | nothing             |
+      | a busy host is passed over    | big 0-38, big 42-80                   | a 0-38   | b 38-80             |
+      | an idle host relieves         | mid 0-40, mid 40-80, mid none         | none     | c 0-36              |
+
+  Scenario: The first placement gives each host layers in proportion to its memory
+    Given a model of 80 layers of 1750 MB and the upstreams of one domain, all empty
+    When the group is planned with pending none
+    Then every layer is held once and no host holds more than 0.92 of its memory
+
+  Scenario Outline: No plan goes beyond an upstream's memory: <lost> of the hosts are lost
+    Given a model of 80 layers of 1750 MB and the upstreams of one domain, placed
+    When <lost> hosts are lost, one seed after the other, and the group is planned until it rests
+    Then every layer is held and no order went beyond 0.92 of a host's memory
+
+    Examples:
+      | lost |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: A domain that can't hold the model joins others that can't
+    Given a model of 80 layers of 1750 MB and the domains x of 45 layers, y of 50 and z of 160
+    Then the groups are z and x+y
+
+  Scenario: A domain with room for two copies holds every layer twice
+    Given a model of 80 layers of 1750 MB and the domains z of 300 layers
+    When the first placement of the group z is carried out
+    Then every layer is held 2 times
+
+  Scenario Outline: A path runs every layer once: <case>
+    Given the hosts <hosts>
+    Then the best path from domain <domain> is <path>
+
+    Examples:
+      | case                        | hosts                                         | domain | path                 |
+      | one chain                   | a:x:0-40, b:x:40-80                           | x      | a 0-40, b 40-80      |
+      | overlaps are cut anywhere   | a:x:0-50, b:x:30-80                           | x      | one switch           |
+      | inside where possible       | a:x:0-40, b:x:40-80, c:y:0-80                 | x      | a 0-40, b 40-80      |
+      | borrowed, once across       | a:x:0-40, c:y:40-80                           | x      | a 0-40, c 40-80      |
+      | a leaving one is left out   | a:x:0-40, b:x:40-80:leaving, c:y:40-80        | x      | a 0-40, c 40-80      |
+      | nothing whole               | a:x:0-40, b:x:41-80                           | x      | nothing              |
+
+  Scenario: Random overlapping hosts never give a path that lacks or doubles a layer
+    Then 400 generated sets of hosts give paths that run each layer once, or none where none exists
+
+  Scenario: Two processes claim a plan and one gives the orders
+    Given two processes with a view of the same plan
+    When both claim the next plan
+    Then one has won and the other knows the winner's plan
+    And after an answer that was lost nobody gives orders
+
+  Scenario: A paused process gives no orders when it wakes
+    Given a process whose claim is answered after 2 seconds
+    Then it gives no orders
+
+  Scenario: An upstream that is busy gets no further order for a while
+    Given a process whose orders meet a conflict
+    Then it orders at most 4 times in 2 seconds
