No host is counted twice when a gap is filled; slow upstreams weigh more; malformed store answers

Ruled out: a late order, an unknown kind. The same order was repeated each 0.16 s while unanswered. A malformed answer of the store raised out of the follower (scenario seen failing first); a stream that ended without an answer counted as malformed, and a connection after its end as reusable. Change: as the causes say; an order that doesn't fit beside what is held is withheld and logged; the pace that upstreams report weighs in paths, one 2.5 times slower is healed around; failures of late weigh in the choice of a first upstream. Scenarios: the plan for it gave 57-66 before and nothing after; 32 in features/http1.feature.

--- a/deckcourse/decision_log.py
+++ b/deckcourse/decision_log.py
@@ -10,7 +10,7 @@
 from time import monotonic, time
 
 import msgspec
-from eliot import add_destinations, log_message
+from eliot import add_destinations, log_message, remove_destination
 
 __all__ = ["DecisionLog"]
 
@@ -45,6 +45,10 @@
         os.set_blocking(self._descriptor, False)
         add_destinations(self._write)
 
+    def stop(self) -> None:
+        """Take no more of eliot's messages."""
+        remove_destination(self._write)
+
     def log(self, decision: str, /, **fields: object) -> None:
         """Write one decision, with the inputs that decided it."""
         now = self._clock()
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -17,6 +17,7 @@
     "Dispatch",
     "MoveResult",
     "Pulse",
+    "PulseReading",
     "ReplyFacts",
     "StallReport",
     "StreamControl",
@@ -65,9 +66,13 @@
 
 @dataclass(frozen=True)
 class StallReport:
-    """The requests that wait at the first upstream of their path, each with whom it waits for."""
+    """The requests that wait at the first upstream of their path, each with whom it waits for.
+
+    `pace` is that of the first upstream, as in `PulseReading`.
+    """
 
     waiting_for: Mapping[str, str]
+    pace: float = 1.0
 
 
 class Pulse(StrEnum):
@@ -78,6 +83,14 @@
     SILENT = "silent"
 
 
+@dataclass(frozen=True)
+class PulseReading:
+    """An upstream's answer; `pace` over 1 says how many times slower than usual it works."""
+
+    pulse: Pulse
+    pace: float = 1.0
+
+
 class MoveResult(StrEnum):
     """What the first upstream said to a new path of a running request."""
 
@@ -106,7 +119,7 @@
     async def stalled(self, upstream: Upstream) -> StallReport | None:
         """Return the requests that wait at the first upstream of their path, None unanswered."""
 
-    async def pulse(self, upstream: Upstream, seconds: float) -> Pulse:
+    async def pulse(self, upstream: Upstream, seconds: float) -> PulseReading:
         """Ask an upstream whether it is there; DEAD if its machine turns connections down."""
 
     async def move(
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -12,6 +12,8 @@
 # A path that begins in another failure domain counts this much dearer. One chain may be 1.4 times
 # as fast as another; if all chose it, its loss would stop every stream at once.
 REMOTE_WEIGHT = 2.0
+# A first upstream all of whose streams broke of late counts this much dearer beyond.
+FAILURE_WEIGHT = 4.0
 # An upstream that said it was full is left out for so long where another path exists, seconds.
 FULL_SECONDS = 0.15
 
@@ -74,7 +76,9 @@
         row = self._upstreams.get(first)
         slots = row.slots if row is not None else 1
         load = 1.0 + self._upstreams.in_flight(first) / max(1, slots)
-        return path.cost * load * (1.0 if path.domain == self._domain else REMOTE_WEIGHT)
+        failures = 1.0 + FAILURE_WEIGHT * self._upstreams.failure_share(first)
+        remote = 1.0 if path.domain == self._domain else REMOTE_WEIGHT
+        return path.cost * load * failures * remote
 
     def onward(self, model: ModelSpec, first: PathPart, avoid: frozenset[str]) -> LayerPath | None:
         """Return another path for a running request; its first part can't change."""
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -172,6 +172,7 @@
                 self._give_up_first(upstream)
         else:
             asking.unanswered = 0
+            self._upstreams.note_pace(upstream.instance, report.pace)
             await self._act_on(upstream, report.waiting_for, asking)
 
     async def _feel_pulses(self, first: str) -> None:
@@ -187,11 +188,13 @@
         lost: list[tuple[Upstream, Pulse]] = []
 
         async def feel(upstream: Upstream) -> None:
-            pulse = await self._control.pulse(upstream, PULSE_SECONDS)
-            if pulse is Pulse.SILENT:
-                pulse = await self._control.pulse(upstream, PULSE_SECONDS)
-            if pulse is not Pulse.ALIVE:
-                lost.append((upstream, pulse))
+            reading = await self._control.pulse(upstream, PULSE_SECONDS)
+            if reading.pulse is Pulse.SILENT:
+                reading = await self._control.pulse(upstream, PULSE_SECONDS)
+            if reading.pulse is Pulse.ALIVE:
+                self._upstreams.note_pace(upstream.instance, reading.pace)
+            else:
+                lost.append((upstream, reading.pulse))
 
         async with trio.open_nursery() as nursery:
             for name in names:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -174,6 +174,8 @@
                     connection.abort()
         if end is None:
             return self._on_interruption(stream)
+        if not isinstance(end, _Refused):
+            context.upstreams.note(first.instance, isinstance(end, _Broken))
         return end
 
     def _on_interruption(self, stream: ActiveStream) -> _End:
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -15,6 +15,10 @@
 # A row that is gone while the store was away a moment ago may be back by then, seconds: the
 # platform's word is "within about two seconds of its return".
 LAPSE_GRACE_SECONDS = 2.0
+# What an upstream said of its pace counts for so long, seconds.
+PACE_SECONDS = 3.0
+# A pace that differs by less than this from the one known makes no other path the best.
+PACE_STEP = 0.3
 # The share of the last calls to an upstream that failed is halved by each success and each of
 # these, seconds.
 FAILURE_HALF_LIFE_SECONDS = 4.0
@@ -63,6 +67,7 @@
         self._lapsing: dict[str, float] = {}
         self._suspect_until: dict[str, float] = {}
         self._failures: dict[str, _Failures] = {}
+        self._paces: dict[str, tuple[float, float]] = {}
         self._in_flight: Counter[str] = Counter()
         self._changes = 0
         self._store_back_at = float("-inf")
@@ -127,7 +132,10 @@
         for instance in [name for name, at in self._suspect_until.items() if at <= now]:
             del self._suspect_until[instance]
             self._changes += 1
-        deadlines = [*self._lapsing.values(), *self._suspect_until.values()]
+        for instance in [name for name, (_, at) in self._paces.items() if at <= now]:
+            self._changes += self._paces.pop(instance)[0] > 1.0 + PACE_STEP
+        paces = [at for _, at in self._paces.values()]
+        deadlines = [*paces, *self._lapsing.values(), *self._suspect_until.values()]
         self._next_expiry = min(deadlines, default=float("inf"))
 
     def suspect(self, instance: str, seconds: float) -> None:
@@ -138,6 +146,15 @@
         self._suspect_until[instance] = max(deadline, self._suspect_until.get(instance, deadline))
         self._next_expiry = min(self._next_expiry, deadline)
 
+    def note_pace(self, instance: str, pace: float) -> None:
+        """Note how slow an upstream says that it is; 1 is its usual pace."""
+        known, _ = self._paces.get(instance, (1.0, 0.0))
+        if abs(pace - known) > PACE_STEP:
+            self._changes += 1
+        deadline = self._clock() + PACE_SECONDS
+        self._paces[instance] = (pace, deadline)
+        self._next_expiry = min(self._next_expiry, deadline)
+
     def clear(self, instance: str) -> None:
         """Drop a suspicion: the upstream has answered since."""
         if self._suspect_until.pop(instance, None) is not None:
@@ -184,6 +201,7 @@
                 each.end,
                 each.address,
                 not each.leaving and each.instance not in self._suspect_until,
+                self._paces.get(each.instance, (1.0, 0.0))[0],
             )
             for each in self.of_service(service)
         )
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -102,6 +102,7 @@
         self._transport = transport
         self._h11 = h11.Connection(h11.CLIENT)
         self._closing = False
+        self._ended = False
         self._keep_seconds = IDLE_SECONDS
 
     async def call(
@@ -161,15 +162,16 @@
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._h11.receive_data(await self._transport.receive_some(READ_BYTES))
+                data = await self._transport.receive_some(READ_BYTES)
+                self._ended = not data
+                self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
-            broken = "incomplete" in str(error) or "closed" in str(error)
-            kind = FailureKind.LOST if broken else FailureKind.MALFORMED
+            kind = FailureKind.LOST if self._ended else FailureKind.MALFORMED
             raise ConnectionLostError(kind, str(error)) from error
 
     def reusable(self) -> bool:
         """Return whether another call may follow: whole answer read, nothing behind it."""
-        if self._closing or self._h11.our_state is not h11.DONE:
+        if self._closing or self._ended or self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE or self._h11.trailing_data[0]:
             return False
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -32,8 +32,8 @@
 # An order may be given this long after its plan was asked for: whoever was paused in between
 # gives none, seconds.
 ORDER_SECONDS = 1.5
-# An upstream that is still busy with an order turns the next one down; it is left alone for so
-# long, seconds.
+# An upstream that is still busy with an order turns the next one down, and one that gave no answer
+# may carry it out all the same; both are left alone for so long, seconds.
 BUSY_SECONDS = 0.6
 # How long a row may lag behind what an upstream did, seconds.
 ROW_LAG_SECONDS = 1.2
@@ -120,6 +120,26 @@
         for group in groups_of(model, hosts):
             await self._heal(model, group, now)
 
+    def _fits(self, model: ModelSpec, assignment: Assignment) -> bool:
+        """Return whether what is held and what is new fit together into the upstream's memory.
+
+        The planner sees to it; an order beyond it would bring the upstream down.
+        """
+        row = self._upstreams.get(assignment.instance)
+        if row is None:
+            return False
+        held = set(range(row.first, row.end)) | set(range(assignment.first, assignment.end))
+        if len(held) <= model.most_layers(row.kind):
+            return True
+        self._log(
+            "order-withheld",
+            instance=assignment.instance,
+            first=assignment.first,
+            end=assignment.end,
+            held=f"{row.first}-{row.end}",
+        )
+        return False
+
     def _note_settling(self, hosts, now: float) -> None:
         names = frozenset(each.instance for each in hosts)
         if names != self._known_hosts:
@@ -135,7 +155,8 @@
 
     async def _heal(self, model: ModelSpec, group: Group, now: float) -> None:
         pending = {name: (each.first, each.end) for name, each in self._pending.items()}
-        assignments = plan_group(model, group, pending)
+        planned = plan_group(model, group, pending)
+        assignments = tuple(each for each in planned if self._fits(model, each))
         if not assignments:
             self._wanted_since.pop(group.name, None)
             return
@@ -208,7 +229,7 @@
             if result is not OrderResult.CONFLICT:
                 break
             orders = await self._orderer.order_count(row)
-        if result is OrderResult.CONFLICT:
+        if result in (OrderResult.CONFLICT, OrderResult.UNANSWERED):
             busy_until = trio.current_time() + BUSY_SECONDS
             self._pending[row.instance] = _Pending(row.first, row.end, busy_until, True)
         elif result not in (OrderResult.TAKEN, OrderResult.HELD):
--- a/deckcourse/layers/paths.py
+++ b/deckcourse/layers/paths.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from deckcourse.layers.model import ModelSpec
@@ -69,23 +69,17 @@
 
 
 class PathFinder:
-    """The cheapest paths over one set of hosts.
-
-    `weight` multiplies the time that a host takes; it may tell of load or of past failures.
-    """
+    """The cheapest paths over one set of hosts."""
 
     def __init__(
         self,
         model: ModelSpec,
         hosts: Iterable[LayerHost],
-        weight: Callable[[LayerHost], float] = lambda host: 1.0,
         extra_cuts: Sequence[int] = (),
     ) -> None:
         self._model = model
         self._hosts = [each for each in hosts if each.usable and not each.empty]
-        self._layer_ms = {
-            each.instance: self._layer_time(each) * weight(each) for each in self._hosts
-        }
+        self._layer_ms = {each.instance: self._layer_time(each) * each.pace for each in self._hosts}
         ends = {point for each in self._hosts for point in (each.first, each.end)}
         self._cuts = sorted(
             point for point in ends | {0, model.layers, *extra_cuts} if 0 <= point <= model.layers
--- a/deckcourse/layers/placement.py
+++ b/deckcourse/layers/placement.py
@@ -22,6 +22,8 @@
 # A host fuller than this gives up layers that others hold too. While it does, it takes no other
 # order, so it is not done for less.
 TRIM_FILL = 0.88
+# What a host that is so many times slower than usual holds is loaded elsewhere as well.
+SLOW_PACE = 2.5
 # A second copy is placed where this much of a model's memory stays free for each copy.
 MEMORY_PER_COPY = 1.65
 
@@ -30,7 +32,8 @@
 class LayerHost:
     """An upstream that holds the layers `first` up to `end`, none where both are 0.
 
-    `usable` is false for one that leaves or that this process suspects.
+    `usable` is false for one that leaves or that this process suspects; `pace` over 1 says how
+    many times slower than usual it works.
     """
 
     instance: str
@@ -40,6 +43,7 @@
     end: int = 0
     address: str = ""
     usable: bool = True
+    pace: float = 1.0
 
     @property
     def empty(self) -> bool:
@@ -75,7 +79,7 @@
     """
     by_domain: dict[str, list[LayerHost]] = defaultdict(list)
     for host in hosts:
-        if host.usable:
+        if host.usable and host.pace < SLOW_PACE:
             by_domain[host.domain].append(host)
     groups = []
     rest: list[LayerHost] = []
@@ -255,7 +259,8 @@
     idle = [each for each in hosts if each.empty and each.instance not in pending]
     if not idle and not only_idle:
         idle = _redundant(model, hosts, pending)
-    free = [] if only_idle else [each for each in hosts if each.instance not in pending]
+    free = [each for each in hosts if each.instance not in pending and each not in idle]
+    free = [] if only_idle else free
     before = _roomiest(model, free, fill, lambda each: each.end == first)
     behind = _roomiest(model, free, fill, lambda each: each.first == end)
     idle.sort(key=lambda each: (-model.kind_of(each.kind).memory_mb, each.instance))
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -7,7 +7,7 @@
 import trio
 from msgspec import Struct
 
-from deckcourse.gateway.dialect import MoveResult, Pulse, StallReport
+from deckcourse.gateway.dialect import MoveResult, Pulse, PulseReading, StallReport
 from deckcourse.gateway.upstreams import Upstream
 from deckcourse.http1.client import ConnectionPool, UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError
@@ -33,9 +33,10 @@
 
 
 class _Report(Struct):
-    """A runner's report; `sequence` counts the orders that it has taken."""
+    """A runner's report; `sequence` counts its orders, `pace` over 1 says how slow it is."""
 
     sequence: int = 0
+    pace: float = 1.0
     stalled: list[_Waiting] = []
 
 
@@ -76,17 +77,18 @@
         report = await self._report(upstream)
         if report is None:
             return None
-        return StallReport({each.id: each.address for each in report.stalled})
+        return StallReport({each.id: each.address for each in report.stalled}, report.pace)
 
-    async def pulse(self, upstream: Upstream, seconds: float) -> Pulse:
+    async def pulse(self, upstream: Upstream, seconds: float) -> PulseReading:
         """Ask a runner whether it is there; DEAD if its machine turns connections down."""
         with trio.move_on_after(seconds):
             # An idle connection may have been closed long ago; a second one tells.
             for _ in range(2):
-                if await self._call(upstream, b"GET", REPORT, None, math.inf) is not None:
-                    return Pulse.ALIVE
-            return Pulse.DEAD
-        return Pulse.SILENT
+                answer = await self._call(upstream, b"GET", REPORT, None, math.inf)
+                if answer is not None:
+                    return PulseReading(Pulse.ALIVE, _decoded(answer[1], _Report).pace)
+            return PulseReading(Pulse.DEAD)
+        return PulseReading(Pulse.SILENT)
 
     async def move(
         self, upstream: Upstream, request_id: str, path: LayerPath
--- a/deckcourse/platform/store.py
+++ b/deckcourse/platform/store.py
@@ -68,11 +68,10 @@
         body = msgspec.json.encode(_transaction(writes))
         match await self._call(b"POST", "/v1/rows-tx", body, CALL_SECONDS):
             case Success((200, answer)):
-                version = msgspec.json.decode(answer, type=_Rows).ver
-                return Success(Committed((version,) * len(writes)))
+                page = _page(answer)
+                return page.map(lambda each: Committed((each.ver,) * len(writes)))
             case Success((412, answer)):
-                rows = msgspec.json.decode(answer, type=_Rows).rows
-                return Success(Conflict(tuple(f"{each.table}/{each.tlsKey}" for each in rows)))
+                return _page(answer).map(_conflict)
             case Success((status, _)):
                 refused = status in (429, 503)
                 return Failure(TableFailure.UNAVAILABLE if refused else TableFailure.UNKNOWN)
@@ -103,11 +102,7 @@
         target = f"/v1/rows-feed?{urlencode(query)}"
         match await self._call(b"GET", target, b"", seconds + CALL_SECONDS):
             case Success((200, body)):
-                page = msgspec.json.decode(body, type=_Rows)
-                changed = tuple(
-                    (each.tlsKey, None if each.gone else _value(each)) for each in page.rows
-                )
-                return Success(Changes(changed, page.ver))
+                return _page(body).map(_changes)
             case Success((410, _)):
                 return Success(Changes((), after, complete=False))
         return Failure(TableFailure.UNAVAILABLE)
@@ -117,7 +112,7 @@
     ) -> Result[_Rows, TableFailure]:
         match await self._call(b"GET", f"{path}?{urlencode(query)}", b"", seconds):
             case Success((200, body)):
-                return Success(msgspec.json.decode(body, type=_Rows))
+                return _page(body)
         return Failure(TableFailure.UNAVAILABLE)
 
     async def _call(
@@ -148,6 +143,26 @@
         return Failure(TableFailure.UNKNOWN)
 
 
+def _page(body: bytes) -> Result[_Rows, TableFailure]:
+    """Return an answer's rows; one that can't be read counts as none."""
+    try:
+        page = msgspec.json.decode(body, type=_Rows)
+        for row in page.rows:
+            _value(row)
+    except (msgspec.MsgspecError, ValueError):
+        return Failure(TableFailure.UNAVAILABLE)
+    return Success(page)
+
+
+def _changes(page: _Rows) -> Changes:
+    changed = ((each.tlsKey, None if each.gone else _value(each)) for each in page.rows)
+    return Changes(tuple(changed), page.ver)
+
+
+def _conflict(page: _Rows) -> Conflict:
+    return Conflict(tuple(f"{each.table}/{each.tlsKey}" for each in page.rows))
+
+
 def _value(row: _StoredRow) -> bytes:
     return b64decode(row.value or "")
 
--- /dev/null
+++ b/features/http1.feature
@@ -0,0 +1,63 @@
+Feature: Connections of HTTP/1.1, each side by itself
+
+  Scenario Outline: The server is sent <what>
+    When a sender writes <bytes>
+    Then it reads <answer>
+
+    Examples:
+      | what                        | bytes                                                                                   | answer          |
+      | two requests at once        | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n                        | 200 /a, 200 /b  |
+      | a chunked body              | POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n       | 200 /a abc      |
+      | both framings               | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | 200 /a      |
+      | no request                  | what is this\r\n\r\n                                                                       | 400             |
+      | two lengths                 | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n               | 400             |
+      | half a head, then nothing   | GET /a HTTP/1.1\r\nHos                                                                     | 408             |
+      | a body that is too large    | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n{2000}                           | 413             |
+      | a header that is too large  | GET /a HTTP/1.1\r\nHost: h\r\nX: {3000}\r\n\r\n                                             | 431             |
+      | a connection to be closed   | GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n    | 200 /a          |
+
+  Scenario: A connection at rest is closed after the idle time, and at once when the server drains
+    Then a resting connection is closed after 5 seconds, and at once when it is drained
+
+  Scenario: An answer that its handler leaves unfinished is cut off, not ended
+    Then a stream whose handler stops in the middle ends without its last chunk
+
+  Scenario Outline: An upstream answers with <what>
+    Given an upstream that writes <bytes>
+    Then the call ends as <end> and the connection is <kept>
+
+    Examples:
+      | what                     | bytes                                                                        | end        | kept   |
+      | a whole answer           | HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok                                | 200 ok     | kept   |
+      | a close                  | HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok           | 200 ok     | closed |
+      | surplus bytes            | HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n              | 200 ok     | closed |
+      | too little, then its end | HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok{end}                            | lost       | closed |
+      | no length, then its end  | HTTP/1.1 200 OK\r\n\r\nok{end}                                                | 200 ok     | closed |
+      | a chunk cut off          | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab{end}             | lost       | closed |
+      | no answer at all         | {end}                                                                        | lost       | closed |
+      | bytes that are no answer | 12345 what\r\n\r\n                                                            | malformed  | closed |
+      | a time for idling        | HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=0\r\n\r\n          | 200        | closed |
+
+  Scenario: The log never waits for its reader, and says what it left out
+    Then 1000 decisions at once write at most 400 lines, and the next tells what is left out
+    And with a reader that stands still no call waits, and whole lines follow once it reads
+
+  Scenario: Metrics are served as text
+    Then counters and durations are found in the text
+
+  Scenario Outline: The store's client meets <what>
+    Given a store that answers <status> with <body>
+    Then a <call> gives <result>
+
+    Examples:
+      | what             | status | body                                                                       | call        | result      |
+      | a row            | 200    | {"rows":[{"table":"t","part":"","tlsKey":"k","value":"eA==","ver":4}],"ver":9} | read    | x at 4      |
+      | no row           | 200    | {"rows":[],"ver":9}                                                        | read        | nothing     |
+      | a success        | 200    | {"ver":12}                                                                 | transaction | version 12  |
+      | a conflict       | 412    | {"rows":[{"table":"t","part":"","tlsKey":"k","ver":4}]}                    | transaction | conflict    |
+      | a refusal        | 503    | {}                                                                         | transaction | unavailable |
+      | too many calls   | 429    | {}                                                                         | transaction | unavailable |
+      | something else   | 500    | {}                                                                         | transaction | unknown     |
+      | silence          | 0      | {}                                                                         | transaction | unknown     |
+      | a malformed page | 200    | {"rows":3}                                                                 | read        | unavailable |
+      | lost history     | 410    | {}                                                                         | feed        | incomplete  |
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -12,6 +12,7 @@
       | one neighbour has no room     | full 0-20, big 24-80                  | none     | b 20-80             |
       | a pending order is waited for | big 0-38, big 42-80                   | a 0-42   | nothing             |
       | a busy host is passed over    | big 0-38, big 42-80                   | a 0-38   | b 38-80             |
+      | no host is counted twice      | t4 57-58, big 0-58, t4 66-73, big 73-80 | b 0-58 | nothing |
       | an idle host relieves         | mid 0-40, mid 40-80, mid none         | none     | c 0-36              |
 
   Scenario: The first placement gives each host layers in proportion to its memory
@@ -23,6 +24,7 @@
     Given a model of 80 layers of 1750 MB and the upstreams of one domain, placed
     When <lost> hosts are lost, one seed after the other, and the group is planned until it rests
     Then every layer is held and no order went beyond 0.92 of a host's memory
+    And what a host held and what it was ordered always fitted together
 
     Examples:
       | lost |
--- /dev/null
+++ b/features/steps/http1_steps.py
@@ -0,0 +1,272 @@
+"""Steps about connections, the log, the metrics and the store's client."""
+
+import json
+import os
+
+import trio
+from behave import given, then, when
+from returns.result import Failure, Success
+from trio.testing import MockClock
+
+from deckcourse.decision_log import LINES_AT_ONCE, DecisionLog
+from deckcourse.gateway.desired import CallerBounds
+from deckcourse.http1.client import ConnectionPool, UpstreamConnection
+from deckcourse.http1.memory import MemoryNetwork
+from deckcourse.http1.message import ConnectionLostError
+from deckcourse.http1.server import RestingConnections, serve_connection
+from deckcourse.metrics import RegistryCounters
+from deckcourse.platform.store import Store
+from deckcourse.table import Committed, Conflict, TableFailure, Write
+
+BOUNDS = CallerBounds(header_bytes=1000, body_bytes=1000, header_seconds=1.0, idle_seconds=5.0)
+
+
+def virtually(work):
+    return trio.run(work, clock=MockClock(autojump_threshold=0))
+
+
+def raw(text):
+    """Return the bytes of a table's cell; {N} stands for N letters."""
+    data = text.replace("\\r", "\r").replace("\\n", "\n")
+    for size in (2000, 3000):
+        data = data.replace(f"{{{size}}}", "x" * size)
+    return data.encode()
+
+
+async def echo(request, exchange):
+    await exchange.whole(200, (), request.target + b" " + request.body)
+
+
+async def read_until_end(stream):
+    data = b""
+    while part := await stream.receive_some(65536):
+        data += part
+    return data
+
+
+@when("a sender writes {text}")
+def sender_writes(context, text):
+    async def work():
+        near, far = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_connection, far, echo, lambda: BOUNDS, lambda: False)
+            await near.send_all(raw(text))
+            context.read = await read_until_end(near)
+
+    virtually(work)
+
+
+@then("it reads {answers}")
+def reads(context, answers):
+    got = []
+    for part in context.read.split(b"HTTP/1.1 ")[1:]:
+        head, _, body = part.partition(b"\r\n\r\n")
+        got.append(f"{head[:3].decode()} {body.decode()}".strip())
+    assert ", ".join(got) == answers, context.read
+
+
+@then("a resting connection is closed after {seconds:g} seconds, and at once when it is drained")
+def rests(context, seconds):
+    async def closed_after(drain):
+        near, far = trio.testing.memory_stream_pair()
+        resting = RestingConnections()
+        started = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_connection, far, echo, lambda: BOUNDS, lambda: False, resting)
+            if drain:
+                await trio.sleep(1)
+                resting.close()
+            await read_until_end(near)
+        return trio.current_time() - started
+
+    assert abs(virtually(lambda: closed_after(False)) - seconds) < 0.01
+    assert abs(virtually(lambda: closed_after(True)) - 1.0) < 0.01
+
+
+@then("a stream whose handler stops in the middle ends without its last chunk")
+def unfinished(context):
+    async def stops(request, exchange):
+        await exchange.start(200, ())
+        await exchange.send(b"half")
+
+    async def work():
+        near, far = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_connection, far, stops, lambda: BOUNDS, lambda: False)
+            await near.send_all(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            return await read_until_end(near)
+
+    data = virtually(work)
+    assert data.endswith(b"4\r\nhalf\r\n") and not data.endswith(b"0\r\n\r\n"), data
+
+
+class ScriptedTransport:
+    """An upstream that writes given bytes once it was asked, then says nothing or ends."""
+
+    def __init__(self, data):
+        self.data, _, end = data.partition(b"{end}")
+        self.ends = b"{end}" in data
+        self.closed = False
+
+    async def send_all(self, data):
+        await trio.sleep(0)
+
+    async def receive_some(self, most):
+        data, self.data = self.data, b""
+        if not data and not self.ends:
+            await trio.sleep_forever()
+        return data
+
+    def readable(self):
+        return bool(self.data)
+
+    def close(self):
+        self.closed = True
+
+
+@given("an upstream that writes {text}")
+def upstream_writes(context, text):
+    context.transport = ScriptedTransport(raw(text))
+
+
+@then("the call ends as {end} and the connection is {kept}")
+def call_ends(context, end, kept):
+    async def work():
+        pool = ConnectionPool(lambda what: None)
+        connection = UpstreamConnection("u:1", context.transport)
+        try:
+            reply = await connection.call(b"GET", b"/", ((b"host", b"h"),), b"")
+            got = f"{reply.status} {(await reply.whole_body()).decode()}".strip()
+        except ConnectionLostError as lost:
+            connection.abort()
+            return str(lost.kind)
+        pool.release(connection)
+        return got
+
+    got = virtually(work)
+    assert got == end, got
+    assert context.transport.closed == (kept == "closed"), got
+
+
+@then(
+    "{count:d} decisions at once write at most {most:d} lines, and the next tells what is left out"
+)
+def bounded(context, count, most):
+    reader, writer = os.pipe()
+    now = [0.0]
+    log = DecisionLog("n", writer, lambda: now[0])
+    log.start()
+    try:
+        for number in range(count):
+            log.log("decided", request=str(number))
+        lines = read_lines(reader)
+        assert most == LINES_AT_ONCE and len(lines) <= most, len(lines)
+        left_out = count - len(lines)
+        assert log.left_out == {"decided": left_out}
+        now[0] = 1.0
+        log.log("later")
+        summary, later = read_lines(reader)
+        assert summary["left_out"] == {"decided": left_out} and later["message_type"] == "later"
+    finally:
+        log.stop()
+        os.close(reader)
+        os.close(writer)
+
+
+def read_lines(reader):
+    os.set_blocking(reader, False)
+    data = b""
+    try:
+        while part := os.read(reader, 1 << 20):
+            data += part
+    except BlockingIOError:
+        pass
+    return [json.loads(line) for line in data.splitlines()]
+
+
+@then("with a reader that stands still no call waits, and whole lines follow once it reads")
+def never_waits(context):
+    reader, writer = os.pipe()
+    now = [0.0]
+    log = DecisionLog("n", writer, lambda: now[0])
+    log.start()
+    try:
+        for _ in range(400):
+            now[0] += 1.0
+            log.log("decided", text="x" * 1000)
+        assert log.left_out["decided"] > 100
+        first = len(read_lines_partly(reader))
+        log.log("later")
+        assert first > 10
+        assert read_lines(reader)[-1]["message_type"] == "later"
+    finally:
+        log.stop()
+        os.close(reader)
+        os.close(writer)
+
+
+def read_lines_partly(reader):
+    """Read what is there; its last line may be cut, and goes on with the next reading."""
+    data = os.read(reader, 1 << 20)
+    whole, _, _ = data.rpartition(b"\n")
+    return whole.splitlines()
+
+
+@then("counters and durations are found in the text")
+def metrics_text(context):
+    counters = RegistryCounters()
+    counters.count("refused.no-route")
+    counters.timing("first-event", 0.04)
+    text = counters.text().decode()
+    assert 'deckcourse_events_total{name="refused.no-route"} 1.0' in text, text
+    assert 'deckcourse_seconds_bucket{le="0.05",name="first-event"} 1.0' in text, text
+
+
+@given("a store that answers {status:d} with {body}")
+def store_answers(context, status, body):
+    context.store_answer = (status, body.encode())
+
+
+@then("a {call} gives {result}")
+def store_gives(context, call, result):
+    status, body = context.store_answer
+
+    async def answer(request, exchange):
+        if status == 0:
+            await trio.sleep_forever()
+        await exchange.whole(status, (), body)
+
+    async def work():
+        async with trio.open_nursery() as nursery:
+            network = MemoryNetwork(nursery, CallerBounds)
+            network.listen("s:1", answer)
+            store = Store(ConnectionPool(lambda what: None, network.dial), "s:1")
+            if call == "read":
+                got = await store.read(["t/k"])
+            elif call == "feed":
+                got = await store.changes("t", 3, 1.0)
+            else:
+                got = await store.transact([Write("t/k", b"x", 4)])
+            nursery.cancel_scope.cancel()
+        return got
+
+    assert described(virtually(work)) == result, virtually(work)
+
+
+def described(got):
+    match got:
+        case Success((None,)):
+            return "nothing"
+        case Success((row,)):
+            return f"{row.value.decode()} at {row.version}"
+        case Success(Committed((version,))):
+            return f"version {version}"
+        case Success(Conflict(("t/k",))):
+            return "conflict"
+        case Failure(TableFailure.UNAVAILABLE):
+            return "unavailable"
+        case Failure(TableFailure.UNKNOWN):
+            return "unknown"
+        case Success(changes) if not changes.complete:
+            return "incomplete"
+    return repr(got)
--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -68,6 +68,17 @@
     )
 
 
+def fit_together(model, plan, hosts):
+    """Return whether each host can keep its old layers until nobody needs them any more."""
+    held = {each.instance: each for each in hosts}
+    for each in plan:
+        host = held[each.instance]
+        both = set(range(host.first, host.end)) | set(range(each.first, each.end))
+        if len(both) > model.most_layers(host.kind):
+            return False
+    return True
+
+
 def plan_of(context, pending):
     (group,) = groups_of(context.model, context.hosts)
     return plan_group(context.model, group, pending)
@@ -113,7 +124,7 @@
 @when("{lost:d} hosts are lost, one seed after the other, and the group is planned until it rests")
 def lost_hosts(context, lost):
     context.ends = []
-    context.orders_fit = True
+    context.orders_fit = context.fit_together = True
     whole = context.hosts
     for seed in range(SEEDS):
         context.hosts = Random(seed).sample(whole, len(whole) - lost)
@@ -122,6 +133,7 @@
             plan = plan_group(context.model, groups[0]) if groups else ()
             if not plan:
                 break
+            context.fit_together &= fit_together(context.model, plan, context.hosts)
             context.orders_fit &= within_memory(context.model, plan, context.hosts)
             context.hosts = carried_out(context.hosts, plan)
         # Without the three largest hosts the rest can't hold the model at all.
@@ -137,6 +149,11 @@
         assert min(depth(context.model, hosts)) >= 1, hosts
 
 
+@then("what a host held and what it was ordered always fitted together")
+def fitted_together(context):
+    assert context.fit_together
+
+
 @given("a model of {layers:d} layers of {size:g} MB and the domains {domains}")
 def domains_of(context, layers, size, domains):
     context.model = model_of(layers, size)
