--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -185,8 +185,7 @@
         return model
 
     def _may_heal(self) -> bool:
-        known = self._upstream_feed.known and self._upstreams.settled
-        return not self._stopping and known and self.may_send()
+        return not self._stopping and self._upstream_feed.known and self.may_send()
 
     def _choice(self, service: str) -> PathChoice:
         if service not in self._choices:
@@ -229,7 +228,8 @@
         self._log("configuration", version=desired.version, before=known)
 
     def _on_upstream_rows(self, rows: Sequence[Row]) -> None:
-        found = [self._decode(row.key.partition("/")[2], row.value) for row in rows]
+        oldest_first = sorted(rows, key=lambda each: each.version)
+        found = [self._decode(row.key.partition("/")[2], row.value) for row in oldest_first]
         self._upstreams.replace_all(each for each in found if each is not None)
 
     def _on_upstream_row(self, key: str, value: bytes | None) -> None:
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -21,15 +21,21 @@
 __all__ = ["ActiveStream", "Interruption", "StallMonitor"]
 
 # Between two looks at the streams, seconds.
-LOOK_SECONDS = 0.02
+LOOK_SECONDS = 0.012
 # Events come each 17 to 40 ms where all is well, and a pause over 200 ms is late: a stream is
-# asked about after this long, seconds.
-GAP_SECONDS = 0.06
+# asked about after so many times its own usual gap, within these bounds, seconds.
+USUAL_GAPS = 2.5
+SHORTEST_GAP_SECONDS = 0.045
+LONGEST_GAP_SECONDS = 0.12
+# What a stream's gap is taken for before it has shown one, and how much a new gap counts.
+FIRST_USUAL_GAP_SECONDS = 0.02
+NEW_GAP_WEIGHT = 0.2
 # A first event may take longer, since prompts are read and others go first, seconds.
 FIRST_GAP_SECONDS = 0.15
-# An upstream that is there says so within 3 ms; one that doesn't in this time, twice, counts as
-# lost, seconds.
-PULSE_SECONDS = 0.04
+# An upstream that is there says so within 3 ms; one that doesn't in the first time, and then again
+# in the second, counts as lost, seconds.
+PULSE_SECONDS = 0.015
+SECOND_PULSE_SECONDS = 0.025
 # Where so large a part of a path is silent, this process is more likely cut off itself.
 CUT_OFF_SHARE = 0.5
 # A look that comes this late says that this process itself was paused, seconds: what waits in its
@@ -67,12 +73,21 @@
     path: LayerPath
     progress_at: float
     begun: bool = False
+    usual_gap: float = FIRST_USUAL_GAP_SECONDS
     waiting: bool = True
     moving: bool = False
     may_restart: Callable[[], bool] = lambda: False
     interruption: Interruption | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
+    def note_event(self, now: float) -> None:
+        """Note that events came."""
+        if self.begun:
+            gap = now - self.progress_at
+            self.usual_gap += NEW_GAP_WEIGHT * (gap - self.usual_gap)
+        self.begun = True
+        self.progress_at = now
+
     def interrupt(self, why: Interruption) -> None:
         """Take the stream from its upstream; its task goes on elsewhere."""
         self.interruption = why
@@ -80,7 +95,10 @@
 
     def stands(self, now: float) -> bool:
         """Return whether it brings nothing for longer than usual."""
-        limit = GAP_SECONDS if self.begun else FIRST_GAP_SECONDS
+        limit = FIRST_GAP_SECONDS
+        if self.begun:
+            limit = max(SHORTEST_GAP_SECONDS, USUAL_GAPS * self.usual_gap)
+            limit = min(limit, LONGEST_GAP_SECONDS)
         return self.waiting and not self.moving and now - self.progress_at > limit
 
 
@@ -190,7 +208,7 @@
         async def feel(upstream: Upstream) -> None:
             reading = await self._control.pulse(upstream, PULSE_SECONDS)
             if reading.pulse is Pulse.SILENT:
-                reading = await self._control.pulse(upstream, PULSE_SECONDS)
+                reading = await self._control.pulse(upstream, SECOND_PULSE_SECONDS)
             if reading.pulse is Pulse.ALIVE:
                 self._upstreams.note_pace(upstream.instance, reading.pace)
             else:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -259,8 +259,7 @@
             events = [each for each in reader.feed(data) if self._is_next(each)]
             if events:
                 await self._pass_on(reply, stream, events)
-                stream.begun = True
-                stream.progress_at = trio.current_time()
+                stream.note_event(trio.current_time())
         if reader.incomplete:
             raise ConnectionLostError(FailureKind.LOST, "the stream ended inside an event")
         await self._start(reply)
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -64,6 +64,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._rows: dict[str, Upstream] = {}
+        self._at_address: dict[str, str] = {}
         self._lapsing: dict[str, float] = {}
         self._suspect_until: dict[str, float] = {}
         self._failures: dict[str, _Failures] = {}
@@ -89,7 +90,7 @@
         self._store_back_at = self._clock()
 
     def replace_all(self, rows: Iterable[Upstream]) -> None:
-        """Take in a reading of all rows."""
+        """Take in a reading of all rows, the oldest first."""
         rows = {each.instance: each for each in rows}
         for instance in list(self._rows):
             if instance not in rows:
@@ -98,11 +99,15 @@
             self.put(each)
 
     def put(self, row: Upstream) -> None:
-        """Take in one row."""
+        """Take in one row; whoever had its address before is gone."""
         known = self._rows.get(row.instance)
         self._lapsing.pop(row.instance, None)
         if known == row:
             return
+        before = self._at_address.get(row.address)
+        if before is not None and before != row.instance:
+            self._drop(before)
+        self._at_address[row.address] = row.instance
         self._rows[row.instance] = row
         self._changes += 1
 
@@ -117,8 +122,11 @@
         self._drop(instance)
 
     def _drop(self, instance: str) -> None:
-        if self._rows.pop(instance, None) is not None:
+        row = self._rows.pop(instance, None)
+        if row is not None:
             self._changes += 1
+            if self._at_address.get(row.address) == instance:
+                del self._at_address[row.address]
         self._lapsing.pop(instance, None)
         self._failures.pop(instance, None)
         self._suspect_until.pop(instance, None)
@@ -170,12 +178,9 @@
         return self._rows.get(instance)
 
     def at_address(self, address: str, service: str) -> Upstream | None:
-        """Return the upstream of a service at an address; the newest listed where two claim it."""
-        found = None
-        for each in self._rows.values():
-            if each.address == address and each.service == service:
-                found = each
-        return found
+        """Return the upstream of a service at an address."""
+        row = self._rows.get(self._at_address.get(address, ""))
+        return row if row is not None and row.service == service else None
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return all listed upstreams of a service, leaving ones included."""
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -155,7 +155,7 @@
 
     async def _heal(self, model: ModelSpec, group: Group, now: float) -> None:
         pending = {name: (each.first, each.end) for name, each in self._pending.items()}
-        planned = plan_group(model, group, pending)
+        planned = plan_group(model, group, pending, self._upstreams.settled)
         assignments = tuple(each for each in planned if self._fits(model, each))
         if not assignments:
             self._wanted_since.pop(group.name, None)
--- a/deckcourse/layers/placement.py
+++ b/deckcourse/layers/placement.py
@@ -7,7 +7,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from deckcourse.layers.model import ModelSpec
@@ -105,7 +105,10 @@
 
 
 def plan_group(
-    model: ModelSpec, group: Group, pending: Mapping[str, tuple[int, int]] = {}
+    model: ModelSpec,
+    group: Group,
+    pending: Mapping[str, tuple[int, int]] = {},
+    settled: bool = True,
 ) -> tuple[Assignment, ...]:
     """Return what should be ordered now, nothing where the group is as it should be.
 
@@ -113,6 +116,7 @@
       model: the model to place.
       group: who is there and what they hold.
       pending: ranges that are ordered and not yet held, by instance.
+      settled: whether the rows can be relied on; if not, nothing is given up.
     """
     # `loaded` is what can be used now, `promised` what will be once pending orders are done.
     loaded = list(group.hosts)
@@ -128,12 +132,10 @@
         return _first_placement(model, group)
     gaps = _gaps(model, promised, 1)
     if gaps:
-        filled = _fill_all(model, promised, gaps, pending)
-        # What is under way may be what is missing; only without it the model is sliced anew.
-        if filled or pending:
-            return filled
-        return _slice_anew(model, promised) or _make_room(model, promised)
-    if pending or _gaps(model, loaded, 1):
+        restored = _restore(model, promised, pending)
+        # What is under way may be what is missing; only without it layers are given up.
+        return restored or (_make_room(model, promised) if settled and not pending else ())
+    if pending or not settled or _gaps(model, loaded, 1):
         return ()
     thin = _gaps(model, promised, group.copies) if group.copies > 1 else []
     idle = [each for each in promised if each.empty]
@@ -323,20 +325,117 @@
     return []
 
 
-def _slice_anew(model: ModelSpec, hosts: Sequence[LayerHost]) -> tuple[Assignment, ...]:
-    """Slice the model over all hosts in their present order, and extend each towards its slice.
+def _restore(
+    model: ModelSpec, hosts: Sequence[LayerHost], pending: Mapping[str, tuple[int, int]]
+) -> tuple[Assignment, ...]:
+    """Cut the model anew over the hosts in their present order, with the smallest loads.
 
-    Nobody gives anything up, so that what works now goes on; later plans trim what is held twice.
+    The search goes from host to host and keeps, for each layer reached, the cuts that leave the
+    fewest layers out, then those whose largest load is smallest: loads run at the same time, so
+    that one decides when the model is whole. What is left out is reached by a later plan.
     """
-    ordered = sorted(hosts, key=lambda each: (each.first, each.end, each.instance))
-    by_instance = {each.instance: each for each in hosts}
+    ordered = _in_order(model, hosts)
+    best: dict[int, _Cut] = {0: _Cut(0, 0, 0, 0, 0)}
+    trail: list[dict[int, _Cut]] = []
+    for host in ordered:
+        best = _cut_further(model, host, best, host.instance in pending)
+        trail.append(best)
     assignments = []
-    for wanted in _slice(model, ordered, 0, model.layers, LARGEST_FILL, "slice anew"):
-        host = by_instance[wanted.instance]
-        low, high = _extended(model, host, wanted)
-        if (low, high) != (host.first, host.end):
-            assignments.append(replace(wanted, first=low, end=high))
-    return tuple(assignments)
+    end = min(best, key=lambda reached: best[reached].cost_up_to(model.layers, reached))
+    for host, cuts in zip(reversed(ordered), reversed(trail), strict=True):
+        cut = cuts[end]
+        if cut.load:
+            low, high = _widened(model, host, cut.first, end)
+            reason = f"restores {cut.first}-{end}"
+            assignments.append(Assignment(host.instance, low, high, reason))
+        end = cut.before
+    return tuple(reversed(assignments))
+
+
+@dataclass(frozen=True)
+class _Cut:
+    """The best way to reach a layer.
+
+    `left_out` layers before it are held by nobody, `largest` is the largest load so far and
+    `total` all loads; this host runs from `first`, behind hosts that reach up to `before`, and
+    loads `load` layers for it.
+    """
+
+    left_out: int
+    largest: int
+    total: int
+    first: int
+    load: int
+    before: int = 0
+
+    @property
+    def cost(self) -> tuple[int, int, int]:
+        """What is compared between two ways to the same layer."""
+        return self.left_out, self.largest, self.total
+
+    def cost_up_to(self, layers: int, reached: int) -> tuple[int, int, int]:
+        """Return the cost with all layers behind the one reached left out."""
+        return self.left_out + layers - reached, self.largest, self.total
+
+
+def _in_order(model: ModelSpec, hosts: Sequence[LayerHost]) -> list[LayerHost]:
+    """Return the hosts by what they hold, the idle ones where the largest gap begins."""
+    gaps = _gaps(model, hosts, 1)
+    largest = max(gaps, key=lambda each: each[1] - each[0], default=(0, 0))
+    return sorted(
+        hosts,
+        key=lambda each: (largest[0], -1, "") if each.empty else (each.first, each.end, ""),
+    )
+
+
+def _cut_further(
+    model: ModelSpec, host: LayerHost, reached: Mapping[int, _Cut], fixed: bool
+) -> dict[int, _Cut]:
+    """Return the best cuts after one more host; a fixed one runs only what it holds."""
+    room = model.most_layers(host.kind, LARGEST_FILL)
+    spare = 0 if fixed else model.most_layers(host.kind) - (host.end - host.first)
+    found: dict[int, _Cut] = {}
+    for first, before in _starts(model, reached):
+        for end in range(first, min(model.layers, first + room) + 1):
+            kept = max(0, min(end, host.end) - max(first, host.first))
+            load = end - first - kept
+            if load > spare:
+                continue
+            cut = replace(
+                before,
+                largest=max(before.largest, load),
+                total=before.total + load,
+                first=first,
+                load=load,
+            )
+            if end not in found or cut.cost < found[end].cost:
+                found[end] = cut
+    return found
+
+
+def _starts(model: ModelSpec, reached: Mapping[int, _Cut]) -> Iterator[tuple[int, _Cut]]:
+    """Yield the cheapest way to begin at each layer, leaving layers out where that is best."""
+    best: _Cut | None = None
+    for layer in range(model.layers + 1):
+        here = reached.get(layer)
+        if best is not None:
+            best = replace(best, left_out=best.left_out + 1)
+        if here is not None and (best is None or here.cost <= best.cost):
+            best = replace(here, before=layer)
+        if best is not None:
+            yield layer, best
+
+
+def _widened(model: ModelSpec, host: LayerHost, first: int, end: int) -> tuple[int, int]:
+    """Return a new part with as much of what the host holds beside it as its memory takes."""
+    spare = model.most_layers(host.kind, LARGEST_FILL) - (end - first)
+    while spare > 0 and host.first <= end < host.end:
+        end += 1
+        spare -= 1
+    while spare > 0 and host.first < first <= host.end:
+        first -= 1
+        spare -= 1
+    return first, end
 
 
 def _make_room(model: ModelSpec, hosts: Sequence[LayerHost]) -> tuple[Assignment, ...]:
@@ -364,21 +463,6 @@
     return tuple(assignments)
 
 
-def _extended(model: ModelSpec, host: LayerHost, wanted: Assignment) -> tuple[int, int]:
-    """Return a host's range, wider towards what is wanted as far as its memory goes."""
-    if host.empty:
-        return wanted.first, wanted.end
-    low, high = host.first, host.end
-    spare = model.most_layers(host.kind, LARGEST_FILL) - (high - low)
-    while spare > 0 and (wanted.first < low or high < wanted.end):
-        if high < wanted.end:
-            high += 1
-        else:
-            low -= 1
-        spare -= 1
-    return low, high
-
-
 def _fill_of(model: ModelSpec, host: LayerHost) -> float:
     return (host.end - host.first) * model.layer_mb / model.kind_of(host.kind).memory_mb
 
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -88,6 +88,10 @@
     Then streams are served while the rows are missing for 1.5 seconds after the store's return
     And a row still missing 2.5 seconds after it counts as gone
 
+  Scenario: An upstream whose address another one took over counts as gone
+    Given two chains of runners
+    Then a stream takes domain y once another upstream has the address of x2
+
   Scenario: A leaving upstream gets no new work
     Given two chains of runners
     Then a stream takes the other domain once the first upstream says that it leaves
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -9,10 +9,10 @@
       | case                          | held                                  | pending  | plan                |
       | nothing is missing            | big 0-40, big 40-80                   | none     | nothing             |
       | neighbours share a gap        | big 0-38, big 42-80                   | none     | a 0-40, b 40-80     |
-      | one neighbour has no room     | full 0-20, big 24-80                  | none     | b 20-80             |
+      | one neighbour has no room     | full 0-20, big 24-80                  | none     | b 18-80             |
       | a pending order is waited for | big 0-38, big 42-80                   | a 0-42   | nothing             |
       | a busy host is passed over    | big 0-38, big 42-80                   | a 0-38   | b 38-80             |
-      | no host is counted twice      | t4 57-58, big 0-58, t4 66-73, big 73-80 | b 0-58 | nothing |
+      | no host is counted twice      | t4 57-58, big 0-58, t4 66-73, big 73-80 | b 0-58   | a 58-65, c 65-72, d 72-80 |
       | an idle host relieves         | mid 0-40, mid 40-80, mid none         | none     | c 0-36              |
 
   Scenario: The first placement gives each host layers in proportion to its memory
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -293,6 +293,18 @@
     play(context, story)
 
 
+@then("a stream takes domain y once another upstream has the address of x2")
+def address_taken(context):
+    async def story(site):
+        newer = site.runners["x2"].row()
+        site.store.put("servers", "x3", {**newer, "layers": None, "models": []})
+        await trio.sleep(0.3)
+        await site.ask()
+
+    play(context, story)
+    assert [each.instance for each in context.site.runs] == ["y1"], context.site.runs
+
+
 @then("a stream takes the other domain once the first upstream says that it leaves")
 def leaving(context):
     async def story(site):
