deckcourse explain: a request's decisions from logs of several machines; fewer calls to the store

The list of upstreams is followed with a wait of 5 s, since contact with the store is shown by the operators' table (wait 1 s); a loss or return there makes the list ask anew.

--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -10,11 +10,13 @@
 
 from deckcourse.table import Row, TableFailure
 
-__all__ = ["ChangeFeed", "Changes", "Follower", "Snapshot"]
+__all__ = ["LONG_WAIT_SECONDS", "ChangeFeed", "Changes", "Follower", "Snapshot"]
 
 # How long one question for changes waits for one at the store, seconds. Its answer is also the
 # sign that the store is in reach: a shorter wait costs calls, a longer one delays that sign.
 WAIT_SECONDS = 1.0
+# Where the answer is no such sign, calls are saved by a longer wait, seconds.
+LONG_WAIT_SECONDS = 5.0
 # How long an answer may take beyond that, seconds: a slow store takes 60 times its 4 ms.
 ANSWER_SECONDS = 0.8
 # Changes that come in quick succession are fetched together after this pause, seconds.
@@ -66,7 +68,10 @@
         on_change: Callable[[str, bytes | None], None],
         random: Random,
         on_contact: Callable[[bool], None] = lambda regained: None,
+        wait: float = WAIT_SECONDS,
     ) -> None:
+        self._wait = wait
+        self._asking = trio.CancelScope()
         self._feed = feed
         self._table = table
         self._on_all = on_all
@@ -88,6 +93,10 @@
         """Whether the table was read at least once."""
         return self._as_of > float("-inf")
 
+    def ask_anew(self) -> None:
+        """Give up the question under way: another one showed that the store went or came."""
+        self._asking.cancel()
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -106,8 +115,8 @@
 
         An answer without changes is made when the wait is over: until then nothing changed.
         """
-        full = not self._changed and trio.current_time() - asked_at >= WAIT_SECONDS
-        return WAIT_SECONDS if full else 0.0
+        full = not self._changed and trio.current_time() - asked_at >= self._wait
+        return self._wait if full else 0.0
 
     def _contact(self, as_of: float) -> None:
         self._as_of = as_of
@@ -120,8 +129,8 @@
         answer: Result = Failure(TableFailure.UNAVAILABLE)
         self._changed = True
         # After a loss, the first answer should come at once: it ends the doubt.
-        wait = 0.0 if self._lost else WAIT_SECONDS
-        with trio.move_on_after(wait + ANSWER_SECONDS):
+        wait = 0.0 if self._lost else self._wait
+        with trio.move_on_after(wait + ANSWER_SECONDS) as self._asking:
             if self._version is None:
                 answer = await self._feed.snapshot(self._table)
             else:
--- a/deckcourse/cli.py
+++ b/deckcourse/cli.py
@@ -1,7 +1,7 @@
 """The program deckcourse: a table of commands over `deckcourse.porcelain`."""
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
@@ -12,6 +12,7 @@
 
 from deckcourse import __version__
 from deckcourse.errors import CommandError, InvariantError
+from deckcourse.explain import explain
 from deckcourse.intents import KINDS
 from deckcourse.porcelain import (
     Operator,
@@ -124,6 +125,15 @@
     """Show the main job on loopback: a pipeline, a stage killed halfway, the answer whole."""
 
 
+@dataclass
+@cappa.command(name="explain")
+class ExplainCommand:
+    """Print a request's decisions from log files, in order, and say what the logs lack."""
+
+    request: Annotated[str, cappa.Arg(help="the request's id")]
+    files: Annotated[list[str], cappa.Arg(help="logs; standard input without any", default=[])]
+
+
 @dataclass
 @cappa.command(name="deckcourse")
 class DeckcourseCommand:
@@ -137,6 +147,7 @@
         | SettingsCommand
         | HashKeyCommand
         | TryCommand
+        | ExplainCommand
     ]
 
 
@@ -220,6 +231,31 @@
     return 0
 
 
+def _explain(command: ExplainCommand) -> int:
+    explanation = explain(command.request, _lines(command.files))
+    for decision in explanation.decisions:
+        print(decision)
+    if explanation.surroundings:
+        print("around it, on the same machines:")
+    for decision in explanation.surroundings:
+        print(f"  {decision}")
+    for missing in explanation.missing:
+        print(f"missing: {missing}")
+    return 0 if explanation.decisions else REFUSED_EXIT
+
+
+def _lines(files: list[str]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+    for name in files:
+        try:
+            with open(name, encoding="utf-8", errors="replace") as lines:
+                yield from lines
+        except OSError as error:
+            message = f"{name}: {error.strerror}; want a log file"
+            raise CommandError(message) from error
+
+
 def _print_json(value: Any) -> None:
     print(msgspec.json.encode(value).decode())
 
@@ -263,6 +299,7 @@
     SettingsCommand: _settings,
     HashKeyCommand: _hash_key,
     TryCommand: _try,
+    ExplainCommand: _explain,
 }
 
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -8,7 +8,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from deckcourse.change_feed import ChangeFeed, Follower
+from deckcourse.change_feed import LONG_WAIT_SECONDS, ChangeFeed, Follower
 from deckcourse.counters import Counters
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.desired import CallerBounds, DesiredState
@@ -99,7 +99,12 @@
             random, self._on_contact,
         )  # fmt: skip
         self._upstream_feed = Follower(
-            ports.feed, rows.upstream_table, self._on_upstream_rows, self._on_upstream_row, random
+            ports.feed,
+            rows.upstream_table,
+            self._on_upstream_rows,
+            self._on_upstream_row,
+            random,
+            wait=LONG_WAIT_SECONDS,
         )
         self._monitor = StallMonitor(
             self._upstreams, ports.control, self._choice, self._witness, counters.count, log
@@ -206,6 +211,7 @@
     def _on_contact(self, regained: bool) -> None:
         if regained:
             self._upstreams.store_returned()
+        self._upstream_feed.ask_anew()
         self._counters.count("store.regained" if regained else "store.lost")
         self._log("store-regained" if regained else "store-lost", age=round(self._age(), 3))
 
