--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -103,6 +103,8 @@
         self._settled_at = 0.0
         self._witnessed: set[str] = set()
         self._calm_from: dict[str, float] = {}
+        # What was last planned, and for which situation: it isn't worked out at each look.
+        self._planned: dict[str, tuple[tuple, tuple[Assignment, ...]]] = {}
 
     def witness(self, domain: str) -> None:
         """Note that this process itself saw an upstream of a failure domain fail."""
@@ -160,7 +162,11 @@
     async def _heal(self, model: ModelSpec, group: Group, now: float) -> None:
         pending = {name: (each.first, each.end) for name, each in self._pending.items()}
         calm = self._upstreams.settled and now >= self._calm_from.get(group.name, 0.0)
-        planned = plan_group(model, group, pending, calm)
+        situation = (model, group, tuple(sorted(pending.items())), calm)
+        known, planned = self._planned.get(group.name, (None, ()))
+        if known != situation:
+            planned = plan_group(model, group, pending, calm)
+            self._planned[group.name] = (situation, planned)
         assignments = tuple(each for each in planned if self._fits(model, each))
         if not assignments:
             self._wanted_since.pop(group.name, None)
