Balancing only loads; findings listed

A host that trims is busy and refuses what it gives up, just when the next loss needs it. Change: trims above 0.88 again; a neighbour of a host over 0.72 loads layers of it as well. Ruled out: the quicker questions.

--- a/deckcourse/layers/placement.py
+++ b/deckcourse/layers/placement.py
@@ -21,7 +21,9 @@
 LARGEST_FILL = 0.92
 # A host fuller than this gives up layers that others hold too. While it does, it takes no other
 # order, so it is not done for less.
-TRIM_FILL = 0.72
+TRIM_FILL = 0.88
+# A neighbour of a host fuller than this loads layers of it as well, so that requests may go there.
+BALANCE_FILL = 0.72
 # Between neighbours whose fill differs by more than this, layers move to the emptier one.
 UNEVEN_FILL = 0.12
 # What a host that is so many times slower than usual holds is loaded elsewhere as well.
@@ -490,7 +492,7 @@
     A host with little room left refuses requests, and a path is no wider than its fullest host.
     """
     for full in sorted(hosts, key=lambda each: -_fill_of(model, each)):
-        if full.empty or _fill_of(model, full) <= TRIM_FILL:
+        if full.empty or _fill_of(model, full) <= BALANCE_FILL:
             return ()
         beside = [
             each
@@ -501,7 +503,9 @@
         ]
         if beside:
             emptier = min(beside, key=lambda each: _fill_of(model, each))
-            return (_taking_over(model, emptier, full),)
+            taking = _taking_over(model, emptier, full)
+            if (taking.first, taking.end) != (emptier.first, emptier.end):
+                return (taking,)
     return ()
 
 
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -15,6 +15,7 @@
       | no host is counted twice      | t4 57-58, big 0-58, t4 66-73, big 73-80 | b 0-58   | a 58-65, c 65-72, d 72-80 |
       | a full host hands layers on   | t4 0-8, big 8-80                      | none     | b 7-80              |
       | what is held twice is trimmed | t4 0-8, big 4-80                      | none     | a 0-4               |
+      | twice is enough               | t4 0-6, big 4-80                      | none     | nothing             |
       | an idle host relieves         | mid 0-40, mid 40-80, mid none         | none     | c 0-36              |
 
   Scenario: The first placement gives each host layers in proportion to its memory
