Layers are given up only where that makes the model whole at once

Change: first a plan that only widens; then one that gives layers up, only if it makes the model whole and nothing is under way; else everybody widens towards an even slice, and gives up later what is held twice.

--- a/deckcourse/layers/placement.py
+++ b/deckcourse/layers/placement.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
+from typing import NamedTuple
 
 from deckcourse.layers.model import ModelSpec
 
@@ -136,9 +137,7 @@
         return _first_placement(model, group)
     gaps = _gaps(model, promised, 1)
     if gaps:
-        restored = _restore(model, promised, pending)
-        # What is under way may be what is missing; only without it layers are given up.
-        return restored or (_make_room(model, promised) if settled and not pending else ())
+        return _heal(model, promised, pending, settled)
     if pending or not settled or _gaps(model, loaded, 1):
         return ()
     thin = _gaps(model, promised, group.copies) if group.copies > 1 else []
@@ -329,23 +328,58 @@
     return []
 
 
-def _restore(
-    model: ModelSpec, hosts: Sequence[LayerHost], pending: Mapping[str, tuple[int, int]]
+def _heal(
+    model: ModelSpec,
+    hosts: Sequence[LayerHost],
+    pending: Mapping[str, tuple[int, int]],
+    settled: bool,
 ) -> tuple[Assignment, ...]:
+    """Return what makes a model whole again, or nearer to it.
+
+    Hosts that only widen their ranges break nothing, whatever becomes of the plan. Layers are given
+    up only where that makes the model whole at once and nothing is under way; half of such a plan
+    would open one gap for another.
+    """
+    widened, whole = _restore(model, hosts, pending, give_up=False)
+    if whole or pending:
+        return widened
+    moved, whole = _restore(model, hosts, pending, give_up=True)
+    if whole:
+        return moved
+    widened = widened or _widen_towards_slices(model, hosts)
+    return widened or (_make_room(model, hosts) if settled else ())
+
+
+def _restore(
+    model: ModelSpec,
+    hosts: Sequence[LayerHost],
+    pending: Mapping[str, tuple[int, int]],
+    give_up: bool,
+) -> tuple[tuple[Assignment, ...], bool]:
     """Cut the model anew over the hosts in their present order, with the smallest loads.
 
     The search goes from host to host and keeps, for each layer reached, the cuts that leave the
     fewest layers out, then those whose largest load is smallest: loads run at the same time, so
-    that one decides when the model is whole. What is left out is reached by a later plan.
+    that one decides when the model is whole.
+
+    Args:
+      model: the model.
+      hosts: everybody in the group.
+      pending: who takes no order now.
+      give_up: whether a host may give up layers for others.
+
+    Returns:
+      The assignments, and whether the model is whole with them.
     """
     ordered = _in_order(model, hosts)
     best: dict[int, _Cut] = {0: _Cut(0, 0, 0, 0, 0)}
     trail: list[dict[int, _Cut]] = []
     for host in ordered:
-        best = _cut_further(model, host, best, host.instance in pending)
+        best = _cut_further(model, host, best, host.instance in pending, give_up)
         trail.append(best)
     assignments = []
     end = min(best, key=lambda reached: best[reached].cost_up_to(model.layers, reached))
+    whole = best[end].cost_up_to(model.layers, end)[0] == 0
     for host, cuts in zip(reversed(ordered), reversed(trail), strict=True):
         cut = cuts[end]
         if cut.load:
@@ -353,16 +387,15 @@
             reason = f"restores {cut.first}-{end}"
             assignments.append(Assignment(host.instance, low, high, reason))
         end = cut.before
-    return tuple(reversed(assignments))
+    return tuple(reversed(assignments)), whole
 
 
-@dataclass(frozen=True)
-class _Cut:
-    """The best way to reach a layer.
+class _Cut(NamedTuple):
+    """The best way to reach a layer; ways are compared by the first three.
 
     `left_out` layers before it are held by nobody, `largest` is the largest load so far and
     `total` all loads; this host runs from `first`, behind hosts that reach up to `before`, and
-    loads `load` layers for it.
+    loads `load` layers for it. A tuple, since there are tens of thousands of them in one search.
     """
 
     left_out: int
@@ -372,11 +405,6 @@
     load: int
     before: int = 0
 
-    @property
-    def cost(self) -> tuple[int, int, int]:
-        """What is compared between two ways to the same layer."""
-        return self.left_out, self.largest, self.total
-
     def cost_up_to(self, layers: int, reached: int) -> tuple[int, int, int]:
         """Return the cost with all layers behind the one reached left out."""
         return self.left_out + layers - reached, self.largest, self.total
@@ -393,27 +421,25 @@
 
 
 def _cut_further(
-    model: ModelSpec, host: LayerHost, reached: Mapping[int, _Cut], fixed: bool
+    model: ModelSpec, host: LayerHost, reached: Mapping[int, _Cut], fixed: bool, give_up: bool
 ) -> dict[int, _Cut]:
     """Return the best cuts after one more host; a fixed one runs only what it holds."""
+    keeps = not (give_up or host.empty)
     room = model.most_layers(host.kind, LARGEST_FILL)
     spare = 0 if fixed else model.most_layers(host.kind) - (host.end - host.first)
     found: dict[int, _Cut] = {}
-    for first, before in _starts(model, reached):
+    for first, way in _starts(model, reached):
+        left_out, largest, total, _, _, before = way
         for end in range(first, min(model.layers, first + room) + 1):
-            kept = max(0, min(end, host.end) - max(first, host.first))
-            load = end - first - kept
+            kept = min(end, host.end) - max(first, host.first)
+            load = end - first - kept if kept > 0 else end - first
             if load > spare:
                 continue
-            cut = replace(
-                before,
-                largest=max(before.largest, load),
-                total=before.total + load,
-                first=first,
-                load=load,
-            )
-            if end not in found or cut.cost < found[end].cost:
-                found[end] = cut
+            if keeps and load and max(end, host.end) - min(first, host.first) > room:
+                continue
+            cost = (left_out, max(largest, load), total + load)
+            if end not in found or cost < found[end][:3]:
+                found[end] = _Cut(*cost, first, load, before)
     return found
 
 
@@ -423,9 +449,9 @@
     for layer in range(model.layers + 1):
         here = reached.get(layer)
         if best is not None:
-            best = replace(best, left_out=best.left_out + 1)
-        if here is not None and (best is None or here.cost <= best.cost):
-            best = replace(here, before=layer)
+            best = best._replace(left_out=best.left_out + 1)
+        if here is not None and (best is None or here[:3] <= best[:3]):
+            best = here._replace(before=layer)
         if best is not None:
             yield layer, best
 
@@ -442,6 +468,38 @@
     return first, end
 
 
+def _widen_towards_slices(model: ModelSpec, hosts: Sequence[LayerHost]) -> tuple[Assignment, ...]:
+    """Let every host load layers towards an even slice of the model, beside what it holds.
+
+    A gap that is too wide for its neighbours is closed from afar: each host takes layers of the
+    next one, which can then give them up and take others nearer to the gap.
+    """
+    ordered = sorted(hosts, key=lambda each: (each.first, each.end, each.instance))
+    by_instance = {each.instance: each for each in hosts}
+    assignments = []
+    for wanted in _slice(model, ordered, 0, model.layers, LARGEST_FILL, "widens"):
+        host = by_instance[wanted.instance]
+        low, high = wanted.first, wanted.end
+        if not host.empty:
+            low, high = _extended(model, host, wanted)
+        if (low, high) != (host.first, host.end):
+            assignments.append(replace(wanted, first=low, end=high))
+    return tuple(assignments)
+
+
+def _extended(model: ModelSpec, host: LayerHost, wanted: Assignment) -> tuple[int, int]:
+    """Return a host's range, wider towards what is wanted as far as its memory goes."""
+    low, high = host.first, host.end
+    spare = model.most_layers(host.kind, LARGEST_FILL) - (high - low)
+    while spare > 0 and (wanted.first < low or high < wanted.end):
+        if high < wanted.end:
+            high += 1
+        else:
+            low -= 1
+        spare -= 1
+    return low, high
+
+
 def _make_room(model: ModelSpec, hosts: Sequence[LayerHost]) -> tuple[Assignment, ...]:
     """Let hosts that are full give up layers that others hold too, on the side away from a gap."""
     depth = [0] * model.layers
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -12,7 +12,7 @@
       | one neighbour has no room     | full 0-20, big 24-80                  | none     | b 18-80             |
       | a pending order is waited for | big 0-38, big 42-80                   | a 0-42   | nothing             |
       | a busy host is passed over    | big 0-38, big 42-80                   | a 0-38   | b 38-80             |
-      | no host is counted twice      | t4 57-58, big 0-58, t4 66-73, big 73-80 | b 0-58   | a 58-65, c 65-72, d 72-80 |
+      | no host is counted twice      | t4 57-58, big 0-58, t4 66-73, big 73-80 | b 0-58   | a 57-64, d 64-80 |
       | a full host hands layers on   | t4 0-8, big 8-80                      | none     | b 7-80              |
       | what is held twice is trimmed | t4 0-8, big 4-80                      | none     | a 0-4               |
       | twice is enough               | t4 0-6, big 4-80                      | none     | nothing             |
