Mutants of the gateway's mechanisms; the stand-in's reports lag as the users' do

22 mutants, each run against its features: 20 red at once; the two that stayed green showed checks that could not fail (a report without lag, a path without a slow part), mended here.

--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -28,6 +28,7 @@
 EVENT_SECONDS = 0.02
 KEY = "a-key"
 STALL_SECONDS = 2.5
+REPORT_LAG_SECONDS = 0.2
 
 
 class Rows:
@@ -144,7 +145,11 @@
         if request.target == b"/v1/report":
             report = {
                 "sequence": self.orders,
-                "stalled": [{"id": key, "address": at} for key, at in self.waiting.items()],
+                "stalled": [
+                    {"id": key, "address": at}
+                    for key, (at, since) in self.waiting.items()
+                    if trio.current_time() - since >= REPORT_LAG_SECONDS
+                ],
             }
             await exchange.whole(200, (), json.dumps(report).encode())
         elif request.target == b"/v1/order":
@@ -232,7 +237,7 @@
             if not dead:
                 self.waiting.pop(run.request, None)
                 return
-            self.waiting[run.request] = dead[0]
+            self.waiting.setdefault(run.request, (dead[0], trio.current_time()))
             if trio.current_time() > deadline:
                 run.ended = "cut"
                 self.world.network.reset(self.address)
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -53,6 +53,7 @@
       | one chain                   | a:x:0-40, b:x:40-80                           | x      | a 0-40, b 40-80      |
       | overlaps are cut anywhere   | a:x:0-50, b:x:30-80                           | x      | one switch           |
       | inside where possible       | a:x:0-40, b:x:40-80, c:y:0-80                 | x      | a 0-40, b 40-80      |
+      | inside, though slower       | a:x:0-40, b:x:40-80:slow, c:y:0-80            | x      | a 0-40, b 40-80      |
       | borrowed, once across       | a:x:0-40, c:y:40-80                           | x      | a 0-40, c 40-80      |
       | a leaving one is left out   | a:x:0-40, b:x:40-80:leaving, c:y:40-80        | x      | a 0-40, c 40-80      |
       | nothing whole               | a:x:0-40, b:x:41-80                           | x      | nothing              |
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from mutants_gateway import EVERY
+
 import deckcourse.claims as claims_module
 import deckcourse.controller as controller_module
 import deckcourse.entry as entry_module
@@ -418,3 +420,7 @@
     from deckcourse.admission import Admission
 
     Admission._rank = lambda self, request, now: 0.0
+
+
+for _function, (_mechanism, _features) in EVERY.items():
+    mutant(_mechanism, *_features)(_function)
--- /dev/null
+++ b/features/mutants_gateway.py
@@ -0,0 +1,164 @@
+"""Mutants of the gateway: each switches off one of its mechanisms."""
+
+from dataclasses import replace
+
+import deckcourse.layers.healer as healer_module
+import deckcourse.layers.paths as paths_module
+from deckcourse.change_feed import Follower
+from deckcourse.decision_log import DecisionLog
+from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.lookup import Lookup
+from deckcourse.gateway.node import GatewayNode
+from deckcourse.gateway.stalls import ActiveStream, StallMonitor
+from deckcourse.gateway.stream import StreamCall
+from deckcourse.gateway.upstreams import UpstreamTable
+from deckcourse.http1.client import UpstreamConnection
+from deckcourse.http1.server import RestingConnections
+from deckcourse.layers.healer import Healer
+from deckcourse.layers.plan_book import PlanBook
+from deckcourse.platform.dialect import PlatformDialect
+
+
+def half_events_go_on():
+    EventReader.feed = lambda self, data: [Event(data, None)]
+
+
+def no_resume_position():
+    kept = PlatformDialect.headers_for
+    PlatformDialect.headers_for = lambda self, request, dispatch: kept(
+        self, request, replace(dispatch, last_event=request.last_event)
+    )
+
+
+def no_stall_watch():
+    ActiveStream.stands = lambda self, now: False
+
+
+def no_pulses():
+    async def nothing(self, first):
+        return None
+
+    StallMonitor._feel_pulses = nothing
+
+
+def repeats_everything():
+    Lookup._may_repeat = lambda self: True
+
+
+def never_repeats():
+    Lookup._may_repeat = lambda self: False
+
+
+def resumes_everything():
+    StreamCall._may_go_on = lambda self: True
+
+
+def keys_never_age():
+    GatewayNode.may_send = lambda self: True
+
+
+def versions_of_state_fall():
+    def take(self, desired):
+        self._desired = desired
+
+    GatewayNode._take = take
+
+
+def no_lapse_grace():
+    UpstreamTable.remove = UpstreamTable._drop
+
+
+def leaving_counts_not():
+    kept = UpstreamTable.layer_hosts
+    UpstreamTable.layer_hosts = lambda self, service: tuple(
+        replace(each, usable=True) for each in kept(self, service)
+    )
+
+
+def forged_headers_pass():
+    PlatformDialect._is_dropped = lambda self, header: False
+
+
+def any_answer_will_do():
+    kept = PlatformDialect.facts
+    PlatformDialect.facts = lambda self, reply: replace(kept(self, reply), request_id="r1")
+
+
+def plans_without_condition():
+    kept = PlanBook.claim
+
+    async def claim(self, group, model, assignments):
+        key = f"plans/{group}"
+        found = self._table.rows.get(key)
+        self._rows[group] = found if found is not None else self._rows.get(group)
+        return await kept(self, group, model, assignments)
+
+    PlanBook.claim = claim
+
+
+def late_orders():
+    healer_module.ORDER_SECONDS = 1000.0
+
+
+def busy_upstreams_pestered():
+    healer_module.BUSY_SECONDS = 0.0
+
+
+def crossing_is_cheap():
+    paths_module.CROSSING_MS = 0.0
+
+
+def no_healing():
+    async def nothing(self, model):
+        return None
+
+    Healer._round = nothing
+
+
+def surplus_bytes_pass():
+    UpstreamConnection.reusable = lambda self: True
+
+
+def no_drain():
+    RestingConnections.close = lambda self: None
+
+
+def log_without_bound():
+    def log(self, decision, /, **fields):
+        self._emit(decision, **fields)
+
+    DecisionLog.log = log
+
+
+def store_is_never_lost():
+    kept = Follower._contact
+    Follower._contact = lambda self, as_of: kept(self, as_of + 1000.0)
+
+
+GATEWAY = ("gateway",)
+LAYERS = ("layers",)
+HTTP = ("http1",)
+EVERY = {
+    half_events_go_on: ("only whole events go on", GATEWAY),
+    no_resume_position: ("a stream is resumed behind its last event", GATEWAY),
+    no_stall_watch: ("streams that stand still are asked about", GATEWAY),
+    no_pulses: ("upstreams of standing streams are asked directly", GATEWAY),
+    repeats_everything: ("a call that runs once isn't repeated", GATEWAY),
+    never_repeats: ("a call that may be repeated is", GATEWAY),
+    resumes_everything: ("a stream that may not be resumed is cut off", GATEWAY),
+    keys_never_age: ("nothing is sent under a key that may be gone", GATEWAY),
+    versions_of_state_fall: ("an older desired state never replaces a newer one", GATEWAY),
+    no_lapse_grace: ("rows that lapsed are kept until the store has been back", GATEWAY),
+    leaving_counts_not: ("a leaving upstream gets no new work", GATEWAY),
+    forged_headers_pass: ("callers can't set the system's headers", GATEWAY),
+    any_answer_will_do: ("an answer belongs to its request", GATEWAY),
+    plans_without_condition: ("a plan is written under a condition", LAYERS),
+    late_orders: ("orders follow their plan at once or not at all", LAYERS),
+    busy_upstreams_pestered: ("a busy upstream is left alone", LAYERS),
+    crossing_is_cheap: ("paths stay inside a failure domain", LAYERS),
+    no_healing: ("a lost layer is loaded elsewhere", GATEWAY),
+    surplus_bytes_pass: ("a connection with surplus bytes isn't used again", HTTP),
+    no_drain: ("resting connections are closed by the drain", HTTP),
+    log_without_bound: ("the log is bounded", HTTP),
+    store_is_never_lost: ("the age of the configuration is known", GATEWAY),
+}
--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -189,7 +189,9 @@
     for entry in text.split(","):
         name, domain, layers, *state = entry.strip().split(":")
         first, _, end = layers.partition("-")
-        hosts.append(LayerHost(name, domain, "big", int(first), int(end), name, not state))
+        pace = 3.0 if state == ["slow"] else 1.0
+        usable = state != ["leaving"]
+        hosts.append(LayerHost(name, domain, "big", int(first), int(end), name, usable, pace))
     return hosts
 
 
