--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -1,7 +1,5 @@
 """The platform's names on the wire; nothing outside this folder knows them."""
 
-__all__: list[str] = []
-
 SETTINGS_VARIABLE = "DECKCOURSE_BOOT"
 
 # Headers, in lower case.
