--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -21,8 +21,10 @@
 ANSWER_SECONDS = 0.8
 # Changes that come in quick succession are fetched together after this pause, seconds.
 PAUSE_SECONDS = 0.1
-# Between two tries while the store does not answer, seconds, and the same again by chance.
+# Between two tries while the store does not answer, seconds, and the same again by chance; doubled
+# after each try up to the longest.
 RETRY_SECONDS = 0.15
+LONGEST_RETRY_SECONDS = 0.3
 
 
 @dataclass(frozen=True)
@@ -71,6 +73,9 @@
         wait: float = WAIT_SECONDS,
     ) -> None:
         self._wait = wait
+        # Whoever waits long relies on another follower to notice the store's return.
+        self._longest_retry = max(LONGEST_RETRY_SECONDS, wait / 4)
+        self._retry = RETRY_SECONDS
         self._asking = trio.CancelScope()
         self._feed = feed
         self._table = table
@@ -108,7 +113,14 @@
                 if not self._lost:
                     self._lost = True
                     self._on_contact(False)
-                await trio.sleep(RETRY_SECONDS * (1 + self._random.random()))
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait before the next try, until another follower's success makes it due."""
+        seconds = self._retry * (1 + self._random.random())
+        self._retry = min(2 * self._retry, self._longest_retry)
+        with trio.move_on_after(seconds) as self._asking:
+            await trio.sleep_forever()
 
     def _waited(self, asked_at: float) -> float:
         """Return how long the store surely waited for changes before it answered.
@@ -120,6 +132,10 @@
 
     def _contact(self, as_of: float) -> None:
         self._as_of = as_of
+        self._retry = RETRY_SECONDS
+
+    def _note_answer(self) -> None:
+        """Tell of the store's return before what it says is taken in: rows may have lapsed."""
         if self._lost:
             self._lost = False
             self._on_contact(True)
@@ -135,6 +151,8 @@
                 answer = await self._feed.snapshot(self._table)
             else:
                 answer = await self._feed.changes(self._table, self._version, wait)
+        if isinstance(answer, Success):
+            self._note_answer()
         match answer:
             case Success(Snapshot(rows, version)):
                 self._version = version
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -104,7 +104,8 @@
             self._on_upstream_rows,
             self._on_upstream_row,
             random,
-            wait=LONG_WAIT_SECONDS,
+            self._on_list_contact,
+            LONG_WAIT_SECONDS,
         )
         self._monitor = StallMonitor(
             self._upstreams, ports.control, self._choice, self._witness, counters.count, log
@@ -208,6 +209,10 @@
         for healer in self._healers.values():
             healer.witness(domain)
 
+    def _on_list_contact(self, regained: bool) -> None:
+        if regained:
+            self._upstreams.store_returned()
+
     def _on_contact(self, regained: bool) -> None:
         if regained:
             self._upstreams.store_returned()
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -92,6 +92,16 @@
     Given two chains of runners
     Then a stream takes domain y once another upstream has the address of x2
 
+  Scenario Outline: With <queued> requests waiting at every first upstream a stream is <outcome>
+    Given two chains of runners
+    When each first upstream works on 6 requests and <queued> wait
+    Then a stream, asked after a moment, gets <status>
+
+    Examples:
+      | queued | outcome                | status |
+      | 0      | served                 | 200    |
+      | 6      | refused, told when to come back | 429 |
+
   Scenario: A leaving upstream gets no new work
     Given two chains of runners
     Then a stream takes the other domain once the first upstream says that it leaves
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -116,6 +116,7 @@
         self.waiting = {}
         self.behaviour = ""
         self.obeys = True
+        self.running = self.queued = 0
         self.work = 0.05
 
     def row(self, state="ready"):
@@ -145,6 +146,8 @@
         if request.target == b"/v1/report":
             report = {
                 "sequence": self.orders,
+                "running": self.running,
+                "queued": self.queued,
                 "stalled": [
                     {"id": key, "address": at}
                     for key, (at, since) in self.waiting.items()
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -371,3 +371,25 @@
         ]
 
     play(context, story)
+
+
+@when("each first upstream works on {running:d} requests and {queued:d} wait")
+def busy_firsts(context, running, queued):
+    for name in ("x1", "y1"):
+        context.site.runners[name].running = running
+        context.site.runners[name].queued = queued
+
+
+@then("a stream, asked after a moment, gets {status:d}")
+def asked_after_a_moment(context, status):
+    async def story(site):
+        await site.ask(name="r1")
+        await trio.sleep(0.5)
+        context.got = await site.ask(name="r2")
+
+    play(context, story)
+    got = context.got
+    assert got.status == status, (got, context.site.lines)
+    if status == 429:
+        assert got.seconds < 0.1
+        assert 0.5 < float(context.site.header(got, "retry-after")) < 2
