--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -23,6 +23,9 @@
 from deckcourse.platform.runners import RunnerControl
 from deckcourse.table import MemoryTable, Row, TableFailure
 
+# The same order of tasks on every run.
+trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+
 GATEWAY = "gateway:1"
 LAYERS = 8
 EVENT_SECONDS = 0.02
@@ -311,6 +314,7 @@
                     await story(self)
                     nursery.cancel_scope.cancel()
 
+        trio._core._run._r.seed(0)
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
     def note(self, decision, /, **fields):
--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -22,6 +22,8 @@
 
 
 def virtually(work):
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(0)
     return trio.run(work, clock=MockClock(autojump_threshold=0))
 
 
--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -326,6 +326,8 @@
         with trio.move_on_after(seconds):
             await healer.run(lambda: model_of(80, LAYER_MB), lambda: True)
 
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(0)
     trio.run(run, clock=MockClock(autojump_threshold=0))
 
 
