--- /dev/null
+++ b/features/steps/deploy_steps.py
@@ -0,0 +1,104 @@
+"""Steps about the deploy folder."""
+
+import os
+import re
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+from behave import then
+from returns.result import Failure, Success
+
+from deckcourse.settings import read_settings
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+VALUES = {
+    "nodeName": "front-1",
+    "zone": "hall-a",
+    "ip": "127.0.0.1",
+    "platform.address": "127.0.0.1:7700",
+    "listen.front": "127.0.0.1:8080",
+    "listen.ready": "127.0.0.1:8081",
+    "bounds.graceS": "8",
+    "bounds.revokeMs": "5000",
+}
+# Names of the platform that are not also words of HTTP or of ours.
+NAMES = re.compile(
+    r"x-response-seal|x-not-executed|x-tenant|rows-(?:tx|get|feed)|rangeStart|targetVersion|tlsKey"
+    r"|afterRev|expectedRev|DECKCOURSE_BOOT|/v1/(?:order|report|ready)\b",
+    re.IGNORECASE,
+)
+
+
+def filled(**changes):
+    """Return the template with values in its gaps, as the platform fills it."""
+    values = {**VALUES, **changes}
+    text = (ROOT / "deploy" / "settings.ini").read_text(encoding="utf-8")
+    return re.sub(r"\{\{([^}]+)\}\}", lambda gap: values[gap[1]], text)
+
+
+def read(text):
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+        file.write(text)
+        file.flush()
+        return read_settings(file.name)
+
+
+@then("the filled template is right and holds the values given")
+def template_right(context):
+    match read(filled()):
+        case Success(settings):
+            assert settings.node.name == "front-1" and settings.node.domain == "hall-a"
+            assert settings.gateway.stop_grace == 8.0 and settings.gateway.revocation == 5.0
+            assert settings.gateway.metrics_listen == "127.0.0.1:9464"
+        case Failure(problems):
+            raise AssertionError([str(each) for each in problems])
+
+
+@then("the template with {value} for {field} is refused naming {named}")
+@then("the template with  for {field} is refused naming {named}")
+def template_refused(context, field, named, value=""):
+    match read(filled(**{field: value})):
+        case Failure(problems):
+            assert any(named in str(each) for each in problems), [str(each) for each in problems]
+        case other:
+            raise AssertionError(other)
+
+
+@then("without settings, with a missing file and with a wrong one the program exits with 78")
+def program_refuses(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as wrong:
+        wrong.write("[node]\nname = a\n")
+        wrong.flush()
+        for path in ("", "/nowhere/at/all.ini", wrong.name):
+            done = subprocess.run(
+                [sys.executable, "-m", "deckcourse.platform"],
+                cwd=ROOT,
+                env={**os.environ, "DECKCOURSE_BOOT": path},
+                capture_output=True,
+                text=True,
+                timeout=60,
+                check=False,
+            )
+            assert done.returncode == 78 and done.stderr.strip(), done
+        assert "domain: missing" in done.stderr, done.stderr
+
+
+@then("no module outside the platform folder holds a name of the platform's")
+def names_stay(context):
+    leaks = []
+    for module in (ROOT / "deckcourse").rglob("*.py"):
+        if module.parent.name != "platform":
+            found = NAMES.search(module.read_text(encoding="utf-8"))
+            if found:
+                leaks.append(f"{module.relative_to(ROOT)}: {found[0]}")
+    assert not leaks, leaks
+
+
+@then("each requirement of the deploy file is declared by the project with the same bounds")
+def requirements_declared(context):
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))["project"]
+    lines = (ROOT / "deploy" / "requirements.txt").read_text(encoding="utf-8").split()
+    assert lines and set(lines) <= set(project["dependencies"]), lines
