A fault in background work is told and the work goes on; overlong numbers in headers are none

Change: background work is run again after a fault, with a log line and a counter; numbers of more than 15 digits count as absent. Two scenarios.

--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -1,8 +1,9 @@
 """One gateway process: it follows the store, serves callers and takes part in the placement."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from random import Random
+from traceback import format_exception
 from typing import Protocol
 
 import trio
@@ -30,6 +31,8 @@
 # The part of it after which the process calls itself not ready: the balancer then turns to
 # others, which may see the store.
 UNREADY_SHARE = 0.35
+# Between a fault in background work and its next run, seconds.
+FAULT_PAUSE_SECONDS = 0.2
 
 
 class RowReader(Protocol):
@@ -163,11 +166,21 @@
     async def run(self) -> None:
         """Do the background work until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._operator_feed.run)
-            nursery.start_soon(self._upstream_feed.run)
-            nursery.start_soon(self._monitor.run)
+            nursery.start_soon(self._keep_up, self._operator_feed.run)
+            nursery.start_soon(self._keep_up, self._upstream_feed.run)
+            nursery.start_soon(self._keep_up, self._monitor.run)
             nursery.start_soon(self._start_healers, nursery)
 
+    async def _keep_up(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
+        """Run background work for ever; a fault in it is told, and must not end the process."""
+        while True:
+            try:
+                await work(*args)
+            except Exception as error:
+                self._counters.count("fault")
+                self._log("fault", work=work.__qualname__, error="".join(format_exception(error)))
+            await trio.sleep(FAULT_PAUSE_SECONDS)
+
     async def _start_healers(self, nursery: trio.Nursery) -> None:
         """Start a healer for each service whose upstreams hold layers."""
         while True:
@@ -180,8 +193,10 @@
                         self._log,
                     )  # fmt: skip
                     self._healers[name] = healer
-                    nursery.start_soon(healer.run, self._model_of(name), self._may_heal)
-                    nursery.start_soon(self._choice(name).watch.run)
+                    nursery.start_soon(
+                        self._keep_up, healer.run, self._model_of(name), self._may_heal
+                    )
+                    nursery.start_soon(self._keep_up, self._choice(name).watch.run)
             await changed.wait()
 
     def _model_of(self, service: str):
--- a/deckcourse/platform/dialect.py
+++ b/deckcourse/platform/dialect.py
@@ -42,6 +42,8 @@
     }
 )
 LOWEST_PRIORITY = 9
+# Digits of a number in a header; a longer one says nothing of use.
+LONGEST_NUMBER = 15
 # These statuses are promises by themselves.
 _PROMISES = frozenset({421})
 
@@ -108,4 +110,4 @@
 
 
 def _number(text: bytes) -> int | None:
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isdigit() and len(text) <= LONGEST_NUMBER else None
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -116,6 +116,15 @@
     When the rows have been there for 6 seconds
     Then every layer is held
 
+  Scenario: A fault in background work is told, and the work goes on
+    Given two chains of runners
+    Then after a fault in the healer streams are served and a later loss is healed
+
+  Scenario: A number of 5000 digits in a header is taken for none
+    Given two chains of runners
+    When a caller sends a deadline of 5000 digits
+    Then the caller got every event once
+
   Scenario Outline: A malformed <what> is counted and changes nothing
     Given two chains of runners
     Then a malformed <what> is counted and streams are served
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -393,3 +393,34 @@
     if status == 429:
         assert got.seconds < 0.1
         assert 0.5 < float(context.site.header(got, "retry-after")) < 2
+
+
+@when("a caller sends a deadline of {count:d} digits")
+def long_deadline(context, count):
+    async def story(site):
+        context.got = await site.ask(headers=[("X-Deadline-Ms", "9" * count)])
+
+    play(context, story)
+
+
+@then("after a fault in the healer streams are served and a later loss is healed")
+def fault_told(context):
+    async def story(site):
+        healer = site.node._healers["llm"]
+        kept = healer._drop_done
+
+        def broken(now):
+            healer._drop_done = kept
+            raise KeyError("made by the test")
+
+        healer._drop_done = broken
+        await trio.sleep(0.5)
+        assert (await site.ask()).status == 200
+        site.runners["x2"].die()
+        site.store.put("servers", "x2", None)
+        await trio.sleep(1.5)
+
+    play(context, story)
+    told = [fields for what, fields in context.site.lines if what == "fault"]
+    assert len(told) == 1 and "made by the test" in told[0]["error"], told
+    assert context.site.orders == [("x1", 0, LAYERS)], context.site.orders
