--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from deckcourse.layers.placement import LayerHost
+from deckcourse.layers.hosts import LayerHost
 
 __all__ = ["Upstream", "UpstreamTable"]
 
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -13,8 +13,9 @@
 import trio
 
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.layers.hosts import Assignment, Group, groups_of
 from deckcourse.layers.model import ModelSpec
-from deckcourse.layers.placement import Assignment, Group, groups_of, plan_group
+from deckcourse.layers.placement import plan_group
 from deckcourse.layers.plan_book import ClaimLost, PlanBook, PlanRecord, PlanWon
 
 __all__ = ["Healer", "OrderResult", "Orderer"]
--- /dev/null
+++ b/deckcourse/layers/hosts.py
@@ -0,0 +1,117 @@
+"""Upstreams as holders of a model's layers, and the groups that hold a model together.
+
+A group is a failure domain that can hold the model by itself, so that no activations cross between
+domains; upstreams of domains that can't are put together in one group.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from deckcourse.layers.model import ModelSpec
+
+__all__ = [
+    "EVEN_FILL",
+    "HEALING_FILL",
+    "LARGEST_FILL",
+    "Assignment",
+    "Group",
+    "LayerHost",
+    "groups_of",
+    "memory_mb",
+]
+
+# Parts of an accelerator's memory that weights may take; the rest holds the KV cache of requests.
+# Trials: 16 of 20 layers leave room for what a calm day needs, 19 of 20 refuse most requests.
+EVEN_FILL = 0.60
+HEALING_FILL = 0.80
+LARGEST_FILL = 0.92
+# What a host that is so many times slower than usual holds is loaded elsewhere as well.
+SLOW_PACE = 2.5
+# A group holds one copy for each time that its memory takes so many times the model's weights; the
+# rest is for the KV cache of requests and for healing.
+MEMORY_PER_COPY = 1.65
+
+
+@dataclass(frozen=True)
+class LayerHost:
+    """An upstream that holds the layers `first` up to `end`, none where both are 0.
+
+    `usable` is false for one that leaves or that this process suspects; `pace` over 1 says how
+    many times slower than usual it works.
+    """
+
+    instance: str
+    domain: str
+    kind: str
+    first: int = 0
+    end: int = 0
+    address: str = ""
+    usable: bool = True
+    pace: float = 1.0
+
+    @property
+    def empty(self) -> bool:
+        """Whether it holds nothing."""
+        return self.end <= self.first
+
+    def fill(self, model: ModelSpec) -> float:
+        """Return the part of its memory that the weights it holds take."""
+        return (self.end - self.first) * model.layer_mb / model.kind_of(self.kind).memory_mb
+
+
+@dataclass(frozen=True)
+class Assignment:
+    """What one upstream should hold from now on, and why."""
+
+    instance: str
+    first: int
+    end: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class Group:
+    """Upstreams that are to hold `copies` of a model together."""
+
+    name: str
+    hosts: tuple[LayerHost, ...]
+    copies: int
+
+
+def groups_of(model: ModelSpec, hosts: Iterable[LayerHost]) -> tuple[Group, ...]:
+    """Return the groups of the usable hosts; hosts of a rest that can't hold the model are none.
+
+    Args:
+      model: the model to place.
+      hosts: every upstream of its service.
+    """
+    by_domain: dict[str, list[LayerHost]] = defaultdict(list)
+    for host in hosts:
+        if host.usable and host.pace < SLOW_PACE:
+            by_domain[host.domain].append(host)
+    groups = []
+    rest: list[LayerHost] = []
+    for domain, members in sorted(by_domain.items()):
+        if _can_hold(model, members):
+            groups.append(_group(model, domain, members))
+        else:
+            rest += members
+    if rest and _can_hold(model, rest):
+        groups.append(_group(model, "+".join(sorted({each.domain for each in rest})), rest))
+    return tuple(groups)
+
+
+def memory_mb(model: ModelSpec, hosts: Iterable[LayerHost]) -> float:
+    """Return the memory of all hosts together, in MB."""
+    return sum(model.kind_of(each.kind).memory_mb for each in hosts)
+
+
+def _can_hold(model: ModelSpec, hosts: Sequence[LayerHost]) -> bool:
+    return sum(model.most_layers(each.kind, LARGEST_FILL) for each in hosts) >= model.layers
+
+
+def _group(model: ModelSpec, name: str, hosts: Sequence[LayerHost]) -> Group:
+    copies = int(memory_mb(model, hosts) / (MEMORY_PER_COPY * model.layers * model.layer_mb))
+    ordered = tuple(sorted(hosts, key=lambda each: each.instance))
+    return Group(name, ordered, max(1, copies))
--- a/deckcourse/layers/paths.py
+++ b/deckcourse/layers/paths.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from deckcourse.layers.hosts import EVEN_FILL, LayerHost
 from deckcourse.layers.model import ModelSpec
-from deckcourse.layers.placement import EVEN_FILL, LayerHost
 
 __all__ = ["LayerPath", "PathFinder", "PathPart"]
 
--- a/deckcourse/layers/plan_book.py
+++ b/deckcourse/layers/plan_book.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Success
 
-from deckcourse.layers.placement import Assignment
+from deckcourse.layers.hosts import Assignment
 from deckcourse.table import ABSENT, Committed, Row, TableService, Write
 
 __all__ = ["ClaimLost", "ClaimUnanswered", "PlanBook", "PlanRecord", "PlanWon"]
--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -10,9 +10,10 @@
 
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.layers.healer import Healer, OrderResult
+from deckcourse.layers.hosts import LARGEST_FILL, LayerHost, groups_of
 from deckcourse.layers.model import AcceleratorKind, ModelSpec
 from deckcourse.layers.paths import PathFinder
-from deckcourse.layers.placement import LARGEST_FILL, LayerHost, groups_of, plan_group
+from deckcourse.layers.placement import plan_group
 from deckcourse.layers.plan_book import ClaimLost, ClaimUnanswered, PlanBook, PlanWon
 from deckcourse.table import MemoryTable, TableFailure
 
