A connection is lent for one call by the pool

Four callers each took a connection, kept a flag whether the call had ended properly, and gave the connection back or closed it. ConnectionPool.lent does that in one place. The pool no longer reads a connection's private idle time: the connection itself tells whether it may be used again. The flag `reused` was never read, and a stream's second result was always true.

Behaviour is the same.

--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -7,7 +7,7 @@
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch
 from deckcourse.gateway.upstreams import Upstream
-from deckcourse.http1.client import UpstreamConnection, UpstreamReply
+from deckcourse.http1.client import UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError, FailureKind, Headers, end_to_end
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
 from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
@@ -25,6 +25,8 @@
 # A call that must not run twice takes no connection that rested longer, seconds: one that the
 # upstream closed meanwhile would leave it open whether the call ran.
 FRESH_SECONDS = 1.0
+# Any other call takes every idle connection: none is kept for this long, seconds.
+ANY_AGE_SECONDS = 60.0
 SERVER_ERROR = 500
 
 
@@ -137,22 +139,14 @@
     async def _send(self, upstream: Upstream) -> _Whole | _Refused | _Lost:
         context = self._context
         context.upstreams.begin(upstream.instance)
-        connection: UpstreamConnection | None = None
-        done = False
+        longest_idle = ANY_AGE_SECONDS if self._admitted.route.repeatable else FRESH_SECONDS
         try:
-            longest_idle = FRESH_SECONDS if not self._admitted.route.repeatable else 60.0
-            connection = await context.pool.acquire(upstream.address, longest_idle)
-            result = await self._exchange(connection, upstream)
-            done = True
+            async with context.pool.lent(upstream.address, longest_idle) as connection:
+                result = await self._exchange(connection, upstream)
         except ConnectionLostError as failure:
             result = self._on_failure(upstream, failure)
         finally:
             context.upstreams.end(upstream.instance)
-            if connection is not None:
-                if done:
-                    context.pool.release(connection)
-                else:
-                    connection.abort()
         failed = not isinstance(result, _Whole) or result.status >= SERVER_ERROR
         context.upstreams.note(upstream.instance, failed)
         if failed:
@@ -190,7 +184,7 @@
         if facts.not_run:
             self._runs -= 1
             return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
-        return _Whole(reply.status, _kept(reply), body)
+        return _Whole(reply.status, end_to_end(reply.headers), body)
 
     async def _deliver(self, answer: _Whole) -> Outcome:
         await self._admitted.exchange.whole(answer.status, answer.headers, answer.body)
@@ -205,7 +199,3 @@
             what=what,
             runs=self._runs,
         )
-
-
-def _kept(reply: UpstreamReply) -> Headers:
-    return end_to_end(reply.headers)
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -168,25 +168,18 @@
             trio.current_time(),
             may_restart=self._may_go_on,
         )
-        connection: UpstreamConnection | None = None
         end: _End | None = None
-        whole = False
         context.upstreams.begin(first.instance)
         context.monitor.add(stream)
         try:
             with stream.scope:
-                connection = await context.pool.acquire(first.address)
-                end, whole = await self._exchange(connection, stream)
+                async with context.pool.lent(first.address) as connection:
+                    end = await self._exchange(connection, stream)
         except ConnectionLostError as failure:
             end = self._on_failure(stream, failure)
         finally:
             context.monitor.discard(stream)
             context.upstreams.end(first.instance)
-            if connection is not None:
-                if whole:
-                    context.pool.release(connection)
-                else:
-                    connection.abort()
         if end is None:
             return self._on_interruption(stream)
         if not isinstance(end, _Refused):
@@ -210,10 +203,8 @@
         self._context.count(f"retry.{RetryReason.STAGE_LOST}")
         return _Broken(failure.message)
 
-    async def _exchange(
-        self, connection: UpstreamConnection, stream: ActiveStream
-    ) -> tuple[_End, bool]:
-        """Send the request and pass its answer on; also tell whether the connection is clean."""
+    async def _exchange(self, connection: UpstreamConnection, stream: ActiveStream) -> _End:
+        """Send the request and pass its answer on."""
         admitted = self._admitted
         message = admitted.caller.message
         dispatch = Dispatch(
@@ -238,14 +229,14 @@
         if facts.request_id != admitted.caller.request_id:
             raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
         if reply.status == OK:
-            return await self._relay(reply, stream), True
+            return await self._relay(reply, stream)
         stream.waiting = False
         body = await reply.whole_body()
         if facts.not_run:
             self._runs -= 1
             self._ran.discard(stream.path.parts[0].instance)
-            return self._on_refusal(stream, reply.status, facts), True
-        return await self._on_other_answer(reply, body), True
+            return self._on_refusal(stream, reply.status, facts)
+        return await self._on_other_answer(reply, body)
 
     async def _on_other_answer(self, reply: UpstreamReply, body: bytes) -> _End:
         if self._begun or (reply.status >= SERVER_ERROR and self._may_go_on()):
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -1,7 +1,8 @@
 """Connections to upstreams over h11, and the pool that keeps idle ones for the next call."""
 
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import Protocol
 
 import h11
@@ -95,15 +96,15 @@
 class UpstreamConnection:
     """One connection; one call at a time."""
 
-    def __init__(self, address: str, transport: Transport, reused: bool = False) -> None:
+    def __init__(self, address: str, transport: Transport) -> None:
         self.address = address
-        self.reused = reused
-        self.idle_deadline = 0.0
         self._transport = transport
         self._h11 = h11.Connection(h11.CLIENT)
         self._closing = False
         self._ended = False
         self._keep_seconds = IDLE_SECONDS
+        self._parked_at = 0.0
+        self._idle_deadline = 0.0
 
     async def call(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
@@ -180,12 +181,17 @@
     def park(self) -> None:
         """Make ready for the next call."""
         self._h11.start_next_cycle()
-        self.idle_deadline = trio.current_time() + self._keep_seconds
-        self.reused = True
+        self._parked_at = trio.current_time()
+        self._idle_deadline = self._parked_at + self._keep_seconds
 
-    def sound(self) -> bool:
-        """Return whether an idle connection is neither old nor closed nor has surplus bytes."""
-        if trio.current_time() >= self.idle_deadline:
+    def sound(self, longest_idle: float) -> bool:
+        """Return whether an idle connection may be used: not old, not closed, no surplus bytes.
+
+        Args:
+          longest_idle: for how long it may have been idle at the most, seconds.
+        """
+        now = trio.current_time()
+        if now >= self._idle_deadline or now - self._parked_at > longest_idle:
             return False
         return not self._transport.readable()
 
@@ -215,14 +221,34 @@
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
-            rested = trio.current_time() - (connection.idle_deadline - connection._keep_seconds)
-            if connection.sound() and rested <= longest_idle:
+            if connection.sound(longest_idle):
                 self._count("connection.reused")
                 return connection
             connection.abort()
         self._count("connection.opened")
         return UpstreamConnection(address, await self._dial(address))
 
+    @asynccontextmanager
+    async def lent(
+        self, address: str, longest_idle: float = IDLE_SECONDS
+    ) -> AsyncIterator[UpstreamConnection]:
+        """Lend a connection for one call; it is closed where the call doesn't end by itself.
+
+        Args:
+          address: see `acquire`.
+          longest_idle: see `acquire`.
+
+        Raises:
+          ConnectionLostError: UNSENT, the address can't be reached.
+        """
+        connection = await self.acquire(address, longest_idle)
+        try:
+            yield connection
+        except BaseException:
+            connection.abort()
+            raise
+        self.release(connection)
+
     def release(self, connection: UpstreamConnection) -> None:
         """Give a connection back; it is kept only if the call on it ended properly."""
         if not connection.reusable():
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -9,7 +9,7 @@
 
 from deckcourse.gateway.dialect import LoadReport, MoveResult, Pulse, PulseReading, StallReport
 from deckcourse.gateway.upstreams import Upstream
-from deckcourse.http1.client import ConnectionPool, UpstreamConnection
+from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.message import ConnectionLostError
 from deckcourse.layers.healer import OrderResult
 from deckcourse.layers.paths import LayerPath
@@ -18,10 +18,11 @@
 
 __all__ = ["RunnerControl"]
 
-# A runner answers a report within some 2 ms; one that takes longer is gone or cut off, seconds.
 _Decoded = TypeVar("_Decoded", bound=Struct)
 
+# A runner answers a report within some 2 ms; one that takes longer is gone or cut off, seconds.
 REPORT_SECONDS = 0.15
+# The same for the answer to an order, seconds.
 ORDER_SECONDS = 0.5
 
 
@@ -134,23 +135,13 @@
         if body:
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(body)).encode()))
-        connection: UpstreamConnection | None = None
-        done = False
         try:
             with trio.move_on_after(seconds):
-                connection = await self._pool.acquire(upstream.address)
-                reply = await connection.call(method, target, tuple(headers), body)
-                answer = (reply.status, await reply.whole_body())
-                done = True
-                return answer
+                async with self._pool.lent(upstream.address) as connection:
+                    reply = await connection.call(method, target, tuple(headers), body)
+                    return reply.status, await reply.whole_body()
         except ConnectionLostError:
             return None  # The caller counts it: an answer that is missing is a value here.
-        finally:
-            if connection is not None:
-                if done:
-                    self._pool.release(connection)
-                else:
-                    connection.abort()
         return None
 
 
--- a/deckcourse/platform/store.py
+++ b/deckcourse/platform/store.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from deckcourse.change_feed import Changes, Snapshot
-from deckcourse.http1.client import ConnectionPool, UpstreamConnection
+from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.message import ConnectionLostError, FailureKind
 from deckcourse.table import Committed, Conflict, Row, TableFailure, Write
 
@@ -119,27 +119,17 @@
         self, method: bytes, target: str, body: bytes, seconds: float
     ) -> Result[tuple[int, bytes], TableFailure]:
         """Make one call on a connection of its own; a lost answer ends that connection."""
-        connection: UpstreamConnection | None = None
         headers = [(b"host", self._address.encode()), (b"content-length", str(len(body)).encode())]
         if body:
             headers.append((b"content-type", b"application/json"))
-        done = False
         try:
             with trio.move_on_after(seconds):
-                connection = await self._pool.acquire(self._address)
-                reply = await connection.call(method, target.encode(), tuple(headers), body)
-                answer = (reply.status, await reply.whole_body())
-                done = True
-                return Success(answer)
+                async with self._pool.lent(self._address) as connection:
+                    reply = await connection.call(method, target.encode(), tuple(headers), body)
+                    return Success((reply.status, await reply.whole_body()))
         except ConnectionLostError as failure:
             if failure.kind is FailureKind.UNSENT:
                 return Failure(TableFailure.UNAVAILABLE)
-        finally:
-            if connection is not None:
-                if done:
-                    self._pool.release(connection)
-                else:
-                    connection.abort()
         return Failure(TableFailure.UNKNOWN)
 
 
