What plain calls and streams have in common stands once

Both ran their tries under the deadline and sent the request in the same words; that is now in gateway/calls.py. Numbers in the middle of the code have names. Behaviour is the same.

--- /dev/null
+++ b/deckcourse/gateway/calls.py
@@ -0,0 +1,52 @@
+"""What plain calls and streams have in common: their time, and how a request is sent."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from deckcourse.gateway.context import Admitted, GatewayContext
+from deckcourse.gateway.dialect import Dispatch, ReplyFacts
+from deckcourse.http1.client import UpstreamConnection, UpstreamReply
+from deckcourse.http1.message import ConnectionLostError, FailureKind
+from deckcourse.outcomes import NotRun, Outcome, Unknown
+from deckcourse.reasons import NotRunReason, UnknownReason
+
+__all__ = ["send_request", "within_deadline"]
+
+
+async def within_deadline(
+    admitted: Admitted, tries: Callable[[], Awaitable[Outcome]], may_have_run: Callable[[], bool]
+) -> Outcome:
+    """Return the outcome of all tries, or that the time was over before.
+
+    Args:
+      admitted: the request.
+      tries: looks for an upstream until there is an outcome; cancelled at the deadline.
+      may_have_run: tells whether an upstream may have run the request so far.
+    """
+    outcome: Outcome | None = None
+    with trio.move_on_at(admitted.deadline):
+        outcome = await tries()
+    if outcome is not None:
+        return outcome
+    if may_have_run():
+        return Unknown(UnknownReason.DEADLINE_PASSED, "the time for the answer is over")
+    return NotRun(NotRunReason.DEADLINE, "the time was over before an upstream took it")
+
+
+async def send_request(
+    context: GatewayContext, admitted: Admitted, connection: UpstreamConnection, dispatch: Dispatch
+) -> tuple[UpstreamReply, ReplyFacts]:
+    """Send a request to an upstream; return the head of its answer and what that says.
+
+    Raises:
+      ConnectionLostError: the call failed, or its answer belongs to another request.
+    """
+    caller = admitted.caller
+    message = caller.message
+    headers = context.dialect.headers_for(caller, dispatch)
+    reply = await connection.call(message.method, message.target, headers, message.body)
+    facts = context.dialect.facts(reply)
+    if facts.request_id != caller.request_id:
+        raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
+    return reply, facts
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from deckcourse.gateway.calls import send_request, within_deadline
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch
 from deckcourse.gateway.upstreams import Upstream
@@ -18,6 +19,12 @@
 MOST_TRIES = 4
 # When to come back after every upstream refused, seconds: their calls take some 60 ms.
 RETRY_SECONDS = 0.1
+# When to come back to a process whose configuration may be out of date, seconds.
+NOT_READY_RETRY_SECONDS = 0.2
+# When to come back while no upstream is listed as usable, seconds.
+NO_ROUTE_RETRY_SECONDS = 0.5
+# Calls in flight are weighed against an upstream with so many places.
+REFERENCE_SLOTS = 6.0
 # What another failure domain counts for against calls in flight.
 REMOTE_PENALTY = 0.5
 # What an upstream whose calls all failed of late counts for against calls in flight.
@@ -68,14 +75,7 @@
     async def run(self) -> Outcome:
         """Return the outcome; an answer has been sent to the caller."""
         self._context.budget(self._admitted.service.name).earn()
-        outcome: Outcome | None = None
-        with trio.move_on_at(self._admitted.deadline):
-            outcome = await self._tries()
-        if outcome is not None:
-            return outcome
-        if self._runs:
-            return Unknown(UnknownReason.DEADLINE_PASSED, "the time for the answer is over")
-        return NotRun(NotRunReason.DEADLINE, "the time was over before an upstream took it")
+        return await within_deadline(self._admitted, self._tries, lambda: self._runs > 0)
 
     async def _tries(self) -> Outcome:
         last: _Refused | _Lost | None = None
@@ -86,7 +86,8 @@
             if number and not self._context.budget(self._admitted.service.name).spend():
                 break
             if not self._context.may_send():
-                return NotRun(NotRunReason.NOT_READY, "the configuration may be out of date", 0.2)
+                message = "the configuration may be out of date"
+                return NotRun(NotRunReason.NOT_READY, message, NOT_READY_RETRY_SECONDS)
             self._tried.add(upstream.instance)
             result = await self._send(upstream)
             if isinstance(result, _Whole):
@@ -118,7 +119,7 @@
             return Unknown(UnknownReason.UPSTREAM_LOST, message)
         if isinstance(last, _Refused):
             return NotRun(NotRunReason.UPSTREAM_REFUSED, last.message, RETRY_SECONDS)
-        return NotRun(NotRunReason.NO_ROUTE, "no usable upstream", RETRY_SECONDS * 5)
+        return NotRun(NotRunReason.NO_ROUTE, "no usable upstream", NO_ROUTE_RETRY_SECONDS)
 
     def _choose(self) -> Upstream | None:
         upstreams = self._context.upstreams
@@ -131,7 +132,7 @@
 
     def _load(self, upstream: Upstream) -> float:
         upstreams = self._context.upstreams
-        load = upstreams.in_flight(upstream.instance) * 6.0 / max(1, upstream.slots)
+        load = upstreams.in_flight(upstream.instance) * REFERENCE_SLOTS / max(1, upstream.slots)
         if upstream.domain != self._domain:
             load += REMOTE_PENALTY
         return load + FAILURE_PENALTY * upstreams.failure_share(upstream.instance) ** 2
@@ -163,23 +164,18 @@
         self, connection: UpstreamConnection, upstream: Upstream
     ) -> _Whole | _Refused | _Lost:
         admitted = self._admitted
-        message = admitted.caller.message
         dispatch = Dispatch(
             upstream.instance,
             admitted.deadline - trio.current_time(),
             admitted.account_name,
             admitted.priority,
         )
-        headers = self._context.dialect.headers_for(admitted.caller, dispatch)
         self._runs += 1
         try:
-            reply = await connection.call(message.method, message.target, headers, message.body)
+            reply, facts = await send_request(self._context, admitted, connection, dispatch)
         except ConnectionLostError as failure:
             self._runs -= failure.kind is FailureKind.UNSENT
             raise
-        facts = self._context.dialect.facts(reply)
-        if facts.request_id != admitted.caller.request_id:
-            raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
         body = await reply.whole_body()
         if facts.not_run:
             self._runs -= 1
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from deckcourse.gateway.calls import send_request, within_deadline
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
@@ -37,6 +38,9 @@
 OVERLOAD_RETRY_SECONDS = 1.2
 # For how long an upstream that resets or refuses connections gets no new work, seconds.
 UNREACHABLE_SECONDS = 2.0
+# Of a time to come back: the least part of it, and what the request's id may add.
+LEAST_RETRY_SHARE = 0.75
+SPREAD_RETRY_SHARE = 0.5
 OK = 200
 SERVER_ERROR = 500
 
@@ -88,14 +92,7 @@
     async def run(self) -> Outcome:
         """Return the outcome; after Answered the caller has the whole answer."""
         self._context.budget(self._admitted.service.name).earn()
-        outcome: Outcome | None = None
-        with trio.move_on_at(self._admitted.deadline):
-            outcome = await self._tries()
-        if outcome is not None:
-            return outcome
-        if self._runs:
-            return Unknown(UnknownReason.DEADLINE_PASSED, "the time for the answer is over")
-        return NotRun(NotRunReason.DEADLINE, "the time was over before an upstream took it")
+        return await within_deadline(self._admitted, self._tries, lambda: self._runs > 0)
 
     async def _tries(self) -> Outcome:
         last: _Refused | _Broken | None = None
@@ -142,7 +139,7 @@
     def _later(self, seconds: float) -> float:
         """Return a time to come back, spread by the request's id so that not all come at once."""
         spread = blake2b(self._admitted.caller.request_id.encode(), digest_size=1).digest()[0]
-        return seconds * (0.75 + 0.5 * spread / 255)
+        return seconds * (LEAST_RETRY_SHARE + SPREAD_RETRY_SHARE * spread / 255)
 
     async def _path(self) -> LayerPath | None:
         """Return a path; a stream that has begun waits a little for one."""
@@ -206,7 +203,6 @@
     async def _exchange(self, connection: UpstreamConnection, stream: ActiveStream) -> _End:
         """Send the request and pass its answer on."""
         admitted = self._admitted
-        message = admitted.caller.message
         dispatch = Dispatch(
             stream.path.parts[0].instance,
             admitted.deadline - trio.current_time(),
@@ -215,19 +211,15 @@
             stream.path,
             self._last_event,
         )
-        headers = self._context.dialect.headers_for(admitted.caller, dispatch)
         stream.progress_at = trio.current_time()
         self._runs += 1
         self._ran.add(dispatch.instance)
         self._choice.watch.note_begun(dispatch.instance)
         try:
-            reply = await connection.call(message.method, message.target, headers, message.body)
+            reply, facts = await send_request(self._context, admitted, connection, dispatch)
         except ConnectionLostError as failure:
             self._runs -= failure.kind is FailureKind.UNSENT
             raise
-        facts = self._context.dialect.facts(reply)
-        if facts.request_id != admitted.caller.request_id:
-            raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
         if reply.status == OK:
             return await self._relay(reply, stream)
         stream.waiting = False
