The gateway's leftovers are gone

A withdrawn suspicion, a count of opened connections and an answer's seal were never read. Behaviour and log lines are the same.

--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -55,14 +55,12 @@
     """What the head of an answer says.
 
     `not_run` is the upstream's promise; `at_fault` the address of the one that could not take its
-    part, empty where it's the one that was asked; `sealed` whether the answer is an upstream's
-    own.
+    part, empty where it's the one that was asked.
     """
 
     request_id: str
     not_run: bool
     at_fault: str
-    sealed: bool
 
 
 @dataclass(frozen=True)
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -73,14 +73,14 @@
         if desired is None:
             return _not_ready("this entry does not know its configuration yet")
         route = desired.route_of(caller.host, caller.path)
+        needs_key = route is not None and desired.has_accounts and not route.public
+        # What an old configuration says of routes and keys may no longer be true.
+        if (route is None or needs_key) and not self._context.may_send():
+            return _not_ready("this entry's configuration may be out of date")
         if route is None:
-            if not self._context.may_send():
-                return _not_ready("this entry's configuration may be out of date")
             return NotRun(NotRunReason.NOT_FOUND, "no route for this host and path")
         account = None
-        if desired.has_accounts and not route.public:
-            if not self._context.may_send():
-                return _not_ready("this entry's configuration may be out of date")
+        if needs_key:
             account = desired.account_of(caller.key)
             if account is None:
                 return NotRun(NotRunReason.UNAUTHORIZED, "no client account has this key")
@@ -96,18 +96,16 @@
         match outcome:
             case Answered():
                 context.count("answered")
-            case NotRun(reason, message):
-                context.count(f"refused.{reason}")
+            case NotRun(reason, message) | Unknown(reason, message):
+                kind = "refused" if isinstance(outcome, NotRun) else "unknown"
+                context.count(f"{kind}.{reason}")
                 context.log(
-                    "refused", request=caller.request_id, reason=str(reason), what=message,
+                    kind,
+                    request=caller.request_id,
+                    reason=str(reason),
+                    what=message,
                     held_ms=round(seconds * 1000),
-                )  # fmt: skip
-            case Unknown(reason, message):
-                context.count(f"unknown.{reason}")
-                context.log(
-                    "unknown", request=caller.request_id, reason=str(reason), what=message,
-                    held_ms=round(seconds * 1000),
-                )  # fmt: skip
+                )
 
 
 def _seconds(caller: CallerRequest, route: RouteSpec) -> float:
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -19,6 +20,7 @@
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.layers.healer import Healer, Orderer
+from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.plan_book import PlanBook
 from deckcourse.table import Row, TableService
 
@@ -69,7 +71,7 @@
 
 
 class GatewayNode:
-    """The parts of one process and how they hang together."""
+    """One process: its parts, and what it knows of the configuration and of the upstreams."""
 
     def __init__(
         self,
@@ -95,9 +97,13 @@
         self._stopping = False
         rows = ports.rows
         self._operator_feed = Follower(
-            ports.feed, rows.operator_table, self._on_operator_rows, self._on_operator_row,
-            random, self._on_contact,
-        )  # fmt: skip
+            ports.feed,
+            rows.operator_table,
+            self._on_operator_rows,
+            self._on_operator_row,
+            random,
+            self._on_contact,
+        )
         self._upstream_feed = Follower(
             ports.feed,
             rows.upstream_table,
@@ -175,20 +181,21 @@
             for name, service in services.items():
                 if service.model is not None and name not in self._healers:
                     healer = Healer(
-                        name, self._upstreams, self._book, self._ports.orderer, self._random,
+                        name,
+                        self._upstreams,
+                        self._book,
+                        self._ports.orderer,
+                        self._random,
                         self._log,
-                    )  # fmt: skip
+                    )
                     self._healers[name] = healer
-                    nursery.start_soon(healer.run, self._model_of(name), self._may_heal)
+                    nursery.start_soon(healer.run, partial(self._model_of, name), self._may_heal)
                     nursery.start_soon(self._choice(name).watch.run)
             await changed.wait()
 
-    def _model_of(self, service: str):
-        def model():
-            spec = self._desired.services.get(service) if self._desired is not None else None
-            return spec.model if spec is not None else None
-
-        return model
+    def _model_of(self, service: str) -> ModelSpec | None:
+        spec = self._desired.services.get(service) if self._desired is not None else None
+        return spec.model if spec is not None else None
 
     def _may_heal(self) -> bool:
         return not self._stopping and self._upstream_feed.known and self.may_send()
@@ -217,7 +224,7 @@
 
     def _on_operator_rows(self, rows: Sequence[Row]) -> None:
         for row in rows:
-            self._on_operator_row(row.key.partition("/")[2], row.value)
+            self._on_operator_row(_key_in_table(row), row.value)
 
     def _on_operator_row(self, key: str, value: bytes | None) -> None:
         if key != self._ports.rows.desired_key or value is None:
@@ -240,7 +247,7 @@
 
     def _on_upstream_rows(self, rows: Sequence[Row]) -> None:
         oldest_first = sorted(rows, key=lambda each: each.version)
-        found = [self._decode(row.key.partition("/")[2], row.value) for row in oldest_first]
+        found = [self._decode(_key_in_table(row), row.value) for row in oldest_first]
         self._upstreams.replace_all(each for each in found if each is not None)
 
     def _on_upstream_row(self, key: str, value: bytes | None) -> None:
@@ -252,13 +259,17 @@
         if row is None:
             return
         known = self._upstreams.get(key)
-        if known is None or (known.first, known.end, known.leaving) != (
-            row.first, row.end, row.leaving
-        ):  # fmt: skip
+        if known is None or _news(known) != _news(row):
             self._log(
-                "upstream", instance=key, address=row.address, domain=row.domain, kind=row.kind,
-                first=row.first, end=row.end, leaving=row.leaving,
-            )  # fmt: skip
+                "upstream",
+                instance=key,
+                address=row.address,
+                domain=row.domain,
+                kind=row.kind,
+                first=row.first,
+                end=row.end,
+                leaving=row.leaving,
+            )
         self._upstreams.put(row)
 
     def _note_gone(self, key: str) -> None:
@@ -275,3 +286,12 @@
                 self._counters.count("malformed.upstream")
                 self._log("malformed", what=problem)
         return None
+
+
+def _key_in_table(row: Row) -> str:
+    return row.key.partition("/")[2]
+
+
+def _news(row: Upstream) -> tuple[int, int, bool]:
+    """Return what of a row is logged when it changes."""
+    return row.first, row.end, row.leaving
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -1,35 +1,42 @@
 """The gateway's listeners, and its way from the first signal to its end."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.gateway.node import GatewayNode
-from deckcourse.http1.server import Exchange, IncomingRequest, RestingConnections, serve_connection
+from deckcourse.http1.server import (
+    Exchange,
+    Handler,
+    IncomingRequest,
+    RestingConnections,
+    serve_connection,
+)
 from deckcourse.settings import Address
 
 __all__ = ["GatewayServer", "ListenAddresses"]
 
+# Connections that wait to be accepted, at the most, for each listener.
 BACKLOG = 512
 # New callers come for so long after SIGTERM: the balancer asks once a second, and two misses count.
 BALANCER_SECONDS = 2.6
 # What is left of the grace at the end, for the process to go, seconds.
 LAST_SECONDS = 0.7
+# Between two looks whether the last request has ended, seconds.
 LOOK_SECONDS = 0.05
 # After a failure to accept (no descriptors left), seconds.
 ACCEPT_PAUSE_SECONDS = 0.1
 
-Handler = Callable[[IncomingRequest, Exchange], Awaitable[None]]
-
 
+@dataclass(frozen=True)
 class ListenAddresses:
     """Where the gateway listens."""
 
-    def __init__(self, callers: Address, ready: Address, metrics: Address) -> None:
-        self.callers = callers
-        self.ready = ready
-        self.metrics = metrics
+    callers: Address
+    ready: Address
+    metrics: Address
 
 
 class GatewayServer:
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -163,11 +163,6 @@
         self._paces[instance] = (pace, deadline)
         self._next_expiry = min(self._next_expiry, deadline)
 
-    def clear(self, instance: str) -> None:
-        """Drop a suspicion: the upstream has answered since."""
-        if self._suspect_until.pop(instance, None) is not None:
-            self._changes += 1
-
     def is_suspect(self, instance: str) -> bool:
         """Return whether an upstream is under suspicion."""
         self._expire()
@@ -189,11 +184,10 @@
 
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new work."""
-        return [
-            each
-            for each in self.of_service(service)
-            if not each.leaving and each.instance not in self._suspect_until
-        ]
+        return [each for each in self.of_service(service) if self._is_usable(each)]
+
+    def _is_usable(self, row: Upstream) -> bool:
+        return not row.leaving and row.instance not in self._suspect_until
 
     def layer_hosts(self, service: str) -> tuple[LayerHost, ...]:
         """Return the upstreams of a service as the planner and the path finder see them."""
@@ -205,7 +199,7 @@
                 each.first,
                 each.end,
                 each.address,
-                not each.leaving and each.instance not in self._suspect_until,
+                self._is_usable(each),
                 self._paces.get(each.instance, (1.0, 0.0))[0],
             )
             for each in self.of_service(service)
--- a/deckcourse/http1/memory.py
+++ b/deckcourse/http1/memory.py
@@ -1,4 +1,4 @@
-"""Connections in memory: the twin of TCP for tests, with machines that die or go dark."""
+"""Connections in memory in place of TCP, for tests: machines may die or fall silent."""
 
 from collections import defaultdict
 from collections.abc import Callable
@@ -8,8 +8,7 @@
 
 from deckcourse.http1.client import Transport
 from deckcourse.http1.message import ConnectionLostError, FailureKind
-from deckcourse.http1.server import ConnectionLimits, Handler
-from deckcourse.http1.server import serve_connection as serve
+from deckcourse.http1.server import ConnectionLimits, Handler, serve_connection
 
 __all__ = ["MemoryNetwork"]
 
@@ -56,12 +55,6 @@
         self._handlers: dict[str, Handler] = {}
         self._dark: set[str] = set()
         self._ends: dict[str, list[trio.StapledStream]] = defaultdict(list)
-        self._opened = 0
-
-    @property
-    def opened(self) -> int:
-        """How many connections were opened."""
-        return self._opened
 
     def listen(self, address: str, handler: Handler) -> None:
         """Answer requests at an address."""
@@ -96,7 +89,6 @@
         if handler is None:
             raise ConnectionLostError(FailureKind.UNSENT, f"{address}: refused")
         near, far = memory_stream_pair()
-        self._opened += 1
         self._ends[address].append(far)
         self._nursery.start_soon(self._serve, far, handler)
         return _MemoryTransport(
@@ -104,4 +96,4 @@
         )
 
     async def _serve(self, end: trio.StapledStream, handler: Handler) -> None:
-        await serve(end, handler, self._limits, lambda: False)
+        await serve_connection(end, handler, self._limits, lambda: False)
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -136,7 +136,7 @@
     handler: Handler,
     limits: Callable[[], ConnectionLimits],
     closing: Callable[[], bool],
-    resting: "RestingConnections | None" = None,
+    resting: RestingConnections | None = None,
 ) -> None:
     """Serve the requests of one connection until either side closes it.
 
--- a/deckcourse/metrics.py
+++ b/deckcourse/metrics.py
@@ -21,9 +21,12 @@
             "deckcourse_events", "Events by name", ["name"], registry=self._registry
         )
         self._seconds = Histogram(
-            "deckcourse_seconds", "Durations by name", ["name"], registry=self._registry,
+            "deckcourse_seconds",
+            "Durations by name",
+            ["name"],
+            registry=self._registry,
             buckets=BUCKETS,
-        )  # fmt: skip
+        )
         self._gauges = Gauge(
             "deckcourse_gauge", "Gauges by name", ["name"], registry=self._registry
         )
--- a/deckcourse/platform/dialect.py
+++ b/deckcourse/platform/dialect.py
@@ -98,7 +98,6 @@
             header_value(headers, REQUEST_ID).decode("latin-1"),
             reply.status in _PROMISES or bool(header_value(headers, NOT_RUN)),
             header_value(headers, AT_FAULT).decode("latin-1"),
-            bool(header_value(headers, SEAL)),
         )
 
 
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -290,14 +290,19 @@
                     self.node = GatewayNode(
                         GatewayIdentity("n", "x", "n/1"),
                         GatewayPorts(
-                            self.store, self.store, Rows(), PlatformDialect(), control, control,
+                            self.store,
+                            self.store,
+                            Rows(),
+                            PlatformDialect(),
+                            control,
+                            control,
                             self.pool,
                         ),
                         lambda: 5.0,
                         self.counters,
                         self.note,
                         Random(1),
-                    )  # fmt: skip
+                    )
                     self.network.listen(GATEWAY, self.node.gateway.handle)
                     nursery.start_soon(self.node.run)
                     if self.config is not None:
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -58,8 +58,14 @@
 
 @when("a caller asks for a stream with forged headers")
 def asks_forged(context):
-    forged = [("X-Tenant", "other"), ("Path", "z:1=0-8"), ("X-Expected-Instance", "z"),
-              ("Priority", "0"), ("X-Not-Executed", "1"), ("X-Own", "kept")]  # fmt: skip
+    forged = [
+        ("X-Tenant", "other"),
+        ("Path", "z:1=0-8"),
+        ("X-Expected-Instance", "z"),
+        ("Priority", "0"),
+        ("X-Not-Executed", "1"),
+        ("X-Own", "kept"),
+    ]
 
     async def story(site):
         context.got = await site.ask(headers=forged, body=b'{"a": 1}')
