Shorter steps in the watch of streams and in the healer

Asking upstreams for their pulse, moving a stream and giving an order were each one long method with several concerns; they are split, and their parameters described. The fill that was called healing's is used by improvements alone and named so. Behaviour is the same.

--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -6,7 +6,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -53,6 +53,8 @@
 SUSPECT_SECONDS = 4.0
 # So many unanswered questions in a row tell that the first upstream itself is gone.
 SILENT_QUESTIONS = 2
+# Other paths that a standing stream's first upstream is offered at the most.
+MOST_MOVES = 3
 
 
 class Interruption(StrEnum):
@@ -114,7 +116,16 @@
 
 
 class StallMonitor:
-    """Watches all streams of this process."""
+    """Watches all streams of this process.
+
+    Args:
+      upstreams: the upstreams that this process knows; suspicions are noted there.
+      control: asks upstreams and moves streams.
+      choices: returns the choice of paths for a service.
+      witness: told the failure domain of each upstream that was found lost.
+      count: counts by name.
+      log: writes decisions.
+    """
 
     def __init__(
         self,
@@ -187,7 +198,8 @@
         if report is None:
             asking.unanswered += 1
             if asking.unanswered >= SILENT_QUESTIONS:
-                self._give_up_first(upstream)
+                self._suspect(upstream)
+                self._interrupt_first(upstream.instance, "silent")
         else:
             asking.unanswered = 0
             self._upstreams.note_pace(upstream.instance, report.pace)
@@ -195,56 +207,75 @@
 
     async def _feel_pulses(self, first: str) -> None:
         """Ask every upstream behind the first one of standing streams whether it is there."""
-        now = trio.current_time()
-        self._felt_until = {name: at for name, at in self._felt_until.items() if at > now}
-        names = {
-            part.instance
-            for stream in self._streams
-            if stream.path.parts[0].instance == first and stream.stands(now)
-            for part in stream.path.parts[1:]
-        }
+        names = self._behind(first)
         lost: list[tuple[Upstream, Pulse]] = []
-
-        async def feel(upstream: Upstream) -> None:
-            reading = await self._control.pulse(upstream, PULSE_SECONDS)
-            if reading.pulse is Pulse.SILENT:
-                reading = await self._control.pulse(upstream, SECOND_PULSE_SECONDS)
-            if reading.pulse is Pulse.ALIVE:
-                self._upstreams.note_pace(upstream.instance, reading.pace)
-            else:
-                lost.append((upstream, reading.pulse))
-
         async with trio.open_nursery() as nursery:
-            for name in names:
-                upstream = self._upstreams.get(name)
-                if upstream is None or self._upstreams.is_suspect(name):
-                    continue
-                if self._felt_until.get(name, 0.0) <= now:
-                    self._felt_until[name] = now + PULSE_PAUSE_SECONDS
-                    nursery.start_soon(feel, upstream)
+            for upstream in self._due_for_pulse(names):
+                nursery.start_soon(self._feel, upstream, lost)
         if not lost or len(lost) > max(1, CUT_OFF_SHARE * len(names)):
             return
         for upstream, pulse in lost:
-            self._upstreams.suspect(upstream.instance, SUSPECT_SECONDS)
-            self._witness(upstream.domain)
+            self._suspect(upstream)
             self._log(
                 "pulse", instance=upstream.instance, address=upstream.address, pulse=str(pulse)
             )
         await self._move_all()
 
-    def _give_up_first(self, upstream: Upstream) -> None:
+    def _behind(self, first: str) -> set[str]:
+        """Return the upstreams behind the first one on the paths of its standing streams."""
+        now = trio.current_time()
+        return {
+            part.instance
+            for stream in self._streams
+            if stream.path.parts[0].instance == first and stream.stands(now)
+            for part in stream.path.parts[1:]
+        }
+
+    def _due_for_pulse(self, names: set[str]) -> list[Upstream]:
+        """Return those that may be asked now, and count them as asked."""
+        now = trio.current_time()
+        self._felt_until = {name: at for name, at in self._felt_until.items() if at > now}
+        due = []
+        for name in names:
+            upstream = self._upstreams.get(name)
+            if upstream is None or self._upstreams.is_suspect(name):
+                continue
+            if name not in self._felt_until:
+                self._felt_until[name] = now + PULSE_PAUSE_SECONDS
+                due.append(upstream)
+        return due
+
+    async def _feel(self, upstream: Upstream, lost: list[tuple[Upstream, Pulse]]) -> None:
+        """Ask one upstream whether it is there; add it to `lost` where it isn't."""
+        reading = await self._control.pulse(upstream, PULSE_SECONDS)
+        if reading.pulse is Pulse.SILENT:
+            reading = await self._control.pulse(upstream, SECOND_PULSE_SECONDS)
+        if reading.pulse is Pulse.ALIVE:
+            self._upstreams.note_pace(upstream.instance, reading.pace)
+        else:
+            lost.append((upstream, reading.pulse))
+
+    def _suspect(self, upstream: Upstream) -> None:
         self._upstreams.suspect(upstream.instance, SUSPECT_SECONDS)
         self._witness(upstream.domain)
-        self._interrupt_first(upstream.instance, "silent")
 
     def _interrupt_first(self, instance: str, how: str) -> None:
-        hit = [each for each in self._streams if each.path.parts[0].instance == instance]
-        self._log("first-upstream-lost", instance=instance, how=how, streams=len(hit))
-        for stream in hit:
+        affected = [each for each in self._streams if each.path.parts[0].instance == instance]
+        self._log("first-upstream-lost", instance=instance, how=how, streams=len(affected))
+        for stream in affected:
             self._count("stall.first-silent")
             stream.interrupt(Interruption.FIRST_SILENT)
 
-    async def _act_on(self, first: Upstream, waiting_for, asking: _Asking) -> None:
+    async def _act_on(
+        self, first: Upstream, waiting_for: Mapping[str, str], asking: _Asking
+    ) -> None:
+        """Suspect whom the requests wait for, and move the streams away from there.
+
+        Args:
+          first: who reported.
+          waiting_for: for each request that waits, the address of the upstream it waits for.
+          asking: the questions to the first upstream.
+        """
         if not waiting_for:
             if asking.questions >= QUICK_QUESTIONS:
                 asking.pause = min(asking.pause * 2, LONGEST_ASK_SECONDS)
@@ -255,8 +286,7 @@
             if culprit is None:
                 self._log("stall-unknown-upstream", address=address)
             elif not self._upstreams.is_suspect(culprit.instance):
-                self._upstreams.suspect(culprit.instance, SUSPECT_SECONDS)
-                self._witness(culprit.domain)
+                self._suspect(culprit)
                 self._log(
                     "stall",
                     instance=culprit.instance,
@@ -290,36 +320,45 @@
 
     async def _move(self, stream: ActiveStream) -> None:
         try:
-            avoid: set[str] = set()
-            for _ in range(3):
-                path = self._choices(stream.service).onward(
-                    stream.model, stream.path.parts[0], frozenset(avoid)
-                )
-                first = self._upstreams.get(stream.path.parts[0].instance)
-                if path is None or first is None:
-                    break
-                if path.crossings and self._better_elsewhere(stream):
-                    stream.interrupt(Interruption.BETTER_ELSEWHERE)
-                    return
-                result, at_fault = await self._control.move(first, stream.request_id, path)
-                self._count(f"move.{result}")
-                self._log(
-                    "move",
-                    request=stream.request_id,
-                    result=str(result),
-                    parts=len(path.parts),
-                    at_fault=at_fault,
-                )
-                if result is MoveResult.MOVED:
-                    stream.path = path
-                    stream.progress_at = trio.current_time()
-                    return
-                if result is not MoveResult.PART_MISSING:
-                    break
-                culprit = self._upstreams.at_address(at_fault, stream.service)
-                if culprit is None:
-                    break
-                avoid.add(culprit.instance)
-            stream.interrupt(Interruption.NO_OTHER_PATH)
+            interruption = await self._offer_paths(stream)
+            if interruption is not None:
+                stream.interrupt(interruption)
         finally:
             stream.moving = False
+
+    async def _offer_paths(self, stream: ActiveStream) -> Interruption | None:
+        """Offer other paths to a stream's first upstream until it takes one.
+
+        Returns:
+          Why the stream must leave that upstream, None where a path was taken.
+        """
+        avoid: set[str] = set()
+        for _ in range(MOST_MOVES):
+            path = self._choices(stream.service).onward(
+                stream.model, stream.path.parts[0], frozenset(avoid)
+            )
+            first = self._upstreams.get(stream.path.parts[0].instance)
+            if path is None or first is None:
+                break
+            if path.crossings and self._better_elsewhere(stream):
+                return Interruption.BETTER_ELSEWHERE
+            result, at_fault = await self._control.move(first, stream.request_id, path)
+            self._count(f"move.{result}")
+            self._log(
+                "move",
+                request=stream.request_id,
+                result=str(result),
+                parts=len(path.parts),
+                at_fault=at_fault,
+            )
+            if result is MoveResult.MOVED:
+                stream.path = path
+                stream.progress_at = trio.current_time()
+                return None
+            if result is not MoveResult.PART_MISSING:
+                break
+            culprit = self._upstreams.at_address(at_fault, stream.service)
+            if culprit is None:
+                break
+            avoid.add(culprit.instance)
+        return Interruption.NO_OTHER_PATH
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -4,7 +4,7 @@
 longer, each by chance, so that usually one of them writes. Whoever sees more, acts sooner.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -13,7 +13,7 @@
 import trio
 
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
-from deckcourse.layers.hosts import Assignment, Group, groups_of
+from deckcourse.layers.hosts import Assignment, Group, LayerHost, groups_of
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.placement import plan_group
 from deckcourse.layers.plan_book import ClaimLost, PlanBook, PlanRecord, PlanWon
@@ -76,11 +76,17 @@
     busy: bool = False
 
 
-Log = Callable[..., None]
-
-
 class Healer:
-    """One process's part in the placement of one model."""
+    """One process's part in the placement of one model.
+
+    Args:
+      service: the service whose upstreams hold the model's layers.
+      upstreams: what this process knows of them.
+      book: the plans in force.
+      orderer: gives orders to upstreams.
+      random: for the time that is left to other processes.
+      log: writes decisions.
+    """
 
     def __init__(
         self,
@@ -89,7 +95,7 @@
         book: PlanBook,
         orderer: Orderer,
         random: Random,
-        log: Log,
+        log: Callable[..., None],
     ) -> None:
         self._service = service
         self._upstreams = upstreams
@@ -147,7 +153,7 @@
         )
         return False
 
-    def _note_settling(self, hosts, now: float) -> None:
+    def _note_settling(self, hosts: Sequence[LayerHost], now: float) -> None:
         names = frozenset(each.instance for each in hosts)
         if names != self._known_hosts:
             self._known_hosts = names
@@ -163,11 +169,7 @@
     async def _heal(self, model: ModelSpec, group: Group, now: float) -> None:
         pending = {name: (each.first, each.end) for name, each in self._pending.items()}
         calm = self._upstreams.settled and now >= self._calm_from.get(group.name, 0.0)
-        situation = (model, group, tuple(sorted(pending.items())), calm)
-        known, planned = self._planned.get(group.name, (None, ()))
-        if known != situation:
-            planned = plan_group(model, group, pending, calm)
-            self._planned[group.name] = (situation, planned)
+        planned = self._plan(model, group, pending, calm)
         assignments = tuple(each for each in planned if self._fits(model, each))
         if not assignments:
             self._wanted_since.pop(group.name, None)
@@ -179,6 +181,17 @@
         if now >= since + self._wait(group):
             await self._claim(model, group, assignments)
 
+    def _plan(
+        self, model: ModelSpec, group: Group, pending: Mapping[str, tuple[int, int]], calm: bool
+    ) -> tuple[Assignment, ...]:
+        """Return what the planner says, worked out anew only where something changed."""
+        situation = (model, group, tuple(sorted(pending.items())), calm)
+        known, planned = self._planned.get(group.name, (None, ()))
+        if known != situation:
+            planned = plan_group(model, group, pending, calm)
+            self._planned[group.name] = (situation, planned)
+        return planned
+
     def _wait(self, group: Group) -> float:
         """Return how long this process leaves a need to others, drawn once for each need."""
         record = self._book.known(group.name)
@@ -231,17 +244,7 @@
         row = self._upstreams.get(assignment.instance)
         if row is None:
             return
-        # An empty upstream has usually just started and taken no order yet; others are asked.
-        empty = row.end <= row.first
-        orders = 0 if empty else await self._orderer.order_count(row)
-        result = OrderResult.UNANSWERED
-        for _ in range(2):
-            if orders is None or trio.current_time() >= deadline:
-                break
-            result = await self._orderer.place(row, assignment.first, assignment.end, orders)
-            if result is not OrderResult.CONFLICT:
-                break
-            orders = await self._orderer.order_count(row)
+        result = await self._place(row, assignment, deadline)
         if result in (OrderResult.CONFLICT, OrderResult.UNANSWERED):
             busy_until = trio.current_time() + BUSY_SECONDS
             self._pending[row.instance] = _Pending(row.first, row.end, busy_until, True)
@@ -257,6 +260,21 @@
             result=str(result),
         )
 
+    async def _place(self, row: Upstream, assignment: Assignment, deadline: float) -> OrderResult:
+        """Give an order; where the count of orders was wrong, once more under the right one."""
+        # An empty upstream has usually just started and taken no order yet; others are asked.
+        empty = row.end <= row.first
+        orders = 0 if empty else await self._orderer.order_count(row)
+        result = OrderResult.UNANSWERED
+        for _ in range(2):
+            if orders is None or trio.current_time() >= deadline:
+                break
+            result = await self._orderer.place(row, assignment.first, assignment.end, orders)
+            if result is not OrderResult.CONFLICT:
+                break
+            orders = await self._orderer.order_count(row)
+        return result
+
 
 def _described(group: Group, record: PlanRecord) -> dict[str, object]:
     return {
--- a/deckcourse/layers/hosts.py
+++ b/deckcourse/layers/hosts.py
@@ -12,7 +12,6 @@
 
 __all__ = [
     "EVEN_FILL",
-    "HEALING_FILL",
     "LARGEST_FILL",
     "Assignment",
     "Group",
@@ -24,7 +23,6 @@
 # Parts of an accelerator's memory that weights may take; the rest holds the KV cache of requests.
 # Trials: 16 of 20 layers leave room for what a calm day needs, 19 of 20 refuse most requests.
 EVEN_FILL = 0.60
-HEALING_FILL = 0.80
 LARGEST_FILL = 0.92
 # What a host that is so many times slower than usual holds is loaded elsewhere as well.
 SLOW_PACE = 2.5
--- a/deckcourse/layers/improvements.py
+++ b/deckcourse/layers/improvements.py
@@ -3,11 +3,14 @@
 from collections.abc import Sequence
 
 from deckcourse.layers.coverage import gaps
-from deckcourse.layers.hosts import EVEN_FILL, HEALING_FILL, LARGEST_FILL, Assignment, LayerHost
+from deckcourse.layers.hosts import EVEN_FILL, LARGEST_FILL, Assignment, LayerHost
 from deckcourse.layers.model import ModelSpec
 
 __all__ = ["add_copy", "balance", "relieve", "trim"]
 
+# Hosts that take layers of which nothing is missing are filled no further than this where that is
+# enough.
+IMPROVING_FILL = 0.80
 # A host fuller than this gives up layers that others hold too. While it does, it takes no other
 # order, so it is not done for less.
 TRIM_FILL = 0.88
@@ -26,7 +29,7 @@
     """
     first, end = gap
     ordered = sorted(idle, key=lambda each: (-model.kind_of(each.kind).memory_mb, each.instance))
-    for fill in (HEALING_FILL, LARGEST_FILL):
+    for fill in (IMPROVING_FILL, LARGEST_FILL):
         limits = [model.most_layers(each.kind, fill) for each in ordered]
         shares = _even_shares(end - first, limits)
         if shares is not None:
@@ -99,7 +102,7 @@
     both = (full.end - full.first) + (emptier.end - emptier.first)
     keep = max(1, round(both * memory[0] / sum(memory)))
     count = max(1, full.end - full.first - keep)
-    room = model.most_layers(emptier.kind, HEALING_FILL) - (emptier.end - emptier.first)
+    room = model.most_layers(emptier.kind, IMPROVING_FILL) - (emptier.end - emptier.first)
     count = max(1, min(count, room))
     if emptier.first < full.first:
         low, high = emptier.first, max(emptier.end, full.first + count)
--- a/deckcourse/layers/paths.py
+++ b/deckcourse/layers/paths.py
@@ -69,7 +69,13 @@
 
 
 class PathFinder:
-    """The cheapest paths over one set of hosts."""
+    """The cheapest paths over one set of hosts.
+
+    Args:
+      model: whose layers a path runs.
+      hosts: who holds them; unusable and empty ones are passed over.
+      extra_cuts: layers at which a path may change hosts, besides where the hosts' ranges end.
+    """
 
     def __init__(
         self,
@@ -94,8 +100,8 @@
         kind = model.kind_of(host.kind)
         prompt = USUAL_PROMPT / model.prefill_per_ms * kind.prefill_factor
         answer = USUAL_ANSWER * model.step_ms * kind.step_factor
-        fill = (host.end - host.first) * model.layer_mb / kind.memory_mb
-        return (prompt + answer) / model.layers * (1.0 + FULL_WEIGHT * max(0.0, fill - EVEN_FILL))
+        fullness = max(0.0, host.fill(model) - EVEN_FILL)
+        return (prompt + answer) / model.layers * (1.0 + FULL_WEIGHT * fullness)
 
     def _crossing(self, domain: str, other: str) -> float:
         hop = HOP_MS * USUAL_ANSWER
