Docstrings, names and comments where they were missing

Classes with several collaborators say what each is for; constants say what they are; every module of the platform names what it offers. The reading of the platform's rows was put together twice, once in the program and once in its tests' stand-in; both use PlatformRows. Behaviour is the same.

--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -58,7 +58,17 @@
 
 
 class Follower:
-    """Keeps up with one table."""
+    """Keeps up with one table.
+
+    Args:
+      feed: where the table is read.
+      table: its name.
+      on_all: gets all rows whenever the table was read as a whole.
+      on_change: gets each change after that, key and value; no value where the row is gone.
+      random: for the time between tries while the store does not answer.
+      on_contact: told False when the store stops answering and True when it answers again.
+      wait: how long one question waits for changes, seconds.
+    """
 
     def __init__(
         self,
@@ -70,17 +80,18 @@
         on_contact: Callable[[bool], None] = lambda regained: None,
         wait: float = WAIT_SECONDS,
     ) -> None:
-        self._wait = wait
-        self._asking = trio.CancelScope()
         self._feed = feed
         self._table = table
         self._on_all = on_all
         self._on_change = on_change
         self._random = random
         self._on_contact = on_contact
+        self._wait = wait
+        self._asking = trio.CancelScope()
         self._version: int | None = None
         self._as_of = float("-inf")
         self._lost = False
+        # Whether the last answer told of changes, or may have: it came before its wait was over.
         self._changed = True
 
     @property
--- a/deckcourse/decision_log.py
+++ b/deckcourse/decision_log.py
@@ -17,12 +17,22 @@
 # Lines that one process writes in a second at the most, and what it may write at once.
 LINES_PER_SECOND = 100.0
 LINES_AT_ONCE = 400.0
+# The file descriptor of standard output.
 STANDARD_OUTPUT = 1
+# The kind of the line that tells how many lines of each kind were left out.
 SUMMARY = "log-bound"
+# Fields that eliot adds to a message and that say nothing here.
+_ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp"})
 
 
 class DecisionLog:
-    """Writes one line for each decision."""
+    """Writes one line for each decision.
+
+    Args:
+      node: the name that each line carries.
+      descriptor: where lines go; set to non-blocking by `start`.
+      clock: seconds; the bound on lines is counted by it.
+    """
 
     def __init__(
         self, node: str, descriptor: int = STANDARD_OUTPUT, clock: Callable[[], float] = monotonic
@@ -68,11 +78,7 @@
         log_message(message_type=decision, node=self._node, at=round(time(), 3), **fields)
 
     def _write(self, message: dict[str, object]) -> None:
-        kept = {
-            name: value
-            for name, value in message.items()
-            if name not in ("task_uuid", "task_level", "timestamp")
-        }
+        kept = {name: value for name, value in message.items() if name not in _ELIOT_FIELDS}
         self._rest += msgspec.json.encode(kept, enc_hook=str) + b"\n"
         self._flush()
 
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -21,7 +21,13 @@
 
 
 class Gateway:
-    """Answers callers' requests by the desired state in force."""
+    """Answers callers' requests by the desired state in force.
+
+    Args:
+      context: what requests work with.
+      desired: returns the desired state in force, None before one is known.
+      domain: the failure domain of this process.
+    """
 
     def __init__(
         self,
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -36,7 +36,12 @@
 
 
 class LoadWatch:
-    """Keeps the newest answers."""
+    """Keeps the newest answers.
+
+    Args:
+      control: asks an upstream.
+      firsts: returns the upstreams that can be the first of a path.
+    """
 
     def __init__(self, control: StreamControl, firsts: Callable[[], list[Upstream]]) -> None:
         self._control = control
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -71,7 +71,16 @@
 
 
 class GatewayNode:
-    """One process: its parts, and what it knows of the configuration and of the upstreams."""
+    """One process: its parts, and what it knows of the configuration and of the upstreams.
+
+    Args:
+      identity: who the process is.
+      ports: the outside systems and the ways to reach them.
+      revocation: returns the time within which a key that was taken away opens nothing, seconds.
+      counters: counts and timings.
+      log: writes decisions.
+      random: for waits that should differ between processes.
+    """
 
     def __init__(
         self,
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -28,7 +28,15 @@
 
 
 class PathChoice:
-    """Chooses paths for one service; the paths themselves are kept until something changes."""
+    """Chooses paths for one service; the paths themselves are kept until something changes.
+
+    Args:
+      service: its name.
+      domain: the failure domain of this process.
+      upstreams: what this process knows of upstreams.
+      clock: seconds, trio's clock.
+      control: asks upstreams for their load.
+    """
 
     def __init__(
         self,
@@ -113,7 +121,16 @@
         return path.cost * load * failures * remote
 
     def onward(self, model: ModelSpec, first: PathPart, avoid: frozenset[str]) -> LayerPath | None:
-        """Return another path for a running request; its first part can't change."""
+        """Return another path for a running request; its first part can't change.
+
+        Args:
+          model: what was asked for.
+          first: the part of the upstream that the request was sent to.
+          avoid: upstreams that the path must not meet.
+
+        Returns:
+          The path, None where the usable upstreams don't hold every further layer.
+        """
         row = self._upstreams.get(first.instance)
         if row is None:
             return None
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -40,7 +40,16 @@
 
 
 class GatewayServer:
-    """Serves callers, the balancer's question and the metrics of one node."""
+    """Serves callers, the balancer's question and the metrics of one node.
+
+    Args:
+      node: answers callers and knows whether it is ready.
+      addresses: where to listen.
+      stop_grace: returns how long the process may take to stop, seconds.
+      metrics: returns the metrics as text.
+      ready_path: the path of the balancer's question.
+      log: writes decisions.
+    """
 
     def __init__(
         self,
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -201,7 +201,12 @@
 
 
 class ConnectionPool:
-    """Idle connections by address; the newest is taken first, so that the others can age out."""
+    """Idle connections by address; the newest is taken first, so that the others can age out.
+
+    Args:
+      count: counts by name.
+      dial: opens a connection; TCP where none is given.
+    """
 
     def __init__(self, count: Callable[[str], None], dial: Dial | None = None) -> None:
         self._dial = dial or dial_tcp
--- a/deckcourse/metrics.py
+++ b/deckcourse/metrics.py
@@ -11,7 +11,11 @@
 
 
 class RegistryCounters(MemoryCounters):
-    """Counters kept in a registry; `also` gets every one of them as well."""
+    """Counters kept in a registry.
+
+    Args:
+      also: gets everything that is counted here as well.
+    """
 
     def __init__(self, also: Counters | None = None) -> None:
         super().__init__()
--- a/deckcourse/platform/__main__.py
+++ b/deckcourse/platform/__main__.py
@@ -15,33 +15,19 @@
 from deckcourse.gateway.server import GatewayServer, ListenAddresses
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.metrics import RegistryCounters
-from deckcourse.platform import rows
 from deckcourse.platform.dialect import PlatformDialect
-from deckcourse.platform.names import (
-    DESIRED_STATE_KEY,
-    OPERATOR_TABLE,
-    READY,
-    RUNNER_TABLE,
-    SETTINGS_VARIABLE,
-)
+from deckcourse.platform.names import READY, SETTINGS_VARIABLE
+from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
 from deckcourse.platform.store import Store
 from deckcourse.settings import Settings, read_settings
 
+__all__ = ["main"]
+
 # The exit code of a program whose settings can't be used (EX_CONFIG of sysexits.h).
 SETTINGS_EXIT = 78
 
 
-class _Rows:
-    """The platform's rows, as the node reads them."""
-
-    operator_table = OPERATOR_TABLE
-    upstream_table = RUNNER_TABLE
-    desired_key = DESIRED_STATE_KEY
-    desired_state = staticmethod(rows.desired_state)
-    upstream = staticmethod(rows.upstream)
-
-
 class _Process:
     """The gateway with its settings, which may be read anew."""
 
@@ -58,11 +44,14 @@
         store = Store(pool, str(node.platform))
         control = RunnerControl(pool)
         gateway = settings.gateway
+        # New at each start, so that plans of an earlier start of this process count as another's.
         author = f"{node.name}/{uuid4().hex[:12]}"
         self._server = GatewayServer(
             GatewayNode(
                 GatewayIdentity(node.name, node.domain, author),
-                GatewayPorts(store, store, _Rows(), PlatformDialect(), control, control, pool),
+                GatewayPorts(
+                    store, store, PlatformRows(), PlatformDialect(), control, control, pool
+                ),
                 lambda: self._settings.gateway.revocation,
                 counters,
                 log.log,
@@ -82,7 +71,9 @@
             await self._server.run()
             nursery.cancel_scope.cancel()
 
-    async def _watch_signals(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    async def _watch_signals(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             task_status.started()
             async for number in signals:
--- a/deckcourse/platform/dialect.py
+++ b/deckcourse/platform/dialect.py
@@ -41,8 +41,9 @@
         b"expect",
     }
 )
+# Priorities go from 0, which goes first, to this one.
 LOWEST_PRIORITY = 9
-# These statuses are promises by themselves.
+# Statuses that promise by themselves that nobody ran the request.
 _PROMISES = frozenset({421})
 
 
@@ -65,7 +66,12 @@
         )
 
     def headers_for(self, request: CallerRequest, dispatch: Dispatch) -> Headers:
-        """Return the headers with which a request goes to a runner."""
+        """Return the headers with which a request goes to a runner.
+
+        Args:
+          request: as the caller sent it; its headers that belong to the system are dropped.
+          dispatch: where it goes, and what the runner is told of it.
+        """
         message = request.message
         kept = [each for each in end_to_end(message.headers) if not self._is_dropped(each)]
         if dispatch.last_event is not None:
--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -1,5 +1,30 @@
 """The platform's names on the wire; nothing outside this folder knows them."""
 
+__all__ = [
+    "ACCOUNT",
+    "AT_FAULT",
+    "AUTHORIZATION",
+    "DEADLINE_MS",
+    "DESIRED_STATE_KEY",
+    "EXPECTED_INSTANCE",
+    "EXPECTED_WEIGHTS",
+    "INSTANCE",
+    "KEY_SCHEME",
+    "LAST_EVENT_ID",
+    "NOT_RUN",
+    "OPERATOR_TABLE",
+    "ORDER",
+    "PATH",
+    "PRIORITY",
+    "READY",
+    "REPORT",
+    "REQUEST_ID",
+    "RUNNER_TABLE",
+    "SEAL",
+    "SETTINGS_VARIABLE",
+]
+
+# The environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "DECKCOURSE_BOOT"
 
 # Headers, in lower case.
@@ -21,6 +46,7 @@
 INSTANCE = b"x-instance-id"
 EXPECTED_WEIGHTS = b"expect-version"
 
+# Paths of requests: the balancer's question to the gateway; a runner's report and its orders.
 READY = b"/v1/ready"
 REPORT = b"/v1/report"
 ORDER = b"/v1/order"
--- a/deckcourse/platform/rows.py
+++ b/deckcourse/platform/rows.py
@@ -15,8 +15,9 @@
 )
 from deckcourse.gateway.upstreams import Upstream
 from deckcourse.layers.model import AcceleratorKind, ModelSpec
+from deckcourse.platform.names import DESIRED_STATE_KEY, OPERATOR_TABLE, RUNNER_TABLE
 
-__all__ = ["desired_state", "upstream"]
+__all__ = ["PlatformRows"]
 
 _KINDS = {
     "idempotent": RouteKind.REPEATABLE,
@@ -26,6 +27,8 @@
 
 
 class _Backend(Struct):
+    """A service that takes a share of a route's requests, by weight."""
+
     service: str
     weight: float = 1.0
 
@@ -66,6 +69,8 @@
 
 
 class _Model(Struct):
+    """The model of a service; `load_s` is the time to load all its layers."""
+
     name: str
     load_s: float = 10.0
 
@@ -89,12 +94,16 @@
 
 
 class _Service(Struct):
+    """A service; without `engine` its runners hold no layers."""
+
     name: str
     maxConns: int = 100  # noqa: N815
     engine: _Engine | None = None
 
 
 class _Limits(Struct):
+    """What callers may send and how long they may take."""
+
     maxHeaderBytes: int = 16 * 1024  # noqa: N815
     maxBodyBytes: int = 1024 * 1024  # noqa: N815
     headerTimeoutMs: float = 3000.0  # noqa: N815
@@ -102,12 +111,16 @@
 
 
 class _Tenant(Struct):
+    """A client account and the keys that open it."""
+
     name: str
     apiKeys: list[str] = []  # noqa: N815
     priority: int | None = None
 
 
 class _Config(Struct):
+    """The desired state as operators write it."""
+
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
@@ -123,6 +136,8 @@
 
 
 class _RunnerModel(Struct):
+    """A model that a runner holds layers of."""
+
     name: str
 
 
@@ -139,24 +154,55 @@
     layers: _LayerRange | list[_LayerRange] | None = None
 
 
-def desired_state(value: bytes) -> Result[DesiredState, str]:
-    """Return the desired state that a row holds, or what is wrong with it."""
-    try:
-        config = msgspec.json.decode(value, type=_Config)
+class PlatformRows:
+    """The tables that the platform fills, and how their rows are read."""
+
+    operator_table = OPERATOR_TABLE
+    upstream_table = RUNNER_TABLE
+    desired_key = DESIRED_STATE_KEY
+
+    def desired_state(self, value: bytes) -> Result[DesiredState, str]:
+        """Return the desired state that a row holds, or what is wrong with it."""
+        try:
+            config = msgspec.json.decode(value, type=_Config)
+            return Success(
+                DesiredState(
+                    config.version,
+                    tuple(_route(each) for each in config.routes),
+                    {each.name: _service(each) for each in config.services},
+                    _bounds(config.limits),
+                    tuple(
+                        AccountSpec(each.name, tuple(each.apiKeys), each.priority)
+                        for each in config.tenants
+                    ),
+                )
+            )
+        except (msgspec.MsgspecError, KeyError) as error:
+            return Failure(f"desired state: {error}")
+
+    def upstream(self, instance: str, value: bytes) -> Result[Upstream, str]:
+        """Return the upstream that a row tells of, or what is wrong with the row."""
+        try:
+            runner = msgspec.json.decode(value, type=_Runner)
+        except msgspec.MsgspecError as error:
+            return Failure(f"runner {instance}: {error}")
+        held = runner.layers
+        if isinstance(held, list):
+            held = held[0] if held else None
         return Success(
-            DesiredState(
-                config.version,
-                tuple(_route(each) for each in config.routes),
-                {each.name: _service(each) for each in config.services},
-                _bounds(config.limits),
-                tuple(
-                    AccountSpec(each.name, tuple(each.apiKeys), each.priority)
-                    for each in config.tenants
-                ),
+            Upstream(
+                instance,
+                runner.service,
+                runner.address,
+                runner.zone,
+                runner.state != "ready",
+                runner.slots,
+                runner.kind,
+                tuple(each.name for each in runner.models),
+                held.rangeStart if held else 0,
+                held.targetVersion if held else 0,
             )
         )
-    except (msgspec.MsgspecError, KeyError) as error:
-        return Failure(f"desired state: {error}")
 
 
 def _route(route: _Route) -> RouteSpec:
@@ -215,28 +261,3 @@
         limits.headerTimeoutMs / 1000,
         limits.idleTimeoutMs / 1000,
     )
-
-
-def upstream(instance: str, value: bytes) -> Result[Upstream, str]:
-    """Return the upstream that a row tells of, or what is wrong with the row."""
-    try:
-        runner = msgspec.json.decode(value, type=_Runner)
-    except msgspec.MsgspecError as error:
-        return Failure(f"runner {instance}: {error}")
-    held = runner.layers
-    if isinstance(held, list):
-        held = held[0] if held else None
-    return Success(
-        Upstream(
-            instance,
-            runner.service,
-            runner.address,
-            runner.zone,
-            runner.state != "ready",
-            runner.slots,
-            runner.kind,
-            tuple(each.name for each in runner.models),
-            held.rangeStart if held else 0,
-            held.targetVersion if held else 0,
-        )
-    )
--- a/deckcourse/platform/store.py
+++ b/deckcourse/platform/store.py
@@ -20,11 +20,12 @@
 CALL_SECONDS = 1.0
 # The store's answers hold this many rows at the most.
 PAGE_ROWS = 500
+# Tables may have parts; the product's have only the nameless one.
 UNUSED_PART = ""
 
 
 class _StoredRow(Struct):
-    """A row of the store; `tlsKey` is its key, and `gone` says that it was removed."""
+    """A row of the store; `tlsKey` is its key, `gone` says that it was removed."""
 
     tlsKey: str  # noqa: N815
     ver: int = 0
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -18,8 +18,8 @@
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.http1.message import ConnectionLostError, header_value
-from deckcourse.platform import rows
 from deckcourse.platform.dialect import PlatformDialect
+from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
 from deckcourse.table import MemoryTable, Row, TableFailure
 
@@ -31,14 +31,6 @@
 REPORT_LAG_SECONDS = 0.2
 
 
-class Rows:
-    operator_table = "op"
-    upstream_table = "servers"
-    desired_key = "config"
-    desired_state = staticmethod(rows.desired_state)
-    upstream = staticmethod(rows.upstream)
-
-
 class StandinStore(MemoryTable):
     """The store's tables with a feed of changes; `away` answers nothing."""
 
@@ -292,7 +284,7 @@
                         GatewayPorts(
                             self.store,
                             self.store,
-                            Rows(),
+                            PlatformRows(),
                             PlatformDialect(),
                             control,
                             control,
