--- a/deckcourse/metrics.py
+++ b/deckcourse/metrics.py
@@ -11,7 +11,11 @@
 
 
 class RegistryCounters(MemoryCounters):
-    """Counters kept in a registry; `also` gets every one of them as well."""
+    """Counters kept in a registry.
+
+    Args:
+      also: gets everything that is counted here as well.
+    """
 
     def __init__(self, also: Counters | None = None) -> None:
         super().__init__()
@@ -21,9 +25,12 @@
             "deckcourse_events", "Events by name", ["name"], registry=self._registry
         )
         self._seconds = Histogram(
-            "deckcourse_seconds", "Durations by name", ["name"], registry=self._registry,
+            "deckcourse_seconds",
+            "Durations by name",
+            ["name"],
+            registry=self._registry,
             buckets=BUCKETS,
-        )  # fmt: skip
+        )
         self._gauges = Gauge(
             "deckcourse_gauge", "Gauges by name", ["name"], registry=self._registry
         )
--- a/deckcourse/platform/dialect.py
+++ b/deckcourse/platform/dialect.py
@@ -41,10 +41,11 @@
         b"expect",
     }
 )
+# Priorities go from 0, which goes first, to this one.
 LOWEST_PRIORITY = 9
 # Digits of a number in a header; a longer one says nothing of use.
 LONGEST_NUMBER = 15
-# These statuses are promises by themselves.
+# Statuses that promise by themselves that nobody ran the request.
 _PROMISES = frozenset({421})
 
 
@@ -67,7 +68,12 @@
         )
 
     def headers_for(self, request: CallerRequest, dispatch: Dispatch) -> Headers:
-        """Return the headers with which a request goes to a runner."""
+        """Return the headers with which a request goes to a runner.
+
+        Args:
+          request: as the caller sent it; its headers that belong to the system are dropped.
+          dispatch: where it goes, and what the runner is told of it.
+        """
         message = request.message
         kept = [each for each in end_to_end(message.headers) if not self._is_dropped(each)]
         if dispatch.last_event is not None:
@@ -100,7 +106,6 @@
             header_value(headers, REQUEST_ID).decode("latin-1"),
             reply.status in _PROMISES or bool(header_value(headers, NOT_RUN)),
             header_value(headers, AT_FAULT).decode("latin-1"),
-            bool(header_value(headers, SEAL)),
         )
 
 
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -18,8 +18,8 @@
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.http1.message import ConnectionLostError, header_value
-from deckcourse.platform import rows
 from deckcourse.platform.dialect import PlatformDialect
+from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
 from deckcourse.table import MemoryTable, Row, TableFailure
 
@@ -34,14 +34,6 @@
 REPORT_LAG_SECONDS = 0.2
 
 
-class Rows:
-    operator_table = "op"
-    upstream_table = "servers"
-    desired_key = "config"
-    desired_state = staticmethod(rows.desired_state)
-    upstream = staticmethod(rows.upstream)
-
-
 class StandinStore(MemoryTable):
     """The store's tables with a feed of changes; `away` answers nothing."""
 
@@ -296,14 +288,19 @@
                     self.node = GatewayNode(
                         GatewayIdentity("n", "x", "n/1"),
                         GatewayPorts(
-                            self.store, self.store, Rows(), PlatformDialect(), control, control,
+                            self.store,
+                            self.store,
+                            PlatformRows(),
+                            PlatformDialect(),
+                            control,
+                            control,
                             self.pool,
                         ),
                         lambda: 5.0,
                         self.counters,
                         self.note,
                         Random(1),
-                    )  # fmt: skip
+                    )
                     self.network.listen(GATEWAY, self.node.gateway.handle)
                     nursery.start_soon(self.node.run)
                     if self.config is not None:
