--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -91,7 +91,7 @@
         self._version: int | None = None
         self._as_of = float("-inf")
         self._lost = False
-        # Whether the last answer told of changes, or may have: it came before its wait was over.
+        # False where the last answer told of no changes; a reading of all rows counts as changes.
         self._changed = True
 
     @property
