--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -18,15 +18,22 @@
 # Decisions that concern every request of a process.
 SHARED = frozenset(
     {
+        "accept-failed",
         "configuration",
+        "connection-failed",
+        "fault",
         "first-upstream-lost",
         "log-bound",
         "malformed",
         "order",
+        "order-withheld",
         "paused",
         "plan",
+        "plan-lost",
+        "plan-unanswered",
         "pulse",
         "settings",
+        "settings-refused",
         "signal",
         "stall",
         "start",
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -23,7 +23,7 @@
 NOT_READY_RETRY_SECONDS = 0.2
 # When to come back while no upstream is listed as usable, seconds.
 NO_ROUTE_RETRY_SECONDS = 0.5
-# Calls in flight are weighed against an upstream with so many places.
+# Calls in flight are weighed against an upstream with so many places: what both sites state.
 REFERENCE_SLOTS = 6.0
 # What another failure domain counts for against calls in flight.
 REMOTE_PENALTY = 0.5
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -71,7 +71,7 @@
 def leaving_counts_not():
     kept = UpstreamTable.layer_hosts
     UpstreamTable.layer_hosts = lambda self, service: tuple(
-        replace(each, usable=True) for each in kept(self, service)
+        replace(each, usable=not self.is_suspect(each.instance)) for each in kept(self, service)
     )
 
 
@@ -81,7 +81,12 @@
 
 def any_answer_will_do():
     kept = PlatformDialect.facts
-    PlatformDialect.facts = lambda self, reply: replace(kept(self, reply), request_id="r1")
+
+    def facts(self, reply):
+        found = kept(self, reply)
+        return replace(found, request_id="r1") if found.request_id == "another" else found
+
+    PlatformDialect.facts = facts
 
 
 def plans_without_condition():
@@ -116,7 +121,7 @@
 
 
 def surplus_bytes_pass():
-    UpstreamConnection.reusable = lambda self: True
+    UpstreamConnection.reusable = lambda self: not self._closing and not self._ended
 
 
 def no_drain():
