Retries are kept for streams that ran; an upstream that goes on refusing is asked less often

Ruled out: too small a budget; the bound of all processes together leaves no more than a tenth. The reason why a stream was given up is logged. Seen failing first: 10 refusals met in 2 s (bound 7); kept retries had no place in the budget.

--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -1,7 +1,7 @@
 """The choice of a path for one request, from what this process knows at the moment."""
 
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.load_watch import LoadWatch
@@ -24,8 +24,20 @@
 MOST_UTILIZATION = 1.4
 # A first upstream all of whose streams broke of late counts this much dearer beyond.
 FAILURE_WEIGHT = 4.0
-# An upstream that said it was full is left out for so long where another path exists, seconds.
+# An upstream that refused is left out for so long where another path exists, seconds; twice as long
+# with each refusal that follows soon after, up to the longest: each try is a retry for somebody.
 FULL_SECONDS = 0.15
+LONGEST_FULL_SECONDS = 1.2
+# A refusal so long after the last one was over is no sign that it goes on, seconds.
+FORGOTTEN_SECONDS = 0.5
+
+
+@dataclass(frozen=True)
+class _Refusal:
+    """An upstream is left out until a deadline; `seconds` is how long it was that time."""
+
+    until: float
+    seconds: float
 
 
 class PathChoice:
@@ -52,7 +64,7 @@
         self._upstreams = upstreams
         self._clock = clock
         self._cached: tuple[tuple[int, ModelSpec], list[LayerPath]] | None = None
-        self._full_until: dict[str, float] = {}
+        self._refusals: dict[str, _Refusal] = {}
         self._watch = LoadWatch(control, self._firsts)
 
     @property
@@ -75,7 +87,26 @@
 
     def note_full(self, instance: str) -> None:
         """Note that an upstream has no room at the moment."""
-        self._full_until[instance] = self._clock() + FULL_SECONDS
+        now = self._clock()
+        known = self._refusals.get(instance)
+        seconds = FULL_SECONDS
+        if known is not None and now < known.until + FORGOTTEN_SECONDS:
+            # Requests that were under way together tell of one refusal.
+            seconds = known.seconds if now < known.until else known.seconds * 2
+        seconds = min(seconds, LONGEST_FULL_SECONDS)
+        self._refusals[instance] = _Refusal(now + seconds, seconds)
+
+    def refused_of_late(self, path: LayerPath) -> bool:
+        """Return whether a path passes an upstream that is left out where there is another."""
+        return bool(path.instances & self._full())
+
+    def _full(self) -> set[str]:
+        now = self._clock()
+        forgotten = now - FORGOTTEN_SECONDS
+        self._refusals = {
+            name: each for name, each in self._refusals.items() if each.until > forgotten
+        }
+        return {name for name, each in self._refusals.items() if each.until > now}
 
     def choose(self, model: ModelSpec, avoid: frozenset[str] = frozenset()) -> LayerPath | None:
         """Return the path to take, None where the usable upstreams don't hold every layer.
@@ -84,9 +115,7 @@
           model: what is asked for.
           avoid: upstreams that this request must not meet again.
         """
-        now = self._clock()
-        full = {name for name, until in self._full_until.items() if until > now}
-        self._full_until = {name: self._full_until[name] for name in full}
+        full = self._full()
         path = self._best(self._paths(model, avoid | full)) if full - avoid else None
         return path or self._best(self._paths(model, avoid))
 
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -41,6 +41,9 @@
 # Of a time to come back: the least part of it, and what the request's id may add.
 LEAST_RETRY_SHARE = 0.75
 SPREAD_RETRY_SHARE = 0.5
+# Retries that are kept for streams that have run: one that nobody ran can come back later, one that
+# broke off is lost without.
+KEPT_FOR_BROKEN = 6.0
 OK = 200
 SERVER_ERROR = 500
 
@@ -104,7 +107,9 @@
                 message = "every path has more waiting than it can serve in time"
                 retry = self._later(OVERLOAD_RETRY_SECONDS)
                 return NotRun(NotRunReason.OVERLOADED, message, retry)
-            if number and not self._context.budget(self._admitted.service.name).spend():
+            if number and not self._runs and self._choice.refused_of_late(path):
+                return self._give_up(last, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_SECONDS)
+            if number and not self._may_retry():
                 return self._give_up(last, NotRunReason.RETRY_BUDGET, FULL_RETRY_SECONDS)
             if not self._context.may_send():
                 return self._give_up(last, NotRunReason.NOT_READY, FULL_RETRY_SECONDS)
@@ -117,6 +122,11 @@
                 break
         return self._give_up(last, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_SECONDS)
 
+    def _may_retry(self) -> bool:
+        """Take a retry from the budget; return whether there was one for this stream."""
+        budget = self._context.budget(self._admitted.service.name)
+        return budget.spend(0.0 if self._runs else KEPT_FOR_BROKEN)
+
     def _may_go_on(self) -> bool:
         """Return whether another upstream may run it; those that are gone don't count."""
         upstreams = self._context.upstreams
@@ -133,7 +143,7 @@
     ) -> Outcome:
         message = last.message if last is not None else "no usable upstreams hold every layer"
         if self._runs:
-            return Unknown(UnknownReason.UPSTREAM_LOST, message)
+            return Unknown(UnknownReason.UPSTREAM_LOST, f"{message}; given up: {reason}")
         return NotRun(reason, message, self._later(retry_after))
 
     def _later(self, seconds: float) -> float:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -113,6 +113,11 @@
       | 0      | served                 | 200    |
       | 6      | refused, told when to come back | 429 |
 
+  Scenario: An upstream that goes on refusing is asked less and less often
+    Given two chains of runners
+    When streams are asked for every 0.05 seconds for 2 seconds while the first one is full
+    Then all of them are served and the first upstream refused no more than 7
+
   Scenario: A leaving upstream gets no new work
     Given two chains of runners
     Then a stream takes the other domain once the first upstream says that it leaves
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -113,6 +113,7 @@
         self.obeys = True
         self.running = self.queued = 0
         self.work = 0.05
+        self.slots = 6
 
     def row(self, state="ready"):
         layers = {"rangeStart": self.first, "targetVersion": self.end, "version": 1}
@@ -121,7 +122,7 @@
             "address": self.address,
             "zone": self.domain,
             "version": "v1",
-            "slots": 6,
+            "slots": self.slots,
             "state": state,
             "sequence": 77,
             "kind": "card",
@@ -179,6 +180,7 @@
             await exchange.whole(421, answer[:1], b"")
             return
         if self.behaviour == "full":
+            self.world.refusals += 1
             await exchange.whole(503, (*answer[:1], (b"x-not-executed", b"1")), b"")
             return
         run = Run(name, self.instance, headers, request.target.decode(), request.body)
@@ -273,6 +275,7 @@
         self.orders = []
         self.events = 20
         self.paused_until = 0.0
+        self.refusals = 0
         self.config = default_config()
 
     def play(self, story, seconds=60.0):
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -149,6 +149,35 @@
     play(context, story)
 
 
+@when(
+    "streams are asked for every {gap:g} seconds for {long:g} seconds while the first one is full"
+)
+def asked_while_full(context, gap, long):
+    context.all = []
+    for runner in context.site.runners.values():
+        runner.slots = 96
+    context.site.runners["x1"].behaviour = "full"
+
+    async def story(site):
+        async def one(name):
+            context.all.append(await site.ask(name=name))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(round(long / gap)):
+                nursery.start_soon(one, f"r{number}")
+                await trio.sleep(gap)
+
+    play(context, story)
+
+
+@then("all of them are served and the first upstream refused no more than {most:d}")
+def served_and_refused(context, most):
+    assert all(each.status == 200 and each.whole for each in context.all), [
+        (each.status, each.body[:80]) for each in context.all if each.status != 200
+    ]
+    assert 0 < context.site.refusals <= most, context.site.refusals
+
+
 @then("one upstream ran the stream")
 def one_ran(context):
     assert len({each.instance for each in context.site.runs}) == 1, context.site.runs
@@ -406,6 +435,18 @@
     play(context, story)
 
 
+@given("two chains of runners, each with {slots:d} places and memory for {count:d} usual requests")
+def chains_with_memory(context, slots, count):
+    two_chains(context)
+    engine = context.site.config["services"][0]["engine"]
+    held = LAYERS // 2
+    beside_mb = engine["kinds"][0]["mb"] - held * engine["layer_mb"]
+    usual_tokens = 770 + 154 / 2
+    engine["kvTokenBytes"] = beside_mb * 1e6 / (count * usual_tokens) * LAYERS / held * 0.99
+    for runner in context.site.runners.values():
+        runner.slots = slots
+
+
 @when("each first upstream works on {running:d} requests and {queued:d} wait")
 def busy_firsts(context, running, queued):
     for name in ("x1", "y1"):
--- a/features/steps/unit_steps.py
+++ b/features/steps/unit_steps.py
@@ -128,6 +128,15 @@
     assert least <= allowed <= most, allowed
 
 
+@then(
+    "with {kept:d} of 20 retries kept others get {others:d} and those that need them get {rest:d}"
+)
+def kept_retries(context, kept, others, rest):
+    one = RetryBudget()
+    assert sum(one.spend(kept) for _ in range(30)) == others
+    assert sum(one.spend() for _ in range(30)) == rest
+
+
 def change(version: int) -> Change:
     return Change(version, "p", models=(ModelSpec(f"m{version}", 4, 1.0),))
 
--- a/features/units.feature
+++ b/features/units.feature
@@ -35,6 +35,9 @@
   Scenario: Retries are bounded by a part of the first tries
     Then 1000 first tries and failures allow between 200 and 220 retries
 
+  Scenario: Retries that are kept for those that need them more are not spent by others
+    Then with 6 of 20 retries kept others get 14 and those that need them get 6
+
   Scenario Outline: Changes arrive <how>
     Then changes <versions> leave version <version> and <models> models
 
