A stream is taken from its upstream only with a retry in hand; who answers isn't lost

Change: the retry is taken before the stream is; without one it stays. An upstream that is named is asked itself: one that answers is left out of paths for a while and still counts as holding layers. Seen failing first: two scenarios of the gateway.

--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -41,6 +41,11 @@
         self._requests = 0
         self._refuses_new = False
 
+    @property
+    def context(self) -> GatewayContext:
+        """What requests work with."""
+        return self._context
+
     @property
     def requests(self) -> int:
         """How many requests are in flight."""
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -55,6 +55,8 @@
 SILENT_QUESTIONS = 2
 # Other paths that a standing stream's first upstream is offered at the most.
 MOST_MOVES = 3
+# Between two tries to move one stream, seconds: time for its first event on the new path.
+MOVE_PAUSE_SECONDS = 0.2
 
 
 class Interruption(StrEnum):
@@ -67,7 +69,12 @@
 
 @dataclass(eq=False)
 class ActiveStream:
-    """One stream on its way; `progress_at` is when something last came, or when it was sent."""
+    """One stream on its way.
+
+    `progress_at` is when something last came, or when it was sent. `take_retry` takes one retry for
+    it and tells whether there was one: without, it must be left where it is. `waits_for` is the
+    upstream of its path that the first one named, `next_move_at` when it may be moved again.
+    """
 
     request_id: str
     service: str
@@ -77,8 +84,10 @@
     begun: bool = False
     usual_gap: float = FIRST_USUAL_GAP_SECONDS
     waiting: bool = True
+    waits_for: str = ""
     moving: bool = False
-    may_restart: Callable[[], bool] = lambda: False
+    next_move_at: float = 0.0
+    take_retry: Callable[[], bool] = lambda: False
     interruption: Interruption | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -88,12 +97,19 @@
             gap = now - self.progress_at
             self.usual_gap += NEW_GAP_WEIGHT * (gap - self.usual_gap)
         self.begun = True
+        self.waits_for = ""
         self.progress_at = now
 
-    def interrupt(self, why: Interruption) -> None:
-        """Take the stream from its upstream; its task goes on elsewhere."""
-        self.interruption = why
-        self.scope.cancel()
+    def interrupt(self, why: Interruption) -> bool:
+        """Take the stream from its upstream, if it may go on elsewhere; return whether it was.
+
+        One that may not is better left: its upstream may go on, and ends it otherwise.
+        """
+        if self.interruption is None and self.take_retry():
+            self.interruption = why
+            self.scope.cancel()
+            return True
+        return False
 
     def stands(self, now: float) -> bool:
         """Return whether it brings nothing for longer than usual."""
@@ -262,10 +278,15 @@
 
     def _interrupt_first(self, instance: str, how: str) -> None:
         affected = [each for each in self._streams if each.path.parts[0].instance == instance]
-        self._log("first-upstream-lost", instance=instance, how=how, streams=len(affected))
-        for stream in affected:
-            self._count("stall.first-silent")
-            stream.interrupt(Interruption.FIRST_SILENT)
+        taken = sum(each.interrupt(Interruption.FIRST_SILENT) for each in affected)
+        self._count("stall.first-silent")
+        self._log(
+            "first-upstream-lost",
+            instance=instance,
+            how=how,
+            streams=len(affected),
+            taken=taken,
+        )
 
     async def _act_on(
         self, first: Upstream, waiting_for: Mapping[str, str], asking: _Asking
@@ -282,31 +303,58 @@
                 asking.pause = min(asking.pause * 2, LONGEST_ASK_SECONDS)
             return
         asking.pause = SHORTEST_ASK_SECONDS
+        culprits: dict[str, Upstream] = {}
         for address in set(waiting_for.values()):
             culprit = self._upstreams.at_address(address, first.service)
             if culprit is None:
                 self._log("stall-unknown-upstream", address=address)
             elif not self._upstreams.is_suspect(culprit.instance):
-                self._suspect(culprit)
-                self._log(
-                    "stall",
-                    instance=culprit.instance,
-                    address=address,
-                    told_by=first.instance,
-                    requests=len(waiting_for),
-                )
+                culprits[culprit.instance] = culprit
+        lost: list[tuple[Upstream, Pulse]] = []
+        async with trio.open_nursery() as nursery:
+            for culprit in culprits.values():
+                nursery.start_soon(self._feel, culprit, lost)
+        for culprit in culprits.values():
+            self._blame(culprit, any(each is culprit for each, _ in lost), first, waiting_for)
         await self._move_all()
 
+    def _blame(
+        self, culprit: Upstream, is_lost: bool, first: Upstream, waiting_for: Mapping[str, str]
+    ) -> None:
+        """Act on one upstream that requests wait for.
+
+        One that answers isn't lost: it gives up layers, say. It is left out of paths for a while,
+        and what it holds still counts.
+        """
+        if is_lost:
+            self._suspect(culprit)
+        else:
+            self._choices(first.service).note_full(culprit.instance)
+        self._log(
+            "stall",
+            instance=culprit.instance,
+            address=culprit.address,
+            lost=is_lost,
+            told_by=first.instance,
+            requests=len(waiting_for),
+        )
+        now = trio.current_time()
+        for stream in self._streams:
+            if waiting_for.get(stream.request_id) == culprit.address and stream.stands(now):
+                stream.waits_for = culprit.instance
+
     async def _move_all(self) -> None:
-        """Move every stream that passes a suspect, all at once."""
+        """Move every stream that passes a suspect or waits for somebody, all at once."""
+        now = trio.current_time()
         async with trio.open_nursery() as nursery:
             for stream in list(self._streams):
-                if not stream.moving and self._passes_suspect(stream):
+                if not stream.moving and now >= stream.next_move_at and self._must_move(stream):
                     stream.moving = True
                     nursery.start_soon(self._move, stream)
 
-    def _passes_suspect(self, stream: ActiveStream) -> bool:
-        return any(self._upstreams.is_suspect(each.instance) for each in stream.path.parts[1:])
+    def _must_move(self, stream: ActiveStream) -> bool:
+        further = [each.instance for each in stream.path.parts[1:]]
+        return stream.waits_for in further or any(map(self._upstreams.is_suspect, further))
 
     def _better_elsewhere(self, stream: ActiveStream) -> bool:
         """Return whether a stream should begin anew on a path inside another failure domain.
@@ -314,26 +362,23 @@
         All tokens so far would have to cross the pipe between the domains, which takes some 36 ms
         a stream, one after the other; a whole path reads them anew in 3 ms.
         """
-        if not stream.may_restart():
-            return False
         other = self._choices(stream.service).choose(stream.model)
         return other is not None and not other.crossings
 
     async def _move(self, stream: ActiveStream) -> None:
         try:
-            interruption = await self._offer_paths(stream)
-            if interruption is not None:
-                stream.interrupt(interruption)
+            await self._offer_paths(stream)
         finally:
             stream.moving = False
+            stream.next_move_at = trio.current_time() + MOVE_PAUSE_SECONDS
 
-    async def _offer_paths(self, stream: ActiveStream) -> Interruption | None:
+    async def _offer_paths(self, stream: ActiveStream) -> None:
         """Offer other paths to a stream's first upstream until it takes one.
 
-        Returns:
-          Why the stream must leave that upstream, None where a path was taken.
+        Where none is taken, or a whole path elsewhere is better, the stream is taken from there if
+        it may go on elsewhere.
         """
-        avoid: set[str] = set()
+        avoid = {stream.waits_for} if stream.waits_for else set()
         for _ in range(MOST_MOVES):
             path = self._choices(stream.service).onward(
                 stream.model, stream.path.parts[0], frozenset(avoid)
@@ -341,25 +386,31 @@
             first = self._upstreams.last_known(stream.path.parts[0].instance)
             if path is None or first is None:
                 break
-            if path.crossings and self._better_elsewhere(stream):
-                return Interruption.BETTER_ELSEWHERE
+            elsewhere = path.crossings and self._better_elsewhere(stream)
+            if elsewhere and stream.interrupt(Interruption.BETTER_ELSEWHERE):
+                return
             result, at_fault = await self._control.move(first, stream.request_id, path)
-            self._count(f"move.{result}")
-            self._log(
-                "move",
-                request=stream.request_id,
-                result=str(result),
-                parts=len(path.parts),
-                at_fault=at_fault,
-            )
+            self._note_move(stream, path, result, at_fault)
             if result is MoveResult.MOVED:
-                stream.path = path
-                stream.progress_at = trio.current_time()
-                return None
-            if result is not MoveResult.PART_MISSING:
-                break
+                return
             culprit = self._upstreams.at_address(at_fault, stream.service)
-            if culprit is None:
+            if result is not MoveResult.PART_MISSING or culprit is None:
                 break
             avoid.add(culprit.instance)
-        return Interruption.NO_OTHER_PATH
+        stream.interrupt(Interruption.NO_OTHER_PATH)
+
+    def _note_move(
+        self, stream: ActiveStream, path: LayerPath, result: MoveResult, at_fault: str
+    ) -> None:
+        self._count(f"move.{result}")
+        self._log(
+            "move",
+            request=stream.request_id,
+            result=str(result),
+            parts=len(path.parts),
+            at_fault=at_fault,
+        )
+        if result is MoveResult.MOVED:
+            stream.path = path
+            stream.waits_for = ""
+            stream.progress_at = trio.current_time()
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -44,6 +44,9 @@
 # Retries that are kept for streams that have run: one that nobody ran can come back later, one that
 # broke off is lost without.
 KEPT_FOR_BROKEN = 6.0
+# Retries that must be left when a stream is taken from an upstream that still has it: the next one
+# may refuse it.
+KEPT_FOR_TAKEN = 2.0
 OK = 200
 SERVER_ERROR = 500
 
@@ -82,6 +85,7 @@
         self._choice = context.choices(admitted.service.name)
         self._avoid: set[str] = set()
         self._runs = 0
+        self._has_retry = False
         self._ran: set[str] = set()
         self._last_event = admitted.caller.last_event
         self._progress_at = trio.current_time()
@@ -124,9 +128,18 @@
 
     def _may_retry(self) -> bool:
         """Take a retry from the budget; return whether there was one for this stream."""
+        if self._has_retry:
+            self._has_retry = False
+            return True
         budget = self._context.budget(self._admitted.service.name)
         return budget.spend(0.0 if self._runs else KEPT_FOR_BROKEN)
 
+    def _take_retry(self) -> bool:
+        """Take a retry before the stream is taken from its upstream; return whether it may be."""
+        budget = self._context.budget(self._admitted.service.name)
+        self._has_retry = self._may_go_on() and budget.spend(KEPT_FOR_TAKEN)
+        return self._has_retry
+
     def _may_go_on(self) -> bool:
         """Return whether another upstream may run it; those that are gone don't count."""
         upstreams = self._context.upstreams
@@ -173,7 +186,7 @@
             self._admitted.service.model,
             path,
             trio.current_time(),
-            may_restart=self._may_go_on,
+            take_retry=self._take_retry,
         )
         end: _End | None = None
         context.upstreams.begin(first.instance)
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -30,6 +30,18 @@
     When the second upstream's row goes after 5 events and it then goes dark
     Then the caller got every event once, with no pause over 0.6 seconds
 
+  Scenario: An upstream that holds streams up and answers isn't taken for lost
+    Given two chains of runners
+    When the second upstream holds streams up after 5 events though it answers
+    Then the caller got every event once, with no pause over 0.6 seconds
+    And no order was given
+
+  Scenario: A stream is left at a silent upstream where no retry is left
+    Given two chains of runners
+    When the first upstream is silent for 0.8 seconds after 5 events and no retry is left
+    Then the caller got every event once, with no pause over 0.9 seconds
+    And one upstream ran the stream
+
   Scenario: Half an event is never passed on
     Given two chains of runners, whose first one breaks off inside its 5th event
     When a caller asks for a stream
@@ -113,6 +125,16 @@
       | 0      | served                 | 200    |
       | 6      | refused, told when to come back | 429 |
 
+  Scenario Outline: Where memory beside the weights takes 4 requests and <queued> wait a stream is <outcome>
+    Given two chains of runners, each with 96 places and memory for 4 usual requests
+    When each first upstream works on 4 requests and <queued> wait
+    Then a stream, asked after a moment, gets <status>
+
+    Examples:
+      | queued | outcome                | status |
+      | 0      | served                 | 200    |
+      | 4      | refused, told when to come back | 429 |
+
   Scenario: An upstream that goes on refusing is asked less and less often
     Given two chains of runners
     When streams are asked for every 0.05 seconds for 2 seconds while the first one is full
@@ -127,6 +149,11 @@
     When an upstream of domain x is gone for good
     Then its layers are ordered from its neighbours, each order within memory
 
+  Scenario: An upstream that is moved to a gap gives up its layers at once
+    Given upstreams of domain x with room for 2 layers each, one of which others could do without
+    When the first of them is gone for good
+    Then the one that is not needed is ordered to the gap, and to let go at once
+
   Scenario: Empty upstreams are placed once their rows stop coming
     Given 4 empty runners in domain x
     When the rows have been there for 6 seconds
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -114,6 +114,9 @@
         self.running = self.queued = 0
         self.work = 0.05
         self.slots = 6
+        self.let_go_at_once = False
+        self.holds_up = False
+        self.silent_until = 0.0
 
     def row(self, state="ready"):
         layers = {"rangeStart": self.first, "targetVersion": self.end, "version": 1}
@@ -140,6 +143,7 @@
 
     async def handle(self, request, exchange):
         if request.target == b"/v1/report":
+            await trio.sleep_until(self.silent_until)
             report = {
                 "sequence": self.orders,
                 "running": self.running,
@@ -167,6 +171,7 @@
             await exchange.whole(409, (), b"{}")
             return
         self.orders += 1
+        self.let_go_at_once = order["how"] == "cut"
         self.first, self.end = order["rangeStart"], order["targetVersion"]
         self.world.orders.append((self.instance, self.first, self.end))
         await exchange.whole(202, (), b"{}")
@@ -234,7 +239,7 @@
         """Wait while an upstream of the path is dead; cut the stream when that takes too long."""
         deadline = trio.current_time() + STALL_SECONDS
         while True:
-            dead = [at for at, _, _ in self.paths[run.request] if self.world.by_address(at).dead]
+            dead = [at for at, _, _ in self.paths[run.request] if self.world.stands_still(at)]
             if not dead:
                 self.waiting.pop(run.request, None)
                 return
@@ -329,6 +334,10 @@
     def by_address(self, address):
         return next(each for each in self.runners.values() if each.address == address)
 
+    def stands_still(self, address):
+        runner = self.by_address(address)
+        return runner.dead or runner.holds_up
+
     def missing_part(self, path):
         """Return the address on a path that doesn't hold its part, empty where all do."""
         for address, first, end in path:
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -178,6 +178,45 @@
     assert 0 < context.site.refusals <= most, context.site.refusals
 
 
+@when("the second upstream holds streams up after {count:d} events though it answers")
+def holds_up(context, count):
+    async def story(site):
+        async def hold():
+            await trio.sleep((count + 0.5) * EVENT_SECONDS)
+            site.runners["x2"].holds_up = True
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hold)
+            context.got = await site.ask()
+        await trio.sleep(1.0)
+
+    play(context, story)
+
+
+@then("no order was given")
+def no_order(context):
+    assert context.site.orders == [], context.site.orders
+
+
+@when(
+    "the first upstream is silent for {long:g} seconds after {count:d} events and no retry is left"
+)
+def silent_without_retry(context, long, count):
+    async def story(site):
+        async def fall_silent():
+            await trio.sleep((count + 0.5) * EVENT_SECONDS)
+            while site.node.gateway.context.budget("llm").spend():
+                pass
+            site.paused_until = trio.current_time() + long
+            site.runners["x1"].silent_until = site.paused_until
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fall_silent)
+            context.got = await site.ask()
+
+    play(context, story)
+
+
 @then("one upstream ran the stream")
 def one_ran(context):
     assert len({each.instance for each in context.site.runs}) == 1, context.site.runs
@@ -400,6 +439,33 @@
     play(context, story)
 
 
+@given("upstreams of domain x with room for 2 layers each, one of which others could do without")
+def small_chain(context):
+    context.site = GatewayWorld()
+    engine = context.site.config["services"][0]["engine"]
+    engine["kinds"][0]["mb"] = 2.5 * engine["layer_mb"]
+    for name, first in (("x1", 0), ("x2", 2), ("x3", 4), ("x4", 4), ("x5", 6)):
+        context.site.add(name, "llm", "x", first, first + 2)
+
+
+@when("the first of them is gone for good")
+def first_gone(context):
+    async def story(site):
+        site.runners["x1"].die()
+        site.store.put("servers", "x1", None)
+        await trio.sleep(2.0)
+
+    play(context, story)
+
+
+@then("the one that is not needed is ordered to the gap, and to let go at once")
+def moved_at_once(context):
+    site = context.site
+    assert len(site.orders) == 1 and site.orders[0][1:] == (0, 2), site.orders
+    name = site.orders[0][0]
+    assert name in ("x3", "x4") and site.runners[name].let_go_at_once
+
+
 @then("its layers are ordered from its neighbours, each order within memory")
 def ordered(context):
     assert context.site.orders == [("x1", 0, LAYERS)], context.site.orders
