The tightest part of a path decides how many requests it takes

Change: places are counted by the memory beside the weights of each part. Seen failing first: the scenario with memory for 4 requests (served where it should be refused). Mutants of the new mechanisms added.

--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -7,7 +7,7 @@
 from deckcourse.gateway.load_watch import LoadWatch
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.layers.model import ModelSpec
-from deckcourse.layers.paths import LayerPath, PathFinder, PathPart
+from deckcourse.layers.paths import USUAL_ANSWER, USUAL_PROMPT, LayerPath, PathFinder, PathPart
 
 __all__ = ["PathChoice"]
 
@@ -22,6 +22,9 @@
 # caller does: it is refused at once. A bound of 1.1, so that those let in come in time, was tried:
 # more were refused and the mean worth of five bad days fell from 0.626 to 0.582.
 MOST_UTILIZATION = 1.4
+# What a usual request holds in the KV cache in the mean over its time: its prompt and half of its
+# answer, tokens, of the figures that both sites state.
+USUAL_TOKENS = USUAL_PROMPT + USUAL_ANSWER / 2
 # A first upstream all of whose streams broke of late counts this much dearer beyond.
 FAILURE_WEIGHT = 4.0
 # An upstream that refused is left out for so long where another path exists, seconds; twice as long
@@ -83,7 +86,20 @@
 
     def _utilization(self, path: LayerPath) -> float:
         first = self._upstreams.get(path.parts[0].instance)
-        return self._watch.utilization(first.instance, first.slots) if first else 0.0
+        return self._watch.utilization(first.instance, self._places(path)) if first else 0.0
+
+    def _places(self, path: LayerPath) -> int:
+        """Return how many usual requests a path takes at once: its tightest part decides."""
+        first = self._upstreams.get(path.parts[0].instance)
+        places = first.slots if first is not None else 1
+        model = self._cached[0][1] if self._cached is not None else None
+        for part in path.parts if model is not None else ():
+            row = self._upstreams.get(part.instance)
+            if row is not None:
+                run = part.end - part.first
+                tokens = model.tokens_beside(row.kind, row.end - row.first, run)
+                places = min(places, int(min(tokens / USUAL_TOKENS, places)))
+        return max(1, places)
 
     def note_full(self, instance: str) -> None:
         """Note that an upstream has no room at the moment."""
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -2,13 +2,17 @@
 
 from dataclasses import replace
 
+import deckcourse.gateway.path_choice as path_choice_module
 import deckcourse.layers.healer as healer_module
 import deckcourse.layers.paths as paths_module
+import deckcourse.layers.placement as placement_module
+import deckcourse.layers.repair as repair_module
 from deckcourse.change_feed import Follower
 from deckcourse.decision_log import DecisionLog
 from deckcourse.gateway.events import Event, EventReader
 from deckcourse.gateway.lookup import Lookup
 from deckcourse.gateway.node import GatewayNode
+from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.stalls import ActiveStream, StallMonitor
 from deckcourse.gateway.stream import StreamCall
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -120,6 +124,26 @@
     Healer._round = nothing
 
 
+def nobody_is_moved():
+    repair_module.relocate = lambda model, hosts, pending: ()
+
+
+def nothing_is_leveled():
+    placement_module.level = lambda model, hosts: ()
+
+
+def rows_gone_are_forgotten():
+    UpstreamTable.last_known = UpstreamTable.get
+
+
+def refusals_are_forgotten():
+    path_choice_module.LONGEST_FULL_SECONDS = path_choice_module.FULL_SECONDS
+
+
+def memory_has_no_places():
+    PathChoice._places = lambda self, path: self._upstreams.get(path.parts[0].instance).slots
+
+
 def surplus_bytes_pass():
     UpstreamConnection.reusable = lambda self: not self._closing and not self._ended
 
@@ -162,6 +186,11 @@
     busy_upstreams_pestered: ("a busy upstream is left alone", LAYERS),
     crossing_is_cheap: ("paths stay inside a failure domain", LAYERS),
     no_healing: ("a lost layer is loaded elsewhere", GATEWAY),
+    nobody_is_moved: ("a gap too wide for its neighbours is closed by one plan", LAYERS),
+    nothing_is_leveled: ("no host is left without room for requests", LAYERS),
+    rows_gone_are_forgotten: ("a row that is gone is no sign that streams are lost", GATEWAY),
+    refusals_are_forgotten: ("who goes on refusing is asked less often", GATEWAY),
+    memory_has_no_places: ("the tightest part of a path decides what is refused", GATEWAY),
     surplus_bytes_pass: ("a connection with surplus bytes isn't used again", HTTP),
     no_drain: ("resting connections are closed by the drain", HTTP),
     log_without_bound: ("the log is bounded", HTTP),
