--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -42,6 +42,11 @@
     Then the caller got every event once, with no pause over 0.9 seconds
     And one upstream ran the stream
 
+  Scenario: A stream that ran waits for a place where every upstream is full
+    Given two chains of runners
+    When the first upstream dies after 5 events and the others are full for 0.5 seconds
+    Then the caller got every event once, with no pause over 1 seconds
+
   Scenario: Half an event is never passed on
     Given two chains of runners, whose first one breaks off inside its 5th event
     When a caller asks for a stream
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -217,6 +217,23 @@
     play(context, story)
 
 
+@when("the first upstream dies after {count:d} events and the others are full for {long:g} seconds")
+def dies_while_full(context, count, long):
+    async def story(site):
+        async def fail():
+            await trio.sleep((count + 0.5) * EVENT_SECONDS)
+            site.runners["y1"].behaviour = "full"
+            site.runners["x1"].die()
+            await trio.sleep(long)
+            site.runners["y1"].behaviour = ""
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fail)
+            context.got = await site.ask()
+
+    play(context, story)
+
+
 @then("one upstream ran the stream")
 def one_ran(context):
     assert len({each.instance for each in context.site.runs}) == 1, context.site.runs
