--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import deckcourse.gateway.path_choice as path_choice_module
+import deckcourse.gateway.stream as stream_module
 import deckcourse.layers.healer as healer_module
 import deckcourse.layers.paths as paths_module
 import deckcourse.layers.placement as placement_module
@@ -144,6 +145,30 @@
     PathChoice._places = lambda self, path: self._upstreams.get(path.parts[0].instance).slots
 
 
+def taken_without_retry():
+    def interrupt(self, why):
+        self.interruption = why
+        self.scope.cancel()
+        return True
+
+    ActiveStream.interrupt = interrupt
+
+
+def suspicions_never_end():
+    async def nothing(self, upstream):
+        return None
+
+    StallMonitor._resolve = nothing
+
+
+def broken_streams_do_not_wait():
+    stream_module.LONGEST_SEARCH_SECONDS = 0.0
+
+
+def orders_are_given_once():
+    healer_module.MOST_ORDER_TRIES = 1
+
+
 def surplus_bytes_pass():
     UpstreamConnection.reusable = lambda self: not self._closing and not self._ended
 
@@ -191,6 +216,10 @@
     rows_gone_are_forgotten: ("a row that is gone is no sign that streams are lost", GATEWAY),
     refusals_are_forgotten: ("who goes on refusing is asked less often", GATEWAY),
     memory_has_no_places: ("the tightest part of a path decides what is refused", GATEWAY),
+    taken_without_retry: ("a stream is taken only with a retry in hand", GATEWAY),
+    suspicions_never_end: ("a suspicion ends with an answer", GATEWAY),
+    broken_streams_do_not_wait: ("a stream that ran looks for a place", GATEWAY),
+    orders_are_given_once: ("an order without an answer is given again", LAYERS),
     surplus_bytes_pass: ("a connection with surplus bytes isn't used again", HTTP),
     no_drain: ("resting connections are closed by the drain", HTTP),
     log_without_bound: ("the log is bounded", HTTP),
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,8 +21,10 @@
 
 START_SECONDS = 5.0
 CALLERS = 12
-CALM_SECONDS = 6.0
-# Of the calls sent in the last half of the calm at the end, so many must be served.
+# After the last fault everything must be as it was within the first part of this; of the calls sent
+# in the last part, so many must be served.
+CALM_SECONDS = 10.0
+JUDGED_SECONDS = 4.0
 SERVED_SHARE = 0.9
 READY_POLL_SECONDS = 0.15
 # What a request may be behind the change that takes its key away: it was on its way.
@@ -59,9 +61,11 @@
             lambda what: log.append(f"{trio.current_time()-begun:6.2f} {what}"),
         )
         async with trio.open_nursery() as busy:
-            busy.start_soon(callers.run, CALLERS, begun + seconds + CALM_SECONDS)
-            busy.start_soon(faults.run, begun + seconds)
-        calm_from = trio.current_time() - CALM_SECONDS / 2
+            busy.start_soon(callers.run, CALLERS)
+            await faults.run(begun + seconds)
+            await trio.sleep(CALM_SECONDS)
+            callers.stop()
+        calm_from = trio.current_time() - JUDGED_SECONDS
         for entry in site.entries:
             entry.stopping = True
             entry.process.terminate()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -73,18 +73,23 @@
     ready: set[str] = field(default_factory=set)
     keys: list[str] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
+    _stopped: bool = False
 
-    async def run(self, count: int, until: float) -> None:
-        """Keep so many callers asking until a moment of trio's clock."""
+    async def run(self, count: int) -> None:
+        """Keep so many callers asking until `stop`."""
         async with trio.open_nursery() as nursery:
             for number in range(count):
-                nursery.start_soon(self._ask_on, number, until)
+                nursery.start_soon(self._ask_on, number)
 
-    async def _ask_on(self, number: int, until: float) -> None:
+    def stop(self) -> None:
+        """Send nothing new; calls under way end."""
+        self._stopped = True
+
+    async def _ask_on(self, number: int) -> None:
         entry = ""
         pool = ConnectionPool(lambda what: None)
         asked = 0
-        while trio.current_time() < until:
+        while not self._stopped:
             # A caller stays with its entry while that lasts, as a kept connection does.
             if entry not in self.ready or self.random.random() < 0.1:
                 entry = self.random.choice(sorted(self.ready) or self.entries)
