--- a/deckcourse/bench_cli.py
+++ b/deckcourse/bench_cli.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from deckcourse.bench import POLICIES, bench_goodput, bench_quota, bench_recovery
+from deckcourse.layer_bench import LAYER_POLICIES, bench_layers
 from deckcourse.relay_bench import bench_relay
 
 __all__ = ["main"]
@@ -17,7 +18,8 @@
 FAULTS = ("kill", "freeze", "cut")
 PATTERNS = ("evenly", "at one entry", "at one entry, then at another")
 QUOTA_DEMAND = 900.0
-EXPERIMENTS = ("goodput", "recovery", "quota", "relay")
+LOST_HOSTS = (1, 2, 3)
+EXPERIMENTS = ("goodput", "recovery", "quota", "relay", "layers")
 
 
 @dataclass
@@ -26,7 +28,10 @@
 
     experiment: Annotated[str, cappa.Arg(help=f"one of {', '.join(EXPERIMENTS)}, all")]
     seed: Annotated[int, cappa.Arg(long=True, help="for arrivals, draws and faults")] = 1
-    runs: Annotated[int, cappa.Arg(long=True, help="runs of each fault in recovery")] = 100
+    runs: Annotated[
+        int,
+        cappa.Arg(long=True, help="runs of each fault in recovery, draws of each domain in layers"),
+    ] = 100
 
 
 def _goodput(command: BenchCommand) -> Iterator[dict[str, Any]]:
@@ -49,7 +54,19 @@
     yield bench_relay()
 
 
-RUNNERS = {"goodput": _goodput, "recovery": _recovery, "quota": _quota, "relay": _relay}
+def _layers(command: BenchCommand) -> Iterator[dict[str, Any]]:
+    for lost in LOST_HOSTS:
+        for policy in LAYER_POLICIES:
+            yield bench_layers(policy, lost, command.runs, command.seed)
+
+
+RUNNERS = {
+    "goodput": _goodput,
+    "recovery": _recovery,
+    "quota": _quota,
+    "relay": _relay,
+    "layers": _layers,
+}
 
 
 def main() -> None:
