A process on its way to its end heals too; improvements rest longer after a conflict

A stopping process planned nothing and nobody else had streams there: the first plan came at 9.44 s. Ruled out: the store (in reach), detection (told at once by both processes). Change: a stopping process plans until its end; after a conflict improvements rest for 3 s. Seen failing first: a loss while the process is stopping.

--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -222,7 +222,8 @@
         return spec.model if spec is not None else None
 
     def _may_heal(self) -> bool:
-        return not self._stopping and self._upstream_feed.known and self.may_send()
+        # Also on the way to the end: nobody else may have seen an upstream of this domain fail.
+        return self._upstream_feed.known and self.may_send()
 
     def _choice(self, service: str) -> PathChoice:
         if service not in self._choices:
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -41,6 +41,9 @@
 REST_SECONDS = 1.0
 # How long a row may lag behind what an upstream did, seconds.
 ROW_LAG_SECONDS = 1.2
+# An upstream that turned an order down gives layers up until its longest stream is through: a plan
+# that only improves waits so long, seconds.
+CONFLICT_REST_SECONDS = 3.0
 # How often one order is given while it gets no answer.
 MOST_ORDER_TRIES = 4
 # How long a usual stream takes at the most, seconds: what an upstream gives up is free by then.
@@ -222,7 +225,9 @@
                 case PlanWon(record):
                     self._log("plan", **_described(group, record))
                     self._expect(model, record)
-                    await self._order_all(record, deadline)
+                    if OrderResult.CONFLICT in await self._order_all(record, deadline):
+                        rested_at = trio.current_time() + CONFLICT_REST_SECONDS
+                        self._calm_from[group.name] = rested_at
                 case ClaimLost(record):
                     self._log("plan-lost", group=group.name, author=record and record.author)
                     if record is not None:
@@ -245,16 +250,22 @@
             seconds += GIVING_UP_SECONDS if busy else ROW_LAG_SECONDS
             self._pending[each.instance] = _Pending(each.first, each.end, now + seconds, busy)
 
-    async def _order_all(self, record: PlanRecord, deadline: float) -> None:
+    async def _order_all(self, record: PlanRecord, deadline: float) -> set[OrderResult]:
+        """Give all orders of a plan at once; return what upstreams answered."""
+        results: set[OrderResult] = set()
         async with trio.open_nursery() as nursery:
             for each in record.assignments:
-                nursery.start_soon(self._order, each, deadline)
+                nursery.start_soon(self._order, each, deadline, results)
+        return results
 
-    async def _order(self, assignment: Assignment, deadline: float) -> None:
+    async def _order(
+        self, assignment: Assignment, deadline: float, results: set[OrderResult]
+    ) -> None:
         row = self._upstreams.get(assignment.instance)
         if row is None:
             return
         result = await self._place(row, assignment, deadline)
+        results.add(result)
         if result in (OrderResult.CONFLICT, OrderResult.UNANSWERED):
             busy_until = trio.current_time() + BUSY_SECONDS
             self._pending[row.instance] = _Pending(row.first, row.end, busy_until, True)
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -165,6 +165,11 @@
     When the first of them is gone for good
     Then the one that is not needed is ordered to the gap, and to let go at once
 
+  Scenario: A process that is stopping still makes up for a loss
+    Given two chains of runners
+    When an upstream of domain x is gone for good while the process is stopping
+    Then its layers are ordered from its neighbours, each order within memory
+
   Scenario: Empty upstreams are placed once their rows stop coming
     Given 4 empty runners in domain x
     When the rows have been there for 6 seconds
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -507,6 +507,17 @@
     assert name in ("x3", "x4") and site.runners[name].let_go_at_once
 
 
+@when("an upstream of domain x is gone for good while the process is stopping")
+def gone_while_stopping(context):
+    async def story(site):
+        site.node.stop()
+        site.runners["x2"].die()
+        site.store.put("servers", "x2", None)
+        await trio.sleep(2.0)
+
+    play(context, story)
+
+
 @then("its layers are ordered from its neighbours, each order within memory")
 def ordered(context):
     assert context.site.orders == [("x1", 0, LAYERS)], context.site.orders
