ActiveStream and Interruption have a module of their own

What one stream on its way knows and when it stands still is in gateway/active_stream.py now, with the bounds on its gaps; the watch over all streams stays in stalls.py. Nothing else is changed.

--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -7,31 +7,20 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from enum import StrEnum
+from dataclasses import dataclass
 
 import trio
 
+from deckcourse.gateway.active_stream import ActiveStream, Interruption
 from deckcourse.gateway.dialect import MoveResult, Pulse, StreamControl
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
-from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.paths import LayerPath
 
-__all__ = ["ActiveStream", "Interruption", "StallMonitor"]
+__all__ = ["StallMonitor"]
 
 # Between two looks at the streams, seconds.
 LOOK_SECONDS = 0.012
-# Events come each 17 to 40 ms where all is well, and a pause over 200 ms is late: a stream is
-# asked about after so many times its own usual gap, within these bounds, seconds.
-USUAL_GAPS = 2.5
-SHORTEST_GAP_SECONDS = 0.045
-LONGEST_GAP_SECONDS = 0.12
-# What a stream's gap is taken for before it has shown one, and how much a new gap counts.
-FIRST_USUAL_GAP_SECONDS = 0.02
-NEW_GAP_WEIGHT = 0.2
-# A first event may take longer, since prompts are read and others go first, seconds.
-FIRST_GAP_SECONDS = 0.15
 # An upstream that is there says so within 3 ms; one that doesn't in the first time, and then again
 # in the second, counts as lost, seconds.
 PULSE_SECONDS = 0.015
@@ -65,67 +54,6 @@
 MOVE_PAUSE_SECONDS = 0.2
 
 
-class Interruption(StrEnum):
-    """Why a stream was taken from its upstream."""
-
-    FIRST_SILENT = "first-silent"
-    NO_OTHER_PATH = "no-other-path"
-    BETTER_ELSEWHERE = "better-elsewhere"
-
-
-@dataclass(eq=False)
-class ActiveStream:
-    """One stream on its way.
-
-    `progress_at` is when something last came, or when it was sent. `take_retry` takes one retry for
-    it and tells whether there was one: without, it must be left where it is. `waits_for` is the
-    upstream of its path that the first one named, `next_move_at` when it may be moved again.
-    """
-
-    request_id: str
-    service: str
-    model: ModelSpec
-    path: LayerPath
-    progress_at: float
-    begun: bool = False
-    usual_gap: float = FIRST_USUAL_GAP_SECONDS
-    waiting: bool = True
-    waits_for: str = ""
-    moving: bool = False
-    next_move_at: float = 0.0
-    take_retry: Callable[[], bool] = lambda: False
-    interruption: Interruption | None = None
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
-
-    def note_event(self, now: float) -> None:
-        """Note that events came."""
-        if self.begun:
-            gap = now - self.progress_at
-            self.usual_gap += NEW_GAP_WEIGHT * (gap - self.usual_gap)
-        self.begun = True
-        self.waits_for = ""
-        self.progress_at = now
-
-    def interrupt(self, why: Interruption) -> bool:
-        """Take the stream from its upstream, if it may go on elsewhere; return whether it was.
-
-        One that may not is better left: its upstream may go on, and ends it otherwise.
-        """
-        if self.interruption is None and self.take_retry():
-            self.interruption = why
-            self.scope.cancel()
-            return True
-        return False
-
-    def stands(self, now: float) -> bool:
-        """Return whether it brings nothing for longer than usual."""
-        limit = FIRST_GAP_SECONDS
-        if self.begun:
-            limit = max(SHORTEST_GAP_SECONDS, USUAL_GAPS * self.usual_gap)
-            limit = min(limit, LONGEST_GAP_SECONDS)
-        return self.waiting and not self.moving and now - self.progress_at > limit
-
-
 @dataclass
 class _Asking:
     """What is known of the questions to one first upstream."""
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -10,11 +10,11 @@
 
 import trio
 
+from deckcourse.gateway.active_stream import ActiveStream, Interruption
 from deckcourse.gateway.calls import send_request, within_deadline
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
-from deckcourse.gateway.stalls import ActiveStream, Interruption
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind, end_to_end
 from deckcourse.layers.paths import LayerPath
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -10,11 +10,12 @@
 import deckcourse.layers.repair as repair_module
 from deckcourse.change_feed import Follower
 from deckcourse.decision_log import DecisionLog
+from deckcourse.gateway.active_stream import ActiveStream
 from deckcourse.gateway.events import Event, EventReader
 from deckcourse.gateway.lookup import Lookup
 from deckcourse.gateway.node import GatewayNode
 from deckcourse.gateway.path_choice import PathChoice
-from deckcourse.gateway.stalls import ActiveStream, StallMonitor
+from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.stream import StreamCall
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import UpstreamConnection
