--- a/deckcourse/layers/hosts.py
+++ b/deckcourse/layers/hosts.py
@@ -59,6 +59,15 @@
         """Return the part of its memory that the weights it holds take."""
         return (self.end - self.first) * model.layer_mb / model.kind_of(self.kind).memory_mb
 
+    def widened(self, first: int, end: int, layers: int) -> tuple[int, int]:
+        """Return a part of what it holds, widened to `layers` layers as far as it holds them."""
+        while end - first < layers and (first > self.first or end < self.end):
+            if end < self.end:
+                end += 1
+            else:
+                first -= 1
+        return first, end
+
 
 @dataclass(frozen=True)
 class Assignment:
--- a/deckcourse/layers/improvements.py
+++ b/deckcourse/layers/improvements.py
@@ -120,7 +120,7 @@
         needed = gaps(model, others, copies)
         low, high = _still_needed(host, needed)
         keep = max(1, model.most_layers(host.kind, EVEN_FILL))
-        low, high = _at_least(host, low, high, keep)
+        low, high = host.widened(low, high, keep)
         if (low, high) != (host.first, host.end):
             return (Assignment(host.instance, low, high, "trimmed"),)
     return ()
@@ -135,13 +135,3 @@
     if not inside:
         return host.first, host.first
     return inside[0][0], inside[-1][1]
-
-
-def _at_least(host: LayerHost, low: int, high: int, keep: int) -> tuple[int, int]:
-    """Widen a part of a host's range to `keep` layers within that range."""
-    while high - low < keep and (low > host.first or high < host.end):
-        if high < host.end:
-            high += 1
-        elif low > host.first:
-            low -= 1
-    return low, high
--- a/deckcourse/layers/leveling.py
+++ b/deckcourse/layers/leveling.py
@@ -128,17 +128,7 @@
         if first >= end or host.fill(model) <= LEVEL_FILL:
             continue
         keep = model.most_layers(host.kind, EVEN_FILL)
-        first, end = _widened(host, first, end, keep)
+        first, end = host.widened(first, end, keep)
         if (first, end) != (host.first, host.end):
             assignments.append(Assignment(host.instance, first, end, "levelled"))
     return tuple(assignments)
-
-
-def _widened(host: LayerHost, first: int, end: int, keep: int) -> tuple[int, int]:
-    """Widen a part of what a host holds to `keep` layers, as far as it holds them."""
-    while end - first < keep and (first > host.first or end < host.end):
-        if end < host.end:
-            end += 1
-        else:
-            first -= 1
-    return first, end
