--- a/deckcourse/layers/leveling.py
+++ b/deckcourse/layers/leveling.py
@@ -130,5 +130,5 @@
         keep = model.most_layers(host.kind, EVEN_FILL)
         first, end = host.widened(first, end, keep)
         if (first, end) != (host.first, host.end):
-            assignments.append(Assignment(host.instance, first, end, "levelled"))
+            assignments.append(Assignment(host.instance, first, end, "leveled"))
     return tuple(assignments)
