--- /dev/null
+++ b/features/gateway_store.py
@@ -0,0 +1,57 @@
+"""A stand-in of the platform's store, in memory."""
+
+import json
+
+import trio
+from returns.result import Failure, Success
+
+from deckcourse.change_feed import Changes, Snapshot
+from deckcourse.table import MemoryTable, Row, TableFailure
+
+
+class StandinStore(MemoryTable):
+    """The store's tables with a feed of changes; `away` answers nothing."""
+
+    def __init__(self):
+        super().__init__()
+        self.away = False
+        self.changed = trio.Event()
+        self.log = []
+
+    def put(self, table, key, value):
+        """Write a row as the operator or a runner does; None drops it."""
+        data = None if value is None else json.dumps(value).encode()
+        self._clock += 1
+        name = f"{table}/{key}"
+        if data is None:
+            self._rows.pop(name, None)
+        else:
+            self._rows[name] = Row(name, self._clock, data)
+        self.log.append((self._clock, table, key, data))
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def snapshot(self, table):
+        if self.away:
+            return Failure(TableFailure.UNAVAILABLE)
+        found = tuple(row for name, row in self._rows.items() if name.startswith(table + "/"))
+        return Success(Snapshot(found, self._clock))
+
+    async def changes(self, table, after, seconds):
+        if self.away:
+            return Failure(TableFailure.UNAVAILABLE)
+        with trio.move_on_after(seconds):
+            while not self._news(table, after):
+                await self.changed.wait()
+        if self.away:
+            return Failure(TableFailure.UNAVAILABLE)
+        return Success(Changes(tuple(self._news(table, after)), self._clock))
+
+    def _news(self, table, after):
+        return [(key, data) for at, name, key, data in self.log if name == table and at > after]
+
+    async def read(self, keys):
+        return Failure(TableFailure.UNAVAILABLE) if self.away else await super().read(keys)
+
+    async def transact(self, writes):
+        return Failure(TableFailure.UNAVAILABLE) if self.away else await super().transact(writes)
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -9,10 +9,9 @@
 from random import Random
 
 import trio
-from returns.result import Failure, Success
+from gateway_store import StandinStore
 from trio.testing import MockClock
 
-from deckcourse.change_feed import Changes, Snapshot
 from deckcourse.counters import MemoryCounters
 from deckcourse.gateway.node import GatewayIdentity, GatewayNode, GatewayPorts
 from deckcourse.http1.client import ConnectionPool
@@ -21,7 +20,6 @@
 from deckcourse.platform.dialect import PlatformDialect
 from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
-from deckcourse.table import MemoryTable, Row, TableFailure
 
 # The same order of tasks on every run.
 trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
@@ -34,54 +32,6 @@
 REPORT_LAG_SECONDS = 0.2
 
 
-class StandinStore(MemoryTable):
-    """The store's tables with a feed of changes; `away` answers nothing."""
-
-    def __init__(self):
-        super().__init__()
-        self.away = False
-        self.changed = trio.Event()
-        self.log = []
-
-    def put(self, table, key, value):
-        """Write a row as the operator or a runner does; None drops it."""
-        data = None if value is None else json.dumps(value).encode()
-        self._clock += 1
-        name = f"{table}/{key}"
-        if data is None:
-            self._rows.pop(name, None)
-        else:
-            self._rows[name] = Row(name, self._clock, data)
-        self.log.append((self._clock, table, key, data))
-        self.changed.set()
-        self.changed = trio.Event()
-
-    async def snapshot(self, table):
-        if self.away:
-            return Failure(TableFailure.UNAVAILABLE)
-        found = tuple(row for name, row in self._rows.items() if name.startswith(table + "/"))
-        return Success(Snapshot(found, self._clock))
-
-    async def changes(self, table, after, seconds):
-        if self.away:
-            return Failure(TableFailure.UNAVAILABLE)
-        with trio.move_on_after(seconds):
-            while not self._news(table, after):
-                await self.changed.wait()
-        if self.away:
-            return Failure(TableFailure.UNAVAILABLE)
-        return Success(Changes(tuple(self._news(table, after)), self._clock))
-
-    def _news(self, table, after):
-        return [(key, data) for at, name, key, data in self.log if name == table and at > after]
-
-    async def read(self, keys):
-        return Failure(TableFailure.UNAVAILABLE) if self.away else await super().read(keys)
-
-    async def transact(self, writes):
-        return Failure(TableFailure.UNAVAILABLE) if self.away else await super().transact(writes)
-
-
 @dataclass
 class Run:
     """One run of a request at a runner, as the runner saw it."""
--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -5,7 +5,8 @@
 
 import trio
 from behave import given, then, when
-from returns.result import Failure, Success
+from healer_standins import CountingOrderer, DeafOrderer, SlowTable
+from returns.result import Success
 from trio.testing import MockClock
 
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
@@ -15,7 +16,6 @@
 from deckcourse.layers.paths import PathFinder
 from deckcourse.layers.placement import plan_group
 from deckcourse.layers.plan_book import ClaimLost, ClaimUnanswered, PlanBook, PlanWon
-from deckcourse.table import MemoryTable, TableFailure
 
 LAYER_MB = 1750.0
 KINDS = {
@@ -283,52 +283,6 @@
                 assert held[part.instance].first <= part.first < part.end <= held[part.instance].end
 
 
-class SlowTable(MemoryTable):
-    """A table whose transactions are answered late, or done and not answered."""
-
-    def __init__(self, seconds=0.0, lost=False):
-        super().__init__()
-        self.seconds = seconds
-        self.lost = lost
-
-    async def transact(self, writes):
-        result = await super().transact(writes)
-        await trio.sleep(self.seconds)
-        return Failure(TableFailure.UNKNOWN) if self.lost else result
-
-
-class CountingOrderer:
-    """Answers every order alike, and counts them."""
-
-    def __init__(self, result):
-        self.result = result
-        self.orders = 0
-
-    async def place(self, upstream, assignment, orders):
-        self.orders += 1
-        return self.result
-
-    async def order_count(self, upstream):
-        return 1
-
-
-class DeafOrderer(CountingOrderer):
-    """Answers none of the first orders to each upstream."""
-
-    def __init__(self, deaf):
-        super().__init__(OrderResult.TAKEN)
-        self.deaf = deaf
-        self.tries = {}
-        self.taken = {}
-
-    async def place(self, upstream, assignment, orders):
-        self.tries[upstream.instance] = self.tries.get(upstream.instance, 0) + 1
-        if self.tries[upstream.instance] <= self.deaf:
-            return OrderResult.UNANSWERED
-        self.taken.setdefault(upstream.instance, trio.current_time())
-        return self.result
-
-
 @given("two processes with a view of the same plan")
 def two_processes(context):
     context.claims = SlowTable()
