The steps about the gateway are in three files, by what they are about

A change in the middle of a stream was written out five times; ask_while serves them now. Every step and every assertion is as before.

--- /dev/null
+++ b/features/gateway_story.py
@@ -0,0 +1,43 @@
+"""What steps about the gateway share: the usual site, and what a whole answer is."""
+
+import trio
+from gateway_world import EVENT_SECONDS, LAYERS, GatewayWorld
+
+
+def two_chains(context):
+    """Set up two failure domains, each with a model over two runners."""
+    context.site = GatewayWorld()
+    for domain in "xy":
+        context.site.add(f"{domain}1", "llm", domain, 0, 4)
+        context.site.add(f"{domain}2", "llm", domain, 4, LAYERS)
+
+
+def expected_events(site, name, upto):
+    """Return the events of a stream up to a number, as they go over the wire."""
+    return "".join(f"id: {n}\ndata: {name} {n}\n\n" for n in range(1, upto + 1)).encode()
+
+
+def assert_whole(context):
+    """Check that the caller got every event of a stream once, and its end."""
+    got = context.got
+    assert got.status == 200 and got.whole, (got, context.site.lines)
+    assert got.body == expected_events(context.site, "r1", context.site.events), got.body
+
+
+def ask_while(context, count, change, rest=0.0):
+    """Play one stream and a change of the site after `count` events, then wait `rest` seconds.
+
+    `change` is an async function of the site; what the caller got is in `context.got`.
+    """
+
+    async def story(site):
+        async def change_later():
+            await trio.sleep((count + 0.5) * EVENT_SECONDS)
+            await change(site)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(change_later)
+            context.got = await site.ask()
+        await trio.sleep(rest)
+
+    context.site.play(story)
--- /dev/null
+++ b/features/steps/gateway_fault_steps.py
@@ -0,0 +1,135 @@
+"""Steps about upstreams that fail, fall silent or refuse while streams are under way."""
+
+import trio
+from behave import then, when
+from gateway_story import ask_while, assert_whole
+from gateway_world import EVENT_SECONDS
+
+
+@when("the {part} upstream of a stream {fault} after {count:d} events")
+def upstream_fails(context, part, fault, count):
+    async def fail(site):
+        runner = site.runners["x1" if part == "first" else "x2"]
+        if fault == "dies":
+            runner.die()
+        else:
+            runner.dead = True
+            site.network.darken(runner.address)
+
+    ask_while(context, count, fail)
+
+
+@when("the {part} upstream's row goes after {count:d} events and it then {fault}")
+def row_goes(context, part, count, fault):
+    async def leave(site):
+        runner = site.runners["x1" if part == "first" else "x2"]
+        site.store.put("servers", runner.instance, None)
+        await trio.sleep(2 * EVENT_SECONDS)
+        if fault == "goes dark":
+            runner.dead = True
+            site.network.darken(runner.address)
+        else:
+            site.paused_until = trio.current_time() + float(fault.split()[2])
+
+    ask_while(context, count, leave)
+
+
+@when(
+    "streams are asked for every {gap:g} seconds for {long:g} seconds while the first one is full"
+)
+def asked_while_full(context, gap, long):
+    context.all = []
+    for runner in context.site.runners.values():
+        runner.slots = 96
+    context.site.runners["x1"].behaviour = "full"
+
+    async def story(site):
+        async def one(name):
+            context.all.append(await site.ask(name=name))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(round(long / gap)):
+                nursery.start_soon(one, f"r{number}")
+                await trio.sleep(gap)
+
+    context.site.play(story)
+
+
+@then("all of them are served and the first upstream refused no more than {most:d}")
+def served_and_refused(context, most):
+    assert all(each.status == 200 and each.whole for each in context.all), [
+        (each.status, each.body[:80]) for each in context.all if each.status != 200
+    ]
+    assert 0 < context.site.refusals <= most, context.site.refusals
+
+
+@when("the second upstream holds streams up after {count:d} events though it answers")
+def holds_up(context, count):
+    async def hold(site):
+        site.runners["x2"].holds_up = True
+
+    ask_while(context, count, hold, rest=1.0)
+
+
+@then("no order was given")
+def no_order(context):
+    assert context.site.orders == [], context.site.orders
+
+
+@when(
+    "the first upstream is silent for {long:g} seconds after {count:d} events and no retry is left"
+)
+def silent_without_retry(context, long, count):
+    async def fall_silent(site):
+        while site.node.gateway.context.budget("llm").spend():
+            pass
+        site.paused_until = trio.current_time() + long
+        site.runners["x1"].silent_until = site.paused_until
+
+    ask_while(context, count, fall_silent)
+
+
+@when("the first upstream dies after {count:d} events and the others are full for {long:g} seconds")
+def dies_while_full(context, count, long):
+    async def fail(site):
+        site.runners["y1"].behaviour = "full"
+        site.runners["x1"].die()
+        await trio.sleep(long)
+        site.runners["y1"].behaviour = ""
+
+    ask_while(context, count, fail)
+
+
+@when("the second upstream is silent for {long:g} seconds after {count:d} events")
+def silent_for_a_moment(context, long, count):
+    async def story(site):
+        async def fall_silent():
+            await trio.sleep((count + 0.5) * EVENT_SECONDS)
+            site.paused_until = trio.current_time() + long
+            site.runners["x2"].silent_until = site.paused_until + 0.05
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fall_silent)
+            context.got = await site.ask()
+        await trio.sleep(0.5)
+        context.suspect = [each for each in "x1 x2 y1 y2".split() if site.is_suspect(each)]
+
+    context.site.play(story)
+
+
+@then("the suspicion has ended and no upstream was told to let go")
+def suspicion_ended(context):
+    assert "suspicion-ended" in [decision for decision, _ in context.site.lines]
+    assert context.suspect == []
+    assert not any(each.let_go_at_once for each in context.site.runners.values())
+
+
+@then("one upstream ran the stream")
+def one_ran(context):
+    assert len({each.instance for each in context.site.runs}) == 1, context.site.runs
+
+
+@then("the caller got every event once, with no pause over {seconds:g} seconds")
+def whole_without_pause(context, seconds):
+    assert_whole(context)
+    assert context.got.longest_pause <= seconds, context.got.longest_pause
--- /dev/null
+++ b/features/steps/gateway_healing_steps.py
@@ -0,0 +1,91 @@
+"""Steps about the layers of the gateway's upstreams: placement, and losses that are healed."""
+
+import trio
+from behave import given, then, when
+from gateway_world import LAYERS, GatewayWorld
+
+
+@given("{count:d} empty runners in domain x")
+def empty_runners(context, count):
+    context.site = GatewayWorld()
+    for number in range(count):
+        context.site.add(f"e{number}")
+
+
+@when("an upstream of domain x is gone for good")
+def gone_for_good(context):
+    async def story(site):
+        site.runners["x2"].die()
+        site.store.put("servers", "x2", None)
+        await trio.sleep(2.0)
+
+    context.site.play(story)
+
+
+@given("upstreams of domain x with room for 2 layers each, one of which others could do without")
+def small_chain(context):
+    context.site = GatewayWorld()
+    engine = context.site.config["services"][0]["engine"]
+    engine["kinds"][0]["mb"] = 2.5 * engine["layer_mb"]
+    for name, first in (("x1", 0), ("x2", 2), ("x3", 4), ("x4", 4), ("x5", 6)):
+        context.site.add(name, "llm", "x", first, first + 2)
+
+
+@when("the first of them is gone for good")
+def first_gone(context):
+    async def story(site):
+        site.runners["x1"].die()
+        site.store.put("servers", "x1", None)
+        await trio.sleep(2.0)
+
+    context.site.play(story)
+
+
+@then("the one that is not needed is ordered to the gap, and to let go at once")
+def moved_at_once(context):
+    site = context.site
+    assert len(site.orders) == 1 and site.orders[0][1:] == (0, 2), site.orders
+    name = site.orders[0][0]
+    assert name in ("x3", "x4") and site.runners[name].let_go_at_once
+
+
+@then("its layers are ordered from its neighbours, each order within memory")
+def ordered(context):
+    assert context.site.orders == [("x1", 0, LAYERS)], context.site.orders
+
+
+@when("the rows have been there for {seconds:d} seconds")
+def pass_seconds(context, seconds):
+    async def story(site):
+        await trio.sleep(seconds)
+
+    context.site.play(story)
+
+
+@then("every layer is held")
+def all_held(context):
+    held = [range(each.first, each.end) for each in context.site.runners.values()]
+    assert {layer for each in held for layer in each} == set(range(LAYERS)), held
+
+
+@then("after a fault in the healer streams are served and a later loss is healed")
+def fault_told(context):
+    async def story(site):
+        healer = site.node._healers["llm"]
+        kept = healer._drop_done
+
+        def broken(now):
+            healer._drop_done = kept
+            raise KeyError("made by the test")
+
+        healer._drop_done = broken
+        await trio.sleep(0.5)
+        assert (await site.ask()).status == 200
+        site.runners["x2"].die()
+        site.store.put("servers", "x2", None)
+        await trio.sleep(1.5)
+
+    context.site.play(story)
+    told = [fields for what, fields in context.site.lines if what == "fault"]
+    assert len(told) == 1 and "made by the test" in told[0]["error"], told
+    assert context.site.orders == [("x1", 0, LAYERS)], context.site.orders
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -2,20 +2,10 @@
 
 import trio
 from behave import given, then, when
+from gateway_story import assert_whole, expected_events, two_chains
 from gateway_world import EVENT_SECONDS, KEY, LAYERS, GatewayWorld, default_config
 
 
-def two_chains(context):
-    context.site = GatewayWorld()
-    for domain in "xy":
-        context.site.add(f"{domain}1", "llm", domain, 0, 4)
-        context.site.add(f"{domain}2", "llm", domain, 4, LAYERS)
-
-
-def play(context, story):
-    context.site.play(story)
-
-
 @given("two chains of runners")
 def chains(context):
     two_chains(context)
@@ -33,19 +23,12 @@
     context.site.runners["x1"].behaviour = "breaks"
 
 
-@given("{count:d} empty runners in domain x")
-def empty_runners(context, count):
-    context.site = GatewayWorld()
-    for number in range(count):
-        context.site.add(f"e{number}")
-
-
 @when("a caller asks for a stream")
 def asks(context):
     async def story(site):
         context.got = await site.ask()
 
-    play(context, story)
+    context.site.play(story)
 
 
 @when("a caller asks for a fragile stream")
@@ -53,7 +36,7 @@
     async def story(site):
         context.got = await site.ask("fragile")
 
-    play(context, story)
+    context.site.play(story)
 
 
 @when("a caller asks for a stream with forged headers")
@@ -70,7 +53,7 @@
     async def story(site):
         context.got = await site.ask(headers=forged, body=b'{"a": 1}')
 
-    play(context, story)
+    context.site.play(story)
 
 
 @then("the runner saw the request as it was sent, with the account and without the key")
@@ -85,21 +68,15 @@
     assert 19000 < int(headers["x-deadline-ms"]) <= 20000
 
 
-def expected_events(site, name, upto):
-    return "".join(f"id: {n}\ndata: {name} {n}\n\n" for n in range(1, upto + 1)).encode()
-
-
 @then("the caller got every event once and the runner's seal")
 def whole_with_seal(context):
-    whole(context)
+    assert_whole(context)
     assert context.site.header(context.got, "x-response-seal") == "seal-r1"
 
 
 @then("the caller got every event once")
 def whole(context):
-    got = context.got
-    assert got.status == 200 and got.whole, (got, context.site.lines)
-    assert got.body == expected_events(context.site, "r1", context.site.events), got.body
+    assert_whole(context)
 
 
 @then("the caller got {count:d} events and no end")
@@ -108,167 +85,6 @@
     assert context.got.body == expected_events(context.site, "r1", count), context.got.body
 
 
-@when("the {part} upstream of a stream {fault} after {count:d} events")
-def upstream_fails(context, part, fault, count):
-    async def story(site):
-        async def fail():
-            await trio.sleep((count + 0.5) * EVENT_SECONDS)
-            runner = site.runners["x1" if part == "first" else "x2"]
-            if fault == "dies":
-                runner.die()
-            else:
-                runner.dead = True
-                site.network.darken(runner.address)
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fail)
-            context.got = await site.ask()
-
-    play(context, story)
-
-
-@when("the {part} upstream's row goes after {count:d} events and it then {fault}")
-def row_goes(context, part, count, fault):
-    async def story(site):
-        runner = site.runners["x1" if part == "first" else "x2"]
-
-        async def leave():
-            await trio.sleep((count + 0.5) * EVENT_SECONDS)
-            site.store.put("servers", runner.instance, None)
-            await trio.sleep(2 * EVENT_SECONDS)
-            if fault == "goes dark":
-                runner.dead = True
-                site.network.darken(runner.address)
-            else:
-                site.paused_until = trio.current_time() + float(fault.split()[2])
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(leave)
-            context.got = await site.ask()
-
-    play(context, story)
-
-
-@when(
-    "streams are asked for every {gap:g} seconds for {long:g} seconds while the first one is full"
-)
-def asked_while_full(context, gap, long):
-    context.all = []
-    for runner in context.site.runners.values():
-        runner.slots = 96
-    context.site.runners["x1"].behaviour = "full"
-
-    async def story(site):
-        async def one(name):
-            context.all.append(await site.ask(name=name))
-
-        async with trio.open_nursery() as nursery:
-            for number in range(round(long / gap)):
-                nursery.start_soon(one, f"r{number}")
-                await trio.sleep(gap)
-
-    play(context, story)
-
-
-@then("all of them are served and the first upstream refused no more than {most:d}")
-def served_and_refused(context, most):
-    assert all(each.status == 200 and each.whole for each in context.all), [
-        (each.status, each.body[:80]) for each in context.all if each.status != 200
-    ]
-    assert 0 < context.site.refusals <= most, context.site.refusals
-
-
-@when("the second upstream holds streams up after {count:d} events though it answers")
-def holds_up(context, count):
-    async def story(site):
-        async def hold():
-            await trio.sleep((count + 0.5) * EVENT_SECONDS)
-            site.runners["x2"].holds_up = True
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(hold)
-            context.got = await site.ask()
-        await trio.sleep(1.0)
-
-    play(context, story)
-
-
-@then("no order was given")
-def no_order(context):
-    assert context.site.orders == [], context.site.orders
-
-
-@when(
-    "the first upstream is silent for {long:g} seconds after {count:d} events and no retry is left"
-)
-def silent_without_retry(context, long, count):
-    async def story(site):
-        async def fall_silent():
-            await trio.sleep((count + 0.5) * EVENT_SECONDS)
-            while site.node.gateway.context.budget("llm").spend():
-                pass
-            site.paused_until = trio.current_time() + long
-            site.runners["x1"].silent_until = site.paused_until
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fall_silent)
-            context.got = await site.ask()
-
-    play(context, story)
-
-
-@when("the first upstream dies after {count:d} events and the others are full for {long:g} seconds")
-def dies_while_full(context, count, long):
-    async def story(site):
-        async def fail():
-            await trio.sleep((count + 0.5) * EVENT_SECONDS)
-            site.runners["y1"].behaviour = "full"
-            site.runners["x1"].die()
-            await trio.sleep(long)
-            site.runners["y1"].behaviour = ""
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fail)
-            context.got = await site.ask()
-
-    play(context, story)
-
-
-@when("the second upstream is silent for {long:g} seconds after {count:d} events")
-def silent_for_a_moment(context, long, count):
-    async def story(site):
-        async def fall_silent():
-            await trio.sleep((count + 0.5) * EVENT_SECONDS)
-            site.paused_until = trio.current_time() + long
-            site.runners["x2"].silent_until = site.paused_until + 0.05
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fall_silent)
-            context.got = await site.ask()
-        await trio.sleep(0.5)
-        context.suspect = [each for each in "x1 x2 y1 y2".split() if site.is_suspect(each)]
-
-    play(context, story)
-
-
-@then("the suspicion has ended and no upstream was told to let go")
-def suspicion_ended(context):
-    assert "suspicion-ended" in [decision for decision, _ in context.site.lines]
-    assert context.suspect == []
-    assert not any(each.let_go_at_once for each in context.site.runners.values())
-
-
-@then("one upstream ran the stream")
-def one_ran(context):
-    assert len({each.instance for each in context.site.runs}) == 1, context.site.runs
-
-
-@then("the caller got every event once, with no pause over {seconds:g} seconds")
-def whole_without_pause(context, seconds):
-    whole(context)
-    assert context.got.longest_pause <= seconds, context.got.longest_pause
-
-
 @then("every event passed each layer once")
 def layers_once(context):
     for run in context.site.runs:
@@ -295,7 +111,7 @@
         await trio.sleep(0.3)
         await site.ask(name="r2")
 
-    play(context, story)
+    context.site.play(story)
     assert [each.instance for each in context.site.runs] == ["x1", "y1"], context.site.runs
 
 
@@ -314,7 +130,7 @@
     async def story(site):
         context.got = await site.ask(route)
 
-    play(context, story)
+    context.site.play(story)
 
 
 @then("the caller gets {status:d} and {runs:d} runs are recorded")
@@ -340,7 +156,7 @@
         else:
             context.got = await site.ask(body=b"x" * 70000)
 
-    play(context, story)
+    context.site.play(story)
 
 
 @then("the caller gets {status:d} at once")
@@ -369,7 +185,7 @@
         got = await site.ask(name="r3")
         assert got.status == 200, (got, site.lines)
 
-    play(context, story)
+    context.site.play(story)
     assert [each.request for each in context.site.runs] == ["r1", "r3"]
 
 
@@ -380,7 +196,7 @@
         await trio.sleep(0.5)
         assert (await site.ask()).status == 401
 
-    play(context, story)
+    context.site.play(story)
 
 
 @then("version 1 written after version 3 is not taken")
@@ -391,7 +207,7 @@
             await trio.sleep(0.5)
         assert (await site.ask()).status == 200
 
-    play(context, story)
+    context.site.play(story)
 
 
 @when("a caller leaves in the middle of a stream")
@@ -400,7 +216,7 @@
         await site.ask(leave_after=6 * EVENT_SECONDS)
         await trio.sleep(2.0)
 
-    play(context, story)
+    context.site.play(story)
 
 
 @then("the run was cancelled and no other began")
@@ -423,7 +239,7 @@
         assert (await site.ask()).status == 200
         assert not site.orders
 
-    play(context, story)
+    context.site.play(story)
 
 
 @then("a row still missing {seconds:g} seconds after it counts as gone")
@@ -440,7 +256,7 @@
         await trio.sleep(seconds + 0.5)
         assert (await site.ask()).status == 503
 
-    play(context, story)
+    context.site.play(story)
 
 
 @then("a stream takes domain y once another upstream has the address of x2")
@@ -453,7 +269,7 @@
         await trio.sleep(0.3)
         await site.ask()
 
-    play(context, story)
+    context.site.play(story)
     assert [each.instance for each in context.site.runs] == ["y1"], context.site.runs
 
 
@@ -466,66 +282,10 @@
         await trio.sleep(0.3)
         await site.ask()
 
-    play(context, story)
+    context.site.play(story)
     assert context.site.runs[0].instance == "y1"
 
 
-@when("an upstream of domain x is gone for good")
-def gone_for_good(context):
-    async def story(site):
-        site.runners["x2"].die()
-        site.store.put("servers", "x2", None)
-        await trio.sleep(2.0)
-
-    play(context, story)
-
-
-@given("upstreams of domain x with room for 2 layers each, one of which others could do without")
-def small_chain(context):
-    context.site = GatewayWorld()
-    engine = context.site.config["services"][0]["engine"]
-    engine["kinds"][0]["mb"] = 2.5 * engine["layer_mb"]
-    for name, first in (("x1", 0), ("x2", 2), ("x3", 4), ("x4", 4), ("x5", 6)):
-        context.site.add(name, "llm", "x", first, first + 2)
-
-
-@when("the first of them is gone for good")
-def first_gone(context):
-    async def story(site):
-        site.runners["x1"].die()
-        site.store.put("servers", "x1", None)
-        await trio.sleep(2.0)
-
-    play(context, story)
-
-
-@then("the one that is not needed is ordered to the gap, and to let go at once")
-def moved_at_once(context):
-    site = context.site
-    assert len(site.orders) == 1 and site.orders[0][1:] == (0, 2), site.orders
-    name = site.orders[0][0]
-    assert name in ("x3", "x4") and site.runners[name].let_go_at_once
-
-
-@then("its layers are ordered from its neighbours, each order within memory")
-def ordered(context):
-    assert context.site.orders == [("x1", 0, LAYERS)], context.site.orders
-
-
-@when("the rows have been there for {seconds:d} seconds")
-def pass_seconds(context, seconds):
-    async def story(site):
-        await trio.sleep(seconds)
-
-    play(context, story)
-
-
-@then("every layer is held")
-def all_held(context):
-    held = [range(each.first, each.end) for each in context.site.runners.values()]
-    assert {layer for each in held for layer in each} == set(range(LAYERS)), held
-
-
 @then("a malformed {what} is counted and streams are served")
 def malformed(context, what):
     async def story(site):
@@ -539,7 +299,7 @@
             f"malformed.{'upstream' if what == 'runner' else 'desired-state'}"
         ]
 
-    play(context, story)
+    context.site.play(story)
 
 
 @given("two chains of runners, each with {slots:d} places and memory for {count:d} usual requests")
@@ -568,7 +328,7 @@
         await trio.sleep(0.5)
         context.got = await site.ask(name="r2")
 
-    play(context, story)
+    context.site.play(story)
     got = context.got
     assert got.status == status, (got, context.site.lines)
     if status == 429:
@@ -581,27 +341,4 @@
     async def story(site):
         context.got = await site.ask(headers=[("X-Deadline-Ms", "9" * count)])
 
-    play(context, story)
-
-
-@then("after a fault in the healer streams are served and a later loss is healed")
-def fault_told(context):
-    async def story(site):
-        healer = site.node._healers["llm"]
-        kept = healer._drop_done
-
-        def broken(now):
-            healer._drop_done = kept
-            raise KeyError("made by the test")
-
-        healer._drop_done = broken
-        await trio.sleep(0.5)
-        assert (await site.ask()).status == 200
-        site.runners["x2"].die()
-        site.store.put("servers", "x2", None)
-        await trio.sleep(1.5)
-
-    play(context, story)
-    told = [fields for what, fields in context.site.lines if what == "fault"]
-    assert len(told) == 1 and "made by the test" in told[0]["error"], told
-    assert context.site.orders == [("x1", 0, LAYERS)], context.site.orders
+    context.site.play(story)
