The soak's constants say their units, and each promise is judged by a function of its own

__all__ lists what other modules import; JSON_TYPE is written as a constant; the process that is paused has its type. The values and the promises are unchanged.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,20 +15,27 @@
 
 import trio
 
-from soak.callers import DEADLINE_SECONDS, LATE_SECONDS, PROMISES, Callers
+from soak.callers import DEADLINE_SECONDS, LATE_SECONDS, PROMISES, Call, Callers
 from soak.faults import Faults
 from soak.site import GRACE_SECONDS, REVOCATION_SECONDS, Site, desired_state
 
+# From the start of all processes until callers and faults begin, seconds.
 START_SECONDS = 5.0
+# Callers that ask at once.
 CALLERS = 12
 # After the last fault everything must be as it was within the first part of this; of the calls sent
 # in the last part, so many must be served.
 CALM_SECONDS = 10.0
 JUDGED_SECONDS = 4.0
 SERVED_SHARE = 0.9
+# Between two looks at the entries, seconds.
 READY_POLL_SECONDS = 0.15
-# What a request may be behind the change that takes its key away: it was on its way.
+# What a request may be behind the change that takes its key away, seconds: it was on its way.
 ON_ITS_WAY_SECONDS = 1.0
+# What a call may seem to take beyond the caller's own limit, seconds: the caller is busy too.
+MEASURING_SECONDS = 1.0
+# Of the promises that a seed broke, so many are printed.
+MOST_PRINTED = 10
 
 
 async def _watch_entries(site: Site, callers: Callers) -> None:
@@ -58,7 +65,7 @@
             site,
             callers,
             random,
-            lambda what: log.append(f"{trio.current_time()-begun:6.2f} {what}"),
+            lambda what: log.append(f"{trio.current_time() - begun:6.2f} {what}"),
         )
         async with trio.open_nursery() as busy:
             busy.start_soon(callers.run, CALLERS)
@@ -80,25 +87,12 @@
 def _judge(site: Site, callers: Callers, faults: Faults, calm_from: float) -> list[str]:
     """Return the promises that calls and runs together show to be broken."""
     runs = Counter(each["run"] for each in site.records if "run" in each)
-    run_at = {each["run"]: each["at"] for each in site.records if "run" in each}
     broken = []
     for call in callers.calls:
-        wrong = call.wrong()
-        if wrong:
-            broken.append(wrong)
-        if call.kind in ("once", "fragile"):
-            if runs[call.name] > 1:
-                broken.append(f"{call.name} ({call.kind}) ran {runs[call.name]} times")
-            if call.status in PROMISES and runs[call.name]:
-                broken.append(f"{call.name} ({call.kind}) got {call.status} and ran")
-        taken = faults.revoked.get(call.key)
-        behind = REVOCATION_SECONDS + ON_ITS_WAY_SECONDS
-        if taken is not None and call.sent_at > taken + behind and call.name in run_at:
-            broken.append(
-                f"{call.name} ran under a key taken away {call.sent_at - taken:.1f} s before"
-            )
-        if call.seconds > DEADLINE_SECONDS + LATE_SECONDS + 1.0:
-            broken.append(f"{call.name} took {call.seconds:.1f} s")
+        broken += _wrong_answer(call)
+        broken += _wrong_runs(call, runs[call.name])
+        broken += _wrong_key(call, runs[call.name], faults.revoked.get(call.key))
+        broken += _wrong_time(call)
     valid = [each for each in callers.calls if each.key not in faults.revoked]
     last = [each for each in valid if each.sent_at > calm_from]
     served = sum(each.served for each in last)
@@ -107,6 +101,36 @@
     return broken
 
 
+def _wrong_answer(call: Call) -> list[str]:
+    wrong = call.wrong()
+    return [wrong] if wrong else []
+
+
+def _wrong_runs(call: Call, runs: int) -> list[str]:
+    """Return what is wrong with the number of runs of a call that may run only once."""
+    broken = []
+    if call.kind in ("once", "fragile"):
+        if runs > 1:
+            broken.append(f"{call.name} ({call.kind}) ran {runs} times")
+        if call.status in PROMISES and runs:
+            broken.append(f"{call.name} ({call.kind}) got {call.status} and ran")
+    return broken
+
+
+def _wrong_key(call: Call, runs: int, taken: float | None) -> list[str]:
+    """Return whether a call ran under a key that had been taken away for too long."""
+    behind = REVOCATION_SECONDS + ON_ITS_WAY_SECONDS
+    if taken is None or not runs or call.sent_at <= taken + behind:
+        return []
+    return [f"{call.name} ran under a key taken away {call.sent_at - taken:.1f} s before"]
+
+
+def _wrong_time(call: Call) -> list[str]:
+    if call.seconds <= DEADLINE_SECONDS + LATE_SECONDS + MEASURING_SECONDS:
+        return []
+    return [f"{call.name} took {call.seconds:.1f} s"]
+
+
 def play(seed: int, seconds: float) -> int:
     """Play one seed and tell of it; return the exit code."""
     log: list[str] = []
@@ -124,7 +148,7 @@
             (kept / "faults.txt").write_text("\n".join(log), encoding="utf-8")
     runs = sum("run" in each for each in site.records)
     print(f"seed {seed}: {len(log)} faults, {runs} runs, {len(broken)} broken promises")
-    for each in broken[:10]:
+    for each in broken[:MOST_PRINTED]:
         print(f"  {each}")
     return 1 if broken else 0
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,15 +9,20 @@
 from deckcourse.http1.message import ConnectionLostError, header_value
 from soak.runner import EVENTS
 
-__all__ = ["Call", "Callers", "Kind"]
+__all__ = ["DEADLINE_SECONDS", "LATE_SECONDS", "PROMISES", "Call", "Callers"]
 
+# What each caller states as its deadline, seconds: ten times a stream that meets no fault.
 DEADLINE_SECONDS = 6.0
 # What a final answer may take beyond the caller's deadline, seconds: the process may be busy.
 LATE_SECONDS = 2.0
+# Between two requests of one caller in the mean, seconds: half to one and a half times as long.
 PAUSE_SECONDS = 0.12
+# The share of requests for which a caller turns to another entry without need.
+TURNING_SHARE = 0.1
+# The statuses that promise that nobody ran the request.
 PROMISES = (408, 421, 429, 503)
+# The routes that are drawn from; streams, the longest requests, are drawn twice as often.
 KINDS = ("stream", "stream", "fragile", "once", "again")
-Kind = str
 
 
 @dataclass
@@ -25,7 +30,7 @@
     """One request and what came of it."""
 
     name: str
-    kind: Kind
+    kind: str
     key: str
     sent_at: float
     status: int = 0
@@ -50,6 +55,7 @@
         return None
 
     def _wrong_events(self) -> str | None:
+        """Return what is wrong with the events of a stream, None where nothing is."""
         events = [f"id: {n}\ndata: {self.name} {n}\n\n".encode() for n in range(1, EVENTS + 1)]
         if self.status != 200:
             return None
@@ -91,7 +97,7 @@
         asked = 0
         while not self._stopped:
             # A caller stays with its entry while that lasts, as a kept connection does.
-            if entry not in self.ready or self.random.random() < 0.1:
+            if entry not in self.ready or self.random.random() < TURNING_SHARE:
                 entry = self.random.choice(sorted(self.ready) or self.entries)
             asked += 1
             kind = self.random.choice(KINDS)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults from outside, drawn from a seed: signals, proxies, the store and configuration changes."""
 
 import signal
+import subprocess
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -12,8 +13,10 @@
 
 __all__ = ["Faults"]
 
+# Between two faults, seconds; many last longer, so that they overlap.
 SHORTEST_GAP_SECONDS = 0.2
 LONGEST_GAP_SECONDS = 1.2
+# Between the end of an entry and its next start, seconds.
 RESTART_SECONDS = 0.4
 # Of the runners of layers, so many are hit at once at the most: each domain of four can heal one.
 MOST_RUNNERS_HIT = 2
@@ -78,7 +81,7 @@
             self._say(f"runner {runner.spec.instance} paused for {seconds:.1f} s")
             await self._pause(runner.process, seconds)
 
-    async def _pause(self, process: object, seconds: float) -> None:
+    async def _pause(self, process: subprocess.Popen, seconds: float) -> None:
         process.send_signal(signal.SIGSTOP)
         await trio.sleep(seconds)
         process.send_signal(signal.SIGCONT)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -9,6 +9,7 @@
 
 __all__ = ["Mode", "Proxy"]
 
+# The most that is read at once, bytes.
 CHUNK_BYTES = 64 * 1024
 
 
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -15,19 +15,29 @@
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.message import ConnectionLostError
 from deckcourse.http1.server import Exchange, IncomingRequest
-from soak.wire import fields_of, json_type, parse_path, serve
+from soak.wire import JSON_TYPE, fields_of, parse_path, serve
 
-__all__ = ["RunnerSpec"]
+__all__ = ["EVENTS", "RunnerSpec"]
 
+# Between two writes of a runner's row, seconds; LAPSE_SECONDS in site.py is three times as long.
 BEAT_SECONDS = 0.4
+# Between two events of a stream, seconds, and how many a stream has.
 EVENT_SECONDS = 0.02
 EVENTS = 30
+# Between two rounds in which the other runners of the paths are asked whether they are there, and
+# the time in which they must answer, seconds. Before a stream starts they must answer within the
+# first one.
 PULSE_SECONDS = 0.1
 PULSE_ANSWER_SECONDS = 0.25
+# How long a stream must wait before the report names it, seconds.
 REPORT_LAG_SECONDS = 0.2
+# How long a stream waits for a lost part before it is cut, seconds.
 STALL_SECONDS = 2.5
+# How long an order takes, and a plain call, seconds.
 LOAD_SECONDS = 0.15
 CALL_SECONDS = 0.05
+# The time for a write to the store, seconds.
+WRITE_SECONDS = 1.0
 
 
 @dataclass(frozen=True)
@@ -92,7 +102,7 @@
             "value": b64encode(json.dumps(row).encode()).decode(),
         }
         body = json.dumps({"expectedRev": [], "put": [put], "remove": []}).encode()
-        await self._call(spec.store, b"POST", b"/v1/rows-tx", body, 1.0)
+        await self._call(spec.store, b"POST", b"/v1/rows-tx", body, WRITE_SECONDS)
 
     async def _call(
         self, address: str, method: bytes, target: bytes, body: bytes, seconds: float
@@ -111,7 +121,7 @@
         """Answer one request."""
         path, _ = fields_of(request)
         if path == "/v1/report":
-            await exchange.whole(200, json_type, json.dumps(self._report()).encode())
+            await exchange.whole(200, JSON_TYPE, json.dumps(self._report()).encode())
         elif path == "/v1/order":
             await self._order(json.loads(request.body), exchange)
         else:
@@ -134,11 +144,11 @@
             known = order["id"] in self._paths
             if known:
                 self._paths[order["id"]] = parse_path(order["path"])
-            await exchange.whole(200 if known else 404, json_type, b"{}")
+            await exchange.whole(200 if known else 404, JSON_TYPE, b"{}")
             return
         busy = trio.current_time() < self._loading
         if busy or order["expectedRev"] != self._orders:
-            await exchange.whole(409, json_type, b"{}")
+            await exchange.whole(409, JSON_TYPE, b"{}")
             return
         first, end = order["rangeStart"], order["targetVersion"]
         held = set(range(self._first, self._end)) if order["how"] == "wait" else set()
@@ -146,7 +156,7 @@
             tell(broken="LIMIT", instance=self._spec.instance, first=first, end=end)
         self._orders += 1
         self._loading = trio.current_time() + LOAD_SECONDS
-        await exchange.whole(202, json_type, b"{}")
+        await exchange.whole(202, JSON_TYPE, b"{}")
         await trio.sleep_until(self._loading)
         self._first, self._end = first, end
         await self._write_row()
@@ -180,6 +190,7 @@
         await self._stream(name, path, int(headers.get("last-event-id", 0)), exchange, seal)
 
     async def _missing(self, path: list[tuple[str, int, int]]) -> str:
+        """Return the address on a path that doesn't hold its part, empty where all do."""
         for address, first, end in path:
             held = (self._first, self._end)
             if address != self._spec.address:
--- a/soak/site.py
+++ b/soak/site.py
@@ -15,14 +15,24 @@
 from soak.store import StandinStore
 from soak.wire import HOST, free_port, serve
 
-__all__ = ["Entry", "RunnerProcess", "Site", "desired_state"]
+__all__ = [
+    "GRACE_SECONDS",
+    "REVOCATION_SECONDS",
+    "Entry",
+    "RunnerProcess",
+    "Site",
+    "desired_state",
+]
 
 LAYERS = 8
 # Layers that one runner may hold: a domain of four holds the model with room to heal.
 ROOM = 5
 LAYER_MB = 100.0
+# A row that wasn't written for so long is dropped at the next look, seconds.
 LAPSE_SECONDS = 1.2
+# How long an entry may take to say that it is ready, seconds.
 READY_SECONDS = 0.2
+# The entries' settings: the time to stop in, and the age at which a key counts as gone, seconds.
 GRACE_SECONDS = 5
 REVOCATION_SECONDS = 3
 SETTINGS = """[node]
--- a/soak/store.py
+++ b/soak/store.py
@@ -7,7 +7,7 @@
 import trio
 
 from deckcourse.http1.server import Exchange, IncomingRequest
-from soak.wire import fields_of, json_type
+from soak.wire import JSON_TYPE, fields_of
 
 __all__ = ["StandinStore"]
 
@@ -41,14 +41,14 @@
         """Answer one call."""
         path, fields = fields_of(request)
         if self.refuses:
-            await exchange.whole(503, json_type, b"{}")
+            await exchange.whole(503, JSON_TYPE, b"{}")
         elif path == "/v1/rows-tx":
             status, answer = self._transact(json.loads(request.body))
-            await exchange.whole(status, json_type, json.dumps(answer).encode())
+            await exchange.whole(status, JSON_TYPE, json.dumps(answer).encode())
         elif path == "/v1/rows-feed":
             await self._feed(fields, exchange)
         else:
-            await exchange.whole(200, json_type, json.dumps(self._read(fields)).encode())
+            await exchange.whole(200, JSON_TYPE, json.dumps(self._read(fields)).encode())
 
     def _read(self, fields: dict[str, str]) -> dict[str, object]:
         table, first = fields["table"], fields.get("rangeStart", "")
@@ -84,4 +84,4 @@
             if at > after and name == table
         ]
         answer = {"rows": rows, "ver": self.version}
-        await exchange.whole(200, json_type, json.dumps(answer).encode())
+        await exchange.whole(200, JSON_TYPE, json.dumps(answer).encode())
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -11,15 +11,19 @@
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.http1.server import Handler, IncomingRequest, serve_connection
 
-__all__ = ["BACKLOG", "HOST", "fields_of", "free_port", "json_type", "parse_path", "serve"]
+__all__ = ["BACKLOG", "HOST", "JSON_TYPE", "fields_of", "free_port", "parse_path", "serve"]
 
 HOST = "127.0.0.1"
+# Connections that may wait to be accepted.
 BACKLOG = 256
-json_type = ((b"content-type", b"application/json"),)
-
+# The headers of each answer in JSON.
+JSON_TYPE = ((b"content-type", b"application/json"),)
 
 # Ports below those that the system gives to connections; each process takes a part of its own.
-_ports = count(12_000 + os.getpid() % 300 * 60)
+LOWEST_PORT = 12_000
+PORT_RANGES = 300
+PORTS_OF_ONE_PROCESS = 60
+_ports = count(LOWEST_PORT + os.getpid() % PORT_RANGES * PORTS_OF_ONE_PROCESS)
 
 
 def free_port() -> int:
