What a host may hold is worked out in one place; headers and names in layers/ made true

LayerHost.most_layers replaces three equal expressions. improvements.py says for which groups it is; heal's docstring has its parts in the usual order.

--- a/deckcourse/layers/cuts.py
+++ b/deckcourse/layers/cuts.py
@@ -57,7 +57,7 @@
     best: dict[int, _Cut] = {0: _Cut(0, 0, 0, 0, 0)}
     trail: list[dict[int, _Cut]] = []
     for host in ordered:
-        room = max(model.most_layers(host.kind, fill), host.end - host.first)
+        room = host.most_layers(model, fill)
         best = _cut_further(model, host, room, best, host.instance in pending, give_up)
         trail.append(best)
     assignments = []
@@ -127,8 +127,7 @@
     model: ModelSpec, host: LayerHost, first: int, end: int, fill: float
 ) -> tuple[int, int]:
     """Return a new part with as much of what the host holds beside it as its memory takes."""
-    room = max(model.most_layers(host.kind, fill), host.end - host.first)
-    spare = room - (end - first)
+    spare = host.most_layers(model, fill) - (end - first)
     while spare > 0 and host.first <= end < host.end:
         end += 1
         spare -= 1
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -113,7 +113,7 @@
         self._known_hosts: frozenset[str] = frozenset()
         self._settled_at = 0.0
         self._witnessed: set[str] = set()
-        self._calm_from: dict[str, float] = {}
+        self._rested_from: dict[str, float] = {}
         # What was last planned, and for which situation: it isn't worked out at each look.
         self._planned: dict[str, tuple[tuple, tuple[Assignment, ...]]] = {}
 
@@ -174,7 +174,7 @@
 
     async def _heal(self, model: ModelSpec, group: Group, now: float) -> None:
         pending = {name: (each.first, each.end) for name, each in self._pending.items()}
-        rested = now >= self._calm_from.get(group.name, 0.0)
+        rested = now >= self._rested_from.get(group.name, 0.0)
         planned = self._plan(model, group, pending, rested)
         assignments = tuple(each for each in planned if self._fits(model, each))
         if not assignments:
@@ -216,7 +216,7 @@
         deadline = trio.current_time() + ORDER_SECONDS
         self._wanted_since.pop(group.name, None)
         self._patience.pop(group.name, None)
-        self._calm_from[group.name] = trio.current_time() + REST_SECONDS
+        self._rested_from[group.name] = trio.current_time() + REST_SECONDS
         with trio.move_on_at(deadline):
             match await self._book.claim(group.name, model.name, assignments):
                 case PlanWon(record):
--- a/deckcourse/layers/hosts.py
+++ b/deckcourse/layers/hosts.py
@@ -59,6 +59,10 @@
         """Return the part of its memory that the weights it holds take."""
         return (self.end - self.first) * model.layer_mb / model.kind_of(self.kind).memory_mb
 
+    def most_layers(self, model: ModelSpec, fill: float) -> int:
+        """Return how many layers it may hold: up to a fill, or as many as it holds already."""
+        return max(model.most_layers(self.kind, fill), self.end - self.first)
+
     def widened(self, first: int, end: int, layers: int) -> tuple[int, int]:
         """Return a part of what it holds, widened to `layers` layers as far as it holds them."""
         while end - first < layers and (first > self.first or end < self.end):
--- a/deckcourse/layers/improvements.py
+++ b/deckcourse/layers/improvements.py
@@ -1,4 +1,8 @@
-"""Improvements of a group that is whole and at rest: further copies, and more even memory."""
+"""Improvements of a group that is whole and at rest: further copies, and more even memory.
+
+`trim` and `balance` are for groups that hold a model several times; one that holds it once is made
+more even by `deckcourse.layers.leveling`.
+"""
 
 from collections.abc import Sequence
 
--- a/deckcourse/layers/leveling.py
+++ b/deckcourse/layers/leveling.py
@@ -86,7 +86,8 @@
 
 
 def _cut_further(model: ModelSpec, host: LayerHost, reached: Mapping[int, _Cut]) -> dict[int, _Cut]:
-    room = max(model.most_layers(host.kind, LARGEST_FILL), host.end - host.first)
+    """Return the best cuts after one more host."""
+    room = host.most_layers(model, LARGEST_FILL)
     step = model.layer_mb / model.kind_of(host.kind).memory_mb / FILL_STEP
     # Where it doesn't run anything it keeps what it holds.
     found = {first: _Cut(cut.fullest, cut.loads, first) for first, cut in reached.items()}
--- a/deckcourse/layers/model.py
+++ b/deckcourse/layers/model.py
@@ -4,6 +4,7 @@
 
 __all__ = ["AcceleratorKind", "ModelSpec"]
 
+# Memory is stated in decimal megabytes.
 BYTES_PER_MB = 1_000_000.0
 
 
--- a/deckcourse/layers/repair.py
+++ b/deckcourse/layers/repair.py
@@ -26,6 +26,10 @@
 ) -> tuple[Assignment, ...]:
     """Return what makes a model whole again, or nearer to it.
 
+    Hosts that only widen their ranges break nothing, whatever becomes of the plan. Layers are given
+    up only where that makes the model whole at once and nothing is under way; half of such a plan
+    would open one gap for another.
+
     Args:
       model: the model to make whole.
       group: whether requests still pass there decides what may be given up.
@@ -33,9 +37,8 @@
       pending: who takes no order now.
       settled: whether the rows can be relied on; if not, no host leaves its place.
 
-    Hosts that only widen their ranges break nothing, whatever becomes of the plan. Layers are given
-    up only where that makes the model whole at once and nothing is under way; half of such a plan
-    would open one gap for another.
+    Returns:
+      The assignments, none where nothing brings the model nearer to being whole.
     """
     for fill in (HEALING_FILL, LARGEST_FILL):
         widened, whole = restore(model, hosts, pending, give_up=False, fill=fill)
