Plainer steps in the gateway's choice of paths and in its streams

The retry budget of a stream is looked up in one place, places are counted with one bound, and what the planner is told of a host is passed by name. A docstring spoke of a field that is gone.

--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -92,13 +92,15 @@
         """Return how many usual requests a path takes at once: its tightest part decides."""
         first = self._upstreams.get(path.parts[0].instance)
         places = first.slots if first is not None else 1
-        model = self._cached[0][1] if self._cached is not None else None
-        for part in path.parts if model is not None else ():
+        if self._cached is None:
+            return max(1, places)
+        model = self._cached[0][1]
+        for part in path.parts:
             row = self._upstreams.get(part.instance)
             if row is not None:
                 run = part.end - part.first
                 tokens = model.tokens_beside(row.kind, row.end - row.first, run)
-                places = min(places, int(min(tokens / USUAL_TOKENS, places)))
+                places = int(min(tokens / USUAL_TOKENS, places))
         return max(1, places)
 
     def note_full(self, instance: str) -> None:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -20,6 +20,7 @@
 from deckcourse.layers.paths import LayerPath
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
 from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
+from deckcourse.retry_budget import RetryBudget
 
 __all__ = ["StreamCall"]
 
@@ -67,7 +68,7 @@
 
 @dataclass(frozen=True)
 class _Refused:
-    """Nobody ran it; `full` where there was no room, else a part was missing or unreachable."""
+    """Nobody ran it: there was no room, or a part was missing or unreachable."""
 
     reason: RetryReason
     message: str
@@ -104,9 +105,13 @@
     def _begun(self) -> bool:
         return self._admitted.exchange.started
 
+    @property
+    def _budget(self) -> RetryBudget:
+        return self._context.budget(self._admitted.service.name)
+
     async def run(self) -> Outcome:
         """Return the outcome; after Answered the caller has the whole answer."""
-        self._context.budget(self._admitted.service.name).earn()
+        self._budget.earn()
         return await within_deadline(self._admitted, self._tries, lambda: self._runs > 0)
 
     async def _tries(self) -> Outcome:
@@ -164,13 +169,11 @@
         if self._has_retry:
             self._has_retry = False
             return True
-        budget = self._context.budget(self._admitted.service.name)
-        return budget.spend(0.0 if self._runs else KEPT_FOR_BROKEN)
+        return self._budget.spend(0.0 if self._runs else KEPT_FOR_BROKEN)
 
     def _take_retry(self) -> bool:
         """Take a retry before the stream is taken from its upstream; return whether it may be."""
-        budget = self._context.budget(self._admitted.service.name)
-        self._has_retry = self._may_go_on() and budget.spend(KEPT_FOR_TAKEN)
+        self._has_retry = self._may_go_on() and self._budget.spend(KEPT_FOR_TAKEN)
         return self._has_retry
 
     def _may_go_on(self) -> bool:
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -231,10 +231,10 @@
                 each.first,
                 each.end,
                 each.address,
-                self._is_usable(each),
-                self._paces.get(each.instance, (1.0, 0.0))[0],
-                each.instance not in self._lost,
-                each.leaving,
+                usable=self._is_usable(each),
+                pace=self._paces.get(each.instance, (1.0, 0.0))[0],
+                serving=each.instance not in self._lost,
+                leaving=each.leaving,
             )
             for each in self.of_service(service)
         )
