--- a/features/steps/gateway_healing_steps.py
+++ b/features/steps/gateway_healing_steps.py
@@ -12,16 +12,22 @@
         context.site.add(f"e{number}")
 
 
-@when("an upstream of domain x is gone for good")
-def gone_for_good(context):
+def play_loss(context, instance):
+    """Play the death of a runner whose row goes at once, and the time in which it is healed."""
+
     async def story(site):
-        site.runners["x2"].die()
-        site.store.put("servers", "x2", None)
+        site.runners[instance].die()
+        site.store.put("servers", instance, None)
         await trio.sleep(2.0)
 
     context.site.play(story)
 
 
+@when("an upstream of domain x is gone for good")
+def gone_for_good(context):
+    play_loss(context, "x2")
+
+
 @given("upstreams of domain x with room for 2 layers each, one of which others could do without")
 def small_chain(context):
     context.site = GatewayWorld()
@@ -33,12 +39,7 @@
 
 @when("the first of them is gone for good")
 def first_gone(context):
-    async def story(site):
-        site.runners["x1"].die()
-        site.store.put("servers", "x1", None)
-        await trio.sleep(2.0)
-
-    context.site.play(story)
+    play_loss(context, "x1")
 
 
 @then("the one that is not needed is ordered to the gap, and to let go at once")
