The mutant that moves nobody takes the arguments that the planner gives

It took three arguments and is called with five, so that seven scenarios ended with a TypeError; no scenario had judged the planner without moves.

--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -44,7 +44,7 @@
     async def nothing(self, first):
         return None
 
-    StallMonitor._feel_pulses = nothing
+    StallMonitor._probe_all_behind = nothing
 
 
 def repeats_everything():
@@ -127,7 +127,7 @@
 
 
 def nobody_is_moved():
-    repair_module.relocate = lambda model, hosts, pending: ()
+    repair_module.relocate = lambda model, hosts, pending, may_cut, fill: ()
 
 
 def nothing_is_leveled():
