--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -94,7 +94,7 @@
         self._log = log
         self._streams: set[ActiveStream] = set()
         self._asking: dict[str, _Asking] = defaultdict(_Asking)
-        self._felt_until: dict[str, float] = {}
+        self._probed_until: dict[str, float] = {}
         self._blamed_until: dict[str, float] = {}
         self._doubted: set[str] = set()
         self._nursery: trio.Nursery | None = None
@@ -142,7 +142,7 @@
             asking.questions += 1
             async with trio.open_nursery() as nursery:
                 if asking.questions % QUICK_QUESTIONS == 1:
-                    nursery.start_soon(self._feel_pulses, instance)
+                    nursery.start_soon(self._probe_all_behind, instance)
                 nursery.start_soon(self._ask_first, upstream, asking)
         finally:
             asking.under_way = False
@@ -160,13 +160,13 @@
             self._upstreams.note_pace(upstream.instance, report.pace)
             await self._act_on(upstream, report.waiting_for, asking)
 
-    async def _feel_pulses(self, first: str) -> None:
+    async def _probe_all_behind(self, first: str) -> None:
         """Ask every upstream behind the first one of standing streams whether it is there."""
         names = self._behind(first)
         lost: list[tuple[Upstream, Pulse]] = []
         async with trio.open_nursery() as nursery:
             for upstream in self._due_for_pulse(names):
-                nursery.start_soon(self._feel, upstream, lost)
+                nursery.start_soon(self._probe, upstream, lost)
         if not lost or len(lost) > max(1, CUT_OFF_SHARE * len(names)):
             return
         for upstream, pulse in lost:
@@ -189,18 +189,18 @@
     def _due_for_pulse(self, names: set[str]) -> list[Upstream]:
         """Return those that may be asked now, and count them as asked."""
         now = trio.current_time()
-        self._felt_until = {name: at for name, at in self._felt_until.items() if at > now}
+        self._probed_until = {name: at for name, at in self._probed_until.items() if at > now}
         due = []
         for name in names:
             upstream = self._upstreams.last_known(name)
             if upstream is None or self._upstreams.is_suspect(name):
                 continue
-            if name not in self._felt_until:
-                self._felt_until[name] = now + PULSE_PAUSE_SECONDS
+            if name not in self._probed_until:
+                self._probed_until[name] = now + PULSE_PAUSE_SECONDS
                 due.append(upstream)
         return due
 
-    async def _feel(self, upstream: Upstream, lost: list[tuple[Upstream, Pulse]]) -> None:
+    async def _probe(self, upstream: Upstream, lost: list[tuple[Upstream, Pulse]]) -> None:
         """Ask one upstream whether it is there; add it to `lost` where it isn't."""
         reading = await self._control.pulse(upstream, PULSE_SECONDS)
         if reading.pulse is Pulse.SILENT:
@@ -270,7 +270,7 @@
         lost: list[tuple[Upstream, Pulse]] = []
         async with trio.open_nursery() as nursery:
             for culprit in culprits.values():
-                nursery.start_soon(self._feel, culprit, lost)
+                nursery.start_soon(self._probe, culprit, lost)
         for culprit in culprits.values():
             self._blame(culprit, any(each is culprit for each, _ in lost), first, waiting_for)
         await self._move_all()
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -80,7 +80,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(serve, self._spec.port, self.handle)
             nursery.start_soon(self._beat)
-            nursery.start_soon(self._feel_parts)
+            nursery.start_soon(self._probe_parts)
 
     async def _beat(self) -> None:
         while True:
@@ -236,7 +236,7 @@
         self._waiting.pop(name, None)
         return True
 
-    async def _feel_parts(self) -> None:
+    async def _probe_parts(self) -> None:
         """Keep asking the other runners of the paths under way whether they are there."""
         while True:
             others = {each[0] for path in self._paths.values() for each in path}
@@ -244,10 +244,10 @@
             self._lost &= others
             async with trio.open_nursery() as nursery:
                 for address in others:
-                    nursery.start_soon(self._feel, address)
+                    nursery.start_soon(self._probe, address)
             await trio.sleep(PULSE_SECONDS)
 
-    async def _feel(self, address: str) -> None:
+    async def _probe(self, address: str) -> None:
         answer = await self._call(address, b"GET", b"/v1/report", b"", PULSE_ANSWER_SECONDS)
         (self._lost.discard if answer is not None else self._lost.add)(address)
 
