--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -7,31 +7,20 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from enum import StrEnum
+from dataclasses import dataclass
 
 import trio
 
+from deckcourse.gateway.active_stream import ActiveStream, Interruption
 from deckcourse.gateway.dialect import MoveResult, Pulse, StreamControl
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
-from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.paths import LayerPath
 
-__all__ = ["ActiveStream", "Interruption", "StallMonitor"]
+__all__ = ["StallMonitor"]
 
 # Between two looks at the streams, seconds.
 LOOK_SECONDS = 0.012
-# Events come each 17 to 40 ms where all is well, and a pause over 200 ms is late: a stream is
-# asked about after so many times its own usual gap, within these bounds, seconds.
-USUAL_GAPS = 2.5
-SHORTEST_GAP_SECONDS = 0.045
-LONGEST_GAP_SECONDS = 0.12
-# What a stream's gap is taken for before it has shown one, and how much a new gap counts.
-FIRST_USUAL_GAP_SECONDS = 0.02
-NEW_GAP_WEIGHT = 0.2
-# A first event may take longer, since prompts are read and others go first, seconds.
-FIRST_GAP_SECONDS = 0.15
 # An upstream that is there says so within 3 ms; one that doesn't in the first time, and then again
 # in the second, counts as lost, seconds.
 PULSE_SECONDS = 0.015
@@ -65,67 +54,6 @@
 MOVE_PAUSE_SECONDS = 0.2
 
 
-class Interruption(StrEnum):
-    """Why a stream was taken from its upstream."""
-
-    FIRST_SILENT = "first-silent"
-    NO_OTHER_PATH = "no-other-path"
-    BETTER_ELSEWHERE = "better-elsewhere"
-
-
-@dataclass(eq=False)
-class ActiveStream:
-    """One stream on its way.
-
-    `progress_at` is when something last came, or when it was sent. `take_retry` takes one retry for
-    it and tells whether there was one: without, it must be left where it is. `waits_for` is the
-    upstream of its path that the first one named, `next_move_at` when it may be moved again.
-    """
-
-    request_id: str
-    service: str
-    model: ModelSpec
-    path: LayerPath
-    progress_at: float
-    begun: bool = False
-    usual_gap: float = FIRST_USUAL_GAP_SECONDS
-    waiting: bool = True
-    waits_for: str = ""
-    moving: bool = False
-    next_move_at: float = 0.0
-    take_retry: Callable[[], bool] = lambda: False
-    interruption: Interruption | None = None
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
-
-    def note_event(self, now: float) -> None:
-        """Note that events came."""
-        if self.begun:
-            gap = now - self.progress_at
-            self.usual_gap += NEW_GAP_WEIGHT * (gap - self.usual_gap)
-        self.begun = True
-        self.waits_for = ""
-        self.progress_at = now
-
-    def interrupt(self, why: Interruption) -> bool:
-        """Take the stream from its upstream, if it may go on elsewhere; return whether it was.
-
-        One that may not is better left: its upstream may go on, and ends it otherwise.
-        """
-        if self.interruption is None and self.take_retry():
-            self.interruption = why
-            self.scope.cancel()
-            return True
-        return False
-
-    def stands(self, now: float) -> bool:
-        """Return whether it brings nothing for longer than usual."""
-        limit = FIRST_GAP_SECONDS
-        if self.begun:
-            limit = max(SHORTEST_GAP_SECONDS, USUAL_GAPS * self.usual_gap)
-            limit = min(limit, LONGEST_GAP_SECONDS)
-        return self.waiting and not self.moving and now - self.progress_at > limit
-
-
 @dataclass
 class _Asking:
     """What is known of the questions to one first upstream."""
@@ -166,7 +94,7 @@
         self._log = log
         self._streams: set[ActiveStream] = set()
         self._asking: dict[str, _Asking] = defaultdict(_Asking)
-        self._felt_until: dict[str, float] = {}
+        self._probed_until: dict[str, float] = {}
         self._blamed_until: dict[str, float] = {}
         self._doubted: set[str] = set()
         self._nursery: trio.Nursery | None = None
@@ -214,7 +142,7 @@
             asking.questions += 1
             async with trio.open_nursery() as nursery:
                 if asking.questions % QUICK_QUESTIONS == 1:
-                    nursery.start_soon(self._feel_pulses, instance)
+                    nursery.start_soon(self._probe_all_behind, instance)
                 nursery.start_soon(self._ask_first, upstream, asking)
         finally:
             asking.under_way = False
@@ -232,13 +160,13 @@
             self._upstreams.note_pace(upstream.instance, report.pace)
             await self._act_on(upstream, report.waiting_for, asking)
 
-    async def _feel_pulses(self, first: str) -> None:
+    async def _probe_all_behind(self, first: str) -> None:
         """Ask every upstream behind the first one of standing streams whether it is there."""
         names = self._behind(first)
         lost: list[tuple[Upstream, Pulse]] = []
         async with trio.open_nursery() as nursery:
             for upstream in self._due_for_pulse(names):
-                nursery.start_soon(self._feel, upstream, lost)
+                nursery.start_soon(self._probe, upstream, lost)
         if not lost or len(lost) > max(1, CUT_OFF_SHARE * len(names)):
             return
         for upstream, pulse in lost:
@@ -261,18 +189,18 @@
     def _due_for_pulse(self, names: set[str]) -> list[Upstream]:
         """Return those that may be asked now, and count them as asked."""
         now = trio.current_time()
-        self._felt_until = {name: at for name, at in self._felt_until.items() if at > now}
+        self._probed_until = {name: at for name, at in self._probed_until.items() if at > now}
         due = []
         for name in names:
             upstream = self._upstreams.last_known(name)
             if upstream is None or self._upstreams.is_suspect(name):
                 continue
-            if name not in self._felt_until:
-                self._felt_until[name] = now + PULSE_PAUSE_SECONDS
+            if name not in self._probed_until:
+                self._probed_until[name] = now + PULSE_PAUSE_SECONDS
                 due.append(upstream)
         return due
 
-    async def _feel(self, upstream: Upstream, lost: list[tuple[Upstream, Pulse]]) -> None:
+    async def _probe(self, upstream: Upstream, lost: list[tuple[Upstream, Pulse]]) -> None:
         """Ask one upstream whether it is there; add it to `lost` where it isn't."""
         reading = await self._control.pulse(upstream, PULSE_SECONDS)
         if reading.pulse is Pulse.SILENT:
@@ -342,7 +270,7 @@
         lost: list[tuple[Upstream, Pulse]] = []
         async with trio.open_nursery() as nursery:
             for culprit in culprits.values():
-                nursery.start_soon(self._feel, culprit, lost)
+                nursery.start_soon(self._probe, culprit, lost)
         for culprit in culprits.values():
             self._blame(culprit, any(each is culprit for each, _ in lost), first, waiting_for)
         await self._move_all()
--- a/deckcourse/layers/leveling.py
+++ b/deckcourse/layers/leveling.py
@@ -86,7 +86,8 @@
 
 
 def _cut_further(model: ModelSpec, host: LayerHost, reached: Mapping[int, _Cut]) -> dict[int, _Cut]:
-    room = max(model.most_layers(host.kind, LARGEST_FILL), host.end - host.first)
+    """Return the best cuts after one more host."""
+    room = host.most_layers(model, LARGEST_FILL)
     step = model.layer_mb / model.kind_of(host.kind).memory_mb / FILL_STEP
     # Where it doesn't run anything it keeps what it holds.
     found = {first: _Cut(cut.fullest, cut.loads, first) for first, cut in reached.items()}
@@ -128,17 +129,7 @@
         if first >= end or host.fill(model) <= LEVEL_FILL:
             continue
         keep = model.most_layers(host.kind, EVEN_FILL)
-        first, end = _widened(host, first, end, keep)
+        first, end = host.widened(first, end, keep)
         if (first, end) != (host.first, host.end):
-            assignments.append(Assignment(host.instance, first, end, "levelled"))
+            assignments.append(Assignment(host.instance, first, end, "leveled"))
     return tuple(assignments)
-
-
-def _widened(host: LayerHost, first: int, end: int, keep: int) -> tuple[int, int]:
-    """Widen a part of what a host holds to `keep` layers, as far as it holds them."""
-    while end - first < keep and (first > host.first or end < host.end):
-        if end < host.end:
-            end += 1
-        else:
-            first -= 1
-    return first, end
