--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -227,7 +227,7 @@
                     self._expect(model, record)
                     if OrderResult.CONFLICT in await self._order_all(record, deadline):
                         rested_at = trio.current_time() + CONFLICT_REST_SECONDS
-                        self._calm_from[group.name] = rested_at
+                        self._rested_from[group.name] = rested_at
                 case ClaimLost(record):
                     self._log("plan-lost", group=group.name, author=record and record.author)
                     if record is not None:
@@ -251,12 +251,36 @@
             self._pending[each.instance] = _Pending(each.first, each.end, now + seconds, busy)
 
     async def _order_all(self, record: PlanRecord, deadline: float) -> set[OrderResult]:
-        """Give all orders of a plan at once; return what upstreams answered."""
+        """Give all orders of a plan; return what upstreams answered.
+
+        Those that give layers up come last, and only if all others took theirs: half of such a plan
+        would open one gap for another.
+        """
         results: set[OrderResult] = set()
+        giving = [each for each in record.assignments if self._gives_up(each)]
+        await self._order_some(
+            [each for each in record.assignments if each not in giving], deadline, results
+        )
+        if results <= {OrderResult.TAKEN, OrderResult.HELD}:
+            await self._order_some(giving, deadline, results)
+        else:
+            for each in giving:
+                self._pending.pop(each.instance, None)
+            self._log("orders-left-out", instances=[each.instance for each in giving])
+        return results
+
+    async def _order_some(
+        self, assignments: Sequence[Assignment], deadline: float, results: set[OrderResult]
+    ) -> None:
         async with trio.open_nursery() as nursery:
-            for each in record.assignments:
+            for each in assignments:
                 nursery.start_soon(self._order, each, deadline, results)
-        return results
+
+    def _gives_up(self, assignment: Assignment) -> bool:
+        row = self._upstreams.get(assignment.instance)
+        if row is None:
+            return False
+        return not assignment.first <= row.first <= row.end <= assignment.end
 
     async def _order(
         self, assignment: Assignment, deadline: float, results: set[OrderResult]
