--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -7,7 +7,7 @@
 from deckcourse.gateway.load_watch import LoadWatch
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.layers.model import ModelSpec
-from deckcourse.layers.paths import USUAL_ANSWER, USUAL_PROMPT, LayerPath, PathFinder, PathPart
+from deckcourse.layers.paths import USUAL_TOKENS, LayerPath, PathFinder, PathPart
 
 __all__ = ["PathChoice"]
 
@@ -22,9 +22,6 @@
 # caller does: it is refused at once. A bound of 1.1, so that those let in come in time, was tried:
 # more were refused and the mean worth of five bad days fell from 0.626 to 0.582.
 MOST_UTILIZATION = 1.4
-# What a usual request holds in the KV cache in the mean over its time: its prompt and half of its
-# answer, tokens, of the figures that both sites state.
-USUAL_TOKENS = USUAL_PROMPT + USUAL_ANSWER / 2
 # A first upstream all of whose streams broke of late counts this much dearer beyond.
 FAILURE_WEIGHT = 4.0
 # An upstream that refused is left out for so long where another path exists, seconds; twice as long
--- a/deckcourse/layer_bench.py
+++ b/deckcourse/layer_bench.py
@@ -13,7 +13,7 @@
 from deckcourse.layers.coverage import gaps
 from deckcourse.layers.hosts import Assignment, LayerHost, groups_of
 from deckcourse.layers.model import AcceleratorKind, ModelSpec
-from deckcourse.layers.paths import USUAL_ANSWER, USUAL_PROMPT
+from deckcourse.layers.paths import USUAL_TOKENS
 from deckcourse.layers.placement import plan_group
 from deckcourse.layers.slices import slice_model
 
@@ -41,7 +41,6 @@
 # From the end of one round to the orders of the next, seconds: rows arrive and a plan is written.
 ROUND_SECONDS = 0.2
 MOST_ROUNDS = 20
-USUAL_TOKENS = USUAL_PROMPT + USUAL_ANSWER / 2
 
 Planner = Callable[[Sequence[LayerHost]], Sequence[Assignment]]
 
--- a/deckcourse/layers/paths.py
+++ b/deckcourse/layers/paths.py
@@ -11,12 +11,15 @@
 from deckcourse.layers.hosts import EVEN_FILL, LayerHost
 from deckcourse.layers.model import ModelSpec
 
-__all__ = ["USUAL_ANSWER", "USUAL_PROMPT", "LayerPath", "PathFinder", "PathPart"]
+__all__ = ["USUAL_TOKENS", "LayerPath", "PathFinder", "PathPart"]
 
 # What a usual request reads and writes, tokens: it sets how much a step weighs against the
 # reading of the prompt. The sites' own figures are 770 and 154.
 USUAL_PROMPT = 770
 USUAL_ANSWER = 154
+# What a usual request holds in the KV cache in the mean over its time: its prompt and half of its
+# answer, tokens.
+USUAL_TOKENS = USUAL_PROMPT + USUAL_ANSWER / 2
 # One more upstream in the same failure domain costs this much a token, milliseconds (0.2 ms of
 # delay is what both sites state).
 HOP_MS = 0.2
--- a/features/steps/unit_steps.py
+++ b/features/steps/unit_steps.py
@@ -17,6 +17,7 @@
 from deckcourse.errors import RouteError
 from deckcourse.flow import model_flow
 from deckcourse.intents import intent_from
+from deckcourse.layer_bench import LAYER_POLICIES, bench_layers
 from deckcourse.outcomes import NotRun, Unknown, response_head
 from deckcourse.reasons import NotRunReason, UnknownReason
 from deckcourse.relay import REORDER_WINDOW, Relay
@@ -128,6 +129,17 @@
     assert least <= allowed <= most, allowed
 
 
+@then(
+    "over {runs:d} draws of one lost host moving takes less time than widening and cutting afresh"
+)
+def placements(context, runs):
+    results = {name: bench_layers(name, 1, runs, 1) for name in LAYER_POLICIES}
+    assert all(each["runs"] == 3 * runs and each["never"] == 0 for each in results.values())
+    moving = results["moving"]
+    assert moving["seconds"] < min(results["widening"]["seconds"], results["afresh"]["seconds"])
+    assert moving["rounds"] == 1 < results["widening"]["rounds"]
+
+
 @then(
     "with {kept:d} of 20 retries kept others get {others:d} and those that need them get {rest:d}"
 )
--- a/features/units.feature
+++ b/features/units.feature
@@ -35,6 +35,9 @@
   Scenario: Retries are bounded by a part of the first tries
     Then 1000 first tries and failures allow between 200 and 220 retries
 
+  Scenario: The experiment with placements tells the policies apart
+    Then over 4 draws of one lost host moving takes less time than widening and cutting afresh
+
   Scenario: Retries that are kept for those that need them more are not spent by others
     Then with 6 of 20 retries kept others get 14 and those that need them get 6
 
