A repeat that comes before the result is recorded asks again, as its answer says

The scenario did not ask again. Ruled out: two runs (the van went once), another answer. Change: the step asks again while told so, for 5 s at most; what it checks is as before.

--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -14,6 +14,8 @@
 from deckcourse.standin_model import expected_tokens, token_text
 
 PROMPT = "hello there"
+# Until when the result of a call is recorded, on a busy machine too, seconds.
+LONGEST_RECORDING_SECONDS = 5.0
 
 
 def expected_text(tokens: int, prompt: str = PROMPT) -> str:
@@ -169,7 +171,12 @@
 
 def van(context, key, entry, body):
     headers = {"idempotency-key": key, "content-type": "text/plain"}
-    reply = context.site.request(entry, "POST", "/services/vans/go", body, headers)
+    # The result is recorded behind the answer: a repeat that comes sooner is told to ask again.
+    deadline = time.monotonic() + LONGEST_RECORDING_SECONDS
+    while True:
+        reply = context.site.request(entry, "POST", "/services/vans/go", body, headers)
+        if reply.status != 409 or b'"in-progress"' not in reply.body or time.monotonic() > deadline:
+            break
     context.replies.append(reply)
 
 
@@ -203,7 +210,10 @@
 @then("both answers are the same")
 def same(context):
     first, second = context.replies
-    assert (first.status, first.body) == (second.status, second.body) == (200, b"van to site 4")
+    seen = [(each.status, each.body, each.headers) for each in (first, second)]
+    assert (
+        (first.status, first.body) == (second.status, second.body) == (200, b"van to site 4")
+    ), seen
 
 
 @then("the van went {count:d} time")
