--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -40,6 +40,7 @@
         "stopping",
         "store-lost",
         "store-regained",
+        "suspicion-ended",
         "upstream-gone",
     }
 )
