Retries, questions and claims by the part of the traffic that a process carries

Ruled out: a register of processes in the store, which costs calls and lags where it is needed most. Change: what upstreams say of their load counts everybody's requests; next to the own ones there it tells the part that a process carries (TrafficShare). Of the slack that the settings state each process has that part (RetryAllowance; retry_ratio, retry_slack, retry_window are settings now), and where it carries less than a tenth it asks less often, waits longer for the store's changes and leaves more to chance before it claims a plan. Scenarios: shared_limits.feature.

--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -12,19 +12,19 @@
 
 __all__ = ["LONG_WAIT_SECONDS", "ChangeFeed", "Changes", "Follower", "Snapshot"]
 
-# How long one question for changes waits for one at the store, seconds. Its answer is also the
-# sign that the store is in reach: a shorter wait costs calls, a longer one delays that sign.
-WAIT_SECONDS = 1.0
 # Where the answer is no such sign, calls are saved by a longer wait, seconds.
 LONG_WAIT_SECONDS = 5.0
 # How long an answer may take beyond that, seconds: a slow store takes 60 times its 4 ms.
 ANSWER_SECONDS = 0.8
-# Changes that come in quick succession are fetched together after this pause, seconds.
+# Changes that come in quick succession are fetched together after this pause, seconds; where many
+# processes follow the same table, after up to the longest.
 PAUSE_SECONDS = 0.1
+LONGEST_PAUSE_SECONDS = 0.25
 # Between two tries while the store does not answer, seconds, and the same again by chance; doubled
-# after each try up to the longest.
+# after each try up to the longest, which is longer where many processes try.
 RETRY_SECONDS = 0.15
 LONGEST_RETRY_SECONDS = 0.3
+MOST_CROWDED = 3.0
 
 
 @dataclass(frozen=True)
@@ -69,7 +69,8 @@
       on_change: gets each change after that, key and value; no value where the row is gone.
       random: for the time between tries while the store does not answer.
       on_contact: told False when the store stops answering and True when it answers again.
-      wait: how long one question waits for changes, seconds.
+      wait: returns how long one question waits for changes, seconds.
+      crowd: returns how many times as many processes follow the table as pauses are made for.
     """
 
     def __init__(
@@ -80,10 +81,9 @@
         on_change: Callable[[str, bytes | None], None],
         random: Random,
         on_contact: Callable[[bool], None] = lambda regained: None,
-        wait: float = WAIT_SECONDS,
+        wait: Callable[[], float] = lambda: LONG_WAIT_SECONDS,
+        crowd: Callable[[], float] = lambda: 1.0,
     ) -> None:
-        # Whoever waits long relies on another follower to notice the store's return.
-        self._longest_retry = max(LONGEST_RETRY_SECONDS, wait / 4)
         self._retry = RETRY_SECONDS
         self._feed = feed
         self._table = table
@@ -92,6 +92,8 @@
         self._random = random
         self._on_contact = on_contact
         self._wait = wait
+        self._crowd = crowd
+        self._asked_wait = 0.0
         self._asking = trio.CancelScope()
         self._version: int | None = None
         self._as_of = float("-inf")
@@ -119,7 +121,7 @@
             asked_at = trio.current_time()
             if await self._round():
                 self._contact(asked_at + self._waited(asked_at))
-                await trio.sleep(PAUSE_SECONDS)
+                await trio.sleep(min(LONGEST_PAUSE_SECONDS, PAUSE_SECONDS * self._crowd()))
             else:
                 if not self._lost:
                     self._lost = True
@@ -129,7 +131,9 @@
     async def _pause(self) -> None:
         """Wait before the next try, until another follower's success makes it due."""
         seconds = self._retry * (1 + self._random.random())
-        self._retry = min(2 * self._retry, self._longest_retry)
+        # Whoever waits long relies on another follower to notice the store's return.
+        longest = max(LONGEST_RETRY_SECONDS, self._wait() / 4)
+        self._retry = min(2 * self._retry, longest * min(MOST_CROWDED, self._crowd()))
         with trio.move_on_after(seconds) as self._asking:
             await trio.sleep_forever()
 
@@ -138,8 +142,8 @@
 
         An answer without changes is made when the wait is over: until then nothing changed.
         """
-        full = not self._changed and trio.current_time() - asked_at >= self._wait
-        return self._wait if full else 0.0
+        full = not self._changed and trio.current_time() - asked_at >= self._asked_wait
+        return self._asked_wait if full else 0.0
 
     def _contact(self, as_of: float) -> None:
         self._as_of = as_of
@@ -156,7 +160,8 @@
         answer: Result = Failure(TableFailure.UNAVAILABLE)
         self._changed = True
         # After a loss, the first answer should come at once: it ends the doubt.
-        wait = 0.0 if self._lost else self._wait
+        wait = 0.0 if self._lost else self._wait()
+        self._asked_wait = wait
         with trio.move_on_after(wait + ANSWER_SECONDS) as self._asking:
             if self._version is None:
                 answer = await self._feed.snapshot(self._table)
--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -6,19 +6,14 @@
 from deckcourse.gateway.desired import AccountSpec, RouteSpec, UpstreamService
 from deckcourse.gateway.dialect import CallerRequest, Dialect
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.server import Exchange
-from deckcourse.retry_budget import RetryBudget
 
 __all__ = ["Admitted", "GatewayContext"]
 
-# Of all retries that the nodes together may make, the share a request earns, and what one node
-# may make beyond: the sites state 0.2 of the requests and about 200 in 10 s for all nodes.
-EARNED_PER_REQUEST = 0.15
-BUDGET_AT_ONCE = 18.0
-
 
 @dataclass(frozen=True)
 class Admitted:
@@ -57,10 +52,11 @@
     count: Callable[[str], None]
     timing: Callable[[str, float], None]
     log: Callable[..., None]
-    budgets: dict[str, RetryBudget] = field(default_factory=dict)
-
-    def budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service."""
-        if service not in self.budgets:
-            self.budgets[service] = RetryBudget(EARNED_PER_REQUEST, BUDGET_AT_ONCE)
-        return self.budgets[service]
+    new_allowance: Callable[[], RetryAllowance]
+    allowances: dict[str, RetryAllowance] = field(default_factory=dict)
+
+    def budget(self, service: str) -> RetryAllowance:
+        """Return what this process may retry at a service."""
+        if service not in self.allowances:
+            self.allowances[service] = self.new_allowance()
+        return self.allowances[service]
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -10,14 +10,21 @@
 import trio
 
 from deckcourse.gateway.dialect import StreamControl
+from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import Upstream
 
 __all__ = ["FirstLoad", "LoadWatch"]
 
-# Between two questions to one upstream, seconds; its answer is 0.2 s old, and each is priced.
+# Between two questions to one upstream, seconds; its answer is 0.2 s old.
 ASK_SECONDS = 0.4
-# An answer older than this tells nothing, seconds.
-LIFETIME_SECONDS = 1.2
+# Where a process carries less of the traffic than this it asks less often, in proportion: what all
+# processes ask together would else grow with their number and not with the requests. Six to nine
+# processes ask some 45 times a second for 26 to 46 requests.
+ASKING_SHARE = 0.1
+# The longest time between two questions all the same, seconds.
+LONGEST_ASK_SECONDS = 1.4
+# An answer older than so many times the pause between questions tells nothing.
+LIFETIME_PAUSES = 3.0
 # Upstreams are asked while a request came in the last so many seconds.
 ACTIVE_SECONDS = 2.0
 # What all processes together send may be so many times the own: one in so many is this one. The
@@ -41,11 +48,21 @@
     Args:
       control: asks an upstream.
       firsts: returns the upstreams that can be the first of a path.
+      in_flight: returns this process's own requests at an upstream.
+      traffic: gets what the answers tell of this process's part of all traffic.
     """
 
-    def __init__(self, control: StreamControl, firsts: Callable[[], list[Upstream]]) -> None:
+    def __init__(
+        self,
+        control: StreamControl,
+        firsts: Callable[[], list[Upstream]],
+        in_flight: Callable[[str], int],
+        traffic: TrafficShare,
+    ) -> None:
         self._control = control
         self._firsts = firsts
+        self._in_flight = in_flight
+        self._traffic = traffic
         self._loads: dict[str, FirstLoad] = {}
         self._begun_since: dict[str, int] = {}
         self._active_until = 0.0
@@ -72,15 +89,27 @@
         async with trio.open_nursery() as nursery:
             while True:
                 if trio.current_time() < self._active_until:
+                    self._note_share()
                     for upstream in self._firsts():
                         nursery.start_soon(self._ask, upstream)
-                await trio.sleep(ASK_SECONDS)
+                await trio.sleep(self._pause)
+
+    @property
+    def _pause(self) -> float:
+        """The time between two questions to one upstream, seconds."""
+        return min(LONGEST_ASK_SECONDS, self._traffic.spread(ASK_SECONDS, ASKING_SHARE))
+
+    def _note_share(self) -> None:
+        now = trio.current_time()
+        known = {name: each for name, each in self._loads.items() if each.deadline >= now}
+        everybodys = sum(each.running + each.queued for each in known.values())
+        self._traffic.note(sum(map(self._in_flight, known)), everybodys)
 
     async def _ask(self, upstream: Upstream) -> None:
         load = await self._control.load(upstream)
         if load is None:
             return
         self._begun_since.pop(upstream.instance, None)
-        deadline = trio.current_time() + LIFETIME_SECONDS
+        deadline = trio.current_time() + LIFETIME_PAUSES * self._pause
         share = load.cache_used / load.cache_total if load.cache_total else 0.0
         self._loads[upstream.instance] = FirstLoad(load.running, load.queued, share, deadline)
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -10,19 +10,22 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from deckcourse.change_feed import LONG_WAIT_SECONDS, ChangeFeed, Follower
+from deckcourse.change_feed import ChangeFeed, Follower
 from deckcourse.counters import Counters
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.desired import CallerBounds, DesiredState
 from deckcourse.gateway.dialect import Dialect, StreamControl
 from deckcourse.gateway.gateway import Gateway
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.retry_allowance import RetryAllowance, RetryLimits
 from deckcourse.gateway.stalls import StallMonitor
+from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.layers.healer import Healer, Orderer
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.plan_book import PlanBook
+from deckcourse.settings import GatewaySettings
 from deckcourse.table import Row, TableService
 
 __all__ = ["GatewayIdentity", "GatewayNode", "GatewayPorts", "RowReader"]
@@ -30,9 +33,17 @@
 # The part of the revocation time after which nothing that needs a key is sent any more: a key
 # taken away just after the last sign of the store must not open anything when that time is over.
 STALE_SHARE = 0.8
-# The part of it after which the process calls itself not ready: the balancer then turns to
-# others, which may see the store.
-UNREADY_SHARE = 0.35
+# The part of it that one question for changes waits at the store: its answer is also the sign that
+# the store is in reach. A shorter wait costs calls, a longer one delays that sign. Where many
+# processes ask, it is up to so many times as long: one that is cut off turns fewer callers away.
+CONTACT_SHARE = 0.2
+LONGEST_CONTACT = 2.0
+# The part of it that such an answer may be late by before the process calls itself not ready: the
+# balancer then turns to others, which may see the store.
+LATE_SHARE = 0.15
+# What a process carries of all traffic where there are so few that waits and pauses need not grow
+# with their number.
+SMALL_SITE_SHARE = 0.1
 # Between a fault in background work and its next run, seconds.
 FAULT_PAUSE_SECONDS = 0.2
 
@@ -79,7 +90,7 @@
     Args:
       identity: who the process is.
       ports: the outside systems and the ways to reach them.
-      revocation: returns the time within which a key that was taken away opens nothing, seconds.
+      settings: returns the settings in force.
       counters: counts and timings.
       log: writes decisions.
       random: for waits that should differ between processes.
@@ -89,17 +100,18 @@
         self,
         identity: GatewayIdentity,
         ports: GatewayPorts,
-        revocation: Callable[[], float],
+        settings: Callable[[], GatewaySettings],
         counters: Counters,
         log: Callable[..., None],
         random: Random,
     ) -> None:
         self._identity = identity
         self._ports = ports
-        self._revocation = revocation
+        self._settings = settings
         self._counters = counters
         self._log = log
         self._random = random
+        self._traffic = TrafficShare()
         self._desired: DesiredState | None = None
         self._desired_changed = trio.Event()
         self._upstreams = UpstreamTable(trio.current_time)
@@ -115,6 +127,8 @@
             self._on_operator_row,
             random,
             self._on_contact,
+            self._contact_wait,
+            self._crowd,
         )
         self._upstream_feed = Follower(
             ports.feed,
@@ -123,7 +137,7 @@
             self._on_upstream_row,
             random,
             self._on_list_contact,
-            LONG_WAIT_SECONDS,
+            crowd=self._crowd,
         )
         self._monitor = StallMonitor(
             self._upstreams, ports.control, self._choice, self._witness, counters.count, log
@@ -138,6 +152,7 @@
             count=counters.count,
             timing=counters.timing,
             log=log,
+            new_allowance=self._new_allowance,
         )
         self._gateway = Gateway(context, lambda: self._desired, identity.domain)
 
@@ -156,7 +171,7 @@
         """Whether the balancer may send new connections here."""
         if self._stopping or self._desired is None or not self._upstream_feed.known:
             return False
-        return self._age() < self._revocation() * UNREADY_SHARE
+        return self._age() < self._contact_wait() + self._settings().revocation * LATE_SHARE
 
     @property
     def bounds(self) -> CallerBounds:
@@ -173,7 +188,7 @@
 
     def may_send(self) -> bool:
         """Return whether the configuration is fresh enough for what needs a key."""
-        return self._age() < self._revocation() * STALE_SHARE
+        return self._age() < self._settings().revocation * STALE_SHARE
 
     def _age(self) -> float:
         return trio.current_time() - self._operator_feed.as_of
@@ -210,6 +225,7 @@
                         self._ports.orderer,
                         self._random,
                         self._log,
+                        self._crowd,
                     )
                     self._healers[name] = healer
                     model = partial(self._model_of, name)
@@ -217,6 +233,15 @@
                     nursery.start_soon(self._keep_up, self._choice(name).watch.run)
             await changed.wait()
 
+    def _contact_wait(self) -> float:
+        """Return how long a question for changes of the configuration waits, seconds."""
+        longer = min(LONGEST_CONTACT, self._crowd())
+        return self._settings().revocation * CONTACT_SHARE * longer
+
+    def _crowd(self) -> float:
+        """Return how many times as many processes there are as on a small site."""
+        return self._traffic.spread(1.0, SMALL_SITE_SHARE)
+
     def _model_of(self, service: str) -> ModelSpec | None:
         spec = self._desired.services.get(service) if self._desired is not None else None
         return spec.model if spec is not None else None
@@ -225,6 +250,16 @@
         # Also on the way to the end: nobody else may have seen an upstream of this domain fail.
         return self._upstream_feed.known and self.may_send()
 
+    def _new_allowance(self) -> RetryAllowance:
+        return RetryAllowance(self._retry_limits, self._share_of_traffic, trio.current_time)
+
+    def _retry_limits(self) -> RetryLimits:
+        settings = self._settings()
+        return RetryLimits(settings.retry_ratio, settings.retry_slack, settings.retry_window)
+
+    def _share_of_traffic(self) -> float:
+        return self._traffic.share
+
     def _choice(self, service: str) -> PathChoice:
         if service not in self._choices:
             self._choices[service] = PathChoice(
@@ -233,6 +268,7 @@
                 self._upstreams,
                 trio.current_time,
                 self._ports.control,
+                self._traffic,
             )
         return self._choices[service]
 
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -5,6 +5,7 @@
 
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.load_watch import LoadWatch
+from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.paths import USUAL_TOKENS, LayerPath, PathFinder, PathPart
@@ -52,6 +53,7 @@
       upstreams: what this process knows of upstreams.
       clock: seconds, trio's clock.
       control: asks upstreams for their load.
+      traffic: gets what their load tells of this process's part of all traffic.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         upstreams: UpstreamTable,
         clock: Callable[[], float],
         control: StreamControl,
+        traffic: TrafficShare,
     ) -> None:
         self._service = service
         self._domain = domain
@@ -68,7 +71,7 @@
         self._clock = clock
         self._cached: tuple[tuple[int, ModelSpec], list[LayerPath]] | None = None
         self._refusals: dict[str, _Refusal] = {}
-        self._watch = LoadWatch(control, self._firsts)
+        self._watch = LoadWatch(control, self._firsts, upstreams.in_flight, traffic)
 
     @property
     def watch(self) -> LoadWatch:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -15,12 +15,12 @@
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind, end_to_end
 from deckcourse.layers.paths import LayerPath
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
 from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
-from deckcourse.retry_budget import RetryBudget
 
 __all__ = ["StreamCall"]
 
@@ -49,12 +49,12 @@
 # Between two tries of such a stream, seconds; doubled with each refusal, up to the longest.
 REFUSED_PAUSE_SECONDS = 0.05
 LONGEST_REFUSED_PAUSE_SECONDS = 0.4
-# Retries that are kept for streams that have run: one that nobody ran can come back later, one that
-# broke off is lost without.
-KEPT_FOR_BROKEN = 6.0
-# Retries that must be left when a stream is taken from an upstream that still has it: the next one
+# The part of all retries that is kept for streams that have run: one that nobody ran can come back
+# later, one that broke off is lost without.
+KEPT_FOR_BROKEN = 0.33
+# The part that must be left when a stream is taken from an upstream that still has it: the next one
 # may refuse it.
-KEPT_FOR_TAKEN = 2.0
+KEPT_FOR_TAKEN = 0.11
 OK = 200
 SERVER_ERROR = 500
 
@@ -106,7 +106,7 @@
         return self._admitted.exchange.started
 
     @property
-    def _budget(self) -> RetryBudget:
+    def _budget(self) -> RetryAllowance:
         return self._context.budget(self._admitted.service.name)
 
     async def run(self) -> Outcome:
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -23,7 +23,8 @@
 # Between two looks at the upstreams while nothing changes, seconds.
 LOOK_SECONDS = 0.06
 # The author of the last plan acts at once; another process waits this long and up to the same
-# again by chance, so that one of them writes first, seconds.
+# again by chance, so that one of them writes first, seconds. Where there are many the part by
+# chance is longer: the first of them comes as soon, and fewer come together.
 OTHERS_WAIT_SECONDS = 0.15
 # A process that saw a failure on its own connections need not wait that long, seconds.
 WITNESS_WAIT_SECONDS = 0.03
@@ -93,6 +94,7 @@
       orderer: gives orders to upstreams.
       random: for the time that is left to other processes.
       log: writes decisions.
+      others: returns how many times as many processes there are as the waits are made for.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         orderer: Orderer,
         random: Random,
         log: Callable[..., None],
+        others: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._service = service
         self._upstreams = upstreams
@@ -110,6 +113,7 @@
         self._orderer = orderer
         self._random = random
         self._log = log
+        self._others = others
         self._pending: dict[str, _Pending] = {}
         self._wanted_since: dict[str, float] = {}
         self._patience: dict[str, float] = {}
@@ -211,7 +215,7 @@
         if self._witnessed & {each.domain for each in group.hosts}:
             base = WITNESS_WAIT_SECONDS
         share = self._patience.setdefault(group.name, self._random.random())
-        return base * (1 + share)
+        return base * (1 + share * self._others())
 
     async def _claim(
         self, model: ModelSpec, group: Group, assignments: tuple[Assignment, ...]
--- a/deckcourse/platform/__main__.py
+++ b/deckcourse/platform/__main__.py
@@ -52,7 +52,7 @@
                 GatewayPorts(
                     store, store, PlatformRows(), PlatformDialect(), control, control, pool
                 ),
-                lambda: self._settings.gateway.revocation,
+                lambda: self._settings.gateway,
                 counters,
                 log.log,
                 SystemRandom(),
--- a/deckcourse/retry_budget.py
+++ b/deckcourse/retry_budget.py
@@ -25,13 +25,9 @@
         """Count a first try."""
         self._balance = min(self._largest, self._balance + self._earned)
 
-    def spend(self, keep: float = 0.0) -> bool:
-        """Take one retry; return whether there was one to take.
-
-        Args:
-          keep: retries that must be left afterwards, for those that need them more.
-        """
-        if self._balance < 1.0 + keep:
+    def spend(self) -> bool:
+        """Take one retry; return whether there was one to take."""
+        if self._balance < 1.0:
             return False
         self._balance -= 1.0
         return True
--- a/deckcourse/settings.py
+++ b/deckcourse/settings.py
@@ -71,7 +71,8 @@
     """The gateway's listeners, how it stops, and how long it may serve without the store.
 
     `stop_grace` is the time from SIGTERM to the end; `revocation` the longest time after which a
-    key that was taken away may still open something, anywhere.
+    key that was taken away may still open something, anywhere. In any `retry_window` all processes
+    together retry no more than `retry_ratio` of a service's requests and `retry_slack` more.
     """
 
     listen: Address = Address("127.0.0.1:8080")
@@ -79,6 +80,9 @@
     metrics_listen: Address = Address("127.0.0.1:9464")
     stop_grace: Duration = Duration(8)
     revocation: Duration = Duration(5)
+    retry_ratio: float = 0.2
+    retry_slack: float = 200.0
+    retry_window: Duration = Duration(10)
 
 
 @dataclass(frozen=True)
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -20,6 +20,7 @@
 from deckcourse.platform.dialect import PlatformDialect
 from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
+from deckcourse.settings import GatewaySettings
 
 # The same order of tasks on every run.
 trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
@@ -256,7 +257,7 @@
                             control,
                             self.pool,
                         ),
-                        lambda: 5.0,
+                        GatewaySettings,
                         self.counters,
                         self.note,
                         Random(1),
--- /dev/null
+++ b/features/shared_limits.feature
@@ -0,0 +1,38 @@
+Feature: What processes may do together, without a word between them
+
+  Scenario Outline: The part of all traffic that a process carries: <case>
+    Given measurements of <own> own requests among <all>
+    Then the process takes its part for <least> to <most>
+
+    Examples:
+      | case                   | own                 | all                 | least | most |
+      | nothing measured       | none                | none                | 0.05  | 0.05 |
+      | the first counts whole | 5                   | 45                  | 0.1   | 0.1  |
+      | few tell little        | 4                   | 4                   | 0.3   | 0.33 |
+      | one quiet moment       | 10 0                | 60 60               | 0.13  | 0.15 |
+      | none of its own        | 0                   | 60                  | 0.005 | 0.01 |
+      | half of the rest left  | 5 10 10 10 10 10 10 | 50 50 50 50 50 50 50 | 0.12  | 0.15 |
+      | more than what is told | 90                  | 60                  | 0.9   | 1    |
+
+  Scenario Outline: All retries together stay within the bound: <processes> processes, <traffic>
+    Given <processes> processes that share 100 requests a second <traffic>
+    When every try fails for 40 seconds
+    Then no 10 seconds have more retries than 0.2 of the requests and 200
+    And no process waits longer than <longest> seconds for a retry
+
+    Examples:
+      | processes | traffic  | longest |
+      | 1         | evenly   | 1       |
+      | 6         | evenly   | 2       |
+      | 6         | unevenly | 6       |
+      | 60        | evenly   | 8       |
+
+  Scenario Outline: Retries that are kept for those that need them more are not spent by others
+    Given an allowance of 20 retries at once
+    Then with a part of <kept> kept others get <others> and those that need them get <rest>
+
+    Examples:
+      | kept | others | rest |
+      | 0.3  | 14     | 6    |
+      | 0.5  | 10     | 10   |
+      | 0    | 20     | 0    |
--- a/features/steps/deploy_steps.py
+++ b/features/steps/deploy_steps.py
@@ -23,6 +23,9 @@
     "listen.ready": "127.0.0.1:8081",
     "bounds.graceS": "8",
     "bounds.revokeMs": "5000",
+    "bounds.retryBudgetRatio": "0.25",
+    "bounds.budgetSlack": "196",
+    "bounds.budgetWindowS": "12",
 }
 # Names of the platform that are not also words of HTTP or of ours.
 NAMES = re.compile(
@@ -52,6 +55,8 @@
         case Success(settings):
             assert settings.node.name == "front-1" and settings.node.domain == "hall-a"
             assert settings.gateway.stop_grace == 8.0 and settings.gateway.revocation == 5.0
+            retries = settings.gateway.retry_ratio, settings.gateway.retry_slack
+            assert (*retries, settings.gateway.retry_window) == (0.25, 196.0, 12.0)
             assert settings.gateway.metrics_listen == "127.0.0.1:9464"
         case Failure(problems):
             raise AssertionError([str(each) for each in problems])
--- /dev/null
+++ b/features/steps/shared_limit_steps.py
@@ -0,0 +1,102 @@
+"""Steps about what processes may do together, each by its part of the traffic."""
+
+from collections import Counter
+from random import Random
+
+from behave import given, then, when
+
+from deckcourse.gateway.retry_allowance import AT_ONCE_PART, RetryAllowance, RetryLimits
+from deckcourse.gateway.traffic_share import TrafficShare
+
+LIMITS = RetryLimits()
+RATE = 100
+STEP_SECONDS = 0.1
+# Streams that are at the upstreams at any moment; measurements are drawn from them.
+STANDING = 150
+# Retries may be counted from any of these moments on.
+SLIDE_SECONDS = 0.5
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def numbers(text):
+    return [] if text == "none" else [int(each) for each in text.split()]
+
+
+@given("measurements of {own} own requests among {all}")
+def measurements(context, own, all):  # noqa: A002
+    context.traffic = TrafficShare()
+    for mine, everybodys in zip(numbers(own), numbers(all), strict=True):
+        context.traffic.note(mine, everybodys)
+
+
+@then("the process takes its part for {least:g} to {most:g}")
+def part_taken(context, least, most):
+    assert least <= context.traffic.share <= most, context.traffic.share
+
+
+@given("{count:d} processes that share 100 requests a second {how}")
+def processes(context, count, how):
+    context.clock = Clock()
+    context.weights = [1.0 if how == "evenly" else 1.0 + index for index in range(count)]
+    context.traffic = [TrafficShare() for _ in range(count)]
+    context.allowances = [
+        RetryAllowance(lambda: LIMITS, lambda each=each: each.share, context.clock)
+        for each in context.traffic
+    ]
+
+
+@when("every try fails for {seconds:d} seconds")
+def every_try_fails(context, seconds):
+    random = Random(1)
+    names = range(len(context.weights))
+    context.retries = []
+    context.retried_at = dict.fromkeys(names, 0.0)
+    context.longest = 0.0
+    for step in range(round(seconds / STEP_SECONDS)):
+        context.clock.now = step * STEP_SECONDS
+        if step % 4 == 0:
+            standing = Counter(random.choices(names, context.weights, k=STANDING))
+            for name, traffic in enumerate(context.traffic):
+                traffic.note(standing[name], STANDING)
+        for name in random.choices(names, context.weights, k=round(RATE * STEP_SECONDS)):
+            context.allowances[name].earn()
+            while context.allowances[name].spend():
+                context.retries.append(context.clock.now)
+                context.retried_at[name] = context.clock.now
+        waits = (context.clock.now - at for at in context.retried_at.values())
+        context.longest = max(context.longest, *waits)
+
+
+@then("no 10 seconds have more retries than 0.2 of the requests and 200")
+def within_bound(context):
+    allowed = LIMITS.ratio * RATE * LIMITS.window + LIMITS.slack
+    for start in range(round(context.clock.now / SLIDE_SECONDS)):
+        begin = start * SLIDE_SECONDS
+        count = sum(begin <= each < begin + LIMITS.window for each in context.retries)
+        assert count <= allowed, (begin, count, allowed)
+
+
+@then("no process waits longer than {seconds:g} seconds for a retry")
+def none_waits(context, seconds):
+    assert context.longest <= seconds, context.longest
+
+
+@given("an allowance of {count:d} retries at once")
+def allowance(context, count):
+    clock = Clock()
+    limits = RetryLimits(slack=count / AT_ONCE_PART)
+    context.allowance = RetryAllowance(lambda: limits, lambda: 1.0, clock)
+    clock.now = 1000.0
+
+
+@then("with a part of {kept:g} kept others get {others:d} and those that need them get {rest:d}")
+def kept_retries(context, kept, others, rest):
+    assert sum(context.allowance.spend(kept) for _ in range(30)) == others
+    assert sum(context.allowance.spend() for _ in range(30)) == rest
--- a/features/units.feature
+++ b/features/units.feature
@@ -38,9 +38,6 @@
   Scenario: The experiment with placements tells the policies apart
     Then over 4 draws of one lost host moving takes less time than widening and cutting afresh
 
-  Scenario: Retries that are kept for those that need them more are not spent by others
-    Then with 6 of 20 retries kept others get 14 and those that need them get 6
-
   Scenario Outline: Changes arrive <how>
     Then changes <versions> leave version <version> and <models> models
 
