A host that only widens its range loads what lies between as well

Change: the range of a host that keeps what it holds must touch it. Tests: layers, 'loads what lies between', red without it; mutant widening-leaps.

--- a/deckcourse/layers/cuts.py
+++ b/deckcourse/layers/cuts.py
@@ -102,7 +102,7 @@
             load = end - first - kept if kept > 0 else end - first
             if load > spare:
                 continue
-            if keeps and load and max(end, host.end) - min(first, host.first) > room:
+            if keeps and load and not _joined(host, first, end, room):
                 continue
             cost = (left_out, max(largest, load), total + load)
             if end not in found or cost < found[end][:3]:
@@ -110,6 +110,12 @@
     return found
 
 
+def _joined(host: LayerHost, first: int, end: int, room: int) -> bool:
+    """Return whether a range and what a host holds are one range together, with room for it."""
+    touching = first <= host.end and host.first <= end
+    return touching and max(end, host.end) - min(first, host.first) <= room
+
+
 def _starts(model: ModelSpec, reached: Mapping[int, _Cut]) -> Iterator[tuple[int, _Cut]]:
     """Yield the cheapest way to begin at each layer, leaving layers out where that is best."""
     best: _Cut | None = None
