--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -3,10 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from trio import current_time
+
 from deckcourse.gateway.desired import AccountSpec, RouteSpec, UpstreamService
 from deckcourse.gateway.dialect import CallerRequest, Dialect
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.retry_allowance import RetryAllowance
+from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool
@@ -54,9 +57,16 @@
     log: Callable[..., None]
     new_allowance: Callable[[], RetryAllowance]
     allowances: dict[str, RetryAllowance] = field(default_factory=dict)
+    schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
 
     def budget(self, service: str) -> RetryAllowance:
         """Return what this process may retry at a service."""
         if service not in self.allowances:
             self.allowances[service] = self.new_allowance()
         return self.allowances[service]
+
+    def returns(self, service: str) -> ReturnSchedule:
+        """Return when callers that a service's requests were refused may come back."""
+        if service not in self.schedules:
+            self.schedules[service] = ReturnSchedule(current_time)
+        return self.schedules[service]
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -5,7 +5,6 @@
 """
 
 from dataclasses import dataclass
-from hashlib import blake2b
 from itertools import count
 
 import trio
@@ -40,9 +39,9 @@
 OVERLOAD_RETRY_SECONDS = 1.2
 # For how long an upstream that resets or refuses connections gets no new work, seconds.
 UNREACHABLE_SECONDS = 2.0
-# Of a time to come back: the least part of it, and what the request's id may add.
-LEAST_RETRY_SHARE = 0.75
-SPREAD_RETRY_SHARE = 0.5
+# Callers wait until a time to come back only where it is no longer than this part of the time that
+# they have left; the platform says a third.
+HONOURED_SHARE = 0.3
 # A stream that ran and has no place looks for one for so long after its last event, seconds: room
 # comes free with each stream that ends. Later its caller, who can resume it, is told by the cut.
 LONGEST_SEARCH_SECONDS = 1.0
@@ -129,6 +128,7 @@
                 return self._give_up(last, NotRunReason.NOT_READY, FULL_RETRY_SECONDS)
             end = await self._attempt(path)
             if isinstance(end, _Finished):
+                self._context.returns(self._admitted.service.name).note_answered()
                 return Answered(0, end.status)
             last = end
             self._log_try(path, end)
@@ -196,9 +196,10 @@
         return NotRun(reason, message, self._later(retry_after))
 
     def _later(self, seconds: float) -> float:
-        """Return a time to come back, spread by the request's id so that not all come at once."""
-        spread = blake2b(self._admitted.caller.request_id.encode(), digest_size=1).digest()[0]
-        return seconds * (LEAST_RETRY_SHARE + SPREAD_RETRY_SHARE * spread / 255)
+        """Return a time to come back, `seconds` at least, when its turn among the refused comes."""
+        left = self._admitted.deadline - trio.current_time()
+        schedule = self._context.returns(self._admitted.service.name)
+        return schedule.take(seconds, max(seconds, left * HONOURED_SHARE))
 
     async def _path(self) -> LayerPath | None:
         """Return a path; a stream that has begun waits a little for one."""
--- a/features/shared_limits.feature
+++ b/features/shared_limits.feature
@@ -36,3 +36,17 @@
       | 0.3  | 14     | 6    |
       | 0.5  | 10     | 10   |
       | 0    | 20     | 0    |
+
+  Scenario Outline: Refused callers come back in turn: <case>
+    Given a process that answers <rate> requests a second
+    When <count> requests are refused at once, to come back after <least> seconds
+    Then the first comes back after <least> seconds and the last between <early> and <late> seconds
+    And no second has more than <most> of them
+
+    Examples:
+      | case                  | rate | count | least | early | late | most |
+      | one                   | 10   | 1     | 1.0   | 1.0   | 1.0  | 1    |
+      | a few                 | 10   | 6     | 1.0   | 2.0   | 4.0  | 4    |
+      | nothing answered      | 0    | 6     | 1.0   | 3.4   | 3.6  | 2    |
+      | more than there is time for | 10 | 60  | 1.0   | 1.0   | 6.0  | 16   |
+      | a busy process        | 100  | 60    | 0.25  | 1.5   | 3.5  | 40   |
--- a/features/steps/shared_limit_steps.py
+++ b/features/steps/shared_limit_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from deckcourse.gateway.retry_allowance import AT_ONCE_PART, RetryAllowance, RetryLimits
+from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.traffic_share import TrafficShare
 
 LIMITS = RetryLimits()
@@ -100,3 +101,32 @@
 def kept_retries(context, kept, others, rest):
     assert sum(context.allowance.spend(kept) for _ in range(30)) == others
     assert sum(context.allowance.spend() for _ in range(30)) == rest
+
+
+@given("a process that answers {rate:d} requests a second")
+def answering(context, rate):
+    context.clock = Clock()
+    context.schedule = ReturnSchedule(context.clock)
+    for _ in range(round(20 * rate)):
+        context.clock.now += 1 / rate
+        context.schedule.note_answered()
+
+
+@when("{count:d} requests are refused at once, to come back after {least:g} seconds")
+def refused_at_once(context, count, least):
+    context.times = [context.schedule.take(least) for _ in range(count)]
+
+
+@then(
+    "the first comes back after {least:g} seconds and the last between {early:g} and {late:g}"
+    " seconds"
+)
+def coming_back(context, least, early, late):
+    assert context.times[0] == least, context.times
+    assert early <= context.times[-1] <= late, context.times
+
+
+@then("no second has more than {most:d} of them")
+def spread_out(context, most):
+    count = max(sum(start <= each < start + 1 for each in context.times) for start in context.times)
+    assert count <= most, sorted(context.times)
