--- /dev/null
+++ b/deckcourse/platform/program.py
@@ -0,0 +1,113 @@
+"""The gateway on the users' platform: its parts put together, and its signals."""
+
+import os
+import signal
+import sys
+from random import SystemRandom
+from uuid import uuid4
+
+import trio
+from returns.result import Failure, Success
+
+from deckcourse.counters import StatsdCounters
+from deckcourse.decision_log import DecisionLog
+from deckcourse.gateway.node import GatewayIdentity, GatewayNode, GatewayPorts
+from deckcourse.gateway.server import GatewayServer, ListenAddresses
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.metrics import RegistryCounters
+from deckcourse.platform.dialect import PlatformDialect
+from deckcourse.platform.names import READY, SETTINGS_VARIABLE
+from deckcourse.platform.rows import PlatformRows
+from deckcourse.platform.runners import RunnerControl
+from deckcourse.platform.store import Store
+from deckcourse.settings import Settings, read_settings
+
+__all__ = ["main"]
+
+# The exit code of a program whose settings can't be used (EX_CONFIG of sysexits.h).
+SETTINGS_EXIT = 78
+
+
+class _Process:
+    """The gateway with its settings, which may be read anew."""
+
+    def __init__(self, path: str, settings: Settings, log: DecisionLog) -> None:
+        self._path = path
+        self._settings = settings
+        self._log = log
+        node = settings.node
+        statsd = settings.statsd
+        counters = RegistryCounters(
+            StatsdCounters(statsd.host, statsd.port) if statsd.host else None
+        )
+        pool = ConnectionPool(counters.count)
+        store = Store(pool, str(node.platform))
+        control = RunnerControl(pool)
+        gateway = settings.gateway
+        # New at each start, so that plans of an earlier start of this process count as another's.
+        author = f"{node.name}/{uuid4().hex[:12]}"
+        self._server = GatewayServer(
+            GatewayNode(
+                GatewayIdentity(node.name, node.domain, author),
+                GatewayPorts(
+                    store, store, PlatformRows(), PlatformDialect(), control, control, pool
+                ),
+                lambda: self._settings.gateway,
+                counters,
+                log.log,
+                SystemRandom(),
+            ),
+            ListenAddresses(gateway.listen, gateway.ready_listen, gateway.metrics_listen),
+            lambda: self._settings.gateway.stop_grace,
+            counters.text,
+            READY,
+            log.log,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._watch_signals)
+            await self._server.run()
+            nursery.cancel_scope.cancel()
+
+    async def _watch_signals(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            task_status.started()
+            async for number in signals:
+                self._log.log("signal", signal=signal.Signals(number).name)
+                if number == signal.SIGHUP:
+                    self._reload()
+                else:
+                    self._server.stop()
+
+    def _reload(self) -> None:
+        """Take the settings anew; those that can't be used leave the old ones in force."""
+        match read_settings(self._path):
+            case Success(settings):
+                changed = settings != self._settings
+                self._settings = settings
+                self._log.log("settings", changed=changed)
+            case Failure(problems):
+                self._log.log("settings-refused", problems=[str(each) for each in problems])
+
+
+def main() -> None:
+    """Run the program."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"{SETTINGS_VARIABLE}: want the path of a settings file", file=sys.stderr)
+        raise SystemExit(SETTINGS_EXIT)
+    match read_settings(path):
+        case Success(settings):
+            log = DecisionLog(settings.node.name)
+            if settings.log.enabled:
+                log.start()
+            log.log("start", domain=settings.node.domain)
+            trio.run(_Process(path, settings, log).run)
+        case Failure(problems):
+            for problem in problems:
+                print(problem, file=sys.stderr)
+            raise SystemExit(SETTINGS_EXIT)
--- a/features/deploy.feature
+++ b/features/deploy.feature
@@ -15,6 +15,14 @@
   Scenario: The program says what is wrong with its settings, and ends
     Then without settings, with a missing file and with a wrong one the program exits with 78
 
+  Scenario Outline: A signal that comes while the program still loads: <signal>
+    Then a program that gets <signal> while it loads exits with <code>
+
+    Examples:
+      | signal  | code |
+      | SIGHUP  | 78   |
+      | SIGTERM | 0    |
+
   Scenario: The platform's names stay in its folder
     Then no module outside the platform folder holds a name of the platform's
 
--- a/features/steps/deploy_steps.py
+++ b/features/steps/deploy_steps.py
@@ -91,6 +91,35 @@
         assert "domain: missing" in done.stderr, done.stderr
 
 
+# Runs the program; its first import of its parts brings the signal.
+SIGNALLED = """
+import os, runpy, signal, sys
+
+class Signaller:
+    def find_spec(self, name, path=None, target=None):
+        if name == "deckcourse.platform.program":
+            os.kill(os.getpid(), signal.{name})
+        return None
+
+sys.meta_path.insert(0, Signaller())
+runpy.run_module("deckcourse.platform", run_name="__main__")
+"""
+
+
+@then("a program that gets {name} while it loads exits with {code:d}")
+def signalled_while_loading(context, name, code):
+    done = subprocess.run(
+        [sys.executable, "-c", SIGNALLED.format(name=name)],
+        cwd=ROOT,
+        env={**os.environ, "DECKCOURSE_BOOT": ""},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == code, done
+
+
 @then("no module outside the platform folder holds a name of the platform's")
 def names_stay(context):
     leaks = []
