--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -245,6 +245,17 @@
     return at == layers
 
 
+def random_hosts(random, most, firsts, longest):
+    """Return up to `most` hosts of three domains that hold ranges of up to `longest` layers."""
+    hosts = []
+    for index in range(random.randint(1, most)):
+        first = random.choice(firsts)
+        end = min(80, first + random.randint(1, longest))
+        domain = random.choice("xyz")
+        hosts.append(LayerHost(f"h{index}", domain, "l4", first, end, f"h{index}"))
+    return hosts
+
+
 @given("the hosts {hosts}")
 def the_hosts(context, hosts):
     context.model = model_of(80, LAYER_MB)
@@ -271,14 +282,7 @@
 def generated_paths(context, count):
     model = model_of(80, LAYER_MB)
     for seed in range(count):
-        random = Random(seed)
-        hosts = []
-        for index in range(random.randint(1, 14)):
-            first = random.randrange(80)
-            end = min(80, first + random.randint(1, 40))
-            hosts.append(
-                LayerHost(f"h{index}", random.choice("xyz"), "l4", first, end, f"h{index}")
-            )
+        hosts = random_hosts(Random(seed), 14, range(80), 40)
         starts = PathFinder(model, hosts).starts()
         whole = min(depth(model, hosts)) >= 1
         assert bool(starts) == whole, (seed, hosts)
@@ -305,13 +309,10 @@
 )
 def generated_path_sets(context, count):
     model = model_of(80, LAYER_MB)
+    # Half of the hosts can be the first of a path.
+    firsts = [0] * 80 + list(range(80))
     for seed in range(count):
-        random = Random(seed)
-        hosts = []
-        for index in range(random.randint(4, 16)):
-            first = random.choice([0, random.randrange(80)])
-            end = min(80, first + random.randint(20, 60))
-            hosts.append(LayerHost(f"h{index}", random.choice("xy"), "l4", first, end, f"h{index}"))
+        hosts = random_hosts(Random(seed), 16, firsts, 60)
         starts = PathSet(model, hosts).starts()
         expected = {each.parts[0].instance for each in PathFinder(model, hosts).starts()}
         assert {each.parts[0].instance for each in starts} == expected, seed
