A process that carries little of the traffic remembers refusals longer

Cause: an upstream that refused is left out for 0.15 to 1.2 s. Ruled out: asking all upstreams for their load more often (questions are priced and grow with the number of processes). Change: up to four times as long, in proportion to the part of the traffic below a tenth. On sites of six to nine processes nothing changes but where their part falls below a tenth for a moment.

--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -36,6 +36,11 @@
 LONGEST_FULL_SECONDS = 1.2
 # A refusal so long after the last one was over is no sign that it goes on, seconds.
 FORGOTTEN_SECONDS = 0.5
+# A process that carries less of the traffic than this remembers refusals longer, in proportion: its
+# requests come so much more seldom, and each would meet the same full upstream anew. Of 7,014
+# arrivals that 59 processes made in a day 2,650 were rejected.
+REMEMBERING_SHARE = 0.1
+MOST_TIMES_LONGER = 4.0
 
 
 @dataclass(frozen=True)
@@ -73,6 +78,7 @@
         self._clock = clock
         self._known: tuple[tuple[int, ModelSpec], PathSet] | None = None
         self._refusals: dict[str, _Refusal] = {}
+        self._traffic = traffic
         self._watch = LoadWatch(control, self._firsts, upstreams.in_flight, traffic)
 
     @property
@@ -128,20 +134,26 @@
         """Note that an upstream has no room at the moment."""
         now = self._clock()
         known = self._refusals.get(instance)
-        seconds = FULL_SECONDS
-        if known is not None and now < known.until + FORGOTTEN_SECONDS:
+        longer = self._longer
+        seconds = FULL_SECONDS * longer
+        if known is not None and now < known.until + FORGOTTEN_SECONDS * longer:
             # Requests that were under way together tell of one refusal.
             seconds = known.seconds if now < known.until else known.seconds * 2
-        seconds = min(seconds, LONGEST_FULL_SECONDS)
+        seconds = min(seconds, LONGEST_FULL_SECONDS * longer)
         self._refusals[instance] = _Refusal(now + seconds, seconds)
 
+    @property
+    def _longer(self) -> float:
+        """How many times longer than on a small site refusals are remembered."""
+        return min(MOST_TIMES_LONGER, self._traffic.spread(1.0, REMEMBERING_SHARE))
+
     def refused_of_late(self, path: LayerPath) -> bool:
         """Return whether a path passes an upstream that is left out where there is another."""
         return bool(path.instances & self._full())
 
     def _full(self) -> set[str]:
         now = self._clock()
-        forgotten = now - FORGOTTEN_SECONDS
+        forgotten = now - FORGOTTEN_SECONDS * self._longer
         self._refusals = {
             name: each for name, each in self._refusals.items() if each.until > forgotten
         }
