--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -24,7 +24,7 @@
 # after each try up to the longest, which is longer where many processes try.
 RETRY_SECONDS = 0.15
 LONGEST_RETRY_SECONDS = 0.3
-MOST_CROWDED = 3.0
+LARGEST_PROCESS_FACTOR = 3.0
 
 
 @dataclass(frozen=True)
@@ -70,7 +70,7 @@
       random: for the time between tries while the store does not answer.
       on_contact: told False when the store stops answering and True when it answers again.
       wait: returns how long one question waits for changes, seconds.
-      crowd: returns how many times as many processes follow the table as pauses are made for.
+      process_factor: returns how many times as many processes follow it as pauses are made for.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         random: Random,
         on_contact: Callable[[bool], None] = lambda regained: None,
         wait: Callable[[], float] = lambda: LONG_WAIT_SECONDS,
-        crowd: Callable[[], float] = lambda: 1.0,
+        process_factor: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._retry = RETRY_SECONDS
         self._feed = feed
@@ -92,7 +92,7 @@
         self._random = random
         self._on_contact = on_contact
         self._wait = wait
-        self._crowd = crowd
+        self._process_factor = process_factor
         self._asked_wait = 0.0
         self._asking = trio.CancelScope()
         self._version: int | None = None
@@ -121,7 +121,7 @@
             asked_at = trio.current_time()
             if await self._round():
                 self._contact(asked_at + self._waited(asked_at))
-                await trio.sleep(min(LONGEST_PAUSE_SECONDS, PAUSE_SECONDS * self._crowd()))
+                await trio.sleep(min(LONGEST_PAUSE_SECONDS, PAUSE_SECONDS * self._process_factor()))
             else:
                 if not self._lost:
                     self._lost = True
@@ -133,7 +133,9 @@
         seconds = self._retry * (1 + self._random.random())
         # Whoever waits long relies on another follower to notice the store's return.
         longest = max(LONGEST_RETRY_SECONDS, self._wait() / 4)
-        self._retry = min(2 * self._retry, longest * min(MOST_CROWDED, self._crowd()))
+        self._retry = min(
+            2 * self._retry, longest * min(LARGEST_PROCESS_FACTOR, self._process_factor())
+        )
         with trio.move_on_after(seconds) as self._asking:
             await trio.sleep_forever()
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -37,7 +37,7 @@
 # the store is in reach. A shorter wait costs calls, a longer one delays that sign. Where many
 # processes ask, it is up to so many times as long: one that is cut off turns fewer callers away.
 CONTACT_SHARE = 0.2
-LONGEST_CONTACT = 2.0
+LARGEST_CONTACT_FACTOR = 2.0
 # The part of it that such an answer may be late by before the process calls itself not ready: the
 # balancer then turns to others, which may see the store.
 LATE_SHARE = 0.15
@@ -128,7 +128,7 @@
             random,
             self._on_contact,
             self._contact_wait,
-            self._crowd,
+            self._process_factor,
         )
         self._upstream_feed = Follower(
             ports.feed,
@@ -137,7 +137,7 @@
             self._on_upstream_row,
             random,
             self._on_list_contact,
-            crowd=self._crowd,
+            process_factor=self._process_factor,
         )
         self._monitor = StallMonitor(
             self._upstreams, ports.control, self._choice, self._witness, counters.count, log
@@ -225,7 +225,7 @@
                         self._ports.orderer,
                         self._random,
                         self._log,
-                        self._crowd,
+                        self._process_factor,
                     )
                     self._healers[name] = healer
                     model = partial(self._model_of, name)
@@ -235,10 +235,10 @@
 
     def _contact_wait(self) -> float:
         """Return how long a question for changes of the configuration waits, seconds."""
-        longer = min(LONGEST_CONTACT, self._crowd())
+        longer = min(LARGEST_CONTACT_FACTOR, self._process_factor())
         return self._settings().revocation * CONTACT_SHARE * longer
 
-    def _crowd(self) -> float:
+    def _process_factor(self) -> float:
         """Return how many times as many processes there are as on a small site."""
         return self._traffic.spread(1.0, SMALL_SITE_SHARE)
 
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -105,7 +105,7 @@
       orderer: gives orders to upstreams.
       random: for the time that is left to other processes.
       log: writes decisions.
-      others: returns how many times as many processes there are as the waits are made for.
+      process_factor: returns how many times as many processes there are as the waits are made for.
     """
 
     def __init__(
@@ -116,7 +116,7 @@
         orderer: Orderer,
         random: Random,
         log: Callable[..., None],
-        others: Callable[[], float] = lambda: 1.0,
+        process_factor: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._service = service
         self._upstreams = upstreams
@@ -124,7 +124,7 @@
         self._orderer = orderer
         self._random = random
         self._log = log
-        self._others = others
+        self._process_factor = process_factor
         self._pending: dict[str, _Pending] = {}
         self._wanted_since: dict[str, float] = {}
         self._patience: dict[str, float] = {}
@@ -228,7 +228,7 @@
         if self._witnessed & {each.domain for each in group.hosts}:
             base = WITNESS_WAIT_SECONDS
         share = self._patience.setdefault(group.name, self._random.random())
-        return base * (1 + share * self._others())
+        return base * (1 + share * self._process_factor())
 
     async def _claim(
         self, model: ModelSpec, group: Group, assignments: tuple[Assignment, ...]
