--- /dev/null
+++ b/features/layer_world.py
@@ -0,0 +1,76 @@
+"""Models, hosts and plans that the steps about layers share."""
+
+from dataclasses import replace
+
+from deckcourse.layers.hosts import LARGEST_FILL, groups_of
+from deckcourse.layers.model import AcceleratorKind, ModelSpec
+from deckcourse.layers.placement import plan_group
+
+LAYER_MB = 1750.0
+KINDS = {
+    "big": AcceleratorKind("big", 90 * LAYER_MB, 3.0, 3.0),
+    "mid": AcceleratorKind("mid", 60 * LAYER_MB, 3.0, 3.0),
+    "full": AcceleratorKind("full", 20 * LAYER_MB, 3.0, 3.0),
+    "a100s": AcceleratorKind("a100s", 36_000, 3.1, 3.2),
+    "l4": AcceleratorKind("l4", 21_600, 16.0, 8.2),
+    "t4": AcceleratorKind("t4", 14_400, 15.0, 15.0),
+}
+# One domain of the users' sites, and one with few fast upstreams.
+DOMAIN = ["a100s"] * 3 + ["l4"] * 3 + ["t4"] * 5
+SEEDS = 40
+
+
+def model_of(layers, layer_mb):
+    return ModelSpec("m", layers, layer_mb, kinds=KINDS, parallel_loads=6, load_seconds=14.0)
+
+
+def ranges(text):
+    """Return {name: (first, end)} of "a 0-4, b 4-8"; "none" and "nothing" are empty."""
+    found = {}
+    for entry in [] if text in ("none", "nothing") else text.split(","):
+        name, _, layers = entry.strip().partition(" ")
+        first, _, end = layers.partition("-")
+        found[name] = (int(first), int(end)) if end else (0, 0)
+    return found
+
+
+def depth(model, hosts):
+    return [sum(each.first <= layer < each.end for each in hosts) for layer in range(model.layers)]
+
+
+def carried_out(hosts, plan):
+    wanted = {each.instance: each for each in plan}
+    return [
+        (
+            replace(each, first=wanted[each.instance].first, end=wanted[each.instance].end)
+            if each.instance in wanted
+            else each
+        )
+        for each in hosts
+    ]
+
+
+def within_memory(model, plan, hosts):
+    kinds = {each.instance: each.kind for each in hosts}
+    return all(
+        each.end - each.first <= model.most_layers(kinds[each.instance], LARGEST_FILL)
+        for each in plan
+    )
+
+
+def fit_together(model, plan, hosts):
+    """Return whether each host can keep its old layers until nobody needs them any more."""
+    held = {each.instance: each for each in hosts}
+    for each in plan:
+        host = held[each.instance]
+        both = set(range(each.first, each.end))
+        if not each.at_once:
+            both |= set(range(host.first, host.end))
+        if len(both) > model.most_layers(host.kind):
+            return False
+    return True
+
+
+def plan_of(context, pending):
+    (group,) = groups_of(context.model, context.hosts)
+    return plan_group(context.model, group, pending)
--- /dev/null
+++ b/features/steps/healer_steps.py
@@ -0,0 +1,102 @@
+"""Steps about claims of plans and their orders."""
+
+from random import Random
+
+import trio
+from behave import given, then, when
+from healer_standins import CountingOrderer, DeafOrderer, SlowTable
+from layer_world import LAYER_MB, model_of
+from returns.result import Success
+from trio.testing import MockClock
+
+from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.layers.healer import LOOK_SECONDS, OTHERS_WAIT_SECONDS, Healer, OrderResult
+from deckcourse.layers.plan_book import ClaimLost, ClaimUnanswered, PlanBook, PlanWon
+
+
+@given("two processes with a view of the same plan")
+def two_processes(context):
+    context.claims = SlowTable()
+    context.books = [PlanBook(context.claims, name) for name in "ab"]
+
+
+@when("both claim the next plan")
+def both_claim(context):
+    async def claim():
+        return [await each.claim("g", "m", ()) for each in context.books]
+
+    context.results = trio.run(claim)
+
+
+@then("one has won and the other knows the winner's plan")
+def one_won(context):
+    won, lost = context.results
+    assert isinstance(won, PlanWon) and isinstance(lost, ClaimLost)
+    assert lost.record == won.record
+
+
+@then("after an answer that was lost nobody gives orders")
+def nobody_orders(context):
+    context.claims.lost = True
+
+    async def claim():
+        return await context.books[0].claim("g", "m", ())
+
+    assert isinstance(trio.run(claim), ClaimUnanswered)
+    assert context.books[0].known("g").number == 2
+    match trio.run(context.claims.read, ["plans/g"]):
+        case Success((row,)):
+            assert row is not None
+
+
+def run_healer(table, orderer, seconds):
+    """Run one healer over a model with a gap for a while, on a virtual clock."""
+
+    async def run():
+        upstreams = UpstreamTable(trio.current_time)
+        for name, first, end in (("a", 0, 38), ("b", 42, 80)):
+            upstreams.put(Upstream(name, "s", name, "x", kind="big", first=first, end=end))
+        book = PlanBook(table, "me")
+        healer = Healer("s", upstreams, book, orderer, Random(1), lambda *_, **__: None)
+        with trio.move_on_after(seconds):
+            await healer.run(lambda: model_of(80, LAYER_MB), lambda: True)
+
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(0)
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@given("a process whose claim is answered after {seconds:g} seconds")
+def late_claim(context, seconds):
+    context.orderer = CountingOrderer(OrderResult.TAKEN)
+    run_healer(SlowTable(seconds), context.orderer, seconds + 1.5)
+
+
+@then("it gives no orders")
+def no_orders(context):
+    assert context.orderer.orders == 0
+
+
+@given("a process whose orders meet a conflict")
+def conflicts(context):
+    context.orderer = CountingOrderer(OrderResult.CONFLICT)
+    run_healer(SlowTable(), context.orderer, 2.0 + 0.8)
+
+
+@then("it gives at most {most:d} orders in 2.8 seconds")
+def orders_at_most(context, most):
+    # Without the pause there would be some 90 rounds, each with two orders to two hosts.
+    assert 0 < context.orderer.orders <= most, context.orderer.orders
+
+
+@given("a process whose orders get no answer twice")
+def orders_without_answer(context):
+    context.orderer = DeafOrderer(2)
+    run_healer(SlowTable(), context.orderer, 2.0)
+
+
+@then("each upstream has its order within {seconds:g} seconds of the first one")
+def ordered_soon(context, seconds):
+    times = context.orderer.taken
+    assert set(times) == {"a", "b"}, times
+    assert max(times.values()) <= OTHERS_WAIT_SECONDS * 2 + LOOK_SECONDS + seconds, times
