Nothing is concluded of the traffic before upstreams answered; nothing hurries before there is any

Cause: a process that starts took itself for one of twenty until a moving mean told otherwise, some three seconds: too few retries and late questions, after each restart. And 59 processes that wait for the first placement fetched every row as it changed. Change: no measurement without an answer; before the first one waits and pauses are four times as long. Test: shared_limits, 'have not answered yet', red before.

--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -109,6 +109,8 @@
     def _note_share(self) -> None:
         now = trio.current_time()
         known = {name: each for name, each in self._loads.items() if each.deadline >= now}
+        if not known:
+            return
         everybodys = sum(each.running + each.queued for each in known.values())
         self._traffic.note(sum(map(self._in_flight, known)), everybodys)
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -44,6 +44,9 @@
 # What a process carries of all traffic where there are so few that waits and pauses need not grow
 # with their number.
 SMALL_SITE_SHARE = 0.1
+# Before there was any traffic nothing hurries: waits and pauses are so many times as long, and
+# fewer processes come together.
+FACTOR_BEFORE_TRAFFIC = 4.0
 # Between a fault in background work and its next run, seconds.
 FAULT_PAUSE_SECONDS = 0.2
 
@@ -235,11 +238,13 @@
 
     def _contact_wait(self) -> float:
         """Return how long a question for changes of the configuration waits, seconds."""
-        longer = min(LARGEST_CONTACT_FACTOR, self._process_factor())
+        longer = min(LARGEST_CONTACT_FACTOR, self._traffic.spread(1.0, SMALL_SITE_SHARE))
         return self._settings().revocation * CONTACT_SHARE * longer
 
     def _process_factor(self) -> float:
         """Return how many times as many processes there are as on a small site."""
+        if not self._traffic.measured:
+            return FACTOR_BEFORE_TRAFFIC
         return self._traffic.spread(1.0, SMALL_SITE_SHARE)
 
     def _model_of(self, service: str) -> ModelSpec | None:
--- a/deckcourse/gateway/traffic_share.py
+++ b/deckcourse/gateway/traffic_share.py
@@ -28,6 +28,11 @@
         """The part of all requests that are this process's own, over 0 and up to 1."""
         return self._share
 
+    @property
+    def measured(self) -> bool:
+        """Whether there was any traffic to measure yet."""
+        return self._measured
+
     def spread(self, seconds: float, share: float) -> float:
         """Return a pause, longer in proportion where this process carries less than `share`.
 
--- a/features/shared_limits.feature
+++ b/features/shared_limits.feature
@@ -14,6 +14,10 @@
       | half of the rest left  | 5 10 10 10 10 10 10 | 50 50 50 50 50 50 50 | 0.12  | 0.15 |
       | more than what is told | 90                  | 60                  | 0.9   | 1    |
 
+  Scenario: Nothing is concluded from upstreams that have not answered yet
+    Given a process that asks upstreams which answer after 0.1 seconds
+    Then its part of the traffic is unknown after 0.05 seconds and known after 0.6 seconds
+
   Scenario Outline: All retries together stay within the bound: <processes> processes, <traffic>
     Given <processes> processes that share 100 requests a second <traffic>
     When every try fails for 40 seconds
--- a/features/steps/shared_limit_steps.py
+++ b/features/steps/shared_limit_steps.py
@@ -3,11 +3,16 @@
 from collections import Counter
 from random import Random
 
+import trio
 from behave import given, then, when
+from trio.testing import MockClock
 
+from deckcourse.gateway.dialect import LoadReport
+from deckcourse.gateway.load_watch import LoadWatch
 from deckcourse.gateway.retry_allowance import AT_ONCE_PART, RetryAllowance, RetryLimits
 from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.traffic_share import TrafficShare
+from deckcourse.gateway.upstreams import Upstream
 
 LIMITS = RetryLimits()
 RATE = 100
@@ -130,3 +135,38 @@
 def spread_out(context, most):
     count = max(sum(start <= each < start + 1 for each in context.times) for start in context.times)
     assert count <= most, sorted(context.times)
+
+
+class LateControl:
+    """Answers each question about load after a while."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+
+    async def load(self, upstream):
+        await trio.sleep(self.seconds)
+        return LoadReport(running=30, queued=0, cache_used=0, cache_total=1)
+
+
+@given("a process that asks upstreams which answer after {seconds:g} seconds")
+def asks_late(context, seconds):
+    context.control = LateControl(seconds)
+
+
+@then("its part of the traffic is unknown after {early:g} seconds and known after {late:g} seconds")
+def known_later(context, early, late):
+    upstream = Upstream("u", "s", "u:1", "x")
+
+    async def story():
+        traffic = TrafficShare()
+        watch = LoadWatch(context.control, lambda: [upstream], lambda name: 5, traffic)
+        watch.note_request()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            await trio.sleep(early)
+            assert not traffic.measured
+            await trio.sleep(late - early)
+            assert traffic.measured and 0.1 < traffic.share < 0.2, traffic.share
+            nursery.cancel_scope.cancel()
+
+    trio.run(story, clock=MockClock(autojump_threshold=0))
