Upstreams that another stream passes are not asked; the part of the traffic is known at once

Change: an event of a stream shows that all its upstreams are there; only those that nobody passed since are asked. Upstreams are asked with the first request after a rest, and measurements are forgotten by time, not by number, so that 59 processes that ask seldom know their part as soon as six. Ruled out: dropping the direct questions (five scenarios of callers' pauses need them).

--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -66,9 +66,11 @@
         self._loads: dict[str, FirstLoad] = {}
         self._begun_since: dict[str, int] = {}
         self._active_until = 0.0
+        self._woken = trio.Event()
 
     def note_request(self) -> None:
-        """Note that a request came."""
+        """Note that a request came; the first one after a rest has upstreams asked at once."""
+        self._woken.set()
         self._active_until = trio.current_time() + ACTIVE_SECONDS
 
     def note_begun(self, instance: str) -> None:
@@ -95,10 +97,12 @@
         """Ask until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                if trio.current_time() < self._active_until:
-                    self._note_share()
-                    for upstream in self._firsts():
-                        nursery.start_soon(self._ask, upstream)
+                if trio.current_time() >= self._active_until:
+                    self._woken = trio.Event()
+                    await self._woken.wait()
+                self._note_share()
+                for upstream in self._firsts():
+                    nursery.start_soon(self._ask, upstream)
                 await trio.sleep(self._pause)
 
     @property
@@ -122,3 +126,5 @@
         deadline = trio.current_time() + LIFETIME_PAUSES * self._pause
         share = load.cache_used / load.cache_total if load.cache_total else 0.0
         self._loads[upstream.instance] = FirstLoad(load.running, load.queued, share, deadline)
+        if not self._traffic.measured:
+            self._note_share()
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -114,7 +114,7 @@
         self._counters = counters
         self._log = log
         self._random = random
-        self._traffic = TrafficShare()
+        self._traffic = TrafficShare(trio.current_time)
         self._desired: DesiredState | None = None
         self._desired_changed = trio.Event()
         self._upstreams = UpstreamTable(trio.current_time)
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -40,6 +40,9 @@
 LONGEST_ASK_SECONDS = 0.8
 # A report is 0.2 s old: only after so many questions without a result they become rarer.
 QUICK_QUESTIONS = 5
+# Streams lost together have their last events within this time, two usual gaps, seconds: an
+# event of another stream that comes later shows that its upstreams are there.
+PASSED_SECONDS = 0.05
 # An upstream that answered is not asked again for so long, however many streams stand, seconds.
 PULSE_PAUSE_SECONDS = 0.4
 # For how long an upstream that holds streams up gets no new work, seconds: until its row is gone
@@ -184,13 +187,26 @@
         await self._move_all()
 
     def _behind(self, first: str) -> set[str]:
-        """Return the upstreams behind the first one on the paths of its standing streams."""
+        """Return the upstreams behind the first one that may hold its standing streams up.
+
+        Those that another stream has passed since are there: the standing one waits for something
+        else, such as the prompt of another request.
+        """
         now = trio.current_time()
+        behind: set[str] = set()
+        for stream in self._streams:
+            if stream.path.parts[0].instance == first and stream.stands(now):
+                further = {part.instance for part in stream.path.parts[1:]}
+                behind |= further - self._passed_since(stream.progress_at + PASSED_SECONDS)
+        return behind
+
+    def _passed_since(self, moment: float) -> set[str]:
+        """Return the upstreams of all streams that brought an event since."""
         return {
             part.instance
             for stream in self._streams
-            if stream.path.parts[0].instance == first and stream.stands(now)
-            for part in stream.path.parts[1:]
+            if stream.begun and stream.progress_at > moment
+            for part in stream.path.parts
         }
 
     def _due_for_pulse(self, names: set[str]) -> list[Upstream]:
--- a/deckcourse/gateway/traffic_share.py
+++ b/deckcourse/gateway/traffic_share.py
@@ -4,6 +4,9 @@
 tells how large a part of the whole this process is, and so its part of what all may do together.
 """
 
+from collections.abc import Callable
+from math import exp
+
 __all__ = ["TrafficShare"]
 
 # A measurement counts as if there were so many requests more in all, and so many of them its own:
@@ -11,17 +14,22 @@
 # rather than too large.
 ASSUMED_REQUESTS = 10.0
 ASSUMED_OWN = 0.5
-# How much a new measurement counts, one each 0.4 s or so: a loss of half of the processes is known
-# after some four seconds.
-NEW_WEIGHT = 0.1
+# Measurements are forgotten within this time, seconds, however often they come: 0.4 s apart a new
+# one counts a tenth.
+MEMORY_SECONDS = 4.0
 
 
 class TrafficShare:
-    """A moving mean of the own requests at upstreams against everybody's."""
+    """A moving mean of the own requests at upstreams against everybody's.
+
+    Args:
+      clock: seconds, steady.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
         self._share = ASSUMED_OWN / ASSUMED_REQUESTS
-        self._measured = False
+        self._measured_at = float("-inf")
 
     @property
     def share(self) -> float:
@@ -31,7 +39,7 @@
     @property
     def measured(self) -> bool:
         """Whether there was any traffic to measure yet."""
-        return self._measured
+        return self._measured_at > float("-inf")
 
     def spread(self, seconds: float, share: float) -> float:
         """Return a pause, longer in proportion where this process carries less than `share`.
@@ -39,7 +47,7 @@
         What many processes do in turn is then done about as often as by few. Before anything was
         measured the pause stays as it is.
         """
-        return seconds * max(1.0, share / self._share) if self._measured else seconds
+        return seconds * max(1.0, share / self._share) if self.measured else seconds
 
     def note(self, own: int, everybodys: int) -> None:
         """Take in one measurement.
@@ -49,6 +57,7 @@
           everybodys: what those upstreams say that they have.
         """
         seen = (own + ASSUMED_OWN) / (max(own, everybodys) + ASSUMED_REQUESTS)
-        weight = NEW_WEIGHT if self._measured else 1.0
-        self._measured = True
-        self._share += weight * (seen - self._share)
+        now = self._clock()
+        kept = exp((self._measured_at - now) / MEMORY_SECONDS)
+        self._measured_at = now
+        self._share = kept * self._share + (1.0 - kept) * seen
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -48,6 +48,19 @@
     Then the caller got every event once, with no pause over 0.3 seconds
     And the suspicion has ended and no upstream was told to let go
 
+  Scenario Outline: Upstreams of a standing stream are asked only where nobody passes them: <case>
+    Given a stream over a, b and c that stands still
+    And another one over <path> that <state>
+    When the streams are watched for 0.3 seconds
+    Then the upstreams asked directly are <asked>
+
+    Examples:
+      | case                   | path    | state       | asked |
+      | the other goes on      | a, b, c | goes on     | none  |
+      | the other passes one   | a, b, d | goes on     | c     |
+      | the other stands too   | a, b, c | stands still | b, c |
+      | the other is elsewhere | e, f, g | goes on     | b, c  |
+
   Scenario Outline: A stream is taken to another domain only where there is room: <running> of 6 places taken
     Given two chains of runners
     When the second upstream of a stream dies while the other chain works on <running> requests
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -51,6 +51,10 @@
     StallMonitor._probe_all_behind = nothing
 
 
+def everybody_behind_is_asked():
+    StallMonitor._passed_since = lambda self, moment: set()
+
+
 def repeats_everything():
     Lookup._may_repeat = lambda self: True
 
@@ -225,6 +229,7 @@
     no_resume_position: ("a stream is resumed behind its last event", GATEWAY),
     no_stall_watch: ("streams that stand still are asked about", GATEWAY),
     no_pulses: ("upstreams of standing streams are asked directly", GATEWAY),
+    everybody_behind_is_asked: ("upstreams that another stream passes aren't asked", GATEWAY),
     repeats_everything: ("a call that runs once isn't repeated", GATEWAY),
     never_repeats: ("a call that may be repeated is", GATEWAY),
     resumes_everything: ("a stream that may not be resumed is cut off", GATEWAY),
--- a/features/steps/shared_limit_steps.py
+++ b/features/steps/shared_limit_steps.py
@@ -16,6 +16,7 @@
 
 LIMITS = RetryLimits()
 RATE = 100
+MEASURING_SECONDS = 0.4
 STEP_SECONDS = 0.1
 # Streams that are at the upstreams at any moment; measurements are drawn from them.
 STANDING = 150
@@ -37,8 +38,10 @@
 
 @given("measurements of {own} own requests among {all}")
 def measurements(context, own, all):  # noqa: A002
-    context.traffic = TrafficShare()
+    clock = Clock()
+    context.traffic = TrafficShare(clock)
     for mine, everybodys in zip(numbers(own), numbers(all), strict=True):
+        clock.now += MEASURING_SECONDS
         context.traffic.note(mine, everybodys)
 
 
@@ -51,7 +54,7 @@
 def processes(context, count, how):
     context.clock = Clock()
     context.weights = [1.0 if how == "evenly" else 1.0 + index for index in range(count)]
-    context.traffic = [TrafficShare() for _ in range(count)]
+    context.traffic = [TrafficShare(context.clock) for _ in range(count)]
     context.allowances = [
         RetryAllowance(lambda: LIMITS, lambda each=each: each.share, context.clock)
         for each in context.traffic
@@ -67,7 +70,7 @@
     context.longest = 0.0
     for step in range(round(seconds / STEP_SECONDS)):
         context.clock.now = step * STEP_SECONDS
-        if step % 4 == 0:
+        if step % round(MEASURING_SECONDS / STEP_SECONDS) == 0:
             standing = Counter(random.choices(names, context.weights, k=STANDING))
             for name, traffic in enumerate(context.traffic):
                 traffic.note(standing[name], STANDING)
@@ -158,7 +161,7 @@
     upstream = Upstream("u", "s", "u:1", "x")
 
     async def story():
-        traffic = TrafficShare()
+        traffic = TrafficShare(trio.current_time)
         watch = LoadWatch(context.control, lambda: [upstream], lambda name: 5, traffic)
         watch.note_request()
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/features/steps/stall_steps.py
@@ -0,0 +1,81 @@
+"""Steps about the watch over streams, with a control that only notes whom it asks."""
+
+import trio
+from behave import given, then, when
+from trio.testing import MockClock
+
+from deckcourse.gateway.active_stream import ActiveStream
+from deckcourse.gateway.dialect import Pulse, PulseReading, StallReport
+from deckcourse.gateway.stalls import StallMonitor
+from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.layers.model import ModelSpec
+from deckcourse.layers.paths import LayerPath, PathPart
+
+EVENT_SECONDS = 0.02
+
+
+class NotingControl:
+    """Every upstream is there and nothing waits; notes who was asked directly."""
+
+    def __init__(self):
+        self.asked = set()
+
+    async def stalled(self, upstream):
+        return StallReport({}, 1.0)
+
+    async def pulse(self, upstream, seconds):
+        self.asked.add(upstream.instance)
+        return PulseReading(Pulse.ALIVE, 1.0)
+
+
+def stream_over(names, number):
+    parts = tuple(PathPart(name, f"{name}:1", index, index + 1) for index, name in enumerate(names))
+    path = LayerPath(parts, "x", 1.0)
+    return ActiveStream(f"r{number}", "s", ModelSpec("m", len(names), 1.0), path, 0.0, begun=True)
+
+
+@given("a stream over a, b and c that stands still")
+def standing(context):
+    context.streams = [stream_over("abc", 1)]
+
+
+@given("another one over {names} that {state}")
+def another(context, names, state):
+    context.streams.append(stream_over([each.strip() for each in names.split(",")], 2))
+    context.goes_on = state == "goes on"
+
+
+@when("the streams are watched for {seconds:g} seconds")
+def watched(context, seconds):
+    context.control = NotingControl()
+
+    async def story():
+        upstreams = UpstreamTable(trio.current_time)
+        for name in "abcdefg":
+            upstreams.put(Upstream(name, "s", f"{name}:1", "x"))
+        monitor = StallMonitor(
+            upstreams,
+            context.control,
+            lambda service: None,
+            lambda domain: None,
+            lambda name: None,
+            lambda *_, **__: None,
+        )
+        for stream in context.streams:
+            stream.progress_at = trio.current_time()
+            monitor.add(stream)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(monitor.run)
+            for _ in range(round(seconds / EVENT_SECONDS)):
+                await trio.sleep(EVENT_SECONDS)
+                if context.goes_on:
+                    context.streams[1].note_event(trio.current_time())
+            nursery.cancel_scope.cancel()
+
+    trio.run(story, clock=MockClock(autojump_threshold=0))
+
+
+@then("the upstreams asked directly are {names}")
+def asked_directly(context, names):
+    wanted = set() if names == "none" else {each.strip() for each in names.split(",")}
+    assert context.control.asked == wanted, context.control.asked
