Few processes follow the store for all; the others hear of changes from them

Calls grew with processes times changes.

A register of members in the store: more calls, and it lags when many are killed. pynng between processes: its socket shows no connections, so silence and a lost source can't be told apart, and a message costs some 640 us at both ends together; frames go over the HTTP/1 connections that the project has, members by UDP.

Change. deckcourse/peers: members by datagrams of at most 18 entries; in each domain the two first by weighted rendezvous hashing follow the store; the others ask one of them. Moments count from when the question was sent, so that no frame is taken for newer than it is. Whoever lost the store asks others and serves on; whoever knows no others follows by itself.

Soak entries get peer addresses of their own: with the default all three would listen at one port.

--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -29,22 +29,29 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """All rows of a table as of `version`."""
+    """All rows of a table as of `version`.
+
+    Every change before `as_of`, a moment of trio's clock, is in; None where only the moment of the
+    question is known.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    as_of: float | None = None
 
 
 @dataclass(frozen=True)
 class Changes:
     """Rows that changed, in order, up to `version`; a row without value is gone.
 
-    `complete` is false where the store no longer has every change: a snapshot is due.
+    `complete` is false where the store no longer has every change: a snapshot is due. `as_of` is
+    as in `Snapshot`.
     """
 
     rows: tuple[tuple[str, bytes | None], ...]
     version: int
     complete: bool = True
+    as_of: float | None = None
 
 
 class ChangeFeed(Protocol):
@@ -71,6 +78,7 @@
       on_contact: told False when the store stops answering and True when it answers again.
       wait: returns how long one question waits for changes, seconds.
       process_factor: returns how many times as many processes follow it as pauses are made for.
+      gathered: returns whether the feed itself brings changes together: no pause is due then.
     """
 
     def __init__(
@@ -83,6 +91,7 @@
         on_contact: Callable[[bool], None] = lambda regained: None,
         wait: Callable[[], float] = lambda: LONG_WAIT_SECONDS,
         process_factor: Callable[[], float] = lambda: 1.0,
+        gathered: Callable[[], bool] = lambda: False,
     ) -> None:
         self._retry = RETRY_SECONDS
         self._feed = feed
@@ -93,13 +102,11 @@
         self._on_contact = on_contact
         self._wait = wait
         self._process_factor = process_factor
-        self._asked_wait = 0.0
+        self._gathered = gathered
         self._asking = trio.CancelScope()
         self._version: int | None = None
         self._as_of = float("-inf")
         self._lost = False
-        # False where the last answer told of no changes; a reading of all rows counts as changes.
-        self._changed = True
 
     @property
     def as_of(self) -> float:
@@ -119,15 +126,23 @@
         """Follow until cancelled."""
         while True:
             asked_at = trio.current_time()
-            if await self._round():
-                self._contact(asked_at + self._waited(asked_at))
-                await trio.sleep(min(LONGEST_PAUSE_SECONDS, PAUSE_SECONDS * self._process_factor()))
+            as_of = await self._round(asked_at)
+            if as_of is not None:
+                self._contact(as_of)
+                await self._gather()
             else:
                 if not self._lost:
                     self._lost = True
                     self._on_contact(False)
                 await self._pause()
 
+    async def _gather(self) -> None:
+        """Let changes in quick succession come together."""
+        if self._gathered():
+            await trio.lowlevel.checkpoint()
+            return
+        await trio.sleep(min(LONGEST_PAUSE_SECONDS, PAUSE_SECONDS * self._process_factor()))
+
     async def _pause(self) -> None:
         """Wait before the next try, until another follower's success makes it due."""
         seconds = self._retry * (1 + self._random.random())
@@ -139,16 +154,8 @@
         with trio.move_on_after(seconds) as self._asking:
             await trio.sleep_forever()
 
-    def _waited(self, asked_at: float) -> float:
-        """Return how long the store surely waited for changes before it answered.
-
-        An answer without changes is made when the wait is over: until then nothing changed.
-        """
-        full = not self._changed and trio.current_time() - asked_at >= self._asked_wait
-        return self._asked_wait if full else 0.0
-
     def _contact(self, as_of: float) -> None:
-        self._as_of = as_of
+        self._as_of = max(self._as_of, as_of)
         self._retry = RETRY_SECONDS
 
     def _note_answer(self) -> None:
@@ -157,13 +164,11 @@
             self._lost = False
             self._on_contact(True)
 
-    async def _round(self) -> bool:
-        """Ask once; return whether the store answered."""
+    async def _round(self, asked_at: float) -> float | None:
+        """Ask once; return up to when all is known, None where there was no answer."""
         answer: Result = Failure(TableFailure.UNAVAILABLE)
-        self._changed = True
         # After a loss, the first answer should come at once: it ends the doubt.
         wait = 0.0 if self._lost else self._wait()
-        self._asked_wait = wait
         with trio.move_on_after(wait + ANSWER_SECONDS) as self._asking:
             if self._version is None:
                 answer = await self._feed.snapshot(self._table)
@@ -172,17 +177,16 @@
         if isinstance(answer, Success):
             self._note_answer()
         match answer:
-            case Success(Snapshot(rows, version)):
+            case Success(Snapshot(rows, version, as_of)):
                 self._version = version
                 self._on_all(rows)
-                return True
-            case Success(Changes(rows, version, True)):
+                return asked_at if as_of is None else as_of
+            case Success(Changes(rows, version, True, as_of)):
                 self._version = version
-                self._changed = bool(rows)
                 for key, value in rows:
                     self._on_change(key, value)
-                return True
+                return asked_at if as_of is None else as_of
             case Success(_):
                 self._version = None
-                return await self._round()
-        return False
+                return await self._round(asked_at)
+        return None
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -25,6 +25,7 @@
 from deckcourse.layers.healer import Healer, Orderer
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.plan_book import PlanBook
+from deckcourse.peers.peers import PeerPorts, Peers
 from deckcourse.settings import GatewaySettings
 from deckcourse.table import Row, TableService
 
@@ -34,10 +35,8 @@
 # taken away just after the last sign of the store must not open anything when that time is over.
 STALE_SHARE = 0.8
 # The part of it that one question for changes waits at the store: its answer is also the sign that
-# the store is in reach. A shorter wait costs calls, a longer one delays that sign. Where many
-# processes ask, it is up to so many times as long: one that is cut off turns fewer callers away.
+# the store is in reach. A shorter wait costs calls, a longer one delays that sign.
 CONTACT_SHARE = 0.2
-LARGEST_CONTACT_FACTOR = 2.0
 # The part of it that such an answer may be late by before the process calls itself not ready: the
 # balancer then turns to others, which may see the store.
 LATE_SHARE = 0.15
@@ -85,6 +84,7 @@
     orderer: Orderer
     control: StreamControl
     pool: ConnectionPool
+    peers: PeerPorts
 
 
 class GatewayNode:
@@ -123,8 +123,18 @@
         self._book = PlanBook(ports.table, identity.author)
         self._stopping = False
         rows = ports.rows
-        self._operator_feed = Follower(
+        self._peers = Peers(
+            ports.peers,
             ports.feed,
+            (rows.operator_table, rows.upstream_table),
+            ports.pool,
+            self._contact_wait,
+            self._upstreams.store_returned,
+            random,
+            log,
+        )
+        self._operator_feed = Follower(
+            self._peers.feed,
             rows.operator_table,
             self._on_operator_rows,
             self._on_operator_row,
@@ -132,15 +142,17 @@
             self._on_contact,
             self._contact_wait,
             self._process_factor,
+            self._is_told,
         )
         self._upstream_feed = Follower(
-            ports.feed,
+            self._peers.feed,
             rows.upstream_table,
             self._on_upstream_rows,
             self._on_upstream_row,
             random,
             self._on_list_contact,
             process_factor=self._process_factor,
+            gathered=self._is_told,
         )
         self._monitor = StallMonitor(
             self._upstreams, ports.control, self._choice, self._witness, counters.count, log
@@ -164,6 +176,11 @@
         """What answers callers' requests."""
         return self._gateway
 
+    @property
+    def peers(self) -> Peers:
+        """What this process shares with the others of its site."""
+        return self._peers
+
     @property
     def stopping(self) -> bool:
         """Whether the process is on its way to its end."""
@@ -199,6 +216,8 @@
     async def run(self) -> None:
         """Do the background work until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._keep_up, self._peers.gossip)
+            nursery.start_soon(self._keep_up, self._peers.feed.run)
             nursery.start_soon(self._keep_up, self._operator_feed.run)
             nursery.start_soon(self._keep_up, self._upstream_feed.run)
             nursery.start_soon(self._keep_up, self._monitor.run)
@@ -238,8 +257,11 @@
 
     def _contact_wait(self) -> float:
         """Return how long a question for changes of the configuration waits, seconds."""
-        longer = min(LARGEST_CONTACT_FACTOR, self._traffic.spread(1.0, SMALL_SITE_SHARE))
-        return self._settings().revocation * CONTACT_SHARE * longer
+        return self._settings().revocation * CONTACT_SHARE
+
+    def _is_told(self) -> bool:
+        """Return whether others tell this process of changes."""
+        return not self._peers.feed.follows
 
     def _process_factor(self) -> float:
         """Return how many times as many processes there are as on a small site."""
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -37,10 +37,11 @@
     callers: Address
     ready: Address
     metrics: Address
+    peers: Address
 
 
 class GatewayServer:
-    """Serves callers, the balancer's question and the metrics of one node.
+    """Serves callers, the balancer's question, the metrics and the other processes of one node.
 
     Args:
       node: answers callers and knows whether it is ready.
@@ -80,8 +81,10 @@
             nursery.start_soon(self._node.run)
             await self._listen(nursery, self._addresses.ready, self._answer_ready)
             await self._listen(nursery, self._addresses.metrics, self._answer_metrics)
+            await self._listen(nursery, self._addresses.peers, self._node.peers.handle)
             await self._listen(nursery, self._addresses.callers, self._node.gateway.handle)
             await self._stop.wait()
+            await self._node.peers.leave()
             await self._drain()
             nursery.cancel_scope.cancel()
 
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -90,9 +90,10 @@
         self._expire()
         return self._changes
 
-    def store_returned(self) -> None:
-        """Note that the store answers again after it was away."""
-        self._store_back_at = self._clock()
+    def store_returned(self, moment: float | None = None) -> None:
+        """Note that the store answers again after it was away, now or since a moment."""
+        at = self._clock() if moment is None else moment
+        self._store_back_at = max(self._store_back_at, at)
 
     def replace_all(self, rows: Iterable[Upstream]) -> None:
         """Take in a reading of all rows, the oldest first."""
--- /dev/null
+++ b/deckcourse/peers/gossip.py
@@ -0,0 +1,111 @@
+"""The exchange by which processes learn of each other: a few digests each second, by datagram.
+
+Load pattern: what a process sends and receives must not grow with the number of processes, so each
+round goes to a fixed number of members, with a fixed number of others told of.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+import trio
+
+from deckcourse.peers.datagrams import Datagrams
+from deckcourse.peers.member import Digest, Member, decode_digest, encode_digest
+from deckcourse.peers.roster import Roster
+
+__all__ = ["PeerGossip"]
+
+# Between two rounds, seconds, and up to a tenth more or less by chance.
+ROUND_SECONDS = 1.0
+# So many members of the own domain are told in a round; each beat must come around within the
+# lifetime of a member.
+NEAR_PER_ROUND = 3
+# Each so many rounds one member of another domain, or a seed, is told: it links the domains again
+# after a partition. Bytes between domains cost more than those within.
+FAR_ROUNDS = 3
+# Members in one digest: 18 of 70 bytes stay within one packet.
+MEMBERS_PER_DIGEST = 18
+# A process that knows fewer others than this asks its seeds in each round.
+FEW_MEMBERS = 2
+
+
+class PeerGossip:
+    """One process's part in the exchange.
+
+    Args:
+      roster: what it knows.
+      datagrams: how it is told and tells.
+      seeds: addresses of processes that may be there.
+      random: chooses whom to tell.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        datagrams: Datagrams,
+        seeds: Callable[[], Sequence[str]],
+        random: Random,
+    ) -> None:
+        self._roster = roster
+        self._datagrams = datagrams
+        self._seeds = seeds
+        self._random = random
+        self._rounds = 0
+
+    async def run(self) -> None:
+        """Tell and listen until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._listen)
+            while True:
+                await self._round()
+                await trio.sleep(ROUND_SECONDS * self._random.uniform(0.9, 1.1))
+
+    async def tell_leaving(self) -> None:
+        """Tell the members of the own domain that this process is about to end."""
+        self._roster.leave()
+        for member in self._near():
+            await self._tell(member.address, member.domain)
+
+    async def _round(self) -> None:
+        self._roster.beat()
+        near = self._near()
+        for member in self._random.sample(near, min(NEAR_PER_ROUND, len(near))):
+            await self._tell(member.address, member.domain)
+        lonely = len(near) < FEW_MEMBERS
+        if lonely or self._rounds % FAR_ROUNDS == 0:
+            await self._tell_far(lonely)
+        self._rounds += 1
+
+    def _near(self) -> list[Member]:
+        own = self._roster.own
+        members = self._roster.live()
+        return [each for each in members if each.domain == own.domain and each.name != own.name]
+
+    async def _tell_far(self, lonely: bool) -> None:
+        """Tell a member of another domain or a seed; one that knows few asks all its seeds."""
+        own = self._roster.own
+        seeds = [each for each in self._seeds() if each != own.address]
+        if lonely:
+            for seed in seeds:
+                await self._tell(seed, own.domain, asks=True)
+            return
+        far = [each for each in self._roster.live() if each.domain != own.domain]
+        if far:
+            member = self._random.choice(far)
+            await self._tell(member.address, member.domain)
+        elif seeds:
+            await self._tell(self._random.choice(seeds), own.domain, asks=True)
+
+    async def _tell(self, address: str, domain: str, asks: bool = False) -> None:
+        members = self._roster.news(domain, MEMBERS_PER_DIGEST)
+        digest = Digest(self._roster.own, members, asks)
+        await self._datagrams.send(address, encode_digest(digest))
+
+    async def _listen(self) -> None:
+        while True:
+            digest = decode_digest(await self._datagrams.receive())
+            if digest is None:
+                continue
+            self._roster.take((digest.sender, *digest.members))
+            if digest.asks:
+                await self._tell(digest.sender.address, digest.sender.domain)
--- /dev/null
+++ b/deckcourse/peers/shared_feed.py
@@ -0,0 +1,283 @@
+"""The feed of changes of a process among many: from the store where it follows it, or from others.
+
+Whoever follows asks the store and passes on what it hears (`relay`). The others ask one of those.
+A process that nobody else can be reached from follows by itself; one that follows and lost the
+store asks others meanwhile, so that it serves on.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+from returns.result import Failure, Result, Success
+
+from deckcourse.change_feed import ChangeFeed, Changes, Snapshot
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.peers.followers import followers, sources
+from deckcourse.peers.knowledge import Knowledge
+from deckcourse.peers.member import Member
+from deckcourse.peers.relay import RelayClient, RelayEnd, RelayServer
+from deckcourse.peers.replica import TableUpdate
+from deckcourse.peers.roster import Roster
+from deckcourse.table import TableFailure
+
+__all__ = ["SharedFeed"]
+
+# Between two looks at who should follow the store, seconds.
+LOOK_SECONDS = 0.25
+# An answer of the store that tells of changes shows only that it was true when it was asked for,
+# and the next one comes a wait later: what others know is up to so many waits old, and by this much
+# more for pauses and ways, seconds.
+CONTACT_WAITS = 2.0
+LATE_SECONDS = 0.9
+# A source that could not be reached, or was behind others, is left alone for so long, seconds.
+AVOIDED_SECONDS = 3.0
+# A process keeps following the store for so long after the last one that asked it went, seconds.
+KEPT_SECONDS = 3.0
+# Between two tries at a store that doesn't answer, seconds; doubled up to the longest. Others may
+# hear of its return earlier and say so.
+RETRY_SECONDS = 0.15
+LONGEST_RETRY_SECONDS = 0.5
+# A process that doesn't follow and knows nothing new for so long tries the store all the same, up
+# to so many times as late by chance, and again after as long: those it asks may be cut off with it.
+LAST_RESORT_SECONDS = 4.0
+# How long the store's answer may take beyond a wait, seconds: a slow store takes 60 times its 4 ms.
+# Whoever reads a table gives up a little later.
+ANSWER_SECONDS = 0.75
+# Until when an answer to a reading of a whole table may come from others, seconds.
+READING_SECONDS = 0.75
+
+
+class SharedFeed:
+    """Tables as their followers in this process read them; see `ChangeFeed`.
+
+    Args:
+      store: the feed of the store itself.
+      roster: who else is there.
+      knowledge: what this process knows of the tables.
+      pool: opens connections to others.
+      contact_wait: returns how long a question to the store waits for changes at the most where its
+        answer shows that the store is in reach, seconds.
+      random: for pauses that should differ between processes.
+      log: writes decisions.
+    """
+
+    def __init__(
+        self,
+        store: ChangeFeed,
+        roster: Roster,
+        knowledge: Knowledge,
+        pool: ConnectionPool,
+        contact_wait: Callable[[], float],
+        random: Random,
+        log: Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._roster = roster
+        self._knowledge = knowledge
+        self._contact_wait = contact_wait
+        self._random = random
+        self._log = log
+        self._server = RelayServer(knowledge)
+        self._client = RelayClient(roster.own.name, knowledge, pool)
+        self._unreachable: dict[str, float] = {}
+        self._behind: dict[str, float] = {}
+        self._source = ""
+        self._on_duty = True
+        self._kept_until = float("-inf")
+        self._store_lost = False
+        self._retry = RETRY_SECONDS
+        self._retry_at = float("-inf")
+        self._resort_at = float("inf")
+
+    @property
+    def server(self) -> RelayServer:
+        """What answers other processes."""
+        return self._server
+
+    @property
+    def source(self) -> str:
+        """The name of the process that this one asks, empty where it asks none."""
+        return self._source
+
+    @property
+    def follows(self) -> bool:
+        """Whether this process follows the store, for others or because it knows no others."""
+        return self._on_duty
+
+    def _asks_store(self) -> bool:
+        """Return whether a question may go to the store now."""
+        now = trio.current_time()
+        return (self._on_duty and now >= self._retry_at) or now >= self._resort_at
+
+    async def snapshot(self, table: str) -> Result[Snapshot, TableFailure]:
+        """Return all rows of a table."""
+        if not self._asks_store():
+            answer = await self._from_others(table, None, READING_SECONDS)
+            if isinstance(answer, Success) or not self._asks_store():
+                return answer
+        asked_at = trio.current_time()
+        answer: Result = Failure(TableFailure.UNAVAILABLE)
+        with trio.move_on_after(ANSWER_SECONDS):
+            answer = await self._store.snapshot(table)
+        match answer:
+            case Success(Snapshot(rows, version)):
+                found = tuple((_key(each.key), each.value, each.version) for each in rows)
+                self._note_answer(TableUpdate(table, None, version, found), asked_at)
+                return Success(Snapshot(rows, version, asked_at))
+        self._note_failure()
+        return answer
+
+    async def changes(
+        self, table: str, after: int, seconds: float
+    ) -> Result[Changes, TableFailure]:
+        """Return what changed after a version, as soon as something did or time is over."""
+        if not self._asks_store():
+            answer = await self._from_others(table, after, max(seconds, RETRY_SECONDS))
+            if isinstance(answer, Success) or not self._asks_store():
+                return answer
+        asked_at = trio.current_time()
+        answer: Result = Failure(TableFailure.UNAVAILABLE)
+        wait = 0.0 if self._store_lost else seconds
+        with trio.move_on_after(wait + ANSWER_SECONDS):
+            answer = await self._store.changes(table, after, wait)
+        match answer:
+            case Success(Changes(rows, version, True)):
+                now = trio.current_time()
+                # An answer without changes is made when the wait is over: until then nothing did.
+                waited = wait if not rows and now - asked_at >= wait else 0.0
+                found = tuple((key, value, version) for key, value in rows)
+                self._note_answer(TableUpdate(table, after, version, found), asked_at + waited)
+                return Success(Changes(rows, version, True, asked_at + waited))
+            case Success(_):
+                return answer
+        self._note_failure()
+        if self._is_known_of_late():
+            return await self._from_others(table, after, seconds)
+        return answer
+
+    def _note_answer(self, update: TableUpdate, as_of: float) -> None:
+        if self._store_lost:
+            self._store_lost = False
+            self._knowledge.note_returned(trio.current_time())
+        self._retry = RETRY_SECONDS
+        self._retry_at = float("-inf")
+        self._resort_at = float("inf")
+        replica = self._knowledge.replica(update.table)
+        replica.take(update)
+        replica.confirm(update.version, as_of)
+        self._knowledge.note_progress()
+
+    def _note_failure(self) -> None:
+        self._store_lost = True
+        now = trio.current_time()
+        if self._sources():
+            # Others may tell meanwhile; who is alone tries as often as it is asked to.
+            self._retry_at = now + self._retry * (1.0 + self._random.random())
+        self._retry = min(2.0 * self._retry, LONGEST_RETRY_SECONDS)
+        if self._resort_at <= now:
+            self._resort_at = now + self._resort_pause()
+
+    def _resort_pause(self) -> float:
+        return LAST_RESORT_SECONDS * (1.0 + self._random.random())
+
+    def _is_known_of_late(self) -> bool:
+        """Return whether what this process knows is as new as what others tell in time."""
+        oldest = CONTACT_WAITS * self._contact_wait() + LATE_SECONDS
+        return self._knowledge.contact_at >= trio.current_time() - oldest
+
+    async def _from_others(
+        self, table: str, after: int | None, seconds: float
+    ) -> Result[Snapshot | Changes, TableFailure]:
+        """Return news of a table that others tell, as soon as there are any or time is over."""
+        replica = self._knowledge.replica(table)
+        as_of = replica.as_of
+        # The store's turn may come before.
+        turn = self._retry_at if self._on_duty else self._resort_at
+        with trio.move_on_at(min(trio.current_time() + seconds, turn)):
+            while replica.version in (None, after) and replica.as_of <= as_of:
+                if self._asks_store():
+                    break
+                await self._knowledge.wait()
+        if replica.version is None or not self._is_known_of_late():
+            return Failure(TableFailure.UNAVAILABLE)
+        self._store_lost &= self._on_duty
+        if after is None:
+            return Success(Snapshot(replica.rows, replica.version, replica.as_of))
+        update = replica.since(after)
+        if update.after is None:
+            return Success(Changes((), after, complete=False))
+        rows = tuple((key, value) for key, value, _ in update.rows)
+        return Success(Changes(rows, update.version, True, replica.as_of))
+
+    async def run(self) -> None:
+        """Follow the store or a source, as the members that live have it, until cancelled."""
+        while True:
+            self._decide()
+            source = self._next_source()
+            if source is None:
+                await trio.sleep(LOOK_SECONDS)
+                continue
+            self._source = source.name
+            end = await self._client.follow(source.address, self._reason_to_leave)
+            self._source = ""
+            self._log("source-left", source=source.name, why=str(end))
+            self._note_end(source, end)
+            await trio.lowlevel.checkpoint()
+
+    def _note_end(self, source: Member, end: RelayEnd) -> None:
+        until = trio.current_time() + AVOIDED_SECONDS
+        if end is RelayEnd.BEHIND:
+            self._behind[source.name] = until
+        elif end is not RelayEnd.NOT_NEEDED:
+            self._unreachable[source.name] = until
+
+    def _decide(self) -> None:
+        """Decide whether this process follows the store."""
+        now = trio.current_time()
+        if self._server.serving:
+            self._kept_until = now + KEPT_SECONDS
+        members = self._roster.live()
+        own = self._roster.own
+        chosen = own.name in {each.name for each in followers(members, own.domain)}
+        alone = not self._sources()
+        duty = chosen or alone or now < self._kept_until
+        if duty != self._on_duty:
+            self._on_duty = duty
+            self._log("duty", follows=duty, chosen=chosen, alone=alone, members=len(members))
+            self._knowledge.note_progress()
+        behind = now - self._knowledge.contact_at
+        if duty or behind < LAST_RESORT_SECONDS:
+            self._resort_at = float("inf")
+        elif self._resort_at == float("inf"):
+            self._resort_at = now + self._resort_pause()
+
+    def _sources(self) -> tuple[Member, ...]:
+        """Return whom this process may ask, those first that were not behind of late."""
+        now = trio.current_time()
+        self._unreachable = {name: at for name, at in self._unreachable.items() if at > now}
+        self._behind = {name: at for name, at in self._behind.items() if at > now}
+        found = sources(self._roster.own, self._roster.live(), frozenset(self._unreachable))
+        return tuple(sorted(found, key=lambda each: each.name in self._behind))
+
+    def _next_source(self) -> Member | None:
+        """Return whom to ask now, None where the store is asked."""
+        if self._on_duty and not self._store_lost:
+            return None
+        return next(iter(self._sources()), None)
+
+    def _reason_to_leave(self) -> RelayEnd | None:
+        """Return why the present source should be left, None where it shouldn't."""
+        self._decide()
+        if self._on_duty and not self._store_lost:
+            return RelayEnd.NOT_NEEDED
+        found = {each.name for each in self._sources()}
+        if self._is_known_of_late():
+            # Whoever is asked follows: a source that others don't ask any more would go on for one.
+            return None if self._source in found else RelayEnd.NOT_NEEDED
+        better = found - {self._source} - self._behind.keys()
+        return RelayEnd.BEHIND if better else None
+
+
+def _key(name: str) -> str:
+    return name.partition("/")[2]
--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from random import SystemRandom
+from time import time
 from uuid import uuid4
 
 import trio
@@ -15,6 +16,9 @@
 from deckcourse.gateway.server import GatewayServer, ListenAddresses
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.metrics import RegistryCounters
+from deckcourse.peers.datagrams import UdpDatagrams
+from deckcourse.peers.member import Member
+from deckcourse.peers.peers import PeerPorts
 from deckcourse.platform.dialect import PlatformDialect
 from deckcourse.platform.names import READY, SETTINGS_VARIABLE
 from deckcourse.platform.rows import PlatformRows
@@ -50,20 +54,36 @@
             GatewayNode(
                 GatewayIdentity(node.name, node.domain, author),
                 GatewayPorts(
-                    store, store, PlatformRows(), PlatformDialect(), control, control, pool
+                    store,
+                    store,
+                    PlatformRows(),
+                    PlatformDialect(),
+                    control,
+                    control,
+                    pool,
+                    self._peer_ports(),
                 ),
                 lambda: self._settings.gateway,
                 counters,
                 log.log,
                 SystemRandom(),
             ),
-            ListenAddresses(gateway.listen, gateway.ready_listen, gateway.metrics_listen),
+            ListenAddresses(
+                gateway.listen, gateway.ready_listen, gateway.metrics_listen, gateway.peer_listen
+            ),
             lambda: self._settings.gateway.stop_grace,
             counters.text,
             READY,
             log.log,
         )
 
+    def _peer_ports(self) -> PeerPorts:
+        node, gateway = self._settings.node, self._settings.gateway
+        address = str(gateway.peer_listen)
+        started = int(time() * 1000)
+        own = Member(node.name, started, address, node.domain, gateway.peer_weight)
+        return PeerPorts(own, UdpDatagrams(address), lambda: self._settings.node.peers)
+
     async def run(self) -> None:
         """Serve until SIGTERM."""
         async with trio.open_nursery() as nursery:
--- a/deckcourse/settings.py
+++ b/deckcourse/settings.py
@@ -70,6 +70,8 @@
 class GatewaySettings:
     """The gateway's listeners, how it stops, and how long it may serve without the store.
 
+    Other processes reach it at `peer_listen`, by TCP and UDP alike; its failure domain's processes
+    with the largest `peer_weight` are the likeliest to follow the store for the others.
     `stop_grace` is the time from SIGTERM to the end; `revocation` the longest time after which a
     key that was taken away may still open something, anywhere. In any `retry_window` all processes
     together retry no more than `retry_ratio` of a service's requests and `retry_slack` more.
@@ -78,6 +80,8 @@
     listen: Address = Address("127.0.0.1:8080")
     ready_listen: Address = Address("127.0.0.1:8081")
     metrics_listen: Address = Address("127.0.0.1:9464")
+    peer_listen: Address = Address("127.0.0.1:7801")
+    peer_weight: float = 1.0
     stop_grace: Duration = Duration(8)
     revocation: Duration = Duration(5)
     retry_ratio: float = 0.2
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -17,6 +17,9 @@
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.http1.message import ConnectionLostError, header_value
+from deckcourse.peers.datagrams import MemoryMedium
+from deckcourse.peers.member import Member
+from deckcourse.peers.peers import PeerPorts
 from deckcourse.platform.dialect import PlatformDialect
 from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
@@ -257,6 +260,9 @@
                             control,
                             control,
                             self.pool,
+                            PeerPorts(
+                                Member("n", 1, "n:1", "x"), MemoryMedium().open("n:1"), tuple
+                            ),
                         ),
                         GatewaySettings,
                         self.counters,
--- /dev/null
+++ b/features/peer_world.py
@@ -0,0 +1,183 @@
+"""Processes of one site that know together, in memory, on a virtual clock."""
+
+from random import Random
+
+import trio
+from gateway_store import StandinStore
+from returns.result import Failure
+from trio.testing import MockClock
+
+from deckcourse.change_feed import Follower
+from deckcourse.gateway.desired import CallerBounds
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.http1.memory import MemoryNetwork
+from deckcourse.peers.datagrams import MemoryMedium
+from deckcourse.peers.member import Member
+from deckcourse.peers.peers import PeerPorts, Peers
+from deckcourse.table import TableFailure
+
+trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+
+TABLES = ("op", "servers")
+CONTACT_SECONDS = 1.0
+
+
+class CutStore:
+    """One process's way to the store: counted, and cut on demand."""
+
+    def __init__(self, world):
+        self.world = world
+        self.cut = False
+
+    async def _ask(self, call, *args):
+        self.world.calls.append(trio.current_time())
+        await trio.sleep(0.004)
+        if self.cut:
+            return Failure(TableFailure.UNAVAILABLE)
+        return await getattr(self.world.store, call)(*args)
+
+    async def snapshot(self, table):
+        return await self._ask("snapshot", table)
+
+    async def changes(self, table, after, seconds):
+        return await self._ask("changes", table, after, seconds)
+
+
+class PeerProcess:
+    """One process: its peers, and a follower for each table."""
+
+    def __init__(self, world, name, domain, start=1):
+        self.world = world
+        self.name, self.domain = name, domain
+        self.address = f"{name}:1"
+        self.store = CutStore(world)
+        self.rows = {}
+        self.returned = []
+        self.alive = True
+        random = Random(f"{name} {start}")
+        pool = ConnectionPool(lambda what: None, self.dial)
+        own = Member(name, start, self.address, domain)
+        ports = PeerPorts(own, world.medium.open(self.address), lambda: world.seeds)
+        self.peers = Peers(
+            ports, self.store, TABLES, pool, lambda: CONTACT_SECONDS, self.returned.append,
+            random, lambda *_, **__: None,
+        )  # fmt: skip
+        self.followers = [
+            Follower(
+                self.peers.feed, table, self.take_all, self.take, random,
+                wait=lambda: CONTACT_SECONDS, gathered=lambda: not self.peers.feed.follows,
+            )
+            for table in TABLES
+        ]  # fmt: skip
+
+    async def dial(self, address):
+        transport = await self.world.network.dial(address)
+        if self.world.frame_delay:
+            return SlowTransport(transport, self.world.frame_delay)
+        return transport
+
+    def take_all(self, rows):
+        for row in rows:
+            self.rows[row.key.partition("/")[2]] = row.value
+
+    def take(self, key, value):
+        self.rows[key] = value
+
+    @property
+    def as_of(self):
+        return self.followers[0].as_of
+
+    async def run(self):
+        self.world.network.listen(self.address, self.peers.handle)
+        with trio.CancelScope() as self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.peers.gossip)
+                nursery.start_soon(self.peers.feed.run)
+                for each in self.followers:
+                    nursery.start_soon(each.run)
+
+    def kill(self):
+        self.alive = False
+        self.scope.cancel()
+        self.world.network.kill(self.address)
+        self.world.medium.open(self.address)
+
+    def fall_silent(self):
+        self.alive = False
+        self.scope.cancel()
+        self.world.network.darken(self.address)
+        self.world.medium.open(self.address)
+
+    def live_names(self):
+        return {each.name for each in self.peers.roster.live()}
+
+
+class SlowTransport:
+    """A connection whose bytes come late."""
+
+    def __init__(self, transport, seconds):
+        self.transport = transport
+        self.seconds = seconds
+        self.send_all = transport.send_all
+        self.readable = transport.readable
+        self.close = transport.close
+
+    async def receive_some(self, most):
+        data = await self.transport.receive_some(most)
+        await trio.sleep(self.seconds)
+        return data
+
+
+class PeerWorld:
+    """The processes, the store and what lies between them."""
+
+    def __init__(self, count, domains, seeds=3, lost=0.0):
+        self.random = Random(7)
+        self.cut_apart = False
+        self.medium = MemoryMedium(self.is_lost)
+        self.lost = lost
+        self.seeds = ()
+        self.calls = []
+        self.frame_delay = 0.0
+        self.names = [(f"{at}-{each}", at) for at in "abcdefgh"[:domains] for each in range(count)]
+        self.seed_count = seeds
+
+    def is_lost(self, source, target):
+        return (self.cut_apart and source[0] != target[0]) or self.random.random() < self.lost
+
+    def play(self, story, seconds=120.0):
+        async def main():
+            with trio.fail_after(seconds):
+                async with trio.open_nursery() as nursery:
+                    self.nursery = nursery
+                    self.network = MemoryNetwork(nursery, CallerBounds)
+                    self.store = StandinStore()
+                    self.store.put("op", "config", {"version": 1})
+                    self.processes = [PeerProcess(self, *each) for each in self.names]
+                    step = max(1, len(self.processes) // self.seed_count)
+                    self.seeds = tuple(
+                        each.address for each in self.processes[::step][: self.seed_count]
+                    )
+                    for each in self.processes:
+                        nursery.start_soon(each.run)
+                    await story(self)
+                    nursery.cancel_scope.cancel()
+
+        trio._core._run._r.seed(0)
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    @property
+    def living(self):
+        return [each for each in self.processes if each.alive]
+
+    def following(self):
+        return [each for each in self.living if each.peers.feed.follows]
+
+    async def until(self, condition, seconds):
+        """Wait for a condition; return after how long it held, None where it didn't in time."""
+        started = trio.current_time()
+        while trio.current_time() < started + seconds:
+            if condition():
+                return trio.current_time() - started
+            await trio.sleep(0.05)
+        return None
--- a/soak/site.py
+++ b/soak/site.py
@@ -25,6 +25,7 @@
 ]
 
 LAYERS = 8
+ENTRIES = 3
 # Layers that one runner may hold: a domain of four holds the model with room to heal.
 ROOM = 5
 LAYER_MB = 100.0
@@ -39,11 +40,13 @@
 name = {name}
 domain = {domain}
 platform = {platform}
+peers = {peers}
 
 [gateway]
 listen = {host}:{port}
 ready_listen = {host}:{ready}
 metrics_listen = {host}:{metrics}
+peer_listen = {host}:{peer}
 stop_grace = {grace} s
 revocation = {revocation} s
 """
@@ -111,6 +114,7 @@
     entries: list[Entry] = field(default_factory=list)
     records: list[dict] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
+    peer_ports: list[int] = field(default_factory=lambda: [free_port() for _ in range(ENTRIES)])
     _nursery: trio.Nursery | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -121,7 +125,7 @@
             for number in range(4):
                 await self._add_runner(f"l{domain}{number}", "llm", domain, ROOM)
             await self._add_runner(f"p{domain}", "crm", domain, 0)
-        for number in range(3):
+        for number in range(ENTRIES):
             await self._add_entry(f"e{number}", "ab"[number % 2])
         nursery.start_soon(self._lapse)
 
@@ -149,6 +153,8 @@
             port=front.target,
             ready=ready,
             metrics=free_port(),
+            peer=self.peer_ports[len(self.entries)],
+            peers=",".join(f"{HOST}:{each}" for each in self.peer_ports[:2]),
             grace=GRACE_SECONDS,
             revocation=REVOCATION_SECONDS,
         )
