--- a/features/steps/shared_limit_steps.py
+++ b/features/steps/shared_limit_steps.py
@@ -186,6 +186,8 @@
 @when("its share becomes {share:g} after {seconds:g} seconds")
 def share_becomes(context, share, seconds):
     context.clock.now += seconds
+    # What came back until then came by the share until then.
+    assert context.allowance.balance == context.allowance.largest
     context.share = share
 
 
