What a page's test started ends with it

The script was killed after its 90 s and its stand-ins lived on; a later run of the tutorial failed against those.

Pages' commands run in a session of their own, and all of it is ended when it takes too long; what was printed goes into the failure.

--- a/features/steps/page_steps.py
+++ b/features/steps/page_steps.py
@@ -2,6 +2,7 @@
 
 import os
 import re
+import signal
 import subprocess
 import sys
 import tempfile
@@ -18,16 +19,26 @@
 
 
 def run(command: list[str], cwd: Path, seconds: float) -> subprocess.CompletedProcess:
-    return subprocess.run(
+    """Run a command to its end; what it started ends with it, also where it takes too long.
+
+    Processes left behind would hold the ports that the next run of the same pages needs.
+    """
+    with subprocess.Popen(
         command,
         cwd=cwd,
         env=ENVIRONMENT,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
-        timeout=seconds,
-        check=False,
-    )
+        start_new_session=True,
+    ) as started:
+        try:
+            output, _ = started.communicate(timeout=seconds)
+        except subprocess.TimeoutExpired as late:
+            os.killpg(started.pid, signal.SIGKILL)
+            output, _ = started.communicate()
+            raise AssertionError(f"{command} took over {seconds} s: {output[-3000:]}") from late
+    return subprocess.CompletedProcess(command, started.returncode, output)
 
 
 @then("the blocks of docs/TUTORIAL.md run in an empty folder without an error")
