--- /dev/null
+++ b/deckcourse/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as functions of values: no clock, no sockets, no tasks of their own."""
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -1,71 +1,71 @@
-"""How much the first upstreams of paths have to do, asked at intervals while requests come.
+"""How much the first upstreams of paths have to do, asked by few processes for all of them.
 
-Every process asks by itself: what an upstream says counts all processes' requests, so that their
-choices agree without a word between them. Between two answers the own new requests are added.
+Load pattern: a process that sees one request a second learns of a full upstream by its own refusal,
+while its choice is as old as its last question. Those that follow the store for their domain ask
+its first upstreams often, others seldom, and pass the answers on; what an upstream says counts all
+processes' requests, so that choices agree. Between two answers the own new requests are added.
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import trio
 
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import Upstream
+from deckcourse.peers.loads import LoadBoard, LoadRow
 
-__all__ = ["FirstLoad", "LoadWatch"]
+__all__ = ["LoadWatch"]
 
-# Between two questions to one upstream, seconds; its answer is 0.2 s old.
+# Between two questions to an upstream of the own failure domain, seconds; its answer is 0.2 s old.
 ASK_SECONDS = 0.4
-# Where a process carries less of the traffic than this it asks less often, in proportion: what all
-# processes ask together would else grow with their number and not with the requests. Six to nine
-# processes ask some 45 times a second for 26 to 46 requests.
-ASKING_SHARE = 0.1
-# The longest time between two questions all the same, seconds.
-LONGEST_ASK_SECONDS = 1.4
-# An answer older than so many times the pause between questions tells nothing.
-LIFETIME_PAUSES = 3.0
-# Upstreams are asked while a request came in the last so many seconds.
+# Upstreams of other domains, which requests take only where the own one is full, are asked each so
+# many rounds.
+FAR_ROUNDS = 4
+# Upstreams are asked while a request came in the last so many seconds, or while they have any.
 ACTIVE_SECONDS = 2.0
 # What all processes together send may be so many times the own: one in so many is this one. The
 # streams that this process began since the last answer count so often.
 OWN_WEIGHT = 3.0
 
 
-@dataclass(frozen=True)
-class FirstLoad:
-    """What an upstream says of its requests as the first of a path; good until `deadline`."""
-
-    running: int
-    queued: int
-    cache_share: float
-    deadline: float
-
-
 class LoadWatch:
     """Keeps the newest answers.
 
     Args:
       control: asks an upstream.
+      domain: the failure domain of this process.
       firsts: returns the upstreams that can be the first of a path.
       in_flight: returns this process's own requests at an upstream.
       traffic: gets what the answers tell of this process's part of all traffic.
+      board: what is known of loads, by this process or from others.
+      asks: returns whether this process asks upstreams, for itself and for others.
+      standing: returns how many requests all processes have at the first upstreams, each once.
     """
 
     def __init__(
         self,
         control: StreamControl,
+        domain: str,
         firsts: Callable[[], list[Upstream]],
         in_flight: Callable[[str], int],
         traffic: TrafficShare,
+        board: LoadBoard,
+        asks: Callable[[], bool],
+        standing: Callable[[], float],
     ) -> None:
         self._control = control
+        self._domain = domain
         self._firsts = firsts
         self._in_flight = in_flight
         self._traffic = traffic
-        self._loads: dict[str, FirstLoad] = {}
-        self._begun_since: dict[str, int] = {}
+        self._board = board
+        self._asks = asks
+        self._standing = standing
+        # For each upstream the streams begun here since an answer, and when that was asked for.
+        self._begun_since: dict[str, tuple[float, int]] = {}
         self._active_until = 0.0
+        self._rounds = 0
         self._woken = trio.Event()
 
     def note_request(self) -> None:
@@ -75,56 +75,66 @@
 
     def note_begun(self, instance: str) -> None:
         """Note that this process sent a stream to an upstream."""
-        self._begun_since[instance] = self._begun_since.get(instance, 0) + 1
-
-    def requests(self, instance: str) -> float:
-        """Return how many requests an upstream has as the first of their path, 0 if unknown."""
-        load = self._known(instance)
-        if load is None:
-            return 0.0
-        return load.running + load.queued + OWN_WEIGHT * self._begun_since.get(instance, 0)
+        at, count = self._since(instance)
+        self._begun_since[instance] = at, count + 1
+
+    def _since(self, instance: str) -> tuple[float, int]:
+        """Return when the newest answer of an upstream was asked for, and the streams since."""
+        row = self._board.known(instance)
+        at = row.at if row is not None else float("-inf")
+        known = self._begun_since.get(instance, (at, 0))
+        return known if known[0] == at else (at, 0)
+
+    def running(self, instance: str) -> float:
+        """Return how many streams run at an upstream, begun there or passing, 0 if unknown."""
+        row = self._board.known(instance)
+        return row.running if row is not None else 0.0
+
+    def waiting(self, instance: str) -> float:
+        """Return how many requests wait to begin at an upstream, or were just sent."""
+        row = self._board.known(instance)
+        return row.queued + OWN_WEIGHT * self._since(instance)[1] if row is not None else 0.0
 
     def cache_share(self, instance: str) -> float:
         """Return the part of its memory for requests that is taken where some queue, else 0."""
-        load = self._known(instance)
-        return load.cache_share if load is not None and load.queued else 0.0
-
-    def _known(self, instance: str) -> FirstLoad | None:
-        load = self._loads.get(instance)
-        return load if load is not None and load.deadline >= trio.current_time() else None
+        row = self._board.known(instance)
+        return row.cache_share if row is not None and row.queued else 0.0
 
     async def run(self) -> None:
         """Ask until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                if trio.current_time() >= self._active_until:
+                if not self._is_active():
                     self._woken = trio.Event()
                     await self._woken.wait()
                 self._note_share()
-                for upstream in self._firsts():
-                    nursery.start_soon(self._ask, upstream)
-                await trio.sleep(self._pause)
+                if self._asks():
+                    self._ask_round(nursery)
+                await trio.sleep(ASK_SECONDS)
 
-    @property
-    def _pause(self) -> float:
-        """The time between two questions to one upstream, seconds."""
-        return min(LONGEST_ASK_SECONDS, self._traffic.spread(ASK_SECONDS, ASKING_SHARE))
+    def _is_active(self) -> bool:
+        busy = any(each.requests for each in self._board.all())
+        return busy or trio.current_time() < self._active_until
+
+    def _ask_round(self, nursery: trio.Nursery) -> None:
+        for upstream in self._firsts():
+            if upstream.domain == self._domain or self._rounds % FAR_ROUNDS == 0:
+                nursery.start_soon(self._ask, upstream)
+        self._rounds += 1
 
     def _note_share(self) -> None:
-        now = trio.current_time()
-        known = {name: each for name, each in self._loads.items() if each.deadline >= now}
-        if not known:
-            return
-        everybodys = sum(each.running + each.queued for each in known.values())
-        self._traffic.note(sum(map(self._in_flight, known)), everybodys)
+        known = self._board.all()
+        if known:
+            own = sum(self._in_flight(each.instance) for each in known)
+            self._traffic.note(own, round(self._standing()))
 
     async def _ask(self, upstream: Upstream) -> None:
+        asked_at = trio.current_time()
         load = await self._control.load(upstream)
         if load is None:
             return
-        self._begun_since.pop(upstream.instance, None)
-        deadline = trio.current_time() + LIFETIME_PAUSES * self._pause
         share = load.cache_used / load.cache_total if load.cache_total else 0.0
-        self._loads[upstream.instance] = FirstLoad(load.running, load.queued, share, deadline)
+        row = LoadRow(upstream.instance, load.running, load.queued, share, asked_at)
+        self._board.note(row)
         if not self._traffic.measured:
             self._note_share()
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -1,14 +1,12 @@
 """One gateway process: it follows the store, serves callers and takes part in the placement."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 from random import Random
 from traceback import format_exception
-from typing import Protocol
 
 import trio
-from returns.result import Failure, Result, Success
 
 from deckcourse.change_feed import ChangeFeed, Follower
 from deckcourse.counters import Counters
@@ -18,20 +16,21 @@
 from deckcourse.gateway.gateway import Gateway
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.retry_allowance import RetryAllowance, RetryLimits
+from deckcourse.gateway.row_intake import RowIntake, RowReader
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.layers.healer import Healer, Orderer
 from deckcourse.layers.hosts import Group
 from deckcourse.layers.model import ModelSpec
-from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook
+from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook, PlanRecord
 from deckcourse.peers.followers import turn_of
 from deckcourse.peers.peers import PeerPorts, Peers
 from deckcourse.settings import GatewaySettings
-from deckcourse.table import Row, TableService
+from deckcourse.table import TableService
 
-__all__ = ["GatewayIdentity", "GatewayNode", "GatewayPorts", "RowReader"]
+__all__ = ["GatewayIdentity", "GatewayNode", "GatewayPorts"]
 
 # The part of the revocation time after which nothing that needs a key is sent any more: a key
 # taken away just after the last sign of the store must not open anything when that time is over.
@@ -52,20 +51,6 @@
 FAULT_PAUSE_SECONDS = 0.2
 
 
-class RowReader(Protocol):
-    """Decodes rows of the store."""
-
-    operator_table: str
-    upstream_table: str
-    desired_key: str
-
-    def desired_state(self, value: bytes) -> Result[DesiredState, str]:
-        """Return the desired state that a row holds, or what is wrong."""
-
-    def upstream(self, instance: str, value: bytes) -> Result[Upstream, str]:
-        """Return the upstream that a row tells of, or what is wrong."""
-
-
 @dataclass(frozen=True)
 class GatewayIdentity:
     """Who the process is; `author` is new at each start."""
@@ -134,12 +119,23 @@
             self._upstreams.store_returned,
             random,
             log,
+            counters.gauge,
+        )
+        intake = RowIntake(
+            rows,
+            self._upstreams,
+            self._book,
+            ports.pool,
+            self._take_desired,
+            self._hear_plan,
+            counters.count,
+            log,
         )
         self._operator_feed = Follower(
             self._peers.feed,
             rows.operator_table,
-            self._on_operator_rows,
-            self._on_operator_row,
+            intake.operator_rows,
+            intake.operator_row,
             random,
             self._on_contact,
             self._contact_wait,
@@ -149,8 +145,8 @@
         self._upstream_feed = Follower(
             self._peers.feed,
             rows.upstream_table,
-            self._on_upstream_rows,
-            self._on_upstream_row,
+            intake.upstream_rows,
+            intake.upstream_row,
             random,
             self._on_list_contact,
             process_factor=self._process_factor,
@@ -159,8 +155,8 @@
         self._plan_feed = Follower(
             self._peers.feed,
             PLAN_TABLE,
-            self._on_plan_rows,
-            self._on_plan_row,
+            intake.plan_rows,
+            intake.plan_row,
             random,
             process_factor=self._process_factor,
             gathered=self._is_told,
@@ -314,6 +310,9 @@
                 trio.current_time,
                 self._ports.control,
                 self._traffic,
+                self._peers.loads,
+                lambda: self._peers.feed.follows,
+                self._random,
             )
         return self._choices[service]
 
@@ -332,21 +331,7 @@
         self._counters.count("store.regained" if regained else "store.lost")
         self._log("store-regained" if regained else "store-lost", age=round(self._age(), 3))
 
-    def _on_operator_rows(self, rows: Sequence[Row]) -> None:
-        for row in rows:
-            self._on_operator_row(_key_in_table(row), row.value, row.version)
-
-    def _on_operator_row(self, key: str, value: bytes | None, version: int) -> None:
-        if key != self._ports.rows.desired_key or value is None:
-            return
-        match self._ports.rows.desired_state(value):
-            case Success(desired):
-                self._take(desired)
-            case Failure(problem):
-                self._counters.count("malformed.desired-state")
-                self._log("malformed", what=problem)
-
-    def _take(self, desired: DesiredState) -> None:
+    def _take_desired(self, desired: DesiredState) -> None:
         known = self._desired.version if self._desired is not None else None
         if known is not None and desired.version <= known:
             return
@@ -355,69 +340,8 @@
         self._desired_changed = trio.Event()
         self._log("configuration", version=desired.version, before=known)
 
-    def _on_upstream_rows(self, rows: Sequence[Row]) -> None:
-        oldest_first = sorted(rows, key=lambda each: each.version)
-        found = [self._decode(_key_in_table(row), row.value) for row in oldest_first]
-        self._upstreams.replace_all(each for each in found if each is not None)
-
-    def _on_plan_rows(self, rows: Sequence[Row]) -> None:
-        # Plans made before this process looked are done or out of date.
-        for row in rows:
-            self._book.note(row)
-
-    def _on_plan_row(self, key: str, value: bytes | None, version: int) -> None:
-        if value is None:
-            return
-        record = self._book.note(Row(f"{PLAN_TABLE}/{key}", version, value))
-        if record is None:
-            return
+    def _hear_plan(self, group: str, record: PlanRecord) -> None:
         for service, healer in self._healers.items():
             model = self._model_of(service)
             if model is not None and model.name == record.model:
-                healer.hear(key, model, record)
-
-    def _on_upstream_row(self, key: str, value: bytes | None, version: int) -> None:
-        if value is None:
-            self._note_gone(key)
-            self._upstreams.remove(key)
-            return
-        row = self._decode(key, value)
-        if row is None:
-            return
-        known = self._upstreams.get(key)
-        if known is None or _news(known) != _news(row):
-            self._log(
-                "upstream",
-                instance=key,
-                address=row.address,
-                domain=row.domain,
-                kind=row.kind,
-                first=row.first,
-                end=row.end,
-                leaving=row.leaving,
-            )
-        self._upstreams.put(row)
-
-    def _note_gone(self, key: str) -> None:
-        known = self._upstreams.get(key)
-        if known is not None:
-            self._ports.pool.forget(known.address)
-            self._log("upstream-gone", instance=key, address=known.address)
-
-    def _decode(self, key: str, value: bytes) -> Upstream | None:
-        match self._ports.rows.upstream(key, value):
-            case Success(row):
-                return row
-            case Failure(problem):
-                self._counters.count("malformed.upstream")
-                self._log("malformed", what=problem)
-        return None
-
-
-def _key_in_table(row: Row) -> str:
-    return row.key.partition("/")[2]
-
-
-def _news(row: Upstream) -> tuple[int, int, bool]:
-    """Return what of a row is logged when it changes."""
-    return row.first, row.end, row.leaving
+                healer.hear(group, model, record)
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -1,16 +1,19 @@
 """The choice of a path for one request, from what this process knows at the moment."""
 
-from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from random import Random
 
+from deckcourse.decisions.path_draw import draw_path
+from deckcourse.decisions.path_load import begun_at, passing
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.load_watch import LoadWatch
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.path_set import PathSet
-from deckcourse.layers.paths import USUAL_TOKENS, LayerPath, PathPart
+from deckcourse.layers.paths import LayerPath, PathPart
+from deckcourse.peers.loads import LoadBoard
 
 __all__ = ["PathChoice"]
 
@@ -53,6 +56,14 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class _Streams:
+    """How many streams begin or wait to at each first upstream, and how many pass each upstream."""
+
+    beginning: Mapping[str, float]
+    passing: Mapping[str, float]
+
+
 class PathChoice:
     """Chooses paths for one service; the paths themselves are kept until something changes.
 
@@ -63,6 +74,9 @@
       clock: seconds, trio's clock.
       control: asks upstreams for their load.
       traffic: gets what their load tells of this process's part of all traffic.
+      loads: what is known of their load.
+      asks: returns whether this process asks for it, for itself and for others.
+      random: draws paths.
     """
 
     def __init__(
@@ -73,6 +87,9 @@
         clock: Callable[[], float],
         control: StreamControl,
         traffic: TrafficShare,
+        loads: LoadBoard,
+        asks: Callable[[], bool],
+        random: Random,
     ) -> None:
         self._service = service
         self._domain = domain
@@ -81,7 +98,18 @@
         self._known: tuple[tuple[int, ModelSpec], PathSet] | None = None
         self._refusals: dict[str, _Refusal] = {}
         self._traffic = traffic
-        self._watch = LoadWatch(control, self._firsts, upstreams.in_flight, traffic)
+        self._watch = LoadWatch(
+            control,
+            domain,
+            self._firsts,
+            upstreams.in_flight,
+            traffic,
+            loads,
+            asks,
+            self._standing,
+        )
+        self._random = random
+        self._counted: tuple[float, _Streams] | None = None
 
     @property
     def watch(self) -> LoadWatch:
@@ -102,26 +130,33 @@
         ]
 
     def _utilization(self, path: LayerPath) -> float:
-        """Return the requests on a path's busiest part for each one that there is room for."""
+        """Return the requests on a path's busiest part for each one that there is room for.
+
+        The first part has places for requests that begin there, every part memory for those that
+        pass it.
+        """
         first = self._upstreams.get(path.parts[0].instance)
         if first is None:
             return 0.0
-        requests = self._watch.requests(first.instance)
-        own = max(self._watch.cache_share(first.instance), requests / max(1, first.slots))
-        passing = self._requests_passing()
-        return max(own, *(passing[each.instance] / self._places(each) for each in path.parts))
+        streams = self._streams()
+        beginning = streams.beginning.get(first.instance, 0.0)
+        own = max(self._watch.cache_share(first.instance), beginning / max(1, first.slots))
+        passed = streams.passing
+        return max(own, *(passed[each.instance] / self._places(each) for each in path.parts))
+
+    def _streams(self) -> _Streams:
+        """Return how many streams begin at and pass each upstream, counted once a moment."""
+        now = self._clock()
+        if self._counted is None or self._counted[0] != now:
+            paths = self._known[1].starts() if self._known is not None else ()
+            begun = begun_at(paths, self._watch.running)
+            beginning = {name: each + self._watch.waiting(name) for name, each in begun.items()}
+            self._counted = now, _Streams(beginning, passing(paths, beginning))
+        return self._counted[1]
 
-    def _requests_passing(self) -> Mapping[str, float]:
-        """Return the requests that pass each upstream.
-
-        All processes find the same best path from each first upstream, and most requests take it.
-        """
-        passing: dict[str, float] = defaultdict(float)
-        for path in self._known[1].starts() if self._known is not None else ():
-            requests = self._watch.requests(path.parts[0].instance)
-            for part in path.parts:
-                passing[part.instance] += requests
-        return passing
+    def _standing(self) -> float:
+        """Return all requests at first upstreams, each counted once."""
+        return sum(self._streams().beginning.values())
 
     def _places(self, part: PathPart) -> float:
         """Return how many usual requests a part of a path takes at once beside its weights."""
@@ -129,8 +164,7 @@
         if row is None or self._known is None:
             return 1.0
         model = self._known[1].model
-        tokens = model.tokens_beside(row.kind, row.end - row.first, part.end - part.first)
-        return max(1.0, tokens / USUAL_TOKENS)
+        return max(1.0, model.places(row.kind, row.end - row.first, part.end - part.first))
 
     def note_full(self, instance: str) -> None:
         """Note that an upstream has no room at the moment."""
@@ -180,11 +214,18 @@
     def _path_set(self, model: ModelSpec) -> PathSet:
         key = (self._upstreams.changes, model)
         if self._known is None or self._known[0] != key:
-            self._known = (key, PathSet(model, self._upstreams.layer_hosts(self._service)))
+            before = self._known[1] if self._known is not None else None
+            hosts = self._upstreams.layer_hosts(self._service)
+            self._known = (key, PathSet(model, hosts, before))
         return self._known[1]
 
     def _best(self, paths: list[LayerPath]) -> LayerPath | None:
-        return min(self._open(paths) or paths, key=self._score, default=None)
+        """Return the better of two paths of the own domain with room, else of all that are open."""
+        near = [each for each in paths if self._is_near(each) and self._utilization(each) < 1.0]
+        return draw_path(near or self._open(paths) or paths, self._score, self._random)
+
+    def _is_near(self, path: LayerPath) -> bool:
+        return path.domain == self._domain and not path.crossings
 
     def _open(self, paths: list[LayerPath]) -> list[LayerPath]:
         return [each for each in paths if not self.overloaded(each)]
--- /dev/null
+++ b/deckcourse/gateway/row_intake.py
@@ -0,0 +1,145 @@
+"""Rows of the store as they come: decoded, logged where they tell news, and handed on."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from deckcourse.gateway.desired import DesiredState
+from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook, PlanRecord
+from deckcourse.table import Row
+
+__all__ = ["RowIntake", "RowReader"]
+
+
+class RowReader(Protocol):
+    """Decodes rows of the store."""
+
+    operator_table: str
+    upstream_table: str
+    desired_key: str
+
+    def desired_state(self, value: bytes) -> Result[DesiredState, str]:
+        """Return the desired state that a row holds, or what is wrong."""
+
+    def upstream(self, instance: str, value: bytes) -> Result[Upstream, str]:
+        """Return the upstream that a row tells of, or what is wrong."""
+
+
+class RowIntake:
+    """Takes in the rows of the operators, of the upstreams and of plans.
+
+    Args:
+      reader: decodes rows.
+      upstreams: gets the upstreams' rows.
+      book: gets the plans.
+      pool: connections to an upstream that is gone are closed there.
+      on_desired: gets each desired state that can be read.
+      on_plan: gets each plan that another process just made, with its group.
+      count: counts by name.
+      log: writes decisions.
+    """
+
+    def __init__(
+        self,
+        reader: RowReader,
+        upstreams: UpstreamTable,
+        book: PlanBook,
+        pool: ConnectionPool,
+        on_desired: Callable[[DesiredState], None],
+        on_plan: Callable[[str, PlanRecord], None],
+        count: Callable[[str], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._reader = reader
+        self._upstreams = upstreams
+        self._book = book
+        self._pool = pool
+        self._on_desired = on_desired
+        self._on_plan = on_plan
+        self._count = count
+        self._log = log
+
+    def operator_rows(self, rows: Sequence[Row]) -> None:
+        """Take in a reading of the operators' table."""
+        for row in rows:
+            self.operator_row(_key_in_table(row), row.value, row.version)
+
+    def operator_row(self, key: str, value: bytes | None, version: int) -> None:
+        """Take in one row of the operators' table."""
+        if key != self._reader.desired_key or value is None:
+            return
+        match self._reader.desired_state(value):
+            case Success(desired):
+                self._on_desired(desired)
+            case Failure(problem):
+                self._count("malformed.desired-state")
+                self._log("malformed", what=problem)
+
+    def plan_rows(self, rows: Sequence[Row]) -> None:
+        """Take in a reading of the plans: those made before this process looked are old."""
+        for row in rows:
+            self._book.note(row)
+
+    def plan_row(self, key: str, value: bytes | None, version: int) -> None:
+        """Take in one plan."""
+        if value is None:
+            return
+        record = self._book.note(Row(f"{PLAN_TABLE}/{key}", version, value))
+        if record is not None:
+            self._on_plan(key, record)
+
+    def upstream_rows(self, rows: Sequence[Row]) -> None:
+        """Take in a reading of the upstreams' table."""
+        oldest_first = sorted(rows, key=lambda each: each.version)
+        found = [self._decode(_key_in_table(row), row.value) for row in oldest_first]
+        self._upstreams.replace_all(each for each in found if each is not None)
+
+    def upstream_row(self, key: str, value: bytes | None, version: int) -> None:
+        """Take in one upstream's row; no value where it is gone."""
+        if value is None:
+            self._note_gone(key)
+            self._upstreams.remove(key)
+            return
+        row = self._decode(key, value)
+        if row is None:
+            return
+        known = self._upstreams.get(key)
+        if known is None or _news(known) != _news(row):
+            self._log(
+                "upstream",
+                instance=key,
+                address=row.address,
+                domain=row.domain,
+                kind=row.kind,
+                first=row.first,
+                end=row.end,
+                leaving=row.leaving,
+            )
+        self._upstreams.put(row)
+
+    def _note_gone(self, key: str) -> None:
+        known = self._upstreams.get(key)
+        if known is not None:
+            self._pool.forget(known.address)
+            self._log("upstream-gone", instance=key, address=known.address)
+
+    def _decode(self, key: str, value: bytes) -> Upstream | None:
+        match self._reader.upstream(key, value):
+            case Success(row):
+                return row
+            case Failure(problem):
+                self._count("malformed.upstream")
+                self._log("malformed", what=problem)
+        return None
+
+
+def _key_in_table(row: Row) -> str:
+    return row.key.partition("/")[2]
+
+
+def _news(row: Upstream) -> tuple[int, int, bool]:
+    """Return what of a row is logged when it changes."""
+    return row.first, row.end, row.leaving
--- a/deckcourse/layer_bench.py
+++ b/deckcourse/layer_bench.py
@@ -13,7 +13,6 @@
 from deckcourse.layers.coverage import gaps
 from deckcourse.layers.hosts import Assignment, LayerHost, groups_of
 from deckcourse.layers.model import AcceleratorKind, ModelSpec
-from deckcourse.layers.paths import USUAL_TOKENS
 from deckcourse.layers.placement import plan_group
 from deckcourse.layers.slices import slice_model
 
@@ -27,6 +26,8 @@
     load_seconds=14.0,
     cache_bytes=918_000.0,
     parallel_loads=6,
+    # So many requests may begin at a host that memory alone bounds what a copy takes.
+    requests=10_000,
     kinds={
         "large": AcceleratorKind("large", 36_000.0, 3.1, 3.2),
         "middle": AcceleratorKind("middle", 21_600.0, 16.0, 8.2),
@@ -146,4 +147,4 @@
 
 def _places(host: LayerHost) -> float:
     held = host.end - host.first
-    return MODEL.tokens_beside(host.kind, held, held) / USUAL_TOKENS if held else float("inf")
+    return MODEL.places(host.kind, held, held) if held else float("inf")
--- a/deckcourse/layers/model.py
+++ b/deckcourse/layers/model.py
@@ -37,6 +37,8 @@
       requests: how many requests an upstream works on at once as the first of a path.
       parallel_loads: how many loads at once keep their speed.
       kinds: the accelerators, by name.
+      usual_prompt: the tokens of a request's prompt, in the mean.
+      usual_answer: the tokens of its answer, in the mean.
     """
 
     name: str
@@ -53,6 +55,16 @@
     requests: int = 64
     parallel_loads: int = 4
     kinds: dict[str, AcceleratorKind] = field(default_factory=dict)
+    usual_prompt: float = 770.0
+    usual_answer: float = 154.0
+
+    @property
+    def usual_tokens(self) -> float:
+        """What a usual request holds in the KV cache in the mean over its time, tokens.
+
+        That is its prompt and half of its answer.
+        """
+        return self.usual_prompt + self.usual_answer / 2
 
     def kind_of(self, name: str) -> AcceleratorKind:
         """Return a kind; one that nobody described counts as fast and large as the model's own."""
@@ -75,6 +87,10 @@
         per_token = self.cache_bytes / self.layers * run
         return max(0.0, room * BYTES_PER_MB / per_token) if per_token else float("inf")
 
+    def places(self, kind: str, held: int, run: int) -> float:
+        """Return how many usual requests fit beside an upstream's weights, as `tokens_beside`."""
+        return self.tokens_beside(kind, held, run) / self.usual_tokens
+
     def delay(self, domain: str, other: str) -> float:
         """Return the one-way delay between failure domains, seconds."""
         if domain == other:
--- a/deckcourse/layers/path_set.py
+++ b/deckcourse/layers/path_set.py
@@ -1,12 +1,14 @@
 """All paths over one state of the hosts: those of one domain share hosts as little as can be.
 
-Left to themselves the best paths from two first hosts lead over the same fast hosts, whose memory
-runs out while the others stand idle. So each further path of a domain counts the hosts of the paths
-before it as slower. Processes that see the same hosts find the same paths.
+Load pattern: left to themselves the best paths from all first hosts lead over the same fast hosts,
+whose memory runs out while the others stand idle; after a loss all paths of a domain lead over the
+one host that holds the lost range still. So each path of a domain counts a host as slower by how
+full the others make it, and one over a host that is too full is looked for again. Processes that
+see the same hosts find the same paths.
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
 from deckcourse.layers.hosts import LayerHost
@@ -15,11 +17,12 @@
 
 __all__ = ["PathSet"]
 
-# A host that another path of its domain passes counts so many times slower beyond that. The kinds
-# of the sites differ by up to 6.7 in pace: most paths take another kind before they share a host.
-SHARED_WEIGHT = 3.0
+# A host counts so many times slower beyond its pace where as many streams as all paths over it let
+# in would just fill its memory, four times as much where they would fill it twice. The kinds of the
+# sites differ by up to 6.7 in pace: a path takes another kind before it fills a host.
+FULL_WEIGHT = 3.0
 # So many paths of one domain are kept apart; a further one is the best from its first host.
-MOST_APART = 4
+MOST_APART = 12
 
 
 class PathSet:
@@ -28,10 +31,17 @@
     Args:
       model: whose layers a path runs.
       hosts: everybody who holds some.
+      before: the paths over an earlier state; what is known of domains that did not change since is
+        taken from there.
     """
 
-    def __init__(self, model: ModelSpec, hosts: Iterable[LayerHost]) -> None:
+    def __init__(
+        self, model: ModelSpec, hosts: Iterable[LayerHost], before: "PathSet | None" = None
+    ) -> None:
         self._model = model
+        self._inside: dict[tuple[LayerHost, ...], list[LayerPath]] = {}
+        same_model = before is not None and before.model == model
+        self._inside_before = before._inside if same_model else {}
         self._hosts = tuple(each for each in hosts if each.usable and not each.empty)
         self._starts: dict[frozenset[str], list[LayerPath]] = {}
         self._onward: dict[tuple[PathPart, str, frozenset[str]], LayerPath | None] = {}
@@ -71,8 +81,8 @@
         found: list[LayerPath] = []
         broken = set()
         for domain, members in by_domain.items():
-            inside = PathFinder(self._model, members).starts()
-            found += self._apart(members, inside)
+            inside = self._find_inside(tuple(members))
+            found += inside
             if not inside:
                 broken.add(domain)
         if broken:
@@ -81,6 +91,15 @@
             found += [each for each in everywhere if each.domain in broken]
         return sorted(found, key=lambda each: each.cost)
 
+    def _find_inside(self, members: tuple[LayerHost, ...]) -> list[LayerPath]:
+        """Return the paths inside one domain."""
+        if members not in self._inside:
+            found = self._inside_before.get(members)
+            if found is None:
+                found = self._apart(members, PathFinder(self._model, members).starts())
+            self._inside[members] = found
+        return self._inside[members]
+
     def _find_onward(self, first: PathPart, domain: str, avoid: frozenset[str]) -> LayerPath | None:
         hosts = self._without(avoid)
         inside = [each for each in hosts if each.domain == domain]
@@ -90,24 +109,47 @@
     def _without(self, avoid: frozenset[str]) -> list[LayerHost]:
         return [each for each in self._hosts if each.instance not in avoid]
 
-    def _apart(self, members: list[LayerHost], starts: list[LayerPath]) -> list[LayerPath]:
-        """Return a path from the first host of each of `starts`, each beside those before it."""
+    def _apart(self, members: Sequence[LayerHost], starts: list[LayerPath]) -> list[LayerPath]:
+        """Return a path from the first host of each of `starts`, each beside the others."""
+        if len(starts) < 2:
+            return starts
+        finder = PathFinder(self._model, members)
         found = starts[:1]
-        uses = Counter(found[0].instances) if found else Counter()
-        plain = PathFinder(self._model, members) if len(starts) > 1 else None
+        uses = Counter(starts[0].instances)
         for start in starts[1:]:
-            path = start
-            if len(found) < MOST_APART:
-                path = self._beside(members, uses, start.parts[0].instance) or start
-                path = replace(path, cost=plain.cost(path.parts))
+            path = start if len(found) >= MOST_APART else self._beside(members, uses, start)
             uses.update(path.instances)
             found.append(path)
-        return found
+        for index, path in enumerate(found[:MOST_APART]):
+            if self._fullness(members, path, uses) > 1.0:
+                uses.subtract(path.instances)
+                found[index] = self._beside(members, uses, path)
+                uses.update(found[index].instances)
+        return [replace(each, cost=finder.cost(each.parts)) for each in found]
+
+    def _fullness(self, members: Sequence[LayerHost], path: LayerPath, uses: Counter[str]) -> float:
+        """Return how full the fullest host of a path is if every path lets in all it may."""
+        passed = (each for each in members if each.instance in path.instances)
+        return max(self._load(each, uses[each.instance]) for each in passed)
+
+    def _load(self, host: LayerHost, paths: int) -> float:
+        """Return the streams of so many paths over a host against those it has memory for."""
+        layers = host.end - host.first
+        return (
+            paths * self._model.requests / max(1.0, self._model.places(host.kind, layers, layers))
+        )
 
-    def _beside(self, members: list[LayerHost], uses: Counter[str], first: str) -> LayerPath | None:
+    def _beside(
+        self, members: Sequence[LayerHost], uses: Counter[str], start: LayerPath
+    ) -> LayerPath:
+        """Return the best path from the first host of another one beside those in use."""
         crowded = (
-            replace(each, pace=each.pace * (1.0 + SHARED_WEIGHT * uses[each.instance]))
+            replace(
+                each,
+                pace=each.pace * (1.0 + FULL_WEIGHT * self._load(each, uses[each.instance]) ** 2),
+            )
             for each in members
         )
+        first = start.parts[0].instance
         starts = PathFinder(self._model, crowded).starts()
-        return next((each for each in starts if each.parts[0].instance == first), None)
+        return next((each for each in starts if each.parts[0].instance == first), start)
--- a/deckcourse/layers/paths.py
+++ b/deckcourse/layers/paths.py
@@ -11,15 +11,8 @@
 from deckcourse.layers.hosts import EVEN_FILL, LayerHost
 from deckcourse.layers.model import ModelSpec
 
-__all__ = ["USUAL_TOKENS", "LayerPath", "PathFinder", "PathPart"]
-
-# What a usual request reads and writes, tokens: it sets how much a step weighs against the
-# reading of the prompt. The sites' own figures are 770 and 154.
-USUAL_PROMPT = 770
-USUAL_ANSWER = 154
-# What a usual request holds in the KV cache in the mean over its time: its prompt and half of its
-# answer, tokens.
-USUAL_TOKENS = USUAL_PROMPT + USUAL_ANSWER / 2
+__all__ = ["LayerPath", "PathFinder", "PathPart"]
+
 # One more upstream in the same failure domain costs this much a token, milliseconds (0.2 ms of
 # delay is what both sites state).
 HOP_MS = 0.2
@@ -101,16 +94,18 @@
     def _layer_time(self, host: LayerHost) -> float:
         model = self._model
         kind = model.kind_of(host.kind)
-        prompt = USUAL_PROMPT / model.prefill_per_ms * kind.prefill_factor
-        answer = USUAL_ANSWER * model.step_ms * kind.step_factor
+        prompt = model.usual_prompt / model.prefill_per_ms * kind.prefill_factor
+        answer = model.usual_answer * model.step_ms * kind.step_factor
         fullness = max(0.0, host.fill(model) - EVEN_FILL)
         return (prompt + answer) / model.layers * (1.0 + FULL_WEIGHT * fullness)
 
     def _crossing(self, domain: str, other: str) -> float:
-        hop = HOP_MS * USUAL_ANSWER
+        hop = HOP_MS * self._model.usual_answer
         if domain == other:
             return hop
-        return hop + CROSSING_MS + self._model.delay(domain, other) * 1000 * USUAL_ANSWER
+        return (
+            hop + CROSSING_MS + self._model.delay(domain, other) * 1000 * self._model.usual_answer
+        )
 
     def _solve(self) -> None:
         covering: dict[int, list[LayerHost]] = defaultdict(list)
@@ -159,7 +154,7 @@
     def cost(self, parts: Sequence[PathPart]) -> float:
         """Return what a path over known hosts of one failure domain costs."""
         running = sum((each.end - each.first) * self._layer_ms[each.instance] for each in parts)
-        return running + (len(parts) - 1) * HOP_MS * USUAL_ANSWER
+        return running + (len(parts) - 1) * HOP_MS * self._model.usual_answer
 
     def onward(self, first: PathPart, domain: str) -> LayerPath | None:
         """Return the best path whose first part is given, None where there is none."""
--- a/deckcourse/peers/frames.py
+++ b/deckcourse/peers/frames.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from deckcourse.peers.loads import LoadRow
 from deckcourse.peers.replica import TableUpdate
 
 __all__ = [
@@ -49,11 +50,13 @@
       as_of: for each table the version that the sender knows and the moment before which every
         change is in it.
       returned: the moment at which the store last came back, None where it was never away.
+      loads: what upstreams said since the last frame.
     """
 
     updates: tuple[TableUpdate, ...]
     as_of: dict[str, tuple[int, float]]
     returned: float | None = None
+    loads: tuple[LoadRow, ...] = ()
 
 
 class MalformedFrameError(Exception):
--- a/deckcourse/peers/knowledge.py
+++ b/deckcourse/peers/knowledge.py
@@ -1,13 +1,33 @@
-"""What a process knows of the store's tables, from the store itself or from another process."""
+"""What a process knows of the store's tables and of loads, of its own or from another process."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 
 import trio
+from msgspec.structs import replace
 
 from deckcourse.peers.frames import Frame
+from deckcourse.peers.loads import LoadBoard, LoadRow
 from deckcourse.peers.replica import TableReplica
 
-__all__ = ["Knowledge"]
+__all__ = ["Knowledge", "Listener"]
+
+
+@dataclass
+class Listener:
+    """Somebody who asks: what it was told up to now.
+
+    Attributes:
+      origin: the moment from which its frames count.
+      versions: what it knows of each table.
+      as_of: up to when it was told that it knows each.
+      last_load: the number of the newest load that it was told.
+    """
+
+    origin: float
+    versions: dict[str, int | None]
+    as_of: dict[str, float] = field(default_factory=dict)
+    last_load: int = 0
 
 
 class Knowledge:
@@ -24,6 +44,12 @@
         self._on_returned = on_returned
         self._returned_at = float("-inf")
         self._progress = trio.Event()
+        self._loads = LoadBoard(trio.current_time, self.note_progress)
+
+    @property
+    def loads(self) -> LoadBoard:
+        """What is known of how much upstreams have to do."""
+        return self._loads
 
     def replica(self, table: str) -> TableReplica:
         """Return the copy of a table."""
@@ -57,33 +83,28 @@
             self._returned_at = moment
             self._on_returned(moment)
 
-    def frame(
-        self, versions: dict[str, int | None], told: dict[str, float], origin: float
-    ) -> Frame | None:
-        """Return what somebody lacks, None where it lacks nothing.
-
-        Args:
-          versions: what it knows of each table; brought up to date.
-          told: the moment that it was last told for each table; brought up to date.
-          origin: the moment from which it counts.
-        """
+    def frame(self, listener: Listener) -> Frame:
+        """Return what somebody lacks, and count it as told; empty where it lacks nothing."""
         updates = []
         as_of = {}
         for name, replica in self._replicas.items():
             if replica.version is None:
                 continue
-            update = replica.since(versions.get(name))
-            has_news = update is not None and update.version != versions.get(name)
+            update = replica.since(listener.versions.get(name))
+            has_news = update is not None and update.version != listener.versions.get(name)
             if has_news:
                 updates.append(update)
-                versions[name] = update.version
-            if has_news or replica.as_of > told.get(name, float("-inf")):
-                as_of[name] = replica.version, replica.as_of - origin
-                told[name] = replica.as_of
-        if not as_of:
-            return None
+                listener.versions[name] = update.version
+            if has_news or replica.as_of > listener.as_of.get(name, float("-inf")):
+                as_of[name] = replica.version, replica.as_of - listener.origin
+                listener.as_of[name] = replica.as_of
         known = self._returned_at > float("-inf")
-        return Frame(tuple(updates), as_of, self._returned_at - origin if known else None)
+        returned = self._returned_at - listener.origin if known else None
+        return Frame(tuple(updates), as_of, returned, self._new_loads(listener))
+
+    def _new_loads(self, listener: Listener) -> tuple[LoadRow, ...]:
+        rows, listener.last_load = self._loads.since(listener.last_load)
+        return tuple(replace(each, at=each.at - listener.origin) for each in rows)
 
     def take(self, frame: Frame, origin: float) -> None:
         """Take in a frame; its moments count from `origin`."""
@@ -95,4 +116,6 @@
         for name, (version, seconds) in frame.as_of.items():
             if name in self._replicas:
                 self._replicas[name].confirm(version, origin + seconds)
+        for row in frame.loads:
+            self._loads.note(replace(row, at=origin + row.at))
         self.note_progress()
--- /dev/null
+++ b/deckcourse/peers/loads.py
@@ -0,0 +1,75 @@
+"""How much upstreams have to do, as asked by one process and told to others."""
+
+from collections.abc import Callable
+
+import msgspec
+
+__all__ = ["LoadBoard", "LoadRow"]
+
+# What an upstream said counts for so long, seconds: it is asked each 0.4 s by those near to it, and
+# each 1.6 s by others.
+LIFETIME_SECONDS = 3.0
+
+
+class LoadRow(msgspec.Struct, frozen=True, array_like=True):
+    """What an upstream says of its requests as the first of a path, and when it was asked.
+
+    `cache_share` is the part of its memory for requests that is taken. `at` is on this process's
+    clock; on the way to another it counts from the moment that frames count from.
+    """
+
+    instance: str
+    running: int
+    queued: int
+    cache_share: float
+    at: float
+
+    @property
+    def requests(self) -> int:
+        """All requests that it has."""
+        return self.running + self.queued
+
+
+class LoadBoard:
+    """The newest word of each upstream.
+
+    Args:
+      clock: seconds, steady.
+      on_news: told after something new was taken in.
+    """
+
+    def __init__(self, clock: Callable[[], float], on_news: Callable[[], None]) -> None:
+        self._clock = clock
+        self._on_news = on_news
+        self._rows: dict[str, LoadRow] = {}
+        # The number of the last word of each upstream, in the order in which they came.
+        self._numbers: dict[str, int] = {}
+        self._number = 0
+
+    def note(self, row: LoadRow) -> None:
+        """Take in what an upstream said, unless something newer is known."""
+        known = self._rows.get(row.instance)
+        if known is None or row.at > known.at:
+            self._number += 1
+            self._rows[row.instance] = row
+            self._numbers[row.instance] = self._number
+            self._on_news()
+
+    def since(self, number: int) -> tuple[tuple[LoadRow, ...], int]:
+        """Return the words of late that came after the one of a number, and the newest number."""
+        rows = (each for each in self.all() if self._numbers[each.instance] > number)
+        return tuple(rows), self._number
+
+    def known(self, instance: str) -> LoadRow | None:
+        """Return the newest word of an upstream, None where there is none of late."""
+        row = self._rows.get(instance)
+        return row if row is not None and row.at >= self._oldest() else None
+
+    def all(self) -> list[LoadRow]:
+        """Return every upstream's word of late."""
+        oldest = self._oldest()
+        self._rows = {name: each for name, each in self._rows.items() if each.at >= oldest}
+        return list(self._rows.values())
+
+    def _oldest(self) -> float:
+        return self._clock() - LIFETIME_SECONDS
--- a/deckcourse/peers/peers.py
+++ b/deckcourse/peers/peers.py
@@ -12,6 +12,7 @@
 from deckcourse.peers.datagrams import Datagrams
 from deckcourse.peers.gossip import PeerGossip
 from deckcourse.peers.knowledge import Knowledge
+from deckcourse.peers.loads import LoadBoard
 from deckcourse.peers.member import Member
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.shared_feed import SharedFeed
@@ -40,6 +41,7 @@
       on_returned: told the moment at which the store came back, wherever that was seen.
       random: for choices and pauses that should differ between processes.
       log: writes decisions.
+      gauge: sets figures that operators see.
     """
 
     def __init__(
@@ -52,17 +54,25 @@
         on_returned: Callable[[float], None],
         random: Random,
         log: Callable[..., None],
+        gauge: Callable[[str, float], None] = lambda name, value: None,
     ) -> None:
         self._roster = Roster(ports.own, trio.current_time)
         self._gossip = PeerGossip(self._roster, ports.datagrams, ports.seeds, random)
-        knowledge = Knowledge(tables, on_returned)
-        self._feed = SharedFeed(store, self._roster, knowledge, pool, contact_wait, random, log)
+        self._knowledge = Knowledge(tables, on_returned)
+        self._feed = SharedFeed(
+            store, self._roster, self._knowledge, pool, contact_wait, random, log, gauge
+        )
 
     @property
     def feed(self) -> SharedFeed:
         """The tables as this process reads them."""
         return self._feed
 
+    @property
+    def loads(self) -> LoadBoard:
+        """How much upstreams have to do, by this process's word or others'."""
+        return self._knowledge.loads
+
     @property
     def roster(self) -> Roster:
         """Who is there."""
--- a/deckcourse/peers/relay.py
+++ b/deckcourse/peers/relay.py
@@ -13,7 +13,6 @@
 from deckcourse.http1.message import ConnectionLostError
 from deckcourse.http1.server import Exchange, IncomingRequest
 from deckcourse.peers.frames import (
-    Frame,
     FrameReader,
     MalformedFrameError,
     Question,
@@ -21,7 +20,7 @@
     encode_frame,
     encode_question,
 )
-from deckcourse.peers.knowledge import Knowledge
+from deckcourse.peers.knowledge import Knowledge, Listener
 
 __all__ = ["RELAY_PATH", "RelayClient", "RelayEnd", "RelayServer"]
 
@@ -80,15 +79,13 @@
         self._serving += 1
         try:
             await exchange.start(OK, ())
-            await self._send_frames(question, origin, exchange)
+            await self._send_frames(Listener(origin, dict(question.versions)), exchange)
         finally:
             self._serving -= 1
 
-    async def _send_frames(self, question: Question, origin: float, exchange: Exchange) -> None:
-        versions = dict(question.versions)
-        told: dict[str, float] = {}
+    async def _send_frames(self, listener: Listener, exchange: Exchange) -> None:
         while not self._stopped:
-            frame = self._knowledge.frame(versions, told, origin) or Frame((), {})
+            frame = self._knowledge.frame(listener)
             with trio.move_on_after(SEND_SECONDS) as sending:
                 await exchange.send(encode_frame(frame))
             if sending.cancelled_caught:
--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -60,6 +60,7 @@
         answer shows that the store is in reach, seconds.
       random: for pauses that should differ between processes.
       log: writes decisions.
+      gauge: sets figures that operators see.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         contact_wait: Callable[[], float],
         random: Random,
         log: Callable[..., None],
+        gauge: Callable[[str, float], None],
     ) -> None:
         self._store = store
         self._roster = roster
@@ -78,6 +80,7 @@
         self._contact_wait = contact_wait
         self._random = random
         self._log = log
+        self._gauge = gauge
         self._server = RelayServer(knowledge)
         self._client = RelayClient(roster.own.name, knowledge, pool)
         self._unreachable: dict[str, float] = {}
@@ -245,6 +248,10 @@
             self._log("duty", follows=duty, chosen=chosen, alone=alone, members=len(members))
             self._knowledge.note_progress()
         behind = now - self._knowledge.contact_at
+        self._gauge("peers.members", len(members))
+        self._gauge("peers.follows", float(duty))
+        self._gauge("peers.serving", self._server.serving)
+        self._gauge("peers.seconds-behind", behind)
         if duty or behind < LAST_RESORT_SECONDS:
             self._resort_at = float("inf")
         elif self._resort_at == float("inf"):
--- a/deckcourse/platform/rows.py
+++ b/deckcourse/platform/rows.py
@@ -75,6 +75,13 @@
     load_s: float = 10.0
 
 
+class _Usual(Struct):
+    """A service's requests in the mean, tokens."""
+
+    prompt: float = 770.0
+    answer: float = 154.0
+
+
 class _Engine(Struct):
     """The engines of a service; `kvTokenBytes` counts one token in all layers."""
 
@@ -91,6 +98,7 @@
     loads_at_once: int = 4
     kinds: list[_Kind] = []
     delays: list[_Delay] = []
+    usual: _Usual = field(default_factory=_Usual)
 
 
 class _Service(Struct):
@@ -251,6 +259,8 @@
             each.name: AcceleratorKind(each.name, each.mb, each.pace, each.read_x)
             for each in engine.kinds
         },
+        usual_prompt=engine.usual.prompt,
+        usual_answer=engine.usual.answer,
     )
 
 
--- a/features/layer_world.py
+++ b/features/layer_world.py
@@ -4,6 +4,7 @@
 
 from deckcourse.layers.hosts import LARGEST_FILL, groups_of
 from deckcourse.layers.model import AcceleratorKind, ModelSpec
+from deckcourse.layers.path_set import PathSet
 from deckcourse.layers.placement import plan_group
 
 LAYER_MB = 1750.0
@@ -14,14 +15,26 @@
     "a100s": AcceleratorKind("a100s", 36_000, 3.1, 3.2),
     "l4": AcceleratorKind("l4", 21_600, 16.0, 8.2),
     "t4": AcceleratorKind("t4", 14_400, 15.0, 15.0),
+    "big100": AcceleratorKind("big100", 72_000, 2.4, 3.2),
+    "v100": AcceleratorKind("v100", 14_400, 5.3, 7.9),
 }
 # One domain of the users' sites, and one with few fast upstreams.
 DOMAIN = ["a100s"] * 3 + ["l4"] * 3 + ["t4"] * 5
 SEEDS = 40
 
 
-def model_of(layers, layer_mb):
-    return ModelSpec("m", layers, layer_mb, kinds=KINDS, parallel_loads=6, load_seconds=14.0)
+def model_of(layers, layer_mb, requests=10_000):
+    """Return a model; memory bounds what a path takes, unless fewer `requests` may begin at one."""
+    return ModelSpec(
+        "m",
+        layers,
+        layer_mb,
+        kinds=KINDS,
+        parallel_loads=6,
+        load_seconds=14.0,
+        cache_bytes=459_000.0,
+        requests=requests,
+    )
 
 
 def ranges(text):
@@ -74,3 +87,34 @@
 def plan_of(context, pending):
     (group,) = groups_of(context.model, context.hosts)
     return plan_group(context.model, group, pending)
+
+
+def most_requests(model, hosts):
+    """Return how many usual requests the best paths of a domain let pass together.
+
+    Requests are sent one after the other on the path whose fullest part is emptiest, each counted
+    at its first host and in the memory of each host that it passes, until the emptiest is full.
+    """
+    kinds = {each.instance: each for each in hosts}
+    paths = PathSet(model, hosts).starts()
+    used = dict.fromkeys(kinds, 0.0)
+    begun = dict.fromkeys(kinds, 0)
+
+    def fullness(path):
+        first = path.parts[0].instance
+        return max(
+            (begun[first] + 1) / model.requests, *(used[p.instance] + share(p) for p in path.parts)
+        )
+
+    def share(part):
+        host = kinds[part.instance]
+        return 1.0 / model.places(host.kind, host.end - host.first, part.end - part.first)
+
+    for count in range(10_000):
+        path = min(paths, key=fullness, default=None)
+        if path is None or fullness(path) > 1.0:
+            return count
+        begun[path.parts[0].instance] += 1
+        for part in path.parts:
+            used[part.instance] += share(part)
+    return count
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -75,7 +75,7 @@
     def take(self, desired):
         self._desired = desired
 
-    GatewayNode._take = take
+    GatewayNode._take_desired = take
 
 
 def no_lapse_grace():
@@ -199,7 +199,7 @@
 
 
 def paths_share_hosts():
-    path_set_module.SHARED_WEIGHT = 0.0
+    path_set_module.FULL_WEIGHT = 0.0
 
 
 def widening_leaps():
--- /dev/null
+++ b/features/mutants_peers.py
@@ -0,0 +1,99 @@
+"""Mutants of what processes know together, and of decisions on paths at the worst load."""
+
+import trio
+
+import deckcourse.layers.slices as slices_module
+import deckcourse.peers.relay as relay_module
+from deckcourse.decisions import path_draw, path_load
+from deckcourse.gateway.retry_allowance import RetryAllowance
+from deckcourse.layers.healer import Healer
+from deckcourse.peers.knowledge import Knowledge
+from deckcourse.peers.relay import RelayEnd
+from deckcourse.peers.roster import Roster
+from deckcourse.peers.shared_feed import SharedFeed
+
+
+def everybody_asks_the_store():
+    SharedFeed._asks_store = lambda self: True
+
+
+def silence_goes_unnoticed():
+    relay_module.SILENCE_SECONDS = 1000.0
+
+
+def sources_behind_are_kept():
+    kept = SharedFeed._reason_to_leave
+
+    def reason(self):
+        found = kept(self)
+        return None if found is RelayEnd.BEHIND else found
+
+    SharedFeed._reason_to_leave = reason
+
+
+def frames_count_from_arrival():
+    kept = Knowledge.take
+
+    def take(self, frame, origin):
+        newest = max((seconds for _, seconds in frame.as_of.values()), default=0.0)
+        kept(self, frame, trio.current_time() - newest)
+
+    Knowledge.take = take
+
+
+def the_dead_live_on():
+    Roster._is_news = lambda self, member, now: True
+
+
+def one_first_host_a_copy():
+    slices_module.MOST_STARTERS = 0
+
+
+def streams_count_as_told():
+    path_load.begun_at.__code__ = told_as_it_is.__code__
+
+
+def told_as_it_is(paths, running):
+    return {path.parts[0].instance: running(path.parts[0].instance) for path in paths}
+
+
+def the_best_path_always():
+    path_draw.draw_path.__code__ = best_path.__code__
+
+
+def best_path(paths, score, random):
+    return min(paths, key=score, default=None)
+
+
+def plans_are_not_told():
+    Healer.hear = lambda self, group, model, record: None
+
+
+def allowance_never_grows():
+    kept = RetryAllowance.__init__
+
+    def begin(self, *args):
+        kept(self, *args)
+        self._starting_until = float("-inf")
+
+    RetryAllowance.__init__ = begin
+
+
+PEERS = ("peers",)
+LAYERS = ("layers",)
+PATHS = ("path_load",)
+EVERY = {
+    everybody_asks_the_store: ("few ask the store for all", PEERS),
+    silence_goes_unnoticed: ("a source that is silent is left", PEERS),
+    frames_count_from_arrival: ("no moment counts for later than it was", PEERS),
+    the_dead_live_on: ("a member lives while its beat rises", PEERS),
+    one_first_host_a_copy: ("a copy begins at as many hosts as its memory is worth", LAYERS),
+    streams_count_as_told: ("streams on shared upstreams count once", PATHS),
+    the_best_path_always: ("the better of two drawn paths is taken", PATHS),
+    plans_are_not_told: ("what another one's plan orders is under way", LAYERS),
+    allowance_never_grows: (
+        "an allowance grows with the share that becomes known",
+        ("shared_limits",),
+    ),
+    sources_behind_are_kept: ("a source that is behind is left", PEERS),
+}
--- /dev/null
+++ b/features/path_load.feature
@@ -0,0 +1,31 @@
+Feature: Decisions on paths at the worst load, as functions of values
+
+  Scenario Outline: Streams that several first upstreams see are counted once: <case>
+    Given paths <paths>
+    When the first upstreams tell of <told> running
+    Then <begun> begin there and <passing> pass
+
+    Examples:
+      | case                          | paths             | told              | begun             | passing                  |
+      | apart                         | a b, c d          | a 10, c 4         | a 10, c 4         | b 10, d 4                |
+      | one tail                      | a b, c b          | a 10, c 4         | a 10, c 4         | b 14                     |
+      | one is passed by the other    | s m t, m t        | s 30, m 80        | s 30, m 50        | m 80, t 80               |
+      | passed by two                 | s m t, r m t, m t | s 30, r 20, m 80  | s 30, r 20, m 30  | m 80, t 80               |
+      | a row of them                 | r s m, s m, m t   | r 10, s 25, m 60  | r 10, s 15, m 35  | m 60, s 25, t 35         |
+      | told late, never below none   | s m t, m t        | s 30, m 10        | s 30, m 0         | m 30, t 30               |
+
+  Scenario Outline: Many that choose by the same old word don't meet at one path: <case>
+    Given <count> first upstreams with <slots> places, each of which has <running> running
+    When <arrivals> requests choose among them by that word, seed <seed>
+    Then the fullest has at most <most> more than it had
+    And none choose the full one
+
+    Examples:
+      | case        | count | slots | running | arrivals | seed | most |
+      | a domain    | 6     | 96    | 60      | 52       | 1    | 16   |
+      | a burst     | 6     | 96    | 60      | 90       | 2    | 26   |
+      | many        | 18    | 96    | 60      | 220      | 3    | 24   |
+
+  Scenario: A path that takes twice the time is drawn about a quarter as often
+    When 4000 requests choose between a path of 1000 ms and two of 2000 ms, all scored alike
+    Then the first is chosen between 55 and 75 times in 100
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -63,6 +63,16 @@
     Given processes whose frames take 0.9 seconds to arrive
     Then whoever takes a moment for known has every change before it
 
+  Scenario Outline: What one asks of upstreams all know: <case>
+    Given <count> processes of one domain over one store
+    When they have settled and an upstream's load becomes known to one that follows
+    Then all know it within <late> seconds, as old as it is
+
+    Examples:
+      | case  | count | late |
+      | few   | 3     | 0.2  |
+      | many  | 30    | 0.2  |
+
   Scenario: Nobody storms a store that is away
     Given 30 processes of one domain over one store
     When they have settled and the store is away for 10 seconds
--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -1,16 +1,19 @@
 """Steps about placement: groups and their plans."""
 
 from dataclasses import replace
+from itertools import combinations
 from random import Random
 
 from behave import given, then, when
 from layer_world import (
     DOMAIN,
+    LAYER_MB,
     SEEDS,
     carried_out,
     depth,
     fit_together,
     model_of,
+    most_requests,
     plan_of,
     ranges,
     within_memory,
@@ -156,3 +159,37 @@
 @then("every layer is held {times:d} times")
 def held_times(context, times):
     assert set(depth(context.model, context.hosts)) == {times}, depth(context.model, context.hosts)
+
+
+@given("a domain of {hosts} and a model of whose paths {requests:d} requests begin at one host")
+def domain_of(context, hosts, requests):
+    context.model = model_of(80, LAYER_MB, requests)
+    context.hosts = []
+    for entry in hosts.split(","):
+        count, kind = entry.split()
+        context.hosts += [LayerHost(f"{kind}-{each}", "x", kind) for each in range(int(count))]
+
+
+@when("its first placement is carried out")
+def place_first(context):
+    context.hosts = carried_out(context.hosts, plan_of(context, {}))
+
+
+@then(
+    "{copies:d} copies take {least:d} requests or more, no host holds more than {fill:g} of its "
+    "memory"
+)
+def copies_take(context, copies, least, fill):
+    assert min(depth(context.model, context.hosts)) >= copies
+    assert max(each.fill(context.model) for each in context.hosts) <= fill
+    assert most_requests(context.model, context.hosts) >= least, most_requests(
+        context.model, context.hosts
+    )
+
+
+@then("when any {lost:d} hosts are lost the rest still takes {after:d} requests or more")
+def rest_takes(context, lost, after):
+    for gone in combinations(context.hosts, lost):
+        rest = [each for each in context.hosts if each not in gone]
+        found = most_requests(context.model, rest)
+        assert found >= after, (gone, found)
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -9,6 +9,7 @@
 
 from deckcourse.peers.followers import FOLLOWERS, followers
 from deckcourse.peers.gossip import MEMBERS_PER_DIGEST
+from deckcourse.peers.loads import LoadRow
 from deckcourse.peers.member import Digest, Member, encode_digest
 from deckcourse.peers.replica import TableReplica, TableUpdate
 from deckcourse.peers.roster import Roster
@@ -251,6 +252,38 @@
     assert context.worst <= age, context.worst
 
 
+@when("they have settled and an upstream's load becomes known to one that follows")
+def load_known(context):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        asked = [each.peers.feed.source for each in world.living]
+        teller = max(world.following(), key=lambda each: asked.count(each.name))
+        asked_at = trio.current_time() - 0.1
+        teller.peers.loads.note(LoadRow("late", 1, 0, 0.1, asked_at + 0.05))
+        teller.peers.loads.note(LoadRow("u", 90, 6, 0.4, asked_at))
+        # Those that follow hear of it by their own questions.
+        hearers = [each for each in world.living if each.peers.feed.source == teller.name]
+        assert hearers
+        context.after = await world.until(
+            lambda: all(
+                each.peers.loads.known("u") and each.peers.loads.known("late") for each in hearers
+            ),
+            5.0,
+        )
+        rows = [each.peers.loads.known("u") for each in hearers]
+        context.told = all(
+            each.requests == 96 and asked_at - 0.1 < each.at <= asked_at for each in rows
+        )
+
+    context.world.play(story)
+
+
+@then("all know it within {late:g} seconds, as old as it is")
+def load_in_time(context, late):
+    assert context.after is not None and context.after <= late, context.after
+    assert context.told
+
+
 @when("they have settled and the store is away for {seconds:d} seconds")
 def store_away(context, seconds):
     async def story(world):
--- a/features/steps/shared_limit_steps.py
+++ b/features/steps/shared_limit_steps.py
@@ -13,6 +13,7 @@
 from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import Upstream
+from deckcourse.peers.loads import LoadBoard
 
 LIMITS = RetryLimits()
 RATE = 100
@@ -162,7 +163,11 @@
 
     async def story():
         traffic = TrafficShare(trio.current_time)
-        watch = LoadWatch(context.control, lambda: [upstream], lambda name: 5, traffic)
+        board = LoadBoard(trio.current_time, lambda: None)
+        watch = LoadWatch(
+            context.control, "x", lambda: [upstream], lambda name: 5, traffic, board,
+            lambda: True, lambda: sum(each.requests for each in board.all()),
+        )  # fmt: skip
         watch.note_request()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run)
