deckcourse peers: whom processes know and hear changes from

Operators had no way to see who follows the store and whether processes know each other. Each process answers GET /members at its peer_listen; the command prints a line for each address asked, and which members one knows that another doesn't. Scenario on 12 processes, and the command line's refusal with its remedy.

--- a/deckcourse/cli.py
+++ b/deckcourse/cli.py
@@ -19,6 +19,7 @@
     check_settings,
     confirm_plan,
     hash_key,
+    peers_of,
     read_plan,
     state_intent,
     status,
@@ -125,6 +126,14 @@
     """Show the main job on loopback: a pipeline, a stage killed halfway, the answer whole."""
 
 
+@dataclass
+@cappa.command(name="peers")
+class PeersCommand:
+    """Show whom gateway processes know, and whom they hear the store's changes from."""
+
+    addresses: Annotated[list[str], cappa.Arg(help="their peer_listen, IP:port", num_args=-1)]
+
+
 @dataclass
 @cappa.command(name="explain")
 class ExplainCommand:
@@ -148,6 +157,7 @@
         | HashKeyCommand
         | TryCommand
         | ExplainCommand
+        | PeersCommand
     ]
 
 
@@ -244,6 +254,21 @@
     return 0 if explanation.decisions else REFUSED_EXIT
 
 
+def _peers(command: PeersCommand) -> int:
+    views = [trio.run(peers_of, address) for address in command.addresses]
+    for view in views:
+        way = "follows the store" if view.follows else f"hears from {view.source or 'nobody'}"
+        print(
+            f"{view.name} ({view.domain}): {way}, {view.seconds_behind:g} s behind, "
+            f"serves {view.serving}, knows {len(view.members)}"
+        )
+    known = [{each.name for each in view.members} for view in views]
+    for view, names in zip(views, known, strict=True):
+        for name in sorted(set().union(*known) - names):
+            print(f"{view.name} does not know {name}")
+    return 0
+
+
 def _lines(files: list[str]) -> Iterator[str]:
     if not files:
         yield from sys.stdin
@@ -300,6 +325,7 @@
     HashKeyCommand: _hash_key,
     TryCommand: _try,
     ExplainCommand: _explain,
+    PeersCommand: _peers,
 }
 
 
--- a/deckcourse/peers/peers.py
+++ b/deckcourse/peers/peers.py
@@ -16,6 +16,7 @@
 from deckcourse.peers.member import Member
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.shared_feed import SharedFeed
+from deckcourse.peers.view import MEMBERS_PATH, encode_view, view_of
 
 __all__ = ["PeerPorts", "Peers"]
 
@@ -79,7 +80,11 @@
         return self._roster
 
     async def handle(self, request: IncomingRequest, exchange: Exchange) -> None:
-        """Answer another process."""
+        """Answer another process, or an operator who asks who is there."""
+        if request.target == MEMBERS_PATH:
+            kind = (b"content-type", b"application/json")
+            await exchange.whole(200, (kind,), encode_view(view_of(self._roster, self._feed)))
+            return
         await self._feed.server.handle(request, exchange)
 
     async def gossip(self) -> None:
--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -108,6 +108,11 @@
         """Whether this process follows the store, for others or because it knows no others."""
         return self._on_duty
 
+    @property
+    def seconds_behind(self) -> float:
+        """The age of the newest thing that this process knows of the store, seconds."""
+        return trio.current_time() - self._knowledge.contact_at
+
     def _asks_store(self) -> bool:
         """Return whether a question may go to the store now."""
         now = trio.current_time()
@@ -247,7 +252,7 @@
             self._on_duty = duty
             self._log("duty", follows=duty, chosen=chosen, alone=alone, members=len(members))
             self._knowledge.note_progress()
-        behind = now - self._knowledge.contact_at
+        behind = self.seconds_behind
         self._gauge("peers.members", len(members))
         self._gauge("peers.follows", float(duty))
         self._gauge("peers.serving", self._server.serving)
--- a/deckcourse/porcelain.py
+++ b/deckcourse/porcelain.py
@@ -14,6 +14,7 @@
 
 from deckcourse.errors import CommandError
 from deckcourse.http_client import HttpReply, NotSent, fresh_pool, http_call
+from deckcourse.peers.view import MEMBERS_PATH, PeersView, decode_view
 from deckcourse.settings import Problem, read_settings
 
 __all__ = [
@@ -21,6 +22,7 @@
     "check_settings",
     "confirm_plan",
     "hash_key",
+    "peers_of",
     "read_plan",
     "state_intent",
     "status",
@@ -89,6 +91,27 @@
     return await _call(operator, "GET", "/v1/status", b"")
 
 
+async def peers_of(address: str) -> PeersView:
+    """Return what a gateway process knows of the others.
+
+    Args:
+      address: its `peer_listen`, IP:port.
+
+    Raises:
+      CommandError: it can't be reached, or what answers there is no gateway process.
+    """
+    url = f"http://{address}{MEMBERS_PATH.decode()}"
+    deadline = trio.current_time() + CALL_SECONDS
+    async with fresh_pool() as pool:
+        reply = await http_call(pool, "GET", url, b"", (), deadline)
+    if not isinstance(reply, HttpReply):
+        raise CommandError(f"{address} can't be reached: {reply.message}; want a peer_listen")
+    try:
+        return decode_view(reply.body)
+    except msgspec.MsgspecError as error:
+        raise CommandError(f"{address}: no gateway process answers there: {error}") from error
+
+
 def check_settings(path: str) -> tuple[Problem, ...]:
     """Return every problem of a settings file."""
     result = read_settings(path)
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -73,6 +73,11 @@
       | few   | 3     | 0.2  |
       | many  | 30    | 0.2  |
 
+  Scenario: An operator sees who is there and whom each hears from
+    Given 12 processes of one domain over one store
+    When they have settled and an operator asks each of them
+    Then each tells of 12 members, 2 follow the store and the others hear from those
+
   Scenario: Nobody storms a store that is away
     Given 30 processes of one domain over one store
     When they have settled and the store is away for 10 seconds
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -7,12 +7,14 @@
 from behave import given, then, when
 from peer_world import PeerWorld
 
+from deckcourse.http1.client import ConnectionPool
 from deckcourse.peers.followers import FOLLOWERS, followers
 from deckcourse.peers.gossip import MEMBERS_PER_DIGEST
 from deckcourse.peers.loads import LoadRow
 from deckcourse.peers.member import Digest, Member, encode_digest
 from deckcourse.peers.replica import TableReplica, TableUpdate
 from deckcourse.peers.roster import Roster
+from deckcourse.peers.view import MEMBERS_PATH, decode_view
 from deckcourse.rendezvous import ranked
 
 SETTLE_SECONDS = 10.0
@@ -284,6 +286,30 @@
     assert context.told
 
 
+@when("they have settled and an operator asks each of them")
+def operator_asks(context):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        pool = ConnectionPool(lambda what: None, world.network.dial)
+        context.views = []
+        for each in world.processes:
+            async with pool.lent(each.address) as connection:
+                reply = await connection.call(b"GET", MEMBERS_PATH, ((b"host", b"x"),), b"")
+                context.views.append(decode_view(await reply.whole_body()))
+
+    context.world.play(story)
+
+
+@then("each tells of {count:d} members, {few:d} follow the store and the others hear from those")
+def operator_sees(context, count, few):
+    assert all(len(each.members) == count for each in context.views)
+    following = {each.name for each in context.views if each.follows}
+    assert len(following) == few, following
+    heard = {each.source for each in context.views if not each.follows}
+    assert heard <= following and sum(each.serving for each in context.views) == count - few
+    assert all(each.seconds_behind < 2.0 for each in context.views)
+
+
 @when("they have settled and the store is away for {seconds:d} seconds")
 def store_away(context, seconds):
     async def story(world):
--- a/features/tutorial.feature
+++ b/features/tutorial.feature
@@ -18,6 +18,7 @@
       | settings check /nowhere                   | 78   | No such file     |
       | settings check examples/deckcourse.ini    | 0    | right            |
       | intent serve model --token-file /dev/null | 1    | name=value       |
+      | peers 127.0.0.1:9                         | 1    | want a peer_listen |
       | nonsense                                  | 2    | nonsense         |
 
   Scenario: Every refusal, unknown and retry reason is on the operators' page
