When the store may be asked is a module of its own

SharedFeed held retries, the last resort and the duty side by side. No change of behaviour: the scenarios of peers, gateway and explain are green as before.

--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -19,6 +19,7 @@
 from deckcourse.peers.relay import RelayClient, RelayEnd, RelayServer
 from deckcourse.peers.replica import TableUpdate
 from deckcourse.peers.roster import Roster
+from deckcourse.peers.store_turn import StoreTurn
 from deckcourse.table import TableFailure
 
 __all__ = ["SharedFeed"]
@@ -34,18 +35,14 @@
 AVOIDED_SECONDS = 3.0
 # A process keeps following the store for so long after the last one that asked it went, seconds.
 KEPT_SECONDS = 3.0
-# Between two tries at a store that doesn't answer, seconds; doubled up to the longest. Others may
-# hear of its return earlier and say so.
-RETRY_SECONDS = 0.15
-LONGEST_RETRY_SECONDS = 0.5
-# A process that doesn't follow and knows nothing new for so long tries the store all the same, up
-# to so many times as late by chance, and again after as long: those it asks may be cut off with it.
-LAST_RESORT_SECONDS = 4.0
 # How long the store's answer may take beyond a wait, seconds: a slow store takes 60 times its 4 ms.
 # Whoever reads a table gives up a little later.
 ANSWER_SECONDS = 0.75
 # Until when an answer to a reading of a whole table may come from others, seconds.
 READING_SECONDS = 0.75
+# For how long others are heard at the least before the store's turn, where its loss makes a reader
+# ask without a wait, seconds.
+SHORTEST_WAIT_SECONDS = 0.15
 
 
 class SharedFeed:
@@ -78,7 +75,6 @@
         self._roster = roster
         self._knowledge = knowledge
         self._contact_wait = contact_wait
-        self._random = random
         self._log = log
         self._gauge = gauge
         self._server = RelayServer(knowledge)
@@ -88,10 +84,7 @@
         self._source = ""
         self._on_duty = True
         self._kept_until = float("-inf")
-        self._store_lost = False
-        self._retry = RETRY_SECONDS
-        self._retry_at = float("-inf")
-        self._resort_at = float("inf")
+        self._turn = StoreTurn(trio.current_time, random)
 
     @property
     def server(self) -> RelayServer:
@@ -115,8 +108,7 @@
 
     def _asks_store(self) -> bool:
         """Return whether a question may go to the store now."""
-        now = trio.current_time()
-        return (self._on_duty and now >= self._retry_at) or now >= self._resort_at
+        return self._turn.has_come(self._on_duty)
 
     async def snapshot(self, table: str) -> Result[Snapshot, TableFailure]:
         """Return all rows of a table."""
@@ -141,12 +133,12 @@
     ) -> Result[Changes, TableFailure]:
         """Return what changed after a version, as soon as something did or time is over."""
         if not self._asks_store():
-            answer = await self._from_others(table, after, max(seconds, RETRY_SECONDS))
+            answer = await self._from_others(table, after, max(seconds, SHORTEST_WAIT_SECONDS))
             if isinstance(answer, Success) or not self._asks_store():
                 return answer
         asked_at = trio.current_time()
         answer: Result = Failure(TableFailure.UNAVAILABLE)
-        wait = 0.0 if self._store_lost else seconds
+        wait = 0.0 if self._turn.lost else seconds
         with trio.move_on_after(wait + ANSWER_SECONDS):
             answer = await self._store.changes(table, after, wait)
         match answer:
@@ -164,29 +156,16 @@
         return answer
 
     def _note_answer(self, update: TableUpdate, as_of: float) -> None:
-        if self._store_lost:
-            self._store_lost = False
+        if self._turn.lost:
             self._knowledge.note_returned(trio.current_time())
-        self._retry = RETRY_SECONDS
-        self._retry_at = float("-inf")
-        self._resort_at = float("inf")
+        self._turn.note_answer()
         replica = self._knowledge.replica(update.table)
         replica.take(update)
         replica.confirm(update.version, as_of)
         self._knowledge.note_progress()
 
     def _note_failure(self) -> None:
-        self._store_lost = True
-        now = trio.current_time()
-        if self._sources():
-            # Others may tell meanwhile; who is alone tries as often as it is asked to.
-            self._retry_at = now + self._retry * (1.0 + self._random.random())
-        self._retry = min(2.0 * self._retry, LONGEST_RETRY_SECONDS)
-        if self._resort_at <= now:
-            self._resort_at = now + self._resort_pause()
-
-    def _resort_pause(self) -> float:
-        return LAST_RESORT_SECONDS * (1.0 + self._random.random())
+        self._turn.note_failure(others_tell=bool(self._sources()))
 
     def _is_known_of_late(self) -> bool:
         """Return whether what this process knows is as new as what others tell in time."""
@@ -199,8 +178,7 @@
         """Return news of a table that others tell, as soon as there are any or time is over."""
         replica = self._knowledge.replica(table)
         as_of = replica.as_of
-        # The store's turn may come before.
-        turn = self._retry_at if self._on_duty else self._resort_at
+        turn = self._turn.next_at(self._on_duty)
         with trio.move_on_at(min(trio.current_time() + seconds, turn)):
             while replica.version in (None, after) and replica.as_of <= as_of:
                 if self._asks_store():
@@ -208,7 +186,8 @@
                 await self._knowledge.wait()
         if replica.version is None or not self._is_known_of_late():
             return Failure(TableFailure.UNAVAILABLE)
-        self._store_lost &= self._on_duty
+        if not self._on_duty:
+            self._turn.forget_loss()
         if after is None:
             return Success(Snapshot(replica.rows, replica.version, replica.as_of))
         update = replica.since(after)
@@ -252,15 +231,14 @@
             self._on_duty = duty
             self._log("duty", follows=duty, chosen=chosen, alone=alone, members=len(members))
             self._knowledge.note_progress()
-        behind = self.seconds_behind
+        self._turn.note_behind(duty, self.seconds_behind)
+        self._show(members)
+
+    def _show(self, members: tuple[Member, ...]) -> None:
         self._gauge("peers.members", len(members))
-        self._gauge("peers.follows", float(duty))
+        self._gauge("peers.follows", float(self._on_duty))
         self._gauge("peers.serving", self._server.serving)
-        self._gauge("peers.seconds-behind", behind)
-        if duty or behind < LAST_RESORT_SECONDS:
-            self._resort_at = float("inf")
-        elif self._resort_at == float("inf"):
-            self._resort_at = now + self._resort_pause()
+        self._gauge("peers.seconds-behind", self.seconds_behind)
 
     def _sources(self) -> tuple[Member, ...]:
         """Return whom this process may ask, those first that were not behind of late."""
@@ -272,14 +250,14 @@
 
     def _next_source(self) -> Member | None:
         """Return whom to ask now, None where the store is asked."""
-        if self._on_duty and not self._store_lost:
+        if self._on_duty and not self._turn.lost:
             return None
         return next(iter(self._sources()), None)
 
     def _reason_to_leave(self) -> RelayEnd | None:
         """Return why the present source should be left, None where it shouldn't."""
         self._decide()
-        if self._on_duty and not self._store_lost:
+        if self._on_duty and not self._turn.lost:
             return RelayEnd.NOT_NEEDED
         found = {each.name for each in self._sources()}
         if self._is_known_of_late():
