--- a/features/peer_world.py
+++ b/features/peer_world.py
@@ -20,6 +20,8 @@
 
 TABLES = ("op", "servers")
 CONTACT_SECONDS = 1.0
+# Until processes know each other and who follows the store.
+SETTLE_SECONDS = 10.0
 
 
 class CutStore:
--- /dev/null
+++ b/features/steps/peer_feed_steps.py
@@ -0,0 +1,256 @@
+"""Steps about who asks the store, and what the others hear of it."""
+
+from functools import partial
+from random import Random
+
+import trio
+from behave import given, then, when
+from peer_world import SETTLE_SECONDS, PeerWorld
+
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.peers.followers import FOLLOWERS
+from deckcourse.peers.loads import LoadRow
+from deckcourse.peers.replica import TableReplica, TableUpdate
+from deckcourse.peers.view import MEMBERS_PATH, decode_view
+
+
+def known_to_all(world, key):
+    return all(key in each.rows for each in world.living)
+
+
+@when("{changes:d} rows change over {seconds:d} seconds")
+def rows_change(context, changes, seconds):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        world.calls.clear()
+        context.late = 0.0
+        for number in range(changes):
+            world.store.put("servers", f"r{number}", {"n": number})
+            late = await world.until(partial(known_to_all, world, f"r{number}"), 5.0)
+            context.late = max(context.late, 9.0 if late is None else late)
+            await trio.sleep(max(0.0, seconds / changes - (late or 0.0)))
+        if not changes:
+            await trio.sleep(seconds)
+        context.calls = len(world.calls)
+
+    context.world.play(story)
+
+
+@then("every process has every change within {late:g} seconds")
+def in_time(context, late):
+    assert context.late <= late, context.late
+
+
+@then("the store was asked at most {calls:d} times from the tenth second on")
+def asked_at_most(context, calls):
+    assert context.calls <= calls, context.calls
+
+
+def lose(world, event):
+    """Let an event happen to those that follow; return the processes that it may leave behind."""
+    ranked_first = sorted(world.following(), key=lambda each: each.name)
+    first, both = ranked_first[0], ranked_first[:2]
+    if event.endswith("killed"):
+        for each in [first] if event.startswith("the first") else both:
+            each.kill()
+    elif event.endswith("falls silent"):
+        first.fall_silent()
+    elif event.startswith("all but"):
+        for each in world.processes:
+            each.store.cut = each is not first
+    else:
+        for each in [first] if event.startswith("the first") else both:
+            each.store.cut = True
+
+
+@when("they have settled and {event} the store")
+@when("they have settled and {event} killed")
+@when("they have settled and {event} silent")
+def those_that_follow(context, event):
+    step = context.step_text if hasattr(context, "step_text") else event
+    words = {"the first that follows is": "killed", "both that follow are": "killed"}
+    whole = f"{event} {words[event]}" if event in words else event
+    whole = f"{event} silent" if event.endswith("falls") else whole
+    assert step
+
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        assert len(world.following()) == FOLLOWERS, [each.name for each in world.following()]
+        lose(world, whole)
+        await trio.sleep(0.3)
+        world.store.put("servers", "after", {"n": 1})
+        context.worst = 0.0
+
+        def known():
+            ages = [trio.current_time() - each.as_of for each in world.living]
+            context.worst = max(context.worst, *ages)
+            return all("after" in each.rows for each in world.living)
+
+        context.after = await world.until(known, 20.0)
+
+    context.world.play(story)
+
+
+@then("a change that follows is known to all that live within {late:g} seconds")
+def change_known(context, late):
+    assert context.after is not None and context.after <= late, context.after
+
+
+@then("nobody who lives is more than {age:g} seconds behind meanwhile")
+def not_behind(context, age):
+    assert context.worst <= age, context.worst
+
+
+@when("they have settled and an upstream's load becomes known to one that follows")
+def load_known(context):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        asked = [each.peers.feed.source for each in world.living]
+        teller = max(world.following(), key=lambda each: asked.count(each.name))
+        asked_at = trio.current_time() - 0.1
+        teller.peers.loads.note(LoadRow("late", 1, 0, 0.1, asked_at + 0.05))
+        teller.peers.loads.note(LoadRow("u", 90, 6, 0.4, asked_at))
+        # Those that follow hear of it by their own questions.
+        hearers = [each for each in world.living if each.peers.feed.source == teller.name]
+        assert hearers
+        context.after = await world.until(
+            lambda: all(
+                each.peers.loads.known("u") and each.peers.loads.known("late") for each in hearers
+            ),
+            5.0,
+        )
+        rows = [each.peers.loads.known("u") for each in hearers]
+        context.told = all(
+            each.requests == 96 and asked_at - 0.1 < each.at <= asked_at for each in rows
+        )
+
+    context.world.play(story)
+
+
+@then("all know it within {late:g} seconds, as old as it is")
+def load_in_time(context, late):
+    assert context.after is not None and context.after <= late, context.after
+    assert context.told
+
+
+@when("they have settled and an operator asks each of them")
+def operator_asks(context):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        pool = ConnectionPool(lambda what: None, world.network.dial)
+        context.views = []
+        for each in world.processes:
+            async with pool.lent(each.address) as connection:
+                reply = await connection.call(b"GET", MEMBERS_PATH, ((b"host", b"x"),), b"")
+                context.views.append(decode_view(await reply.whole_body()))
+
+    context.world.play(story)
+
+
+@then("each tells of {count:d} members, {few:d} follow the store and the others hear from those")
+def operator_sees(context, count, few):
+    assert all(len(each.members) == count for each in context.views)
+    following = {each.name for each in context.views if each.follows}
+    assert len(following) == few, following
+    heard = {each.source for each in context.views if not each.follows}
+    assert heard <= following and sum(each.serving for each in context.views) == count - few
+    assert all(each.seconds_behind < 2.0 for each in context.views)
+
+
+@when("they have settled and the store is away for {seconds:d} seconds")
+def store_away(context, seconds):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        world.calls.clear()
+        world.store.away = True
+        await trio.sleep(seconds)
+        context.calls = len(world.calls)
+        world.store.away = False
+        world.store.put("servers", "after", {"n": 1})
+        context.after = await world.until(
+            lambda: all("after" in each.rows for each in world.living), 10.0
+        )
+        context.told = all(each.returned for each in world.living)
+
+    context.world.play(story)
+
+
+@then("the store was asked at most {most:d} times meanwhile")
+def asked_meanwhile(context, most):
+    assert 0 < context.calls <= most, context.calls
+
+
+@then("everybody knows of its return within {seconds:g} seconds")
+def return_known(context, seconds):
+    assert context.after is not None and context.after <= seconds, context.after
+    assert context.told
+
+
+@given("processes whose frames take {seconds:g} seconds to arrive")
+def slow_frames(context, seconds):
+    context.world = PeerWorld(6, 1)
+    context.delay = seconds
+
+
+@then("whoever takes a moment for known has every change before it")
+def moments_are_true(context):
+    changed_at = {}
+    seen = []
+
+    def check(world):
+        for each in world.living:
+            lacking = changed_at.keys() - each.rows.keys()
+            for key in lacking:
+                assert each.followers[1].as_of <= changed_at[key], (each.name, key)
+            seen.append(not each.peers.feed.follows and trio.current_time() - each.as_of < 4.0)
+
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        world.frame_delay = context.delay
+        for each in world.processes:
+            world.network.reset(each.address)
+        for number in range(400):
+            if number % 10 == 0:
+                changed_at[f"r{number}"] = trio.current_time()
+                world.store.put("servers", f"r{number}", {"n": number})
+            await trio.sleep(0.05)
+            check(world)
+
+    context.world.play(story)
+    assert sum(seen) > 0.4 * len(seen), sum(seen) / len(seen)
+
+
+@then(
+    "{count:d} random series of updates, readings and repeats leave copies that hold what the "
+    "store held"
+)
+def copies_agree(context, count):
+    for seed in range(count):
+        random = Random(seed)
+        store, history = {}, [{}]
+        for _ in range(20):
+            key = random.choice("abcd")
+            if random.random() < 0.3:
+                store.pop(key, None)
+            else:
+                store[key] = str(random.random()).encode()
+            history.append(dict(store))
+        copy, other = TableReplica("t"), TableReplica("t")
+        at = 0
+        while at < 20:
+            end = min(20, at + random.randint(1, 4))
+            after = (
+                None
+                if random.random() < 0.2 or copy.version is None
+                else random.randint(max(0, at - 2), at)
+            )
+            base = {} if after is None else history[after]
+            keys = set(base) | {key for one in history[(after or 0) : end + 1] for key in one}
+            rows = tuple((key, history[end].get(key), end) for key in sorted(keys))
+            rows = rows if after is not None else tuple(row for row in rows if row[1] is not None)
+            copy.take(TableUpdate("t", after, end, rows))
+            at = end
+            if random.random() < 0.6:
+                other.take(copy.since(other.version))
+                held = {row.key[2:]: row.value for row in other.rows}
+                assert held == history[other.version], (seed, held, history[other.version])
