Only a store that was away for all counts as returned

A process that was cut off alone told its listeners, on its own return, that the store had come back; for two seconds they kept upstreams whose rows were gone, since such rows may have lapsed. With the time until a change is heard that is more than the three seconds in which an upstream that leaves must be left.

Ruled out by reading: a copy that falls behind its follower, an older reading that replaces a newer one (both are refused by version).

A return counts only where nobody told anything newer than the store's last sign here. Scenario with four rows; the two with one process cut off were red.

--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -157,7 +157,9 @@
         return answer
 
     def _note_answer(self, update: TableUpdate, as_of: float) -> None:
-        if self._turn.lost:
+        # Rows may have lapsed only while the store was away. Were it taken for that wherever one
+        # process was cut off, whoever it tells would use upstreams that are gone for two seconds.
+        if self._turn.was_away(self._knowledge.contact_at):
             self._knowledge.note_returned(trio.current_time())
         self._turn.note_answer()
         replica = self._knowledge.replica(update.table)
--- a/deckcourse/peers/store_turn.py
+++ b/deckcourse/peers/store_turn.py
@@ -30,7 +30,7 @@
     def __init__(self, clock: Callable[[], float], random: Random) -> None:
         self._clock = clock
         self._random = random
-        self._lost = False
+        self._lost_since: float | None = None
         self._retry = RETRY_SECONDS
         self._retry_at = float("-inf")
         self._resort_at = float("inf")
@@ -38,7 +38,16 @@
     @property
     def lost(self) -> bool:
         """Whether the store did not answer when it was asked last."""
-        return self._lost
+        return self._lost_since is not None
+
+    def was_away(self, known_at: float) -> bool:
+        """Return whether the store that answers now was away for others too.
+
+        Args:
+          known_at: up to when this process knows every change. Where others told of later ones than
+            the store's last sign here, this process alone was cut off.
+        """
+        return self._lost_since is not None and known_at <= self._lost_since
 
     def has_come(self, follows: bool) -> bool:
         """Return whether a question may go to the store now."""
@@ -50,7 +59,7 @@
 
     def note_answer(self) -> None:
         """Note that the store answered."""
-        self._lost = False
+        self._lost_since = None
         self._retry = RETRY_SECONDS
         self._retry_at = float("-inf")
         self._resort_at = float("inf")
@@ -58,7 +67,8 @@
     def note_failure(self, others_tell: bool) -> None:
         """Note that it didn't; who is alone then tries as often as it is asked to."""
         now = self._clock()
-        self._lost = True
+        if self._lost_since is None:
+            self._lost_since = now
         if others_tell:
             self._retry_at = now + self._retry * (1.0 + self._random.random())
         self._retry = min(2.0 * self._retry, LONGEST_RETRY_SECONDS)
@@ -67,7 +77,7 @@
 
     def forget_loss(self) -> None:
         """Note that others answer for the store: that it was lost says nothing any more."""
-        self._lost = False
+        self._lost_since = None
 
     def note_behind(self, follows: bool, seconds: float) -> None:
         """Note how old the newest thing is that this process knows of the store."""
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -59,6 +59,18 @@
       | both lose the store           | both that follow lose the store              | 9.0  | 9.5 |
       | most lose it, not those       | all but the first that follows lose the store | 2.0 | 3.5 |
 
+  Scenario Outline: Only a store that was away for all counts as returned: <case>
+    Given 12 processes of one domain over one store
+    When they have settled and <lost> can't reach the store for <seconds> seconds
+    Then afterwards <told> count it as returned
+
+    Examples:
+      | case                 | lost                   | seconds | told    |
+      | one that follows     | the first that follows | 4       | nobody  |
+      | one for a moment     | the first that follows | 2       | nobody  |
+      | the store was away   | everybody              | 4       | all     |
+      | away for a moment    | everybody              | 2.5     | all     |
+
   Scenario: A moment that others tell is never later than it was
     Given processes whose frames take 0.9 seconds to arrive
     Then whoever takes a moment for known has every change before it
--- a/features/steps/peer_feed_steps.py
+++ b/features/steps/peer_feed_steps.py
@@ -157,6 +157,32 @@
     assert all(each.seconds_behind < 2.0 for each in context.views)
 
 
+@when("they have settled and {lost} can't reach the store for {seconds:g} seconds")
+def cut_from_store(context, lost, seconds):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        everybody = lost == "everybody"
+        cut = (
+            world.living if everybody else sorted(world.following(), key=lambda each: each.name)[:1]
+        )
+        for each in world.living:
+            each.returned.clear()
+        for each in cut:
+            each.store.cut = True
+        await trio.sleep(seconds)
+        for each in cut:
+            each.store.cut = False
+        await trio.sleep(4.0)
+        context.returned = [bool(each.returned) for each in world.living]
+
+    context.world.play(story)
+
+
+@then("afterwards {told} count it as returned")
+def count_returned(context, told):
+    assert set(context.returned) == {told == "all"}, context.returned
+
+
 @when("they have settled and the store is away for {seconds:d} seconds")
 def store_away(context, seconds):
     async def story(world):
