A row that lapsed is the last resort, and one question tells a lost upstream from a living one

Rows that are gone when the store comes back count for two seconds more, since living upstreams may not have renewed theirs. On the shifted site eight upstreams had left meanwhile; requests went over two of them for 1.7 s, met 503 twice and were given up, and no plan loaded the lost layers before the two seconds were over.

Ruled out: dropping such rows at once (all streams of a site whose rows lapsed would be refused, as a scenario shows) and planning without them (needless loads where they live).

Paths avoid upstreams whose rows lapsed while any other path is whole; plain services likewise. Processes that follow the store ask each such upstream with layers, up to three times; one that doesn't answer counts as lost, so that its neighbours load its layers at once.

--- /dev/null
+++ b/deckcourse/gateway/lapse_check.py
@@ -0,0 +1,88 @@
+"""Tells upstreams whose rows lapsed from those that are gone, by short questions to each.
+
+Load pattern: the store was away, upstreams left or were lost meanwhile, and at its return their
+rows are missing beside those of living upstreams that could not renew theirs. The layers of the
+lost ones can be loaded elsewhere at once; without the question all wait for two seconds until the
+rows of the living must be back.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+
+__all__ = ["LapseCheck"]
+
+# Between two looks for rows that lapsed, seconds: they come in over the first moments.
+LOOK_SECONDS = 0.1
+# An upstream that leaves so many questions unanswered counts as lost: one may meet a lost packet.
+QUESTIONS = 3
+# It counts as lost for so long, seconds: by then its row is back, or gone for good.
+LOST_SECONDS = 2.5
+
+
+class Asker(Protocol):
+    """Asks upstreams."""
+
+    async def order_count(self, upstream: Upstream) -> int | None:
+        """Return how many orders an upstream has taken, None without an answer."""
+
+
+class LapseCheck:
+    """One process's questions; only those that plan first need to ask.
+
+    Args:
+      upstreams: whose rows lapsed, and who gets the suspicions.
+      asker: asks upstreams.
+      asks: returns whether this process asks.
+      log: writes decisions.
+    """
+
+    def __init__(
+        self,
+        upstreams: UpstreamTable,
+        asker: Asker,
+        asks: Callable[[], bool],
+        log: Callable[..., None],
+    ) -> None:
+        self._upstreams = upstreams
+        self._asker = asker
+        self._asks = asks
+        self._log = log
+        self._asked: set[str] = set()
+        self._returned = trio.Event()
+
+    def store_returned(self) -> None:
+        """Note that the store came back: rows may be missing now."""
+        self._returned.set()
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._returned.wait()
+                self._returned = trio.Event()
+                self._asked.clear()
+                while not self._upstreams.settled:
+                    if self._asks():
+                        self._ask_new(nursery)
+                    await trio.sleep(LOOK_SECONDS)
+
+    def _ask_new(self, nursery: trio.Nursery) -> None:
+        """Ask the upstreams with layers whose rows lapsed since the last look."""
+        for row in self._upstreams.lapsed():
+            if row.end > row.first and row.instance not in self._asked:
+                self._asked.add(row.instance)
+                nursery.start_soon(self._ask, row)
+
+    async def _ask(self, row: Upstream) -> None:
+        orders = None
+        for _ in range(QUESTIONS):
+            orders = await self._asker.order_count(row)
+            if orders is not None:
+                break
+        if orders is None and any(each == row for each in self._upstreams.lapsed()):
+            self._upstreams.suspect(row.instance, LOST_SECONDS, lost=True)
+        self._log("row-lapsed", instance=row.instance, answers=orders is not None)
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -14,6 +14,7 @@
 from deckcourse.gateway.desired import CallerBounds, DesiredState
 from deckcourse.gateway.dialect import Dialect, StreamControl
 from deckcourse.gateway.gateway import Gateway
+from deckcourse.gateway.lapse_check import LapseCheck
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.retry_allowance import RetryAllowance, RetryLimits
 from deckcourse.gateway.row_intake import RowIntake, RowReader
@@ -116,7 +117,7 @@
             (rows.operator_table, rows.upstream_table, PLAN_TABLE),
             ports.pool,
             self._contact_wait,
-            self._upstreams.store_returned,
+            self._note_return,
             random,
             log,
             counters.gauge,
@@ -164,6 +165,9 @@
             gathered=self._is_told,
             paced=self._is_paced,
         )
+        self._lapse_check = LapseCheck(
+            self._upstreams, ports.orderer, lambda: self._peers.feed.follows, log
+        )
         self._monitor = StallMonitor(
             self._upstreams, ports.control, self._choice, self._witness, counters.count, log
         )
@@ -231,6 +235,7 @@
             nursery.start_soon(self._keep_up, self._operator_feed.run)
             nursery.start_soon(self._keep_up, self._upstream_feed.run)
             nursery.start_soon(self._keep_up, self._plan_feed.run)
+            nursery.start_soon(self._keep_up, self._lapse_check.run)
             nursery.start_soon(self._keep_up, self._monitor.run)
             nursery.start_soon(self._start_healers, nursery)
 
@@ -328,13 +333,18 @@
         for healer in self._healers.values():
             healer.witness(domain)
 
+    def _note_return(self, moment: float | None = None) -> None:
+        """Take in that the store is back, now or since a moment."""
+        self._upstreams.store_returned(moment)
+        self._lapse_check.store_returned()
+
     def _on_list_contact(self, regained: bool) -> None:
         if regained:
-            self._upstreams.store_returned()
+            self._note_return()
 
     def _on_contact(self, regained: bool) -> None:
         if regained:
-            self._upstreams.store_returned()
+            self._note_return()
         self._upstream_feed.ask_anew()
         self._counters.count("store.regained" if regained else "store.lost")
         self._log("store-regained" if regained else "store-lost", age=round(self._age(), 3))
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -245,7 +245,11 @@
         if self._known is None or self._known[0] != key:
             before = self._known[1] if self._known is not None else None
             hosts = self._upstreams.layer_hosts(self._service)
-            self._known = (key, PathSet(model, hosts, before))
+            listed = [each for each in hosts if not each.lapsing]
+            paths = PathSet(model, listed, before)
+            if len(listed) < len(hosts) and not paths.starts():
+                paths = PathSet(model, hosts, before)
+            self._known = (key, paths)
         return self._known[1]
 
     def _best(self, paths: list[LayerPath]) -> LayerPath | None:
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -107,7 +107,8 @@
     def put(self, row: Upstream) -> None:
         """Take in one row; whoever had its address before is gone."""
         known = self._rows.get(row.instance)
-        self._lapsing.pop(row.instance, None)
+        if self._lapsing.pop(row.instance, None) is not None:
+            self._changes += 1
         self._departed.pop(row.instance, None)
         if known == row:
             return
@@ -123,7 +124,9 @@
         now = self._clock()
         if now - self._store_back_at < LAPSE_GRACE_SECONDS and instance in self._rows:
             deadline = self._store_back_at + LAPSE_GRACE_SECONDS
-            self._lapsing.setdefault(instance, deadline)
+            if instance not in self._lapsing:
+                self._lapsing[instance] = deadline
+                self._changes += 1
             self._next_expiry = min(self._next_expiry, deadline)
             return
         self._drop(instance)
@@ -215,9 +218,19 @@
         self._expire()
         return [each for each in self._rows.values() if each.service == service]
 
+    def lapsed(self) -> list[Upstream]:
+        """Return those whose rows are gone since the store came back, and may be there again."""
+        self._expire()
+        return [self._rows[instance] for instance in self._lapsing]
+
     def usable(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that may get new work."""
-        return [each for each in self.of_service(service) if self._is_usable(each)]
+        """Return the upstreams of a service that may get new work.
+
+        Those whose rows lapsed are among them only where there are no others: of eight that left
+        while the store was away, requests were sent to two for 1.7 seconds after its return.
+        """
+        usable = [each for each in self.of_service(service) if self._is_usable(each)]
+        return [each for each in usable if each.instance not in self._lapsing] or usable
 
     def _is_usable(self, row: Upstream) -> bool:
         return not row.leaving and row.instance not in self._suspect_until
@@ -236,6 +249,7 @@
                 pace=self._paces.get(each.instance, (1.0, 0.0))[0],
                 serving=each.instance not in self._lost,
                 leaving=each.leaving,
+                lapsing=each.instance in self._lapsing,
             )
             for each in self.of_service(service)
         )
--- a/deckcourse/layers/hosts.py
+++ b/deckcourse/layers/hosts.py
@@ -36,7 +36,8 @@
     """An upstream that holds the layers `first` up to `end`, none where both are 0.
 
     `usable` is false for one that leaves or that this process suspects, `serving` only for one that
-    is lost beyond doubt; `pace` over 1 says how many times slower than usual it works.
+    is lost beyond doubt; `pace` over 1 says how many times slower than usual it works. `lapsing`
+    says that its row was gone when the store came back: it may be there again in a moment.
     """
 
     instance: str
@@ -49,6 +50,7 @@
     pace: float = 1.0
     serving: bool = True
     leaving: bool = False
+    lapsing: bool = False
 
     @property
     def empty(self) -> bool:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -146,6 +146,28 @@
     Then streams are served while the rows are missing for 1.5 seconds after the store's return
     And a row still missing 2.5 seconds after it counts as gone
 
+  Scenario Outline: An upstream whose row lapsed is the last resort: <case>
+    Given two chains of runners
+    When the rows of <lapsed> are missing at the store's return and <back> is back after 0.6 seconds
+    Then of 12 streams in the second that follows <before> of the first 6 and <after> of the others pass <lapsed>
+
+    Examples:
+      | case                    | lapsed | back   | before | after |
+      | the near one is gone    | x2     | nobody | none   | none  |
+      | the near one comes back | x2     | x2     | none   | some  |
+      | the far one is gone     | y2     | nobody | none   | none  |
+
+  Scenario Outline: The layers of one that was lost while the store was away are loaded: <case>
+    Given two chains of runners
+    When the row of x2 is missing at the store's return and x2 <state>
+    Then its layers are ordered elsewhere between <least> and <most> seconds after it
+
+    Examples:
+      | case            | state       | least | most |
+      | gone for good   | is dead     | 0.0   | 1.0  |
+      | silent for good | is silent   | 0.2   | 1.0  |
+      | living          | answers     | 2.0   | 3.0  |
+
   Scenario: An upstream whose address another one took over counts as gone
     Given two chains of runners
     Then a stream takes domain y once another upstream has the address of x2
