A process keeps to fast paths more often than to slow ones

Each process keeps to three first upstreams of its domain by a hash that is blind to speed. With copies of unlike speed a third to a half of the processes had no fast one among them, and sent streams to copies that take six times as long while the fast ones stood half empty.

The draw is weighed by the inverse square of the path's cost, as the draw of a path is (decisions/usual_paths, a function of values).

Where all are alike nothing changes.

--- a/deckcourse/decisions/path_draw.py
+++ b/deckcourse/decisions/path_draw.py
@@ -11,7 +11,7 @@
 
 from deckcourse.layers.paths import LayerPath
 
-__all__ = ["draw_path"]
+__all__ = ["COST_POWER", "draw_path"]
 
 # A path that takes twice the time is drawn so many times as seldom, as a power of two.
 COST_POWER = 2.0
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -6,6 +6,7 @@
 
 from deckcourse.decisions.path_draw import draw_path
 from deckcourse.decisions.path_load import begun_at, passing
+from deckcourse.decisions.usual_paths import usual_paths
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.load_watch import LoadWatch
 from deckcourse.gateway.traffic_share import TrafficShare
@@ -14,7 +15,6 @@
 from deckcourse.layers.path_set import PathSet
 from deckcourse.layers.paths import LayerPath, PathPart
 from deckcourse.peers.loads import LoadBoard
-from deckcourse.rendezvous import ranked
 
 __all__ = ["PathChoice"]
 
@@ -233,7 +233,8 @@
         """Return the few paths of the own domain with room that this process keeps to."""
         inside = self._path_set(model).inside(self._domain)
         clear = (each for each in inside if not each.instances & avoid)
-        return self._usual([each for each in clear if self._utilization(each) < 1.0])
+        with_room = [each for each in clear if self._utilization(each) < 1.0]
+        return usual_paths(with_room, self._process, USUAL_FIRSTS)
 
     def _paths(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
         paths = self._path_set(model)
@@ -255,12 +256,6 @@
     def _best(self, paths: list[LayerPath]) -> LayerPath | None:
         return draw_path(self._open(paths) or paths, self._score, self._random)
 
-    def _usual(self, paths: list[LayerPath]) -> list[LayerPath]:
-        """Return the few of several paths that this process keeps to while they have room."""
-        by_first = {each.parts[0].instance: each for each in paths}
-        order = ranked(self._process, dict.fromkeys(by_first, 1.0))
-        return [by_first[name] for name in order[:USUAL_FIRSTS]]
-
     def _open(self, paths: list[LayerPath]) -> list[LayerPath]:
         return [each for each in paths if not self.overloaded(each)]
 
--- a/features/path_load.feature
+++ b/features/path_load.feature
@@ -29,3 +29,16 @@
   Scenario: A path that takes twice the time is drawn about a quarter as often
     When 4000 requests choose between a path of 1000 ms and two of 2000 ms, all scored alike
     Then the first is chosen between 55 and 75 times in 100
+
+  Scenario Outline: Processes keep to fast paths, and each path has some that keep to it: <case>
+    Given <fast> paths of 700 ms and <slow> of <ms> ms from one domain's first upstreams
+    When each of 60 processes keeps to 3 of them
+    Then between <least> and <most> keep to a fast one first
+    And each path is kept to by at least <few> of them
+
+    Examples:
+      | case                 | fast | slow | ms   | least | most | few |
+      | one fast, slow ones  | 1    | 4    | 4200 | 50    | 60   | 10  |
+      | two fast, one slow   | 2    | 1    | 1900 | 50    | 60   | 60  |
+      | all alike            | 1    | 5    | 700  | 4     | 18   | 18  |
+      | a little slower      | 1    | 3    | 1000 | 18    | 40   | 30  |
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -7,6 +7,7 @@
 
 from deckcourse.decisions.path_draw import draw_path
 from deckcourse.decisions.path_load import begun_at, passing
+from deckcourse.decisions.usual_paths import usual_paths
 from deckcourse.layers.paths import LayerPath, PathPart
 
 
@@ -88,3 +89,29 @@
 @then("the first is chosen between {low:d} and {high:d} times in 100")
 def first_chosen(context, low, high):
     assert low <= 100 * context.chosen["a"] / context.count <= high, context.chosen
+
+
+@given("{fast:d} paths of 700 ms and {slow:d} of {cost:d} ms from one domain's first upstreams")
+def fast_and_slow(context, fast, slow, cost):
+    context.fast = {f"f{each}" for each in range(fast)}
+    context.paths = [path_over([name], 700.0) for name in sorted(context.fast)]
+    context.paths += [path_over([f"s{each}"], float(cost)) for each in range(slow)]
+
+
+@when("each of {processes:d} processes keeps to {count:d} of them")
+def processes_keep(context, processes, count):
+    kept = [usual_paths(context.paths, f"p{each}", count) for each in range(processes)]
+    context.firsts = [[path.parts[0].instance for path in paths] for paths in kept]
+    assert all(len(set(each)) == min(count, len(context.paths)) for each in context.firsts)
+
+
+@then("between {least:d} and {most:d} keep to a fast one first")
+def keep_to_fast(context, least, most):
+    found = sum(each[0] in context.fast for each in context.firsts)
+    assert least <= found <= most, found
+
+
+@then("each path is kept to by at least {few:d} of them")
+def kept_by(context, few):
+    found = Counter(name for each in context.firsts for name in each)
+    assert min(found[each.parts[0].instance] for each in context.paths) >= few, found
