--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -32,6 +32,7 @@
         "plan-lost",
         "plan-unanswered",
         "pulse",
+        "row-lapsed",
         "settings",
         "settings-refused",
         "signal",
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -14,6 +14,7 @@
 from deckcourse.decision_log import DecisionLog
 from deckcourse.gateway.active_stream import ActiveStream
 from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.lapse_check import LapseCheck
 from deckcourse.gateway.lookup import Lookup
 from deckcourse.gateway.node import GatewayNode
 from deckcourse.gateway.path_choice import PathChoice
@@ -82,6 +83,17 @@
     UpstreamTable.remove = UpstreamTable._drop
 
 
+def lapsed_rows_are_as_good():
+    kept = UpstreamTable.layer_hosts
+    UpstreamTable.layer_hosts = lambda self, service: tuple(
+        replace(each, lapsing=False) for each in kept(self, service)
+    )
+
+
+def nobody_asks_the_lapsed():
+    LapseCheck._ask_new = lambda self, nursery: None
+
+
 def leaving_counts_not():
     kept = UpstreamTable.layer_hosts
     UpstreamTable.layer_hosts = lambda self, service: tuple(
@@ -236,6 +248,8 @@
     keys_never_age: ("nothing is sent under a key that may be gone", GATEWAY),
     versions_of_state_fall: ("an older desired state never replaces a newer one", GATEWAY),
     no_lapse_grace: ("rows that lapsed are kept until the store has been back", GATEWAY),
+    lapsed_rows_are_as_good: ("an upstream whose row lapsed is the last resort", GATEWAY),
+    nobody_asks_the_lapsed: ("a lost upstream is told from one whose row lapsed", GATEWAY),
     leaving_counts_not: ("a leaving upstream gets no new work", GATEWAY),
     forged_headers_pass: ("callers can't set the system's headers", GATEWAY),
     any_answer_will_do: ("an answer belongs to its request", GATEWAY),
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -2,9 +2,9 @@
 
 import trio
 
-import deckcourse.layers.slices as slices_module
+import deckcourse.layers.layouts as layouts_module
 import deckcourse.peers.relay as relay_module
-from deckcourse.decisions import path_draw, path_load
+from deckcourse.decisions import path_draw, path_load, usual_paths
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.layers.healer import Healer
 from deckcourse.peers.knowledge import Knowledge
@@ -46,7 +46,19 @@
 
 
 def one_first_host_a_copy():
-    slices_module.MOST_STARTERS = 0
+    layouts_module.MOST_STARTERS = 0
+
+
+def copies_mix_kinds():
+    layouts_module.LAYOUTS = (layouts_module.interleaved,)
+
+
+def slow_paths_count_as_fast():
+    usual_paths.COST_POWER = 0.0
+
+
+def pauses_add_up():
+    SharedFeed.paces = property(lambda self: False)
 
 
 def streams_count_as_told():
@@ -88,6 +100,9 @@
     frames_count_from_arrival: ("no moment counts for later than it was", PEERS),
     the_dead_live_on: ("a member lives while its beat rises", PEERS),
     one_first_host_a_copy: ("a copy begins at as many hosts as its memory is worth", LAYERS),
+    copies_mix_kinds: ("a copy may be of fast hosts alone", LAYERS),
+    slow_paths_count_as_fast: ("processes keep to fast paths", PATHS),
+    pauses_add_up: ("one pause stands between questions to a lost store", PEERS),
     streams_count_as_told: ("streams on shared upstreams count once", PATHS),
     the_best_path_always: ("the better of two drawn paths is taken", PATHS),
     plans_are_not_told: ("what another one's plan orders is under way", LAYERS),
--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -235,8 +235,8 @@
 
 
 @then(
-    "it is worth no more with some of its hosts slower, and at most {most:g} times as much with one "
-    "less"
+    "it is worth no more with some of its hosts slower, and at most {most:g} times as much with "
+    "one less"
 )
 def slower_is_worse(context, most):
     for random, model, hosts in context.groups:
