A copy may take four times the memory of its weights; a deck that holds no copy leaves the others

The bound is four times. Where one of several decks can't hold the model the copies of the others are placed all the same, as before the layouts were compared.

--- a/deckcourse/layers/layouts.py
+++ b/deckcourse/layers/layouts.py
@@ -20,7 +20,8 @@
 LayoutWay = Callable[[ModelSpec, Group, float], Layout]
 
 # Part of a host's memory that weights take at the most in a first placement, where that fits: the
-# rest is for requests, and for the layers of a neighbour that is lost.
+# rest is for requests, and for the layers of a neighbour that is lost. On a day with many losses 20
+# of 1,000 requests were refused in the end with 0.92, two with 0.70 (one run each).
 FIRST_FILL = 0.70
 # Hosts that begin a copy beside its first one, at the most: each is lost to the rest of the copy,
 # and with two more a copy of the smallest kinds lets in three times what one host does.
@@ -35,8 +36,9 @@
 LEAST_PARTINGS = 12
 PARTINGS_PER_COPY = 4
 # A copy takes at most so many times the memory of its weights: more room than that is not filled by
-# what may begin there, and the search needn't weigh it.
-MOST_MEMORY_PER_COPY = 3.0
+# what may begin there, and the search needn't weigh it. With 3 the layout found for a domain of 35
+# hosts serves 34 streams a second, with 4 it serves 41 (by the measure).
+MOST_MEMORY_PER_COPY = 4.0
 
 
 def best_layout(model: ModelSpec, group: Group) -> Layout:
@@ -75,8 +77,8 @@
     for host in reversed(_by_memory(model, group.hosts)):
         min(decks, key=lambda deck: memory_mb(model, deck)).append(host)
     kinds = {each.instance: each.kind for each in group.hosts}
-    copies = tuple(_best_copy(model, deck, kinds, fill) for deck in decks)
-    return copies if all(copies) else ()
+    copies = (_best_copy(model, deck, kinds, fill) for deck in decks)
+    return tuple(copy for copy in copies if copy)
 
 
 def by_speed(model: ModelSpec, group: Group, fill: float) -> Layout:
