--- a/deckcourse/decisions/layout_rate.py
+++ b/deckcourse/decisions/layout_rate.py
@@ -10,10 +10,9 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from deckcourse.layers.model import ModelSpec
+from deckcourse.layers.model import HOP_MS, ModelSpec
 
 __all__ = [
-    "HOP_MS",
     "HeldLayers",
     "copy_rate",
     "expected_part",
@@ -22,9 +21,6 @@
     "stream_ms",
 ]
 
-# One more upstream in the same failure domain costs this much a token, milliseconds: 0.2 ms of
-# delay between two upstreams.
-HOP_MS = 0.2
 # Layouts are compared whole and after the loss of one and of two hosts of the group: the streams
 # that break are few, but until their layers are loaded elsewhere the rest has to carry the load.
 LOSSES = (0, 1, 2)
--- a/deckcourse/layers/model.py
+++ b/deckcourse/layers/model.py
@@ -2,8 +2,11 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["AcceleratorKind", "ModelSpec"]
+__all__ = ["HOP_MS", "AcceleratorKind", "ModelSpec"]
 
+# One more upstream in the same failure domain costs this much a token, milliseconds: 0.2 ms of
+# delay is what the deployments state.
+HOP_MS = 0.2
 # Memory is stated in decimal megabytes.
 BYTES_PER_MB = 1_000_000.0
 
--- a/deckcourse/layers/paths.py
+++ b/deckcourse/layers/paths.py
@@ -10,13 +10,10 @@
 from dataclasses import dataclass
 
 from deckcourse.layers.hosts import EVEN_FILL, LayerHost
-from deckcourse.layers.model import ModelSpec
+from deckcourse.layers.model import HOP_MS, ModelSpec
 
 __all__ = ["LayerPath", "PathFinder", "PathPart"]
 
-# One more upstream in the same failure domain costs this much a token, milliseconds (0.2 ms of
-# delay is what both sites state).
-HOP_MS = 0.2
 # A pipe between failure domains is shared by all requests that cross it, and full at some 27 of
 # them a second (trials): a path crosses only where none stays inside, and then as seldom as it
 # can. Milliseconds of a usual request.
