--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -71,7 +71,8 @@
         measure()
     figures = json.loads(FIGURES.read_text(encoding="utf-8"))
     plot(figures)
-    (DOCS / "CAPACITY.md").write_text(page(figures), encoding="utf-8")
+    gateway = (DOCS / "capacity-gateway.md").read_text(encoding="utf-8")
+    (DOCS / "CAPACITY.md").write_text(page(figures) + gateway, encoding="utf-8")
 
 
 if __name__ == "__main__":
