--- a/features/gateway_story.py
+++ b/features/gateway_story.py
@@ -1,4 +1,4 @@
-"""What steps about the gateway share: the usual site, and what a whole answer is."""
+"""What steps about the gateway share: the usual site, what a whole answer is, losses of rows."""
 
 import trio
 from gateway_world import EVENT_SECONDS, LAYERS, GatewayWorld
@@ -41,3 +41,21 @@
         await trio.sleep(rest)
 
     context.site.play(story)
+
+
+def nobody_heals(context):
+    for runner in context.site.runners.values():
+        runner.obeys = False
+
+
+async def lapse(site, names, lost=lambda: None):
+    """Let the store go away for a second and come back without the rows of some runners.
+
+    `lost` is called while the store is away.
+    """
+    site.store.away = True
+    await trio.sleep(1.0)
+    for name in names:
+        site.store.put("servers", name, None)
+    lost()
+    site.store.away = False
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -2,8 +2,8 @@
 
 import trio
 from behave import given, then, when
-from gateway_story import assert_whole, expected_events, two_chains
-from gateway_world import EVENT_SECONDS, KEY, LAYERS, GatewayWorld, default_config, parse_path
+from gateway_story import assert_whole, expected_events, nobody_heals, two_chains
+from gateway_world import EVENT_SECONDS, KEY, LAYERS, GatewayWorld, default_config
 
 
 @given("two chains of runners")
@@ -96,11 +96,6 @@
             assert at == LAYERS
 
 
-def nobody_heals(context):
-    for runner in context.site.runners.values():
-        runner.obeys = False
-
-
 @then("streams run in domain x, and in domain y once x lost a layer")
 def own_domain_first(context):
     nobody_heals(context)
@@ -225,120 +220,6 @@
     assert run.ended == "cancelled" and len(run.events) < 9, run
 
 
-@then(
-    "streams are served while the rows are missing for {seconds:g} seconds after the store's return"
-)
-def lapsed(context, seconds):
-    async def story(site):
-        site.store.away = True
-        await trio.sleep(1.0)
-        for name in site.runners:
-            site.store.put("servers", name, None)
-        site.store.away = False
-        await trio.sleep(seconds)
-        assert (await site.ask()).status == 200
-        assert not site.orders
-
-    context.site.play(story)
-
-
-@when(
-    "the rows of {lapsed} are missing at the store's return and {back} is back after {seconds:g} "
-    "seconds"
-)
-def some_lapsed(context, lapsed, back, seconds):
-    nobody_heals(context)
-    context.site.events = 2
-    for each in context.site.runners.values():
-        each.slots = 96
-
-    async def story(site):
-        site.store.away = True
-        await trio.sleep(1.0)
-        site.store.put("servers", lapsed, None)
-        site.store.away = False
-        await trio.sleep(0.4)
-        context.passed = []
-        returned_at = trio.current_time() + seconds
-        for number in range(12):
-            if number == 6:
-                await trio.sleep_until(returned_at)
-                if back in site.runners:
-                    site.store.put("servers", back, site.runners[back].row())
-                await trio.sleep(0.3)
-            got = await site.ask(name=f"r{number}")
-            assert got.status == 200, (number, got, site.lines[-6:])
-            path = parse_path(site.runs[-1].headers["path"])
-            context.passed.append(f"{lapsed}:1" in {address for address, _, _ in path})
-
-    context.site.play(story)
-
-
-@then(
-    "of 12 streams in the second that follows {before} of the first 6 and {after} of the others "
-    "pass {lapsed}"
-)
-def passed_lapsed(context, before, after, lapsed):
-    assert any(context.passed[:6]) == (before == "some"), (lapsed, context.passed)
-    assert any(context.passed[6:]) == (after == "some"), (lapsed, context.passed)
-
-
-@when("the row of x2 is missing at the store's return and x2 {state}")
-def one_lapsed(context, state):
-    async def story(site):
-        runner = site.runners["x2"]
-        site.store.away = True
-        await trio.sleep(1.0)
-        site.store.put("servers", "x2", None)
-        if state == "is dead":
-            runner.die()
-        if state == "is silent":
-            runner.silent_until = trio.current_time() + 10.0
-        site.store.away = False
-        returned_at = trio.current_time()
-        while not site.orders:
-            await trio.sleep(0.05)
-        context.ordered_after = trio.current_time() - returned_at
-
-    context.site.play(story)
-
-
-@then("its layers are ordered elsewhere between {least:g} and {most:g} seconds after it")
-def ordered_between(context, least, most):
-    assert least <= context.ordered_after <= most, context.ordered_after
-
-
-@then("a row still missing {seconds:g} seconds after it counts as gone")
-def lapsed_for_good(context, seconds):
-    two_chains(context)
-    nobody_heals(context)
-
-    async def story(site):
-        site.store.away = True
-        await trio.sleep(1.0)
-        for name in site.runners:
-            site.store.put("servers", name, None)
-        site.store.away = False
-        await trio.sleep(seconds + 0.5)
-        assert (await site.ask()).status == 503
-
-    context.site.play(story)
-
-
-@then("a stream takes domain y once another upstream has the address of x2")
-def address_taken(context):
-    nobody_heals(context)
-
-    async def story(site):
-        newer = site.runners["x2"].row()
-        site.store.put("servers", "x3", {**newer, "layers": None, "models": []})
-        await trio.sleep(0.3)
-        await site.ask()
-
-    context.site.play(story)
-    assert [each.instance for each in context.site.runs] == ["y1"], context.site.runs
-
-
 @then("a stream takes the other domain once the first upstream says that it leaves")
 def leaving(context):
     nobody_heals(context)
