A path is chosen with work that grows with the paths, not with their square

For each request, and 2.5 times a second, each pair of first upstreams was compared to see which passes which, each time over sets made anew; the paths of a domain were looked up by a hash of all its hosts.

The set of a path's upstreams is kept; who passes a first upstream is gathered in one go over the paths; the paths inside a domain are looked up by its name.

--- a/deckcourse/decisions/path_load.py
+++ b/deckcourse/decisions/path_load.py
@@ -27,10 +27,10 @@
     """
     firsts = {path.parts[0].instance: path for path in paths}
     told = {first: running(first) for first in firsts}
-    passed_by = {
-        first: [name for name, path in firsts.items() if name != first and first in path.instances]
-        for first in firsts
-    }
+    passed_by: dict[str, list[str]] = {first: [] for first in firsts}
+    for name, path in firsts.items():
+        for first in path.instances & passed_by.keys() - {name}:
+            passed_by[first].append(name)
     found = dict(told)
     for _ in range(ROUNDS):
         for first in firsts:
--- a/deckcourse/layers/path_set.py
+++ b/deckcourse/layers/path_set.py
@@ -40,6 +40,7 @@
     ) -> None:
         self._model = model
         self._inside: dict[tuple[LayerHost, ...], list[LayerPath]] = {}
+        self._inside_of: dict[str, list[LayerPath]] = {}
         same_model = before is not None and before.model == model
         self._inside_before = before._inside if same_model else {}
         self._hosts = tuple(each for each in hosts if each.usable and not each.empty)
@@ -66,8 +67,10 @@
 
         They are worked out without those of other domains, which most requests don't need.
         """
-        members = tuple(each for each in self._hosts if each.domain == domain)
-        return self._find_inside(members) if members else []
+        if domain not in self._inside_of:
+            members = tuple(each for each in self._hosts if each.domain == domain)
+            self._inside_of[domain] = self._find_inside(members) if members else []
+        return self._inside_of[domain]
 
     def onward(self, first: PathPart, domain: str, avoid: frozenset[str]) -> LayerPath | None:
         """Return the best path whose first part is given, None where there is none.
--- a/deckcourse/layers/paths.py
+++ b/deckcourse/layers/paths.py
@@ -8,6 +8,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from functools import cached_property
 
 from deckcourse.layers.hosts import EVEN_FILL, LayerHost
 from deckcourse.layers.model import HOP_MS, ModelSpec
@@ -47,7 +48,7 @@
     cost: float
     crossings: int = 0
 
-    @property
+    @cached_property
     def instances(self) -> frozenset[str]:
         """The upstreams on the path."""
         return frozenset(each.instance for each in self.parts)
