The search for a first placement grows with the hosts, not with their square

One first plan of three domains of 1,000 hosts took 11 s of processor time; those whose turn comes meanwhile begin it too. The search went over all pairs of partings, added up the memory of each deck anew, and placed equal decks one by one.

Pairs that are too large or too small are left out by running sums; a copy is worked out once for each row of kinds, and placed on the hosts afterwards; the decks of the interleaved way wait in a heap.

--- a/deckcourse/layers/layouts.py
+++ b/deckcourse/layers/layouts.py
@@ -5,13 +5,14 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Sequence
-from itertools import pairwise
+from collections.abc import Callable, Sequence
+from heapq import heapreplace
+from itertools import accumulate
 
 from deckcourse.decisions.layout_rate import HeldLayers, copy_rate, expected_part, memory_places
-from deckcourse.layers.hosts import EVEN_FILL, LARGEST_FILL, Assignment, Group, LayerHost, memory_mb
+from deckcourse.layers.hosts import EVEN_FILL, LARGEST_FILL, Assignment, Group, LayerHost
 from deckcourse.layers.model import ModelSpec
-from deckcourse.layers.slices import slice_model
+from deckcourse.layers.slices import slice_sizes
 
 __all__ = ["LAYOUTS", "Copy", "Layout", "best_layout", "by_speed", "interleaved", "layout_rate"]
 
@@ -60,55 +61,124 @@
       layout: what they hold; 0 for one without copies.
     """
     kinds = {each.instance: each.kind for each in group.hosts}
-    return sum(_copy_worth(model, copy, kinds) for copy in layout)
+    copies = (
+        [HeldLayers(kinds[each.instance], each.first, each.end) for each in copy] for copy in layout
+    )
+    return sum(_worth(model, copy, len(group.hosts)) for copy in copies)
+
 
+def _worth(model: ModelSpec, copy: Sequence[HeldLayers], everybody: int) -> float:
+    return copy_rate(model, copy) * expected_part(len(copy), everybody)
 
-def _copy_worth(model: ModelSpec, copy: Copy, kinds: Mapping[str, str]) -> float:
-    return copy_rate(model, _held(copy, kinds)) * expected_part(len(copy), len(kinds))
 
+class _Copies:
+    """The best copies over hosts of one group; hosts of the same kinds hold the same.
+
+    Args:
+      model: the model.
+      everybody: how many hosts the group has.
+      fill: the part of a host's memory that its slice takes at the most.
+    """
 
-def _held(copy: Copy, kinds: Mapping[str, str]) -> list[HeldLayers]:
-    return [HeldLayers(kinds[each.instance], each.first, each.end) for each in copy]
+    def __init__(self, model: ModelSpec, everybody: int, fill: float) -> None:
+        self._model = model
+        self._everybody = everybody
+        self._fill = fill
+        self._known: dict[tuple[str, ...], tuple[float, tuple[HeldLayers, ...]]] = {}
+
+    def worth(self, hosts: Sequence[LayerHost]) -> float:
+        """Return what the best copy over some hosts is worth, 0 where they can't hold the model."""
+        return self._best(_by_memory(self._model, hosts))[0]
+
+    def place(self, hosts: Sequence[LayerHost]) -> Copy:
+        """Return the best copy over some hosts, empty where they can't hold the model."""
+        ordered = _by_memory(self._model, hosts)
+        _, held = self._best(ordered)
+        return tuple(
+            Assignment(host.instance, each.first, each.end, "first placement")
+            for host, each in zip(ordered, held, strict=False)
+            if each.layers
+        )
+
+    def _best(self, ordered: Sequence[LayerHost]) -> tuple[float, tuple[HeldLayers, ...]]:
+        kinds = tuple(each.kind for each in ordered)
+        if kinds not in self._known:
+            self._known[kinds] = self._search(kinds)
+        return self._known[kinds]
+
+    def _search(self, kinds: tuple[str, ...]) -> tuple[float, tuple[HeldLayers, ...]]:
+        """Return the worth of the best copy over hosts of some kinds, and what each host holds.
+
+        The smallest ones may only begin paths; the model is sliced over the rest.
+        """
+        model = self._model
+        best: tuple[float, tuple[HeldLayers, ...]] = (0.0, ())
+        for starters in range(MOST_STARTERS + 1):
+            if best[1] and starters * model.requests >= memory_places(model, best[1]):
+                break
+            beginning = tuple(_starter(model, each) for each in kinds[:starters])
+            for power in SPEED_POWERS:
+                sliced = self._sliced(kinds[starters:], power)
+                if not sliced:
+                    continue
+                way = (*beginning, *sliced)
+                worth = _worth(model, [each for each in way if each.layers], self._everybody)
+                if worth > best[0] * (1.0 + LEAST_GAIN):
+                    best = worth, way
+        return best
+
+    def _sliced(self, kinds: Sequence[str], power: float) -> list[HeldLayers]:
+        """Return what each of some hosts holds of one copy, none where the model doesn't fit."""
+        row = _interleaved(kinds)
+        sizes = slice_sizes(self._model, [kinds[index] for index in row], power, self._fill)
+        held = [HeldLayers(kind, 0, 0) for kind in kinds] if sizes else []
+        at = 0
+        for index, size in zip(row, sizes, strict=False):
+            held[index] = HeldLayers(kinds[index], at, at + size)
+            at += size
+        return held
 
 
 def interleaved(model: ModelSpec, group: Group, fill: float) -> Layout:
     """Deal the hosts to the copies by memory, so that each copy has some of each kind."""
     decks: list[list[LayerHost]] = [[] for _ in range(group.copies)]
+    # The decks by their memory, the emptiest first.
+    emptiest = [(0.0, index) for index in range(group.copies)]
     for host in reversed(_by_memory(model, group.hosts)):
-        min(decks, key=lambda deck: memory_mb(model, deck)).append(host)
-    kinds = {each.instance: each.kind for each in group.hosts}
-    copies = (_best_copy(model, deck, kinds, fill) for deck in decks)
-    return tuple(copy for copy in copies if copy)
+        memory, index = emptiest[0]
+        decks[index].append(host)
+        heapreplace(emptiest, (memory + model.kind_of(host.kind).memory_mb, index))
+    copies = _Copies(model, len(group.hosts), fill)
+    return tuple(copy for deck in decks if (copy := copies.place(deck)))
 
 
 def by_speed(model: ModelSpec, group: Group, fill: float) -> Layout:
     """Part the hosts, fast ones first, into the copies that together serve the most streams."""
     ordered = sorted(group.hosts, key=lambda each: (_speed_order(model, each), each.instance))
-    kinds = {each.instance: each.kind for each in ordered}
-    most_memory = MOST_MEMORY_PER_COPY * model.layers * model.layer_mb
-    # Decks of as many hosts of the same kinds are worth the same.
-    known: dict[tuple[str, ...], float] = {}
-
-    def worth_of(deck: Sequence[LayerHost]) -> float:
-        alike = tuple(each.kind for each in deck)
-        if alike not in known:
-            known[alike] = _copy_worth(model, _best_copy(model, deck, kinds, fill), kinds)
-        return known[alike]
-
-    # For each parting the best layout of the hosts before it: its worth, and its partings.
-    best: dict[int, tuple[float, tuple[int, ...]]] = {0: (0.0, (0,))}
+    memory = [0.0, *accumulate(model.kind_of(each.kind).memory_mb for each in ordered)]
+    weights = model.layers * model.layer_mb
+    copies = _Copies(model, len(ordered), fill)
+    # For each parting the best layout of the hosts before it: its worth, and the parting before.
+    best: dict[int, tuple[float, int]] = {0: (0.0, 0)}
     for end in _partings(ordered, group.copies)[1:]:
-        ways = []
-        for start, (worth, parted) in best.items():
-            deck = ordered[start:end]
-            if memory_mb(model, deck) <= most_memory and (more := worth_of(deck)):
-                ways.append((worth + more, (*parted, end)))
-        if ways:
-            best[end] = max(ways)
-    _, parted = best.get(len(ordered), (0.0, ()))
-    return tuple(
-        _best_copy(model, ordered[start:end], kinds, fill) for start, end in pairwise(parted)
-    )
+        found = (0.0, 0)
+        for start, (worth, _) in reversed(best.items()):
+            if memory[end] - memory[start] > MOST_MEMORY_PER_COPY * weights:
+                break
+            if memory[end] - memory[start] <= weights:
+                continue
+            more = copies.worth(ordered[start:end])
+            if more and worth + more > found[0]:
+                found = worth + more, start
+        if found[0]:
+            best[end] = found
+    layout: list[Copy] = []
+    end = len(ordered) if len(ordered) in best else 0
+    while end:
+        start = best[end][1]
+        layout.append(copies.place(ordered[start:end]))
+        end = start
+    return tuple(reversed(layout))
 
 
 # Which ways are weighed against each other.
@@ -130,32 +200,6 @@
     return sorted(changes | even)
 
 
-def _best_copy(
-    model: ModelSpec, deck: Sequence[LayerHost], kinds: Mapping[str, str], fill: float
-) -> Copy:
-    """Return the way of placing one copy that serves the most streams, empty where none fits."""
-    weights = model.layers * model.layer_mb
-    if not weights < memory_mb(model, deck) * fill:
-        return ()
-
-    ordered = _by_memory(model, deck)
-    best: Copy = ()
-    least = 0.0
-    for starters in range(MOST_STARTERS + 1):
-        if best and starters * model.requests >= memory_places(model, _held(best, kinds)):
-            break
-        # The smallest hosts hold the first layers, and the model is sliced over the rest.
-        beginning = tuple(_starter(model, each) for each in ordered[:starters])
-        rest = _interleaved(ordered[starters:])
-        for power in SPEED_POWERS:
-            slices = slice_model(model, rest, "first placement", power, fill)
-            way = (*slices, *beginning) if slices else ()
-            worth = _copy_worth(model, way, kinds)
-            if worth > least:
-                best, least = way, worth * (1.0 + LEAST_GAIN)
-    return best
-
-
 def _by_memory(model: ModelSpec, hosts: Sequence[LayerHost]) -> list[LayerHost]:
     """Return hosts, the smallest first; which names they have changes no layout's worth."""
     return sorted(
@@ -163,19 +207,22 @@
     )
 
 
-def _starter(model: ModelSpec, host: LayerHost) -> Assignment:
-    end = max(1, model.most_layers(host.kind, EVEN_FILL))
-    return Assignment(host.instance, 0, min(end, model.layers), "begins paths")
+def _starter(model: ModelSpec, kind: str) -> HeldLayers:
+    """Return what a host that only begins paths holds."""
+    return HeldLayers(kind, 0, min(max(1, model.most_layers(kind, EVEN_FILL)), model.layers))
 
 
-def _interleaved(hosts: Sequence[LayerHost]) -> list[LayerHost]:
-    """Spread each kind evenly: a small host's neighbours should be able to take its layers."""
-    by_kind: dict[str, list[LayerHost]] = defaultdict(list)
-    for host in hosts:
-        by_kind[host.kind].append(host)
+def _interleaved(kinds: Sequence[str]) -> list[int]:
+    """Return the order in which each kind is spread evenly, as indexes.
+
+    A small host's neighbours should be able to take its layers.
+    """
+    by_kind: dict[str, list[int]] = defaultdict(list)
+    for index, kind in enumerate(kinds):
+        by_kind[kind].append(index)
     placed = [
-        ((index + 0.5) / len(members), kind, host)
+        ((number + 0.5) / len(members), kind, index)
         for kind, members in by_kind.items()
-        for index, host in enumerate(members)
+        for number, index in enumerate(members)
     ]
-    return [host for _, _, host in sorted(placed, key=lambda each: each[:2])]
+    return [index for _, _, index in sorted(placed)]
