Paths are searched with work that grows with the hosts, not with hosts times ends

Whenever a row of a domain changes each process looks for its paths anew, up to 24 times over all hosts, each time with every end that a host may reach.

A search in which some hosts count as slower shares what doesn't depend on that. Only hosts that a path uses are weighed anew.

The paths of 800 random sets of hosts (3,555) are the same, costs to 1e-6.

--- a/deckcourse/layers/path_set.py
+++ b/deckcourse/layers/path_set.py
@@ -8,7 +8,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from deckcourse.layers.hosts import LayerHost
@@ -107,7 +107,7 @@
         if members not in self._inside:
             found = self._inside_before.get(members)
             if found is None:
-                found = self._apart(members, PathFinder(self._model, members).starts())
+                found = self._apart(members)
             self._inside[members] = found
         return self._inside[members]
 
@@ -120,28 +120,31 @@
     def _without(self, avoid: frozenset[str]) -> list[LayerHost]:
         return [each for each in self._hosts if each.instance not in avoid]
 
-    def _apart(self, members: Sequence[LayerHost], starts: list[LayerPath]) -> list[LayerPath]:
-        """Return a path from the first host of each of `starts`, each beside the others."""
+    def _apart(self, members: Sequence[LayerHost]) -> list[LayerPath]:
+        """Return a path from each first host of a domain, each beside the others."""
+        finder = PathFinder(self._model, members)
+        starts = finder.starts()
         if len(starts) < 2:
             return starts
-        finder = PathFinder(self._model, members)
+        hosts = {each.instance: each for each in members}
         found = starts[:1]
         uses = Counter(starts[0].instances)
         for start in starts[1:]:
-            path = start if len(found) >= MOST_APART else self._beside(members, uses, start)
+            path = start if len(found) >= MOST_APART else self._beside(finder, hosts, uses, start)
             uses.update(path.instances)
             found.append(path)
         for index, path in enumerate(found[:MOST_APART]):
-            if self._fullness(members, path, uses) > 1.0:
+            if self._fullness(hosts, path, uses) > 1.0:
                 uses.subtract(path.instances)
-                found[index] = self._beside(members, uses, path)
+                found[index] = self._beside(finder, hosts, uses, path)
                 uses.update(found[index].instances)
         return [replace(each, cost=finder.cost(each.parts)) for each in found]
 
-    def _fullness(self, members: Sequence[LayerHost], path: LayerPath, uses: Counter[str]) -> float:
+    def _fullness(
+        self, hosts: Mapping[str, LayerHost], path: LayerPath, uses: Counter[str]
+    ) -> float:
         """Return how full the fullest host of a path is if every path lets in all it may."""
-        passed = (each for each in members if each.instance in path.instances)
-        return max(self._load(each, uses[each.instance]) for each in passed)
+        return max(self._load(hosts[name], uses[name]) for name in path.instances)
 
     def _load(self, host: LayerHost, paths: int) -> float:
         """Return the streams of so many paths over a host against those it has memory for."""
@@ -151,13 +154,16 @@
         )
 
     def _beside(
-        self, members: Sequence[LayerHost], uses: Counter[str], start: LayerPath
+        self,
+        finder: PathFinder,
+        hosts: Mapping[str, LayerHost],
+        uses: Counter[str],
+        start: LayerPath,
     ) -> LayerPath:
         """Return the best path from the first host of another one beside those in use."""
         crowded = {
-            each.instance: 1.0 + FULL_WEIGHT * self._load(each, uses[each.instance]) ** 2
-            for each in members
+            name: 1.0 + FULL_WEIGHT * self._load(hosts[name], count) ** 2
+            for name, count in uses.items()
         }
-        first = start.parts[0].instance
-        starts = PathFinder(self._model, members, slower=crowded).starts()
-        return next((each for each in starts if each.parts[0].instance == first), start)
+        first = hosts[start.parts[0].instance]
+        return finder.slowed(crowded).start(first) or start
