Who saw a failure goes first only until a plan is made for it

A process that once saw an upstream of a domain fail went on to wait 0.03 instead of 0.15 s a turn for good; after a few losses most had.

Ruled out: needs that stay noted while nothing is to be planned (a scenario with paces that change each 0.05 s is green without a change).

What a process saw counts until a plan for its domain is made or heard.

The scenario is red without the change.

--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -13,7 +13,7 @@
 import trio
 
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
-from deckcourse.layers.hosts import Assignment, Group, LayerHost, groups_of
+from deckcourse.layers.hosts import Assignment, Group, LayerHost, domains_of, groups_of
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.placement import plan_group
 from deckcourse.layers.plan_book import ClaimLost, PlanBook, PlanRecord, PlanWon
@@ -141,7 +141,12 @@
         self._at_rest: dict[str, _Situation] = {}
 
     def witness(self, domain: str) -> None:
-        """Note that this process itself saw an upstream of a failure domain fail."""
+        """Note that this process itself saw an upstream of a failure domain fail.
+
+        It counts until a plan is made for the domain. Did it count on, most processes would go
+        before their turn from some losses on: in a day of 60 processes 39 claims were lost beside
+        10 that were won.
+        """
         self._witnessed.add(domain)
 
     async def run(self, model: Callable[[], ModelSpec | None], allowed: Callable[[], bool]) -> None:
@@ -230,7 +235,7 @@
         if record is not None and record.author == self._book.author:
             return 0.0
         base = OTHERS_WAIT_SECONDS
-        if self._witnessed & {each.domain for each in group.hosts}:
+        if self._witnessed & domains_of(group.name):
             base = WITNESS_WAIT_SECONDS
         share = self._patience.setdefault(group.name, self._random.random())
         in_turn = base * (1 + self._turn(group))
@@ -240,9 +245,7 @@
         self, model: ModelSpec, group: Group, assignments: tuple[Assignment, ...]
     ) -> None:
         deadline = trio.current_time() + ORDER_SECONDS
-        self._wanted_since.pop(group.name, None)
-        self._patience.pop(group.name, None)
-        self._rested_from[group.name] = trio.current_time() + REST_SECONDS
+        self._note_planned(group.name)
         with trio.move_on_at(deadline):
             match await self._book.claim(group.name, model.name, assignments):
                 case PlanWon(record):
@@ -260,10 +263,15 @@
 
     def hear(self, group: str, model: ModelSpec, record: PlanRecord) -> None:
         """Take in a plan that another process just made: what it orders is under way."""
+        self._note_planned(group)
+        self._expect(model, record)
+
+    def _note_planned(self, group: str) -> None:
+        """Note that a group's need is seen to by a plan that is made, or is being made."""
         self._wanted_since.pop(group, None)
         self._patience.pop(group, None)
+        self._witnessed -= domains_of(group)
         self._rested_from[group] = trio.current_time() + REST_SECONDS
-        self._expect(model, record)
 
     def _expect(self, model: ModelSpec, record: PlanRecord) -> None:
         """Count what a plan orders as under way, for as long as it may take."""
--- a/deckcourse/layers/hosts.py
+++ b/deckcourse/layers/hosts.py
@@ -16,10 +16,13 @@
     "Assignment",
     "Group",
     "LayerHost",
+    "domains_of",
     "groups_of",
     "memory_mb",
 ]
 
+# Stands between the domains in the name of a group of several.
+SEPARATOR = "+"
 # Parts of an accelerator's memory that weights may take; the rest holds the KV cache of requests.
 # Trials: 16 of 20 layers leave room for what a calm day needs, 19 of 20 refuse most requests.
 EVEN_FILL = 0.60
@@ -124,11 +127,16 @@
         else:
             rest += members
     if rest and _can_hold(model, rest):
-        name = "+".join(sorted({each.domain for each in rest}))
+        name = SEPARATOR.join(sorted({each.domain for each in rest}))
         groups.append(_group(model, name, rest, everybody))
     return tuple(groups)
 
 
+def domains_of(group: str) -> frozenset[str]:
+    """Return the failure domains of the group of a name."""
+    return frozenset(group.split(SEPARATOR))
+
+
 def memory_mb(model: ModelSpec, hosts: Iterable[LayerHost]) -> float:
     """Return the memory of all hosts together, in MB."""
     return sum(model.kind_of(each.kind).memory_mb for each in hosts)
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -135,6 +135,11 @@
     When plans are told on after 0.1 seconds
     Then the gap is ordered closed within 2 seconds and at most 2 claims were made
 
+  Scenario: Whoever saw an earlier failure waits for its turn once a plan was made for that
+    Given 60 processes that all saw a failure, and then see another gap
+    When plans are told on after 0.25 seconds
+    Then the gap is ordered closed within 0.4 seconds and at most 2 claims were made
+
   Scenario: A paused process gives no orders when it wakes
     Given a process whose claim is answered after 2 seconds
     Then it gives no orders
--- a/features/steps/healer_steps.py
+++ b/features/steps/healer_steps.py
@@ -108,26 +108,52 @@
     context.held = (("a", 0, 38), ("b", 42, 80))
 
 
+@given("{count:d} processes that all saw a failure, and then see another gap")
+def saw_failure(context, count):
+    many_healers(context, count, 0)
+    context.saw_before = (("a", 0, 36), ("b", 44, 80))
+
+
 @given("{count:d} processes that see only empty upstreams")
 def all_empty(context, count):
     context.turns = range(count)
     context.held = (("a", 0, 0), ("b", 0, 0))
 
 
+def put_held(upstreams, held):
+    for name, first, end in held:
+        upstreams.put(Upstream(name, "s", name, "x", kind="big", first=first, end=end))
+
+
+async def see_failure(context, tables):
+    """Let all see a failure, its plan be made and carried out, and then the next gap open."""
+    for _, healer, _ in context.told.listeners:
+        healer.witness("x")
+    await trio.sleep(2.0)
+    assert context.told.claims > 0
+    for each in tables:
+        put_held(each, (("a", 0, 40), ("b", 40, 80)))
+    await trio.sleep(4.0)
+    context.told.claims = context.orderer.orders = 0
+    for each in tables:
+        put_held(each, context.held)
+
+
 @when("plans are told on after {seconds:g} seconds")
 def told_on(context, seconds):
     context.told = ToldTable(seconds)
     context.orderer = CountingOrderer(OrderResult.TAKEN)
     context.ordered_at = None
+    saw_before = getattr(context, "saw_before", ())
 
     async def run():
         model = model_of(80, LAYER_MB)
+        tables = []
         async with trio.open_nursery() as nursery:
             for turn in context.turns:
                 upstreams = UpstreamTable(trio.current_time)
-                for name, first, end in context.held:
-                    row = Upstream(name, "s", name, "x", kind="big", first=first, end=end)
-                    upstreams.put(row)
+                tables.append(upstreams)
+                put_held(upstreams, saw_before or context.held)
                 book = PlanBook(context.told, f"p{turn}")
                 healer = Healer(
                     "s", upstreams, book, context.orderer, Random(turn),
@@ -136,10 +162,13 @@
                 context.told.listeners.append((book, healer, model))
                 nursery.start_soon(healer.run, lambda: model, lambda: True)
             context.told.nursery = nursery
+            if saw_before:
+                await see_failure(context, tables)
+            gap_at = trio.current_time()
             with trio.move_on_after(3.0):
                 while not context.orderer.orders:
                     await trio.sleep(0.01)
-                context.ordered_at = trio.current_time()
+                context.ordered_at = trio.current_time() - gap_at
                 await trio.sleep(0.5)
             nursery.cancel_scope.cancel()
 
