The work of decisions is held by a scenario, in calls of functions

With it: a mutant for what witnesses count, red; the check of lapsed rows takes the port that it asks by as it stands in the healer.

--- a/deckcourse/gateway/lapse_check.py
+++ b/deckcourse/gateway/lapse_check.py
@@ -7,11 +7,11 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
 
 import trio
 
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.layers.healer import Orderer
 
 __all__ = ["LapseCheck"]
 
@@ -23,19 +23,12 @@
 LOST_SECONDS = 2.5
 
 
-class Asker(Protocol):
-    """Asks upstreams."""
-
-    async def order_count(self, upstream: Upstream) -> int | None:
-        """Return how many orders an upstream has taken, None without an answer."""
-
-
 class LapseCheck:
     """One process's questions; only those that plan first need to ask.
 
     Args:
       upstreams: whose rows lapsed, and who gets the suspicions.
-      asker: asks upstreams.
+      orderer: asks upstreams how many orders they took, which those that live answer.
       asks: returns whether this process asks.
       log: writes decisions.
     """
@@ -43,12 +36,12 @@
     def __init__(
         self,
         upstreams: UpstreamTable,
-        asker: Asker,
+        orderer: Orderer,
         asks: Callable[[], bool],
         log: Callable[..., None],
     ) -> None:
         self._upstreams = upstreams
-        self._asker = asker
+        self._orderer = orderer
         self._asks = asks
         self._log = log
         self._asked: set[str] = set()
@@ -80,7 +73,7 @@
     async def _ask(self, row: Upstream) -> None:
         orders = None
         for _ in range(QUESTIONS):
-            orders = await self._asker.order_count(row)
+            orders = await self._orderer.order_count(row)
             if orders is not None:
                 break
         if orders is None and any(each == row for each in self._upstreams.lapsed()):
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -81,6 +81,17 @@
     Healer.hear = lambda self, group, model, record: None
 
 
+def witnesses_hurry_for_good():
+    kept = Healer._note_planned
+
+    def note_planned(self, group):
+        witnessed = set(self._witnessed)
+        kept(self, group)
+        self._witnessed = witnessed
+
+    Healer._note_planned = note_planned
+
+
 def allowance_never_grows():
     kept = RetryAllowance.__init__
 
@@ -106,6 +117,7 @@
     streams_count_as_told: ("streams on shared upstreams count once", PATHS),
     the_best_path_always: ("the better of two drawn paths is taken", PATHS),
     plans_are_not_told: ("what another one's plan orders is under way", LAYERS),
+    witnesses_hurry_for_good: ("who saw a failure goes first until it is planned for", LAYERS),
     allowance_never_grows: (
         "an allowance grows with the share that becomes known",
         ("shared_limits",),
--- /dev/null
+++ b/features/steps/work_steps.py
@@ -0,0 +1,62 @@
+"""Steps about how much work decisions take, in calls of functions: the same on every machine."""
+
+import sys
+
+from behave import given, then, when
+from layer_world import LAYER_MB, carried_out, model_of
+
+from deckcourse.decisions.path_load import begun_at
+from deckcourse.layers.hosts import LayerHost, groups_of
+from deckcourse.layers.path_set import PathSet
+from deckcourse.layers.placement import plan_group
+
+KINDS = {"big100": 0.1, "v100": 0.5, "l4": 0.4}
+
+
+def calls_of(work):
+    """Return how many functions some work calls, those of the interpreter included."""
+    count = 0
+
+    def note(frame, event, argument):
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(note)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+@given("a domain of {count:d} hosts of three kinds, placed for a model of {layers:d} layers")
+def large_domain(context, count, layers):
+    context.model = model_of(layers, LAYER_MB, 96)
+    context.hosts = [
+        LayerHost(f"{kind}-{each:03}", "x", kind)
+        for kind, part in KINDS.items()
+        for each in range(round(part * count))
+    ]
+    (context.group,) = groups_of(context.model, context.hosts)
+    context.placed = carried_out(context.hosts, plan_group(context.model, context.group))
+
+
+@when("a first placement is searched for")
+def search_placement(context):
+    context.calls = calls_of(lambda: plan_group(context.model, context.group))
+
+
+@when("the paths of the domain are worked out")
+def work_out_paths(context):
+    context.calls = calls_of(lambda: PathSet(context.model, context.placed).inside("x"))
+
+
+@when("streams that begin and pass are told apart")
+def tell_passing(context):
+    paths = PathSet(context.model, context.placed).inside("x")
+    context.calls = calls_of(lambda: begun_at(paths, lambda name: 20.0))
+
+
+@then("it takes at most {most:d} calls of functions")
+def calls_at_most(context, most):
+    assert 0 < context.calls <= most, context.calls
