The log tells whether an interruption cut a write to the caller

Cause: three hypotheses of an unreadable answer looked alike in the log: it said that a try was interrupted, not whether its answer had begun, nor whether a write to the caller was under way; blocks without an id and surplus bytes on kept connections left no trace at all. Ruled out: nothing yet; this is sight, no change of what is done. Change: try-interrupted (why, begun, torn, last event); counters event.without-id and connection.unsound. Conclusion: 'begun' without a last event tells the first hypothesis, an event without an id the second, an unsound connection the third.

--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -248,6 +248,16 @@
         if stream.interruption is not Interruption.BETTER_ELSEWHERE:
             self._avoid.add(stream.path.parts[0].instance)
         self._context.count(f"retry.{RetryReason.STAGE_STALLED}")
+        exchange = self._admitted.exchange
+        self._context.log(
+            "try-interrupted",
+            request=self._admitted.caller.request_id,
+            instance=stream.path.parts[0].instance,
+            why=str(stream.interruption),
+            begun=exchange.started,
+            torn=exchange.torn,
+            last_event=self._last_event,
+        )
         return _Broken(str(stream.interruption))
 
     def _on_failure(self, stream: ActiveStream, failure: ConnectionLostError) -> _End:
@@ -330,6 +340,7 @@
     def _is_next(self, event: Event) -> bool:
         """Return whether the caller lacks an event; one too far ahead breaks the stream off."""
         if event.id is None:
+            self._context.count("event.without-id")
             return True
         last = self._last_event
         if last is not None and event.id <= last:
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -229,6 +229,7 @@
             if connection.sound(longest_idle):
                 self._count("connection.reused")
                 return connection
+            self._count("connection.unsound")
             connection.abort()
         self._count("connection.opened")
         return UpstreamConnection(address, await self._dial(address))
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -107,6 +107,11 @@
         """Whether the head of an answer was sent."""
         return self._started
 
+    @property
+    def torn(self) -> bool:
+        """Whether the writing of a part of the answer began and did not end."""
+        return self._connection.torn
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body follows; chunked where no length is given."""
         self._started = True
@@ -175,6 +180,12 @@
         self._limits = limits
         self._closing = closing
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=READ_BYTES * 4)
+        self._torn = False
+
+    @property
+    def torn(self) -> bool:
+        """Whether a write began and did not end: nobody knows how much of it left."""
+        return self._torn
 
     async def run(self) -> None:
         while True:
@@ -267,7 +278,12 @@
     async def send(self, event: h11.Event) -> None:
         data = self._h11.send(event)
         if data:
-            await self._stream.send_all(data)
+            await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        self._torn = True
+        await self._stream.send_all(data)
+        self._torn = False
 
     def _head(self, status: int, headers: Headers) -> h11.Response:
         if self._closing():
@@ -281,7 +297,7 @@
         data = self._h11.send(self._head(status, headers)) or b""
         data += self._h11.send(h11.Data(data=body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
-        await self._stream.send_all(data)
+        await self._write(data)
 
     async def _refuse(self, status: int) -> None:
         """Answer a request that could not be read, and close."""
