--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -312,9 +312,16 @@
         return ""
 
     async def ask(
-        self, route="stream", name="r1", headers=(), body=b"{}", leave_after=None, key=KEY
+        self,
+        route="stream",
+        name="r1",
+        headers=(),
+        body=b"{}",
+        leave_after=None,
+        key=KEY,
+        dial=None,
     ):
-        """Send one request; return what came."""
+        """Send one request; return what came. `dial` opens another connection than the usual."""
         got = Got()
         every = {
             b"host": b"h.example",
@@ -325,7 +332,9 @@
             **{each.lower().encode(): value.encode() for each, value in headers},
         }
         started = last = trio.current_time()
-        connection = await ConnectionPool(lambda what: None, self.network.dial).acquire(GATEWAY)
+        connection = await ConnectionPool(lambda what: None, dial or self.network.dial).acquire(
+            GATEWAY
+        )
         with trio.move_on_after(leave_after if leave_after is not None else 1000):
             try:
                 target = f"/{route}/a%2Fb?q=%41".encode()
--- a/features/steps/torn_write_steps.py
+++ b/features/steps/torn_write_steps.py
@@ -17,7 +17,7 @@
 from behave import given, then, when
 from connection_world import BOUNDS, read_until_end, virtually
 from gateway_story import expected_events, two_chains
-from gateway_world import Got
+from gateway_world import EVENT_SECONDS, Got
 
 from deckcourse.gateway.active_stream import Interruption
 from deckcourse.http1.server import serve_connection
@@ -63,6 +63,18 @@
     return b"0\r\n\r\n" if number is None else f"id: {number}\n".encode()
 
 
+def watch_streams(site, streams):
+    """Add to `streams` each one that the gateway watches from now on."""
+    monitor = site.node.gateway.context.monitor
+    add = monitor.add
+
+    def add_and_keep(stream):
+        streams.add(stream)
+        add(stream)
+
+    monitor.add = add_and_keep
+
+
 def ask_with_interruption(site, what):
     """Play one stream whose first upstream brings `what` as the stream is taken from it."""
     met, streams = [], set()
@@ -72,14 +84,7 @@
         return MeetingTransport(transport, sought_bytes(site, what), streams, met)
 
     async def story(site):
-        monitor = site.node.gateway.context.monitor
-        add = monitor.add
-
-        def add_and_keep(stream):
-            streams.add(stream)
-            add(stream)
-
-        monitor.add = add_and_keep
+        watch_streams(site, streams)
         site.got = await site.ask()
 
     site.dial = dial
@@ -125,14 +130,22 @@
 
     def __init__(self, inner):
         self._inner = inner
+        self._may_go_on = trio.Event()
+        self.stuck = False
+
+    def go_on(self):
+        """Take whole writes again, beginning with the one that is held up."""
         self.stuck = False
+        self._may_go_on.set()
 
     async def send_all(self, data):
         if not self.stuck:
             await self._inner.send_all(data)
             return
-        await self._inner.send_all(data[: len(data) // 2])
-        await trio.sleep_forever()
+        half = len(data) // 2
+        await self._inner.send_all(data[:half])
+        await self._may_go_on.wait()
+        await self._inner.send_all(data[half:])
 
     async def receive_some(self, max_bytes=None):
         return await self._inner.receive_some(max_bytes)
@@ -147,6 +160,22 @@
         await self._inner.aclose()
 
 
+class NearEnd:
+    """The caller's side of a connection in memory."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.receive_some = stream.receive_some
+        self.send_all = stream.send_all
+
+    def readable(self):
+        return False
+
+    def close(self):
+        self._stream.send_stream.close()
+        self._stream.receive_stream.close()
+
+
 async def write(exchange, part):
     """Write one part of an answer, as `WIRE` has it."""
     if part == "the head":
@@ -230,3 +259,33 @@
     for part, data in context.reads.items():
         statuses = [each[:3] for each in data.split(b"HTTP/1.1 ")[1:]]
         assert statuses == [b"504", b"504"], (part, data)
+
+
+@when("a stream is taken from its upstream while its caller takes half of an event and then pauses")
+def taken_while_held_up(context):
+    near, inner = trio.testing.memory_stream_pair()
+    far = HalfWay(inner)
+
+    async def story(site):
+        streams = set()
+        watch_streams(site, streams)
+
+        async def disturb():
+            await trio.sleep(3.5 * EVENT_SECONDS)
+            far.stuck = True
+            await trio.sleep(EVENT_SECONDS)
+            assert all(each.interrupt(Interruption.FIRST_SILENT) for each in streams)
+            await trio.sleep(EVENT_SECONDS)
+            far.go_on()
+
+        async def dial(address):
+            return NearEnd(near)
+
+        async with trio.open_nursery() as nursery:
+            gateway = site.node.gateway
+            nursery.start_soon(serve_connection, far, gateway.handle, lambda: BOUNDS, lambda: False)
+            nursery.start_soon(disturb)
+            context.got = await site.ask(dial=dial)
+
+    context.site.play(story)
+    assert [kind for kind, _ in context.site.lines if kind == "try-interrupted"]
--- a/features/torn_writes.feature
+++ b/features/torn_writes.feature
@@ -26,3 +26,8 @@
       | the head        |
       | a whole answer  |
     Then each time the caller reads 504 for both its requests
+
+  Scenario: A caller that holds a write up loses nothing when its stream is taken from its upstream
+    Given two chains of runners
+    When a stream is taken from its upstream while its caller takes half of an event and then pauses
+    Then the caller got every event once
