An interruption ends the wait for an upstream and no write to a caller

Cause: a try ran whole in the scope that an interruption cancels, the writing of its events to the caller included, and an answer's state moved on before its bytes left. Cancelled in that tick, the head counted as sent and never left; the next upstream's first event went out as a chunk without a head. Its class: a cancellation meant for one side of a proxied stream reaches a write on the other side, whose state then no longer says what was written. Ruled out as needed for it: bytes of another upstream, a late second answer; both are looked at for themselves. Change: only the waits for an upstream can be interrupted (connecting, the head, the body). A write to a caller is cancelled before its first byte, with no effect, or it tears the connection: nothing more is written there and it closes, also behind a deadline that cut the end of an answer, where the next answer on the kept connection followed an open one.

--- a/deckcourse/gateway/active_stream.py
+++ b/deckcourse/gateway/active_stream.py
@@ -4,7 +4,8 @@
 between events.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -13,7 +14,7 @@
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.paths import LayerPath
 
-__all__ = ["ActiveStream", "Interruption"]
+__all__ = ["ActiveStream", "Interruption", "StreamInterruptedError"]
 
 # A stream is asked about after so many times its own usual gap, within these parts of the longest
 # pause that its route allows. Where the route says nothing that pause counts as this long, seconds.
@@ -39,6 +40,10 @@
     BETTER_ELSEWHERE = "better-elsewhere"
 
 
+class StreamInterruptedError(Exception):
+    """The stream was taken from its upstream; `ActiveStream.interruption` says why."""
+
+
 @dataclass(eq=False)
 class ActiveStream:
     """One stream on its way.
@@ -63,7 +68,38 @@
     next_move_at: float = 0.0
     take_retry: Callable[[], bool] = lambda: False
     interruption: Interruption | None = None
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    _upstream_wait: trio.CancelScope | None = field(default=None, init=False)
+
+    @property
+    def stands_at(self) -> float:
+        """From when on it counts as standing still if nothing comes, on trio's clock."""
+        limit = FIRST_GAP_SECONDS
+        if self.begun:
+            pause = self.longest_pause or USUAL_PAUSE_SECONDS
+            limit = max(SHORTEST_PART * pause, USUAL_GAPS * self.usual_gap)
+            limit = min(limit, LONGEST_PART * pause)
+        return self.progress_at + limit
+
+    @contextmanager
+    def interruptible(self) -> Iterator[None]:
+        """Wait for the upstream inside; whatever goes to the caller is written outside.
+
+        An interruption takes the stream from its upstream and from nothing else: where it also met
+        the writing to the caller, a head was taken for sent that never left.
+
+        Raises:
+          StreamInterruptedError: the stream was taken from its upstream, now or earlier.
+        """
+        with trio.CancelScope() as scope:
+            self._upstream_wait = scope
+            if self.interruption is not None:
+                scope.cancel()
+            try:
+                yield
+            finally:
+                self._upstream_wait = None
+        if scope.cancelled_caught:
+            raise StreamInterruptedError
 
     def note_event(self, now: float) -> None:
         """Note that events came."""
@@ -81,20 +117,11 @@
         """
         if self.interruption is None and self.take_retry():
             self.interruption = why
-            self.scope.cancel()
+            if self._upstream_wait is not None:
+                self._upstream_wait.cancel()
             return True
         return False
 
-    @property
-    def stands_at(self) -> float:
-        """From when on it counts as standing still if nothing comes, on trio's clock."""
-        limit = FIRST_GAP_SECONDS
-        if self.begun:
-            pause = self.longest_pause or USUAL_PAUSE_SECONDS
-            limit = max(SHORTEST_PART * pause, USUAL_GAPS * self.usual_gap)
-            limit = min(limit, LONGEST_PART * pause)
-        return self.progress_at + limit
-
     def stands(self, now: float) -> bool:
         """Return whether it brings nothing for longer than usual."""
         return self.waiting and not self.moving and now > self.stands_at
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -9,7 +9,11 @@
 
 import trio
 
-from deckcourse.gateway.active_stream import ActiveStream, Interruption
+from deckcourse.gateway.active_stream import (
+    ActiveStream,
+    Interruption,
+    StreamInterruptedError,
+)
 from deckcourse.gateway.calls import send_request, within_deadline
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
@@ -226,20 +230,20 @@
             self._admitted.route.gap_objective,
             take_retry=self._take_retry,
         )
-        end: _End | None = None
         context.upstreams.begin(first.instance)
         context.monitor.add(stream)
         try:
-            with stream.scope:
-                async with context.pool.lent(first.address) as connection:
-                    end = await self._exchange(connection, stream)
+            with stream.interruptible():
+                connection = await context.pool.acquire(first.address)
+            with context.pool.lending(connection):
+                end = await self._exchange(connection, stream)
         except ConnectionLostError as failure:
             end = self._on_failure(stream, failure)
+        except StreamInterruptedError:
+            return self._on_interruption(stream)
         finally:
             context.monitor.discard(stream)
             context.upstreams.end(first.instance)
-        if end is None:
-            return self._on_interruption(stream)
         if not isinstance(end, _Refused):
             context.upstreams.note(first.instance, isinstance(end, _Broken))
         return end
@@ -287,14 +291,16 @@
         self._ran.add(dispatch.instance)
         self._choice.watch.note_begun(dispatch.instance)
         try:
-            reply, facts = await send_request(self._context, admitted, connection, dispatch)
+            with stream.interruptible():
+                reply, facts = await send_request(self._context, admitted, connection, dispatch)
         except ConnectionLostError as failure:
             self._runs -= failure.kind is FailureKind.UNSENT
             raise
         if reply.status == OK:
             return await self._relay(reply, stream)
         stream.waiting = False
-        body = await reply.whole_body()
+        with stream.interruptible():
+            body = await reply.whole_body()
         if facts.not_run:
             self._runs -= 1
             self._refusals += 1
@@ -323,7 +329,8 @@
         reader = EventReader()
         while True:
             stream.waiting = True
-            data = await reply.next_data()
+            with stream.interruptible():
+                data = await reply.next_data()
             stream.waiting = False
             if data is None:
                 break
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -1,8 +1,8 @@
 """Connections to upstreams over h11, and the pool that keeps idle ones for the next call."""
 
 from collections import defaultdict
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Protocol
 
 import h11
@@ -248,8 +248,18 @@
           ConnectionLostError: UNSENT, the address can't be reached.
         """
         connection = await self.acquire(address, longest_idle)
-        try:
+        with self.lending(connection):
             yield connection
+
+    @contextmanager
+    def lending(self, connection: UpstreamConnection) -> Iterator[None]:
+        """Take a connection back after one call; it is closed where the call doesn't end by itself.
+
+        Args:
+          connection: from `acquire`.
+        """
+        try:
+            yield
         except BaseException:
             connection.abort()
             raise
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -96,16 +96,20 @@
 
 
 class Exchange:
-    """The answer to one request; a 2xx begins with `start`, everything short is one `whole`."""
+    """The answer to one request; a 2xx begins with `start`, everything short is one `whole`.
+
+    A write that is cancelled before its first byte left has not begun: another answer may still be
+    given. One that is cancelled later tears the connection: each further write raises
+    `trio.BrokenResourceError`, as it does where the caller is gone.
+    """
 
     def __init__(self, connection: "_Connection") -> None:
         self._connection = connection
-        self._started = False
 
     @property
     def started(self) -> bool:
-        """Whether the head of an answer was sent."""
-        return self._started
+        """Whether the head of an answer has left, or a part of it."""
+        return self._connection.answering
 
     @property
     def torn(self) -> bool:
@@ -114,7 +118,6 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body follows; chunked where no length is given."""
-        self._started = True
         await self._connection.send_head(status, headers)
 
     async def send(self, data: bytes) -> None:
@@ -129,7 +132,6 @@
         """Send a whole answer."""
         length = (b"content-length", str(len(body)).encode())
         kept = tuple(each for each in headers if each[0] != b"content-length")
-        self._started = True
         await self._connection.send_whole(status, (*kept, length), body)
 
 
@@ -187,6 +189,11 @@
         """Whether a write began and did not end: nobody knows how much of it left."""
         return self._torn
 
+    @property
+    def answering(self) -> bool:
+        """Whether an answer to the request has begun."""
+        return self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     async def run(self) -> None:
         while True:
             try:
@@ -205,7 +212,7 @@
             nursery.start_soon(self._watch_sender, nursery.cancel_scope)
             await self._handler(request, Exchange(self))
             nursery.cancel_scope.cancel()
-        if self._h11.our_state is not h11.DONE:
+        if self._torn or self._h11.our_state is not h11.DONE:
             raise _SenderGoneError
 
     async def _watch_sender(self, scope: trio.CancelScope) -> None:
@@ -275,12 +282,18 @@
             raise _SenderGoneError
         self._h11.receive_data(data)
 
-    async def send(self, event: h11.Event) -> None:
-        data = self._h11.send(event)
-        if data:
-            await self._write(data)
+    async def send(self, *events: h11.Event) -> None:
+        """Send events in one write.
 
-    async def _write(self, data: bytes) -> None:
+        Raises:
+          trio.BrokenResourceError: the caller is gone, or an earlier write was cut short.
+        """
+        if self._torn:
+            raise trio.BrokenResourceError("an earlier write was cut short")
+        # h11 takes as sent what it hands out. A cancellation comes before that, so that a head that
+        # never left isn't followed by a chunk; one that comes later leaves the connection torn.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        data = b"".join(self._h11.send(each) or b"" for each in events)
         self._torn = True
         await self._stream.send_all(data)
         self._torn = False
@@ -294,10 +307,7 @@
         await self.send(self._head(status, headers))
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
-        data = self._h11.send(self._head(status, headers)) or b""
-        data += self._h11.send(h11.Data(data=body)) or b""
-        data += self._h11.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+        await self.send(self._head(status, headers), h11.Data(data=body), h11.EndOfMessage())
 
     async def _refuse(self, status: int) -> None:
         """Answer a request that could not be read, and close."""
@@ -305,5 +315,5 @@
             return
         headers = ((b"content-length", b"0"), (b"connection", b"close"))
         with trio.move_on_after(LAST_ANSWER_SECONDS):
-            await self.send(h11.Response(status_code=status, headers=list(headers)))
-            await self.send(h11.EndOfMessage())
+            head = h11.Response(status_code=status, headers=list(headers))
+            await self.send(head, h11.EndOfMessage())
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -4,6 +4,7 @@
 
 import deckcourse.gateway.path_choice as path_choice_module
 import deckcourse.gateway.stream as stream_module
+import deckcourse.http1.server as server_module
 import deckcourse.layers.cuts as cuts_module
 import deckcourse.layers.healer as healer_module
 import deckcourse.layers.path_set as path_set_module
@@ -167,14 +168,29 @@
 
 
 def taken_without_retry():
+    kept = ActiveStream.interrupt
+
     def interrupt(self, why):
-        self.interruption = why
-        self.scope.cancel()
-        return True
+        self.take_retry = lambda: True
+        return kept(self, why)
 
     ActiveStream.interrupt = interrupt
 
 
+def interruptions_reach_the_caller():
+    kept = StreamCall._pass_on
+
+    async def pass_on(self, reply, stream, events):
+        with stream.interruptible():
+            await kept(self, reply, stream, events)
+
+    StreamCall._pass_on = pass_on
+
+
+def torn_connections_go_on():
+    server_module._Connection._torn = property(lambda self: False, lambda self, value: None)
+
+
 def suspicions_never_end():
     async def nothing(self, upstream):
         return None
@@ -236,6 +252,7 @@
 GATEWAY = ("gateway",)
 LAYERS = ("layers",)
 HTTP = ("http1",)
+WRITES = ("torn_writes",)
 EVERY = {
     half_events_go_on: ("only whole events go on", GATEWAY),
     no_resume_position: ("a stream is resumed behind its last event", GATEWAY),
@@ -264,6 +281,8 @@
     refusals_are_forgotten: ("who goes on refusing is asked less often", GATEWAY),
     memory_has_no_places: ("the tightest part of a path decides what is refused", GATEWAY),
     taken_without_retry: ("a stream is taken only with a retry in hand", GATEWAY),
+    interruptions_reach_the_caller: ("an interruption ends no write to the caller", WRITES),
+    torn_connections_go_on: ("nothing follows a write that was cut short", WRITES),
     suspicions_never_end: ("a suspicion ends with an answer", GATEWAY),
     broken_streams_do_not_wait: ("a stream that ran looks for a place", GATEWAY),
     orders_are_given_once: ("an order without an answer is given again", LAYERS),
