Tests, red: answers that come a second time, and late

Cause looked for: an upstream may send an answer again on a kept connection, in the place where the next one is due. A stand-in sends copies before the next request, as it is sent, and 5 to 30 ms later.

Seen red: a refusal's copy is taken for the answer to the next try of the same request on the same connection, so that a request that must run once ran twice (also one that may be resumed); two callers with the same id get each other's answer; a caller without an id gets a report; control calls believe answers to other calls in each of the 22 rows; the beginning of a surplus head in front of an answer gives that answer its status, so that a call that must run once ran twice after a 421 that its upstream never gave it.

Green from the start, and kept as tests of what holds: callers' requests with ids of their own never get another's answer, in whole or in part; bytes that are no head end the call as one that may have run, and it is repeated only where its route says so; informational answers are passed over, also late ones with an equal id; control calls share connections.

--- /dev/null
+++ b/features/late_answers.feature
@@ -0,0 +1,111 @@
+Feature: An answer that comes a second time, and late, is taken for no other call's
+
+  Scenario: A caller gets its own answer or none, whatever came late before it
+    When two callers follow one another on a kept connection and the first one's answer comes again
+      | first   | second  | when                        |
+      | stream  | stream  | before the next request     |
+      | stream  | stream  | with the next request       |
+      | stream  | stream  | 5 ms after the next request |
+      | stream  | stream  | 30 ms after the next request |
+      | stream  | fragile | with the next request       |
+      | stream  | fragile | 30 ms after the next request |
+      | fragile | stream  | with the next request       |
+      | once    | once    | before the next request     |
+      | once    | once    | with the next request       |
+      | once    | once    | 20 ms after the next request |
+      | once    | again   | with the next request       |
+      | once    | again   | 20 ms after the next request |
+      | again   | once    | 20 ms after the next request |
+      | again   | again   | 20 ms after the next request |
+    Then each time the second caller got its own whole answer, or was told that it may have run
+    And each time no call that must not run twice ran twice
+
+  Scenario Outline: A request that is tried again never takes an earlier refusal for its answer: <case>
+    Given chains whose first upstream refuses a request once for <culprit> and then runs it
+    When a caller asks for a <route> stream and the refusal comes again <when>
+    Then the caller got every event once
+    And the request ran once, at <where>
+
+    Examples:
+      | case                      | culprit  | route   | when                        | where |
+      | noticed before it is sent | its next | fragile | before the next request     | x1    |
+      | at the same upstream      | its next | fragile | with the next request       | x1    |
+      | and may be resumed        | its next | stream  | with the next request       | x1    |
+      | at another upstream       | itself   | fragile | with the next request       | y1    |
+
+  Scenario: Two callers whose requests have the same id never get each other's answer
+    When two callers with the same id call one after the other and the first answer comes again
+      | when                         |
+      | before the next request      |
+      | with the next request        |
+      | 20 ms after the next request |
+    Then each time the second caller got the answer to its own body
+
+  Scenario: A caller without an id never gets what an upstream told the gateway
+    When the gateway asks for a report that comes again with the next request of a caller
+      | ids |
+      | yes |
+      | no  |
+    Then each time the caller without an id got its own answer, or was told that it may have run
+
+  Scenario: A control call believes no answer to another call
+    When an upstream's answer to one call comes again in the place of the next one's
+      | ids | first          | next        | believed                   |
+      | yes | order taken    | order       | conflict, unanswered       |
+      | yes | order held     | order       | conflict, unanswered       |
+      | yes | order held     | report      | 7 orders, unanswered       |
+      | yes | report         | report      | 7 orders, unanswered       |
+      | yes | report         | order       | conflict, unanswered       |
+      | yes | report         | move        | unknown-request, unanswered |
+      | yes | order taken    | move        | unknown-request, unanswered |
+      | yes | order taken    | pulse       | alive at pace 3            |
+      | yes | report         | pulse       | alive at pace 3            |
+      | no  | order taken    | order       | conflict, unanswered       |
+      | no  | order held     | order       | conflict, unanswered       |
+      | no  | order held     | report      | 7 orders, unanswered       |
+      | no  | report         | order       | conflict, unanswered       |
+      | no  | report         | move        | unknown-request, unanswered |
+      | no  | order taken    | move        | unknown-request, unanswered |
+      | no  | order taken    | pulse       | alive at pace 3            |
+      | no  | caller's call  | order       | conflict, unanswered       |
+      | no  | caller's call  | report      | 7 orders, unanswered       |
+      | no  | caller's call  | move        | unknown-request, unanswered |
+      | no  | caller's call  | pulse       | alive at pace 3            |
+      | no  | nameless call  | order       | conflict, unanswered       |
+      | no  | nameless call  | report      | 7 orders, unanswered       |
+    Then each time what is believed is true, or that there was no answer
+
+  Scenario: Control calls go on sharing connections
+    Then this many connections are opened for calls one after the other
+      | ids | calls                                      | opened |
+      | yes | report, report, report, report             | 1      |
+      | yes | order, report, order, report, order        | 1      |
+      | yes | report, caller's call, move, caller's call | 1      |
+      | no  | report, report, report, report             | 1      |
+      | no  | report, caller's call, report              | 1      |
+
+  Scenario: What comes late and is no answer ends the call that meets it, as one that may have run
+    When a call meets on a kept connection
+      | late                          | route   |
+      | bytes that are no head        | once    |
+      | bytes that are no head        | again   |
+      | bytes that are no head        | stream  |
+      | bytes that are no head        | fragile |
+      | an empty line                 | once    |
+      | an empty line                 | again   |
+      | a head that breaks off        | once    |
+      | a head that breaks off        | again   |
+      | a switch of protocols         | once    |
+      | a switch of protocols         | again   |
+    Then each time it was repeated if it may be, else told that it may have run
+
+  Scenario: Informational answers are passed over, late ones with an equal id too
+    When a call meets on a kept connection
+      | late                          | route   |
+      | an informational answer       | once    |
+      | an informational answer       | stream  |
+      | one with the call's own id    | once    |
+      | one with the call's own id    | again   |
+      | one with the call's own id    | stream  |
+      | one with the call's own id    | fragile |
+    Then each time it was served in one run
--- /dev/null
+++ b/features/steps/late_answer_steps.py
@@ -0,0 +1,409 @@
+"""Steps about answers that come a second time, and late.
+
+A faulty upstream may send an answer again on a kept connection, some milliseconds later. A
+connection is looked at when it is lent; what comes after that stands where the next answer is due.
+A request that must run once was refused by its first upstream for the sake of the one behind, went
+there again by another path on the same connection, and took the copy of the refusal for its answer
+while the upstream ran it. It was sent a third time, and two runs were recorded:
+
+    r1 x1 path x1:1=0-4,x3:1=4-8 answered
+    r1 x1 path x1:1=0-4,x3:1=4-8 answered
+
+Control calls carried no id at all, and took what came: the copy of a report's 200 as "held" for an
+order that was answered 409, the copy of an order's 200 as a report of no orders. A caller that sent
+no id got the copy of a report, {"sequence": 0, "running": 0, ...}, as its answer.
+"""
+
+import json
+import re
+from types import SimpleNamespace
+
+import trio
+from behave import given, then, when
+from connection_world import virtually
+from gateway_story import expected_events, two_chains
+from gateway_world import LAYERS, GatewayWorld
+from stutter import AT_ONCE, Stutter, copy_of, is_callers, once, stuttering
+
+from deckcourse.counters import MemoryCounters
+from deckcourse.gateway.calls import send_request
+from deckcourse.gateway.desired import CallerBounds
+from deckcourse.gateway.dialect import Dispatch
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.http1.memory import MemoryNetwork
+from deckcourse.http1.message import header_value
+from deckcourse.http1.server import IncomingRequest
+from deckcourse.layers.hosts import Assignment
+from deckcourse.layers.paths import LayerPath, PathPart
+from deckcourse.platform.dialect import PlatformDialect
+from deckcourse.platform.runners import RunnerControl
+
+MAY_HAVE_RUN = 502
+REPEATABLE = ("stream", "again")
+STREAMING = ("stream", "fragile")
+# A call that the surplus meets begins so long after the one before, seconds.
+REST_SECONDS = 0.01
+ANSWER_SECONDS = 0.01
+ADDRESS = "u:1"
+
+
+def seconds_of(when):
+    """Return how long after the next request something comes."""
+    if when == "before the next request":
+        return AT_ONCE
+    found = re.fullmatch(r"(\d+) ms after the next request", when)
+    return int(found[1]) / 1000 if found else 0.0
+
+
+def site_with(stutter, site, names):
+    """Let the connections of the gateway to some runners stutter."""
+    addresses = {site.runners[name].address for name in names}
+
+    async def dial(address):
+        return await stuttering(site.network.dial, stutter, addresses)(address)
+
+    site.dial = dial
+
+
+def play_two(context, stutter, first, second, names=("r1", "r2"), bodies=(b"{}", b"{}")):
+    """Play two calls, one after the other; return what the second caller got."""
+    two_chains(context)
+    site = context.site
+    for name in ("p1", "p2"):
+        site.add(name, "crm")
+    site_with(stutter, site, ("x1", "p1"))
+
+    async def story(site):
+        await site.ask(first, names[0], body=bodies[0])
+        await trio.sleep(REST_SECONDS)
+        site.got = await site.ask(second, names[1], body=bodies[1])
+
+    site.play(story)
+    return site
+
+
+def is_own(site, route, name):
+    got = site.got
+    if route in STREAMING:
+        return got.body == expected_events(site, name, site.events)
+    return got.body == f"answer to {name}".encode()
+
+
+@when("two callers follow one another on a kept connection and the first one's answer comes again")
+def two_follow(context):
+    context.plays = []
+    for row in context.table:
+        stutter = Stutter(once(copy_of), seconds_of(row["when"]), is_callers)
+        site = play_two(context, stutter, row["first"], row["second"])
+        # What came before the next request is noticed when the connection is lent.
+        noticed = site.counters.counts.get("connection.unsound", 0)
+        assert (noticed, stutter.late) in ((0, 1), (1, 0)), (row, site.counters.counts)
+        context.plays.append((row["second"], site))
+
+
+@then("each time the second caller got its own whole answer, or was told that it may have run")
+def own_or_may_have_run(context):
+    for route, site in context.plays:
+        got = site.got
+        if got.status == 200 and got.whole:
+            assert is_own(site, route, "r2"), (route, got)
+            assert site.header(got, "x-response-seal") == "seal-r2", (route, got)
+        elif got.status == 200:
+            whole = expected_events(site, "r2", site.events)
+            assert route == "fragile" and whole.startswith(got.body), (route, got)
+        else:
+            assert route not in REPEATABLE and got.status == MAY_HAVE_RUN, (route, got)
+
+
+@then("each time no call that must not run twice ran twice")
+def none_twice(context):
+    for route, site in context.plays:
+        runs = [each for each in site.runs if each.request == "r2"]
+        assert len(runs) == 1 or (route in REPEATABLE and len(runs) == 2), (route, site.runs)
+
+
+def refusing_once(runner, at_fault):
+    """Let a runner turn the first request down, as one that its path can't take."""
+    kept, refused = runner.run, []
+
+    async def run(request, exchange):
+        if refused:
+            await kept(request, exchange)
+            return
+        refused.append(request)
+        path = header_value(request.headers, b"path").decode().split(",")
+        at = path[at_fault].partition("=")[0].encode()
+        name = header_value(request.headers, b"x-request-id")
+        head = ((b"x-request-id", name), (b"x-not-executed", b"1"), (b"at-server", at))
+        await exchange.whole(503, head, b"")
+
+    runner.run = run
+    return refused
+
+
+@given("chains whose first upstream refuses a request once for {part} and then runs it")
+def refuses_once(context, part):
+    two_chains(context)
+    site = context.site
+    site.add("x3", "llm", "x", 4, LAYERS)
+    if part == "its next":
+        del site.runners["y1"], site.runners["y2"]
+    context.refused = refusing_once(site.runners["x1"], ("itself", "its next").index(part))
+
+
+@when("a caller asks for a {route} stream and the refusal comes again {when}")
+def refusal_again(context, route, when):
+    stutter = Stutter(once(copy_of), seconds_of(when), is_callers)
+    site_with(stutter, context.site, ("x1",))
+
+    async def story(site):
+        context.got = await site.ask(route)
+
+    context.site.play(story)
+    assert context.refused, "the first upstream was not asked"
+
+
+@then("the request ran once, at {name}")
+def ran_once(context, name):
+    assert [each.instance for each in context.site.runs] == [name], context.site.runs
+
+
+async def answer_to_body(run, exchange, answer):
+    await trio.sleep(0.05)
+    await exchange.whole(200, answer, b"answer to " + run.body)
+
+
+@when("two callers with the same id call one after the other and the first answer comes again")
+def same_id(context):
+    context.plays = []
+    for row in context.table:
+        stutter = Stutter(once(copy_of), seconds_of(row["when"]))
+        site = GatewayWorld()
+        runner = site.add("p1", "crm")
+        runner.answer = answer_to_body
+        site_with(stutter, site, ("p1",))
+
+        async def story(site):
+            for body in (b"first", b"second"):
+                site.got = await site.ask("once", "r1", body=body)
+                await trio.sleep(REST_SECONDS)
+
+        site.play(story)
+        context.plays.append((row["when"], site.got))
+
+
+@then("each time the second caller got the answer to its own body")
+def own_body(context):
+    for when_, got in context.plays:
+        assert (got.status, got.body) == (200, b"answer to second"), (when_, got)
+
+
+def with_ids(handle):
+    """Return a handler that gives the id of every call back, of a control call too."""
+
+    async def handler(request, exchange):
+        name = header_value(request.headers, b"x-request-id")
+        kept = exchange.whole
+
+        async def whole(status, headers, body):
+            if name and not header_value(headers, b"x-request-id"):
+                headers = (*headers, (b"x-request-id", name))
+            await kept(status, headers, body)
+
+        exchange.whole = whole
+        await handle(request, exchange)
+
+    return handler
+
+
+@when("the gateway asks for a report that comes again with the next request of a caller")
+def report_before_nameless(context):
+    context.plays = []
+    for row in context.table:
+        site = GatewayWorld()
+        runner = site.add("p1", "crm")
+        if row["ids"] == "yes":
+            runner.handle = with_ids(runner.handle)
+        site_with(Stutter(once(copy_of), 0.0), site, ("p1",))
+
+        async def story(site):
+            upstream = site.node.gateway.context.upstreams.get("p1")
+            await RunnerControl(site.pool).load(upstream)
+            site.got = await site.ask("once", "")
+
+        site.play(story)
+        context.plays.append((row["ids"], site.got))
+
+
+@then("each time the caller without an id got its own answer, or was told that it may have run")
+def nameless_own(context):
+    for ids, got in context.plays:
+        assert got.status == MAY_HAVE_RUN or got.body == b"answer to ", (ids, got)
+
+
+class ControlledRunner:
+    """A runner that takes an order at first and none later, and whose report changes meanwhile."""
+
+    def __init__(self):
+        self.order_status = 409
+        self.sequence, self.pace = 7, 3.0
+
+    async def handle(self, request, exchange):
+        await trio.sleep(ANSWER_SECONDS)
+        known = {"sequence": self.sequence, "running": 1, "queued": 0, "pace": self.pace}
+        report = json.dumps(known).encode()
+        if request.target == b"/v1/report":
+            await exchange.whole(200, (), report)
+        elif request.target == b"/v1/order":
+            moved = json.loads(request.body)["op"] == "repath"
+            await exchange.whole(404 if moved else self.order_status, (), b"{}")
+        else:
+            # A call may answer what looks like a report.
+            name = header_value(request.headers, b"x-request-id")
+            await exchange.whole(200, ((b"x-request-id", name),) if name else (), report)
+
+
+class ControlWorld:
+    """A runner, and the control calls that are made to it on kept connections."""
+
+    def __init__(self, ids, stutter):
+        self.runner = ControlledRunner()
+        self.handle = with_ids(self.runner.handle) if ids == "yes" else self.runner.handle
+        self.stutter = stutter
+        self.counters = MemoryCounters()
+        self.upstream = SimpleNamespace(address=ADDRESS, instance="u")
+
+    def play(self, story):
+        """Run a story; it gets this world."""
+
+        async def work():
+            async with trio.open_nursery() as nursery:
+                network = MemoryNetwork(nursery, CallerBounds)
+                network.listen(ADDRESS, self.handle)
+                dial = stuttering(network.dial, self.stutter, (ADDRESS,))
+                self.pool = ConnectionPool(self.counters.count, dial)
+                self.control = RunnerControl(self.pool)
+                got = await story(self)
+                nursery.cancel_scope.cancel()
+                return got
+
+        return virtually(work)
+
+    async def call(self, what):
+        """Make one call; return what is believed after it."""
+        if what == "order":
+            result = await self.control.place(self.upstream, Assignment("u", 0, 4, ""), 0)
+            return str(result)
+        if what == "report":
+            count = await self.control.order_count(self.upstream)
+            return "unanswered" if count is None else f"{count} orders"
+        if what == "move":
+            path = LayerPath((PathPart("u", ADDRESS, 0, LAYERS),), "x", 0, 1.0)
+            result, _ = await self.control.move(self.upstream, "r1", path)
+            return str(result)
+        if what == "pulse":
+            reading = await self.control.pulse(self.upstream, 1.0)
+            return f"{reading.pulse} at pace {reading.pace:g}"
+        await self._request("c1" if what == "caller's call" else "")
+        return ""
+
+    async def _request(self, name):
+        """Send a caller's request as the gateway does."""
+        dialect = PlatformDialect()
+        headers = ((b"host", b"h"), *(((b"x-request-id", name.encode()),) if name else ()))
+        caller = dialect.read(IncomingRequest(b"POST", b"/a", headers, b"{}"))
+        async with self.pool.lent(ADDRESS) as connection:
+            reply, _ = await send_request(
+                SimpleNamespace(dialect=dialect),
+                SimpleNamespace(caller=caller),
+                connection,
+                Dispatch("u", 1.0),
+            )
+            await reply.whole_body()
+
+
+FIRST = {"order taken": "order", "order held": "order"}
+
+
+@when("an upstream's answer to one call comes again in the place of the next one's")
+def control_again(context):
+    context.plays = []
+    for row in context.table:
+        world = ControlWorld(row["ids"], Stutter(once(copy_of), 0.0))
+
+        async def story(world, row=row):
+            first = row["first"]
+            runner = world.runner
+            runner.sequence, runner.pace = 5, 1.0
+            runner.order_status = 200 if first == "order held" else 202
+            await world.call(FIRST.get(first, first))
+            runner.sequence, runner.pace, runner.order_status = 7, 3.0, 409
+            return await world.call(row["next"])
+
+        believed = world.play(story)
+        context.plays.append((row.cells, believed, row["believed"].split(", ")))
+
+
+@then("each time what is believed is true, or that there was no answer")
+def believed(context):
+    wrong = [(cells, got) for cells, got, allowed in context.plays if got not in allowed]
+    assert not wrong, wrong
+
+
+@then("this many connections are opened for calls one after the other")
+def opened(context):
+    wrong = []
+    for row in context.table:
+        world = ControlWorld(row["ids"], Stutter(lambda answer: b""))
+
+        async def story(world, row=row):
+            for each in row["calls"].split(", "):
+                await world.call(each)
+
+        world.play(story)
+        got = world.counters.counts["connection.opened"]
+        if got != int(row["opened"]):
+            wrong.append((row.cells, got))
+    assert not wrong, wrong
+
+
+LATE = {
+    "bytes that are no head": b"12345 what\r\n\r\n",
+    "an empty line": b"\r\n",
+    "a head that breaks off": b"HTTP/1.1 421 Misdirected Request\r\nserver: a",
+    "a switch of protocols": b"HTTP/1.1 101 Switching Protocols\r\nupgrade: a\r\n\r\n",
+    "an informational answer": b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n",
+    "one with the call's own id": b"HTTP/1.1 103 Early Hints\r\nx-request-id: r2\r\n\r\n",
+}
+
+
+@when("a call meets on a kept connection")
+def call_meets(context):
+    context.plays = []
+    for row in context.table:
+        route = row["route"]
+        stutter = Stutter(once(lambda answer, late=LATE[row["late"]]: late), 0.0, is_callers)
+        first = "stream" if route in STREAMING else "again"
+        site = play_two(context, stutter, first, route)
+        assert stutter.late == 1, (row, site.counters.counts)
+        context.plays.append((row["late"], route, site))
+
+
+@then("each time it was repeated if it may be, else told that it may have run")
+def repeated_or_told(context):
+    for late, route, site in context.plays:
+        runs = [each.instance for each in site.runs if each.request == "r2"]
+        if route in REPEATABLE:
+            assert site.got.status == 200 and is_own(site, route, "r2"), (late, route, site.got)
+            assert len(runs) == 2, (late, route, runs)
+        else:
+            assert site.got.status == MAY_HAVE_RUN, (late, route, site.got)
+            assert len(runs) == 1, (late, route, runs)
+
+
+@then("each time it was served in one run")
+def served(context):
+    for late, route, site in context.plays:
+        runs = [each.instance for each in site.runs if each.request == "r2"]
+        assert site.got.status == 200 and is_own(site, route, "r2"), (late, route, site.got)
+        assert len(runs) == 1, (late, route, runs)
