A request that is tried again never meets its own earlier answer on a connection

Cause: the pool lends the newest idle connection. A request that its first upstream refuses for the sake of the one behind goes there again by another path, on the connection on which the refusal came. A second copy of the refusal that comes after the lending has the id that is compared, and counts as the promise that the try under way was not run.

Ruled out: closing a connection after each refusal, which costs a new one in the hours in which refusals are many; asking for the id alone, which is the same for both tries.

Change: a connection remembers the ids of its last calls, and a request isn't put on one that had its own; it gets another idle one, else a new one.

Before: two runs of a request that must run once, and the answer to another caller with an equal id.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -39,12 +39,20 @@
 ) -> tuple[UpstreamReply, ReplyFacts]:
     """Send a request to an upstream; return the head of its answer and what that says.
 
+    Args:
+      context: whose dialect is spoken.
+      admitted: the request.
+      connection: one that had no call with the request's id: an upstream may send a refusal a
+        second time, which would else be taken for the answer while it runs the request.
+      dispatch: where it goes, and what the upstream is told of it.
+
     Raises:
       ConnectionLostError: the call failed, or its answer belongs to another request.
     """
     caller = admitted.caller
     message = caller.message
     headers = context.dialect.headers_for(caller, dispatch)
+    connection.note_call(caller.request_id)
     reply = await connection.call(message.method, message.target, headers, message.body)
     facts = context.dialect.facts(reply)
     if facts.request_id != caller.request_id:
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -141,8 +141,9 @@
         context = self._context
         context.upstreams.begin(upstream.instance)
         longest_idle = ANY_AGE_SECONDS if self._admitted.route.repeatable else FRESH_SECONDS
+        request_id = self._admitted.caller.request_id
         try:
-            async with context.pool.lent(upstream.address, longest_idle) as connection:
+            async with context.pool.lent(upstream.address, longest_idle, request_id) as connection:
                 result = await self._exchange(connection, upstream)
         except ConnectionLostError as failure:
             result = self._on_failure(upstream, failure)
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -234,7 +234,7 @@
         context.monitor.add(stream)
         try:
             with stream.interruptible():
-                connection = await context.pool.acquire(first.address)
+                connection = await context.pool.acquire(first.address, unlike=stream.request_id)
             with context.pool.lending(connection):
                 end = await self._exchange(connection, stream)
         except ConnectionLostError as failure:
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -1,6 +1,6 @@
 """Connections to upstreams over h11, and the pool that keeps idle ones for the next call."""
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from typing import Protocol
@@ -25,6 +25,9 @@
 IDLE_SECONDS = 20.0
 # An upstream's own idle time is given in whole seconds; stop this long before it, seconds.
 IDLE_MARGIN_SECONDS = 0.6
+# An upstream may send an answer a second time, in the place where a later one is due on the same
+# connection. One that belongs to a call before the last so many is no longer expected.
+REMEMBERED_CALLS = 8
 # The largest answer that is kept in memory whole, bytes.
 LARGEST_WHOLE = 4 * 1024 * 1024
 
@@ -105,6 +108,15 @@
         self._keep_seconds = IDLE_SECONDS
         self._parked_at = 0.0
         self._idle_deadline = 0.0
+        self._calls: deque[str] = deque(maxlen=REMEMBERED_CALLS)
+
+    def note_call(self, name: str) -> None:
+        """Remember a call by the name that its answer carries, empty where it carries none."""
+        self._calls.append(name)
+
+    def had_call(self, name: str) -> bool:
+        """Return whether one of the last calls had a name: its answer may come here once more."""
+        return name in self._calls
 
     async def call(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
@@ -213,41 +225,55 @@
         self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
         self._count = count
 
-    async def acquire(self, address: str, longest_idle: float = IDLE_SECONDS) -> UpstreamConnection:
+    async def acquire(
+        self, address: str, longest_idle: float = IDLE_SECONDS, unlike: str | None = None
+    ) -> UpstreamConnection:
         """Return a connection to `IP:port`, an idle one if there is a sound one.
 
         Args:
           address: where to.
           longest_idle: an idle connection older than this isn't taken, seconds.
+          unlike: nor is one that had a call of this name of late: a second answer to that call
+            could not be told from the answer to this one.
 
         Raises:
           ConnectionLostError: UNSENT, the address can't be reached.
         """
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.sound(longest_idle):
-                self._count("connection.reused")
-                return connection
-            self._count("connection.unsound")
-            connection.abort()
+        connection = self._take_idle(address, longest_idle, unlike)
+        if connection is not None:
+            self._count("connection.reused")
+            return connection
         self._count("connection.opened")
         return UpstreamConnection(address, await self._dial(address))
 
+    def _take_idle(
+        self, address: str, longest_idle: float, unlike: str | None
+    ) -> UpstreamConnection | None:
+        idle = self._idle.get(address, [])
+        for place in reversed(range(len(idle))):
+            connection = idle[place]
+            if not connection.sound(longest_idle):
+                self._count("connection.unsound")
+                idle.pop(place).abort()
+            elif unlike is None or not connection.had_call(unlike):
+                return idle.pop(place)
+        return None
+
     @asynccontextmanager
     async def lent(
-        self, address: str, longest_idle: float = IDLE_SECONDS
+        self, address: str, longest_idle: float = IDLE_SECONDS, unlike: str | None = None
     ) -> AsyncIterator[UpstreamConnection]:
         """Lend a connection for one call; it is closed where the call doesn't end by itself.
 
         Args:
           address: see `acquire`.
           longest_idle: see `acquire`.
+          unlike: see `acquire`.
 
         Raises:
           ConnectionLostError: UNSENT, the address can't be reached.
         """
-        connection = await self.acquire(address, longest_idle)
+        connection = await self.acquire(address, longest_idle, unlike)
         with self.lending(connection):
             yield connection
 
