Control calls carry an id, and believe no answer to another call

Cause: orders, reports and pulses carried no id and share connections with each other and with callers' requests. Whatever stood on a kept connection first was their answer: a copy of a report was "held" to an order that was answered 409, a copy of an order's answer a report of no orders, and a caller's request without an id got the copy of a report.

Ruled out: connections apart from those of callers, since each new one is priced and orders and reports would still meet each other's copies; closing the connection after each order.

Change: each control call has an id of its own; an answer with another id is none. An answer without an id still counts, as the stand-ins' answers to control calls carry none; then an order goes only on a connection on which no answer without an id came of late. A report must hold what every report holds. A pulse that gets something else asks again, and takes who spoke for alive. The connection of a caller's request without an id is closed after it.

Where answers to control calls carry no id, a report may still be an older one: an order names the count that it rests on, and is refused where that is old.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -6,7 +6,7 @@
 
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
-from deckcourse.http1.client import UpstreamConnection, UpstreamReply
+from deckcourse.http1.client import NAMELESS, UpstreamConnection, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind
 from deckcourse.outcomes import NotRun, Outcome, Unknown
 from deckcourse.reasons import NotRunReason, UnknownReason
@@ -53,6 +53,9 @@
     message = caller.message
     headers = context.dialect.headers_for(caller, dispatch)
     connection.note_call(caller.request_id)
+    if caller.request_id == NAMELESS:
+        # A second answer without an id could be taken for the one to a question of the gateway's.
+        connection.retire()
     reply = await connection.call(message.method, message.target, headers, message.body)
     facts = context.dialect.facts(reply)
     if facts.request_id != caller.request_id:
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -16,7 +16,15 @@
     header_value,
 )
 
-__all__ = ["ConnectionPool", "Dial", "Transport", "UpstreamConnection", "UpstreamReply", "dial_tcp"]
+__all__ = [
+    "NAMELESS",
+    "ConnectionPool",
+    "Dial",
+    "Transport",
+    "UpstreamConnection",
+    "UpstreamReply",
+    "dial_tcp",
+]
 
 # An address in the same region answers within 2 ms; one whose first packet was dropped answers
 # the second after a second, too late for most calls. Seconds.
@@ -28,6 +36,8 @@
 # An upstream may send an answer a second time, in the place where a later one is due on the same
 # connection. One that belongs to a call before the last so many is no longer expected.
 REMEMBERED_CALLS = 8
+# The name of all calls whose answers carry none.
+NAMELESS = ""
 # The largest answer that is kept in memory whole, bytes.
 LARGEST_WHOLE = 4 * 1024 * 1024
 
@@ -111,13 +121,17 @@
         self._calls: deque[str] = deque(maxlen=REMEMBERED_CALLS)
 
     def note_call(self, name: str) -> None:
-        """Remember a call by the name that its answer carries, empty where it carries none."""
+        """Remember a call by the name that its answer carries, or as NAMELESS."""
         self._calls.append(name)
 
     def had_call(self, name: str) -> bool:
         """Return whether one of the last calls had a name: its answer may come here once more."""
         return name in self._calls
 
+    def retire(self) -> None:
+        """Let it be closed after this call."""
+        self._closing = True
+
     async def call(
         self, method: bytes, target: bytes, headers: Headers, body: bytes
     ) -> UpstreamReply:
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -1,6 +1,6 @@
 """Orders to runners and their reports."""
 
-import math
+from secrets import token_hex
 from typing import TypeVar
 
 import msgspec
@@ -9,13 +9,13 @@
 
 from deckcourse.gateway.dialect import LoadReport, MoveResult, Pulse, PulseReading, StallReport
 from deckcourse.gateway.upstreams import Upstream
-from deckcourse.http1.client import ConnectionPool
-from deckcourse.http1.message import ConnectionLostError
+from deckcourse.http1.client import NAMELESS, ConnectionPool
+from deckcourse.http1.message import ConnectionLostError, FailureKind, header_value
 from deckcourse.layers.healer import OrderResult
 from deckcourse.layers.hosts import Assignment
 from deckcourse.layers.paths import LayerPath
 from deckcourse.platform.dialect import path_text
-from deckcourse.platform.names import EXPECTED_INSTANCE, ORDER, REPORT
+from deckcourse.platform.names import EXPECTED_INSTANCE, ORDER, REPORT, REQUEST_ID
 
 __all__ = ["RunnerControl"]
 
@@ -27,6 +27,8 @@
 ORDER_SECONDS = 0.12
 # A wait that ends so much later than it should says that this process was paused, seconds.
 OWN_PAUSE_SECONDS = 0.03
+# Random bytes of a control call's id: no caller's request has the same.
+ID_BYTES = 8
 
 
 class _Waiting(Struct):
@@ -37,11 +39,14 @@
 
 
 class _Report(Struct):
-    """A runner's report; `sequence` counts its orders, `pace` over 1 says how slow it is."""
+    """A runner's report; `sequence` counts its orders, `pace` over 1 says how slow it is.
 
-    sequence: int = 0
-    running: int = 0
-    queued: int = 0
+    What lacks one of the first three is the answer to something else.
+    """
+
+    sequence: int
+    running: int
+    queued: int
     kvUsed: int = 0  # noqa: N815
     kvTotal: int = 0  # noqa: N815
     pace: float = 1.0
@@ -55,7 +60,13 @@
 
 
 class RunnerControl:
-    """Gives orders to runners and reads their reports."""
+    """Gives orders to runners and reads their reports.
+
+    A runner may give an answer twice, the second time late, in the place of the next one on that
+    connection. An answer with the id of another call is therefore none. Where answers to control
+    calls carry no id, an order goes only on connections on which no such answer came of late; a
+    report may then be an older one, which misleads nobody: an order names the count it rests on.
+    """
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
@@ -69,7 +80,7 @@
             "how": "cut" if assignment.at_once else "wait",
             "expectedRev": orders,
         }
-        answer = await self._call(upstream, b"POST", ORDER, body, ORDER_SECONDS)
+        answer = await self._order(upstream, body, ORDER_SECONDS)
         if answer is None:
             return OrderResult.UNANSWERED
         results = {200: OrderResult.HELD, 202: OrderResult.TAKEN, 409: OrderResult.CONFLICT}
@@ -105,28 +116,37 @@
         return reading
 
     async def _pulse_once(self, upstream: Upstream, seconds: float) -> PulseReading:
+        spoke = False
         with trio.move_on_after(seconds):
             # An idle connection may have been closed long ago; a second one tells.
             for _ in range(2):
-                answer = await self._call(upstream, b"GET", REPORT, None, math.inf)
-                if answer is not None:
-                    return PulseReading(Pulse.ALIVE, _decoded(answer[1], _Report).pace)
-            return PulseReading(Pulse.DEAD)
-        return PulseReading(Pulse.SILENT)
+                try:
+                    _, content = await self._exchange(upstream, b"GET", REPORT)
+                except ConnectionLostError as failure:
+                    # One that says something else than was asked is there.
+                    spoke = spoke or failure.kind is FailureKind.MALFORMED
+                    continue
+                report = _decoded(content, _Report)
+                if report is not None:
+                    return PulseReading(Pulse.ALIVE, report.pace)
+                spoke = True
+            return PulseReading(Pulse.ALIVE if spoke else Pulse.DEAD)
+        return PulseReading(Pulse.ALIVE if spoke else Pulse.SILENT)
 
     async def move(
         self, upstream: Upstream, request_id: str, path: LayerPath
     ) -> tuple[MoveResult, str]:
         """Give a running request another path; the address at fault comes with PART_MISSING."""
         body = {"op": "repath", "id": request_id, "path": path_text(path)}
-        answer = await self._call(upstream, b"POST", ORDER, body, REPORT_SECONDS)
+        answer = await self._order(upstream, body, REPORT_SECONDS)
         if answer is None:
             return MoveResult.UNANSWERED, ""
         status, content = answer
         if status in (200, 202):
             return MoveResult.MOVED, ""
         if status == 409:
-            return MoveResult.PART_MISSING, _decoded(content, _Fault).address
+            fault = _decoded(content, _Fault)
+            return MoveResult.PART_MISSING, fault.address if fault is not None else ""
         return MoveResult.UNKNOWN_REQUEST, ""
 
     async def _report(self, upstream: Upstream) -> _Report | None:
@@ -135,30 +155,63 @@
             return None
         return _decoded(answer[1], _Report)
 
+    async def _order(
+        self, upstream: Upstream, value: object, seconds: float
+    ) -> tuple[int, bytes] | None:
+        """Give an order where no answer without an id can be taken for the answer to it."""
+        return await self._call(upstream, b"POST", ORDER, value, seconds, unlike=NAMELESS)
+
     async def _call(
-        self, upstream: Upstream, method: bytes, target: bytes, value: object, seconds: float
+        self,
+        upstream: Upstream,
+        method: bytes,
+        target: bytes,
+        value: object,
+        seconds: float,
+        unlike: str | None = None,
     ) -> tuple[int, bytes] | None:
         """Return an answer's status and body, None where there was none in time."""
+        try:
+            with trio.move_on_after(seconds):
+                return await self._exchange(upstream, method, target, value, unlike)
+        except ConnectionLostError:
+            return None  # The caller counts it: an answer that is missing is a value here.
+        return None
+
+    async def _exchange(
+        self,
+        upstream: Upstream,
+        method: bytes,
+        target: bytes,
+        value: object = None,
+        unlike: str | None = None,
+    ) -> tuple[int, bytes]:
+        """Return an answer's status and body.
+
+        Raises:
+          ConnectionLostError: there was none, or it is another call's.
+        """
         body = b"" if value is None else msgspec.json.encode(value)
+        own_id = token_hex(ID_BYTES)
         headers = [
             (b"host", upstream.address.encode()),
             (EXPECTED_INSTANCE, upstream.instance.encode()),
+            (REQUEST_ID, own_id.encode()),
         ]
         if body:
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(body)).encode()))
-        try:
-            with trio.move_on_after(seconds):
-                async with self._pool.lent(upstream.address) as connection:
-                    reply = await connection.call(method, target, tuple(headers), body)
-                    return reply.status, await reply.whole_body()
-        except ConnectionLostError:
-            return None  # The caller counts it: an answer that is missing is a value here.
-        return None
+        async with self._pool.lent(upstream.address, unlike=unlike) as connection:
+            reply = await connection.call(method, target, tuple(headers), body)
+            told_id = header_value(reply.headers, REQUEST_ID).decode("latin-1")
+            if told_id not in (own_id, NAMELESS):
+                raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another call's")
+            connection.note_call(told_id)
+            return reply.status, await reply.whole_body()
 
 
-def _decoded(content: bytes, kind: type[_Decoded]) -> _Decoded:
+def _decoded(content: bytes, kind: type[_Decoded]) -> _Decoded | None:
     try:
         return msgspec.json.decode(content, type=kind)
     except msgspec.MsgspecError:
-        return kind()
+        return None
