A head that holds the beginning of another one is no answer

Cause: surplus bytes that end inside a head run on into the head of the answer behind them. The parser reads one head with the status of the first and the headers of the second, so that the id is right and the status is not. With 421 in front the answer counted as a promise that the request was not run, and a call that must run once ran at two upstreams.

Ruled out: a break between two header lines, inside a header's name or inside the status code; the parser takes none of these for a head.

Change: a status line inside a reason or a header's value ends the call as one that may have run.

Before: two runs of a call that must run once, by either place of the break. After: one run, and the caller is told that it may have run. Each of the four mechanisms against late answers has a mutant; all four go red.

--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -1,5 +1,6 @@
 """Connections to upstreams over h11, and the pool that keeps idle ones for the next call."""
 
+import re
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
@@ -40,6 +41,7 @@
 NAMELESS = ""
 # The largest answer that is kept in memory whole, bytes.
 LARGEST_WHOLE = 4 * 1024 * 1024
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 
 
 class Transport(Protocol):
@@ -156,6 +158,8 @@
     async def _read_head(self) -> UpstreamReply:
         while True:
             event = await self._next_event()
+            if _is_merged(event):
+                raise ConnectionLostError(FailureKind.MALFORMED, "a head inside another one")
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
                 self._note_keeping(headers)
@@ -344,5 +348,16 @@
     return _TcpTransport(trio.SocketStream(socket))
 
 
+def _is_merged(event: h11.Event) -> bool:
+    """Return whether a head holds the beginning of another one.
+
+    Surplus bytes may end inside a head. The answer behind them would get their status, which may be
+    the promise that a request was not run.
+    """
+    if not isinstance(event, h11.Response | h11.InformationalResponse):
+        return False
+    return any(map(_STATUS_LINE.search, (event.reason, *(value for _, value in event.headers))))
+
+
 def _reason(error: BaseException) -> str:
     return str(error.__cause__ or error)
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -4,6 +4,7 @@
 
 import deckcourse.gateway.path_choice as path_choice_module
 import deckcourse.gateway.stream as stream_module
+import deckcourse.http1.client as client_module
 import deckcourse.http1.server as server_module
 import deckcourse.layers.cuts as cuts_module
 import deckcourse.layers.healer as healer_module
@@ -11,6 +12,7 @@
 import deckcourse.layers.paths as paths_module
 import deckcourse.layers.placement as placement_module
 import deckcourse.layers.repair as repair_module
+import deckcourse.platform.runners as runners_module
 from deckcourse.change_feed import Follower
 from deckcourse.decision_log import DecisionLog
 from deckcourse.gateway.active_stream import ActiveStream
@@ -116,6 +118,22 @@
     PlatformDialect.facts = facts
 
 
+def earlier_answers_come_again():
+    UpstreamConnection.had_call = lambda self, name: False
+
+
+def control_calls_have_no_id():
+    runners_module.REQUEST_ID = b"x-unread"
+
+
+def nameless_connections_are_kept():
+    UpstreamConnection.retire = lambda self: None
+
+
+def heads_may_merge():
+    client_module._is_merged = lambda event: False
+
+
 def plans_without_condition():
     kept = PlanBook.claim
 
@@ -253,6 +271,7 @@
 LAYERS = ("layers",)
 HTTP = ("http1",)
 WRITES = ("torn_writes",)
+LATE = ("late_answers",)
 EVERY = {
     half_events_go_on: ("only whole events go on", GATEWAY),
     no_resume_position: ("a stream is resumed behind its last event", GATEWAY),
@@ -270,6 +289,10 @@
     leaving_counts_not: ("a leaving upstream gets no new work", GATEWAY),
     forged_headers_pass: ("callers can't set the system's headers", GATEWAY),
     any_answer_will_do: ("an answer belongs to its request", GATEWAY),
+    earlier_answers_come_again: ("a try never meets an earlier try's answer", LATE),
+    control_calls_have_no_id: ("an answer to a control call carries its id", LATE),
+    nameless_connections_are_kept: ("no answer without an id is left behind a caller", LATE),
+    heads_may_merge: ("a head that holds another one is none", LATE),
     plans_without_condition: ("a plan is written under a condition", LAYERS),
     late_orders: ("orders follow their plan at once or not at all", LAYERS),
     busy_upstreams_pestered: ("a busy upstream is left alone", LAYERS),
