--- a/features/late_answers.feature
+++ b/features/late_answers.feature
@@ -20,6 +20,30 @@
     Then each time the second caller got its own whole answer, or was told that it may have run
     And each time no call that must not run twice ran twice
 
+  Scenario: A whole copy in front of an answer costs the call behind it nothing
+    When two callers follow one another on a kept connection and the first one's answer comes again
+      | first   | second  | when                         |
+      | stream  | stream  | with the next request        |
+      | stream  | fragile | with the next request        |
+      | once    | once    | with the next request        |
+      | once    | once    | 20 ms after the next request |
+      | once    | again   | 20 ms after the next request |
+      | again   | once    | 20 ms after the next request |
+    Then each time the second caller got its own whole answer, in one run and on that connection
+
+  Scenario: What begins like a copy and isn't whole is not waited for
+    When a call meets on a kept connection
+      | late                     | route   |
+      | half a copy              | once    |
+      | half a copy              | again   |
+      | half a copy              | stream  |
+      | a copy that says close   | once    |
+      | a copy that says close   | again   |
+      | a copy without a length  | once    |
+      | a copy without a length  | again   |
+    Then each time it was repeated if it may be, else told that it may have run
+    And each time that was known within 0.15 seconds, or 0.3 with another run
+
   Scenario Outline: A request that is tried again never takes an earlier refusal for its answer: <case>
     Given chains whose first upstream refuses a request once for <culprit> and then runs it
     When a caller asks for a <route> stream and the refusal comes again <when>
--- a/features/steps/late_answer_steps.py
+++ b/features/steps/late_answer_steps.py
@@ -122,6 +122,25 @@
         assert len(runs) == 1 or (route in REPEATABLE and len(runs) == 2), (route, site.runs)
 
 
+@then("each time the second caller got its own whole answer, in one run and on that connection")
+def own_in_one_run(context):
+    wrong = []
+    for route, site in context.plays:
+        runs = [each for each in site.runs if each.request == "r2"]
+        if site.got.status != 200 or not is_own(site, route, "r2") or len(runs) != 1:
+            wrong.append((route, [each.instance for each in runs], site.got))
+    assert not wrong, wrong
+
+
+@then("each time that was known within {seconds:g} seconds, or {longer:g} with another run")
+def known_soon(context, seconds, longer):
+    for late, route, site in context.plays:
+        # A stream takes as long as its events; it is told by them when it began.
+        if route not in STREAMING:
+            limit = longer if route in REPEATABLE else seconds
+            assert site.got.seconds < limit, (late, route, site.got)
+
+
 def refusing_once(runner, at_fault):
     """Let a runner turn the first request down, as one that its path can't take."""
     kept, refused = runner.run, []
@@ -373,6 +392,10 @@
     "a head that breaks off": b"HTTP/1.1 421 Misdirected Request\r\nserver: a",
     "one that breaks off earlier": b"HTTP/1.1 421 Misdir",
     "a switch of protocols": b"HTTP/1.1 101 Switching Protocols\r\nupgrade: a\r\n\r\n",
+    "half a copy": b"HTTP/1.1 200 \r\nx-request-id: r1\r\ncontent-length: 500\r\n\r\nhalf",
+    "a copy that says close": b"HTTP/1.1 200 \r\nx-request-id: r1\r\n"
+    b"content-length: 1\r\nconnection: close\r\n\r\na",
+    "a copy without a length": b"HTTP/1.1 200 \r\nx-request-id: r1\r\n\r\na",
     "an informational answer": b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n",
     "one with the call's own id": b"HTTP/1.1 103 Early Hints\r\nx-request-id: r2\r\n\r\n",
 }
