A whole copy of an earlier answer is passed over, and the answer behind it is read

A call that must run once was given up as one that may have run, its upstream's work was cut off, and a connection was opened anew.

Ruled out: passing over whatever has another id, since an answer with an id that was never asked for there may be a mislabelled own one, behind which nothing comes; waiting for the rest of a copy, which may have no end.

Change: an answer with the id of an earlier call on that connection is read to its end, if that is here within 30 ms, and the next head is read. It is counted as answer.surplus. The same for control calls. A copy that breaks off, closes or has no length ends the call as before.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -58,6 +58,10 @@
         connection.retire()
     reply = await connection.call(message.method, message.target, headers, message.body)
     facts = context.dialect.facts(reply)
+    while facts.request_id != caller.request_id and connection.had_call(facts.request_id):
+        context.count("answer.surplus")
+        reply = await connection.next_reply()
+        facts = context.dialect.facts(reply)
     if facts.request_id != caller.request_id:
         raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
     return reply, facts
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -37,6 +37,9 @@
 # An upstream may send an answer a second time, in the place where a later one is due on the same
 # connection. One that belongs to a call before the last so many is no longer expected.
 REMEMBERED_CALLS = 8
+# Such an answer comes in one piece. One whose end isn't here so long after its head may have none,
+# and the answer behind it would never be seen, seconds.
+SURPLUS_SECONDS = 0.03
 # The name of all calls whose answers carry none.
 NAMELESS = ""
 # The largest answer that is kept in memory whole, bytes.
@@ -121,6 +124,7 @@
         self._parked_at = 0.0
         self._idle_deadline = 0.0
         self._calls: deque[str] = deque(maxlen=REMEMBERED_CALLS)
+        self._request: tuple[h11.Event, ...] = ()
 
     def note_call(self, name: str) -> None:
         """Remember a call by the name that its answer carries, or as NAMELESS."""
@@ -143,17 +147,36 @@
           ConnectionLostError: LOST once a byte may have left, MALFORMED for what is no answer.
         """
         try:
-            data = self._h11.send(h11.Request(method=method, target=target, headers=list(headers)))
-            if body:
-                data += self._h11.send(h11.Data(data=body))
-            data += self._h11.send(h11.EndOfMessage())
+            head = h11.Request(method=method, target=target, headers=list(headers))
+            content = (h11.Data(data=body),) if body else ()
+            self._request = (head, *content, h11.EndOfMessage())
+            data = self._request_bytes()
         except h11.LocalProtocolError as error:
             raise ConnectionLostError(FailureKind.UNSENT, str(error)) from error
         try:
             await self._transport.send_all(data)
-            return await self._read_head()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLostError(FailureKind.LOST, _reason(error)) from error
+        return await self._read_head()
+
+    def _request_bytes(self) -> bytes:
+        return b"".join(self._h11.send(each) or b"" for each in self._request)
+
+    async def next_reply(self) -> UpstreamReply:
+        """Pass over the answer that began, which is an earlier call's; return the next one's head.
+
+        Raises:
+          ConnectionLostError: as `call`; MALFORMED too where the answer isn't whole or is the last.
+        """
+        with trio.move_on_after(SURPLUS_SECONDS):
+            while await self.next_data() is not None:
+                pass
+        try:
+            self._h11.start_next_cycle()
+            self._request_bytes()  # They left with the call; the parser is to expect an answer.
+        except h11.LocalProtocolError as error:
+            raise ConnectionLostError(FailureKind.MALFORMED, str(error)) from error
+        return await self._read_head()
 
     async def _read_head(self) -> UpstreamReply:
         while True:
@@ -177,10 +200,7 @@
 
     async def next_data(self) -> bytes | None:
         """See `UpstreamReply.next_data`."""
-        try:
-            event = await self._next_event()
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ConnectionLostError(FailureKind.LOST, _reason(error)) from error
+        event = await self._next_event()
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -199,6 +219,8 @@
         except h11.RemoteProtocolError as error:
             kind = FailureKind.LOST if self._ended else FailureKind.MALFORMED
             raise ConnectionLostError(kind, str(error)) from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionLostError(FailureKind.LOST, _reason(error)) from error
 
     def reusable(self) -> bool:
         """Return whether another call may follow: whole answer read, nothing behind it."""
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -9,7 +9,7 @@
 
 from deckcourse.gateway.dialect import LoadReport, MoveResult, Pulse, PulseReading, StallReport
 from deckcourse.gateway.upstreams import Upstream
-from deckcourse.http1.client import NAMELESS, ConnectionPool
+from deckcourse.http1.client import NAMELESS, ConnectionPool, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind, header_value
 from deckcourse.layers.healer import OrderResult
 from deckcourse.layers.hosts import Assignment
@@ -203,13 +203,20 @@
             headers.append((b"content-length", str(len(body)).encode()))
         async with self._pool.lent(upstream.address, unlike=unlike) as connection:
             reply = await connection.call(method, target, tuple(headers), body)
-            told_id = header_value(reply.headers, REQUEST_ID).decode("latin-1")
+            told_id = _id(reply)
+            while told_id not in (own_id, NAMELESS) and connection.had_call(told_id):
+                reply = await connection.next_reply()
+                told_id = _id(reply)
             if told_id not in (own_id, NAMELESS):
                 raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another call's")
             connection.note_call(told_id)
             return reply.status, await reply.whole_body()
 
 
+def _id(reply: UpstreamReply) -> str:
+    return header_value(reply.headers, REQUEST_ID).decode("latin-1")
+
+
 def _decoded(content: bytes, kind: type[_Decoded]) -> _Decoded | None:
     try:
         return msgspec.json.decode(content, type=kind)
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -26,7 +26,8 @@
 from deckcourse.gateway.stream import StreamCall
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.http1.client import UpstreamConnection
+from deckcourse.http1.client import ConnectionPool, UpstreamConnection
+from deckcourse.http1.message import ConnectionLostError, FailureKind
 from deckcourse.http1.server import RestingConnections
 from deckcourse.layers.healer import Healer
 from deckcourse.layers.plan_book import PlanBook
@@ -119,7 +120,10 @@
 
 
 def earlier_answers_come_again():
-    UpstreamConnection.had_call = lambda self, name: False
+    kept = ConnectionPool._take_idle
+    ConnectionPool._take_idle = lambda self, address, longest_idle, unlike: kept(
+        self, address, longest_idle, None
+    )
 
 
 def control_calls_have_no_id():
@@ -130,6 +134,17 @@
     UpstreamConnection.retire = lambda self: None
 
 
+def copies_end_the_call():
+    async def next_reply(self):
+        raise ConnectionLostError(FailureKind.MALFORMED, "a copy")
+
+    UpstreamConnection.next_reply = next_reply
+
+
+def halves_of_copies_are_waited_for():
+    client_module.SURPLUS_SECONDS = 1000.0
+
+
 def heads_may_merge():
     client_module._is_merged = lambda event: False
 
@@ -292,6 +307,8 @@
     earlier_answers_come_again: ("a try never meets an earlier try's answer", LATE),
     control_calls_have_no_id: ("an answer to a control call carries its id", LATE),
     nameless_connections_are_kept: ("no answer without an id is left behind a caller", LATE),
+    copies_end_the_call: ("a second answer to an earlier call is passed over", LATE),
+    halves_of_copies_are_waited_for: ("a copy that isn't whole isn't waited for", LATE),
     heads_may_merge: ("a head that holds another one is none", LATE),
     plans_without_condition: ("a plan is written under a condition", LAYERS),
     late_orders: ("orders follow their plan at once or not at all", LAYERS),
