Test, red: an event that never ends comes as fast as it can

Cause: the scenario paced 16 MiB at 16 KiB in 20 ms; a gateway that gives the event up at 1 MiB is by then over the second in which a stream that ran looks for another place, and the caller is cut for that, which is another matter. Change: the same bytes in reads of 1 MiB; what is asked for stays.

--- a/features/raw_upstream.py
+++ b/features/raw_upstream.py
@@ -88,8 +88,8 @@
     async def receive_some(self, most):
         if self._reads is None:
             return await self._transport.receive_some(most)
+        await trio.sleep(0 if self._rest else EVENT_SECONDS)
         if not self._rest:
-            await trio.sleep(EVENT_SECONDS)
             self._rest = next(self._reads, b"")
         if not self._rest and self._upstream.end == "resets":
             raise trio.BrokenResourceError
--- a/features/steps/stream_event_steps.py
+++ b/features/steps/stream_event_steps.py
@@ -171,7 +171,7 @@
 @given("a first upstream whose answer is {count:d} events and {size:d} MiB of one event")
 def never_ends(context, count, size):
     line = b"data: " + b"x" * (READ - 7) + b"\n"
-    reads = (events(1, count), f"id: {count + 1}\n".encode(), *[line] * (size * MIB // READ))
+    reads = (events(1, count), f"id: {count + 1}\n".encode(), *[line * (MIB // READ)] * size)
     context.answer = Answer("unframed", reads, end="closes")
 
 
