What an upstream sends goes on only as the next event of its stream

Cause: whatever stood between two empty lines was taken for an event and passed on; an id was read where there was one, and compared with the last event sent. Its class: the form of a message was trusted where only its framing had been checked, and an answer without a length has no framing. Ruled out: telling a clean end after some events from one after all: the pages let an answer without a length end with its connection, and say only that one that is reset is not complete. Told apart by resets alone, as before. Ruled out, too: dropping what doesn't fit and going on, which lets events of another answer pass once their ids fit. Change: the reader of a run's bytes knows the caller's last event and the one before in this run. An event has one id, a number, one above that before, in lines that begin with a field's name; line ends of one or two bytes. The good events before anything else go on, then the try breaks off. Comments go on with the event behind them and show no progress. An event is given up at 1 MiB. A stream that nobody resumes and that ends without an event isn't whole. A body without a length that holds the first line of another answer is lost, for plain calls and for other answers; a refusal is judged before that. The first id of a stream is still whatever comes, since no page names it.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -1,5 +1,6 @@
 """What plain calls and streams have in common: their time, and how a request is sent."""
 
+import re
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -11,7 +12,11 @@
 from deckcourse.outcomes import NotRun, Outcome, Unknown
 from deckcourse.reasons import NotRunReason, UnknownReason
 
-__all__ = ["send_request", "within_deadline"]
+__all__ = ["refuse_joined", "send_request", "within_deadline"]
+
+# The first line of an answer, wherever it stands.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[^\r\n]*\r\n")
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 
 
 async def within_deadline(
@@ -50,3 +55,14 @@
     if facts.request_id != caller.request_id:
         raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
     return reply, facts
+
+
+def refuse_joined(reply: UpstreamReply, body: bytes) -> None:
+    """Check that no other answer stands in a body that only its connection's end bounds.
+
+    Raises:
+      ConnectionLostError: one does; where the first one ended nobody knows.
+    """
+    framed = any(name in _FRAMING for name, _ in reply.headers)
+    if not framed and _STATUS_LINE.search(body):
+        raise ConnectionLostError(FailureKind.MALFORMED, "another answer stands in the body")
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from deckcourse.gateway.calls import send_request, within_deadline
+from deckcourse.gateway.calls import refuse_joined, send_request, within_deadline
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch
 from deckcourse.gateway.upstreams import Upstream
@@ -180,6 +180,7 @@
         if facts.not_run:
             self._runs -= 1
             return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
+        refuse_joined(reply, body)
         return _Whole(reply.status, end_to_end(reply.headers), body)
 
     async def _deliver(self, answer: _Whole) -> Outcome:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -14,7 +14,7 @@
     Interruption,
     StreamInterruptedError,
 )
-from deckcourse.gateway.calls import send_request, within_deadline
+from deckcourse.gateway.calls import refuse_joined, send_request, within_deadline
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
@@ -306,6 +306,7 @@
             self._refusals += 1
             self._ran.discard(stream.path.parts[0].instance)
             return self._on_refusal(stream, reply.status, facts)
+        refuse_joined(reply, body)
         return await self._on_other_answer(reply, body)
 
     async def _on_other_answer(self, reply: UpstreamReply, body: bytes) -> _End:
@@ -326,7 +327,7 @@
         return _Refused(RetryReason.REFUSED, f"{culprit} answered {status}")
 
     async def _relay(self, reply: UpstreamReply, stream: ActiveStream) -> _End:
-        reader = EventReader()
+        reader = EventReader(self._last_event)
         while True:
             stream.waiting = True
             with stream.interruptible():
@@ -334,27 +335,25 @@
             stream.waiting = False
             if data is None:
                 break
-            events = [each for each in reader.feed(data) if self._is_next(each)]
+            events = reader.feed(data)
             if events:
                 await self._pass_on(reply, stream, events)
                 stream.note_event(trio.current_time())
+            if reader.fault:
+                self._context.count("event.malformed")
+                raise ConnectionLostError(FailureKind.MALFORMED, reader.fault)
         if reader.incomplete:
             raise ConnectionLostError(FailureKind.LOST, "the stream ended inside an event")
-        await self._start(reply)
-        await self._admitted.exchange.finish()
+        if self._last_event is None:
+            raise ConnectionLostError(FailureKind.LOST, "the stream ended before its first event")
+        await self._end(reply, reader.trailing)
         return _Finished(OK)
 
-    def _is_next(self, event: Event) -> bool:
-        """Return whether the caller lacks an event; one too far ahead breaks the stream off."""
-        if event.id is None:
-            self._context.count("event.without-id")
-            return True
-        last = self._last_event
-        if last is not None and event.id <= last:
-            return False
-        if last is not None and event.id > last + 1:
-            raise ConnectionLostError(FailureKind.MALFORMED, f"event {event.id} follows {last}")
-        return True
+    async def _end(self, reply: UpstreamReply, trailing: bytes) -> None:
+        await self._start(reply)
+        if trailing:
+            await self._admitted.exchange.send(trailing)
+        await self._admitted.exchange.finish()
 
     def _measure(self, stream: ActiveStream, event: Event) -> None:
         """Record how long the caller waited for an event, and say so where it was too long."""
@@ -380,9 +379,7 @@
         await self._start(reply)
         await self._admitted.exchange.send(b"".join(each.data for each in events))
         self._progress_at = trio.current_time()
-        for each in events:
-            if each.id is not None:
-                self._last_event = each.id
+        self._last_event = events[-1].id
 
     async def _start(self, reply: UpstreamReply) -> None:
         if not self._begun:
