Mutants of the reader of events: five, each makes a table go red

Cause: new mechanisms come with a mutant that makes a scenario red. Change: lines without a field's name, ids that repeat, comments as events, no bound for an event, other answers in a body; half events carry a number now.

--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -1,7 +1,10 @@
 """Mutants of the gateway: each switches off one of its mechanisms."""
 
+import re
 from dataclasses import replace
 
+import deckcourse.gateway.calls as calls_module
+import deckcourse.gateway.events as events_module
 import deckcourse.gateway.path_choice as path_choice_module
 import deckcourse.gateway.stream as stream_module
 import deckcourse.http1.server as server_module
@@ -32,7 +35,32 @@
 
 
 def half_events_go_on():
-    EventReader.feed = lambda self, data: [Event(data, None)]
+    EventReader.feed = lambda self, data: [Event(data, 0)]
+
+
+def any_line_is_an_event():
+    events_module._LINES = re.compile(rb"[^\0]*")
+
+
+def ids_may_repeat():
+    EventReader._follows = lambda self, number: True
+
+
+def comments_are_events():
+    kept = EventReader._event
+    EventReader._event = lambda self, block: (
+        Event(block, self._before or self._last or 1)
+        if events_module._COMMENTS.fullmatch(block)
+        else kept(self, block)
+    )
+
+
+def events_without_bound():
+    events_module.LARGEST_EVENT = float("inf")
+
+
+def joined_answers_pass():
+    calls_module._STATUS_LINE = re.compile(rb"(?!)")
 
 
 def no_resume_position():
@@ -253,8 +281,14 @@
 LAYERS = ("layers",)
 HTTP = ("http1",)
 WRITES = ("torn_writes",)
+EVENTS = ("stream_events",)
 EVERY = {
     half_events_go_on: ("only whole events go on", GATEWAY),
+    any_line_is_an_event: ("lines of an event begin with a field's name", EVENTS),
+    ids_may_repeat: ("ids of a run rise by one", EVENTS),
+    comments_are_events: ("comments show no progress", EVENTS),
+    events_without_bound: ("an event that never ends is given up", EVENTS),
+    joined_answers_pass: ("no other answer stands in a body without a length", EVENTS),
     no_resume_position: ("a stream is resumed behind its last event", GATEWAY),
     no_stall_watch: ("streams that stand still are asked about", GATEWAY),
     no_pulses: ("upstreams of standing streams are asked directly", GATEWAY),
