A part of an answer leaves whole or not at all behind the completions interface

Cause: the server library counts a part of an answer as sent, then waits for its lock, and only the write behind that is shielded. A completion's deadline that passed in the tick of the first token came in between: the head was lost, the error event and the library's own 500 were refused by its state, and the last of these ended the process with every other stream in it. Ruled out: the resumption after a cut upstream, which drops the frames of older attempts and writes in its own time; the caller's leaving, which closes first. Change: a cancellation comes before a part is handed over, with no effect, or after it. An answer counts as begun when its head was handed over. A mutant goes red. A write that its caller doesn't take is still not bounded there, as before.

--- a/deckcourse/asgi.py
+++ b/deckcourse/asgi.py
@@ -44,7 +44,7 @@
     def __init__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         self._scope = scope
         self.receive = receive
-        self.send = send
+        self._send = send
         self._headers = {name.lower(): value for name, value in scope["headers"]}
 
     @property
@@ -69,11 +69,30 @@
         """The size of all headers together."""
         return sum(len(name) + len(value) for name, value in self._scope["headers"])
 
+    async def send(self, message: dict[str, Any]) -> None:
+        """Send a part of the answer; a cancellation comes before the part or after it.
+
+        The server library takes a part for sent before its bytes leave. Cancelled in between, a
+        head that never left could neither be followed by a body nor be given again.
+
+        Args:
+          message: a part as ASGI has it.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        # Behind the last part the library also waits for the application to take in what came, so
+        # that this one can be cancelled: what cancels it also ends the connection.
+        with trio.CancelScope(shield=not _is_last(message)):
+            await self._send(message)
+
     def header(self, name: str) -> str:
         """Return a header, empty where it's absent."""
         return self._headers.get(name.encode(), b"").decode("latin-1")
 
 
+def _is_last(message: dict[str, Any]) -> bool:
+    return message["type"] == "http.response.body" and not message.get("more_body", False)
+
+
 async def read_body(request: Request, limit: int) -> bytes | BodyTooLarge:
     """Return the whole body."""
     body = bytearray()
--- a/deckcourse/entry_app.py
+++ b/deckcourse/entry_app.py
@@ -74,11 +74,11 @@
 
     async def send_tokens(self, tokens: Sequence[TokenFrame]) -> None:
         if not self._begun:
-            self._begun = True
             headers = [(b"content-type", EVENT_STREAM), (b"cache-control", b"no-cache")]
             await self._request.send(
                 {"type": "http.response.start", "status": 200, "headers": headers}
             )
+            self._begun = True
         body = self._form.events(tokens)
         await self._request.send({"type": "http.response.body", "body": body, "more_body": True})
 
--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -4,6 +4,7 @@
 
 from mutant_registry import CALL, STREAM, mutant
 
+import deckcourse.asgi as asgi_module
 import deckcourse.claims as claims_module
 import deckcourse.entry as entry_module
 import deckcourse.pipeline as pipeline_module
@@ -189,3 +190,11 @@
         return outcome
 
     Entry._call_once = told
+
+
+@mutant("a cancellation comes before a part of an answer or after it", "cut_writes_elsewhere")
+def parts_are_cut():
+    async def send(self, message):
+        await self._send(message)
+
+    asgi_module.Request.send = send
