Half of a request's body is no request

Cause: reading a body ended as well at its sender's end as at its own, and what had come by then was taken for whole. A plain service was called with it, also where a call may run only once, and the caller's key then stood for those bytes. Ruled out: the gateway, whose own server answers such a request with 400 or closes. Change: a body that broke off raises; the application ends without an answer, since nobody is there to read one. It holds for every application. A mutant goes red. Conclusion: mended.

--- a/deckcourse/asgi.py
+++ b/deckcourse/asgi.py
@@ -1,6 +1,7 @@
 """The little that the HTTP applications share: reading a body, sending JSON, serving."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,6 +14,7 @@
     "App",
     "BodyTooLarge",
     "Request",
+    "SenderGoneError",
     "cancel_when_gone",
     "read_body",
     "send_json",
@@ -38,6 +40,10 @@
     limit: int
 
 
+class SenderGoneError(Exception):
+    """The sender's connection ended before its request was whole."""
+
+
 class Request:
     """One HTTP request and the way to answer it."""
 
@@ -94,13 +100,17 @@
 
 
 async def read_body(request: Request, limit: int) -> bytes | BodyTooLarge:
-    """Return the whole body."""
+    """Return the whole body.
+
+    Raises:
+      SenderGoneError: it broke off; what came of it is no request.
+    """
     body = bytearray()
     more = True
     while more:
         message = await request.receive()
         if message["type"] != "http.request":
-            break
+            raise SenderGoneError
         body += message.get("body", b"")
         more = message.get("more_body", False)
         if len(body) > limit:
@@ -159,7 +169,9 @@
         if scope["type"] == "lifespan":
             await _lifespan(receive, send)
         elif scope["type"] == "http":
-            await handle(Request(scope, receive, send))
+            # Whoever sent half a request is gone: there is nobody to answer.
+            with suppress(SenderGoneError):
+                await handle(Request(scope, receive, send))
 
     config = Config()
     config.bind = [bind]
--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -198,3 +198,19 @@
         await self._send(message)
 
     asgi_module.Request.send = send
+
+
+@mutant("half a body is no request", "cut_writes_elsewhere")
+def half_bodies_are_served():
+    def more(message):
+        return {"type": "http.request"} if message["type"] == "http.disconnect" else message
+
+    init = asgi_module.Request.__init__
+
+    def receive_on(self, scope, receive, send):
+        async def received():
+            return more(await receive())
+
+        init(self, scope, received, send)
+
+    asgi_module.Request.__init__ = receive_on
