The end of an answer is not taken for its caller's leaving

Cause: the server library says 'disconnect' to the application while it still sees to the end of an answer. The watch for the caller's leaving then cancelled the sending of the last part, in which the library closes the connection or begins to count its idle time. Ruled out: the other applications, which watch for nobody. Change: once the last part is handed over, the watch ends and cancels nothing. A mutant goes red. Conclusion: mended.

--- a/deckcourse/asgi.py
+++ b/deckcourse/asgi.py
@@ -51,6 +51,7 @@
         self._scope = scope
         self.receive = receive
         self._send = send
+        self._ended = False
         self._headers = {name.lower(): value for name, value in scope["headers"]}
 
     @property
@@ -70,6 +71,11 @@
         path = self._scope.get("raw_path") or self.path.encode()
         return path.decode("ascii", "replace").partition("?")[0] + (f"?{query}" if query else "")
 
+    @property
+    def ended(self) -> bool:
+        """Whether the last part of the answer was handed over."""
+        return self._ended
+
     @property
     def header_bytes(self) -> int:
         """The size of all headers together."""
@@ -87,7 +93,8 @@
         await trio.lowlevel.checkpoint_if_cancelled()
         # Behind the last part the library also waits for the application to take in what came, so
         # that this one can be cancelled: what cancels it also ends the connection.
-        with trio.CancelScope(shield=not _is_last(message)):
+        self._ended = _is_last(message)
+        with trio.CancelScope(shield=not self._ended):
             await self._send(message)
 
     def header(self, name: str) -> str:
@@ -140,11 +147,16 @@
 
 
 async def cancel_when_gone(request: Request, scope: trio.CancelScope) -> None:
-    """Cancel the work for a request as soon as its sender closes the connection."""
+    """Cancel the work for a request as soon as its sender closes the connection.
+
+    The server library says the same while it sees to the end of an answer. Cancelled there, it
+    would neither close the connection nor count how long it is idle.
+    """
     while True:
         message = await request.receive()
         if message["type"] == "http.disconnect":
-            scope.cancel()
+            if not request.ended:
+                scope.cancel()
             return
 
 
--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -214,3 +214,8 @@
         init(self, scope, received, send)
 
     asgi_module.Request.__init__ = receive_on
+
+
+@mutant("the end of an answer is no leaving of its caller", "cut_writes_elsewhere")
+def ends_are_cut():
+    asgi_module.Request.ended = property(lambda self: False)
