A kept connection with bytes behind a reply is closed

Cause: the client library keeps what it has read beyond a reply's end and takes it for the reply to the next call on that connection; it looks only at what still waits in the socket. An upstream that answers twice at once gave one call's second answer to the next call, and so on with each call after it. Ruled out: connections of calls that were cancelled or lost, which the library closes; calls that may run only once, which have a connection each. Change: the pool for calls that may be repeated closes a connection on which bytes came behind a reply. It holds for engines, services, the table, the objects and the list. A mutant goes red. Conclusion: mended for what came by the reply's end; later bytes are found when the connection is used again, unless they come behind that moment.

--- a/deckcourse/http_client.py
+++ b/deckcourse/http_client.py
@@ -1,5 +1,6 @@
 """One HTTP call over httpcore with its failures as values: not sent, or sent and lost."""
 
+from collections.abc import AsyncIterable, AsyncIterator
 from dataclasses import dataclass
 
 import httpcore
@@ -44,9 +45,48 @@
     message: str
 
 
+class _KeptConnections(httpcore.AsyncConnectionPool):
+    """A pool whose connections bring each call its own reply."""
+
+    def create_connection(self, origin: httpcore.Origin) -> httpcore.AsyncConnectionInterface:
+        return _KeptConnection(origin, keepalive_expiry=KEEPALIVE_SECONDS)
+
+
+class _KeptConnection(httpcore.AsyncHTTPConnection):
+    """A connection that is kept only where nothing came behind a reply."""
+
+    @property
+    def surplus(self) -> bool:
+        """Whether bytes came behind the reply: the next call would read them as its own."""
+        # The library looks only at what waits in the socket, not at what it has read already.
+        return bool(self._connection._h11_state.trailing_data[0])
+
+    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
+        response = await super().handle_async_request(request)
+        response.stream = _Body(response.stream, self)
+        return response
+
+
+class _Body:
+    """A reply's body as it comes; its end also ends a connection with surplus bytes."""
+
+    def __init__(self, body: AsyncIterable[bytes], connection: _KeptConnection) -> None:
+        self._body = body
+        self._connection = connection
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self._body.__aiter__()
+
+    async def aclose(self) -> None:
+        if self._connection.surplus:
+            await self._connection.aclose()
+        else:
+            await self._body.aclose()
+
+
 def kept_pool() -> httpcore.AsyncConnectionPool:
     """Return a pool that keeps connections, for calls that may be repeated."""
-    return httpcore.AsyncConnectionPool(
+    return _KeptConnections(
         max_connections=MAX_CONNECTIONS,
         max_keepalive_connections=MAX_IDLE,
         keepalive_expiry=KEEPALIVE_SECONDS,
--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -7,6 +7,7 @@
 import deckcourse.asgi as asgi_module
 import deckcourse.claims as claims_module
 import deckcourse.entry as entry_module
+import deckcourse.http_client as http_client_module
 import deckcourse.pipeline as pipeline_module
 from deckcourse.claims import ClaimBusy, ClaimGranted, Claims
 from deckcourse.engine import FinishFrame, Lost, TokenFrame
@@ -219,3 +220,8 @@
 @mutant("the end of an answer is no leaving of its caller", "cut_writes_elsewhere")
 def ends_are_cut():
     asgi_module.Request.ended = property(lambda self: False)
+
+
+@mutant("bytes behind a reply end its connection", "cut_writes_elsewhere")
+def surplus_is_kept():
+    http_client_module._KeptConnection.surplus = property(lambda self: False)
