--- a/deckcourse/asgi.py
+++ b/deckcourse/asgi.py
@@ -1,6 +1,7 @@
 """The little that the HTTP applications share: reading a body, sending JSON, serving."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,6 +14,7 @@
     "App",
     "BodyTooLarge",
     "Request",
+    "SenderGoneError",
     "cancel_when_gone",
     "read_body",
     "send_json",
@@ -38,13 +40,18 @@
     limit: int
 
 
+class SenderGoneError(Exception):
+    """The sender's connection ended before its request was whole."""
+
+
 class Request:
     """One HTTP request and the way to answer it."""
 
     def __init__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         self._scope = scope
         self.receive = receive
-        self.send = send
+        self._send = send
+        self._ended = False
         self._headers = {name.lower(): value for name, value in scope["headers"]}
 
     @property
@@ -64,24 +71,53 @@
         path = self._scope.get("raw_path") or self.path.encode()
         return path.decode("ascii", "replace").partition("?")[0] + (f"?{query}" if query else "")
 
+    @property
+    def ended(self) -> bool:
+        """Whether the last part of the answer was handed over."""
+        return self._ended
+
     @property
     def header_bytes(self) -> int:
         """The size of all headers together."""
         return sum(len(name) + len(value) for name, value in self._scope["headers"])
 
+    async def send(self, message: dict[str, Any]) -> None:
+        """Send a part of the answer; a cancellation comes before the part or after it.
+
+        The server library takes a part for sent before its bytes leave. Cancelled in between, a
+        head that never left could neither be followed by a body nor be given again.
+
+        Args:
+          message: a part as ASGI has it.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        # Behind the last part the library also waits for the application to take in what came, so
+        # that this one can be cancelled: what cancels it also ends the connection.
+        self._ended = _is_last(message)
+        with trio.CancelScope(shield=not self._ended):
+            await self._send(message)
+
     def header(self, name: str) -> str:
         """Return a header, empty where it's absent."""
         return self._headers.get(name.encode(), b"").decode("latin-1")
 
 
+def _is_last(message: dict[str, Any]) -> bool:
+    return message["type"] == "http.response.body" and not message.get("more_body", False)
+
+
 async def read_body(request: Request, limit: int) -> bytes | BodyTooLarge:
-    """Return the whole body."""
+    """Return the whole body.
+
+    Raises:
+      SenderGoneError: it broke off; what came of it is no request.
+    """
     body = bytearray()
     more = True
     while more:
         message = await request.receive()
         if message["type"] != "http.request":
-            break
+            raise SenderGoneError
         body += message.get("body", b"")
         more = message.get("more_body", False)
         if len(body) > limit:
@@ -111,11 +147,16 @@
 
 
 async def cancel_when_gone(request: Request, scope: trio.CancelScope) -> None:
-    """Cancel the work for a request as soon as its sender closes the connection."""
+    """Cancel the work for a request as soon as its sender closes the connection.
+
+    The server library says the same while it sees to the end of an answer. Cancelled there, it
+    would neither close the connection nor count how long it is idle.
+    """
     while True:
         message = await request.receive()
         if message["type"] == "http.disconnect":
-            scope.cancel()
+            if not request.ended:
+                scope.cancel()
             return
 
 
@@ -140,7 +181,9 @@
         if scope["type"] == "lifespan":
             await _lifespan(receive, send)
         elif scope["type"] == "http":
-            await handle(Request(scope, receive, send))
+            # Whoever sent half a request is gone: there is nobody to answer.
+            with suppress(SenderGoneError):
+                await handle(Request(scope, receive, send))
 
     config = Config()
     config.bind = [bind]
--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -1,15 +1,20 @@
 """Mutants of what carries streams and calls."""
 
+from contextlib import contextmanager
 from dataclasses import replace
 
 from mutant_registry import CALL, STREAM, mutant
 
+import deckcourse.asgi as asgi_module
 import deckcourse.claims as claims_module
 import deckcourse.entry as entry_module
+import deckcourse.http_client as http_client_module
 import deckcourse.pipeline as pipeline_module
 from deckcourse.claims import ClaimBusy, ClaimGranted, Claims
+from deckcourse.decision_log import DecisionLog
 from deckcourse.engine import FinishFrame, Lost, TokenFrame
 from deckcourse.entry import Entry
+from deckcourse.http1.client import ConnectionPool, UpstreamConnection
 from deckcourse.outcomes import NotRun
 from deckcourse.pipeline import _Run, _Stalled
 from deckcourse.reasons import NotRunReason
@@ -189,3 +194,62 @@
         return outcome
 
     Entry._call_once = told
+
+
+@mutant("a cancellation comes before a part of an answer or after it", "cut_writes_elsewhere")
+def parts_are_cut():
+    async def send(self, message):
+        await self._send(message)
+
+    asgi_module.Request.send = send
+
+
+@mutant("half a body is no request", "cut_writes_elsewhere")
+def half_bodies_are_served():
+    def more(message):
+        return {"type": "http.request"} if message["type"] == "http.disconnect" else message
+
+    init = asgi_module.Request.__init__
+
+    def receive_on(self, scope, receive, send):
+        async def received():
+            return more(await receive())
+
+        init(self, scope, received, send)
+
+    asgi_module.Request.__init__ = receive_on
+
+
+@mutant("the end of an answer is no leaving of its caller", "cut_writes_elsewhere")
+def ends_are_cut():
+    asgi_module.Request.ended = property(lambda self: False)
+
+
+@mutant("bytes behind a reply end its connection", "cut_writes_elsewhere")
+def surplus_is_kept():
+    http_client_module._KeptConnection.surplus = property(lambda self: False)
+
+
+@mutant("the rest of a line that was cut is written first", "cut_writes_elsewhere")
+def rests_are_dropped():
+    write = DecisionLog._write
+
+    def dropped(self, message):
+        write(self, message)
+        self._rest = b""
+
+    DecisionLog._write = dropped
+
+
+@mutant("a connection whose call was given up is closed", "cut_writes_elsewhere")
+def given_up_connections_are_kept():
+    @contextmanager
+    def lending(self, connection):
+        try:
+            yield
+        finally:
+            kept = UpstreamConnection(connection.address, connection._transport)
+            kept.sound = lambda longest_idle: True
+            self._idle[connection.address].append(kept)
+
+    ConnectionPool.lending = lending
