--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -244,7 +244,7 @@
 @mutant("a connection whose call was given up is closed", "cut_writes_elsewhere")
 def given_up_connections_are_kept():
     @contextmanager
-    def lending(self, connection):
+    def kept_or_closed(self, connection):
         try:
             yield
         finally:
@@ -252,4 +252,4 @@
             kept.sound = lambda longest_idle: True
             self._idle[connection.address].append(kept)
 
-    ConnectionPool.lending = lending
+    ConnectionPool.kept_or_closed = kept_or_closed
