A stand-in's report has the fields that every report has

Cause: a report without its counts is taken for the answer to something else since control calls believe only their own answers; the stand-in of a given-up call sent one. Change: the stand-in sends the counts; the check is as it was.

--- a/features/given_up_calls.py
+++ b/features/given_up_calls.py
@@ -34,7 +34,7 @@
             number = next(numbers)
             if number == 1:
                 await trio.sleep(LATE_SECONDS)
-            fields = {"ver": number, "sequence": number}
+            fields = {"ver": number, "sequence": number, "running": 0, "queued": 0}
             await stream.send_all(answer_bytes(msgspec.json.encode(fields)))
 
 
