Test, red: a cut answer without a length ends like a whole one

Cause: a caller of HTTP/1.0 gets a body that its connection's end bounds; an answer that is cut ended in the same way, and looked whole. Ruled out: 1.1, where the last chunk tells. Change: one scenario over TCP, red and listed.

--- a/features/steps/torn_write_steps.py
+++ b/features/steps/torn_write_steps.py
@@ -208,3 +208,43 @@
 
     context.site.play(story)
     assert [kind for kind, _ in context.site.lines if kind == "try-interrupted"]
+
+
+async def end_over_tcp(version, how):
+    """Return how a caller's connection ends whose handler leaves off."""
+
+    async def handler(request, exchange):
+        await exchange.start(200, ())
+        await exchange.send(EVENT)
+        if how == "when it is done":
+            await exchange.finish()
+
+    async def serve(stream):
+        await serve_connection(stream, handler, lambda: BOUNDS, lambda: False)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, serve, 0)
+        port = listeners[0].socket.getsockname()[1]
+        async with await trio.open_tcp_stream("127.0.0.1", port) as caller:
+            await caller.send_all(REQUEST.replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
+            try:
+                await read_until_end(caller)
+                end = "closed"
+            except trio.BrokenResourceError:
+                end = "reset"
+        nursery.cancel_scope.cancel()
+    return end
+
+
+@when("a handler leaves off over TCP")
+def leaves_off(context):
+    context.ends = [
+        (row["version"], row["how"], row["end"], trio.run(end_over_tcp, row["version"], row["how"]))
+        for row in context.table
+    ]
+
+
+@then("each time the caller's connection ended so")
+def ended_so(context):
+    wrong = [each for each in context.ends if each[2] != each[3]]
+    assert not wrong, wrong
--- a/features/torn_writes.feature
+++ b/features/torn_writes.feature
@@ -31,3 +31,11 @@
     Given two chains of runners
     When a stream is taken from its upstream while its caller takes half of an event and then pauses
     Then the caller got every event once
+
+  Scenario: A caller of HTTP/1.0, whose answer has no length, is reset where its answer is cut
+    When a handler leaves off over TCP
+      | version | how             | end     |
+      | 1.0     | in the middle   | reset   |
+      | 1.1     | in the middle   | closed  |
+      | 1.0     | when it is done | closed  |
+    Then each time the caller's connection ended so
