An answer without a length that is cut ends by a reset

Cause: the end of its connection is the end of such an answer. Ruled out: a length or chunks for HTTP/1.0, which has neither for a stream. Change: where an unfinished answer went to a caller of HTTP/1.0, the connection's end is a reset.

--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 from typing import Protocol
 
 import h11
@@ -27,6 +29,8 @@
 LAST_ANSWER_SECONDS = 1.0
 # What a caller may send ahead of an answer that it is still waiting for, bytes.
 LARGEST_AHEAD = 64 * 1024
+# The value of SO_LINGER with which a close is a reset: on, and no time to linger.
+RESET_ON_CLOSE = pack("ii", 1, 0)
 
 
 class ConnectionLimits(Protocol):
@@ -161,10 +165,18 @@
     except* (trio.BrokenResourceError, trio.ClosedResourceError, _SenderGoneError):
         pass  # The sender left; there is nobody to tell.
     finally:
+        if connection.ends_like_a_whole_answer:
+            _reset_on_close(stream)
         with trio.CancelScope(shield=True, deadline=trio.current_time() + LAST_ANSWER_SECONDS):
             await trio.aclose_forcefully(stream)
 
 
+def _reset_on_close(stream: trio.abc.Stream) -> None:
+    """Let the connection's end be a reset, where it's TCP."""
+    if isinstance(stream, trio.SocketStream):
+        stream.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+
+
 class _Connection:
     """The state of one accepted connection."""
 
@@ -189,6 +201,15 @@
         """Whether a write began and did not end: nobody knows how much of it left."""
         return self._torn
 
+    @property
+    def ends_like_a_whole_answer(self) -> bool:
+        """Whether the end of the connection would pass for the end of an answer that isn't whole.
+
+        A caller of HTTP/1.0 knows no chunks: an answer without a length ends with its connection.
+        """
+        unfinished = self._torn or self._h11.our_state is h11.SEND_BODY
+        return unfinished and self._h11.their_http_version == b"1.0"
+
     @property
     def answering(self) -> bool:
         """Whether an answer to the request has begun."""
