Test: the soak's callers take no bytes that a strict reader would not

Cause of the gap: the soak's callers read with the gateway's own client and took what that could not read for a connection that was lost. Given the bytes of the unreadable answer, a chunk without a head, they saw status 0, no body and nothing wrong. Change: a small reader of the soak's own judges each byte of an answer; half events in closed chunks, second answers behind, missing lengths, trailers and foreign ids are told.

--- /dev/null
+++ b/soak/calls.py
@@ -0,0 +1,102 @@
+"""One call of a caller: what came of it, and what is wrong with that."""
+
+from dataclasses import dataclass, field
+from os.path import commonprefix
+
+from soak.events import EVENTS, events
+from soak.reader import AnswerReader, UnreadableError
+
+__all__ = ["Call"]
+
+OK = 200
+EVENT_END = b"\n\n"
+# So many of the last bytes of a body that is wrong are told, bytes.
+SHOWN_BYTES = 120
+
+
+@dataclass
+class Call:
+    """One request and what came of it.
+
+    `pad` is by how much its events are longer, bytes; `left` says that the caller went away before
+    the end; `unreadable` what it could not read; `number` which request it was on its connection.
+    """
+
+    name: str
+    kind: str
+    key: str
+    sent_at: float
+    pad: int = 0
+    entry: str = ""
+    number: int = 0
+    answer: AnswerReader = field(default_factory=AnswerReader)
+    unreadable: str = ""
+    left: bool = False
+    seconds: float = 0.0
+
+    @property
+    def status(self) -> int:
+        """The status of its answer, 0 where none came."""
+        return self.answer.status
+
+    @property
+    def whole(self) -> bool:
+        """Whether an answer came to its end."""
+        return self.answer.whole
+
+    @property
+    def served(self) -> bool:
+        """Whether the caller has the whole answer."""
+        return self.whole and self.status == OK and not self.unreadable
+
+    @property
+    def place(self) -> str:
+        """What it was, for whoever looks for it in the logs."""
+        return f"{self.name} ({self.kind}, request {self.number} on its connection to {self.entry})"
+
+    def feed(self, data: bytes) -> bool:
+        """Take in bytes of the answer; return whether they could be read."""
+        try:
+            self.answer.feed(data)
+        except UnreadableError as error:
+            self.unreadable = str(error)
+        return not self.unreadable
+
+    def wrong(self) -> str | None:
+        """Return what breaks a promise in the answer itself, None where nothing does."""
+        if self.unreadable:
+            return f"{self.place}: no HTTP answer: {self.unreadable}"
+        wrong = self._wrong_head() or self._wrong_body()
+        return f"{self.place}: {wrong}" if wrong else None
+
+    def _wrong_head(self) -> str | None:
+        """Return what in the head is another request's; a head that isn't whole isn't looked at."""
+        answer = self.answer
+        if not answer.head_whole:
+            return None
+        try:
+            request = answer.header(b"x-request-id")
+            seal = answer.header(b"x-response-seal")
+        except UnreadableError as error:
+            return str(error)
+        if request != self.name.encode() and (request or self.status == OK):
+            return f"the answer carries the request id {request!r}"
+        if seal != b"seal-" + self.name.encode() and (seal or self.status == OK):
+            return f"the answer carries the seal {seal!r}"
+        return None
+
+    def _wrong_body(self) -> str | None:
+        if self.status != OK:
+            return None
+        stream = self.kind in ("stream", "fragile")
+        due = events(self.name, self.pad) if stream else f"answer to {self.name}".encode()
+        body = bytes(self.answer.body)
+        if not due.startswith(body):
+            at = len(commonprefix([due, body]))
+            return f"lost, doubled, mixed or broken at byte {at}: {body[at:][:SHOWN_BYTES]!r}"
+        if self.whole and body != due:
+            return f"ended as whole after {body.count(EVENT_END)} of {EVENTS} events"
+        settled = body[: self.answer.settled]
+        if stream and settled and not settled.endswith(EVENT_END):
+            return f"a part of an event went on: {settled[-SHOWN_BYTES:]!r}"
+        return None
