Soak: upstreams stand still, stay mute, answer twice, endlessly or in part

The soak's upstreams erred only as processes do: killed, paused, cut off. All entries are at times started anew one after the other. The proxies in front of the entries keep little, so that a slow reader holds its sender up.

--- /dev/null
+++ b/soak/conversation.py
@@ -0,0 +1,85 @@
+"""A stand-in's side of one connection: it can stand still, and send bytes due to nobody."""
+
+from contextlib import suppress
+
+import trio
+
+from soak.wire import reset
+
+__all__ = ["Conversation", "Gate"]
+
+
+class Gate:
+    """Holds up all that wants to go out, and lets it out at once."""
+
+    def __init__(self) -> None:
+        self._closed_until = 0.0
+
+    def close(self, seconds: float) -> None:
+        """Hold everything up for so long from now."""
+        self._closed_until = max(self._closed_until, trio.current_time() + seconds)
+
+    async def passed(self) -> None:
+        """Return once nothing is held up."""
+        while trio.current_time() < self._closed_until:
+            await trio.sleep_until(self._closed_until)
+
+
+class Conversation(trio.abc.HalfCloseableStream):
+    """Passes one connection's bytes on behind a gate and remembers the last answer.
+
+    Args:
+      inner: the connection.
+      gate: what all of the process's connections pass.
+    """
+
+    def __init__(self, inner: trio.SocketStream, gate: Gate) -> None:
+        self._inner = inner
+        self._gate = gate
+        self._written = b""
+        self._answering = False
+        self._sending = trio.Lock()
+
+    def begin(self) -> None:
+        """Note that the answer to a request begins."""
+        self._written = b""
+        self._answering = True
+
+    def end(self) -> bytes:
+        """Note that the answer is over; return its bytes."""
+        self._answering = False
+        return self._written
+
+    def reset(self) -> None:
+        """Close so that the other side gets a reset."""
+        reset(self._inner)
+
+    async def send_unasked(self, data: bytes) -> None:
+        """Send bytes that belong to no request, unless an answer is half sent."""
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async with self._sending:
+                if not (self._answering and self._written):
+                    await self._inner.send_all(data)
+
+    async def send_all(self, data: bytes) -> None:
+        """Send bytes of an answer."""
+        await self._gate.passed()
+        async with self._sending:
+            self._written += data
+            await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until bytes may be sent."""
+        await self._inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return the next bytes, none after the other side's end."""
+        return await self._inner.receive_some(max_bytes)
+
+    async def send_eof(self) -> None:
+        """End this side."""
+        await self._inner.send_eof()
+
+    async def aclose(self) -> None:
+        """Close."""
+        await self._inner.aclose()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 import trio
 
 from soak.callers import Callers
+from soak.odd_answers import Odd
 from soak.proxy import Mode, Proxy
 from soak.site import Entry, RunnerProcess, Site, desired_state
 
@@ -18,6 +19,17 @@
 LONGEST_GAP_SECONDS = 1.2
 # Between the end of an entry and its next start, seconds.
 RESTART_SECONDS = 0.4
+# How long a runner stands still before it brings all that was due, seconds: the two questions after
+# which its streams are taken from it end within that time.
+SHORTEST_STILL_SECONDS = 0.1
+LONGEST_STILL_SECONDS = 0.6
+# How long a part of a runner's answers is odd, seconds.
+SHORTEST_ODD_SECONDS = 0.3
+LONGEST_ODD_SECONDS = 2.0
+# What must be left of the time for faults when all entries are started anew in series, seconds, and
+# the time between two of them.
+SERIES_SECONDS = 6.0
+SERIES_PAUSE_SECONDS = 1.0
 # Of the runners of layers, so many are hit at once at the most: each domain of four can heal one.
 MOST_RUNNERS_HIT = 2
 
@@ -40,6 +52,8 @@
         self._random = random
         self._say = say
         self._hit: set[str] = set()
+        self._endless: set[str] = set()
+        self._until = 0.0
         self._version = 1
         self.revoked: dict[str, float] = {}
 
@@ -48,8 +62,9 @@
         kinds: tuple[Callable[[], Awaitable[None]], ...] = (
             self._runner, self._runner, self._runner, self._entry, self._entry, self._runner_link,
             self._runner_link, self._store_link, self._front_link, self._store_refuses,
-            self._change,
+            self._change, self._still, self._still, self._odd, self._odd, self._series,
         )  # fmt: skip
+        self._until = until
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until:
                 nursery.start_soon(self._random.choice(kinds))
@@ -74,6 +89,9 @@
         seconds = self._random.uniform(0.3, 2.0)
         if self._random.random() < 0.5:
             self._say(f"runner {runner.spec.instance} killed for {seconds:.1f} s")
+            if runner.spec.instance in self._endless:
+                # The end of its connections would make the answers without a length whole.
+                runner.proxy.reset()
             runner.process.kill()
             await trio.sleep(seconds)
             self._site.start_runner(runner)
@@ -86,16 +104,43 @@
         await trio.sleep(seconds)
         process.send_signal(signal.SIGCONT)
 
+    async def _still(self) -> None:
+        runner = self._random.choice(self._site.runners)
+        seconds = self._random.uniform(SHORTEST_STILL_SECONDS, LONGEST_STILL_SECONDS)
+        self._say(f"runner {runner.spec.instance} stands still for {seconds:.3f} s")
+        self._site.tell_runner(runner, still=seconds)
+        await trio.sleep(seconds)
+
+    async def _odd(self) -> None:
+        runner = self._random.choice(self._site.runners)
+        kind = self._random.choice(list(Odd))
+        seconds = self._random.uniform(SHORTEST_ODD_SECONDS, LONGEST_ODD_SECONDS)
+        self._say(f"runner {runner.spec.instance} answers oddly for {seconds:.1f} s: {kind}")
+        self._site.tell_runner(runner, odd=kind, seconds=seconds)
+        if kind in (Odd.ENDLESS, Odd.ENDLESS_RESET):
+            self._endless.add(runner.spec.instance)
+
+    async def _series(self) -> None:
+        """Start every entry anew, one after the other."""
+        names = {each.name for each in self._site.entries}
+        if self._hit & names or trio.current_time() + SERIES_SECONDS > self._until:
+            return
+        self._hit |= names
+        for entry in self._site.entries:
+            await self._hit_entry(entry, self._random.choice(("kill", "stop")))
+            await trio.sleep(SERIES_PAUSE_SECONDS)
+        self._hit -= names
+
     async def _entry(self) -> None:
         by_name = {each.name: each for each in self._site.entries}
         name = self._free(list(by_name), 1)
         if name is not None:
             self._hit.add(name)
-            await self._hit_entry(by_name[name])
+            how = self._random.choice(("kill", "stop", "pause", "reload"))
+            await self._hit_entry(by_name[name], how)
             self._hit.discard(name)
 
-    async def _hit_entry(self, entry: Entry) -> None:
-        how = self._random.choice(("kill", "stop", "pause", "reload"))
+    async def _hit_entry(self, entry: Entry, how: str) -> None:
         self._say(f"entry {entry.name}: {how}")
         if how == "pause":
             await self._pause(entry.process, self._random.uniform(0.2, 1.5))
--- /dev/null
+++ b/soak/odd_answers.py
@@ -0,0 +1,94 @@
+"""How a stand-in of a runner answers oddly, and for how long: told on its standard input.
+
+Each line is JSON: `{"still": SECONDS}` makes the whole process stand still and then bring what was
+due at once; `{"odd": KIND, "seconds": SECONDS}` makes a part of the answers odd meanwhile.
+"""
+
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+import trio
+
+from soak.conversation import Conversation, Gate
+
+__all__ = ["Odd", "OddAnswers", "raw_head"]
+
+# The share of answers that are odd while any are.
+ODD_SHARE = 0.6
+# How long behind an answer its surplus comes at the most, seconds: one half of them at once, the
+# other while the connection rests or when the next request is on it.
+LATE_SECONDS = 0.03
+AT_ONCE_SHARE = 0.5
+# What comes behind an answer: bytes that are nothing, like an event, like a chunk, like an answer.
+GARBAGE = (
+    b"\x00\xff\x00garbage",
+    b"id: 1\ndata: garbage\n\n",
+    b"8\r\ngarbage!\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ngarbage",
+)
+
+
+class Odd(StrEnum):
+    """What is wrong with an answer.
+
+    An endless one has no length and ends with its connection; reset on the way it isn't whole.
+    """
+
+    MUTE = "mute"
+    TWICE = "twice"
+    ENDLESS = "endless"
+    ENDLESS_RESET = "endless-reset"
+    GARBAGE = "garbage"
+    BREAK_OFF = "break-off"
+
+
+@dataclass
+class OddAnswers:
+    """What is odd now; `gate` is what everything that goes out passes."""
+
+    random: Random
+    gate: Gate
+    kind: Odd | None = None
+    until: float = 0.0
+
+    async def obey(self, orders: trio.abc.ReceiveStream) -> None:
+        """Do what comes on a stream of lines until it ends."""
+        rest = b""
+        while data := await orders.receive_some():
+            *lines, rest = (rest + data).split(b"\n")
+            for line in lines:
+                self._take(json.loads(line))
+
+    def _take(self, order: dict) -> None:
+        if "still" in order:
+            self.gate.close(order["still"])
+        else:
+            self.kind = Odd(order["odd"])
+            self.until = trio.current_time() + order["seconds"]
+
+    def draw(self) -> Odd | None:
+        """Return what is to be wrong with the next answer, None where nothing is."""
+        if trio.current_time() < self.until and self.random.random() < ODD_SHARE:
+            return self.kind
+        return None
+
+    async def behind(self, kind: Odd | None, conversation: Conversation, answer: bytes) -> None:
+        """Send what an odd answer has behind it."""
+        if kind is Odd.GARBAGE:
+            await self._pause()
+            await conversation.send_unasked(self.random.choice(GARBAGE))
+        elif kind is Odd.TWICE:
+            await self._pause()
+            await conversation.send_unasked(answer)
+
+    async def _pause(self) -> None:
+        if self.random.random() >= AT_ONCE_SHARE:
+            await trio.sleep(self.random.uniform(0.0, LATE_SECONDS))
+
+
+def raw_head(headers: tuple[tuple[bytes, bytes], ...]) -> bytes:
+    """Return the head of an answer that ends with its connection."""
+    lines = [name + b": " + value for name, value in headers]
+    return b"\r\n".join((b"HTTP/1.1 200 OK", *lines, b"", b""))
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,16 +1,21 @@
 """A TCP proxy on the loopback address that delays, cuts, silences or resets what passes it."""
 
+import socket
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 import trio
 
-from soak.wire import BACKLOG, HOST
+from soak.wire import BACKLOG, HOST, reset
 
 __all__ = ["Mode", "Proxy"]
 
 # The most that is read at once, bytes.
 CHUNK_BYTES = 64 * 1024
+# What a narrow proxy reads and keeps at once, and the longest segment it takes, bytes: the sender
+# soon feels a slow reader behind it.
+NARROW_BYTES = 4096
+NARROW_SEGMENT_BYTES = 1400
 
 
 class Mode(StrEnum):
@@ -24,10 +29,14 @@
 
 @dataclass
 class Proxy:
-    """Passes connections to `port` on to `target`; bytes held up by a cut are passed on later."""
+    """Passes connections to `port` on to `target`; bytes held up by a cut are passed on later.
+
+    A `narrow` one keeps little of what goes outwards, so that a slow reader holds its sender up.
+    """
 
     port: int
     target: int
+    narrow: bool = False
     mode: Mode = Mode.PASS
     delay: float = 0.0
     changed: trio.Event = field(default_factory=trio.Event)
@@ -48,7 +57,7 @@
         """Reset every connection that passes."""
         for pair in list(self._pairs):
             for stream in pair:
-                _reset(stream)
+                reset(stream)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Pass connections on until cancelled."""
@@ -58,13 +67,27 @@
             while True:
                 nursery.start_soon(self._connect, await listener.accept())
 
+    async def _open_far(self) -> trio.SocketStream:
+        sock = trio.socket.socket()
+        try:
+            if self.narrow:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, NARROW_BYTES)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, NARROW_SEGMENT_BYTES)
+            await sock.connect((HOST, self.target))
+        except BaseException:
+            sock.close()
+            raise
+        return trio.SocketStream(sock)
+
     async def _connect(self, near: trio.SocketStream) -> None:
         await self._let_through(True)
         try:
-            far = await trio.open_tcp_stream(HOST, self.target)
+            far = await self._open_far()
         except OSError:
-            _reset(near)
+            reset(near)
             return
+        if self.narrow:
+            near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, NARROW_BYTES)
         pair = (near, far)
         self._pairs.add(pair)
         try:
@@ -76,12 +99,13 @@
         finally:
             self._pairs.discard(pair)
             for stream in pair:
-                _reset(stream)
+                reset(stream)
 
     async def _pass_on(
         self, source: trio.SocketStream, sink: trio.SocketStream, inwards: bool
     ) -> None:
-        while data := await source.receive_some(CHUNK_BYTES):
+        most = NARROW_BYTES if self.narrow else CHUNK_BYTES
+        while data := await source.receive_some(most):
             await self._let_through(inwards)
             await sink.send_all(data)
         await self._let_through(inwards)
@@ -93,13 +117,3 @@
             await self.changed.wait()
         if self.mode is Mode.DELAY:
             await trio.sleep(self.delay)
-
-
-def _reset(stream: trio.SocketStream) -> None:
-    """Close a connection at once, so that the other side gets a reset."""
-    try:
-        linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
-        stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
-    except OSError:
-        return  # Closed already.
-    stream.socket.close()
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -1,6 +1,7 @@
 """A stand-in of a runner, as a process of its own: `python -m soak.runner SPEC`.
 
-SPEC is JSON with the fields of `RunnerSpec`. Each run, refusal of an order and broken rule is
+SPEC is JSON with the fields of `RunnerSpec`. What it does oddly is told on its standard input, as
+in `soak.odd_answers`. Each run, refusal of an order and broken rule is
 written to standard output as one JSON line, before anything is answered.
 """
 
@@ -9,21 +10,25 @@
 import sys
 from base64 import b64encode
 from dataclasses import asdict, dataclass
+from functools import partial
+from random import Random
 
 import trio
 
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.message import ConnectionLostError
-from deckcourse.http1.server import Exchange, IncomingRequest
-from soak.wire import JSON_TYPE, fields_of, parse_path, serve
+from deckcourse.http1.server import Exchange, Handler, IncomingRequest
+from soak.conversation import Conversation, Gate
+from soak.events import EVENTS, PAD_HEADER, event
+from soak.odd_answers import Odd, OddAnswers, raw_head
+from soak.wire import JSON_TYPE, fields_of, parse_path, serve_each
 
-__all__ = ["EVENTS", "RunnerSpec"]
+__all__ = ["RunnerSpec"]
 
 # Between two writes of a runner's row, seconds; LAPSE_SECONDS in site.py is three times as long.
 BEAT_SECONDS = 0.4
-# Between two events of a stream, seconds, and how many a stream has.
+# Between two events of a stream, seconds.
 EVENT_SECONDS = 0.02
-EVENTS = 30
 # Between two rounds in which the other runners of the paths are asked whether they are there, and
 # the time in which they must answer, seconds. Before a stream starts they must answer within the
 # first one.
@@ -36,6 +41,9 @@
 # How long an order takes, and a plain call, seconds.
 LOAD_SECONDS = 0.15
 CALL_SECONDS = 0.05
+# A stream that breaks off does so in the middle of this event.
+EVENTS_BEFORE_BREAK = 8
+PAD = PAD_HEADER.decode()
 # The time for a write to the store, seconds.
 WRITE_SECONDS = 1.0
 
@@ -74,12 +82,16 @@
         self._paths: dict[str, list[tuple[str, int, int]]] = {}
         self._waiting: dict[str, tuple[str, float]] = {}
         self._lost: set[str] = set()
+        self._odd = OddAnswers(Random(spec.instance), Gate())
+        self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
         """Serve until killed."""
         async with trio.open_nursery() as nursery:
-            await nursery.start(serve, self._spec.port, self.handle)
+            self._nursery = nursery
+            await nursery.start(serve_each, self._spec.port, self._open_one)
             nursery.start_soon(self._beat)
+            nursery.start_soon(self._odd.obey, trio.lowlevel.FdStream(os.dup(0)))
             nursery.start_soon(self._probe_parts)
 
     async def _beat(self) -> None:
@@ -117,7 +129,13 @@
             return None
         return None
 
-    async def handle(self, request: IncomingRequest, exchange: Exchange) -> None:
+    def _open_one(self, stream: trio.SocketStream) -> tuple[Conversation, Handler]:
+        conversation = Conversation(stream, self._odd.gate)
+        return conversation, partial(self._handle, conversation)
+
+    async def _handle(
+        self, conversation: Conversation, request: IncomingRequest, exchange: Exchange
+    ) -> None:
         """Answer one request."""
         path, _ = fields_of(request)
         if path == "/v1/report":
@@ -125,7 +143,11 @@
         elif path == "/v1/order":
             await self._order(json.loads(request.body), exchange)
         else:
-            await self._work(request, exchange)
+            odd = self._odd.draw()
+            conversation.begin()
+            await self._work(request, exchange, conversation, odd)
+            answer = conversation.end()
+            self._nursery.start_soon(self._odd.behind, odd, conversation, answer)
 
     def _report(self) -> dict[str, object]:
         now = trio.current_time()
@@ -161,7 +183,13 @@
         self._first, self._end = first, end
         await self._write_row()
 
-    async def _work(self, request: IncomingRequest, exchange: Exchange) -> None:
+    async def _work(
+        self,
+        request: IncomingRequest,
+        exchange: Exchange,
+        conversation: Conversation,
+        odd: Odd | None,
+    ) -> None:
         headers = {name.decode(): value.decode() for name, value in request.headers}
         name = headers.get("x-request-id", "")
         known = ((b"x-request-id", name.encode()),)
@@ -182,12 +210,16 @@
             account=headers.get("x-tenant", ""),
             layers=[each[1:] for each in path],
         )
-        seal = (b"x-response-seal", b"seal-" + name.encode())
+        if odd is Odd.MUTE:
+            await trio.sleep_until(self._odd.until)
+            return
+        answer = _Answer(exchange, conversation, odd, name)
         if not path:
             await trio.sleep(CALL_SECONDS)
-            await exchange.whole(200, (*known, seal), f"answer to {name}".encode())
+            await answer.whole(f"answer to {name}".encode())
             return
-        await self._stream(name, path, int(headers.get("last-event-id", 0)), exchange, seal)
+        after, pad = int(headers.get("last-event-id", 0)), int(headers.get(PAD, 0))
+        await self._stream(name, path, range(after + 1, EVENTS + 1), pad, answer)
 
     async def _missing(self, path: list[tuple[str, int, int]]) -> str:
         """Return the address on a path that doesn't hold its part, empty where all do."""
@@ -207,20 +239,23 @@
         self,
         name: str,
         path: list[tuple[str, int, int]],
-        after: int,
-        exchange: Exchange,
-        seal: tuple[bytes, bytes],
+        numbers: range,
+        pad: int,
+        answer: "_Answer",
     ) -> None:
         self._paths[name] = path
-        kind = (b"content-type", b"text/event-stream")
+        due = trio.current_time()
         try:
-            await exchange.start(200, ((b"x-request-id", name.encode()), seal, kind))
-            for number in range(after + 1, EVENTS + 1):
-                await trio.sleep(EVENT_SECONDS)
+            await answer.start()
+            for number in numbers:
+                due += EVENT_SECONDS
+                await trio.sleep_until(due)
                 if not await self._until_whole(name):
+                    answer.cut()
+                    return
+                if not await answer.send(event(name, number, pad)):
                     return
-                await exchange.send(f"id: {number}\ndata: {name} {number}\n\n".encode())
-            await exchange.finish()
+            await answer.finish()
         finally:
             self._paths.pop(name, None)
             self._waiting.pop(name, None)
@@ -252,5 +287,70 @@
         (self._lost.discard if answer is not None else self._lost.add)(address)
 
 
+class _Answer:
+    """One 200 in the making; `odd` says what is wrong with it."""
+
+    def __init__(
+        self, exchange: Exchange, conversation: Conversation, odd: Odd | None, name: str
+    ) -> None:
+        self._exchange = exchange
+        self._conversation = conversation
+        self._odd = odd
+        self._sent = 0
+        request = name.encode()
+        self._headers = ((b"x-request-id", request), (b"x-response-seal", b"seal-" + request))
+
+    @property
+    def _endless(self) -> bool:
+        return self._odd in (Odd.ENDLESS, Odd.ENDLESS_RESET)
+
+    async def whole(self, body: bytes) -> None:
+        """Answer at once."""
+        if self._odd is Odd.ENDLESS_RESET:
+            await self._conversation.send_all(raw_head(self._headers) + body[: len(body) // 2])
+            self._conversation.reset()
+        elif self._odd is Odd.ENDLESS:
+            await self._conversation.send_all(raw_head(self._headers) + body)
+        elif self._odd is Odd.BREAK_OFF:
+            length = (b"content-length", str(len(body)).encode())
+            head = raw_head((*self._headers, length))
+            await self._conversation.send_all(head + body[: len(body) // 2])
+        else:
+            await self._exchange.whole(200, self._headers, body)
+
+    async def start(self) -> None:
+        """Begin a stream."""
+        headers = (*self._headers, (b"content-type", b"text/event-stream"))
+        if self._endless:
+            await self._conversation.send_all(raw_head(headers))
+        else:
+            await self._exchange.start(200, headers)
+
+    async def send(self, data: bytes) -> bool:
+        """Send an event; return whether more may follow."""
+        self._sent += 1
+        if self._odd is Odd.ENDLESS_RESET and self._sent == EVENTS_BEFORE_BREAK:
+            self.cut()
+            return False
+        if self._endless:
+            await self._conversation.send_all(data)
+        elif self._odd is Odd.BREAK_OFF and self._sent == EVENTS_BEFORE_BREAK:
+            await self._exchange.send(data[: len(data) // 2])
+            return False
+        else:
+            await self._exchange.send(data)
+        return True
+
+    async def finish(self) -> None:
+        """End a stream."""
+        if not self._endless:
+            await self._exchange.finish()
+
+    def cut(self) -> None:
+        """Break a stream off; an end of the connection would make an endless one whole."""
+        if self._endless:
+            self._conversation.reset()
+
+
 if __name__ == "__main__":
     trio.run(Runner(RunnerSpec(**json.loads(sys.argv[1]))).run)
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
@@ -139,7 +140,7 @@
         self.start_runner(self.runners[-1])
 
     async def _add_entry(self, name: str, domain: str) -> None:
-        front = Proxy(free_port(), free_port())
+        front = Proxy(free_port(), free_port(), narrow=True)
         store = Proxy(free_port(), self.store_port)
         for proxy in (front, store):
             await self._nursery.start(proxy.run)
@@ -168,9 +169,15 @@
         runner.starts += 1
         spec = replace(runner.spec, instance=f"{runner.spec.instance}.{runner.starts}")
         command = [sys.executable, "-m", "soak.runner", spec.text()]
-        runner.process = subprocess.Popen(command, stdout=subprocess.PIPE)
+        runner.process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         self._nursery.start_soon(self._read_records, runner.process)
 
+    def tell_runner(self, runner: RunnerProcess, **order: object) -> None:
+        """Tell a runner what to do oddly; one that is gone does nothing."""
+        with suppress(BrokenPipeError):
+            runner.process.stdin.write(json.dumps(order).encode() + b"\n")
+            runner.process.stdin.flush()
+
     def start_entry(self, entry: Entry) -> None:
         """Start an entry; its log goes to a file beside its settings."""
         entry.starts += 1
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -11,7 +11,16 @@
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.http1.server import Handler, IncomingRequest, serve_connection
 
-__all__ = ["BACKLOG", "HOST", "JSON_TYPE", "fields_of", "free_port", "parse_path", "serve"]
+__all__ = [
+    "BACKLOG",
+    "HOST",
+    "JSON_TYPE",
+    "fields_of",
+    "free_port",
+    "parse_path",
+    "serve",
+    "serve_each",
+]
 
 HOST = "127.0.0.1"
 # Connections that may wait to be accepted.
@@ -58,10 +67,35 @@
     port: int, handler: Handler, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
 ) -> None:
     """Answer HTTP requests on a port until cancelled."""
+    await serve_each(port, lambda stream: (stream, handler), task_status)
+
+
+async def serve_each(
+    port: int,
+    open_one: Callable[[trio.SocketStream], tuple[trio.abc.Stream, Handler]],
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Answer HTTP requests on a port until cancelled, each connection by its own handler.
+
+    Args:
+      port: where.
+      open_one: returns the stream and the handler for an accepted connection.
+      task_status: told once it listens.
+    """
     (listener,) = await trio.open_tcp_listeners(port, host=HOST, backlog=BACKLOG)
     bounds: Callable[[], CallerBounds] = CallerBounds
     task_status.started()
     async with trio.open_nursery() as nursery:
         while True:
-            stream = await listener.accept()
+            stream, handler = open_one(await listener.accept())
             nursery.start_soon(serve_connection, stream, handler, bounds, lambda: False)
+
+
+def reset(stream: trio.SocketStream) -> None:
+    """Close a connection at once, so that the other side gets a reset."""
+    try:
+        linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+        stream.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+    except OSError:
+        return  # Closed already.
+    stream.socket.close()
