Test: the soak's callers judge each byte, read slowly and go away in the middle

Cause of the gap: all that the callers could not read passed for a lost connection, they read everything at once, so that no write to them ever waited, and a connection was given up as soon as its entry wasn't ready. Change: callers keep their connections until these end, read strictly, look behind answers; one in three reads wide events slowly, behind sockets that hold little, a few in the middle of an answer go away.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,8 @@
 
 import trio
 
-from soak.callers import DEADLINE_SECONDS, LATE_SECONDS, PROMISES, Call, Callers
+from soak.callers import DEADLINE_SECONDS, LATE_SECONDS, PROMISES, Callers
+from soak.calls import Call
 from soak.faults import Faults
 from soak.site import GRACE_SECONDS, REVOCATION_SECONDS, Site, desired_state
 
@@ -51,6 +52,14 @@
         await trio.sleep(READY_POLL_SECONDS)
 
 
+def _ended_runners(site: Site) -> list[str]:
+    """Return the stand-ins that ended by themselves: what follows from that proves nothing."""
+    codes = {each.spec.instance: each.process.poll() for each in site.runners}
+    return [
+        f"stand-in {name} ended, exit {code}" for name, code in codes.items() if code is not None
+    ]
+
+
 async def _play(site: Site, seed: int, seconds: float, log: list[str]) -> list[str]:
     random = Random(seed)
     callers = Callers([], random, keys=["key-0", "key-1"])
@@ -80,6 +89,7 @@
         late = [each.name for each in site.entries if each.process.poll() is None]
         if late:
             site.broken.append(f"{late} still run {GRACE_SECONDS} s after SIGTERM")
+        site.broken += _ended_runners(site)
         nursery.cancel_scope.cancel()
     return site.broken + _judge(site, callers, faults, calm_from)
 
@@ -87,14 +97,14 @@
 def _judge(site: Site, callers: Callers, faults: Faults, calm_from: float) -> list[str]:
     """Return the promises that calls and runs together show to be broken."""
     runs = Counter(each["run"] for each in site.records if "run" in each)
-    broken = []
+    broken = list(callers.broken)
     for call in callers.calls:
         broken += _wrong_answer(call)
         broken += _wrong_runs(call, runs[call.name])
         broken += _wrong_key(call, runs[call.name], faults.revoked.get(call.key))
         broken += _wrong_time(call)
     valid = [each for each in callers.calls if each.key not in faults.revoked]
-    last = [each for each in valid if each.sent_at > calm_from]
+    last = [each for each in valid if each.sent_at > calm_from and not each.left]
     served = sum(each.served for each in last)
     if not last or served < SERVED_SHARE * len(last):
         broken.append(f"at the end {served} of {len(last)} calls were served")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,15 +1,15 @@
-"""Callers with open connections: what they sent, what they got, and what is wrong with it."""
+"""Callers of several entries, each with open connections that it keeps until they end."""
 
 from dataclasses import dataclass, field
 from random import Random
 
 import trio
 
-from deckcourse.http1.client import ConnectionPool
-from deckcourse.http1.message import ConnectionLostError, header_value
-from soak.runner import EVENTS
+from soak.caller_connection import CallerConnection, Manner, connect
+from soak.calls import Call
+from soak.events import EVENTS, PAD_HEADER, WIDE_BYTES, events
 
-__all__ = ["DEADLINE_SECONDS", "LATE_SECONDS", "PROMISES", "Call", "Callers"]
+__all__ = ["DEADLINE_SECONDS", "LATE_SECONDS", "PROMISES", "Callers"]
 
 # What each caller states as its deadline, seconds: ten times a stream that meets no fault.
 DEADLINE_SECONDS = 6.0
@@ -23,55 +23,22 @@
 PROMISES = (408, 421, 429, 503)
 # The routes that are drawn from; streams, the longest requests, are drawn twice as often.
 KINDS = ("stream", "stream", "fragile", "once", "again")
-
-
-@dataclass
-class Call:
-    """One request and what came of it."""
-
-    name: str
-    kind: str
-    key: str
-    sent_at: float
-    status: int = 0
-    body: bytes = b""
-    seal: bytes = b""
-    whole: bool = False
-    seconds: float = 0.0
-
-    @property
-    def served(self) -> bool:
-        """Whether the caller has the whole answer."""
-        return self.whole and self.status == 200
-
-    def wrong(self) -> str | None:
-        """Return what breaks a promise in the answer itself, None where nothing does."""
-        if self.status == 200 and self.seal != b"seal-" + self.name.encode():
-            return f"{self.name}: the answer carries the seal {self.seal!r}"
-        if self.kind in ("stream", "fragile"):
-            return self._wrong_events()
-        if self.served and self.body != f"answer to {self.name}".encode():
-            return f"{self.name}: another request's answer: {self.body[:60]!r}"
-        return None
-
-    def _wrong_events(self) -> str | None:
-        """Return what is wrong with the events of a stream, None where nothing is."""
-        events = [f"id: {n}\ndata: {self.name} {n}\n\n".encode() for n in range(1, EVENTS + 1)]
-        if self.status != 200:
-            return None
-        count = self.body.count(b"\n\n")
-        if self.body != b"".join(events[:count]):
-            return f"{self.name}: events lost, doubled, mixed or broken: {self.body[-120:]!r}"
-        if self.whole and count != EVENTS:
-            return f"{self.name}: ended as whole after {count} events"
-        return None
+STREAMS = ("stream", "fragile")
+# One caller in so many reads slowly: it stands still for so often and so long at the most, seconds.
+SLOW_ONE_IN = 3
+MOST_PAUSES = 3
+LONGEST_PAUSE_SECONDS = 1.0
+# The share of requests in whose middle the caller goes away, after so long at the most, seconds.
+LEAVING_SHARE = 0.06
+LONGEST_STAY_SECONDS = 0.6
 
 
 @dataclass
 class Callers:
     """Callers of several entries; an entry that isn't ready gets no new connection.
 
-    `entries` are addresses, `ready` those that said so last; `keys` are tried in turn.
+    `entries` are addresses, `ready` those that said so last; `keys` are tried in turn. `broken` are
+    promises that no single call shows to be broken.
     """
 
     entries: list[str]
@@ -79,6 +46,7 @@
     ready: set[str] = field(default_factory=set)
     keys: list[str] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
     _stopped: bool = False
 
     async def run(self, count: int) -> None:
@@ -93,38 +61,75 @@
 
     async def _ask_on(self, number: int) -> None:
         entry = ""
-        pool = ConnectionPool(lambda what: None)
+        open_to: dict[str, CallerConnection] = {}
         asked = 0
         while not self._stopped:
-            # A caller stays with its entry while that lasts, as a kept connection does.
-            if entry not in self.ready or self.random.random() < TURNING_SHARE:
+            # A caller stays with its entry for as long as its connection lasts.
+            gone = entry not in open_to and entry not in self.ready
+            if gone or self.random.random() < TURNING_SHARE:
                 entry = self.random.choice(sorted(self.ready) or self.entries)
             asked += 1
-            kind = self.random.choice(KINDS)
-            call = Call(f"c{number}r{asked}", kind, self.random.choice(self.keys), 0.0)
-            call.sent_at = trio.current_time()
+            call = self._new_call(number, asked)
             self.calls.append(call)
-            await self._ask(pool, entry, call)
+            with trio.move_on_after(DEADLINE_SECONDS + LATE_SECONDS) as limit:
+                await self._ask(open_to, entry, call, number % SLOW_ONE_IN == 0)
+            if limit.cancelled_caught:
+                self._drop(open_to, entry)
             call.seconds = trio.current_time() - call.sent_at
             await trio.sleep(PAUSE_SECONDS * (0.5 + self.random.random()))
-
-    async def _ask(self, pool: ConnectionPool, entry: str, call: Call) -> None:
-        headers = (
-            (b"host", b"h.example"),
-            (b"x-request-id", call.name.encode()),
-            (b"x-deadline-ms", str(round(DEADLINE_SECONDS * 1000)).encode()),
-            (b"authorization", f"Token {call.key}".encode()),
-            (b"content-length", b"2"),
+        for each in list(open_to):
+            self._drop(open_to, each)
+
+    def _new_call(self, number: int, asked: int) -> Call:
+        kind = self.random.choice(KINDS)
+        slow = number % SLOW_ONE_IN == 0 and kind in STREAMS
+        return Call(
+            f"c{number}r{asked}",
+            kind,
+            self.random.choice(self.keys),
+            trio.current_time(),
+            pad=WIDE_BYTES if slow else 0,
         )
-        try:
-            with trio.move_on_after(DEADLINE_SECONDS + LATE_SECONDS):
-                async with pool.lent(entry) as connection:
-                    target = f"/{call.kind}/x".encode()
-                    reply = await connection.call(b"POST", target, headers, b"{}")
-                    call.status = reply.status
-                    call.seal = header_value(reply.headers, b"x-response-seal")
-                    while (data := await reply.next_data()) is not None:
-                        call.body += data
-                    call.whole = True
-        except ConnectionLostError:
-            pass  # What came until then is judged like any other answer.
+
+    def _manner(self, call: Call) -> Manner:
+        size = len(events(call.name, call.pad)) if call.kind in STREAMS else EVENTS
+        if self.random.random() < LEAVING_SHARE:
+            return Manner.leaving(self.random, LONGEST_STAY_SECONDS, size)
+        if call.pad:
+            return Manner.slow(self.random, MOST_PAUSES, LONGEST_PAUSE_SECONDS, size)
+        return Manner()
+
+    async def _ask(
+        self, open_to: dict[str, CallerConnection], entry: str, call: Call, narrow: bool
+    ) -> None:
+        connection = open_to.get(entry)
+        if connection is not None and not await connection.usable():
+            if connection.surplus:
+                self.broken.append(f"{call.name}: bytes of no request: {connection.surplus!r}")
+            self._drop(open_to, entry)
+            connection = None
+        if connection is None:
+            connection = await connect(entry, narrow)
+            if connection is None:
+                return
+            open_to[entry] = connection
+        if not await connection.ask(_request(call), call, self._manner(call)):
+            self._drop(open_to, entry)
+
+    def _drop(self, open_to: dict[str, CallerConnection], entry: str) -> None:
+        connection = open_to.pop(entry, None)
+        if connection is not None:
+            connection.close()
+
+
+def _request(call: Call) -> bytes:
+    lines = (
+        f"POST /{call.kind}/x HTTP/1.1",
+        "Host: h.example",
+        f"X-Request-Id: {call.name}",
+        f"X-Deadline-Ms: {round(DEADLINE_SECONDS * 1000)}",
+        f"Authorization: Token {call.key}",
+        f"{PAD_HEADER.decode()}: {call.pad}",
+        "Content-Length: 2",
+    )
+    return "\r\n".join((*lines, "", "{}")).encode()
