Soak: what an upstream held up meets the moment at which its streams are taken

An upstream now leaves questions unanswered and lets out what it held up around the end of the second one in a row, while the gateway's processes stand still for 45 ms over it and so find both at once. `--only KIND` plays one kind of fault.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Plays seeds of the soak: `python -m soak [--seconds N] [--jobs N] SEED...`.
+"""Plays seeds of the soak: `python -m soak [--seconds N] [--jobs N] [--only KIND] SEED...`.
 
 Each seed is played by a process of its own; the exit code is 1 where one broke a promise. The
 promises are those of docs/PROOFS.md, seen from callers and runners.
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from random import Random
@@ -17,7 +18,7 @@
 
 from soak.callers import DEADLINE_SECONDS, LATE_SECONDS, PROMISES, Callers
 from soak.calls import Call
-from soak.faults import Faults
+from soak.faults import KINDS, Faults
 from soak.site import GRACE_SECONDS, REVOCATION_SECONDS, Site, desired_state
 
 # From the start of all processes until callers and faults begin, seconds.
@@ -60,7 +61,9 @@
     ]
 
 
-async def _play(site: Site, seed: int, seconds: float, log: list[str]) -> list[str]:
+async def _play(
+    site: Site, seed: int, seconds: float, only: Sequence[str], log: list[str]
+) -> list[str]:
     random = Random(seed)
     callers = Callers([], random, keys=["key-0", "key-1"])
     async with trio.open_nursery() as nursery:
@@ -75,6 +78,7 @@
             callers,
             random,
             lambda what: log.append(f"{trio.current_time() - begun:6.2f} {what}"),
+            only,
         )
         async with trio.open_nursery() as busy:
             busy.start_soon(callers.run, CALLERS)
@@ -141,13 +145,19 @@
     return [f"{call.name} took {call.seconds:.1f} s"]
 
 
-def play(seed: int, seconds: float) -> int:
-    """Play one seed and tell of it; return the exit code."""
+def play(seed: int, seconds: float, only: Sequence[str] = ()) -> int:
+    """Play one seed and tell of it; return the exit code.
+
+    Args:
+      seed: what chance is drawn from.
+      seconds: how long faults are injected.
+      only: the kinds of faults, all where none is named.
+    """
     log: list[str] = []
     with tempfile.TemporaryDirectory() as folder:
         site = Site(Path(folder))
         try:
-            broken = trio.run(_play, site, seed, seconds, log)
+            broken = trio.run(_play, site, seed, seconds, only, log)
         finally:
             site.close()
         if broken:
@@ -168,13 +178,23 @@
     parser = argparse.ArgumentParser(prog="python -m soak")
     parser.add_argument("--seconds", type=float, default=12.0, help="how long faults are injected")
     parser.add_argument("--jobs", type=int, default=2, help="seeds that are played at once")
+    parser.add_argument("--only", action="append", default=[], choices=sorted(set(KINDS)))
     parser.add_argument("seeds", nargs="+", type=int)
     options = parser.parse_args()
     if len(options.seeds) == 1:
-        return play(options.seeds[0], options.seconds)
+        return play(options.seeds[0], options.seconds, options.only)
+    only = [each for kind in options.only for each in ("--only", kind)]
 
     def one(seed: int) -> int:
-        command = [sys.executable, "-m", "soak", "--seconds", str(options.seconds), str(seed)]
+        command = [
+            sys.executable,
+            "-m",
+            "soak",
+            "--seconds",
+            str(options.seconds),
+            *only,
+            str(seed),
+        ]
         return subprocess.run(command, check=False).returncode
 
     with ThreadPoolExecutor(options.jobs) as pool:
--- a/soak/conversation.py
+++ b/soak/conversation.py
@@ -14,15 +14,23 @@
 
     def __init__(self) -> None:
         self._closed_until = 0.0
+        self._opened = trio.Event()
 
     def close(self, seconds: float) -> None:
-        """Hold everything up for so long from now."""
+        """Hold everything up for so long from now, or until it is opened."""
         self._closed_until = max(self._closed_until, trio.current_time() + seconds)
 
+    def open(self) -> None:
+        """Let everything out now."""
+        self._closed_until = 0.0
+        self._opened.set()
+        self._opened = trio.Event()
+
     async def passed(self) -> None:
         """Return once nothing is held up."""
         while trio.current_time() < self._closed_until:
-            await trio.sleep_until(self._closed_until)
+            with trio.move_on_at(self._closed_until):
+                await self._opened.wait()
 
 
 class Conversation(trio.abc.HalfCloseableStream):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,7 +2,7 @@
 
 import signal
 import subprocess
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 
 import trio
@@ -12,7 +12,14 @@
 from soak.proxy import Mode, Proxy
 from soak.site import Entry, RunnerProcess, Site, desired_state
 
-__all__ = ["Faults"]
+__all__ = ["KINDS", "Faults"]
+
+# What is drawn from; what is named twice is drawn twice as often.
+KINDS = (
+    "runner", "runner", "runner", "entry", "entry", "runner_link", "runner_link", "store_link",
+    "front_link", "store_refuses", "change", "still", "still", "aimed", "aimed", "odd", "odd",
+    "series",
+)  # fmt: skip
 
 # Between two faults, seconds; many last longer, so that they overlap.
 SHORTEST_GAP_SECONDS = 0.2
@@ -23,6 +30,8 @@
 # which its streams are taken from it end within that time.
 SHORTEST_STILL_SECONDS = 0.1
 LONGEST_STILL_SECONDS = 0.6
+# How long one at the most that waits for the end of these questions, seconds.
+LONGEST_AIMED_SECONDS = 1.0
 # How long a part of a runner's answers is odd, seconds.
 SHORTEST_ODD_SECONDS = 0.3
 LONGEST_ODD_SECONDS = 2.0
@@ -42,10 +51,16 @@
       callers: whose keys are taken away.
       random: draws what, whom and for how long.
       say: told of each fault.
+      only: the kinds that are drawn from, all where none is named.
     """
 
     def __init__(
-        self, site: Site, callers: Callers, random: Random, say: Callable[[str], None]
+        self,
+        site: Site,
+        callers: Callers,
+        random: Random,
+        say: Callable[[str], None],
+        only: Sequence[str] = (),
     ) -> None:
         self._site = site
         self._callers = callers
@@ -56,21 +71,20 @@
         self._until = 0.0
         self._version = 1
         self.revoked: dict[str, float] = {}
+        self._kinds = [self._kind(name) for name in only or KINDS]
 
     async def run(self, until: float) -> None:
         """Hit until a moment of trio's clock; return once everything is whole again."""
-        kinds: tuple[Callable[[], Awaitable[None]], ...] = (
-            self._runner, self._runner, self._runner, self._entry, self._entry, self._runner_link,
-            self._runner_link, self._store_link, self._front_link, self._store_refuses,
-            self._change, self._still, self._still, self._odd, self._odd, self._series,
-        )  # fmt: skip
         self._until = until
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until:
-                nursery.start_soon(self._random.choice(kinds))
+                nursery.start_soon(self._random.choice(self._kinds))
                 gap = self._random.uniform(SHORTEST_GAP_SECONDS, LONGEST_GAP_SECONDS)
                 await trio.sleep(gap)
 
+    def _kind(self, name: str) -> Callable[[], Awaitable[None]]:
+        return getattr(self, f"_{name}")
+
     def _free(self, names: list[str], most: int) -> str | None:
         """Choose somebody who isn't hit, None where enough are already."""
         if len(self._hit & set(names)) >= most:
@@ -111,6 +125,12 @@
         self._site.tell_runner(runner, still=seconds)
         await trio.sleep(seconds)
 
+    async def _aimed(self) -> None:
+        runner = self._random.choice([each for each in self._site.runners if each.spec.layers])
+        self._say(f"runner {runner.spec.instance} stands still until its streams are taken from it")
+        self._site.tell_runner(runner, aimed=LONGEST_AIMED_SECONDS)
+        await trio.sleep(LONGEST_AIMED_SECONDS)
+
     async def _odd(self) -> None:
         runner = self._random.choice(self._site.runners)
         kind = self._random.choice(list(Odd))
--- a/soak/odd_answers.py
+++ b/soak/odd_answers.py
@@ -5,7 +5,8 @@
 """
 
 import json
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import StrEnum
 from random import Random
 
@@ -30,6 +31,18 @@
 )
 
 
+# After so long without an answer the gateway gives a question to an upstream up, and takes its
+# streams from it after the second one in a row. What was held up is let out around that moment,
+# seconds.
+QUESTION_SECONDS = 0.15
+AIM_SECONDS = (-0.002, 0.003)
+# A question so long behind the end of another is the second one in a row, seconds.
+NEXT_SECONDS = (0.05, 0.13)
+# So long before that moment it is told, so that the gateway's processes can stand still over it and
+# find both at once when they go on, seconds.
+TOLD_SECONDS = 0.025
+
+
 class Odd(StrEnum):
     """What is wrong with an answer.
 
@@ -46,12 +59,18 @@
 
 @dataclass
 class OddAnswers:
-    """What is odd now; `gate` is what everything that goes out passes."""
+    """What is odd now; `gate` is what everything that goes out passes.
+
+    `tell_aim` is called shortly before what was held up goes out.
+    """
 
     random: Random
     gate: Gate
+    tell_aim: Callable[[], None]
     kind: Odd | None = None
     until: float = 0.0
+    aimed_until: float = 0.0
+    given_up: list[float] = field(default_factory=list)
 
     async def obey(self, orders: trio.abc.ReceiveStream) -> None:
         """Do what comes on a stream of lines until it ends."""
@@ -64,6 +83,10 @@
     def _take(self, order: dict) -> None:
         if "still" in order:
             self.gate.close(order["still"])
+        elif "aimed" in order:
+            self.gate.close(order["aimed"])
+            self.aimed_until = trio.current_time() + order["aimed"]
+            self.given_up.clear()
         else:
             self.kind = Odd(order["odd"])
             self.until = trio.current_time() + order["seconds"]
@@ -74,6 +97,24 @@
             return self.kind
         return None
 
+    async def before_report(self) -> None:
+        """Leave a question unanswered while that is aimed at; whoever asks gives it up meanwhile.
+
+        Where it is the second one in a row, what is held up goes out in the moment of its end.
+        """
+        now = trio.current_time()
+        if now >= self.aimed_until:
+            return
+        due = now + QUESTION_SECONDS
+        second = any(NEXT_SECONDS[0] < now - each < NEXT_SECONDS[1] for each in self.given_up)
+        await trio.sleep_until(due - TOLD_SECONDS)
+        self.given_up.append(due)
+        if second:
+            self.tell_aim()
+            await trio.sleep_until(due + self.random.uniform(*AIM_SECONDS))
+            self.gate.open()
+        await trio.sleep_until(self.aimed_until)
+
     async def behind(self, kind: Odd | None, conversation: Conversation, answer: bytes) -> None:
         """Send what an odd answer has behind it."""
         if kind is Odd.GARBAGE:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -44,6 +44,8 @@
 # A stream that breaks off does so in the middle of this event.
 EVENTS_BEFORE_BREAK = 8
 PAD = PAD_HEADER.decode()
+# The header of what runners ask each other.
+PROBE = b"x-soak-probe"
 # The time for a write to the store, seconds.
 WRITE_SECONDS = 1.0
 
@@ -82,7 +84,7 @@
         self._paths: dict[str, list[tuple[str, int, int]]] = {}
         self._waiting: dict[str, tuple[str, float]] = {}
         self._lost: set[str] = set()
-        self._odd = OddAnswers(Random(spec.instance), Gate())
+        self._odd = OddAnswers(Random(spec.instance), Gate(), lambda: tell(aim=spec.instance))
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -119,7 +121,8 @@
     async def _call(
         self, address: str, method: bytes, target: bytes, body: bytes, seconds: float
     ) -> tuple[int, bytes] | None:
-        headers = ((b"host", b"x"), (b"content-length", str(len(body)).encode()))
+        length = (b"content-length", str(len(body)).encode())
+        headers = ((b"host", b"x"), (PROBE, b"1"), length)
         try:
             with trio.move_on_after(seconds):
                 async with self._pool.lent(address) as connection:
@@ -139,6 +142,8 @@
         """Answer one request."""
         path, _ = fields_of(request)
         if path == "/v1/report":
+            if (PROBE, b"1") not in request.headers:
+                await self._odd.before_report()
             await exchange.whole(200, JSON_TYPE, json.dumps(self._report()).encode())
         elif path == "/v1/order":
             await self._order(json.loads(request.body), exchange)
--- a/soak/site.py
+++ b/soak/site.py
@@ -34,6 +34,9 @@
 LAPSE_SECONDS = 1.2
 # How long an entry may take to say that it is ready, seconds.
 READY_SECONDS = 0.2
+# How long entries stand still while a question's end and what an upstream held up meet, seconds:
+# less than what they take for a pause of their own.
+HELD_SECONDS = 0.045
 # The entries' settings: the time to stop in, and the age at which a key counts as gone, seconds.
 GRACE_SECONDS = 5
 REVOCATION_SECONDS = 3
@@ -203,12 +206,22 @@
     def _take_record(self, record: dict) -> None:
         record["at"] = trio.current_time()
         self.records.append(record)
+        if "aim" in record:
+            self._nursery.start_soon(self._hold_entries)
         if "broken" in record:
             self.broken.append(f"{record['broken']}: {record}")
         layers = record.get("layers")
         if layers and not _once_each(layers):
             self.broken.append(f"a path doesn't run every layer once: {record}")
 
+    async def _hold_entries(self) -> None:
+        """Let all entries stand still for a moment, so that they find at once what came in it."""
+        processes = [each.process for each in self.entries]
+        for signal_number in (signal.SIGSTOP, signal.SIGCONT):
+            for process in processes:
+                process.send_signal(signal_number)
+            await trio.sleep(HELD_SECONDS)
+
     async def _lapse(self) -> None:
         """Drop the rows of runners that don't write any more, as the platform's store does."""
         while True:
