--- a/soak/conversation.py
+++ b/soak/conversation.py
@@ -46,6 +46,7 @@
         self._gate = gate
         self._written = b""
         self._answering = False
+        self._kept = b""
         self._sending = trio.Lock()
 
     def begin(self) -> None:
@@ -58,6 +59,16 @@
         self._answering = False
         return self._written
 
+    def keep(self, data: bytes) -> None:
+        """Keep bytes that belong to no request until the next one comes."""
+        self._kept = data
+
+    async def send_kept(self) -> None:
+        """Send what was kept for the place of an answer that is due now."""
+        kept, self._kept = self._kept, b""
+        if kept:
+            await self.send_unasked(kept)
+
     def reset(self) -> None:
         """Close so that the other side gets a reset."""
         reset(self._inner)
--- a/soak/odd_answers.py
+++ b/soak/odd_answers.py
@@ -18,10 +18,8 @@
 
 # The share of answers that are odd while any are.
 ODD_SHARE = 0.6
-# How long behind an answer its surplus comes at the most, seconds: one half of them at once, the
-# other while the connection rests or when the next request is on it.
+# How long behind an answer a late surplus comes at the most, seconds.
 LATE_SECONDS = 0.03
-AT_ONCE_SHARE = 0.5
 # What comes behind an answer: bytes that are nothing, like an event, like a chunk, like an answer.
 GARBAGE = (
     b"\x00\xff\x00garbage",
@@ -57,6 +55,14 @@
     BREAK_OFF = "break-off"
 
 
+class Surplus(StrEnum):
+    """When what is behind an answer comes."""
+
+    AT_ONCE = "at-once"
+    LATE = "late"
+    NEXT = "next"
+
+
 @dataclass
 class OddAnswers:
     """What is odd now; `gate` is what everything that goes out passes.
@@ -116,17 +122,17 @@
         await trio.sleep_until(self.aimed_until)
 
     async def behind(self, kind: Odd | None, conversation: Conversation, answer: bytes) -> None:
-        """Send what an odd answer has behind it."""
-        if kind is Odd.GARBAGE:
-            await self._pause()
-            await conversation.send_unasked(self.random.choice(GARBAGE))
-        elif kind is Odd.TWICE:
-            await self._pause()
-            await conversation.send_unasked(answer)
-
-    async def _pause(self) -> None:
-        if self.random.random() >= AT_ONCE_SHARE:
+        """Send what an odd answer has behind it: at once, late, or where the next one is due."""
+        if kind not in (Odd.GARBAGE, Odd.TWICE):
+            return
+        surplus = answer if kind is Odd.TWICE else self.random.choice(GARBAGE)
+        when = self.random.choice(list(Surplus))
+        if when is Surplus.NEXT:
+            conversation.keep(surplus)
+            return
+        if when is Surplus.LATE:
             await trio.sleep(self.random.uniform(0.0, LATE_SECONDS))
+        await conversation.send_unasked(surplus)
 
 
 def raw_head(headers: tuple[tuple[bytes, bytes], ...]) -> bytes:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -140,6 +140,7 @@
         self, conversation: Conversation, request: IncomingRequest, exchange: Exchange
     ) -> None:
         """Answer one request."""
+        await conversation.send_kept()
         path, _ = fields_of(request)
         if path == "/v1/report":
             if (PROBE, b"1") not in request.headers:
