--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Plays seeds of the soak: `python -m soak [--seconds N] [--jobs N] SEED...`.
+"""Plays seeds of the soak: `python -m soak [--seconds N] [--jobs N] [--only KIND] SEED...`.
 
 Each seed is played by a process of its own; the exit code is 1 where one broke a promise. The
 promises are those of docs/PROOFS.md, seen from callers and runners.
@@ -9,14 +9,16 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from random import Random
 
 import trio
 
-from soak.callers import DEADLINE_SECONDS, LATE_SECONDS, PROMISES, Call, Callers
-from soak.faults import Faults
+from soak.callers import DEADLINE_SECONDS, LATE_SECONDS, PROMISES, Callers
+from soak.calls import Call
+from soak.faults import KINDS, Faults
 from soak.site import GRACE_SECONDS, REVOCATION_SECONDS, Site, desired_state
 
 # From the start of all processes until callers and faults begin, seconds.
@@ -51,7 +53,17 @@
         await trio.sleep(READY_POLL_SECONDS)
 
 
-async def _play(site: Site, seed: int, seconds: float, log: list[str]) -> list[str]:
+def _ended_runners(site: Site) -> list[str]:
+    """Return the stand-ins that ended by themselves: what follows from that proves nothing."""
+    codes = {each.spec.instance: each.process.poll() for each in site.runners}
+    return [
+        f"stand-in {name} ended, exit {code}" for name, code in codes.items() if code is not None
+    ]
+
+
+async def _play(
+    site: Site, seed: int, seconds: float, only: Sequence[str], log: list[str]
+) -> list[str]:
     random = Random(seed)
     callers = Callers([], random, keys=["key-0", "key-1"])
     async with trio.open_nursery() as nursery:
@@ -66,6 +78,7 @@
             callers,
             random,
             lambda what: log.append(f"{trio.current_time() - begun:6.2f} {what}"),
+            only,
         )
         async with trio.open_nursery() as busy:
             busy.start_soon(callers.run, CALLERS)
@@ -80,6 +93,7 @@
         late = [each.name for each in site.entries if each.process.poll() is None]
         if late:
             site.broken.append(f"{late} still run {GRACE_SECONDS} s after SIGTERM")
+        site.broken += _ended_runners(site)
         nursery.cancel_scope.cancel()
     return site.broken + _judge(site, callers, faults, calm_from)
 
@@ -87,14 +101,14 @@
 def _judge(site: Site, callers: Callers, faults: Faults, calm_from: float) -> list[str]:
     """Return the promises that calls and runs together show to be broken."""
     runs = Counter(each["run"] for each in site.records if "run" in each)
-    broken = []
+    broken = list(callers.broken)
     for call in callers.calls:
         broken += _wrong_answer(call)
         broken += _wrong_runs(call, runs[call.name])
         broken += _wrong_key(call, runs[call.name], faults.revoked.get(call.key))
         broken += _wrong_time(call)
     valid = [each for each in callers.calls if each.key not in faults.revoked]
-    last = [each for each in valid if each.sent_at > calm_from]
+    last = [each for each in valid if each.sent_at > calm_from and not each.left]
     served = sum(each.served for each in last)
     if not last or served < SERVED_SHARE * len(last):
         broken.append(f"at the end {served} of {len(last)} calls were served")
@@ -131,13 +145,19 @@
     return [f"{call.name} took {call.seconds:.1f} s"]
 
 
-def play(seed: int, seconds: float) -> int:
-    """Play one seed and tell of it; return the exit code."""
+def play(seed: int, seconds: float, only: Sequence[str] = ()) -> int:
+    """Play one seed and tell of it; return the exit code.
+
+    Args:
+      seed: what chance is drawn from.
+      seconds: how long faults are injected.
+      only: the kinds of faults, all where none is named.
+    """
     log: list[str] = []
     with tempfile.TemporaryDirectory() as folder:
         site = Site(Path(folder))
         try:
-            broken = trio.run(_play, site, seed, seconds, log)
+            broken = trio.run(_play, site, seed, seconds, only, log)
         finally:
             site.close()
         if broken:
@@ -158,13 +178,23 @@
     parser = argparse.ArgumentParser(prog="python -m soak")
     parser.add_argument("--seconds", type=float, default=12.0, help="how long faults are injected")
     parser.add_argument("--jobs", type=int, default=2, help="seeds that are played at once")
+    parser.add_argument("--only", action="append", default=[], choices=sorted(set(KINDS)))
     parser.add_argument("seeds", nargs="+", type=int)
     options = parser.parse_args()
     if len(options.seeds) == 1:
-        return play(options.seeds[0], options.seconds)
+        return play(options.seeds[0], options.seconds, options.only)
+    only = [each for kind in options.only for each in ("--only", kind)]
 
     def one(seed: int) -> int:
-        command = [sys.executable, "-m", "soak", "--seconds", str(options.seconds), str(seed)]
+        command = [
+            sys.executable,
+            "-m",
+            "soak",
+            "--seconds",
+            str(options.seconds),
+            *only,
+            str(seed),
+        ]
         return subprocess.run(command, check=False).returncode
 
     with ThreadPoolExecutor(options.jobs) as pool:
