Red: an upstream that starts again under its id

An upstream may start again under the id that it had, and its start stands beside the id. The gateway takes both starts for one: runs, kept connections, pending orders and running streams of the older start go on to count at the newer one.

The scenarios tell it by a row, a report, an order or a list of all rows, in each order, under streams, with connections that are reset or go silent, and while the store is away.

Stand-ins of runners learn to start again: empty, with a start of their own in all they say. The stand-in of the store learns to tell all rows in place of changes.

--- a/features/gateway_store.py
+++ b/features/gateway_store.py
@@ -10,11 +10,12 @@
 
 
 class StandinStore(MemoryTable):
-    """The store's tables with a feed of changes; `away` answers nothing."""
+    """The store's tables with a feed of changes; `away` answers nothing, `forgotten` no changes."""
 
     def __init__(self):
         super().__init__()
         self.away = False
+        self.forgotten = False
         self.changed = trio.Event()
         self.log = []
 
@@ -45,6 +46,8 @@
                 await self.changed.wait()
         if self.away:
             return Failure(TableFailure.UNAVAILABLE)
+        if self.forgotten:
+            return Success(Changes((), after, complete=False))
         return Success(Changes(tuple(self._news(table, after)), self._clock))
 
     def _news(self, table, after):
--- a/features/gateway_story.py
+++ b/features/gateway_story.py
@@ -24,10 +24,15 @@
     assert got.body == expected_events(context.site, "r1", context.site.events), got.body
 
 
-def ask_while(context, count, change, rest=0.0):
+async def nothing(site):
+    """Do nothing."""
+
+
+def ask_while(context, count, change, rest=0.0, after=nothing):
     """Play one stream and a change of the site after `count` events, then wait `rest` seconds.
 
-    `change` is an async function of the site; what the caller got is in `context.got`.
+    `change` is an async function of the site, as is `after`, which is called at the end; what the
+    caller got is in `context.got`.
     """
 
     async def story(site):
@@ -39,6 +44,7 @@
             nursery.start_soon(change_later)
             context.got = await site.ask()
         await trio.sleep(rest)
+        await after(site)
 
     context.site.play(story)
 
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -62,6 +62,7 @@
         self.dead = False
         self.orders = 0
         self.paths = {}
+        self.hosts = {}
         self.waiting = {}
         self.behaviour = ""
         self.obeys = True
@@ -72,10 +73,19 @@
         self.let_go_at_once = False
         self.holds_up = False
         self.silent_until = 0.0
+        self.born = None
+        self.left_open = False
+        self.on_order = None
+
+    @property
+    def told_start(self):
+        """What tells this start from the others of the same id, at the top of all it says."""
+        return {} if self.born is None else {"born": self.born}
 
     def row(self, state="ready"):
         layers = {"rangeStart": self.first, "targetVersion": self.end, "version": 1}
         return {
+            **self.told_start,
             "service": self.service,
             "address": self.address,
             "zone": self.domain,
@@ -96,10 +106,36 @@
         self.dead = True
         self.world.network.kill(self.address)
 
+    def restart(self, born, tells=True, resets=True):
+        """Crash and start again under the same id: empty, and with no word of before.
+
+        Args:
+          born: the new start.
+          tells: whether it writes its row at once.
+          resets: whether open connections are reset; else they say nothing any more.
+
+        Returns:
+          The runner after its start.
+        """
+        self.left_open = not resets
+        if resets:
+            self.world.network.kill(self.address)
+        after = StandinRunner(self.world, self.instance, self.service, self.domain)
+        after.slots, after.kind, after.work = self.slots, self.kind, self.work
+        after.obeys, after.born = self.obeys, born
+        self.world.runners[self.instance] = after
+        self.world.network.listen(self.address, after.handle)
+        if tells:
+            self.world.store.put("servers", self.instance, after.row())
+        return after
+
     async def handle(self, request, exchange):
+        if self.left_open:
+            await trio.sleep_forever()
         if request.target == b"/v1/report":
             await trio.sleep_until(self.silent_until)
             report = {
+                **self.told_start,
                 "sequence": self.orders,
                 "running": self.running,
                 "queued": self.queued,
@@ -116,22 +152,31 @@
             await self.run(request, exchange)
 
     async def order(self, order, exchange):
+        if self.on_order is not None:
+            await self.on_order(order, exchange)
+            return
+        said = json.dumps(self.told_start).encode()
         if order["op"] == "repath":
             known = order["id"] in self.paths
             if known:
-                self.paths[order["id"]] = parse_path(order["path"])
-            await exchange.whole(200 if known else 404, (), b"{}")
+                self.take_path(order["id"], order["path"])
+            await exchange.whole(200 if known else 404, (), said)
             return
         if not self.obeys or order["expectedRev"] != self.orders:
-            await exchange.whole(409, (), b"{}")
+            await exchange.whole(409, (), said)
             return
         self.orders += 1
         self.let_go_at_once = order["how"] == "cut"
         self.first, self.end = order["rangeStart"], order["targetVersion"]
         self.world.orders.append((self.instance, self.first, self.end))
-        await exchange.whole(202, (), b"{}")
+        await exchange.whole(202, (), said)
         self.world.store.put("servers", self.instance, self.row())
 
+    def take_path(self, name, text):
+        """Let a request go on a path, by the starts that its runners have now."""
+        self.paths[name] = parse_path(text)
+        self.hosts[name] = [self.world.by_address(at) for at, _, _ in self.paths[name]]
+
     async def run(self, request, exchange):
         headers = {name.decode(): value.decode() for name, value in request.headers}
         name = headers["x-request-id"]
@@ -163,9 +208,8 @@
         await exchange.whole(status, answer, f"answer to {run.request}".encode())
 
     async def stream(self, run, exchange, answer):
-        path = parse_path(run.headers["path"])
-        self.paths[run.request] = path
-        missing = self.world.missing_part(path)
+        self.take_path(run.request, run.headers["path"])
+        missing = self.world.missing_part(self.paths[run.request])
         if missing:
             run.ended = "refused"
             self.world.runs.remove(run)
@@ -179,6 +223,8 @@
             await trio.sleep(EVENT_SECONDS)
             await trio.sleep_until(self.world.paused_until)
             await self.until_whole(run)
+            if self.left_open:
+                await trio.sleep_forever()
             event = f"id: {number}\ndata: {run.request} {number}\n\n".encode()
             if self.behaviour == "breaks" and number == 5:
                 await exchange.send(event[:9])
@@ -194,7 +240,8 @@
         """Wait while an upstream of the path is dead; cut the stream when that takes too long."""
         deadline = trio.current_time() + STALL_SECONDS
         while True:
-            dead = [at for at, _, _ in self.paths[run.request] if self.world.stands_still(at)]
+            hosts = self.hosts[run.request]
+            dead = [each.address for each in hosts if self.world.stands_still(each)]
             if not dead:
                 self.waiting.pop(run.request, None)
                 return
@@ -249,7 +296,7 @@
                     self.counters = MemoryCounters()
                     self.lines = []
                     self.pool = ConnectionPool(self.counters.count, lambda at: self.dial(at))
-                    control = RunnerControl(self.pool)
+                    control = self.control = RunnerControl(self.pool)
                     self.node = GatewayNode(
                         GatewayIdentity("n", "x", "n/1"),
                         GatewayPorts(
@@ -296,9 +343,9 @@
     def by_address(self, address):
         return next(each for each in self.runners.values() if each.address == address)
 
-    def stands_still(self, address):
-        runner = self.by_address(address)
-        return runner.dead or runner.holds_up
+    def stands_still(self, runner):
+        """Return whether a runner serves no streams, also since it started again."""
+        return runner.dead or runner.holds_up or self.runners.get(runner.instance) is not runner
 
     def is_suspect(self, instance):
         return self.node.gateway.context.upstreams.is_suspect(instance)
--- /dev/null
+++ b/features/restarts.feature
@@ -0,0 +1,112 @@
+Feature: An upstream that starts again under its id is another upstream
+
+  An upstream's id was new at each start, and 25 places of the gateway rested on that. Users now let
+  an upstream start again under the id that it had: it holds and knows nothing of before, and what
+  tells the two starts apart is `born` in all that it says.
+
+  Scenario: What is said of one start changes nothing that is known of a newer one
+    Then after what was said of one id this start is known
+      | said                                             | known |
+      | row 5                                            | 5     |
+      | row 5, row 5                                     | 5     |
+      | row 5, row 7                                     | 7     |
+      | row 5, row 7, row 5                              | 7     |
+      | row 5, all rows 7                                | 7     |
+      | row 7, all rows 5                                | 7     |
+      | row 5, report 7                                  | none  |
+      | row 5, report 7, row 5                           | none  |
+      | row 5, report 7, all rows 5                      | none  |
+      | row 5, report 7, row 7                           | 7     |
+      | row 5, report 7, gone                            | none  |
+      | row 5, report 7, gone, row 5                     | none  |
+      | row 5, report 9, row 7                           | none  |
+      | row 5, report 9, row 7, row 9                    | 9     |
+      | row 7, report 5                                  | 7     |
+      | row 5, row 7, old report 5                       | 7     |
+      | row 5, order 7                                   | none  |
+      | row 5, order 7, row 7                            | 7     |
+      | row 5, refused order 7                           | none  |
+      | row 5, refused order 7, row 5                    | none  |
+      | row 7, order 5                                   | 7     |
+      | row 7, refused order 5                           | 7     |
+      | row 5, pulse 7                                   | none  |
+      | row 5, move 7                                    | none  |
+      | row 5, gone                                      | none  |
+      | row 5, gone, row 5                               | 5     |
+      | row 5, gone, row 7                               | 7     |
+      | row 5, gone, row 7, row 5                        | 7     |
+      | row 5, row nameless                              | -     |
+      | row nameless, row nameless                       | -     |
+      | row nameless, report 7                           | -     |
+      | row nameless, row 7                              | 7     |
+      | row 5, report nameless                           | 5     |
+      | row 5, row fraction                              | 5     |
+      | row 5, row text                                  | 5     |
+      | row 5, row null                                  | 5     |
+
+  Scenario: A question to one start that another one answers has no answer
+    Then each answer counts as this
+      | asked | answers  | report     | pulse  | place      | move       |
+      | 5     | 5        | 3 orders   | alive  | taken      | moved      |
+      | 5     | nameless | 3 orders   | alive  | taken      | moved      |
+      | 5     | 7        | unanswered | dead   | unanswered | unanswered |
+      | 5     | 4        | unanswered | alive  | unanswered | unanswered |
+      | none  | 5        | 3 orders   | alive  | taken      | moved      |
+
+  Scenario: Ids that look like an id with its start are told apart
+    Then upstreams of these ids and starts are all known, each under its own id on the wire
+      | id    | born |
+      | a     | 5    |
+      | a@5   |      |
+      | a@5   | 5    |
+      | a@    |      |
+      | b     |      |
+      | @     | 1    |
+
+  Scenario Outline: <part> starts again under a stream, its connections <connections>, told by <told>
+    Given two chains of runners that tell their starts
+    When <part> starts again after 5 events, its connections <connections>, and that is told by <told>
+    Then the caller got every event once, with no pause over <pause> seconds
+    And every event passed each layer once
+    And nothing counts as held or under way at the older start
+
+    Examples:
+      | part | connections | told         | pause |
+      | x1   | reset       | its row      | 0.2   |
+      | x1   | reset       | a late row   | 0.2   |
+      | x1   | go silent   | its row      | 0.2   |
+      | x1   | go silent   | a late row   | 0.5   |
+      | x2   | reset       | its row      | 0.2   |
+      | x2   | reset       | a late row   | 0.4   |
+      | x2   | go silent   | its row      | 0.2   |
+      | x2   | go silent   | a late row   | 0.4   |
+
+  Scenario: Runs at starts that ended are gone, however often a stream meets that
+    Given two chains of runners that tell their starts
+    When the first upstream of a stream starts again three times under it
+    Then the caller got every event once, with no pause over 0.3 seconds
+
+  Scenario Outline: A gap after a restart is planned at once: told by <told>
+    Given a chain of runners that tell their starts, and room in each for all layers
+    When x2 starts again and that is told by <told>
+    Then every layer is ordered again within <late> seconds of that word
+
+    Examples:
+      | told     | late |
+      | its row  | 0.5  |
+      | a report | 0.5  |
+
+  Scenario: An order given to the older start and taken by the newer is under way for neither
+    Given a chain of runners that tell their starts, and an empty one that a gap needs
+    When x2 is lost, and x3 starts again and takes the order that was meant for its older start
+    Then x3 got another order within 0.6 seconds of its row, though a load takes 4 seconds
+
+  Scenario: While the store is away an upstream that started again gets nothing until its row comes
+    Given two chains of runners that tell their starts
+    When x2 starts again while the store is away and only a report tells of it
+    Then streams run in domain y from that report on, and x2 is usable after the store's return
+
+  Scenario: Kept connections to the older start are closed
+    Given a plain upstream that tells its start
+    When it starts again silently between two calls
+    Then the second call was answered within 0.2 seconds
--- /dev/null
+++ b/features/steps/restart_steps.py
@@ -0,0 +1,358 @@
+"""Steps about upstreams that start again under their id."""
+
+import json
+from contextlib import suppress
+from types import SimpleNamespace
+
+import trio
+from behave import given, then, when
+from gateway_story import ask_while, two_chains
+from gateway_world import LAYERS, GatewayWorld
+
+from deckcourse.gateway.dialect import Dispatch
+from deckcourse.http1.message import header_value
+from deckcourse.http1.server import IncomingRequest
+from deckcourse.layers.hosts import Assignment
+from deckcourse.layers.paths import LayerPath, PathPart
+from deckcourse.platform.dialect import PlatformDialect
+
+# Values of `born` that are no whole number, and one that is left out.
+ODD = {"fraction": 5.5, "text": "7", "null": None}
+NAMELESS = "nameless"
+SERVICE = "crm"
+
+
+def start_of(word):
+    """Return the part of what a runner says that tells its start."""
+    if word == NAMELESS:
+        return {}
+    return {"born": ODD[word] if word in ODD else int(word)}
+
+
+class SaidRunner:
+    """A runner whose every answer tells a given start, and that may turn orders down."""
+
+    def __init__(self):
+        self.start, self.status, self.seen = {}, 202, []
+
+    async def handle(self, request, exchange):
+        self.seen.append(header_value(request.headers, b"x-expected-instance").decode())
+        if request.target == b"/v1/report":
+            said = {**self.start, "sequence": 3, "running": 1, "queued": 0}
+            await exchange.whole(200, (), json.dumps(said).encode())
+        else:
+            await exchange.whole(self.status, (), json.dumps(self.start).encode())
+
+
+def known(site):
+    return site.node.gateway.context.upstreams.of_service(SERVICE)
+
+
+def listed(site, name):
+    """Return what the gateway knows of a runner of layers."""
+    rows = site.node.gateway.context.upstreams.of_service("llm")
+    return next(each for each in rows if each.address == f"{name}:1")
+
+
+def usable_starts(site, name):
+    """Return the starts of a runner of layers that may get new work."""
+    rows = site.node.gateway.context.upstreams.usable("llm")
+    return [each.start for each in rows if each.address == f"{name}:1"]
+
+
+def held_by(runners):
+    return {layer for each in runners for layer in range(each.first, each.end)}
+
+
+def row_of(name, start):
+    return {"service": SERVICE, "address": "p:1", "zone": "x", **start}
+
+
+MOVED = LayerPath((PathPart("p", "p:1", 0, LAYERS),), "x", 0, 1.0)
+
+
+async def believed(site, what, upstream):
+    """Ask an upstream or give it an order; return what is believed after it."""
+    if what == "report":
+        count = await site.control.order_count(upstream)
+        return "unanswered" if count is None else f"{count} orders"
+    if what == "pulse":
+        return str((await site.control.pulse(upstream, 0.1)).pulse)
+    if what == "place":
+        return str(await site.control.place(upstream, Assignment("p", 0, 4, ""), 3))
+    result, _ = await site.control.move(upstream, "r1", MOVED)
+    return str(result)
+
+
+async def say(site, runner, said, asked):
+    """Let one thing be said of the upstream; `asked` are the rows known so far."""
+    what, _, word = said.rpartition(" ")
+    if said == "gone":
+        site.store.put("servers", "p", None)
+    elif what == "row":
+        site.store.put("servers", "p", row_of("p", start_of(word)))
+    elif what == "all rows":
+        # A source that knows no changes tells all of its rows.
+        site.store.forgotten = True
+        site.store.put("servers", "p", row_of("p", start_of(word)))
+    else:
+        runner.start = start_of(word)
+        runner.status = 409 if what == "refused order" else 202
+        upstream = asked[0 if what == "old report" else -1]
+        call = {"order": "place", "refused order": "place"}.get(what, what.removeprefix("old "))
+        await believed(site, call, upstream)
+    await trio.sleep(0.3)
+    site.store.forgotten = False
+
+
+@then("after what was said of one id this start is known")
+def start_known(context):
+    wrong = []
+    for row in context.table:
+        site = GatewayWorld()
+        runner = SaidRunner()
+
+        async def story(site, row=row, runner=runner):
+            site.network.listen("p:1", runner.handle)
+            asked = []
+            for said in row["said"].split(", "):
+                await say(site, runner, said, asked)
+                asked += [each for each in known(site) if each not in asked]
+            starts = [
+                "-" if getattr(each, "start", None) is None else str(each.start)
+                for each in known(site)
+            ]
+            if starts != ([] if row["known"] == "none" else [row["known"]]):
+                wrong.append((row["said"], row["known"], starts))
+
+        site.play(story)
+    assert not wrong, wrong
+
+
+@then("each answer counts as this")
+def answers_count(context):
+    wrong = []
+    for row in context.table:
+        for what in ("report", "pulse", "place", "move"):
+            site = GatewayWorld()
+            runner = SaidRunner()
+
+            async def story(site, row=row, runner=runner, what=what):
+                site.network.listen("p:1", runner.handle)
+                asked = {} if row["asked"] == "none" else start_of(row["asked"])
+                site.store.put("servers", "p", row_of("p", asked))
+                await trio.sleep(0.3)
+                (upstream,) = known(site)
+                runner.start = start_of(row["answers"])
+                got = await believed(site, what, upstream)
+                if got != row[what]:
+                    wrong.append((row["asked"], row["answers"], what, got))
+                assert set(runner.seen) == {"p"}, runner.seen
+
+            site.play(story)
+    assert not wrong, wrong
+
+
+@then("upstreams of these ids and starts are all known, each under its own id on the wire")
+def ids_apart(context):
+    # Two rows of one id are the same upstream: each is looked at in a site of its own.
+    instances = []
+    for row in context.table:
+        site = GatewayWorld()
+
+        async def story(site, row=row):
+            start = {"born": int(row["born"])} if row["born"] else {}
+            site.store.put("servers", row["id"], row_of(row["id"], start))
+            await trio.sleep(0.3)
+            (upstream,) = known(site)
+            instances.append(upstream.instance)
+            caller = SimpleNamespace(message=IncomingRequest(b"GET", b"/", (), b""))
+            headers = PlatformDialect().headers_for(caller, Dispatch(upstream.instance, 1.0))
+            assert header_value(headers, b"x-expected-instance").decode() == row["id"], headers
+
+        site.play(story)
+    assert len(set(instances)) == len(instances), instances
+
+
+@given("two chains of runners that tell their starts")
+def chains_with_starts(context):
+    two_chains(context)
+    for runner in context.site.runners.values():
+        runner.born, runner.slots = 1000, 96
+
+
+@given("a chain of runners that tell their starts, and room in each for all layers")
+def chain_with_starts(context):
+    context.site = GatewayWorld()
+    for name, first in (("x1", 0), ("x2", 4)):
+        context.site.add(name, "llm", "x", first, first + 4).born = 1000
+
+
+@when(
+    "{part} starts again after {count:d} events, its connections {connections}, and that is told "
+    "by {told}"
+)
+def starts_again_under_stream(context, part, count, connections, told):
+    async def change(site):
+        context.older = listed(site, part)
+        runner = site.runners[part].restart(
+            2000, tells=told == "its row", resets=connections == "reset"
+        )
+        if told == "a late row":
+            await trio.sleep(1.0)
+            site.store.put("servers", part, runner.row())
+
+    async def look(site):
+        upstreams = site.node.gateway.context.upstreams
+        older = context.older.instance
+        context.left = upstreams.last_known(older), upstreams.in_flight(older)
+        context.newer = listed(site, part)
+
+    ask_while(context, count, change, rest=1.5, after=look)
+
+
+@then("nothing counts as held or under way at the older start")
+def nothing_at_older(context):
+    assert context.left == (None, 0), context.left
+    assert context.newer.start == 2000, context.newer
+
+
+@when("the first upstream of a stream starts again three times under it")
+def three_restarts(context):
+    async def change(site):
+        for number in range(3):
+            firsts = [each.instance for each in site.runs]
+            before = site.runners[firsts[-1]]
+            after = before.restart(2000 + number, tells=False)
+            # It holds again what it held, so that the next try may go there.
+            after.first, after.end = before.first, before.end
+            site.store.put("servers", after.instance, after.row())
+            await trio.sleep(0.1)
+
+    ask_while(context, 3, change)
+    assert len(context.site.runs) == 4, context.site.runs
+
+
+@given("a chain of runners that tell their starts, and an empty one that a gap needs")
+def chain_and_empty(context):
+    chain_with_starts(context)
+    engine = context.site.config["services"][0]["engine"]
+    engine["kinds"][0]["mb"] = 6.5 * engine["layer_mb"]
+    context.site.add("x3", "llm", "x").born = 1000
+
+
+@when("x2 starts again and that is told by {told}")
+def starts_again_at_rest(context, told):
+    async def story(site):
+        old = listed(site, "x2")
+        site.runners["x2"].restart(2000, tells=told == "its row")
+        if told == "a report":
+            await site.control.load(old)
+        told_at = trio.current_time()
+        with trio.move_on_after(5.0):
+            while held_by(site.runners.values()) != set(range(LAYERS)):
+                await trio.sleep(0.02)
+        context.ordered_after = trio.current_time() - told_at
+
+    context.site.play(story)
+
+
+@then("every layer is ordered again within {late:g} seconds of that word")
+def ordered_again(context, late):
+    assert context.ordered_after <= late, (context.ordered_after, context.site.lines)
+
+
+@when("x2 is lost, and x3 starts again and takes the order that was meant for its older start")
+def newer_takes_order(context):
+    times = context.times = SimpleNamespace(row=None, order=None)
+
+    async def story(site):
+        async def take(order, exchange):
+            # The crash comes between the question for the count of orders and the order.
+            runner = site.runners["x3"] = site.runners["x3"].restart(2000, tells=False)
+            runner.orders, runner.on_order = 1, turn_down
+            await exchange.whole(202, (), json.dumps(runner.told_start).encode())
+
+        async def turn_down(order, exchange):
+            times.order = times.order or trio.current_time()
+            await exchange.whole(409, (), json.dumps({"born": 2000}).encode())
+
+        # The order that is under way is answered, as one that the restart was quick enough for.
+        site.network.kill = lambda address, kept=site.network.kill: (
+            None if address == "x3:1" else kept(address)
+        )
+        site.runners["x3"].on_order = take
+        site.runners["x2"].die()
+        site.store.put("servers", "x2", None)
+        with trio.move_on_after(6.0):
+            while site.runners["x3"].born == 1000:
+                await trio.sleep(0.02)
+            await trio.sleep(0.3)
+            site.store.put("servers", "x3", site.runners["x3"].row())
+            times.row = trio.current_time()
+            while times.order is None:
+                await trio.sleep(0.02)
+
+    context.site.play(story)
+
+
+@then("x3 got another order within {late:g} seconds of its row, though a load takes 4 seconds")
+def another_order(context, late):
+    times = context.times
+    assert times.row is not None and times.order is not None, (times, context.site.lines)
+    assert times.order - times.row <= late, (times, context.site.lines)
+
+
+@when("x2 starts again while the store is away and only a report tells of it")
+def restart_without_store(context):
+    async def story(site):
+        old = listed(site, "x2")
+        site.store.away = True
+        await trio.sleep(0.2)
+        runner = site.runners["x2"].restart(2000, tells=False)
+        await site.control.load(old)
+        refused = site.counters.counts.get("retry.refused.421", 0)
+        context.firsts = []
+        for number in range(6):
+            got = await site.ask(name=f"r{number}")
+            assert got.status == 200, got
+            context.firsts.append(site.runs[-1].instance)
+        context.refused = site.counters.counts.get("retry.refused.421", 0) - refused
+        runner.first, runner.end = 4, LAYERS
+        site.store.put("servers", "x2", runner.row())
+        site.store.away = False
+        with trio.move_on_after(5.0):
+            while not (usable := usable_starts(site, "x2")):
+                await trio.sleep(0.05)
+        context.usable = usable
+
+    context.site.play(story)
+
+
+@then("streams run in domain y from that report on, and x2 is usable after the store's return")
+def without_store(context):
+    assert context.firsts == ["y1"] * 6 and not context.refused, (context.firsts, context.refused)
+    assert context.usable == [2000], (context.usable, context.site.lines[-8:])
+
+
+@given("a plain upstream that tells its start")
+def plain_with_start(context):
+    context.site = GatewayWorld()
+    context.site.add("p1", SERVICE).born = 1000
+
+
+@when("it starts again silently between two calls")
+def silent_restart(context):
+    async def story(site):
+        assert (await site.ask("again", "r1")).status == 200
+        site.runners["p1"].restart(2000, resets=False)
+        await trio.sleep(0.3)
+        context.got = await site.ask("again", "r2")
+
+    with suppress(trio.TooSlowError):
+        context.site.play(story)
+
+
+@then("the second call was answered within {seconds:g} seconds")
+def second_answered(context, seconds):
+    assert context.got.status == 200 and context.got.seconds <= seconds, context.got
