Each start of an upstream is an instance of its own

Cause: an upstream's id was taken for new at each start. It may now stay, and its start is told beside it.

Change: platform/ makes the instance of one start out of the id and the start, and takes the id out of it wherever it goes over the wire. Everything that is kept under an instance (loads, paces, suspicions, refusals, failures, work in flight, pending orders, plans' assignments, shared loads) is so about another upstream after a restart. The table knows one start of each name at the most: a newer one, told by a row or by the upstream itself, ends the older one at once, also where its row was gone; what is said of an older one changes nothing. Kept connections to its address are closed and its streams taken elsewhere. An answer of another start than the one that was asked is none; an order that it confirmed is under way for neither.

Every answer's start is judged in the one place that reads answers, by what the table knows, rather than in a wrapper that compares the values of each call: no call can be left out, and reports, orders and moves keep their values.

--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -1,11 +1,11 @@
 """What the gateway needs to know of the messages it passes on, apart from their spelling."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
-from deckcourse.gateway.upstreams import Upstream
+from deckcourse.gateway.upstreams import StartNews, Upstream
 from deckcourse.http1.client import UpstreamReply
 from deckcourse.http1.message import Headers
 from deckcourse.http1.server import IncomingRequest
@@ -123,7 +123,13 @@
 
 
 class StreamControl(Protocol):
-    """Asks an upstream about its streams, and moves them."""
+    """Asks an upstream about its streams, and moves them.
+
+    What another start of the upstream says than the one that was asked is no answer about it.
+    """
+
+    def judge_starts(self, judge: Callable[[Upstream, int], StartNews]) -> None:
+        """Have the start that each answer tells judged, that of answers to orders too."""
 
     async def stalled(self, upstream: Upstream) -> StallReport | None:
         """Return the requests that wait at the first upstream of their path, None unanswered."""
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -20,7 +20,7 @@
 from deckcourse.gateway.row_intake import RowIntake, RowReader
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import UpstreamTable
+from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.layers.healer import Healer, Orderer
 from deckcourse.layers.hosts import Group
@@ -105,7 +105,8 @@
         self._traffic = TrafficShare(trio.current_time)
         self._desired: DesiredState | None = None
         self._desired_changed = trio.Event()
-        self._upstreams = UpstreamTable(trio.current_time)
+        self._upstreams = UpstreamTable(trio.current_time, self._note_ended)
+        ports.control.judge_starts(self._upstreams.hear_start)
         self._choices: dict[str, PathChoice] = {}
         self._healers: dict[str, Healer] = {}
         self._book = PlanBook(ports.table, identity.author)
@@ -333,6 +334,14 @@
         for healer in self._healers.values():
             healer.witness(domain)
 
+    def _note_ended(self, older: Upstream) -> None:
+        """Take in that an upstream started again: nothing of its older start is there any more."""
+        self._counters.count("upstream.restarted")
+        self._log("upstream-restarted", instance=older.instance, address=older.address)
+        self._ports.pool.forget(older.address)
+        self._witness(older.domain)
+        self._monitor.note_ended(older)
+
     def _note_return(self, moment: float | None = None) -> None:
         """Take in that the store is back, now or since a moment."""
         self._upstreams.store_returned(moment)
--- a/deckcourse/gateway/row_intake.py
+++ b/deckcourse/gateway/row_intake.py
@@ -24,8 +24,8 @@
     def desired_state(self, value: bytes) -> Result[DesiredState, str]:
         """Return the desired state that a row holds, or what is wrong."""
 
-    def upstream(self, instance: str, value: bytes) -> Result[Upstream, str]:
-        """Return the upstream that a row tells of, or what is wrong."""
+    def upstream(self, name: str, value: bytes) -> Result[Upstream, str]:
+        """Return the start of an upstream that its row tells of, or what is wrong."""
 
 
 class RowIntake:
@@ -106,11 +106,12 @@
         row = self._decode(key, value)
         if row is None:
             return
-        known = self._upstreams.get(key)
-        if known is None or _news(known) != _news(row):
+        known = self._upstreams.named(key)
+        counts = self._upstreams.put(row)
+        if counts and (known is None or _news(known) != _news(row)):
             self._log(
                 "upstream",
-                instance=key,
+                instance=row.instance,
                 address=row.address,
                 domain=row.domain,
                 kind=row.kind,
@@ -118,13 +119,12 @@
                 end=row.end,
                 leaving=row.leaving,
             )
-        self._upstreams.put(row)
 
     def _note_gone(self, key: str) -> None:
-        known = self._upstreams.get(key)
+        known = self._upstreams.named(key)
         if known is not None:
             self._pool.forget(known.address)
-            self._log("upstream-gone", instance=key, address=known.address)
+            self._log("upstream-gone", instance=known.instance, address=known.address)
 
     def _decode(self, key: str, value: bytes) -> Upstream | None:
         match self._reader.upstream(key, value):
@@ -140,6 +140,6 @@
     return row.key.partition("/")[2]
 
 
-def _news(row: Upstream) -> tuple[int, int, bool]:
+def _news(row: Upstream) -> tuple[str, int, int, bool]:
     """Return what of a row is logged when it changes."""
-    return row.first, row.end, row.leaving
+    return row.instance, row.first, row.end, row.leaving
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -112,6 +112,13 @@
         stream.ended = True
         self._streams.discard(stream)
 
+    def note_ended(self, upstream: Upstream) -> None:
+        """Take the streams away from a start that ended: the newer one knows nothing of them."""
+        if any(each.path.parts[0].instance == upstream.instance for each in self._streams):
+            self._interrupt_first(upstream.instance, "restarted")
+        if self._nursery is not None:
+            self._nursery.start_soon(self._move_all)
+
     async def run(self) -> None:
         """Watch until cancelled."""
         due = trio.current_time()
@@ -331,7 +338,7 @@
                 stream.waits_for = culprit.instance
 
     async def _move_all(self) -> None:
-        """Move every stream that passes a suspect or waits for somebody, all at once."""
+        """Move every stream that passes a suspect or an ended start, or waits for somebody."""
         now = trio.current_time()
         async with trio.open_nursery() as nursery:
             for stream in list(self._streams):
@@ -344,7 +351,10 @@
             # Its caller holds a write up; the next path would only be read for nothing.
             return False
         further = [each.instance for each in stream.path.parts[1:]]
-        return stream.waits_for in further or any(map(self._upstreams.is_suspect, further))
+        upstreams = self._upstreams
+        return stream.waits_for in further or any(
+            upstreams.is_suspect(each) or upstreams.has_ended(each) for each in further
+        )
 
     def _better_elsewhere(self, stream: ActiveStream) -> bool:
         """Return whether a stream should begin anew on a path inside another failure domain.
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -7,10 +7,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from enum import StrEnum
 
 from deckcourse.layers.hosts import LayerHost
 
-__all__ = ["Upstream", "UpstreamTable"]
+__all__ = ["StartNews", "Upstream", "UpstreamTable"]
 
 # A row that is gone while the store was away a moment ago may be back by then, seconds: the
 # platform's word is "within about two seconds of its return".
@@ -25,13 +26,26 @@
 # An upstream that leaves without a word serves on after its row is gone, for a few seconds and at
 # times for longer: streams on it can be asked about and moved for so long, seconds.
 DEPARTED_SECONDS = 20.0
+# So many names of upstreams and so many ended starts are remembered: what is said late of one that
+# ended must not bring it back, and a process must not grow with each restart.
+MOST_REMEMBERED = 10_000
+
+
+class StartNews(StrEnum):
+    """Which start of an upstream says something, beside the one that was asked."""
+
+    SAME = "same"
+    NEWER = "newer"
+    OLDER = "older"
 
 
 @dataclass(frozen=True)
 class Upstream:
     """One start of an upstream; `instance` is new at each start.
 
-    `first` and `end` are the layers held, `end` left out; 0 and 0 for none.
+    `first` and `end` are the layers held, `end` left out; 0 and 0 for none. `row_name` is what the
+    upstream is called in all its starts, empty where `instance` is; `start` rises from one start to
+    the next, None where it isn't told.
     """
 
     instance: str
@@ -44,6 +58,13 @@
     models: tuple[str, ...] = ()
     first: int = 0
     end: int = 0
+    row_name: str = ""
+    start: int | None = None
+
+    @property
+    def name(self) -> str:
+        """What it is called in all its starts."""
+        return self.row_name or self.instance
 
 
 class _Failures:
@@ -62,10 +83,23 @@
 
 
 class UpstreamTable:
-    """All upstreams that this process knows."""
+    """All upstreams that this process knows, of each one start at the most.
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    Args:
+      clock: seconds, steady.
+      on_ended: told of each start that ended because a newer one is known: what it held and ran is
+        gone, and its row is no longer here.
+    """
+
+    def __init__(
+        self, clock: Callable[[], float], on_ended: Callable[[Upstream], None] = lambda row: None
+    ) -> None:
         self._clock = clock
+        self._on_ended = on_ended
+        # The instance of each name, also one that left and may serve on.
+        self._named: dict[str, str] = {}
+        self._newest: dict[str, int] = {}
+        self._ended: dict[str, None] = {}
         self._rows: dict[str, Upstream] = {}
         self._at_address: dict[str, str] = {}
         self._departed: dict[str, tuple[Upstream, float]] = {}
@@ -97,30 +131,87 @@
 
     def replace_all(self, rows: Iterable[Upstream]) -> None:
         """Take in a reading of all rows, the oldest first."""
-        rows = {each.instance: each for each in rows}
-        for instance in list(self._rows):
-            if instance not in rows:
-                self.remove(instance)
+        rows = {each.name: each for each in rows}
+        for name in [each.name for each in self._rows.values()]:
+            if name not in rows:
+                self.remove(name)
         for each in rows.values():
             self.put(each)
 
-    def put(self, row: Upstream) -> None:
-        """Take in one row; whoever had its address before is gone."""
+    def put(self, row: Upstream) -> bool:
+        """Take in one row; whoever had its address before is gone, and so is an older start.
+
+        Returns:
+          Whether it counts: the row of an older start than one that is known changes nothing.
+        """
+        if row.start is not None:
+            if row.start < self._newest.get(row.name, row.start):
+                return False
+            self._remember(row.name, row.start)
+        self._end_others(row.name, row.instance)
+        self._named[row.name] = row.instance
+        self._ended.pop(row.instance, None)
         known = self._rows.get(row.instance)
         if self._lapsing.pop(row.instance, None) is not None:
             self._changes += 1
         self._departed.pop(row.instance, None)
         if known == row:
-            return
+            return True
         before = self._at_address.get(row.address)
         if before is not None and before != row.instance:
             self._drop(before)
         self._at_address[row.address] = row.instance
         self._rows[row.instance] = row
         self._changes += 1
+        return True
 
-    def remove(self, instance: str) -> None:
-        """Take in that a row is gone."""
+    def hear_start(self, asked: Upstream, start: int) -> StartNews:
+        """Take in the start that an upstream itself told when one of its starts was asked.
+
+        A newer one is known from now on, and gets nothing before its row tells what it holds.
+        """
+        if asked.start is None:
+            return StartNews.SAME
+        newest = self._newest.get(asked.name, asked.start)
+        if start > asked.start:
+            if start > newest:
+                self._remember(asked.name, start)
+                self._end_others(asked.name, "")
+            return StartNews.NEWER
+        return StartNews.OLDER if start < newest else StartNews.SAME
+
+    def _remember(self, name: str, start: int) -> None:
+        """Note the newest start of a name; those noted longest ago are forgotten."""
+        self._newest.pop(name, None)
+        self._newest[name] = start
+        while len(self._newest) > MOST_REMEMBERED:
+            del self._newest[next(iter(self._newest))]
+
+    def _end_others(self, name: str, instance: str) -> None:
+        """Forget another start of a name than the one of an instance: nobody serves on there."""
+        before = self._named.get(name)
+        if before is None or before == instance:
+            return
+        row = self.last_known(before)
+        del self._named[name]
+        self._drop(before)
+        self._departed.pop(before, None)
+        self._paces.pop(before, None)
+        self._ended[before] = None
+        while len(self._ended) > MOST_REMEMBERED:
+            del self._ended[next(iter(self._ended))]
+        if row is not None:
+            self._on_ended(row)
+
+    def has_ended(self, instance: str) -> bool:
+        """Return whether a newer start of the same upstream is known."""
+        return instance in self._ended
+
+    def remove(self, name: str) -> None:
+        """Take in that the row of a name is gone."""
+        instance = self._named.get(name)
+        if instance is None:
+            return
         now = self._clock()
         if now - self._store_back_at < LAPSE_GRACE_SECONDS and instance in self._rows:
             deadline = self._store_back_at + LAPSE_GRACE_SECONDS
@@ -153,11 +244,17 @@
             self.clear(instance)
         for instance in [name for name, (_, at) in self._paces.items() if at <= now]:
             self._changes += self._paces.pop(instance)[0] > 1.0 + PACE_STEP
-        self._departed = {name: each for name, each in self._departed.items() if each[1] > now}
+        self._forget_departed(now)
         paces = [at for _, at in self._paces.values()]
         deadlines = [*paces, *self._lapsing.values(), *self._suspect_until.values()]
         self._next_expiry = min(deadlines, default=float("inf"))
 
+    def _forget_departed(self, now: float) -> None:
+        for row, at in list(self._departed.values()):
+            if at <= now:
+                del self._departed[row.instance]
+                self._named.pop(row.name, None)
+
     def suspect(self, instance: str, seconds: float, lost: bool = False) -> None:
         """Give an upstream no new work for a while.
 
@@ -167,6 +264,8 @@
           lost: whether there is no doubt that it is gone; else what it holds still counts where
             others would have to give layers up for it.
         """
+        if instance in self._ended:
+            return
         if lost and instance not in self._lost:
             self._lost.add(instance)
             self._changes += 1
@@ -200,6 +299,10 @@
         """Return one upstream's row, None where it is gone."""
         return self._rows.get(instance)
 
+    def named(self, name: str) -> Upstream | None:
+        """Return the row of a name, None where it is gone."""
+        return self._rows.get(self._named.get(name, ""))
+
     def last_known(self, instance: str) -> Upstream | None:
         """Return one upstream's row, or the last one of an upstream that may serve on."""
         row = self._rows.get(instance)
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -308,7 +308,9 @@
             return
         result = await self._place(row, assignment, deadline)
         results.add(result)
-        if result in (OrderResult.CONFLICT, OrderResult.UNANSWERED):
+        if self._upstreams.get(row.instance) is None:
+            self._pending.pop(row.instance, None)
+        elif result in (OrderResult.CONFLICT, OrderResult.UNANSWERED):
             busy_until = trio.current_time() + BUSY_SECONDS
             self._pending[row.instance] = _Pending(row.first, row.end, busy_until, True)
         elif result not in (OrderResult.TAKEN, OrderResult.HELD):
@@ -336,7 +338,9 @@
         result = OrderResult.UNANSWERED
         conflicts = 0
         for _ in range(MOST_ORDER_TRIES):
-            if orders is None or trio.current_time() >= deadline:
+            # A newer start may have answered: the order was meant for what the older one held.
+            is_there = self._upstreams.get(row.instance) is not None
+            if orders is None or not is_there or trio.current_time() >= deadline:
                 break
             result = await self._orderer.place(row, assignment, orders)
             if result is OrderResult.CONFLICT:
--- a/deckcourse/platform/dialect.py
+++ b/deckcourse/platform/dialect.py
@@ -21,6 +21,7 @@
     REQUEST_ID,
     SEAL,
 )
+from deckcourse.platform.starts import runner_id
 
 __all__ = ["PlatformDialect", "path_text"]
 
@@ -81,7 +82,7 @@
             kept.append((LAST_EVENT_ID, str(dispatch.last_event).encode()))
         milliseconds = max(1, int(dispatch.seconds * 1000))
         kept.append((DEADLINE_MS, str(milliseconds).encode()))
-        kept.append((EXPECTED_INSTANCE, dispatch.instance.encode()))
+        kept.append((EXPECTED_INSTANCE, runner_id(dispatch.instance).encode()))
         if dispatch.account:
             kept.append((ACCOUNT, dispatch.account.encode()))
         if dispatch.priority is not None:
--- a/deckcourse/platform/rows.py
+++ b/deckcourse/platform/rows.py
@@ -1,7 +1,7 @@
 """Rows of the store, decoded once: the desired state, and what runners say of themselves."""
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 from returns.result import Failure, Result, Success
 
 from deckcourse.gateway.desired import (
@@ -16,6 +16,7 @@
 from deckcourse.gateway.upstreams import Upstream
 from deckcourse.layers.model import AcceleratorKind, ModelSpec
 from deckcourse.platform.names import DESIRED_STATE_KEY, OPERATOR_TABLE, RUNNER_TABLE
+from deckcourse.platform.starts import instance_of
 
 __all__ = ["PlatformRows"]
 
@@ -153,7 +154,10 @@
 
 
 class _Runner(Struct):
-    """A runner's row; its `sequence`, unlike that of a report, counts no orders and is left out."""
+    """A runner's row; its `sequence`, unlike that of a report, counts no orders and is left out.
+
+    `born` is the Unix millisecond of its start, which older deployments don't tell.
+    """
 
     service: str
     address: str
@@ -163,6 +167,7 @@
     kind: str = ""
     models: list[_RunnerModel] = []
     layers: _LayerRange | list[_LayerRange] | None = None
+    born: int | UnsetType = UNSET
 
 
 class PlatformRows:
@@ -191,18 +196,19 @@
         except (msgspec.MsgspecError, KeyError) as error:
             return Failure(f"desired state: {error}")
 
-    def upstream(self, instance: str, value: bytes) -> Result[Upstream, str]:
+    def upstream(self, name: str, value: bytes) -> Result[Upstream, str]:
         """Return the upstream that a row tells of, or what is wrong with the row."""
         try:
             runner = msgspec.json.decode(value, type=_Runner)
         except msgspec.MsgspecError as error:
-            return Failure(f"runner {instance}: {error}")
+            return Failure(f"runner {name}: {error}")
         held = runner.layers
+        start = None if runner.born is UNSET else runner.born
         if isinstance(held, list):
             held = held[0] if held else None
         return Success(
             Upstream(
-                instance,
+                instance_of(name, start),
                 runner.service,
                 runner.address,
                 runner.zone,
@@ -212,6 +218,8 @@
                 tuple(each.name for each in runner.models),
                 held.rangeStart if held else 0,
                 held.targetVersion if held else 0,
+                name,
+                start,
             )
         )
 
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -1,14 +1,15 @@
 """Orders to runners and their reports."""
 
+from collections.abc import Callable
 from secrets import token_hex
 from typing import TypeVar
 
 import msgspec
 import trio
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 
 from deckcourse.gateway.dialect import LoadReport, MoveResult, Pulse, PulseReading, StallReport
-from deckcourse.gateway.upstreams import Upstream
+from deckcourse.gateway.upstreams import StartNews, Upstream
 from deckcourse.http1.client import NAMELESS, ConnectionPool, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind, header_value
 from deckcourse.layers.healer import OrderResult
@@ -16,6 +17,7 @@
 from deckcourse.layers.paths import LayerPath
 from deckcourse.platform.dialect import path_text
 from deckcourse.platform.names import EXPECTED_INSTANCE, ORDER, REPORT, REQUEST_ID
+from deckcourse.platform.starts import runner_id
 
 __all__ = ["RunnerControl"]
 
@@ -41,7 +43,7 @@
 class _Report(Struct):
     """A runner's report; `sequence` counts its orders, `pace` over 1 says how slow it is.
 
-    What lacks one of the first three is the answer to something else.
+    What lacks one of the first three is the answer to something else. `born` tells its start.
     """
 
     sequence: int
@@ -51,12 +53,14 @@
     kvTotal: int = 0  # noqa: N815
     pace: float = 1.0
     stalled: list[_Waiting] = []
+    born: int | UnsetType = UNSET
 
 
-class _Fault(Struct):
+class _Told(Struct):
     """An order's answer; `address` names the runner whose part is missing."""
 
     address: str = ""
+    born: int | UnsetType = UNSET
 
 
 class _OwnWait:
@@ -78,10 +82,22 @@
     connection. An answer with the id of another call is therefore none. Where answers to control
     calls carry no id, an order goes only on connections on which no such answer came of late; a
     report may then be an older one, which misleads nobody: an order names the count it rests on.
+
+    A runner may have started again under its id since it was asked. What another start says is no
+    answer about the one that was asked; whoever judges starts hears of it.
     """
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
+        self._judge: Callable[[Upstream, int], StartNews] = lambda asked, start: StartNews.SAME
+
+    def judge_starts(self, judge: Callable[[Upstream, int], StartNews]) -> None:
+        """Have the start in each answer judged: whether it is the one that was asked."""
+        self._judge = judge
+
+    def _start_news(self, asked: Upstream, born: int | UnsetType) -> StartNews:
+        """Return which start answered; one that isn't told counts as the one that was asked."""
+        return StartNews.SAME if born is UNSET else self._judge(asked, born)
 
     async def place(self, upstream: Upstream, assignment: Assignment, orders: int) -> OrderResult:
         """Order what is assigned, if the runner has taken `orders` orders so far."""
@@ -137,9 +153,13 @@
                     spoke = spoke or failure.kind is FailureKind.MALFORMED
                     continue
                 report = _decoded(content, _Report)
-                if report is not None:
-                    return PulseReading(Pulse.ALIVE, report.pace)
-                spoke = True
+                if report is None:
+                    spoke = True
+                    continue
+                news = self._start_news(upstream, report.born)
+                if news is StartNews.NEWER:
+                    return PulseReading(Pulse.DEAD)
+                return PulseReading(Pulse.ALIVE, report.pace if news is StartNews.SAME else 1.0)
             return PulseReading(Pulse.ALIVE if spoke else Pulse.DEAD)
         return PulseReading(Pulse.ALIVE if spoke else Pulse.SILENT)
 
@@ -155,15 +175,23 @@
         if status in (200, 202):
             return MoveResult.MOVED, ""
         if status == 409:
-            fault = _decoded(content, _Fault)
+            fault = _decoded(content, _Told)
             return MoveResult.PART_MISSING, fault.address if fault is not None else ""
         return MoveResult.UNKNOWN_REQUEST, ""
 
     async def _order(
         self, upstream: Upstream, value: object, seconds: float
     ) -> tuple[int, bytes] | None:
-        """Give an order where no answer without an id can be taken for the answer to it."""
-        return await self._call(upstream, b"POST", ORDER, value, seconds, unlike=NAMELESS)
+        """Give an order where no answer without an id can be taken for the answer to it.
+
+        Returns:
+          The answer's status and body, None where there was none in time or another start gave it.
+        """
+        answer = await self._call(upstream, b"POST", ORDER, value, seconds, unlike=NAMELESS)
+        told = None if answer is None else _decoded(answer[1], _Told)
+        if told is not None and self._start_news(upstream, told.born) is not StartNews.SAME:
+            return None
+        return answer
 
     async def _call(
         self,
@@ -183,7 +211,7 @@
         return None
 
     async def _report(self, upstream: Upstream) -> _Report | None:
-        """Return a runner's report, None where there was none in time.
+        """Return a runner's report, None where there was none in time or of another start.
 
         Where this process itself stood still meanwhile, the answer may wait in its socket: without
         a second question 6 of 20 such answers were taken for silence (stand-stills of 0.2 s).
@@ -194,7 +222,10 @@
             answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
         if answer is None or answer[0] != 200:
             return None
-        return _decoded(answer[1], _Report)
+        report = _decoded(answer[1], _Report)
+        if report is None or self._start_news(upstream, report.born) is not StartNews.SAME:
+            return None
+        return report
 
     async def _exchange(
         self,
@@ -213,7 +244,7 @@
         own_id = token_hex(ID_BYTES)
         headers = [
             (b"host", upstream.address.encode()),
-            (EXPECTED_INSTANCE, upstream.instance.encode()),
+            (EXPECTED_INSTANCE, runner_id(upstream.instance).encode()),
             (REQUEST_ID, own_id.encode()),
         ]
         if body:
