Restarts under one id: mutants, rows of ended starts, peers that are behind, the soak

Five mutants, each of which makes a scenario of restarts red: starts taken for one, older starts that come back, answers of any start, streams and kept connections left at an ended start.

Two more tables: an upstream whose row is missing at the store's return has started again, and its layers are ordered elsewhere within 0.8 s; a peer that still passes an older start on, by changes or by all rows, of an old version or of a new one, brings nothing back.

Only the process that an upstream itself told of its new start goes before its turn in planning; who reads it in a row waits for its turn as all do.

Runners of the soak tell their starts; each second start keeps the id of the one before.

--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -43,6 +43,7 @@
         "store-regained",
         "suspicion-ended",
         "upstream-gone",
+        "upstream-restarted",
     }
 )
 _HIDDEN = frozenset({"message_type", "node", "at", "request"})
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -20,7 +20,7 @@
 from deckcourse.gateway.row_intake import RowIntake, RowReader
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstreams import StartNews, Upstream, UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.layers.healer import Healer, Orderer
 from deckcourse.layers.hosts import Group
@@ -106,7 +106,7 @@
         self._desired: DesiredState | None = None
         self._desired_changed = trio.Event()
         self._upstreams = UpstreamTable(trio.current_time, self._note_ended)
-        ports.control.judge_starts(self._upstreams.hear_start)
+        ports.control.judge_starts(self._judge_start)
         self._choices: dict[str, PathChoice] = {}
         self._healers: dict[str, Healer] = {}
         self._book = PlanBook(ports.table, identity.author)
@@ -339,9 +339,16 @@
         self._counters.count("upstream.restarted")
         self._log("upstream-restarted", instance=older.instance, address=older.address)
         self._ports.pool.forget(older.address)
-        self._witness(older.domain)
         self._monitor.note_ended(older)
 
+    def _judge_start(self, asked: Upstream, start: int) -> StartNews:
+        """Take in the start that an upstream itself told; others may not know of a newer one."""
+        listed = self._upstreams.get(asked.instance) is not None
+        news = self._upstreams.hear_start(asked, start)
+        if listed and news is StartNews.NEWER:
+            self._witness(asked.domain)
+        return news
+
     def _note_return(self, moment: float | None = None) -> None:
         """Take in that the store is back, now or since a moment."""
         self._upstreams.store_returned(moment)
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -2,6 +2,7 @@
 
 import re
 from dataclasses import replace
+from unittest.mock import patch
 
 import deckcourse.gateway.calls as calls_module
 import deckcourse.gateway.events as events_module
@@ -15,6 +16,7 @@
 import deckcourse.layers.paths as paths_module
 import deckcourse.layers.placement as placement_module
 import deckcourse.layers.repair as repair_module
+import deckcourse.platform.rows as rows_module
 import deckcourse.platform.runners as runners_module
 from deckcourse.change_feed import Follower
 from deckcourse.decision_log import DecisionLog
@@ -28,13 +30,14 @@
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.stream import StreamCall
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import UpstreamTable
+from deckcourse.gateway.upstreams import StartNews, UpstreamTable
 from deckcourse.http1.client import ConnectionPool, UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError, FailureKind
 from deckcourse.http1.server import RestingConnections
 from deckcourse.layers.healer import Healer
 from deckcourse.layers.plan_book import PlanBook
 from deckcourse.platform.dialect import PlatformDialect
+from deckcourse.platform.runners import RunnerControl
 
 
 def half_events_go_on():
@@ -310,11 +313,40 @@
 
 
 SHARED = ("shared_limits",)
+
+
+def starts_are_one():
+    rows_module.instance_of = lambda runner, start: runner
+
+
+def older_starts_come_back():
+    UpstreamTable._remember = lambda self, name, start: None
+
+
+def any_start_answers():
+    RunnerControl._start_news = lambda self, asked, born: StartNews.SAME
+
+
+def ended_starts_keep_streams():
+    StallMonitor.note_ended = lambda self, upstream: None
+
+
+def ended_starts_keep_connections():
+    kept = GatewayNode._note_ended
+
+    def note_ended(self, older):
+        with patch.object(ConnectionPool, "forget"):
+            kept(self, older)
+
+    GatewayNode._note_ended = note_ended
+
+
 GATEWAY = ("gateway",)
 LAYERS = ("layers",)
 HTTP = ("http1",)
 WRITES = ("torn_writes",)
 LATE = ("late_answers",)
+RESTARTS = ("restarts",)
 EVENTS = ("stream_events",)
 EVERY = {
     half_events_go_on: ("only whole events go on", GATEWAY),
@@ -368,5 +400,10 @@
     everybody_counts_as_alone: ("a process retries by its part of the traffic", SHARED),
     refused_come_back_together: ("refused callers come back in turn", SHARED),
     full_paths_are_taken: ("a request is refused only where every path is full", GATEWAY),
+    starts_are_one: ("each start of an upstream is an instance of its own", RESTARTS),
+    older_starts_come_back: ("what is said of an older start changes nothing", RESTARTS),
+    any_start_answers: ("another start's answer is none", RESTARTS),
+    ended_starts_keep_streams: ("a start that ended keeps no streams", RESTARTS),
+    ended_starts_keep_connections: ("a start that ended keeps no connections", RESTARTS),
     store_is_never_lost: ("the age of the configuration is known", GATEWAY),
 }
--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -101,6 +101,21 @@
     When x2 is lost, and x3 starts again and takes the order that was meant for its older start
     Then x3 got another order within 0.6 seconds of its row, though a load takes 4 seconds
 
+  Scenario: A row that is missing at the store's return may be that of a start that ended
+    Given two chains of runners that tell their starts
+    When the row of x2 is missing at the store's return and x2 started again
+    Then its layers are ordered elsewhere between 0 and 0.8 seconds after it
+
+  Scenario: A peer that still passes an older start on brings nothing back
+    Then of one id this start is known after peers told
+      | told                           | known |
+      | changes 5, changes 7           | 7     |
+      | changes 5, all 7               | 7     |
+      | changes 7, all older 5         | 7     |
+      | changes 7, changes older 5     | 7     |
+      | changes 7, all 5               | 7     |
+      | changes 7, changes 5           | 7     |
+
   Scenario: While the store is away an upstream that started again gets nothing until its row comes
     Given two chains of runners that tell their starts
     When x2 starts again while the store is away and only a report tells of it
--- a/features/steps/lapsed_rows_steps.py
+++ b/features/steps/lapsed_rows_steps.py
@@ -65,6 +65,8 @@
         def lost():
             if state == "is dead":
                 runner.die()
+            if state == "started again":
+                runner.restart(2000, tells=False)
             if state == "is silent":
                 runner.silent_until = trio.current_time() + 10.0
 
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -10,11 +10,16 @@
 from gateway_world import LAYERS, GatewayWorld
 
 from deckcourse.gateway.dialect import Dispatch
+from deckcourse.gateway.row_intake import RowIntake
+from deckcourse.gateway.upstreams import UpstreamTable
+from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.message import header_value
 from deckcourse.http1.server import IncomingRequest
 from deckcourse.layers.hosts import Assignment
 from deckcourse.layers.paths import LayerPath, PathPart
+from deckcourse.peers.replica import TableReplica, TableUpdate
 from deckcourse.platform.dialect import PlatformDialect
+from deckcourse.platform.rows import PlatformRows
 
 # Values of `born` that are no whole number, and one that is left out.
 ODD = {"fraction": 5.5, "text": "7", "null": None}
@@ -129,6 +134,33 @@
     assert not wrong, wrong
 
 
+@then("of one id this start is known after peers told")
+def start_known_from_peers(context):
+    wrong = []
+    for row in context.table:
+        replica, table = TableReplica("servers"), UpstreamTable(lambda: 100.0)
+        intake = RowIntake(
+            PlatformRows(), table, None, ConnectionPool(lambda what: None), *4 * (do_nothing,)
+        )
+        replica.take(TableUpdate("servers", None, 1))
+        for told in row["told"].split(", "):
+            what, _, word = told.rpartition(" ")
+            # One that is behind tells what it knew at a version that has long passed.
+            version = 2 if what.endswith("older") else replica.version + 10
+            after = None if what.startswith("all") else 1
+            value = json.dumps(row_of("p", start_of(word))).encode()
+            if replica.take(TableUpdate("servers", after, version, (("p", value, version),))):
+                intake.upstream_rows(replica.rows)
+        starts = [each.start for each in table.of_service(SERVICE)]
+        if starts != [int(row["known"])]:
+            wrong.append((row["told"], row["known"], starts))
+    assert not wrong, wrong
+
+
+def do_nothing(*_, **__):
+    """Take a call that nothing follows from."""
+
+
 @then("each answer counts as this")
 def answers_count(context):
     wrong = []
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -42,7 +42,10 @@
 
 @dataclass(frozen=True)
 class RunnerSpec:
-    """One start of a runner; `address` is where others reach it, `layers` how many it may hold."""
+    """One start of a runner; `address` is where others reach it, `layers` how many it may hold.
+
+    `born` is the Unix millisecond of the start, by which starts under one id are told apart.
+    """
 
     instance: str
     service: str
@@ -51,6 +54,7 @@
     address: str
     store: str
     layers: int = 0
+    born: int = 0
 
     def text(self) -> str:
         """Return it as the program's argument."""
@@ -93,7 +97,7 @@
         row = {
             "service": spec.service, "address": spec.address, "zone": spec.domain, "slots": 24,
             "state": "ready", "kind": "card" if spec.layers else "", "layers": held,
-            "models": [{"name": "m"}] if held else [],
+            "models": [{"name": "m"}] if held else [], "born": spec.born,
         }  # fmt: skip
         put = {
             "table": "servers",
@@ -137,18 +141,20 @@
         return {
             "sequence": self._orders, "running": len(self._paths), "queued": 0, "kvUsed": 0,
             "kvTotal": 1, "stalled": stalled, "first": self._first, "end": self._end,
+            "born": self._spec.born,
         }  # fmt: skip
 
     async def _order(self, order: dict, exchange: Exchange) -> None:
+        told = json.dumps({"born": self._spec.born}).encode()
         if order["op"] == "repath":
             known = order["id"] in self._paths
             if known:
                 self._paths[order["id"]] = parse_path(order["path"])
-            await exchange.whole(200 if known else 404, JSON_TYPE, b"{}")
+            await exchange.whole(200 if known else 404, JSON_TYPE, told)
             return
         busy = trio.current_time() < self._loading
         if busy or order["expectedRev"] != self._orders:
-            await exchange.whole(409, JSON_TYPE, b"{}")
+            await exchange.whole(409, JSON_TYPE, told)
             return
         first, end = order["rangeStart"], order["targetVersion"]
         held = set(range(self._first, self._end)) if order["how"] == "wait" else set()
@@ -156,7 +162,7 @@
             tell(broken="LIMIT", instance=self._spec.instance, first=first, end=end)
         self._orders += 1
         self._loading = trio.current_time() + LOAD_SECONDS
-        await exchange.whole(202, JSON_TYPE, b"{}")
+        await exchange.whole(202, JSON_TYPE, told)
         await trio.sleep_until(self._loading)
         self._first, self._end = first, end
         await self._write_row()
--- a/soak/site.py
+++ b/soak/site.py
@@ -7,6 +7,7 @@
 import sys
 from dataclasses import dataclass, field, replace
 from pathlib import Path
+from time import time
 
 import trio
 
@@ -29,6 +30,8 @@
 # Layers that one runner may hold: a domain of four holds the model with room to heal.
 ROOM = 5
 LAYER_MB = 100.0
+# A runner has a new id after so many starts: both ways come up on all sites.
+STARTS_UNDER_ONE_ID = 2
 # A row that wasn't written for so long is dropped at the next look, seconds.
 LAPSE_SECONDS = 1.2
 # How long an entry may take to say that it is ready, seconds.
@@ -164,9 +167,10 @@
         self.start_entry(entry)
 
     def start_runner(self, runner: RunnerProcess) -> None:
-        """Start a runner anew, empty and under a new id."""
+        """Start a runner anew, empty; each second start keeps the id of the one before."""
+        name = f"{runner.spec.instance}.{runner.starts // STARTS_UNDER_ONE_ID}"
         runner.starts += 1
-        spec = replace(runner.spec, instance=f"{runner.spec.instance}.{runner.starts}")
+        spec = replace(runner.spec, instance=name, born=int(time() * 1000))
         command = [sys.executable, "-m", "soak.runner", spec.text()]
         runner.process = subprocess.Popen(command, stdout=subprocess.PIPE)
         self._nursery.start_soon(self._read_records, runner.process)
