Red: what another upstream at the address says is taken for a restart

An address may go to another upstream, which turns down what names the former one by 421 and may tell its own start. By an order and by a question whether it is there, that was taken for a newer start of the one that was asked, whose row was dropped; by a report it was not.

--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -29,6 +29,9 @@
       | row 5, refused order 7, row 5                    | none  |
       | row 7, order 5                                   | 7     |
       | row 7, refused order 5                           | 7     |
+      | row 5, misdirected order 7                       | 5     |
+      | row 5, misdirected report 7                      | 5     |
+      | row 5, misdirected pulse 7                       | 5     |
       | row 5, pulse 7                                   | none  |
       | row 5, move 7                                    | none  |
       | row 5, gone                                      | none  |
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -39,12 +39,15 @@
 
     def __init__(self):
         self.start, self.status, self.seen = {}, 202, []
+        self.is_another = False
 
     async def handle(self, request, exchange):
         self.seen.append(header_value(request.headers, b"x-expected-instance").decode())
         if request.target == b"/v1/report":
             said = {**self.start, "sequence": 3, "running": 1, "queued": 0}
-            await exchange.whole(200, (), json.dumps(said).encode())
+            await exchange.whole(421 if self.is_another else 200, (), json.dumps(said).encode())
+        elif self.is_another:
+            await exchange.whole(421, (), json.dumps(self.start).encode())
         else:
             await exchange.whole(self.status, (), json.dumps(self.start).encode())
 
@@ -103,8 +106,10 @@
     else:
         runner.start = start_of(word)
         runner.status = 409 if what == "refused order" else 202
+        # Another upstream at the address turns down whatever names this one.
+        runner.is_another = what.startswith("misdirected")
         upstream = asked[0 if what == "old report" else -1]
-        call = {"order": "place", "refused order": "place"}.get(what, what.removeprefix("old "))
+        call = what.rpartition(" ")[2].replace("order", "place")
         await believed(site, call, upstream)
     await trio.sleep(0.3)
     site.store.forgotten = False
