A 421 tells nothing of the upstream that was asked

Cause: the start in every answer to an order, and in every body that reads like a report, was judged, also in that of another upstream which holds the address by now.

Change: an answer by 421 is judged for no start. A question whether the upstream is there takes it as ever for a sign of somebody, and no longer takes a pace from it.

--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -29,6 +29,8 @@
 ORDER_SECONDS = 0.12
 # A wait that ends so much later than it should says that this process was paused, seconds.
 OWN_PAUSE_SECONDS = 0.03
+# The status by which a runner turns down what names another one: what it says is of itself.
+MISDIRECTED = 421
 # Random bytes of a control call's id: no caller's request has the same.
 ID_BYTES = 8
 
@@ -147,13 +149,13 @@
             # An idle connection may have been closed long ago; a second one tells.
             for _ in range(2):
                 try:
-                    _, content = await self._exchange(upstream, b"GET", REPORT)
+                    status, content = await self._exchange(upstream, b"GET", REPORT)
                 except ConnectionLostError as failure:
                     # One that says something else than was asked is there.
                     spoke = spoke or failure.kind is FailureKind.MALFORMED
                     continue
                 report = _decoded(content, _Report)
-                if report is None:
+                if report is None or status == MISDIRECTED:
                     spoke = True
                     continue
                 news = self._start_news(upstream, report.born)
@@ -188,7 +190,9 @@
           The answer's status and body, None where there was none in time or another start gave it.
         """
         answer = await self._call(upstream, b"POST", ORDER, value, seconds, unlike=NAMELESS)
-        told = None if answer is None else _decoded(answer[1], _Told)
+        if answer is None or answer[0] == MISDIRECTED:
+            return answer
+        told = _decoded(answer[1], _Told)
         if told is not None and self._start_news(upstream, told.born) is not StartNews.SAME:
             return None
         return answer
