--- a/features/deploy.feature
+++ b/features/deploy.feature
@@ -28,3 +28,34 @@
 
   Scenario: What the deploy file builds is what the project declares
     Then each requirement of the deploy file is declared by the project with the same bounds
+
+  Scenario: Every day of our own fits any deployment
+    Then the folder of days holds days, and nothing is wrong with any
+
+  Scenario Outline: A day with <wrong> is told
+    Then a day with <old> written as <new> has the problem: <problem>
+
+    Examples:
+      | wrong                      | old            | new             | problem                  |
+      | no TOML                    | plan = [       | plan = [[       | not TOML                 |
+      | another name               | name = "day"   | name = "days"   | is not the file's        |
+      | no promise                 | lost: served   | lost, served    | its first line           |
+      | two comments               | seed = 7       | seed = 7 # luck | its first line           |
+      | a seed that is no number   | seed = 7       | seed = "7"      | field seed is no int     |
+      | a field left out           | slot = "a"     | # slot          | slot is missing          |
+      | a field of its own         | slot = "a"     | slots = "a"     | slots is missing         |
+      | an unknown kind            | srv_crash      | srv_crush       | 'srv_crush' is unknown   |
+      | an unknown variant         | "dark gone"    | "dark lost"     | how 'lost' is unknown    |
+      | a variant of another kind  | "dark gone"    | "unframed"      | how 'unframed' is        |
+      | an unknown field           | for_s          | for_ms          | field for_ms is unknown  |
+      | planned work among faults  | srv_crash      | release         | stands in the wrong part |
+      | a fault among planned work | hup            | burst           | stands in the wrong part |
+      | a service's own name       | @s0            | records         | is a deployment's own    |
+      | a zone's own name          | @z0            | hall-a          | is a deployment's own    |
+      | a class's own name         | @c0            | lookup          | is a deployment's own    |
+      | a service for a zone       | @z0            | @s0             | is a deployment's own    |
+      | no time                    | at = 6.0       | x = 6.0         | at is missing            |
+      | a time after the day's end | at = 6.0       | at = 60.0       | is later than            |
+      | a share above all          | share = 0.5    | share = 1.5     | is more than all         |
+      | a length that is a word    | for_s = 2.0    | for_s = "2"     | is no number above 0     |
+      | nothing that happens       | all its lines  | none            | nothing happens          |
--- a/features/steps/deploy_steps.py
+++ b/features/steps/deploy_steps.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from behave import then
+from day_files import day_problems
 from returns.result import Failure, Success
 
 from deckcourse.settings import read_settings
@@ -139,3 +140,43 @@
     project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))["project"]
     lines = (ROOT / "deploy" / "requirements.txt").read_text(encoding="utf-8").split()
     assert lines and set(lines) <= set(project["dependencies"]), lines
+
+
+@then("the folder of days holds days, and nothing is wrong with any")
+def days_right(context):
+    files = sorted((ROOT / "deploy" / "days").iterdir())
+    assert files and all(file.suffix == ".toml" for file in files), files
+    problems = {
+        file.name: found
+        for file in files
+        if (found := day_problems(file.stem, file.read_text(encoding="utf-8")))
+    }
+    assert not problems, problems
+
+
+# A day without a fault, of which the scenarios spoil one thing each.
+DAY = """\
+# Some are lost: served by the others.
+name = "day"
+slot = "a"
+seed = 7
+plan = [
+  { kind = "hup", share = 0.5, at = 3.0 },
+]
+faults = [
+  { kind = "srv_crash", service = "@s0", zone = "@z0", how = "dark gone", for_s = 2.0, at = 6.0 },
+  { kind = "burst", class = "@c0", x = 2.0, at = 4.0 },
+]
+"""
+
+
+@then("a day with {old} written as {new} has the problem: {problem}")
+def day_refused(context, old, new, problem):
+    assert not day_problems("day", DAY), day_problems("day", DAY)
+    if old == "all its lines":
+        spoilt = "".join(line for line in DAY.splitlines(True) if not line.startswith("  {"))
+    else:
+        assert old in DAY, old
+        spoilt = DAY.replace(old, new)
+    found = day_problems("day", spoilt)
+    assert any(problem in each for each in found), found
