--- a/tools/start_cost.py
+++ b/tools/start_cost.py
@@ -34,7 +34,9 @@
 )
 from deckcourse.http1.client import ConnectionPool  # noqa: E402
 from deckcourse.http1.memory import MemoryNetwork  # noqa: E402
+from deckcourse.layers import healer  # noqa: E402
 from deckcourse.peers.datagrams import MemoryMedium  # noqa: E402
+from deckcourse.peers.followers import followers  # noqa: E402
 from deckcourse.peers.member import Digest, Member, encode_digest  # noqa: E402
 from deckcourse.peers.peers import PeerPorts  # noqa: E402
 from deckcourse.platform.dialect import PlatformDialect  # noqa: E402
@@ -134,7 +136,8 @@
                 Member(f"n{each}", 1, f"n{each}:1", DOMAINS[each % len(DOMAINS)])
                 for each in range(processes)
             ]
-            own = members.pop()
+            own = followers(members, DOMAINS[0])[0]
+            members.remove(own)
             node = GatewayNode(
                 GatewayIdentity(own.name, own.domain, own.name),
                 GatewayPorts(
@@ -145,10 +148,7 @@
             )  # fmt: skip
             # As if others made each plan: this process's turn never comes.
             node._turn = lambda group: 10**6
-            for healer_wait in (1e9,):
-                import deckcourse.layers.healer as healer_module
-
-                healer_module.LONGEST_WAIT_SECONDS = healer_wait
+            healer.LONGEST_WAIT_SECONDS = 1e9
             nursery.start_soon(tell, medium, members, own.address)
             nursery.start_soon(node.run)
             store.put("op", "config", config())
