--- a/tools/start_cost.py
+++ b/tools/start_cost.py
@@ -8,14 +8,17 @@
 
 import argparse
 import cProfile
+import json
 import os
 import pstats
 import sys
 from bisect import bisect_right
+from functools import cache
 from pathlib import Path
 from random import Random
 from time import process_time
 
+import msgspec
 import trio
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "features"))
@@ -34,7 +37,9 @@
 )
 from deckcourse.http1.client import ConnectionPool  # noqa: E402
 from deckcourse.http1.memory import MemoryNetwork  # noqa: E402
-from deckcourse.layers import healer  # noqa: E402
+from deckcourse.layers.hosts import LayerHost, groups_of  # noqa: E402
+from deckcourse.layers.placement import plan_group  # noqa: E402
+from deckcourse.layers.plan_book import PlanRecord  # noqa: E402
 from deckcourse.peers.datagrams import MemoryMedium  # noqa: E402
 from deckcourse.peers.followers import followers  # noqa: E402
 from deckcourse.peers.member import Digest, Member, encode_digest  # noqa: E402
@@ -46,8 +51,9 @@
 
 DOMAINS = "xyz"
 LAYERS = 80
-# Rows come in within the first part of the time, and change within the rest, seconds.
+# Rows come in within the first part of the time, are placed, and change after that, seconds.
 COME_SECONDS = 5.0
+PLAN_SECONDS = 1.3
 LOAD_SECONDS = 9.0
 REST_SECONDS = 6.0
 STEP_SECONDS = 0.05
@@ -104,21 +110,45 @@
 
 
 async def story(store, upstreams):
-    """Have all rows come, and change as layers are loaded."""
+    """Have all rows come, another process place them, and rows change as layers are loaded."""
     steps = round(COME_SECONDS / STEP_SECONDS)
     for step in range(steps):
         for number in range(step, upstreams, steps):
             store.put("servers", f"runner-{number}", row(number))
         await trio.sleep(STEP_SECONDS)
+    await trio.sleep(PLAN_SECONDS)
+    plan(store, upstreams)
+    held = {each.instance: each for domain in DOMAINS for each in planned(upstreams, domain)}
     steps = round(LOAD_SECONDS / STEP_SECONDS)
     for step in range(steps):
-        for number in range(step, upstreams, steps):
-            first = 10 * (number // len(DOMAINS) % (LAYERS // 10))
-            store.put("servers", f"runner-{number}", row(number, first, first + 10))
         await trio.sleep(STEP_SECONDS)
+        for number in range(step, upstreams, steps):
+            each = held.get(f"runner-{number}")
+            if each is not None:
+                store.put("servers", each.instance, row(number, each.first, each.end))
     await trio.sleep(REST_SECONDS)
 
 
+@cache
+def planned(upstreams, domain):
+    """Return the first plan of a domain."""
+    model = PlatformRows().desired_state(json.dumps(config()).encode()).unwrap().services["llm"]
+    hosts = [
+        LayerHost(f"runner-{each}", domain, "card")
+        for each in range(upstreams)
+        if DOMAINS[each % len(DOMAINS)] == domain
+    ]
+    (group,) = groups_of(model.model, hosts)
+    return plan_group(model.model, group)
+
+
+def plan(store, upstreams):
+    """Write the first plans, as another process does."""
+    for domain in DOMAINS:
+        record = PlanRecord(1, "another", "m", planned(upstreams, domain))
+        store.put("plans", domain, msgspec.to_builtins(record))
+
+
 def play(upstreams, processes):
     """Play the first seconds of a process; return its processor time, seconds."""
 
@@ -136,7 +166,7 @@
                 Member(f"n{each}", 1, f"n{each}:1", DOMAINS[each % len(DOMAINS)])
                 for each in range(processes)
             ]
-            own = followers(members, DOMAINS[0])[0]
+            own = followers(members, DOMAINS[0])[1]
             members.remove(own)
             node = GatewayNode(
                 GatewayIdentity(own.name, own.domain, own.name),
@@ -146,12 +176,11 @@
                 ),
                 GatewaySettings, counters, log.log, Random(1),
             )  # fmt: skip
-            # As if others made each plan: this process's turn never comes.
-            node._turn = lambda group: 10**6
-            healer.LONGEST_WAIT_SECONDS = 1e9
             nursery.start_soon(tell, medium, members, own.address)
             nursery.start_soon(node.run)
             store.put("op", "config", config())
+            for domain in DOMAINS:
+                planned(upstreams, domain)
             started = process_time()
             await story(store, upstreams)
             print(f"{process_time() - started:.2f} s of processor time")
