--- a/deckcourse/layers/plan_book.py
+++ b/deckcourse/layers/plan_book.py
@@ -55,6 +55,8 @@
         self._table = table
         self._author = author
         self._rows: dict[str, Row | None] = {}
+        # Each row's plan, decoded once: it is asked for at each look and may hold a thousand orders.
+        self._plans: dict[str, PlanRecord | None] = {}
 
     @property
     def author(self) -> str:
@@ -63,8 +65,11 @@
 
     def known(self, group: str) -> PlanRecord | None:
         """Return the plan of a group as last seen."""
-        row = self._rows.get(group)
-        return None if row is None else _decode(row)
+        return self._plans.get(group)
+
+    def _keep(self, group: str, row: Row | None, plan: PlanRecord | None) -> None:
+        self._rows[group] = row
+        self._plans[group] = plan
 
     def note(self, row: Row) -> PlanRecord | None:
         """Take in a group's row that was read elsewhere.
@@ -76,15 +81,15 @@
         known = self._rows.get(group)
         if known is not None and known.version >= row.version:
             return None
-        self._rows[group] = row
         record = _decode(row)
+        self._keep(group, row, record)
         return None if record is None or record.author == self._author else record
 
     async def look(self, group: str) -> PlanRecord | None:
         """Read the plan of a group anew; the last one seen where the table gives no answer."""
         match await self._table.read([KEY_PREFIX + group]):
             case Success((row,)):
-                self._rows[group] = row
+                self._keep(group, row, None if row is None else _decode(row))
         return self.known(group)
 
     async def claim(
@@ -99,7 +104,7 @@
         expected = ABSENT if row is None else row.version
         match await self._table.transact([Write(KEY_PREFIX + group, value, expected)]):
             case Success(Committed((version,))):
-                self._rows[group] = Row(KEY_PREFIX + group, version, value)
+                self._keep(group, Row(KEY_PREFIX + group, version, value), record)
                 return PlanWon(record)
             case Success(_):
                 return ClaimLost(await self.look(group))
