--- a/deckcourse/layers/plan_book.py
+++ b/deckcourse/layers/plan_book.py
@@ -55,7 +55,7 @@
         self._table = table
         self._author = author
         self._rows: dict[str, Row | None] = {}
-        # Each row's plan, decoded once: it is asked for at each look and may hold a thousand orders.
+        # Each row's plan, decoded once: each look asks for it, and it may hold a thousand orders.
         self._plans: dict[str, PlanRecord | None] = {}
 
     @property
