--- a/features/decision_work.feature
+++ b/features/decision_work.feature
@@ -32,3 +32,16 @@
     Given a plan of 1000 orders that another process made
     When it is asked for 100 times
     Then it is one and the same record
+
+  # With 1,000 upstreams in each of three domains one choice took 14.5 ms of processor time and the
+  # count of all standing requests, made each 0.4 s, 7.8 ms: how full each of 295 paths was, though
+  # a process keeps to three, and who may be the first of a path, looked for among all upstreams.
+  Scenario Outline: A request looks at the few paths that its process keeps to: <question>
+    Given a process that knows 900 placed upstreams of each of 3 domains and their loads
+    When it asks for the second time <question>
+    Then it takes at most <most> calls of functions
+
+    Examples:
+      | question                              | most  |
+      | which path a request takes            | 12000 |
+      | how many requests stand at all firsts | 10000 |
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -2,17 +2,21 @@
 
 import sys
 from dataclasses import replace
+from random import Random
 
 import msgspec
 from behave import given, then, when
 from layer_world import LAYER_MB, carried_out, model_of
 
 from deckcourse.decisions.path_load import begun_at
+from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.layers.hosts import Assignment, LayerHost, groups_of
 from deckcourse.layers.path_set import PathSet
 from deckcourse.layers.placement import plan_group
 from deckcourse.layers.plan_book import PlanBook, PlanRecord
+from deckcourse.peers.loads import LoadBoard, LoadRow
 from deckcourse.table import MemoryTable, Row
 
 KINDS = {"big100": 0.1, "v100": 0.5, "l4": 0.4}
@@ -119,3 +123,47 @@
 def same_record(context):
     assert context.records[0].author == "another"
     assert all(each is context.records[0] for each in context.records)
+
+
+@given(
+    "a process that knows {count:d} placed upstreams of each of {domains:d} domains and their loads"
+)
+def process_with_loads(context, count, domains):
+    large_domain(context, count, 80)
+    context.now = 1.0
+    listed = UpstreamTable(lambda: context.now)
+    board = LoadBoard(lambda: context.now)
+    for domain in "xyz"[:domains]:
+        for host in context.placed:
+            name = f"{domain}-{host.instance}"
+            listed.put(
+                Upstream(
+                    name,
+                    "llm",
+                    f"{name}:1",
+                    domain,
+                    False,
+                    6,
+                    host.kind,
+                    ("m",),
+                    host.first,
+                    host.end,
+                )
+            )
+            board.note(LoadRow(name, 2, 0, 0.1, 1.0))
+    context.choice = PathChoice(
+        "llm", "n", "x", listed, lambda: context.now, None, TrafficShare(lambda: context.now),
+        board, lambda: False, Random(1),
+    )  # fmt: skip
+
+
+@when("it asks for the second time {question}")
+def ask_again(context, question):
+    asked = {
+        "which path a request takes": lambda: context.choice.choose(context.model),
+        "how many requests stand at all firsts": context.choice._standing,
+    }[question]
+    context.choice.choose(context.model)
+    asked()
+    context.now += 0.1
+    context.calls = calls_of(lambda: asked())
