A choice looks at the few paths that its process keeps to

For each request a process worked out how full every path of its domain is, to keep to three of them; who passes a first upstream, and who may be first, was looked for anew each time, the latter 2.5 times a second.

Ruled out: counts that are kept for longer than a moment (own requests since then have to count at once).

Paths stand in the order in which the process uses them, once for each set of paths, and are looked at until three have room. First upstreams, and who passes them, are kept until upstreams or paths change.

--- a/deckcourse/decisions/path_load.py
+++ b/deckcourse/decisions/path_load.py
@@ -11,30 +11,42 @@
 
 from deckcourse.layers.paths import LayerPath
 
-__all__ = ["begun_at", "passing"]
+__all__ = ["begun_at", "passers", "passing"]
 
 # Rounds until the counts agree: an upstream is passed by those whose paths begin before it, and
 # sites have three first upstreams a copy.
 ROUNDS = 4
 
 
-def begun_at(paths: Sequence[LayerPath], running: Callable[[str], float]) -> dict[str, float]:
+def passers(paths: Sequence[LayerPath]) -> dict[str, list[str]]:
+    """Return for each first upstream that other paths pass the first upstreams of those."""
+    firsts = {path.parts[0].instance: path for path in paths}
+    found: dict[str, list[str]] = defaultdict(list)
+    for name, path in firsts.items():
+        for first in path.instances & firsts.keys() - {name}:
+            found[first].append(name)
+    # In the order of the paths: later ones are counted by what is known of earlier ones.
+    return {first: found[first] for first in firsts if first in found}
+
+
+def begun_at(
+    paths: Sequence[LayerPath],
+    running: Callable[[str], float],
+    passed_by: Mapping[str, Sequence[str]] | None = None,
+) -> dict[str, float]:
     """Return how many streams begin at each first upstream.
 
     Args:
       paths: one from each first upstream; all processes find the same and most streams take them.
       running: returns how many streams an upstream runs, begun there or passing.
+      passed_by: the `passers` of the paths, where they are known already.
     """
-    firsts = {path.parts[0].instance: path for path in paths}
-    told = {first: running(first) for first in firsts}
-    passed_by: dict[str, list[str]] = {first: [] for first in firsts}
-    for name, path in firsts.items():
-        for first in path.instances & passed_by.keys() - {name}:
-            passed_by[first].append(name)
+    told = {path.parts[0].instance: running(path.parts[0].instance) for path in paths}
     found = dict(told)
+    shared = passers(paths) if passed_by is None else passed_by
     for _ in range(ROUNDS):
-        for first in firsts:
-            passing_here = sum(found[name] for name in passed_by[first])
+        for first, names in shared.items():
+            passing_here = sum([found[name] for name in names])
             found[first] = max(0.0, told[first] - passing_here)
     return found
 
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -1,11 +1,12 @@
 """The choice of a path for one request, from what this process knows at the moment."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from itertools import islice
 from random import Random
 
 from deckcourse.decisions.path_draw import draw_path
-from deckcourse.decisions.path_load import begun_at, passing
+from deckcourse.decisions.path_load import begun_at, passers, passing
 from deckcourse.decisions.usual_paths import usual_paths
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.load_watch import LoadWatch
@@ -117,6 +118,13 @@
         )
         self._random = random
         self._counted: dict[str, tuple[float, _Streams]] = {}
+        # The paths as last asked for by domain, and who passes their first upstreams.
+        self._passers: dict[str, tuple[list[LayerPath], Mapping[str, Sequence[str]]]] = {}
+        # The paths inside the own domain, and the same in the order in which this process uses
+        # them.
+        self._ordered: tuple[list[LayerPath], list[LayerPath]] = ([], [])
+        # Who can be the first of a path, as of a count of changes.
+        self._first_rows: tuple[int, list[Upstream]] | None = None
 
     @property
     def watch(self) -> LoadWatch:
@@ -132,9 +140,11 @@
         return self._utilization(path) < ROOM_UTILIZATION and not self.refused_of_late(path)
 
     def _firsts(self) -> list[Upstream]:
-        return [
-            each for each in self._upstreams.usable(self._service) if each.first == 0 < each.end
-        ]
+        changes = self._upstreams.changes
+        if self._first_rows is None or self._first_rows[0] != changes:
+            usable = self._upstreams.usable(self._service)
+            self._first_rows = changes, [each for each in usable if each.first == 0 < each.end]
+        return self._first_rows[1]
 
     def _utilization(self, path: LayerPath) -> float:
         """Return the requests on a path's busiest part for each one that there is room for.
@@ -163,11 +173,18 @@
             paths: list[LayerPath] = []
             if self._known is not None:
                 paths = self._known[1].inside(domain) if domain else self._known[1].starts()
-            begun = begun_at(paths, self._watch.running)
+            begun = begun_at(paths, self._watch.running, self._passers_of(domain, paths))
             beginning = {name: each + self._watch.waiting(name) for name, each in begun.items()}
             known = self._counted[domain] = now, _Streams(beginning, passing(paths, beginning))
         return known[1]
 
+    def _passers_of(self, domain: str, paths: list[LayerPath]) -> Mapping[str, Sequence[str]]:
+        """Return who passes the first upstreams of paths, worked out once for each list of them."""
+        known = self._passers.get(domain)
+        if known is None or known[0] is not paths:
+            known = self._passers[domain] = paths, passers(paths)
+        return known[1]
+
     def _standing(self) -> float:
         """Return all requests at first upstreams, each counted once.
 
@@ -232,9 +249,11 @@
     def _near_with_room(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
         """Return the few paths of the own domain with room that this process keeps to."""
         inside = self._path_set(model).inside(self._domain)
-        clear = (each for each in inside if not each.instances & avoid)
-        with_room = [each for each in clear if self._utilization(each) < 1.0]
-        return usual_paths(with_room, self._process, USUAL_FIRSTS)
+        if self._ordered[0] is not inside:
+            self._ordered = inside, usual_paths(inside, self._process, len(inside))
+        clear = (each for each in self._ordered[1] if not each.instances & avoid)
+        with_room = (each for each in clear if self._utilization(each) < 1.0)
+        return list(islice(with_room, USUAL_FIRSTS))
 
     def _paths(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
         paths = self._path_set(model)
--- a/deckcourse/peers/loads.py
+++ b/deckcourse/peers/loads.py
@@ -60,13 +60,12 @@
     def known(self, instance: str) -> LoadRow | None:
         """Return the newest word of an upstream, None where there is none of late."""
         row = self._rows.get(instance)
-        return row if row is not None and row.at >= self._oldest() else None
+        if row is None or row.at < self._clock() - LIFETIME_SECONDS:
+            return None
+        return row
 
     def all(self) -> list[LoadRow]:
         """Return every upstream's word of late."""
-        oldest = self._oldest()
+        oldest = self._clock() - LIFETIME_SECONDS
         self._rows = {name: each for name, each in self._rows.items() if each.at >= oldest}
         return list(self._rows.values())
-
-    def _oldest(self) -> float:
-        return self._clock() - LIFETIME_SECONDS
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -65,7 +65,7 @@
     path_load.begun_at.__code__ = told_as_it_is.__code__
 
 
-def told_as_it_is(paths, running):
+def told_as_it_is(paths, running, passed_by):
     return {path.parts[0].instance: running(path.parts[0].instance) for path in paths}
 
 
