--- a/features/decision_work.feature
+++ b/features/decision_work.feature
@@ -45,3 +45,12 @@
       | question                              | most  |
       | which path a request takes            | 12000 |
       | how many requests stand at all firsts | 10000 |
+
+  # Where all that a process keeps to is full, it looks at every path: 35.3 ms of processor time for
+  # a request with 1,000 upstreams in each of three domains, two thirds of which went into how many
+  # requests each part of each path has memory for: "294481 calls of path_choice.py:198(_places)".
+  Scenario: Where everything is full a request weighs each path without sizing it anew
+    Given a process that knows 900 placed upstreams of each of 3 domains and their loads
+    And every upstream is full
+    When it asks for the second time which path a request takes
+    Then it takes at most 40000 calls of functions
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -132,7 +132,7 @@
     large_domain(context, count, 80)
     context.now = 1.0
     listed = UpstreamTable(lambda: context.now)
-    board = LoadBoard(lambda: context.now)
+    board = context.board = LoadBoard(lambda: context.now)
     for domain in "xyz"[:domains]:
         for host in context.placed:
             name = f"{domain}-{host.instance}"
@@ -157,6 +157,12 @@
     )  # fmt: skip
 
 
+@given("every upstream is full")
+def all_full(context):
+    for row in context.board.all():
+        context.board.note(LoadRow(row.instance, 90, 40, 0.9, row.at + 0.01))
+
+
 @when("it asks for the second time {question}")
 def ask_again(context, question):
     asked = {
