What the parts of paths have room for is worked out once, until rows change

Where everything that a process keeps to is full, each request weighs every path of every domain, and for each part the memory for requests was worked out anew.

It is kept for each path until an upstream's row or the set of paths changes.

Measured in memory, 1,000 upstreams in each of three domains, all full: a choice 35.3 ms of processor time before, 18.3 ms after; 333 in each 11.6 and 4.9 ms; 100 in each 3.1 and 1.2 ms. With room 1.5 and 1.2 ms at 1,000. Calls of functions at 900 in each, all full: 70,989 before, under 40,000 after.

--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -120,6 +120,9 @@
         self._counted: dict[str, tuple[float, _Streams]] = {}
         # The paths as last asked for by domain, and who passes their first upstreams.
         self._passers: dict[str, tuple[list[LayerPath], Mapping[str, Sequence[str]]]] = {}
+        # What the parts of paths have room for, by the id of the path, and as of what.
+        self._sized: dict[int, tuple[LayerPath, Sequence[tuple[str, float]]]] = {}
+        self._sized_as_of: tuple[int, object] = (-1, None)
         # The paths inside the own domain, and the same in the order in which this process uses
         # them.
         self._ordered: tuple[list[LayerPath], list[LayerPath]] = ([], [])
@@ -159,7 +162,20 @@
         beginning = streams.beginning.get(first.instance, 0.0)
         own = max(self._watch.cache_share(first.instance), beginning / max(1, first.slots))
         passed = streams.passing
-        return max(own, *(passed[each.instance] / self._places(each) for each in path.parts))
+        return max(own, *[passed[name] / places for name, places in self._places_on(path)])
+
+    def _places_on(self, path: LayerPath) -> Sequence[tuple[str, float]]:
+        """Return for each part of a path how many requests it takes; kept until rows change."""
+        changes = self._upstreams.changes
+        if self._sized_as_of[0] != changes or self._sized_as_of[1] is not self._known:
+            self._sized_as_of = changes, self._known
+            self._sized.clear()
+        known = self._sized.get(id(path))
+        if known is None:
+            sizes = [(each.instance, self._places(each)) for each in path.parts]
+            # With the path, so that no other one takes its id meanwhile.
+            known = self._sized[id(path)] = path, sizes
+        return known[1]
 
     def _streams(self, domain: str = "") -> _Streams:
         """Return how many streams begin at and pass each upstream, counted once a moment.
