A row of another writer names no upstream, and hides no good one

Cause: rows were decoded by their types alone. Nesting beyond the decoder's raised out of the reading of all rows; unknown states counted as leaving; an address was whatever text there was; a range of layers might be of any length; a row that could not be read left the one before in use; and whoever claimed an address took it from its owner, also for a service that nobody names, and kept it when its own row went.

Change: a checked decode (platform/row_checks.py), after which a row that was good and isn't any more counts as gone at once. Rows are kept by key: of those that claim an address the newest of a named service counts, and the one before it is there again when that goes. A row of a service that nobody named waits until it is named. Each refused row is told of once, 256 at the most, and counted at each reading.

--- a/deckcourse/gateway/row_intake.py
+++ b/deckcourse/gateway/row_intake.py
@@ -6,6 +6,8 @@
 from returns.result import Failure, Result, Success
 
 from deckcourse.gateway.desired import DesiredState
+from deckcourse.gateway.listed_rows import ListedRows
+from deckcourse.gateway.refused_rows import RefusedRows
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook, PlanRecord
@@ -13,6 +15,9 @@
 
 __all__ = ["RowIntake", "RowReader"]
 
+# Letters of what is wrong with a desired state that are written.
+LONGEST_PROBLEM = 200
+
 
 class RowReader(Protocol):
     """Decodes rows of the store."""
@@ -55,6 +60,8 @@
     ) -> None:
         self._reader = reader
         self._upstreams = upstreams
+        self._listed = ListedRows(upstreams)
+        self._refused = RefusedRows(count, log)
         self._book = book
         self._pool = pool
         self._on_desired = on_desired
@@ -73,10 +80,11 @@
             return
         match self._reader.desired_state(value):
             case Success(desired):
+                self._listed.name_services(desired.services)
                 self._on_desired(desired)
             case Failure(problem):
                 self._count("malformed.desired-state")
-                self._log("malformed", what=problem)
+                self._log("malformed", what=problem[:LONGEST_PROBLEM])
 
     def plan_rows(self, rows: Sequence[Row]) -> None:
         """Take in a reading of the plans: those made before this process looked are old."""
@@ -93,21 +101,33 @@
 
     def upstream_rows(self, rows: Sequence[Row]) -> None:
         """Take in a reading of the upstreams' table."""
-        oldest_first = sorted(rows, key=lambda each: each.version)
-        found = [self._decode(_key_in_table(row), row.value) for row in oldest_first]
-        self._upstreams.replace_all(each for each in found if each is not None)
+        found = {_key_in_table(row): row for row in rows}
+        self._refused.keep_only(set(found))
+        good = []
+        for key, row in found.items():
+            upstream = self._decode(key, row.value)
+            if upstream is None:
+                self._withdraw(key)
+            else:
+                good.append((row.version, upstream))
+        self._listed.replace_all(good)
 
     def upstream_row(self, key: str, value: bytes | None, version: int) -> None:
         """Take in one upstream's row; no value where it is gone."""
         if value is None:
+            self._refused.forget(key)
             self._note_gone(key)
-            self._upstreams.remove(key)
+            self._listed.remove(key)
             return
         row = self._decode(key, value)
         if row is None:
+            self._withdraw(key)
             return
         known = self._upstreams.get(key)
-        if known is None or _news(known) != _news(row):
+        self._listed.put(row, version)
+        if self._upstreams.get(key) != row:
+            self._close_idle(known)
+        elif known is None or _news(known) != _news(row):
             self._log(
                 "upstream",
                 instance=key,
@@ -118,23 +138,37 @@
                 end=row.end,
                 leaving=row.leaving,
             )
-        self._upstreams.put(row)
+
+    def _withdraw(self, key: str) -> None:
+        """Take in that a row names no upstream to use, whatever it said before."""
+        self._note_gone(key)
+        self._listed.withdraw(key)
 
     def _note_gone(self, key: str) -> None:
         known = self._upstreams.get(key)
         if known is not None:
-            self._pool.forget(known.address)
+            self._close_idle(known)
             self._log("upstream-gone", instance=key, address=known.address)
 
+    def _close_idle(self, known: Upstream | None) -> None:
+        if known is not None:
+            self._pool.forget(known.address)
+
     def _decode(self, key: str, value: bytes) -> Upstream | None:
         match self._reader.upstream(key, value):
             case Success(row):
+                self._note_good(key, row)
                 return row
             case Failure(problem):
-                self._count("malformed.upstream")
-                self._log("malformed", what=problem)
+                self._refused.note("malformed", key, problem)
         return None
 
+    def _note_good(self, key: str, row: Upstream) -> None:
+        if self._listed.is_named(row):
+            self._refused.forget(key)
+        elif self._listed.knows_services:
+            self._refused.note("unnamed", key, f"service {row.service} is named nowhere")
+
 
 def _key_in_table(row: Row) -> str:
     return row.key.partition("/")[2]
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -131,6 +131,10 @@
             return
         self._drop(instance)
 
+    def withdraw(self, instance: str) -> None:
+        """Take in that a row is there and names no upstream any more: nothing may lapse."""
+        self._drop(instance)
+
     def _drop(self, instance: str) -> None:
         row = self._rows.pop(instance, None)
         if row is not None:
--- a/deckcourse/platform/rows.py
+++ b/deckcourse/platform/rows.py
@@ -1,7 +1,8 @@
 """Rows of the store, decoded once: the desired state, and what runners say of themselves."""
 
-import msgspec
-from msgspec import Struct, field
+from collections.abc import Callable
+
+from msgspec import UNSET, Struct, UnsetType, field
 from returns.result import Failure, Result, Success
 
 from deckcourse.gateway.desired import (
@@ -14,8 +15,21 @@
     UpstreamService,
 )
 from deckcourse.gateway.upstreams import Upstream
+from deckcourse.http1.addresses import is_address
 from deckcourse.layers.model import AcceleratorKind, ModelSpec
 from deckcourse.platform.names import DESIRED_STATE_KEY, OPERATOR_TABLE, RUNNER_TABLE
+from deckcourse.platform.row_checks import (
+    Born,
+    Cold,
+    Layer,
+    Name,
+    RunnerState,
+    Sequence64,
+    Slots,
+    decoded,
+    problem_with_key,
+    problem_with_layers,
+)
 
 __all__ = ["PlatformRows"]
 
@@ -142,8 +156,8 @@
 class _LayerRange(Struct):
     """The layers that a runner holds; `targetVersion` is the end of the range, left out."""
 
-    rangeStart: int  # noqa: N815
-    targetVersion: int  # noqa: N815
+    rangeStart: Layer  # noqa: N815
+    targetVersion: Layer  # noqa: N815
 
 
 class _RunnerModel(Struct):
@@ -153,60 +167,74 @@
 
 
 class _Runner(Struct):
-    """A runner's row; its `sequence`, unlike that of a report, counts no orders and is left out."""
+    """A runner's row.
 
-    service: str
+    Its `sequence`, unlike that of a report, counts no orders. That, `version`, `coldLeftMs` and
+    `born` are not used, but where they are of another type somebody else wrote the row.
+    """
+
+    service: Name
     address: str
-    zone: str
-    state: str = "ready"
-    slots: int = 1
+    zone: Name
+    slots: Slots
+    state: RunnerState
     kind: str = ""
     models: list[_RunnerModel] = []
     layers: _LayerRange | list[_LayerRange] | None = None
+    sequence: Sequence64 | UnsetType = UNSET
+    version: str | int | UnsetType = UNSET
+    coldLeftMs: Cold | UnsetType = UNSET  # noqa: N815
+    born: Born | UnsetType = UNSET
 
 
 class PlatformRows:
-    """The tables that the platform fills, and how their rows are read."""
+    """The tables that the platform fills, and how their rows are read.
+
+    Args:
+      is_address: returns whether a text is the address of a machine.
+    """
 
     operator_table = OPERATOR_TABLE
     upstream_table = RUNNER_TABLE
     desired_key = DESIRED_STATE_KEY
 
+    def __init__(self, is_address: Callable[[str], bool] = is_address) -> None:
+        self._is_address = is_address
+
     def desired_state(self, value: bytes) -> Result[DesiredState, str]:
         """Return the desired state that a row holds, or what is wrong with it."""
         try:
-            config = msgspec.json.decode(value, type=_Config)
-            return Success(
-                DesiredState(
-                    config.version,
-                    tuple(_route(each) for each in config.routes),
-                    {each.name: _service(each) for each in config.services},
-                    _bounds(config.limits),
-                    tuple(
-                        AccountSpec(each.name, tuple(each.apiKeys), each.priority)
-                        for each in config.tenants
-                    ),
-                )
+            return (
+                decoded(value, _Config)
+                .map(_desired)
+                .alt(lambda problem: f"desired state: {problem}")
             )
-        except (msgspec.MsgspecError, KeyError) as error:
+        except KeyError as error:
             return Failure(f"desired state: {error}")
 
     def upstream(self, instance: str, value: bytes) -> Result[Upstream, str]:
         """Return the upstream that a row tells of, or what is wrong with the row."""
-        try:
-            runner = msgspec.json.decode(value, type=_Runner)
-        except msgspec.MsgspecError as error:
-            return Failure(f"runner {instance}: {error}")
-        held = runner.layers
-        if isinstance(held, list):
-            held = held[0] if held else None
+        problem = problem_with_key(instance)
+        if problem:
+            return Failure(problem)
+        return decoded(value, _Runner).bind(lambda runner: self._upstream(instance, runner))
+
+    def _upstream(self, instance: str, runner: _Runner) -> Result[Upstream, str]:
+        if not self._is_address(runner.address):
+            return Failure("the address is none")
+        layers = runner.layers
+        ranges = layers if isinstance(layers, list) else [layers] if layers else []
+        problem = problem_with_layers(ranges)
+        if problem:
+            return Failure(problem)
+        held = ranges[0] if ranges else None
         return Success(
             Upstream(
                 instance,
                 runner.service,
                 runner.address,
                 runner.zone,
-                runner.state != "ready",
+                runner.state is RunnerState.LEAVING,
                 runner.slots,
                 runner.kind,
                 tuple(each.name for each in runner.models),
@@ -216,6 +244,18 @@
         )
 
 
+def _desired(config: _Config) -> DesiredState:
+    return DesiredState(
+        config.version,
+        tuple(_route(each) for each in config.routes),
+        {each.name: _service(each) for each in config.services},
+        _bounds(config.limits),
+        tuple(
+            AccountSpec(each.name, tuple(each.apiKeys), each.priority) for each in config.tenants
+        ),
+    )
+
+
 def _route(route: _Route) -> RouteSpec:
     targets = [Target(each.service, each.weight) for each in route.backends]
     return RouteSpec(
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -205,6 +205,12 @@
             await trio.sleep(0.005)
 
 
+def is_machine(text):
+    """Return whether a text is an address in memory: machines have names there in place of IPs."""
+    name, _, port = text.partition(":")
+    return bool(name) and port == "1"
+
+
 def parse_path(text):
     path = []
     for part in text.split(","):
@@ -255,7 +261,7 @@
                         GatewayPorts(
                             self.store,
                             self.store,
-                            PlatformRows(),
+                            PlatformRows(is_machine),
                             PlatformDialect(),
                             control,
                             control,
--- a/features/steps/foreign_row_steps.py
+++ b/features/steps/foreign_row_steps.py
@@ -94,7 +94,7 @@
 
 def lines_of(site, key):
     """Return what the log says of one row."""
-    return [fields for kind, fields in site.lines if kind in KINDS and fields["key"] == key]
+    return [fields for kind, fields in site.lines if kind in KINDS and fields.get("key") == key]
 
 
 def counted(site):
