One odd row of a page hides none of the others

Cause: an answer of the store was decoded as a whole, so that a row without a key, with a version or value of another type, or whose value isn't base64 left the whole answer unread: the store counted as lost. A value with other letters among it was read without them, and a page that named no version sent the feed back to the first one.

Change: each row is decoded for itself (platform/pages.py). A row whose key can be read and whose rest can't stands without value, so that what it said before holds no longer; one without a key is left out. Both are counted. A reading of several pages goes on behind the last key that can be read, and fails where there is none instead of asking for the same page for ever.

--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -45,7 +45,7 @@
             StatsdCounters(statsd.host, statsd.port) if statsd.host else None
         )
         pool = ConnectionPool(counters.count)
-        store = Store(pool, str(node.platform))
+        store = Store(pool, str(node.platform), counters.count)
         control = RunnerControl(pool)
         gateway = settings.gateway
         # New at each start, so that plans of an earlier start of this process count as another's.
--- a/deckcourse/platform/store.py
+++ b/deckcourse/platform/store.py
@@ -1,17 +1,17 @@
 """The platform's store over HTTP, as the product's table and change feed."""
 
-from base64 import b64decode, b64encode
-from collections.abc import Sequence
+from base64 import b64encode
+from collections.abc import Callable, Sequence
 from urllib.parse import urlencode
 
 import msgspec
 import trio
-from msgspec import Struct
 from returns.result import Failure, Result, Success
 
 from deckcourse.change_feed import Changes, Snapshot
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.message import ConnectionLostError, FailureKind
+from deckcourse.platform.pages import Page, StoredRow, page_of
 from deckcourse.table import Committed, Conflict, Row, TableFailure, Write
 
 __all__ = ["Store"]
@@ -24,31 +24,21 @@
 UNUSED_PART = ""
 
 
-class _StoredRow(Struct):
-    """A row of the store; `tlsKey` is its key, `gone` says that it was removed."""
-
-    tlsKey: str  # noqa: N815
-    ver: int = 0
-    value: str | None = None
-    gone: bool = False
-    table: str = ""
-    part: str = ""
-
-
-class _Rows(Struct):
-    """An answer with rows; `ver` is the newest version of the whole store."""
-
-    rows: list[_StoredRow] = []
-    ver: int = 0
-    more: bool = False
-
-
 class Store:
-    """The one client of the platform's store; keys are `TABLE/KEY`, without parts."""
+    """The one client of the platform's store; keys are `TABLE/KEY`, without parts.
 
-    def __init__(self, pool: ConnectionPool, address: str) -> None:
+    Args:
+      pool: opens connections.
+      address: where the store is.
+      count: counts by name.
+    """
+
+    def __init__(
+        self, pool: ConnectionPool, address: str, count: Callable[[str], None] = lambda name: None
+    ) -> None:
         self._pool = pool
         self._address = address
+        self._count = count
 
     async def read(self, keys: Sequence[str]) -> Result[tuple[Row | None, ...], TableFailure]:
         """Return the rows of `keys`, None for each that is absent."""
@@ -60,7 +50,7 @@
                 case Failure(failure):
                     return Failure(failure)
                 case Success(page):
-                    found = [each for each in page.rows if each.tlsKey == name]
+                    found = [each for each in page.rows if each.key == name]
                     rows.append(_row(table, found[0]) if found else None)
         return Success(tuple(rows))
 
@@ -69,10 +59,10 @@
         body = msgspec.json.encode(_transaction(writes))
         match await self._call(b"POST", "/v1/rows-tx", body, CALL_SECONDS):
             case Success((200, answer)):
-                page = _page(answer)
-                return page.map(lambda each: Committed((each.ver,) * len(writes)))
+                page = self._page(answer)
+                return page.map(lambda each: Committed((each.version,) * len(writes)))
             case Success((412, answer)):
-                return _page(answer).map(_conflict)
+                return self._page(answer).map(_conflict)
             case Success((status, _)):
                 refused = status in (429, 503)
                 return Failure(TableFailure.UNAVAILABLE if refused else TableFailure.UNKNOWN)
@@ -89,11 +79,14 @@
                     return Failure(failure)
                 case Success(page):
                     # Pages are of different moments: what changed since the first comes again.
-                    version = page.ver if version is None else version
+                    version = page.version if version is None else version
                     rows += [_row(table, each) for each in page.rows]
-                    if not page.more or not page.rows:
+                    if not page.more or page.empty:
                         return Success(Snapshot(tuple(rows), version))
-                    query["rangeStart"] = page.rows[-1].tlsKey + "\x00"
+                    start = _next_start(page, query.get("rangeStart", ""))
+                    if start is None:
+                        return Failure(TableFailure.UNAVAILABLE)
+                    query["rangeStart"] = start
 
     async def changes(
         self, table: str, after: int, seconds: float
@@ -103,19 +96,29 @@
         target = f"/v1/rows-feed?{urlencode(query)}"
         match await self._call(b"GET", target, b"", seconds + CALL_SECONDS):
             case Success((200, body)):
-                return _page(body).map(_changes)
+                return self._page(body).map(lambda page: _changes(page, after))
             case Success((410, _)):
                 return Success(Changes((), after, complete=False))
         return Failure(TableFailure.UNAVAILABLE)
 
     async def _rows(
         self, path: str, query: dict[str, object], seconds: float
-    ) -> Result[_Rows, TableFailure]:
+    ) -> Result[Page, TableFailure]:
         match await self._call(b"GET", f"{path}?{urlencode(query)}", b"", seconds):
             case Success((200, body)):
-                return _page(body)
+                return self._page(body)
         return Failure(TableFailure.UNAVAILABLE)
 
+    def _page(self, body: bytes) -> Result[Page, TableFailure]:
+        """Return an answer's rows; one that can't be read at all counts as none."""
+        page = page_of(body)
+        if page is None:
+            self._count("malformed.page")
+            return Failure(TableFailure.UNAVAILABLE)
+        for _ in range(page.malformed):
+            self._count("malformed.stored-row")
+        return Success(page)
+
     async def _call(
         self, method: bytes, target: str, body: bytes, seconds: float
     ) -> Result[tuple[int, bytes], TableFailure]:
@@ -134,32 +137,26 @@
         return Failure(TableFailure.UNKNOWN)
 
 
-def _page(body: bytes) -> Result[_Rows, TableFailure]:
-    """Return an answer's rows; one that can't be read counts as none."""
-    try:
-        page = msgspec.json.decode(body, type=_Rows)
-        for row in page.rows:
-            _value(row)
-    except (msgspec.MsgspecError, ValueError):
-        return Failure(TableFailure.UNAVAILABLE)
-    return Success(page)
-
-
-def _changes(page: _Rows) -> Changes:
-    changed = ((each.tlsKey, None if each.gone else _value(each), each.ver) for each in page.rows)
-    return Changes(tuple(changed), page.ver)
+def _next_start(page: Page, start: object) -> str | None:
+    """Return where the next page starts, None where this one doesn't say so."""
+    if not page.rows:
+        return None
+    following = page.rows[-1].key + "\x00"
+    return following if following > str(start) else None
 
 
-def _conflict(page: _Rows) -> Conflict:
-    return Conflict(tuple(f"{each.table}/{each.tlsKey}" for each in page.rows))
+def _changes(page: Page, after: int) -> Changes:
+    changed = ((each.key, None if each.gone else each.value, each.version) for each in page.rows)
+    # Versions only rise: a page that names an older one would be asked for again and again.
+    return Changes(tuple(changed), max(after, page.version))
 
 
-def _value(row: _StoredRow) -> bytes:
-    return b64decode(row.value or "")
+def _conflict(page: Page) -> Conflict:
+    return Conflict(tuple(f"{each.table}/{each.key}" for each in page.rows))
 
 
-def _row(table: str, row: _StoredRow) -> Row:
-    return Row(f"{table}/{row.tlsKey}", row.ver, _value(row))
+def _row(table: str, row: StoredRow) -> Row:
+    return Row(f"{table}/{row.key}", row.version, row.value)
 
 
 def _transaction(writes: Sequence[Write]) -> dict[str, list[dict[str, object]]]:
