Whatever bytes peers send, they end their own source and nothing else

Cause: frames, questions and digests were checked by their types alone. Nesting behind the last field raised RecursionError, which a source's reader and the exchange of members didn't know; a moment without end made copies count as fresh for ever; small rows unpacked to 50 times their bytes; a digest's address went into a socket call as it was; and a process that was told of no moment passed minus infinity on.

Change: bounds on counts, moments, names and on how much one message holds; no moment later than now; a compressed frame is whole and alone, or none; datagrams go to addresses only. A malformed frame ends that source and is counted (malformed.frame), a digest is counted (malformed.digest). A plan row is checked in the same way; one that is no plan is replaced by the next.

--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -121,6 +121,7 @@
             random,
             log,
             counters.gauge,
+            counters.count,
         )
         intake = RowIntake(
             rows,
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -361,7 +361,7 @@
         raise ConnectionLostError(
             FailureKind.UNSENT, f"no connection in time: {address}"
         ) from error
-    except (OSError, ValueError) as error:
+    except (OSError, OverflowError, ValueError) as error:
         socket.close()
         raise ConnectionLostError(FailureKind.UNSENT, f"{address}: {error}") from error
     except BaseException:
--- a/deckcourse/layers/plan_book.py
+++ b/deckcourse/layers/plan_book.py
@@ -6,8 +6,10 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 from returns.result import Success
 
 from deckcourse.layers.hosts import Assignment
@@ -17,6 +19,12 @@
 
 PLAN_TABLE = "plans"
 KEY_PREFIX = f"{PLAN_TABLE}/"
+# Layers that a model has at the most, and orders of a plan: those of a row are gone through one by
+# one, whoever wrote it.
+MOST_LAYERS = 10_000
+MOST_ORDERS = 10_000
+# A plan's number rises by one with each; none comes near this.
+LARGEST_NUMBER = 2**53
 
 
 @dataclass(frozen=True)
@@ -108,8 +116,39 @@
         return ClaimUnanswered()
 
 
+class _Order(msgspec.Struct):
+    """An assignment as a row holds it."""
+
+    instance: str
+    first: Annotated[int, Meta(ge=0, le=MOST_LAYERS)]
+    end: Annotated[int, Meta(ge=0, le=MOST_LAYERS)]
+    reason: str
+    at_once: bool = False
+
+
+class _Plan(msgspec.Struct):
+    """A plan as a row holds it."""
+
+    number: Annotated[int, Meta(ge=1, le=LARGEST_NUMBER)]
+    author: str
+    model: str
+    assignments: Annotated[list[_Order], Meta(max_length=MOST_ORDERS)]
+
+
 def _decode(row: Row) -> PlanRecord | None:
+    """Return the plan in a row, None where it is none: anybody may have written it."""
     try:
-        return msgspec.json.decode(row.value, type=PlanRecord)
-    except msgspec.DecodeError:
+        row.value.decode()
+        plan = msgspec.json.decode(row.value, type=_Plan)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    orders = plan.assignments
+    if any(each.end < each.first for each in orders):
+        return None
+    if len({each.instance for each in orders}) < len(orders):
         return None
+    ordered = (
+        Assignment(each.instance, each.first, each.end, each.reason, each.at_once)
+        for each in orders
+    )
+    return PlanRecord(plan.number, plan.author, plan.model, tuple(ordered))
--- a/deckcourse/peers/datagrams.py
+++ b/deckcourse/peers/datagrams.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from deckcourse.http1.addresses import is_address
+
 __all__ = ["Datagrams", "MemoryDatagrams", "MemoryMedium", "UdpDatagrams"]
 
 # The largest datagram that is taken, bytes; one of ours stays below 1,400.
@@ -35,6 +37,8 @@
 
     async def send(self, address: str, data: bytes) -> None:
         """Send a datagram to `IP:port`; one that can't be sent is lost."""
+        if not is_address(address):
+            return  # Another process told of it, and nobody vouches for what it says.
         host, _, port = address.rpartition(":")
         try:
             await self._socket.sendto(data, (host, int(port)))
--- a/deckcourse/peers/frames.py
+++ b/deckcourse/peers/frames.py
@@ -7,11 +7,13 @@
 
 import zlib
 from collections.abc import Iterator
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
-from deckcourse.peers.loads import LoadRow
-from deckcourse.peers.replica import TableUpdate
+from deckcourse.peers.loads import LARGEST_NUMBER, LoadRow
+from deckcourse.peers.replica import TableUpdate, Version
 
 __all__ = [
     "Frame",
@@ -33,13 +35,22 @@
 LARGEST_FRAME = 16 * 1024 * 1024
 _PLAIN = b"\x00"
 _COMPRESSED = b"\x01"
+# Tables and loads that a message tells of at the most: whatever comes, the memory that it takes is
+# bounded.
+MOST_TABLES = 64
+MOST_LOADS = 65_536
+# Letters of what is wrong with a frame that are passed on.
+LONGEST_PROBLEM = 200
+
+# Seconds from the moment that a frame counts from.
+_Moment = Annotated[float, Meta(ge=-LARGEST_NUMBER, le=LARGEST_NUMBER)]
 
 
 class Question(msgspec.Struct, frozen=True, array_like=True):
     """Who asks, and up to which version it knows each table; None where it knows none of it."""
 
     name: str
-    versions: dict[str, int | None]
+    versions: Annotated[dict[str, Version | None], Meta(max_length=MOST_TABLES)]
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
@@ -54,10 +65,10 @@
       lost: whether the sender lost the store and heard nothing newer from others.
     """
 
-    updates: tuple[TableUpdate, ...]
-    as_of: dict[str, tuple[int, float]]
-    returned: float | None = None
-    loads: tuple[LoadRow, ...] = ()
+    updates: Annotated[tuple[TableUpdate, ...], Meta(max_length=MOST_TABLES)]
+    as_of: Annotated[dict[str, tuple[Version, _Moment]], Meta(max_length=MOST_TABLES)]
+    returned: _Moment | None = None
+    loads: Annotated[tuple[LoadRow, ...], Meta(max_length=MOST_LOADS)] = ()
     lost: bool = False
 
 
@@ -79,8 +90,8 @@
     """Return the question that was received, None where it is none."""
     try:
         return _question_decoder.decode(data)
-    except msgspec.MsgspecError:
-        return None
+    except (msgspec.MsgspecError, RecursionError):
+        return None  # Fields that nobody reads may be nested without end.
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -94,13 +105,23 @@
 
 
 def _decode(content: bytes) -> Frame:
+    kind, body = content[:1], content[1:]
+    if kind not in (_PLAIN, _COMPRESSED):
+        raise MalformedFrameError("a frame of no kind that is known")
     try:
-        body = content[1:]
-        if content[:1] == _COMPRESSED:
-            body = zlib.decompressobj().decompress(body, LARGEST_FRAME)
-        return _frame_decoder.decode(body)
+        return _frame_decoder.decode(_decompressed(body) if kind == _COMPRESSED else body)
     except (zlib.error, msgspec.MsgspecError) as error:
-        raise MalformedFrameError(str(error)) from error
+        raise MalformedFrameError(str(error)[:LONGEST_PROBLEM]) from error
+    except RecursionError as error:
+        raise MalformedFrameError("nested too deep") from error
+
+
+def _decompressed(body: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    whole = decompressor.decompress(body, LARGEST_FRAME)
+    if not decompressor.eof or decompressor.unused_data:
+        raise MalformedFrameError("a compressed frame that is cut, too large or followed by more")
+    return whole
 
 
 class FrameReader:
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -37,6 +37,7 @@
       datagrams: how it is told and tells.
       seeds: addresses of processes that may be there.
       random: chooses whom to tell.
+      count: counts by name.
     """
 
     def __init__(
@@ -45,11 +46,13 @@
         datagrams: Datagrams,
         seeds: Callable[[], Sequence[str]],
         random: Random,
+        count: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._roster = roster
         self._datagrams = datagrams
         self._seeds = seeds
         self._random = random
+        self._count = count
         self._rounds = 0
 
     async def run(self) -> None:
@@ -105,6 +108,7 @@
         while True:
             digest = decode_digest(await self._datagrams.receive())
             if digest is None:
+                self._count("malformed.digest")
                 continue
             self._roster.take((digest.sender, *digest.members))
             if digest.asks:
--- a/deckcourse/peers/knowledge.py
+++ b/deckcourse/peers/knowledge.py
@@ -100,7 +100,8 @@
             if has_news:
                 updates.append(update)
                 listener.versions[name] = update.version
-            if has_news or replica.as_of > listener.as_of.get(name, float("-inf")):
+            told = listener.as_of.get(name, float("-inf"))
+            if replica.as_of > told or (has_news and replica.as_of > float("-inf")):
                 as_of[name] = replica.version, replica.as_of - listener.origin
                 listener.as_of[name] = replica.as_of
         known = self._returned_at > float("-inf")
@@ -112,15 +113,19 @@
         return tuple(replace(each, at=each.at - listener.origin) for each in rows)
 
     def take(self, frame: Frame, origin: float) -> None:
-        """Take in a frame; its moments count from `origin`."""
+        """Take in a frame; its moments count from `origin`, and none is later than now.
+
+        What counted as known for later would count as fresh when nobody sees the store any more.
+        """
+        now = trio.current_time()
         if frame.returned is not None:
-            self.note_returned(origin + frame.returned)
+            self.note_returned(min(now, origin + frame.returned))
         for update in frame.updates:
             if update.table in self._replicas:
                 self._replicas[update.table].take(update)
         for name, (version, seconds) in frame.as_of.items():
             if name in self._replicas:
-                self._replicas[name].confirm(version, origin + seconds)
+                self._replicas[name].confirm(version, min(now, origin + seconds))
         for row in frame.loads:
-            self._loads.note(replace(row, at=origin + row.at))
+            self._loads.note(replace(row, at=min(now, origin + row.at)))
         self.note_progress()
--- a/deckcourse/peers/member.py
+++ b/deckcourse/peers/member.py
@@ -1,10 +1,26 @@
 """A process as others know it, and the message in which processes tell of each other."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 __all__ = ["Digest", "Member", "decode_digest", "encode_digest"]
 
 
+# Letters of a name, an address or a failure domain; more would fill packets and memory.
+LONGEST_TEXT = 200
+# A process does at the most so many times as much as another, or as little.
+LARGEST_WEIGHT = 1e6
+# Members in one digest; ours hold fewer than 20.
+MOST_MEMBERS = 256
+# The largest number that can be packed on one process's way to the next.
+LARGEST_WHOLE = 2**63 - 1
+
+_Text = Annotated[str, Meta(min_length=1, max_length=LONGEST_TEXT)]
+_Whole = Annotated[int, Meta(ge=0, le=LARGEST_WHOLE)]
+
+
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """One start of a process; `beat` rises while it lives.
 
@@ -13,12 +29,12 @@
     `weight` says how much it can do for others against the rest; `leaving` that it is about to end.
     """
 
-    name: str
-    start: int
-    address: str
-    domain: str
-    weight: float = 1.0
-    beat: int = 0
+    name: _Text
+    start: _Whole
+    address: _Text
+    domain: _Text
+    weight: Annotated[float, Meta(ge=0.0, le=LARGEST_WEIGHT)] = 1.0
+    beat: _Whole = 0
     leaving: bool = False
 
 
@@ -26,7 +42,7 @@
     """Some of the members that `sender` knows; one that `asks` wants a digest back."""
 
     sender: Member
-    members: tuple[Member, ...] = ()
+    members: Annotated[tuple[Member, ...], Meta(max_length=MOST_MEMBERS)] = ()
     asks: bool = False
 
 
@@ -43,5 +59,5 @@
     """Return the digest that was received, None where it is none."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError:
-        return None
+    except (msgspec.MsgspecError, RecursionError):
+        return None  # Fields that nobody reads may be nested without end.
--- a/deckcourse/peers/peers.py
+++ b/deckcourse/peers/peers.py
@@ -43,6 +43,7 @@
       random: for choices and pauses that should differ between processes.
       log: writes decisions.
       gauge: sets figures that operators see.
+      count: counts by name.
     """
 
     def __init__(
@@ -56,12 +57,13 @@
         random: Random,
         log: Callable[..., None],
         gauge: Callable[[str, float], None] = lambda name, value: None,
+        count: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._roster = Roster(ports.own, trio.current_time)
-        self._gossip = PeerGossip(self._roster, ports.datagrams, ports.seeds, random)
+        self._gossip = PeerGossip(self._roster, ports.datagrams, ports.seeds, random, count)
         self._knowledge = Knowledge(tables, on_returned)
         self._feed = SharedFeed(
-            store, self._roster, self._knowledge, pool, contact_wait, random, log, gauge
+            store, self._roster, self._knowledge, pool, contact_wait, random, log, gauge, count
         )
 
     @property
--- a/deckcourse/peers/relay.py
+++ b/deckcourse/peers/relay.py
@@ -42,6 +42,7 @@
 
     UNREACHABLE = "unreachable"
     BROKE_OFF = "broke-off"
+    MALFORMED = "malformed"
     SILENT = "silent"
     BEHIND = "behind"
     NOT_NEEDED = "not-needed"
@@ -138,8 +139,10 @@
             if reply.status != OK:
                 return RelayEnd.UNREACHABLE
             return await self._take_frames(reply, origin, wanted)
-        except (ConnectionLostError, MalformedFrameError):
+        except ConnectionLostError:
             return RelayEnd.BROKE_OFF
+        except MalformedFrameError:
+            return RelayEnd.MALFORMED
         finally:
             connection.abort()
 
--- a/deckcourse/peers/replica.py
+++ b/deckcourse/peers/replica.py
@@ -1,20 +1,27 @@
 """A copy of one of the store's tables: rows, the changes of late, and up to when it is true."""
 
 from collections import deque
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from deckcourse.table import Row
 
-__all__ = ["TableReplica", "TableUpdate"]
+__all__ = ["TableReplica", "TableUpdate", "Version"]
 
 # The changes that are kept for others who are a little behind, bytes; whoever is further behind
 # gets all rows.
 LARGEST_LOG = 512 * 1024
+# Rows that an update holds at the most: small ones take 50 times as much memory as bytes.
+MOST_ROWS = 65_536
 # What a change takes beside its value, bytes.
 CHANGE_BYTES = 100
 
 
+Version = Annotated[int, Meta(ge=0)]
+
+
 class TableUpdate(msgspec.Struct, frozen=True, array_like=True):
     """What changed in a table after version `after` and up to `version`; all rows where it is None.
 
@@ -22,9 +29,9 @@
     """
 
     table: str
-    after: int | None
-    version: int
-    rows: tuple[tuple[str, bytes | None, int], ...] = ()
+    after: Version | None
+    version: Version
+    rows: Annotated[tuple[tuple[str, bytes | None, Version], ...], Meta(max_length=MOST_ROWS)] = ()
 
 
 def _size(update: TableUpdate) -> int:
--- a/deckcourse/peers/roster.py
+++ b/deckcourse/peers/roster.py
@@ -15,6 +15,9 @@
 LIFETIME_SECONDS = 10.0
 # So long a member that is gone is remembered, so that an old word of it doesn't bring it back.
 REMEMBERED_SECONDS = 60.0
+# Others that are remembered at the most, far more than any site has: whoever tells of ever new
+# names must not fill the memory.
+MOST_MEMBERS = 4096
 
 
 @dataclass
@@ -65,7 +68,7 @@
     def _is_news(self, member: Member, now: float) -> bool:
         known = self._seen.get(member.name)
         if known is None:
-            return True
+            return len(self._seen) < MOST_MEMBERS
         if member.start == known.member.start:
             return member.beat > known.member.beat
         return member.start > known.member.start or now - known.at >= LIFETIME_SECONDS
--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -59,6 +59,7 @@
       random: for pauses that should differ between processes.
       log: writes decisions.
       gauge: sets figures that operators see.
+      count: counts by name.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         random: Random,
         log: Callable[..., None],
         gauge: Callable[[str, float], None],
+        count: Callable[[str], None],
     ) -> None:
         self._store = store
         self._roster = roster
@@ -78,6 +80,7 @@
         self._contact_wait = contact_wait
         self._log = log
         self._gauge = gauge
+        self._count = count
         self._server = RelayServer(knowledge, self._is_cut_off)
         self._client = RelayClient(roster.own.name, knowledge, pool)
         self._unreachable: dict[str, float] = {}
@@ -244,6 +247,8 @@
             await trio.lowlevel.checkpoint()
 
     def _note_end(self, source: Member, end: RelayEnd) -> None:
+        if end is RelayEnd.MALFORMED:
+            self._count("malformed.frame")
         until = trio.current_time() + AVOIDED_SECONDS
         if end is RelayEnd.BEHIND:
             self._behind[source.name] = until
--- a/deckcourse/platform/pages.py
+++ b/deckcourse/platform/pages.py
@@ -65,10 +65,15 @@
     table: str = ""
 
 
-class _Row(_Place, kw_only=True):
-    """A whole row; a removed one and one of a conflict have no value."""
+class _Numbered(_Place, kw_only=True):
+    """The version of a row beside that."""
 
     ver: _Version
+
+
+class _Row(_Numbered, kw_only=True):
+    """A whole row; a removed one and one of a conflict have no value."""
+
     value: str | None = None
     gone: bool = False
     part: str = ""
@@ -97,8 +102,12 @@
 
 
 def _unreadable(data: Raw) -> StoredRow | None:
-    try:
-        place = msgspec.json.decode(data, type=_Place)
-    except (msgspec.MsgspecError, ValueError, RecursionError):
-        return None
-    return StoredRow(place.tlsKey, NO_VERSION, UNREADABLE, False, place.table)
+    """Return a row of which only the key, or that and the version, can be read."""
+    for kind in (_Numbered, _Place):
+        try:
+            place = msgspec.json.decode(data, type=kind)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            continue
+        version = getattr(place, "ver", NO_VERSION)
+        return StoredRow(place.tlsKey, version, UNREADABLE, False, place.table)
+    return None
