--- a/features/foreign_rows.feature
+++ b/features/foreign_rows.feature
@@ -227,6 +227,23 @@
       | layers without bound       |
       | two orders to one upstream |
 
+  Scenario Outline: Whoever answers at an address, a report <what> is none
+    Then a report <what> is none, and no question about it raises
+
+    Examples:
+      | what                                |
+      | with nested lists beside            |
+      | with running = -1                   |
+      | with running = true                 |
+      | with running = 1e400                |
+      | with queued = 1000000000000000000000 |
+      | with kvUsed = {400 digits}          |
+      | with kvTotal = -5                   |
+      | with sequence = -1                  |
+      | with sequence = {400 digits}        |
+      | with pace = -1                      |
+      | with pace = 1e300                   |
+
   Scenario Outline: Whatever is left in <place>, good rows hold and bad ones name nothing
     Then <count> generated sets of <place> raise nothing, lose no good row and use no bad one
 
--- a/features/steps/foreign_frame_steps.py
+++ b/features/steps/foreign_frame_steps.py
@@ -23,7 +23,13 @@
 from hypothesis import strategies
 from peer_world import SETTLE_SECONDS
 
+from deckcourse.gateway.desired import CallerBounds
+from deckcourse.gateway.dialect import Pulse
+from deckcourse.gateway.load_watch import LoadWatch
+from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.layers.healer import Healer
 from deckcourse.layers.hosts import Assignment
 from deckcourse.layers.model import ModelSpec
@@ -39,10 +45,11 @@
     encode_question,
 )
 from deckcourse.peers.knowledge import Knowledge, Listener
-from deckcourse.peers.loads import LoadRow
+from deckcourse.peers.loads import LoadBoard, LoadRow
 from deckcourse.peers.member import Digest, Member, decode_digest, encode_digest
 from deckcourse.peers.replica import TableUpdate
 from deckcourse.peers.roster import Roster
+from deckcourse.platform.runners import RunnerControl
 from deckcourse.table import MemoryTable, Row, Write
 
 MIB = 1024 * 1024
@@ -221,6 +228,56 @@
         assert len(known) <= most + 1, len(known)
 
 
+GOOD_REPORT = (
+    b'{"sequence": 7, "running": 1, "queued": 0, "kvUsed": 1, "kvTotal": 2, "pace": 1.5,'
+    b' "stalled": []}'
+)
+
+
+def report_with(what):
+    if what == "with nested lists beside":
+        return GOOD_REPORT[:-1] + b', "note": ' + b"[" * DEEP + b"]" * DEEP + b"}"
+    field, _, value = what.removeprefix("with ").partition(" = ")
+    # The last one of a name counts.
+    return GOOD_REPORT[:-1] + f', "{field}": {value}}}'.encode()
+
+
+async def answers_to(report):
+    """Return what is made of a report by each question that it answers."""
+
+    async def answer(request, exchange):
+        await exchange.whole(200, (), report)
+
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery, CallerBounds)
+        network.listen("u:1", answer)
+        control = RunnerControl(ConnectionPool(lambda what: None, network.dial))
+        upstream = Upstream("u", "llm", "u:1", "x")
+        loads = LoadWatch(
+            control, "x", lambda: [upstream], lambda instance: 0,
+            TrafficShare(trio.current_time), LoadBoard(trio.current_time),
+            lambda: True, lambda: 0.0,
+        )  # fmt: skip
+        await loads._ask(upstream)
+        found = (
+            await control.order_count(upstream),
+            await control.stalled(upstream),
+            await control.load(upstream),
+            (await control.pulse(upstream, 0.1)).pulse,
+        )
+        nursery.cancel_scope.cancel()
+    return found
+
+
+@then("a report {what} is none, and no question about it raises")
+def no_report(context, what):
+    count, stalled, load, pulse = virtually(lambda: answers_to(GOOD_REPORT))
+    assert (count, stalled.pace, load.running, pulse) == (7, 1.5, 1, Pulse.ALIVE)
+    report = report_with(what.replace("{400 digits}", "9" * 400))
+    # Whoever says anything at all is there.
+    assert virtually(lambda: answers_to(report)) == (None, None, None, Pulse.ALIVE)
+
+
 MODEL = ModelSpec("m", 8, 100.0)
 GOOD_PLAN = {"number": 4, "author": "o/1", "model": "m", "assignments": [
     {"instance": "a", "first": 0, "end": 4, "reason": "r", "at_once": False}]}  # fmt: skip
