A report whose numbers can't be true, or nested without end, is none

Cause: a foreign row may lead to a server that answers anything. Nesting in a report raised RecursionError, a number of 400 digits OverflowError, out of the question about it; -1 requests or a pace of -1 counted. Change: counts and paces have bounds, and what is beyond counts as no report; the upstream counts as there, as with any other answer that is no report.

--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -1,11 +1,11 @@
 """Orders to runners and their reports."""
 
 from secrets import token_hex
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 import trio
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from deckcourse.gateway.dialect import LoadReport, MoveResult, Pulse, PulseReading, StallReport
 from deckcourse.gateway.upstreams import Upstream
@@ -29,6 +29,12 @@
 OWN_PAUSE_SECONDS = 0.03
 # Random bytes of a control call's id: no caller's request has the same.
 ID_BYTES = 8
+# A report's numbers lie within these; any other is nobody's word, and a share of such numbers
+# would be none.
+LARGEST_COUNT = 2**53
+SLOWEST_PACE = 1e6
+
+_Count = Annotated[int, Meta(ge=0, le=LARGEST_COUNT)]
 
 
 class _Waiting(Struct):
@@ -44,12 +50,12 @@
     What lacks one of the first three is the answer to something else.
     """
 
-    sequence: int
-    running: int
-    queued: int
-    kvUsed: int = 0  # noqa: N815
-    kvTotal: int = 0  # noqa: N815
-    pace: float = 1.0
+    sequence: _Count
+    running: _Count
+    queued: _Count
+    kvUsed: _Count = 0  # noqa: N815
+    kvTotal: _Count = 0  # noqa: N815
+    pace: Annotated[float, Meta(ge=0.0, le=SLOWEST_PACE)] = 1.0
     stalled: list[_Waiting] = []
 
 
@@ -238,5 +244,5 @@
 def _decoded(content: bytes, kind: type[_Decoded]) -> _Decoded | None:
     try:
         return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError:
-        return None
+    except (msgspec.MsgspecError, RecursionError):
+        return None  # Fields that nobody reads may be nested without end.
