--- a/features/foreign_rows.feature
+++ b/features/foreign_rows.feature
@@ -35,7 +35,6 @@
       | with slots = 1000000000000000000000     |
       | with slots = NaN                        |
       | with sequence = "many"                  |
-      | with sequence = null                    |
       | with coldLeftMs = "long"                |
       | with coldLeftMs = -1                    |
       | with version = {"name": "v1"}           |
@@ -69,6 +68,30 @@
       | of a list                |
       | of null                  |
 
+  Scenario Outline: A row <what> is good
+    Then a runner's row <what> is good
+
+    Examples:
+      | what                                    |
+      | without version                         |
+      | without coldLeftMs                      |
+      | without sequence                        |
+      | with version = null                     |
+      | with version = 7                        |
+      | with coldLeftMs = null                  |
+      | with coldLeftMs = 12.5                  |
+      | with sequence = null                    |
+      | with state = "draining"                 |
+      | with kind = "card"                      |
+      | with models = [{"name": "m", "version": 1, "adapters": []}] |
+      | with layers = null                      |
+      | with layers = []                        |
+      | with layers = {"rangeStart": 0, "targetVersion": 0} |
+      | with layers = {"rangeStart": 3, "targetVersion": 8, "version": 1} |
+      | with layers = [{"rangeStart": 3, "targetVersion": 8}] |
+      | with born = 1700000000000               |
+      | with other = {"a": [1, 2, null]}        |
+
   Scenario Outline: The address <address> is <verdict>
     Then a row with the address <address> is <verdict>
 
@@ -132,6 +155,11 @@
     When a third one's row is of a service that the desired state names only later
     Then it is never asked for another service, and it is used once its service is named
 
+  Scenario: A row whose service is named nowhere is told of once, also where it was read before that
+    Given two plain upstreams that work
+    When a row of a service that is named nowhere is there before the first desired state
+    Then it is told of once, and not before
+
   Scenario: Of many bad rows, a bounded number of lines of bounded length is logged
     Given two plain upstreams that work
     When 2000 rows with long keys and bad values come
--- a/features/steps/foreign_row_steps.py
+++ b/features/steps/foreign_row_steps.py
@@ -141,6 +141,24 @@
     assert context.site.mended == {"one", "two"}, context.site.mended
 
 
+@then("a runner's row {what} is good")
+def row_is_good(context, what):
+    field, is_set, value = what.removeprefix("with ").partition(" = ")
+    row = good_row("10.0.0.1:80")
+    if is_set:
+        row[field] = json.loads(value)
+    else:
+        del row[what.removeprefix("without ")]
+    upstream = PlatformRows().upstream("i", json.dumps(row).encode()).unwrap()
+    held = row.get("layers")
+    held = held[0] if isinstance(held, list) and held else held or {}
+    assert (upstream.first, upstream.end) == (
+        held.get("rangeStart", 0),
+        held.get("targetVersion", 0),
+    )
+    assert upstream.leaving is (row["state"] == "draining")
+
+
 @then("a row with the address {address} is {verdict}")
 def address_is(context, address, verdict):
     value = json.dumps({**good_row("10.0.0.1:80"), "address": address}).encode()
@@ -205,6 +223,32 @@
     assert site.after == {"three"}
 
 
+@when("a row of a service that is named nowhere is there before the first desired state")
+def unnamed_before(context):
+    context.site.config = None
+    context.site.add("three", "nowhere")
+
+    async def story(site):
+        await trio.sleep(0.5)
+        site.before = lines_of(site, "three")
+        for version in (1, 2):
+            site.store.put("op", "config", default_config(version))
+            await trio.sleep(0.5)
+        site.told = lines_of(site, "three")
+        site.counted = counted(site)
+        site.used = await ask_all(site)
+
+    context.site.play(story)
+
+
+@then("it is told of once, and not before")
+def told_once(context):
+    site = context.site
+    assert not site.before and len(site.told) == 1, (site.before, site.told)
+    assert "nowhere" in site.told[0]["what"]
+    assert site.counted == 2 and site.used == {"one", "two"}, (site.counted, site.used)
+
+
 @when("{count:d} rows with long keys and bad values come")
 def many_bad(context, count):
     async def story(site):
