What nobody reads may be missing, and unnamed services are told of when the first ones are named

Cause: a row whose service no desired state names, read before the first desired state, was told of only when it was read again. `null` in fields that are not read counted as another type. Change: each desired state has the waiting rows noted; null counts as missing in those fields.

--- a/deckcourse/gateway/listed_rows.py
+++ b/deckcourse/gateway/listed_rows.py
@@ -27,15 +27,19 @@
         self._rows: dict[str, tuple[int, Upstream]] = {}
         self._claims: dict[str, set[str]] = defaultdict(set)
 
-    def is_named(self, row: Upstream) -> bool:
-        """Return whether the service of a row is named; nothing is before the first naming."""
-        return row.service in self._services
-
     @property
     def knows_services(self) -> bool:
         """Whether any service was named yet."""
         return bool(self._services)
 
+    def is_named(self, row: Upstream) -> bool:
+        """Return whether the service of a row is named; nothing is before the first naming."""
+        return row.service in self._services
+
+    def waiting(self) -> list[Upstream]:
+        """Return the rows whose service isn't named."""
+        return [row for _, row in self._rows.values() if not self.is_named(row)]
+
     def name_services(self, services: Iterable[str]) -> None:
         """Take in which services there are; rows that waited for that count from now on."""
         added = frozenset(services) - self._services
--- a/deckcourse/gateway/row_intake.py
+++ b/deckcourse/gateway/row_intake.py
@@ -81,6 +81,8 @@
         match self._reader.desired_state(value):
             case Success(desired):
                 self._listed.name_services(desired.services)
+                for each in self._listed.waiting():
+                    self._note_service(each)
                 self._on_desired(desired)
             case Failure(problem):
                 self._count("malformed.desired-state")
@@ -157,17 +159,18 @@
     def _decode(self, key: str, value: bytes) -> Upstream | None:
         match self._reader.upstream(key, value):
             case Success(row):
-                self._note_good(key, row)
+                self._note_service(row)
                 return row
             case Failure(problem):
                 self._refused.note("malformed", key, problem)
         return None
 
-    def _note_good(self, key: str, row: Upstream) -> None:
+    def _note_service(self, row: Upstream) -> None:
+        """Note a row that can be read, and whether its service is named."""
         if self._listed.is_named(row):
-            self._refused.forget(key)
+            self._refused.forget(row.instance)
         elif self._listed.knows_services:
-            self._refused.note("unnamed", key, f"service {row.service} is named nowhere")
+            self._refused.note("unnamed", row.instance, f"service {row.service} is named nowhere")
 
 
 def _key_in_table(row: Row) -> str:
--- a/deckcourse/platform/rows.py
+++ b/deckcourse/platform/rows.py
@@ -170,7 +170,7 @@
     """A runner's row.
 
     Its `sequence`, unlike that of a report, counts no orders. That, `version`, `coldLeftMs` and
-    `born` are not used, but where they are of another type somebody else wrote the row.
+    `born` are not used, but where they are there, of another type, somebody else wrote the row.
     """
 
     service: Name
@@ -181,9 +181,9 @@
     kind: str = ""
     models: list[_RunnerModel] = []
     layers: _LayerRange | list[_LayerRange] | None = None
-    sequence: Sequence64 | UnsetType = UNSET
-    version: str | int | UnsetType = UNSET
-    coldLeftMs: Cold | UnsetType = UNSET  # noqa: N815
+    sequence: Sequence64 | None = None
+    version: str | int | None = None
+    coldLeftMs: Cold | None = None  # noqa: N815
     born: Born | UnsetType = UNSET
 
 
