--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -122,6 +122,7 @@
             random,
             log,
             counters.gauge,
+            counters.count,
         )
         intake = RowIntake(
             rows,
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -225,6 +225,12 @@
             return
         self._drop(instance)
 
+    def withdraw(self, name: str) -> None:
+        """Take in that a row is there and names no upstream any more: nothing may lapse."""
+        instance = self._named.get(name)
+        if instance is not None:
+            self._drop(instance)
+
     def _drop(self, instance: str) -> None:
         row = self._rows.pop(instance, None)
         self._note_change(instance, row is not None)
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 from secrets import token_hex
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 import trio
-from msgspec import UNSET, Struct, UnsetType
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 from deckcourse.gateway.dialect import LoadReport, MoveResult, Pulse, PulseReading, StallReport
 from deckcourse.gateway.upstreams import StartNews, Upstream
@@ -43,6 +43,12 @@
 MOST_KEPT_AFTER_ORDERS = 2
 # Random bytes of a control call's id: no caller's request has the same.
 ID_BYTES = 8
+# A report's numbers lie within these; any other is nobody's word, and a share of such numbers
+# would be none.
+LARGEST_COUNT = 2**53
+SLOWEST_PACE = 1e6
+
+_Count = Annotated[int, Meta(ge=0, le=LARGEST_COUNT)]
 
 
 class _Waiting(Struct):
@@ -58,12 +64,12 @@
     What lacks one of the first three is the answer to something else. `born` tells its start.
     """
 
-    sequence: int
-    running: int
-    queued: int
-    kvUsed: int = 0  # noqa: N815
-    kvTotal: int = 0  # noqa: N815
-    pace: float = 1.0
+    sequence: _Count
+    running: _Count
+    queued: _Count
+    kvUsed: _Count = 0  # noqa: N815
+    kvTotal: _Count = 0  # noqa: N815
+    pace: Annotated[float, Meta(ge=0.0, le=SLOWEST_PACE)] = 1.0
     stalled: list[_Waiting] = []
     born: int | UnsetType = UNSET
 
@@ -292,5 +298,5 @@
 def _decoded(content: bytes, kind: type[_Decoded]) -> _Decoded | None:
     try:
         return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError:
-        return None
+    except (msgspec.MsgspecError, RecursionError):
+        return None  # Fields that nobody reads may be nested without end.
--- a/features/gateway_store.py
+++ b/features/gateway_store.py
@@ -10,18 +10,26 @@
 
 
 class StandinStore(MemoryTable):
-    """The store's tables with a feed of changes; `away` answers nothing, `forgotten` no changes."""
+    """The store's tables with a feed of changes.
+
+    `away` answers nothing; `tells_all_rows` has no changes, so that all rows are read each time;
+    changes up to `forgotten` are gone.
+    """
 
     def __init__(self):
         super().__init__()
         self.away = False
-        self.forgotten = False
+        self.tells_all_rows = False
         self.changed = trio.Event()
         self.log = []
+        self.forgotten = 0
 
     def put(self, table, key, value):
         """Write a row as the operator or a runner does; None drops it."""
-        data = None if value is None else json.dumps(value).encode()
+        self.put_bytes(table, key, None if value is None else json.dumps(value).encode())
+
+    def put_bytes(self, table, key, data):
+        """Write a row's bytes, whatever they are; None drops it."""
         self._clock += 1
         name = f"{table}/{key}"
         if data is None:
@@ -32,6 +40,11 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def forget_history(self):
+        """Let whoever follows read every table anew."""
+        self.log.clear()
+        self.forgotten = self._clock
+
     async def snapshot(self, table):
         if self.away:
             return Failure(TableFailure.UNAVAILABLE)
@@ -46,7 +59,7 @@
                 await self.changed.wait()
         if self.away:
             return Failure(TableFailure.UNAVAILABLE)
-        if self.forgotten:
+        if self.tells_all_rows or after < self.forgotten:
             return Success(Changes((), after, complete=False))
         return Success(Changes(tuple(self._news(table, after)), self._clock))
 
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -101,7 +101,7 @@
         site.store.put("servers", "p", row_of("p", start_of(word)))
     elif what == "all rows":
         # A source that knows no changes tells all of its rows.
-        site.store.forgotten = True
+        site.store.tells_all_rows = True
         site.store.put("servers", "p", row_of("p", start_of(word)))
     else:
         runner.start = start_of(word)
@@ -112,7 +112,7 @@
         call = what.rpartition(" ")[2].replace("order", "place")
         await believed(site, call, upstream)
     await trio.sleep(0.3)
-    site.store.forgotten = False
+    site.store.tells_all_rows = False
 
 
 @then("after what was said of one id this start is known")
