--- a/features/foreign_rows.feature
+++ b/features/foreign_rows.feature
@@ -68,6 +68,21 @@
       | of a list                |
       | of null                  |
 
+  Scenario Outline: A stream goes on while the row of its <part> upstream turns bad
+    Given two chains of upstreams with a stream under way
+    When the row of its <part> upstream turns bad
+    Then that stream is whole, from that upstream alone, and the next one takes the other chain
+
+    Examples:
+      | part   |
+      | first  |
+      | second |
+
+  Scenario: A row that turned bad while the store was away is none that lapsed
+    Given two plain upstreams that work
+    When the store comes back, and the rows of both are bad
+    Then no request goes to either
+
   Scenario Outline: A row <what> is good
     Then a runner's row <what> is good
 
--- a/features/steps/foreign_row_steps.py
+++ b/features/steps/foreign_row_steps.py
@@ -24,6 +24,7 @@
     reading,
     reproducible,
 )
+from gateway_story import two_chains
 from gateway_world import GatewayWorld, default_config
 from hypothesis import given as hypothesis_given
 from returns.result import Failure, Success
@@ -141,6 +142,68 @@
     assert context.site.mended == {"one", "two"}, context.site.mended
 
 
+@given("two chains of upstreams with a stream under way")
+def chains_with_stream(context):
+    two_chains(context)
+    context.site.events = 60
+
+
+@when("the row of its {part} upstream turns bad")
+def turns_bad(context, part):
+    async def story(site):
+        async def first():
+            site.got = await site.ask()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first)
+            await trio.sleep(0.3)
+            at = site.paths_of("r1")[part == "second"][0]
+            site.spoilt = site.by_address(at).instance
+            bad = bad_row(site.runners[site.spoilt].row(), 'with state = "unknown"')
+            site.store.put_bytes("servers", site.spoilt, bad)
+        await site.ask(name="r2")
+
+    site = context.site
+    site.paths_of = lambda name: next(
+        each.paths[name] for each in site.runners.values() if name in each.paths
+    )
+    site.play(story)
+
+
+@then("that stream is whole, from that upstream alone, and the next one takes the other chain")
+def stream_whole(context):
+    site = context.site
+    assert (site.got.status, site.got.whole) == (200, True), site.got
+    assert [each.request for each in site.runs] == ["r1", "r2"], site.runs
+    runs = {each.request: each for each in site.runs}
+    assert [number for number, _ in runs["r1"].events] == list(range(1, site.events + 1))
+    spoilt = site.runners[site.spoilt].address
+    assert spoilt in {at for at, _, _ in runs["r1"].events[-1][1]}, runs["r1"].events[-1]
+    assert spoilt not in {at for at, _, _ in runs["r2"].events[0][1]}, runs["r2"].events[0]
+
+
+@when("the store comes back, and the rows of both are bad")
+def back_and_bad(context):
+    async def story(site):
+        site.store.away = True
+        await trio.sleep(8.0)
+        site.store.away = False
+        for name in ("one", "two"):
+            site.store.put_bytes("servers", name, b"?")
+        await trio.sleep(1.0)
+        before = len(site.runs)
+        site.got = await site.ask("again")
+        site.after = len(site.runs) - before
+
+    context.site.play(story)
+
+
+@then("no request goes to either")
+def to_neither(context):
+    assert context.site.after == 0 and context.site.got.status == 503, context.site.got
+    assert [kind for kind, _ in context.site.lines if kind == "store-regained"]
+
+
 @then("a runner's row {what} is good")
 def row_is_good(context, what):
     field, is_set, value = what.removeprefix("with ").partition(" = ")
