--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -163,6 +163,9 @@
         before = self._at_address.get(row.address)
         if before is not None and before != row.instance:
             self._drop(before)
+        if known is not None and self._at_address.get(known.address) == row.instance:
+            # Else whoever takes the address that it left would be taken for its follower.
+            del self._at_address[known.address]
         self._at_address[row.address] = row.instance
         self._rows[row.instance] = row
         self._note_change(row.instance)
--- a/features/foreign_rows.feature
+++ b/features/foreign_rows.feature
@@ -297,3 +297,11 @@
       | frames  | 300   |
       | digests | 300   |
       | plans   | 200   |
+
+  Scenario: An upstream that moved away from an address stays when another one takes it
+    Then this holds after each of these rows
+      | key | address     |
+      | i-0 | 10.0.0.1:80 |
+      | i-1 | 10.0.0.1:80 |
+      | i-1 | 10.0.0.2:80 |
+      | i-2 | 10.0.0.1:80 |
--- a/features/restarts.feature
+++ b/features/restarts.feature
@@ -43,9 +43,9 @@
       | row nameless, report 7                           | -     |
       | row nameless, row 7                              | 7     |
       | row 5, report nameless                           | 5     |
-      | row 5, row fraction                              | 5     |
-      | row 5, row text                                  | 5     |
-      | row 5, row null                                  | 5     |
+      | row 5, row fraction                              | none  |
+      | row 5, row text                                  | none  |
+      | row 5, row null                                  | none  |
 
   Scenario: A question to one start that another one answers has no answer
     Then each answer counts as this
--- a/features/steps/foreign_row_steps.py
+++ b/features/steps/foreign_row_steps.py
@@ -16,6 +16,7 @@
 import trio
 from behave import given, then, when
 from foreign_rows import (
+    NAMED,
     bad_row,
     check_rows,
     generated_pages,
@@ -447,3 +448,12 @@
         assert changes.unwrap().version == 9
 
     check()
+
+
+@then("this holds after each of these rows")
+def holds_after(context):
+    rows = [(row["key"], row["address"]) for row in context.table]
+    check_rows(
+        ("row", key, ((address, NAMED), json.dumps(good_row(address)).encode()))
+        for key, address in rows
+    )
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -7,7 +7,7 @@
 import trio
 from behave import given, then, when
 from gateway_story import ask_while, two_chains
-from gateway_world import LAYERS, GatewayWorld
+from gateway_world import LAYERS, GatewayWorld, default_config, is_machine
 
 from deckcourse.gateway.dialect import Dispatch
 from deckcourse.gateway.row_intake import RowIntake
@@ -73,7 +73,8 @@
 
 
 def row_of(name, start):
-    return {"service": SERVICE, "address": "p:1", "zone": "x", **start}
+    row = {"service": SERVICE, "address": "p:1", "zone": "x", "slots": 6, "state": "ready"}
+    return {**row, **start}
 
 
 MOVED = LayerPath((PathPart("p", "p:1", 0, LAYERS),), "x", 0, 1.0)
@@ -145,8 +146,13 @@
     for row in context.table:
         replica, table = TableReplica("servers"), UpstreamTable(lambda: 100.0)
         intake = RowIntake(
-            PlatformRows(), table, None, ConnectionPool(lambda what: None), *4 * (do_nothing,)
+            PlatformRows(is_machine),
+            table,
+            None,
+            ConnectionPool(lambda what: None),
+            *4 * (do_nothing,),
         )
+        intake.operator_row("config", json.dumps(default_config()).encode(), 1)
         replica.take(TableUpdate("servers", None, 1))
         for told in row["told"].split(", "):
             what, _, word = told.rpartition(" ")
