--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -177,6 +177,13 @@
     client_module._is_merged = lambda event: False
 
 
+def views_outlive_changes():
+    def note(self, instance, counts=True):
+        self._changes += counts
+
+    UpstreamTable._note_change = note
+
+
 def plans_without_condition():
     kept = PlanBook.claim
 
@@ -333,6 +340,7 @@
     keys_never_age: ("nothing is sent under a key that may be gone", GATEWAY),
     versions_of_state_fall: ("an older desired state never replaces a newer one", GATEWAY),
     no_lapse_grace: ("rows that lapsed are kept until the store has been back", GATEWAY),
+    views_outlive_changes: ("an upstream is seen as it is after each change", GATEWAY),
     lapsed_rows_are_as_good: ("an upstream whose row lapsed is the last resort", GATEWAY),
     nobody_asks_the_lapsed: ("a lost upstream is told from one whose row lapsed", GATEWAY),
     leaving_counts_not: ("a leaving upstream gets no new work", GATEWAY),
