Steps share how a caller holds a write up, and how a property is tried

Cause: both stood twice. Change: moved to interruption_world and connection_world; what is asserted is as it was.

--- a/features/connection_world.py
+++ b/features/connection_world.py
@@ -1,6 +1,7 @@
-"""What steps about single connections share: limits, a virtual clock, and reading to the end."""
+"""What steps share: limits, a virtual clock, reading to the end, reproducible properties."""
 
 import trio
+from hypothesis import HealthCheck, Phase, settings
 from trio.testing import MockClock
 
 from deckcourse.gateway.desired import CallerBounds
@@ -21,3 +22,15 @@
     while part := await stream.receive_some(65536):
         data += part
     return data
+
+
+def reproducible(count):
+    """Return how a property is tried: so many cases, the same ones each time."""
+    return settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=(Phase.generate, Phase.shrink),
+        suppress_health_check=list(HealthCheck),
+    )
--- a/features/foreign_rows.py
+++ b/features/foreign_rows.py
@@ -4,7 +4,7 @@
 
 import trio
 from connection_world import virtually
-from hypothesis import HealthCheck, Phase, settings, strategies
+from hypothesis import strategies
 
 from deckcourse.counters import MemoryCounters
 from deckcourse.gateway.desired import CallerBounds
@@ -25,18 +25,6 @@
 LATER_CONFIG = {"version": 2, "services": [{"name": NAMED}, {"name": UNNAMED}]}
 
 
-def reproducible(count):
-    """Return how a property is tried: so many cases, the same ones each time."""
-    return settings(
-        max_examples=count,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        phases=(Phase.generate, Phase.shrink),
-        suppress_health_check=list(HealthCheck),
-    )
-
-
 def good_row(address, service=NAMED, **fields):
     """Return a row as a runner of a plain service writes it."""
     return {
--- a/features/interruption_world.py
+++ b/features/interruption_world.py
@@ -1,6 +1,11 @@
 """What steps about interruptions share: the moment at which one comes, and a caller who pauses."""
 
 import trio
+from connection_world import BOUNDS
+from gateway_world import EVENT_SECONDS
+
+from deckcourse.gateway.active_stream import Interruption
+from deckcourse.http1.server import serve_connection
 
 
 def watch_streams(site, streams):
@@ -102,3 +107,42 @@
     def close(self):
         self._stream.send_stream.close()
         self._stream.receive_stream.close()
+
+
+async def nothing(streams):
+    """Change nothing of a site."""
+
+
+def ask_held_up(context, change=nothing):
+    """Play one stream that is taken from its upstream while its caller takes half of an event.
+
+    Args:
+      context: has the site; gets what the caller got.
+      change: an async function of the watched streams, called while the write is held up.
+    """
+    near, inner = trio.testing.memory_stream_pair()
+    far = HalfWay(inner)
+
+    async def story(site):
+        streams = set()
+        watch_streams(site, streams)
+
+        async def disturb():
+            await trio.sleep(3.5 * EVENT_SECONDS)
+            far.stuck = True
+            await trio.sleep(EVENT_SECONDS)
+            assert all(each.interrupt(Interruption.FIRST_SILENT) for each in streams)
+            await change(streams)
+            await trio.sleep(EVENT_SECONDS)
+            far.go_on()
+
+        async def dial(address):
+            return NearEnd(near)
+
+        async with trio.open_nursery() as nursery:
+            handle = site.node.gateway.handle
+            nursery.start_soon(serve_connection, far, handle, lambda: BOUNDS, lambda: False)
+            nursery.start_soon(disturb)
+            context.got = await site.ask(dial=dial)
+
+    context.site.play(story)
--- a/features/steps/foreign_frame_steps.py
+++ b/features/steps/foreign_frame_steps.py
@@ -17,8 +17,8 @@
 import msgspec
 import trio
 from behave import then, when
-from connection_world import virtually
-from foreign_rows import DEEP, reproducible
+from connection_world import reproducible, virtually
+from foreign_rows import DEEP
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies
 from peer_world import SETTLE_SECONDS
--- a/features/steps/foreign_row_steps.py
+++ b/features/steps/foreign_row_steps.py
@@ -15,6 +15,7 @@
 
 import trio
 from behave import given, then, when
+from connection_world import reproducible
 from foreign_rows import (
     NAMED,
     bad_row,
@@ -23,7 +24,6 @@
     generated_rows,
     good_row,
     reading,
-    reproducible,
 )
 from gateway_story import two_chains
 from gateway_world import GatewayWorld, default_config
--- a/features/steps/interruption_steps.py
+++ b/features/steps/interruption_steps.py
@@ -11,14 +11,13 @@
 from connection_world import BOUNDS, virtually
 from gateway_story import expected_events, two_chains
 from gateway_world import EVENT_SECONDS, LAYERS
-from interruption_world import HalfWay, Meeting, NearEnd, watch_streams
+from interruption_world import Meeting, ask_held_up, watch_streams
 
 from deckcourse.gateway.active_stream import Interruption
 from deckcourse.gateway.dialect import Pulse
 from deckcourse.gateway.upstreams import Upstream
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.memory import MemoryNetwork
-from deckcourse.http1.server import serve_connection
 from deckcourse.platform.runners import RunnerControl
 
 STOOD_STILL_SECONDS = 0.2
@@ -134,36 +133,16 @@
 
 @when("a stream is taken away while its caller holds a write up, and its second upstream is lost")
 def taken_while_held_up(context):
-    near, inner = trio.testing.memory_stream_pair()
-    far = HalfWay(inner)
     context.site.add("x3", "llm", "x", 4, LAYERS)
 
-    async def story(site):
-        streams = set()
-        watch_streams(site, streams)
-
-        async def disturb():
-            await trio.sleep(3.5 * EVENT_SECONDS)
-            far.stuck = True
-            await trio.sleep(EVENT_SECONDS)
-            assert all(each.interrupt(Interruption.FIRST_SILENT) for each in streams)
-            (second,) = {each.path.parts[1].instance for each in streams}
-            site.runners[second].die()
-            site.node.gateway.context.upstreams.suspect(second, 1.0, lost=True)
-            await site.node.gateway.context.monitor._move_all()
-            await trio.sleep(EVENT_SECONDS)
-            far.go_on()
-
-        async def dial(address):
-            return NearEnd(near)
-
-        async with trio.open_nursery() as nursery:
-            handle = site.node.gateway.handle
-            nursery.start_soon(serve_connection, far, handle, lambda: BOUNDS, lambda: False)
-            nursery.start_soon(disturb)
-            context.got = await site.ask(dial=dial)
+    async def lose_second(streams):
+        gateway = context.site.node.gateway.context
+        (second,) = {each.path.parts[1].instance for each in streams}
+        context.site.runners[second].die()
+        gateway.upstreams.suspect(second, 1.0, lost=True)
+        await gateway.monitor._move_all()
 
-    context.site.play(story)
+    ask_held_up(context, lose_second)
     assert context.got.whole, context.got
 
 
--- a/features/steps/stream_event_steps.py
+++ b/features/steps/stream_event_steps.py
@@ -26,10 +26,11 @@
 
 import trio
 from behave import given, then, when
+from connection_world import reproducible
 from gateway_story import two_chains
 from gateway_world import GatewayWorld
-from hypothesis import HealthCheck, Phase, settings, strategies
 from hypothesis import given as hypothesis_given
+from hypothesis import strategies
 from raw_upstream import HEAD, REFUSAL, Answer, RawUpstream
 
 from deckcourse.gateway.calls import refuse_joined
@@ -336,14 +337,7 @@
     cuts = strategies.lists(strategies.integers(0, 2000), max_size=8)
     routes = strategies.sampled_from(["stream", "fragile"])
 
-    @settings(
-        max_examples=count,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        phases=(Phase.generate, Phase.shrink),
-        suppress_health_check=list(HealthCheck),
-    )
+    @reproducible(count)
     @hypothesis_given(answers, cuts, routes)
     def check(answer, places, route):
         holder = type("Context", (), {})()
--- a/features/steps/torn_write_steps.py
+++ b/features/steps/torn_write_steps.py
@@ -15,8 +15,8 @@
 from behave import given, then, when
 from connection_world import BOUNDS, read_until_end, virtually
 from gateway_story import expected_events, two_chains
-from gateway_world import EVENT_SECONDS, Got
-from interruption_world import HalfWay, Meeting, NearEnd, watch_streams
+from gateway_world import Got
+from interruption_world import HalfWay, Meeting, ask_held_up, watch_streams
 
 from deckcourse.gateway.active_stream import Interruption
 from deckcourse.http1.server import serve_connection
@@ -182,31 +182,7 @@
 
 @when("a stream is taken from its upstream while its caller takes half of an event and then pauses")
 def taken_while_held_up(context):
-    near, inner = trio.testing.memory_stream_pair()
-    far = HalfWay(inner)
-
-    async def story(site):
-        streams = set()
-        watch_streams(site, streams)
-
-        async def disturb():
-            await trio.sleep(3.5 * EVENT_SECONDS)
-            far.stuck = True
-            await trio.sleep(EVENT_SECONDS)
-            assert all(each.interrupt(Interruption.FIRST_SILENT) for each in streams)
-            await trio.sleep(EVENT_SECONDS)
-            far.go_on()
-
-        async def dial(address):
-            return NearEnd(near)
-
-        async with trio.open_nursery() as nursery:
-            gateway = site.node.gateway
-            nursery.start_soon(serve_connection, far, gateway.handle, lambda: BOUNDS, lambda: False)
-            nursery.start_soon(disturb)
-            context.got = await site.ask(dial=dial)
-
-    context.site.play(story)
+    ask_held_up(context)
     assert [kind for kind, _ in context.site.lines if kind == "try-interrupted"]
 
 
