--- /dev/null
+++ b/features/steps/notice_steps.py
@@ -0,0 +1,380 @@
+"""Steps about upstreams that ask for time without requests, or say that they leave."""
+
+import trio
+from behave import given, then, when
+from gateway_story import ask_while
+from gateway_world import StandinRunner
+from notice_world import (
+    AT_ONCE_SECONDS,
+    FIRST,
+    WAY_SECONDS,
+    arrivals_after_leaving,
+    arrivals_while_asked,
+    first_ones,
+    keep_asking,
+    site_with_notices,
+)
+
+from deckcourse.layers.hosts import Assignment
+
+MANY_DIGITS = "9" * 401
+# The headers of a refusal that don't stand in the table as they are.
+ODD_ASKS = {"9 and 400 more digits": (MANY_DIGITS,)}
+# A wish that counts for nothing: the upstream is asked again within the longest guess.
+SOON_SECONDS = 0.7
+# How exactly the next request comes when a time is over, seconds: callers come 0.05 s apart.
+NEXT_SECONDS = 0.1
+
+
+def table(site):
+    return site.node.gateway.context.upstreams
+
+
+def row(site, instance):
+    return table(site).get(instance)
+
+
+@given("upstreams of which the first one turns requests away and asks for {asks}")
+def first_asks(context, asks):
+    for runner in first_ones(site_with_notices(context)):
+        runner.behaviour = "full"
+        runner.asks = ODD_ASKS.get(asks, tuple(asks.split(" / ")))
+
+
+@given("upstreams of which the first one turns requests away for x2 and asks for 3")
+def asks_for_another(context):
+    first_asks(context, "3")
+    context.site.runners["x1"].at_fault = "x2:1"
+
+
+@given("upstreams that all turn requests away, the first one asks for 3 and the others for 2")
+def all_ask(context):
+    first_asks(context, "3")
+    for name in ("y1", "p2"):
+        context.site.runners[name].behaviour = "full"
+        context.site.runners[name].asks = ("2",)
+
+
+@given("upstreams of which the first one will turn requests away and ask for 3")
+def will_ask(context):
+    site_with_notices(context)
+
+
+@given("upstreams of which the first one asks for 3 in the answer to {answer}")
+def asks_in_control(context, answer):
+    runner, _ = first_ones(site_with_notices(context))
+    runner.asks, runner.refuses_control = ("3",), True
+    context.control_call = answer
+
+
+@given("upstreams of which the first one says that it leaves in the answer to {answer}")
+def says_leaving(context, answer):
+    context.control_call = ""
+    for runner in first_ones(site_with_notices(context)):
+        runner.says_leaving = True
+        if answer == "a call that fails":
+            runner.behaviour = "fails"
+        elif answer == "a request that it refuses":
+            runner.behaviour = "full"
+        elif answer in ("a question for its load", "an order"):
+            context.control_call = answer
+
+
+@given("upstreams that all say that they leave")
+def all_leave(context):
+    for runner in site_with_notices(context).runners.values():
+        runner.says_leaving = True
+
+
+@given("upstreams of which the first one answers that it is another one, which leaves")
+def another_answers(context):
+    site = site_with_notices(context)
+    other = StandinRunner(site, "another", "crm", "x")
+    other.says_leaving = True
+
+    async def answer_for(request, exchange):
+        await other.handle(request, exchange)
+
+    site.runners["p1"].handle = answer_for
+
+
+async def make_control_call(context):
+    site, call = context.site, getattr(context, "control_call", "")
+    if call == "an order":
+        await site.control.place(row(site, "x1"), Assignment("x1", 0, 4, ""), 0)
+    elif call:
+        await site.control.load(row(site, "x1"))
+
+
+@when("a caller asks for {route} each 0.05 seconds for {seconds:d} seconds")
+def asks_on(context, route, seconds):
+    async def story(site):
+        await make_control_call(context)
+        await before(context, site, route)
+        await keep_asking(site, context.notices, route, seconds)
+        context.usable = {each.instance for each in table(site).usable("crm")}
+
+    context.site.play(story)
+
+
+async def before(context, site, route):
+    """Let the first upstream be asked once, and what a scenario names happen after it."""
+    if getattr(context, "happens", ""):
+        await site.ask(route, name="c-first")
+        await HAPPENINGS[context.happens](site, FIRST[route])
+        await trio.sleep(0.1)
+
+
+@when("the first one has asked for it, and {what}")
+@when("the first one has said so, and {what}")
+def happens(context, what):
+    context.happens = what
+
+
+async def row_comes_back(site, name):
+    runner = site.runners[name]
+    site.store.put("servers", name, None)
+    await trio.sleep(0.1)
+    site.store.put("servers", name, runner.row())
+
+
+async def row_anew(site, name):
+    site.runners[name].slots += 1
+    site.store.put("servers", name, site.runners[name].row())
+
+
+async def rows_anew(site, name):
+    site.store.forget_history()
+    await row_anew(site, name)
+
+
+async def row_unreadable(site, name):
+    site.store.put_bytes("servers", name, b"{")
+    await trio.sleep(0.1)
+    site.store.put("servers", name, site.runners[name].row())
+
+
+async def moves(site, name):
+    runner = site.runners[name]
+    site.network.kill(runner.address)
+    runner.address = f"{name}-elsewhere:1"
+    runner.start()
+
+
+async def suspected(site, name):
+    table(site).suspect(name, 1.0, lost=True)
+    await trio.sleep(0.1)
+    table(site).clear(name)
+
+
+async def starts_again(site, name, says_leaving=False):
+    runner = site.runners[name]
+    asks, behaviour, held = runner.asks, runner.behaviour, (runner.first, runner.end)
+    after = runner.restart(int(trio.current_time() * 1000) + 1, tells=False)
+    after.asks, after.behaviour = asks, behaviour
+    after.service, (after.first, after.end) = runner.service, held
+    after.start()
+
+
+async def store_away(site, name):
+    site.store.away = True
+
+
+async def asks_shorter(site, name):
+    table_asks = site.runners[name].asks
+    site.runners[name].asks, site.runners[name].refuses_control = ("0.2",), True
+    await site.control.load(row(site, name))
+    site.runners[name].asks, site.runners[name].refuses_control = table_asks, False
+
+
+HAPPENINGS = {
+    "its row goes and comes back": row_comes_back,
+    "its row is written anew": row_anew,
+    "all rows are read anew": rows_anew,
+    "its row can't be read for a moment": row_unreadable,
+    "it moves to another address": moves,
+    "it was suspected and answers again": suspected,
+    "it starts again under its id": starts_again,
+    "it starts again under its id and says nothing": starts_again,
+    "the store is away": store_away,
+    "a shorter time is asked for": asks_shorter,
+}
+
+
+@when("a connection to the first one opens after 0.8 seconds, and another is refused meanwhile")
+def slow_connection(context):
+    async def story(site):
+        usual, slow = site.dial, []
+
+        async def dial(address):
+            if address == "x1:1" and not slow:
+                slow.append(address)
+                await trio.sleep(0.8)
+            return await usual(address)
+
+        site.dial = dial
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_asking, site, context.notices, "stream", 0.1)
+        assert slow
+
+    context.site.play(story)
+
+
+def turns_away(runner):
+    runner.behaviour, runner.asks = "full", ("3",)
+
+
+@when("it does so in the middle of a stream")
+def turns_away_meanwhile(context):
+    async def change(site):
+        turns_away(site.runners["x1"])
+        await keep_asking(site, context.notices, "stream", 0.1)
+
+    ask_while(context, 5, change)
+    context.site.runs = [each for each in context.site.runs if each.request == "r1"]
+
+
+@when("its stream breaks off after it did so")
+def breaks_after(context):
+    async def change(site):
+        turns_away(site.runners["x1"])
+        await site.ask(name="c1")
+        site.network.reset("x1:1")
+
+    ask_while(context, 5, change)
+
+
+@when("a caller asks for one stream")
+def one_stream(context):
+    async def story(site):
+        context.got = await site.ask()
+
+    context.site.play(story)
+
+
+@when("the first one has said so while the store doesn't tell")
+def said_without_store(context):
+    for runner in context.site.runners.values():
+        runner.obeys = True
+
+    async def story(site):
+        await site.ask()
+        context.before = len(site.orders)
+        await trio.sleep(2.0)
+
+    context.site.play(story)
+
+
+@then("another upstream is ordered to hold its layers within 2 seconds")
+def held_elsewhere(context):
+    orders = context.site.orders[context.before :]
+    assert any(name != "x1" and first == 0 for name, first, _ in orders), context.site.orders
+
+
+def assert_was_asked(context, name):
+    assert any(each.instance == name for each in context.site.asked), context.site.arrivals
+
+
+@then("the first one got no request in the time it had asked for")
+def rest_kept(context):
+    name = FIRST[context.notices.route]
+    assert_was_asked(context, name)
+    late = arrivals_while_asked(context.site, name)
+    assert not late, (len(late), late[:3], context.site.lines[-5:])
+
+
+@then("no upstream got a request in the time it had asked for")
+def rests_kept(context):
+    rest_kept(context)
+    for name in context.site.runners:
+        assert not arrivals_while_asked(context.site, name)
+
+
+@then("the first one got requests again after that time")
+def used_again(context):
+    name = FIRST[context.notices.route]
+    over = max(each.at + each.seconds for each in context.site.asked if each.instance == name)
+    first = min(each.at for each in context.site.asked if each.instance == name)
+    again = [each.at for each in context.site.arrivals if each.at >= first + 3.0]
+    assert again and min(again) < first + 3.0 + 0.5, (first, over, again[:3])
+
+
+@then("every caller was served")
+def all_served(context):
+    got = [each for _, each in context.notices.got]
+    assert got and all(each.status == 200 and each.whole for each in got), [
+        (each.status, each.headers) for each in got if each.status != 200
+    ][:3]
+
+
+@then(
+    "every later caller was refused within 0.01 seconds, to come back when the first time is over"
+)
+def told_when(context):
+    site = context.site
+    firsts = {each.instance: each.at + each.seconds for each in reversed(site.asked)}
+    names = {"stream": ("x1", "y1")}.get(context.notices.route, ("p1", "p2"))
+    opens = min(firsts[name] for name in names)
+    all_asked = max(each.at for each in site.asked)
+    later = [(at, got) for at, got in context.notices.got if at > all_asked + WAY_SECONDS]
+    assert len(later) > 20, len(later)
+    for at, got in later:
+        assert got.status == 503 and got.seconds <= AT_ONCE_SECONDS, got
+        back = at + float(site.header(got, "retry-after"))
+        assert opens - WAY_SECONDS <= back, (at, back, opens)
+    # The first who come back meet the end of that time, the rest in turn after them.
+    first_back = min(at + float(site.header(got, "retry-after")) for at, got in later)
+    assert first_back <= opens + SOON_SECONDS, (first_back, opens)
+
+
+@then("every later caller was refused within 0.01 seconds")
+def told_at_once(context):
+    told = max(each.at for each in context.site.told_leaving)
+    later = [got for at, got in context.notices.got if at > told + WAY_SECONDS]
+    assert later and all(got.status == 503 for got in later), later[:3]
+    assert all(got.seconds <= AT_ONCE_SECONDS for got in later)
+
+
+@then("the first one got its next request after {seconds} seconds, {malformed} malformed answers")
+def next_after(context, seconds, malformed):
+    site = context.site
+    at = [each.at for each in site.arrivals if each.instance == "x1"]
+    pause = at[1] - at[0] if len(at) > 1 else None
+    if seconds == "never":
+        assert pause is None, at
+    elif seconds.startswith("less than"):
+        assert pause is not None and pause < float(seconds.split()[-1]), at[:3]
+    else:
+        assert pause is not None and 0.0 <= pause - float(seconds) < NEXT_SECONDS, at[:3]
+    counted = site.counters.counts.get("malformed.notice", 0)
+    assert (counted > 0) == (malformed == "with"), counted
+
+
+@then("the first one got no request after it had said so")
+def leaving_kept(context):
+    name = FIRST[context.notices.route]
+    assert any(each.instance == name for each in context.site.told_leaving)
+    late = arrivals_after_leaving(context.site, name)
+    assert not late, (len(late), late[:3])
+
+
+@then("no upstream got a request after it had said so")
+def all_leaving_kept(context):
+    leaving_kept(context)
+    for name in context.site.runners:
+        assert not arrivals_after_leaving(context.site, name)
+
+
+@then("the first one got requests at its new start")
+def new_start_used(context):
+    name = FIRST[context.notices.route]
+    start = context.site.runners[name].born
+    assert start is not None
+    found = [each for each in context.site.arrivals if (each.instance, each.start) == (name, start)]
+    assert found, context.site.arrivals[-3:]
+
+
+@then("the first one is not taken for leaving")
+def not_leaving(context):
+    assert context.notices.got
+    assert "p1" in context.usable, context.usable
