The retries of a stream and one start of an upstream stand apart; tries count as before

The mend also counted tries by what was sent: a failed dial was no try any more, for streams and calls alike, which nobody had asked for; four tries at the most is what bounds the time of a call. Change: StreamRetries (stream_retries.py), Upstream and StartNews (upstream.py) out of them; a try counts unless it was withheld. Mutants follow the names.

--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -5,8 +5,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+from deckcourse.gateway.upstream import StartNews, Upstream
 from deckcourse.gateway.upstream_notice import NOTHING_ASKED, UpstreamNotice
-from deckcourse.gateway.upstreams import StartNews, Upstream
 from deckcourse.http1.client import UpstreamReply
 from deckcourse.http1.message import Headers
 from deckcourse.http1.server import IncomingRequest
--- a/deckcourse/gateway/lapse_check.py
+++ b/deckcourse/gateway/lapse_check.py
@@ -10,7 +10,8 @@
 
 import trio
 
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.healer import Orderer
 
 __all__ = ["LapseCheck"]
--- a/deckcourse/gateway/listed_rows.py
+++ b/deckcourse/gateway/listed_rows.py
@@ -8,7 +8,8 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 
 __all__ = ["ListedRows"]
 
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -12,7 +12,7 @@
 
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import Upstream
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.peers.loads import LoadBoard, LoadRow
 
 __all__ = ["LoadWatch"]
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -14,7 +14,7 @@
 )
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch
-from deckcourse.gateway.upstreams import Upstream
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.http1.client import UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError, FailureKind, Headers, end_to_end
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
@@ -77,7 +77,6 @@
         self._domain = domain
         self._tried: set[str] = set()
         self._runs = 0
-        self._sent = 0
         self._failure: _Whole | None = None
 
     async def run(self) -> Outcome:
@@ -88,12 +87,12 @@
     async def _tries(self) -> Outcome:
         last: _Refused | _Lost | None = None
         budget = self._context.budget(self._admitted.service.name)
-        while self._sent < MOST_TRIES:
+        number = 0
+        while number < MOST_TRIES:
             upstream = self._choose()
             if upstream is None:
                 break
-            is_retry = self._sent > 0
-            if is_retry and not budget.spend():
+            if number and not budget.spend():
                 break
             if not self._context.may_send():
                 message = "the configuration may be out of date"
@@ -101,9 +100,11 @@
             self._tried.add(upstream.instance)
             result = await self._send(upstream)
             if isinstance(result, Withheld):
-                if is_retry:
+                if number:
                     budget.give_back()
-            elif isinstance(result, _Whole):
+                continue
+            number += 1
+            if isinstance(result, _Whole):
                 if not self._worth_another(result):
                     return await self._deliver(result)
                 self._failure = result
@@ -198,7 +199,6 @@
             admitted.account_name,
             admitted.priority,
         )
-        self._sent += 1
         self._runs += 1
         try:
             reply, facts = await send_request(self._context, admitted, connection, dispatch)
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -21,7 +21,8 @@
 from deckcourse.gateway.row_intake import RowIntake, RowReader
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import StartNews, Upstream, UpstreamTable
+from deckcourse.gateway.upstream import StartNews, Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.layers.healer import Healer, Orderer
 from deckcourse.layers.hosts import Group
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -11,7 +11,8 @@
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.load_watch import LoadWatch
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.path_set import PathSet
 from deckcourse.layers.paths import LayerPath, PathPart
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -14,7 +14,8 @@
 from deckcourse.gateway.active_stream import ActiveStream, Interruption
 from deckcourse.gateway.dialect import MoveResult, Pulse, StreamControl
 from deckcourse.gateway.path_choice import PathChoice
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.paths import LayerPath
 
 __all__ = ["StallMonitor"]
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -24,7 +24,7 @@
 from deckcourse.gateway.context import Admitted, GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
-from deckcourse.gateway.retry_allowance import RetryAllowance
+from deckcourse.gateway.stream_retries import StreamRetries
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind, end_to_end
 from deckcourse.layers.paths import LayerPath
@@ -49,18 +49,6 @@
 OVERLOAD_RETRY_SECONDS = 1.2
 # For how long an upstream that resets or refuses connections gets no new work, seconds.
 UNREACHABLE_SECONDS = 2.0
-# A stream that ran and has no place looks for one for so long after its last event, seconds: room
-# comes free with each stream that ends. Later its caller, who can resume it, is told by the cut.
-LONGEST_SEARCH_SECONDS = 1.0
-# Between two tries of such a stream, seconds; doubled with each refusal, up to the longest.
-REFUSED_PAUSE_SECONDS = 0.05
-LONGEST_REFUSED_PAUSE_SECONDS = 0.4
-# The part of all retries that is kept for streams that have run: one that nobody ran can come back
-# later, one that broke off is lost without.
-KEPT_FOR_BROKEN = 0.33
-# The part that must be left when a stream is taken from an upstream that still has it: the next one
-# may refuse it.
-KEPT_FOR_TAKEN = 0.11
 OK = 200
 SERVER_ERROR = 500
 
@@ -99,10 +87,7 @@
         self._choice = context.choices(admitted.service.name)
         self._avoid: set[str] = set()
         self._runs = 0
-        self._sent = 0
-        self._has_retry = False
-        self._refusals = 0
-        self._ran: set[str] = set()
+        self._retries = StreamRetries(context, admitted)
         self._last_event = admitted.caller.last_event
         self._progress_at = trio.current_time()
         self._arrived_at = trio.current_time()
@@ -112,24 +97,19 @@
     def _begun(self) -> bool:
         return self._admitted.exchange.started
 
-    @property
-    def _budget(self) -> RetryAllowance:
-        return self._context.budget(self._admitted.service.name)
-
     async def run(self) -> Outcome:
         """Return the outcome; after Answered the caller has the whole answer."""
-        self._budget.earn()
+        self._retries.earn()
         try:
             return await within_deadline(self._admitted, self._tries, lambda: self._runs > 0)
         finally:
-            if self._has_retry:
-                self._budget.give_back()
+            self._retries.close()
 
     async def _tries(self) -> Outcome:
         last: _Refused | _Broken | None = None
+        number = 0
         while True:
-            number = self._sent
-            if number and self._runs and not await self._wait_for_retry():
+            if number and self._runs and not await self._retries.wait(self._progress_at):
                 return self._give_up(last, NotRunReason.RETRY_BUDGET, FULL_RETRY_SECONDS)
             path = await self._path()
             if path is None:
@@ -141,18 +121,19 @@
                 return self._give_up(last, NotRunReason.NOT_READY, FULL_RETRY_SECONDS)
             end = await self._attempt(path)
             if isinstance(end, Withheld):
-                # Of the retries of all processes this one was not made.
-                self._has_retry = number > 0
+                if number:
+                    self._retries.keep()
                 await trio.lowlevel.checkpoint()
                 continue
+            number += 1
             if isinstance(end, _Finished):
                 self._context.returns(self._admitted.service.name).note_answered()
                 return Answered(0, end.status)
             last = end
             self._log_try(path, end)
-            if isinstance(end, _Broken) and not self._may_go_on():
+            if isinstance(end, _Broken) and not self._retries.may_go_on():
                 break
-            if not self._runs and self._sent == MOST_TRIES:
+            if not self._runs and number == MOST_TRIES:
                 break
         return self._give_up(last, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_SECONDS)
 
@@ -165,46 +146,10 @@
             return NotRun(NotRunReason.OVERLOADED, message, self._later(OVERLOAD_RETRY_SECONDS))
         if number and self._choice.refused_of_late(path):
             return self._give_up(last, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_SECONDS)
-        if number and not self._may_retry():
+        if number and not self._retries.take(has_run=False):
             return self._give_up(last, NotRunReason.RETRY_BUDGET, FULL_RETRY_SECONDS)
         return None
 
-    async def _wait_for_retry(self) -> bool:
-        """Take a retry for a stream that ran, waiting a little for one; return whether it has."""
-        if self._has_retry:
-            return self._may_retry()
-        if self._refusals:
-            pause = REFUSED_PAUSE_SECONDS * 2**self._refusals
-            await trio.sleep(min(pause, LONGEST_REFUSED_PAUSE_SECONDS))
-        while trio.current_time() < self._progress_at + LONGEST_SEARCH_SECONDS:
-            if self._may_retry():
-                return True
-            await trio.sleep(REFUSED_PAUSE_SECONDS)
-        return False
-
-    def _may_retry(self) -> bool:
-        """Take a retry from the budget; return whether there was one for this stream."""
-        if self._has_retry:
-            self._has_retry = False
-            return True
-        return self._budget.spend(0.0 if self._runs else KEPT_FOR_BROKEN)
-
-    def _take_retry(self) -> bool:
-        """Take a retry before the stream is taken from its upstream; return whether it may be."""
-        self._has_retry = self._may_go_on() and self._budget.spend(KEPT_FOR_TAKEN)
-        return self._has_retry
-
-    def _may_go_on(self) -> bool:
-        """Return whether another upstream may run it; those that are gone don't count."""
-        upstreams = self._context.upstreams
-        live = [
-            each
-            for each in self._ran
-            if upstreams.get(each) is not None and not upstreams.is_suspect(each)
-        ]
-        route = self._admitted.route
-        return route.repeatable and len(live) < route.attempts
-
     def _give_up(
         self, last: _Refused | _Broken | None, reason: NotRunReason, retry_after: float
     ) -> Outcome:
@@ -251,7 +196,7 @@
             path,
             trio.current_time(),
             self._admitted.route.gap_objective,
-            take_retry=self._take_retry,
+            take_retry=self._retries.take_ahead,
         )
         context.upstreams.begin(first.instance)
         context.monitor.add(stream)
@@ -312,9 +257,8 @@
             self._last_event,
         )
         stream.progress_at = trio.current_time()
-        self._sent += 1
         self._runs += 1
-        self._ran.add(dispatch.instance)
+        self._retries.note_run(dispatch.instance)
         self._choice.watch.note_begun(dispatch.instance)
         try:
             with stream.interruptible():
@@ -329,14 +273,13 @@
             body = await reply.whole_body()
         if facts.not_run:
             self._runs -= 1
-            self._refusals += 1
-            self._ran.discard(stream.path.parts[0].instance)
+            self._retries.note_refused(stream.path.parts[0].instance)
             return self._on_refusal(stream, reply.status, facts)
         refuse_joined(reply, body)
         return await self._on_other_answer(reply, body)
 
     async def _on_other_answer(self, reply: UpstreamReply, body: bytes) -> _End:
-        if self._begun or (reply.status >= SERVER_ERROR and self._may_go_on()):
+        if self._begun or (reply.status >= SERVER_ERROR and self._retries.may_go_on()):
             return _Broken(f"upstream answered {reply.status}")
         await self._admitted.exchange.whole(reply.status, end_to_end(reply.headers), body)
         return _Finished(reply.status)
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -6,15 +6,14 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from enum import StrEnum
 
 from deckcourse.gateway.backoffs import Backoffs
 from deckcourse.gateway.failure_share import FailureShare
 from deckcourse.gateway.known_starts import KnownStarts
+from deckcourse.gateway.upstream import StartNews, Upstream
 from deckcourse.layers.hosts import LayerHost
 
-__all__ = ["StartNews", "Upstream", "UpstreamTable"]
+__all__ = ["UpstreamTable"]
 
 # A row that is gone while the store was away a moment ago may be back by then, seconds: the
 # platform's word is "within about two seconds of its return".
@@ -28,42 +27,6 @@
 DEPARTED_SECONDS = 20.0
 
 
-class StartNews(StrEnum):
-    """Which start of an upstream says something, beside the one that was asked."""
-
-    SAME = "same"
-    NEWER = "newer"
-    OLDER = "older"
-
-
-@dataclass(frozen=True)
-class Upstream:
-    """One start of an upstream; `instance` is new at each start.
-
-    `first` and `end` are the layers held, `end` left out; 0 and 0 for none. `row_name` is what the
-    upstream is called in all its starts, empty where `instance` is; `start` rises from one start to
-    the next, None where it isn't told.
-    """
-
-    instance: str
-    service: str
-    address: str
-    domain: str
-    leaving: bool = False
-    slots: int = 1
-    kind: str = ""
-    models: tuple[str, ...] = ()
-    first: int = 0
-    end: int = 0
-    row_name: str = ""
-    start: int | None = None
-
-    @property
-    def name(self) -> str:
-        """What it is called in all its starts."""
-        return self.row_name or self.instance
-
-
 class UpstreamTable:
     """All upstreams that this process knows, of each one start at the most.
 
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -12,7 +12,8 @@
 
 import trio
 
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.hosts import Assignment, Group, LayerHost, domains_of, groups_of
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.placement import plan_group
--- a/deckcourse/platform/rows.py
+++ b/deckcourse/platform/rows.py
@@ -14,7 +14,7 @@
     Target,
     UpstreamService,
 )
-from deckcourse.gateway.upstreams import Upstream
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.http1.addresses import is_address
 from deckcourse.layers.model import AcceleratorKind, ModelSpec
 from deckcourse.platform.names import DESIRED_STATE_KEY, OPERATOR_TABLE, RUNNER_TABLE
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -9,8 +9,8 @@
 from msgspec import UNSET, Meta, Struct, UnsetType
 
 from deckcourse.gateway.dialect import LoadReport, MoveResult, Pulse, PulseReading, StallReport
+from deckcourse.gateway.upstream import StartNews, Upstream
 from deckcourse.gateway.upstream_notice import NOTHING_ASKED, UpstreamNotice
-from deckcourse.gateway.upstreams import StartNews, Upstream
 from deckcourse.http1.client import (
     NAMELESS,
     REMEMBERED_CALLS,
--- a/features/given_up_calls.py
+++ b/features/given_up_calls.py
@@ -10,7 +10,7 @@
 import trio
 from returns.result import Success
 
-from deckcourse.gateway.upstreams import Upstream
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http_client import HttpReply, http_call, kept_pool
 from deckcourse.peer_link import Digest, Exchange, PynngLink, PynngListener
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -7,7 +7,7 @@
 import deckcourse.gateway.calls as calls_module
 import deckcourse.gateway.events as events_module
 import deckcourse.gateway.path_choice as path_choice_module
-import deckcourse.gateway.stream as stream_module
+import deckcourse.gateway.stream_retries as stream_retries_module
 import deckcourse.http1.client as client_module
 import deckcourse.http1.server as server_module
 import deckcourse.layers.cuts as cuts_module
@@ -22,6 +22,7 @@
 from deckcourse.decision_log import DecisionLog
 from deckcourse.gateway.active_stream import ActiveStream
 from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.known_starts import KnownStarts
 from deckcourse.gateway.lapse_check import LapseCheck
 from deckcourse.gateway.lookup import Lookup
 from deckcourse.gateway.node import GatewayNode
@@ -29,8 +30,10 @@
 from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.stream import StreamCall
+from deckcourse.gateway.stream_retries import StreamRetries
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import StartNews, UpstreamTable
+from deckcourse.gateway.upstream import StartNews
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool, UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError, FailureKind
 from deckcourse.http1.server import RestingConnections
@@ -100,7 +103,7 @@
 
 
 def resumes_everything():
-    StreamCall._may_go_on = lambda self: True
+    StreamRetries.may_go_on = lambda self: True
 
 
 def keys_never_age():
@@ -270,7 +273,7 @@
 
 
 def broken_streams_do_not_wait():
-    stream_module.LONGEST_SEARCH_SECONDS = 0.0
+    stream_retries_module.LONGEST_SEARCH_SECONDS = 0.0
 
 
 def orders_are_given_once():
@@ -327,7 +330,7 @@
 
 
 def older_starts_come_back():
-    UpstreamTable._remember = lambda self, name, start: None
+    KnownStarts.note = lambda self, name, start: None
 
 
 def any_start_answers():
--- a/features/steps/foreign_frame_steps.py
+++ b/features/steps/foreign_frame_steps.py
@@ -27,7 +27,8 @@
 from deckcourse.gateway.dialect import Pulse
 from deckcourse.gateway.load_watch import LoadWatch
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.layers.healer import Healer
--- a/features/steps/healer_steps.py
+++ b/features/steps/healer_steps.py
@@ -9,7 +9,8 @@
 from returns.result import Success
 from trio.testing import MockClock
 
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.healer import LOOK_SECONDS, OTHERS_WAIT_SECONDS, Healer, OrderResult
 from deckcourse.layers.plan_book import ClaimLost, ClaimUnanswered, PlanBook, PlanWon
 
--- a/features/steps/interruption_steps.py
+++ b/features/steps/interruption_steps.py
@@ -15,7 +15,7 @@
 
 from deckcourse.gateway.active_stream import Interruption
 from deckcourse.gateway.dialect import Pulse
-from deckcourse.gateway.upstreams import Upstream
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.platform.runners import RunnerControl
--- a/features/steps/shared_limit_steps.py
+++ b/features/steps/shared_limit_steps.py
@@ -12,7 +12,7 @@
 from deckcourse.gateway.retry_allowance import AT_ONCE_PART, RetryAllowance, RetryLimits
 from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import Upstream
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.peers.loads import LoadBoard
 
 LIMITS = RetryLimits()
--- a/features/steps/stall_steps.py
+++ b/features/steps/stall_steps.py
@@ -7,7 +7,8 @@
 from deckcourse.gateway.active_stream import ActiveStream
 from deckcourse.gateway.dialect import Pulse, PulseReading, StallReport
 from deckcourse.gateway.stalls import StallMonitor
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.paths import LayerPath, PathPart
 
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -11,7 +11,8 @@
 from deckcourse.decisions.path_load import begun_at
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstreams import Upstream, UpstreamTable
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.hosts import Assignment, LayerHost, groups_of
 from deckcourse.layers.path_set import PathSet
 from deckcourse.layers.placement import plan_group
