--- a/features/asked_backoff.feature
+++ b/features/asked_backoff.feature
@@ -108,3 +108,11 @@
     When a caller asks for stream each 0.05 seconds for 3 seconds
     Then the first one got no request in the time it had asked for
     And every caller was served
+
+  Scenario: From a refused caller's id to those who asked for time
+    Given upstreams that all turn requests away, the first one asks for 3 and the others for 2
+    When a caller asks for stream each 0.05 seconds for 1 seconds
+    Then the explanation of a later refusal tells who asked and for how long
+
+  Scenario: Whatever stands in these headers, reading them never fails and asks for a bounded time
+    Then any headers of an answer are read
--- a/features/day_files.py
+++ b/features/day_files.py
@@ -47,7 +47,7 @@
     "scale_out": frozenset(),
     "srv_crash": ENGINE,
     "srv_cut": frozenset({"one_way", "reborn", "reset", "some"}),
-    "srv_grey": ENGINE | {"errors", "hang", "mute", "reset", "slow"},
+    "srv_grey": ENGINE | {"errors", "hang", "mute", "reset", "shed", "slow"},
     "srv_slow": ENGINE,
 }
 
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -1,9 +1,13 @@
 """Steps about upstreams that ask for time without requests, or say that they leave."""
 
+import json
+
 import trio
 from behave import given, then, when
 from gateway_runner import StandinRunner
 from gateway_story import ask_while
+from hypothesis import given as hypothesis_given
+from hypothesis import settings, strategies
 from notice_happenings import HAPPENINGS, row, table
 from notice_world import (
     AT_ONCE_SECONDS,
@@ -16,7 +20,11 @@
     site_with_notices,
 )
 
+from deckcourse.explain import explain
+from deckcourse.http1.client import UpstreamReply
 from deckcourse.layers.hosts import Assignment
+from deckcourse.platform.names import LEAVING, RETRY_AFTER
+from deckcourse.platform.notices import LONGEST_BACKOFF_SECONDS, notice_of
 
 MANY_DIGITS = "9" * 401
 # The headers of a refusal that don't stand in the table as they are.
@@ -304,3 +312,47 @@
 def not_leaving(context):
     assert context.notices.got
     assert "p1" in context.usable, context.usable
+
+
+@then("the explanation of a later refusal tells who asked and for how long")
+def explained(context):
+    lines = [
+        json.dumps({"node": "n", "at": 0.0, "message_type": kind, **fields})
+        for kind, fields in context.site.lines
+    ]
+    refused = [
+        fields
+        for kind, fields in context.site.lines
+        if kind == "refused" and fields["reason"] == "upstream-backoff"
+    ]
+    assert refused
+    found = explain(refused[-1]["request"], lines)
+    asked = {
+        (each.inputs["instance"], each.inputs["seconds"])
+        for each in found.surroundings
+        if each.kind == "upstream-backoff"
+    }
+    assert asked == {("x1", 3.0), ("y1", 2.0)}, asked
+
+
+HEADER_VALUES = strategies.one_of(
+    strategies.binary(max_size=40),
+    strategies.from_regex(rb"[0-9 .,e+-]{0,30}", fullmatch=True),
+)
+HEADERS = strategies.lists(
+    strategies.tuples(strategies.sampled_from([RETRY_AFTER, LEAVING, b"x"]), HEADER_VALUES),
+    max_size=6,
+)
+
+
+@then("any headers of an answer are read")
+def any_headers(context):
+    @settings(max_examples=500, derandomize=True, deadline=None, database=None)
+    @hypothesis_given(HEADERS, strategies.sampled_from([200, 421, 429, 500, 503]))
+    def read(headers, status):
+        notice = notice_of(UpstreamReply(status, tuple(headers), None))
+        assert 0.0 <= notice.backoff <= LONGEST_BACKOFF_SECONDS
+        assert not notice.backoff or status in (429, 503)
+        assert not notice.leaving or (LEAVING, b"1") in [(n, v.strip()) for n, v in headers]
+
+    read()
