A time that one upstream asked for isn't told where another one only refused

Ruled out for plain calls: there the end is told only where nobody takes requests. Change: opens_at and accepts_at share first_end: none where one of them accepts. A start that said that it leaves is not accepted either where its row is forgotten.

--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -296,13 +296,12 @@
         return self._known[1]
 
     def opens_at(self, model: ModelSpec) -> float | None:
-        """Return when there is a path again at the earliest, on the clock, as far as is known.
+        """Return when the first upstream of a path takes requests again, on the clock.
 
-        None where no path would be whole either if every upstream took requests.
+        None where one does now, or where no path is whole.
         """
         firsts = [each.parts[0].instance for each in self._path_set(model).starts()]
-        ends = [self._upstreams.backoff_until(each) for each in firsts]
-        return min([each for each in ends if each is not None], default=None)
+        return self._upstreams.first_end(firsts)
 
     def _best(self, paths: list[LayerPath]) -> LayerPath | None:
         return draw_path(self._open(paths) or paths, self._score, self._random)
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -180,7 +180,7 @@
     def accepts(self, instance: str) -> bool:
         """Return whether an upstream may be sent a request, by its own word."""
         row = self.last_known(instance)
-        leaves = row is not None and self._leaves(row)
+        leaves = self._starts.is_leaving(instance) or (row is not None and row.leaving)
         return not leaves and self.backoff_until(instance) is None
 
     def accepts_at(self, service: str) -> float | None:
@@ -188,8 +188,15 @@
 
         None where one does now, or where there is none that will.
         """
-        staying = [each for each in self.of_service(service) if not self._leaves(each)]
-        ends = [self.backoff_until(each.instance) for each in staying]
+        rows = self.of_service(service)
+        return self.first_end([each.instance for each in rows if not self._leaves(each)])
+
+    def first_end(self, instances: Iterable[str]) -> float | None:
+        """Return when the first of some upstreams takes requests again, on the clock.
+
+        None where one does now, or where there are none.
+        """
+        ends = [self.backoff_until(each) for each in instances]
         return None if None in ends else min(ends, default=None)
 
     def _name_of(self, instance: str) -> str:
--- a/features/asked_backoff.feature
+++ b/features/asked_backoff.feature
@@ -34,6 +34,13 @@
       | once   |
       | again  |
 
+  # One upstream asked for 3 s, the other one only refused. A caller whom the other one had turned away
+  # was told the end of the first one's time, as if no other could be free earlier: 3.0 s in place of 1.0.
+  Scenario: A time that one asked for says nothing of another that only refused
+    Given upstreams that all turn requests away, the first one asks for 3 and the others for nothing
+    When a caller asks for stream each 0.05 seconds for 1 seconds
+    Then the first caller that both turned away may come back within 1.1 seconds
+
   Scenario Outline: What an upstream writes is <what>: <asks>
     Given upstreams of which the first one turns requests away and asks for <asks>
     When a caller asks for stream each 0.05 seconds for 2 seconds
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -56,6 +56,22 @@
         context.site.runners[name].asks = ("2",)
 
 
+@given("upstreams that all turn requests away, the first one asks for 3 and the others for nothing")
+def one_asks(context):
+    all_ask(context)
+    for name in ("y1", "p2"):
+        context.site.runners[name].asks = ()
+
+
+@then("the first caller that both turned away may come back within {seconds:g} seconds")
+def comes_back(context, seconds):
+    site = context.site
+    refused = [got for _, got in context.notices.got if got.status == 503]
+    assert refused and arrivals_while_asked(site, "x1") == []
+    told = float(site.header(refused[0], "retry-after"))
+    assert 0 < told <= seconds, told
+
+
 @given("upstreams of which the first one will turn requests away and ask for 3")
 def will_ask(context):
     site_with_notices(context)
