--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,6 +4,13 @@
     When the soak plays seed 7 with faults for 4 seconds
     Then it tells of no broken promise
 
+  # Upstreams asked for time without requests and got them all the same: no upstream of the soak had
+  # asked for anything.
+  Scenario: Upstreams that ask for time or leave by word of their answers get what they ask for
+    When the soak plays seed 5 for 4 seconds with upstreams that ask, and nothing else
+    Then it tells of no broken promise
+    And it judged times that upstreams had asked for
+
   # A caller of the soak took an answer that it could not read for one that its connection had lost,
   # and its connection's end for the end of what was to be judged: a chunk without a head passed.
   Scenario: A caller of the soak takes no answer that a strict reader would not
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,5 +1,6 @@
 """Steps about the soak of real processes."""
 
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -21,7 +22,18 @@
 
 @when("the soak plays seed {seed:d} with faults for {seconds:d} seconds")
 def plays(context, seed, seconds):
-    command = [sys.executable, "-m", "soak", "--seconds", str(seconds), str(seed)]
+    play_soak(context, seed, seconds)
+
+
+@when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds with upstreams that ask, and nothing else"
+)
+def plays_notices(context, seed, seconds):
+    play_soak(context, seed, seconds, "--only", "notices")
+
+
+def play_soak(context, seed, seconds, *options):
+    command = [sys.executable, "-m", "soak", "--seconds", str(seconds), *options, str(seed)]
     context.soak = subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, timeout=LONGEST_SECONDS, check=False
     )
@@ -33,6 +45,11 @@
     assert " 0 broken promises" in context.soak.stdout
 
 
+@then("it judged times that upstreams had asked for")
+def judged(context):
+    assert re.search(r"judged: .*\b[1-9]\d* backoffs", context.soak.stdout), context.soak.stdout
+
+
 def chunk(data):
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
