Soak: two faults never start a second process for one place

The first fault started it again at 11.0 s, the second once more at 12.3 s, on the same port: that process ended at once. A fault of the soak, not of the product. Change: whoever finds the process gone or another one in its place leaves it to the fault that took it.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -111,9 +111,11 @@
                 # The end of its connections would make the answers without a length whole.
                 runner.proxy.reset()
             self._holds.note_moment(runner.spec.instance)
-            runner.process.kill()
+            killed = runner.process
+            killed.kill()
             await trio.sleep(seconds)
-            self._site.start_runner(runner)
+            if runner.process is killed:
+                self._site.start_runner(runner)
         else:
             self._say(f"runner {runner.spec.instance} paused for {seconds:.1f} s")
             self._holds.note(runner.spec.instance, seconds)
--- a/soak/notice_faults.py
+++ b/soak/notice_faults.py
@@ -101,7 +101,7 @@
         both = self._random.random() < BOTH_SHARE
         if len(self._leaving) >= MOST_LEAVING:
             return
-        name = runner.spec.instance
+        name, process = runner.spec.instance, runner.process
         self._leaving.add(name)
         self._say(
             f"runner {name} leaves within {seconds:.1f} s, row {'' if drains else 'never '}says"
@@ -113,7 +113,10 @@
         if drains:
             self._site.tell_runner(runner, draining=True)
         await trio.sleep(seconds / 2)
-        self._holds.note_moment(name)
-        runner.process.kill()
-        self._site.start_runner(runner)
+        # Another fault may have ended it meanwhile, and then starts it again: a second process for
+        # one place ended at once, since its port was taken.
+        if runner.process is process and process.poll() is None:
+            self._holds.note_moment(name)
+            process.kill()
+            self._site.start_runner(runner)
         self._leaving.discard(name)
