--- a/soak/notice_judge.py
+++ b/soak/notice_judge.py
@@ -7,6 +7,7 @@
 
 from soak.calls import Call
 from soak.notice_faults import Holds
+from soak.notices import FROM, start_name
 from soak.site import Site
 
 __all__ = ["wrong_arrivals"]
@@ -79,18 +80,18 @@
     entries: dict[str, str],
     holds: Holds,
 ) -> list[str]:
-    # The head of an answer is that of the first run.
-    runs = {each["run"]: each for each in reversed(site.records) if "run" in each}
     broken = []
     for call in calls:
-        run = runs.get(call.name)
-        if run is None or not call.served or not call.answer.header(LEAVING):
+        if not call.served or not call.answer.header(LEAVING):
             continue
+        # Whose word it is: the first run may have been lost before anything of it was passed on.
+        told_by = call.answer.header(FROM).decode()
         told_at, entry = call.sent_at + call.seconds, entries[call.entry]
         site.judged["leavings"] += 1
-        for at, born, other in arrivals[run["instance"]]:
+        for at, born, other in arrivals[told_by.partition("@")[0]]:
             late = other.entry == call.entry and other.sent_at > told_at + LEAVING_SECONDS
-            if late and born == run["born"] and not holds.touch(entry, told_at, at):
-                told = f"{run['instance']} left by its answer to {call.name}"
+            same = start_name(told_by.partition("@")[0], born) == told_by
+            if late and same and not holds.touch(entry, told_at, at):
+                told = f"{told_by} left by its answer to {call.name}"
                 broken.append(f"{told}, and got {other.name} from {entry}")
     return broken
--- a/soak/notices.py
+++ b/soak/notices.py
@@ -13,13 +13,21 @@
 
 from deckcourse.http1.message import Headers
 
-__all__ = ["Notices"]
+__all__ = ["FROM", "Notices", "start_name"]
+
+# The header by which an answer tells whoever gets it which start of a runner gave it.
+FROM = b"x-soak-from"
 
 # For so long questions are answered as of before one was leaving, seconds: else the entries would
 # nearly always learn it by those, and never by a caller's answer.
 QUIET_SECONDS = 0.8
 
 
+def start_name(instance: str, born: int) -> str:
+    """Return what one start of a runner is called in that header."""
+    return f"{instance}@{born}"
+
+
 @dataclass
 class Notices:
     """What is asked for now; `tell` writes a line of the runner's record."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -21,7 +21,7 @@
 from deckcourse.http1.server import Exchange, Handler, IncomingRequest
 from soak.conversation import Conversation, Gate
 from soak.events import EVENTS, PAD_HEADER, event
-from soak.notices import Notices
+from soak.notices import FROM, Notices, start_name
 from soak.odd_answers import Odd, OddAnswers, raw_head
 from soak.wire import JSON_TYPE, fields_of, parse_path, serve_each
 
@@ -230,7 +230,6 @@
         tell(
             run=name,
             instance=self._spec.instance,
-            born=self._spec.born,
             service=self._spec.service,
             account=headers.get("x-tenant", ""),
             layers=[each[1:] for each in path],
@@ -238,7 +237,8 @@
         if odd is Odd.MUTE:
             await trio.sleep_until(self._odd.until)
             return
-        answer = _Answer(exchange, conversation, odd, name, self._notices)
+        own = start_name(self._spec.instance, self._spec.born)
+        answer = _Answer(exchange, conversation, odd, name, own, self._notices)
         if not path:
             await trio.sleep(CALL_SECONDS)
             await answer.whole(f"answer to {name}".encode())
@@ -321,6 +321,7 @@
         conversation: Conversation,
         odd: Odd | None,
         name: str,
+        own: str,
         notices: Notices,
     ) -> None:
         self._exchange = exchange
@@ -328,7 +329,8 @@
         self._odd = odd
         self._sent = 0
         request = name.encode()
-        self._known = ((b"x-request-id", request), (b"x-response-seal", b"seal-" + request))
+        seal = (b"x-response-seal", b"seal-" + request)
+        self._known = ((b"x-request-id", request), seal, (FROM, own.encode()))
         self._notices = notices
 
     @property
