--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,7 @@
 from soak.calls import Call
 from soak.faults import KINDS, Faults
 from soak.notice_faults import Holds, NoticeFaults
-from soak.notice_judge import wrong_arrivals
+from soak.notice_judge import NoticeJudge
 from soak.site import GRACE_SECONDS, REVOCATION_SECONDS, Site, desired_state
 
 # From the start of all processes until callers and faults begin, seconds.
@@ -106,7 +106,7 @@
             site.broken.append(f"{late} still run {GRACE_SECONDS} s after SIGTERM")
         site.broken += _ended_runners(site)
         nursery.cancel_scope.cancel()
-    wrong = wrong_arrivals(site, callers.calls, holds)
+    wrong = NoticeJudge(site, callers.calls, holds).broken()
     return site.broken + wrong + _judge(site, callers, faults, calm_from)
 
 
