Sight: which requests are the same one, and whether an upstream ended under them

The log could not tell whether two requests under different ids were the same one, nor whether an upstream ended or only a connection did. Runs that broke off now log the request's identity (`try-failed identity=`), a hash of account, host, method, target and body worked out only where it is asked for; a run that brought nothing has its upstream asked once whether it is there (`broke-off pulse=`). No logic of requests changes.

Ruled out: the id (new with each attempt) and headers (deadline, last event) as identity. 103 scenarios of gateway, interruptions and asked_backoff pass as before.

--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from trio import current_time
 
+from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.desired import AccountSpec, RouteSpec, UpstreamService
 from deckcourse.gateway.dialect import CallerRequest, Dialect
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.request_identity import identity_of
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.stalls import StallMonitor
@@ -30,6 +33,11 @@
     deadline: float
     exchange: Exchange
 
+    @cached_property
+    def identity(self) -> str:
+        """What ties it to the same request under another id; worked out when first asked for."""
+        return identity_of(self.caller, self.account_name)
+
     @property
     def account_name(self) -> str:
         """The client account's name, empty for a public route."""
@@ -49,6 +57,7 @@
 
     upstreams: UpstreamTable
     notices: NoticeIntake
+    crashes: CrashWatch
     dialect: Dialect
     pool: ConnectionPool
     monitor: StallMonitor
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -185,6 +185,7 @@
         if failure.kind is FailureKind.UNSENT:
             self._context.pool.forget(upstream.address)
             return _Refused(RetryReason.UNREACHABLE, failure.message)
+        self._context.crashes.note_broken(upstream)
         return _Lost(failure.message)
 
     async def _exchange(
@@ -225,4 +226,5 @@
             instance=upstream.instance,
             what=what,
             runs=self._runs,
+            identity=self._admitted.identity if isinstance(result, _Lost) else "",
         )
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -11,6 +11,8 @@
 from deckcourse.change_feed import ChangeFeed, Follower
 from deckcourse.counters import Counters
 from deckcourse.gateway.context import GatewayContext
+from deckcourse.gateway.crash_check import CrashCheck
+from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.desired import CallerBounds, DesiredState
 from deckcourse.gateway.dialect import Dialect, StreamControl
 from deckcourse.gateway.gateway import Gateway
@@ -177,9 +179,11 @@
         self._monitor = StallMonitor(
             self._upstreams, ports.control, self._choice, self._witness, counters.count, log
         )
+        self._crashes = CrashWatch(CrashCheck(self._upstreams, ports.control, log))
         context = GatewayContext(
             upstreams=self._upstreams,
             notices=notices,
+            crashes=self._crashes,
             dialect=ports.dialect,
             pool=ports.pool,
             monitor=self._monitor,
@@ -244,6 +248,7 @@
             nursery.start_soon(self._keep_up, self._plan_feed.run)
             nursery.start_soon(self._keep_up, self._lapse_check.run)
             nursery.start_soon(self._keep_up, self._monitor.run)
+            nursery.start_soon(self._keep_up, self._crashes.run)
             nursery.start_soon(self._start_healers, nursery)
 
     async def _keep_up(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -219,6 +219,8 @@
     def _on_interruption(self, stream: ActiveStream) -> _End:
         if stream.interruption is not Interruption.BETTER_ELSEWHERE:
             self._avoid.add(stream.path.parts[0].instance)
+        if stream.interruption is Interruption.FIRST_SILENT:
+            self._note_broken(stream)
         self._context.count(f"retry.{RetryReason.STAGE_STALLED}")
         exchange = self._admitted.exchange
         self._context.log(
@@ -240,9 +242,16 @@
             self._context.pool.forget(stream.path.parts[0].address)
             self._context.count(f"retry.{RetryReason.UNREACHABLE}")
             return _Refused(RetryReason.UNREACHABLE, failure.message)
+        self._note_broken(stream)
         self._context.count(f"retry.{RetryReason.STAGE_LOST}")
         return _Broken(failure.message)
 
+    def _note_broken(self, stream: ActiveStream) -> None:
+        """Note that a run broke off, if nothing of it came."""
+        upstream = self._context.upstreams.last_known(stream.path.parts[0].instance)
+        if upstream is not None and not stream.begun:
+            self._context.crashes.note_broken(upstream)
+
     async def _exchange(self, connection: UpstreamConnection, stream: ActiveStream) -> _End:
         """Send the request and pass its answer on."""
         admitted = self._admitted
@@ -367,4 +376,5 @@
             what=end.message,
             last_event=self._last_event,
             runs=self._runs,
+            identity=self._admitted.identity if isinstance(end, _Broken) else "",
         )
