Tests, red: after a suspension of the machine all that is known looks younger than it is

What callers saw: a process that was stopped for 6 s with its steady clock standing served a request under a key that had been taken away in that time (200, and the run is in the runner's record), with 3 s in which a key must be gone. 8 of 8 scenarios red: keys, a peer's word, an asked time, a call's deadline, a suspicion, a lease, and that no program reads a clock that counts suspensions.

One scenario is a real process: soak.suspendable stands for such a machine, its steady clock leaves out the time in which the process is stopped. The soak's third entry runs so from now on.

--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -108,7 +108,8 @@
                     nursery.cancel_scope.cancel()
 
         trio._core._run._r.seed(0)
-        trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.clock = MockClock(autojump_threshold=0)
+        trio.run(main, clock=self.clock)
 
     async def dial(self, address):
         """Connect the gateway to an address; a scenario may put its own way in place of this."""
--- a/features/peer_world.py
+++ b/features/peer_world.py
@@ -191,7 +191,8 @@
                     nursery.cancel_scope.cancel()
 
         trio._core._run._r.seed(0)
-        trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.clock = MockClock(autojump_threshold=0)
+        trio.run(main, clock=self.clock)
 
     @property
     def living(self):
--- /dev/null
+++ b/features/steps/suspended_steps.py
@@ -0,0 +1,226 @@
+"""Steps about machines that are suspended: the steady clock stands, the other ones go on."""
+
+import http.client
+import importlib
+import inspect
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+from behave import given, then, when
+from gateway_story import two_chains
+from gateway_world import Got
+from peer_world import SETTLE_SECONDS
+from trio.testing import MockClock
+
+from deckcourse.lease import Lease
+from deckcourse.table import MemoryTable
+from soak.site import Site, desired_state
+
+SUSPENDED_SECONDS = 6.0
+PROGRAMS = (
+    "deckcourse.platform.program",
+    "deckcourse.entry_daemon",
+    "deckcourse.controller_daemon",
+)
+READY_SECONDS = 20.0
+
+
+def counts_suspensions():
+    """Return whether the programs' clock counts the time of suspensions."""
+    try:
+        clock = importlib.import_module("deckcourse.host_clock")
+    except ModuleNotFoundError:
+        return False
+    return clock.CLOCK == time.CLOCK_BOOTTIME
+
+
+def suspend(clock, seconds=SUSPENDED_SECONDS):
+    """Suspend the machine: the hand that the programs read goes on, or it stands."""
+    if counts_suspensions():
+        clock.jump(seconds)
+
+
+def ask(port, key, name):
+    """Send one call to a process; return the status."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    headers = {
+        "Host": "h.example",
+        "X-Request-Id": name,
+        "X-Deadline-Ms": "3000",
+        "Authorization": f"Token {key}",
+    }
+    connection.request("POST", "/again/x", b"{}", headers)
+    status = connection.getresponse().status
+    connection.close()
+    return status
+
+
+async def until(condition):
+    with trio.fail_after(READY_SECONDS):
+        while not await condition():
+            await trio.sleep(0.1)
+
+
+@when("a process is stopped for 6 seconds, its steady clock stands, and a key is taken away")
+def process_suspended(context):
+    async def play(site):
+        async with trio.open_nursery() as nursery:
+            site.store.put_json("op", "config", desired_state(1, ["key-0", "key-1"]))
+            await site.start(nursery)
+            entry = site.entries[-1]
+            assert entry.program == "soak.suspendable"
+            await until(lambda: site.ready(entry))
+            port = entry.port
+            status = 0
+            with trio.fail_after(READY_SECONDS):
+                while status != 200:
+                    await trio.sleep(0.3)
+                    status = await trio.to_thread.run_sync(ask, port, "key-0", "before")
+            for other in site.entries[:-1]:
+                other.process.kill()
+            entry.process.send_signal(signal.SIGSTOP)
+            site.store.put_json("op", "config", desired_state(2, ["key-1"]))
+            site.store.refuses = True
+            entry.store.reset()
+            await trio.sleep(SUSPENDED_SECONDS)
+            entry.process.send_signal(signal.SIGCONT)
+            context.status = await trio.to_thread.run_sync(ask, port, "key-0", "after")
+            context.ran = [each for each in site.records if each.get("run") == "after"]
+            nursery.cancel_scope.cancel()
+
+    with tempfile.TemporaryDirectory() as folder:
+        site = Site(Path(folder))
+        try:
+            trio.run(play, site)
+        finally:
+            site.close()
+
+
+@then("a request under that key isn't served when the process wakes")
+def key_is_gone(context):
+    assert context.status == 503 and not context.ran, (context.status, context.ran)
+
+
+@given("two chains of runners beside a plain one")
+def chains_and_plain(context):
+    two_chains(context)
+    context.site.add("p1", "crm")
+
+
+async def store_dark(site):
+    site.store.away = True
+    suspend(site.clock)
+    return await site.ask("again", name="r2")
+
+
+async def runners_asked(site):
+    runner = site.runners["p1"]
+    runner.behaviour, runner.asks = "full", ("3",)
+    await site.ask("again", name="r1")
+    runner.behaviour = ""
+    suspend(site.clock)
+    return await site.ask("again", name="r2")
+
+
+async def connection_opens(site):
+    usual = site.dial
+
+    async def dial(address):
+        if address == "p1:1":
+            await trio.sleep(0.3)
+            suspend(site.clock)
+        return await usual(address)
+
+    site.dial = dial
+    site.pool.forget("p1:1")
+    return await site.ask("again", name="r2", headers=[("x-deadline-ms", "1000")])
+
+
+async def runner_suspected(site):
+    site.node.gateway.context.upstreams.suspect("p1", 4.0)
+    suspend(site.clock)
+    if site.is_suspect("p1"):
+        return Got()
+    return await site.ask("again", name="r2")
+
+
+WHILE = {
+    "the store can't be reached": store_dark,
+    "the runners have asked for 3 seconds": runners_asked,
+    "a connection is opened for a call of 1 second": connection_opens,
+    "a runner is suspected for 4 seconds": runner_suspected,
+}
+
+
+@when("the machine is suspended for 6 seconds while {what}")
+def suspended_while(context, what):
+    async def story(site):
+        context.got = await WHILE[what](site)
+
+    context.site.play(story)
+
+
+def sent(context):
+    return [each for each in context.site.arrivals if each.request == "r2"]
+
+
+@then("a request that needs a key isn't sent")
+@then("that call isn't sent")
+def not_sent(context):
+    assert not sent(context) and context.got.status in (503, 504), context.got
+
+
+@then("the next request is sent")
+@then("that runner is used again")
+def is_sent(context):
+    assert sent(context) and context.got.status == 200, context.got
+
+
+@when("the machine of one that asks another is suspended for 6 seconds with a frame in its way")
+def frame_waits(context):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        asking = next(each for each in world.processes if not each.peers.feed.follows)
+        before = asking.peers.feed.seconds_behind
+        world.store.away = True
+        suspend(world.clock)
+        context.behind = asking.peers.feed.seconds_behind - before
+
+    context.world.play(story)
+
+
+@then("what it knows is 6 seconds old")
+def knows_age(context):
+    assert context.behind >= SUSPENDED_SECONDS, context.behind
+
+
+@when("the holder of a lease is suspended for 7 seconds")
+def holder_suspended(context):
+    async def play():
+        lease = Lease(MemoryTable(), "c")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lease.run)
+            await trio.sleep(0.5)
+            held_before = lease.held()
+            suspend(clock, 7.0)
+            context.held = held_before, lease.held()
+            nursery.cancel_scope.cancel()
+
+    clock = MockClock(autojump_threshold=0)
+    trio.run(play, clock=clock)
+
+
+@then("it holds no lease until it has one anew")
+def not_held(context):
+    assert context.held == (True, False), context.held
+
+
+@then("each program runs on a clock that goes on while the steady one stands")
+def programs_clock(context):
+    assert counts_suspensions()
+    for name in PROGRAMS:
+        source = inspect.getsource(importlib.import_module(name))
+        assert "trio.run(" not in source and "run_on_host_clock(" in source, name
--- a/soak/site.py
+++ b/soak/site.py
@@ -29,6 +29,8 @@
 
 LAYERS = 8
 ENTRIES = 3
+# The entry whose machine is suspended wherever its process is stopped, by its number.
+SUSPENDED_ENTRY = 2
 # Layers that one runner may hold: a domain of four holds the model with room to heal.
 ROOM = 5
 LAYER_MB = 100.0
@@ -106,6 +108,7 @@
     ready_port: int
     front: Proxy
     store: Proxy
+    program: str = "deckcourse.platform"
     process: subprocess.Popen | None = None
     stopping: bool = False
     starts: int = 0
@@ -139,7 +142,7 @@
                 await self._add_runner(f"l{domain}{number}", "llm", domain, ROOM)
             await self._add_runner(f"p{domain}", "crm", domain, 0)
         for number in range(ENTRIES):
-            await self._add_entry(f"e{number}", "ab"[number % 2])
+            await self._add_entry(number, "ab"[number % 2])
         nursery.start_soon(self._lapse)
 
     async def _add_runner(self, name: str, service: str, domain: str, layers: int) -> None:
@@ -151,7 +154,8 @@
         self.runners.append(RunnerProcess(spec, proxy))
         self.start_runner(self.runners[-1])
 
-    async def _add_entry(self, name: str, domain: str) -> None:
+    async def _add_entry(self, number: int, domain: str) -> None:
+        name = f"e{number}"
         front = Proxy(free_port(), free_port(), narrow=True)
         store = Proxy(free_port(), self.store_port)
         for proxy in (front, store):
@@ -173,6 +177,8 @@
         )
         settings.write_text(text, encoding="utf-8")
         entry = Entry(name, settings, front.target, ready, front, store)
+        if number == SUSPENDED_ENTRY:
+            entry.program = "soak.suspendable"
         self.entries.append(entry)
         self.start_entry(entry)
 
@@ -198,7 +204,7 @@
         environment = {**os.environ, "DECKCOURSE_BOOT": str(entry.settings)}
         with entry.settings.with_suffix(".log").open("ab") as log:
             entry.process = subprocess.Popen(
-                [sys.executable, "-m", "deckcourse.platform"],
+                [sys.executable, "-m", entry.program],
                 stdout=log,
                 stderr=log,
                 env=environment,
