Soak: runners that end by a request, judged by their own records

Two callers send requests that end whoever begins to run them, again and again, by any route, at any entry, under new ids; the places start again after 0.5 to 1.5 s. Drawn apart from the other faults (`--only deadly` plays them alone). Judged: of each such request no more than 3 runs later than 3 s after the third end, by entries that met no fault of their own for 3 s. All callers sent one and the same body, so that all of a route were one request by what it is; each caller has its own now.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 
 from soak.callers import DEADLINE_SECONDS, LATE_SECONDS, PROMISES, Callers
 from soak.calls import Call
+from soak.deadly_faults import DeadlyFaults
 from soak.faults import KINDS, Faults
 from soak.notice_faults import Holds, NoticeFaults
 from soak.notice_judge import NoticeJudge
@@ -40,6 +41,9 @@
 MEASURING_SECONDS = 1.0
 # The kind of faults that are drawn apart: what runners ask for in their answers.
 NOTICES = "notices"
+# The same of requests that end the runners that run them.
+DEADLY = "deadly"
+APART = {NOTICES, DEADLY}
 # Of the promises that a seed broke, so many are printed.
 MOST_PRINTED = 10
 
@@ -83,17 +87,21 @@
             log.append(f"{trio.current_time() - begun:6.2f} {what}")
 
         faults = Faults(
-            site, callers, random, say, holds, [each for each in only if each != NOTICES]
+            site, callers, random, say, holds, [each for each in only if each not in APART]
         )
         # Drawn apart, so that a seed's other faults stay what they were.
         notices = NoticeFaults(site, Random(f"notices of {seed}"), say, holds)
+        deadly = DeadlyFaults(site, callers, Random(f"deadly of {seed}"), say, holds)
+        nursery.start_soon(deadly.restart_ended)
         async with trio.open_nursery() as busy:
             busy.start_soon(callers.run, CALLERS)
             async with trio.open_nursery() as hitting:
-                if set(only) != {NOTICES}:
+                if not only or set(only) - APART:
                     hitting.start_soon(faults.run, begun + seconds)
                 if not only or NOTICES in only:
                     hitting.start_soon(notices.run, begun + seconds)
+                if not only or DEADLY in only:
+                    hitting.start_soon(deadly.run, begun + seconds)
             await trio.sleep(CALM_SECONDS)
             callers.stop()
         calm_from = trio.current_time() - JUDGED_SECONDS
@@ -106,7 +114,7 @@
             site.broken.append(f"{late} still run {GRACE_SECONDS} s after SIGTERM")
         site.broken += _ended_runners(site)
         nursery.cancel_scope.cancel()
-    wrong = NoticeJudge(site, callers.calls, holds).broken()
+    wrong = NoticeJudge(site, callers.calls, holds).broken() + deadly.broken()
     return site.broken + wrong + _judge(site, callers, faults, calm_from)
 
 
@@ -191,7 +199,7 @@
     parser = argparse.ArgumentParser(prog="python -m soak")
     parser.add_argument("--seconds", type=float, default=12.0, help="how long faults are injected")
     parser.add_argument("--jobs", type=int, default=2, help="seeds that are played at once")
-    parser.add_argument("--only", action="append", default=[], choices=sorted({*KINDS, NOTICES}))
+    parser.add_argument("--only", action="append", default=[], choices=sorted({*KINDS, *APART}))
     parser.add_argument("seeds", nargs="+", type=int)
     options = parser.parse_args()
     if len(options.seeds) == 1:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,7 @@
 from soak.calls import Call
 from soak.events import EVENTS, PAD_HEADER, WIDE_BYTES, events
 
-__all__ = ["DEADLINE_SECONDS", "LATE_SECONDS", "PROMISES", "Callers"]
+__all__ = ["DEADLINE_SECONDS", "LATE_SECONDS", "PROMISES", "Callers", "request_bytes"]
 
 # What each caller states as its deadline, seconds: ten times a stream that meets no fault.
 DEADLINE_SECONDS = 6.0
@@ -113,7 +113,7 @@
             if connection is None:
                 return
             open_to[entry] = connection
-        if not await connection.ask(_request(call), call, self._manner(call)):
+        if not await connection.ask(request_bytes(call, body_of(call)), call, self._manner(call)):
             self._drop(open_to, entry)
 
     def _drop(self, open_to: dict[str, CallerConnection], entry: str) -> None:
@@ -122,7 +122,13 @@
             connection.close()
 
 
-def _request(call: Call) -> bytes:
+def body_of(call: Call) -> bytes:
+    """Return a caller's body: it sends the same one each time, and others send others."""
+    return call.name.partition("r")[0].encode()
+
+
+def request_bytes(call: Call, body: bytes) -> bytes:
+    """Return a request as it goes over the wire."""
     lines = (
         f"POST /{call.kind}/x HTTP/1.1",
         "Host: h.example",
@@ -130,6 +136,6 @@
         f"X-Deadline-Ms: {round(DEADLINE_SECONDS * 1000)}",
         f"Authorization: Token {call.key}",
         f"{PAD_HEADER.decode()}: {call.pad}",
-        "Content-Length: 2",
+        f"Content-Length: {len(body)}",
     )
-    return "\r\n".join((*lines, "", "{}")).encode()
+    return "\r\n".join((*lines, "", "")).encode() + body
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -20,6 +20,7 @@
 from deckcourse.http1.message import ConnectionLostError, Headers
 from deckcourse.http1.server import Exchange, Handler, IncomingRequest
 from soak.conversation import Conversation, Gate
+from soak.deadly import DEADLY, end_by
 from soak.events import EVENTS, PAD_HEADER, event
 from soak.notices import FROM, Notices, start_name
 from soak.odd_answers import Odd, OddAnswers, raw_head
@@ -234,6 +235,8 @@
             account=headers.get("x-tenant", ""),
             layers=[each[1:] for each in path],
         )
+        if request.body.startswith(DEADLY):
+            await end_by(request.body, name, tell)
         if odd is Odd.MUTE:
             await trio.sleep_until(self._odd.until)
             return
