Requests that were only there when an upstream ended are not refused with the one that ended it

They go in one order, by their identity, 0.12 s apart, at every process the same; at one process one under suspicion waits while another runs where it would. - while a convicted request was about, one end refused all that were there at its second end, though that request explains it. Only what was sent before the end was known counts.

--- a/deckcourse/gateway/active_stream.py
+++ b/deckcourse/gateway/active_stream.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from deckcourse.gateway.crash_watch import RunStart
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.paths import LayerPath
 
@@ -52,8 +53,8 @@
     `progress_at` is when something last came, or when it was sent. `take_retry` takes one retry for
     it and tells whether there was one: without, it must be left where it is. `waits_for` is the
     upstream of its path that the first one named, `next_move_at` when it may be moved again.
-    `ended` says that its upstream has nothing to do with it any more. `known_ends` is how many
-    upstreams were known to have ended under the same request when it was sent.
+    `ended` says that its upstream has nothing to do with it any more. `run` is its
+    beginning there.
     """
 
     request_id: str
@@ -68,7 +69,7 @@
     waits_for: str = ""
     moving: bool = False
     ended: bool = False
-    known_ends: int = 0
+    run: RunStart = RunStart()
     next_move_at: float = 0.0
     take_retry: Callable[[], bool] = lambda: False
     interruption: Interruption | None = None
--- a/deckcourse/gateway/crash_evidence.py
+++ b/deckcourse/gateway/crash_evidence.py
@@ -101,13 +101,31 @@
         record = self._records.get(identity)
         return record.ends if record is not None else 0
 
+    def place(self, identity: str, instance: str) -> int:
+        """Return how many others, under which an upstream may have ended too, go before a request.
+
+        Every process that knows the same comes to the same order.
+        """
+        beside = (each for each, kept in self._records.items() if instance in kept.instances)
+        return sum(each < identity for each in beside)
+
+    def _is_explained(self, identity: str) -> bool:
+        """Return whether a convicted request was at each end under which another one was."""
+        ended = self._records[identity].instances.keys()
+        convicted = (
+            kept.instances
+            for other, kept in self._records.items()
+            if other != identity and kept.ends >= CONVICTING_ENDS
+        )
+        return not ended - {each for instances in convicted for each in instances}
+
     def refused_until(self, identity: str) -> float | None:
         """Return until when a request is refused, on the clock; None where it may run."""
         record = self._records.get(identity)
         if record is None:
             return None
         now = self._clock()
-        guarded = is_guarded(self._convicted_at, now)
+        guarded = is_guarded(self._convicted_at, now) and not self._is_explained(identity)
         seconds = min(LIFETIME_SECONDS, quarantine_seconds(record.ends, guarded))
         until = record.last_at + seconds
         return until if until > now else None
--- a/deckcourse/gateway/crash_watch.py
+++ b/deckcourse/gateway/crash_watch.py
@@ -4,7 +4,6 @@
 attempt, at any process and under any id. So what is remembered goes by what the request is.
 """
 
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -19,27 +18,58 @@
 from deckcourse.peers.crash import Crash
 from deckcourse.peers.gossip import PeerGossip
 
-__all__ = ["CrashWatch"]
+__all__ = ["CrashWatch", "RunStart"]
 
 # Runs that wait to be looked at, at the most: far more than break off together.
 MOST_WAITING = 1024
+# Ends of upstreams that are remembered at the most.
+MOST_ENDED = 1024
 # An upstream that said nothing when it was asked has ended if its row goes, or a newer start is
 # known, within so long after the connection broke, seconds: rows lapse after three reports.
 DOUBT_SECONDS = 10.0
+# For how long a request under suspicion waits for its turn at the most, seconds.
+LONGEST_TRIAL_SECONDS = 0.5
+# Until others have told of who else was at an upstream that ended, seconds.
+HEARD_SECONDS = 0.005
+# What a request under suspicion leaves to each that goes before it, seconds: whatever ends an
+# upstream that begins to run it does so in this time. Of more than so many the rest go together:
+# a first event must come within half a second.
+TURN_SECONDS = 0.12
+MOST_PLACES = 3
 # Between two looks for rows that nobody needs any more, seconds.
 TIDY_SECONDS = 60.0
 
 
+@dataclass(frozen=True)
+class RunStart:
+    """The beginning of a run of a request at an upstream.
+
+    `at` is on trio's clock, `known_ends` how many upstreams were known to have ended under the
+    request by then.
+    """
+
+    at: float = 0.0
+    known_ends: int = 0
+
+
 @dataclass
 class _Break:
     """A run that broke off before it brought anything; `looked_at` is set once that is judged."""
 
     identity: str
-    known_ends: int
+    start: RunStart
     upstream: Upstream
     looked_at: trio.Event = field(default_factory=trio.Event)
 
 
+@dataclass
+class _Trial:
+    """The requests under suspicion that run at an upstream and have brought nothing yet."""
+
+    identities: set[str] = field(default_factory=set)
+    over: trio.Event = field(default_factory=trio.Event)
+
+
 class CrashWatch:
     """What one process does about requests under which upstreams end.
 
@@ -73,7 +103,9 @@
         # What broke off at upstreams that said nothing, and until when that counts.
         self._doubted: dict[str, tuple[list[_Break], float]] = {}
         # The upstreams where requests under suspicion run now and have brought nothing yet.
-        self._on_trial: dict[str, set[str]] = defaultdict(set)
+        self._trials: dict[str, _Trial] = {}
+        # When this process learned of each end, the latest at the end.
+        self._ended_at: dict[str, float] = {}
         gossip.listen(self._hear)
 
     def refused_until(self, admitted: Admitted) -> float | None:
@@ -87,36 +119,70 @@
 
     def trial_upstreams(self) -> frozenset[str]:
         """Return the upstreams where requests under suspicion have brought nothing yet."""
-        return frozenset(self._on_trial)
+        return frozenset(self._trials)
 
-    def begin_trial(self, admitted: Admitted, instance: str) -> None:
-        """Note that a request is sent to an upstream, which counts where it is under suspicion."""
-        if self.known_ends(admitted):
-            self._on_trial[instance].add(admitted.identity)
+    async def wait_for_turn(self, admitted: Admitted, instance: str) -> bool:
+        """Wait while another request under suspicion runs where this one would, if it is under it.
 
-    def end_trial(self, admitted: Admitted, instance: str) -> None:
+        Were two of them there at its end, it would tell nothing of either.
+
+        Returns:
+          Whether it waited: an upstream is to be chosen anew.
+        """
+        trial = self._trials.get(instance)
+        if trial is None or not self.known_ends(admitted) or admitted.identity in trial.identities:
+            return False
+        with trio.move_on_after(LONGEST_TRIAL_SECONDS):
+            await trial.over.wait()
+        return True
+
+    async def wait_behind_others(self, admitted: Admitted, instance: str) -> None:
+        """Wait until those that were at an ended upstream as well, and go before, have been tried.
+
+        They may be at other processes: tried at once, all would be together at the next upstream,
+        and whichever of them ends it, all would be under suspicion for the second time.
+        """
+        if not self.known_ends(admitted):
+            return
+        await trio.sleep(HEARD_SECONDS)
+        place = min(MOST_PLACES, self._evidence.place(admitted.identity, instance))
+        await trio.sleep(place * TURN_SECONDS)
+
+    def begin_run(self, admitted: Admitted, instance: str) -> RunStart:
+        """Note that a request is sent to an upstream; return what is known of it by then."""
+        known_ends = self.known_ends(admitted)
+        if known_ends:
+            self._trials.setdefault(instance, _Trial()).identities.add(admitted.identity)
+        return RunStart(trio.current_time(), known_ends)
+
+    def end_run(self, admitted: Admitted, instance: str) -> None:
         """Note that what is to be learned of a request at an upstream is known."""
-        if instance in self._on_trial:
-            self._on_trial[instance].discard(admitted.identity)
-            if not self._on_trial[instance]:
-                del self._on_trial[instance]
+        trial = self._trials.get(instance)
+        if trial is None or admitted.identity not in trial.identities:
+            return
+        trial.identities.discard(admitted.identity)
+        if not trial.identities:
+            del self._trials[instance]
+            trial.over.set()
 
     def note_ran(self, admitted: Admitted) -> None:
         """Note that an upstream ran a request and is there: it did nothing to the others."""
-        if self._evidence and self._evidence.note_ran(admitted.identity):
+        # Always noted: a request that many callers send is known to run well before an upstream
+        # ends under it, however few of them are there at the next end.
+        if self._evidence.note_ran(admitted.identity):
             self._count("crash.cleared")
             self._log("crash-cleared", identity=admitted.identity)
             self._book.remove(admitted.identity)
 
-    async def note_broken(self, admitted: Admitted, upstream: Upstream, known_ends: int) -> None:
+    async def note_broken(self, admitted: Admitted, upstream: Upstream, start: RunStart) -> None:
         """Note that a run broke off before it brought anything; return once that is judged.
 
         Args:
           admitted: the request.
           upstream: where it ran.
-          known_ends: how many upstreams were known to have ended under it when it was sent.
+          start: the run's beginning.
         """
-        broken = _Break(admitted.identity, known_ends, upstream)
+        broken = _Break(admitted.identity, start, upstream)
         try:
             self._send.send_nowait(broken)
         except trio.WouldBlock:
@@ -129,7 +195,7 @@
         doubted, until = self._doubted.pop(instance, ([], 0.0))
         if trio.current_time() < until:
             for broken in doubted:
-                self._found(Crash(broken.identity, instance, broken.known_ends))
+                self._found(broken)
 
     async def run(self) -> None:
         """Judge breaks and keep the table until cancelled."""
@@ -145,17 +211,16 @@
             self._book.tidy()
 
     async def _judge(self, broken: _Break) -> None:
-        upstream = broken.upstream
+        crash: Crash | None = None
         try:
-            pulse = await self._check.pulse(upstream)
+            pulse = await self._check.pulse(broken.upstream)
             if pulse is Pulse.DEAD:
-                crash = Crash(broken.identity, upstream.instance, broken.known_ends)
-                self._found(crash)
+                crash = self._found(broken)
             elif pulse is Pulse.SILENT:
                 self._doubt(broken)
         finally:
             broken.looked_at.set()
-        if pulse is Pulse.DEAD:
+        if crash is not None:
             await self._gossip.tell_crash(crash)
 
     def _doubt(self, broken: _Break) -> None:
@@ -165,14 +230,26 @@
         doubted, _ = self._doubted.get(instance, ([], 0.0))
         self._doubted[instance] = [*doubted, broken], now + DOUBT_SECONDS
 
-    def _found(self, crash: Crash) -> None:
-        """Take in an end that this process saw."""
-        if not self._evidence.is_disproved(crash.identity):
-            self._hear(crash)
-            self._book.write(crash)
+    def _found(self, broken: _Break) -> Crash | None:
+        """Take in an end that this process saw; return what others are to be told, if anything.
+
+        What was sent to an upstream that had ended did not end it: whatever stands before one may
+        take connections on.
+        """
+        instance = broken.upstream.instance
+        ended_at = self._ended_at.get(instance, float("inf"))
+        if broken.start.at > ended_at or self._evidence.is_disproved(broken.identity):
+            return None
+        crash = Crash(broken.identity, instance, broken.start.known_ends)
+        self._hear(crash)
+        self._book.write(crash)
+        return crash
 
     def _hear(self, crash: Crash) -> None:
         """Take in an end that this process or another one saw."""
+        self._ended_at.setdefault(crash.instance, trio.current_time())
+        while len(self._ended_at) > MOST_ENDED:
+            del self._ended_at[next(iter(self._ended_at))]
         if self._evidence.is_disproved(crash.identity) or not self._evidence.note(crash):
             return
         self._count("crash.found")
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -15,6 +15,7 @@
     within_deadline,
 )
 from deckcourse.gateway.context import GatewayContext
+from deckcourse.gateway.crash_watch import RunStart
 from deckcourse.gateway.dialect import Dispatch
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.http1.client import UpstreamConnection
@@ -102,6 +103,10 @@
             if not self._context.may_send():
                 message = "the configuration may be out of date"
                 return NotRun(NotRunReason.NOT_READY, message, NOT_READY_RETRY_SECONDS)
+            if await self._context.crashes.wait_for_turn(self._admitted, upstream.instance):
+                if number:
+                    budget.give_back()
+                continue
             self._tried.add(upstream.instance)
             result = await self._send(upstream)
             if isinstance(result, Withheld):
@@ -121,6 +126,8 @@
                 if not self._may_repeat():
                     break
                 self._context.count(f"retry.{RetryReason.REPLY_LOST}")
+                crashes = self._context.crashes
+                await crashes.wait_behind_others(self._admitted, upstream.instance)
         return await self._give_up(last)
 
     def _may_repeat(self) -> bool:
@@ -152,6 +159,8 @@
         options = self._accepting(upstreams.usable(name))
         options = options or self._accepting(upstreams.of_service(name))
         options = [each for each in options if each.instance not in self._tried]
+        trials = self._context.crashes.trial_upstreams()
+        options = [each for each in options if each.instance not in trials] or options
         return min(options, key=self._load, default=None)
 
     def _accepting(self, rows: list[Upstream]) -> list[Upstream]:
@@ -169,15 +178,16 @@
     async def _send(self, upstream: Upstream) -> _Whole | _Refused | _Lost | Withheld:
         context = self._context
         context.upstreams.begin(upstream.instance)
-        known_ends = context.crashes.known_ends(self._admitted)
+        run = context.crashes.begin_run(self._admitted, upstream.instance)
         longest_idle = ANY_AGE_SECONDS if self._admitted.route.repeatable else FRESH_SECONDS
         request_id = self._admitted.caller.request_id
         try:
             async with context.pool.lent(upstream.address, longest_idle, request_id) as connection:
                 result = await self._exchange(connection, upstream)
         except ConnectionLostError as failure:
-            result = await self._on_failure(upstream, failure, known_ends)
+            result = await self._on_failure(upstream, failure, run)
         finally:
+            context.crashes.end_run(self._admitted, upstream.instance)
             context.upstreams.end(upstream.instance)
         if isinstance(result, Withheld):
             return result
@@ -188,12 +198,12 @@
         return result
 
     async def _on_failure(
-        self, upstream: Upstream, failure: ConnectionLostError, known_ends: int
+        self, upstream: Upstream, failure: ConnectionLostError, run: RunStart
     ) -> _Refused | _Lost:
         if failure.kind is FailureKind.UNSENT:
             self._context.pool.forget(upstream.address)
             return _Refused(RetryReason.UNREACHABLE, failure.message)
-        await self._context.crashes.note_broken(self._admitted, upstream, known_ends)
+        await self._context.crashes.note_broken(self._admitted, upstream, run)
         return _Lost(failure.message)
 
     async def _exchange(
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -126,6 +126,10 @@
                 return refusal
             if not self._context.may_send():
                 return self._give_up(last, NotRunReason.NOT_READY, FULL_RETRY_SECONDS)
+            if await self._context.crashes.wait_for_turn(self._admitted, path.parts[0].instance):
+                if number:
+                    self._retries.keep()
+                continue
             end = await self._attempt(path)
             if isinstance(end, Withheld):
                 if number:
@@ -142,6 +146,9 @@
                 break
             if not self._runs and number == MOST_TRIES:
                 break
+            if isinstance(end, _Broken) and not self._ran_well:
+                first = path.parts[0].instance
+                await self._context.crashes.wait_behind_others(self._admitted, first)
         return self._give_up(last, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_SECONDS)
 
     def _refuse(
@@ -228,7 +235,7 @@
             return await self._on_interruption(stream)
         finally:
             context.monitor.discard(stream)
-            context.crashes.end_trial(self._admitted, first.instance)
+            context.crashes.end_run(self._admitted, first.instance)
             context.upstreams.end(first.instance)
         if isinstance(end, _Finished | _Broken):
             context.upstreams.note(first.instance, isinstance(end, _Broken))
@@ -268,7 +275,7 @@
         """Note that a run broke off, if nothing of it came: what had begun to run did no harm."""
         upstream = self._context.upstreams.last_known(stream.path.parts[0].instance)
         if upstream is not None and not stream.begun and not self._ran_well:
-            await self._context.crashes.note_broken(self._admitted, upstream, stream.known_ends)
+            await self._context.crashes.note_broken(self._admitted, upstream, stream.run)
 
     async def _exchange(self, connection: UpstreamConnection, stream: ActiveStream) -> _End:
         """Send the request and pass its answer on."""
@@ -285,8 +292,7 @@
         )
         stream.progress_at = trio.current_time()
         self._runs += 1
-        stream.known_ends = self._context.crashes.known_ends(admitted)
-        self._context.crashes.begin_trial(admitted, dispatch.instance)
+        stream.run = self._context.crashes.begin_run(admitted, dispatch.instance)
         self._retries.note_run(dispatch.instance)
         self._choice.watch.note_begun(dispatch.instance)
         try:
@@ -353,7 +359,7 @@
         if not self._ran_well:
             self._ran_well = True
             self._context.crashes.note_ran(self._admitted)
-            self._context.crashes.end_trial(self._admitted, stream.path.parts[0].instance)
+            self._context.crashes.end_run(self._admitted, stream.path.parts[0].instance)
 
     async def _end(self, reply: UpstreamReply, trailing: bytes) -> None:
         await self._start(reply)
