A plain upstream whose answer broke off is asked nothing: it runs whatever it is sent

Cause: whether an upstream had ended was found out by the question that those of layers answer; one of a plain service has no questions and runs what it is sent.

Change: a plain one is only connected to: DEAD if its machine turns that down, doubted if the connection ends at once, there otherwise.

--- a/deckcourse/gateway/crash_check.py
+++ b/deckcourse/gateway/crash_check.py
@@ -46,22 +46,30 @@
         self._log = log
         self._questions: dict[str, _Question] = {}
 
-    async def pulse(self, upstream: Upstream) -> Pulse:
-        """Return whether an upstream is there; DEAD where it has ended."""
+    async def pulse(self, upstream: Upstream, has_layers: bool) -> Pulse:
+        """Return whether an upstream is there; DEAD where it has ended.
+
+        Args:
+          upstream: who is asked.
+          has_layers: whether it answers questions; a plain one would run them.
+        """
         instance = upstream.instance
         if self._upstreams.has_ended(instance):
             return Pulse.DEAD
         question = self._questions.get(instance)
         if question is None:
             question = self._questions[instance] = _Question()
-            await self._ask(upstream, question)
+            await self._ask(upstream, has_layers, question)
         await question.answered.wait()
         return question.pulse
 
-    async def _ask(self, upstream: Upstream, question: _Question) -> None:
+    async def _ask(self, upstream: Upstream, has_layers: bool, question: _Question) -> None:
         try:
-            reading = await self._control.pulse(upstream, ANSWER_SECONDS)
-            question.pulse = reading.pulse
+            if has_layers:
+                reading = await self._control.pulse(upstream, ANSWER_SECONDS)
+                question.pulse = reading.pulse
+            else:
+                question.pulse = await self._control.reach(upstream, ANSWER_SECONDS)
         finally:
             del self._questions[upstream.instance]
             question.answered.set()
--- a/deckcourse/gateway/crash_watch.py
+++ b/deckcourse/gateway/crash_watch.py
@@ -59,6 +59,7 @@
     identity: str
     start: RunStart
     upstream: Upstream
+    has_layers: bool
     looked_at: trio.Event = field(default_factory=trio.Event)
 
 
@@ -182,7 +183,8 @@
           upstream: where it ran.
           start: the run's beginning.
         """
-        broken = _Break(admitted.identity, start, upstream)
+        has_layers = admitted.service.model is not None
+        broken = _Break(admitted.identity, start, upstream, has_layers)
         try:
             self._send.send_nowait(broken)
         except trio.WouldBlock:
@@ -213,7 +215,7 @@
     async def _judge(self, broken: _Break) -> None:
         crash: Crash | None = None
         try:
-            pulse = await self._check.pulse(broken.upstream)
+            pulse = await self._check.pulse(broken.upstream, broken.has_layers)
             if pulse is Pulse.DEAD:
                 crash = self._found(broken)
             elif pulse is Pulse.SILENT:
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -145,6 +145,13 @@
     async def pulse(self, upstream: Upstream, seconds: float) -> PulseReading:
         """Ask an upstream whether it is there; DEAD if its machine turns connections down."""
 
+    async def reach(self, upstream: Upstream, seconds: float) -> Pulse:
+        """Return whether an upstream takes connections; nothing is sent, which it might run.
+
+        DEAD if its machine turns connections down, SILENT if one that it took ended at once: what
+        stands before an upstream may take connections for it.
+        """
+
     async def move(
         self, upstream: Upstream, request_id: str, path: LayerPath
     ) -> tuple[MoveResult, str]:
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -219,6 +219,10 @@
             return False
         return not self._transport.readable()
 
+    def is_quiet(self) -> bool:
+        """Return whether neither bytes nor the other side's end are here unread."""
+        return not self._transport.readable()
+
     def abort(self) -> None:
         """Close at once; the upstream sees it and stops what it does for this call."""
         self._transport.close()
@@ -255,6 +259,14 @@
         if connection is not None:
             self._count("connection.reused")
             return connection
+        return await self.open(address)
+
+    async def open(self, address: str) -> UpstreamConnection:
+        """Return a new connection to `IP:port`, whatever idle ones there are.
+
+        Raises:
+          ConnectionLostError: UNSENT, the address can't be reached.
+        """
         self._count("connection.opened")
         return UpstreamConnection(address, await self._dial(address))
 
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -57,6 +57,10 @@
 _Count = Annotated[int, Meta(ge=0, le=LARGEST_COUNT)]
 
 
+# A connection that something else took for a runner that ended is closed within so long, seconds.
+CLOSED_SECONDS = 0.01
+
+
 class _Waiting(Struct):
     """A request that waits, and the address of the runner that it waits for."""
 
@@ -171,6 +175,20 @@
             return await self._pulse_once(upstream, seconds)
         return reading
 
+    async def reach(self, upstream: Upstream, seconds: float) -> Pulse:
+        """Return whether a runner takes connections: a plain one would run what it is sent."""
+        with trio.move_on_after(seconds):
+            try:
+                connection = await self._pool.open(upstream.address)
+            except ConnectionLostError:
+                return Pulse.DEAD
+            try:
+                await trio.sleep(CLOSED_SECONDS)
+                return Pulse.ALIVE if connection.is_quiet() else Pulse.SILENT
+            finally:
+                connection.abort()
+        return Pulse.SILENT
+
     async def _pulse_once(self, upstream: Upstream, seconds: float) -> PulseReading:
         spoke = False
         with trio.move_on_after(seconds):
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -37,12 +37,20 @@
     When a deadly request for <route> comes each 0.7 seconds for 30 seconds, among others
     Then no other caller was told that its request ends upstreams
     And every other caller that came 10 seconds after the first end was served
+    And nothing reached an upstream that no caller sent
 
     Examples:
       | route  |
       | stream |
       | again  |
 
+  # A plain upstream has no questions that it answers: what it is sent it runs. One whose connection had
+  # broken was asked whether it was there as one of layers is, and ran the question.
+  Scenario: A plain upstream whose answer broke off is asked nothing
+    Given three processes before upstreams that some requests crash
+    When the plain upstreams break off every answer and go on
+    Then nothing reached an upstream that no caller sent
+
   Scenario Outline: Its caller is told at once, and why: <route>
     Given three processes before upstreams that some requests crash
     When a deadly request for <route> comes each 0.7 seconds for 15 seconds, while all is well
--- a/features/gateway_runner.py
+++ b/features/gateway_runner.py
@@ -154,9 +154,11 @@
     async def handle(self, request, exchange):
         if self.left_open:
             await trio.sleep_forever()
+        # One of a plain service knows no questions: it runs whatever comes.
+        knows_questions = self.service != "crm"
         if self.refuses_control and request.target.startswith(b"/v1/"):
             await exchange.whole(503, self.refusal(), b"")
-        elif request.target == b"/v1/report":
+        elif knows_questions and request.target == b"/v1/report":
             await trio.sleep_until(self.silent_until)
             report = {
                 **self.told_start,
@@ -170,7 +172,7 @@
                 ],
             }
             await exchange.whole(200, self.notice, json.dumps(report).encode())
-        elif request.target == b"/v1/order":
+        elif knows_questions and request.target == b"/v1/order":
             await self.order(json.loads(request.body), exchange)
         else:
             await self.run(request, exchange)
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -184,6 +184,22 @@
     context.site.play(story)
 
 
+@when("the plain upstreams break off every answer and go on")
+def plain_break_off(context):
+    async def story(site):
+        for name in ("px", "py"):
+            site.runners[name].behaviour = "reset"
+        await keep_others(context, site, "again", 4.0)
+
+    context.site.play(story)
+
+
+@then("nothing reached an upstream that no caller sent")
+def nothing_unasked(context):
+    unasked = [each for each in context.site.arrivals if each.request not in context.site.bodies]
+    assert context.site.arrivals and not unasked, (len(unasked), unasked[:3])
+
+
 @when("another account sends what is deadly from the first one, and to nobody")
 def another_account(context):
     site = context.site
