--- a/deckcourse/decisions/quarantine.py
+++ b/deckcourse/decisions/quarantine.py
@@ -18,6 +18,8 @@
 GUARDED_SECONDS = 60.0
 # for this long, seconds.
 SUSPECTED_SECONDS = 20.0
+# Of more than so many that were at one end most are innocent: none of them is refused for it.
+MOST_SUSPECTS = 2
 
 
 def is_guarded(convicted_at: float, now: float) -> bool:
@@ -30,15 +32,17 @@
     return now < convicted_at + GUARDED_SECONDS
 
 
-def quarantine_seconds(ends: int, guarded: bool) -> float:
+def quarantine_seconds(ends: int, suspects: int, guarded: bool) -> float:
     """Return for how long after the last end a request is refused; infinity for good.
 
     Args:
-      ends: how many upstreams ended under it.
+      ends: how many upstreams ended under it, one after the other.
+      suspects: how many requests were at the end at which the fewest were, itself among them.
       guarded: whether requests that end upstreams are about.
     """
     if ends >= FINAL_ENDS:
         return float("inf")
     if ends >= CONVICTING_ENDS:
         return CONVICTED_SECONDS
-    return SUSPECTED_SECONDS if ends and guarded else 0.0
+    refused = ends and guarded and suspects <= MOST_SUSPECTS
+    return SUSPECTED_SECONDS if refused else 0.0
--- a/deckcourse/gateway/crash_evidence.py
+++ b/deckcourse/gateway/crash_evidence.py
@@ -106,8 +106,11 @@
 
         Every process that knows the same comes to the same order.
         """
-        beside = (each for each, kept in self._records.items() if instance in kept.instances)
-        return sum(each < identity for each in beside)
+        return sum(each < identity for each in self._suspects(instance))
+
+    def _suspects(self, instance: str) -> list[str]:
+        """Return the requests under which an upstream may have ended."""
+        return [each for each, kept in self._records.items() if instance in kept.instances]
 
     def _is_explained(self, identity: str) -> bool:
         """Return whether a convicted request was at each end under which another one was."""
@@ -126,6 +129,7 @@
             return None
         now = self._clock()
         guarded = is_guarded(self._convicted_at, now) and not self._is_explained(identity)
-        seconds = min(LIFETIME_SECONDS, quarantine_seconds(record.ends, guarded))
+        suspects = min(len(self._suspects(each)) for each in record.instances)
+        seconds = min(LIFETIME_SECONDS, quarantine_seconds(record.ends, suspects, guarded))
         until = record.last_at + seconds
         return until if until > now else None
