What is known of requests that end upstreams: listed, released, tried again by one process alone

Found by the scenario of the release: what had been cleared came back each second at processes that know few others. They ask a peer each second who is there, and its answer told the last ends that it had seen itself, whether they still counted or not. It tells what is known now, and what others tell within 5 s of a clearing counts for nothing. Red before: 2 of 3 processes refused on after the release.

--- a/deckcourse/cli.py
+++ b/deckcourse/cli.py
@@ -20,7 +20,9 @@
     confirm_plan,
     hash_key,
     peers_of,
+    quarantine_at,
     read_plan,
+    release_request,
     state_intent,
     status,
 )
@@ -134,6 +136,15 @@
     addresses: Annotated[list[str], cappa.Arg(help="their peer_listen, IP:port", num_args=-1)]
 
 
+@dataclass
+@cappa.command(name="quarantine")
+class QuarantineCommand:
+    """List requests under which upstreams ended, or release one of them."""
+
+    address: Annotated[str, cappa.Arg(help="a process's peer_listen, IP:port")]
+    release: Annotated[str, cappa.Arg(long=True, help="the identity of one to release")] = ""
+
+
 @dataclass
 @cappa.command(name="explain")
 class ExplainCommand:
@@ -158,6 +169,7 @@
         | TryCommand
         | ExplainCommand
         | PeersCommand
+        | QuarantineCommand
     ]
 
 
@@ -269,6 +281,17 @@
     return 0
 
 
+def _quarantine(command: QuarantineCommand) -> int:
+    if command.release:
+        trio.run(release_request, command.address, command.release)
+        print(f"{command.release} may run again")
+        return 0
+    for each in trio.run(quarantine_at, command.address):
+        refused = f"refused for {each.refused_seconds:g} s" if each.refused_seconds else "may run"
+        print(f"{each.identity}: {each.ends} ended ({', '.join(each.instances)}), {refused}")
+    return 0
+
+
 def _lines(files: list[str]) -> Iterator[str]:
     if not files:
         yield from sys.stdin
@@ -326,6 +349,7 @@
     TryCommand: _try,
     ExplainCommand: _explain,
     PeersCommand: _peers,
+    QuarantineCommand: _quarantine,
 }
 
 
--- a/deckcourse/gateway/crash_evidence.py
+++ b/deckcourse/gateway/crash_evidence.py
@@ -20,6 +20,8 @@
 MOST_REQUESTS = 4096
 # Upstreams that are kept of one request, for operators: further ones change nothing.
 MOST_ENDS = 16
+# What others tell of a request so soon after it was cleared they may not know yet, seconds.
+OUTDATED_SECONDS = 5.0
 # A request that ran well did not end an upstream that is told of so soon after it, seconds.
 DISPROVED_SECONDS = 10.0
 
@@ -38,12 +40,16 @@
 
     Args:
       clock: seconds, steady.
+      spread: how many times longer than others this process refuses what is to be tried again, so
+        that one process tries before all the others do.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], spread: float = 1.0) -> None:
         self._clock = clock
+        self._spread = spread
         self._records: dict[str, _Record] = {}
         self._ran_at: dict[str, float] = {}
+        self._cleared_at: dict[str, float] = {}
         self._convicted_at = float("-inf")
 
     def __bool__(self) -> bool:
@@ -82,10 +88,7 @@
 
     def note_ran(self, identity: str) -> bool:
         """Take in that a request ran well; return whether it was under suspicion until now."""
-        self._ran_at.pop(identity, None)
-        self._ran_at[identity] = self._clock()
-        while len(self._ran_at) > MOST_REQUESTS:
-            del self._ran_at[next(iter(self._ran_at))]
+        _remember(self._ran_at, identity, self._clock())
         return self.clear(identity)
 
     def is_disproved(self, identity: str) -> bool:
@@ -94,13 +97,33 @@
 
     def clear(self, identity: str) -> bool:
         """Forget the ends under a request; return whether any were known."""
-        return self._records.pop(identity, None) is not None
+        known = self._records.pop(identity, None) is not None
+        if known:
+            _remember(self._cleared_at, identity, self._clock())
+        return known
+
+    def is_outdated(self, identity: str) -> bool:
+        """Return whether a request was cleared so lately that others may not know it yet."""
+        return self._clock() < self._cleared_at.get(identity, float("-inf")) + OUTDATED_SECONDS
 
     def ends(self, identity: str) -> int:
         """Return how many upstreams ended under a request, one after the other."""
         record = self._records.get(identity)
         return record.ends if record is not None else 0
 
+    def crashes(self) -> list[Crash]:
+        """Return every end that is known, those of the request that ended one last at the end."""
+        return [
+            Crash(identity, instance, max(0, kept.ends - 1))
+            for identity, kept in self._records.items()
+            for instance in kept.instances
+        ]
+
+    def instances(self, identity: str) -> tuple[str, ...]:
+        """Return the upstreams that ended under a request."""
+        record = self._records.get(identity)
+        return tuple(record.instances) if record is not None else ()
+
     def place(self, identity: str, instance: str) -> int:
         """Return how many others, under which an upstream may have ended too, go before a request.
 
@@ -130,6 +153,14 @@
         now = self._clock()
         guarded = is_guarded(self._convicted_at, now) and not self._is_explained(identity)
         suspects = min(len(self._suspects(each)) for each in record.instances)
-        seconds = min(LIFETIME_SECONDS, quarantine_seconds(record.ends, suspects, guarded))
-        until = record.last_at + seconds
+        seconds = self._spread * quarantine_seconds(record.ends, suspects, guarded)
+        until = record.last_at + min(LIFETIME_SECONDS, seconds)
         return until if until > now else None
+
+
+def _remember(moments: dict[str, float], identity: str, now: float) -> None:
+    """Note a moment for a request; those noted longest ago are forgotten."""
+    moments.pop(identity, None)
+    moments[identity] = now
+    while len(moments) > MOST_REQUESTS:
+        del moments[next(iter(moments))]
--- a/deckcourse/gateway/crash_watch.py
+++ b/deckcourse/gateway/crash_watch.py
@@ -9,11 +9,13 @@
 
 import trio
 
+from deckcourse.decisions.quarantine import CONVICTING_ENDS
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.crash_book import CrashBook
 from deckcourse.gateway.crash_check import CrashCheck
 from deckcourse.gateway.crash_evidence import CrashEvidence
 from deckcourse.gateway.dialect import Pulse
+from deckcourse.gateway.quarantine_view import QuarantineView, quarantine_of
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.peers.crash import Crash
 from deckcourse.peers.gossip import PeerGossip
@@ -107,12 +109,34 @@
         self._trials: dict[str, _Trial] = {}
         # When this process learned of each end, the latest at the end.
         self._ended_at: dict[str, float] = {}
-        gossip.listen(self._hear)
+        gossip.share_crashes(self._hear_others, evidence.crashes)
 
     def refused_until(self, admitted: Admitted) -> float | None:
         """Return until when a request is refused, on trio's clock; None where it may run."""
         # Nothing is worked out where nothing is known, as on all but few days.
-        return self._evidence.refused_until(admitted.identity) if self._evidence else None
+        if not self._evidence:
+            return None
+        until = self._evidence.refused_until(admitted.identity)
+        if until is None and self._is_tried(admitted.identity):
+            return trio.current_time() + LONGEST_TRIAL_SECONDS
+        return until
+
+    def _is_tried(self, identity: str) -> bool:
+        """Return whether a convicted request, whose time is over, is tried once more just now."""
+        tried = any(identity in each.identities for each in self._trials.values())
+        return tried and self._evidence.ends(identity) >= CONVICTING_ENDS
+
+    def view(self) -> tuple[QuarantineView, ...]:
+        """Return what is known of each request."""
+        return quarantine_of(self._evidence, trio.current_time())
+
+    def release(self, identity: str) -> bool:
+        """Forget what is known of a request, here and by its rows; return whether there was any."""
+        known = self._evidence.clear(identity)
+        if known:
+            self._log("crash-released", identity=identity)
+            self._book.remove(identity)
+        return known
 
     def known_ends(self, admitted: Admitted) -> int:
         """Return how many upstreams ended under a request, one after the other."""
@@ -247,6 +271,11 @@
         self._book.write(crash)
         return crash
 
+    def _hear_others(self, crash: Crash) -> None:
+        """Take in an end that another process tells of, unless that is no longer true."""
+        if not self._evidence.is_outdated(crash.identity):
+            self._hear(crash)
+
     def _hear(self, crash: Crash) -> None:
         """Take in an end that this process or another one saw."""
         self._ended_at.setdefault(crash.instance, trio.current_time())
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -21,6 +21,7 @@
 from deckcourse.gateway.lapse_check import LapseCheck
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
 from deckcourse.gateway.retry_allowance import RetryAllowance, RetryLimits
 from deckcourse.gateway.row_intake import RowIntake, RowReader
 from deckcourse.gateway.stalls import StallMonitor
@@ -28,6 +29,7 @@
 from deckcourse.gateway.upstream import StartNews, Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool
+from deckcourse.http1.server import Exchange, IncomingRequest
 from deckcourse.layers.healer import Healer, Orderer
 from deckcourse.layers.hosts import Group
 from deckcourse.layers.model import ModelSpec
@@ -237,6 +239,19 @@
         """What callers may send and how long they may take."""
         return self._desired.bounds if self._desired is not None else CallerBounds()
 
+    async def handle_peer(self, request: IncomingRequest, exchange: Exchange) -> None:
+        """Answer another process, or an operator."""
+        path, _, identity = request.target.partition(b"?")
+        if path != QUARANTINE_PATH:
+            await self._peers.handle(request, exchange)
+            return
+        if request.method == b"DELETE":
+            known = self._crashes.release(identity.decode("latin-1"))
+            await exchange.whole(200 if known else 404, (), b"")
+            return
+        kind = (b"content-type", b"application/json")
+        await exchange.whole(200, (kind,), encode_quarantine(self._crashes.view()))
+
     def stop(self) -> None:
         """Turn new callers away; what is in flight goes on."""
         self._stopping = True
@@ -331,7 +346,7 @@
         return self._upstream_feed.known and self.may_send()
 
     def _new_crash_watch(self) -> CrashWatch:
-        evidence = CrashEvidence(trio.current_time)
+        evidence = CrashEvidence(trio.current_time, 1.0 + self._random.random())
         self._crash_book = CrashBook(
             self._ports.table, evidence, lambda: self._peers.feed.follows, self._counters.count
         )
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -81,7 +81,7 @@
             nursery.start_soon(self._node.run)
             await self._listen(nursery, self._addresses.ready, self._answer_ready)
             await self._listen(nursery, self._addresses.metrics, self._answer_metrics)
-            await self._listen(nursery, self._addresses.peers, self._node.peers.handle)
+            await self._listen(nursery, self._addresses.peers, self._node.handle_peer)
             await self._listen(nursery, self._addresses.callers, self._node.gateway.handle)
             await self._stop.wait()
             await self._node.peers.leave()
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -4,7 +4,6 @@
 round goes to a fixed number of members, with a fixed number of others told of.
 """
 
-from collections import deque
 from collections.abc import Callable, Sequence
 from random import Random
 
@@ -59,12 +58,19 @@
         self._count = count
         self._rounds = 0
         self._on_crash: Callable[[Crash], None] = lambda crash: None
-        # Of late, for who starts and asks before the store has told it.
-        self._crashes: deque[Crash] = deque(maxlen=MOST_TOLD)
+        self._known_crashes: Callable[[], Sequence[Crash]] = tuple
 
-    def listen(self, on_crash: Callable[[Crash], None]) -> None:
-        """Have each crash heard that others tell of."""
+    def share_crashes(
+        self, on_crash: Callable[[Crash], None], known: Callable[[], Sequence[Crash]]
+    ) -> None:
+        """Have each crash heard that others tell of, and tell who asks of those that are known.
+
+        Args:
+          on_crash: told of each.
+          known: returns what still counts, the latest at the end.
+        """
         self._on_crash = on_crash
+        self._known_crashes = known
 
     async def run(self) -> None:
         """Tell and listen until cancelled."""
@@ -82,7 +88,6 @@
 
     async def tell_crash(self, crash: Crash) -> None:
         """Tell others at once that an upstream ended under a request."""
-        self._crashes.append(crash)
         own = self._roster.own
         digest = encode_digest(Digest(own, (), False, (crash,)))
         others = [each for each in self._roster.live() if each.name != own.name]
@@ -137,4 +142,5 @@
                 self._on_crash(crash)
             if digest.asks:
                 sender = digest.sender
-                await self._tell(sender.address, sender.domain, crashes=tuple(self._crashes))
+                crashes = tuple(self._known_crashes())[-MOST_TOLD:]
+                await self._tell(sender.address, sender.domain, crashes=crashes)
--- a/deckcourse/porcelain.py
+++ b/deckcourse/porcelain.py
@@ -13,6 +13,11 @@
 import trio
 
 from deckcourse.errors import CommandError
+from deckcourse.gateway.quarantine_view import (
+    QUARANTINE_PATH,
+    QuarantineView,
+    decode_quarantine,
+)
 from deckcourse.http_client import HttpReply, NotSent, fresh_pool, http_call
 from deckcourse.peers.view import MEMBERS_PATH, PeersView, decode_view
 from deckcourse.settings import Problem, read_settings
@@ -23,7 +28,9 @@
     "confirm_plan",
     "hash_key",
     "peers_of",
+    "quarantine_at",
     "read_plan",
+    "release_request",
     "state_intent",
     "status",
 ]
@@ -100,18 +107,54 @@
     Raises:
       CommandError: it can't be reached, or what answers there is no gateway process.
     """
-    url = f"http://{address}{MEMBERS_PATH.decode()}"
-    deadline = trio.current_time() + CALL_SECONDS
-    async with fresh_pool() as pool:
-        reply = await http_call(pool, "GET", url, b"", (), deadline)
-    if not isinstance(reply, HttpReply):
-        raise CommandError(f"{address} can't be reached: {reply.message}; want a peer_listen")
+    reply = await _ask_process(address, "GET", MEMBERS_PATH.decode())
     try:
         return decode_view(reply.body)
     except msgspec.MsgspecError as error:
         raise CommandError(f"{address}: no gateway process answers there: {error}") from error
 
 
+async def quarantine_at(address: str) -> tuple[QuarantineView, ...]:
+    """Return the requests under which upstreams ended, as a gateway process knows them.
+
+    Args:
+      address: its `peer_listen`, IP:port.
+
+    Raises:
+      CommandError: it can't be reached, or what answers there is no gateway process.
+    """
+    reply = await _ask_process(address, "GET", QUARANTINE_PATH.decode())
+    try:
+        return decode_quarantine(reply.body)
+    except msgspec.MsgspecError as error:
+        raise CommandError(f"{address}: no gateway process answers there: {error}") from error
+
+
+async def release_request(address: str, identity: str) -> None:
+    """Let a request run again at all processes that the store's rows reach.
+
+    Args:
+      address: the `peer_listen` of any of them, IP:port.
+      identity: as listed.
+
+    Raises:
+      CommandError: it can't be reached, or knows nothing of that request.
+    """
+    reply = await _ask_process(address, "DELETE", f"{QUARANTINE_PATH.decode()}?{identity}")
+    if reply.status not in OK_STATUSES:
+        raise CommandError(f"{identity}: {address} knows no such request; list them first")
+
+
+async def _ask_process(address: str, method: str, path: str) -> HttpReply:
+    """Return the answer of a gateway process at its `peer_listen`."""
+    deadline = trio.current_time() + CALL_SECONDS
+    async with fresh_pool() as pool:
+        reply = await http_call(pool, method, f"http://{address}{path}", b"", (), deadline)
+    if not isinstance(reply, HttpReply):
+        raise CommandError(f"{address} can't be reached: {reply.message}; want a peer_listen")
+    return reply
+
+
 def check_settings(path: str) -> tuple[Problem, ...]:
     """Return every problem of a settings file."""
     result = read_settings(path)
--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -124,7 +124,7 @@
 
     async def run(self):
         self.world.network.listen(self.address, self.node.gateway.handle)
-        self.world.network.listen(self.peer_address, self.node.peers.handle)
+        self.world.network.listen(self.peer_address, self.node.handle_peer)
         with trio.CancelScope() as self.scope:
             await self.node.run()
 
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -78,3 +78,44 @@
       | all callers send the same request while three upstreams end in turn     |
       | the first upstreams' connections are reset three times                  |
       | another account sends what is deadly from the first one, and to nobody  |
+
+  Scenario: An operator lists what is refused, and releases it
+    Given three processes before upstreams that some requests crash
+    When a deadly request was stopped, its fault is mended, and an operator releases it
+    Then every process listed it with 2 ends before
+    And it is served at every process within 1 second after
+
+  Scenario: What was convicted is tried again once, by one process
+    Given three processes before upstreams that some requests crash
+    When a deadly request comes to all processes at once, each second for 140 seconds
+    Then it ended 3 upstreams
+
+  Scenario: For how long a request is refused
+    Then a request is refused for so long
+      | ends | suspects | others convicted | seconds |
+      | 0    | 1        | no               | 0       |
+      | 0    | 1        | yes              | 0       |
+      | 1    | 1        | no               | 0       |
+      | 1    | 1        | yes              | 20      |
+      | 1    | 2        | yes              | 20      |
+      | 1    | 3        | yes              | 0       |
+      | 2    | 1        | no               | 60      |
+      | 2    | 5        | yes              | 60      |
+      | 3    | 5        | no               | forever |
+      | 9    | 1        | yes              | forever |
+
+  Scenario: In whatever order and however often ends are told, they count the same
+    Then told in any order, any number of times, ends count the same
+    And what runs well is cleared, and what is told of it late counts for nothing
+
+  Scenario Outline: A row that <what> tells of no end
+    Given three processes before upstreams that some requests crash
+    When a row of ends <what>
+    Then no process takes anything for ended, and all go on
+
+    Examples:
+      | what                  |
+      | is no JSON            |
+      | names another request |
+      | has a name too long   |
+      | is nested too deep    |
--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,165 @@
+"""Steps about what is known of requests that end upstreams: told, kept, listed and released."""
+
+import json
+
+import trio
+from behave import then, when
+from crash_world import DEADLY
+from hypothesis import given as hypothesis_given
+from hypothesis import settings, strategies
+
+from deckcourse.decisions.quarantine import quarantine_seconds
+from deckcourse.gateway.crash_evidence import CrashEvidence
+from deckcourse.gateway.quarantine_view import decode_quarantine
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.peers.crash import Crash
+
+ONE, OTHER = "1" * 32, "2" * 32
+NESTED = b"[" * 5000 + b"]" * 5000
+ROWS = {
+    "is no JSON": (f"{ONE}.i-1", b"?"),
+    "names another request": (f"{ONE}.i-1", json.dumps([OTHER, "i-1"]).encode()),
+    "has a name too long": (f"{ONE}.{'i' * 200}", json.dumps([ONE, "i" * 200]).encode()),
+    "is nested too deep": (f"{ONE}.i-1", NESTED),
+}
+
+
+async def ask_peer(site, process, method, target):
+    """Send a request to where a process listens to others; return the status and the body."""
+    pool = ConnectionPool(lambda what: None, site.network.dial)
+    async with pool.lent(process.peer_address) as connection:
+        reply = await connection.call(method, target, ((b"host", b"x"),), b"")
+        return reply.status, await reply.whole_body()
+
+
+async def listed_at(site, process):
+    return decode_quarantine((await ask_peer(site, process, b"GET", b"/quarantine"))[1])
+
+
+@when("a deadly request was stopped, its fault is mended, and an operator releases it")
+def released(context):
+    async def story(site):
+        for number in range(3):
+            await site.ask_at(site.processes[number], "stream", f"d{number}", DEADLY)
+            await trio.sleep(0.5)
+        context.listed = [await listed_at(site, each) for each in site.processes]
+        site.cured = True
+        await trio.sleep(5.0)
+        identity = context.listed[0][0].identity.encode()
+        status, _ = await ask_peer(site, site.processes[0], b"DELETE", b"/quarantine?" + identity)
+        assert status == 200
+        await trio.sleep(1.0)
+        context.after = [
+            await site.ask_at(each, "stream", f"a{number}", DEADLY)
+            for number, each in enumerate(site.processes)
+        ]
+
+    context.site.play(story)
+
+
+@then("every process listed it with 2 ends before")
+def was_listed(context):
+    for views in context.listed:
+        assert [(each.ends, len(each.instances)) for each in views] == [(2, 2)], views
+        assert views[0].refused_seconds > 0
+
+
+@then("it is served at every process within 1 second after")
+def served_after(context):
+    assert [each.status for each in context.after] == [200] * 3, context.after
+
+
+@when("a deadly request comes to all processes at once, each second for {seconds:d} seconds")
+def comes_to_all(context, seconds):
+    async def story(site):
+        async with trio.open_nursery() as nursery:
+            for second in range(seconds):
+                for number, process in enumerate(site.processes):
+                    name = f"d{second}-{number}"
+                    nursery.start_soon(site.ask_at, process, "stream", name, DEADLY)
+                    await trio.sleep(0.1)
+                await trio.sleep(0.7)
+
+    context.site.play(story, 400.0)
+
+
+@then("it ended {count:d} upstreams")
+def ended_exactly(context, count):
+    ends = [round(each.at, 2) for each in context.site.ends_under(DEADLY)]
+    assert len(ends) == count, ends
+
+
+@then("a request is refused for so long")
+def refused_for(context):
+    for row in context.table:
+        guarded = row["others convicted"] == "yes"
+        seconds = quarantine_seconds(int(row["ends"]), int(row["suspects"]), guarded)
+        assert seconds == float(row["seconds"].replace("forever", "inf")), (row, seconds)
+
+
+CRASHES = strategies.lists(
+    strategies.builds(
+        Crash,
+        strategies.sampled_from([ONE, OTHER]),
+        strategies.sampled_from(["i-1", "i-2", "i-3", "i-4"]),
+        strategies.integers(0, 3),
+    ),
+    max_size=8,
+)
+
+
+def known(crashes):
+    evidence = CrashEvidence(lambda: 5.0)
+    for each in crashes:
+        evidence.note(each)
+    return {each: (evidence.ends(each), set(evidence.instances(each))) for each in (ONE, OTHER)}
+
+
+@then("told in any order, any number of times, ends count the same")
+def order_is_nothing(context):
+    @settings(max_examples=300, derandomize=True, deadline=None, database=None)
+    @hypothesis_given(CRASHES, strategies.randoms())
+    def check(crashes, random):
+        shuffled = [*crashes, *random.choices(crashes, k=3)] if crashes else []
+        random.shuffle(shuffled)
+        assert known(crashes) == known(shuffled)
+
+    check()
+
+
+@then("what runs well is cleared, and what is told of it late counts for nothing")
+def cleared(context):
+    now = [100.0]
+    evidence = CrashEvidence(lambda: now[0])
+    for number in range(3):
+        evidence.note(Crash(ONE, f"i-{number}", number))
+    assert evidence.refused_until(ONE) is not None
+    assert evidence.note_ran(ONE) and evidence.refused_until(ONE) is None
+    now[0] = 105.0
+    assert evidence.is_disproved(ONE) and not evidence.is_disproved(OTHER)
+    now[0] = 111.0
+    assert not evidence.is_disproved(ONE)
+
+
+@when("a row of ends {what}")
+def bad_row(context, what):
+    async def story(site):
+        key, value = ROWS[what]
+        site.store.put_bytes("crashes", key, value)
+        await trio.sleep(1.0)
+        context.listed = [await listed_at(site, each) for each in site.processes]
+        context.counts = [each.counters.counts for each in site.processes]
+        context.after = [
+            await site.ask_at(each, "stream", f"a{number}")
+            for number, each in enumerate(site.processes)
+        ]
+
+    context.site.play(story)
+
+
+@then("no process takes anything for ended, and all go on")
+def nothing_ended(context):
+    assert context.listed == [(), (), ()]
+    for counts in context.counts:
+        assert counts["malformed.crash"] >= 1 and not counts.get("fault"), counts
+    assert [each.status for each in context.after] == [200] * 3, context.after
