--- a/deckcourse/decisions/quarantine.py
+++ b/deckcourse/decisions/quarantine.py
@@ -13,11 +13,11 @@
 # releases it; the platform allows three more sendings after three ends, for what was under way.
 FINAL_ENDS = 3
 # A convicted request is tried once more after this, seconds: the upstreams may have been mended.
-CONVICTED_SECONDS = 60.0
+CONVICTED_SECONDS = 10.0
 # While a request was convicted within this time, seconds, one end is enough to refuse another one,
 GUARDED_SECONDS = 60.0
 # for this long, seconds.
-SUSPECTED_SECONDS = 20.0
+SUSPECTED_SECONDS = 10.0
 # Of more than so many that were at one end most are innocent: none of them is refused for it.
 MOST_SUSPECTS = 2
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -56,6 +56,9 @@
 # Before there was any traffic nothing hurries: waits and pauses are so many times as long, and
 # fewer processes come together.
 FACTOR_BEFORE_TRAFFIC = 4.0
+# How many times longer than others a process refuses what is to be tried once more, at the most:
+# one tries, and tells the rest, before they do.
+SPREAD = 0.5
 # Between a fault in background work and its next run, seconds.
 FAULT_PAUSE_SECONDS = 0.2
 
@@ -346,7 +349,7 @@
         return self._upstream_feed.known and self.may_send()
 
     def _new_crash_watch(self) -> CrashWatch:
-        evidence = CrashEvidence(trio.current_time, 1.0 + self._random.random())
+        evidence = CrashEvidence(trio.current_time, 1.0 + SPREAD * self._random.random())
         self._crash_book = CrashBook(
             self._ports.table, evidence, lambda: self._peers.feed.follows, self._counters.count
         )
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -53,7 +53,7 @@
 
   Scenario Outline: Its caller is told at once, and why: <route>
     Given three processes before upstreams that some requests crash
-    When a deadly request for <route> comes each 0.7 seconds for 15 seconds, while all is well
+    When a deadly request for <route> comes each 0.7 seconds for 25 seconds, while all is well
     Then later callers of it were refused within 0.01 seconds, as one that ends upstreams
 
     Examples:
@@ -87,7 +87,7 @@
 
   Scenario: What was convicted is tried again once, by one process
     Given three processes before upstreams that some requests crash
-    When a deadly request comes to all processes at once, each second for 140 seconds
+    When a deadly request comes to all processes at once, each second for 40 seconds
     Then it ended 3 upstreams
 
   Scenario: For how long a request is refused
@@ -96,11 +96,11 @@
       | 0    | 1        | no               | 0       |
       | 0    | 1        | yes              | 0       |
       | 1    | 1        | no               | 0       |
-      | 1    | 1        | yes              | 20      |
-      | 1    | 2        | yes              | 20      |
+      | 1    | 1        | yes              | 10      |
+      | 1    | 2        | yes              | 10      |
       | 1    | 3        | yes              | 0       |
-      | 2    | 1        | no               | 60      |
-      | 2    | 5        | yes              | 60      |
+      | 2    | 1        | no               | 10      |
+      | 2    | 5        | yes              | 10      |
       | 3    | 5        | no               | forever |
       | 9    | 1        | yes              | forever |
 
@@ -108,6 +108,17 @@
     Then told in any order, any number of times, ends count the same
     And what runs well is cleared, and what is told of it late counts for nothing
 
+  Scenario: Ends of runs that were under way together count once
+    Then ends told with what was known when their runs were sent count so
+      | told               | ends |
+      | a 0                | 1    |
+      | a 0, b 0, c 0      | 1    |
+      | a 0, b 1           | 2    |
+      | b 1, a 0           | 2    |
+      | a 0, a 0, a 0      | 1    |
+      | a 0, a 1           | 2    |
+      | a 0, b 1, c 1, d 2 | 3    |
+
   Scenario Outline: A row that <what> tells of no end
     Given three processes before upstreams that some requests crash
     When a row of ends <what>
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -3,6 +3,7 @@
 import mutants_control  # noqa: F401 - registers its mutants
 import mutants_requests  # noqa: F401 - registers its mutants
 from mutant_registry import MUTANTS, mutant, switch_on
+from mutants_crashes import EVERY as OF_CRASHES
 from mutants_foreign import EVERY as OF_FOREIGN_ROWS
 from mutants_gateway import EVERY as OF_THE_GATEWAY
 from mutants_notices import EVERY as OF_NOTICES
@@ -11,6 +12,6 @@
 __all__ = ["MUTANTS", "switch_on"]
 
 for _function, (_mechanism, _features) in (
-    OF_THE_GATEWAY | OF_PEERS | OF_FOREIGN_ROWS | OF_NOTICES
+    OF_THE_GATEWAY | OF_PEERS | OF_FOREIGN_ROWS | OF_NOTICES | OF_CRASHES
 ).items():
     mutant(_mechanism, *_features)(_function)
--- /dev/null
+++ b/features/mutants_crashes.py
@@ -0,0 +1,81 @@
+"""Mutants of what is done about requests that end upstreams, and of the programs' clock."""
+
+import time
+
+import deckcourse.gateway.lookup as lookup_module
+import deckcourse.gateway.stream as stream_module
+import deckcourse.host_clock as host_clock
+from deckcourse.gateway.crash_book import CrashBook
+from deckcourse.gateway.crash_evidence import CrashEvidence
+from deckcourse.gateway.crash_watch import CrashWatch
+from deckcourse.peers.crash import Crash
+from deckcourse.peers.gossip import PeerGossip
+from deckcourse.platform.runners import RunnerControl
+
+
+def requests_that_end_upstreams_go_on():
+    stream_module.refuse_quarantined = lambda context, admitted, has_run: None
+    lookup_module.refuse_quarantined = lambda context, admitted, has_run: None
+
+
+def ends_are_kept_in_no_row():
+    CrashBook.write = lambda self, crash: None
+
+
+def others_hear_of_no_end():
+    async def tell_crash(self, crash):
+        """Tell nobody."""
+
+    PeerGossip.tell_crash = tell_crash
+    CrashBook.write = lambda self, crash: None
+
+
+def what_ran_well_stays_under_suspicion():
+    CrashEvidence.note_ran = lambda self, identity: False
+
+
+def ends_at_the_same_moment_add_up():
+    usual = CrashEvidence.note
+
+    def note(self, crash):
+        known = self.instances(crash.identity)
+        if crash.instance in known:
+            return False
+        return usual(self, Crash(crash.identity, crash.instance, len(known)))
+
+    CrashEvidence.note = note
+
+
+def plain_upstreams_are_asked_questions():
+    async def reach(self, upstream, seconds):
+        return (await self.pulse(upstream, seconds)).pulse
+
+    RunnerControl.reach = reach
+
+
+def convicted_requests_are_tried_by_all():
+    usual = CrashEvidence.__init__
+    CrashEvidence.__init__ = lambda self, clock, spread=1.0: usual(self, clock, 1.0)
+    CrashWatch._is_tried = lambda self, identity: False
+
+
+def what_was_cleared_comes_back():
+    CrashEvidence.is_outdated = lambda self, identity: False
+
+
+def the_clock_stands_in_a_suspension():
+    host_clock.CLOCK = time.CLOCK_MONOTONIC
+
+
+CRASHES = ("crashing_requests",)
+EVERY = {
+    requests_that_end_upstreams_go_on: ("the refusal of requests that end upstreams", CRASHES),
+    ends_are_kept_in_no_row: ("the rows of ends", CRASHES),
+    others_hear_of_no_end: ("telling others of ends", CRASHES),
+    what_ran_well_stays_under_suspicion: ("clearing what ran well", CRASHES),
+    ends_at_the_same_moment_add_up: ("ends as a chain", CRASHES),
+    plain_upstreams_are_asked_questions: ("asking plain upstreams nothing", CRASHES),
+    convicted_requests_are_tried_by_all: ("one trial of a convicted request", CRASHES),
+    what_was_cleared_comes_back: ("words that come after a clearing", CRASHES),
+    the_clock_stands_in_a_suspension: ("a clock that counts suspensions", ("suspended",)),
+}
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -74,11 +74,12 @@
     async def story(site):
         async with trio.open_nursery() as nursery:
             for second in range(seconds):
-                for number, process in enumerate(site.processes):
-                    name = f"d{second}-{number}"
-                    nursery.start_soon(site.ask_at, process, "stream", name, DEADLY)
-                    await trio.sleep(0.1)
-                await trio.sleep(0.7)
+                for number, process in enumerate([*site.processes, *site.processes]):
+                    # The first two alone convict it; later ones come all at once.
+                    if second >= 2 or number == 0:
+                        name = f"d{second}-{number}"
+                        nursery.start_soon(site.ask_at, process, "stream", name, DEADLY)
+                await trio.sleep(1.0)
 
     context.site.play(story, 400.0)
 
@@ -135,12 +136,24 @@
         evidence.note(Crash(ONE, f"i-{number}", number))
     assert evidence.refused_until(ONE) is not None
     assert evidence.note_ran(ONE) and evidence.refused_until(ONE) is None
+    assert evidence.is_outdated(ONE) and not evidence.is_outdated(OTHER)
     now[0] = 105.0
+    assert not evidence.is_outdated(ONE)
     assert evidence.is_disproved(ONE) and not evidence.is_disproved(OTHER)
     now[0] = 111.0
     assert not evidence.is_disproved(ONE)
 
 
+@then("ends told with what was known when their runs were sent count so")
+def chain_counts(context):
+    for row in context.table:
+        evidence = CrashEvidence(lambda: 5.0)
+        for told in row["told"].split(", "):
+            instance, known_ends = told.split()
+            evidence.note(Crash(ONE, instance, int(known_ends)))
+        assert evidence.ends(ONE) == int(row["ends"]), (row, evidence.ends(ONE))
+
+
 @when("a row of ends {what}")
 def bad_row(context, what):
     async def story(site):
--- a/soak/suspendable.py
+++ b/soak/suspendable.py
@@ -4,8 +4,14 @@
 `CLOCK_BOOTTIME` and the time of day do.
 """
 
+import runpy
+import signal
 import time
 
+# As the program itself does before anything else: this loads before it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+signal.signal(signal.SIGTERM, lambda number, frame: exit_at_once())
+
 __all__: list[str] = []
 
 # A process that reads no clock for longer was stopped, seconds: it looks at its streams, or for
@@ -13,6 +19,11 @@
 LONGEST_PAUSE_SECONDS = 0.3
 
 
+def exit_at_once() -> None:
+    """End as a program does that has begun nothing."""
+    raise SystemExit(0)
+
+
 class _SteadyHand:
     """The steady clock of such a machine."""
 
@@ -46,6 +57,4 @@
     # Before anything else is imported: most keep the function that they read the clock by.
     _suspend_steady_clock()
 
-    from deckcourse.platform.program import main
-
-    main()
+    runpy.run_module("deckcourse.platform", run_name="__main__")
