--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -1,14 +1,13 @@
 """One gateway process: it follows the store, serves callers and takes part in the placement."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from functools import partial
 from random import Random
 from traceback import format_exception
 
 import trio
 
-from deckcourse.change_feed import ChangeFeed, Follower
+from deckcourse.change_feed import Follower
 from deckcourse.counters import Counters
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_book import CRASH_TABLE, CrashBook
@@ -16,30 +15,28 @@
 from deckcourse.gateway.crash_evidence import CrashEvidence
 from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.desired import CallerBounds, DesiredState
-from deckcourse.gateway.dialect import Dialect, StreamControl
 from deckcourse.gateway.gateway import Gateway
 from deckcourse.gateway.lapse_check import LapseCheck
+from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
 from deckcourse.gateway.retry_allowance import RetryAllowance, RetryLimits
-from deckcourse.gateway.row_intake import RowIntake, RowReader
+from deckcourse.gateway.row_intake import RowIntake
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstream import StartNews, Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.server import Exchange, IncomingRequest
-from deckcourse.layers.healer import Healer, Orderer
+from deckcourse.layers.healer import Healer
 from deckcourse.layers.hosts import Group
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook, PlanRecord
 from deckcourse.peers.followers import turn_of
-from deckcourse.peers.peers import PeerPorts, Peers
+from deckcourse.peers.peers import Peers
 from deckcourse.settings import GatewaySettings
-from deckcourse.table import TableService
 
-__all__ = ["GatewayIdentity", "GatewayNode", "GatewayPorts"]
+__all__ = ["GatewayNode"]
 
 # The part of the revocation time after which nothing that needs a key is sent any more: a key
 # taken away just after the last sign of the store must not open anything when that time is over.
@@ -63,29 +60,6 @@
 FAULT_PAUSE_SECONDS = 0.2
 
 
-@dataclass(frozen=True)
-class GatewayIdentity:
-    """Who the process is; `author` is new at each start."""
-
-    name: str
-    domain: str
-    author: str
-
-
-@dataclass(frozen=True)
-class GatewayPorts:
-    """The outside systems and the ways to reach them."""
-
-    table: TableService
-    feed: ChangeFeed
-    rows: RowReader
-    dialect: Dialect
-    orderer: Orderer
-    control: StreamControl
-    pool: ConnectionPool
-    peers: PeerPorts
-
-
 class GatewayNode:
     """One process: its parts, and what it knows of the configuration and of the upstreams.
 
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -114,7 +114,7 @@
         number = 0
         while True:
             refusal = refuse_quarantined(self._context, self._admitted, self._runs > 0)
-            if refusal is not None:
+            if refusal is not None and not self._ran_well:
                 return refusal
             if number and self._runs and not await self._retries.wait(self._progress_at):
                 return self._give_up(last, NotRunReason.RETRY_BUDGET, FULL_RETRY_SECONDS)
--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -12,7 +12,8 @@
 
 from deckcourse.counters import StatsdCounters
 from deckcourse.decision_log import DecisionLog
-from deckcourse.gateway.node import GatewayIdentity, GatewayNode, GatewayPorts
+from deckcourse.gateway.node import GatewayNode
+from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
 from deckcourse.gateway.server import GatewayServer, ListenAddresses
 from deckcourse.host_clock import run_on_host_clock
 from deckcourse.http1.client import ConnectionPool
--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -13,7 +13,8 @@
 from returns.result import Failure
 
 from deckcourse.counters import MemoryCounters
-from deckcourse.gateway.node import GatewayIdentity, GatewayNode, GatewayPorts
+from deckcourse.gateway.node import GatewayNode
+from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.peers.datagrams import MemoryMedium
 from deckcourse.peers.member import Member
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -13,7 +13,8 @@
 from trio.testing import MockClock
 
 from deckcourse.counters import MemoryCounters
-from deckcourse.gateway.node import GatewayIdentity, GatewayNode, GatewayPorts
+from deckcourse.gateway.node import GatewayNode
+from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.http1.message import ConnectionLostError, header_value
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,6 +11,12 @@
     Then it tells of no broken promise
     And it judged times that upstreams had asked for
 
+  # Requests ended every upstream that ran them: no upstream of the soak ended by what it was sent.
+  Scenario: Requests that end their upstreams are stopped, and other callers served
+    When the soak plays seed 2 for 5 seconds with requests that end upstreams, and nothing else
+    Then it tells of no broken promise
+    And it judged upstreams that had ended by requests
+
   # A caller of the soak took an answer that it could not read for one that its connection had lost,
   # and its connection's end for the end of what was to be judged: a chunk without a head passed.
   Scenario: A caller of the soak takes no answer that a strict reader would not
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -32,6 +32,20 @@
     play_soak(context, seed, seconds, "--only", "notices")
 
 
+@when(
+    "the soak plays seed {seed:d} for {seconds:d} seconds with requests that end upstreams,"
+    " and nothing else"
+)
+def plays_deadly(context, seed, seconds):
+    play_soak(context, seed, seconds, "--only", "deadly")
+
+
+@then("it judged upstreams that had ended by requests")
+def judged_deadly(context):
+    judged = re.search(r"(\d+) runners ended by requests", context.soak.stdout)
+    assert judged and int(judged[1]) >= 2, context.soak.stdout
+
+
 def play_soak(context, seed, seconds, *options):
     command = [sys.executable, "-m", "soak", "--seconds", str(seconds), *options, str(seed)]
     context.soak = subprocess.run(
