Sight: the rate limits that upstreams name, and which sendings reach those that do

The logs could not tell who heard of a limit nor when, and no metric told how many questions and orders reach an upstream beside callers' requests. Answers overtake each other: only one to a request that was sent after the limit was known changes or ends it. No decision rests on it yet.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -129,6 +129,7 @@
     if caller.request_id == NAMELESS:
         # A second answer without an id could be taken for the one to a question of the gateway's.
         connection.retire()
+    sent_at = trio.current_time()
     reply = await connection.call(message.method, message.target, headers, message.body)
     facts = context.dialect.facts(reply)
     for _ in range(REMEMBERED_CALLS):
@@ -139,7 +140,7 @@
         facts = context.dialect.facts(reply)
     if facts.request_id != caller.request_id:
         raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
-    context.notices.hear(dispatch.instance, facts.notice)
+    context.notices.apply(dispatch.instance, facts.notice, sent_at)
     return reply, facts
 
 
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -18,6 +18,7 @@
     "Dispatch",
     "LoadReport",
     "MoveResult",
+    "NoticeListener",
     "Pulse",
     "PulseReading",
     "ReplyFacts",
@@ -111,6 +112,15 @@
     UNANSWERED = "unanswered"
 
 
+class NoticeListener(Protocol):
+    """Applies what an instance says of itself in the head of an answer."""
+
+    def __call__(
+        self, instance: str, notice: UpstreamNotice, sent_at: float, is_question: bool
+    ) -> None:
+        """Apply it; see `NoticeIntake.apply`."""
+
+
 class Dialect(Protocol):
     """Reads and writes the headers of requests and answers."""
 
@@ -133,8 +143,8 @@
     def judge_starts(self, judge: Callable[[Upstream, int], StartNews]) -> None:
         """Have the start that each answer tells judged, that of answers to orders too."""
 
-    def listen(self, listener: Callable[[str, UpstreamNotice], None]) -> None:
-        """Have each instance heard that asks for something in an answer."""
+    def listen(self, listener: NoticeListener) -> None:
+        """Have what instances say of themselves in the heads of their answers applied."""
 
     async def stalled(self, upstream: Upstream) -> StallReport | None:
         """Return the requests that wait at the first upstream of their path, None unanswered."""
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -21,6 +21,7 @@
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
+from deckcourse.gateway.rate_limits import RateLimitBook
 from deckcourse.gateway.retry_allowance import RetryAllowance, RetryLimits
 from deckcourse.gateway.row_intake import RowIntake
 from deckcourse.gateway.stalls import StallMonitor
@@ -34,6 +35,7 @@
 from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook, PlanRecord
 from deckcourse.peers.followers import turn_of
 from deckcourse.peers.peers import Peers
+from deckcourse.peers.rate_limit import RateLimit
 from deckcourse.settings import GatewaySettings
 
 __all__ = ["GatewayNode"]
@@ -92,8 +94,9 @@
         self._desired_changed = trio.Event()
         self._upstreams = UpstreamTable(trio.current_time, self._note_ended)
         ports.control.judge_starts(self._judge_start)
-        notices = NoticeIntake(self._upstreams, counters.count, log)
-        ports.control.listen(notices.hear)
+        self._limits = RateLimitBook(trio.current_time, self._note_limit)
+        notices = NoticeIntake(self._upstreams, self._limits, counters.count, log)
+        ports.control.listen(notices.apply)
         self._choices: dict[str, PathChoice] = {}
         self._healers: dict[str, Healer] = {}
         self._book = PlanBook(ports.table, identity.author)
@@ -374,6 +377,17 @@
         self._monitor.note_ended(older)
         self._crashes.note_ended(older.instance)
 
+    def _note_limit(self, limit: RateLimit, source: str) -> None:
+        """Take in that an upstream names a limit, another one, or none any more."""
+        self._counters.count("upstream.limit")
+        self._log(
+            "upstream-limit",
+            instance=limit.instance,
+            rate=limit.rate,
+            version=limit.version,
+            source=source,
+        )
+
     def _note_gone(self, upstream: Upstream) -> None:
         """Take in that an upstream's row is gone, which may lapse while the store is away."""
         if not upstream.leaving and self._upstreams.settled:
--- /dev/null
+++ b/deckcourse/gateway/rate_limits.py
@@ -0,0 +1,115 @@
+"""The rate limits that upstreams name, as one process knows them from answers and from peers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from deckcourse.peers.rate_limit import RateLimit
+
+__all__ = ["RateLimitBook"]
+
+# Upstreams whose limits are kept at the most, far more than any site has.
+MAX_LIMITS = 4096
+
+
+@dataclass(frozen=True)
+class _Entry:
+    """A limit and when this process learned of it.
+
+    `on_questions` tells whether an answer to a question or an order named it.
+    """
+
+    limit: RateLimit
+    learned_at: float
+    on_questions: bool = False
+
+
+class RateLimitBook:
+    """The limits in force, by start of an upstream.
+
+    Answers overtake each other. An answer to a request that was sent after this process knew of a
+    limit is newer than that limit, and changes or ends it. Of any other answer only a stricter
+    limit counts.
+
+    Args:
+      clock: seconds, steady.
+      on_change: told of each limit that is new here, whether it changed or ended, and by whom.
+    """
+
+    def __init__(
+        self, clock: Callable[[], float], on_change: Callable[[RateLimit, str], None]
+    ) -> None:
+        self._clock = clock
+        self._on_change = on_change
+        self._entries: dict[str, _Entry] = {}
+        self._limited: dict[str, float] = {}
+
+    @property
+    def limited(self) -> dict[str, float]:
+        """The upstreams that name a limit, with their rates; not to be changed."""
+        return self._limited
+
+    def rate_of(self, instance: str) -> float | None:
+        """Return an upstream's limit, requests a second; None where it names none."""
+        return self._limited.get(instance)
+
+    def limit_of(self, instance: str) -> RateLimit | None:
+        """Return an upstream's limit as peers are told of it, None where it never named one."""
+        entry = self._entries.get(instance)
+        return entry.limit if entry is not None else None
+
+    def limits(self) -> list[RateLimit]:
+        """Return the limits in force."""
+        return [self._entries[instance].limit for instance in self._limited]
+
+    def record(
+        self, instance: str, rate: float | None, sent_at: float, is_question: bool = False
+    ) -> None:
+        """Take in an upstream's own answer.
+
+        Args:
+          instance: the upstream.
+          rate: the limit that the answer names, None for none.
+          sent_at: when the request was sent that it answers.
+          is_question: whether that was a question or an order, no caller's request.
+        """
+        entry = self._entries.get(instance)
+        if entry is None:
+            if rate is not None:
+                self._store(RateLimit(instance, 1, rate), is_question, "answer")
+            return
+        if is_question and rate is None and not entry.on_questions:
+            return
+        known = entry.limit
+        if rate is not None and is_question and not entry.on_questions:
+            self._entries[instance] = _Entry(known, entry.learned_at, True)
+        if rate == known.rate:
+            return
+        if sent_at >= entry.learned_at:
+            self._store(RateLimit(instance, known.version + 1, rate), is_question, "answer")
+        elif rate is not None and rate < known.bound:
+            self._store(replace(known, rate=rate), is_question, "answer")
+
+    def merge(self, limit: RateLimit) -> None:
+        """Take in what a peer knows."""
+        entry = self._entries.get(limit.instance)
+        if limit.supersedes(entry.limit if entry is not None else None):
+            self._store(limit, False, "peer")
+
+    def forget(self, instance: str) -> None:
+        """Drop the limit of a start that ended."""
+        self._entries.pop(instance, None)
+        self._limited.pop(instance, None)
+
+    def _store(self, limit: RateLimit, is_question: bool, source: str) -> None:
+        known = self._entries.pop(limit.instance, None)
+        on_questions = is_question or (known is not None and known.on_questions)
+        while len(self._entries) >= MAX_LIMITS:
+            self.forget(next(iter(self._entries)))
+        self._entries[limit.instance] = _Entry(limit, self._clock(), on_questions)
+        if limit.rate is None:
+            self._limited.pop(limit.instance, None)
+        else:
+            self._limited[limit.instance] = limit.rate
+        self._on_change(limit, source)
--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -18,6 +18,7 @@
     "ORDER",
     "PATH",
     "PRIORITY",
+    "RATE_LIMIT",
     "READY",
     "REPORT",
     "REQUEST_ID",
@@ -54,6 +55,8 @@
 RETRY_AFTER = b"retry-after"
 # On every answer of a runner that is about to end.
 LEAVING = b"server-leaving"
+# On every answer of a runner in need: the requests a second that it takes from all machines.
+RATE_LIMIT = b"server-limit"
 
 # Paths of requests: the balancer's question to the gateway; a runner's report and its orders.
 READY = b"/v1/ready"
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -8,9 +8,16 @@
 import trio
 from msgspec import UNSET, Meta, Struct, UnsetType
 
-from deckcourse.gateway.dialect import LoadReport, MoveResult, Pulse, PulseReading, StallReport
+from deckcourse.gateway.dialect import (
+    LoadReport,
+    MoveResult,
+    NoticeListener,
+    Pulse,
+    PulseReading,
+    StallReport,
+)
 from deckcourse.gateway.upstream import StartNews, Upstream
-from deckcourse.gateway.upstream_notice import NOTHING_ASKED, UpstreamNotice
+from deckcourse.gateway.upstream_notice import UpstreamNotice
 from deckcourse.http1.client import (
     NAMELESS,
     REMEMBERED_CALLS,
@@ -119,14 +126,14 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
         self._judge: Callable[[Upstream, int], StartNews] = lambda asked, start: StartNews.SAME
-        self._listener: Callable[[str, UpstreamNotice], None] = lambda instance, notice: None
+        self._listener: NoticeListener = lambda instance, notice, sent_at, is_question: None
 
     def judge_starts(self, judge: Callable[[Upstream, int], StartNews]) -> None:
         """Have the start in each answer judged: whether it is the one that was asked."""
         self._judge = judge
 
-    def listen(self, listener: Callable[[str, UpstreamNotice], None]) -> None:
-        """Have each instance heard that asks for something in an answer."""
+    def listen(self, listener: NoticeListener) -> None:
+        """Have what instances say of themselves in the heads of their answers applied."""
         self._listener = listener
 
     def _start_news(self, asked: Upstream, born: int | UnsetType) -> StartNews:
@@ -303,6 +310,7 @@
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(body)).encode()))
         async with self._pool.lent(upstream.address, unlike=unlike) as connection:
+            sent_at = trio.current_time()
             reply = await connection.call(method, target, tuple(headers), body)
             told_id = _id(reply)
             for _ in range(REMEMBERED_CALLS):
@@ -318,17 +326,19 @@
                 if self._pool.idle(upstream.address) >= MOST_KEPT_AFTER_ORDERS:
                     connection.retire()
             content = await reply.whole_body()
-        self._hear(upstream, notice_of(reply), content)
+        self._apply_notice(upstream, notice_of(reply), content, sent_at)
         return reply.status, content
 
-    def _hear(self, asked: Upstream, notice: UpstreamNotice, content: bytes) -> None:
+    def _apply_notice(
+        self, asked: Upstream, notice: UpstreamNotice, content: bytes, sent_at: float
+    ) -> None:
         """Pass on what an answer asks for, unless another start gave it."""
-        if notice == NOTHING_ASKED:
+        if notice.anonymous:
             return
         told = _decoded(content, _Told)
         born = told.born if told is not None else UNSET
         if self._start_news(asked, born) is StartNews.SAME:
-            self._listener(asked.instance, notice)
+            self._listener(asked.instance, notice, sent_at, True)
 
 
 def _id(reply: UpstreamReply) -> str:
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -42,7 +42,7 @@
 
 
 def control_answers_ask_for_nothing():
-    RunnerControl._hear = lambda self, asked, notice, content: None
+    RunnerControl._apply_notice = lambda self, asked, notice, content, sent_at: None
 
 
 def anybody_speaks_for_an_upstream():
