A rate limit that an upstream names is kept by all processes together

What callers' requests did: an upstream that named 2.3 requests a second went on getting 56 to 117 requests and questions in 4 s.

Cause: what an upstream asks of all processes together was heard, at best, by each for itself; nothing held a rate over all of them.

Change: every sending to an upstream that names a limit takes a token, checked again where it is sent. One process, which holds a lease in the platform's store, issues the tokens of all limits; the others ask it by datagram. A token is of use for 0.2 s from the question on; a successor issues only when the lease has ended on every clock, from an empty bucket. Limits are told by datagram and kept in the lease's row for processes that start. Where there is no token, callers go elsewhere, else they are refused at once with the moment of the next one, each told once. Load is no longer asked for where a limit is named; other questions and orders get a tenth of it, before callers that wait.

Ruled out: shares by traffic or by number (a burst of one request a process is 195 at once, and half of the limit is wasted where few processes use an upstream); an issuer by rank alone (two, where peers don't reach each other).

--- /dev/null
+++ b/deckcourse/decisions/token_bucket.py
@@ -0,0 +1,76 @@
+"""A token bucket from which a rate limit is issued, with a part kept for questions and orders.
+
+Over any span of T seconds it issues at most `rate * T + MAX_TOKENS + MAX_DEBT` tokens.
+"""
+
+__all__ = ["MAX_DEBT", "MAX_TOKENS", "TokenBucket"]
+
+# Unused tokens that are kept at the most.
+MAX_TOKENS = 2.0
+# Tokens that questions may take ahead of the rate: callers who wait take every other one at once.
+MAX_DEBT = 1.0
+# The part of the rate that questions and orders may take, and at least so many a second.
+QUESTION_SHARE = 0.1
+MIN_QUESTION_RATE = 0.2
+
+
+class TokenBucket:
+    """Tokens for one upstream; empty at first, since an earlier issuer may have just spent all.
+
+    Args:
+      rate: tokens a second.
+      now: the moment, seconds.
+    """
+
+    def __init__(self, rate: float, now: float) -> None:
+        self._rate = rate
+        self._tokens = 0.0
+        self._question_tokens = 1.0
+        self._updated_at = now
+
+    def set_rate(self, rate: float, now: float) -> None:
+        """Change the rate from now on."""
+        self._refill(now)
+        self._rate = rate
+
+    def take(self, now: float) -> bool:
+        """Take a token for a caller's request; return whether there was one."""
+        self._refill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def take_for_question(self, now: float) -> bool:
+        """Take a token for a question or an order; return whether there was one."""
+        self._refill(now)
+        if self._question_tokens < 1.0 or self._tokens < 1.0 - MAX_DEBT:
+            return False
+        self._question_tokens -= 1.0
+        self._tokens -= 1.0
+        return True
+
+    def give_back(self) -> None:
+        """Put a token back that was not used."""
+        self._tokens = min(MAX_TOKENS, self._tokens + 1.0)
+
+    def wait(self, now: float) -> float:
+        """Return after how long a caller's request gets a token, seconds."""
+        self._refill(now)
+        return max(0.0, 1.0 - self._tokens) / self._rate
+
+    def question_wait(self, now: float) -> float:
+        """Return after how long a question or an order gets a token, seconds."""
+        self._refill(now)
+        missing = max(0.0, 1.0 - self._question_tokens) / self._question_rate
+        return max(missing, max(0.0, 1.0 - MAX_DEBT - self._tokens) / self._rate)
+
+    @property
+    def _question_rate(self) -> float:
+        return max(MIN_QUESTION_RATE, QUESTION_SHARE * self._rate)
+
+    def _refill(self, now: float) -> None:
+        seconds = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        self._tokens = min(MAX_TOKENS, self._tokens + seconds * self._rate)
+        self._question_tokens = min(1.0, self._question_tokens + seconds * self._question_rate)
--- a/deckcourse/gateway/backoffs.py
+++ b/deckcourse/gateway/backoffs.py
@@ -21,6 +21,10 @@
         deadline = self._clock() + seconds
         self._until[name] = max(deadline, self._until.get(name, deadline))
 
+    def end(self, name: str) -> None:
+        """End an upstream's time at once."""
+        self._until.pop(name, None)
+
     def until(self, name: str) -> float | None:
         """Return until when an upstream wants nothing, None where it takes requests."""
         deadline = self._until.get(name)
--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -9,6 +9,7 @@
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
+from deckcourse.gateway.rate_gate import SendingToken
 from deckcourse.http1.client import (
     NAMELESS,
     REMEMBERED_CALLS,
@@ -39,16 +40,16 @@
 
 @dataclass(frozen=True)
 class Withheld:
-    """Not sent: the upstream asked for no requests, or said that it leaves, since it was chosen."""
+    """Not sent: since it was chosen the upstream asked for no requests, fewer, or left."""
 
 
-def is_withheld(context: GatewayContext, instance: str) -> bool:
+def is_withheld(context: GatewayContext, token: SendingToken) -> bool:
     """Return whether a request may no longer be sent to the upstream that was chosen for it.
 
-    Between the choice and the first byte a connection is opened, which may take long: what was
-    chosen before an upstream's word reached it 0.8 s after it (a slow connection in memory).
+    Between the choice and the first byte a connection is opened, which may take long, and the
+    upstream may say meanwhile that it takes nothing more.
     """
-    if context.upstreams.accepts(instance):
+    if context.upstreams.accepts(token.instance) and context.rates.may_send(token):
         return False
     context.count("withheld")
     return True
--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -9,6 +9,7 @@
 from deckcourse.gateway.dialect import Dialect
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.rate_gate import RateGate
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.stalls import StallMonitor
@@ -25,6 +26,7 @@
     upstreams: UpstreamTable
     notices: NoticeIntake
     crashes: CrashWatch
+    rates: RateGate
     dialect: Dialect
     pool: ConnectionPool
     monitor: StallMonitor
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -1,6 +1,6 @@
 """What the gateway needs to know of the messages it passes on, apart from their spelling."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -70,19 +70,25 @@
 class StallReport:
     """The requests that wait at the first upstream of their path, each with whom it waits for.
 
-    `pace` is that of the first upstream, as in `PulseReading`.
+    `pace` is that of the first upstream, as in `PulseReading`. `asked` is false where its rate
+    limit left no question, and nothing is known.
     """
 
     waiting_for: Mapping[str, str]
     pace: float = 1.0
+    asked: bool = True
 
 
 class Pulse(StrEnum):
-    """How an upstream answered when it was asked whether it is there."""
+    """How an upstream answered when it was asked whether it is there.
+
+    UNASKED where its rate limit left no question.
+    """
 
     ALIVE = "alive"
     DEAD = "dead"
     SILENT = "silent"
+    UNASKED = "unasked"
 
 
 @dataclass(frozen=True)
@@ -146,6 +152,9 @@
     def listen(self, listener: NoticeListener) -> None:
         """Have what instances say of themselves in the heads of their answers applied."""
 
+    def admit(self, admission: Callable[[str], Awaitable[bool]]) -> None:
+        """Ask before each question and order whether it may be sent to an instance now."""
+
     async def stalled(self, upstream: Upstream) -> StallReport | None:
         """Return the requests that wait at the first upstream of their path, None unanswered."""
 
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -41,6 +41,7 @@
       board: what is known of loads, by this process or from others.
       asks: returns whether this process asks upstreams, for itself and for others.
       standing: returns how many requests all processes have at the first upstreams, each once.
+      is_limited: returns whether an upstream names a rate limit, of which questions are a part.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         board: LoadBoard,
         asks: Callable[[], bool],
         standing: Callable[[], float],
+        is_limited: Callable[[str], bool] = lambda instance: False,
     ) -> None:
         self._control = control
         self._domain = domain
@@ -62,6 +64,7 @@
         self._board = board
         self._asks = asks
         self._standing = standing
+        self._is_limited = is_limited
         # For each upstream the streams begun here since an answer, and when that was asked for.
         self._begun_since: dict[str, tuple[float, int]] = {}
         self._active_until = 0.0
@@ -123,6 +126,8 @@
 
     def _ask_round(self, nursery: trio.Nursery) -> None:
         for upstream in self._firsts():
+            if self._is_limited(upstream.instance):
+                continue
             if upstream.domain == self._domain or self._rounds % FAR_ROUNDS == 0:
                 nursery.start_soon(self._ask, upstream)
         self._rounds += 1
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -17,6 +17,7 @@
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_watch import RunStart
 from deckcourse.gateway.dialect import Dispatch
+from deckcourse.gateway.rate_gate import SendingToken
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.http1.client import UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError, FailureKind, Headers, end_to_end
@@ -107,8 +108,7 @@
                 if number:
                     budget.give_back()
                 continue
-            self._tried.add(upstream.instance)
-            result = await self._send(upstream)
+            result = await self._send_with_token(upstream)
             if isinstance(result, Withheld):
                 if number:
                     budget.give_back()
@@ -166,7 +166,7 @@
     def _accepting(self, rows: list[Upstream]) -> list[Upstream]:
         # Also where there is no other: what asked for time and got requests all the same turned
         # away 26 of 40 in two seconds, each caller's only try (two upstreams, in memory).
-        return [each for each in rows if self._context.upstreams.accepts(each.instance)]
+        return [each for each in rows if self._context.upstreams.may_begin(each.instance)]
 
     def _load(self, upstream: Upstream) -> float:
         upstreams = self._context.upstreams
@@ -175,7 +175,20 @@
             load += REMOTE_PENALTY
         return load + FAILURE_PENALTY * upstreams.failure_share(upstream.instance) ** 2
 
-    async def _send(self, upstream: Upstream) -> _Whole | _Refused | _Lost | Withheld:
+    async def _send_with_token(self, upstream: Upstream) -> _Whole | _Refused | _Lost | Withheld:
+        """Send the call if the upstream's rate limit leaves room; a token not used goes back."""
+        token = await self._context.rates.acquire(upstream.instance)
+        if token is None:
+            return Withheld()
+        self._tried.add(upstream.instance)
+        try:
+            return await self._send(upstream, token)
+        finally:
+            await self._context.rates.give_back(token)
+
+    async def _send(
+        self, upstream: Upstream, token: SendingToken
+    ) -> _Whole | _Refused | _Lost | Withheld:
         context = self._context
         context.upstreams.begin(upstream.instance)
         run = context.crashes.begin_run(self._admitted, upstream.instance)
@@ -183,7 +196,7 @@
         request_id = self._admitted.caller.request_id
         try:
             async with context.pool.lent(upstream.address, longest_idle, request_id) as connection:
-                result = await self._exchange(connection, upstream)
+                result = await self._exchange(connection, upstream, token)
         except ConnectionLostError as failure:
             result = await self._on_failure(upstream, failure, run)
         finally:
@@ -207,9 +220,9 @@
         return _Lost(failure.message)
 
     async def _exchange(
-        self, connection: UpstreamConnection, upstream: Upstream
+        self, connection: UpstreamConnection, upstream: Upstream, token: SendingToken
     ) -> _Whole | _Refused | _Lost | Withheld:
-        if is_withheld(self._context, upstream.instance):
+        if is_withheld(self._context, token):
             return Withheld()
         admitted = self._admitted
         dispatch = Dispatch(
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -21,6 +21,7 @@
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
+from deckcourse.gateway.rate_gate import RateGate
 from deckcourse.gateway.rate_limits import RateLimitBook
 from deckcourse.gateway.retry_allowance import RetryAllowance, RetryLimits
 from deckcourse.gateway.row_intake import RowIntake
@@ -115,6 +116,18 @@
             counters.count,
         )
         self._crashes = self._new_crash_watch()
+        self._rates = RateGate(
+            self._limits,
+            self._upstreams,
+            ports.table,
+            identity.author,
+            self._peers.roster,
+            self._peers.gossip,
+            lambda: not self._stopping,
+            counters.count,
+            log,
+        )
+        ports.control.admit(self._rates.admit_question)
         intake = RowIntake(
             rows,
             self._upstreams,
@@ -180,6 +193,7 @@
             upstreams=self._upstreams,
             notices=notices,
             crashes=self._crashes,
+            rates=self._rates,
             dialect=ports.dialect,
             pool=ports.pool,
             monitor=self._monitor,
@@ -259,6 +273,7 @@
             nursery.start_soon(self._keep_up, self._lapse_check.run)
             nursery.start_soon(self._keep_up, self._monitor.run)
             nursery.start_soon(self._keep_up, self._crashes.run)
+            nursery.start_soon(self._keep_up, self._rates.run)
             nursery.start_soon(self._start_healers, nursery)
 
     async def _keep_up(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
@@ -371,6 +386,7 @@
 
     def _note_ended(self, older: Upstream) -> None:
         """Take in that an upstream started again: nothing of its older start is there any more."""
+        self._limits.forget(older.instance)
         self._counters.count("upstream.restarted")
         self._log("upstream-restarted", instance=older.instance, address=older.address)
         self._ports.pool.forget(older.address)
@@ -379,14 +395,8 @@
 
     def _note_limit(self, limit: RateLimit, source: str) -> None:
         """Take in that an upstream names a limit, another one, or none any more."""
-        self._counters.count("upstream.limit")
-        self._log(
-            "upstream-limit",
-            instance=limit.instance,
-            rate=limit.rate,
-            version=limit.version,
-            source=source,
-        )
+        self._upstreams.note_limited(limit.instance, limit.rate is not None)
+        self._rates.note_change(limit, source)
 
     def _note_gone(self, upstream: Upstream) -> None:
         """Take in that an upstream's row is gone, which may lapse while the store is away."""
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -116,6 +116,7 @@
             loads,
             asks,
             self._standing,
+            upstreams.is_limited,
         )
         self._random = random
         self._counted: dict[str, tuple[float, _Streams]] = {}
--- a/deckcourse/gateway/rate_limits.py
+++ b/deckcourse/gateway/rate_limits.py
@@ -97,10 +97,19 @@
         if limit.supersedes(entry.limit if entry is not None else None):
             self._store(limit, False, "peer")
 
+    def forget_unknown(self, is_known: Callable[[str], bool], seconds: float) -> None:
+        """Drop what was learned so long ago of upstreams that aren't known."""
+        oldest = self._clock() - seconds
+        old = [name for name, each in self._entries.items() if each.learned_at < oldest]
+        for instance in old:
+            if not is_known(instance):
+                self.forget(instance)
+
     def forget(self, instance: str) -> None:
         """Drop the limit of a start that ended."""
-        self._entries.pop(instance, None)
-        self._limited.pop(instance, None)
+        entry = self._entries.pop(instance, None)
+        if entry is not None and self._limited.pop(instance, None) is not None:
+            self._on_change(replace(entry.limit, rate=None), "gone")
 
     def _store(self, limit: RateLimit, is_question: bool, source: str) -> None:
         known = self._entries.pop(limit.instance, None)
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -169,6 +169,8 @@
 
     async def _ask_first(self, upstream: Upstream, asking: _Asking) -> None:
         report = await self._control.stalled(upstream)
+        if report is not None and not report.asked:
+            return
         if report is None:
             asking.unanswered += 1
             if asking.unanswered >= SILENT_QUESTIONS:
@@ -239,7 +241,7 @@
             reading = await self._control.pulse(upstream, SECOND_PULSE_SECONDS)
         if reading.pulse is Pulse.ALIVE:
             self._upstreams.note_pace(upstream.instance, reading.pace)
-        else:
+        elif reading.pulse is not Pulse.UNASKED:
             lost.append((upstream, reading.pulse))
 
     def _suspect(self, upstream: Upstream) -> None:
@@ -260,7 +262,8 @@
                     self._upstreams.clear(instance)
                     self._log("suspicion-ended", instance=instance, address=upstream.address)
                     return
-                self._upstreams.suspect(instance, 0.0, lost=True)
+                if reading.pulse is not Pulse.UNASKED:
+                    self._upstreams.suspect(instance, 0.0, lost=True)
                 await trio.sleep(RESOLVE_SECONDS)
         finally:
             self._doubted.discard(instance)
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -26,6 +26,7 @@
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.rate_gate import SendingToken
 from deckcourse.gateway.stream_retries import StreamRetries
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind, end_to_end
@@ -130,7 +131,7 @@
                 if number:
                     self._retries.keep()
                 continue
-            end = await self._attempt(path)
+            end = await self._attempt_with_token(path)
             if isinstance(end, Withheld):
                 if number:
                     self._retries.keep()
@@ -210,7 +211,17 @@
         path = choose(model, avoid | trials) if trials else None
         return path or choose(model, avoid)
 
-    async def _attempt(self, path: LayerPath) -> _End:
+    async def _attempt_with_token(self, path: LayerPath) -> _End:
+        """Try a path if its first upstream's rate limit leaves room; a token not used goes back."""
+        token = await self._context.rates.acquire(path.parts[0].instance)
+        if token is None:
+            return Withheld()
+        try:
+            return await self._attempt(path, token)
+        finally:
+            await self._context.rates.give_back(token)
+
+    async def _attempt(self, path: LayerPath, token: SendingToken) -> _End:
         context = self._context
         first = path.parts[0]
         stream = ActiveStream(
@@ -228,7 +239,7 @@
             with stream.interruptible():
                 connection = await context.pool.acquire(first.address, unlike=stream.request_id)
             with context.pool.kept_or_closed(connection):
-                end = await self._exchange(connection, stream)
+                end = await self._exchange(connection, stream, token)
         except ConnectionLostError as failure:
             end = await self._on_failure(stream, failure)
         except StreamInterruptedError:
@@ -277,10 +288,12 @@
         if upstream is not None and not stream.begun and not self._ran_well:
             await self._context.crashes.note_broken(self._admitted, upstream, stream.run)
 
-    async def _exchange(self, connection: UpstreamConnection, stream: ActiveStream) -> _End:
+    async def _exchange(
+        self, connection: UpstreamConnection, stream: ActiveStream, token: SendingToken
+    ) -> _End:
         """Send the request and pass its answer on."""
         admitted = self._admitted
-        if is_withheld(self._context, stream.path.parts[0].instance):
+        if is_withheld(self._context, token):
             return Withheld()
         dispatch = Dispatch(
             stream.path.parts[0].instance,
--- /dev/null
+++ b/deckcourse/gateway/token_client.py
@@ -0,0 +1,147 @@
+"""Asks the process that issues tokens, whichever that is, by datagram."""
+
+from collections.abc import Callable, Sequence
+
+import trio
+
+from deckcourse.gateway.token_issuer import Grant
+from deckcourse.peers.gossip import PeerGossip
+from deckcourse.peers.member import Member
+from deckcourse.peers.rate_limit import RateLimit
+from deckcourse.peers.roster import Roster
+from deckcourse.peers.token_messages import (
+    TokenReply,
+    TokenRequest,
+    TokenReturn,
+    encode_message,
+)
+from deckcourse.rendezvous import ranked
+
+__all__ = ["TokenClient"]
+
+# What members are ranked by: the first one seeks to become the issuer.
+ISSUER_KEY = "rate-limits"
+# Until a reply counts as lost, seconds, and how often a request is sent.
+REPLY_SECONDS = 0.06
+TRIES = 2
+# A member that did not reply is passed over for so long, seconds.
+UNREACHABLE_SECONDS = 1.0
+# Until the next request where no issuer is known, seconds.
+NO_ISSUER_SECONDS = 0.1
+
+
+class TokenClient:
+    """One process's requests to the issuer.
+
+    Args:
+      roster: who is there.
+      gossip: sends datagrams.
+      merge: takes in what others know of a limit.
+      count: counts by name.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        gossip: PeerGossip,
+        merge: Callable[[RateLimit], None],
+        count: Callable[[str], None],
+    ) -> None:
+        self._roster = roster
+        self._gossip = gossip
+        self._merge = merge
+        self._count = count
+        self._issuer = ""
+        self._number = 0
+        self._replies: dict[int, trio.MemorySendChannel[TokenReply]] = {}
+        self._unreachable_until: dict[str, float] = {}
+
+    @property
+    def is_first(self) -> bool:
+        """Whether this process is the one that should issue, as far as it knows."""
+        ranks = self._ranked()
+        return bool(ranks) and ranks[0].name == self._roster.own.name
+
+    @property
+    def issuer(self) -> str:
+        """The name of the process that issues tokens, empty where it isn't known."""
+        return self._issuer
+
+    def note_issuer(self, name: str) -> None:
+        """Take in who issues tokens."""
+        self._issuer = name
+
+    async def ask(self, limit: RateLimit, is_question: bool) -> Grant:
+        """Return the issuer's answer; a denial where nobody answers."""
+        target = self._target()
+        if target is None or target.name == self._roster.own.name:
+            await trio.lowlevel.checkpoint()
+            return Grant(False, NO_ISSUER_SECONDS)
+        for _ in range(TRIES):
+            reply = await self._ask_once(target, limit, is_question)
+            if reply is not None:
+                return self._on_reply(reply, target)
+        self._count("token.unanswered")
+        self._unreachable_until[target.name] = trio.current_time() + UNREACHABLE_SECONDS
+        if self._issuer == target.name:
+            self._issuer = ""
+        return Grant(False, NO_ISSUER_SECONDS)
+
+    async def give_back(self, instance: str) -> None:
+        """Return a token that will not be used."""
+        target = self._target()
+        if target is not None:
+            await self._gossip.send(target.address, encode_message(TokenReturn(instance)))
+
+    def on_reply(self, reply: TokenReply) -> None:
+        """Take in a reply, if anybody waits for it."""
+        waiting = self._replies.get(reply.number)
+        if waiting is not None:
+            try:
+                waiting.send_nowait(reply)
+            except trio.WouldBlock:
+                return  # It came twice.
+
+    async def _ask_once(
+        self, target: Member, limit: RateLimit, is_question: bool
+    ) -> TokenReply | None:
+        self._number += 1
+        number = self._number
+        send, receive = trio.open_memory_channel[TokenReply](1)
+        self._replies[number] = send
+        own = self._roster.own.address
+        request = TokenRequest(number, own, limit, is_question)
+        try:
+            await self._gossip.send(target.address, encode_message(request))
+            with trio.move_on_after(REPLY_SECONDS):
+                return await receive.receive()
+        finally:
+            del self._replies[number]
+        return None
+
+    def _on_reply(self, reply: TokenReply, target: Member) -> Grant:
+        self._merge(reply.limit)
+        if reply.issuer:
+            self.note_issuer(reply.issuer)
+        elif self._issuer == target.name:
+            self._issuer = ""
+        return Grant(reply.granted, reply.wait)
+
+    def _target(self) -> Member | None:
+        members = self._ranked()
+        known = [each for each in members if each.name == self._issuer]
+        return next(iter(known or members), None)
+
+    def _ranked(self) -> Sequence[Member]:
+        """Return the members that may issue, the one that should first."""
+        now = trio.current_time()
+        self._unreachable_until = {
+            name: at for name, at in self._unreachable_until.items() if at > now
+        }
+        able = {
+            each.name: each
+            for each in self._roster.live()
+            if not each.leaving and each.name not in self._unreachable_until
+        }
+        names = ranked(ISSUER_KEY, {name: max(each.weight, 1e-3) for name, each in able.items()})
+        return [able[name] for name in names]
--- /dev/null
+++ b/deckcourse/gateway/token_issuer.py
@@ -0,0 +1,85 @@
+"""Issues the tokens of all rate limits while this process holds the lease for that.
+
+Load pattern: a limit of two requests a second before hundreds of processes leaves no share of it
+to each. One process counts for all, and the others ask it for each sending.
+"""
+
+from dataclasses import dataclass
+
+from deckcourse.decisions.token_bucket import TokenBucket
+
+__all__ = ["TOKEN_LIFETIME_SECONDS", "Grant", "TokenIssuer"]
+
+# A token is used within so long after it was asked for, seconds, or not at all.
+TOKEN_LIFETIME_SECONDS = 0.2
+# The part of a limit that is issued: sendings of a window may have had their tokens before it, by
+# up to the lifetime of a token in four seconds.
+ISSUED_SHARE = 0.95
+# Issued in any case, tokens a second: the end of a limit of nothing is learnt by asking.
+MIN_RATE = 0.25
+# Nobody is told a later moment, seconds.
+LONGEST_WAIT_SECONDS = 4.0
+# Upstreams with a bucket at the most, far more than any site has.
+MAX_BUCKETS = 4096
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Whether a token was issued; if not, `wait` is after how long to ask again, seconds."""
+
+    granted: bool
+    wait: float = 0.0
+
+
+class TokenIssuer:
+    """The buckets of one term of the lease; a later term begins with empty ones."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, TokenBucket] = {}
+        # Until when moments were told: each is told once.
+        self._told_until: dict[str, float] = {}
+
+    def begin(self) -> None:
+        """Begin a term."""
+        self._buckets.clear()
+        self._told_until.clear()
+
+    def issue(self, instance: str, limit: float, now: float, is_question: bool = False) -> Grant:
+        """Return a token for one sending, or when to ask for one again.
+
+        Args:
+          instance: the upstream.
+          limit: what it takes, requests a second.
+          now: the moment, seconds.
+          is_question: whether a question or an order is to be sent, no caller's request.
+        """
+        bucket = self._bucket(instance, max(MIN_RATE, ISSUED_SHARE * limit), now)
+        if is_question:
+            if bucket.take_for_question(now):
+                return Grant(True)
+            return Grant(False, min(LONGEST_WAIT_SECONDS, bucket.question_wait(now)))
+        if bucket.take(now):
+            return Grant(True)
+        return Grant(False, self._next_moment(instance, bucket, limit, now) - now)
+
+    def give_back(self, instance: str) -> None:
+        """Take a token back that was not used."""
+        bucket = self._buckets.get(instance)
+        if bucket is not None:
+            bucket.give_back()
+
+    def _bucket(self, instance: str, rate: float, now: float) -> TokenBucket:
+        bucket = self._buckets.get(instance)
+        if bucket is None:
+            while len(self._buckets) >= MAX_BUCKETS:
+                self._buckets.pop(next(iter(self._buckets)))
+            bucket = self._buckets[instance] = TokenBucket(rate, now)
+        bucket.set_rate(rate, now)
+        return bucket
+
+    def _next_moment(self, instance: str, bucket: TokenBucket, limit: float, now: float) -> float:
+        step = 1.0 / max(MIN_RATE, ISSUED_SHARE * limit)
+        moment = max(now + bucket.wait(now), self._told_until.get(instance, 0.0) + step)
+        moment = min(moment, now + LONGEST_WAIT_SECONDS)
+        self._told_until[instance] = moment
+        return moment
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -47,6 +47,9 @@
         # By name: what was asked of this process holds over a restart of the one that asked, which
         # costs a few seconds of an upstream that holds nothing yet.
         self._backoffs = Backoffs(clock)
+        # By instance: a rate limit is a start's own, and a new start names its own.
+        self._throttles = Backoffs(clock)
+        self._limited: set[str] = set()
         self._rows: dict[str, Upstream] = {}
         self._at_address: dict[str, str] = {}
         self._departed: dict[str, tuple[Upstream, float]] = {}
@@ -173,9 +176,30 @@
         """Return until when an upstream wants no requests, None where it takes them."""
         return self._backoffs.until(self._name_of(instance))
 
+    def note_limited(self, instance: str, limited: bool) -> None:
+        """Note whether an upstream names a rate limit."""
+        if limited:
+            self._limited.add(instance)
+            return
+        self._limited.discard(instance)
+        self._throttles.end(instance)
+
+    def is_limited(self, instance: str) -> bool:
+        """Return whether an upstream names a rate limit: it is asked nothing without need."""
+        return instance in self._limited
+
+    def note_throttled(self, instance: str, seconds: float) -> None:
+        """Note that no request may be begun at an upstream for so long, by its rate limit."""
+        self._throttles.note(instance, seconds)
+
+    def is_throttled(self, instance: str) -> bool:
+        """Return whether an upstream's rate limit leaves nothing at the moment."""
+        return self._throttles.until(instance) is not None
+
     def backing_off(self) -> frozenset[str]:
-        """Return the upstreams that want no requests now; they count as usable all the same."""
-        return frozenset([self._named.get(name, name) for name in self._backoffs.names()])
+        """Return the upstreams that take no requests now; they count as usable all the same."""
+        resting = [self._named.get(name, name) for name in self._backoffs.names()]
+        return frozenset([*resting, *self._throttles.names()])
 
     def accepts(self, instance: str) -> bool:
         """Return whether an upstream may be sent a request, by its own word."""
@@ -183,6 +207,10 @@
         leaves = self._starts.is_leaving(instance) or (row is not None and row.leaving)
         return not leaves and self.backoff_until(instance) is None
 
+    def may_begin(self, instance: str) -> bool:
+        """Return whether a request may be begun at an upstream, by its word and its rate limit."""
+        return self.accepts(instance) and not self.is_throttled(instance)
+
     def accepts_at(self, service: str) -> float | None:
         """Return when the first upstream of a service takes requests again, on the clock.
 
@@ -196,9 +224,13 @@
 
         None where one does now, or where there are none.
         """
-        ends = [self.backoff_until(each) for each in instances]
+        ends = [self._closed_until(each) for each in instances]
         return None if None in ends else min(ends, default=None)
 
+    def _closed_until(self, instance: str) -> float | None:
+        ends = (self.backoff_until(instance), self._throttles.until(instance))
+        return max((each for each in ends if each is not None), default=None)
+
     def _name_of(self, instance: str) -> str:
         row = self.last_known(instance)
         return row.name if row is not None else instance
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -4,7 +4,7 @@
 round goes to a fixed number of members, with a fixed number of others told of.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 
 import trio
@@ -13,6 +13,7 @@
 from deckcourse.peers.datagrams import Datagrams
 from deckcourse.peers.member import Digest, Member, decode_digest, encode_digest
 from deckcourse.peers.roster import Roster
+from deckcourse.peers.token_messages import TOKEN_PREFIX
 
 __all__ = ["PeerGossip"]
 
@@ -59,6 +60,7 @@
         self._rounds = 0
         self._on_crash: Callable[[Crash], None] = lambda crash: None
         self._known_crashes: Callable[[], Sequence[Crash]] = tuple
+        self._on_token_message: Callable[[bytes], Awaitable[None]] | None = None
 
     def share_crashes(
         self, on_crash: Callable[[Crash], None], known: Callable[[], Sequence[Crash]]
@@ -72,6 +74,21 @@
         self._on_crash = on_crash
         self._known_crashes = known
 
+    def take_token_messages(self, handler: Callable[[bytes], Awaitable[None]]) -> None:
+        """Have datagrams about rate limits handled, which come to the same address."""
+        self._on_token_message = handler
+
+    async def send(self, address: str, data: bytes) -> None:
+        """Send a datagram to a member."""
+        await self._datagrams.send(address, data)
+
+    async def broadcast(self, data: bytes) -> None:
+        """Send a datagram to every other member that lives."""
+        own = self._roster.own
+        for member in self._roster.live():
+            if member.name != own.name:
+                await self._datagrams.send(member.address, data)
+
     async def run(self) -> None:
         """Tell and listen until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -133,7 +150,11 @@
 
     async def _listen(self) -> None:
         while True:
-            digest = decode_digest(await self._datagrams.receive())
+            data = await self._datagrams.receive()
+            if self._on_token_message is not None and data.startswith(TOKEN_PREFIX):
+                await self._on_token_message(data)
+                continue
+            digest = decode_digest(data)
             if digest is None:
                 self._count("malformed.digest")
                 continue
--- /dev/null
+++ b/deckcourse/peers/token_messages.py
@@ -0,0 +1,98 @@
+"""The datagrams by which processes share rate limits: news of limits, and tokens for sendings.
+
+They come to the same port as digests. A byte that begins no msgpack value stands before them.
+"""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from deckcourse.peers.member import LONGEST_TEXT
+from deckcourse.peers.rate_limit import RateLimit
+
+__all__ = [
+    "MAX_LIMITS_PER_MESSAGE",
+    "TOKEN_PREFIX",
+    "LimitNews",
+    "TokenMessage",
+    "TokenReply",
+    "TokenRequest",
+    "TokenReturn",
+    "decode_message",
+    "encode_message",
+]
+
+TOKEN_PREFIX = b"\xc1"
+# Limits in one datagram: 16 of 70 bytes stay within one packet.
+MAX_LIMITS_PER_MESSAGE = 16
+# Nobody is told to wait longer, seconds.
+LONGEST_WAIT = 60.0
+
+_Text = Annotated[str, Meta(min_length=1, max_length=LONGEST_TEXT)]
+_Number = Annotated[int, Meta(ge=0, le=2**53)]
+
+
+class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="request"):
+    """A process asks the issuer for one token.
+
+    Attributes:
+      number: chosen by the one that asks, and repeated in the reply.
+      sender: its address.
+      limit: what it knows of the upstream's limit.
+      is_question: whether a question or an order is to be sent, no caller's request.
+    """
+
+    number: _Number
+    sender: _Text
+    limit: RateLimit
+    is_question: bool = False
+
+
+class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag="reply"):
+    """The answer to a request.
+
+    Attributes:
+      number: that of the request.
+      granted: whether one request may be sent.
+      wait: if not, after how long to ask again, seconds.
+      limit: what the issuer knows of the limit.
+      issuer: the name of the process that issues tokens, empty where the one asked doesn't know.
+    """
+
+    number: _Number
+    granted: bool
+    wait: Annotated[float, Meta(ge=0.0, le=LONGEST_WAIT)]
+    limit: RateLimit
+    issuer: Annotated[str, Meta(max_length=LONGEST_TEXT)] = ""
+
+
+class TokenReturn(msgspec.Struct, frozen=True, array_like=True, tag="return"):
+    """A token was granted and will not be used."""
+
+    instance: _Text
+
+
+class LimitNews(msgspec.Struct, frozen=True, array_like=True, tag="limits"):
+    """Limits that began, changed or ended."""
+
+    limits: Annotated[tuple[RateLimit, ...], Meta(max_length=MAX_LIMITS_PER_MESSAGE)]
+
+
+TokenMessage = TokenRequest | TokenReply | TokenReturn | LimitNews
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(TokenMessage)
+
+
+def encode_message(message: TokenMessage) -> bytes:
+    """Return a message as a datagram."""
+    return TOKEN_PREFIX + _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> TokenMessage | None:
+    """Return the message in a datagram, None where it is none."""
+    try:
+        return _decoder.decode(data[len(TOKEN_PREFIX) :])
+    except (msgspec.MsgspecError, RecursionError):
+        return None  # Fields that nobody reads may be nested without end.
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -1,6 +1,6 @@
 """Orders to runners and their reports."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from secrets import token_hex
 from typing import Annotated, TypeVar
 
@@ -47,6 +47,9 @@
 REPORT_SECONDS = 0.15
 # The same for the answer to an order, seconds: later it is given again.
 ORDER_SECONDS = 0.12
+# How long an order waits for a token of its runner's rate limit, and between two tries, seconds.
+PLACE_PATIENCE_SECONDS = 1.0
+ADMISSION_PAUSE_SECONDS = 0.1
 # A wait that ends so much later than it should says that this process was paused, seconds.
 OWN_PAUSE_SECONDS = 0.03
 # The name of orders whose answers carry no id: a second one could be taken for the next order's.
@@ -98,6 +101,15 @@
     born: int | UnsetType = UNSET
 
 
+class _NotAdmittedError(Exception):
+    """A runner's rate limit leaves no question or order now."""
+
+
+async def _always() -> bool:
+    """Admit every question."""
+    return True
+
+
 class _OwnWait:
     """A wait of this process, which may end later than it should."""
 
@@ -126,6 +138,7 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
         self._judge: Callable[[Upstream, int], StartNews] = lambda asked, start: StartNews.SAME
+        self._admission: Callable[[str], Awaitable[bool]] = lambda instance: _always()
         self._listener: NoticeListener = lambda instance, notice, sent_at, is_question: None
 
     def judge_starts(self, judge: Callable[[Upstream, int], StartNews]) -> None:
@@ -136,6 +149,10 @@
         """Have what instances say of themselves in the heads of their answers applied."""
         self._listener = listener
 
+    def admit(self, admission: Callable[[str], Awaitable[bool]]) -> None:
+        """Ask before each question and order whether it may be sent to an instance now."""
+        self._admission = admission
+
     def _start_news(self, asked: Upstream, born: int | UnsetType) -> StartNews:
         """Return which start answered; one that isn't told counts as the one that was asked."""
         return StartNews.SAME if born is UNSET else self._judge(asked, born)
@@ -149,7 +166,7 @@
             "how": "cut" if assignment.at_once else "wait",
             "expectedRev": orders,
         }
-        answer = await self._order(upstream, body, ORDER_SECONDS)
+        answer = await self._order(upstream, body, ORDER_SECONDS, PLACE_PATIENCE_SECONDS)
         if answer is None:
             return OrderResult.UNANSWERED
         results = {200: OrderResult.HELD, 202: OrderResult.TAKEN, 409: OrderResult.CONFLICT}
@@ -157,28 +174,35 @@
 
     async def order_count(self, upstream: Upstream) -> int | None:
         """Return how many orders a runner has taken, None without an answer."""
-        report = await self._report(upstream)
+        report = await self._report_if_admitted(upstream)
         return None if report is None else report.sequence
 
     async def stalled(self, upstream: Upstream) -> StallReport | None:
         """Return the requests that wait at the first runner of their path, None unanswered."""
-        report = await self._report(upstream)
+        try:
+            report = await self._report(upstream)
+        except _NotAdmittedError:
+            return StallReport({}, asked=False)
         if report is None:
             return None
         return StallReport({each.id: each.address for each in report.stalled}, report.pace)
 
     async def load(self, upstream: Upstream) -> LoadReport | None:
         """Return what a runner has to do, None unanswered."""
-        report = await self._report(upstream)
+        report = await self._report_if_admitted(upstream)
         if report is None:
             return None
         return LoadReport(report.running, report.queued, report.kvUsed, report.kvTotal)
 
     async def pulse(self, upstream: Upstream, seconds: float) -> PulseReading:
         """Ask a runner whether it is there; DEAD if its machine turns connections down."""
+        if not await self._admission(upstream.instance):
+            return PulseReading(Pulse.UNASKED)
         wait = _OwnWait(seconds)
         reading = await self._pulse_once(upstream, seconds)
         if reading.pulse is Pulse.SILENT and wait.stood_still:
+            if not await self._admission(upstream.instance):
+                return PulseReading(Pulse.UNASKED)
             return await self._pulse_once(upstream, seconds)
         return reading
 
@@ -200,7 +224,9 @@
         spoke = False
         with trio.move_on_after(seconds):
             # An idle connection may have been closed long ago; a second one tells.
-            for _ in range(2):
+            for attempt in range(2):
+                if attempt and not await self._admission(upstream.instance):
+                    return PulseReading(Pulse.ALIVE if spoke else Pulse.UNASKED)
                 try:
                     status, content = await self._exchange(upstream, b"GET", REPORT)
                 except ConnectionLostError as failure:
@@ -235,14 +261,19 @@
         return MoveResult.UNKNOWN_REQUEST, ""
 
     async def _order(
-        self, upstream: Upstream, value: object, seconds: float
+        self, upstream: Upstream, value: object, seconds: float, patience: float = 0.0
     ) -> tuple[int, bytes] | None:
         """Give an order where no answer without an id can be taken for the answer to it.
 
         Returns:
           The answer's status and body, None where there was none in time or another start gave it.
         """
-        answer = await self._call(upstream, b"POST", ORDER, value, seconds, NAMELESS_ORDER)
+        try:
+            answer = await self._call(
+                upstream, b"POST", ORDER, value, seconds, NAMELESS_ORDER, patience
+            )
+        except _NotAdmittedError:
+            return None
         if answer is None or answer[0] == MISDIRECTED:
             return answer
         if _decoded(answer[1], _Report) is not None:
@@ -260,8 +291,15 @@
         value: object,
         seconds: float,
         unlike: str | None = None,
+        patience: float = 0.0,
     ) -> tuple[int, bytes] | None:
-        """Return an answer's status and body, None where there was none in time."""
+        """Return an answer's status and body, None where there was none in time.
+
+        Raises:
+          _NotAdmittedError: the runner's rate limit leaves no question now.
+        """
+        # Outside the time: it may take longer than a runner that is there to answer.
+        await self._wait_for_admission(upstream, patience)
         try:
             with trio.move_on_after(seconds):
                 return await self._exchange(upstream, method, target, value, unlike)
@@ -269,6 +307,25 @@
             return None  # The caller counts it: an answer that is missing is a value here.
         return None
 
+    async def _wait_for_admission(self, upstream: Upstream, patience: float) -> None:
+        """Return once a question or an order may be sent.
+
+        Raises:
+          _NotAdmittedError: it may not for longer than `patience` seconds.
+        """
+        deadline = trio.current_time() + patience
+        while not await self._admission(upstream.instance):
+            if trio.current_time() >= deadline:
+                raise _NotAdmittedError
+            await trio.sleep(ADMISSION_PAUSE_SECONDS)
+
+    async def _report_if_admitted(self, upstream: Upstream) -> _Report | None:
+        """Return a runner's report, None where there was none, or it could not be asked."""
+        try:
+            return await self._report(upstream)
+        except _NotAdmittedError:
+            return None
+
     async def _report(self, upstream: Upstream) -> _Report | None:
         """Return a runner's report, None where there was none in time or of another start.
 
