Soak: runners that name rate limits, judged by their own records

Runners name limits of 0 to 12 a second for 4 to 9 s, some change them meanwhile, beside all other faults and overlapping. Judged: callers' requests, questions and orders in any 4 s from 3 s after the first answer that named a limit, at most 4 times the rate and 3; not what came from an entry that had started within 3 s, nor what a held link or runner bunched.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,8 @@
 from soak.faults import KINDS, Faults
 from soak.notice_faults import Holds, NoticeFaults
 from soak.notice_judge import NoticeJudge
+from soak.rate_faults import RateFaults
+from soak.rate_judge import RateJudge
 from soak.site import GRACE_SECONDS, REVOCATION_SECONDS, Site, desired_state
 
 # From the start of all processes until callers and faults begin, seconds.
@@ -43,7 +45,9 @@
 NOTICES = "notices"
 # The same of requests that end the runners that run them.
 DEADLY = "deadly"
-APART = {NOTICES, DEADLY}
+# The same of rate limits that runners name.
+RATES = "rates"
+APART = {NOTICES, DEADLY, RATES}
 # Of the promises that a seed broke, so many are printed.
 MOST_PRINTED = 10
 
@@ -92,6 +96,7 @@
         # Drawn apart, so that a seed's other faults stay what they were.
         notices = NoticeFaults(site, Random(f"notices of {seed}"), say, holds)
         deadly = DeadlyFaults(site, callers, Random(f"deadly of {seed}"), say, holds)
+        rates = RateFaults(site, Random(f"rates of {seed}"), say)
         nursery.start_soon(deadly.restart_ended)
         async with trio.open_nursery() as busy:
             busy.start_soon(callers.run, CALLERS)
@@ -100,6 +105,8 @@
                     hitting.start_soon(faults.run, begun + seconds)
                 if not only or NOTICES in only:
                     hitting.start_soon(notices.run, begun + seconds)
+                if not only or RATES in only:
+                    hitting.start_soon(rates.run, begun + seconds)
                 if not only or DEADLY in only:
                     hitting.start_soon(deadly.run, begun + seconds)
             await trio.sleep(CALM_SECONDS)
@@ -115,6 +122,7 @@
         site.broken += _ended_runners(site)
         nursery.cancel_scope.cancel()
     wrong = NoticeJudge(site, callers.calls, holds).broken() + deadly.broken()
+    wrong += RateJudge(site, callers.calls, holds).broken()
     return site.broken + wrong + _judge(site, callers, faults, calm_from)
 
 
--- a/soak/notices.py
+++ b/soak/notices.py
@@ -1,8 +1,9 @@
-"""What a stand-in of a runner asks for in its answers: time without requests, or that it leaves.
+"""What a stand-in of a runner asks for in its answers: a pause, a request rate, or that it leaves.
 
 Told on its standard input: `{"backoff": SECONDS, "seconds": SECONDS}` makes it turn requests away
 for so long and ask for the first time with each refusal; `{"leaving": true}` makes all its answers
-say that it leaves, `{"draining": true}` its row too.
+say that it leaves, `{"draining": true}` its row too. `{"limit": RATE}` makes them name a rate
+limit, none where it is empty.
 """
 
 import time
@@ -38,16 +39,32 @@
     leaving: bool = False
     draining: bool = False
     quiet_until: float = 0.0
+    limit: str = ""
+    has_named: str = ""
 
     @property
     def headers(self) -> Headers:
         """What the answers to callers' requests carry."""
-        return ((b"server-leaving", b"1"),) if self.leaving else ()
+        return (*self._limit_headers, *self._leaving_headers)
 
     @property
     def control_headers(self) -> Headers:
         """What the answers to questions and orders carry, which are of a moment ago."""
-        return self.headers if trio.current_time() >= self.quiet_until else ()
+        is_quiet = trio.current_time() < self.quiet_until
+        return self._limit_headers if is_quiet else self.headers
+
+    @property
+    def _leaving_headers(self) -> Headers:
+        return ((b"server-leaving", b"1"),) if self.leaving else ()
+
+    @property
+    def _limit_headers(self) -> Headers:
+        """The rate limit that is named; recorded where it is another one than before."""
+        if self.limit != self.has_named:
+            self.has_named = self.limit
+            named = float(self.limit) if self.limit else None
+            self.tell(named=named, clock=time.monotonic())
+        return ((b"server-limit", self.limit.encode()),) if self.limit else ()
 
     @property
     def state(self) -> str:
@@ -59,6 +76,8 @@
         if "backoff" in order:
             self.backoff = order["backoff"]
             self.refuses_until = trio.current_time() + order["seconds"]
+        elif "limit" in order:
+            self.limit = order["limit"]
         elif "leaving" in order or "draining" in order:
             if not self.leaving:
                 self.quiet_until = trio.current_time() + QUIET_SECONDS
@@ -72,6 +91,10 @@
         """Record a caller's request, by the clock that all processes of the machine share."""
         self.tell(arrived=request, clock=time.monotonic())
 
+    def was_asked(self) -> None:
+        """Record a question or an order."""
+        self.tell(question=True, clock=time.monotonic())
+
     def refusal(self, request: str) -> Headers | None:
         """Return the headers of a refusal and record what it asks for, None where none is due."""
         if trio.current_time() >= self.refuses_until:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -154,10 +154,12 @@
         path, _ = fields_of(request)
         if path == "/v1/report":
             if (PROBE, b"1") not in request.headers:
+                self._notices.was_asked()
                 await self._odd.before_report()
             told = (*JSON_TYPE, *self._notices.control_headers)
             await exchange.whole(200, told, json.dumps(self._report()).encode())
         elif path == "/v1/order":
+            self._notices.was_asked()
             await self._order(json.loads(request.body), exchange)
         else:
             odd = self._odd.draw()
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,7 +5,7 @@
 import signal
 import subprocess
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -119,7 +119,7 @@
     """Everything of one run.
 
     `records` are the runners' lines, `broken` promises seen so far, `judged` counts what there was
-    to be judged.
+    to be judged; `entry_starts` is when each entry was started.
     """
 
     folder: Path
@@ -130,6 +130,7 @@
     records: list[dict] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     judged: Counter[str] = field(default_factory=Counter)
+    entry_starts: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     peer_ports: list[int] = field(default_factory=lambda: [free_port() for _ in range(ENTRIES)])
     _nursery: trio.Nursery | None = None
 
@@ -200,6 +201,7 @@
     def start_entry(self, entry: Entry) -> None:
         """Start an entry; its log goes to a file beside its settings."""
         entry.starts += 1
+        self.entry_starts[entry.name].append(trio.current_time())
         entry.stopping = False
         environment = {**os.environ, "DECKCOURSE_BOOT": str(entry.settings)}
         with entry.settings.with_suffix(".log").open("ab") as log:
