Limits: the issuer hears what it missed, silence says nothing of whom nobody could ask

Read cold: an issuer that never sends to an upstream kept a limit that had ended, and renewed its lease for it; whoever knows better tells it now. A lapsed row of an upstream that names a limit made it count as lost where no token was left for the question; it is not asked and stays the last resort. An order needs two tokens, for the count of orders and for the order: two are kept and both wait for a second. A token's time no longer counts as a stand-still of this process. Replies have 0.1 s, since processes may be in other regions; members are no longer ranked for each request.

--- a/deckcourse/decisions/token_bucket.py
+++ b/deckcourse/decisions/token_bucket.py
@@ -12,6 +12,9 @@
 # The part of the rate that questions and orders may take, and at least so many a second.
 QUESTION_SHARE = 0.1
 MIN_QUESTION_RATE = 0.2
+# Tokens for questions that are kept at the most: a runner is asked how many orders it took, and
+# then given one.
+MAX_QUESTION_TOKENS = 2.0
 
 
 class TokenBucket:
@@ -73,4 +76,5 @@
         seconds = max(0.0, now - self._updated_at)
         self._updated_at = now
         self._tokens = min(MAX_TOKENS, self._tokens + seconds * self._rate)
-        self._question_tokens = min(1.0, self._question_tokens + seconds * self._question_rate)
+        more = seconds * self._question_rate
+        self._question_tokens = min(MAX_QUESTION_TOKENS, self._question_tokens + more)
--- a/deckcourse/gateway/rate_gate.py
+++ b/deckcourse/gateway/rate_gate.py
@@ -17,6 +17,7 @@
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.lease import Lease, LeaseTerms
 from deckcourse.peers.gossip import PeerGossip
+from deckcourse.peers.member import Member
 from deckcourse.peers.rate_limit import RateLimit
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.token_messages import (
@@ -228,10 +229,7 @@
             case None:
                 self._count("malformed.token-message")
             case LimitNews(limits, issuer):
-                if issuer is not None:
-                    self._client.note_issuer(issuer)
-                for each in limits:
-                    self._limits.merge(each)
+                await self._take_news(limits, issuer)
             case TokenReply():
                 self._client.on_reply(message)
             case TokenReturn(instance):
@@ -239,6 +237,22 @@
             case TokenRequest():
                 await self._answer(message)
 
+    async def _take_news(self, limits: tuple[RateLimit, ...], issuer: Member | None) -> None:
+        """Take in what others know; tell the issuer what it has missed."""
+        for each in limits:
+            self._limits.merge(each)
+        if issuer is None:
+            return
+        self._client.note_issuer(issuer)
+        known = [self._limits.limit_of(each.instance) for each in limits]
+        newer = tuple(
+            mine
+            for mine, told in zip(known, limits, strict=True)
+            if mine is not None and mine != told and mine.supersedes(told)
+        )
+        if newer:
+            await self._gossip.send(issuer.address, encode_message(LimitNews(newer)))
+
     async def _answer(self, request: TokenRequest) -> None:
         issuer = self._client.issuer
         if self.issues:
--- a/deckcourse/gateway/token_client.py
+++ b/deckcourse/gateway/token_client.py
@@ -22,7 +22,7 @@
 # What members are ranked by: the first one seeks to become the issuer.
 ISSUER_KEY = "rate-limits"
 # Until a reply counts as lost, seconds, and how often a request is sent.
-REPLY_SECONDS = 0.06
+REPLY_SECONDS = 0.1
 TRIES = 2
 # Members that one request asks at the most: the second is the one that the first named.
 REDIRECTS = 2
@@ -105,6 +105,7 @@
             if reply is not None:
                 return self._on_reply(reply, target)
         self._count("token.unanswered")
+        self._forget_unreachable()
         self._unreachable_until[target.name] = trio.current_time() + UNREACHABLE_SECONDS
         if self._issuer == target.name:
             self._issuer = ""
@@ -151,20 +152,26 @@
         return Grant(reply.granted, reply.wait, reply.retry_after)
 
     def _target(self) -> Member | None:
-        members = self._ranked()
-        known = [each for each in members if each.name == self._issuer]
-        return next(iter(known or members), None)
+        issuer = self.issuer
+        if issuer is not None and not issuer.leaving and self._is_reachable(issuer):
+            return issuer
+        return next(iter(self._ranked()), None)
 
-    def _ranked(self) -> Sequence[Member]:
-        """Return the members that may issue, the one that should first."""
+    def _forget_unreachable(self) -> None:
         now = trio.current_time()
         self._unreachable_until = {
             name: at for name, at in self._unreachable_until.items() if at > now
         }
+
+    def _is_reachable(self, member: Member) -> bool:
+        return self._unreachable_until.get(member.name, float("-inf")) <= trio.current_time()
+
+    def _ranked(self) -> Sequence[Member]:
+        """Return the members that may issue, the one that should first."""
         able = {
             each.name: each
             for each in self._roster.live()
-            if not each.leaving and each.name not in self._unreachable_until
+            if not each.leaving and self._is_reachable(each)
         }
         names = ranked(ISSUER_KEY, {name: max(each.weight, 1e-3) for name, each in able.items()})
         return [able[name] for name in names]
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -48,7 +48,7 @@
 # The same for the answer to an order, seconds: later it is given again.
 ORDER_SECONDS = 0.12
 # How long an order waits for a token of its runner's rate limit, and between two tries, seconds.
-PLACE_PATIENCE_SECONDS = 1.0
+ORDER_PATIENCE_SECONDS = 1.0
 ADMISSION_PAUSE_SECONDS = 0.1
 # A wait that ends so much later than it should says that this process was paused, seconds.
 OWN_PAUSE_SECONDS = 0.03
@@ -166,7 +166,7 @@
             "how": "cut" if assignment.at_once else "wait",
             "expectedRev": orders,
         }
-        answer = await self._order(upstream, body, ORDER_SECONDS, PLACE_PATIENCE_SECONDS)
+        answer = await self._order(upstream, body, ORDER_SECONDS, ORDER_PATIENCE_SECONDS)
         if answer is None:
             return OrderResult.UNANSWERED
         results = {200: OrderResult.HELD, 202: OrderResult.TAKEN, 409: OrderResult.CONFLICT}
@@ -174,7 +174,7 @@
 
     async def order_count(self, upstream: Upstream) -> int | None:
         """Return how many orders a runner has taken, None without an answer."""
-        report = await self._report_if_admitted(upstream)
+        report = await self._report_if_admitted(upstream, ORDER_PATIENCE_SECONDS)
         return None if report is None else report.sequence
 
     async def stalled(self, upstream: Upstream) -> StallReport | None:
@@ -269,11 +269,10 @@
           The answer's status and body, None where there was none in time or another start gave it.
         """
         try:
-            answer = await self._call(
-                upstream, b"POST", ORDER, value, seconds, NAMELESS_ORDER, patience
-            )
+            await self._wait_for_admission(upstream, patience)
         except _NotAdmittedError:
             return None
+        answer = await self._call(upstream, b"POST", ORDER, value, seconds, NAMELESS_ORDER)
         if answer is None or answer[0] == MISDIRECTED:
             return answer
         if _decoded(answer[1], _Report) is not None:
@@ -291,15 +290,8 @@
         value: object,
         seconds: float,
         unlike: str | None = None,
-        patience: float = 0.0,
     ) -> tuple[int, bytes] | None:
-        """Return an answer's status and body, None where there was none in time.
-
-        Raises:
-          _NotAdmittedError: the runner's rate limit leaves no question now.
-        """
-        # Outside the time: it may take longer than a runner that is there to answer.
-        await self._wait_for_admission(upstream, patience)
+        """Return an answer's status and body, None where there was none in time."""
         try:
             with trio.move_on_after(seconds):
                 return await self._exchange(upstream, method, target, value, unlike)
@@ -307,7 +299,7 @@
             return None  # The caller counts it: an answer that is missing is a value here.
         return None
 
-    async def _wait_for_admission(self, upstream: Upstream, patience: float) -> None:
+    async def _wait_for_admission(self, upstream: Upstream, patience: float = 0.0) -> None:
         """Return once a question or an order may be sent.
 
         Raises:
@@ -319,22 +311,30 @@
                 raise _NotAdmittedError
             await trio.sleep(ADMISSION_PAUSE_SECONDS)
 
-    async def _report_if_admitted(self, upstream: Upstream) -> _Report | None:
+    async def _report_if_admitted(
+        self, upstream: Upstream, patience: float = 0.0
+    ) -> _Report | None:
         """Return a runner's report, None where there was none, or it could not be asked."""
         try:
-            return await self._report(upstream)
+            return await self._report(upstream, patience)
         except _NotAdmittedError:
             return None
 
-    async def _report(self, upstream: Upstream) -> _Report | None:
+    async def _report(self, upstream: Upstream, patience: float = 0.0) -> _Report | None:
         """Return a runner's report, None where there was none in time or of another start.
 
         Where this process itself stood still meanwhile, the answer may wait in its socket: without
-        a second question 6 of 20 such answers were taken for silence (stand-stills of 0.2 s).
+        a second question such answers would be taken for silence.
+
+        Raises:
+          _NotAdmittedError: the runner's rate limit leaves no question now.
         """
+        # Outside the wait: a token may take longer than a runner that is there to answer.
+        await self._wait_for_admission(upstream, patience)
         wait = _OwnWait(REPORT_SECONDS)
         answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
         if answer is None and wait.stood_still:
+            await self._wait_for_admission(upstream)
             answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
         if answer is None or answer[0] != 200:
             return None
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -56,3 +56,23 @@
       | half of the processes lose the store       | stream |
       | peers are cut off from each other          | again  |
       | all processes are killed and start at once | once   |
+
+  # A third of what reached the upstream were questions: about its load, and about streams that stood
+  # still, five in a row by each process.
+  Scenario: Questions about streams that stand still are a part of what it takes
+    Given 7 processes, and a first upstream that will name a limit of 2.3 a second
+    When callers keep asking for stream while an upstream behind it holds streams up
+    Then no upstream got more than it takes of all of them
+    And it was asked about them
+    And it is not taken for lost
+
+  Scenario: What can't be asked for want of a token is not taken for lost when its row lapses
+    Given 7 processes, and a first upstream that will name a limit of 0 a second
+    When callers keep asking for stream while the store comes back without its row
+    Then no upstream got more than it takes of all of them
+    And it is not taken for lost
+
+  Scenario: Where the limit ends, load comes back
+    Given 7 processes, and a first upstream that will name a limit of 0 a second
+    When callers keep asking for stream while the limit ends after 6 seconds
+    Then the first upstream gets a part of all requests again
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -10,6 +10,8 @@
 ASKED_SECONDS = 14.0
 # How much later than a token comes free a caller may be told to come, seconds.
 LATE_SECONDS = 1.5
+# Until the end of a limit of nothing is known, seconds.
+LONGEST_UNKNOWN_SECONDS = 5.0
 
 
 @given("{count:d} processes, and a first upstream that will name a limit of {rate:g} a second")
@@ -98,7 +100,35 @@
         process.store.cut = False
 
 
+async def part_held_up(site):
+    await trio.sleep(4.0)
+    site.runners["x2"].holds_up = True
+    await trio.sleep(1.5)
+    site.runners["x2"].holds_up = False
+
+
+async def row_lapses(site):
+    site.lost_names = set()
+    await trio.sleep(4.0)
+    site.store.away = True
+    await trio.sleep(1.0)
+    row = site.runners["x1"].row()
+    site.store.put("servers", "x1", None)
+    site.store.away = False
+    await trio.sleep(1.5)
+    site.store.put("servers", "x1", row)
+
+
+async def limit_ends(site):
+    await trio.sleep(6.0)
+    site.runners["x1"].rate_limits = ()
+    site.ended_at = trio.current_time()
+
+
 HAPPENINGS = {
+    "an upstream behind it holds streams up": part_held_up,
+    "the store comes back without its row": row_lapses,
+    "the limit ends after 6 seconds": limit_ends,
     "peers are cut off from each other": peers_cut_off,
     "the store is dark": store_dark,
     "peers are cut off and the store is dark": peers_cut_and_store_dark,
@@ -152,3 +182,32 @@
     all_refused = [got for _, got in site.got if got.status != 200]
     earliest = min(float(site.header(got, "retry-after")) for got in all_refused)
     assert earliest <= LATE_SECONDS, earliest
+
+
+@then("it was asked about them")
+def was_asked(context):
+    site = context.site
+    asked = [each for each in site.questions if each.instance == "x1" and each.at > site.named_at]
+    assert asked
+
+
+@then("it is not taken for lost")
+def not_lost(context):
+    lines = context.site.lines
+    lost = [
+        each
+        for each in lines
+        if each[1].get("instance") == "x1"
+        and (each[0] == "first-upstream-lost" or each[1].get("answers") is False)
+    ]
+    assert not lost, lost[:3]
+
+
+@then("the first upstream gets a part of all requests again")
+def comes_back(context):
+    site = context.site
+    # A limit of nothing is asked about once in some seconds.
+    since = site.ended_at + LONGEST_UNKNOWN_SECONDS
+    begun = [each for each in site.arrivals if each.at >= since and each.instance in ALL["stream"]]
+    own = sum(each.instance == "x1" for each in begun)
+    assert begun and own >= 0.2 * len(begun), (own, len(begun))
--- a/soak/rate_judge.py
+++ b/soak/rate_judge.py
@@ -50,7 +50,7 @@
         by_name = {each.name: each for each in calls}
         self._starts: dict[str, _Limited] = defaultdict(lambda: _Limited(""))
         for each in site.records:
-            if "clock" not in each:
+            if "clock" not in each or "instance" not in each:
                 continue
             start = self._starts[start_name(each["instance"], each["born"])]
             start.place = each["instance"].partition(".")[0]
