Placement: where a rate limit lasts, other upstreams begin paths as well

Cause: only those that hold the first layers begin paths, and nothing put others there.

Change: an upstream that begins paths and has named a limit for 6 s counts in the placement as a slow one does: what it holds is loaded elsewhere as well, it goes on within its limit, and is a part of the group again when the limit ends.

--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -22,6 +22,9 @@
 PACE_SECONDS = 3.0
 # A pace that differs by less than this from the one known makes no other path the best.
 PACE_STEP = 0.3
+# A rate limit that lasts so long has others begin paths as well, seconds: shorter ones are over
+# before the layers are loaded.
+SCARCE_SECONDS = 6.0
 # An upstream that leaves without a word serves on after its row is gone, for a few seconds and at
 # times for longer: streams on it can be asked about and moved for so long, seconds.
 DEPARTED_SECONDS = 20.0
@@ -50,7 +53,9 @@
         # By instance: a rate limit is a start's own, and a new start names its own.
         self._throttles = Backoffs(clock)
         self._returns = Backoffs(clock)
-        self._limited: set[str] = set()
+        # From when each upstream that names a rate limit counts as scarce, and those that do.
+        self._limited: dict[str, float] = {}
+        self._scarce: set[str] = set()
         self._rows: dict[str, Upstream] = {}
         self._at_address: dict[str, str] = {}
         self._departed: dict[str, tuple[Upstream, float]] = {}
@@ -180,9 +185,12 @@
     def note_limited(self, instance: str, limited: bool) -> None:
         """Note whether an upstream names a rate limit."""
         if limited:
-            self._limited.add(instance)
+            scarce_from = self._limited.setdefault(instance, self._clock() + SCARCE_SECONDS)
+            self._next_expiry = min(self._next_expiry, scarce_from)
             return
-        self._limited.discard(instance)
+        self._limited.pop(instance, None)
+        self._note_change(instance, instance in self._scarce)
+        self._scarce.discard(instance)
         self._throttles.end(instance)
         self._returns.end(instance)
 
@@ -291,11 +299,19 @@
             self.clear(instance)
         for instance in [name for name, (_, at) in self._paces.items() if at <= now]:
             self._note_change(instance, self._paces.pop(instance)[0] > 1.0 + PACE_STEP)
+        self._expire_limits(now)
         self._forget_departed(now)
         paces = [at for _, at in self._paces.values()]
-        deadlines = [*paces, *self._lapsing.values(), *self._suspect_until.values()]
+        coming = [at for name, at in self._limited.items() if name not in self._scarce]
+        deadlines = [*paces, *coming, *self._lapsing.values(), *self._suspect_until.values()]
         self._next_expiry = min(deadlines, default=float("inf"))
 
+    def _expire_limits(self, now: float) -> None:
+        for instance, scarce_from in self._limited.items():
+            if scarce_from <= now and instance not in self._scarce:
+                self._scarce.add(instance)
+                self._note_change(instance)
+
     def _forget_departed(self, now: float) -> None:
         for row, at in list(self._departed.values()):
             if at <= now:
@@ -403,6 +419,7 @@
             serving=row.instance not in self._lost,
             leaving=self._leaves(row),
             lapsing=row.instance in self._lapsing,
+            scarce=row.instance in self._scarce and row.first == 0 < row.end,
         )
         return host
 
--- a/deckcourse/layers/hosts.py
+++ b/deckcourse/layers/hosts.py
@@ -41,7 +41,8 @@
 
     `usable` is false for one that leaves or that this process suspects, `serving` only for one that
     is lost beyond doubt; `pace` over 1 says how many times slower than usual it works. `lapsing`
-    says that its row was gone when the store came back: it may be there again in a moment.
+    says that its row was gone when the store came back: it may be there again in a moment. `scarce`
+    says that it begins paths and takes few requests: what it holds is loaded elsewhere as well.
     """
 
     instance: str
@@ -55,6 +56,7 @@
     serving: bool = True
     leaving: bool = False
     lapsing: bool = False
+    scarce: bool = False
 
     @property
     def empty(self) -> bool:
@@ -118,7 +120,7 @@
     usable: dict[str, list[LayerHost]] = defaultdict(list)
     serving: dict[str, list[LayerHost]] = defaultdict(list)
     for host in hosts:
-        if host.usable and host.pace < SLOW_PACE:
+        if host.usable and host.pace < SLOW_PACE and not host.scarce:
             usable[host.domain].append(host)
         if host.serving:
             serving[host.domain].append(host)
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -76,3 +76,12 @@
     Given 7 processes, and a first upstream that will name a limit of 0 a second
     When callers keep asking for stream while the limit ends after 6 seconds
     Then the first upstream gets a part of all requests again
+
+  # Every upstream that began paths named 2.3 a second for a whole day: 0.39 of all requests were
+  # refused, 0.51 served, while the other upstreams stood idle behind them.
+  Scenario: Where a limit lasts, another upstream begins paths as well
+    Given 3 processes, and upstreams that will all name a limit of 2.3 a second, and spare ones
+    When callers keep asking all processes for stream
+    Then no upstream got more than it takes of all of them
+    And others began paths between 6 and 12 seconds after it, by at most 6 orders
+    And 0.9 of the callers were served at the end
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -26,6 +26,18 @@
     context.all_limited = True
 
 
+@given(
+    "{count:d} processes, and upstreams that will all name a limit of {rate:g} a second, and spare"
+    " ones"
+)
+def all_limited_but_spare(context, count, rate):
+    all_limited(context, count, rate)
+    for domain in "xy":
+        context.site.add(f"{domain}3", "llm", domain, 4, 8)
+    for runner in context.site.runners.values():
+        runner.obeys, runner.slots = True, 96
+
+
 def limited_names(context):
     return ALL[context.route] if context.all_limited else (FIRST[context.route],)
 
@@ -211,3 +223,24 @@
     begun = [each for each in site.arrivals if each.at >= since and each.instance in ALL["stream"]]
     own = sum(each.instance == "x1" for each in begun)
     assert begun and own >= 0.2 * len(begun), (own, len(begun))
+
+
+@then(
+    "others began paths between {first:d} and {last:d} seconds after it, by at most {most:d} orders"
+)
+def others_begin(context, first, last, most):
+    site = context.site
+    begun = [
+        each.at - site.named_at
+        for each in site.arrivals
+        if each.at > site.named_at and each.instance not in ALL["stream"]
+    ]
+    assert begun and first <= min(begun) <= last, begun[:3]
+    assert len(site.orders) <= most, site.orders
+
+
+@then("{share:g} of the callers were served at the end")
+def served_at_end(context, share):
+    site = context.site
+    served = site.served(since=context.limited_until - 2.0)
+    assert served >= share, served
