A process that lost the lease and knows no other issuer seeks it again; figures leave the comments

Read cold: who had issued tokens took itself for the issuer when its lease had lapsed, and sought it only where others asked; a process alone sent nothing to a limited upstream any more after the store had been dark for 3 s. Scenario (one process, store dark for 6 s): 0 of 56 sendings after it before, passes now. Refusals tell in their message for how long no request is taken.

--- a/deckcourse/gateway/active_stream.py
+++ b/deckcourse/gateway/active_stream.py
@@ -19,9 +19,7 @@
 
 # A stream is asked about after so many times its own usual gap, within these parts of the longest
 # pause that its route allows. Where the route says nothing that pause counts as this long, seconds.
-# Events come each 17 to 40 ms where all is well. Where a route allowed 250 ms, 793 of 851 streams
-# that were asked about after 45 ms on a calm day had only waited for the prompt of another (one
-# run): 3,467 questions to upstreams that were all there.
+# Sooner, most streams asked about only wait for the prompt of another.
 USUAL_GAPS = 2.5
 SHORTEST_PART = 0.3
 LONGEST_PART = 0.6
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -147,7 +147,7 @@
         if opens_at is not None:
             least = max(RETRY_SECONDS, opens_at - trio.current_time())
             later = time_to_return(self._context, self._admitted, least)
-            message = "every upstream asked for time without requests"
+            message = f"no upstream takes a request for {least:.2f} s"
             return NotRun(NotRunReason.UPSTREAM_BACKOFF, message, later)
         if isinstance(last, _Refused):
             return NotRun(NotRunReason.UPSTREAM_REFUSED, last.message, RETRY_SECONDS)
@@ -164,8 +164,7 @@
         return min(options, key=self._load, default=None)
 
     def _accepting(self, rows: list[Upstream]) -> list[Upstream]:
-        # Also where there is no other: what asked for time and got requests all the same turned
-        # away 26 of 40 in two seconds, each caller's only try (two upstreams, in memory).
+        # Also where there is no other: a refusal there would be the caller's only try.
         return [each for each in rows if self._context.upstreams.may_begin(each.instance)]
 
     def _load(self, upstream: Upstream) -> float:
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -21,17 +21,14 @@
 __all__ = ["PathChoice"]
 
 # A path that begins in another failure domain counts this much dearer. One chain may be 1.4 times
-# as fast as another; if all chose it, its loss would stop every stream at once. With 2.0, and 6 for
-# a queue, requests queued in their own domain beside free paths: 0.538 in the mean of the bad days
-# of the smallest site, 0.553 with these (trials).
+# as fast as another; if all chose it, its loss would stop every stream at once.
 REMOTE_WEIGHT = 1.5
 # A path with all places of its tightest part taken makes streams this much slower beyond, since all
 # share its passes, and one with as many again waiting this much more.
 BUSY_WEIGHT = 2.0
 QUEUE_WEIGHT = 20.0
 # With more than so many requests for each place, the last one waits some 1.5 s of the 2 s that its
-# caller does: it is refused at once. A bound of 1.1, so that those let in come in time, was tried:
-# more were refused and the mean worth of five bad days fell from 0.626 to 0.582.
+# caller does: it is refused at once.
 MOST_UTILIZATION = 1.4
 # A path with fewer requests for each place than this takes one more: what is known is some 0.4 s
 # old, and other processes choose as well.
@@ -48,8 +45,7 @@
 # A refusal so long after the last one was over is no sign that it goes on, seconds.
 FORGOTTEN_SECONDS = 0.5
 # A process that carries less of the traffic than this remembers refusals longer, in proportion: its
-# requests come so much more seldom, and each would meet the same full upstream anew. Of 7,014
-# arrivals that 59 processes made in a day 2,650 were rejected.
+# requests come so much more seldom, and each would meet the same full upstream anew.
 REMEMBERING_SHARE = 0.1
 MOST_TIMES_LONGER = 4.0
 
@@ -258,8 +254,7 @@
           avoid: upstreams that this request must not meet again.
         """
         # One that asked for time runs its part of a path that begins elsewhere where there is no
-        # other, but begins none: it asked this process alone. Paths that are only passed over cost
-        # 0.04 ms where working them out without it took 7.4 (one domain of 32 hosts; 45 for 128).
+        # other, but begins none. Paths are passed over, since working them out anew takes long.
         closed = self._upstreams.backing_off()
         full = self._full() | closed
         near = self._near_with_room(model, avoid | full)
--- a/deckcourse/gateway/rate_gate.py
+++ b/deckcourse/gateway/rate_gate.py
@@ -204,7 +204,7 @@
         if self._lease.held():
             await trio.lowlevel.checkpoint()
             return self._issue(limit, is_question)
-        if self._client.is_first and self._client.issuer is None:
+        if self._client.should_issue:
             self._seek()
         return await self._client.ask(limit, is_question)
 
@@ -309,9 +309,7 @@
         if not self._limits.limited:
             return False
         wanted = trio.current_time() < self._seek_until
-        return (
-            self._lease.held() or wanted or (self._client.is_first and self._client.issuer is None)
-        )
+        return self._lease.held() or wanted or self._client.should_issue
 
     def _note_holder(self) -> None:
         """Take in who holds the lease."""
@@ -342,6 +340,7 @@
         for instance in [each for each in self._locks if self._limits.limit_of(each) is None]:
             if not self._locks[instance].locked():
                 del self._locks[instance]
+                self._no_questions_until.pop(instance, None)
 
     async def _tell_changes(self) -> None:
         while True:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -178,11 +178,10 @@
         opens_at = self._choice.opens_at(self._admitted.service.model)
         if self._runs or opens_at is None:
             return self._give_up(last, NotRunReason.NO_ROUTE, NO_PATH_RETRY_SECONDS)
-        # The caller learns it at once: of 40 requests in two seconds 38 went to an upstream that
-        # had asked for three, each to be refused there (two paths, in memory).
-        message = "every path has an upstream that asked for time without requests"
-        later = self._later(opens_at - trio.current_time())
-        return NotRun(NotRunReason.UPSTREAM_BACKOFF, message, later)
+        # At once: a request to any of them would only be refused there.
+        seconds = max(0.0, opens_at - trio.current_time())
+        message = f"every path begins at an upstream that takes no request for {seconds:.2f} s"
+        return NotRun(NotRunReason.UPSTREAM_BACKOFF, message, self._later(seconds))
 
     def _later(self, seconds: float) -> float:
         """Return a time to come back, `seconds` at least, when its turn among the refused comes."""
--- a/deckcourse/gateway/token_client.py
+++ b/deckcourse/gateway/token_client.py
@@ -1,6 +1,6 @@
 """Asks the process that issues tokens, whichever that is, by datagram."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import trio
 
@@ -63,10 +63,12 @@
         self._unreachable_until: dict[str, float] = {}
 
     @property
-    def is_first(self) -> bool:
-        """Whether this process is the one that should issue, as far as it knows."""
-        ranks = self._ranked()
-        return bool(ranks) and ranks[0].name == self._roster.own.name
+    def should_issue(self) -> bool:
+        """Whether no other process is known to issue, and this one comes first of those there."""
+        issuer = self.issuer
+        if issuer is not None and issuer.name != self._roster.own.name:
+            return False
+        return self._ranked()[:1] == [self._roster.own]
 
     @property
     def issuer(self) -> Member | None:
@@ -166,7 +168,7 @@
     def _is_reachable(self, member: Member) -> bool:
         return self._unreachable_until.get(member.name, float("-inf")) <= trio.current_time()
 
-    def _ranked(self) -> Sequence[Member]:
+    def _ranked(self) -> list[Member]:
         """Return the members that may issue, the one that should first."""
         able = {
             each.name: each
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -23,12 +23,10 @@
 
 # Between two looks at the upstreams while nothing changes, seconds.
 LOOK_SECONDS = 0.06
-# The same for each host, seconds: after a change a look takes 7 microseconds of processor time a
-# host. Beyond 600 hosts looks are further apart than the above, so that they take under a tenth.
+# The same for each host, seconds, where that is longer: a look takes time in proportion to them.
 LOOK_SECONDS_PER_HOST = 0.0001
 # The author of the last plan acts at once; each other process waits this long for each one whose
-# turn is before its own, and for itself, seconds. With a wait by chance 42 of 59 processes tried to
-# write each plan.
+# turn is before its own, and for itself, seconds: by chance most would try to write each plan.
 OTHERS_WAIT_SECONDS = 0.15
 # A process that saw a failure on its own connections need not wait that long, seconds.
 WITNESS_WAIT_SECONDS = 0.03
@@ -148,8 +146,7 @@
         """Note that this process itself saw an upstream of a failure domain fail.
 
         It counts until a plan is made for the domain. Did it count on, most processes would go
-        before their turn from some losses on: in a day of 60 processes 39 claims were lost beside
-        10 that were won.
+        before their turn from some losses on, and most claims be lost.
         """
         self._witnessed.add(domain)
 
--- a/deckcourse/layers/hosts.py
+++ b/deckcourse/layers/hosts.py
@@ -25,7 +25,6 @@
 # Stands between the domains in the name of a group of several.
 SEPARATOR = "+"
 # Parts of an accelerator's memory that weights may take; the rest holds the KV cache of requests.
-# Trials: 16 of 20 layers leave room for what a calm day needs, 19 of 20 refuse most requests.
 EVEN_FILL = 0.60
 LARGEST_FILL = 0.92
 # What a host that is so many times slower than usual holds is loaded elsewhere as well.
--- a/deckcourse/peers/roster.py
+++ b/deckcourse/peers/roster.py
@@ -9,9 +9,8 @@
 
 __all__ = ["Roster"]
 
-# A member whose beat was not seen to rise for this long counts as gone, seconds. Between 200
-# emulated processes of 5 domains the last rise is 0.9 s old in the median, 3.9 s in 99 of 100 cases
-# and 9.2 s at the most, over 48 s.
+# A member whose beat was not seen to rise for this long counts as gone, seconds: hundreds of
+# processes are told of each other's beats in turn.
 LIFETIME_SECONDS = 10.0
 # So long a member that is gone is remembered, so that an old word of it doesn't bring it back.
 REMEMBERED_SECONDS = 60.0
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -323,8 +323,8 @@
     async def _report(self, upstream: Upstream, patience: float = 0.0) -> _Report | None:
         """Return a runner's report, None where there was none in time or of another start.
 
-        Where this process itself stood still meanwhile, the answer may wait in its socket: without
-        a second question such answers would be taken for silence.
+        Where this process itself stood still meanwhile, the answer may wait in its socket, and the
+        question is asked a second time.
 
         Raises:
           _NotAdmittedError: the runner's rate limit leaves no question now.
--- a/features/rate_sharing.feature
+++ b/features/rate_sharing.feature
@@ -33,6 +33,7 @@
       | the issuer loses the store                | 7     | 8    |
       | the issuer loses the store and its peers  | 7     | 8    |
       | the store is dark                         | 7     | 8    |
+      | the store is dark                         | 1     | 8    |
       | the issuer is killed                      | 60    | 8    |
       | the issuer is killed and starts again     | 7     | 8    |
       | the issuer stops                          | 7     | 8    |
