--- a/deckcourse/gateway/lapse_check.py
+++ b/deckcourse/gateway/lapse_check.py
@@ -68,7 +68,9 @@
         """Ask the upstreams with layers whose rows lapsed since the last look."""
         for row in self._upstreams.lapsed():
             # One that names a rate limit may have none left for a question: silence says nothing.
-            is_asked = row.instance in self._asked or self._upstreams.is_limited(row.instance)
+            is_asked = row.instance in self._asked or self._upstreams.throttles.is_limited(
+                row.instance
+            )
             if row.end > row.first and not is_asked:
                 self._asked.add(row.instance)
                 nursery.start_soon(self._ask, row)
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -112,7 +112,7 @@
             loads,
             asks,
             self._standing,
-            upstreams.is_limited,
+            upstreams.throttles.is_limited,
         )
         self._random = random
         self._counted: dict[str, tuple[float, _Streams]] = {}
--- a/deckcourse/gateway/rate_gate.py
+++ b/deckcourse/gateway/rate_gate.py
@@ -156,7 +156,7 @@
             limit = self._limits.limit_of(instance)
             if limit is None or limit.rate is None:
                 return SendingToken(instance, float("inf"))
-            if self._upstreams.is_throttled(instance):
+            if self._upstreams.throttles.is_closed(instance):
                 return None
             asked_at = trio.current_time()
             grant = await self._grant(limit, False)
@@ -165,7 +165,7 @@
             return SendingToken(instance, asked_at + TOKEN_LIFETIME_SECONDS)
         self._count("token.denied")
         if self._limits.rate_of(instance) is not None:
-            self._upstreams.note_throttled(instance, grant.wait, grant.retry_after)
+            self._upstreams.throttles.close(instance, grant.wait, grant.retry_after)
         return None
 
     def may_send(self, token: SendingToken) -> bool:
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -10,6 +10,7 @@
 from deckcourse.gateway.backoffs import Backoffs
 from deckcourse.gateway.failure_share import FailureShare
 from deckcourse.gateway.known_starts import KnownStarts
+from deckcourse.gateway.throttles import Throttles
 from deckcourse.gateway.upstream import StartNews, Upstream
 from deckcourse.layers.hosts import LayerHost
 
@@ -22,9 +23,6 @@
 PACE_SECONDS = 3.0
 # A pace that differs by less than this from the one known makes no other path the best.
 PACE_STEP = 0.3
-# A rate limit that lasts so long has others begin paths as well, seconds: shorter ones are over
-# before the layers are loaded.
-SCARCE_SECONDS = 6.0
 # An upstream that leaves without a word serves on after its row is gone, for a few seconds and at
 # times for longer: streams on it can be asked about and moved for so long, seconds.
 DEPARTED_SECONDS = 20.0
@@ -50,12 +48,7 @@
         # By name: what was asked of this process holds over a restart of the one that asked, which
         # costs a few seconds of an upstream that holds nothing yet.
         self._backoffs = Backoffs(clock)
-        # By instance: a rate limit is a start's own, and a new start names its own.
-        self._throttles = Backoffs(clock)
-        self._returns = Backoffs(clock)
-        # From when each upstream that names a rate limit counts as scarce, and those that do.
-        self._limited: dict[str, float] = {}
-        self._scarce: set[str] = set()
+        self._throttles = Throttles(clock)
         self._rows: dict[str, Upstream] = {}
         self._at_address: dict[str, str] = {}
         self._departed: dict[str, tuple[Upstream, float]] = {}
@@ -182,41 +175,23 @@
         """Return until when an upstream wants no requests, None where it takes them."""
         return self._backoffs.until(self._name_of(instance))
 
+    @property
+    def throttles(self) -> Throttles:
+        """The upstreams that name a rate limit, and until when it leaves nothing."""
+        return self._throttles
+
     def note_limited(self, instance: str, limited: bool) -> None:
         """Note whether an upstream names a rate limit."""
         if limited:
-            scarce_from = self._limited.setdefault(instance, self._clock() + SCARCE_SECONDS)
-            self._next_expiry = min(self._next_expiry, scarce_from)
-            return
-        self._limited.pop(instance, None)
-        self._note_change(instance, instance in self._scarce)
-        self._scarce.discard(instance)
-        self._throttles.end(instance)
-        self._returns.end(instance)
-
-    def is_limited(self, instance: str) -> bool:
-        """Return whether an upstream names a rate limit: it is asked nothing without need."""
-        return instance in self._limited
-
-    def note_throttled(self, instance: str, seconds: float, retry_after: float) -> None:
-        """Note that no request may be begun at an upstream for so long, by its rate limit.
-
-        Args:
-          instance: the upstream.
-          seconds: for how long.
-          retry_after: when callers who are refused may come back, seconds.
-        """
-        self._throttles.note(instance, seconds)
-        self._returns.note(instance, max(seconds, retry_after))
-
-    def is_throttled(self, instance: str) -> bool:
-        """Return whether an upstream's rate limit leaves nothing at the moment."""
-        return self._throttles.until(instance) is not None
+            self._throttles.begin(instance)
+            self._next_expiry = min(self._next_expiry, self._throttles.next_expiry)
+        else:
+            self._note_change(instance, self._throttles.end(instance))
 
     def backing_off(self) -> frozenset[str]:
         """Return the upstreams that take no requests now; they count as usable all the same."""
         resting = [self._named.get(name, name) for name in self._backoffs.names()]
-        return frozenset([*resting, *self._throttles.names()])
+        return frozenset([*resting, *self._throttles.closed()])
 
     def accepts(self, instance: str) -> bool:
         """Return whether an upstream may be sent a request, by its own word."""
@@ -226,7 +201,7 @@
 
     def may_begin(self, instance: str) -> bool:
         """Return whether a request may be begun at an upstream, by its word and its rate limit."""
-        return self.accepts(instance) and not self.is_throttled(instance)
+        return self.accepts(instance) and not self._throttles.is_closed(instance)
 
     def accepts_at(self, service: str) -> float | None:
         """Return when the first upstream of a service takes requests again, on the clock.
@@ -245,8 +220,7 @@
         return None if None in ends else min(ends, default=None)
 
     def _closed_until(self, instance: str) -> float | None:
-        throttled_until = self._returns.until(instance) if self.is_throttled(instance) else None
-        ends = (self.backoff_until(instance), throttled_until)
+        ends = (self.backoff_until(instance), self._throttles.returns_at(instance))
         return max((each for each in ends if each is not None), default=None)
 
     def _name_of(self, instance: str) -> str:
@@ -299,18 +273,12 @@
             self.clear(instance)
         for instance in [name for name, (_, at) in self._paces.items() if at <= now]:
             self._note_change(instance, self._paces.pop(instance)[0] > 1.0 + PACE_STEP)
-        self._expire_limits(now)
+        for instance in self._throttles.expire(now):
+            self._note_change(instance)
         self._forget_departed(now)
         paces = [at for _, at in self._paces.values()]
-        coming = [at for name, at in self._limited.items() if name not in self._scarce]
-        deadlines = [*paces, *coming, *self._lapsing.values(), *self._suspect_until.values()]
-        self._next_expiry = min(deadlines, default=float("inf"))
-
-    def _expire_limits(self, now: float) -> None:
-        for instance, scarce_from in self._limited.items():
-            if scarce_from <= now and instance not in self._scarce:
-                self._scarce.add(instance)
-                self._note_change(instance)
+        deadlines = [*paces, *self._lapsing.values(), *self._suspect_until.values()]
+        self._next_expiry = min([*deadlines, self._throttles.next_expiry])
 
     def _forget_departed(self, now: float) -> None:
         for row, at in list(self._departed.values()):
@@ -419,7 +387,7 @@
             serving=row.instance not in self._lost,
             leaving=self._leaves(row),
             lapsing=row.instance in self._lapsing,
-            scarce=row.instance in self._scarce and row.first == 0 < row.end,
+            scarce=self._throttles.is_scarce(row.instance) and row.first == 0 < row.end,
         )
         return host
 
--- a/features/token_world.py
+++ b/features/token_world.py
@@ -78,7 +78,7 @@
     async def serve(self):
         """Serve one caller; return when it may come back, None where its request was sent."""
         world = self.world
-        if self.upstreams.is_throttled(UPSTREAM):
+        if self.upstreams.throttles.is_closed(UPSTREAM):
             return self.returns_at()
         token = await self.gate.acquire(UPSTREAM)
         if token is None:
