Orders go ahead at a limit, and its end is heard where only questions are sent

Nine plans gave it layers meanwhile; each time the token went to the question how many orders it had taken, and the plan's time was over before the next one. Peers now tell whether answers to questions name a limit; orders may go ahead of callers, no longer out of the part for questions; and the count of orders of an upstream that names a limit is asked once.

--- a/deckcourse/decisions/token_bucket.py
+++ b/deckcourse/decisions/token_bucket.py
@@ -1,19 +1,20 @@
-"""A token bucket from which a rate limit is issued, with a part kept for questions and orders.
+"""A token bucket from which a rate limit is issued; questions have a part of it, orders go first.
 
 Over any span of T seconds it issues at most `rate * T + MAX_TOKENS + MAX_DEBT` tokens.
 """
 
+from deckcourse.peers.purpose import Purpose
+
 __all__ = ["MAX_DEBT", "MAX_TOKENS", "TokenBucket"]
 
 # Unused tokens that are kept at the most.
 MAX_TOKENS = 2.0
-# Tokens that questions may take ahead of the rate: callers who wait take every other one at once.
+# Tokens that questions and orders may take ahead of the rate: callers who wait take all others.
 MAX_DEBT = 1.0
-# The part of the rate that questions and orders may take, and at least so many a second.
+# The part of the rate that questions may take, and at least so many a second.
 QUESTION_SHARE = 0.1
 MIN_QUESTION_RATE = 0.2
-# Tokens for questions that are kept at the most: a runner is asked how many orders it took, and
-# then given one.
+# Tokens for questions that are kept at the most.
 MAX_QUESTION_TOKENS = 2.0
 
 
@@ -36,37 +37,27 @@
         self._refill(now)
         self._rate = rate
 
-    def take(self, now: float) -> bool:
-        """Take a token for a caller's request; return whether there was one."""
-        self._refill(now)
-        if self._tokens < 1.0:
+    def take(self, now: float, purpose: Purpose) -> bool:
+        """Take a token; return whether there was one."""
+        if self.wait(now, purpose) > 0.0:
             return False
         self._tokens -= 1.0
-        return True
-
-    def take_for_question(self, now: float) -> bool:
-        """Take a token for a question or an order; return whether there was one."""
-        self._refill(now)
-        if self._question_tokens < 1.0 or self._tokens < 1.0 - MAX_DEBT:
-            return False
-        self._question_tokens -= 1.0
-        self._tokens -= 1.0
+        if purpose is Purpose.QUESTION:
+            self._question_tokens -= 1.0
         return True
 
     def give_back(self) -> None:
         """Put a token back that was not used."""
         self._tokens = min(MAX_TOKENS, self._tokens + 1.0)
 
-    def wait(self, now: float) -> float:
-        """Return after how long a caller's request gets a token, seconds."""
-        self._refill(now)
-        return max(0.0, 1.0 - self._tokens) / self._rate
-
-    def question_wait(self, now: float) -> float:
-        """Return after how long a question or an order gets a token, seconds."""
+    def wait(self, now: float, purpose: Purpose) -> float:
+        """Return after how long there is a token, seconds; orders and questions may go ahead."""
         self._refill(now)
-        missing = max(0.0, 1.0 - self._question_tokens) / self._question_rate
-        return max(missing, max(0.0, 1.0 - MAX_DEBT - self._tokens) / self._rate)
+        needed = 1.0 if purpose is Purpose.REQUEST else 1.0 - MAX_DEBT
+        seconds = max(0.0, needed - self._tokens) / self._rate
+        if purpose is not Purpose.QUESTION:
+            return seconds
+        return max(seconds, max(0.0, 1.0 - self._question_tokens) / self._question_rate)
 
     @property
     def _question_rate(self) -> float:
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -11,6 +11,7 @@
 from deckcourse.http1.message import Headers
 from deckcourse.http1.server import IncomingRequest
 from deckcourse.layers.paths import LayerPath
+from deckcourse.peers.purpose import Purpose
 
 __all__ = [
     "CallerRequest",
@@ -152,7 +153,7 @@
     def listen(self, listener: NoticeListener) -> None:
         """Have what instances say of themselves in the heads of their answers applied."""
 
-    def admit(self, admission: Callable[[str], Awaitable[bool]]) -> None:
+    def admit(self, admission: Callable[[str, Purpose], Awaitable[bool]]) -> None:
         """Ask before each question and order whether it may be sent to an instance now."""
 
     async def stalled(self, upstream: Upstream) -> StallReport | None:
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -127,7 +127,7 @@
             counters.count,
             log,
         )
-        ports.control.admit(self._rates.admit_question)
+        ports.control.admit(self._rates.admit)
         intake = RowIntake(
             rows,
             self._upstreams,
--- a/deckcourse/gateway/rate_gate.py
+++ b/deckcourse/gateway/rate_gate.py
@@ -19,6 +19,7 @@
 from deckcourse.lease import Lease, LeaseTerms
 from deckcourse.peers.gossip import PeerGossip
 from deckcourse.peers.member import Member
+from deckcourse.peers.purpose import Purpose
 from deckcourse.peers.rate_limit import RateLimit
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.token_messages import (
@@ -121,7 +122,7 @@
         self._client = TokenClient(roster, gossip, limits.merge, count)
         self._locks: dict[str, trio.Lock] = defaultdict(trio.Lock)
         # Until when questions and orders to an upstream have no token.
-        self._no_questions_until: dict[str, float] = {}
+        self._not_admitted_until: dict[tuple[str, Purpose], float] = {}
         self._seek_until = float("-inf")
         self._changed: dict[str, str] = {}
         self._wake = trio.Event()
@@ -159,7 +160,7 @@
             if self._upstreams.throttles.is_closed(instance):
                 return None
             asked_at = trio.current_time()
-            grant = await self._grant(limit, False)
+            grant = await self._grant(limit, Purpose.REQUEST)
         if grant.granted:
             self._count("token.granted")
             return SendingToken(instance, asked_at + TOKEN_LIFETIME_SECONDS)
@@ -186,29 +187,30 @@
         else:
             await self._client.give_back(token.instance)
 
-    async def admit_question(self, instance: str) -> bool:
+    async def admit(self, instance: str, purpose: Purpose) -> bool:
         """Return whether a question or an order may be sent to an upstream now."""
         limit = self._limits.limit_of(instance)
         if limit is None or limit.rate is None:
             return True
         now = trio.current_time()
-        if now < self._no_questions_until.get(instance, now):
+        key = instance, purpose
+        if now < self._not_admitted_until.get(key, now):
             return False
-        grant = await self._grant(limit, True)
+        grant = await self._grant(limit, purpose)
         if grant.granted:
             return trio.current_time() <= now + TOKEN_LIFETIME_SECONDS
-        self._no_questions_until[instance] = now + grant.wait
+        self._not_admitted_until[key] = now + grant.wait
         return False
 
-    async def _grant(self, limit: RateLimit, is_question: bool) -> Grant:
+    async def _grant(self, limit: RateLimit, purpose: Purpose) -> Grant:
         if self._lease.held():
             await trio.lowlevel.checkpoint()
-            return self._issue(limit, is_question)
+            return self._issue(limit, purpose)
         if self._client.should_issue:
             self._seek()
-        return await self._client.ask(limit, is_question)
+        return await self._client.ask(limit, purpose)
 
-    def _issue(self, limit: RateLimit, is_question: bool) -> Grant:
+    def _issue(self, limit: RateLimit, purpose: Purpose) -> Grant:
         if self._lease.epoch != self._epoch:
             self._epoch = self._lease.epoch
             self._issuer.begin()
@@ -216,7 +218,7 @@
         rate = self._limits.rate_of(limit.instance)
         if rate is None:
             return Grant(True)
-        return self._issuer.issue(limit.instance, rate, trio.current_time(), is_question)
+        return self._issuer.issue(limit.instance, rate, trio.current_time(), purpose)
 
     def _seek(self) -> None:
         """Seek the lease for a while."""
@@ -262,7 +264,7 @@
     async def _answer(self, request: TokenRequest) -> None:
         issuer = self._client.issuer
         if self.issues:
-            grant = self._issue(request.limit, request.is_question)
+            grant = self._issue(request.limit, request.purpose)
             issuer = self._roster.own
         else:
             self._limits.merge(request.limit)
@@ -337,10 +339,13 @@
         self._limits.forget_unknown(
             lambda instance: self._upstreams.last_known(instance) is not None, UNKNOWN_SECONDS
         )
+        now = trio.current_time()
+        self._not_admitted_until = {
+            key: at for key, at in self._not_admitted_until.items() if at > now
+        }
         for instance in [each for each in self._locks if self._limits.limit_of(each) is None]:
             if not self._locks[instance].locked():
                 del self._locks[instance]
-                self._no_questions_until.pop(instance, None)
 
     async def _tell_changes(self) -> None:
         while True:
--- a/deckcourse/gateway/rate_limits.py
+++ b/deckcourse/gateway/rate_limits.py
@@ -15,14 +15,10 @@
 
 @dataclass(frozen=True)
 class _Entry:
-    """A limit and when this process learned of it.
-
-    `on_questions` tells whether an answer to a question or an order named it.
-    """
+    """A limit and when this process learned of it."""
 
     limit: RateLimit
     learned_at: float
-    on_questions: bool = False
 
 
 class RateLimitBook:
@@ -77,25 +73,25 @@
         entry = self._entries.get(instance)
         if entry is None:
             if rate is not None:
-                self._store(RateLimit(instance, 1, rate), is_question, "answer")
-            return
-        if is_question and rate is None and not entry.on_questions:
+                self._store(RateLimit(instance, 1, rate, is_question), "answer")
             return
         known = entry.limit
-        if rate is not None and is_question and not entry.on_questions:
-            self._entries[instance] = _Entry(known, entry.learned_at, True)
-        if rate == known.rate:
+        if rate is None and is_question and not known.on_questions:
             return
-        if sent_at >= entry.learned_at:
-            self._store(RateLimit(instance, known.version + 1, rate), is_question, "answer")
+        on_questions = known.on_questions or is_question
+        if rate == known.rate:
+            if rate is not None and on_questions != known.on_questions:
+                self._store(replace(known, on_questions=True), "answer")
+        elif sent_at >= entry.learned_at:
+            self._store(RateLimit(instance, known.version + 1, rate, on_questions), "answer")
         elif rate is not None and rate < known.bound:
-            self._store(replace(known, rate=rate), is_question, "answer")
+            self._store(replace(known, rate=rate, on_questions=on_questions), "answer")
 
     def merge(self, limit: RateLimit) -> None:
         """Take in what a peer knows."""
         entry = self._entries.get(limit.instance)
         if limit.supersedes(entry.limit if entry is not None else None):
-            self._store(limit, False, "peer")
+            self._store(limit, "peer")
 
     def forget_unknown(self, is_known: Callable[[str], bool], seconds: float) -> None:
         """Drop what was learned so long ago of upstreams that aren't known."""
@@ -111,12 +107,11 @@
         if entry is not None and self._limited.pop(instance, None) is not None:
             self._on_change(replace(entry.limit, rate=None), "gone")
 
-    def _store(self, limit: RateLimit, is_question: bool, source: str) -> None:
-        known = self._entries.pop(limit.instance, None)
-        on_questions = is_question or (known is not None and known.on_questions)
+    def _store(self, limit: RateLimit, source: str) -> None:
+        self._entries.pop(limit.instance, None)
         while len(self._entries) >= MAX_LIMITS:
             self.forget(next(iter(self._entries)))
-        self._entries[limit.instance] = _Entry(limit, self._clock(), on_questions)
+        self._entries[limit.instance] = _Entry(limit, self._clock())
         if limit.rate is None:
             self._limited.pop(limit.instance, None)
         else:
--- a/deckcourse/gateway/token_client.py
+++ b/deckcourse/gateway/token_client.py
@@ -7,6 +7,7 @@
 from deckcourse.gateway.token_issuer import Grant
 from deckcourse.peers.gossip import PeerGossip
 from deckcourse.peers.member import Member
+from deckcourse.peers.purpose import Purpose
 from deckcourse.peers.rate_limit import RateLimit
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.token_messages import (
@@ -84,7 +85,7 @@
         """Take in the name of the process that issues tokens."""
         self._issuer = name
 
-    async def ask(self, limit: RateLimit, is_question: bool) -> Grant:
+    async def ask(self, limit: RateLimit, purpose: Purpose) -> Grant:
         """Return the issuer's answer; a denial where nobody answers."""
         asked: set[str] = set()
         grant = NO_ISSUER
@@ -93,7 +94,7 @@
             if target is None or target.name in {self._roster.own.name, *asked}:
                 break
             asked.add(target.name)
-            grant = await self._ask_member(target, limit, is_question)
+            grant = await self._ask_member(target, limit, purpose)
             if grant.granted:
                 break
         else:
@@ -101,9 +102,9 @@
         await trio.lowlevel.checkpoint()
         return grant
 
-    async def _ask_member(self, target: Member, limit: RateLimit, is_question: bool) -> Grant:
+    async def _ask_member(self, target: Member, limit: RateLimit, purpose: Purpose) -> Grant:
         for _ in range(TRIES):
-            reply = await self._ask_once(target, limit, is_question)
+            reply = await self._ask_once(target, limit, purpose)
             if reply is not None:
                 return self._on_reply(reply, target)
         self._count("token.unanswered")
@@ -129,14 +130,14 @@
                 return  # It came twice.
 
     async def _ask_once(
-        self, target: Member, limit: RateLimit, is_question: bool
+        self, target: Member, limit: RateLimit, purpose: Purpose
     ) -> TokenReply | None:
         self._number += 1
         number = self._number
         send, receive = trio.open_memory_channel[TokenReply](1)
         self._replies[number] = send
         own = self._roster.own.address
-        request = TokenRequest(number, own, limit, is_question)
+        request = TokenRequest(number, own, limit, purpose)
         try:
             await self._gossip.send(target.address, encode_message(request))
             with trio.move_on_after(REPLY_SECONDS):
--- a/deckcourse/gateway/token_issuer.py
+++ b/deckcourse/gateway/token_issuer.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from deckcourse.decisions.token_bucket import TokenBucket
+from deckcourse.peers.purpose import Purpose
 
 __all__ = ["TOKEN_LIFETIME_SECONDS", "Grant", "TokenIssuer"]
 
@@ -52,24 +53,22 @@
         self._to_ask = _Moments()
         self._to_return = _Moments()
 
-    def issue(self, instance: str, limit: float, now: float, is_question: bool = False) -> Grant:
+    def issue(self, instance: str, limit: float, now: float, purpose: Purpose) -> Grant:
         """Return a token for one sending, or when to ask for one again.
 
         Args:
           instance: the upstream.
           limit: what it takes, requests a second.
           now: the moment, seconds.
-          is_question: whether a question or an order is to be sent, no caller's request.
+          purpose: what is to be sent.
         """
         rate = max(MIN_RATE, ISSUED_SHARE * limit)
         bucket = self._bucket(instance, rate, now)
-        if is_question:
-            if bucket.take_for_question(now):
-                return Grant(True)
-            return Grant(False, min(LONGEST_WAIT_SECONDS, bucket.question_wait(now)))
-        if bucket.take(now):
+        if bucket.take(now, purpose):
             return Grant(True)
-        earliest = now + bucket.wait(now)
+        if purpose is not Purpose.REQUEST:
+            return Grant(False, min(LONGEST_WAIT_SECONDS, bucket.wait(now, purpose)))
+        earliest = now + bucket.wait(now, purpose)
         ask_at = self._to_ask.next(instance, earliest, 1.0 / (ASKS_PER_TOKEN * rate), now)
         return_at = self._to_return.next(instance, earliest, 1.0 / rate, now)
         return Grant(False, ask_at - now, return_at - now)
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -131,6 +131,8 @@
         self._log = log
         self._turn = turn
         self._pending: dict[str, _Pending] = {}
+        # How many orders each upstream had taken when it last said so.
+        self._counts: dict[str, int] = {}
         self._wanted_since: dict[str, float] = {}
         self._patience: dict[str, float] = {}
         self._known_hosts: frozenset[str] = frozenset()
@@ -200,6 +202,7 @@
         names = frozenset(each.instance for each in hosts)
         if names != self._known_hosts:
             self._known_hosts = names
+            self._counts = {name: each for name, each in self._counts.items() if name in names}
             self._settled_at = now + SETTLED_SECONDS
 
     def _drop_done(self, now: float) -> None:
@@ -332,7 +335,7 @@
         """
         # An empty upstream has usually just started and taken no order yet; others are asked.
         empty = row.end <= row.first
-        orders = 0 if empty else await self._orderer.order_count(row)
+        orders = 0 if empty else await self._order_count(row)
         result = OrderResult.UNANSWERED
         conflicts = 0
         for _ in range(MOST_ORDER_TRIES):
@@ -345,11 +348,24 @@
                 conflicts += 1
                 if conflicts > 1:
                     break
-                orders = await self._orderer.order_count(row)
+                self._counts.pop(row.instance, None)
+                orders = await self._order_count(row)
             elif result is not OrderResult.UNANSWERED:
                 break
+        if result is OrderResult.TAKEN and orders is not None:
+            self._counts[row.instance] = orders + 1
         return result
 
+    async def _order_count(self, row: Upstream) -> int | None:
+        """Return how many orders an upstream took; one that names a rate limit is asked once."""
+        known = self._counts.get(row.instance)
+        if known is not None and self._upstreams.throttles.is_limited(row.instance):
+            return known
+        count = await self._orderer.order_count(row)
+        if count is not None:
+            self._counts[row.instance] = count
+        return count
+
 
 def _described(group: Group, record: PlanRecord) -> dict[str, object]:
     return {
--- a/deckcourse/peers/rate_limit.py
+++ b/deckcourse/peers/rate_limit.py
@@ -22,11 +22,13 @@
       instance: the start of the upstream.
       version: rises with each change; of two with the same one the stricter limit holds.
       rate: requests a second, None where the upstream names no limit any more.
+      on_questions: whether answers to questions and orders name it: only then do they end it.
     """
 
     instance: Annotated[str, Meta(min_length=1, max_length=LONGEST_INSTANCE)]
     version: Annotated[int, Meta(ge=1, le=LARGEST_VERSION)]
     rate: Annotated[float, Meta(ge=0.0, le=LARGEST_RATE)] | None
+    on_questions: bool = False
 
     @property
     def bound(self) -> float:
@@ -37,4 +39,8 @@
         """Return whether this one holds where both are known."""
         if other is None:
             return True
-        return (self.version, -self.bound) > (other.version, -other.bound)
+        return self._rank > other._rank
+
+    @property
+    def _rank(self) -> tuple[int, float, bool]:
+        return self.version, -self.bound, self.on_questions
--- a/deckcourse/peers/token_messages.py
+++ b/deckcourse/peers/token_messages.py
@@ -9,6 +9,7 @@
 from msgspec import Meta
 
 from deckcourse.peers.member import LONGEST_TEXT, Member
+from deckcourse.peers.purpose import Purpose
 from deckcourse.peers.rate_limit import RateLimit
 
 __all__ = [
@@ -41,13 +42,13 @@
       number: chosen by the one that asks, and repeated in the reply.
       sender: its address.
       limit: what it knows of the upstream's limit.
-      is_question: whether a question or an order is to be sent, no caller's request.
+      purpose: what is to be sent.
     """
 
     number: _Number
     sender: _Text
     limit: RateLimit
-    is_question: bool = False
+    purpose: Purpose = Purpose.REQUEST
 
 
 class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag="reply"):
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -28,6 +28,7 @@
 from deckcourse.layers.healer import OrderResult
 from deckcourse.layers.hosts import Assignment
 from deckcourse.layers.paths import LayerPath
+from deckcourse.peers.purpose import Purpose
 from deckcourse.platform.dialect import path_text
 from deckcourse.platform.names import (
     EXPECTED_INSTANCE,
@@ -138,7 +139,9 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
         self._judge: Callable[[Upstream, int], StartNews] = lambda asked, start: StartNews.SAME
-        self._admission: Callable[[str], Awaitable[bool]] = lambda instance: _always()
+        self._admission: Callable[[str, Purpose], Awaitable[bool]] = (
+            lambda instance, purpose: _always()
+        )
         self._listener: NoticeListener = lambda instance, notice, sent_at, is_question: None
 
     def judge_starts(self, judge: Callable[[Upstream, int], StartNews]) -> None:
@@ -149,7 +152,7 @@
         """Have what instances say of themselves in the heads of their answers applied."""
         self._listener = listener
 
-    def admit(self, admission: Callable[[str], Awaitable[bool]]) -> None:
+    def admit(self, admission: Callable[[str, Purpose], Awaitable[bool]]) -> None:
         """Ask before each question and order whether it may be sent to an instance now."""
         self._admission = admission
 
@@ -166,7 +169,7 @@
             "how": "cut" if assignment.at_once else "wait",
             "expectedRev": orders,
         }
-        answer = await self._order(upstream, body, ORDER_SECONDS, ORDER_PATIENCE_SECONDS)
+        answer = await self._order(upstream, body, ORDER_SECONDS, Purpose.ORDER)
         if answer is None:
             return OrderResult.UNANSWERED
         results = {200: OrderResult.HELD, 202: OrderResult.TAKEN, 409: OrderResult.CONFLICT}
@@ -174,7 +177,7 @@
 
     async def order_count(self, upstream: Upstream) -> int | None:
         """Return how many orders a runner has taken, None without an answer."""
-        report = await self._report_if_admitted(upstream, ORDER_PATIENCE_SECONDS)
+        report = await self._report_if_admitted(upstream, Purpose.ORDER)
         return None if report is None else report.sequence
 
     async def stalled(self, upstream: Upstream) -> StallReport | None:
@@ -196,12 +199,12 @@
 
     async def pulse(self, upstream: Upstream, seconds: float) -> PulseReading:
         """Ask a runner whether it is there; DEAD if its machine turns connections down."""
-        if not await self._admission(upstream.instance):
+        if not await self._admission(upstream.instance, Purpose.QUESTION):
             return PulseReading(Pulse.UNASKED)
         wait = _OwnWait(seconds)
         reading = await self._pulse_once(upstream, seconds)
         if reading.pulse is Pulse.SILENT and wait.stood_still:
-            if not await self._admission(upstream.instance):
+            if not await self._admission(upstream.instance, Purpose.QUESTION):
                 return PulseReading(Pulse.UNASKED)
             return await self._pulse_once(upstream, seconds)
         return reading
@@ -225,7 +228,7 @@
         with trio.move_on_after(seconds):
             # An idle connection may have been closed long ago; a second one tells.
             for attempt in range(2):
-                if attempt and not await self._admission(upstream.instance):
+                if attempt and not await self._admission(upstream.instance, Purpose.QUESTION):
                     return PulseReading(Pulse.ALIVE if spoke else Pulse.UNASKED)
                 try:
                     status, content = await self._exchange(upstream, b"GET", REPORT)
@@ -261,7 +264,11 @@
         return MoveResult.UNKNOWN_REQUEST, ""
 
     async def _order(
-        self, upstream: Upstream, value: object, seconds: float, patience: float = 0.0
+        self,
+        upstream: Upstream,
+        value: object,
+        seconds: float,
+        purpose: Purpose = Purpose.QUESTION,
     ) -> tuple[int, bytes] | None:
         """Give an order where no answer without an id can be taken for the answer to it.
 
@@ -269,7 +276,7 @@
           The answer's status and body, None where there was none in time or another start gave it.
         """
         try:
-            await self._wait_for_admission(upstream, patience)
+            await self._wait_for_admission(upstream, purpose)
         except _NotAdmittedError:
             return None
         answer = await self._call(upstream, b"POST", ORDER, value, seconds, NAMELESS_ORDER)
@@ -299,28 +306,31 @@
             return None  # The caller counts it: an answer that is missing is a value here.
         return None
 
-    async def _wait_for_admission(self, upstream: Upstream, patience: float = 0.0) -> None:
-        """Return once a question or an order may be sent.
+    async def _wait_for_admission(self, upstream: Upstream, purpose: Purpose) -> None:
+        """Return once a question may be sent, or an order, which waits a little.
 
         Raises:
-          _NotAdmittedError: it may not for longer than `patience` seconds.
+          _NotAdmittedError: it may not.
         """
+        patience = ORDER_PATIENCE_SECONDS if purpose is Purpose.ORDER else 0.0
         deadline = trio.current_time() + patience
-        while not await self._admission(upstream.instance):
+        while not await self._admission(upstream.instance, purpose):
             if trio.current_time() >= deadline:
                 raise _NotAdmittedError
             await trio.sleep(ADMISSION_PAUSE_SECONDS)
 
     async def _report_if_admitted(
-        self, upstream: Upstream, patience: float = 0.0
+        self, upstream: Upstream, purpose: Purpose = Purpose.QUESTION
     ) -> _Report | None:
         """Return a runner's report, None where there was none, or it could not be asked."""
         try:
-            return await self._report(upstream, patience)
+            return await self._report(upstream, purpose)
         except _NotAdmittedError:
             return None
 
-    async def _report(self, upstream: Upstream, patience: float = 0.0) -> _Report | None:
+    async def _report(
+        self, upstream: Upstream, purpose: Purpose = Purpose.QUESTION
+    ) -> _Report | None:
         """Return a runner's report, None where there was none in time or of another start.
 
         Where this process itself stood still meanwhile, the answer may wait in its socket, and the
@@ -330,11 +340,11 @@
           _NotAdmittedError: the runner's rate limit leaves no question now.
         """
         # Outside the wait: a token may take longer than a runner that is there to answer.
-        await self._wait_for_admission(upstream, patience)
+        await self._wait_for_admission(upstream, purpose)
         wait = _OwnWait(REPORT_SECONDS)
         answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
         if answer is None and wait.stood_still:
-            await self._wait_for_admission(upstream)
+            await self._wait_for_admission(upstream, purpose)
             answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
         if answer is None or answer[0] != 200:
             return None
--- a/features/mutants_rates.py
+++ b/features/mutants_rates.py
@@ -21,10 +21,10 @@
 
 
 def questions_need_no_token():
-    async def admit(self, instance):
+    async def admit(self, instance, purpose):
         return True
 
-    RateGate.admit_question = admit
+    RateGate.admit = admit
 
 
 def unused_tokens_are_lost():
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -85,3 +85,19 @@
     Then no upstream got more than it takes of all of them
     And others began paths between 6 and 12 seconds after it, by at most 6 orders
     And 0.9 of the callers were served at the end
+
+  # An upstream that holds no first layers gets questions and orders alone. It had named a limit, and
+  # all processes but the one that had heard it by a question kept to it for ever; plans gave it layers
+  # nine times in 12 s, and each time the token went to the question how many orders it had taken:
+  #   391.404 e2 upstream-limit rate=0.0 version=2 source=answer
+  #   398.538 e2 plan lb3.0 7-8 (restores 7-8)   399.880 e1 plan lb3.0 7-8 (restores 7-8)
+  Scenario Outline: An upstream that names <rate> a second is given layers that were lost
+    Given 3 processes, and upstreams that will all name a limit of <rate> a second, and spare ones
+    When callers keep asking for stream while a part is lost for good
+    Then no upstream got more than it takes of all of them
+    And the lost layers were ordered from others within <seconds> seconds
+
+    Examples:
+      | rate | seconds |
+      | 2.3  | 4       |
+      | 0.7  | 8       |
--- a/features/rate_sharing.feature
+++ b/features/rate_sharing.feature
@@ -95,6 +95,7 @@
       | two at once, the other way        | 2, then 5 asked before                    | 2       |
       | a question's answer is silent     | 5, then none to a question                | 5       |
       | a question's answer that named it | 5 to a question, then none to a question  | nothing |
+      | a peer whose question named it    | 5 on questions from a peer, then none to a question | nothing |
       | a peer with the same news         | 5, then 2 from a peer                     | 2       |
       | a peer with older news            | 5, then 8, then 5 from a peer             | 8       |
       | a peer with a later end           | 5, then the end from a peer               | nothing |
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -119,6 +119,17 @@
     site.runners["x2"].holds_up = False
 
 
+async def part_lost(site):
+    for runner in site.runners.values():
+        runner.rate_limits = site.runners["x1"].rate_limits
+    await trio.sleep(4.0)
+    site.ordered = len(site.orders)
+    for name in ("x2", "x3"):
+        site.runners[name].die()
+        site.store.put("servers", name, None)
+    site.lost_at = trio.current_time()
+
+
 async def row_lapses(site):
     site.lost_names = set()
     await trio.sleep(4.0)
@@ -138,6 +149,7 @@
 
 
 HAPPENINGS = {
+    "a part is lost for good": part_lost,
     "an upstream behind it holds streams up": part_held_up,
     "the store comes back without its row": row_lapses,
     "the limit ends after 6 seconds": limit_ends,
@@ -244,3 +256,16 @@
     site = context.site
     served = site.served(since=context.limited_until - 2.0)
     assert served >= share, served
+
+
+@then("the lost layers were ordered from others within {seconds:d} seconds")
+def ordered_elsewhere(context, seconds):
+    site = context.site
+    taken = [
+        each
+        for each in site.questions
+        if each.instance == "x1" and site.lost_at < each.at <= site.lost_at + seconds
+    ]
+    held = set(range(site.runners["x1"].first, site.runners["x1"].end))
+    assert taken
+    assert held == set(range(8)), (held, site.orders[site.ordered :])
--- a/features/steps/rate_sharing_steps.py
+++ b/features/steps/rate_sharing_steps.py
@@ -257,7 +257,7 @@
         if each.endswith("from a peer"):
             rate = None if "end" in each else float(each.split()[0])
             version = 2 if rate is None else 1
-            book.merge(RateLimit(UPSTREAM, version, rate))
+            book.merge(RateLimit(UPSTREAM, version, rate, "questions" in each))
             continue
         number = re.match(r"[\d.]+", each)
         malformed = each.startswith("unreadable")
