--- a/deckcourse/gateway/throttles.py
+++ b/deckcourse/gateway/throttles.py
@@ -1,6 +1,6 @@
 """Which upstreams name a rate limit, and until when it leaves nothing."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from deckcourse.gateway.backoffs import Backoffs
 
@@ -26,6 +26,11 @@
         self._closed = Backoffs(clock)
         self._returns = Backoffs(clock)
 
+    @property
+    def scarce(self) -> Set[str]:
+        """Those that have named a limit for so long that others should begin paths; kept up."""
+        return self._scarce
+
     @property
     def next_expiry(self) -> float:
         """When the next upstream becomes scarce, infinity for none."""
@@ -57,10 +62,6 @@
         """Return whether an upstream names a rate limit."""
         return instance in self._scarce_from
 
-    def is_scarce(self, instance: str) -> bool:
-        """Return whether it has named one for so long that others should begin paths."""
-        return instance in self._scarce
-
     def close(self, instance: str, seconds: float, retry_after: float) -> None:
         """Note that an upstream's limit leaves nothing for so long.
 
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -49,6 +49,8 @@
         # costs a few seconds of an upstream that holds nothing yet.
         self._backoffs = Backoffs(clock)
         self._throttles = Throttles(clock)
+        # Looked at for each row that changes.
+        self._scarce = self._throttles.scarce
         self._rows: dict[str, Upstream] = {}
         self._at_address: dict[str, str] = {}
         self._departed: dict[str, tuple[Upstream, float]] = {}
@@ -387,7 +389,7 @@
             serving=row.instance not in self._lost,
             leaving=self._leaves(row),
             lapsing=row.instance in self._lapsing,
-            scarce=self._throttles.is_scarce(row.instance) and row.first == 0 < row.end,
+            scarce=row.instance in self._scarce and row.first == 0 < row.end,
         )
         return host
 
