--- a/deckcourse/decisions/token_bucket.py
+++ b/deckcourse/decisions/token_bucket.py
@@ -1,4 +1,4 @@
-"""A token bucket from which a rate limit is issued; questions have a part of it, orders go first.
+"""A token bucket with priorities: orders go before requests, questions have a share of the rate.
 
 Over any span of T seconds it issues at most `rate * T + MAX_TOKENS + MAX_DEBT` tokens.
 """
@@ -7,23 +7,23 @@
 
 __all__ = ["MAX_DEBT", "MAX_TOKENS", "TokenBucket"]
 
-# Unused tokens that are kept at the most.
+# Bucket size.
 MAX_TOKENS = 2.0
-# Tokens that questions and orders may take ahead of the rate: callers who wait take all others.
+# Tokens that questions and orders may borrow, since waiting requests drain the bucket.
 MAX_DEBT = 1.0
-# The part of the rate that questions may take, and at least so many a second.
+# Share of the rate for questions, and their minimum rate, tokens a second.
 QUESTION_SHARE = 0.1
 MIN_QUESTION_RATE = 0.2
-# Tokens for questions that are kept at the most.
+# Bucket size for questions.
 MAX_QUESTION_TOKENS = 2.0
 
 
 class TokenBucket:
-    """Tokens for one upstream; empty at first, since an earlier issuer may have just spent all.
+    """The bucket of one upstream; starts empty, since a previous issuer may have drained its own.
 
     Args:
       rate: tokens a second.
-      now: the moment, seconds.
+      now: the current time, seconds.
     """
 
     def __init__(self, rate: float, now: float) -> None:
@@ -47,11 +47,11 @@
         return True
 
     def give_back(self) -> None:
-        """Put a token back that was not used."""
+        """Return an unused token."""
         self._tokens = min(MAX_TOKENS, self._tokens + 1.0)
 
     def wait(self, now: float, purpose: Purpose) -> float:
-        """Return after how long there is a token, seconds; orders and questions may go ahead."""
+        """Return the time until a token is available, seconds."""
         self._refill(now)
         needed = 1.0 if purpose is Purpose.REQUEST else 1.0 - MAX_DEBT
         seconds = max(0.0, needed - self._tokens) / self._rate
--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -40,14 +40,13 @@
 
 @dataclass(frozen=True)
 class Withheld:
-    """Not sent: since it was chosen the upstream asked for no requests, fewer, or left."""
+    """The request was not sent: the upstream paused, throttled or began to leave meanwhile."""
 
 
 def is_withheld(context: GatewayContext, token: SendingToken) -> bool:
     """Return whether a request may no longer be sent to the upstream that was chosen for it.
 
-    Between the choice and the first byte a connection is opened, which may take long, and the
-    upstream may say meanwhile that it takes nothing more.
+    Opening a connection takes time, in which the upstream may pause, throttle or begin to leave.
     """
     if context.upstreams.accepts(token.instance) and context.rates.may_send(token):
         return False
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -71,8 +71,8 @@
 class StallReport:
     """The requests that wait at the first upstream of their path, each with whom it waits for.
 
-    `pace` is that of the first upstream, as in `PulseReading`. `asked` is false where its rate
-    limit left no question, and nothing is known.
+    `pace` is that of the first upstream, as in `PulseReading`. `asked` is false if its rate
+    limit left no token for the question.
     """
 
     waiting_for: Mapping[str, str]
@@ -83,7 +83,7 @@
 class Pulse(StrEnum):
     """How an upstream answered when it was asked whether it is there.
 
-    UNASKED where its rate limit left no question.
+    UNASKED if its rate limit left no token for the question.
     """
 
     ALIVE = "alive"
@@ -151,10 +151,10 @@
         """Have the start that each answer tells judged, that of answers to orders too."""
 
     def listen(self, listener: NoticeListener) -> None:
-        """Have what instances say of themselves in the heads of their answers applied."""
+        """Register the listener for notices in answers to questions and orders."""
 
     def admit(self, admission: Callable[[str, Purpose], Awaitable[bool]]) -> None:
-        """Ask before each question and order whether it may be sent to an instance now."""
+        """Register the admission check for questions and orders."""
 
     async def stalled(self, upstream: Upstream) -> StallReport | None:
         """Return the requests that wait at the first upstream of their path, None unanswered."""
--- a/deckcourse/gateway/lapse_check.py
+++ b/deckcourse/gateway/lapse_check.py
@@ -67,7 +67,7 @@
     def _ask_new(self, nursery: trio.Nursery) -> None:
         """Ask the upstreams with layers whose rows lapsed since the last look."""
         for row in self._upstreams.lapsed():
-            # One that names a rate limit may have none left for a question: silence says nothing.
+            # A rate limited upstream may have no token left for the question.
             is_asked = row.instance in self._asked or self._upstreams.throttles.is_limited(
                 row.instance
             )
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -41,7 +41,7 @@
       board: what is known of loads, by this process or from others.
       asks: returns whether this process asks upstreams, for itself and for others.
       standing: returns how many requests all processes have at the first upstreams, each once.
-      is_limited: returns whether an upstream names a rate limit, of which questions are a part.
+      is_limited: returns whether an upstream is rate limited; questions would use up its limit.
     """
 
     def __init__(
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -164,7 +164,7 @@
         return min(options, key=self._load, default=None)
 
     def _accepting(self, rows: list[Upstream]) -> list[Upstream]:
-        # Also where there is no other: a refusal there would be the caller's only try.
+        # Even if none remains: a refusal would use up the caller's only attempt.
         return [each for each in rows if self._context.upstreams.may_begin(each.instance)]
 
     def _load(self, upstream: Upstream) -> float:
@@ -175,7 +175,7 @@
         return load + FAILURE_PENALTY * upstreams.failure_share(upstream.instance) ** 2
 
     async def _send_with_token(self, upstream: Upstream) -> _Whole | _Refused | _Lost | Withheld:
-        """Send the call if the upstream's rate limit leaves room; a token not used goes back."""
+        """Send the call with a token for the upstream; returns the token if unspent."""
         token = await self._context.rates.acquire(upstream.instance)
         if token is None:
             return Withheld()
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -394,7 +394,7 @@
         self._crashes.note_ended(older.instance)
 
     def _note_limit(self, limit: RateLimit, source: str) -> None:
-        """Take in that an upstream names a limit, another one, or none any more."""
+        """Apply a new, changed or ended rate limit."""
         self._upstreams.note_limited(limit.instance, limit.rate is not None)
         self._rates.note_change(limit, source)
 
--- a/deckcourse/gateway/notice_intake.py
+++ b/deckcourse/gateway/notice_intake.py
@@ -1,4 +1,4 @@
-"""Applies what upstreams ask for in their answers, to whatever question they gave them."""
+"""Applies the hints in upstream responses to the upstream table and the rate limits."""
 
 from collections.abc import Callable
 
@@ -10,11 +10,11 @@
 
 
 class NoticeIntake:
-    """Applies the notices in upstreams' answers to what this process knows of them.
+    """Applies upstream notices.
 
     Args:
-      upstreams: where pauses and leaving are noted.
-      limits: where rate limits are noted.
+      upstreams: records pauses and leaving upstreams.
+      limits: records rate limits.
       count: counts by name.
       log: writes decisions.
     """
@@ -34,13 +34,13 @@
     def apply(
         self, instance: str, notice: UpstreamNotice, sent_at: float, is_question: bool = False
     ) -> None:
-        """Take in what an upstream asks for in an answer of its own.
+        """Apply the notice in an upstream's answer.
 
         Args:
           instance: the upstream.
-          notice: what its answer says.
-          sent_at: when the request was sent that it answers, on the process's clock.
-          is_question: whether that was a question or an order, no caller's request.
+          notice: the parsed headers.
+          sent_at: when its request was sent, on trio's clock.
+          is_question: whether it answers a question or an order rather than a caller's request.
         """
         if notice.anonymous:
             return
--- a/deckcourse/gateway/rate_gate.py
+++ b/deckcourse/gateway/rate_gate.py
@@ -1,8 +1,9 @@
-"""Lets a sending to an upstream that names a rate limit go only with a token.
+"""Enforces the rate limits of upstreams across all processes.
 
-The limit is one rate over all processes. One of them, which holds a lease in the platform's store,
-issues its tokens; nobody else does until that lease has ended on every clock, so that the sum
-holds whoever is cut off, killed or suspended. Where no issuer can be reached nothing is sent.
+Every message to a rate limited upstream needs a token. The process that holds the issuer lease in
+the platform's store issues all tokens; a successor waits until the lease has expired on every
+clock, so that the total rate holds under partitions, crashes and suspensions. Without a reachable
+issuer nothing is sent.
 """
 
 from collections import defaultdict
@@ -35,30 +36,30 @@
 
 __all__ = ["RateGate", "SendingToken"]
 
-# The lease to issue tokens. Its margin is longer than a token is of use, seconds.
+# The margin exceeds the lifetime of a token, seconds.
 ISSUER_LEASE = LeaseTerms("rate-limits/issuer", term=2.5, margin=0.3)
-# Limits that the lease's row keeps for processes that start.
-MAX_KEPT_LIMITS = 256
-# Between two messages of limits that changed, seconds, however often they do.
+# Bound on the limits stored in the lease row, which starting processes read.
+MAX_STORED_LIMITS = 256
+# Minimum interval between broadcasts of changed limits, seconds.
 NEWS_SECONDS = 0.2
-# The issuer tells all members of all limits so often, seconds: datagrams are lost, and some start.
+# Interval at which the issuer rebroadcasts all limits, since datagrams get lost, seconds.
 REFRESH_SECONDS = 2.0
-# A process that was asked for tokens and issues none seeks the lease for so long, seconds.
+# Time for which a process seeks the lease after a token request, seconds.
 SEEKING_SECONDS = 3.0
-# Between two looks for something to do, seconds.
+# Polling interval while the lease isn't held, seconds.
 IDLE_SECONDS = 0.5
-# A limit of an upstream whose row is unknown is kept for so long, seconds.
+# Retention of limits of unknown upstreams, seconds.
 UNKNOWN_SECONDS = 30.0
 
 _limits_decoder = msgspec.json.Decoder(tuple[RateLimit, ...])
 
 
 class SendingToken:
-    """The right to send one request to an upstream.
+    """Permission to send one request to an upstream.
 
     Args:
       instance: the upstream.
-      until: when it ends, on trio's clock; infinity where the upstream named no limit.
+      until: its deadline on trio's clock; infinity if the upstream had no limit.
     """
 
     def __init__(self, instance: str, until: float) -> None:
@@ -72,27 +73,27 @@
         return self._instance
 
     @property
-    def is_of_use(self) -> bool:
-        """Whether it was issued by a limit, and may still be used."""
+    def is_valid(self) -> bool:
+        """Whether it is a rate limit token that is neither spent nor expired."""
         now = trio.current_time()
         return not self._spent and self._until < float("inf") and now <= self._until
 
     def spend(self) -> None:
-        """Note that the request is sent."""
+        """Mark the token as used."""
         self._spent = True
 
 
 class RateGate:
-    """One process's part in keeping the limits.
+    """Acquires, checks and issues tokens for one process.
 
     Args:
       limits: the limits in force.
-      upstreams: where it is noted until when an upstream takes nothing more.
+      upstreams: the upstream table, which records throttled upstreams.
       table: the platform's store.
       author: the name of this start of the process.
       roster: the members.
       gossip: sends and receives datagrams.
-      may_issue: returns whether this process may issue tokens, which one that stops doesn't.
+      may_issue: returns whether this process may hold the lease; false during shutdown.
       count: counts by name.
       log: writes decisions.
     """
@@ -116,12 +117,12 @@
         self._may_issue = may_issue
         self._count = count
         self._log = log
-        self._lease = Lease(table, author, ISSUER_LEASE, self._kept_limits)
+        self._lease = Lease(table, author, ISSUER_LEASE, self._encoded_limits)
         self._issuer = TokenIssuer()
         self._epoch = 0
         self._client = TokenClient(roster, gossip, limits.merge, count)
         self._locks: dict[str, trio.Lock] = defaultdict(trio.Lock)
-        # Until when questions and orders to an upstream have no token.
+        # Deadlines of denials of questions and orders.
         self._not_admitted_until: dict[tuple[str, Purpose], float] = {}
         self._seek_until = float("-inf")
         self._changed: dict[str, str] = {}
@@ -131,27 +132,27 @@
 
     @property
     def issues(self) -> bool:
-        """Whether this process issues the tokens now."""
+        """Whether this process is the issuer."""
         return self._lease.held() and self._may_issue()
 
     def note_change(self, limit: RateLimit, source: str) -> None:
-        """Have a limit that began, changed or ended logged, and told to others where it is news.
+        """Schedule a changed limit for logging and, if learned from an answer, for broadcast.
 
         Args:
           limit: the limit.
-          source: whether an answer or a peer told of it.
+          source: "answer", "peer" or "gone".
         """
         known = self._changed.get(limit.instance)
         self._changed[limit.instance] = "answer" if known == "answer" else source
         self._wake.set()
 
     async def acquire(self, instance: str) -> SendingToken | None:
-        """Return a token for a caller's request, None where there is none now.
+        """Return a token for a caller's request, None if denied.
 
-        Until when the upstream then takes nothing more stands in the table of upstreams.
+        A denial throttles the upstream in the upstream table.
         """
         if self._limits.rate_of(instance) is None:
-            # At once: until the request counts as in flight, others choose the same upstream.
+            # No checkpoint: concurrent requests must see each other in flight.
             return SendingToken(instance, float("inf"))
         async with self._locks[instance]:
             limit = self._limits.limit_of(instance)
@@ -170,15 +171,15 @@
         return None
 
     def may_send(self, token: SendingToken) -> bool:
-        """Return whether a request may be sent with a token now, and count it as sent."""
-        if self._limits.rate_of(token.instance) is not None and not token.is_of_use:
+        """Spend a token; return whether the request may be sent."""
+        if self._limits.rate_of(token.instance) is not None and not token.is_valid:
             return False
         token.spend()
         return True
 
     async def give_back(self, token: SendingToken) -> None:
-        """Return a token, if it is still of use: its request was not sent."""
-        if not token.is_of_use:
+        """Return a token that was not spent, if it is still valid."""
+        if not token.is_valid:
             return
         token.spend()
         self._count("token.returned")
@@ -188,7 +189,7 @@
             await self._client.give_back(token.instance)
 
     async def admit(self, instance: str, purpose: Purpose) -> bool:
-        """Return whether a question or an order may be sent to an upstream now."""
+        """Return whether a question or an order may be sent now; spends a token."""
         limit = self._limits.limit_of(instance)
         if limit is None or limit.rate is None:
             return True
@@ -221,7 +222,7 @@
         return self._issuer.issue(limit.instance, rate, trio.current_time(), purpose)
 
     def _seek(self) -> None:
-        """Seek the lease for a while."""
+        """Start seeking the lease."""
         if trio.current_time() >= self._seek_until:
             self._seeking.set()
         self._seek_until = trio.current_time() + SEEKING_SECONDS
@@ -232,7 +233,7 @@
             case None:
                 self._count("malformed.token-message")
             case LimitNews(limits, issuer):
-                await self._take_news(limits, issuer)
+                await self._merge_news(limits, issuer)
             case TokenReply():
                 self._client.on_reply(message)
             case TokenReturn(instance):
@@ -241,12 +242,12 @@
                 await self._answer(message)
 
     async def _greet(self, address: str) -> None:
-        """Tell a process that has just started, or knew nobody, of the limits in force."""
+        """Send the limits in force to a process that has just started."""
         for message in _news_of(self._limits.limits(), self._roster.own if self.issues else None):
             await self._gossip.send(address, message)
 
-    async def _take_news(self, limits: tuple[RateLimit, ...], issuer: Member | None) -> None:
-        """Take in what others know; tell the issuer what it has missed."""
+    async def _merge_news(self, limits: tuple[RateLimit, ...], issuer: Member | None) -> None:
+        """Merge limits from a peer; send newer ones back to the issuer."""
         for each in limits:
             self._limits.merge(each)
         if issuer is None:
@@ -278,18 +279,18 @@
         await self._gossip.send(request.sender, encode_message(reply))
 
     async def run(self) -> None:
-        """Seek and renew the lease while there are limits, and tell others of them."""
+        """Maintain the lease while limits are in force, and broadcast them."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._read_kept)
-            nursery.start_soon(self._tell_changes)
+            nursery.start_soon(self._read_stored)
+            nursery.start_soon(self._broadcast_changes)
             nursery.start_soon(self._keep_lease)
 
-    async def _read_kept(self) -> None:
-        """Read the limits that an issuer kept, as soon as the store answers."""
+    async def _read_stored(self) -> None:
+        """Read the limits in the lease row, as soon as the store answers."""
         while True:
             match await self._lease.look():
                 case Success(record):
-                    self._merge_kept(record.attachment if record is not None else b"")
+                    self._merge_stored(record.attachment if record is not None else b"")
                     return
             await trio.sleep(IDLE_SECONDS)
 
@@ -304,7 +305,7 @@
                 self._note_holder()
             if self._lease.held() and trio.current_time() >= refresh_at:
                 refresh_at = trio.current_time() + REFRESH_SECONDS
-                await self._tell(self._limits.limits())
+                await self._broadcast(self._limits.limits())
             await self._rest()
 
     def _is_seeking(self) -> bool:
@@ -314,7 +315,7 @@
         return self._lease.held() or wanted or self._client.should_issue
 
     def _note_holder(self) -> None:
-        """Take in who holds the lease."""
+        """Record the lease holder as the issuer."""
         if self._lease.held():
             self._client.note_holder(self._roster.own.name)
             return
@@ -324,7 +325,7 @@
             self._client.note_holder(holder)
 
     async def _rest(self) -> None:
-        """Wait until the lease is to be renewed, or may be free, or is first sought."""
+        """Wait for the next renewal or the next attempt to get the lease."""
         if self._lease.held():
             await trio.sleep(self._lease.renewal_pause)
             return
@@ -335,7 +336,7 @@
             await self._seeking.wait()
 
     def _prune(self) -> None:
-        """Forget the limits of upstreams that are gone."""
+        """Drop the state of upstreams that are gone."""
         self._limits.forget_unknown(
             lambda instance: self._upstreams.last_known(instance) is not None, UNKNOWN_SECONDS
         )
@@ -347,7 +348,7 @@
             if not self._locks[instance].locked():
                 del self._locks[instance]
 
-    async def _tell_changes(self) -> None:
+    async def _broadcast_changes(self) -> None:
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
@@ -356,7 +357,7 @@
             for limit in known:
                 if limit is not None:
                     self._log_limit(limit, changed[limit.instance])
-            await self._tell(
+            await self._broadcast(
                 [each for each in known if each and changed[each.instance] == "answer"]
             )
             await trio.sleep(NEWS_SECONDS)
@@ -371,26 +372,26 @@
             source=source,
         )
 
-    async def _tell(self, limits: list[RateLimit]) -> None:
+    async def _broadcast(self, limits: list[RateLimit]) -> None:
         for message in _news_of(limits, self._roster.own if self.issues else None):
             await self._gossip.broadcast(message)
 
-    def _kept_limits(self) -> bytes:
-        return msgspec.json.encode(self._limits.limits()[:MAX_KEPT_LIMITS])
+    def _encoded_limits(self) -> bytes:
+        return msgspec.json.encode(self._limits.limits()[:MAX_STORED_LIMITS])
 
-    def _merge_kept(self, data: bytes) -> None:
-        """Take in the limits that an issuer kept, if they can be read."""
+    def _merge_stored(self, data: bytes) -> None:
+        """Merge the limits of the lease row, unless it is malformed."""
         try:
             limits = _limits_decoder.decode(data) if data else ()
         except (msgspec.MsgspecError, RecursionError):
-            self._count("malformed.kept-limits")
+            self._count("malformed.stored-limits")
             return
         for each in limits:
             self._limits.merge(each)
 
 
 def _news_of(limits: list[RateLimit], issuer: Member | None) -> Iterator[bytes]:
-    """Yield the datagrams that tell of limits."""
+    """Yield the datagrams that carry some limits."""
     for first in range(0, len(limits), MAX_LIMITS_PER_MESSAGE):
         some = tuple(limits[first : first + MAX_LIMITS_PER_MESSAGE])
         yield encode_message(LimitNews(some, issuer))
--- a/deckcourse/gateway/rate_limits.py
+++ b/deckcourse/gateway/rate_limits.py
@@ -1,4 +1,4 @@
-"""The rate limits that upstreams name, as one process knows them from answers and from peers."""
+"""Rate limits of upstreams, learned from their answers and from peers."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,28 +9,27 @@
 
 __all__ = ["RateLimitBook"]
 
-# Upstreams whose limits are kept at the most, far more than any site has.
+# Bound on tracked upstreams, far above the number of any site.
 MAX_LIMITS = 4096
 
 
 @dataclass(frozen=True)
 class _Entry:
-    """A limit and when this process learned of it."""
+    """A limit and the time at which it was learned."""
 
     limit: RateLimit
     learned_at: float
 
 
 class RateLimitBook:
-    """The limits in force, by start of an upstream.
+    """The current limits, by start of an upstream.
 
-    Answers overtake each other. An answer to a request that was sent after this process knew of a
-    limit is newer than that limit, and changes or ends it. Of any other answer only a stricter
-    limit counts.
+    Answers may arrive out of order. An answer to a request sent after a limit was learned is newer
+    than the limit and replaces it. Any other answer can only tighten it.
 
     Args:
       clock: seconds, steady.
-      on_change: told of each limit that is new here, whether it changed or ended, and by whom.
+      on_change: called with each new, changed or ended limit and its source.
     """
 
     def __init__(
@@ -43,15 +42,15 @@
 
     @property
     def limited(self) -> dict[str, float]:
-        """The upstreams that name a limit, with their rates; not to be changed."""
+        """The rates of all limited upstreams; read-only."""
         return self._limited
 
     def rate_of(self, instance: str) -> float | None:
-        """Return an upstream's limit, requests a second; None where it names none."""
+        """Return an upstream's limit, requests a second; None if it has none."""
         return self._limited.get(instance)
 
     def limit_of(self, instance: str) -> RateLimit | None:
-        """Return an upstream's limit as peers are told of it, None where it never named one."""
+        """Return the versioned limit of an upstream, None if it never had one."""
         entry = self._entries.get(instance)
         return entry.limit if entry is not None else None
 
@@ -62,13 +61,13 @@
     def record(
         self, instance: str, rate: float | None, sent_at: float, is_question: bool = False
     ) -> None:
-        """Take in an upstream's own answer.
+        """Apply an upstream's answer.
 
         Args:
           instance: the upstream.
-          rate: the limit that the answer names, None for none.
-          sent_at: when the request was sent that it answers.
-          is_question: whether that was a question or an order, no caller's request.
+          rate: the limit in the answer, None for none.
+          sent_at: when its request was sent.
+          is_question: whether it answers a question or an order rather than a caller's request.
         """
         entry = self._entries.get(instance)
         if entry is None:
@@ -88,13 +87,13 @@
             self._store(replace(known, rate=rate, on_questions=on_questions), "answer")
 
     def merge(self, limit: RateLimit) -> None:
-        """Take in what a peer knows."""
+        """Merge a limit received from a peer."""
         entry = self._entries.get(limit.instance)
         if limit.supersedes(entry.limit if entry is not None else None):
             self._store(limit, "peer")
 
     def forget_unknown(self, is_known: Callable[[str], bool], seconds: float) -> None:
-        """Drop what was learned so long ago of upstreams that aren't known."""
+        """Drop limits of unknown upstreams that are older than `seconds`."""
         oldest = self._clock() - seconds
         old = [name for name, each in self._entries.items() if each.learned_at < oldest]
         for instance in old:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -178,7 +178,7 @@
         opens_at = self._choice.opens_at(self._admitted.service.model)
         if self._runs or opens_at is None:
             return self._give_up(last, NotRunReason.NO_ROUTE, NO_PATH_RETRY_SECONDS)
-        # At once: a request to any of them would only be refused there.
+        # Rejected at once: waiting would not help the caller.
         seconds = max(0.0, opens_at - trio.current_time())
         message = f"every path begins at an upstream that takes no request for {seconds:.2f} s"
         return NotRun(NotRunReason.UPSTREAM_BACKOFF, message, self._later(seconds))
@@ -211,7 +211,7 @@
         return path or choose(model, avoid)
 
     async def _attempt_with_token(self, path: LayerPath) -> _End:
-        """Try a path if its first upstream's rate limit leaves room; a token not used goes back."""
+        """Try a path with a token for its first upstream; returns the token if unspent."""
         token = await self._context.rates.acquire(path.parts[0].instance)
         if token is None:
             return Withheld()
--- a/deckcourse/gateway/throttles.py
+++ b/deckcourse/gateway/throttles.py
@@ -1,4 +1,4 @@
-"""Which upstreams name a rate limit, and until when it leaves nothing."""
+"""Rate limited upstreams, and until when each is throttled."""
 
 from collections.abc import Callable, Set
 
@@ -6,13 +6,13 @@
 
 __all__ = ["Throttles"]
 
-# A rate limit that lasts so long has others begin paths as well, seconds: shorter ones are over
-# before the layers are loaded.
+# Age of a rate limit at which the placement adds other first upstreams, seconds; a shorter limit
+# ends before their layers are loaded.
 SCARCE_SECONDS = 6.0
 
 
 class Throttles:
-    """The upstreams that name a rate limit, by start: a new one names its own.
+    """Tracks rate limited upstreams by start, since a restart clears a limit.
 
     Args:
       clock: seconds, steady.
@@ -20,7 +20,7 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        # From when each counts as scarce, and those that do.
+        # When each upstream becomes scarce, and those that are.
         self._scarce_from: dict[str, float] = {}
         self._scarce: set[str] = set()
         self._closed = Backoffs(clock)
@@ -28,7 +28,7 @@
 
     @property
     def scarce(self) -> Set[str]:
-        """Those that have named a limit for so long that others should begin paths; kept up."""
+        """Upstreams limited for long enough that others should begin paths; a live view."""
         return self._scarce
 
     @property
@@ -38,11 +38,11 @@
         return min(coming, default=float("inf"))
 
     def begin(self, instance: str) -> None:
-        """Note that an upstream names a rate limit."""
+        """Mark an upstream as rate limited."""
         self._scarce_from.setdefault(instance, self._clock() + SCARCE_SECONDS)
 
     def end(self, instance: str) -> bool:
-        """Note that an upstream names no limit any more; return whether it counted as scarce."""
+        """Clear an upstream's limit; return whether it was scarce."""
         was_scarce = instance in self._scarce
         self._scarce_from.pop(instance, None)
         self._scarce.discard(instance)
@@ -51,7 +51,7 @@
         return was_scarce
 
     def expire(self, now: float) -> list[str]:
-        """Return the upstreams that become scarce by now."""
+        """Return the upstreams that have become scarce since the last call."""
         found = [
             name for name, at in self._scarce_from.items() if at <= now and name not in self._scarce
         ]
@@ -59,28 +59,28 @@
         return found
 
     def is_limited(self, instance: str) -> bool:
-        """Return whether an upstream names a rate limit."""
+        """Return whether an upstream is rate limited."""
         return instance in self._scarce_from
 
     def close(self, instance: str, seconds: float, retry_after: float) -> None:
-        """Note that an upstream's limit leaves nothing for so long.
+        """Throttle an upstream.
 
         Args:
           instance: the upstream.
-          seconds: for how long nothing is asked for.
-          retry_after: when callers who are refused may come back, seconds.
+          seconds: time without token requests.
+          retry_after: Retry-After for rejected callers, seconds.
         """
         self._closed.note(instance, seconds)
         self._returns.note(instance, max(seconds, retry_after))
 
     def is_closed(self, instance: str) -> bool:
-        """Return whether an upstream's limit leaves nothing at the moment."""
+        """Return whether an upstream is throttled."""
         return self._closed.until(instance) is not None
 
     def closed(self) -> list[str]:
-        """Return the upstreams whose limits leave nothing at the moment."""
+        """Return the throttled upstreams."""
         return self._closed.names()
 
     def returns_at(self, instance: str) -> float | None:
-        """Return when refused callers may come back, on the clock; None where it is open."""
+        """Return when rejected callers may return, on the clock; None if not throttled."""
         return self._returns.until(instance) if self.is_closed(instance) else None
--- a/deckcourse/gateway/token_client.py
+++ b/deckcourse/gateway/token_client.py
@@ -1,4 +1,4 @@
-"""Asks the process that issues tokens, whichever that is, by datagram."""
+"""Requests rate limit tokens from the current issuer over UDP."""
 
 from collections.abc import Callable
 
@@ -20,30 +20,30 @@
 
 __all__ = ["NO_ISSUER", "TokenClient"]
 
-# What members are ranked by: the first one seeks to become the issuer.
+# Rendezvous key; the first ranked member seeks the issuer lease.
 ISSUER_KEY = "rate-limits"
-# Until a reply counts as lost, seconds, and how often a request is sent.
+# Reply timeout, seconds, and the number of attempts.
 REPLY_SECONDS = 0.1
 TRIES = 2
-# Members that one request asks at the most: the second is the one that the first named.
+# Members tried for one token: a candidate and the issuer that it redirects to.
 REDIRECTS = 2
-# A member that did not reply is passed over for so long, seconds.
+# Time for which a member that timed out is skipped, seconds.
 UNREACHABLE_SECONDS = 1.0
-# Until the next request where no issuer is known, seconds.
+# Backoff while there is no issuer, seconds.
 NO_ISSUER_SECONDS = 0.1
-# When callers may come back then, seconds: there may be one by then.
+# Retry-After for callers while there is no issuer, seconds.
 NO_ISSUER_RETRY_SECONDS = 0.5
 
 NO_ISSUER = Grant(False, NO_ISSUER_SECONDS, NO_ISSUER_RETRY_SECONDS)
 
 
 class TokenClient:
-    """One process's requests to the issuer.
+    """Token requests of one process.
 
     Args:
-      roster: who is there.
+      roster: the live members.
       gossip: sends datagrams.
-      merge: takes in what others know of a limit.
+      merge: merges a limit received from a peer.
       count: counts by name.
     """
 
@@ -65,7 +65,7 @@
 
     @property
     def should_issue(self) -> bool:
-        """Whether no other process is known to issue, and this one comes first of those there."""
+        """Whether no other issuer is known and this process ranks first."""
         issuer = self.issuer
         if issuer is not None and issuer.name != self._roster.own.name:
             return False
@@ -73,20 +73,20 @@
 
     @property
     def issuer(self) -> Member | None:
-        """The process that issues tokens, None where it isn't known."""
+        """The current issuer, None if unknown."""
         return next((each for each in self._roster.live() if each.name == self._issuer), None)
 
     def note_issuer(self, member: Member) -> None:
-        """Take in who issues tokens; this process may not know of it otherwise."""
+        """Record the issuer, and add it to the roster if it is missing there."""
         self._issuer = member.name
         self._roster.take((member,))
 
     def note_holder(self, name: str) -> None:
-        """Take in the name of the process that issues tokens."""
+        """Record the issuer by name."""
         self._issuer = name
 
     async def ask(self, limit: RateLimit, purpose: Purpose) -> Grant:
-        """Return the issuer's answer; a denial where nobody answers."""
+        """Request a token; unanswered requests count as denied."""
         asked: set[str] = set()
         grant = NO_ISSUER
         for _ in range(REDIRECTS):
@@ -115,19 +115,19 @@
         return NO_ISSUER
 
     async def give_back(self, instance: str) -> None:
-        """Return a token that will not be used."""
+        """Return an unused token to the issuer."""
         target = self._target()
         if target is not None:
             await self._gossip.send(target.address, encode_message(TokenReturn(instance)))
 
     def on_reply(self, reply: TokenReply) -> None:
-        """Take in a reply, if anybody waits for it."""
+        """Deliver a reply to the pending request, if any."""
         waiting = self._replies.get(reply.number)
         if waiting is not None:
             try:
                 waiting.send_nowait(reply)
             except trio.WouldBlock:
-                return  # It came twice.
+                return  # Duplicate datagram.
 
     async def _ask_once(
         self, target: Member, limit: RateLimit, purpose: Purpose
@@ -170,7 +170,7 @@
         return self._unreachable_until.get(member.name, float("-inf")) <= trio.current_time()
 
     def _ranked(self) -> list[Member]:
-        """Return the members that may issue, the one that should first."""
+        """Return the candidates for issuer, best first."""
         able = {
             each.name: each
             for each in self._roster.live()
--- a/deckcourse/gateway/token_issuer.py
+++ b/deckcourse/gateway/token_issuer.py
@@ -1,7 +1,7 @@
-"""Issues the tokens of all rate limits while this process holds the lease for that.
+"""Issues rate limit tokens for all processes, while this process holds the issuer lease.
 
-Load pattern: a limit of two requests a second before hundreds of processes leaves no share of it
-to each. One process counts for all, and the others ask it for each sending.
+Load pattern: a limit of two requests a second can't be split between hundreds of processes, so a
+single token bucket per upstream serves them all.
 """
 
 from dataclasses import dataclass
@@ -11,27 +11,28 @@
 
 __all__ = ["TOKEN_LIFETIME_SECONDS", "Grant", "TokenIssuer"]
 
-# A token is used within so long after it was asked for, seconds, or not at all.
+# Lifetime of a token, counted from its request, seconds.
 TOKEN_LIFETIME_SECONDS = 0.2
-# The part of a limit that is issued: sendings of a window may have had their tokens before it, by
-# up to the lifetime of a token in four seconds.
+# Part of a limit that is issued: tokens issued just before a window may be spent within it.
 ISSUED_SHARE = 0.95
-# Issued in any case, tokens a second: the end of a limit of nothing is learnt by asking.
+# Minimum issue rate, tokens a second, so that the end of a limit of zero is detected.
 MIN_RATE = 0.25
-# So many processes ask again for each token: most have no caller by then.
+# Throttled processes that retry for each token: most have no request pending by then.
 ASKS_PER_TOKEN = 4.0
-# Nobody is told a later moment, seconds.
+# Upper bound on the wait in a denial, seconds.
 LONGEST_WAIT_SECONDS = 4.0
-# Upstreams with a bucket at the most, far more than any site has.
+# Bound on token buckets, far above the number of upstreams of any site.
 MAX_BUCKETS = 4096
 
 
 @dataclass(frozen=True)
 class Grant:
-    """Whether a token was issued.
+    """The answer to a token request.
 
-    If not, `wait` is after how long to ask again, and `retry_after` after how long a caller who is
-    refused may come back, seconds.
+    Attributes:
+      granted: whether a token was issued.
+      wait: time until the next request, if denied, seconds.
+      retry_after: Retry-After for a rejected caller, if denied, seconds.
     """
 
     granted: bool
@@ -40,27 +41,27 @@
 
 
 class TokenIssuer:
-    """The buckets of one term of the lease; a later term begins with empty ones."""
+    """Token buckets of one lease term; each term starts with empty ones."""
 
     def __init__(self) -> None:
         self._buckets: dict[str, TokenBucket] = {}
-        self._to_ask = _Moments()
-        self._to_return = _Moments()
+        self._retry_slots = _Slots()
+        self._return_slots = _Slots()
 
     def begin(self) -> None:
-        """Begin a term."""
+        """Start a new lease term."""
         self._buckets.clear()
-        self._to_ask = _Moments()
-        self._to_return = _Moments()
+        self._retry_slots = _Slots()
+        self._return_slots = _Slots()
 
     def issue(self, instance: str, limit: float, now: float, purpose: Purpose) -> Grant:
-        """Return a token for one sending, or when to ask for one again.
+        """Issue a token for one message, or deny it.
 
         Args:
           instance: the upstream.
-          limit: what it takes, requests a second.
-          now: the moment, seconds.
-          purpose: what is to be sent.
+          limit: its rate limit, requests a second.
+          now: the current time, seconds.
+          purpose: the kind of message.
         """
         rate = max(MIN_RATE, ISSUED_SHARE * limit)
         bucket = self._bucket(instance, rate, now)
@@ -69,12 +70,12 @@
         if purpose is not Purpose.REQUEST:
             return Grant(False, min(LONGEST_WAIT_SECONDS, bucket.wait(now, purpose)))
         earliest = now + bucket.wait(now, purpose)
-        ask_at = self._to_ask.next(instance, earliest, 1.0 / (ASKS_PER_TOKEN * rate), now)
-        return_at = self._to_return.next(instance, earliest, 1.0 / rate, now)
-        return Grant(False, ask_at - now, return_at - now)
+        retry_at = self._retry_slots.next(instance, earliest, 1.0 / (ASKS_PER_TOKEN * rate), now)
+        return_at = self._return_slots.next(instance, earliest, 1.0 / rate, now)
+        return Grant(False, retry_at - now, return_at - now)
 
     def give_back(self, instance: str) -> None:
-        """Take a token back that was not used."""
+        """Return an unused token to its bucket."""
         bucket = self._buckets.get(instance)
         if bucket is not None:
             bucket.give_back()
@@ -89,23 +90,23 @@
         return bucket
 
 
-class _Moments:
-    """Moments that follow each other, each told once."""
+class _Slots:
+    """Evenly spaced time slots for each upstream; none is handed out twice."""
 
     def __init__(self) -> None:
         self._last: dict[str, float] = {}
 
     def next(self, instance: str, earliest: float, step: float, now: float) -> float:
-        """Return the next moment for an upstream, seconds.
+        """Return the next slot of an upstream, seconds.
 
         Args:
           instance: the upstream.
-          earliest: no earlier than this.
-          step: after the one that was told last.
-          now: the moment.
+          earliest: the earliest slot.
+          step: the distance from the previous slot.
+          now: the current time.
         """
         while len(self._last) >= MAX_BUCKETS:
             self._last.pop(next(iter(self._last)))
-        moment = max(earliest, self._last.get(instance, 0.0) + step)
-        self._last[instance] = min(moment, now + LONGEST_WAIT_SECONDS)
+        slot = max(earliest, self._last.get(instance, 0.0) + step)
+        self._last[instance] = min(slot, now + LONGEST_WAIT_SECONDS)
         return self._last[instance]
--- a/deckcourse/gateway/upstream_notice.py
+++ b/deckcourse/gateway/upstream_notice.py
@@ -1,4 +1,4 @@
-"""What an upstream asks for in the head of an answer, whatever the question was."""
+"""Hints that an upstream gives in the head of an answer."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True)
 class UpstreamNotice:
-    """What one answer says of the upstream that gave it.
+    """Hints of the upstream that gave an answer.
 
     `backoff` is for how long it wants no request from the process that it answers, seconds, 0 where
     it asks for no such time; `leaving` says that it is about to end; `malformed` that it asks for
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -49,7 +49,7 @@
         # costs a few seconds of an upstream that holds nothing yet.
         self._backoffs = Backoffs(clock)
         self._throttles = Throttles(clock)
-        # Looked at for each row that changes.
+        # Read for each changed row.
         self._scarce = self._throttles.scarce
         self._rows: dict[str, Upstream] = {}
         self._at_address: dict[str, str] = {}
@@ -179,11 +179,11 @@
 
     @property
     def throttles(self) -> Throttles:
-        """The upstreams that name a rate limit, and until when it leaves nothing."""
+        """Rate limited and throttled upstreams."""
         return self._throttles
 
     def note_limited(self, instance: str, limited: bool) -> None:
-        """Note whether an upstream names a rate limit."""
+        """Record whether an upstream is rate limited."""
         if limited:
             self._throttles.begin(instance)
             self._next_expiry = min(self._next_expiry, self._throttles.next_expiry)
@@ -202,7 +202,7 @@
         return not leaves and self.backoff_until(instance) is None
 
     def may_begin(self, instance: str) -> bool:
-        """Return whether a request may be begun at an upstream, by its word and its rate limit."""
+        """Return whether an upstream accepts requests and isn't throttled."""
         return self.accepts(instance) and not self._throttles.is_closed(instance)
 
     def accepts_at(self, service: str) -> float | None:
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -131,7 +131,7 @@
         self._log = log
         self._turn = turn
         self._pending: dict[str, _Pending] = {}
-        # How many orders each upstream had taken when it last said so.
+        # Last known order count of each upstream.
         self._counts: dict[str, int] = {}
         self._wanted_since: dict[str, float] = {}
         self._patience: dict[str, float] = {}
@@ -357,7 +357,7 @@
         return result
 
     async def _order_count(self, row: Upstream) -> int | None:
-        """Return how many orders an upstream took; one that names a rate limit is asked once."""
+        """Return the order count of an upstream, cached for rate limited ones to save tokens."""
         known = self._counts.get(row.instance)
         if known is not None and self._upstreams.throttles.is_limited(row.instance):
             return known
--- a/deckcourse/layers/hosts.py
+++ b/deckcourse/layers/hosts.py
@@ -41,7 +41,7 @@
     `usable` is false for one that leaves or that this process suspects, `serving` only for one that
     is lost beyond doubt; `pace` over 1 says how many times slower than usual it works. `lapsing`
     says that its row was gone when the store came back: it may be there again in a moment. `scarce`
-    says that it begins paths and takes few requests: what it holds is loaded elsewhere as well.
+    marks a rate limited first upstream, whose layers are loaded elsewhere as well.
     """
 
     instance: str
--- a/deckcourse/lease.py
+++ b/deckcourse/lease.py
@@ -28,7 +28,7 @@
 class LeaseRecord:
     """The row: who holds the lease, under which epoch, and its count of renewals.
 
-    `attachment` is what the holder keeps there for those that come after it.
+    `attachment` is data of the holder for its successors.
     """
 
     holder: str
@@ -39,12 +39,12 @@
 
 @dataclass(frozen=True)
 class LeaseTerms:
-    """What a lease is for, and its times in seconds.
+    """The row of a lease and its times in seconds.
 
     Attributes:
       key: its row.
-      term: for how long a renewal holds.
-      margin: what needs the lease takes effect so long before its end, and a successor waits so
+      term: validity of a renewal.
+      margin: safety margin; the holder stops this long before the end, a successor waits this
         much longer.
     """
 
@@ -63,7 +63,7 @@
       table: the table service.
       holder: the name of this start of the process.
       terms: the lease.
-      attachment: returns what the holder keeps in the row.
+      attachment: returns the data to store in the row.
     """
 
     def __init__(
@@ -125,14 +125,14 @@
             await self._round()
 
     async def look(self) -> Result[LeaseRecord | None, TableFailure]:
-        """Return the row, None where there is none; take nothing."""
+        """Read the lease without taking it; None if there is no row."""
         with trio.move_on_after(CALL_SECONDS):
             found = await self._table.read([self._terms.key])
             return found.map(lambda rows: None if rows[0] is None else _decode(rows[0]))
         return Failure(TableFailure.UNKNOWN)
 
     async def release(self) -> None:
-        """Give the lease up, if it is held: whoever seeks it next has it at once."""
+        """Release the lease if held; a successor needn't wait."""
         if trio.current_time() >= self._deadline:
             return
         self._deadline = float("-inf")
@@ -184,7 +184,7 @@
 
 
 def _decode(row: Row) -> LeaseRecord | None:
-    """Return what a row says, None where it is no lease: anybody may have written it."""
+    """Return the record in a row, None if malformed."""
     try:
         return msgspec.json.decode(row.value, type=LeaseRecord)
     except (msgspec.MsgspecError, RecursionError):
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -80,11 +80,11 @@
         handler: Callable[[bytes], Awaitable[None]],
         greet: Callable[[str], Awaitable[None]],
     ) -> None:
-        """Have datagrams about rate limits handled, which come to the same address.
+        """Register the handlers of rate limit datagrams.
 
         Args:
-          handler: gets each.
-          greet: gets the address of each process that asks who is there.
+          handler: called with each datagram.
+          greet: called with the address of each process that asks for a digest.
         """
         self._on_token_message = handler
         self._greet = greet
--- a/deckcourse/peers/purpose.py
+++ b/deckcourse/peers/purpose.py
@@ -1,4 +1,4 @@
-"""What a token is for."""
+"""Kinds of messages to upstreams."""
 
 from enum import StrEnum
 
@@ -6,7 +6,7 @@
 
 
 class Purpose(StrEnum):
-    """What is sent to an upstream that names a rate limit."""
+    """The kind of message that a token is spent on."""
 
     REQUEST = "request"
     QUESTION = "question"
--- a/deckcourse/peers/rate_limit.py
+++ b/deckcourse/peers/rate_limit.py
@@ -1,4 +1,4 @@
-"""A rate limit that an upstream names, as processes tell each other of it."""
+"""A versioned rate limit, as processes exchange it."""
 
 from typing import Annotated
 
@@ -16,13 +16,13 @@
 
 
 class RateLimit(msgspec.Struct, frozen=True, array_like=True):
-    """How many requests a second one start of an upstream takes from all processes together.
+    """The request rate that one start of an upstream accepts from all processes together.
 
     Attributes:
       instance: the start of the upstream.
-      version: rises with each change; of two with the same one the stricter limit holds.
-      rate: requests a second, None where the upstream names no limit any more.
-      on_questions: whether answers to questions and orders name it: only then do they end it.
+      version: incremented with each change; equal versions resolve to the stricter limit.
+      rate: requests a second, None if the limit has ended.
+      on_questions: whether answers to questions carry it; only then can their absence end it.
     """
 
     instance: Annotated[str, Meta(min_length=1, max_length=LONGEST_INSTANCE)]
@@ -36,7 +36,7 @@
         return float("inf") if self.rate is None else self.rate
 
     def supersedes(self, other: "RateLimit | None") -> bool:
-        """Return whether this one holds where both are known."""
+        """Return whether this limit wins over another one."""
         if other is None:
             return True
         return self._rank > other._rank
--- a/deckcourse/peers/token_messages.py
+++ b/deckcourse/peers/token_messages.py
@@ -1,6 +1,6 @@
-"""The datagrams by which processes share rate limits: news of limits, and tokens for sendings.
+"""Datagrams for rate limits and their tokens.
 
-They come to the same port as digests. A byte that begins no msgpack value stands before them.
+They share a port with gossip digests, and start with a byte that no msgpack value starts with.
 """
 
 from typing import Annotated
@@ -27,7 +27,7 @@
 TOKEN_PREFIX = b"\xc1"
 # Limits in one datagram: 16 of 70 bytes stay within one packet.
 MAX_LIMITS_PER_MESSAGE = 16
-# Nobody is told to wait longer, seconds.
+# Upper bound on a wait, seconds.
 LONGEST_WAIT = 60.0
 
 _Text = Annotated[str, Meta(min_length=1, max_length=LONGEST_TEXT)]
@@ -36,13 +36,13 @@
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="request"):
-    """A process asks the issuer for one token.
+    """A request for one token.
 
     Attributes:
-      number: chosen by the one that asks, and repeated in the reply.
-      sender: its address.
-      limit: what it knows of the upstream's limit.
-      purpose: what is to be sent.
+      number: correlates the reply.
+      sender: the address for the reply.
+      limit: the limit as known to the sender.
+      purpose: the kind of message to be sent.
     """
 
     number: _Number
@@ -56,11 +56,11 @@
 
     Attributes:
       number: that of the request.
-      granted: whether one request may be sent.
-      wait: if not, after how long to ask again, seconds.
-      retry_after: if not, after how long a caller who is refused may come back, seconds.
-      limit: what the issuer knows of the limit.
-      issuer: the process that issues tokens, None where the one asked doesn't know.
+      granted: whether a token was issued.
+      wait: time until the next request, if denied, seconds.
+      retry_after: Retry-After for a rejected caller, if denied, seconds.
+      limit: the limit as known to the replying process.
+      issuer: the current issuer, None if unknown.
     """
 
     number: _Number
@@ -72,13 +72,13 @@
 
 
 class TokenReturn(msgspec.Struct, frozen=True, array_like=True, tag="return"):
-    """A token was granted and will not be used."""
+    """An unused token."""
 
     instance: _Text
 
 
 class LimitNews(msgspec.Struct, frozen=True, array_like=True, tag="limits"):
-    """Limits that began, changed or ended; from the process that issues tokens, all of them."""
+    """Changed limits, or all of them if sent by the issuer."""
 
     limits: Annotated[tuple[RateLimit, ...], Meta(max_length=MAX_LIMITS_PER_MESSAGE)]
     issuer: Member | None = None
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -48,7 +48,7 @@
 REPORT_SECONDS = 0.15
 # The same for the answer to an order, seconds: later it is given again.
 ORDER_SECONDS = 0.12
-# How long an order waits for a token of its runner's rate limit, and between two tries, seconds.
+# Longest wait of an order for a rate limit token, and the pause between attempts, seconds.
 ORDER_PATIENCE_SECONDS = 1.0
 ADMISSION_PAUSE_SECONDS = 0.1
 # A wait that ends so much later than it should says that this process was paused, seconds.
@@ -103,7 +103,7 @@
 
 
 class _NotAdmittedError(Exception):
-    """A runner's rate limit leaves no question or order now."""
+    """The rate limit of a runner left no token for a question or an order."""
 
 
 async def _always() -> bool:
@@ -149,11 +149,11 @@
         self._judge = judge
 
     def listen(self, listener: NoticeListener) -> None:
-        """Have what instances say of themselves in the heads of their answers applied."""
+        """Register the listener for notices in answers to questions and orders."""
         self._listener = listener
 
     def admit(self, admission: Callable[[str, Purpose], Awaitable[bool]]) -> None:
-        """Ask before each question and order whether it may be sent to an instance now."""
+        """Register the admission check for questions and orders."""
         self._admission = admission
 
     def _start_news(self, asked: Upstream, born: int | UnsetType) -> StartNews:
@@ -307,10 +307,10 @@
         return None
 
     async def _wait_for_admission(self, upstream: Upstream, purpose: Purpose) -> None:
-        """Return once a question may be sent, or an order, which waits a little.
+        """Wait for a token; a question doesn't wait, an order does for a bounded time.
 
         Raises:
-          _NotAdmittedError: it may not.
+          _NotAdmittedError: there was none in time.
         """
         patience = ORDER_PATIENCE_SECONDS if purpose is Purpose.ORDER else 0.0
         deadline = trio.current_time() + patience
@@ -322,7 +322,7 @@
     async def _report_if_admitted(
         self, upstream: Upstream, purpose: Purpose = Purpose.QUESTION
     ) -> _Report | None:
-        """Return a runner's report, None where there was none, or it could not be asked."""
+        """Return a runner's report, None without an answer or without a token."""
         try:
             return await self._report(upstream, purpose)
         except _NotAdmittedError:
@@ -337,9 +337,9 @@
         question is asked a second time.
 
         Raises:
-          _NotAdmittedError: the runner's rate limit leaves no question now.
+          _NotAdmittedError: there was no token for the question.
         """
-        # Outside the wait: a token may take longer than a runner that is there to answer.
+        # Before the timeout starts, since a token may take longer than a healthy runner.
         await self._wait_for_admission(upstream, purpose)
         wait = _OwnWait(REPORT_SECONDS)
         answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
@@ -399,7 +399,7 @@
     def _apply_notice(
         self, asked: Upstream, notice: UpstreamNotice, content: bytes, sent_at: float
     ) -> None:
-        """Pass on what an answer asks for, unless another start gave it."""
+        """Pass a notice on, unless another start of the runner answered."""
         if notice.anonymous:
             return
         told = _decoded(content, _Told)
--- a/features/mutants_rates.py
+++ b/features/mutants_rates.py
@@ -35,7 +35,7 @@
 
 
 def processes_that_start_know_no_limits():
-    RateGate._merge_kept = lambda self, data: None
+    RateGate._merge_stored = lambda self, data: None
 
 
 def any_answer_ends_a_limit():
