Rate limits: resumed streams, retried calls and trials of suspect requests within the limit

Three scenarios, green on the code as it is: connections of the other upstreams reset twelve times while callers wait, and a request that crashes those that run it.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -54,6 +54,9 @@
       | each process is killed and starts in turn  | stream |
       | all processes are killed and start at once | stream |
       | half of the processes lose the store       | stream |
+      | streams elsewhere break off and resume     | stream |
+      | calls elsewhere break off and are retried  | again  |
+      | a request crashes those that run it        | stream |
       | peers are cut off from each other          | again  |
       | all processes are killed and start at once | once   |
 
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -2,6 +2,7 @@
 
 import trio
 from behave import given, then, when
+from crash_world import DEADLY
 from rate_world import AT_ONCE_SECONDS, CONTACT_SECONDS, SLACK, USED_SHARE, RateWorld
 
 # The runner that names a limit, by the route that leads to it, and all first runners of that route.
@@ -112,6 +113,28 @@
         process.store.cut = False
 
 
+async def broken_elsewhere(site, address):
+    await trio.sleep(4.0)
+    for _ in range(12):
+        site.network.reset(address)
+        await trio.sleep(0.4)
+
+
+async def streams_break(site):
+    await broken_elsewhere(site, "y1:1")
+
+
+async def calls_break(site):
+    await broken_elsewhere(site, "py:1")
+
+
+async def deadly_request(site):
+    await trio.sleep(4.0)
+    for number in range(4):
+        await site.ask_at(site.processes[number], "stream", f"deadly-{number}", DEADLY)
+        await trio.sleep(0.5)
+
+
 async def part_held_up(site):
     await trio.sleep(4.0)
     site.runners["x2"].holds_up = True
@@ -150,6 +173,9 @@
 
 HAPPENINGS = {
     "a part is lost for good": part_lost,
+    "streams elsewhere break off and resume": streams_break,
+    "calls elsewhere break off and are retried": calls_break,
+    "a request crashes those that run it": deadly_request,
     "an upstream behind it holds streams up": part_held_up,
     "the store comes back without its row": row_lapses,
     "the limit ends after 6 seconds": limit_ends,
