--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Awaitable, Callable
 from secrets import token_hex
-from typing import Annotated, TypeVar
 
 import msgspec
 import trio
-from msgspec import UNSET, Meta, Struct, UnsetType
+from msgspec import UNSET, UnsetType
 
 from deckcourse.gateway.dialect import (
     LoadReport,
@@ -38,12 +37,11 @@
     REQUEST_ID,
 )
 from deckcourse.platform.notices import notice_of
+from deckcourse.platform.reports import OrderAnswer, Report, decoded
 from deckcourse.platform.starts import runner_id
 
 __all__ = ["RunnerControl"]
 
-_Decoded = TypeVar("_Decoded", bound=Struct)
-
 # A runner answers a report within some 2 ms; one that takes longer is gone or cut off, seconds.
 REPORT_SECONDS = 0.15
 # The same for the answer to an order, seconds: later it is given again.
@@ -60,48 +58,10 @@
 MOST_KEPT_AFTER_ORDERS = 2
 # Random bytes of a control call's id: no caller's request has the same.
 ID_BYTES = 8
-# A report's numbers lie within these; any other is nobody's word, and a share of such numbers
-# would be none.
-LARGEST_COUNT = 2**53
-SLOWEST_PACE = 1e6
-
-_Count = Annotated[int, Meta(ge=0, le=LARGEST_COUNT)]
-
-
 # A connection that something else took for a runner that ended is closed within so long, seconds.
 CLOSED_SECONDS = 0.01
 
 
-class _Waiting(Struct):
-    """A request that waits, and the address of the runner that it waits for."""
-
-    id: str
-    address: str = ""
-
-
-class _Report(Struct):
-    """A runner's report; `sequence` counts its orders, `pace` over 1 says how slow it is.
-
-    What lacks one of the first three is the answer to something else. `born` tells its start.
-    """
-
-    sequence: _Count
-    running: _Count
-    queued: _Count
-    kvUsed: _Count = 0  # noqa: N815
-    kvTotal: _Count = 0  # noqa: N815
-    pace: Annotated[float, Meta(ge=0.0, le=SLOWEST_PACE)] = 1.0
-    stalled: list[_Waiting] = []
-    born: int | UnsetType = UNSET
-
-
-class _Told(Struct):
-    """An order's answer; `address` names the runner whose part is missing."""
-
-    address: str = ""
-    born: int | UnsetType = UNSET
-
-
 class _NotAdmittedError(Exception):
     """The rate limit of a runner left no token for a question or an order."""
 
@@ -236,7 +196,7 @@
                     # One that says something else than was asked is there.
                     spoke = spoke or failure.kind is FailureKind.MALFORMED
                     continue
-                report = _decoded(content, _Report)
+                report = decoded(content, Report)
                 if report is None or status == MISDIRECTED:
                     spoke = True
                     continue
@@ -259,7 +219,7 @@
         if status in (200, 202):
             return MoveResult.MOVED, ""
         if status == 409:
-            fault = _decoded(content, _Told)
+            fault = decoded(content, OrderAnswer)
             return MoveResult.PART_MISSING, fault.address if fault is not None else ""
         return MoveResult.UNKNOWN_REQUEST, ""
 
@@ -282,9 +242,9 @@
         answer = await self._call(upstream, b"POST", ORDER, value, seconds, NAMELESS_ORDER)
         if answer is None or answer[0] == MISDIRECTED:
             return answer
-        if _decoded(answer[1], _Report) is not None:
+        if decoded(answer[1], Report) is not None:
             return None
-        told = _decoded(answer[1], _Told)
+        told = decoded(answer[1], OrderAnswer)
         if told is not None and self._start_news(upstream, told.born) is not StartNews.SAME:
             return None
         return answer
@@ -321,7 +281,7 @@
 
     async def _report_if_admitted(
         self, upstream: Upstream, purpose: Purpose = Purpose.QUESTION
-    ) -> _Report | None:
+    ) -> Report | None:
         """Return a runner's report, None without an answer or without a token."""
         try:
             return await self._report(upstream, purpose)
@@ -330,7 +290,7 @@
 
     async def _report(
         self, upstream: Upstream, purpose: Purpose = Purpose.QUESTION
-    ) -> _Report | None:
+    ) -> Report | None:
         """Return a runner's report, None where there was none in time or of another start.
 
         Where this process itself stood still meanwhile, the answer may wait in its socket, and the
@@ -348,7 +308,7 @@
             answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
         if answer is None or answer[0] != 200:
             return None
-        report = _decoded(answer[1], _Report)
+        report = decoded(answer[1], Report)
         if report is None or self._start_news(upstream, report.born) is not StartNews.SAME:
             return None
         return report
@@ -402,7 +362,7 @@
         """Pass a notice on, unless another start of the runner answered."""
         if notice.anonymous:
             return
-        told = _decoded(content, _Told)
+        told = decoded(content, OrderAnswer)
         born = told.born if told is not None else UNSET
         if self._start_news(asked, born) is StartNews.SAME:
             self._listener(asked.instance, notice, sent_at, True)
@@ -410,10 +370,3 @@
 
 def _id(reply: UpstreamReply) -> str:
     return header_value(reply.headers, REQUEST_ID).decode("latin-1")
-
-
-def _decoded(content: bytes, kind: type[_Decoded]) -> _Decoded | None:
-    try:
-        return msgspec.json.decode(content, type=kind)
-    except (msgspec.MsgspecError, RecursionError):
-        return None  # Fields that nobody reads may be nested without end.
