Check an order against the layers its upstream reports, not its row

Callers lost their streams when an upstream was ordered more layers than fit into its memory and crashed.

Cause: the range that a plan is based on came from the upstream's row, but the order count that guards the order was read from the upstream at the time of sending. After a conflict the count was read again and the same order was sent with it; nothing compared the layers held at that time. The count therefore rejected other concurrent orders, but not an order planned from a stale row. The same applied to a row that lists a different range, to an order of another process that was just carried out, and to the cached count of rate limited upstreams.

Ruled out: the planner itself (its plans fit the rows it had); two processes (all three orders came from one); a late order carried out twice (the count rejects it).

Change: orders are sent by layers/orders.py. It reads the order count, the layers held and whether an order is under way from one report, and sends the order only if the layers are those that the plan was based on. If they differ or an order is under way, it reads the report once more after the maximum report age and then sends no order (result "outdated", "held" or "conflict"); after "outdated" the next plan uses the range that the upstream reported. An empty row is first tried with a count of 0, which an upstream that has taken an order rejects. A report without layers is checked by the row alone, as before.

--- a/deckcourse/gateway/lapse_check.py
+++ b/deckcourse/gateway/lapse_check.py
@@ -12,7 +12,7 @@
 
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.layers.healer import Orderer
+from deckcourse.layers.orders import Orderer
 
 __all__ = ["LapseCheck"]
 
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -6,20 +6,18 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from enum import StrEnum
 from random import Random
-from typing import Protocol
 
 import trio
 
-from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.hosts import Assignment, Group, LayerHost, domains_of, groups_of
 from deckcourse.layers.model import ModelSpec
+from deckcourse.layers.orders import Orderer, OrderResult, OrderSender
 from deckcourse.layers.placement import plan_group
 from deckcourse.layers.plan_book import ClaimLost, PlanBook, PlanRecord, PlanWon
 
-__all__ = ["Healer", "OrderResult", "Orderer"]
+__all__ = ["Healer"]
 
 # Between two looks at the upstreams while nothing changes, seconds.
 LOOK_SECONDS = 0.06
@@ -50,32 +48,10 @@
 # An upstream that turned an order down gives layers up until its longest stream is through: a plan
 # that only improves waits so long, seconds.
 CONFLICT_REST_SECONDS = 3.0
-# How often one order is given while it gets no answer.
-MOST_ORDER_TRIES = 4
 # How long a usual stream takes at the most, seconds: what an upstream gives up is free by then.
 GIVING_UP_SECONDS = 2.5
 
 
-class OrderResult(StrEnum):
-    """What an upstream answered to an order."""
-
-    TAKEN = "taken"
-    HELD = "held"
-    CONFLICT = "conflict"
-    REFUSED = "refused"
-    UNANSWERED = "unanswered"
-
-
-class Orderer(Protocol):
-    """Gives orders to upstreams."""
-
-    async def place(self, upstream: Upstream, assignment: Assignment, orders: int) -> OrderResult:
-        """Order what is assigned, if the upstream has taken `orders` orders so far."""
-
-    async def order_count(self, upstream: Upstream) -> int | None:
-        """Return how many orders an upstream has taken, None without an answer."""
-
-
 @dataclass(frozen=True)
 class _Pending:
     """An ordered range; it counts until its deadline or until the row shows it.
@@ -126,13 +102,11 @@
         self._service = service
         self._upstreams = upstreams
         self._book = book
-        self._orderer = orderer
+        self._sender = OrderSender(upstreams, orderer)
         self._random = random
         self._log = log
         self._turn = turn
         self._pending: dict[str, _Pending] = {}
-        # Last known order count of each upstream.
-        self._counts: dict[str, int] = {}
         self._wanted_since: dict[str, float] = {}
         self._patience: dict[str, float] = {}
         self._known_hosts: frozenset[str] = frozenset()
@@ -202,7 +176,7 @@
         names = frozenset(each.instance for each in hosts)
         if names != self._known_hosts:
             self._known_hosts = names
-            self._counts = {name: each for name, each in self._counts.items() if name in names}
+            self._sender.keep_only(names)
             self._settled_at = now + SETTLED_SECONDS
 
     def _drop_done(self, now: float) -> None:
@@ -256,7 +230,7 @@
                 case PlanWon(record):
                     self._log("plan", **_described(group, record))
                     self._expect(model, record)
-                    if OrderResult.CONFLICT in await self._order_all(record, deadline):
+                    if OrderResult.CONFLICT in await self._order_all(group, record, deadline):
                         rested_at = trio.current_time() + CONFLICT_REST_SECONDS
                         self._rested_from[group.name] = rested_at
                 case ClaimLost(record):
@@ -293,24 +267,37 @@
             seconds += GIVING_UP_SECONDS if busy else ROW_LAG_SECONDS
             self._pending[each.instance] = _Pending(each.first, each.end, now + seconds, busy)
 
-    async def _order_all(self, record: PlanRecord, deadline: float) -> set[OrderResult]:
+    async def _order_all(
+        self, group: Group, record: PlanRecord, deadline: float
+    ) -> set[OrderResult]:
         """Give all orders of a plan at once; return what upstreams answered."""
+        expected = {each.instance: _held_range(each) for each in group.hosts}
         results: set[OrderResult] = set()
         async with trio.open_nursery() as nursery:
             for each in record.assignments:
-                nursery.start_soon(self._order, each, deadline, results)
+                expected_range = expected[each.instance]
+                nursery.start_soon(self._order, each, expected_range, deadline, results)
         return results
 
     async def _order(
-        self, assignment: Assignment, deadline: float, results: set[OrderResult]
+        self,
+        assignment: Assignment,
+        expected_range: tuple[int, int],
+        deadline: float,
+        results: set[OrderResult],
     ) -> None:
         row = self._upstreams.get(assignment.instance)
         if row is None:
             return
-        result = await self._place(row, assignment, deadline)
+        outcome = await self._sender.send(row, assignment, expected_range, deadline)
+        result = outcome.result
         results.add(result)
         if self._upstreams.get(row.instance) is None:
             self._pending.pop(row.instance, None)
+        elif result is OrderResult.OUTDATED:
+            # Plan with the reported range until the row has had time to catch up.
+            stale_until = trio.current_time() + ROW_LAG_SECONDS
+            self._pending[row.instance] = _Pending(*outcome.report.held, stale_until)
         elif result in (OrderResult.CONFLICT, OrderResult.UNANSWERED):
             busy_until = trio.current_time() + BUSY_SECONDS
             self._pending[row.instance] = _Pending(row.first, row.end, busy_until, True)
@@ -327,44 +314,9 @@
             result=str(result),
         )
 
-    async def _place(self, row: Upstream, assignment: Assignment, deadline: float) -> OrderResult:
-        """Give an order until it is answered; where the count of orders was wrong, read it anew.
 
-        An order that got no answer may be carried out later. Given again under the same count, only
-        one of the two is.
-        """
-        # An empty upstream has usually just started and taken no order yet; others are asked.
-        empty = row.end <= row.first
-        orders = 0 if empty else await self._order_count(row)
-        result = OrderResult.UNANSWERED
-        conflicts = 0
-        for _ in range(MOST_ORDER_TRIES):
-            # A newer start may have answered: the order was meant for what the older one held.
-            is_there = self._upstreams.get(row.instance) is not None
-            if orders is None or not is_there or trio.current_time() >= deadline:
-                break
-            result = await self._orderer.place(row, assignment, orders)
-            if result is OrderResult.CONFLICT:
-                conflicts += 1
-                if conflicts > 1:
-                    break
-                self._counts.pop(row.instance, None)
-                orders = await self._order_count(row)
-            elif result is not OrderResult.UNANSWERED:
-                break
-        if result is OrderResult.TAKEN and orders is not None:
-            self._counts[row.instance] = orders + 1
-        return result
-
-    async def _order_count(self, row: Upstream) -> int | None:
-        """Return the order count of an upstream, cached for rate limited ones to save tokens."""
-        known = self._counts.get(row.instance)
-        if known is not None and self._upstreams.throttles.is_limited(row.instance):
-            return known
-        count = await self._orderer.order_count(row)
-        if count is not None:
-            self._counts[row.instance] = count
-        return count
+def _held_range(host: LayerHost) -> tuple[int, int]:
+    return (0, 0) if host.empty else (host.first, host.end)
 
 
 def _described(group: Group, record: PlanRecord) -> dict[str, object]:
--- /dev/null
+++ b/deckcourse/layers/orders.py
@@ -0,0 +1,174 @@
+"""Sends the orders of a plan, each only if the upstream holds the range that the plan assumed.
+
+The order count alone doesn't protect against a stale row: an order that was planned from one and
+sent with a current count may exceed the upstream's memory.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+import trio
+
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstreams import UpstreamTable
+from deckcourse.layers.hosts import Assignment
+
+__all__ = ["LayerReport", "OrderOutcome", "OrderResult", "OrderSender", "Orderer"]
+
+# Maximum number of times that one order is sent.
+MOST_ORDER_TRIES = 4
+# Maximum age of the state in an upstream's report, seconds.
+REPORT_LAG_SECONDS = 0.25
+
+
+class OrderResult(StrEnum):
+    """The result of an order; OUTDATED if the upstream doesn't hold the range the plan assumed."""
+
+    TAKEN = "taken"
+    HELD = "held"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+    OUTDATED = "outdated"
+
+
+@dataclass(frozen=True)
+class LayerReport:
+    """An upstream's order count and layers at one point in time.
+
+    `orders` is the number of orders taken. `held` is the range held, its end exclusive, or None if
+    the upstream doesn't report it. `busy` is true while an order is under way.
+    """
+
+    orders: int
+    held: tuple[int, int] | None = None
+    busy: bool = False
+
+
+@dataclass(frozen=True)
+class OrderOutcome:
+    """The result of an order, and the report that it was last checked against, if any."""
+
+    result: OrderResult
+    report: LayerReport | None = None
+
+
+class Orderer(Protocol):
+    """Sends orders to upstreams and reads their state."""
+
+    async def place(self, upstream: Upstream, assignment: Assignment, orders: int) -> OrderResult:
+        """Send an order that the upstream accepts only if it has taken `orders` orders so far."""
+
+    async def order_count(self, upstream: Upstream) -> int | None:
+        """Return the number of orders that an upstream has taken, None without an answer."""
+
+    async def layer_report(self, upstream: Upstream) -> LayerReport | None:
+        """Return an upstream's order count, layers and busy state, None without an answer."""
+
+
+class OrderSender:
+    """Sends each order with the order count that was reported together with the expected range.
+
+    Args:
+      upstreams: the known upstreams and their rate limits.
+      orderer: sends orders to upstreams and reads their state.
+    """
+
+    def __init__(self, upstreams: UpstreamTable, orderer: Orderer) -> None:
+        self._upstreams = upstreams
+        self._orderer = orderer
+        # The last report of each upstream, updated when it takes an order.
+        self._reports: dict[str, LayerReport] = {}
+
+    def keep_only(self, instances: Iterable[str]) -> None:
+        """Discard the reports of all other upstreams."""
+        self._reports = {name: self._reports[name] for name in instances if name in self._reports}
+
+    async def send(
+        self,
+        row: Upstream,
+        assignment: Assignment,
+        expected_range: tuple[int, int],
+        deadline: float,
+    ) -> OrderOutcome:
+        """Send an order until it is answered, and once more after a conflict.
+
+        An order without an answer may still be carried out. A retry uses the same order count, so
+        that the upstream accepts only one of the two.
+
+        Args:
+          row: the upstream.
+          assignment: the range that it is to hold.
+          expected_range: the range that it held according to its row when the plan was made.
+          deadline: the time on trio's clock from which on nothing is sent.
+        """
+        report = await self._initial_report(row, expected_range)
+        result = OrderResult.UNANSWERED
+        conflicts = 0
+        for _ in range(MOST_ORDER_TRIES):
+            # After a restart the order no longer applies: it was planned for the previous start.
+            is_there = self._upstreams.get(row.instance) is not None
+            if report is None or not is_there or trio.current_time() >= deadline:
+                break
+            unsent_result = _result_without_sending(report, assignment, expected_range)
+            if unsent_result is not None:
+                return OrderOutcome(unsent_result, report)
+            result = await self._orderer.place(row, assignment, report.orders)
+            if result is OrderResult.CONFLICT:
+                conflicts += 1
+                if conflicts > 1:
+                    break
+                report = await self._confirmed_report(row, expected_range)
+            elif result is not OrderResult.UNANSWERED:
+                break
+        if result is OrderResult.TAKEN and report is not None:
+            held = assignment.first, assignment.end
+            self._reports[row.instance] = LayerReport(report.orders + 1, held)
+        return OrderOutcome(result, report)
+
+    async def _initial_report(
+        self, row: Upstream, expected_range: tuple[int, int]
+    ) -> LayerReport | None:
+        """Return the report to check an order against, cached for rate limited upstreams."""
+        if row.end <= row.first:
+            # Usually just started; an upstream that has taken an order rejects a count of 0.
+            return LayerReport(0, expected_range)
+        known = self._reports.get(row.instance)
+        if known is not None and self._upstreams.throttles.is_limited(row.instance):
+            return known
+        return await self._confirmed_report(row, expected_range)
+
+    async def _confirmed_report(
+        self, row: Upstream, expected_range: tuple[int, int]
+    ) -> LayerReport | None:
+        """Return an upstream's report, read again if the first one may predate a change."""
+        report = await self._fetch_report(row)
+        if report is None or (report.held in (None, expected_range) and not report.busy):
+            return report
+        await trio.sleep(REPORT_LAG_SECONDS)
+        return await self._fetch_report(row)
+
+    async def _fetch_report(self, row: Upstream) -> LayerReport | None:
+        report = await self._orderer.layer_report(row)
+        self._reports.pop(row.instance, None)
+        if report is not None:
+            self._reports[row.instance] = report
+        return report
+
+
+def _result_without_sending(
+    report: LayerReport, assignment: Assignment, expected_range: tuple[int, int]
+) -> OrderResult | None:
+    """Return the result of an order that need not or must not be sent, None if it may be sent.
+
+    While an order is under way, the reported range doesn't match the order count yet.
+    """
+    if report.busy:
+        return OrderResult.CONFLICT
+    if report.held in (None, expected_range):
+        return None
+    if report.held == (assignment.first, assignment.end):
+        return OrderResult.HELD
+    return OrderResult.OUTDATED
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -24,8 +24,8 @@
     UpstreamReply,
 )
 from deckcourse.http1.message import ConnectionLostError, FailureKind, header_value
-from deckcourse.layers.healer import OrderResult
 from deckcourse.layers.hosts import Assignment
+from deckcourse.layers.orders import LayerReport, OrderResult
 from deckcourse.layers.paths import LayerPath
 from deckcourse.peers.purpose import Purpose
 from deckcourse.platform.dialect import path_text
@@ -37,7 +37,7 @@
     REQUEST_ID,
 )
 from deckcourse.platform.notices import notice_of
-from deckcourse.platform.reports import OrderAnswer, Report, decoded
+from deckcourse.platform.reports import OrderAnswer, Report, decoded, held_range
 from deckcourse.platform.starts import runner_id
 
 __all__ = ["RunnerControl"]
@@ -140,6 +140,13 @@
         report = await self._report_if_admitted(upstream, Purpose.ORDER)
         return None if report is None else report.sequence
 
+    async def layer_report(self, upstream: Upstream) -> LayerReport | None:
+        """Return a runner's order count, layers and busy state, None without an answer."""
+        report = await self._report_if_admitted(upstream, Purpose.ORDER)
+        if report is None:
+            return None
+        return LayerReport(report.sequence, held_range(report), report.utilization)
+
     async def stalled(self, upstream: Upstream) -> StallReport | None:
         """Return the requests that wait at the first runner of their path, None unanswered."""
         try:
--- a/features/healer_standins.py
+++ b/features/healer_standins.py
@@ -3,7 +3,7 @@
 import trio
 from returns.result import Failure
 
-from deckcourse.layers.healer import OrderResult
+from deckcourse.layers.orders import LayerReport, OrderResult
 from deckcourse.table import MemoryTable, TableFailure
 
 
@@ -59,6 +59,9 @@
     async def order_count(self, upstream):
         return 1
 
+    async def layer_report(self, upstream):
+        return LayerReport(1)
+
 
 class DeafOrderer(CountingOrderer):
     """Answers none of the first orders to each upstream."""
@@ -75,3 +78,75 @@
             return OrderResult.UNANSWERED
         self.taken.setdefault(upstream.instance, trio.current_time())
         return self.result
+
+
+class SimulatedUpstreams:
+    """In-memory upstreams that count orders and hold layers.
+
+    An order conflicts if it doesn't name the current order count or if another one is under way.
+    `on_range_changed` is called with an upstream's range after an order; `over_capacity` lists the
+    orders that exceed an upstream's memory, each with the range held before.
+    """
+
+    LOAD_SECONDS = 0.3
+    REPORT_LAG_SECONDS = 0.2
+
+    def __init__(self, model):
+        self.model = model
+        self.kind = "mid"
+        self.taken = []
+        self.over_capacity = []
+        self.on_range_changed = lambda name, first, end: None
+        self._orders = {}
+        self._ranges = {}
+        self._loading = {}
+
+    def set_state(self, name, first, end, orders):
+        self._ranges[name] = first, end
+        self._orders[name] = orders
+
+    def set_loading(self, name, seconds):
+        """Mark an upstream as loading its range until `seconds` after `start`."""
+        self._loading[name] = seconds
+
+    def start(self):
+        now = trio.current_time()
+        self._loading = {name: now + seconds for name, seconds in self._loading.items()}
+
+    def range_of(self, name):
+        return self._ranges[name]
+
+    def held_layers(self):
+        return {layer for first, end in self._ranges.values() for layer in range(first, end)}
+
+    def _is_loading(self, name, at):
+        return at < self._loading.get(name, 0.0)
+
+    async def place(self, upstream, assignment, orders):
+        await trio.sleep(0.002)
+        name, now = upstream.instance, trio.current_time()
+        if self._is_loading(name, now) or orders != self._orders[name]:
+            return OrderResult.CONFLICT
+        first, end = assignment.first, assignment.end
+        held = set(range(*self._ranges[name])) if not assignment.at_once else set()
+        order = (name, first, end)
+        self.taken.append(order)
+        if len(held | set(range(first, end))) > self.model.most_layers(self.kind):
+            self.over_capacity.append((order, self._ranges[name]))
+        self._orders[name] += 1
+        self._loading[name] = now + self.LOAD_SECONDS
+        self._ranges[name] = first, end
+        self.on_range_changed(name, first, end)
+        return OrderResult.TAKEN
+
+    async def order_count(self, upstream):
+        await trio.sleep(0.002)
+        return self._orders[upstream.instance]
+
+    async def layer_report(self, upstream):
+        """Return a report whose busy state lags by REPORT_LAG_SECONDS; no layers while busy."""
+        await trio.sleep(0.002)
+        name = upstream.instance
+        busy = self._is_loading(name, trio.current_time() - self.REPORT_LAG_SECONDS)
+        held = (0, 0) if busy else self._ranges[name]
+        return LayerReport(self._orders[name], held, busy)
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -12,6 +12,7 @@
 import deckcourse.http1.server as server_module
 import deckcourse.layers.cuts as cuts_module
 import deckcourse.layers.healer as healer_module
+import deckcourse.layers.orders as orders_module
 import deckcourse.layers.path_set as path_set_module
 import deckcourse.layers.paths as paths_module
 import deckcourse.layers.placement as placement_module
@@ -277,7 +278,7 @@
 
 
 def orders_are_given_once():
-    healer_module.MOST_ORDER_TRIES = 1
+    orders_module.MOST_ORDER_TRIES = 1
 
 
 def surplus_bytes_pass():
--- /dev/null
+++ b/features/stale_rows.feature
@@ -0,0 +1,25 @@
+Feature: Orders are checked against the layers that an upstream reports when its row is stale
+
+  Scenario Outline: No order exceeds an upstream's memory while its row is stale: <case>
+    Given an upstream whose row lists <row> and that holds <held> after <orders> orders
+    And its last order was carried out <when>
+    When a gap of the model is healed, and the row is updated after 14 seconds
+    Then no order exceeded an upstream's memory
+    And every layer of the model is held
+
+    Examples:
+      | case                        | row     | held | orders | when        |
+      | an order of another process | nothing | 0-55 | 1      | long ago    |
+      | a different range           | 40-60   | 0-35 | 2      | long ago    |
+      | a load that just ended      | nothing | 0-55 | 1      | a moment ago |
+
+  Scenario Outline: An ordered range counts as held while the row stays empty: <case>
+    Given an empty upstream whose row stays empty after orders, and that is <case>
+    When another upstream becomes the fullest, and the row is updated after 14 seconds
+    Then no order exceeded an upstream's memory
+    And every layer of the model is held
+
+    Examples:
+      | case         |
+      | not limited  |
+      | rate limited |
--- a/features/steps/healer_steps.py
+++ b/features/steps/healer_steps.py
@@ -11,7 +11,8 @@
 
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.layers.healer import LOOK_SECONDS, OTHERS_WAIT_SECONDS, Healer, OrderResult
+from deckcourse.layers.healer import LOOK_SECONDS, OTHERS_WAIT_SECONDS, Healer
+from deckcourse.layers.orders import OrderResult
 from deckcourse.layers.plan_book import ClaimLost, ClaimUnanswered, PlanBook, PlanWon
 
 
