Soak: stand-in runner completes an order after its sender closes the connection

Entries of the soak repeatedly ordered the same range: each order was answered with 202, but the row never showed the range.

Cause: the stand-in slept for the load time inside the request handler, and the handler is cancelled when the sender disconnects. An entry closes the connection after an order whose answer has no id if two connections are already idle, so it was the busy entries that lost their orders. The platform's runners continue with the order after a disconnect.

A second fault, found by reading the code: an order that arrived between the end of the load and the update of the layers was accepted.

Change: the stand-in runs each load in its own task, and the load counts as in progress until the layers are held. The report includes the held layers and whether an order is in progress, as the platform's runners do.

How entries handle an order that does not complete is out of scope.

--- /dev/null
+++ b/features/soak_runner.feature
@@ -0,0 +1,9 @@
+@processes
+Feature: The soak's stand-in runner completes the orders that it accepts
+
+  # Guards against losing an accepted order when the sender closes the connection during the load.
+  Scenario: An accepted order completes after its sender closes the connection
+    Given a stand-in runner with a capacity of 8 layers and a load time of 1 second
+    When it accepts an order to hold layers 0-8 and the connection is closed immediately
+    Then it reports an order in progress, and within 4 seconds layers 0-8
+    And it refuses another order while one is in progress
--- /dev/null
+++ b/features/steps/soak_runner_steps.py
@@ -0,0 +1,104 @@
+"""Steps for the soak's stand-in runner."""
+
+import json
+import subprocess
+import sys
+import time
+from dataclasses import replace
+from http.client import HTTPConnection
+from pathlib import Path
+
+from behave import given, then, when
+
+from soak.runner import RunnerSpec
+from soak.wire import HOST, free_port
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+START_SECONDS = 20.0
+CALL_SECONDS = 10.0
+
+
+@given(
+    "a stand-in runner with a capacity of {layers:d} layers and a load time of {seconds:g} second"
+)
+def start_runner(context, layers, seconds):
+    port = free_port()
+    spec = RunnerSpec("l0.0", "llm", "a", port, f"{HOST}:{port}", f"{HOST}:{free_port()}", layers)
+    spec = replace(spec, born=1, load_seconds=seconds)
+    command = [sys.executable, "-m", "soak.runner", spec.text()]
+    context.runner = subprocess.Popen(
+        command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE
+    )
+    context.add_cleanup(kill_process, context.runner)
+    context.port = port
+    assert poll_until(lambda: fetch_report(context), START_SECONDS)
+
+
+def kill_process(process):
+    process.kill()
+    process.communicate()
+
+
+def poll_until(condition, seconds):
+    """Poll until the condition is true or the time is up; return its last result."""
+    deadline = time.monotonic() + seconds
+    while not (result := condition()) and time.monotonic() < deadline:
+        time.sleep(0.02)
+    return result
+
+
+def new_connection(context):
+    return HTTPConnection(HOST, context.port, timeout=CALL_SECONDS)
+
+
+def fetch_report(context):
+    """Return the runner's report, or None if the request fails with an OSError."""
+    try:
+        connection = new_connection(context)
+        connection.request("GET", "/v1/report")
+        return json.loads(connection.getresponse().read())
+    except OSError:
+        return None
+    finally:
+        connection.close()
+
+
+def send_order(connection, first, end, expected_rev):
+    """Send an order and return the response status."""
+    body = {"op": "place", "rangeStart": first, "targetVersion": end, "how": "wait"}
+    connection.request("POST", "/v1/order", json.dumps({**body, "expectedRev": expected_rev}))
+    response = connection.getresponse()
+    return response.status
+
+
+@when(
+    "it accepts an order to hold layers {first:d}-{end:d} and the connection is closed immediately"
+)
+def send_order_and_disconnect(context, first, end):
+    connection = new_connection(context)
+    assert send_order(connection, first, end, 0) == 202
+    connection.close()
+    context.report_after_order = fetch_report(context)
+    second_connection = new_connection(context)
+    context.second_order_status = send_order(second_connection, 0, 1, 1)
+    second_connection.close()
+
+
+@then("it reports an order in progress, and within {seconds:g} seconds layers {first:d}-{end:d}")
+def check_order_completes(context, seconds, first, end):
+    report = context.report_after_order
+    assert report["utilization"] and report["sequence"] == 1, report
+    expected_layers = {"rangeStart": first, "targetVersion": end}
+    last_report = {}
+
+    def has_expected_layers():
+        last_report.update(fetch_report(context) or {})
+        return last_report.get("layers") == expected_layers
+
+    assert poll_until(has_expected_layers, seconds), last_report
+    assert not last_report["utilization"], last_report
+
+
+@then("it refuses another order while one is in progress")
+def check_second_order_refused(context):
+    assert context.second_order_status == 409, context.second_order_status
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -57,7 +57,8 @@
 class RunnerSpec:
     """One start of a runner; `address` is where others reach it, `layers` how many it may hold.
 
-    `born` is the Unix millisecond of the start, by which starts under one id are told apart.
+    An order takes `load_seconds`. `born` is the Unix millisecond of the start, by which starts
+    under one id are told apart.
     """
 
     instance: str
@@ -68,6 +69,7 @@
     store: str
     layers: int = 0
     born: int = 0
+    load_seconds: float = LOAD_SECONDS
 
     def text(self) -> str:
         """Return it as the program's argument."""
@@ -87,7 +89,7 @@
         self._pool = ConnectionPool(lambda what: None)
         self._first = self._end = 0
         self._orders = 0
-        self._loading = 0.0
+        self._is_loading = False
         self._paths: dict[str, list[tuple[str, int, int]]] = {}
         self._waiting: dict[str, tuple[str, float]] = {}
         self._lost: set[str] = set()
@@ -113,7 +115,7 @@
 
     async def _write_row(self) -> None:
         spec = self._spec
-        held = {"rangeStart": self._first, "targetVersion": self._end} if self._end else None
+        held = self._held_layers()
         row = {
             "service": spec.service, "address": spec.address, "zone": spec.domain, "slots": 24,
             "state": self._notices.state, "kind": "card" if spec.layers else "", "layers": held,
@@ -178,9 +180,13 @@
         return {
             "sequence": self._orders, "running": len(self._paths), "queued": 0, "kvUsed": 0,
             "kvTotal": 1, "stalled": stalled, "first": self._first, "end": self._end,
-            "born": self._spec.born,
+            "born": self._spec.born, "layers": self._held_layers(), "utilization": self._is_loading,
         }  # fmt: skip
 
+    def _held_layers(self) -> dict[str, int] | None:
+        """Return the held layers in the platform's format, or None if there are none."""
+        return {"rangeStart": self._first, "targetVersion": self._end} if self._end else None
+
     async def _order(self, order: dict, exchange: Exchange) -> None:
         told = json.dumps({"born": self._spec.born}).encode()
         head = (*JSON_TYPE, *self._notices.control_headers)
@@ -190,8 +196,7 @@
                 self._paths[order["id"]] = parse_path(order["path"])
             await exchange.whole(200 if known else 404, head, told)
             return
-        busy = trio.current_time() < self._loading
-        if busy or order["expectedRev"] != self._orders:
+        if self._is_loading or order["expectedRev"] != self._orders:
             await exchange.whole(409, head, told)
             return
         first, end = order["rangeStart"], order["targetVersion"]
@@ -199,10 +204,16 @@
         if len(held | set(range(first, end))) > self._spec.layers:
             tell(broken="LIMIT", instance=self._spec.instance, first=first, end=end)
         self._orders += 1
-        self._loading = trio.current_time() + LOAD_SECONDS
+        self._is_loading = True
+        # Runs outside the handler, which is cancelled when the sender closes the connection.
+        self._nursery.start_soon(self._load, first, end)
         await exchange.whole(202, head, told)
-        await trio.sleep_until(self._loading)
+
+    async def _load(self, first: int, end: int) -> None:
+        """Complete an accepted order: hold its layers after the load time and write the row."""
+        await trio.sleep(self._spec.load_seconds)
         self._first, self._end = first, end
+        self._is_loading = False
         await self._write_row()
 
     async def _work(
