Soak: keep the stand-in runner alive when a request runs twice

The stand-in runner stored the paths of its streams by request id. When an entry retried a request at the same runner before the first run had ended there, the end of the first run removed the path of the second.

Each run now holds its own path and what it waits for, and removes only its own record when it ends.

--- a/features/soak_runner.feature
+++ b/features/soak_runner.feature
@@ -7,3 +7,11 @@
     When it accepts an order to hold layers 0-8 and the connection is closed immediately
     Then it reports an order in progress, and within 4 seconds layers 0-8
     And it refuses another order while one is in progress
+
+  # Guards against the process exiting when a request is retried before its first run has ended.
+  Scenario: A second run of a request completes after the first one is aborted
+    Given a stand-in runner with a capacity of 8 layers and a load time of 0.15 second
+    And it holds layers 0-8
+    When a stream is requested twice with the same request id and the first connection is closed
+    Then the second stream is complete
+    And the stand-in runner is still running
--- a/features/steps/soak_runner_steps.py
+++ b/features/steps/soak_runner_steps.py
@@ -10,12 +10,14 @@
 
 from behave import given, then, when
 
+from soak.events import events
 from soak.runner import RunnerSpec
 from soak.wire import HOST, free_port
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 START_SECONDS = 20.0
 CALL_SECONDS = 10.0
+REQUEST_ID = "r1"
 
 
 @given(
@@ -102,3 +104,42 @@
 @then("it refuses another order while one is in progress")
 def check_second_order_refused(context):
     assert context.second_order_status == 409, context.second_order_status
+
+
+@given("it holds layers {first:d}-{end:d}")
+def hold_layers(context, first, end):
+    connection = new_connection(context)
+    assert send_order(connection, first, end, 0) == 202
+    expected_layers = {"rangeStart": first, "targetVersion": end}
+    assert poll_until(lambda: fetch_report(context)["layers"] == expected_layers, CALL_SECONDS)
+    connection.close()
+
+
+def start_stream(context):
+    """Request a stream; return the connection, the response and the first byte of the body."""
+    connection = new_connection(context)
+    path = f"{HOST}:{context.port}=0-8"
+    connection.request("POST", "/stream/x", "b", {"X-Request-Id": REQUEST_ID, "Path": path})
+    response = connection.getresponse()
+    assert response.status == 200, response.status
+    return connection, response, response.read(1)
+
+
+@when("a stream is requested twice with the same request id and the first connection is closed")
+def request_stream_twice(context):
+    first_connection, first_response, _ = start_stream(context)
+    context.connection, context.response, context.first_byte = start_stream(context)
+    first_response.close()
+    first_connection.close()
+
+
+@then("the second stream is complete")
+def check_second_stream(context):
+    body = context.first_byte + context.response.read()
+    assert body == events(REQUEST_ID), body[-80:]
+
+
+@then("the stand-in runner is still running")
+def check_runner_still_running(context):
+    assert context.runner.poll() is None
+    assert fetch_report(context) is not None
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -76,6 +76,17 @@
         return json.dumps(asdict(self))
 
 
+@dataclass
+class _RunningStream:
+    """A running stream and its current path, which a repath order replaces.
+
+    `waits_for` is the address of the part that it waits for and since when, None while it doesn't.
+    """
+
+    path: list[tuple[str, int, int]]
+    waits_for: tuple[str, float] | None = None
+
+
 def tell(**fields: object) -> None:
     """Write one line of the record."""
     os.write(1, json.dumps(fields).encode() + b"\n")
@@ -90,8 +101,8 @@
         self._first = self._end = 0
         self._orders = 0
         self._is_loading = False
-        self._paths: dict[str, list[tuple[str, int, int]]] = {}
-        self._waiting: dict[str, tuple[str, float]] = {}
+        # The latest run by request id; a retry may arrive before the previous run has ended.
+        self._streams: dict[str, _RunningStream] = {}
         self._lost: set[str] = set()
         self._notices = Notices(partial(tell, instance=spec.instance, born=spec.born))
         self._odd = OddAnswers(
@@ -173,12 +184,12 @@
     def _report(self) -> dict[str, object]:
         now = trio.current_time()
         stalled = [
-            {"id": name, "address": address}
-            for name, (address, since) in self._waiting.items()
-            if now - since >= REPORT_LAG_SECONDS
+            {"id": name, "address": stream.waits_for[0]}
+            for name, stream in self._streams.items()
+            if stream.waits_for and now - stream.waits_for[1] >= REPORT_LAG_SECONDS
         ]
         return {
-            "sequence": self._orders, "running": len(self._paths), "queued": 0, "kvUsed": 0,
+            "sequence": self._orders, "running": len(self._streams), "queued": 0, "kvUsed": 0,
             "kvTotal": 1, "stalled": stalled, "first": self._first, "end": self._end,
             "born": self._spec.born, "layers": self._held_layers(), "utilization": self._is_loading,
         }  # fmt: skip
@@ -191,10 +202,10 @@
         told = json.dumps({"born": self._spec.born}).encode()
         head = (*JSON_TYPE, *self._notices.control_headers)
         if order["op"] == "repath":
-            known = order["id"] in self._paths
-            if known:
-                self._paths[order["id"]] = parse_path(order["path"])
-            await exchange.whole(200 if known else 404, head, told)
+            stream = self._streams.get(order["id"])
+            if stream is not None:
+                stream.path = parse_path(order["path"])
+            await exchange.whole(404 if stream is None else 200, head, told)
             return
         if self._is_loading or order["expectedRev"] != self._orders:
             await exchange.whole(409, head, told)
@@ -284,38 +295,39 @@
         pad: int,
         answer: "_Answer",
     ) -> None:
-        self._paths[name] = path
+        stream = self._streams[name] = _RunningStream(path)
         due = trio.current_time()
         try:
             await answer.start()
             for number in numbers:
                 due += EVENT_SECONDS
                 await trio.sleep_until(due)
-                if not await self._until_whole(name):
+                if not await self._until_whole(stream):
                     answer.cut()
                     return
                 if not await answer.send(event(name, number, pad)):
                     return
             await answer.finish()
         finally:
-            self._paths.pop(name, None)
-            self._waiting.pop(name, None)
+            # A later run of the same request may have replaced the entry.
+            if self._streams.get(name) is stream:
+                del self._streams[name]
 
-    async def _until_whole(self, name: str) -> bool:
+    async def _until_whole(self, stream: _RunningStream) -> bool:
         """Wait while a part is lost; return whether the stream may go on."""
         deadline = trio.current_time() + STALL_SECONDS
-        while lost := [each[0] for each in self._paths[name] if each[0] in self._lost]:
-            self._waiting.setdefault(name, (lost[0], trio.current_time()))
+        while lost := [each[0] for each in stream.path if each[0] in self._lost]:
+            stream.waits_for = stream.waits_for or (lost[0], trio.current_time())
             if trio.current_time() > deadline:
                 return False
             await trio.sleep(EVENT_SECONDS)
-        self._waiting.pop(name, None)
+        stream.waits_for = None
         return True
 
     async def _probe_parts(self) -> None:
         """Keep asking the other runners of the paths under way whether they are there."""
         while True:
-            others = {each[0] for path in self._paths.values() for each in path}
+            others = {each[0] for stream in self._streams.values() for each in stream.path}
             others.discard(self._spec.address)
             self._lost &= others
             async with trio.open_nursery() as nursery:
