Soak: don't refuse a stream because another runner is slow to respond

Cause: before a stream started, the first stand-in runner asked the others on the path whether they hold their parts, and returned 421 if one took more than 100 ms to answer. The platform's runners return 421 only if a part isn't held. If another runner is dead or cut off, a request stalls for the stall time and gets 503, and the report names the request meanwhile.

Change: a stand-in runner waits for every runner on the path to report what it holds (soak/path_check.py). It returns 421 only if a runner reports that it doesn't hold its part, and 503 with X-Not-Executed and At-Server if a runner hasn't reported after 2.5 s. While the request waits, the report names it and counts it as running, and a repath order may give it another path.

Two of the three new scenarios failed before this change: a runner that answers after 0.6 s, and one that is unreachable.

--- a/features/soak_runner.feature
+++ b/features/soak_runner.feature
@@ -15,3 +15,17 @@
     When a stream is requested twice with the same request id and the first connection is closed
     Then the second stream is complete
     And the stand-in runner is still running
+
+  # Guards against refusing a stream because another runner on its path is slow to respond.
+  Scenario Outline: A stream starts once every runner on its path reports holding its part: <case>
+    Given a stand-in runner with a capacity of 8 layers and a load time of 0.15 second
+    And it holds layers 0-4
+    And another runner that <state>
+    When a stream is requested with layers 0-4 on the stand-in runner and 4-8 on the other
+    Then the response status is <status> and <outcome>
+
+    Examples:
+      | case        | state                                          | status | outcome                             |
+      | slow        | holds layers 4-8 and delays its first response | 200    | the stream is complete              |
+      | not held    | holds layers 4-6                               | 421    | the response names the other runner |
+      | unreachable | is not listening                               | 503    | the response names the other runner |
--- a/features/steps/soak_runner_steps.py
+++ b/features/steps/soak_runner_steps.py
@@ -6,7 +6,9 @@
 import time
 from dataclasses import replace
 from http.client import HTTPConnection
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
+from threading import Thread
 
 from behave import given, then, when
 
@@ -17,6 +19,8 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 START_SECONDS = 20.0
 CALL_SECONDS = 10.0
+# The delay of a slow runner's first response, in seconds.
+RESPONSE_DELAY_SECONDS = 0.6
 REQUEST_ID = "r1"
 
 
@@ -143,3 +147,69 @@
 def check_runner_still_running(context):
     assert context.runner.poll() is None
     assert fetch_report(context) is not None
+
+
+class ReportHandler(BaseHTTPRequestHandler):
+    """Reports the layers that a runner holds, the first time after a delay."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):  # noqa: N802 - name required by BaseHTTPRequestHandler
+        delay, self.server.delay = self.server.delay, 0.0
+        time.sleep(delay)
+        first, end = self.server.held_range
+        body = json.dumps({"first": first, "end": end}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *details):
+        pass
+
+
+def start_other_runner(context, first, end, delay):
+    server = ThreadingHTTPServer((HOST, 0), ReportHandler)
+    server.daemon_threads = True
+    server.held_range, server.delay = (first, end), delay
+    Thread(target=server.serve_forever, daemon=True).start()
+    context.add_cleanup(server.shutdown)
+    context.other_port = server.server_port
+
+
+@given("another runner that holds layers {first:d}-{end:d}")
+def start_prompt_runner(context, first, end):
+    start_other_runner(context, first, end, 0.0)
+
+
+@given("another runner that holds layers {first:d}-{end:d} and delays its first response")
+def start_slow_runner(context, first, end):
+    start_other_runner(context, first, end, RESPONSE_DELAY_SECONDS)
+
+
+@given("another runner that is not listening")
+def choose_unused_port(context):
+    context.other_port = free_port()
+
+
+@when("a stream is requested with layers 0-4 on the stand-in runner and 4-8 on the other")
+def request_stream_over_both(context):
+    connection = new_connection(context)
+    path = f"{HOST}:{context.port}=0-4,{HOST}:{context.other_port}=4-8"
+    connection.request("POST", "/stream/x", "b", {"X-Request-Id": REQUEST_ID, "Path": path})
+    context.response = connection.getresponse()
+
+
+@then("the response status is {status:d} and the stream is complete")
+def check_stream_complete(context, status):
+    assert context.response.status == status, context.response.status
+    body = context.response.read()
+    assert body == events(REQUEST_ID), body[-80:]
+
+
+@then("the response status is {status:d} and the response names the other runner")
+def check_refusal(context, status):
+    assert context.response.status == status, context.response.status
+    assert context.response.getheader("X-Not-Executed"), context.response.headers
+    at_server = context.response.getheader("At-Server")
+    assert at_server == f"{HOST}:{context.other_port}", at_server
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -24,6 +24,7 @@
 from soak.events import EVENTS, PAD_HEADER, event
 from soak.notices import FROM, Notices, start_name
 from soak.odd_answers import Odd, OddAnswers, raw_head
+from soak.path_check import STALL_SECONDS, PathCheck, RunningStream
 from soak.wire import JSON_TYPE, fields_of, parse_path, serve_each
 
 __all__ = ["RunnerSpec"]
@@ -33,14 +34,11 @@
 # Between two events of a stream, seconds.
 EVENT_SECONDS = 0.02
 # Between two rounds in which the other runners of the paths are asked whether they are there, and
-# the time in which they must answer, seconds. Before a stream starts they must answer within the
-# first one.
+# the time in which they must answer, seconds.
 PULSE_SECONDS = 0.1
 PULSE_ANSWER_SECONDS = 0.25
 # How long a stream must wait before the report names it, seconds.
 REPORT_LAG_SECONDS = 0.2
-# How long a stream waits for a lost part before it is cut, seconds.
-STALL_SECONDS = 2.5
 # How long an order takes, and a plain call, seconds.
 LOAD_SECONDS = 0.15
 CALL_SECONDS = 0.05
@@ -76,17 +74,6 @@
         return json.dumps(asdict(self))
 
 
-@dataclass
-class _RunningStream:
-    """A running stream and its current path, which a repath order replaces.
-
-    `waits_for` is the address of the part that it waits for and since when, None while it doesn't.
-    """
-
-    path: list[tuple[str, int, int]]
-    waits_for: tuple[str, float] | None = None
-
-
 def tell(**fields: object) -> None:
     """Write one line of the record."""
     os.write(1, json.dumps(fields).encode() + b"\n")
@@ -102,7 +89,7 @@
         self._orders = 0
         self._is_loading = False
         # The latest run by request id; a retry may arrive before the previous run has ended.
-        self._streams: dict[str, _RunningStream] = {}
+        self._streams: dict[str, RunningStream] = {}
         self._lost: set[str] = set()
         self._notices = Notices(partial(tell, instance=spec.instance, born=spec.born))
         self._odd = OddAnswers(
@@ -246,18 +233,49 @@
             await exchange.whole(503, (*known, *refusal), b"")
             return
         path = parse_path(headers.get("path", ""))
-        if path:
-            culprit = await self._missing(path)
-            if culprit:
-                extra = ((b"x-not-executed", b"1"), (b"at-server", culprit.encode()))
-                await exchange.whole(421, (*known, *extra), b"")
+        if not path:
+            await self._run_request(request, exchange, conversation, odd, None)
+            return
+        stream = self._streams[name] = RunningStream(path)
+        try:
+            path_refusal = await PathCheck(self._fetch_held_range).find_refusal(stream)
+            if path_refusal is None:
+                await self._run_request(request, exchange, conversation, odd, stream)
                 return
+            extra = ((b"x-not-executed", b"1"), (b"at-server", path_refusal.address.encode()))
+            await exchange.whole(path_refusal.status, (*known, *extra), b"")
+        finally:
+            # A later run of the same request may have replaced the entry.
+            if self._streams.get(name) is stream:
+                del self._streams[name]
+
+    async def _fetch_held_range(self, address: str, seconds: float) -> tuple[int, int] | None:
+        """Return the layers that a runner holds, or None if it doesn't answer in time."""
+        if address == self._spec.address:
+            return self._first, self._end
+        answer = await self._call(address, b"GET", b"/v1/report", b"", seconds)
+        if answer is None:
+            return None
+        report = json.loads(answer[1])
+        return report["first"], report["end"]
+
+    async def _run_request(
+        self,
+        request: IncomingRequest,
+        exchange: Exchange,
+        conversation: Conversation,
+        odd: Odd | None,
+        stream: RunningStream | None,
+    ) -> None:
+        """Run a request: send the events of a stream, or one answer if `stream` is None."""
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        name = headers.get("x-request-id", "")
         tell(
             run=name,
             instance=self._spec.instance,
             service=self._spec.service,
             account=headers.get("x-tenant", ""),
-            layers=[each[1:] for each in path],
+            layers=[each[1:] for each in stream.path] if stream else [],
         )
         if request.body.startswith(DEADLY):
             await end_by(request.body, name, tell)
@@ -266,54 +284,29 @@
             return
         own = start_name(self._spec.instance, self._spec.born)
         answer = _Answer(exchange, conversation, odd, name, own, self._notices)
-        if not path:
+        if stream is None:
             await trio.sleep(CALL_SECONDS)
             await answer.whole(f"answer to {name}".encode())
             return
         after, pad = int(headers.get("last-event-id", 0)), int(headers.get(PAD, 0))
-        await self._stream(name, path, range(after + 1, EVENTS + 1), pad, answer)
-
-    async def _missing(self, path: list[tuple[str, int, int]]) -> str:
-        """Return the address on a path that doesn't hold its part, empty where all do."""
-        for address, first, end in path:
-            held = (self._first, self._end)
-            if address != self._spec.address:
-                answer = await self._call(address, b"GET", b"/v1/report", b"", PULSE_SECONDS)
-                if answer is None:
-                    return address
-                report = json.loads(answer[1])
-                held = report["first"], report["end"]
-            if not held[0] <= first < end <= held[1]:
-                return address
-        return ""
-
-    async def _stream(
-        self,
-        name: str,
-        path: list[tuple[str, int, int]],
-        numbers: range,
-        pad: int,
-        answer: "_Answer",
+        await self._send_events(name, stream, range(after + 1, EVENTS + 1), pad, answer)
+
+    async def _send_events(
+        self, name: str, stream: RunningStream, numbers: range, pad: int, answer: "_Answer"
     ) -> None:
-        stream = self._streams[name] = _RunningStream(path)
         due = trio.current_time()
-        try:
-            await answer.start()
-            for number in numbers:
-                due += EVENT_SECONDS
-                await trio.sleep_until(due)
-                if not await self._until_whole(stream):
-                    answer.cut()
-                    return
-                if not await answer.send(event(name, number, pad)):
-                    return
-            await answer.finish()
-        finally:
-            # A later run of the same request may have replaced the entry.
-            if self._streams.get(name) is stream:
-                del self._streams[name]
+        await answer.start()
+        for number in numbers:
+            due += EVENT_SECONDS
+            await trio.sleep_until(due)
+            if not await self._until_whole(stream):
+                answer.cut()
+                return
+            if not await answer.send(event(name, number, pad)):
+                return
+        await answer.finish()
 
-    async def _until_whole(self, stream: _RunningStream) -> bool:
+    async def _until_whole(self, stream: RunningStream) -> bool:
         """Wait while a part is lost; return whether the stream may go on."""
         deadline = trio.current_time() + STALL_SECONDS
         while lost := [each[0] for each in stream.path if each[0] in self._lost]:
