Don't treat reachable upstreams as lost when all answers are late

On an overloaded machine callers were refused, or their streams moved, although every upstream was reachable.

Cause: an upstream counts as lost if it leaves two questions unanswered, with timeouts of 15 and 25 ms. On that machine answer times have a median of 110 to 176 ms and a 90th percentile of 295 to 582 ms. Their streams were moved and retried, and plans gave their layers to others, which added to the load. Orders (timeout 120 ms) and reports (150 ms) went unanswered in the same way.

Ruled out: delays in the process itself. Its event loop was late by a median of 15 to 17 ms and a 90th percentile of 34 to 39 ms.

Change: the timeout follows from the last 16 answers of all upstreams within the last 5 s (decisions/answer_times.py). It is three times the third quartile of their answer times, at most 0.6 s, and never shorter than before. Where answers take 5 ms or less, the timeout of 15 ms stays; so it does while no more than 4 of the 16 answers are late. It applies to questions, reports, orders, moves and connection probes. Only answers that arrive in time are recorded: where every answer takes longer than the timeouts in use, they stay as they are.

--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -7,6 +7,7 @@
 import trio
 from msgspec import UNSET, UnsetType
 
+from deckcourse.decisions.answer_times import AnswerTimes
 from deckcourse.gateway.dialect import (
     LoadReport,
     MoveResult,
@@ -98,6 +99,7 @@
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
+        self._answer_times = AnswerTimes()
         self._judge: Callable[[Upstream, int], StartNews] = lambda asked, start: StartNews.SAME
         self._admission: Callable[[str, Purpose], Awaitable[bool]] = (
             lambda instance, purpose: _always()
@@ -116,6 +118,10 @@
         """Register the admission check for questions and orders."""
         self._admission = admission
 
+    def _timeout(self, base_seconds: float) -> float:
+        """Return the timeout for an answer, seconds; above the base if recent answers are late."""
+        return self._answer_times.timeout(base_seconds, trio.current_time())
+
     def _start_news(self, asked: Upstream, born: int | UnsetType) -> StartNews:
         """Return which start answered; one that isn't told counts as the one that was asked."""
         return StartNews.SAME if born is UNSET else self._judge(asked, born)
@@ -168,6 +174,7 @@
         """Ask a runner whether it is there; DEAD if its machine turns connections down."""
         if not await self._admission(upstream.instance, Purpose.QUESTION):
             return PulseReading(Pulse.UNASKED)
+        seconds = self._timeout(seconds)
         wait = _OwnWait(seconds)
         reading = await self._pulse_once(upstream, seconds)
         if reading.pulse is Pulse.SILENT and wait.stood_still:
@@ -178,7 +185,7 @@
 
     async def reach(self, upstream: Upstream, seconds: float) -> Pulse:
         """Return whether a runner takes connections: a plain one would run what it is sent."""
-        with trio.move_on_after(seconds):
+        with trio.move_on_after(self._timeout(seconds)):
             try:
                 connection = await self._pool.open(upstream.address)
             except ConnectionLostError:
@@ -267,7 +274,7 @@
     ) -> tuple[int, bytes] | None:
         """Return an answer's status and body, None where there was none in time."""
         try:
-            with trio.move_on_after(seconds):
+            with trio.move_on_after(self._timeout(seconds)):
                 return await self._exchange(upstream, method, target, value, unlike)
         except ConnectionLostError:
             return None  # The caller counts it: an answer that is missing is a value here.
@@ -308,7 +315,7 @@
         """
         # Before the timeout starts, since a token may take longer than a healthy runner.
         await self._wait_for_admission(upstream, purpose)
-        wait = _OwnWait(REPORT_SECONDS)
+        wait = _OwnWait(self._timeout(REPORT_SECONDS))
         answer = await self._call(upstream, b"GET", REPORT, None, REPORT_SECONDS)
         if answer is None and wait.stood_still:
             await self._wait_for_admission(upstream, purpose)
@@ -360,6 +367,8 @@
                 if self._pool.idle(upstream.address) >= MOST_KEPT_AFTER_ORDERS:
                     connection.retire()
             content = await reply.whole_body()
+            answered_at = trio.current_time()
+            self._answer_times.record(answered_at - sent_at, answered_at)
         self._apply_notice(upstream, notice_of(reply), content, sent_at)
         return reply.status, content
 
--- a/features/gateway_runner.py
+++ b/features/gateway_runner.py
@@ -72,6 +72,8 @@
         self.let_go_at_once = False
         self.holds_up = False
         self.silent_until = 0.0
+        # Delay before it answers questions and orders, seconds.
+        self.control_delay = 0.0
         self.born = None
         self.left_open = False
         self.on_order = None
@@ -171,6 +173,8 @@
         if knows_questions and request.target.startswith(b"/v1/"):
             question = Arrival(QUESTION, self.instance, self.born, trio.current_time())
             self.world.questions.append(question)
+        if self.control_delay and request.target.startswith(b"/v1/"):
+            await trio.sleep(self.control_delay)
         if self.refuses_control and request.target.startswith(b"/v1/"):
             await exchange.whole(503, self.refusal(), b"")
         elif knows_questions and request.target == b"/v1/report":
--- /dev/null
+++ b/features/steps/busy_upstream_steps.py
@@ -0,0 +1,78 @@
+"""Steps for the timeout of questions and orders while answers are late."""
+
+import trio
+from behave import given, then, when
+from gateway_runner import EVENT_SECONDS
+from gateway_story import ask_while, two_chains
+
+from deckcourse.decisions.answer_times import AnswerTimes
+
+NOW = 100.0
+
+
+@given("two chains of runners that answer questions and orders after {seconds:g} seconds")
+def chains_with_control_delay(context, seconds):
+    two_chains(context)
+    for runner in context.site.runners.values():
+        runner.control_delay = seconds
+
+
+@given("a stream that has run for 3 seconds")
+def stream_has_run(context):
+    context.warm_up_seconds = 3.0
+
+
+async def hold_streams_up(site, seconds):
+    site.runners["x2"].holds_up = True
+    await trio.sleep(seconds)
+    site.runners["x2"].holds_up = False
+
+
+async def go_dark(site):
+    site.runners["x2"].dead = True
+    site.network.darken(site.runners["x2"].address)
+
+
+async def die(site):
+    site.runners["x2"].die()
+
+
+CHANGES = {
+    "holds streams up for 0.3 s": lambda site: hold_streams_up(site, 0.3),
+    "goes dark": go_dark,
+    "dies": die,
+}
+
+
+@when("the second upstream of the path {change}")
+def second_upstream_changes(context, change):
+    # The stream has to continue after the change.
+    events = round(context.warm_up_seconds / EVENT_SECONDS)
+    context.site.events = events + 20
+    ask_while(context, events, CHANGES[change])
+
+
+@then("the second upstream of the path was {result}")
+def second_upstream_was(context, result):
+    pulses = [fields for decision, fields in context.site.lines if decision == "pulse"]
+    names = {each["instance"].partition("@")[0] for each in pulses}
+    assert ("x2" in names) == (result == "suspected"), pulses
+
+
+def parse_answer_times(text):
+    """Return the answer times, seconds, of a text such as "15 x 3, 1 x 400" (count x ms)."""
+    groups = [] if text == "none" else [each.split(" x ") for each in text.split(", ")]
+    return [int(ms) / 1000 for count, ms in groups for _ in range(int(count))]
+
+
+@given("answers that took {answers} ms, received {age:g} seconds ago")
+def answers_received(context, answers, age):
+    context.answer_times = AnswerTimes()
+    for seconds in parse_answer_times(answers):
+        context.answer_times.record(seconds, NOW - age)
+
+
+@then("the answer timeout for a base of {base:d} ms is {timeout:d} ms")
+def timeout_is(context, base, timeout):
+    actual = context.answer_times.timeout(base / 1000, NOW)
+    assert abs(actual - timeout / 1000) < 1e-9, actual
