Pause orders to an upstream that accepts them without carrying them out

While an upstream accepted orders without carrying them out, each plan assigned it the same layers again, and requests were refused for as long as no upstream held the layers.

Cause: the range that an upstream holds after an order was never compared with the range that it had accepted. While the order was pending, its range counted as held, so no other upstream closed the gap; afterwards the same upstream was the best choice again.

Change: the report read before an order also shows whether the last accepted order was carried out. The order was dropped if the order count has risen, no order is under way and the range is not held. After two consecutive dropped orders, the upstream is sent no orders for 10 s (result "unreliable"); plans use the range in its row and assign the rest to other upstreams. A report with the accepted range, without any range, or one that counts orders from other processes since, resets the number of dropped orders.

The new scenario, which failed before the change, has two empty upstreams, one of which drops its orders.

--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -40,6 +40,8 @@
 # An upstream that is still busy with an order turns the next one down, and one that gave no answer
 # may carry it out all the same; both are left alone for so long, seconds.
 BUSY_SECONDS = 0.6
+# How long no orders are sent to an upstream that drops accepted orders, seconds.
+UNRELIABLE_SECONDS = 10.0
 # After a plan, layers are given up only after so long, seconds: one change at a time, and gaps go
 # before.
 REST_SECONDS = 1.0
@@ -298,6 +300,10 @@
             # Plan with the reported range until the row has had time to catch up.
             stale_until = trio.current_time() + ROW_LAG_SECONDS
             self._pending[row.instance] = _Pending(*outcome.report.held, stale_until)
+        elif result is OrderResult.UNRELIABLE:
+            # Plan with the row's range, so that other upstreams are assigned the layers.
+            unreliable_until = trio.current_time() + UNRELIABLE_SECONDS
+            self._pending[row.instance] = _Pending(row.first, row.end, unreliable_until, True)
         elif result in (OrderResult.CONFLICT, OrderResult.UNANSWERED):
             busy_until = trio.current_time() + BUSY_SECONDS
             self._pending[row.instance] = _Pending(row.first, row.end, busy_until, True)
--- a/deckcourse/layers/orders.py
+++ b/deckcourse/layers/orders.py
@@ -4,6 +4,7 @@
 sent with a current count may exceed the upstream's memory.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -19,12 +20,18 @@
 
 # Maximum number of times that one order is sent.
 MOST_ORDER_TRIES = 4
+# Number of consecutive accepted orders that an upstream drops before orders to it are paused.
+MOST_DROPPED_ORDERS = 2
 # Maximum age of the state in an upstream's report, seconds.
 REPORT_LAG_SECONDS = 0.25
 
 
 class OrderResult(StrEnum):
-    """The result of an order; OUTDATED if the upstream doesn't hold the range the plan assumed."""
+    """The result of an order.
+
+    OUTDATED: the upstream doesn't hold the range the plan assumed. UNRELIABLE: it accepted
+    previous orders without carrying them out.
+    """
 
     TAKEN = "taken"
     HELD = "held"
@@ -32,6 +39,7 @@
     REFUSED = "refused"
     UNANSWERED = "unanswered"
     OUTDATED = "outdated"
+    UNRELIABLE = "unreliable"
 
 
 @dataclass(frozen=True)
@@ -81,10 +89,18 @@
         self._orderer = orderer
         # The last report of each upstream, updated when it takes an order.
         self._reports: dict[str, LayerReport] = {}
+        # The report expected of each upstream after its last accepted order, until a report shows
+        # whether the order was carried out.
+        self._accepted_orders: dict[str, LayerReport] = {}
+        # The number of consecutive accepted orders that each upstream dropped.
+        self._dropped_orders: Counter[str] = Counter()
 
     def keep_only(self, instances: Iterable[str]) -> None:
-        """Discard the reports of all other upstreams."""
-        self._reports = {name: self._reports[name] for name in instances if name in self._reports}
+        """Discard the state kept for all other upstreams."""
+        names = set(instances)
+        for by_instance in (self._reports, self._accepted_orders, self._dropped_orders):
+            for name in by_instance.keys() - names:
+                del by_instance[name]
 
     async def send(
         self,
@@ -113,6 +129,10 @@
             if report is None or not is_there or trio.current_time() >= deadline:
                 break
             unsent_result = _result_without_sending(report, assignment, expected_range)
+            if unsent_result is None and self._dropped_orders[row.instance] >= MOST_DROPPED_ORDERS:
+                # Reset the count so that orders are sent again after the caller's pause.
+                self._dropped_orders[row.instance] = 0
+                unsent_result = OrderResult.UNRELIABLE
             if unsent_result is not None:
                 return OrderOutcome(unsent_result, report)
             result = await self._orderer.place(row, assignment, report.orders)
@@ -126,6 +146,7 @@
         if result is OrderResult.TAKEN and report is not None:
             held = assignment.first, assignment.end
             self._reports[row.instance] = LayerReport(report.orders + 1, held)
+            self._accepted_orders[row.instance] = self._reports[row.instance]
         return OrderOutcome(result, report)
 
     async def _initial_report(
@@ -155,8 +176,25 @@
         self._reports.pop(row.instance, None)
         if report is not None:
             self._reports[row.instance] = report
+            self._update_dropped_orders(row.instance, report)
         return report
 
+    def _update_dropped_orders(self, instance: str, report: LayerReport) -> None:
+        """Update the number of consecutive dropped orders from an upstream's report.
+
+        The last accepted order was dropped if the upstream counts it, isn't busy and reports
+        another range. The number is reset if the upstream holds the ordered range, reports no
+        range or has taken further orders.
+        """
+        accepted = self._accepted_orders.get(instance)
+        if accepted is None or report.busy or report.orders < accepted.orders:
+            return
+        del self._accepted_orders[instance]
+        if report.held in (None, accepted.held) or report.orders > accepted.orders:
+            self._dropped_orders[instance] = 0
+        else:
+            self._dropped_orders[instance] += 1
+
 
 def _result_without_sending(
     report: LayerReport, assignment: Assignment, expected_range: tuple[int, int]
--- a/features/healer_standins.py
+++ b/features/healer_standins.py
@@ -97,6 +97,8 @@
         self.taken = []
         self.over_capacity = []
         self.on_range_changed = lambda name, first, end: None
+        # Names of the upstreams that accept orders without carrying them out.
+        self.dropping_upstreams = set()
         self._orders = {}
         self._ranges = {}
         self._loading = {}
@@ -135,6 +137,8 @@
             self.over_capacity.append((order, self._ranges[name]))
         self._orders[name] += 1
         self._loading[name] = now + self.LOAD_SECONDS
+        if name in self.dropping_upstreams:
+            return OrderResult.TAKEN
         self._ranges[name] = first, end
         self.on_range_changed(name, first, end)
         return OrderResult.TAKEN
--- a/features/mutants_layers.py
+++ b/features/mutants_layers.py
@@ -1,15 +1,32 @@
-"""Mutants of the checks on orders to upstreams."""
+"""Mutants of the checks on orders to upstreams and of the answer timeouts."""
 
 import deckcourse.layers.orders as orders_module
+from deckcourse.decisions.answer_times import AnswerTimes
 
 
 def orders_skip_report_check():
     orders_module._result_without_sending = lambda report, assignment, expected_range: None
 
 
+def dropped_orders_are_repeated():
+    orders_module.MOST_DROPPED_ORDERS = 1_000_000
+
+
+def answer_timeouts_are_fixed():
+    AnswerTimes.timeout = lambda self, base_seconds, now: base_seconds
+
+
 EVERY = {
     orders_skip_report_check: (
         "an order is checked against its upstream's report",
         ("stale_rows",),
     ),
+    dropped_orders_are_repeated: (
+        "orders to an upstream that drops them are paused",
+        ("stale_rows",),
+    ),
+    answer_timeouts_are_fixed: (
+        "answer timeouts follow recent answer times",
+        ("busy_upstreams",),
+    ),
 }
--- a/features/stale_rows.feature
+++ b/features/stale_rows.feature
@@ -23,3 +23,10 @@
       | case         |
       | not limited  |
       | rate limited |
+
+  # Guards against repeated orders to an upstream that accepts but never carries them out.
+  Scenario: Orders to an upstream that accepts but does not carry them out are paused
+    Given an empty upstream that drops accepted orders, and another that carries them out
+    When a gap of the model is healed, and the row is updated after 14 seconds
+    Then the upstream that drops orders accepted at most 5 orders
+    And every layer of the model is held
--- a/features/steps/stale_row_steps.py
+++ b/features/steps/stale_row_steps.py
@@ -55,6 +55,13 @@
     context.limited = limited == "rate limited"
 
 
+@given("an empty upstream that drops accepted orders, and another that carries them out")
+def upstream_drops_orders(context):
+    stale_row(context, "nothing", "nothing", 0)
+    context.stale = set()
+    context.simulated.dropping_upstreams = {"b"}
+
+
 def heal(context, seconds, story):
     """Run one healer and a story concurrently on a virtual clock."""
 
@@ -125,3 +132,9 @@
 def all_held(context):
     missing = set(range(LAYERS)) - context.simulated.held_layers()
     assert not missing, (sorted(missing), context.simulated.taken)
+
+
+@then("the upstream that drops orders accepted at most {most:d} orders")
+def dropped_orders_limited(context, most):
+    dropped = [order for order in context.simulated.taken if order[0] == "b"]
+    assert 0 < len(dropped) <= most, context.simulated.taken
