Raise answer timeouts also when no answer arrives in time

Cause: only answers that arrived in time were recorded. When every answer takes longer than the timeouts, there are no samples to derive a timeout from, and the fixed timeouts stayed in effect.

Change: a question or order that times out is recorded as an answer that took twice the timeout, so the timeout backs off. To keep one lost upstream that is asked repeatedly from raising the timeout for all, the timeout is derived per upstream rather than per answer: it is three times the median, over the last 16 upstreams asked, of the longest of each upstream's last three answers. With half of the upstreams lost the timeout does not change. Timeouts during which this process was paused are not recorded.

--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -76,6 +76,7 @@
     """A wait of this process, which may end later than it should."""
 
     def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
         self._deadline = trio.current_time() + seconds
 
     @property
@@ -122,6 +123,12 @@
         """Return the timeout for an answer, seconds; above the base if recent answers are late."""
         return self._answer_times.timeout(base_seconds, trio.current_time())
 
+    def _record_timeout(self, upstream: Upstream, wait: _OwnWait) -> None:
+        """Record that an answer timed out, unless a pause of this process delayed the wait."""
+        if not wait.stood_still:
+            now = trio.current_time()
+            self._answer_times.record_timeout(upstream.instance, wait.seconds, now)
+
     def _start_news(self, asked: Upstream, born: int | UnsetType) -> StartNews:
         """Return which start answered; one that isn't told counts as the one that was asked."""
         return StartNews.SAME if born is UNSET else self._judge(asked, born)
@@ -177,6 +184,8 @@
         seconds = self._timeout(seconds)
         wait = _OwnWait(seconds)
         reading = await self._pulse_once(upstream, seconds)
+        if reading.pulse is Pulse.SILENT:
+            self._record_timeout(upstream, wait)
         if reading.pulse is Pulse.SILENT and wait.stood_still:
             if not await self._admission(upstream.instance, Purpose.QUESTION):
                 return PulseReading(Pulse.UNASKED)
@@ -273,11 +282,13 @@
         unlike: str | None = None,
     ) -> tuple[int, bytes] | None:
         """Return an answer's status and body, None where there was none in time."""
+        wait = _OwnWait(self._timeout(seconds))
         try:
-            with trio.move_on_after(self._timeout(seconds)):
+            with trio.move_on_after(wait.seconds):
                 return await self._exchange(upstream, method, target, value, unlike)
         except ConnectionLostError:
             return None  # The caller counts it: an answer that is missing is a value here.
+        self._record_timeout(upstream, wait)
         return None
 
     async def _wait_for_admission(self, upstream: Upstream, purpose: Purpose) -> None:
@@ -368,7 +379,7 @@
                     connection.retire()
             content = await reply.whole_body()
             answered_at = trio.current_time()
-            self._answer_times.record(answered_at - sent_at, answered_at)
+            self._answer_times.record(upstream.instance, answered_at - sent_at, answered_at)
         self._apply_notice(upstream, notice_of(reply), content, sent_at)
         return reply.status, content
 
--- a/features/steps/busy_upstream_steps.py
+++ b/features/steps/busy_upstream_steps.py
@@ -65,11 +65,25 @@
     return [int(ms) / 1000 for count, ms in groups for _ in range(int(count))]
 
 
-@given("answers that took {answers} ms, received {age:g} seconds ago")
+@given("answers from distinct upstreams that took {answers} ms, received {age:g} seconds ago")
 def answers_received(context, answers, age):
     context.answer_times = AnswerTimes()
-    for seconds in parse_answer_times(answers):
-        context.answer_times.record(seconds, NOW - age)
+    context.last_answer_seconds = 0.0
+    for number, seconds in enumerate(parse_answer_times(answers)):
+        context.answer_times.record(f"u{number}", seconds, NOW - age)
+        context.last_answer_seconds, context.last_upstream = seconds, f"u{number}"
+
+
+@given("{count:d} more answers from the last upstream that took as long")
+def answers_repeated(context, count):
+    for _ in range(count):
+        context.answer_times.record(context.last_upstream, context.last_answer_seconds, NOW)
+
+
+@given("{count:d} more upstreams that timed out after {ms:d} ms")
+def upstreams_timed_out(context, count, ms):
+    for number in range(count):
+        context.answer_times.record_timeout(f"silent{number}", ms / 1000, NOW)
 
 
 @then("the answer timeout for a base of {base:d} ms is {timeout:d} ms")
