Count only requests that were running on an upstream when it ended

Callers whose requests do not harm upstreams were refused for 10 s or more as if their requests ended upstreams.

Cause: if an upstream that has ended does not refuse connections (a proxy in front of it accepts them), a check of it is inconclusive. The runs that broke off there are kept until its row is removed or a newer start is known.

Change: of the runs kept, only those that began before the first of them broke off count. Later ones were sent to an upstream that had already ended. An answer from the upstream in the meantime shows that it had not ended, and the runs kept are dropped; so are those that broke off more than 10 s ago.

Ruled out: requests of other callers that end upstreams (the refused requests came from callers that send none).

--- a/deckcourse/gateway/crash_watch.py
+++ b/deckcourse/gateway/crash_watch.py
@@ -56,12 +56,16 @@
 
 @dataclass
 class _Break:
-    """A run that broke off before it brought anything; `looked_at` is set once that is judged."""
+    """A run that broke off before it brought anything; `looked_at` is set once that is judged.
+
+    `broke_at` is on trio's clock.
+    """
 
     identity: str
     start: RunStart
     upstream: Upstream
     has_layers: bool
+    broke_at: float
     looked_at: trio.Event = field(default_factory=trio.Event)
 
 
@@ -190,8 +194,10 @@
             del self._trials[instance]
             trial.over.set()
 
-    def note_ran(self, admitted: Admitted) -> None:
+    def note_ran(self, admitted: Admitted, instance: str) -> None:
         """Note that an upstream ran a request and is there: it did nothing to the others."""
+        # An answer shows that the upstream had not ended when earlier runs broke off.
+        self._doubted.pop(instance, None)
         # Always noted: a request that many callers send is known to run well before an upstream
         # ends under it, however few of them are there at the next end.
         if self._evidence.note_ran(admitted.identity):
@@ -208,7 +214,8 @@
           start: the run's beginning.
         """
         has_layers = admitted.service.model is not None
-        broken = _Break(admitted.identity, start, upstream, has_layers)
+        now = trio.current_time()
+        broken = _Break(admitted.identity, start, upstream, has_layers, now)
         try:
             self._send.send_nowait(broken)
         except trio.WouldBlock:
@@ -219,8 +226,13 @@
     def note_ended(self, instance: str) -> None:
         """Note that an upstream is gone, by its row or by a newer start."""
         doubted, until = self._doubted.pop(instance, ([], 0.0))
-        if trio.current_time() < until:
-            for broken in doubted:
+        if trio.current_time() >= until:
+            return
+        # Runs that began after the first break were sent to an upstream that had already ended:
+        # a proxy in front of it may still accept connections.
+        first_break_at = min(each.broke_at for each in doubted)
+        for broken in doubted:
+            if broken.start.at <= first_break_at:
                 self._found(broken)
 
     async def run(self) -> None:
@@ -254,7 +266,8 @@
         self._doubted = {name: each for name, each in self._doubted.items() if each[1] > now}
         instance = broken.upstream.instance
         doubted, _ = self._doubted.get(instance, ([], 0.0))
-        self._doubted[instance] = [*doubted, broken], now + DOUBT_SECONDS
+        recent = [each for each in doubted if now < each.broke_at + DOUBT_SECONDS]
+        self._doubted[instance] = [*recent, broken], now + DOUBT_SECONDS
 
     def _found(self, broken: _Break) -> Crash | None:
         """Take in an end that this process saw; return what others are to be told, if anything.
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -242,7 +242,7 @@
             return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
         refuse_joined(reply, body)
         if reply.status < SERVER_ERROR:
-            self._context.crashes.note_ran(self._admitted)
+            self._context.crashes.note_ran(self._admitted, upstream.instance)
         return _Whole(reply.status, end_to_end(reply.headers), body)
 
     async def _deliver(self, answer: _Whole) -> Outcome:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -370,8 +370,9 @@
         """Note that events came: this is no request that ends its upstreams."""
         if not self._ran_well:
             self._ran_well = True
-            self._context.crashes.note_ran(self._admitted)
-            self._context.crashes.end_run(self._admitted, stream.path.parts[0].instance)
+            first = stream.path.parts[0].instance
+            self._context.crashes.note_ran(self._admitted, first)
+            self._context.crashes.end_run(self._admitted, first)
 
     async def _end(self, reply: UpstreamReply, trailing: bytes) -> None:
         await self._start(reply)
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -63,6 +63,15 @@
     CrashEvidence.is_outdated = lambda self, identity: False
 
 
+def runs_after_an_end_count():
+    def note_ended(self, instance):
+        doubted, _ = self._doubted.pop(instance, ([], 0.0))
+        for broken in doubted:
+            self._found(broken)
+
+    CrashWatch.note_ended = note_ended
+
+
 def the_clock_stands_in_a_suspension():
     host_clock.CLOCK = time.CLOCK_MONOTONIC
 
@@ -77,5 +86,6 @@
     plain_upstreams_are_asked_questions: ("asking plain upstreams nothing", CRASHES),
     convicted_requests_are_tried_by_all: ("one trial of a convicted request", CRASHES),
     what_was_cleared_comes_back: ("words that come after a clearing", CRASHES),
+    runs_after_an_end_count: ("excluding runs sent after an end", ("crash_evidence",)),
     the_clock_stands_in_a_suspension: ("a clock that counts suspensions", ("suspended",)),
 }
--- /dev/null
+++ b/features/steps/crash_evidence_steps.py
@@ -0,0 +1,107 @@
+"""Steps about which runs count as evidence that a request ended an upstream."""
+
+from types import SimpleNamespace
+
+import trio
+from behave import given, then, when
+from trio.testing import MockClock
+
+from deckcourse.gateway.crash_evidence import CrashEvidence
+from deckcourse.gateway.crash_watch import CrashWatch
+from deckcourse.gateway.dialect import Pulse
+from deckcourse.gateway.upstream import Upstream
+
+UPSTREAM = Upstream("u", "s", "u:1", "x")
+
+
+class SilentCrashCheck:
+    """Reports every upstream as silent."""
+
+    async def pulse(self, upstream, has_layers):
+        return Pulse.SILENT
+
+
+class NullCrashBook:
+    """Stores nothing."""
+
+    def write(self, crash):
+        pass
+
+    def remove(self, identity):
+        pass
+
+    def tidy(self):
+        pass
+
+    async def run(self):
+        await trio.sleep_forever()
+
+
+class NullPeerGossip:
+    """Sends nothing to peers."""
+
+    def share_crashes(self, hear, crashes):
+        pass
+
+    async def tell_crash(self, crash):
+        pass
+
+
+def admitted(identity):
+    return SimpleNamespace(identity=identity, service=SimpleNamespace(model=None))
+
+
+@given("runs {runs} at an upstream, each from its start to its break in seconds")
+def runs_given(context, runs):
+    context.runs = []
+    for run in runs.split(", "):
+        identity, _, span = run.partition(" ")
+        began, _, broke = span.partition("-")
+        context.runs.append((identity, float(began), float(broke)))
+
+
+@given("the upstream answered other requests at {answers} seconds")
+def answers_given(context, answers):
+    context.answers = [] if answers == "none" else [float(each) for each in answers.split(", ")]
+
+
+@when("the row of the upstream is removed after {seconds:g} seconds")
+def remove_row_after(context, seconds):
+    async def story():
+        evidence = CrashEvidence(trio.current_time)
+        watch = CrashWatch(
+            evidence,
+            SilentCrashCheck(),
+            NullCrashBook(),
+            NullPeerGossip(),
+            lambda name: None,
+            lambda *_, **__: None,
+        )
+
+        async def run(identity, began, broke):
+            await trio.sleep(began)
+            start = watch.begin_run(admitted(identity), UPSTREAM.instance)
+            await trio.sleep(broke - began)
+            await watch.note_broken(admitted(identity), UPSTREAM, start)
+
+        async def answer(at):
+            await trio.sleep(at)
+            watch.note_ran(admitted("another"), UPSTREAM.instance)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            for each in context.runs:
+                nursery.start_soon(run, *each)
+            for each in context.answers:
+                nursery.start_soon(answer, each)
+            await trio.sleep(seconds)
+            watch.note_ended(UPSTREAM.instance)
+            nursery.cancel_scope.cancel()
+        context.ended_under = {each for each, _, _ in context.runs if evidence.ends(each)}
+
+    trio.run(story, clock=MockClock(autojump_threshold=0))
+
+
+@then("the upstream ended under {identities}")
+def ended_under(context, identities):
+    assert context.ended_under == set(identities.split(", ")), context.ended_under
