Give a notice to the incarnation that sent it

Cause: an upstream may restart under its id, and an answer to a caller's request doesn't name its incarnation. What it told was kept under the incarnation that the request had addressed, and ended with it when the row of the newer one came. Notices in replies to queries and orders of a newer incarnation were dropped. Rate limits were lost in the same way, and requests were still sent to an incarnation known to have ended.

Ruled out: an announcement is never withdrawn, and every answer that a caller gets is read for one.

Change: a connection belongs to one process, so an answer comes from the newest incarnation that had started when its connection was opened. A shutdown or a rate limit is retained for an incarnation whose row comes later. The process's wall clock is taken at its start and advanced by the host clock.

Before the change 19 of the 41 scenarios of restart_notices failed; told_leaving, which holds the opposite error, passes as before. The start times in its steps are those of the world's clock, as rows carry them. Five mutants are red.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -10,6 +10,7 @@
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.rate_gate import SendingToken
+from deckcourse.gateway.upstream_notice import NoticeOrigin
 from deckcourse.http1.client import (
     MAX_REMEMBERED_CALLS,
     UNNAMED_CALL,
@@ -145,7 +146,8 @@
         facts = context.dialect.facts(reply)
     if facts.request_id != caller.request_id:
         raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
-    context.notices.apply(dispatch.instance, facts.notice, sent_at)
+    origin = NoticeOrigin(sent_at, connection.opened_at)
+    context.notices.apply(dispatch.instance, facts.notice, origin)
     return reply, facts
 
 
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from deckcourse.gateway.upstream import StartOrder, Upstream
-from deckcourse.gateway.upstream_notice import NOTHING_ASKED, UpstreamNotice
+from deckcourse.gateway.upstream_notice import NOTHING_ASKED, NoticeOrigin, UpstreamNotice
 from deckcourse.http1.client import UpstreamReply
 from deckcourse.http1.message import Headers
 from deckcourse.http1.server import IncomingRequest
@@ -127,9 +127,7 @@
 class NoticeListener(Protocol):
     """Applies the notice of an instance in the headers of a response."""
 
-    def __call__(
-        self, instance: str, notice: UpstreamNotice, sent_at: float, is_control: bool
-    ) -> None:
+    def __call__(self, instance: str, notice: UpstreamNotice, origin: NoticeOrigin) -> None:
         """Apply the notice; see `NoticeIntake.apply`."""
 
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -96,11 +96,15 @@
         self._traffic_share = TrafficShare(trio.current_time)
         self._desired: DesiredState | None = None
         self._desired_changed = trio.Event()
-        self._upstreams = UpstreamTable(trio.current_time, self._on_incarnation_ended)
+        self._upstreams = UpstreamTable(
+            trio.current_time, self._on_incarnation_ended, self._on_incarnation_listed
+        )
         ports.control.set_start_observer(self._on_observed_start)
         self._rate_limits = RateLimitBook(trio.current_time, self._on_limit_change)
-        notices = NoticeIntake(self._upstreams, self._rate_limits, counters.count, log)
-        ports.control.set_notice_listener(notices.apply)
+        self._notices = NoticeIntake(
+            self._upstreams, self._rate_limits, counters.count, log, ports.wall_clock
+        )
+        ports.control.set_notice_listener(self._notices.apply)
         self._path_choices: dict[str, PathChoice] = {}
         self._healers: dict[str, Healer] = {}
         self._plan_book = PlanBook(ports.table, identity.author)
@@ -177,7 +181,7 @@
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
         context = GatewayContext(
             upstreams=self._upstreams,
-            notices=notices,
+            notices=self._notices,
             crashes=self._crash_watch,
             rates=self._issuing.rates,
             dialect=ports.dialect,
@@ -404,6 +408,10 @@
         self._monitor.note_ended(older)
         self._crash_watch.note_ended(older.instance)
 
+    def _on_incarnation_listed(self, upstream: Upstream) -> None:
+        """Apply what an incarnation told before its row came."""
+        self._notices.on_listed(upstream)
+
     def _on_limit_change(self, limit: RateLimit, source: str) -> None:
         """Apply a new, changed or ended rate limit."""
         self._upstreams.note_limited(limit.instance, limit.rate is not None)
--- a/deckcourse/gateway/node_ports.py
+++ b/deckcourse/gateway/node_ports.py
@@ -1,5 +1,6 @@
 """The identity of a gateway process and the external systems that it uses."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from deckcourse.change_feed import ChangeFeed
@@ -24,7 +25,10 @@
 
 @dataclass(frozen=True)
 class GatewayPorts:
-    """The external systems and the clients that reach them."""
+    """The external systems and the clients that reach them.
+
+    `wall_clock` returns seconds since the epoch, to be compared with start times of upstreams.
+    """
 
     table: TableService
     feed: ChangeFeed
@@ -34,3 +38,4 @@
     control: StreamControl
     pool: ConnectionPool
     peers: PeerPorts
+    wall_clock: Callable[[], float]
--- /dev/null
+++ b/deckcourse/gateway/retained_notices.py
@@ -0,0 +1,81 @@
+"""Notices of upstreams, retained for incarnations whose rows aren't known yet.
+
+An upstream may restart under its id, and the response of the new incarnation may come before its
+row. The row must then not clear what that response told.
+"""
+
+from dataclasses import dataclass
+
+from deckcourse.gateway.bounded import put_bounded
+from deckcourse.gateway.upstream import Upstream
+from deckcourse.gateway.upstream_notice import NoticeOrigin, UpstreamNotice
+
+__all__ = ["RetainedNotice", "RetainedNotices"]
+
+# Bound on the notices that are retained.
+MAX_NOTICES = 10_000
+
+
+@dataclass(frozen=True)
+class RetainedNotice:
+    """A notice, the incarnation that its request addressed and the response that carried it.
+
+    Its sender is the newest incarnation that started no later than `newest_start`, in milliseconds
+    since the epoch.
+    """
+
+    notice: UpstreamNotice
+    addressed: Upstream
+    origin: NoticeOrigin
+    newest_start: float
+
+    @property
+    def source(self) -> tuple[str, str]:
+        """What all incarnations have in common that may have sent the notice."""
+        return _source(self.addressed)
+
+    def is_from(self, newest: Upstream) -> bool:
+        """Return whether the newest known incarnation of the upstream sent the notice."""
+        if newest.start is None or _source(newest) != self.source:
+            return False
+        return newest.start <= self.newest_start
+
+
+class RetainedNotices:
+    """The last announced shutdown and the last rate limit of each upstream's name and address."""
+
+    def __init__(self) -> None:
+        self._shutdowns: dict[tuple[str, str], RetainedNotice] = {}
+        self._limits: dict[tuple[str, str], RetainedNotice] = {}
+
+    def put(self, retained: RetainedNotice) -> None:
+        """Retain a notice if it announces a shutdown or names a rate limit."""
+        if retained.notice.leaving:
+            _put_newest(self._shutdowns, retained)
+        if retained.notice.rate_limit is not None:
+            _put_newest(self._limits, retained)
+
+    def shutdown_of(self, newest: Upstream) -> RetainedNotice | None:
+        """Return the shutdown that a newly listed incarnation announced, if any."""
+        return _from(self._shutdowns, newest)
+
+    def limit_of(self, newest: Upstream) -> RetainedNotice | None:
+        """Return the last rate limit in the responses of a newly listed incarnation, if any."""
+        return _from(self._limits, newest)
+
+
+def _source(upstream: Upstream) -> tuple[str, str]:
+    return upstream.name, upstream.address
+
+
+def _put_newest(notices: dict[tuple[str, str], RetainedNotice], retained: RetainedNotice) -> None:
+    known = notices.get(retained.source)
+    if known is None or retained.newest_start >= known.newest_start:
+        put_bounded(notices, retained.source, retained, MAX_NOTICES)
+
+
+def _from(
+    notices: dict[tuple[str, str], RetainedNotice], newest: Upstream
+) -> RetainedNotice | None:
+    retained = notices.get(_source(newest))
+    return retained if retained is not None and retained.is_from(newest) else None
--- a/deckcourse/gateway/upstream_notice.py
+++ b/deckcourse/gateway/upstream_notice.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ANONYMOUS", "NOTHING_ASKED", "UpstreamNotice"]
+__all__ = ["ANONYMOUS", "NOTHING_ASKED", "NoticeOrigin", "UpstreamNotice"]
 
 
 @dataclass(frozen=True)
@@ -22,5 +22,20 @@
     anonymous: bool = False
 
 
+@dataclass(frozen=True)
+class NoticeOrigin:
+    """The response that carried a notice.
+
+    `sent_at` is when its request was sent and `connected_at` when its connection was opened, both
+    on trio's clock. `start` is the start time of its sender in milliseconds since the epoch, None
+    if the response doesn't tell it. `is_control` marks the reply to a query or an order.
+    """
+
+    sent_at: float
+    connected_at: float
+    start: int | None = None
+    is_control: bool = False
+
+
 NOTHING_ASKED = UpstreamNotice()
 ANONYMOUS = UpstreamNotice(anonymous=True)
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -10,6 +10,7 @@
 from deckcourse.gateway.backoffs import Backoffs
 from deckcourse.gateway.failure_share import FailureShare
 from deckcourse.gateway.known_starts import KnownIncarnations
+from deckcourse.gateway.leaving_incarnations import LeavingIncarnations
 from deckcourse.gateway.throttles import Throttles
 from deckcourse.gateway.upstream import StartOrder, Upstream
 from deckcourse.layers.hosts import LayerHost
@@ -35,16 +36,22 @@
       clock: a monotonic clock, seconds.
       on_ended: called with each incarnation that a newer one superseded, after its row was dropped;
         the layers and streams of that incarnation are gone.
+      on_listed: called with each incarnation after its first row was added.
     """
 
     def __init__(
-        self, clock: Callable[[], float], on_ended: Callable[[Upstream], None] = lambda row: None
+        self,
+        clock: Callable[[], float],
+        on_ended: Callable[[Upstream], None] = lambda row: None,
+        on_listed: Callable[[Upstream], None] = lambda row: None,
     ) -> None:
         self._clock = clock
         self._on_ended = on_ended
+        self._on_listed = on_listed
         # The instance of each name, also a departed one that may still run streams.
         self._instance_by_name: dict[str, str] = {}
         self._incarnations = KnownIncarnations()
+        self._leaving = LeavingIncarnations(clock)
         # By name: a requested backoff outlives a restart of the upstream. That costs a few seconds
         # of an upstream that holds no layers yet.
         self._backoffs = Backoffs(clock)
@@ -102,6 +109,7 @@
             if row.start < self._incarnations.newest(row.name, row.start):
                 return False
             self._incarnations.set_newest(row.name, row.start)
+        is_new = self._instance_by_name.get(row.name) != row.instance
         self._supersede_others(row.name, row.instance)
         self._instance_by_name[row.name] = row.instance
         self._incarnations.mark_current(row.instance)
@@ -120,6 +128,8 @@
         self._at_address[row.address] = row.instance
         self._rows[row.instance] = row
         self._note_change(row.instance)
+        if is_new:
+            self._on_listed(row)
         return True
 
     def observe_start(self, addressed: Upstream, start: int) -> StartOrder:
@@ -148,13 +158,18 @@
         self._drop(previous)
         self._departed.pop(previous, None)
         self._paces.pop(previous, None)
-        self._incarnations.mark_ended(previous)
         if row is not None:
+            self._incarnations.mark_ended(row)
             self._on_ended(row)
 
     def has_ended(self, instance: str) -> bool:
         """Return whether a newer incarnation of the same upstream is known."""
-        return self._incarnations.has_ended(instance)
+        return self._incarnations.ended(instance) is not None
+
+    def row_of(self, instance: str) -> Upstream | None:
+        """Return the last known row of an instance, also of one that a newer one superseded."""
+        row = self.last_known(instance)
+        return row if row is not None else self._incarnations.ended(instance)
 
     def note_leaving(self, instance: str) -> bool:
         """Record that an upstream announced its shutdown, which its row may not show yet.
@@ -162,11 +177,17 @@
         Returns:
           Whether that is new.
         """
-        is_new = self._incarnations.note_leaving(instance)
+        is_new = self._leaving.note(instance)
         if is_new:
             self._note_change(instance)
         return is_new
 
+    def presume_leaving(self, instance: str) -> None:
+        """Record for a limited time that an upstream presumably announced its shutdown."""
+        self._leaving.presume(instance)
+        self._note_change(instance)
+        self._next_expiry = min(self._next_expiry, self._leaving.next_expiry)
+
     def note_backoff(self, instance: str, seconds: float) -> None:
         """Record that an upstream asked this process for a pause.
 
@@ -197,9 +218,11 @@
         return frozenset([*instances, *self._throttles.throttled()])
 
     def accepts(self, instance: str) -> bool:
-        """Return whether an upstream is neither leaving nor backing off."""
+        """Return whether an upstream hasn't ended and is neither leaving nor backing off."""
+        if self.has_ended(instance):
+            return False
         row = self.last_known(instance)
-        leaving = self._incarnations.is_leaving(instance) or (row is not None and row.leaving)
+        leaving = instance in self._leaving or (row is not None and row.leaving)
         return not leaving and self.backoff_until(instance) is None
 
     def is_available(self, instance: str) -> bool:
@@ -231,7 +254,7 @@
         return row.name if row is not None else instance
 
     def _is_leaving(self, row: Upstream) -> bool:
-        return row.leaving or self._incarnations.is_leaving(row.instance)
+        return row.leaving or row.instance in self._leaving
 
     def remove(self, name: str) -> None:
         """Remove the row of a name; shortly after a store outage it only lapses at first."""
@@ -276,12 +299,13 @@
             self.clear_suspicion(instance)
         for instance in [name for name, (_, at) in self._paces.items() if at <= now]:
             self._note_change(instance, self._paces.pop(instance)[0] > 1.0 + MIN_PACE_CHANGE)
-        for instance in self._throttles.expire(now):
+        for instance in [*self._throttles.expire(now), *self._leaving.expire(now)]:
             self._note_change(instance)
         self._forget_departed(now)
         paces = [at for _, at in self._paces.values()]
         deadlines = [*paces, *self._lapsing.values(), *self._suspect_until.values()]
-        self._next_expiry = min([*deadlines, self._throttles.next_expiry])
+        expiries = (self._throttles.next_expiry, self._leaving.next_expiry)
+        self._next_expiry = min([*deadlines, *expiries])
 
     def _forget_departed(self, now: float) -> None:
         for row, at in list(self._departed.values()):
--- a/deckcourse/host_clock.py
+++ b/deckcourse/host_clock.py
@@ -11,7 +11,7 @@
 import trio
 from trio.abc import Clock
 
-__all__ = ["CLOCK_ID", "HostClock", "run_on_host_clock"]
+__all__ = ["CLOCK_ID", "HostClock", "run_on_host_clock", "steady_wall_clock"]
 
 _Result = TypeVar("_Result")
 
@@ -47,3 +47,9 @@
 def run_on_host_clock(main: Callable[..., Awaitable[_Result]], *args: object) -> _Result:
     """Run an async main function on the host clock, as `trio.run` does, and return its result."""
     return trio.run(main, *args, clock=HostClock())
+
+
+def steady_wall_clock() -> Callable[[], float]:
+    """Return a wall clock, seconds since the epoch, that doesn't jump after this call."""
+    offset = time.time() - time.clock_gettime(CLOCK_ID)
+    return lambda: offset + time.clock_gettime(CLOCK_ID)
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -93,6 +93,12 @@
         self._idle_deadline = 0.0
         self._recent_calls: deque[str] = deque(maxlen=MAX_REMEMBERED_CALLS)
         self._request_events: tuple[h11.Event, ...] = ()
+        self._opened_at = trio.current_time()
+
+    @property
+    def opened_at(self) -> float:
+        """When the connection was established, on trio's clock."""
+        return self._opened_at
 
     @property
     def has_trailing_bytes(self) -> bool:
--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -15,7 +15,7 @@
 from deckcourse.gateway.node import GatewayNode
 from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
 from deckcourse.gateway.server import GatewayServer, ListenAddresses
-from deckcourse.host_clock import run_on_host_clock
+from deckcourse.host_clock import run_on_host_clock, steady_wall_clock
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.metrics import RegistryCounters
 from deckcourse.peers.datagrams import UdpDatagrams
@@ -64,6 +64,7 @@
                     control,
                     pool,
                     self._peer_ports(),
+                    steady_wall_clock(),
                 ),
                 lambda: self._settings.gateway,
                 counters,
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -17,7 +17,7 @@
     StallReport,
 )
 from deckcourse.gateway.upstream import StartOrder, Upstream
-from deckcourse.gateway.upstream_notice import UpstreamNotice
+from deckcourse.gateway.upstream_notice import NoticeOrigin, UpstreamNotice
 from deckcourse.http1.client import (
     MAX_REMEMBERED_CALLS,
     UNNAMED_CALL,
@@ -109,7 +109,7 @@
         self._admit: Callable[[str, Purpose], Awaitable[bool]] = (
             lambda instance, purpose: _admit_all()
         )
-        self._on_notice: NoticeListener = lambda instance, notice, sent_at, is_control: None
+        self._on_notice: NoticeListener = lambda instance, notice, origin: None
 
     def set_start_observer(self, judge: Callable[[Upstream, int], StartOrder]) -> None:
         """Register the callback that compares a reply's start time with the queried incarnation."""
@@ -392,19 +392,28 @@
             content = await reply.read_body()
             answered_at = trio.current_time()
             self._answer_times.record(upstream.instance, answered_at - sent_at, answered_at)
-        self._apply_notice(upstream, parse_notice(reply), content, sent_at)
+        self._apply_notice(upstream, parse_notice(reply), content, sent_at, connection.opened_at)
         return reply.status, content
 
     def _apply_notice(
-        self, asked: Upstream, notice: UpstreamNotice, content: bytes, sent_at: float
+        self,
+        asked: Upstream,
+        notice: UpstreamNotice,
+        content: bytes,
+        sent_at: float,
+        connected_at: float,
     ) -> None:
-        """Pass a notice to the listener, unless another incarnation of the runner replied."""
+        """Pass a notice to the listener with the start time of the incarnation that replied."""
         if notice.anonymous:
             return
         order_answer = decode_message(content, OrderAnswer)
-        born = order_answer.born if order_answer is not None else UNSET
-        if self._compare_start(asked, born) is StartOrder.SAME:
-            self._on_notice(asked.instance, notice, sent_at, True)
+        start = order_answer.born if order_answer is not None else UNSET
+        if start is not UNSET:
+            self._judge_start(asked, start)
+        origin = NoticeOrigin(
+            sent_at, connected_at, None if start is UNSET else start, is_control=True
+        )
+        self._on_notice(asked.instance, notice, origin)
 
 
 def _id(reply: UpstreamReply) -> str:
--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -115,7 +115,7 @@
             GatewayIdentity(name, domain, f"{name}/{start}"),
             GatewayPorts(
                 self.store, self.store, PlatformRows(is_machine), PlatformDialect(), control,
-                control, pool, ports,
+                control, pool, ports, trio.current_time,
             ),
             lambda: world.settings,
             self.counters,
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -67,6 +67,8 @@
         self.paused_until = 0.0
         self.refusals = 0
         self.config = default_config()
+        # Seconds by which the process's wall clock is ahead of the runners' clocks.
+        self.clock_lead = 0.0
 
     def play(self, story, seconds=60.0):
         """Run a story, an async function of this world, on a virtual clock."""
@@ -93,6 +95,7 @@
                             PeerPorts(
                                 Member("n", 1, "n:1", "x"), MemoryMedium().open("n:1"), tuple
                             ),
+                            lambda: trio.current_time() + self.clock_lead,
                         ),
                         GatewaySettings,
                         self.counters,
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -4,6 +4,8 @@
 import deckcourse.gateway.stream as stream_module
 import deckcourse.platform.notices as notices_module
 from deckcourse.gateway.backoffs import Backoffs
+from deckcourse.gateway.leaving_incarnations import LeavingIncarnations
+from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.platform.runners import RunnerControl
@@ -42,13 +44,35 @@
 
 
 def control_answers_ask_for_nothing():
-    RunnerControl._apply_notice = lambda self, asked, notice, content, sent_at: None
+    RunnerControl._apply_notice = lambda self, asked, notice, content, sent_at, connected_at: None
 
 
 def anybody_speaks_for_an_upstream():
     notices_module.MISDIRECTED = 0
 
 
+def notices_count_for_the_addressed_incarnation():
+    NoticeIntake._apply_to_sender = lambda self, addressed, notice, origin: self._apply_to(
+        addressed.instance, notice, origin
+    )
+
+
+def a_row_clears_what_its_incarnation_told():
+    NoticeIntake.on_listed = lambda self, upstream: None
+
+
+def the_newest_incarnation_sends_every_response():
+    NoticeIntake._newest_start = lambda self, origin: float("inf")
+
+
+def presumptions_last_for_ever():
+    LeavingIncarnations.expire = lambda self, now: []
+
+
+def ended_incarnations_accept_requests():
+    UpstreamTable.has_ended = lambda self, instance: False
+
+
 EVERY = {
     asked_time_is_not_kept: ("an upstream's word on time without requests", ("asked_backoff",)),
     asked_time_belongs_to_one_start: ("that word over a restart", ("asked_backoff",)),
@@ -59,4 +83,12 @@
     word_of_leaving_is_not_kept: ("an upstream's word that it leaves", ("told_leaving",)),
     control_answers_ask_for_nothing: ("the word in control answers", ("asked_backoff",)),
     anybody_speaks_for_an_upstream: ("whose word it is", ("told_leaving",)),
+    notices_count_for_the_addressed_incarnation: ("the sender of a notice", ("restart_notices",)),
+    a_row_clears_what_its_incarnation_told: ("notices before a row", ("restart_notices",)),
+    the_newest_incarnation_sends_every_response: (
+        "the connection that a notice came on",
+        ("restart_notices",),
+    ),
+    presumptions_last_for_ever: ("the end of a presumed shutdown", ("restart_notices",)),
+    ended_incarnations_accept_requests: ("the end of an incarnation", ("restart_notices",)),
 }
--- a/features/steps/late_answer_steps.py
+++ b/features/steps/late_answer_steps.py
@@ -33,6 +33,7 @@
 from deckcourse.gateway.dialect import Dispatch
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.rate_limits import RateLimitBook
+from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.http1.message import header_value
@@ -342,7 +343,14 @@
         async with self.pool.borrow(ADDRESS) as connection:
             reply, _ = await send_request(
                 SimpleNamespace(
-                    dialect=dialect, notices=NoticeIntake(None, limits, lambda what: None, print)
+                    dialect=dialect,
+                    notices=NoticeIntake(
+                        UpstreamTable(trio.current_time),
+                        limits,
+                        lambda what: None,
+                        print,
+                        trio.current_time,
+                    ),
                 ),
                 SimpleNamespace(caller=caller),
                 connection,
--- a/features/steps/rate_sharing_steps.py
+++ b/features/steps/rate_sharing_steps.py
@@ -10,7 +10,7 @@
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.rate_limits import RateLimitBook
 from deckcourse.gateway.token_issuer import TOKEN_LIFETIME_SECONDS
-from deckcourse.gateway.upstream_notice import UpstreamNotice
+from deckcourse.gateway.upstream_notice import NoticeOrigin, UpstreamNotice
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import UpstreamReply
 from deckcourse.peers.issuer_messages import ISSUER_PREFIX, TokenRequest, encode_message
@@ -162,7 +162,7 @@
     now = [0.0]
     upstreams = UpstreamTable(lambda: now[0])
     book = context.book = RateLimitBook(lambda: now[0], lambda limit, source: None)
-    intake = NoticeIntake(upstreams, book, lambda name: None, lambda *_, **__: None)
+    intake = NoticeIntake(upstreams, book, lambda name: None, lambda *_, **__: None, lambda: now[0])
     for each in heard.split(", then "):
         now[0] = float(next(clock)) + 1.0
         if each.endswith("from a peer"):
@@ -176,7 +176,9 @@
             rate_limit=float(number[0]) if number else None, malformed=malformed
         )
         sent_at = -1.0 if "before" in each else now[0]
-        intake.apply(UPSTREAM, notice, sent_at, "question" in each)
+        intake.apply(
+            UPSTREAM, notice, NoticeOrigin(sent_at, sent_at, is_control="question" in each)
+        )
 
 
 @then("its limit is {rate}")
--- a/tools/start_cost.py
+++ b/tools/start_cost.py
@@ -185,7 +185,7 @@
                 GatewayIdentity(own.name, own.domain, own.name),
                 GatewayPorts(
                     store, store, PlatformRows(), PlatformDialect(), control, control, pool,
-                    PeerPorts(own, medium.open(own.address), tuple),
+                    PeerPorts(own, medium.open(own.address), tuple), trio.current_time,
                 ),
                 GatewaySettings, counters, log.log, Random(1),
             )  # fmt: skip
