Keep a backoff that is read after a restart

Cause: a backoff is kept by the upstream's name, which was looked up in the rows. If the answer was read after the row of a newer incarnation, there was no row of the addressed one any more, and the backoff was kept under a name that nobody reads.

The name is taken from the last row of the ended incarnation. Three scenarios of restart_notices failed before, and fail with the mutant a-backoff-ends-with-its-incarnation; asked_backoff (39 scenarios) passes as before.

--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -250,7 +250,7 @@
         return max((each for each in acceptance_times if each is not None), default=None)
 
     def _name_of(self, instance: str) -> str:
-        row = self.last_known(instance)
+        row = self.row_of(instance)
         return row.name if row is not None else instance
 
     def _is_leaving(self, row: Upstream) -> bool:
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -73,6 +73,14 @@
     UpstreamTable.has_ended = lambda self, instance: False
 
 
+def a_backoff_ends_with_its_incarnation():
+    def name_of(self, instance):
+        row = self.last_known(instance)
+        return row.name if row is not None else instance
+
+    UpstreamTable._name_of = name_of
+
+
 EVERY = {
     asked_time_is_not_kept: ("an upstream's word on time without requests", ("asked_backoff",)),
     asked_time_belongs_to_one_start: ("that word over a restart", ("asked_backoff",)),
@@ -89,6 +97,7 @@
         "the connection that a notice came on",
         ("restart_notices",),
     ),
+    a_backoff_ends_with_its_incarnation: ("backoffs read after a restart", ("restart_notices",)),
     presumptions_last_for_ever: ("the end of a presumed shutdown", ("restart_notices",)),
     ended_incarnations_accept_requests: ("the end of an incarnation", ("restart_notices",)),
 }
--- a/features/restart_notices.feature
+++ b/features/restart_notices.feature
@@ -41,6 +41,17 @@
       | sent, response, row          |
       | sent, restart, response, row |
 
+  Scenario Outline: The backoff of a new incarnation whose row comes before its response: <order>
+    Given two plain upstreams that report their start times
+    When the first one restarts and tells "backoff", in the order "<order>"
+    Then the first upstream got no request during its backoff
+    And it got the first request once
+
+    Examples:
+      | order                        |
+      | sent, row, response          |
+      | sent, restart, row, response |
+
   Scenario Outline: The rate limit of a new incarnation: <order>
     Given two plain upstreams that report their start times
     When the first one restarts and tells "limit", in the order "<order>"
@@ -100,6 +111,15 @@
       | order                        |
       | sent, response, restart, row |
 
+  Scenario Outline: The backoff of the older incarnation is read after the new row: <order>
+    Given two plain upstreams that report their start times
+    When the first one tells "backoff" and restarts, in the order "<order>"
+    Then the first upstream got no request during its backoff
+
+    Examples:
+      | order                        |
+      | sent, restart, row, response |
+
   Scenario Outline: What a new incarnation tells in the response to <call>: <what>, <order>
     Given upstreams with layers that report their start times
     When the first one restarts and tells "<what>" in the response to <call>, in the order "<order>"
@@ -125,6 +145,7 @@
       | an order        | leaving | sent, response, row | leaving      |
       | a query         | limit   | sent, response, row | rate limited |
       | a query         | limit   | sent, row, response | rate limited |
+      | a refused query | backoff | sent, row, response | backing off  |
       | a refused query | leaving | sent, response, row | leaving      |
       | a stream        | leaving | sent, response, row | leaving      |
       | a stream        | limit   | sent, response, row | rate limited |
