Believe an unframed end only of an upstream that is still there

Cause: the kernel closes the connections of a process that exits in good order, unless they hold unread bytes. (Two processes over loopback: a sender that has read the request and exits, by itself or by SIGKILL, gives a proper end; one that has not read it gives a reset.) The end of the connection is the end of an answer without a length, so that a cut one counted as whole. Plain calls read such an answer in the same way.

Change: behind such an end the upstream is probed. Only if the same incarnation reports is the answer whole; otherwise the connection counts as lost, and the stream is resumed or cut as after a reset. A plain upstream would run a query as a request: it must accept a connection. Answers with a length or chunks cost no probe.

Weighed, on the same scenarios: connecting alone passes an upstream that has restarted and an address that another one has (2 of the 6 rows red). It isn't rare: c9r20 read its end 2.2 s after the crash, when the next start of lb2 was 0.7 s to 1.4 s old, since its caller read slowly. Believing no such end at all keeps every promise and breaks off each sound answer of this kind (5 of its rows red). Waiting for the row to lapse takes over a second and is wrong for upstreams that serve on without one. Sharing the probe of crash_check was left: it may have been answered before the upstream ended.

Tests: stream_events, 13 scenarios red before, among them one on the query's cost; mutants the-end-of-an-upstream-ends-its-answer (13 red) and any-reply-confirms-an-end (1 red).

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -33,7 +33,6 @@
 
 # The start of a status line, at any position.
 _STATUS = re.compile(rb"HTTP/1\.[01] \d{3}")
-_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 # Largest retry-after value as a share of the request's remaining time. By the platform's
 # definition, callers honour values up to a third of it.
 MAX_RETRY_AFTER_SHARE = 0.3
@@ -160,8 +159,7 @@
     Raises:
       ConnectionLostError: it does, so that the end of the first response is unknown.
     """
-    framed = any(name in _FRAMING for name, _ in reply.headers)
-    if (not framed or reply.has_trailing_bytes) and _holds_status_line(body):
+    if (not reply.is_framed or reply.has_trailing_bytes) and _holds_status_line(body):
         raise ConnectionLostError(FailureKind.MALFORMED, "another answer stands in the body")
 
 
--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -7,6 +7,7 @@
 
 from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.dialect import Dialect
+from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.rate_gate import RateGate
@@ -27,6 +28,7 @@
     upstreams: UpstreamTable
     notices: NoticeIntake
     crashes: CrashWatch
+    ends: EndCheck
     rates: RateGate
     dialect: Dialect
     pool: ConnectionPool
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -99,10 +99,15 @@
 
 @dataclass(frozen=True)
 class ProbeReply:
-    """An upstream's reply to a probe; `pace` is its slowdown factor, 1 for its usual speed."""
+    """An upstream's reply to a probe.
+
+    `pace` is its slowdown factor, 1 for its usual speed. `is_identified` is set if the reply is a
+    valid report of the addressed incarnation; other replies only show that something answers.
+    """
 
     result: ProbeResult
     pace: float = 1.0
+    is_identified: bool = False
 
 
 @dataclass(frozen=True)
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -249,6 +249,9 @@
             self._executions -= 1
             return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
         check_single_response(reply, body)
+        await self._context.ends.check(
+            reply, admitted.caller.request_id, upstream.instance, accepts_queries=False
+        )
         if reply.status < SERVER_ERROR:
             self._context.crashes.record_success(self._admitted, upstream.instance)
         return _Response(reply.status, end_to_end(reply.headers), body)
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -15,6 +15,7 @@
 from deckcourse.gateway.crash_evidence import CrashEvidence
 from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.desired import CallerBounds, DesiredState
+from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.gateway import Gateway
 from deckcourse.gateway.issuing import Issuing
 from deckcourse.gateway.lapse_check import LapseCheck
@@ -183,6 +184,7 @@
             upstreams=self._upstreams,
             notices=self._notices,
             crashes=self._crash_watch,
+            ends=EndCheck(self._upstreams, ports.control, counters.count, log),
             rates=self._issuing.rates,
             dialect=ports.dialect,
             pool=ports.pool,
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -350,6 +350,7 @@
             self._retries.note_refused(stream.path.stages[0].instance)
             return self._on_refusal(stream, reply.status, facts)
         check_single_response(reply, body)
+        await self._check_end(reply, stream)
         return await self._on_other_response(reply, body)
 
     async def _on_other_response(self, reply: UpstreamReply, body: bytes) -> _AttemptResult:
@@ -392,9 +393,22 @@
             raise ConnectionLostError(FailureKind.LOST, "the stream ended inside an event")
         if self._last_event is None:
             raise ConnectionLostError(FailureKind.LOST, "the stream ended before its first event")
+        await self._check_end(reply, stream)
         await self._finish_response(reply, reader.trailing)
         return _Finished(OK)
 
+    async def _check_end(self, reply: UpstreamReply, stream: ActiveStream) -> None:
+        """Check that the end of a response isn't the end of its upstream.
+
+        Raises:
+          ConnectionLostError: it may be.
+        """
+        first = stream.path.stages[0].instance
+        with stream.interruptible():
+            await self._context.ends.check(
+                reply, self._admitted.caller.request_id, first, accepts_queries=True
+            )
+
     def _record_events(self, stream: ActiveStream) -> None:
         """Record that events came, which clears the request of crashing its upstreams."""
         if not self._has_received_events:
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -41,6 +41,7 @@
 UNNAMED_CALL = ""
 # Largest response body that is held in memory.
 MAX_BODY_BYTES = 4 * 1024 * 1024
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 
 
@@ -57,6 +58,16 @@
         """Whether bytes arrived after the complete answer."""
         return self._connection.has_trailing_bytes
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body is marked by a length or chunks."""
+        return any(name in _FRAMING for name, _ in self.headers)
+
+    @property
+    def ended_with_connection(self) -> bool:
+        """Whether only the end of the connection marked the end of the body."""
+        return not self.is_framed and self._connection.has_ended
+
     async def next_data(self) -> bytes | None:
         """Return the next bytes of the body, None after its proper end.
 
@@ -100,6 +111,11 @@
         """When the connection was established, on trio's clock."""
         return self._opened_at
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the upstream has closed the connection in good order."""
+        return self._ended
+
     @property
     def has_trailing_bytes(self) -> bool:
         """Whether bytes arrived after the most recent answer."""
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -230,9 +230,9 @@
                 incarnation = self._compare_start(upstream, report.born)
                 if incarnation is StartOrder.NEWER:
                     return ProbeReply(ProbeResult.DEAD)
-                return ProbeReply(
-                    ProbeResult.ALIVE, report.pace if incarnation is StartOrder.SAME else 1.0
-                )
+                if incarnation is StartOrder.OLDER:
+                    return ProbeReply(ProbeResult.ALIVE)
+                return ProbeReply(ProbeResult.ALIVE, report.pace, is_identified=True)
             return ProbeReply(ProbeResult.ALIVE if has_replied else ProbeResult.DEAD)
         return ProbeReply(ProbeResult.ALIVE if has_replied else ProbeResult.SILENT)
 
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -1,6 +1,7 @@
-"""Mutants of the quarantine of requests that crash upstreams, and of the programs' clock."""
+"""Mutants of the mechanisms for upstreams that crash or end, and of the programs' clock."""
 
 import time
+from dataclasses import replace
 
 import deckcourse.gateway.lookup as lookup_module
 import deckcourse.gateway.stream as stream_module
@@ -8,6 +9,7 @@
 from deckcourse.gateway.crash_book import CrashBook
 from deckcourse.gateway.crash_evidence import CrashEvidence
 from deckcourse.gateway.crash_watch import CrashWatch
+from deckcourse.gateway.end_check import EndCheck
 from deckcourse.peers.crash import Crash
 from deckcourse.peers.gossip import PeerGossip
 from deckcourse.platform.runners import RunnerControl
@@ -72,11 +74,29 @@
     CrashWatch.note_ended = note_ended
 
 
+def the_end_of_an_upstream_ends_its_answer():
+    async def check(self, reply, request_id, instance, accepts_queries):
+        """Accept every end of a connection as the end of its answer."""
+
+    EndCheck.check = check
+
+
+def any_reply_confirms_an_end():
+    usual = RunnerControl.probe
+
+    async def probe(self, upstream, seconds):
+        reply = await usual(self, upstream, seconds)
+        return replace(reply, is_identified=True)
+
+    RunnerControl.probe = probe
+
+
 def the_clock_stands_in_a_suspension():
     host_clock.CLOCK_ID = time.CLOCK_MONOTONIC
 
 
 CRASHES = ("crashing_requests",)
+EVENTS = ("stream_events",)
 EVERY = {
     requests_that_end_upstreams_go_on: ("the refusal of requests that end upstreams", CRASHES),
     ends_are_kept_in_no_row: ("the rows of ends", CRASHES),
@@ -87,5 +107,7 @@
     convicted_requests_are_tried_by_all: ("one trial of a convicted request", CRASHES),
     what_was_cleared_comes_back: ("words that come after a clearing", CRASHES),
     runs_after_an_end_count: ("excluding runs sent after an end", ("crash_evidence",)),
+    the_end_of_an_upstream_ends_its_answer: ("checking ends that a connection marks", EVENTS),
+    any_reply_confirms_an_end: ("the incarnation that confirms an end", EVENTS),
     the_clock_stands_in_a_suspension: ("a clock that counts suspensions", ("suspended",)),
 }
--- a/features/steps/stream_event_steps.py
+++ b/features/steps/stream_event_steps.py
@@ -27,6 +27,7 @@
 import trio
 from behave import given, then, when
 from connection_world import reproducible
+from gateway_runner import EVENT_SECONDS
 from gateway_story import two_chains
 from gateway_world import GatewayWorld
 from hypothesis import given as hypothesis_given
@@ -175,6 +176,17 @@
     assert context.site.upstream.closed == (kept == "closed")
 
 
+@then("the upstreams got {count:d} queries at the end of that answer")
+def queries_at_end(context, count):
+    site = context.site
+    ended_at = site.upstream.ended_at
+    # The connection is closed one event interval after the last bytes.
+    queries = [
+        each for each in site.control_calls if ended_at <= each.at < ended_at + 2 * EVENT_SECONDS
+    ]
+    assert (len(queries), site.got.whole) == (count, True), site.control_calls
+
+
 @when("a caller that has the events up to {seen:d} requests the rest")
 def rest_requested(context, seen):
     context.site = play(context.answer, headers=[("Last-Event-Id", str(seen))])
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -67,6 +67,18 @@
       | no event at all, with a proper end | chunked  | {nothing}                 | closes | 0    |
       | a comment and no event             | unframed | : ping\n\n                | closes | 0    |
 
+    # Guards against taking the end of an upstream for the end of its answer: the connections of a
+    # process that exits are closed in good order, and streams ended as complete after 4 and 12 of 30
+    # events.
+    Examples: The end of the process, without a length
+      | what                                   | framing  | bytes   | end                  | last |
+      | half of its events, and exits          | unframed | {1-5}   | exits                | 5    |
+      | its last event, and exits              | unframed | {1..20} | exits                | 20   |
+      | half, and exits behind a proxy         | unframed | {1-5}   | exits behind a proxy | 5    |
+      | half, and restarts at once             | unframed | {1-5}   | restarts             | 5    |
+      | half, and another one gets its address | unframed | {1-5}   | is replaced          | 5    |
+      | half, and answers nothing more         | unframed | {1-5}   | falls silent         | 5    |
+
   Scenario Outline: An answer is complete if <what>
     Given a first upstream that answers with <framing> <bytes> and <end>
     When a caller requests that stream
@@ -77,10 +89,43 @@
       | what                                       | framing  | bytes                                     | end        | last | kept   |
       | its connection ends properly behind events | unframed | {1..20}                                   | closes     | 20   | closed |
       | it ends so behind fewer: nobody can tell   | unframed | {1-5}                                     | closes     | 5    | closed |
+      | its upstream answers queries late by then  | unframed | {1..20}                                   | slows down | 20   | closed |
+      | its upstream leaves but has not ended      | unframed | {1..20}                                   | leaves     | 20   | closed |
       | nothing follows it                         | chunked  | {1..20}                                   | stays open | 20   | kept   |
       | another answer follows its length          | sized    | {1-20}{over}{head}id: 21\ndata: r2 21\n\n | stays open | 20   | closed |
       | another answer follows its last chunk      | chunked  | {1-20}{over}{head}id: 21\ndata: r2 21\n\n | stays open | 20   | closed |
 
+    Examples: The process has ended behind the declared end
+      | what                    | framing | bytes  | end   | last | kept |
+      | it has its whole length | sized   | {1-20} | exits | 20   | kept |
+      | it has its last chunk   | chunked | {1-20} | exits | 20   | kept |
+
+  Scenario Outline: The end of an answer with <framing> bytes costs <count> queries
+    Given a first upstream that answers with <framing> {1..20} and <end>
+    When a caller requests that stream
+    Then the upstreams got <count> queries at the end of that answer
+
+    Examples:
+      | framing  | end        | count |
+      | unframed | closes     | 1     |
+      | sized    | stays open | 0     |
+      | chunked  | stays open | 0     |
+
+  Scenario: Which reply shows that an upstream is still there after an answer without a length
+    Then the end of its answer counts as the end of the body after these replies
+      | query                  | connection | newer start known | counts |
+      | alive                  | unused     | no                | yes    |
+      | alive                  | unused     | yes               | no     |
+      | alive, not identified  | unused     | no                | no     |
+      | dead                   | unused     | no                | no     |
+      | silent                 | unused     | no                | no     |
+      | not sent               | alive      | no                | yes    |
+      | not sent               | alive      | yes               | no     |
+      | not sent               | dead       | no                | no     |
+      | not sent               | silent     | no                | no     |
+      | not accepted           | alive      | no                | yes    |
+      | not accepted           | silent     | no                | no     |
+
   Scenario Outline: A caller that has events up to <seen> resumes at an upstream that sends <what>
     Given a first upstream whose chunks contain <bytes>
     When a caller that has the events up to <seen> requests the rest
@@ -121,6 +166,16 @@
       | such bytes with a length         | sized    | first{head}x       | stays open | once  | 200    | first{head}x |
       | another answer behind its length | sized    | first{over}{head}x | stays open | once  | 200    | first        |
 
+    # The same failure of a plain upstream, which can't be queried: it would execute the query.
+    Examples: The end of the process, without a length
+      | what                           | framing  | bytes | end                  | route | status | body         |
+      | a body, and exits              | unframed | fir   | exits                | once  | 502    | no seal      |
+      | a body, and exits              | unframed | fir   | exits                | again | 200    | answer to r1 |
+      | a body, exits behind a proxy   | unframed | fir   | exits behind a proxy | once  | 502    | no seal      |
+      | a body, exits behind a proxy   | unframed | fir   | exits behind a proxy | again | 200    | answer to r1 |
+      | a body, and falls silent       | unframed | fir   | falls silent         | again | 200    | answer to r1 |
+      | a body of its length, exits    | sized    | first | exits                | once  | 200    | first        |
+
   Scenario Outline: A plain upstream's refusal <what>
     Given a plain upstream that refuses with <framing> <bytes> and <end>, and another that works
     When a caller calls once
