Take no accepted connection for a sign of life

Requests that crash every upstream that executes them were sent on: some crashes were never counted.

Cause: a plain upstream is only connected to after a broken attempt. If the connection was still open after 10 ms, the probe reported ALIVE and the attempt was dropped for good. A proxy in front of an upstream that has ended accepts connections and resets them later, on a busy machine later than that.

Change: for a broken attempt a refused connection shows that the upstream ended; an accepted one decides nothing. The attempt is deferred as for an unanswered query: it counts if the row is removed or a newer start is known within 10 s, and is dropped if the upstream answers in the meantime.

Ruled out: breaks without a probe (each of the 58 had one); executions that were cancelled before their runner ended (all 58 runners exited with the code of a crash).

Before the change two of the six new scenarios failed (reset after 30 ms, routes once and again; 24 attempts later than 3 s after the third crash in the first). The sixth one checks that callers of an upstream that breaks off responses and restarts aren't refused. The mutant an-accepted-connection-shows-life is red. 32 scenarios of crashing_requests and 5 of crash_evidence pass.

--- a/deckcourse/gateway/crash_check.py
+++ b/deckcourse/gateway/crash_check.py
@@ -70,7 +70,7 @@
                 reply = await self._control.probe(upstream, PROBE_TIMEOUT_SECONDS)
                 probe.result = reply.result
             else:
-                probe.result = await self._control.probe_connection(upstream, PROBE_TIMEOUT_SECONDS)
+                probe.result = await self._connect(upstream)
         finally:
             del self._probes[upstream.instance]
             probe.done.set()
@@ -82,3 +82,11 @@
             address=upstream.address,
             pulse=str(probe.result),
         )
+
+    async def _connect(self, upstream: Upstream) -> ProbeResult:
+        """Return DEAD if an upstream refuses connections, otherwise SILENT.
+
+        A proxy may accept connections for an upstream that has ended, and close them later.
+        """
+        result = await self._control.probe_connection(upstream, PROBE_TIMEOUT_SECONDS)
+        return ProbeResult.DEAD if result is ProbeResult.DEAD else ProbeResult.SILENT
--- /dev/null
+++ b/features/crashes_behind_proxies.feature
@@ -0,0 +1,25 @@
+Feature: Crashes are counted also where a proxy accepts connections for a crashed upstream
+
+  # Guards against crashes that aren't counted because a proxy accepted the probe's connection. A probe
+  # that found the connection open after 10 ms called the upstream alive, and the broken attempt was
+  # dropped: one request went on crashing upstreams (`broke-off pulse=alive`, `upstream-restarted`).
+  Scenario Outline: Crashed upstreams restart under <ids>: <route>, a proxy that resets every <close> seconds
+    Given three gateway processes, and upstreams behind proxies that reset connections every <close> seconds
+    And crashed upstreams restart under <ids>
+    When a crashing request for <route> is sent every 0.7 seconds for 30 seconds, while all is well
+    Then it reached upstreams at most 3 times later than 3 seconds after the third crash
+
+    Examples:
+      | ids           | route  | close |
+      | the same id   | once   | 0.005 |
+      | the same id   | once   | 0.03  |
+      | the same id   | again  | 0.005 |
+      | the same id   | again  | 0.03  |
+      | the same id   | stream | 0.03  |
+
+  # Guards against suspecting requests whose responses a live upstream broke off before it restarted.
+  Scenario: Requests aren't refused when live plain upstreams break off responses and restart
+    Given three gateway processes, and upstreams behind proxies that reset connections every 0.03 seconds
+    And crashed upstreams restart under the same id
+    When all callers send the same request while plain upstreams break off responses and restart in turn
+    Then no other caller was refused because of crashes
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -7,6 +7,7 @@
 import deckcourse.gateway.stream as stream_module
 import deckcourse.host_clock as host_clock
 from deckcourse.gateway.crash_book import CrashBook
+from deckcourse.gateway.crash_check import PROBE_TIMEOUT_SECONDS, CrashCheck
 from deckcourse.gateway.crash_evidence import CrashEvidence
 from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.end_check import EndCheck
@@ -91,6 +92,12 @@
     RunnerControl.probe = probe
 
 
+def an_accepted_connection_shows_life():
+    CrashCheck._connect = lambda self, upstream: self._control.probe_connection(
+        upstream, PROBE_TIMEOUT_SECONDS
+    )
+
+
 def the_clock_stands_in_a_suspension():
     host_clock.CLOCK_ID = time.CLOCK_MONOTONIC
 
@@ -109,5 +116,9 @@
     runs_after_an_end_count: ("excluding runs sent after an end", ("crash_evidence",)),
     the_end_of_an_upstream_ends_its_answer: ("checking ends that a connection marks", EVENTS),
     any_reply_confirms_an_end: ("the incarnation that confirms an end", EVENTS),
+    an_accepted_connection_shows_life: (
+        "deferring what a connection alone can't tell",
+        ("crashes_behind_proxies",),
+    ),
     the_clock_stands_in_a_suspension: ("a clock that counts suspensions", ("suspended",)),
 }
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -5,6 +5,7 @@
 import trio
 from behave import given, then, when
 from crash_world import DEADLY, CrashWorld
+from proxied_crash_world import ProxiedCrashWorld
 
 # The reason in the refusal of a request that crashes upstreams.
 REASON = "ends-upstreams"
@@ -20,6 +21,21 @@
     context.others = []
 
 
+@given(
+    "three gateway processes, and upstreams behind proxies that reset connections every"
+    " {seconds:g} seconds"
+)
+def behind_proxies(context, seconds):
+    context.site = ProxiedCrashWorld(seconds)
+    context.deadly = []
+    context.others = []
+
+
+@given("crashed upstreams restart under {ids}")
+def restart_under(context, ids):
+    context.site.takes_new_ids = {"the same id": False, "another id": True}[ids]
+
+
 async def all_is_well(site):
     """Change nothing."""
 
@@ -125,12 +141,12 @@
     context.site.play(story)
 
 
-async def keep_sending_same(context, site, seconds, gap):
+async def keep_sending_same(context, site, seconds, gap, route="stream"):
     """Send the same request from many concurrent callers to all processes."""
     until, number = trio.current_time() + seconds, 0
     async with trio.open_nursery() as nursery:
         while trio.current_time() < until:
-            nursery.start_soon(send, site, context.others, number, "stream", f"s{number}", b"same")
+            nursery.start_soon(send, site, context.others, number, route, f"s{number}", b"same")
             number += 1
             await trio.sleep(gap)
 
@@ -166,6 +182,25 @@
             site.network.reset(f"{name}:1")
 
 
+async def plain_restart_in_turn(site):
+    """Restart the plain upstreams in turn, each after a phase in which it breaks off responses."""
+    for name in ("px", "py") * 3:
+        site.runners[name].behaviour = "reset"
+        await trio.sleep(0.3)
+        site.runners[name].behaviour = ""
+        await trio.sleep(0.3)
+        site.crash(site.runners[name], b"")
+        await trio.sleep(2.0)
+
+
+@when(
+    "all callers send the same request while plain upstreams break off responses"
+    " and restart in turn"
+)
+def same_at_plain(context):
+    play_same(context, plain_restart_in_turn, route="again")
+
+
 @when("all callers send the same request while two upstreams end at once")
 def same_at_once(context):
     play_same(context, two_at_once, 0.01)
@@ -181,11 +216,11 @@
     play_same(context, reset_three_times)
 
 
-def play_same(context, event, gap=0.03):
+def play_same(context, event, gap=0.03, route="stream"):
     async def story(site):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(event, site)
-            nursery.start_soon(keep_sending_same, context, site, 16.0, gap)
+            nursery.start_soon(keep_sending_same, context, site, 16.0, gap, route)
 
     context.site.play(story)
 
