Use answers of the store that come after the timeout

Callers of an overloaded machine were refused with not-ready ("this entry's configuration may be out of date") although the store was reachable.

Cause: a read of the store that had no answer 0.75 s after its wait was dropped, and the next one began anew. A store whose answers always take longer than that is never heard, though each answer arrives; after 0.8 of the revocation time every request with a key is refused.

Change: a read goes on for 1.25 s after its timeout and its answer is merged as of its request (peers/store_reads.py). Nothing else waits longer: the process turns to its sources at the same moment as before. A reader that returns an earlier answer waits for its own read the next time, so that late answers don't add reads. While answers are late, the reads that show contact with the store don't wait there for changes. A longer timeout instead would let the age grow by two answers' times, and would find a silent connection later.

The eight new examples failed without the change: a store that answers 0.8 to 1.6 s late left every process 20 s stale, where 4 s are allowed, or was never read at the start. Mutants: late-answers-are-dropped, late-answers-add-reads, reads-of-a-late-store-wait, each red in peers.feature.

--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from random import Random
 
 import trio
@@ -20,6 +21,7 @@
 from deckcourse.peers.relay import RelayClient, RelayEnd, RelayServer
 from deckcourse.peers.replica import TableUpdate
 from deckcourse.peers.roster import Roster
+from deckcourse.peers.store_reads import EarlierAnswer, StoreReads
 from deckcourse.peers.store_turn import StoreSchedule
 from deckcourse.table import TableFailure
 
@@ -37,7 +39,8 @@
 # A process remains a follower for this long after its last subscriber left, seconds.
 FOLLOWER_GRACE_SECONDS = 3.0
 # Timeout of a store reply, in addition to its wait, seconds: a slow store takes 60 times its 4 ms.
-# The timeout of the reader (`change_feed`) is slightly longer.
+# The timeout of the reader (`change_feed`) is slightly longer. The process then turns to its
+# sources; a reply that comes after all is still used.
 STORE_TIMEOUT_SECONDS = 0.75
 # How long a snapshot may wait for the state of other processes, seconds.
 SNAPSHOT_TIMEOUT_SECONDS = 0.75
@@ -91,6 +94,9 @@
         self._role_updated_at = float("-inf")
         # Reads of the store in flight.
         self._store_reads = 0
+        self._reads = StoreReads(self._note_late_answer)
+        # Whether the latest answer of the store was late.
+        self._is_store_late = False
         self._schedule = StoreSchedule(trio.current_time, random)
 
     @property
@@ -132,21 +138,25 @@
 
     async def snapshot(self, table: str) -> Result[Snapshot, TableFailure]:
         """Return all rows of a table."""
+        if self._reads.take_answered(table):
+            return self._replica_answer(table, None)
         if not self._may_read_store():
             answer = await self._read_replica(table, None, SNAPSHOT_TIMEOUT_SECONDS)
             if isinstance(answer, Success) or not self._may_read_store():
                 return answer
         requested_at = trio.current_time()
-        answer: Result = Failure(TableFailure.UNAVAILABLE)
-        with self._count_store_read(), trio.move_on_after(STORE_TIMEOUT_SECONDS):
-            answer = await self._store.snapshot(table)
+        with self._count_store_read():
+            answer = await self._reads.read(
+                table,
+                partial(self._store.snapshot, table),
+                partial(self._note_snapshot, table, requested_at),
+                STORE_TIMEOUT_SECONDS,
+            )
         match answer:
             case Success(Snapshot(rows, version)):
-                table_rows = tuple(
-                    (_key_in_table(each.key), each.value, each.version) for each in rows
-                )
-                self._note_success(TableUpdate(table, None, version, table_rows), requested_at)
                 return Success(Snapshot(rows, version, requested_at))
+            case Success(EarlierAnswer()):
+                return self._replica_answer(table, None)
         self._note_failure()
         return answer
 
@@ -154,22 +164,24 @@
         self, table: str, after: int, seconds: float
     ) -> Result[Changes, TableFailure]:
         """Return the changes after a version, as soon as there are any or the wait is over."""
+        if self._reads.take_answered(table):
+            return self._replica_answer(table, after)
         if not self._may_read_store():
             answer = await self._read_replica(table, after, max(seconds, MIN_WAIT_SECONDS))
             if isinstance(answer, Success) or not self._may_read_store():
                 return answer
         requested_at = trio.current_time()
-        answer: Result = Failure(TableFailure.UNAVAILABLE)
-        wait = 0.0 if self._schedule.is_unavailable else seconds
-        with self._count_store_read(), trio.move_on_after(wait + STORE_TIMEOUT_SECONDS):
-            answer = await self._store.changes(table, after, wait)
+        wait = self._wait_at_store(seconds)
+        with self._count_store_read():
+            answer = await self._reads.read(
+                table,
+                partial(self._read_changes, table, after, wait, requested_at),
+                partial(self._note_changes, table, after),
+                wait + STORE_TIMEOUT_SECONDS,
+            )
         match answer:
-            case Success(Changes(rows, version, True)):
-                now = trio.current_time()
-                # A reply without changes is made when the wait ends: nothing changed until then.
-                waited = wait if not rows and now - requested_at >= wait else 0.0
-                self._note_success(TableUpdate(table, after, version, rows), requested_at + waited)
-                return Success(Changes(rows, version, True, requested_at + waited))
+            case Success(EarlierAnswer()):
+                return self._replica_answer(table, after)
             case Success(_):
                 return answer
         self._note_failure()
@@ -177,6 +189,44 @@
             return await self._read_replica(table, after, seconds)
         return answer
 
+    def _wait_at_store(self, seconds: float) -> float:
+        """Return how long a read waits at the store for changes, of at most `seconds`.
+
+        A reply shows that the store is reachable as of its request or, without changes, the end of
+        its wait. If replies are late, the reads that show this don't wait: each wait would add to
+        the age of the newest reply.
+        """
+        if self._schedule.is_unavailable:
+            return 0.0
+        return 0.0 if self._is_store_late and seconds <= self._contact_wait() else seconds
+
+    async def _read_changes(
+        self, table: str, after: int, wait: float, requested_at: float
+    ) -> Result[Changes, TableFailure]:
+        """Read changes from the store, with the time that the answer is current as of."""
+        answer = await self._store.changes(table, after, wait)
+        match answer:
+            case Success(Changes(rows, version, True)):
+                now = trio.current_time()
+                # A reply without changes is made when the wait ends: nothing changed until then.
+                waited = wait if not rows and now - requested_at >= wait else 0.0
+                return Success(Changes(rows, version, True, requested_at + waited))
+        return answer
+
+    def _note_snapshot(self, table: str, requested_at: float, snapshot: Snapshot) -> None:
+        rows = tuple((_key_in_table(each.key), each.value, each.version) for each in snapshot.rows)
+        self._note_success(TableUpdate(table, None, snapshot.version, rows), requested_at)
+
+    def _note_changes(self, table: str, after: int, changes: Changes) -> None:
+        if changes.complete:
+            update = TableUpdate(table, after, changes.version, changes.rows)
+            self._note_success(update, changes.as_of)
+
+    def _note_late_answer(self, table: str, seconds: float) -> None:
+        self._is_store_late = True
+        self._count("store.late-answer")
+        self._log("store-answered-late", table=table, seconds=round(seconds, 3))
+
     @contextmanager
     def _count_store_read(self) -> Iterator[None]:
         self._store_reads += 1
@@ -191,6 +241,7 @@
         if self._is_cut_off():
             self._shared_state.note_store_recovered(trio.current_time())
         self._schedule.note_success()
+        self._is_store_late = False
         replica = self._shared_state.replica(update.table)
         replica.merge(update)
         replica.confirm(update.version, as_of)
@@ -226,6 +277,15 @@
             return Failure(TableFailure.UNAVAILABLE)
         if not self._is_follower:
             self._schedule.clear_outage()
+        return self._replica_answer(table, after)
+
+    def _replica_answer(
+        self, table: str, after: int | None
+    ) -> Result[Snapshot | Changes, TableFailure]:
+        """Return what the replica of a table holds: changes after a version, or all rows."""
+        replica = self._shared_state.replica(table)
+        if replica.version is None:
+            return Failure(TableFailure.UNAVAILABLE)
         if after is None:
             return Success(Snapshot(replica.rows, replica.version, replica.as_of))
         update = replica.since(after)
@@ -234,7 +294,12 @@
         return Success(Changes(update.rows, update.version, True, replica.as_of))
 
     async def run(self) -> None:
-        """Update the role of this process and subscribe to sources, until cancelled."""
+        """Read the store, update the role of this process and subscribe to sources."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._reads.run)
+            nursery.start_soon(self._follow_sources)
+
+    async def _follow_sources(self) -> None:
         while True:
             self._update_role()
             source = self._next_source()
--- a/deckcourse/platform/store.py
+++ b/deckcourse/platform/store.py
@@ -19,6 +19,8 @@
 # Timeout of a call, in addition to the wait of a long poll: a slow store takes 60 times its usual
 # 4 ms.
 CALL_TIMEOUT_SECONDS = 1.0
+# The same for reads of whole tables and of changes, whose late replies are still used.
+FEED_TIMEOUT_SECONDS = 2.0
 # The store returns no more rows than this in one reply.
 MAX_PAGE_ROWS = 500
 # Tables of the store may be divided into named parts. Only the unnamed part is used.
@@ -75,7 +77,7 @@
         version: int | None = None
         query: dict[str, object] = {"table": table, "part": UNNAMED_PART, "limit": MAX_PAGE_ROWS}
         while True:
-            match await self._rows("/v1/rows-get", query, CALL_TIMEOUT_SECONDS):
+            match await self._rows("/v1/rows-get", query, FEED_TIMEOUT_SECONDS):
                 case Failure(failure):
                     return Failure(failure)
                 case Success(page):
@@ -96,7 +98,7 @@
         """Return the changes after version `after`; wait up to `seconds` for the first one."""
         query = {"table": table, "afterRev": after, "waitMs": round(seconds * 1000)}
         target = f"/v1/rows-feed?{urlencode(query)}"
-        match await self._call(b"GET", target, b"", seconds + CALL_TIMEOUT_SECONDS):
+        match await self._call(b"GET", target, b"", seconds + FEED_TIMEOUT_SECONDS):
             case Success((200, body)):
                 return self._page(body).map(lambda page: _changes(page, after))
             case Success((410, _)):
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -6,6 +6,7 @@
 import deckcourse.gateway.retry_issuer as issuer_module
 import deckcourse.layers.layouts as layouts_module
 import deckcourse.peers.relay as relay_module
+import deckcourse.peers.store_reads as store_reads_module
 from deckcourse.decisions import path_draw, path_load, usual_paths
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.retry_issuer import RetryIssuer
@@ -14,6 +15,7 @@
 from deckcourse.peers.relay import RelayEnd
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.shared_feed import SharedFeed
+from deckcourse.peers.store_reads import _Read
 
 
 def everybody_asks_the_store():
@@ -112,6 +114,20 @@
     issuer_module.FAIR_RESERVE_SHARE = 0.0
 
 
+def late_answers_are_dropped():
+    store_reads_module.MAX_LATE_SECONDS = 0.0
+
+
+def late_answers_add_reads():
+    _Read.is_pending = lambda self, now: False
+
+
+def reads_of_a_late_store_wait():
+    SharedFeed._wait_at_store = lambda self, seconds: (
+        0.0 if self._schedule.is_unavailable else seconds
+    )
+
+
 PEERS = ("peers",)
 RETRIES = ("shared_limits", "shared_retries", "shared_slack")
 LAYERS = ("layers",)
@@ -133,5 +149,8 @@
     every_term_starts_full: ("a new issuer starts with nothing", RETRIES),
     grants_last_for_ever: ("grants that are not used end", RETRIES),
     a_busy_process_takes_all: ("what is left goes to those that got nothing", RETRIES),
+    late_answers_are_dropped: ("an answer of the store after its timeout is used", PEERS),
+    late_answers_add_reads: ("a late answer begins no further read", PEERS),
+    reads_of_a_late_store_wait: ("reads of a store that answers late don't wait there", PEERS),
     sources_behind_are_kept: ("a source that is behind is left", PEERS),
 }
--- a/features/peer_world.py
+++ b/features/peer_world.py
@@ -39,7 +39,10 @@
         await trio.sleep(0.004)
         if self.is_cut_off:
             return Failure(TableFailure.UNAVAILABLE)
-        return await getattr(self.world.store, call)(*args)
+        answer = await getattr(self.world.store, call)(*args)
+        if self.world.answer_delay:
+            await trio.sleep(self.world.answer_delay)
+        return answer
 
     async def snapshot(self, table):
         return await self._ask("snapshot", table)
@@ -164,6 +167,8 @@
         self.seeds = ()
         self.calls = []
         self.frame_delay = 0.0
+        # How long the store's answers take on their way.
+        self.answer_delay = 0.0
         # The bytes received in place of everything that an address sends.
         self.corrupted = {}
         self.names = [
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -71,6 +71,24 @@
       | the store was away   | everybody              | 4       | all     |
       | away for a moment    | everybody              | 2.5     | all     |
 
+  # Guards against never hearing a reachable store whose answers come after the timeout.
+  Scenario Outline: A store that answers late is still heard: <count> processes, <delay> s, <case>
+    Given <count> processes of one domain over one store
+    When they <case> and the store answers <delay> seconds late for 20 seconds
+    Then no live process is ever more than 4 seconds stale
+    And the store was read at most <calls> times meanwhile
+
+    Examples:
+      | count | delay | case         | calls |
+      | 1     | 0.8   | have settled | 60    |
+      | 1     | 1.2   | have settled | 60    |
+      | 1     | 1.6   | have settled | 60    |
+      | 3     | 0.8   | have settled | 120   |
+      | 3     | 1.2   | have settled | 120   |
+      | 12    | 1.0   | have settled | 120   |
+      | 1     | 1.0   | start        | 60    |
+      | 3     | 1.0   | start        | 180   |
+
   Scenario: A time received from another process is never later than the true one
     Given processes whose frames take 0.9 seconds to arrive
     Then each process has every change before the time that it is current as of
--- a/features/steps/peer_feed_steps.py
+++ b/features/steps/peer_feed_steps.py
@@ -13,6 +13,9 @@
 from deckcourse.peers.replica import TableReplica, TableUpdate
 from deckcourse.peers.view import MEMBERS_PATH, decode_view
 
+# Time for a process to read a table for the first time: three attempts.
+FIRST_READ_SECONDS = 3.0
+
 
 def is_known_to_all(world, key):
     return all(key in each.rows for each in world.live_processes)
@@ -103,6 +106,32 @@
     assert context.max_age <= age, context.max_age
 
 
+@when("they {case} and the store answers {delay:g} seconds late for {seconds:d} seconds")
+def store_answers_late(context, case, delay, seconds):
+    if case == "start":
+        context.world.answer_delay = delay
+
+    async def story(world):
+        # A process that starts has this time to read the store, one that has settled needs none.
+        await trio.sleep(FIRST_READ_SECONDS if case == "start" else SETTLE_SECONDS)
+        world.answer_delay = delay
+        world.calls.clear()
+        context.max_age = 0.0
+        until = trio.current_time() + seconds
+        while trio.current_time() < until:
+            ages = [trio.current_time() - each.as_of for each in world.live_processes]
+            context.max_age = max(context.max_age, *ages, 0.0)
+            await trio.sleep(0.05)
+        context.calls = len(world.calls)
+
+    context.world.play(story)
+
+
+@then("the store was read at most {calls:d} times meanwhile")
+def reads_bounded_meanwhile(context, calls):
+    assert context.calls <= calls, context.calls
+
+
 @when("they have settled and an upstream's load becomes known to a follower")
 def load_known(context):
     async def story(world):
