Log what a request waited for when its deadline passed

A call that took the whole time of its route could not be told from the log: only attempts that had failed were in it.

Change: a line `deadline` with what the request waited for, the upstream that had it, and for how long. What callers get is unchanged.

Five scenarios; mutant waits-are-not-logged.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import StrEnum
 
 import trio
 
@@ -23,8 +24,10 @@
 
 __all__ = [
     "Withheld",
+    "WaitsFor",
     "check_single_response",
     "is_withheld",
+    "log_deadline",
     "refuse_quarantined",
     "schedule_retry_after",
     "send_request",
@@ -38,6 +41,14 @@
 MAX_RETRY_AFTER_SHARE = 0.3
 
 
+class WaitsFor(StrEnum):
+    """What a request waits for: its caller to read, an upstream, or this process to send it."""
+
+    CALLER = "caller"
+    UPSTREAM = "upstream"
+    ENTRY = "entry"
+
+
 @dataclass(frozen=True)
 class Withheld:
     """The request was not sent: its upstream began to back off, throttle or leave meanwhile."""
@@ -77,7 +88,10 @@
 
 
 async def within_deadline(
-    admitted: Admitted, attempts: Callable[[], Awaitable[Outcome]], may_have_run: Callable[[], bool]
+    admitted: Admitted,
+    attempts: Callable[[], Awaitable[Outcome]],
+    may_have_run: Callable[[], bool],
+    on_passed: Callable[[], None],
 ) -> Outcome:
     """Return the outcome of all attempts, or that the deadline passed first.
 
@@ -85,17 +99,40 @@
       admitted: the request.
       attempts: makes attempts until there is an outcome; cancelled at the deadline.
       may_have_run: returns whether an upstream may have executed the request so far.
+      on_passed: called if the deadline passed first.
     """
     outcome: Outcome | None = None
     with trio.move_on_at(admitted.deadline):
         outcome = await attempts()
     if outcome is not None:
         return outcome
+    on_passed()
     if may_have_run():
         return Unknown(UnknownReason.DEADLINE_PASSED, "the time for the answer is over")
     return NotRun(NotRunReason.DEADLINE, "the time was over before an upstream took it")
 
 
+def log_deadline(
+    context: GatewayContext, admitted: Admitted, waits_for: WaitsFor, instance: str, since: float
+) -> None:
+    """Log what a request waited for when its deadline passed.
+
+    Args:
+      context: writes the decision log.
+      admitted: the request.
+      waits_for: what it waited for.
+      instance: the upstream that it was at, empty if it was at none.
+      since: the start of that wait or the last event, on trio's clock.
+    """
+    context.log(
+        "deadline",
+        request=admitted.caller.request_id,
+        waits_for=str(waits_for),
+        instance=instance,
+        waited_ms=round((trio.current_time() - since) * 1000),
+    )
+
+
 def schedule_retry_after(context: GatewayContext, admitted: Admitted, min_seconds: float) -> float:
     """Return the seconds after which a refused caller may retry, by the schedule of its service.
 
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -6,9 +6,11 @@
 
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.calls import (
+    WaitsFor,
     Withheld,
     check_single_response,
     is_withheld,
+    log_deadline,
     refuse_quarantined,
     schedule_retry_after,
     send_request,
@@ -82,14 +84,21 @@
         self._attempted: set[str] = set()
         self._executions = 0
         self._failed_response: _Response | None = None
+        # The upstream that has the call now, empty if none, and since when that holds.
+        self._instance = ""
+        self._since = trio.current_time()
 
     async def run(self) -> Outcome:
         """Serve the call; after an Answered outcome the response has been sent to the caller."""
         self._context.budget(self._admitted.service.name).earn()
         return await within_deadline(
-            self._admitted, self._run_attempts, lambda: self._executions > 0
+            self._admitted, self._run_attempts, lambda: self._executions > 0, self._log_deadline
         )
 
+    def _log_deadline(self) -> None:
+        waits_for = WaitsFor.UPSTREAM if self._instance else WaitsFor.ENTRY
+        log_deadline(self._context, self._admitted, waits_for, self._instance, self._since)
+
     async def _run_attempts(self) -> Outcome:
         last_failure: _Refused | _Lost | None = None
         budget = self._context.budget(self._admitted.service.name)
@@ -184,10 +193,13 @@
         if token is None:
             return Withheld()
         self._attempted.add(upstream.instance)
+        self._instance, self._since = upstream.instance, trio.current_time()
         try:
-            return await self._send(upstream, token)
+            result = await self._send(upstream, token)
         finally:
             await self._context.rates.return_token(token)
+        self._instance, self._since = "", trio.current_time()
+        return result
 
     async def _send(
         self, upstream: Upstream, token: SendingToken
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -15,9 +15,11 @@
 )
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.calls import (
+    WaitsFor,
     Withheld,
     check_single_response,
     is_withheld,
+    log_deadline,
     refuse_quarantined,
     schedule_retry_after,
     send_request,
@@ -97,6 +99,9 @@
         self._last_event = admitted.caller.last_event
         self._last_progress_at = trio.current_time()
         self._arrived_at = trio.current_time()
+        # The current attempt, None between attempts, and since when that holds.
+        self._current: ActiveStream | None = None
+        self._since = trio.current_time()
         self._choice.load_watch.note_request()
 
     @property
@@ -108,11 +113,19 @@
         self._retries.earn()
         try:
             return await within_deadline(
-                self._admitted, self._run_attempts, lambda: self._executions > 0
+                self._admitted, self._run_attempts, lambda: self._executions > 0, self._log_deadline
             )
         finally:
             self._retries.close()
 
+    def _log_deadline(self) -> None:
+        waits_for, instance, since = WaitsFor.ENTRY, "", self._since
+        if self._current is not None:
+            waits_for = WaitsFor.UPSTREAM if self._current.is_waiting else WaitsFor.CALLER
+            instance = self._current.path.stages[0].instance
+            since = self._current.progress_at
+        log_deadline(self._context, self._admitted, waits_for, instance, since)
+
     async def _run_attempts(self) -> Outcome:
         last_failure: _Refused | _Broken | None = None
         attempts = 0
@@ -237,9 +250,11 @@
         if token is None:
             return Withheld()
         try:
-            return await self._attempt(path, token)
+            result = await self._attempt(path, token)
         finally:
             await self._context.rates.return_token(token)
+        self._current, self._since = None, trio.current_time()
+        return result
 
     async def _attempt(self, path: LayerPath, token: SendingToken) -> _AttemptResult:
         context = self._context
@@ -253,6 +268,7 @@
             self._admitted.route.gap_objective,
             reserve_retry=self._retries.reserve,
         )
+        self._current = stream
         context.upstreams.begin_request(first.instance)
         context.monitor.add(stream)
         try:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -119,6 +119,20 @@
       | no such route   | 404    |
       | a large body    | 413    |
 
+  # Guards against late answers of which the log can't tell what they waited for.
+  Scenario Outline: The log says what a request waited for when its deadline passed: <case>
+    Given two chains of runners and a plain one
+    When a caller asks for <route> with a deadline of 1 second and <fault>
+    Then the log says that it waited for its <what> for <ms> ms
+
+    Examples:
+      | case                    | route   | fault                                | what     | ms   |
+      | no event comes          | fragile | all upstreams stand still            | upstream | 1000 |
+      | the caller doesn't read | fragile | the caller never reads               | caller   | 980  |
+      | no answer comes         | again   | all upstreams stand still            | upstream | 1000 |
+      | no token comes          | again   | requests for tokens get no reply     | entry    | 1000 |
+      | no token for a stream   | stream  | requests for tokens get no reply     | entry    | 1000 |
+
   Scenario: A gateway without a configuration refuses requests as not ready
     Given two chains of runners and no configuration
     When a caller asks for a stream
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -343,6 +343,10 @@
     RunnerControl._compare_start = lambda self, asked, born: StartOrder.SAME
 
 
+def waits_are_not_logged():
+    StreamCall._log_deadline = ServiceCall._log_deadline = lambda self: None
+
+
 def ended_starts_keep_streams():
     StallMonitor.note_ended = lambda self, upstream: None
 
@@ -417,6 +421,7 @@
     everybody_counts_as_alone: ("a process measures its part of the traffic", SHARED),
     refused_come_back_together: ("refused callers come back in turn", SHARED),
     full_paths_are_taken: ("a request is refused only where every path is full", GATEWAY),
+    waits_are_not_logged: ("the log says what a late request waited for", GATEWAY),
     starts_are_one: ("each start of an upstream is an instance of its own", RESTARTS),
     older_starts_come_back: ("what is said of an older start changes nothing", RESTARTS),
     any_start_answers: ("another start's answer is none", RESTARTS),
--- a/features/steps/gateway_fault_steps.py
+++ b/features/steps/gateway_fault_steps.py
@@ -1,9 +1,18 @@
 """Steps for upstreams that fail, become silent or refuse while streams are in flight."""
 
+from contextlib import ExitStack
+from unittest.mock import patch
+
 import trio
-from behave import then, when
+from behave import given, then, when
 from gateway_runner import EVENT_SECONDS
-from gateway_story import ask_while, assert_whole
+from gateway_story import ask_while, assert_whole, two_chains
+
+from deckcourse.gateway.rate_gate import RateGate
+from deckcourse.gateway.stream import StreamCall
+
+# The difference that is allowed between a wait and what the log says of it.
+TIMING_TOLERANCE_MS = 25
 
 
 @when("the {part} upstream of a stream {fault} after {count:d} events")
@@ -165,3 +174,45 @@
 def whole_without_pause(context, seconds):
     assert_whole(context)
     assert context.got.max_pause <= seconds, context.got.max_pause
+
+
+@given("two chains of runners and a plain one")
+def chains_and_plain(context):
+    two_chains(context)
+    context.site.add("p1", "crm", "x")
+
+
+async def stand_still(request, exchange):
+    await trio.sleep_forever()
+
+
+def make_upstreams_stand_still(site):
+    for runner in site.runners.values():
+        site.network.listen(runner.address, stand_still)
+
+
+async def wait_for_ever(*_args):
+    await trio.sleep_forever()
+
+
+@when("a caller asks for {route} with a deadline of 1 second and {fault}")
+def asks_until_deadline(context, route, fault):
+    async def story(site):
+        with ExitStack() as patches:
+            if fault == "all upstreams stand still":
+                make_upstreams_stand_still(site)
+            elif fault == "the caller never reads":
+                patches.enter_context(patch.object(StreamCall, "_start_response", wait_for_ever))
+            else:
+                patches.enter_context(patch.object(RateGate, "acquire", wait_for_ever))
+            await site.ask(route, headers=[("X-Deadline-Ms", "1000")])
+
+    context.site.play(story)
+
+
+@then("the log says that it waited for its {what} for {ms:d} ms")
+def log_says_what(context, what, ms):
+    (line,) = [fields for decision, fields in context.site.lines if decision == "deadline"]
+    assert (line["request"], line["waits_for"]) == ("r1", what), line
+    assert abs(line["waited_ms"] - ms) <= TIMING_TOLERANCE_MS, line
+    assert bool(line["instance"]) == (what != "entry"), line
