Keep a shutdown that is announced with a backoff

Callers were sent to an upstream that had announced its shutdown, once its backoff had ended (forced order of events in memory: restart_notices, "leaving with a backoff", "sent, response, row": p1@500 got c15 at 1.528).

Cause: a shutdown that a new incarnation announces before its row comes is applied with the row, unless the upstream doesn't accept requests. That left out a leaving one, which needs no second record, but also one that backs off. A 503 with Retry-After from an upstream that leaves says both.

Ruled out: the backoff itself, which holds by name; the orders in which the row comes before the response pass without the change.

The row and the announcements are asked, not whether the upstream accepts requests.

--- a/deckcourse/gateway/notice_intake.py
+++ b/deckcourse/gateway/notice_intake.py
@@ -70,7 +70,7 @@
         if limit is not None:
             self._record_limit(upstream.instance, limit.notice, limit.origin)
         shutdown = self._retained.shutdown_of(upstream)
-        if shutdown is None or not self._upstreams.accepts(upstream.instance):
+        if shutdown is None or self._upstreams.is_leaving(upstream):
             return
         if shutdown.origin.start is None:
             self._upstreams.presume_leaving(upstream.instance)
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -235,7 +235,7 @@
         None if one accepts them now, or if all of them are leaving.
         """
         rows = self.of_service(service)
-        return self.first_accepts_at([each.instance for each in rows if not self._is_leaving(each)])
+        return self.first_accepts_at([each.instance for each in rows if not self.is_leaving(each)])
 
     def first_accepts_at(self, instances: Iterable[str]) -> float | None:
         """Return when the first of some upstreams accepts requests again, on the clock.
@@ -253,7 +253,8 @@
         row = self.row_of(instance)
         return row.name if row is not None else instance
 
-    def _is_leaving(self, row: Upstream) -> bool:
+    def is_leaving(self, row: Upstream) -> bool:
+        """Return whether an upstream is leaving, by its row or by what it announced."""
         return row.leaving or row.instance in self._leaving
 
     def remove(self, name: str) -> None:
@@ -394,7 +395,7 @@
         return [each for each in usable if each.instance not in self._lapsing] or usable
 
     def _is_usable(self, row: Upstream) -> bool:
-        return not self._is_leaving(row) and row.instance not in self._suspect_until
+        return not self.is_leaving(row) and row.instance not in self._suspect_until
 
     def layer_hosts(self, service: str) -> tuple[LayerHost, ...]:
         """Return the upstreams of a service in the form that planner and path finder use."""
@@ -414,7 +415,7 @@
             usable=self._is_usable(row),
             pace=self._paces.get(row.instance, (1.0, 0.0))[0],
             serving=row.instance not in self._lost,
-            leaving=self._is_leaving(row),
+            leaving=self.is_leaving(row),
             lapsing=row.instance in self._lapsing,
             scarce=row.instance in self._scarce and row.first == 0 < row.end,
         )
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -61,6 +61,16 @@
     NoticeIntake.on_listed = lambda self, upstream: None
 
 
+def a_backoff_clears_what_was_told_before_a_row():
+    on_listed = NoticeIntake.on_listed
+
+    def on_listed_unless_backing_off(self, upstream):
+        if self._upstreams.accepts(upstream.instance):
+            on_listed(self, upstream)
+
+    NoticeIntake.on_listed = on_listed_unless_backing_off
+
+
 def the_newest_incarnation_sends_every_response():
     NoticeIntake._newest_start = lambda self, origin: float("inf")
 
@@ -93,6 +103,10 @@
     anybody_speaks_for_an_upstream: ("whose word it is", ("told_leaving",)),
     notices_count_for_the_addressed_incarnation: ("the sender of a notice", ("restart_notices",)),
     a_row_clears_what_its_incarnation_told: ("notices before a row", ("restart_notices",)),
+    a_backoff_clears_what_was_told_before_a_row: (
+        "notices before a row, while the upstream backs off",
+        ("restart_notices",),
+    ),
     the_newest_incarnation_sends_every_response: (
         "the connection that a notice came on",
         ("restart_notices",),
--- a/features/restart_notices.feature
+++ b/features/restart_notices.feature
@@ -28,6 +28,19 @@
       | sent, restart, response, row |
       | sent, restart, row, response |
 
+  # Guards against a shutdown that the row clears because its response asked for a backoff as well.
+  Scenario Outline: The shutdown of a new incarnation that asks for a backoff as well: <order>
+    Given two plain upstreams that report their start times
+    When the first one restarts and tells "leaving with a backoff", in the order "<order>"
+    Then the new incarnation got no request after its announcement
+
+    Examples:
+      | order                        |
+      | sent, response, row          |
+      | sent, row, response          |
+      | sent, restart, response, row |
+      | sent, restart, row, response |
+
   Scenario Outline: The backoff of a new incarnation: <order>
     Given two plain upstreams that report their start times
     When the first one restarts and tells "backoff", in the order "<order>"
--- a/features/steps/restart_notice_steps.py
+++ b/features/steps/restart_notice_steps.py
@@ -29,6 +29,12 @@
 TOLD = {
     "leaving": {"says_leaving": True},
     "backoff": {"behaviour": "full", "requested_backoffs": ("3",)},
+    # The backoff ends before the callers stop asking.
+    "leaving with a backoff": {
+        "behaviour": "full",
+        "requested_backoffs": ("1",),
+        "says_leaving": True,
+    },
     "limit": {"rate_limits": ("2",)},
     "fails": {"behaviour": "fails"},
     "refuses": {"behaviour": "full"},
