Presume a shutdown that only the clocks give to an incarnation

A new incarnation could stay unused at one process until its end (forced order of events in memory: restart_notices, "sent, restart, row, response" with the wall clock of the process 5 s ahead: p1 got no request in 25 s).

Cause: the response of the older incarnation was read after the row of the newer one. With the process's clock ahead, the newer one counted as its sender, and its shutdown was noted for good. Only a shutdown that came before the row was presumed for 20 s.

Ruled out: the row's own path, which presumes already: the order "sent, response, restart, row" passes without the change.

A shutdown whose sender only the clocks of two machines tell is now presumed in both orders.

--- a/deckcourse/gateway/leaving_incarnations.py
+++ b/deckcourse/gateway/leaving_incarnations.py
@@ -37,10 +37,12 @@
         put_bounded(self._announced, instance, None, MAX_INCARNATIONS)
         return is_new
 
-    def presume(self, instance: str) -> None:
-        """Record that an incarnation presumably announced its shutdown."""
+    def presume(self, instance: str) -> bool:
+        """Record that an incarnation presumably leaves; return whether that is new."""
+        is_new = instance not in self
         expires_at = self._clock() + PRESUMED_TTL_SECONDS
         put_bounded(self._presumed_until, instance, expires_at, MAX_INCARNATIONS)
+        return is_new
 
     def expire(self, now: float) -> list[str]:
         """Drop the presumptions that have expired; return their incarnations."""
--- a/deckcourse/gateway/notice_intake.py
+++ b/deckcourse/gateway/notice_intake.py
@@ -72,12 +72,7 @@
         shutdown = self._retained.shutdown_of(upstream)
         if shutdown is None or self._upstreams.is_leaving(upstream):
             return
-        if shutdown.origin.start is None:
-            self._upstreams.presume_leaving(upstream.instance)
-        else:
-            self._upstreams.note_leaving(upstream.instance)
-        self._count("upstream.leaving")
-        self._log("upstream-leaving", instance=upstream.instance, before_row=True)
+        self._record_shutdown(upstream.instance, shutdown.names(upstream), before_row=True)
 
     def _apply_to_sender(
         self, addressed: Upstream, notice: UpstreamNotice, origin: NoticeOrigin
@@ -86,7 +81,7 @@
         retained = RetainedNotice(notice, addressed, origin, self._newest_start(origin))
         listed = self._upstreams.by_name(addressed.name)
         if listed is not None and retained.is_from(listed):
-            self._apply_to(listed.instance, notice, origin)
+            self._apply_to(listed.instance, notice, origin, retained.names(listed))
         elif origin.start in (None, addressed.start):
             self._apply_to(addressed.instance, notice, origin)
         self._retained.put(retained)
@@ -98,11 +93,20 @@
         connection_age = trio.current_time() - origin.connected_at
         return (self._wall_clock() - connection_age) * 1000
 
-    def _apply_to(self, instance: str, notice: UpstreamNotice, origin: NoticeOrigin) -> None:
+    def _apply_to(
+        self, instance: str, notice: UpstreamNotice, origin: NoticeOrigin, is_certain: bool = True
+    ) -> None:
         self._record_limit(instance, notice, origin)
-        if notice.leaving and self._upstreams.note_leaving(instance):
+        if notice.leaving:
+            self._record_shutdown(instance, is_certain)
+
+    def _record_shutdown(self, instance: str, is_certain: bool, **details: object) -> None:
+        """Record a shutdown, for a limited time if it is uncertain which incarnation sent it."""
+        table = self._upstreams
+        is_new = table.note_leaving(instance) if is_certain else table.presume_leaving(instance)
+        if is_new:
             self._count("upstream.leaving")
-            self._log("upstream-leaving", instance=instance)
+            self._log("upstream-leaving", instance=instance, **details)
 
     def _record_limit(self, instance: str, notice: UpstreamNotice, origin: NoticeOrigin) -> None:
         if notice.rate_limit is not None or not notice.malformed:
--- a/deckcourse/gateway/retained_notices.py
+++ b/deckcourse/gateway/retained_notices.py
@@ -40,6 +40,10 @@
             return False
         return newest.start <= self.newest_start
 
+    def names(self, sender: Upstream) -> bool:
+        """Return whether the sender is known without a comparison of two machines' clocks."""
+        return self.origin.start is not None or self.addressed.instance == sender.instance
+
 
 class RetainedNotices:
     """The last announced shutdown and the last rate limit of each upstream's name and address."""
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -186,11 +186,17 @@
             self._note_change(instance)
         return is_new
 
-    def presume_leaving(self, instance: str) -> None:
-        """Record for a limited time that an upstream presumably announced its shutdown."""
-        self._leaving.presume(instance)
-        self._note_change(instance)
+    def presume_leaving(self, instance: str) -> bool:
+        """Record for a limited time that an upstream presumably announced its shutdown.
+
+        Returns:
+          Whether it didn't count as leaving before.
+        """
+        is_new = self._leaving.presume(instance)
+        if is_new:
+            self._note_change(instance)
         self._next_expiry = min(self._next_expiry, self._leaving.next_expiry)
+        return is_new
 
     def note_backoff(self, instance: str, seconds: float) -> None:
         """Record that an upstream asked this process for a pause.
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -7,6 +7,7 @@
 from deckcourse.gateway.leaving_incarnations import LeavingIncarnations
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.retained_notices import RetainedNotice
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.platform.runners import RunnerControl
 
@@ -75,6 +76,10 @@
     NoticeIntake._newest_start = lambda self, origin: float("inf")
 
 
+def the_clocks_of_two_machines_agree():
+    RetainedNotice.names = lambda self, sender: True
+
+
 def presumptions_last_for_ever():
     LeavingIncarnations.expire = lambda self, now: []
 
@@ -112,6 +117,10 @@
         ("restart_notices",),
     ),
     a_backoff_ends_with_its_incarnation: ("backoffs read after a restart", ("restart_notices",)),
+    the_clocks_of_two_machines_agree: (
+        "a shutdown whose sender only the clocks tell",
+        ("restart_notices",),
+    ),
     presumptions_last_for_ever: ("the end of a presumed shutdown", ("restart_notices",)),
     ended_incarnations_accept_requests: ("the end of an incarnation", ("restart_notices",)),
 }
--- a/features/restart_notices.feature
+++ b/features/restart_notices.feature
@@ -169,6 +169,18 @@
     When the first one announces its shutdown and restarts
     Then the new incarnation got no request for 15 seconds, and some within 25
 
+  # Guards against a presumed shutdown that never expires because the row came before the response.
+  Scenario Outline: Nor is one whose row came first kept idle for good: <order>
+    Given two plain upstreams that report their start times
+    And the wall clock of the process is 5 seconds ahead
+    When the first one announces its shutdown and restarts, in the order "<order>"
+    Then the new incarnation got no request for 15 seconds, and some within 25
+
+    Examples:
+      | order                        |
+      | sent, response, restart, row |
+      | sent, restart, row, response |
+
   # The connection of a request was opening while the restart became known.
   Scenario Outline: A request addressed to an ended incarnation isn't sent to a new one: <what>
     Given two plain upstreams that report their start times
--- a/features/steps/restart_notice_steps.py
+++ b/features/steps/restart_notice_steps.py
@@ -317,16 +317,21 @@
     context.site.clock_lead = seconds
 
 
-@when("the first one announces its shutdown and restarts")
-def leaves_and_restarts(context):
+@when('the first one announces its shutdown and restarts, in the order "{order}"')
+def leaves_and_restarts_in_order(context, order):
     async def story(site):
-        await older_then_restart(site, TOLD["leaving"])
+        await OLDER_TELLS[order](site, TOLD["leaving"])
         context.restarted_at = trio.current_time()
         await keep_asking(site, context.notices, "once", 25)
 
     context.site.play(story)
 
 
+@when("the first one announces its shutdown and restarts")
+def leaves_and_restarts(context):
+    leaves_and_restarts_in_order(context, "sent, response, restart, row")
+
+
 @then("the new incarnation got no request for {idle:d} seconds, and some within {end:d}")
 def idle_for_a_time(context, idle, end):
     times = [each.at - context.restarted_at for each in newer_requests(context)]
