Heed the replies of an upstream whose row has no start time

A shutdown or a rate limit was ignored if it came in a reply to a query or an order that names a start time, and the row of the upstream has none (restart_notices, "whose row has no start time": leaving and limit in a query, leaving in an order).

Cause: such a reply was taken for another incarnation's, as None differs from any start time. Without a start time in the row nothing tells that another incarnation replied.

Ruled out: a backoff, which holds by name: its row of the outline passes without the change.

--- a/deckcourse/gateway/notice_intake.py
+++ b/deckcourse/gateway/notice_intake.py
@@ -82,7 +82,7 @@
         listed = self._upstreams.by_name(addressed.name)
         if listed is not None and retained.is_from(listed):
             self._apply_to(listed.instance, notice, origin, retained.names(listed))
-        elif origin.start in (None, addressed.start):
+        elif retained.may_be_from_addressed:
             self._apply_to(addressed.instance, notice, origin)
         self._retained.put(retained)
 
--- a/deckcourse/gateway/retained_notices.py
+++ b/deckcourse/gateway/retained_notices.py
@@ -34,6 +34,12 @@
         """What all incarnations have in common that may have sent the notice."""
         return _source(self.addressed)
 
+    @property
+    def may_be_from_addressed(self) -> bool:
+        """Whether no start time tells that another incarnation than the addressed one sent it."""
+        starts = self.origin.start, self.addressed.start
+        return None in starts or starts[0] == starts[1]
+
     def is_from(self, newest: Upstream) -> bool:
         """Return whether the newest known incarnation of the upstream sent the notice."""
         if newest.start is None or _source(newest) != self.source:
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -80,6 +80,12 @@
     RetainedNotice.names = lambda self, sender: True
 
 
+def a_row_without_a_start_is_another_incarnation():
+    RetainedNotice.may_be_from_addressed = property(
+        lambda self: self.origin.start in (None, self.addressed.start)
+    )
+
+
 def presumptions_last_for_ever():
     LeavingIncarnations.expire = lambda self, now: []
 
@@ -121,6 +127,10 @@
         "a shutdown whose sender only the clocks tell",
         ("restart_notices",),
     ),
+    a_row_without_a_start_is_another_incarnation: (
+        "replies that tell more than the row",
+        ("restart_notices",),
+    ),
     presumptions_last_for_ever: ("the end of a presumed shutdown", ("restart_notices",)),
     ended_incarnations_accept_requests: ("the end of an incarnation", ("restart_notices",)),
 }
--- a/features/restart_notices.feature
+++ b/features/restart_notices.feature
@@ -181,6 +181,19 @@
       | sent, response, restart, row |
       | sent, restart, row, response |
 
+  # Guards against notices that are dropped because the row of their sender has no start time.
+  Scenario Outline: An upstream whose row has no start time tells one in its response to <call>: <what>
+    Given upstreams with layers whose rows have no start times
+    When the first one tells "<what>" and its start time in the response to <call>
+    Then the listed incarnation counts as <known>
+
+    Examples:
+      | call            | what    | known        |
+      | a query         | leaving | leaving      |
+      | an order        | leaving | leaving      |
+      | a query         | limit   | rate limited |
+      | a refused query | backoff | backing off  |
+
   # The connection of a request was opening while the restart became known.
   Scenario Outline: A request addressed to an ended incarnation isn't sent to a new one: <what>
     Given two plain upstreams that report their start times
--- a/features/steps/restart_notice_steps.py
+++ b/features/steps/restart_notice_steps.py
@@ -288,18 +288,23 @@
         await write_row(site, FIRST_WITH_LAYERS)
 
 
+def known_of_first(site):
+    """Return what the process knows of the first upstream with layers."""
+    listed = table(site).by_name(FIRST_WITH_LAYERS)
+    return {
+        "leaving": not table(site).accepts(listed.instance),
+        "rate limited": table(site).throttles.is_limited(listed.instance),
+        "backing off": table(site).backoff_until(listed.instance) is not None,
+    }
+
+
 @when('the first one restarts and tells "{what}" in the response to {call}, in the order "{order}"')
 def newer_tells_control(context, what, call, order):
     told = {name: value for name, value in TOLD[what].items() if name != "behaviour"}
 
     async def story(site):
         await control_story(site, call, told, order)
-        listed = table(site).by_name(FIRST_WITH_LAYERS)
-        context.known = {
-            "leaving": not table(site).accepts(listed.instance),
-            "rate limited": table(site).throttles.is_limited(listed.instance),
-            "backing off": table(site).backoff_until(listed.instance) is not None,
-        }
+        context.known = known_of_first(site)
 
     context.site.play(story)
     reached = [*context.site.control_calls, *context.site.received_requests]
@@ -307,6 +312,26 @@
     assert any((each.instance, each.start) == newer for each in reached)
 
 
+@given("upstreams with layers whose rows have no start times")
+def layers_without_starts(context):
+    layers_with_starts(context)
+    for runner in context.site.runners.values():
+        runner.born = None
+
+
+@when('the first one tells "{what}" and its start time in the response to {call}')
+def tells_start_in_response(context, what, call):
+    async def story(site):
+        runner = site.runners[FIRST_WITH_LAYERS]
+        tell(runner, TOLD[what])
+        runner.behaviour = ""
+        runner.born, runner.refuses_control = OLDER_START, call == "a refused query"
+        await control_call(site, call, table(site).by_name(FIRST_WITH_LAYERS))
+        context.known = known_of_first(site)
+
+    context.site.play(story)
+
+
 @then("the listed incarnation counts as {known}")
 def newer_counts_as(context, known):
     assert context.known[known], context.known
