Attribute a crash that a probe finds to all attempts it broke off

Cause: a probe that found the upstream ended counted for the attempt that it followed alone, whenever that had been sent. Attempts deferred before waited on until the row was replaced; by then an answer of the next start under the same id, whose row wasn't known yet, had dropped them.

Change: once a probe finds an upstream ended, all attempts deferred there are judged, by the same rule as when its row goes: those count that had started before the first break. The time of the crash is the first break, and is kept also where every request has succeeded recently.

Ruled out: the deferral running out (1.5 s of 10 s), the row (its restart was reported).

--- a/deckcourse/gateway/crash_watch.py
+++ b/deckcourse/gateway/crash_watch.py
@@ -112,7 +112,7 @@
         self._unresolved: dict[str, tuple[list[_BrokenAttempt], float]] = {}
         # The upstreams with suspect requests in flight that have had no event yet.
         self._trials: dict[str, _Trial] = {}
-        # When this process learned of the crash of each upstream, in that order.
+        # When each upstream crashed, as far as this process knows, in the order of its knowledge.
         self._crashed_at: dict[str, float] = {}
         gossip.register_crash_handlers(self._on_peer_crash, evidence.crashes)
 
@@ -228,16 +228,26 @@
         await broken.probed.wait()
 
     def note_ended(self, instance: str) -> None:
-        """Record that an upstream ended: its row was removed or a newer incarnation is known."""
+        """Record that an upstream ended: its row was dropped or a newer incarnation is known."""
+        self._attribute_crash(instance)
+
+    def _attribute_crash(self, instance: str) -> list[Crash]:
+        """Attribute the end of an upstream to the attempts that it was running.
+
+        Attempts that started after the first break were sent to an upstream that had already ended:
+        a proxy in front of it may still accept connections.
+
+        Returns:
+          The crashes that peers need to know.
+        """
         unresolved, until = self._unresolved.pop(instance, ([], 0.0))
         if trio.current_time() >= until:
-            return
-        # Attempts that started after the first break were sent to an upstream that had already
-        # ended: a proxy in front of it may still accept connections.
+            return []
         first_break_at = min(each.broke_at for each in unresolved)
-        for broken in unresolved:
-            if broken.start.at <= first_break_at:
-                self._record_crash(broken)
+        self._put_crash_time(instance, first_break_at)
+        running = [each for each in unresolved if each.start.at <= first_break_at]
+        crashes = [self._record_crash(each) for each in running]
+        return [each for each in crashes if each is not None]
 
     async def run(self) -> None:
         """Process broken attempts and maintain the crash table until cancelled."""
@@ -253,17 +263,17 @@
             self._book.prune()
 
     async def _process_break(self, broken: _BrokenAttempt) -> None:
-        crash: Crash | None = None
+        crashes: list[Crash] = []
         try:
             result = await self._check.probe(broken.upstream, broken.has_layers)
-            if result is ProbeResult.DEAD:
-                crash = self._record_crash(broken)
-            elif result is ProbeResult.SILENT:
+            if result in (ProbeResult.DEAD, ProbeResult.SILENT):
                 self._defer(broken)
+            if result is ProbeResult.DEAD:
+                crashes = self._attribute_crash(broken.upstream.instance)
         finally:
             broken.probed.set()
-        if crash is not None:
-            await self._gossip.publish_crash(crash)
+        for each in crashes:
+            await self._gossip.publish_crash(each)
 
     def _defer(self, broken: _BrokenAttempt) -> None:
         now = trio.current_time()
@@ -295,11 +305,15 @@
 
     def _merge_crash(self, crash: Crash) -> None:
         """Merge a crash that this process or a peer detected."""
-        self._crashed_at.setdefault(crash.instance, trio.current_time())
-        while len(self._crashed_at) > MAX_CRASHED_UPSTREAMS:
-            del self._crashed_at[next(iter(self._crashed_at))]
+        self._put_crash_time(crash.instance, trio.current_time())
         if self._evidence.succeeded_recently(crash.identity) or not self._evidence.record(crash):
             return
         self._count("crash.found")
         ends = self._evidence.crash_count(crash.identity)
         self._log("crash", identity=crash.identity, instance=crash.instance, ends=ends)
+
+    def _put_crash_time(self, instance: str, at: float) -> None:
+        """Record when an upstream crashed, unless that is known."""
+        self._crashed_at.setdefault(instance, at)
+        while len(self._crashed_at) > MAX_CRASHED_UPSTREAMS:
+            del self._crashed_at[next(iter(self._crashed_at))]
--- a/features/crashes_behind_proxies.feature
+++ b/features/crashes_behind_proxies.feature
@@ -40,6 +40,24 @@
       | loses its address to the row of another upstream  | counted     |
       | is written again                                  | not counted |
 
+  # Guards against probes that attribute a crash to the wrong attempts. A probe that found an upstream
+  # ended counted only for the attempt that it followed, which had been sent after the end, while those
+  # that had broken off before stayed deferred. An answer of the next start then dropped them.
+  Scenario Outline: A probe finds that the upstream has ended: <case>
+    Given attempts <runs> at an upstream, each from its start to its break in seconds
+    And probes find that the upstream has ended from <dead> seconds on
+    And the upstream answered other requests at <answers> seconds
+    When the row of the upstream is removed after 3 seconds
+    Then the crash is attributed to <ended>
+
+    Examples:
+      | case                                     | runs                           | dead | answers | ended |
+      | at once                                  | a 1.0-1.2, b 1.1-1.25          | 1.0  | none    | a, b  |
+      | for the last one that was running        | a 1.0-1.2, b 1.1-1.25          | 1.22 | none    | a, b  |
+      | for one that was sent later              | a 1.0-1.2, c 1.5-1.6           | 1.5  | none    | a     |
+      | for one sent later, the next one answers | a 1.0-1.2, c 1.5-1.6           | 1.5  | 2.0     | a     |
+      | for one sent later, more follow          | a 1.0-1.2, c 1.5-1.6, d 1.7-2  | 1.5  | none    | a     |
+
   # Guards against suspecting requests whose responses a live upstream broke off before it restarted.
   Scenario: Requests aren't refused when live plain upstreams break off responses and restart
     Given three gateway processes, and upstreams behind proxies that reset connections every 0.03 seconds
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -99,6 +99,20 @@
     )
 
 
+def a_probe_counts_for_its_own_attempt_alone():
+    async def process_break(self, broken):
+        try:
+            result = await self._check.probe(broken.upstream, broken.has_layers)
+            if result is ProbeResult.DEAD:
+                self._record_crash(broken)
+            elif result is ProbeResult.SILENT:
+                self._defer(broken)
+        finally:
+            broken.probed.set()
+
+    CrashWatch._process_break = process_break
+
+
 def dropped_rows_end_no_upstream():
     GatewayNode._on_row_dropped = lambda self, upstream: None
 
@@ -125,6 +139,10 @@
         "deferring what a connection alone can't tell",
         ("crashes_behind_proxies",),
     ),
+    a_probe_counts_for_its_own_attempt_alone: (
+        "attributing a crash found by a probe to earlier attempts",
+        ("crashes_behind_proxies",),
+    ),
     dropped_rows_end_no_upstream: (
         "taking upstreams whose rows were dropped for ended",
         ("crashes_behind_proxies",),
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -14,11 +14,15 @@
 UPSTREAM = Upstream("u", "s", "u:1", "x")
 
 
-class SilentCrashCheck:
-    """Reports every upstream as silent."""
+class ScriptedCrashCheck:
+    """Reports every upstream as silent, and as ended from a given time on."""
+
+    def __init__(self, dead_from):
+        self._dead_from = dead_from
 
     async def probe(self, upstream, has_layers):
-        return ProbeResult.SILENT
+        is_dead = trio.current_time() >= self._dead_from
+        return ProbeResult.DEAD if is_dead else ProbeResult.SILENT
 
 
 class NullCrashBook:
@@ -65,13 +69,18 @@
     context.answers = [] if answers == "none" else [float(each) for each in answers.split(", ")]
 
 
+@given("probes find that the upstream has ended from {seconds:g} seconds on")
+def dead_from(context, seconds):
+    context.dead_from = seconds
+
+
 @when("the row of the upstream is removed after {seconds:g} seconds")
 def remove_row_after(context, seconds):
     async def story():
         evidence = CrashEvidence(trio.current_time)
         watch = CrashWatch(
             evidence,
-            SilentCrashCheck(),
+            ScriptedCrashCheck(getattr(context, "dead_from", float("inf"))),
             NullCrashBook(),
             NullPeerGossip(),
             lambda name: None,
