Completions interface: the end of an upstream isn't the end of its answer

Callers saw: half of a plain service's answer as the whole one, with status 200, where the upstream sent it without a length and exited.

Cause: http_call takes the close of such a connection for the end of the body.

Change: behind a reply without a length the upstream must accept a connection, else the reply counts as lost.

Read as not concerned: frames of the engine (a finish frame ends them), reports, orders, rows, pages of the store and objects (a cut JSON document can't be read), the relay between peers (each frame has a length, an end is a break).

--- a/deckcourse/http_client.py
+++ b/deckcourse/http_client.py
@@ -12,6 +12,9 @@
 MAX_IDLE = 200
 KEEPALIVE_SECONDS = 30.0
 CONNECT_SECONDS = 1.0
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+# Replies with these statuses have no body, so that no header says where it ends.
+BODILESS_STATUSES = (204, 304)
 # Failures in which no byte of the request has left; everything else may have been run.
 NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 # A raw OSError is in here since a reset may surface as one; it's never taken for "not sent".
@@ -26,6 +29,12 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body's end is marked by a length or chunks, not by the connection's end."""
+        has_no_body = self.status in BODILESS_STATUSES
+        return has_no_body or any(key.lower() in FRAMING_HEADERS for key, _ in self.headers)
+
     def header(self, name: bytes) -> bytes:
         """Return the first header called `name` (lower case), empty where it's absent."""
         return next((value for key, value in self.headers if key.lower() == name), b"")
--- a/features/cut_writes_elsewhere.feature
+++ b/features/cut_writes_elsewhere.feature
@@ -25,6 +25,16 @@
       | says no more    |
     Then each time the entry closes the connection
 
+  Scenario: The end of a plain service's upstream is not the end of its answer
+    When a plain service's upstream answers, closes the connection, and
+      | what                      | framing | reply |
+      | continues                 | none    | whole |
+      | continues                 | length  | whole |
+      | has exited                | none    | lost  |
+      | has exited                | length  | whole |
+      | has exited behind a proxy | none    | lost  |
+    Then each reply is what the table says
+
   Scenario: Bytes behind an answer are no answer to the next call
     When an upstream of a plain service answers the first of two calls twice at once
     Then each call got the answer to itself
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -10,10 +10,12 @@
 from deckcourse.gateway.crash_check import PROBE_TIMEOUT_SECONDS, CrashCheck
 from deckcourse.gateway.crash_evidence import CrashEvidence
 from deckcourse.gateway.crash_watch import CrashWatch
+from deckcourse.gateway.dialect import ProbeResult
 from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.node import GatewayNode
 from deckcourse.peers.crash import Crash
 from deckcourse.peers.gossip import PeerGossip
+from deckcourse.plain_service_http import HttpPlainService
 from deckcourse.platform.runners import RunnerControl
 
 
@@ -117,6 +119,13 @@
     GatewayNode._on_row_dropped = lambda self, upstream: None
 
 
+def the_end_of_a_plain_service_ends_its_answer():
+    async def accepts_connections(self):
+        return True
+
+    HttpPlainService._accepts_connections = accepts_connections
+
+
 def the_clock_stands_in_a_suspension():
     host_clock.CLOCK_ID = time.CLOCK_MONOTONIC
 
@@ -147,5 +156,9 @@
         "taking upstreams whose rows were dropped for ended",
         ("crashes_behind_proxies",),
     ),
+    the_end_of_a_plain_service_ends_its_answer: (
+        "checking ends that a connection marks, for the completions interface",
+        ("cut_writes_elsewhere",),
+    ),
     the_clock_stands_in_a_suspension: ("a clock that counts suspensions", ("suspended",)),
 }
--- a/features/steps/cut_write_steps.py
+++ b/features/steps/cut_write_steps.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 import tempfile
+from contextlib import suppress
 from types import SimpleNamespace
 
 import msgspec
@@ -34,6 +35,8 @@
 from deckcourse.decision_log import DecisionLog
 from deckcourse.entry_app import EntryApp
 from deckcourse.http_client import HttpReply, fresh_pool, http_call, kept_pool
+from deckcourse.plain_service import ServiceCall, ServiceReply
+from deckcourse.plain_service_http import HttpPlainService
 
 # Far more than any of these exchanges takes, seconds.
 LONGEST_SECONDS = 5.0
@@ -216,6 +219,67 @@
     return got
 
 
+async def call_before_close(what, framing):
+    """Return the reply of an upstream that closes the connection and then is as `what` says."""
+    length = "Content-Length: 4\r\n" if framing == "length" else ""
+    answered = False
+
+    async def answer_once(stream):
+        nonlocal answered
+        if answered and what == "has exited behind a proxy":
+            await trio.aclose_forcefully(stream)
+            return
+        # A close before the whole request is read would be a reset.
+        request = b""
+        while not request.endswith(b"{}"):
+            data = await stream.receive_some()
+            if not data:
+                return
+            request += data
+        answered = True
+        if what == "has exited":
+            listener.socket.close()
+        await stream.send_all(f"HTTP/1.1 200 OK\r\n{length}\r\nhalf".encode())
+        await stream.aclose()
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        nursery.start_soon(accept_until_closed, listener, answer_once)
+        service = HttpPlainService(fresh_pool(), "p", f"127.0.0.1:{port}")
+        with trio.fail_after(LONGEST_SECONDS):
+            reply = await service.call(ServiceCall("r1", "POST", "/", b"{}", ""))
+        nursery.cancel_scope.cancel()
+    return "whole" if isinstance(reply, ServiceReply) else "lost"
+
+
+async def accept_until_closed(listener, handler):
+    with suppress(trio.ClosedResourceError):
+        while True:
+            await handler(await listener.accept())
+
+
+@when("a plain service's upstream answers, closes the connection, and")
+def answers_and_closes(context):
+    """Play it on loopback.
+
+    The connections of a process that exits are closed in good order: half of an answer without a
+    length was passed on as the whole one.
+    """
+    context.reads = {
+        (row["what"], row["framing"], row["reply"]): trio.run(
+            call_before_close, row["what"], row["framing"]
+        )
+        for row in context.table
+    }
+
+
+@then("each reply is what the table says")
+def reply_as_listed(context):
+    wrong = {key: got for key, got in context.reads.items() if got != key[2]}
+    assert not wrong, wrong
+
+
 @when("an upstream of a plain service answers the first of two calls twice at once")
 def answers_twice(context):
     context.reads = {kind: trio.run(call_twice, kind()) for kind in (kept_pool, fresh_pool)}
