Don't bring back a rate limit that ended before the row

An upstream counted as rate limited again after its responses had stopped naming a limit: until its next response, requests to it needed tokens of the ended limit (restart_notices, "The rate limit of a new incarnation that ends before its row comes").

Cause: a limit is retained for an incarnation whose row comes later. A later response without a limit didn't end the retained one, and the row applied it.

Ruled out: the limit of the listed incarnation, which the scenario asserts to have ended before the row.

A response without a limit now ends the retained one by the rule of RateLimitBook: its request was sent after the limit was read, and it is no reply to a query unless such a reply named the limit. The scenario failed before and fails with the mutant; restart_notices (56) and told_leaving (18) pass.

--- a/deckcourse/gateway/notice_intake.py
+++ b/deckcourse/gateway/notice_intake.py
@@ -78,7 +78,8 @@
         self, addressed: Upstream, notice: UpstreamNotice, origin: NoticeOrigin
     ) -> None:
         """Apply a notice to its sender, and retain it in case the sender isn't listed yet."""
-        retained = RetainedNotice(notice, addressed, origin, self._newest_start(origin))
+        newest_start = self._newest_start(origin)
+        retained = RetainedNotice(notice, addressed, origin, newest_start, trio.current_time())
         listed = self._upstreams.by_name(addressed.name)
         if listed is not None and retained.is_from(listed):
             self._apply_to(listed.instance, notice, origin, retained.names(listed))
--- a/deckcourse/gateway/retained_notices.py
+++ b/deckcourse/gateway/retained_notices.py
@@ -21,13 +21,14 @@
     """A notice, the incarnation that its request addressed and the response that carried it.
 
     Its sender is the newest incarnation that started no later than `newest_start`, in milliseconds
-    since the epoch.
+    since the epoch. `read_at` is when the response was read, on trio's clock.
     """
 
     notice: UpstreamNotice
     addressed: Upstream
     origin: NoticeOrigin
     newest_start: float
+    read_at: float
 
     @property
     def source(self) -> tuple[str, str]:
@@ -46,6 +47,14 @@
             return False
         return newest.start <= self.newest_start
 
+    def ends_limit_of(self, earlier: "RetainedNotice") -> bool:
+        """Return whether the rate limit in an earlier response has ended; see `RateLimitBook`."""
+        if self.notice.rate_limit is not None or self.notice.malformed:
+            return False
+        if self.origin.is_control and not earlier.origin.is_control:
+            return False
+        return self.origin.sent_at >= earlier.read_at
+
     def names(self, sender: Upstream) -> bool:
         """Return whether the sender is known without a comparison of two machines' clocks."""
         return self.origin.start is not None or self.addressed.instance == sender.instance
@@ -59,11 +68,18 @@
         self._limits: dict[tuple[str, str], RetainedNotice] = {}
 
     def put(self, retained: RetainedNotice) -> None:
-        """Retain a notice if it announces a shutdown or names a rate limit."""
+        """Retain a notice if it announces a shutdown or names a rate limit, or end that limit."""
         if retained.notice.leaving:
             _put_newest(self._shutdowns, retained)
         if retained.notice.rate_limit is not None:
             _put_newest(self._limits, retained)
+        else:
+            self._end_limit(retained)
+
+    def _end_limit(self, response: RetainedNotice) -> None:
+        limit = self._limits.get(response.source)
+        if limit is not None and response.ends_limit_of(limit):
+            del self._limits[response.source]
 
     def shutdown_of(self, newest: Upstream) -> RetainedNotice | None:
         """Return the shutdown that a newly listed incarnation announced, if any."""
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -86,6 +86,10 @@
     )
 
 
+def retained_limits_never_end():
+    RetainedNotice.ends_limit_of = lambda self, earlier: False
+
+
 def presumptions_last_for_ever():
     LeavingIncarnations.expire = lambda self, now: []
 
@@ -131,6 +135,7 @@
         "replies that tell more than the row",
         ("restart_notices",),
     ),
+    retained_limits_never_end: ("the end of a limit before a row", ("restart_notices",)),
     presumptions_last_for_ever: ("the end of a presumed shutdown", ("restart_notices",)),
     ended_incarnations_accept_requests: ("the end of an incarnation", ("restart_notices",)),
 }
--- a/features/restart_notices.feature
+++ b/features/restart_notices.feature
@@ -194,6 +194,12 @@
       | a query         | limit   | rate limited |
       | a refused query | backoff | backing off  |
 
+  # Guards against a limit that comes back with a row after a later response ended it.
+  Scenario: The rate limit of a new incarnation that ends before its row comes
+    Given two plain upstreams that report their start times
+    When the first one restarts, and names a limit and then none before its row comes
+    Then the limit doesn't hold for the listed incarnation
+
   # The connection of a request was opening while the restart became known.
   Scenario Outline: A request addressed to an ended incarnation isn't sent to a new one: <what>
     Given two plain upstreams that report their start times
--- a/features/steps/restart_notice_steps.py
+++ b/features/steps/restart_notice_steps.py
@@ -332,6 +332,25 @@
     context.site.play(story)
 
 
+@when("the first one restarts, and names a limit and then none before its row comes")
+def limit_ends_before_row(context):
+    async def story(site):
+        await sent_response(site, TOLD["limit"])
+        tell(site.runners[FIRST], UNTOLD)
+        await keep_asking(site, context.notices, "once", ASKING_SECONDS)
+        assert len(newer_requests(context)) > 1
+        assert not table(site).throttles.is_limited(table(site).by_name(FIRST).instance)
+        await write_row(site, FIRST)
+        context.is_limited = table(site).throttles.is_limited(table(site).by_name(FIRST).instance)
+
+    context.site.play(story)
+
+
+@then("the limit doesn't hold for the listed incarnation")
+def newer_not_limited(context):
+    assert not context.is_limited
+
+
 @then("the listed incarnation counts as {known}")
 def newer_counts_as(context, known):
     assert context.known[known], context.known
