Count the crash under a stream that a restart interrupted

A stream whose connection stays open and silent when its first upstream ends is interrupted as soon as a newer start of the upstream is known. Its attempt wasn't reported as broken, and the crash wasn't counted: on the virtual clock one request ended 402 upstreams in 30 s, with "first-upstream-lost how=restarted" and "try-interrupted" and without "broke-off" or "crash".

Cause: the interrupted attempt was reported with the row that the table knew, and the table forgets an incarnation when a newer one supersedes it.

Change: a stream keeps the upstream that it was sent to.

Ruled out: the probe (none was sent), and the detection of stalled streams, which comes later than the restart (0.1 s).

The new scenario failed before; since, the request ends 3 upstreams. The mutant superseded-first-stages-are-forgotten is red. Left: a stream that may not be retried isn't interrupted, and its crash isn't counted in the same case (43 upstreams in 30 s).

--- a/deckcourse/gateway/active_stream.py
+++ b/deckcourse/gateway/active_stream.py
@@ -13,6 +13,7 @@
 import trio
 
 from deckcourse.gateway.crash_watch import AttemptStart
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.paths import LayerPath
 
@@ -53,7 +54,8 @@
     reserves a retry and returns whether there was one; without it the stream must stay on its path.
     `blocking_instance` is the upstream that the first stage reported as blocking the stream.
     `next_move_at` is when the stream may be moved again. `has_ended` is set once its upstream no
-    longer holds the stream. `execution` describes the start of its execution there.
+    longer holds the stream. `execution` describes the start of its execution there. `upstream` is
+    the first stage as known at the start: the table forgets an incarnation that was superseded.
     """
 
     request_id: str
@@ -69,6 +71,7 @@
     is_moving: bool = False
     has_ended: bool = False
     execution: AttemptStart = AttemptStart()
+    upstream: Upstream | None = None
     next_move_at: float = 0.0
     reserve_retry: Callable[[Callable[[], object]], bool] = lambda when_granted: False
     interruption: Interruption | None = None
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -267,6 +267,7 @@
             trio.current_time(),
             self._admitted.route.gap_objective,
             reserve_retry=self._retries.reserve,
+            upstream=context.upstreams.last_known(first.instance),
         )
         self._current = stream
         context.upstreams.begin_request(first.instance)
@@ -324,7 +325,7 @@
 
     async def _report_interrupted(self, stream: ActiveStream) -> None:
         """Report an interrupted execution unless events came, which clear the request."""
-        upstream = self._context.upstreams.last_known(stream.path.stages[0].instance)
+        upstream = stream.upstream
         if upstream is not None and not stream.has_events and not self._has_received_events:
             await self._context.crashes.record_broken_attempt(
                 self._admitted, upstream, stream.execution
--- a/features/crashes_behind_proxies.feature
+++ b/features/crashes_behind_proxies.feature
@@ -10,17 +10,17 @@
     Then it reached upstreams at most 3 times later than 3 seconds after the third crash
 
     Examples:
-      | ids           | route  | close |
-      | the same id   | once   | 0.005 |
-      | the same id   | once   | 0.03  |
-      | the same id   | again  | 0.005 |
-      | the same id   | again  | 0.03  |
-      | the same id   | stream | 0.03  |
-      | another id    | once   | 0.005 |
-      | another id    | once   | 0.03  |
-      | another id    | again  | 0.005 |
-      | another id    | again  | 0.03  |
-      | another id    | stream | 0.03  |
+      | ids         | route  | close |
+      | the same id | once   | 0.005 |
+      | the same id | once   | 0.03  |
+      | the same id | again  | 0.005 |
+      | the same id | again  | 0.03  |
+      | the same id | stream | 0.03  |
+      | another id  | once   | 0.005 |
+      | another id  | once   | 0.03  |
+      | another id  | again  | 0.005 |
+      | another id  | again  | 0.03  |
+      | another id  | stream | 0.03  |
 
   # Guards against crashes that aren't counted because the end of an upstream wasn't noticed. Only a row
   # that was deleted under its own address counted as an end: where an upstream restarted under another id,
@@ -40,6 +40,15 @@
       | loses its address to the row of another upstream  | counted     |
       | is written again                                  | not counted |
 
+  # Guards against crashes that aren't counted because the restart is known before the break. A stream that
+  # the restart of its upstream interrupted was not reported, since its upstream was no longer listed: one
+  # request crashed 402 upstreams (`first-upstream-lost how=restarted`, `try-interrupted`).
+  Scenario: The connection stays open and silent until the restart of the upstream is known
+    Given three gateway processes, and upstreams behind proxies that reset connections every 0.005 seconds
+    And crashed upstreams restart early under the same id, and their connections stay open
+    When a crashing request for stream is sent every 0.7 seconds for 30 seconds, while all is well
+    Then it reached upstreams at most 3 times later than 3 seconds after the third crash
+
   # Guards against probes that attribute a crash to the wrong attempts. A probe that found an upstream
   # ended counted only for the attempt that it followed, which had been sent after the end, while those
   # that had broken off before stayed deferred. An answer of the next start then dropped them.
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -115,6 +115,16 @@
     CrashWatch._process_break = process_break
 
 
+def superseded_first_stages_are_forgotten():
+    usual = stream_module.StreamCall._report_interrupted
+
+    async def report_interrupted(self, stream):
+        stream.upstream = self._context.upstreams.last_known(stream.path.stages[0].instance)
+        await usual(self, stream)
+
+    stream_module.StreamCall._report_interrupted = report_interrupted
+
+
 def dropped_rows_end_no_upstream():
     GatewayNode._on_row_dropped = lambda self, upstream: None
 
@@ -152,6 +162,10 @@
         "attributing a crash found by a probe to earlier attempts",
         ("crashes_behind_proxies",),
     ),
+    superseded_first_stages_are_forgotten: (
+        "reporting streams that a restart of their upstream interrupted",
+        ("crashes_behind_proxies",),
+    ),
     dropped_rows_end_no_upstream: (
         "taking upstreams whose rows were dropped for ended",
         ("crashes_behind_proxies",),
--- a/features/steps/crashed_row_steps.py
+++ b/features/steps/crashed_row_steps.py
@@ -18,9 +18,14 @@
     context.others = []
 
 
-@given("crashed upstreams restart under {ids}")
+@given("crashed upstreams restart early under the same id, and their connections stay open")
+def restart_early(context):
+    context.site.keeps_connections = True
+
+
+@given("crashed upstreams restart under {ids} id")
 def restart_under(context, ids):
-    context.site.takes_new_ids = {"the same id": False, "another id": True}[ids]
+    context.site.takes_new_ids = {"the same": False, "another": True}[ids]
 
 
 async def delete_row(site, runner):
