Deadline log: a wait for the caller begins with its write

The line `deadline` counted the wait for a caller from its last event, so that a pause of the upstream, or of this process, looked like the caller's.

The new example, events that come after 0.5 s for a caller that never reads, failed before (1000 ms instead of 500).

--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -102,6 +102,8 @@
         # The current attempt, None between attempts, and since when that holds.
         self._current: ActiveStream | None = None
         self._since = trio.current_time()
+        # Since when events are being written to the caller, None if none are.
+        self._writing_since: float | None = None
         self._choice.load_watch.note_request()
 
     @property
@@ -121,9 +123,10 @@
     def _log_deadline(self) -> None:
         waits_for, instance, since = WaitsFor.ENTRY, "", self._since
         if self._current is not None:
-            waits_for = WaitsFor.UPSTREAM if self._current.is_waiting else WaitsFor.CALLER
+            waits_for, since = WaitsFor.UPSTREAM, self._current.progress_at
             instance = self._current.path.stages[0].instance
-            since = self._current.progress_at
+        if self._writing_since is not None:
+            waits_for, since = WaitsFor.CALLER, self._writing_since
         log_deadline(self._context, self._admitted, waits_for, instance, since)
 
     async def _run_attempts(self) -> Outcome:
@@ -461,8 +464,10 @@
         self, reply: UpstreamReply, stream: ActiveStream, events: list[Event]
     ) -> None:
         self._record_wait(stream, events[0])
+        self._writing_since = trio.current_time()
         await self._start_response(reply)
         await self._admitted.exchange.send(b"".join(each.data for each in events))
+        self._writing_since = None
         self._last_progress_at = trio.current_time()
         self._last_event = events[-1].id
 
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -129,6 +129,7 @@
       | case                    | route   | fault                                | what     | ms   |
       | no event comes          | fragile | all upstreams stand still            | upstream | 1000 |
       | the caller doesn't read | fragile | the caller never reads               | caller   | 980  |
+      | nor after a pause       | fragile | the caller never reads and events come after 0.5 s | caller | 500 |
       | no answer comes         | again   | all upstreams stand still            | upstream | 1000 |
       | no token comes          | again   | requests for tokens get no reply     | entry    | 1000 |
       | no token for a stream   | stream  | requests for tokens get no reply     | entry    | 1000 |
--- a/features/steps/gateway_fault_steps.py
+++ b/features/steps/gateway_fault_steps.py
@@ -1,6 +1,7 @@
 """Steps for upstreams that fail, become silent or refuse while streams are in flight."""
 
 from contextlib import ExitStack
+from functools import partial
 from unittest.mock import patch
 
 import trio
@@ -191,6 +192,18 @@
         site.network.listen(runner.address, stand_still)
 
 
+def hold_events_back(site, seconds):
+    """Let the runners start to send events only after some time."""
+    handlers = {each.address: each.run for each in site.runners.values()}
+
+    async def run_later(address, request, exchange):
+        await trio.sleep(seconds)
+        await handlers[address](request, exchange)
+
+    for runner in site.runners.values():
+        runner.run = partial(run_later, runner.address)
+
+
 async def wait_for_ever(*_args):
     await trio.sleep_forever()
 
@@ -201,7 +214,8 @@
         with ExitStack() as patches:
             if fault == "all upstreams stand still":
                 make_upstreams_stand_still(site)
-            elif fault == "the caller never reads":
+            elif fault.startswith("the caller never reads"):
+                hold_events_back(site, 0.5 if "after 0.5 s" in fault else 0.0)
                 patches.enter_context(patch.object(StreamCall, "_start_response", wait_for_ever))
             else:
                 patches.enter_context(patch.object(RateGate, "acquire", wait_for_ever))
