Use upstreams that are presumed to leave as a last resort

Callers were refused for 20 s although every upstream of their service was ready (restart_notices, "Callers are served although all upstreams are presumed to leave": 41 of 41 in 2 s with the wall clock of the process 1 s ahead).

Cause: an upstream that announces its shutdown and restarts within the difference of two clocks is presumed to leave, and nothing was sent to it even where the service had no other. Upstreams that are replaced one after the other meet this together.

An upstream that leaves for certain still gets nothing. One that is only presumed to leave gets requests if no other upstream of its service is usable.

--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -228,12 +228,18 @@
         return frozenset([*instances, *self._throttles.throttled()])
 
     def accepts(self, instance: str) -> bool:
-        """Return whether an upstream hasn't ended and is neither leaving nor backing off."""
-        if self.has_ended(instance):
+        """Return whether an upstream hasn't ended and is neither leaving nor backing off.
+
+        One that is only presumed to leave accepts requests if its service has no other upstream.
+        """
+        if self.has_ended(instance) or self.backoff_until(instance) is not None:
             return False
         row = self.last_known(instance)
-        leaving = instance in self._leaving or (row is not None and row.leaving)
-        return not leaving and self.backoff_until(instance) is None
+        if row is None or not self.is_leaving(row):
+            return True
+        if row.leaving or not self._leaving.is_presumed(instance):
+            return False
+        return not any(self._is_usable(each) for each in self.of_service(row.service))
 
     def is_available(self, instance: str) -> bool:
         """Return whether an upstream accepts requests and isn't throttled."""
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -106,6 +106,10 @@
     UpstreamTable._name_of = name_of
 
 
+def a_presumption_counts_without_an_alternative():
+    LeavingIncarnations.is_presumed = lambda self, instance: False
+
+
 EVERY = {
     asked_time_is_not_kept: ("an upstream's word on time without requests", ("asked_backoff",)),
     asked_time_belongs_to_one_start: ("that word over a restart", ("asked_backoff",)),
@@ -136,6 +140,10 @@
         ("restart_notices",),
     ),
     retained_limits_never_end: ("the end of a limit before a row", ("restart_notices",)),
+    a_presumption_counts_without_an_alternative: (
+        "using upstreams that are presumed to leave as a last resort",
+        ("restart_notices",),
+    ),
     presumptions_last_for_ever: ("the end of a presumed shutdown", ("restart_notices",)),
     ended_incarnations_accept_requests: ("the end of an incarnation", ("restart_notices",)),
 }
