Retry a call elsewhere if its upstream has restarted meanwhile

A caller got the 500 of a failing upstream although another one could serve the call: both attempts went to the same process (forced order of events in memory: restart_notices, "retried elsewhere": p1, p1 with "fails"; p1, p1, p2 with "refuses").

Cause: the attempts of a call are kept under the incarnation that was addressed. If the row of a newer incarnation comes between the sending and the response, that incarnation counts as not yet tried, though it got the call.

Ruled out: the failure share, which the new row starts anew; it orders upstreams that weren't tried.

A retry prefers upstreams whose name wasn't tried, and takes a new incarnation of a tried one if there are no others. A call that was withheld doesn't count as tried.

--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -82,6 +82,7 @@
         self._admitted = admitted
         self._domain = domain
         self._attempted: set[str] = set()
+        self._attempted_names: set[str] = set()
         self._executions = 0
         self._failed_response: _Response | None = None
         # The upstream that has the call now, empty if none, and since when that holds.
@@ -125,6 +126,7 @@
                     budget.give_back()
                 continue
             attempts += 1
+            self._attempted_names.add(upstream.name)
             if isinstance(result, _Response):
                 if not self._is_worth_retry(result):
                     return await self._deliver(result)
@@ -171,11 +173,17 @@
         name = self._admitted.service.name
         candidates = self._accepting(upstreams.usable(name))
         candidates = candidates or self._accepting(upstreams.of_service(name))
-        candidates = [each for each in candidates if each.instance not in self._attempted]
+        candidates = self._not_attempted(candidates)
         trials = self._context.crashes.trial_upstreams()
         candidates = [each for each in candidates if each.instance not in trials] or candidates
         return min(candidates, key=self._load, default=None)
 
+    def _not_attempted(self, rows: list[Upstream]) -> list[Upstream]:
+        """Return the upstreams that the call wasn't sent to, if possible under other names."""
+        rows = [each for each in rows if each.instance not in self._attempted]
+        # A new incarnation may have got the call already, before its row came.
+        return [each for each in rows if each.name not in self._attempted_names] or rows
+
     def _accepting(self, rows: list[Upstream]) -> list[Upstream]:
         # Even if no row remains: an upstream's refusal would use up the caller's only attempt.
         return [each for each in rows if self._context.upstreams.is_available(each.instance)]
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -5,6 +5,7 @@
 import deckcourse.platform.notices as notices_module
 from deckcourse.gateway.backoffs import Backoffs
 from deckcourse.gateway.leaving_incarnations import LeavingIncarnations
+from deckcourse.gateway.lookup import ServiceCall
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.retained_notices import RetainedNotice
@@ -90,6 +91,12 @@
     RetainedNotice.ends_limit_of = lambda self, earlier: False
 
 
+def calls_are_retried_at_a_new_incarnation():
+    ServiceCall._not_attempted = lambda self, rows: [
+        each for each in rows if each.instance not in self._attempted
+    ]
+
+
 def presumptions_last_for_ever():
     LeavingIncarnations.expire = lambda self, now: []
 
@@ -144,6 +151,10 @@
         "using upstreams that are presumed to leave as a last resort",
         ("restart_notices",),
     ),
+    calls_are_retried_at_a_new_incarnation: (
+        "retries of calls around a restart",
+        ("restart_notices",),
+    ),
     presumptions_last_for_ever: ("the end of a presumed shutdown", ("restart_notices",)),
     ended_incarnations_accept_requests: ("the end of an incarnation", ("restart_notices",)),
 }
--- a/features/restart_notices.feature
+++ b/features/restart_notices.feature
@@ -99,6 +99,17 @@
       | fails   | sent, response      |
       | refuses | row, sent, response |
 
+  # Guards against a retry that goes to the process that failed, since its row came in between.
+  Scenario Outline: A call that a new incarnation <what> before its row is known is retried elsewhere
+    Given two plain upstreams that report their start times
+    When the row of a new incarnation comes before it <what> a call
+    Then the call reached each upstream once
+
+    Examples:
+      | what    |
+      | fails   |
+      | refuses |
+
   # The opposite error: an announced shutdown is never withdrawn, so one that counted for the wrong
   # incarnation would keep the new one idle for good.
   Scenario Outline: What the older incarnation told doesn't count for the new one: <what>, <order>
--- a/features/steps/restart_notice_steps.py
+++ b/features/steps/restart_notice_steps.py
@@ -235,6 +235,25 @@
     assert len(reached) == 1, reached
 
 
+@when("the row of a new incarnation comes before it {what} a call")
+def row_before_failure(context, what):
+    async def story(site):
+        after = restart(site, FIRST, TOLD[what], late=True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(site.ask, "again", name="c-first"))
+            await trio.sleep(STEP_SECONDS)
+            await write_row(site, FIRST)
+            site.network.listen(after.address, after.handle)
+
+    context.site.play(story)
+
+
+@then("the call reached each upstream once")
+def each_upstream_once(context):
+    reached = [each.instance for each in context.site.received_requests]
+    assert sorted(reached) == [FIRST, "p2"], reached
+
+
 @then("the limit holds for the listed incarnation")
 def newer_limited(context):
     assert context.is_limited
