Count crashes of a next start whose row isn't known

Cause: a runner that restarts under its id executes what is addressed to the start before it until its row is known. An attempt that began after a known crash is taken for one that a proxy accepted for an ended upstream, and its break is ignored.

Change: an answer to an attempt that began after the crash shows that a next start executes requests there, so that later breaks count again. An answer to an attempt that began before the crash shows nothing.

Ruled out: a recent success of the request (it has none), an attempt without a probe (the newer start was known: the upstream counted as ended).

One of three new scenarios failed before; the other two check that an answer under way at the crash, and an attempt before the answer, change nothing. Left: a crash of the next start before it has answered anything.

--- a/deckcourse/gateway/crash_watch.py
+++ b/deckcourse/gateway/crash_watch.py
@@ -195,10 +195,20 @@
             del self._trials[instance]
             trial.finished.set()
 
-    def record_success(self, admitted: Admitted, instance: str) -> None:
-        """Record that an upstream ran a request and is alive, which clears the request."""
+    def record_success(self, admitted: Admitted, instance: str, start: AttemptStart) -> None:
+        """Record that an upstream ran a request and is alive, which clears the request.
+
+        Args:
+          admitted: the request.
+          instance: the upstream.
+          start: the start of the attempt.
+        """
         # The response shows that the upstream had not ended when earlier attempts broke off.
         self._unresolved.pop(instance, None)
+        # If the upstream had crashed before the attempt, its next start responded, whose row isn't
+        # known yet: later attempts may crash that one.
+        if start.at > self._crashed_at.get(instance, float("inf")):
+            del self._crashed_at[instance]
         # Recorded for requests that aren't suspect, too: a request that many callers send is then
         # known to succeed, and a crash soon after doesn't make it suspect, however few of its
         # attempts are in flight by then.
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -223,7 +223,7 @@
             async with context.pool.borrow(
                 upstream.address, max_idle_seconds, request_id
             ) as connection:
-                result = await self._exchange(connection, upstream, token)
+                result = await self._exchange(connection, upstream, token, run)
         except ConnectionLostError as failure:
             result = await self._on_failure(upstream, failure, run)
         finally:
@@ -247,7 +247,11 @@
         return _Lost(failure.message)
 
     async def _exchange(
-        self, connection: UpstreamConnection, upstream: Upstream, token: SendingToken
+        self,
+        connection: UpstreamConnection,
+        upstream: Upstream,
+        token: SendingToken,
+        run: AttemptStart,
     ) -> _Response | _Refused | _Lost | Withheld:
         if is_withheld(self._context, token):
             return Withheld()
@@ -273,7 +277,7 @@
             reply, admitted.caller.request_id, upstream.instance, accepts_queries=False
         )
         if reply.status < SERVER_ERROR:
-            self._context.crashes.record_success(self._admitted, upstream.instance)
+            self._context.crashes.record_success(self._admitted, upstream.instance, run)
         return _Response(reply.status, end_to_end(reply.headers), body)
 
     async def _deliver(self, response: _Response) -> Outcome:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -434,7 +434,7 @@
         if not self._has_received_events:
             self._has_received_events = True
             first = stream.path.stages[0].instance
-            self._context.crashes.record_success(self._admitted, first)
+            self._context.crashes.record_success(self._admitted, first, stream.execution)
             self._context.crashes.end_attempt(self._admitted, first)
 
     async def _finish_response(self, reply: UpstreamReply, trailing: bytes) -> None:
--- a/features/crashes_behind_proxies.feature
+++ b/features/crashes_behind_proxies.feature
@@ -67,6 +67,21 @@
       | for one sent later, the next one answers | a 1.0-1.2, c 1.5-1.6           | 1.5  | 2.0     | a     |
       | for one sent later, more follow          | a 1.0-1.2, c 1.5-1.6, d 1.7-2  | 1.5  | none    | a     |
 
+  # Guards against ignoring crashes of the next start under the same id. Until its row is known, it executes
+  # requests that are addressed to the start before it; their breaks counted as later than the crash.
+  Scenario Outline: The next start answers before its row is known: <case>
+    Given attempts <runs> at an upstream, each from its start to its break in seconds
+    And probes find that the upstream has ended from <dead> seconds on
+    And the upstream answered other requests at <answers> seconds
+    When the row of the upstream is removed after 3 seconds
+    Then the crash is attributed to <ended>
+
+    Examples:
+      | case                                  | runs                  | dead | answers | ended |
+      | an attempt follows the answer         | a 1.0-1.2, c 1.5-1.6  | 1.0  | 1.4     | a, c  |
+      | the answer was under way at the crash | a 1.0-1.2, c 1.5-1.6  | 1.0  | 1.25    | a     |
+      | an attempt precedes the answer        | a 1.0-1.2, c 1.25-1.3 | 1.0  | 1.4     | a     |
+
   # Guards against suspecting requests whose responses a live upstream broke off before it restarted.
   Scenario: Requests aren't refused when live plain upstreams break off responses and restart
     Given three gateway processes, and upstreams behind proxies that reset connections every 0.03 seconds
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -9,7 +9,7 @@
 from deckcourse.gateway.crash_book import CrashBook
 from deckcourse.gateway.crash_check import PROBE_TIMEOUT_SECONDS, CrashCheck
 from deckcourse.gateway.crash_evidence import CrashEvidence
-from deckcourse.gateway.crash_watch import CrashWatch
+from deckcourse.gateway.crash_watch import AttemptStart, CrashWatch
 from deckcourse.gateway.dialect import ProbeResult
 from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.node import GatewayNode
@@ -125,6 +125,13 @@
     stream_module.StreamCall._report_interrupted = report_interrupted
 
 
+def an_answer_of_the_next_start_shows_nothing():
+    usual = CrashWatch.record_success
+    CrashWatch.record_success = lambda self, admitted, instance, start: usual(
+        self, admitted, instance, AttemptStart()
+    )
+
+
 def dropped_rows_end_no_upstream():
     GatewayNode._on_row_dropped = lambda self, upstream: None
 
@@ -166,6 +173,10 @@
         "reporting streams that a restart of their upstream interrupted",
         ("crashes_behind_proxies",),
     ),
+    an_answer_of_the_next_start_shows_nothing: (
+        "counting crashes of a start whose row isn't known",
+        ("crashes_behind_proxies",),
+    ),
     dropped_rows_end_no_upstream: (
         "taking upstreams whose rows were dropped for ended",
         ("crashes_behind_proxies",),
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -7,11 +7,13 @@
 from trio.testing import MockClock
 
 from deckcourse.gateway.crash_evidence import CrashEvidence
-from deckcourse.gateway.crash_watch import CrashWatch
+from deckcourse.gateway.crash_watch import AttemptStart, CrashWatch
 from deckcourse.gateway.dialect import ProbeResult
 from deckcourse.gateway.upstream import Upstream
 
 UPSTREAM = Upstream("u", "s", "u:1", "x")
+# Time from the start of an attempt to its response, seconds.
+RESPONSE_SECONDS = 0.1
 
 
 class ScriptedCrashCheck:
@@ -95,7 +97,8 @@
 
         async def answer(at):
             await trio.sleep(at)
-            watch.record_success(admitted("another"), UPSTREAM.instance)
+            start = AttemptStart(at - RESPONSE_SECONDS)
+            watch.record_success(admitted("another"), UPSTREAM.instance, start)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run)
