--- a/deckcourse/gateway/notice_intake.py
+++ b/deckcourse/gateway/notice_intake.py
@@ -72,22 +72,25 @@
         shutdown = self._retained.shutdown_of(upstream)
         if shutdown is None or self._upstreams.is_leaving(upstream):
             return
-        self._record_shutdown(upstream.instance, shutdown.names(upstream), before_row=True)
+        self._record_shutdown(upstream.instance, shutdown.identifies(upstream), before_row=True)
 
     def _apply_to_sender(
         self, addressed: Upstream, notice: UpstreamNotice, origin: NoticeOrigin
     ) -> None:
-        """Apply a notice to its sender, and retain it in case the sender isn't listed yet."""
-        newest_start = self._newest_start(origin)
-        retained = RetainedNotice(notice, addressed, origin, newest_start, trio.current_time())
+        """Apply a notice to its sender: the listed or the addressed incarnation.
+
+        It is also retained, in case neither is the sender and its row is still to come.
+        """
+        latest_start = self._latest_start(origin)
+        retained = RetainedNotice(notice, addressed, origin, latest_start, trio.current_time())
         listed = self._upstreams.by_name(addressed.name)
         if listed is not None and retained.is_from(listed):
-            self._apply_to(listed.instance, notice, origin, retained.names(listed))
+            self._apply_to(listed.instance, notice, origin, retained.identifies(listed))
         elif retained.may_be_from_addressed:
             self._apply_to(addressed.instance, notice, origin)
         self._retained.put(retained)
 
-    def _newest_start(self, origin: NoticeOrigin) -> float:
+    def _latest_start(self, origin: NoticeOrigin) -> float:
         """Return the latest start time that the sender may have, milliseconds since the epoch."""
         if origin.start is not None:
             return origin.start
--- a/deckcourse/gateway/retained_notices.py
+++ b/deckcourse/gateway/retained_notices.py
@@ -20,14 +20,14 @@
 class RetainedNotice:
     """A notice, the incarnation that its request addressed and the response that carried it.
 
-    Its sender is the newest incarnation that started no later than `newest_start`, in milliseconds
+    Its sender is the newest incarnation that started no later than `latest_start`, in milliseconds
     since the epoch. `read_at` is when the response was read, on trio's clock.
     """
 
     notice: UpstreamNotice
     addressed: Upstream
     origin: NoticeOrigin
-    newest_start: float
+    latest_start: float
     read_at: float
 
     @property
@@ -41,11 +41,11 @@
         starts = self.origin.start, self.addressed.start
         return None in starts or starts[0] == starts[1]
 
-    def is_from(self, newest: Upstream) -> bool:
-        """Return whether the newest known incarnation of the upstream sent the notice."""
-        if newest.start is None or _source(newest) != self.source:
+    def is_from(self, listed: Upstream) -> bool:
+        """Return whether the listed incarnation of the upstream sent the notice."""
+        if listed.start is None or _source(listed) != self.source:
             return False
-        return newest.start <= self.newest_start
+        return listed.start <= self.latest_start
 
     def ends_limit_of(self, earlier: "RetainedNotice") -> bool:
         """Return whether the rate limit in an earlier response has ended; see `RateLimitBook`."""
@@ -55,7 +55,7 @@
             return False
         return self.origin.sent_at >= earlier.read_at
 
-    def names(self, sender: Upstream) -> bool:
+    def identifies(self, sender: Upstream) -> bool:
         """Return whether the sender is known without a comparison of two machines' clocks."""
         return self.origin.start is not None or self.addressed.instance == sender.instance
 
@@ -81,13 +81,13 @@
         if limit is not None and response.ends_limit_of(limit):
             del self._limits[response.source]
 
-    def shutdown_of(self, newest: Upstream) -> RetainedNotice | None:
+    def shutdown_of(self, listed: Upstream) -> RetainedNotice | None:
         """Return the shutdown that a newly listed incarnation announced, if any."""
-        return _from(self._shutdowns, newest)
+        return _from(self._shutdowns, listed)
 
-    def limit_of(self, newest: Upstream) -> RetainedNotice | None:
+    def limit_of(self, listed: Upstream) -> RetainedNotice | None:
         """Return the last rate limit in the responses of a newly listed incarnation, if any."""
-        return _from(self._limits, newest)
+        return _from(self._limits, listed)
 
 
 def _source(upstream: Upstream) -> tuple[str, str]:
@@ -96,12 +96,12 @@
 
 def _put_newest(notices: dict[tuple[str, str], RetainedNotice], retained: RetainedNotice) -> None:
     known = notices.get(retained.source)
-    if known is None or retained.newest_start >= known.newest_start:
+    if known is None or retained.latest_start >= known.latest_start:
         put_bounded(notices, retained.source, retained, MAX_NOTICES)
 
 
 def _from(
-    notices: dict[tuple[str, str], RetainedNotice], newest: Upstream
+    notices: dict[tuple[str, str], RetainedNotice], listed: Upstream
 ) -> RetainedNotice | None:
-    retained = notices.get(_source(newest))
-    return retained if retained is not None and retained.is_from(newest) else None
+    retained = notices.get(_source(listed))
+    return retained if retained is not None and retained.is_from(listed) else None
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -74,7 +74,7 @@
 
 
 def the_newest_incarnation_sends_every_response():
-    NoticeIntake._newest_start = lambda self, origin: float("inf")
+    NoticeIntake._latest_start = lambda self, origin: float("inf")
 
 
 def the_clocks_of_two_machines_agree():
