Soak: reserve the ports of each process

Cause: ports were chosen by the process id modulo 300 and tested once, before the process that they were meant for bound them.

Each soak holds the first port of a block while it runs, and takes another block if that is held.

--- a/soak/wire.py
+++ b/soak/wire.py
@@ -2,7 +2,7 @@
 
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import count
 from urllib.parse import parse_qs
 
@@ -26,11 +26,33 @@
 BACKLOG = 256
 JSON_HEADERS = ((b"content-type", b"application/json"),)
 
-# Below the system's ephemeral ports. Each process uses a range of its own, chosen by its id.
+# Below the system's ephemeral ports. Each process uses blocks of its own, the first by its id.
 MIN_PORT = 12_000
 PORT_RANGE_COUNT = 300
 PORTS_PER_PROCESS = 60
-_ports = count(MIN_PORT + os.getpid() % PORT_RANGE_COUNT * PORTS_PER_PROCESS)
+# Bound sockets that reserve blocks of ports, each on the first port of its block.
+_reservations: list[socket.socket] = []
+
+
+def _reserved_ports() -> Iterator[int]:
+    """Yield ports of blocks that this process has reserved.
+
+    A port that is found free may be taken by another soak before the process that it is meant for
+    binds it.
+    """
+    for number in count(os.getpid()):
+        first = MIN_PORT + number % PORT_RANGE_COUNT * PORTS_PER_PROCESS
+        reservation = socket.socket()
+        try:
+            reservation.bind((HOST, first))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        yield from range(first + 1, first + PORTS_PER_PROCESS)
+
+
+_ports = _reserved_ports()
 
 
 def free_port() -> int:
