Revert "Use upstreams that are presumed to leave as a last resort"

Where the clocks agree, a presumed shutdown is the upstream's own, and a request to it is what the platform forbids.

--- a/deckcourse/gateway/leaving_incarnations.py
+++ b/deckcourse/gateway/leaving_incarnations.py
@@ -51,10 +51,6 @@
             del self._presumed_until[instance]
         return expired
 
-    def is_presumed(self, instance: str) -> bool:
-        """Return whether an incarnation counts as leaving by a presumption alone."""
-        return instance in self._presumed_until and instance not in self._announced
-
     def __contains__(self, instance: str) -> bool:
         """Return whether an incarnation announced its shutdown, also presumably."""
         return instance in self._announced or instance in self._presumed_until
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -228,18 +228,12 @@
         return frozenset([*instances, *self._throttles.throttled()])
 
     def accepts(self, instance: str) -> bool:
-        """Return whether an upstream hasn't ended and is neither leaving nor backing off.
-
-        One that is only presumed to leave accepts requests if its service has no other upstream.
-        """
-        if self.has_ended(instance) or self.backoff_until(instance) is not None:
+        """Return whether an upstream hasn't ended and is neither leaving nor backing off."""
+        if self.has_ended(instance):
             return False
         row = self.last_known(instance)
-        if row is None or not self.is_leaving(row):
-            return True
-        if row.leaving or not self._leaving.is_presumed(instance):
-            return False
-        return not any(self._is_usable(each) for each in self.of_service(row.service))
+        leaving = instance in self._leaving or (row is not None and row.leaving)
+        return not leaving and self.backoff_until(instance) is None
 
     def is_available(self, instance: str) -> bool:
         """Return whether an upstream accepts requests and isn't throttled."""
