--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -30,7 +30,11 @@
 
 @dataclass(frozen=True)
 class CallerRequest:
-    """A caller's request with its parsed headers and its timeout, if any."""
+    """A caller's request with its parsed headers and its timeout, if any.
+
+    `prompt_tokens` is the size of its prompt, `max_answer_tokens` the longest answer that it allows
+    and `answer_tokens` the caller's estimate of the answer, often far off; 0 if not stated.
+    """
 
     message: IncomingRequest
     request_id: str
@@ -39,6 +43,9 @@
     key: str
     timeout_seconds: float | None
     last_event: int | None
+    prompt_tokens: int = 0
+    max_answer_tokens: int = 0
+    answer_tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -100,6 +100,11 @@
         row = self._board.get(instance)
         return row.running if row is not None else 0.0
 
+    def queued(self, instance: str) -> float:
+        """Return how many requests an upstream reported as queued; 0 if unknown."""
+        row = self._board.get(instance)
+        return row.queued if row is not None else 0.0
+
     def waiting(self, instance: str) -> float:
         """Return how many requests are queued at an upstream, including those just sent."""
         row = self._board.get(instance)
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -40,7 +40,7 @@
 from deckcourse.peers.followers import rank_of
 from deckcourse.peers.peers import Peers
 from deckcourse.peers.rate_limit import RateLimit
-from deckcourse.settings import GatewaySettings
+from deckcourse.settings import GatewaySettings, LoadSettings
 from deckcourse.table import Row
 
 __all__ = ["GatewayNode"]
@@ -77,6 +77,7 @@
       counters: receives counters and timings.
       log: writes the decision log.
       random: randomizes waits, so that they differ between processes.
+      load_settings: returns the current settings for load that exceeds capacity.
     """
 
     def __init__(
@@ -87,10 +88,12 @@
         counters: Counters,
         log: Callable[..., None],
         random: Random,
+        load_settings: Callable[[], LoadSettings] = LoadSettings,
     ) -> None:
         self._identity = identity
         self._ports = ports
         self._settings = settings
+        self._load_settings = load_settings
         self._counters = counters
         self._log = log
         self._random = random
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from deckcourse.decisions.path_draw import draw_path
+from deckcourse.decisions.path_forecast import PathForecast, StageLoad, forecast_path
 from deckcourse.decisions.path_load import (
     passing_first_stages,
     streams_by_upstream,
@@ -143,6 +144,37 @@
         """Return whether a path has room for one more request, as far as this process knows."""
         return self._utilization(path) < ROOM_UTILIZATION and not self.refused_recently(path)
 
+    def forecast(self, model: ModelSpec, path: LayerPath, prompt_tokens: float) -> PathForecast:
+        """Return the predicted times of one more request on a path, by the known load.
+
+        Args:
+          model: the requested model.
+          path: the path.
+          prompt_tokens: the tokens of its prompt, 0 for a usual one.
+        """
+        delay = model.delay(path.domain, self._domain)
+        tokens = prompt_tokens or model.usual_prompt
+        return forecast_path(model, self._stage_loads(model, path), tokens, delay)
+
+    def _stage_loads(self, model: ModelSpec, path: LayerPath) -> list[StageLoad]:
+        """Return the load of a path's stages; prompts queued at its first one wait at all."""
+        passing = self._stream_counts("" if path.crossings else path.domain).passing
+        queued = self._watch.queued(path.stages[0].instance) * model.usual_prompt
+        return [
+            StageLoad(
+                self._kind_of(each.instance),
+                each.end - each.first,
+                self._upstreams.pace(each.instance),
+                passing.get(each.instance, 0.0),
+                queued,
+            )
+            for each in path.stages
+        ]
+
+    def _kind_of(self, instance: str) -> str:
+        row = self._upstreams.last_known(instance)
+        return row.kind if row is not None else ""
+
     def _firsts(self) -> list[Upstream]:
         changes = self._upstreams.change_count
         if self._cached_firsts is None or self._cached_firsts[0] != changes:
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -359,6 +359,10 @@
         self._paces[instance] = (pace, deadline)
         self._next_expiry = min(self._next_expiry, deadline)
 
+    def pace(self, instance: str) -> float:
+        """Return the pace that an upstream reported last, 1 if none is known."""
+        return self._paces.get(instance, (1.0, 0.0))[0]
+
     def is_suspected(self, instance: str) -> bool:
         """Return whether an upstream is suspected."""
         self._expire()
@@ -425,7 +429,7 @@
             row.end,
             row.address,
             usable=self._is_usable(row),
-            pace=self._paces.get(row.instance, (1.0, 0.0))[0],
+            pace=self.pace(row.instance),
             serving=row.instance not in self._lost,
             leaving=self.is_leaving(row),
             lapsing=row.instance in self._lapsing,
--- a/deckcourse/layers/model.py
+++ b/deckcourse/layers/model.py
@@ -34,6 +34,7 @@
       stream_step_ms: what each further concurrent stream adds to a step, milliseconds.
       context_step_ms: what each stream adds to a step for 1,000 tokens of context, milliseconds.
       prefill_per_ms: the prompt tokens that are processed in a millisecond.
+      prefill_chunk: the prompt tokens that are processed at most between two token steps.
       pairs_ms: what prefill adds for a million pairs of a token and an earlier one, milliseconds.
       event_tokens: the number of tokens in an event of an answer.
       activation_bytes: the size of one token's activations sent between two upstreams, bytes.
@@ -55,6 +56,7 @@
     stream_step_ms: float = 0.0
     context_step_ms: float = 0.0
     prefill_per_ms: float = 100.0
+    prefill_chunk: float = 512.0
     pairs_ms: float = 0.0
     event_tokens: float = 1.0
     activation_bytes: float = 16_384.0
--- a/deckcourse/platform/dialect.py
+++ b/deckcourse/platform/dialect.py
@@ -7,6 +7,7 @@
 from deckcourse.layers.paths import LayerPath
 from deckcourse.platform.names import (
     ACCOUNT,
+    ANSWER_TOKENS,
     AT_FAULT,
     AUTHORIZATION,
     DEADLINE_MS,
@@ -21,6 +22,7 @@
     PRIORITY,
     REQUEST_ID,
     SEAL,
+    TOKENS,
 )
 from deckcourse.platform.notices import parse_notice
 from deckcourse.platform.starts import runner_id
@@ -60,6 +62,7 @@
         headers = message.headers
         scheme, _, key = header_value(headers, AUTHORIZATION).partition(b" ")
         deadline = _number(header_value(headers, DEADLINE_MS))
+        prompt, _, max_answer = header_value(headers, TOKENS).partition(b",")
         return CallerRequest(
             message,
             header_value(headers, REQUEST_ID).decode("latin-1"),
@@ -68,6 +71,9 @@
             key.strip().decode("latin-1") if scheme.lower() == KEY_SCHEME else "",
             None if deadline is None else deadline / 1000,
             _number(header_value(headers, LAST_EVENT_ID)),
+            _number(prompt.strip()) or 0,
+            _number(max_answer.strip()) or 0,
+            _number(header_value(headers, ANSWER_TOKENS)) or 0,
         )
 
     def headers_for(self, request: CallerRequest, dispatch: Dispatch) -> Headers:
--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -3,6 +3,7 @@
 __all__ = [
     "ACCOUNT",
     "AT_FAULT",
+    "ANSWER_TOKENS",
     "AUTHORIZATION",
     "DEADLINE_MS",
     "DESIRED_STATE_KEY",
@@ -26,6 +27,7 @@
     "RUNNER_TABLE",
     "SEAL",
     "SETTINGS_VARIABLE",
+    "TOKENS",
 ]
 
 # The environment variable with the path of the settings file.
@@ -39,6 +41,10 @@
 ACCOUNT = b"x-tenant"
 EXPECTED_INSTANCE = b"x-expected-instance"
 LAST_EVENT_ID = b"last-event-id"
+# The tokens of the prompt and, after a comma, the most tokens of the answer.
+TOKENS = b"x-token-usage"
+# The caller's estimate of the answer's tokens.
+ANSWER_TOKENS = b"length-hint"
 PATH = b"path"
 PRIORITY = b"priority"
 # Set by a runner that guarantees that it did not execute the request.
--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -70,6 +70,7 @@
                 counters,
                 log.log,
                 SystemRandom(),
+                lambda: self._settings.load,
             ),
             ListenAddresses(
                 gateway.listen, gateway.ready_listen, gateway.metrics_listen, gateway.peer_listen
--- a/deckcourse/platform/rows.py
+++ b/deckcourse/platform/rows.py
@@ -109,6 +109,7 @@
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
     pairs_per_m: float = 0.0
+    chunk: float = 512.0
     stride: int = 1
     read_per_s: float = 100_000.0
     kvTokenBytes: float = 0.0  # noqa: N815
@@ -301,6 +302,7 @@
         pairs_ms=engine.pairs_per_m,
         event_tokens=engine.stride,
         prefill_per_ms=engine.read_per_s / 1000,
+        prefill_chunk=engine.chunk,
         activation_bytes=engine.act_bytes,
         cache_bytes=engine.kvTokenBytes,
         pipe_mbps=engine.pipe_mbps,
--- a/deckcourse/settings.py
+++ b/deckcourse/settings.py
@@ -17,6 +17,7 @@
     "EntrySettings",
     "GatewaySettings",
     "LinkSettings",
+    "LoadSettings",
     "LogSettings",
     "NodeSettings",
     "Problem",
@@ -89,6 +90,33 @@
     retry_window: Duration = Duration(10)
 
 
+@dataclass(frozen=True)
+class LoadSettings:
+    """How the gateway decides when load exceeds capacity; everything is off by default.
+
+    `admission` queues requests by rank instead of refusing them at a fixed utilization; at most
+    `max_waiting` wait in a process. `shared_losses` tells peers of upstreams that are gone;
+    `watch_connections` holds a connection to each upstream, whose reset shows its end at once.
+    `shared_room` estimates the free capacity of upstreams from the share of the traffic.
+    `domain_forecast` chooses between failure domains by predicted times. `onward_spread` spreads
+    running streams over several paths after a loss. `interruption_weight` is the weight of streams
+    that a lost host interrupts in the choice of a layout, 0 for none. A stream whose caller doesn't
+    read for `reader_timeout` ends, none does if it is 0; `held_bytes` bounds what a process holds
+    for callers and upstreams that read slowly, 0 for no bound.
+    """
+
+    admission: bool = False
+    max_waiting: int = 64
+    shared_losses: bool = False
+    watch_connections: bool = False
+    shared_room: bool = False
+    domain_forecast: bool = False
+    onward_spread: bool = False
+    interruption_weight: float = 0.0
+    reader_timeout: Duration = Duration(0)
+    held_bytes: Size = Size(0)
+
+
 @dataclass(frozen=True)
 class CallerSettings:
     """Bounds on what a caller may send and ask."""
@@ -140,6 +168,7 @@
     node: NodeSettings
     entry: EntrySettings = field(default_factory=EntrySettings)
     gateway: GatewaySettings = field(default_factory=GatewaySettings)
+    load: LoadSettings = field(default_factory=LoadSettings)
     callers: CallerSettings = field(default_factory=CallerSettings)
     controller: ControllerSettings = field(default_factory=ControllerSettings)
     statsd: StatsdSettings = field(default_factory=StatsdSettings)
