Let requests wait for the first configuration of a process

Cause: after a restart of all processes, callers reconnect while the processes read the configuration.

Change: with [load] admission, a request waits up to 0.5 s for the first configuration, in bounded number; 2 s after its start a process without one refuses at once.

--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -1,6 +1,6 @@
 """The gateway: serves callers' requests, from the request head to the outcome."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 import trio
@@ -28,6 +28,7 @@
       context: the objects that requests share.
       desired: returns the current desired state, None before one is known.
       domain: the failure domain of this process.
+      wait_for_start: waits for a limited time until the desired state is known.
     """
 
     def __init__(
@@ -35,10 +36,12 @@
         context: GatewayContext,
         desired: Callable[[], DesiredState | None],
         domain: str,
+        wait_for_start: Callable[[], Awaitable[None]],
     ) -> None:
         self._context = context
         self._desired = desired
         self._domain = domain
+        self._wait_for_start = wait_for_start
         self._requests = 0
         self._refuses_new = False
 
@@ -73,6 +76,8 @@
                 self._context.count("answer.torn")
 
     async def _serve(self, caller: CallerRequest, exchange: Exchange) -> Outcome:
+        if self._desired() is None and not self._refuses_new:
+            await self._wait_for_start()
         admitted = self._admit(caller, exchange)
         if isinstance(admitted, NotRun):
             return admitted
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -29,6 +29,7 @@
 from deckcourse.gateway.retry_limits import RetryLimits
 from deckcourse.gateway.row_intake import RowIntake
 from deckcourse.gateway.stalls import StallMonitor
+from deckcourse.gateway.start_wait import StartWait
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstream import StartOrder, Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -201,7 +202,13 @@
             log=log,
             retry_budgets=self._retry_budgets,
         )
-        self._gateway = Gateway(context, lambda: self._desired, identity.domain)
+        start_wait = StartWait(
+            load_settings,
+            lambda: self._desired is not None,
+            lambda: self._desired_changed.wait(),
+            counters.count,
+        )
+        self._gateway = Gateway(context, lambda: self._desired, identity.domain, start_wait.wait)
 
     def _follow(
         self,
--- /dev/null
+++ b/deckcourse/gateway/start_wait.py
@@ -0,0 +1,65 @@
+"""The wait of requests that arrive before a process knows its configuration.
+
+Load pattern: after all processes have been restarted, all callers reconnect within the 0.1 to 0.4 s
+in which the processes read their configuration. A refusal costs each caller one of few attempts,
+while the configuration comes sooner than the caller gives up. Requests wait for it, in bounded
+number and time; a process that can't reach the store for longer refuses them at once.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from deckcourse.settings import LoadSettings
+
+__all__ = ["StartWait"]
+
+# How long a request waits. Callers give up a request that isn't read within a second, and half of
+# that leaves the time to be served elsewhere.
+MAX_WAIT_SECONDS = 0.5
+# A process that knows no configuration this long after its start can't reach the store, and refuses
+# requests at once.
+MAX_START_SECONDS = 2.0
+
+
+class StartWait:
+    """Lets requests wait until this process knows its configuration.
+
+    Args:
+      load_settings: returns the current settings; requests wait if `admission` is on.
+      is_known: returns whether the configuration is known.
+      wait_for_change: waits until the configuration changes.
+      count: increments the counter of a name.
+    """
+
+    def __init__(
+        self,
+        load_settings: Callable[[], LoadSettings],
+        is_known: Callable[[], bool],
+        wait_for_change: Callable[[], Awaitable[object]],
+        count: Callable[[str], None],
+    ) -> None:
+        self._load_settings = load_settings
+        self._is_known = is_known
+        self._wait_for_change = wait_for_change
+        self._count = count
+        self._waiting = 0
+        self._refuses_at = trio.current_time() + MAX_START_SECONDS
+
+    async def wait(self) -> None:
+        """Wait until the configuration is known, or the request is to be refused."""
+        settings = self._load_settings()
+        if self._is_known() or not settings.admission:
+            return
+        if self._waiting >= settings.max_waiting:
+            self._count("start-wait.full")
+            return
+        self._waiting += 1
+        try:
+            deadline = min(self._refuses_at, trio.current_time() + MAX_WAIT_SECONDS)
+            with trio.move_on_at(deadline):
+                while not self._is_known():
+                    await self._wait_for_change()
+        finally:
+            self._waiting -= 1
+        self._count("start-wait.served" if self._is_known() else "start-wait.timeout")
