Share losses of upstreams between processes, and watch idle connections

Cause: after a loss each process found out alone which upstreams are gone, at the cost of refused attempts (docs/LOAD.md).

Change: a process sends what it learns at once to its failure domain and to two members of each other one; a follower of each domain verifies it by probes. Two followers of a domain watch an idle connection to each of its upstreams, which shows an end at once. New requests avoid a reported upstream for 0.4 s, a confirmed one for 1.2 s; own streams that pass it are checked. Both settings are off by default.

--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -5,6 +5,7 @@
 
 from trio import current_time
 
+from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.dialect import Dialect
 from deckcourse.gateway.end_check import EndCheck
@@ -40,6 +41,7 @@
     log: Callable[..., None]
     retry_budgets: RetryBudgets
     schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
+    report_loss: Callable[[str, Evidence], None] = lambda instance, evidence: None
 
     def budget(self, service: str) -> RetryAllowance:
         """Return this process's retry budget at a service."""
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -9,6 +9,7 @@
 
 from deckcourse.change_feed import Follower
 from deckcourse.counters import Counters
+from deckcourse.gateway.connection_watch import ConnectionWatch
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_book import CRASH_TABLE, CrashBook
 from deckcourse.gateway.crash_check import CrashCheck
@@ -19,6 +20,7 @@
 from deckcourse.gateway.gateway import Gateway
 from deckcourse.gateway.issuing import Issuing
 from deckcourse.gateway.lapse_check import LapseCheck
+from deckcourse.gateway.loss_notices import LossNotices
 from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
@@ -176,6 +178,16 @@
         self._lapse_check = LapseCheck(
             self._upstreams, ports.orderer, lambda: self._peers.feed.follows, log
         )
+        self._losses = LossNotices(
+            self._peers.roster,
+            self._peers.gossip,
+            self._upstreams,
+            ports.control,
+            lambda: self._load_settings().shared_losses,
+            random,
+            counters.count,
+            log,
+        )
         self._monitor = StallMonitor(
             self._upstreams,
             ports.control,
@@ -183,7 +195,20 @@
             self._report_lost_upstream,
             counters.count,
             log,
+            self._losses.report,
+            self._losses.is_confirmed,
         )
+        self._connection_watch = ConnectionWatch(
+            self._peers.roster,
+            self._upstreams,
+            self._losses,
+            ports.pool.dial,
+            self._watched_services,
+            self._watches_connections,
+            counters.count,
+            log,
+        )
+        self._losses.register_handlers(self._monitor.check_upstream, self._connection_watch.on_news)
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
         context = GatewayContext(
             upstreams=self._upstreams,
@@ -200,6 +225,7 @@
             timing=counters.timing,
             log=log,
             retry_budgets=self._retry_budgets,
+            report_loss=self._losses.report,
         )
         self._gateway = Gateway(context, lambda: self._desired, identity.domain)
 
@@ -295,6 +321,8 @@
             nursery.start_soon(self._run_forever, self._crash_watch.run)
             nursery.start_soon(self._run_forever, self._issuing.run)
             nursery.start_soon(self._run_forever, self._retry_budgets.run)
+            nursery.start_soon(self._run_forever, self._losses.run)
+            nursery.start_soon(self._run_forever, self._connection_watch.run)
             nursery.start_soon(self._start_healers, nursery)
 
     async def _run_forever(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
@@ -399,9 +427,20 @@
                 self._peers.loads,
                 lambda: self._peers.feed.follows,
                 self._random,
+                self._losses.avoided,
             )
         return self._path_choices[service]
 
+    def _watches_connections(self) -> bool:
+        """Return whether to watch connections; what that finds is of use only if it is shared."""
+        load = self._load_settings()
+        return load.shared_losses and load.watch_connections and not self._stopping
+
+    def _watched_services(self) -> list[tuple[str, int]]:
+        """Return the services whose upstreams hold layers, with their connection limits."""
+        services = self._desired.services.values() if self._desired is not None else ()
+        return [(each.name, each.max_connections) for each in services if each.model is not None]
+
     def _report_lost_upstream(self, domain: str) -> None:
         for healer in self._healers.values():
             healer.record_failure(domain)
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -85,6 +85,7 @@
       loads: the reported loads of upstreams.
       queries_loads: returns whether this process queries loads, for itself and for its peers.
       random: draws paths.
+      reported_lost: returns the upstreams that processes report as gone; new requests avoid them.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         loads: LoadBoard,
         queries_loads: Callable[[], bool],
         random: Random,
+        reported_lost: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._service = service
         self._process = process
@@ -120,6 +122,7 @@
             upstreams.throttles.is_limited,
         )
         self._random = random
+        self._reported_lost = reported_lost
         self._cached_stream_counts: dict[str, tuple[float, _StreamCounts]] = {}
         # For each domain, its paths and the upstreams whose paths pass their first upstreams.
         self._cached_passers: dict[str, tuple[list[LayerPath], Mapping[str, Sequence[str]]]] = {}
@@ -291,16 +294,18 @@
         return min(MAX_BACKOFF_FACTOR, self._traffic.scale_interval(1.0, EXTENDED_BACKOFF_SHARE))
 
     def refused_recently(self, path: LayerPath) -> bool:
-        """Return whether a path passes an upstream that is avoided after a refusal."""
+        """Return whether a path passes an upstream that is avoided after a refusal or loss."""
         return bool(path.instances & self._refusing())
 
     def _refusing(self) -> set[str]:
+        """Return the upstreams that new requests avoid after a refusal or a report of a loss."""
         now = self._clock()
         oldest_end = now - BACKOFF_RESET_SECONDS * self._backoff_factor
         self._refusals = {
             name: each for name, each in self._refusals.items() if each.ends_at > oldest_end
         }
-        return {name for name, each in self._refusals.items() if each.ends_at > now}
+        refusing = {name for name, each in self._refusals.items() if each.ends_at > now}
+        return refusing | self._reported_lost()
 
     def choose(self, model: ModelSpec, avoid: frozenset[str] = frozenset()) -> LayerPath | None:
         """Return the path to take, None if the usable upstreams don't hold every layer.
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.active_stream import ActiveStream, Interruption
 from deckcourse.gateway.dialect import MoveResult, ProbeResult, StreamControl
 from deckcourse.gateway.path_choice import PathChoice
@@ -83,6 +84,8 @@
       on_suspected: called with the failure domain of each upstream that is suspected.
       count: increments the counter of a name.
       log: writes an entry to the decision log.
+      report: reports what was observed about an upstream to other processes.
+      is_confirmed: returns whether other processes have confirmed the loss of an upstream.
     """
 
     def __init__(
@@ -93,6 +96,8 @@
         on_suspected: Callable[[str], None],
         count: Callable[[str], None],
         log: Callable[..., None],
+        report: Callable[[str, Evidence], None] = lambda instance, evidence: None,
+        is_confirmed: Callable[[str], bool] = lambda instance: False,
     ) -> None:
         self._upstreams = upstreams
         self._control = control
@@ -100,6 +105,8 @@
         self._on_suspected = on_suspected
         self._count = count
         self._log = log
+        self._report = report
+        self._is_confirmed = is_confirmed
         self._streams: set[ActiveStream] = set()
         self._query_states: dict[str, _QueryState] = defaultdict(_QueryState)
         self._next_probe_at: dict[str, float] = {}
@@ -123,6 +130,25 @@
         if self._nursery is not None:
             self._nursery.start_soon(self._move_all)
 
+    def check_upstream(self, instance: str) -> None:
+        """Probe an upstream that is reported as gone, and move own streams off it if it is."""
+        if self._nursery is not None and any(
+            instance in each.path.instances for each in self._streams
+        ):
+            self._nursery.start_soon(self._check_reported, instance)
+
+    async def _check_reported(self, instance: str) -> None:
+        lost: list[tuple[Upstream, ProbeResult]] = []
+        for upstream in self._due_for_probe({instance}):
+            await self._probe(upstream, lost, once=self._is_confirmed(instance))
+        for upstream, pulse in lost:
+            self._suspect(upstream)
+            self._log("pulse", instance=instance, address=upstream.address, pulse=str(pulse))
+            if any(each.path.stages[0].instance == instance for each in self._streams):
+                self._interrupt_streams_of(instance, "reported")
+        if lost or self._upstreams.is_suspected(instance):
+            await self._move_all()
+
     async def run(self) -> None:
         """Monitor streams until cancelled."""
         due_at = trio.current_time()
@@ -245,10 +271,18 @@
                 due.append(upstream)
         return due
 
-    async def _probe(self, upstream: Upstream, lost: list[tuple[Upstream, ProbeResult]]) -> None:
-        """Probe one upstream; append it to `lost` unless it answers."""
+    async def _probe(
+        self, upstream: Upstream, lost: list[tuple[Upstream, ProbeResult]], once: bool = False
+    ) -> None:
+        """Probe one upstream; append it to `lost` unless it answers.
+
+        Args:
+          upstream: the upstream.
+          lost: receives the upstream and the result.
+          once: whether not to probe a silent upstream again, since others have done so.
+        """
         reply = await self._control.probe(upstream, PROBE_TIMEOUT_SECONDS)
-        if reply.result is ProbeResult.SILENT:
+        if reply.result is ProbeResult.SILENT and not once:
             reply = await self._control.probe(upstream, SECOND_PROBE_TIMEOUT_SECONDS)
         if reply.result is ProbeResult.ALIVE:
             self._upstreams.record_pace(upstream.instance, reply.pace)
@@ -258,6 +292,7 @@
     def _suspect(self, upstream: Upstream) -> None:
         self._upstreams.suspect(upstream.instance, SUSPICION_TTL_SECONDS)
         self._on_suspected(upstream.domain)
+        self._report(upstream.instance, Evidence.SILENT)
         if upstream.instance not in self._confirming and self._nursery is not None:
             self._confirming.add(upstream.instance)
             self._nursery.start_soon(self._confirm_suspicion, upstream)
@@ -418,6 +453,7 @@
             if result is not MoveResult.STAGE_MISSING or refusing is None:
                 break
             avoid.add(refusing.instance)
+            self._report(refusing.instance, Evidence.STAGE_MISSING)
         stream.interrupt(Interruption.NO_OTHER_PATH)
 
     def _record_move(
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.active_stream import (
     ActiveStream,
     Interruption,
@@ -28,6 +29,7 @@
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.loss_notices import evidence_of
 from deckcourse.gateway.rate_gate import SendingToken
 from deckcourse.gateway.stream_retries import StreamRetries
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
@@ -57,6 +59,9 @@
 UNREACHABLE_COOLDOWN_SECONDS = 2.0
 OK = 200
 SERVER_ERROR = 500
+# Statuses of a refusal by an upstream that may be gone: it doesn't hold its layers (421), or it is
+# dead, giving them up or full (503).
+LOSS_STATUSES = (421, 503)
 
 
 @dataclass(frozen=True)
@@ -317,6 +322,9 @@
     ) -> _AttemptResult:
         instance = stream.path.stages[0].instance
         self._avoided.add(instance)
+        evidence = evidence_of(failure)
+        if evidence is not None:
+            self._context.report_loss(instance, evidence)
         if failure.kind is FailureKind.UNSENT:
             self._context.upstreams.suspect(instance, UNREACHABLE_COOLDOWN_SECONDS, lost=True)
             self._context.pool.close_idle(stream.path.stages[0].address)
@@ -387,6 +395,8 @@
         if facts.failed_address:
             row = self._context.upstreams.at_address(facts.failed_address, stream.service)
             refusing_instance = row.instance if row is not None else refusing_instance
+            if row is not None and status in LOSS_STATUSES:
+                self._context.report_loss(row.instance, Evidence.REFUSED)
         self._avoided.add(refusing_instance)
         self._choice.note_full(refusing_instance)
         self._context.count(f"retry.{RetryReason.REFUSED}.{status}")
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -299,6 +299,14 @@
         self._count("connection.opened")
         return UpstreamConnection(address, await self._dial(address))
 
+    async def dial(self, address: str) -> Transport:
+        """Return a new connection to `IP:port` that is used without HTTP and not kept here.
+
+        Raises:
+          ConnectionLostError: UNSENT, the address is unreachable.
+        """
+        return await self._dial(address)
+
     def _take_idle(
         self, address: str, max_idle_seconds: float, without_call: str | None
     ) -> UpstreamConnection | None:
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -12,6 +12,7 @@
 from deckcourse.peers.crash import MAX_CRASHES_PER_DIGEST, Crash
 from deckcourse.peers.datagrams import Datagrams
 from deckcourse.peers.issuer_messages import ISSUER_PREFIX
+from deckcourse.peers.loss_notice import LOSS_PREFIX
 from deckcourse.peers.member import Digest, Member, decode_digest, encode_digest
 from deckcourse.peers.roster import Roster
 
@@ -62,6 +63,7 @@
         self._recent_crashes: Callable[[], Sequence[Crash]] = tuple
         self._on_issuer_message: Callable[[bytes], Awaitable[None]] | None = None
         self._on_digest_request: Callable[[str], Awaitable[None]] | None = None
+        self._on_loss_message: Callable[[bytes], None] | None = None
 
     def register_crash_handlers(
         self, on_crash: Callable[[Crash], None], recent: Callable[[], Sequence[Crash]]
@@ -90,6 +92,10 @@
         self._on_issuer_message = handler
         self._on_digest_request = on_digest_request
 
+    def register_loss_handler(self, handler: Callable[[bytes], None]) -> None:
+        """Register the handler of datagrams about lost upstreams."""
+        self._on_loss_message = handler
+
     async def send(self, address: str, data: bytes) -> None:
         """Send a datagram to a member."""
         await self._datagrams.send(address, data)
@@ -168,6 +174,9 @@
             if self._on_issuer_message is not None and data.startswith(ISSUER_PREFIX):
                 await self._on_issuer_message(data)
                 continue
+            if self._on_loss_message is not None and data.startswith(LOSS_PREFIX):
+                self._on_loss_message(data)
+                continue
             digest = decode_digest(data)
             if digest is None:
                 self._count("malformed.digest")
--- a/deckcourse/peers/roster.py
+++ b/deckcourse/peers/roster.py
@@ -87,6 +87,15 @@
         )
         return (self._own, *others)
 
+    def live_member(self, name: str) -> Member | None:
+        """Return the live member of a name, also this process; None if there is none."""
+        if name == self._own.name:
+            return self._own
+        entry = self._entries.get(name)
+        if entry is None or self._clock() - entry.updated_at >= MEMBER_TTL_SECONDS:
+            return None
+        return entry.member
+
     def select_for_digest(self, domain: str, max_count: int) -> tuple[Member, ...]:
         """Return the members to send to a process of a domain, and count them as sent.
 
--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -22,7 +22,7 @@
 from deckcourse.platform.dialect import PlatformDialect
 from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
-from deckcourse.settings import GatewaySettings
+from deckcourse.settings import GatewaySettings, LoadSettings
 from deckcourse.table import TableFailure
 
 # Prefix of the body of a request that crashes its runners.
@@ -121,6 +121,7 @@
             self.counters,
             world.note,
             Random(f"{name} {start}"),
+            lambda: world.load_settings,
         )  # fmt: skip
 
     async def run(self):
@@ -153,6 +154,7 @@
         self.seeds = ("g0-peer:1",)
         self.names = (("g0", "x"), ("g1", "y"), ("g2", "x"))
         self.settings = GatewaySettings()
+        self.load_settings = LoadSettings()
         for domain in "xy":
             self.add(f"{domain}1", "llm", domain, 0, 4)
             self.add(f"{domain}2", "llm", domain, 4, 8)
