Notices name the reporter's failure domain

Cause: at 130 processes the digests of a domain of 43 carry hardly any members of the other domains, so 322 notices from there were dropped as from an unknown reporter and 53 of 130 processes avoided the upstream.

Change: a notice carries the reporter's failure domain; the reporter need not be a known member.

--- a/deckcourse/gateway/loss_notices.py
+++ b/deckcourse/gateway/loss_notices.py
@@ -141,9 +141,10 @@
         if not self._is_on():
             return
         upstream = self._upstreams.last_known(instance)
+        own = self._roster.own
         if upstream is None or self._upstreams.is_leaving(upstream):
             return  # An upstream that is leaving refuses requests, as announced.
-        if self._learn(upstream, evidence, self._roster.own):
+        if self._learn(upstream, evidence, own.name, own.domain):
             self._queue(instance, evidence, to_all_domains=evidence is not Evidence.UNANSWERED)
 
     def report_ended(self, instance: str) -> None:
@@ -181,15 +182,22 @@
         await self._gossip.send(address, data)
         return True
 
-    def _learn(self, upstream: Upstream, evidence: Evidence, reporter: Member) -> bool:
-        """Apply a report of this process or of another one; return whether it is news."""
+    def _learn(self, upstream: Upstream, evidence: Evidence, reporter: str, domain: str) -> bool:
+        """Apply a report of this process or of another one; return whether it is news.
+
+        Args:
+          upstream: the upstream.
+          evidence: what was observed.
+          reporter: the process that observed it.
+          domain: the failure domain of the reporter.
+        """
         now = trio.current_time()
         instance = upstream.instance
-        if evidence is not Evidence.ALIVE and self._is_isolated(reporter.name, upstream, now):
+        if evidence is not Evidence.ALIVE and self._is_isolated(reporter, upstream, now):
             self._count("loss-notice.isolated-reporter")
-            self._book.withdraw(reporter.name)
+            self._book.withdraw(reporter)
             return False
-        if not self._book.add(instance, evidence, reporter.name, now):
+        if not self._book.add(instance, evidence, reporter, now):
             self._count("loss-notice.known")
             return False
         self._count(f"loss-notice.{evidence.label}")
@@ -198,13 +206,13 @@
             instance=instance,
             address=upstream.address,
             evidence=evidence.label,
-            reporter=reporter.name,
+            reporter=reporter,
         )
         if evidence not in (Evidence.REFUSED, Evidence.STAGE_MISSING, Evidence.ALIVE) and (
             self._book.is_avoided(instance, now)
         ):
             self._on_reported(instance)
-        is_result_of_own_domain = evidence.is_result and reporter.domain == self._roster.own.domain
+        is_result_of_own_domain = evidence.is_result and domain == self._roster.own.domain
         if evidence is not Evidence.ALIVE and not is_result_of_own_domain:
             self._verify_if_follower(instance)
         return True
@@ -256,10 +264,10 @@
         others = [each for each in self._roster.live() if each.name != own.name]
         await self._send_to(
             [each for each in others if each.domain == own.domain],
-            LossNotice(own.name, tuple(rows)),
+            LossNotice(own.name, own.domain, tuple(rows)),
         )
         if rows_for_all:
-            notice = LossNotice(own.name, tuple(rows_for_all), pass_on=True)
+            notice = LossNotice(own.name, own.domain, tuple(rows_for_all), pass_on=True)
             await self._send_to(self._recipients_elsewhere(others), notice)
 
     def _recipients_elsewhere(self, others: list[Member]) -> list[Member]:
@@ -297,16 +305,14 @@
 
     def _on_notice(self, notice: LossNotice) -> None:
         own = self._roster.own
-        reporter = self._roster.live_member(notice.reporter)
-        if reporter is None or reporter.name == own.name:
-            self._count("loss-notice.unknown-reporter")
-            return
+        if notice.reporter == own.name:
+            return  # Passed on to its own reporter.
         news = []
         for row in notice.rows:
             upstream = self._upstreams.last_known(row.instance)
             if upstream is None:
                 self._count("loss-notice.unknown-upstream")
-            elif self._learn(upstream, row.evidence, reporter):
+            elif self._learn(upstream, row.evidence, notice.reporter, notice.domain):
                 news.append(row)
         if not notice.pass_on or not news or self._nursery is None:
             return
@@ -320,7 +326,9 @@
             for each in self._roster.live()
             if each.domain == own.domain and each.name not in (own.name, notice.reporter)
         ]
-        self._nursery.start_soon(self._send_to, members, LossNotice(notice.reporter, tuple(news)))
+        self._nursery.start_soon(
+            self._send_to, members, LossNotice(notice.reporter, notice.domain, tuple(news))
+        )
 
     def _verify_if_follower(self, instance: str) -> None:
         """Verify a report at once, or later if another follower ranks before this process."""
@@ -381,7 +389,7 @@
         a machine refuses connections doesn't differ, so that result goes to all of them, once.
         """
         instance = upstream.instance
-        is_news = self._learn(upstream, result, self._roster.own)
+        is_news = self._learn(upstream, result, self._roster.own.name, self._roster.own.domain)
         if result is Evidence.ALIVE:
             self._queue(instance, result, to_all_domains=False)
             return False
--- a/deckcourse/peers/loss_notice.py
+++ b/deckcourse/peers/loss_notice.py
@@ -42,11 +42,13 @@
 
     Attributes:
       reporter: the name of the process that observed it.
+      domain: its failure domain; processes of another one may not know it as a member.
       rows: the upstreams.
       pass_on: whether the recipient sends it to the members of its failure domain.
     """
 
     reporter: _Text
+    domain: _Text
     rows: Annotated[tuple[LossRow, ...], Meta(min_length=1, max_length=MAX_ROWS)]
     pass_on: bool = False
 
