--- a/deckcourse/gateway/connection_watch.py
+++ b/deckcourse/gateway/connection_watch.py
@@ -38,8 +38,8 @@
 # Upstreams of a service that takes fewer connections than this are not watched: the connections of
 # two followers would be more than a tenth of them.
 MIN_SERVICE_CONNECTIONS = 20
-# A connection that closes sooner than this was not closed for being idle: a proxy may accept
-# connections for an upstream that has ended.
+# A connection that closes sooner than this was not closed for being idle. After two in a row, the
+# next one waits: a proxy may accept connections for an upstream that has ended.
 MIN_IDLE_SECONDS = 1.0
 # Pause before connecting again after a failure or a short connection, doubled up to the maximum.
 MIN_RECONNECT_PAUSE_SECONDS = 0.5
@@ -183,6 +183,7 @@
         """Hold a connection to an upstream; open the next one when it closes."""
         pause = MIN_RECONNECT_PAUSE_SECONDS
         was_connected = False
+        short_in_a_row = 0
         with scope:
             while True:
                 opened_at = trio.current_time()
@@ -194,11 +195,12 @@
                 else:
                     was_reset = await self._wait_for_close(upstream, transport)
                     is_short = trio.current_time() - opened_at < MIN_IDLE_SECONDS
-                    if was_reset or (is_short and was_connected):
+                    short_in_a_row = short_in_a_row + 1 if is_short else 0
+                    if was_reset or (short_in_a_row == 1 and was_connected):
                         # A restarted upstream or a proxy may accept the next connection.
                         self._losses.report(upstream.instance, Evidence.UNREACHABLE)
                     was_connected = True
-                    if not is_short:
+                    if short_in_a_row < 2:
                         pause = MIN_RECONNECT_PAUSE_SECONDS
                         continue
                 await trio.sleep(pause)
