Count the tokens that a running stream holds

Cause: stages new to a moved stream process all its tokens so far, but a stream knew neither its prompt nor its events, and a move restarted the time since its last event.

Change: ActiveStream has the prompt's tokens, the events of the answer (those of earlier attempts included) and the time of the caller's last event. Nothing uses them yet.

--- a/deckcourse/gateway/active_stream.py
+++ b/deckcourse/gateway/active_stream.py
@@ -56,6 +56,8 @@
     `next_move_at` is when the stream may be moved again. `has_ended` is set once its upstream no
     longer holds the stream. `execution` describes the start of its execution there. `upstream` is
     the first stage as known at the start: the table forgets an incarnation that was superseded.
+    `prompt_tokens` are those of its prompt, 0 if not stated; `events` counts those of the answer so
+    far, also of earlier attempts. `event_at` is when the caller's last event came, 0 if none did.
     """
 
     request_id: str
@@ -73,6 +75,9 @@
     execution: AttemptStart = AttemptStart()
     upstream: Upstream | None = None
     next_move_at: float = 0.0
+    prompt_tokens: int = 0
+    events: int = 0
+    event_at: float = 0.0
     reserve_retry: Callable[[Callable[[], object]], bool] = lambda when_granted: False
     interruption: Interruption | None = None
     _wait_scope: trio.CancelScope | None = field(default=None, init=False)
@@ -87,6 +92,18 @@
             limit = min(limit, MAX_PAUSE_SHARE * pause)
         return self.progress_at + limit
 
+    @property
+    def tokens(self) -> float:
+        """The tokens that it holds so far: its prompt and the answer's events."""
+        prompt = self.prompt_tokens or self.model.usual_prompt
+        return prompt + self.events * self.model.event_tokens
+
+    @property
+    def pause_ends_at(self) -> float:
+        """When the longest pause between events is over; a move doesn't begin another pause."""
+        pause = self.max_pause_seconds or DEFAULT_MAX_PAUSE_SECONDS
+        return (self.event_at or self.progress_at) + pause
+
     @property
     def is_at_upstream(self) -> bool:
         """Whether its upstream still holds it: neither ended nor interrupted."""
@@ -113,14 +130,15 @@
         if scope.cancelled_caught:
             raise StreamInterruptedError
 
-    def note_event(self, now: float) -> None:
+    def note_event(self, now: float, count: int = 1) -> None:
         """Record that events came."""
         if self.has_events:
             gap = now - self.progress_at
             self.average_gap += NEW_GAP_WEIGHT * (gap - self.average_gap)
         self.has_events = True
         self.blocking_instance = ""
-        self.progress_at = now
+        self.progress_at = self.event_at = now
+        self.events += count
 
     def interrupt(self, why: Interruption) -> bool:
         """Detach the stream from its upstream if it may be retried; return whether it was detached.
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -269,6 +269,9 @@
             path,
             trio.current_time(),
             self._admitted.route.gap_objective,
+            prompt_tokens=self._admitted.caller.prompt_tokens,
+            events=self._last_event or 0,
+            event_at=self._last_progress_at if self._has_started else 0.0,
             reserve_retry=self._retries.reserve,
             upstream=context.upstreams.last_known(first.instance),
         )
@@ -405,7 +408,7 @@
             if events:
                 self._record_events(stream)
                 await self._forward_events(reply, stream, events)
-                stream.note_event(trio.current_time())
+                stream.note_event(trio.current_time(), len(events))
             if reader.fault:
                 self._context.count("event.malformed")
                 raise ConnectionLostError(FailureKind.MALFORMED, reader.fault)
