--- a/deckcourse/layers/path_set.py
+++ b/deckcourse/layers/path_set.py
@@ -24,6 +24,10 @@
 # Number of paths of one domain that are spread over its hosts; further ones are the best from their
 # first stages.
 MAX_SPREAD_PATHS = 12
+# Factor by which a host counts as slower for each earlier path over it in the search for another
+# one. The pace of the sites' kinds differs by a factor of up to 6.7, so a replica of any kind is
+# preferred to a host that is passed already.
+REPLICA_FACTOR = 8.0
 
 
 class PathSet:
@@ -46,6 +50,7 @@
         self._hosts = tuple(each for each in hosts if each.usable and not each.is_empty)
         self._starts: dict[frozenset[str], list[LayerPath]] = {}
         self._onward: dict[tuple[PathStage, str, frozenset[str]], LayerPath | None] = {}
+        self._replicas: dict[tuple[LayerPath, frozenset[str]], list[LayerPath]] = {}
 
     @property
     def model(self) -> ModelSpec:
@@ -85,6 +90,44 @@
             self._onward[key] = self._find_onward(first, domain, avoid | {first.instance})
         return self._onward[key]
 
+    def paths_after(self, running: LayerPath, avoid: frozenset[str], count: int) -> list[LayerPath]:
+        """Return paths with the first stage of a running one that pass other replicas.
+
+        They are inside its domain, and each uses hosts of the running path and of the earlier ones
+        only for layers that no other host of the domain holds.
+
+        Args:
+          running: the running path.
+          avoid: hosts that the paths must not use.
+          count: how many paths are searched; equal ones are left out.
+        """
+        key = running, avoid
+        if key not in self._replicas:
+            self._replicas[key] = self._find_replicas(running, avoid, count)
+        return self._replicas[key]
+
+    def _find_replicas(
+        self, running: LayerPath, avoid: frozenset[str], count: int
+    ) -> list[LayerPath]:
+        first = running.stages[0]
+        inside = [
+            each
+            for each in self._hosts_except(avoid | {first.instance})
+            if each.domain == running.domain
+        ]
+        finder = PathFinder(self._model, inside, (first.end,))
+        passed = Counter(running.instances)
+        paths: list[LayerPath] = []
+        for _ in range(count):
+            factors = {name: REPLICA_FACTOR**times for name, times in passed.items()}
+            path = finder.slowed(factors).cheapest_path_after(first, running.domain)
+            if path is None:
+                break
+            passed.update(path.instances)
+            if all(path.stages != each.stages for each in paths):
+                paths.append(path)
+        return paths
+
     def _find_starts(self, avoid: frozenset[str]) -> list[LayerPath]:
         by_domain: dict[str, list[LayerHost]] = defaultdict(list)
         for host in self._hosts_except(avoid):
--- a/deckcourse/layers/paths.py
+++ b/deckcourse/layers/paths.py
@@ -15,7 +15,7 @@
 from deckcourse.layers.hosts import PREFERRED_FILL, LayerHost
 from deckcourse.layers.model import HOP_MS, ModelSpec
 
-__all__ = ["LayerPath", "PathFinder", "PathStage"]
+__all__ = ["MAX_STAGES", "LayerPath", "PathFinder", "PathStage", "append_stage"]
 
 # Cost of crossing between failure domains, milliseconds of a usual request. All requests that cross
 # a link share it, and some 27 of them a second fill it (trials): a path crosses only if none stays
@@ -250,7 +250,7 @@
             host = continuation.host
             crossings += host.domain != last_domain
             last_domain = host.domain
-            _append_stage(stages, PathStage(host.instance, host.address, start, continuation.end))
+            append_stage(stages, PathStage(host.instance, host.address, start, continuation.end))
             if continuation.end >= self._model.layers:
                 break
             start = continuation.end
@@ -260,7 +260,7 @@
         return LayerPath(tuple(stages), domain, cost, crossings)
 
 
-def _append_stage(stages: list[PathStage], stage: PathStage) -> None:
+def append_stage(stages: list[PathStage], stage: PathStage) -> None:
     """Append a stage; a path that returns to a host lets it run the layers in between as well.
 
     An engine rejects a path that names an upstream twice, and a host's range has no gaps.
