Spread moved streams over several paths after a loss

Cause: each stream learned by itself which hosts are gone, three refused moves were the last, all processes took the one cheapest path, and a stream was moved only once it was stalled.

Change, with onward_spread: hosts that a move found missing, a refusal named or a peer reported are left out for all streams of the process; a move that fails for one is repeated at once while the pause lasts; the path is drawn among candidates found ahead of the loss; the most urgent streams go first. StallMonitor.check_upstream probes a reported upstream at once and moves its streams. Moving is in a module of its own; without the setting it works as before. One line per move has candidates, new layers and the predicted time.

Not measured: real hosts.

--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -43,6 +43,7 @@
         "store-regained",
         "suspicion-ended",
         "upstream-backoff",
+        "upstream-checked",
         "upstream-gone",
         "upstream-leaving",
         "upstream-restarted",
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -29,6 +29,7 @@
 from deckcourse.gateway.retry_limits import RetryLimits
 from deckcourse.gateway.row_intake import RowIntake
 from deckcourse.gateway.stalls import StallMonitor
+from deckcourse.gateway.stream_moves import OnwardSpread
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstream import StartOrder, Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -183,6 +184,11 @@
             self._report_lost_upstream,
             counters.count,
             log,
+            OnwardSpread(
+                lambda: self._load_settings().onward_spread,
+                lambda: self._traffic_share.share,
+                random,
+            ),
         )
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
         context = GatewayContext(
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -5,8 +5,14 @@
 from itertools import islice
 from random import Random
 
+from deckcourse.decisions.onward_choice import OnwardStage
 from deckcourse.decisions.path_draw import draw_path
-from deckcourse.decisions.path_forecast import PathForecast, StageLoad, forecast_path
+from deckcourse.decisions.path_forecast import (
+    PathForecast,
+    StageLoad,
+    forecast_path,
+    prefill_ms,
+)
 from deckcourse.decisions.path_load import (
     passing_first_stages,
     streams_by_upstream,
@@ -53,6 +59,9 @@
 # maximum factor: its requests are rarer, and each would be refused by the same full upstream again.
 EXTENDED_BACKOFF_SHARE = 0.1
 MAX_BACKOFF_FACTOR = 4.0
+# Paths over other replicas that are searched for each path of running streams. A layer is mostly
+# held by two or three hosts of a failure domain; each search takes half a millisecond.
+REPLICA_PATHS = 3
 
 
 @dataclass(frozen=True)
@@ -412,3 +421,41 @@
         if row is None:
             return None
         return self._path_set(model).path_after(first, row.domain, avoid)
+
+    def paths_after(
+        self, running: LayerPath, model: ModelSpec, avoid: frozenset[str]
+    ) -> list[LayerPath]:
+        """Return paths over other replicas for requests that run on a path; see `PathSet`."""
+        return self._path_set(model).paths_after(running, avoid, REPLICA_PATHS)
+
+    def refusing(self) -> frozenset[str]:
+        """Return the upstreams that are avoided because a refusal named them."""
+        return frozenset(self._refusing())
+
+    def onward_stages(
+        self,
+        model: ModelSpec,
+        path: LayerPath,
+        running: LayerPath,
+        queued_ms: Callable[[str], float],
+    ) -> list[OnwardStage]:
+        """Return a path's stages as a request that runs on another path meets them.
+
+        Args:
+          model: the requested model.
+          path: the path.
+          running: the path on which the request runs.
+          queued_ms: returns the prefill that moves have queued at an upstream, milliseconds.
+        """
+        passing = self._stream_counts("" if path.crossings else path.domain).passing
+        ran = {each.instance: each for each in running.stages}
+        stages = []
+        for each in path.stages:
+            layers, before = each.end - each.first, ran.get(each.instance)
+            kept = min(each.end, before.end) - max(each.first, before.first) if before else 0
+            kind, pace = self._kind_of(each.instance), self._upstreams.pace(each.instance)
+            prompts = self._watch.queued(each.instance) * model.usual_prompt
+            queued = queued_ms(each.instance) + pace * prefill_ms(model, kind, layers, prompts)
+            load = StageLoad(kind, layers, pace, passing.get(each.instance, 0.0))
+            stages.append(OnwardStage(each.instance, load, layers - max(0, kept), queued))
+        return stages
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -12,11 +12,12 @@
 import trio
 
 from deckcourse.gateway.active_stream import ActiveStream, Interruption
-from deckcourse.gateway.dialect import MoveResult, ProbeResult, StreamControl
+from deckcourse.gateway.dialect import ProbeResult, StreamControl
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.reported_losses import ReportedLosses
+from deckcourse.gateway.stream_moves import NO_SPREAD, OnwardSpread, StreamMover
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.layers.paths import LayerPath
 
 __all__ = ["StallMonitor"]
 
@@ -54,12 +55,8 @@
 SUSPICION_TTL_SECONDS = 4.0
 # Consecutive unanswered queries after which the first upstream itself is suspected.
 MAX_UNANSWERED_QUERIES = 2
-# Paths offered to the first upstream of a stalled stream before the stream is interrupted.
-MAX_MOVE_ATTEMPTS = 3
 # Shortest interval between log entries about a blocking upstream that answers probes.
 STALL_LOG_INTERVAL_SECONDS = 1.0
-# Shortest interval between two moves of one stream: time for its first event on the new path.
-MOVE_INTERVAL_SECONDS = 0.2
 
 
 @dataclass
@@ -83,6 +80,7 @@
       on_suspected: called with the failure domain of each upstream that is suspected.
       count: increments the counter of a name.
       log: writes an entry to the decision log.
+      spread: how moved streams are spread over several paths.
     """
 
     def __init__(
@@ -93,6 +91,7 @@
         on_suspected: Callable[[str], None],
         count: Callable[[str], None],
         log: Callable[..., None],
+        spread: OnwardSpread = NO_SPREAD,
     ) -> None:
         self._upstreams = upstreams
         self._control = control
@@ -101,10 +100,22 @@
         self._count = count
         self._log = log
         self._streams: set[ActiveStream] = set()
+        self._mover = StreamMover(self._streams, upstreams, control, choices, spread, count, log)
         self._query_states: dict[str, _QueryState] = defaultdict(_QueryState)
         self._next_probe_at: dict[str, float] = {}
         self._next_stall_log_at: dict[str, float] = {}
         self._confirming: set[str] = set()
+        self._reported = ReportedLosses(
+            self._streams,
+            upstreams,
+            self._mover,
+            self._probe_now,
+            self._suspect,
+            self._interrupt_streams_of,
+            ISOLATION_SHARE,
+            count,
+            log,
+        )
         self._nursery: trio.Nursery | None = None
 
     def add(self, stream: ActiveStream) -> None:
@@ -128,6 +139,7 @@
         due_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._mover.search_ahead)
             while True:
                 now = trio.current_time()
                 if now - due_at < PROCESS_PAUSE_SECONDS:
@@ -245,8 +257,10 @@
                 due.append(upstream)
         return due
 
-    async def _probe(self, upstream: Upstream, lost: list[tuple[Upstream, ProbeResult]]) -> None:
-        """Probe one upstream; append it to `lost` unless it answers."""
+    async def _probe(
+        self, upstream: Upstream, lost: list[tuple[Upstream, ProbeResult]]
+    ) -> ProbeResult:
+        """Probe one upstream; append it to `lost` unless it answers. Return the result."""
         reply = await self._control.probe(upstream, PROBE_TIMEOUT_SECONDS)
         if reply.result is ProbeResult.SILENT:
             reply = await self._control.probe(upstream, SECOND_PROBE_TIMEOUT_SECONDS)
@@ -254,6 +268,24 @@
             self._upstreams.record_pace(upstream.instance, reply.pace)
         elif reply.result is not ProbeResult.NOT_SENT:
             lost.append((upstream, reply.result))
+        return reply.result
+
+    def check_upstream(self, instance: str, confirmed: bool = False) -> None:
+        """Leave an upstream that is reported as lost; see `ReportedLosses.check`."""
+        if self._nursery is not None:
+            self._reported.check(instance, confirmed, self._nursery)
+
+    async def _move_all(self) -> None:
+        await self._mover.move_all()
+
+    async def _probe_now(self, upstream: Upstream) -> ProbeResult:
+        """Probe an upstream at once; events over it meanwhile show as well that it is alive."""
+        probed_at = trio.current_time()
+        result = await self._probe(upstream, [])
+        events_since = self._with_events_since(probed_at + PROBE_TIMEOUT_SECONDS)
+        if result is ProbeResult.SILENT and upstream.instance in events_since:
+            return ProbeResult.ALIVE
+        return result
 
     def _suspect(self, upstream: Upstream) -> None:
         self._upstreams.suspect(upstream.instance, SUSPICION_TTL_SECONDS)
@@ -353,85 +385,3 @@
         for stream in self._streams:
             if waiting_for.get(stream.request_id) == blocking.address and stream.is_stalled(now):
                 stream.blocking_instance = blocking.instance
-
-    async def _move_all(self) -> None:
-        """Move each stream that is blocked or passes a suspected upstream or ended incarnation."""
-        now = trio.current_time()
-        async with trio.open_nursery() as nursery:
-            for stream in list(self._streams):
-                if not stream.is_moving and now >= stream.next_move_at and self._needs_move(stream):
-                    stream.is_moving = True
-                    nursery.start_soon(self._move, stream)
-
-    def _needs_move(self, stream: ActiveStream) -> bool:
-        if not stream.is_at_upstream:
-            # A write to the caller is pending; a new path would produce events that nobody reads.
-            return False
-        later_stages = [each.instance for each in stream.path.stages[1:]]
-        upstreams = self._upstreams
-        return stream.blocking_instance in later_stages or any(
-            upstreams.is_suspected(each) or upstreams.has_ended(each) for each in later_stages
-        )
-
-    def _is_better_elsewhere(self, stream: ActiveStream) -> bool:
-        """Return whether a stream should restart on a path inside another failure domain.
-
-        Moving it would send all its tokens across the link between the domains, which takes about
-        36 ms per stream, one stream at a time; a path inside one domain reprocesses them in 3 ms. A
-        stream that still has a place isn't restarted on a path that may be full.
-        """
-        choice = self._choices(stream.service)
-        other = choice.choose(stream.model)
-        return other is not None and not other.crossings and choice.has_room(other)
-
-    async def _move(self, stream: ActiveStream) -> None:
-        try:
-            await self._offer_paths(stream)
-        finally:
-            stream.is_moving = False
-            stream.next_move_at = trio.current_time() + MOVE_INTERVAL_SECONDS
-
-    async def _offer_paths(self, stream: ActiveStream) -> None:
-        """Offer other paths to a stream's first upstream until it accepts one.
-
-        If it accepts none, or a path inside another failure domain is better, the stream is
-        interrupted, provided that it may be retried.
-        """
-        avoid = {stream.blocking_instance} if stream.blocking_instance else set()
-        for _ in range(MAX_MOVE_ATTEMPTS):
-            if not stream.is_at_upstream:
-                return
-            path = self._choices(stream.service).onward(
-                stream.model, stream.path.stages[0], frozenset(avoid)
-            )
-            first = self._upstreams.last_known(stream.path.stages[0].instance)
-            if path is None or first is None:
-                break
-            elsewhere = path.crossings and self._is_better_elsewhere(stream)
-            if elsewhere and stream.interrupt(Interruption.BETTER_ELSEWHERE):
-                return
-            result, at_fault = await self._control.move(first, stream.request_id, path)
-            self._record_move(stream, path, result, at_fault)
-            if result is MoveResult.MOVED:
-                return
-            refusing = self._upstreams.at_address(at_fault, stream.service)
-            if result is not MoveResult.STAGE_MISSING or refusing is None:
-                break
-            avoid.add(refusing.instance)
-        stream.interrupt(Interruption.NO_OTHER_PATH)
-
-    def _record_move(
-        self, stream: ActiveStream, path: LayerPath, result: MoveResult, at_fault: str
-    ) -> None:
-        self._count(f"move.{result}")
-        self._log(
-            "move",
-            request=stream.request_id,
-            result=str(result),
-            parts=len(path.stages),
-            at_fault=at_fault,
-        )
-        if result is MoveResult.MOVED:
-            stream.path = path
-            stream.blocking_instance = ""
-            stream.progress_at = trio.current_time()
