--- a/deckcourse/decisions/onward_choice.py
+++ b/deckcourse/decisions/onward_choice.py
@@ -78,7 +78,7 @@
             )
             # Hosts work at the same time, so that the longest queue counts, not their sum.
             queue_ms = max(queue_ms, each.queued_ms)
-        else:
+        elif each.queued_ms:
             # Queued prefill runs in chunks between token steps.
             chunk = prefill_ms(model, load.kind, load.layers, model.prefill_chunk)
             chunk_ms += min(each.queued_ms, load.pace * chunk)
--- a/deckcourse/gateway/onward_paths.py
+++ b/deckcourse/gateway/onward_paths.py
@@ -59,7 +59,9 @@
 
         Those of paths on which no stream runs any more are forgotten.
         """
-        running = {(each.service, each.path): each for each in streams}
+        # Most streams share a few path objects, and hashing a path visits all its stages.
+        by_object = {(each.service, id(each.path)): each for each in streams}
+        running = {(each.service, each.path): each for each in by_object.values()}
         self._replicas = {key: each for key, each in self._replicas.items() if key in running}
         changes = self._upstreams.change_count
         for key, stream in running.items():
@@ -95,9 +97,10 @@
     def _usable_paths(
         self, stream: ActiveStream, replicas: Iterable[LayerPath], avoid: frozenset[str]
     ) -> list[LayerPath]:
-        """Return the running path with lost stages replaced by replicas, and whole replica paths.
+        """Return the running path with lost stages replaced by replicas.
 
-        A path that leaves its domain is not repaired: the link between domains is narrow.
+        Whole paths over replicas, which need more prefill, are added if there are few others. A
+        path that leaves its domain is not repaired: the link between domains is narrow.
         """
         running, others = stream.path, list(replicas)
 
@@ -110,8 +113,10 @@
                 spliced_path(running, others[index:] + others[:index], is_usable)
                 for index in range(len(others))
             ]
-        paths += [each for each in others if all(map(is_usable, each.stages[1:]))]
         distinct = {each.stages: each for each in paths if each is not None}
+        if len(distinct) < MIN_CANDIDATES:
+            whole = (each for each in others if all(map(is_usable, each.stages[1:])))
+            distinct |= {each.stages: each for each in whole}
         distinct.pop(running.stages, None)
         return list(distinct.values())
 
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -435,27 +435,30 @@
     def onward_stages(
         self,
         model: ModelSpec,
-        path: LayerPath,
+        paths: Sequence[LayerPath],
         running: LayerPath,
         queued_ms: Callable[[str], float],
-    ) -> list[OnwardStage]:
-        """Return a path's stages as a request that runs on another path meets them.
+    ) -> list[list[OnwardStage]]:
+        """Return the stages of paths as a request that runs on another path meets them.
 
         Args:
           model: the requested model.
-          path: the path.
+          paths: the paths, of the domain of the running one.
           running: the path on which the request runs.
           queued_ms: returns the prefill that moves have queued at an upstream, milliseconds.
         """
-        passing = self._stream_counts("" if path.crossings else path.domain).passing
+        passing = self._stream_counts(running.domain).passing
         ran = {each.instance: each for each in running.stages}
-        stages = []
-        for each in path.stages:
-            layers, before = each.end - each.first, ran.get(each.instance)
-            kept = min(each.end, before.end) - max(each.first, before.first) if before else 0
-            kind, pace = self._kind_of(each.instance), self._upstreams.pace(each.instance)
-            prompts = self._watch.queued(each.instance) * model.usual_prompt
-            queued = queued_ms(each.instance) + pace * prefill_ms(model, kind, layers, prompts)
-            load = StageLoad(kind, layers, pace, passing.get(each.instance, 0.0))
-            stages.append(OnwardStage(each.instance, load, layers - max(0, kept), queued))
-        return stages
+
+        def onward_stage(stage: PathStage) -> OnwardStage:
+            instance, layers = stage.instance, stage.end - stage.first
+            kind, pace = self._kind_of(instance), self._upstreams.pace(instance)
+            before = ran.get(instance)
+            kept = min(stage.end, before.end) - max(stage.first, before.first) if before else 0
+            queued, prompts = queued_ms(instance), self._watch.queued(instance)
+            if prompts:
+                queued += pace * prefill_ms(model, kind, layers, prompts * model.usual_prompt)
+            load = StageLoad(kind, layers, pace, passing.get(instance, 0.0))
+            return OnwardStage(instance, load, layers - max(0, kept), queued)
+
+        return [[onward_stage(each) for each in path.stages] for path in paths]
--- a/deckcourse/gateway/stream_moves.py
+++ b/deckcourse/gateway/stream_moves.py
@@ -34,7 +34,7 @@
 MOVE_INTERVAL_SECONDS = 0.2
 # Interval between two searches for replicas ahead of a loss, and the share of the time that they
 # may take: a process has a third of a core.
-SEARCH_INTERVAL_SECONDS = 0.1
+SEARCH_INTERVAL_SECONDS = 0.2
 MAX_SEARCH_SHARE = 0.02
 # Smallest share of the traffic by which own moves are scaled up: the largest sites have 390
 # processes.
@@ -322,14 +322,8 @@
         def queued_ms(instance: str) -> float:
             return self._queue.queued_ms(instance, now)
 
-        return [
-            forecast_onward(
-                stream.model,
-                choice.onward_stages(stream.model, each, stream.path, queued_ms),
-                stream.tokens,
-            )
-            for each in candidates
-        ]
+        stages = choice.onward_stages(stream.model, candidates, stream.path, queued_ms)
+        return [forecast_onward(stream.model, each, stream.tokens) for each in stages]
 
     def _queue_prefill(self, chosen: _Choice) -> dict[str, float]:
         """Record the prefill of a move and of the peers' moves at that time, by upstream."""
--- a/features/onward_paths.feature
+++ b/features/onward_paths.feature
@@ -30,10 +30,11 @@
       | too late     | b l4, c l4, d l4, e l4, f l4, g l4 | on        | a2 b2 c2 d2 e2 f2 g2 | 0.12    | 0     | 5       | 0.49  | 1       |
       | as before    | b l4, c l4, d l4, e l4             | off       | a2 b2 c2 d2          | 0.002   | 0     | 3       | 0.01  | 1       |
 
-  Scenario: Replicas are searched ahead of a loss
-    Given 1 streams of a process beside copies b l4, c l4, spreading on
+  Scenario: Replicas are searched ahead of a loss, and streams with fewer tokens are moved first
+    Given 8 streams of a process beside copies b l4, c l4, spreading on
     When a2 is reported as confirmed while a2 are gone and moves take 0.002 seconds
     Then no path was searched at that moment, and the move's line has its inputs
+    And the moves were sent in the order of the streams' tokens
 
   Scenario: The most urgent streams are moved first, those that are late in any case last
     Then streams are moved in the order soon-short soon-long later late
--- a/features/steps/onward_steps.py
+++ b/features/steps/onward_steps.py
@@ -46,10 +46,12 @@
     def __init__(self, rows, gone=(), move_seconds=0.002):
         self.kinds = {each.instance: MODEL.kind_of(each.kind) for each in rows}
         self.gone, self.move_seconds = set(gone), move_seconds
-        self.moves, self.probed, self.replies, self.prefill = [], [], {}, Counter()
+        self.moves, self.sent, self.probed, self.replies = [], [], [], {}
+        self.prefill = Counter()
 
     async def move(self, upstream, request_id, path):
         sent_at = trio.current_time()
+        self.sent.append(request_id)
         await trio.sleep(self.move_seconds)
         missing = next((each for each in path.stages if each.instance in self.gone), None)
         self.moves.append((sent_at, request_id, path, missing.instance if missing else ""))
@@ -241,6 +243,12 @@
     assert fields["predicted_ms"] > 0, fields
 
 
+@then("the moves were sent in the order of the streams' tokens")
+def fewest_first(context):
+    ordered = sorted(context.process.streams, key=lambda each: each.tokens)
+    assert context.control.sent == [each.request_id for each in ordered], context.control.sent
+
+
 @then("the last path is in {count:d} domains")
 def domains_are(context, count):
     path = context.control.moves[-1][2]
