Move a stream again whose new path loses a host meanwhile

Cause: a host that was found to be lost while an order was under way left the stream on the accepted path until it stalled there.

--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -1,5 +1,6 @@
 """Detects stalled streams, finds the blocking upstream and moves the streams to other paths.
 
+The moves themselves are in `stream_moves`, the check of reported upstreams in `reported_losses`.
 For a stalled stream, the monitor queries the first upstream of its path, which reports the upstream
 that the stream waits for. All streams that pass the blocking upstream are moved to other paths. If
 the first upstream doesn't answer, its streams are restarted on other paths.
@@ -134,6 +135,15 @@
         if self._nursery is not None:
             self._nursery.start_soon(self._move_all)
 
+    def check_upstream(self, instance: str, confirmed: bool = False) -> None:
+        """Check an upstream that a peer or a connection watch reports as lost.
+
+        If own streams pass it, it is probed at once, and they are moved unless it answers; with
+        `confirmed` they are moved without a probe. Does nothing without `onward_spread`.
+        """
+        if self._nursery is not None:
+            self._reported.check(instance, confirmed, self._nursery)
+
     async def run(self) -> None:
         """Monitor streams until cancelled."""
         due_at = trio.current_time()
@@ -270,11 +280,6 @@
             lost.append((upstream, reply.result))
         return reply.result
 
-    def check_upstream(self, instance: str, confirmed: bool = False) -> None:
-        """Leave an upstream that is reported as lost; see `ReportedLosses.check`."""
-        if self._nursery is not None:
-            self._reported.check(instance, confirmed, self._nursery)
-
     async def _move_all(self) -> None:
         await self._mover.move_all()
 
--- a/deckcourse/gateway/stream_moves.py
+++ b/deckcourse/gateway/stream_moves.py
@@ -263,7 +263,11 @@
                 **_logged(chosen.forecast),
             )
             if result is MoveResult.MOVED:
-                return
+                if not self._needs_move(stream):
+                    return
+                # Another host of the path was found to be lost while the order was under way.
+                attempts += 1
+                continue
             for instance, ms in queued.items():
                 self._queue.remove(instance, ms, trio.current_time())
             refusing = self._upstreams.at_address(at_fault, stream.service)
--- a/features/onward_paths.feature
+++ b/features/onward_paths.feature
@@ -58,6 +58,7 @@
       | it is silent        | a3                | on        | lost      | is silent               | a3                | 0       | 2     | 0.042   |
       | events still come   | a3                | on        | lost      | is silent, events go on | a3                | 0       | 0     | 0       |
       | confirmed           | a3                | on        | confirmed | is silent               | none              | 0       | 2     | 0.001   |
+      | another meanwhile   | a3 a5             | on        | confirmed | is silent               | none              | 0       | 4     | 0.003   |
       | no stream passes it | b3                | on        | lost      | is silent               | none              | 0       | 0     | 0       |
       | most are silent     | a1 a2 a3 a4 a5 a6 | on        | lost      | is silent               | a1 a2 a3 a4 a5 a6 | 0       | 0     | 0       |
       | first, answers      | a0                | on        | lost      | answers                 | a0                | 0       | 0     | 0       |
--- a/features/steps/onward_steps.py
+++ b/features/steps/onward_steps.py
@@ -215,6 +215,7 @@
             result = REPLIES.get(reply.split()[0], ProbeResult.SILENT)
             context.control.replies[name] = result
             process.monitor.check_upstream(name, confirmed=how == "confirmed")
+            await trio.sleep(0.001)
 
     run_process(context, report, "events" in reply)
 
