Merge the moves of streams in flight with shared losses

Only an upstream that is confirmed to have ended is left without an own probe; a silent one is probed once.

--- a/deckcourse/decisions/loss_reports.py
+++ b/deckcourse/decisions/loss_reports.py
@@ -79,13 +79,14 @@
 class _Record:
     """What is known about one upstream; all times are on the clock of the caller.
 
-    `reports` maps evidence and reporter to the end of their validity. `result_by` names the process
-    that sent the last result.
+    `reports` maps evidence and reporter to the end of their validity. `result` is the last result
+    and `result_by` names the process that sent it.
     """
 
     reports: dict[tuple[Evidence, str], float] = field(default_factory=dict)
     confirmed_until: float = float("-inf")
     alive_until: float = float("-inf")
+    result: Evidence = Evidence.ALIVE
     result_by: str = ""
 
     def reporters(self, evidence: Evidence, now: float) -> set[str]:
@@ -141,7 +142,7 @@
     def _add_result(self, record: _Record, result: Evidence, reporter: str, now: float) -> bool:
         was_confirmed = record.confirmed_until > now
         was_alive = record.alive_until > now and not record.is_avoided(now)
-        record.result_by = reporter
+        record.result, record.result_by = result, reporter
         if result is Evidence.ALIVE:
             record.reports.clear()
             record.confirmed_until = float("-inf")
@@ -183,6 +184,13 @@
         record = self._records.get(instance)
         return record is not None and record.confirmed_until > now
 
+    def has_ended(self, instance: str, now: float) -> bool:
+        """Return whether an upstream is confirmed to have ended."""
+        record = self._records.get(instance)
+        return (
+            record is not None and record.confirmed_until > now and record.result is Evidence.ENDED
+        )
+
     def is_avoided(self, instance: str, now: float) -> bool:
         """Return whether new requests avoid an upstream."""
         record = self._records.get(instance)
--- a/deckcourse/gateway/loss_notices.py
+++ b/deckcourse/gateway/loss_notices.py
@@ -161,6 +161,10 @@
         """Return whether the loss of an upstream is confirmed."""
         return self._is_on() and self._book.is_confirmed(instance, trio.current_time())
 
+    def has_ended(self, instance: str) -> bool:
+        """Return whether an upstream has ended, confirmed by its machine's refusals."""
+        return self._is_on() and self._book.has_ended(instance, trio.current_time())
+
     async def run(self) -> None:
         """Send reports and verify those of others until cancelled."""
         self._verifying.clear()
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -32,6 +32,7 @@
 from deckcourse.gateway.row_intake import RowIntake
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.start_wait import StartWait
+from deckcourse.gateway.stream_moves import OnwardSpread
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstream import StartOrder, Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -196,8 +197,12 @@
             self._report_lost_upstream,
             counters.count,
             log,
-            self._losses.report,
-            self._losses.is_confirmed,
+            OnwardSpread(
+                lambda: self._load_settings().onward_spread,
+                lambda: self._traffic_share.share,
+                random,
+            ),
+            self._losses,
         )
         self._connection_watch = ConnectionWatch(
             self._peers.roster,
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -1,5 +1,6 @@
 """Detects stalled streams, finds the blocking upstream and moves the streams to other paths.
 
+The moves themselves are in `stream_moves`, the check of reported upstreams in `reported_losses`.
 For a stalled stream, the monitor queries the first upstream of its path, which reports the upstream
 that the stream waits for. All streams that pass the blocking upstream are moved to other paths. If
 the first upstream doesn't answer, its streams are restarted on other paths.
@@ -13,11 +14,12 @@
 
 from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.active_stream import ActiveStream, Interruption
-from deckcourse.gateway.dialect import MoveResult, ProbeResult, StreamControl
+from deckcourse.gateway.dialect import ProbeResult, StreamControl
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.reported_losses import NO_REPORTS, LossReports, ReportedLosses
+from deckcourse.gateway.stream_moves import NO_SPREAD, OnwardSpread, StreamMover
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.layers.paths import LayerPath
 
 __all__ = ["StallMonitor"]
 
@@ -55,12 +57,8 @@
 SUSPICION_TTL_SECONDS = 4.0
 # Consecutive unanswered queries after which the first upstream itself is suspected.
 MAX_UNANSWERED_QUERIES = 2
-# Paths offered to the first upstream of a stalled stream before the stream is interrupted.
-MAX_MOVE_ATTEMPTS = 3
 # Shortest interval between log entries about a blocking upstream that answers probes.
 STALL_LOG_INTERVAL_SECONDS = 1.0
-# Shortest interval between two moves of one stream: time for its first event on the new path.
-MOVE_INTERVAL_SECONDS = 0.2
 
 
 @dataclass
@@ -84,8 +82,8 @@
       on_suspected: called with the failure domain of each upstream that is suspected.
       count: increments the counter of a name.
       log: writes an entry to the decision log.
-      report: reports what was observed about an upstream to other processes.
-      is_confirmed: returns whether other processes have confirmed the loss of an upstream.
+      spread: how moved streams are spread over several paths.
+      losses: receives what is observed about upstreams, and tells what others have confirmed.
     """
 
     def __init__(
@@ -96,8 +94,8 @@
         on_suspected: Callable[[str], None],
         count: Callable[[str], None],
         log: Callable[..., None],
-        report: Callable[[str, Evidence], None] = lambda instance, evidence: None,
-        is_confirmed: Callable[[str], bool] = lambda instance: False,
+        spread: OnwardSpread = NO_SPREAD,
+        losses: LossReports = NO_REPORTS,
     ) -> None:
         self._upstreams = upstreams
         self._control = control
@@ -105,13 +103,26 @@
         self._on_suspected = on_suspected
         self._count = count
         self._log = log
-        self._report = report
-        self._is_confirmed = is_confirmed
+        self._losses = losses
         self._streams: set[ActiveStream] = set()
+        self._mover = StreamMover(
+            self._streams, upstreams, control, choices, spread, losses.report, count, log
+        )
         self._query_states: dict[str, _QueryState] = defaultdict(_QueryState)
         self._next_probe_at: dict[str, float] = {}
         self._next_stall_log_at: dict[str, float] = {}
         self._confirming: set[str] = set()
+        self._reported = ReportedLosses(
+            self._streams,
+            upstreams,
+            self._mover,
+            self._probe_now,
+            self._suspect,
+            self._interrupt_streams_of,
+            ISOLATION_SHARE,
+            count,
+            log,
+        )
         self._nursery: trio.Nursery | None = None
 
     def add(self, stream: ActiveStream) -> None:
@@ -130,30 +141,23 @@
         if self._nursery is not None:
             self._nursery.start_soon(self._move_all)
 
-    def check_upstream(self, instance: str) -> None:
-        """Probe an upstream that is reported as gone, and move own streams off it if it is."""
-        if self._nursery is not None and any(
-            instance in each.path.instances for each in self._streams
-        ):
-            self._nursery.start_soon(self._check_reported, instance)
+    def check_upstream(self, instance: str, confirmed: bool = False) -> None:
+        """Check an upstream that a peer or a connection watch reports as lost.
 
-    async def _check_reported(self, instance: str) -> None:
-        lost: list[tuple[Upstream, ProbeResult]] = []
-        for upstream in self._due_for_probe({instance}):
-            await self._probe(upstream, lost, once=self._is_confirmed(instance))
-        for upstream, pulse in lost:
-            self._suspect(upstream)
-            self._log("pulse", instance=instance, address=upstream.address, pulse=str(pulse))
-            if any(each.path.stages[0].instance == instance for each in self._streams):
-                self._interrupt_streams_of(instance, "reported")
-        if lost or self._upstreams.is_suspected(instance):
-            await self._move_all()
+        If own streams pass it, it is probed at once, and they are moved unless it answers. With
+        `onward_spread`, the streams of one that is confirmed to have ended are moved without a
+        probe.
+        """
+        if self._nursery is not None:
+            confirmed = confirmed or self._losses.has_ended(instance)
+            self._reported.check(instance, confirmed, self._nursery)
 
     async def run(self) -> None:
         """Monitor streams until cancelled."""
         due_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._mover.search_ahead)
             while True:
                 now = trio.current_time()
                 if now - due_at < PROCESS_PAUSE_SECONDS:
@@ -273,8 +277,8 @@
 
     async def _probe(
         self, upstream: Upstream, lost: list[tuple[Upstream, ProbeResult]], once: bool = False
-    ) -> None:
-        """Probe one upstream; append it to `lost` unless it answers.
+    ) -> ProbeResult:
+        """Probe one upstream; append it to `lost` unless it answers. Return the result.
 
         Args:
           upstream: the upstream.
@@ -288,11 +292,25 @@
             self._upstreams.record_pace(upstream.instance, reply.pace)
         elif reply.result is not ProbeResult.NOT_SENT:
             lost.append((upstream, reply.result))
+        return reply.result
+
+    async def _move_all(self) -> None:
+        await self._mover.move_all()
+
+    async def _probe_now(self, upstream: Upstream) -> ProbeResult:
+        """Probe an upstream at once; events over it meanwhile show as well that it is alive."""
+        probed_at = trio.current_time()
+        once = self._losses.is_confirmed(upstream.instance)
+        result = await self._probe(upstream, [], once)
+        events_since = self._with_events_since(probed_at + PROBE_TIMEOUT_SECONDS)
+        if result is ProbeResult.SILENT and upstream.instance in events_since:
+            return ProbeResult.ALIVE
+        return result
 
     def _suspect(self, upstream: Upstream) -> None:
         self._upstreams.suspect(upstream.instance, SUSPICION_TTL_SECONDS)
         self._on_suspected(upstream.domain)
-        self._report(upstream.instance, Evidence.SILENT)
+        self._losses.report(upstream.instance, Evidence.SILENT)
         if upstream.instance not in self._confirming and self._nursery is not None:
             self._confirming.add(upstream.instance)
             self._nursery.start_soon(self._confirm_suspicion, upstream)
@@ -388,86 +406,3 @@
         for stream in self._streams:
             if waiting_for.get(stream.request_id) == blocking.address and stream.is_stalled(now):
                 stream.blocking_instance = blocking.instance
-
-    async def _move_all(self) -> None:
-        """Move each stream that is blocked or passes a suspected upstream or ended incarnation."""
-        now = trio.current_time()
-        async with trio.open_nursery() as nursery:
-            for stream in list(self._streams):
-                if not stream.is_moving and now >= stream.next_move_at and self._needs_move(stream):
-                    stream.is_moving = True
-                    nursery.start_soon(self._move, stream)
-
-    def _needs_move(self, stream: ActiveStream) -> bool:
-        if not stream.is_at_upstream:
-            # A write to the caller is pending; a new path would produce events that nobody reads.
-            return False
-        later_stages = [each.instance for each in stream.path.stages[1:]]
-        upstreams = self._upstreams
-        return stream.blocking_instance in later_stages or any(
-            upstreams.is_suspected(each) or upstreams.has_ended(each) for each in later_stages
-        )
-
-    def _is_better_elsewhere(self, stream: ActiveStream) -> bool:
-        """Return whether a stream should restart on a path inside another failure domain.
-
-        Moving it would send all its tokens across the link between the domains, which takes about
-        36 ms per stream, one stream at a time; a path inside one domain reprocesses them in 3 ms. A
-        stream that still has a place isn't restarted on a path that may be full.
-        """
-        choice = self._choices(stream.service)
-        other = choice.choose(stream.model)
-        return other is not None and not other.crossings and choice.has_room(other)
-
-    async def _move(self, stream: ActiveStream) -> None:
-        try:
-            await self._offer_paths(stream)
-        finally:
-            stream.is_moving = False
-            stream.next_move_at = trio.current_time() + MOVE_INTERVAL_SECONDS
-
-    async def _offer_paths(self, stream: ActiveStream) -> None:
-        """Offer other paths to a stream's first upstream until it accepts one.
-
-        If it accepts none, or a path inside another failure domain is better, the stream is
-        interrupted, provided that it may be retried.
-        """
-        avoid = {stream.blocking_instance} if stream.blocking_instance else set()
-        for _ in range(MAX_MOVE_ATTEMPTS):
-            if not stream.is_at_upstream:
-                return
-            path = self._choices(stream.service).onward(
-                stream.model, stream.path.stages[0], frozenset(avoid)
-            )
-            first = self._upstreams.last_known(stream.path.stages[0].instance)
-            if path is None or first is None:
-                break
-            elsewhere = path.crossings and self._is_better_elsewhere(stream)
-            if elsewhere and stream.interrupt(Interruption.BETTER_ELSEWHERE):
-                return
-            result, at_fault = await self._control.move(first, stream.request_id, path)
-            self._record_move(stream, path, result, at_fault)
-            if result is MoveResult.MOVED:
-                return
-            refusing = self._upstreams.at_address(at_fault, stream.service)
-            if result is not MoveResult.STAGE_MISSING or refusing is None:
-                break
-            avoid.add(refusing.instance)
-            self._report(refusing.instance, Evidence.STAGE_MISSING)
-        stream.interrupt(Interruption.NO_OTHER_PATH)
-
-    def _record_move(
-        self, stream: ActiveStream, path: LayerPath, result: MoveResult, at_fault: str
-    ) -> None:
-        self._count(f"move.{result}")
-        self._log(
-            "move",
-            request=stream.request_id,
-            result=str(result),
-            parts=len(path.stages),
-            at_fault=at_fault,
-        )
-        if result is MoveResult.MOVED:
-            stream.path = path
-            stream.blocking_instance = ""
-            stream.progress_at = trio.current_time()
