Queue streams by rank instead of refusing them at one utilization

Cause: a stream was refused at 1.4 requests a slot whatever its priority, account or size, and a request whose first upstream answered 503 was refused when the retry budget was empty.

During a shortage a process takes its share of the free capacity that a load report shows, and replaces its own streams that ended, since all processes see the same few free slots. Priorities that are less than half of the arrivals are exempt. gateway/return_schedule.py spreads returning callers by rank. The decision before execution moved from gateway/stream.py to gateway/stream_admission.py. Off, nothing changes.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -142,9 +142,13 @@
       min_seconds: the smallest value to return.
     """
     remaining = admitted.deadline - trio.current_time()
-    return context.return_schedule(admitted.service.name).take_slot(
-        min_seconds, max(min_seconds, remaining * MAX_RETRY_AFTER_SHARE)
-    )
+    max_seconds = max(min_seconds, remaining * MAX_RETRY_AFTER_SHARE)
+    schedule = context.return_schedule(admitted.service.name)
+    if context.admission.is_on and admitted.service.model is not None:
+        return schedule.take_ranked_slot(
+            admitted.priority, min_seconds, context.admission.jitter(), max_seconds
+        )
+    return schedule.take_slot(min_seconds, max_seconds)
 
 
 async def send_request(
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -69,6 +69,8 @@
         self._is_limited = is_limited
         # For each upstream, when its latest report was queried and the streams sent since.
         self._sent_since_report: dict[str, tuple[float, int]] = {}
+        # The same for the streams that ended.
+        self._ended_since_report: dict[str, tuple[float, int]] = {}
         self._idle_at = 0.0
         self._rounds = 0
         self._wake = trio.Event()
@@ -80,15 +82,33 @@
 
     def note_sent(self, instance: str) -> None:
         """Record that this process sent a stream to an upstream."""
-        at, count = self._find_sent_since(instance)
+        at, count = self._find_since(self._sent_since_report, instance)
         self._sent_since_report[instance] = at, count + 1
 
-    def _find_sent_since(self, instance: str) -> tuple[float, int]:
-        """Return when an upstream's latest report was queried, and the streams sent since."""
+    def note_ended(self, instance: str) -> None:
+        """Record that a stream that this process sent to an upstream ended."""
+        at, count = self._find_since(self._ended_since_report, instance)
+        self._ended_since_report[instance] = at, count + 1
+
+    def sent(self, instance: str) -> int:
+        """Return how many streams this process sent since an upstream's latest report."""
+        return self._find_since(self._sent_since_report, instance)[1]
+
+    def ended(self, instance: str) -> int:
+        """Return how many streams of this process ended since an upstream's latest report."""
+        return self._find_since(self._ended_since_report, instance)[1]
+
+    def reported_at(self, instance: str) -> float | None:
+        """Return when an upstream's latest report was queried, None if there is none."""
+        row = self._board.get(instance)
+        return row.at if row is not None else None
+
+    def _find_since(self, counts: dict[str, tuple[float, int]], instance: str) -> tuple[float, int]:
+        """Return when an upstream's latest report was queried, and what was counted since."""
         row = self._board.get(instance)
         at = row.at if row is not None else float("-inf")
-        sent = self._sent_since_report.get(instance, (at, 0))
-        return sent if sent[0] == at else (at, 0)
+        counted = counts.get(instance, (at, 0))
+        return counted if counted[0] == at else (at, 0)
 
     def reported(self, instance: str) -> float:
         """Return how many requests an upstream reported, running and queued; 0 if unknown."""
@@ -105,11 +125,15 @@
         row = self._board.get(instance)
         return row.queued if row is not None else 0.0
 
+    def total(self) -> float:
+        """Return how many requests all processes have at the first upstreams."""
+        return self._total_requests()
+
     def waiting(self, instance: str) -> float:
         """Return how many requests are queued at an upstream, including those just sent."""
         row = self._board.get(instance)
         return (
-            row.queued + OWN_STREAM_WEIGHT * self._find_sent_since(instance)[1]
+            row.queued + OWN_STREAM_WEIGHT * self._find_since(self._sent_since_report, instance)[1]
             if row is not None
             else 0.0
         )
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -9,6 +9,7 @@
 
 from deckcourse.change_feed import Follower
 from deckcourse.counters import Counters
+from deckcourse.gateway.admission_queues import AdmissionQueues
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_book import CRASH_TABLE, CrashBook
 from deckcourse.gateway.crash_check import CrashCheck
@@ -185,6 +186,18 @@
             log,
         )
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
+        self._admission = AdmissionQueues(
+            load_settings,
+            self._path_choice,
+            self._upstreams,
+            self._traffic_share,
+            random,
+            counters.count,
+            counters.gauge,
+            log,
+        )
+        self._upstreams.set_change_listener(self._admission.note_room)
+        self._peers.loads.set_listener(self._admission.note_room)
         context = GatewayContext(
             upstreams=self._upstreams,
             notices=self._notices,
@@ -200,6 +213,7 @@
             timing=counters.timing,
             log=log,
             retry_budgets=self._retry_budgets,
+            admission=self._admission,
         )
         self._gateway = Gateway(context, lambda: self._desired, identity.domain)
 
@@ -271,8 +285,9 @@
         self._stopping = True
 
     def refuse_new(self) -> None:
-        """Refuse every new request; running ones continue."""
+        """Refuse every new request and those that find no place now; running ones continue."""
         self._gateway.refuse_new()
+        self._admission.stop()
 
     def may_send(self) -> bool:
         """Return whether the configuration is recent enough for requests that need a key."""
@@ -295,6 +310,7 @@
             nursery.start_soon(self._run_forever, self._crash_watch.run)
             nursery.start_soon(self._run_forever, self._issuing.run)
             nursery.start_soon(self._run_forever, self._retry_budgets.run)
+            nursery.start_soon(self._run_forever, self._admission.run)
             nursery.start_soon(self._start_healers, nursery)
 
     async def _run_forever(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -1,7 +1,8 @@
 """Chooses a path for each request by the current load, refusals and failures of upstreams."""
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from heapq import nsmallest
 from itertools import islice
 from random import Random
 
@@ -138,23 +139,65 @@
 
     def is_overloaded(self, path: LayerPath) -> bool:
         """Return whether a request on a path would wait for longer than its caller waits."""
-        return self._utilization(path) > MAX_UTILIZATION
+        return self.utilization(path) > MAX_UTILIZATION
 
     def has_room(self, path: LayerPath) -> bool:
         """Return whether a path has room for one more request, as far as this process knows."""
-        return self._utilization(path) < ROOM_UTILIZATION and not self.refused_recently(path)
+        return self.utilization(path) < ROOM_UTILIZATION and not self.refused_recently(path)
 
-    def forecast(self, model: ModelSpec, path: LayerPath, prompt_tokens: float) -> PathForecast:
+    def forecast(
+        self, model: ModelSpec, path: LayerPath, prompt_tokens: float, is_idle: bool = False
+    ) -> PathForecast:
         """Return the predicted times of one more request on a path, by the known load.
 
         Args:
           model: the requested model.
           path: the path.
           prompt_tokens: the tokens of its prompt, 0 for a usual one.
+          is_idle: whether to predict them as if nothing else ran there.
         """
         delay = model.delay(path.domain, self._domain)
         tokens = prompt_tokens or model.usual_prompt
-        return forecast_path(model, self._stage_loads(model, path), tokens, delay)
+        loads = self._stage_loads(model, path)
+        if is_idle:
+            loads = [replace(each, streams=0.0, queued_tokens=0.0) for each in loads]
+        return forecast_path(model, loads, tokens, delay)
+
+    def beginning_at_first(self, path: LayerPath) -> float:
+        """Return how many streams begin or queue at a path's first upstream."""
+        counts = self._stream_counts("" if path.crossings else path.domain)
+        return counts.beginning_at.get(path.stages[0].instance, 0.0)
+
+    def refused_for(self, path: LayerPath) -> float:
+        """Return how long a path is still avoided after a refusal, seconds."""
+        refusals = (self._refusals.get(each) for each in path.instances)
+        ends_at = max((each.ends_at for each in refusals if each is not None), default=0.0)
+        return max(0.0, ends_at - self._clock())
+
+    def best_paths(
+        self, model: ModelSpec, count: int, avoid: frozenset[str] = frozenset()
+    ) -> list[LayerPath]:
+        """Return the known paths with the lowest cost at the known load.
+
+        Args:
+          model: the requested model.
+          count: how many paths to return at most.
+          avoid: upstreams that the request must not use.
+        """
+        excluded = avoid | self._refusing() | self._upstreams.backing_off()
+        paths = [
+            each for each in self._path_set(model).all_paths() if not each.instances & excluded
+        ]
+        return nsmallest(count, paths, key=self._score)
+
+    def note_sent(self, instance: str) -> None:
+        """Record that a stream is sent to an upstream, for the requests that follow at once."""
+        self._watch.note_sent(instance)
+        self._cached_stream_counts.clear()
+
+    def note_ended(self, instance: str) -> None:
+        """Record that a stream that was sent to an upstream ended."""
+        self._watch.note_ended(instance)
 
     def _stage_loads(self, model: ModelSpec, path: LayerPath) -> list[StageLoad]:
         """Return the load of a path's stages; prompts queued at its first one wait at all."""
@@ -182,7 +225,7 @@
             self._cached_firsts = changes, [each for each in usable if each.first == 0 < each.end]
         return self._cached_firsts[1]
 
-    def _utilization(self, path: LayerPath) -> float:
+    def utilization(self, path: LayerPath) -> float:
         """Return the requests per slot of a path's most utilized stage.
 
         The first stage has slots for requests that begin there, and every stage has memory for the
@@ -353,7 +396,7 @@
         if self._preferred[0] is not inside:
             self._preferred = inside, preferred_paths(inside, self._process, len(inside))
         avoiding = (each for each in self._preferred[1] if not each.instances & avoid)
-        with_room = (each for each in avoiding if self._utilization(each) < 1.0)
+        with_room = (each for each in avoiding if self.utilization(each) < 1.0)
         return list(islice(with_room, MAX_PREFERRED_PATHS))
 
     def _paths(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
@@ -389,7 +432,7 @@
 
     def _score(self, path: LayerPath) -> float:
         first = path.stages[0].instance
-        utilization = self._utilization(path)
+        utilization = self.utilization(path)
         load = (
             1.0 + BUSY_WEIGHT * min(utilization, 1.0) + QUEUE_WEIGHT * max(0.0, utilization - 1.0)
         )
--- a/deckcourse/gateway/return_schedule.py
+++ b/deckcourse/gateway/return_schedule.py
@@ -37,6 +37,8 @@
         self._rate = 0.0
         self._rated_at = clock()
         self._next_slot_at = float("-inf")
+        # The next free slot of each priority.
+        self._next_ranked: dict[int, float] = {}
 
     def note_answered(self) -> None:
         """Count an answered request."""
@@ -56,11 +58,44 @@
         if slot_at > now + min(max_seconds, MAX_RETRY_AFTER_SECONDS):
             # All slots are taken: start again at the first one, which then gets a second caller.
             slot_at = now + min_seconds
-        self._next_slot_at = slot_at + min(
-            MAX_SLOT_INTERVAL_SECONDS, 1.0 / max(RETURNING_SHARE * self._rate, MIN_RATE)
-        )
+        self._next_slot_at = slot_at + self._interval()
         return slot_at - now
 
+    def take_ranked_slot(
+        self,
+        priority: int,
+        min_seconds: float,
+        jitter: float,
+        max_seconds: float = MAX_RETRY_AFTER_SECONDS,
+    ) -> float:
+        """Return the seconds after which a caller of a priority may return, and occupy that slot.
+
+        It is behind the slots of callers that are as urgent or more urgent. Callers that find all
+        slots taken are spread over the later half of the time.
+
+        Args:
+          priority: the caller's priority, 0 for the most urgent.
+          min_seconds: the earliest useful return, in seconds from now.
+          jitter: a random number from 0 to 1, by which processes that refuse callers at the same
+            moment differ.
+          max_seconds: the latest return; MAX_RETRY_AFTER_SECONDS limits it further.
+        """
+        self._decay()
+        now = self._clock()
+        interval = self._interval()
+        taken = (at for each, at in self._next_ranked.items() if each <= priority)
+        slot_at = max(now + min_seconds, max(taken, default=now))
+        latest = now + max(min_seconds, min(max_seconds, MAX_RETRY_AFTER_SECONDS))
+        if slot_at + interval > latest:
+            earliest = now + min_seconds
+            return earliest + (1.0 + jitter) / 2 * (latest - earliest) - now
+        self._next_ranked[priority] = slot_at + interval
+        return slot_at + jitter * interval - now
+
+    def _interval(self) -> float:
+        """Return the time between two slots."""
+        return min(MAX_SLOT_INTERVAL_SECONDS, 1.0 / max(RETURNING_SHARE * self._rate, MIN_RATE))
+
     def _decay(self) -> None:
         now = self._clock()
         self._rate *= 0.5 ** ((now - self._rated_at) / RATE_HALF_LIFE_SECONDS)
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -29,6 +29,11 @@
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
 from deckcourse.gateway.rate_gate import SendingToken
+from deckcourse.gateway.stream_admission import (
+    FULL_RETRY_AFTER_SECONDS,
+    Refusal,
+    StreamAdmission,
+)
 from deckcourse.gateway.stream_retries import StreamRetries
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind, end_to_end
@@ -47,12 +52,6 @@
 # Retry-after value while some layers of a model are unavailable: neighbouring upstreams load them
 # within this time.
 NO_PATH_RETRY_AFTER_SECONDS = 1.0
-# Retry-after value when every path was full: each stream that ends frees capacity, and a retry
-# after this time can still deliver its first event within the objective.
-FULL_RETRY_AFTER_SECONDS = 0.25
-# Retry-after value while requests queue on every path: a second refusal costs more than a late
-# start.
-OVERLOAD_RETRY_AFTER_SECONDS = 1.2
 # How long an upstream that resets or refuses connections gets no new requests.
 UNREACHABLE_COOLDOWN_SECONDS = 2.0
 OK = 200
@@ -96,6 +95,13 @@
         # Whether any attempt has returned events.
         self._has_received_events = False
         self._retries = StreamRetries(context, admitted)
+        self._admission = StreamAdmission(
+            context,
+            admitted,
+            self._retries,
+            lambda: self._choose_path(frozenset(self._avoided)),
+            lambda: frozenset(self._avoided),
+        )
         self._last_event = admitted.caller.last_event
         self._last_progress_at = trio.current_time()
         self._arrived_at = trio.current_time()
@@ -147,13 +153,10 @@
             path = await self._find_path()
             if path is None:
                 return self._no_path_outcome(last_failure)
-            refusal = (
-                None
-                if self._executions
-                else await self._refuse_before_execution(path, attempts, last_failure)
-            )
-            if refusal is not None:
-                return refusal
+            if not self._executions:
+                path = await self._admission.admit(path, attempts)
+                if isinstance(path, Refusal):
+                    return self._refused_outcome(path, last_failure)
             if not self._context.may_send():
                 return self._give_up(last_failure, NotRunReason.NOT_READY, FULL_RETRY_AFTER_SECONDS)
             if await self._context.crashes.wait_for_trial(self._admitted, path.stages[0].instance):
@@ -181,22 +184,15 @@
                 await self._context.crashes.wait_for_preceding_suspects(self._admitted, first)
         return self._give_up(last_failure, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_AFTER_SECONDS)
 
-    async def _refuse_before_execution(
-        self, path: LayerPath, attempts: int, last_failure: _Refused | _Broken | None
-    ) -> Outcome | None:
-        """Return the refusal of a request that was not executed yet, None if it may be sent."""
-        if self._choice.is_overloaded(path):
-            message = "every path has more waiting than it can serve in time"
-            return NotRun(
-                NotRunReason.OVERLOADED, message, self._retry_after(OVERLOAD_RETRY_AFTER_SECONDS)
-            )
-        if attempts and self._choice.refused_recently(path):
-            return self._give_up(
-                last_failure, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_AFTER_SECONDS
-            )
-        if attempts and not await self._retries.acquire(was_executed=False):
-            return self._give_up(last_failure, NotRunReason.RETRY_BUDGET, FULL_RETRY_AFTER_SECONDS)
-        return None
+    def _refused_outcome(
+        self, refusal: Refusal, last_failure: _Refused | _Broken | None
+    ) -> Outcome:
+        """Return the outcome of a stream that was not admitted and not executed."""
+        if refusal.reason is NotRunReason.NO_ROUTE:
+            return self._no_path_outcome(last_failure)
+        if not refusal.message:
+            return self._give_up(last_failure, refusal.reason, refusal.retry_after)
+        return NotRun(refusal.reason, refusal.message, self._retry_after(refusal.retry_after))
 
     def _give_up(
         self, last_failure: _Refused | _Broken | None, reason: NotRunReason, retry_after: float
@@ -275,6 +271,7 @@
         self._current = stream
         context.upstreams.begin_request(first.instance)
         context.monitor.add(stream)
+        executions = self._executions
         try:
             with stream.interruptible():
                 connection = await context.pool.acquire(
@@ -290,6 +287,8 @@
             context.monitor.discard(stream)
             context.crashes.end_attempt(self._admitted, first.instance)
             context.upstreams.end_request(first.instance)
+            if self._executions > executions:
+                context.admission.note_ended(stream.service, first.instance)
         if isinstance(result, _Finished | _Broken):
             context.upstreams.record_outcome(first.instance, isinstance(result, _Broken))
         return result
@@ -353,7 +352,7 @@
         self._executions += 1
         stream.execution = self._context.crashes.begin_attempt(admitted, dispatch.instance)
         self._retries.note_execution(dispatch.instance)
-        self._choice.load_watch.note_sent(dispatch.instance)
+        self._admission.note_sent(stream.path)
         try:
             with stream.interruptible():
                 reply, facts = await send_request(self._context, admitted, connection, dispatch)
@@ -389,6 +388,7 @@
             refusing_instance = row.instance if row is not None else refusing_instance
         self._avoided.add(refusing_instance)
         self._choice.note_full(refusing_instance)
+        self._admission.note_refused()
         self._context.count(f"retry.{RetryReason.REFUSED}.{status}")
         return _Refused(RetryReason.REFUSED, f"{refusing_instance} answered {status}")
 
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -75,6 +75,7 @@
         self._host_cache: dict[str, LayerHost] = {}
         self._in_flight: Counter[str] = Counter()
         self._changes = 0
+        self._on_change: Callable[[], object] = lambda: None
         self._store_recovered_at = float("-inf")
         self._next_expiry = float("inf")
 
@@ -89,6 +90,10 @@
         self._expire()
         return self._changes
 
+    def set_change_listener(self, on_change: Callable[[], object]) -> None:
+        """Register the callback for each change that may change the best path."""
+        self._on_change = on_change
+
     def on_store_recovered(self, recovered_at: float | None = None) -> None:
         """Record that the store recovered from an outage, now or at the given time."""
         at = self._clock() if recovered_at is None else recovered_at
@@ -446,6 +451,8 @@
         """
         self._host_cache.pop(instance, None)
         self._changes += counts
+        if counts:
+            self._on_change()
 
     def begin_request(self, instance: str) -> None:
         """Count a request in flight."""
--- a/deckcourse/peers/loads.py
+++ b/deckcourse/peers/loads.py
@@ -65,6 +65,11 @@
         # The sequence number of the newest load of each upstream, in order of arrival.
         self._sequences: dict[str, int] = {}
         self._sequence = 0
+        self._on_recorded: Callable[[], object] = lambda: None
+
+    def set_listener(self, on_recorded: Callable[[], object]) -> None:
+        """Register the callback for each new load."""
+        self._on_recorded = on_recorded
 
     def record(self, row: LoadRow) -> None:
         """Record the load of an upstream, unless it is invalid or a newer one is known."""
@@ -75,6 +80,7 @@
             self._sequence += 1
             self._rows[row.instance] = row
             self._sequences[row.instance] = self._sequence
+            self._on_recorded()
 
     def since(self, sequence: int) -> tuple[tuple[LoadRow, ...], int]:
         """Return the valid loads that came after a sequence number, and the newest number."""
--- /dev/null
+++ b/features/admission_queue.feature
@@ -0,0 +1,39 @@
+Feature: Requests wait in a process for a place, and never get lost there
+
+  # Guards against a delay, or a wait, that admission control adds where capacity is sufficient.
+  Scenario: Without a shortage a request begins as fast as without admission control
+    Given two chains of runners with admission control
+    When the same requests are sent with it and without it
+    Then they took the same time and the log has no line about admission
+
+  Scenario: Waiting requests begin in the order of their priority once streams end
+    Given two chains of runners with admission control
+    When the chains are full, callers of priority 2, 1 and 0 wait, and streams end one by one
+    Then they began in the order 0, 1, 2 and got their whole answers
+
+  # Guards against requests that are dropped, or run after their refusal, while they wait.
+  Scenario Outline: While requests wait, <event>
+    Given two chains of runners with admission control
+    When the chains are full, three callers wait, and <event>
+    Then the waiting callers got <result>, within <seconds> seconds
+    And the queue is empty, and no refused or abandoned request was executed
+
+    Examples:
+      | event                                 | result                | seconds |
+      | the first caller leaves               | nothing, 200, 200     | 1.5     |
+      | the process stops                     | 503, 503, 503         | 0.3     |
+      | all paths are lost                    | 503, 503, 503         | 0.6     |
+      | no capacity comes                     | 429, 429, 429         | 2.0     |
+      | the settings turn admission off       | 200, 200, 200         | 1.5     |
+      | the settings allow one waiting request | 200, 429, 429        | 1.5     |
+
+  # Guards against refusals that only the choice of the first upstream caused.
+  Scenario Outline: A request whose first upstream refused it waits for its retry: <case>
+    Given two chains of runners with admission control and no retry until <seconds> s have passed
+    When a caller asks for a stream, and its first upstream refuses it
+    Then the caller got <status> within <most> seconds
+
+    Examples:
+      | case                      | seconds | status | most |
+      | a retry is earned in time | 0.15    | 200    | 0.9  |
+      | it isn't                  | 5       | 503    | 0.5  |
--- /dev/null
+++ b/features/steps/admission_queue_steps.py
@@ -0,0 +1,209 @@
+"""Steps for requests that wait in a gateway process, with in-memory stand-ins."""
+
+from dataclasses import replace
+from unittest.mock import patch
+
+import trio
+from behave import given, then, when
+from gateway_story import two_chains
+from gateway_world import default_config
+
+from deckcourse.gateway.retry_allowance import RetryAllowance
+from deckcourse.gateway.traffic_share import TrafficShare
+from deckcourse.settings import LoadSettings
+
+WAIT_SECONDS = 0.1
+CALLERS = 3
+
+
+@given("two chains of runners with admission control")
+def chains_with_admission(context):
+    two_chains(context)
+    for runner in context.site.runners.values():
+        runner.slots = 1
+    context.site.load = LoadSettings(admission=True)
+    # The only process of its site; the share that it measures over few requests is far lower.
+    whole_share = patch.object(TrafficShare, "share", 1.0)
+    whole_share.start()
+    context.add_cleanup(whole_share.stop)
+    # One account for each priority, and one without.
+    names = [("a", None), *((f"p{each}", each) for each in range(CALLERS))]
+    context.site.config = default_config(
+        tenants=[{"name": name, "apiKeys": [name], "priority": each} for name, each in names]
+    )
+
+
+def set_running(site, count):
+    """Let the first upstreams report a number of running streams."""
+    for name in ("x1", "y1"):
+        site.runners[name].running = count
+
+
+async def fill(site):
+    """Let the process learn that the chains are full."""
+    set_running(site, 1)
+    await site.ask(name="warm", key="a")
+    await trio.sleep(2.0)
+
+
+def queue_of(site):
+    return site.node.gateway.context.admission.of("llm")
+
+
+async def ask_all(context, keys, change):
+    """Ask once with each key, and change the site once these requests wait."""
+    site = context.site
+    context.got = [None] * len(keys)
+
+    async def ask(number):
+        leave_after = 2 * WAIT_SECONDS if number == 0 and change is leave else None
+        context.got[number] = await site.ask(
+            name=f"r{number}", key=keys[number], leave_after=leave_after
+        )
+
+    async with trio.open_nursery() as nursery:
+        for number in range(len(keys)):
+            nursery.start_soon(ask, number)
+            await trio.sleep(0.01)
+        await trio.sleep(WAIT_SECONDS)
+        context.waiting = queue_of(site).waiting
+        await change(site)
+
+
+@when("the same requests are sent with it and without it")
+def sent_with_and_without(context):
+    site, context.times = context.site, []
+
+    async def story(site):
+        await site.ask(name="warm", key="a")
+        for number in range(CALLERS):
+            got = await site.ask(name=f"r{number}", key="a")
+            context.times.append((got.status, round(got.seconds, 6)))
+
+    for is_on in (True, False):
+        site.load = LoadSettings(admission=is_on)
+        site.play(story)
+        assert not any(kind == "admission" for kind, _ in site.lines), site.lines
+
+
+@then("they took the same time and the log has no line about admission")
+def same_time(context):
+    assert context.times[:CALLERS] == context.times[CALLERS:], context.times
+    assert all(status == 200 for status, _ in context.times), context.times
+
+
+async def end_streams(site):
+    set_running(site, 0)
+
+
+async def leave(site):
+    await trio.sleep(2 * WAIT_SECONDS)
+    assert queue_of(site).waiting == CALLERS - 1
+    set_running(site, 0)
+
+
+async def stop(site):
+    site.node.stop()
+    site.node.refuse_new()
+
+
+async def lose_paths(site):
+    for name in site.runners:
+        site.store.put("servers", name, None)
+
+
+async def turn_off(site):
+    site.load = LoadSettings()
+    set_running(site, 0)
+
+
+async def bound_queue(site):
+    site.load = replace(site.load, max_waiting=1)
+    await site.ask(name="one more", key="a", leave_after=WAIT_SECONDS)
+    set_running(site, 0)
+
+
+async def nothing(site):
+    pass
+
+
+EVENTS = {
+    "the first caller leaves": leave,
+    "the process stops": stop,
+    "all paths are lost": lose_paths,
+    "no capacity comes": nothing,
+    "the settings turn admission off": turn_off,
+    "the settings allow one waiting request": bound_queue,
+}
+
+
+@when("the chains are full, callers of priority 2, 1 and 0 wait, and streams end one by one")
+def priorities_wait(context):
+    async def story(site):
+        await fill(site)
+        await ask_all(context, ["p2", "p1", "p0"], end_streams)
+
+    context.site.play(story)
+
+
+@then("they began in the order 0, 1, 2 and got their whole answers")
+def began_in_order(context):
+    assert context.waiting == CALLERS, context.waiting
+    runs = [each.request for each in context.site.runs if each.request != "warm"]
+    assert runs == ["r2", "r1", "r0"], (runs, context.site.lines)
+    assert all(each.status == 200 and each.whole for each in context.got), context.got
+
+
+@when("the chains are full, three callers wait, and {event}")
+def event_while_waiting(context, event):
+    async def story(site):
+        await fill(site)
+        await ask_all(context, ["a"] * CALLERS, EVENTS[event])
+        context.left_waiting = queue_of(site).waiting
+
+    context.site.play(story)
+
+
+@then("the waiting callers got {result}, within {seconds:g} seconds")
+def waiting_got(context, result, seconds):
+    assert context.waiting == CALLERS, (context.waiting, context.site.lines)
+    got = ["nothing" if not each.status else str(each.status) for each in context.got]
+    assert got == result.split(", "), (got, context.site.lines)
+    assert all(each.seconds <= seconds for each in context.got), context.got
+    refused = [each for each in context.got if each.status in (429, 503)]
+    assert all(float(context.site.header(each, "retry-after")) > 0 for each in refused)
+
+
+@then("the queue is empty, and no refused or abandoned request was executed")
+def nothing_left(context):
+    assert context.left_waiting == 0
+    served = {f"r{number}" for number, each in enumerate(context.got) if each.status == 200}
+    assert {each.request for each in context.site.runs} == served | {"warm"}, context.site.runs
+
+
+@given("two chains of runners with admission control and no retry until {seconds:g} s have passed")
+def no_retry(context, seconds):
+    chains_with_admission(context)
+    context.retry_seconds = seconds
+
+
+@when("a caller asks for a stream, and its first upstream refuses it")
+def first_refuses(context):
+    async def story(site):
+        await site.ask(name="warm", key="a")
+        site.runners["x1"].behaviour = "full"
+        available_at = trio.current_time() + context.retry_seconds
+
+        async def acquire(self, reserve_share=0.0):
+            return trio.current_time() >= available_at
+
+        with patch.object(RetryAllowance, "acquire", acquire):
+            context.got = await site.ask(name="r1", key="a")
+
+    context.site.play(story)
+    assert context.site.refusals == 1, context.site.refusals
+
+
+@then("the caller got {status:d} within {most:g} seconds")
+def caller_got(context, status, most):
+    assert context.got.status == status and context.got.seconds <= most, context.got
