Check in the soak that urgent requests go first, and mutants of admission control

Cause: nothing showed that an urgent request isn't refused for load while a lesser one of the same service begins in the same process. Admission was also logged for requests that had not waited.

The entries of the soak run with admission control, and its two routes of streams have priorities 0 and 2; its account has none.

--- a/deckcourse/gateway/admission_queue.py
+++ b/deckcourse/gateway/admission_queue.py
@@ -105,6 +105,7 @@
       clock: returns seconds on trio's clock.
       max_waiting: returns how many requests may wait.
       note_sent: called with the first upstream of a path that a request begins on.
+      call_at_next_change: registers a function that is called at the next change of upstreams.
       count: adds to a counter by name.
       gauge: sets a gauge by name.
       log: writes the decision log.
@@ -116,6 +117,7 @@
         clock: Callable[[], float],
         max_waiting: Callable[[], int],
         note_sent: Callable[[str], None],
+        call_at_next_change: Callable[[Callable[[], object]], None],
         count: Callable[[str], None],
         gauge: Callable[[str, float], None],
         log: Callable[..., None],
@@ -124,6 +126,7 @@
         self._clock = clock
         self._max_waiting = max_waiting
         self._note_sent = note_sent
+        self._call_at_next_change = call_at_next_change
         self._count = count
         self._gauge = gauge
         self._log = log
@@ -178,7 +181,7 @@
         now = self._clock()
         self._settle(ticket, now, self._count_ahead(ticket, now))
         if ticket.outcome is not None:
-            self._report(ticket, now)
+            self._report(ticket, None)
             return ticket.outcome
         self._use.note_asked(ticket.need, now)
         self.note_shortage()
@@ -231,6 +234,7 @@
                 self._room = trio.Event()
                 # Set as soon as the first request waits.
                 await self._room.wait()
+            self._call_at_next_change(self.note_room)
             with trio.move_on_after(RECHECK_INTERVAL_SECONDS):
                 await self._room.wait()
             self._room = trio.Event()
@@ -362,10 +366,14 @@
         size = sum(each.body_bytes for each in self._waiting)
         self._gauge(f"admission.bytes.{self._service}", size)
 
-    def _report(self, ticket: Ticket, entered_at: float) -> None:
-        """Count how a request left; log it if it waited or was refused."""
+    def _report(self, ticket: Ticket, entered_at: float | None) -> None:
+        """Count how a request left; log it if it waited or was refused.
+
+        Args:
+          ticket: the request.
+          entered_at: when it began to wait, None if it didn't.
+        """
         outcome, verdict = ticket.outcome, ticket.verdict
-        has_waited = self._clock() > entered_at
         if outcome is None:
             result, why = "left", "caller-gone"
         elif isinstance(outcome, Refused):
@@ -373,8 +381,9 @@
         else:
             result, why = "begun", verdict.why
         self._count(f"admission.{result}.{why}")
-        if result == "begun" and not has_waited:
+        if result == "begun" and entered_at is None:
             return
+        waited = self._clock() - entered_at if entered_at is not None else 0.0
         self._log(
             "admission",
             request=ticket.request_id,
@@ -382,7 +391,7 @@
             why=why,
             priority=ticket.need.priority,
             rank=[round(each, 2) for each in ticket.rank],
-            waited_ms=round((self._clock() - entered_at) * 1000),
+            waited_ms=round(waited * 1000),
             first_event_ms=ceil(verdict.first_event * 1000) if verdict is not None else None,
             begins_in_ms=ceil(verdict.begins_in * 1000) if verdict is not None else None,
             waiting=len(self._waiting),
--- a/deckcourse/gateway/admission_queues.py
+++ b/deckcourse/gateway/admission_queues.py
@@ -65,6 +65,7 @@
                 trio.current_time,
                 lambda: self._settings().max_waiting,
                 self._path_choice(service).note_sent,
+                self._upstreams.call_at_next_change,
                 self._count,
                 self._gauge,
                 self._log,
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -196,7 +196,6 @@
             counters.gauge,
             log,
         )
-        self._upstreams.set_change_listener(self._admission.note_room)
         self._peers.loads.set_listener(self._admission.note_room)
         context = GatewayContext(
             upstreams=self._upstreams,
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -75,7 +75,7 @@
         self._host_cache: dict[str, LayerHost] = {}
         self._in_flight: Counter[str] = Counter()
         self._changes = 0
-        self._on_change: Callable[[], object] = lambda: None
+        self._at_next_change: set[Callable[[], object]] = set()
         self._store_recovered_at = float("-inf")
         self._next_expiry = float("inf")
 
@@ -90,9 +90,9 @@
         self._expire()
         return self._changes
 
-    def set_change_listener(self, on_change: Callable[[], object]) -> None:
-        """Register the callback for each change that may change the best path."""
-        self._on_change = on_change
+    def call_at_next_change(self, callback: Callable[[], object]) -> None:
+        """Call a function once, at the next change that may change the best path."""
+        self._at_next_change.add(callback)
 
     def on_store_recovered(self, recovered_at: float | None = None) -> None:
         """Record that the store recovered from an outage, now or at the given time."""
@@ -451,8 +451,10 @@
         """
         self._host_cache.pop(instance, None)
         self._changes += counts
-        if counts:
-            self._on_change()
+        if counts and self._at_next_change:
+            callbacks, self._at_next_change = self._at_next_change, set()
+            for each in callbacks:
+                each()
 
     def begin_request(self, instance: str) -> None:
         """Count a request in flight."""
--- a/features/admission_replay.py
+++ b/features/admission_replay.py
@@ -47,6 +47,7 @@
             trio.current_time,
             lambda: 64,
             self.note_sent,
+            lambda callback: None,
             lambda name: None,
             lambda name, value: None,
             lambda *args, **fields: None,
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -3,6 +3,7 @@
 import mutants_control  # noqa: F401 - registers its mutants
 import mutants_requests  # noqa: F401 - registers its mutants
 from mutant_registry import MUTANTS, mutant, switch_on
+from mutants_admission import EVERY as OF_ADMISSION
 from mutants_crashes import EVERY as OF_CRASHES
 from mutants_foreign import EVERY as OF_FOREIGN_ROWS
 from mutants_gateway import EVERY as OF_THE_GATEWAY
@@ -14,6 +15,13 @@
 __all__ = ["MUTANTS", "switch_on"]
 
 for _function, (_mechanism, _features) in (
-    OF_THE_GATEWAY | OF_LAYERS | OF_PEERS | OF_FOREIGN_ROWS | OF_NOTICES | OF_CRASHES | OF_RATES
+    OF_THE_GATEWAY
+    | OF_LAYERS
+    | OF_PEERS
+    | OF_FOREIGN_ROWS
+    | OF_NOTICES
+    | OF_CRASHES
+    | OF_RATES
+    | OF_ADMISSION
 ).items():
     mutant(_mechanism, *_features)(_function)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -25,6 +25,13 @@
     Then it reports no violation
     And it checked retries
 
+  # Guards against refusing urgent requests for load while lesser ones begin in the same process.
+  # Without reports of full runners, no request of the soak waits.
+  Scenario: Urgent requests go first while all runners report that they are full
+    When the soak runs seed 4 for 6 seconds with reports of full runners as the only faults
+    Then it reports no violation
+    And it checked refusals for load
+
   # Guards against treating a malformed answer as one that was cut by its connection, and against
   # checking nothing after a connection is closed: a chunk without a head passed unnoticed.
   Scenario: A caller of the soak rejects every answer that a strict client rejects
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -41,6 +41,20 @@
     run_soak(context, seed, seconds, "--only", "deadly")
 
 
+@when(
+    "the soak runs seed {seed:d} for {seconds:d} seconds with reports of full runners"
+    " as the only faults"
+)
+def run_soak_with_shortage(context, seed, seconds):
+    run_soak(context, seed, seconds, "--only", "shortage")
+
+
+@then("it checked refusals for load")
+def check_load_refusals_judged(context):
+    match = re.search(r"(\d+) refusals for load", context.soak.stdout)
+    assert match is not None and int(match.group(1)) > 0, context.soak.stdout
+
+
 @then("it checked upstreams that requests had crashed")
 def check_crashes_judged(context):
     match = re.search(r"(\d+) runners ended by requests", context.soak.stdout)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from soak.admission_judge import AdmissionJudge
 from soak.budget_judge import BudgetJudge
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
 from soak.calls import Call
@@ -26,6 +27,7 @@
 from soak.rate_faults import RateFaults
 from soak.rate_judge import RateJudge
 from soak.refusal_faults import RefusalFaults
+from soak.shortage_faults import ShortageFaults
 from soak.site import (
     ENTRY_COUNT,
     REVOCATION_SECONDS,
@@ -48,12 +50,14 @@
 # The excess over a call's time limit that is ignored, since the caller's process is busy too.
 MEASUREMENT_GRACE_SECONDS = 1.0
 # Kinds of faults that use random sequences of their own: notices in answers of runners, requests
-# that crash their runners, rate limits that runners announce, and phases in which all refuse.
+# that crash their runners, rate limits that runners announce, and phases in which all refuse or
+# report that they are full.
 NOTICE_KIND = "notices"
 CRASH_KIND = "deadly"
 RATE_KIND = "rates"
 REFUSAL_KIND = "refusals"
-SEPARATE_KINDS = {NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND}
+SHORTAGE_KIND = "shortage"
+SEPARATE_KINDS = {NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND}
 # The number of violations that are printed for a seed.
 MAX_PRINTED_VIOLATIONS = 10
 
@@ -113,6 +117,7 @@
         )
         refusal_faults = RefusalFaults(site, Random(f"refusals of {seed}"), log_fault)
         rate_faults = RateFaults(site, Random(f"rates of {seed}"), log_fault)
+        shortage_faults = ShortageFaults(site, Random(f"shortage of {seed}"), log_fault)
         nursery.start_soon(crash_faults.restart_crashed)
         async with trio.open_nursery() as load_nursery:
             load_nursery.start_soon(callers.run, CALLER_COUNT)
@@ -125,6 +130,8 @@
                     fault_nursery.start_soon(rate_faults.run, began_at + seconds)
                 if not only or REFUSAL_KIND in only:
                     fault_nursery.start_soon(refusal_faults.run, began_at + seconds)
+                if not only or SHORTAGE_KIND in only:
+                    fault_nursery.start_soon(shortage_faults.run, began_at + seconds)
                 if not only or CRASH_KIND in only:
                     fault_nursery.start_soon(crash_faults.run, began_at + seconds)
             await trio.sleep(RECOVERY_SECONDS)
@@ -146,6 +153,7 @@
         + crash_faults.find_violations()
     )
     violations += RateJudge(site, callers.calls, interruptions).find_violations()
+    violations += AdmissionJudge(site, callers.calls).find_violations()
     violations += BudgetJudge(site, callers.calls).find_violations()
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
 
--- a/soak/odd_answers.py
+++ b/soak/odd_answers.py
@@ -71,7 +71,8 @@
     """The fault of a runner's answers, with the gate that all its output passes.
 
     `announce_release` is called shortly before held output is released; `notices` get their orders
-    from the same stream.
+    from the same stream. `shown` is the number of further streams that reports show until
+    `shown_until`.
     """
 
     random: Random
@@ -81,6 +82,8 @@
     fault: AnswerFault | None = None
     fault_until: float = 0.0
     aimed_hold_until: float = 0.0
+    shown: int = 0
+    shown_until: float = 0.0
     timed_out_at: list[float] = field(default_factory=list)
 
     async def read_orders(self, orders: trio.abc.ReceiveStream) -> None:
@@ -96,6 +99,9 @@
             return
         if "still" in order:
             self.gate.close(order["still"])
+        elif "shown" in order:
+            self.shown = order["shown"]
+            self.shown_until = trio.current_time() + order["seconds"]
         elif "aimed" in order:
             self.gate.close(order["aimed"])
             self.aimed_hold_until = trio.current_time() + order["aimed"]
@@ -104,6 +110,10 @@
             self.fault = AnswerFault(order["odd"])
             self.fault_until = trio.current_time() + order["seconds"]
 
+    def count_shown(self) -> int:
+        """Return how many streams reports show in addition to those that run."""
+        return self.shown if trio.current_time() < self.shown_until else 0
+
     def draw_fault(self) -> AnswerFault | None:
         """Draw the fault of the next answer, or None."""
         if trio.current_time() < self.fault_until and self.random.random() < FAULTY_SHARE:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -175,7 +175,9 @@
             if stream.waits_for and now - stream.waits_for[1] >= MIN_REPORTED_STALL_SECONDS
         ]
         return {
-            "sequence": self._order_count, "running": len(self._streams), "queued": 0, "kvUsed": 0,
+            "sequence": self._order_count,
+            "running": len(self._streams) + self._answer_faults.count_shown(),
+            "queued": 0, "kvUsed": 0,
             "kvTotal": 1, "stalled": stalled, "first": self._first_layer, "end": self._end_layer,
             "born": self._spec.born, "layers": self._held_layers(), "utilization": self._is_loading,
         }  # fmt: skip
--- a/soak/site.py
+++ b/soak/site.py
@@ -25,6 +25,8 @@
     "STOP_GRACE_SECONDS",
     "ENTRY_COUNT",
     "REVOCATION_SECONDS",
+    "PRIORITIES",
+    "SLOTS",
     "Entry",
     "RunnerProcess",
     "Site",
@@ -55,6 +57,9 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 30
 RETRY_WINDOW_SECONDS = 10
+# The slots of each runner, and the priorities of the routes of streams.
+SLOTS = 24
+PRIORITIES = {"stream": 0, "fragile": 2}
 SETTINGS = """[node]
 name = {name}
 domain = {domain}
@@ -71,6 +76,9 @@
 retry_ratio = {retry_ratio}
 retry_slack = {retry_slack}
 retry_window = {retry_window} s
+
+[load]
+admission = true
 """
 
 
@@ -78,7 +86,8 @@
     """Return a desired state with a route of each kind and one client account."""
     routes = [
         {"name": name, "host": "h.example", "pathPrefix": f"/{name}/", "kind": kind,
-         "timeoutMs": 5000, "sloMs": 500, "priority": 1, "service": service, "maxAttempts": 3,
+         "timeoutMs": 5000, "sloMs": 500, "priority": PRIORITIES.get(name, 1), "service": service,
+         "maxAttempts": 3,
          "resumable": name == "stream", "gap_aim_ms": 200}
         for name, kind, service in (
             ("stream", "streaming", "llm"), ("fragile", "streaming", "llm"),
@@ -86,7 +95,7 @@
         )
     ]  # fmt: skip
     engine = {
-        "slots": 24, "models": [{"name": "m", "load_s": 1.0}], "layers": LAYER_COUNT,
+        "slots": SLOTS, "models": [{"name": "m", "load_s": 1.0}], "layers": LAYER_COUNT,
         "layer_mb": LAYER_MB, "act_bytes": 1000, "kvTokenBytes": 1000, "step_ms": 1.0,
         "read_per_s": 100000.0, "loads_at_once": 6,
         "kinds": [{"name": "card", "mb": LAYER_MB * LAYER_CAPACITY, "pace": 1.0, "read_x": 1.0}],
@@ -96,7 +105,7 @@
         "routes": routes,
         "services": [{"name": "llm", "maxConns": 200, "engine": engine}, {"name": "crm"}],
         "limits": {},
-        "tenants": [{"name": "acme", "apiKeys": keys, "priority": 1}],
+        "tenants": [{"name": "acme", "apiKeys": keys}],
     }
 
 
