--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -9,6 +9,7 @@
 
 from deckcourse.change_feed import Follower
 from deckcourse.counters import Counters
+from deckcourse.gateway.admission_queues import AdmissionQueues
 from deckcourse.gateway.connection_watch import ConnectionWatch
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_book import CRASH_TABLE, CrashBook
@@ -216,6 +217,17 @@
         )
         self._losses.register_handlers(self._monitor.check_upstream, self._connection_watch.on_news)
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
+        self._admission = AdmissionQueues(
+            load_settings,
+            self._path_choice,
+            self._upstreams,
+            self._traffic_share,
+            random,
+            counters.count,
+            counters.gauge,
+            log,
+        )
+        self._peers.loads.set_listener(self._admission.note_room)
         context = GatewayContext(
             upstreams=self._upstreams,
             notices=self._notices,
@@ -232,6 +244,7 @@
             log=log,
             retry_budgets=self._retry_budgets,
             report_loss=self._losses.report,
+            admission=self._admission,
         )
         start_wait = StartWait(
             load_settings,
@@ -309,8 +322,9 @@
         self._stopping = True
 
     def refuse_new(self) -> None:
-        """Refuse every new request; running ones continue."""
+        """Refuse every new request and those that find no place now; running ones continue."""
         self._gateway.refuse_new()
+        self._admission.stop()
 
     def may_send(self) -> bool:
         """Return whether the configuration is recent enough for requests that need a key."""
@@ -335,6 +349,7 @@
             nursery.start_soon(self._run_forever, self._retry_budgets.run)
             nursery.start_soon(self._run_forever, self._losses.run)
             nursery.start_soon(self._run_forever, self._connection_watch.run)
+            nursery.start_soon(self._run_forever, self._admission.run)
             nursery.start_soon(self._start_healers, nursery)
 
     async def _run_forever(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
