--- a/deckcourse/gateway/reported_losses.py
+++ b/deckcourse/gateway/reported_losses.py
@@ -6,19 +6,17 @@
 """
 
 from collections.abc import Awaitable, Callable, Collection
-from typing import Protocol
 
 import trio
 
 from deckcourse.decisions.gone_hosts import GoneEvidence
-from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.active_stream import ActiveStream
 from deckcourse.gateway.dialect import ProbeResult
 from deckcourse.gateway.stream_moves import StreamMover
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
 
-__all__ = ["NO_REPORTS", "LossReports", "ReportedLosses"]
+__all__ = ["ReportedLosses"]
 
 # Shortest interval between two checks of an upstream: several peers report one loss within some
 # milliseconds.
@@ -30,37 +28,6 @@
 USUAL_ANSWER_SECONDS = 0.01
 
 
-class LossReports(Protocol):
-    """What processes tell each other about lost upstreams."""
-
-    def report(self, instance: str, evidence: Evidence) -> None:
-        """Report what this process observed about an upstream."""
-
-    def is_confirmed(self, instance: str) -> bool:
-        """Return whether the loss of an upstream is confirmed."""
-
-    def has_ended(self, instance: str) -> bool:
-        """Return whether an upstream has ended, confirmed by its machine's refusals."""
-
-
-class _NoReports:
-    """Nothing is shared between processes."""
-
-    def report(self, instance: str, evidence: Evidence) -> None:
-        """Ignore a report."""
-
-    def is_confirmed(self, instance: str) -> bool:
-        """Return False."""
-        return False
-
-    def has_ended(self, instance: str) -> bool:
-        """Return False."""
-        return False
-
-
-NO_REPORTS = _NoReports()
-
-
 class ReportedLosses:
     """Checks reported upstreams that own streams pass.
 
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -15,8 +15,9 @@
 from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.active_stream import ActiveStream, Interruption
 from deckcourse.gateway.dialect import ProbeResult, StreamControl
+from deckcourse.gateway.loss_port import NO_REPORTS, LossReports
 from deckcourse.gateway.path_choice import PathChoice
-from deckcourse.gateway.reported_losses import NO_REPORTS, LossReports, ReportedLosses
+from deckcourse.gateway.reported_losses import ReportedLosses
 from deckcourse.gateway.stream_moves import NO_SPREAD, OnwardSpread, StreamMover
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -106,7 +107,7 @@
         self._losses = losses
         self._streams: set[ActiveStream] = set()
         self._mover = StreamMover(
-            self._streams, upstreams, control, choices, spread, losses.report, count, log
+            self._streams, upstreams, control, choices, spread, losses, count, log
         )
         self._query_states: dict[str, _QueryState] = defaultdict(_QueryState)
         self._next_probe_at: dict[str, float] = {}
--- a/deckcourse/gateway/stream_moves.py
+++ b/deckcourse/gateway/stream_moves.py
@@ -22,6 +22,7 @@
 from deckcourse.decisions.prefill_queue import PrefillQueue
 from deckcourse.gateway.active_stream import ActiveStream, Interruption
 from deckcourse.gateway.dialect import MoveResult, StreamControl
+from deckcourse.gateway.loss_port import LossReports
 from deckcourse.gateway.onward_paths import OnwardPaths
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -85,7 +86,7 @@
       control: moves streams.
       choices: returns the path choice of a service.
       spread: how streams are spread.
-      report: reports what was observed about an upstream to other processes.
+      losses: what processes tell each other about lost upstreams.
       count: increments the counter of a name.
       log: writes an entry to the decision log.
     """
@@ -97,7 +98,7 @@
         control: StreamControl,
         choices: Callable[[str], PathChoice],
         spread: OnwardSpread,
-        report: Callable[[str, Evidence], None],
+        losses: LossReports,
         count: Callable[[str], None],
         log: Callable[..., None],
     ) -> None:
@@ -106,7 +107,7 @@
         self._control = control
         self._choices = choices
         self._spread = spread
-        self._report = report
+        self._losses = losses
         self._count = count
         self._log = log
         self._gone = GoneHosts()
@@ -216,9 +217,11 @@
         for _ in range(MAX_MOVE_ATTEMPTS):
             if not stream.is_at_upstream:
                 return
-            path = self._choices(stream.service).onward(
-                stream.model, stream.path.stages[0], frozenset(avoid)
-            )
+            choice, start = self._choices(stream.service), stream.path.stages[0]
+            reported = self._losses.avoided() - {start.instance}
+            path = choice.onward(stream.model, start, frozenset(avoid | reported))
+            if path is None and reported:
+                path = choice.onward(stream.model, start, frozenset(avoid))
             first = self._upstreams.last_known(stream.path.stages[0].instance)
             if path is None or first is None:
                 break
@@ -233,7 +236,7 @@
             if result is not MoveResult.STAGE_MISSING or refusing is None:
                 break
             avoid.add(refusing.instance)
-            self._report(refusing.instance, Evidence.STAGE_MISSING)
+            self._losses.report(refusing.instance, Evidence.STAGE_MISSING)
         stream.interrupt(Interruption.NO_OTHER_PATH)
 
     async def _offer_spread(self, stream: ActiveStream, batch: _Batch) -> None:
@@ -280,7 +283,7 @@
                 break
             now = trio.current_time()
             self._gone.note(refusing.instance, GoneEvidence.MISSING, now)
-            self._report(refusing.instance, Evidence.STAGE_MISSING)
+            self._losses.report(refusing.instance, Evidence.STAGE_MISSING)
             behind_first = {each.instance for each in chosen.path.stages[1:]}
             if refusing.instance in behind_first and now < stream.pause_ends_at:
                 self._count("move.retried-at-once")
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -8,6 +8,7 @@
 from mutants_foreign import EVERY as OF_FOREIGN_ROWS
 from mutants_gateway import EVERY as OF_THE_GATEWAY
 from mutants_layers import EVERY as OF_LAYERS
+from mutants_losses import EVERY as OF_LOSSES
 from mutants_moves import EVERY as OF_MOVES
 from mutants_notices import EVERY as OF_NOTICES
 from mutants_peers import EVERY as OF_PEERS
@@ -25,5 +26,6 @@
     | OF_RATES
     | OF_MOVES
     | OF_ADMISSION
+    | OF_LOSSES
 ).items():
     mutant(_mechanism, *_features)(_function)
--- a/features/steps/loss_notice_steps.py
+++ b/features/steps/loss_notice_steps.py
@@ -1,5 +1,7 @@
 """Steps about lost upstreams of which processes tell each other."""
 
+import errno
+import socket
 from collections import Counter
 
 import trio
@@ -8,6 +10,9 @@
 
 from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.dialect import ProbeResult
+from deckcourse.gateway.loss_notices import evidence_of
+from deckcourse.http1.message import ConnectionLostError, FailureKind
+from deckcourse.http1.transport import dial_tcp
 from deckcourse.peers.followers import followers
 from deckcourse.peers.loss_notice import LOSS_PREFIX
 from deckcourse.rendezvous import ranked
@@ -32,6 +37,7 @@
             site.end_a_copy()
             await trio.sleep(0.1)
             context.avoiding = len(site.avoiding("x1"))
+        context.pauses = sorted(each.max_pause for _, each in site.got)
 
     context.site.play(story)
 
@@ -41,6 +47,11 @@
     assert context.site.refusals <= most, context.site.refusals
 
 
+@then("no stream pauses for more than {most:d} ms")
+def short_pauses(context, most):
+    assert context.pauses[-1] * 1000 <= most, context.pauses[-9:]
+
+
 @then("every process avoids a lost host after 0.1 seconds")
 def all_avoid(context):
     assert context.avoiding == len(context.site.processes), context.avoiding
@@ -57,7 +68,7 @@
         if "killed" in then:
             first.kill()
             site.processes.remove(first)
-            await trio.sleep(16.0)  # Until the others count it as dead.
+            await trio.sleep(6.0)  # Less than until the others count it as dead.
         context.watched = site.connects["x1:1"]
         if "refuses" in then:
             site.network.kill("x1:1")
@@ -137,6 +148,18 @@
     context.site.play(story)
 
 
+@when("one of them reports 12 dead upstreams within 0.6 seconds")
+def one_reports_many(context):
+    async def story(site):
+        for each in (f"{domain}{number}" for number in range(4) for domain in "abc"):
+            site.answers[each] = ProbeResult.DEAD
+            site.processes[0].losses.report(each, Evidence.REFUSED)
+            await trio.sleep(0.05)
+        await trio.sleep(1.0)
+
+    context.site.play(story)
+
+
 @then("no process sends more than {most:d} bytes in a second")
 def bounded_bytes(context, most):
     assert 0 < context.site.most_bytes_in_a_second() <= most
@@ -144,7 +167,7 @@
 
 @then("each upstream was probed at most {most:d} times in the first 0.3 seconds")
 def few_probes(context, most):
-    assert max(context.probes.values()) <= most, context.probes
+    assert 0 < max(context.probes.values(), default=0) <= most, context.probes
 
 
 @then("the upstreams are avoided by {share} processes after 0.3 seconds")
@@ -176,7 +199,7 @@
                 await process.gossip.send(each.address, LOSS_PREFIX + data)
     elif "cut-off" in what:
         # Its own check holds the reports back, so another process's is replaced here.
-        process.losses._is_isolated = lambda *_: False
+        process.losses._is_believed = lambda *_: True
         for each in site.upstreams:
             process.losses.report(each.instance, evidence)
         site.processes.remove(process)
@@ -188,10 +211,10 @@
 def something(context, what):
     async def story(site):
         await start_fault(site, what)
-        await trio.sleep(0.02)
-        context.at_once = len(site.avoiding("a0"))
-        await trio.sleep(0.48)
-        context.later = len(site.avoiding("a0"))
+        context.shares = []
+        for seconds in (0.008, 0.092, 0.4):
+            await trio.sleep(seconds)
+            context.shares.append(max(len(site.avoiding(each.instance)) for each in site.upstreams))
         context.hosts = [
             host for each in site.processes for host in each.upstreams.layer_hosts("llm")
         ]
@@ -202,13 +225,13 @@
     context.site.play(story)
 
 
-@then("it is avoided by {at_once} processes after 0.02 seconds, and by {later} after 0.5")
-def avoided_at(context, at_once, later):
+@then("it is avoided by {first} processes after 8 ms, {second} after 100 and {third} after 500")
+def avoided_at(context, **named):
     every = len(context.site.processes)
-    bounds = {"no": (0, 0), "most": (every // 2, every), "all": (every, every)}
-    for share, count in ((at_once, context.at_once), (later, context.later)):
+    bounds = {"no": (0, 0), "some": (1, every), "most": (every // 2, every), "all": (every, every)}
+    for share, count in zip(named.values(), context.shares, strict=True):
         least, most = bounds[share]
-        assert least <= count <= most, (share, context.at_once, context.later)
+        assert least <= count <= most, context.shares
 
 
 @then("it still counts as held, and as usable, everywhere")
@@ -219,3 +242,20 @@
 @then("malformed datagrams are counted: {counted}")
 def malformed_counted(context, counted):
     assert (context.malformed > 0) == (counted == "yes"), context.malformed
+
+
+@then("a failure to connect is evidence of {evidence} if {what}")
+def evidence_of_failure(context, evidence, what):
+    async def connect():
+        if what == "the machine refuses":
+            with socket.socket() as closed:
+                closed.bind(("127.0.0.1", 0))
+                await dial_tcp(f"127.0.0.1:{closed.getsockname()[1]}")
+        error = trio.TooSlowError() if "time" in what else OSError(errno.EMFILE, "descriptors")
+        raise ConnectionLostError(FailureKind.UNSENT, what) from error
+
+    try:
+        trio.run(connect)
+    except ConnectionLostError as failure:
+        found = evidence_of(failure)
+    assert (found.label if found else "nothing") == evidence, found
