Callers that read too slowly end, and what is held for slow readers is bounded

Cause: a caller that stops reading without closing keeps its places on a whole path until its deadline, and bytes written but not taken, bodies that wait for upstreams and collected answers have no common bound.

Change: gateway/held_bytes.py counts them for each connection of a caller, through a meter that the HTTP server calls. With reader_timeout a caller that hasn't taken an event in time is ended, also if its bytes are in the kernel (unacknowledged bytes of the socket); with held_bytes the connection that holds most ends when the total exceeds it. Ending closes the upstream's connection, as when a caller leaves. Off, only the counts are kept.

--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -20,6 +20,7 @@
     {
         "accept-failed",
         "configuration",
+        "connection-ended",
         "connection-failed",
         "fault",
         "first-upstream-lost",
--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -148,7 +148,11 @@
 
 
 async def send_request(
-    context: GatewayContext, admitted: Admitted, connection: UpstreamConnection, dispatch: Dispatch
+    context: GatewayContext,
+    admitted: Admitted,
+    connection: UpstreamConnection,
+    dispatch: Dispatch,
+    on_sent: Callable[[], None] = lambda: None,
 ) -> tuple[UpstreamReply, ReplyFacts]:
     """Send a request to an upstream; return the head of the response and the facts in its headers.
 
@@ -158,6 +162,7 @@
       connection: a connection without an earlier call with this request id: an upstream may
         repeat a refusal, which would be taken for the response while it executes the request.
       dispatch: the upstream, and the values that the request's headers carry.
+      on_sent: called once the upstream's host has taken the whole request.
 
     Raises:
       ConnectionLostError: the call failed, or the response belongs to another request.
@@ -170,7 +175,7 @@
         # A repeated response without an id could be taken for the response to a control message.
         connection.close_after_call()
     sent_at = trio.current_time()
-    reply = await connection.call(message.method, message.target, headers, message.body)
+    reply = await connection.call(message.method, message.target, headers, message.body, on_sent)
     facts = context.dialect.facts(reply)
     for _ in range(MAX_REMEMBERED_CALLS):
         if facts.request_id == caller.request_id or not connection.has_recent_call(
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -68,6 +68,8 @@
                 await _send_outcome(exchange, outcome)
         finally:
             self._requests -= 1
+            if exchange.meter.end_reason is not None and not isinstance(outcome, Answered):
+                outcome = _ended(exchange.meter.end_reason)
             self._record_outcome(caller, outcome, trio.current_time() - arrived_at)
             if exchange.torn:
                 self._context.count("answer.torn")
@@ -131,6 +133,11 @@
     )
 
 
+def _ended(reason: str) -> Unknown:
+    """Return the outcome of a request whose connection this process ended."""
+    return Unknown(UnknownReason(reason), "the connection of the caller was ended")
+
+
 def _not_ready(message: str) -> NotRun:
     return NotRun(NotRunReason.NOT_READY, message, NOT_READY_RETRY_AFTER_SECONDS)
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -17,6 +17,7 @@
 from deckcourse.gateway.desired import CallerBounds, DesiredState
 from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.gateway import Gateway
+from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.issuing import Issuing
 from deckcourse.gateway.lapse_check import LapseCheck
 from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
@@ -203,6 +204,7 @@
             retry_budgets=self._retry_budgets,
         )
         self._gateway = Gateway(context, lambda: self._desired, identity.domain)
+        self._held = HeldBytes(load_settings, counters.count, counters.gauge, log)
 
     def _follow(
         self,
@@ -229,6 +231,11 @@
         """The handler of callers' requests."""
         return self._gateway
 
+    @property
+    def held(self) -> HeldBytes:
+        """The bytes held for callers and upstreams that read slowly."""
+        return self._held
+
     @property
     def peers(self) -> Peers:
         """The state shared with the other processes of the site."""
@@ -298,6 +305,10 @@
             nursery.start_soon(self._run_forever, self._retry_budgets.run)
             nursery.start_soon(self._start_healers, nursery)
 
+    async def watch_readers(self) -> None:
+        """End callers that read too slowly, until cancelled; started with their listener."""
+        await self._run_forever(self._held.run)
+
     async def _run_forever(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
         """Run a background task forever; log its exceptions, which must not end the process."""
         while True:
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -1,11 +1,13 @@
 """The gateway's listeners and its orderly shutdown."""
 
 from collections.abc import Callable
+from contextlib import nullcontext
 from dataclasses import dataclass
 
 import trio
 
 from deckcourse.gateway.desired import CallerBounds
+from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.node import GatewayNode
 from deckcourse.http1.server import (
     Exchange,
@@ -80,10 +82,12 @@
         """Serve until `stop`, then until no request is in flight or the grace period ends."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._node.run)
+            nursery.start_soon(self._node.watch_readers)
             await self._listen(nursery, self._addresses.ready, self._answer_ready)
             await self._listen(nursery, self._addresses.metrics, self._answer_metrics)
             await self._listen(nursery, self._addresses.peers, self._node.handle_peer)
-            await self._listen(nursery, self._addresses.callers, self._node.gateway.handle)
+            callers = self._addresses.callers
+            await self._listen(nursery, callers, self._node.gateway.handle, self._node.held)
             await self._stop.wait()
             await self._node.peers.leave()
             await self._drain()
@@ -102,13 +106,23 @@
             await trio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
         self._log("stopped", unfinished=self._node.gateway.requests)
 
-    async def _listen(self, nursery: trio.Nursery, address: Address, handler: Handler) -> None:
+    async def _listen(
+        self,
+        nursery: trio.Nursery,
+        address: Address,
+        handler: Handler,
+        held: HeldBytes | None = None,
+    ) -> None:
         host, _, port = address.rpartition(":")
         listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=ACCEPT_BACKLOG)
-        nursery.start_soon(self._accept, listeners[0], handler, nursery)
+        nursery.start_soon(self._accept, listeners[0], handler, held, nursery)
 
     async def _accept(
-        self, listener: trio.SocketListener, handler: Handler, nursery: trio.Nursery
+        self,
+        listener: trio.SocketListener,
+        handler: Handler,
+        held: HeldBytes | None,
+        nursery: trio.Nursery,
     ) -> None:
         while True:
             try:
@@ -117,13 +131,21 @@
                 self._log("accept-failed", what=str(error))
                 await trio.sleep(ACCEPT_BACKOFF_SECONDS)
                 continue
-            nursery.start_soon(self._serve, stream, handler)
+            nursery.start_soon(self._serve, stream, handler, held)
 
-    async def _serve(self, stream: trio.SocketStream, handler: Handler) -> None:
+    async def _serve(
+        self, stream: trio.SocketStream, handler: Handler, held: HeldBytes | None
+    ) -> None:
         try:
-            await serve_connection(
-                stream, handler, self._bounds, lambda: self._node.stopping, self._idle_connections
-            )
+            with held.connection() if held is not None else nullcontext() as meter:
+                await serve_connection(
+                    stream,
+                    handler,
+                    self._bounds,
+                    lambda: self._node.stopping,
+                    self._idle_connections,
+                    meter,
+                )
         except Exception as error:  # A fault in one connection must not end the process.
             self._log("connection-failed", what=repr(error))
 
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -354,17 +354,22 @@
         stream.execution = self._context.crashes.begin_attempt(admitted, dispatch.instance)
         self._retries.note_execution(dispatch.instance)
         self._choice.load_watch.note_sent(dispatch.instance)
+        meter = admitted.exchange.meter
+        meter.note_body_waiting(len(admitted.caller.message.body))
         try:
             with stream.interruptible():
-                reply, facts = await send_request(self._context, admitted, connection, dispatch)
+                reply, facts = await send_request(
+                    self._context, admitted, connection, dispatch, meter.note_body_sent
+                )
         except ConnectionLostError as failure:
             self._executions -= failure.kind is FailureKind.UNSENT
             raise
         if reply.status == OK:
             return await self._relay(reply, stream)
         stream.is_waiting = False
+        meter.note_response_end()
         with stream.interruptible():
-            body = await reply.read_body()
+            body = await reply.read_body(meter.note_response)
         if facts.not_executed:
             self._executions -= 1
             self._retries.note_refused(stream.path.stages[0].instance)
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -76,15 +76,19 @@
         """
         return await self._connection.next_data()
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, on_data: Callable[[int], None] = lambda count: None) -> bytes:
         """Return the whole body.
 
+        Args:
+          on_data: called with the number of bytes that arrived.
+
         Raises:
           ConnectionLostError: the body was cut off or exceeds MAX_BODY_BYTES.
         """
         body = bytearray()
         while (data := await self.next_data()) is not None:
             body += data
+            on_data(len(data))
             if len(body) > MAX_BODY_BYTES:
                 raise ConnectionLostError(FailureKind.MALFORMED, "the answer is too large to keep")
         return bytes(body)
@@ -134,10 +138,22 @@
         self._closing = True
 
     async def call(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> UpstreamReply:
         """Send a request and return the head of its answer.
 
+        Args:
+          method: the method.
+          target: the path and query.
+          headers: the headers.
+          body: the body.
+          on_sent: called once the upstream's host has taken the whole request.
+
         Raises:
           ConnectionLostError: UNSENT if the request is invalid, LOST once a byte may have been
             sent, MALFORMED if the received bytes are not a valid answer.
@@ -153,6 +169,7 @@
             await self._transport.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLostError(FailureKind.LOST, _error_text(error)) from error
+        on_sent()
         return await self._read_head()
 
     def _request_bytes(self) -> bytes:
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -7,8 +7,10 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
+from fcntl import ioctl
 from socket import SO_LINGER, SOL_SOCKET
-from struct import pack
+from struct import calcsize, pack, unpack
+from termios import TIOCOUTQ
 from typing import Protocol
 
 import h11
@@ -18,6 +20,7 @@
 
 __all__ = [
     "ConnectionLimits",
+    "ConnectionMeter",
     "Exchange",
     "Handler",
     "IncomingRequest",
@@ -45,6 +48,70 @@
     idle_seconds: float
 
 
+class ConnectionMeter(Protocol):
+    """Counts the bytes that are held for a connection; may end it."""
+
+    @property
+    def end_reason(self) -> str | None:
+        """Why the connection was ended, None if it was not."""
+
+    def attach(self, count_unsent: Callable[[], int]) -> None:
+        """Set the callback that returns the bytes written that the client's host has not taken."""
+
+    def note_received(self, count: int) -> None:
+        """Record bytes of a request body that came from the client."""
+
+    def note_pipelined(self, count: int) -> None:
+        """Record bytes that the client sent before its response was complete."""
+
+    def note_body_waiting(self, size: int) -> None:
+        """Record that a request body waits to be sent on."""
+
+    def note_body_sent(self) -> None:
+        """Record that the request body was sent on."""
+
+    def note_response(self, count: int) -> None:
+        """Record bytes of a response that is collected before it is sent."""
+
+    def note_response_end(self) -> None:
+        """Record that the collected response is sent now, or dropped."""
+
+    def note_request_end(self) -> None:
+        """Record that a request was served."""
+
+    def note_writing(self, count: int) -> None:
+        """Record the start of a write to the client."""
+
+    def note_written(self) -> None:
+        """Record the end of a write."""
+
+
+class _NoMeter:
+    """Counts nothing."""
+
+    end_reason = None
+
+    def attach(self, count_unsent: Callable[[], int]) -> None: ...
+
+    def note_received(self, count: int) -> None: ...
+
+    def note_pipelined(self, count: int) -> None: ...
+
+    def note_body_waiting(self, size: int) -> None: ...
+
+    def note_body_sent(self) -> None: ...
+
+    def note_response(self, count: int) -> None: ...
+
+    def note_response_end(self) -> None: ...
+
+    def note_request_end(self) -> None: ...
+
+    def note_writing(self, count: int) -> None: ...
+
+    def note_written(self) -> None: ...
+
+
 @dataclass(frozen=True)
 class IncomingRequest:
     """A complete request; `target` is the path and query, byte for byte."""
@@ -120,6 +187,11 @@
         """Whether a write of the response was started and not completed."""
         return self._connection.torn
 
+    @property
+    def meter(self) -> ConnectionMeter:
+        """Counts the bytes that are held for the connection."""
+        return self._connection.meter
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body follows; chunked if `headers` give no length."""
         await self._connection.send_head(status, headers)
@@ -134,6 +206,7 @@
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
+        self._connection.meter.note_response_end()
         length = (b"content-length", str(len(body)).encode())
         other_headers = tuple(each for each in headers if each[0] != b"content-length")
         await self._connection.send_whole(status, (*other_headers, length), body)
@@ -148,6 +221,7 @@
     limits: Callable[[], ConnectionLimits],
     closing: Callable[[], bool],
     idle_connections: IdleConnections | None = None,
+    meter: ConnectionMeter | None = None,
 ) -> None:
     """Serve the requests of one connection until either side closes it.
 
@@ -158,16 +232,20 @@
       limits: returns the limits in force.
       closing: returns whether responses should ask the client to close the connection.
       idle_connections: the set that holds the connection while it has no request in progress.
+      meter: counts the bytes that are held for the connection.
     """
+    meter = meter or _NoMeter()
+    meter.attach(lambda: _unsent_bytes(stream))
     connection = _Connection(
-        stream, handler, limits, closing, idle_connections or IdleConnections()
+        stream, handler, limits, closing, idle_connections or IdleConnections(), meter
     )
     try:
         await connection.run()
     except* (trio.BrokenResourceError, trio.ClosedResourceError, _ClientGoneError):
         pass  # The client has disconnected; no response can be sent.
     finally:
-        if connection.close_looks_complete:
+        # A client that doesn't read would keep the unsent bytes in the kernel after a close.
+        if connection.close_looks_complete or meter.end_reason is not None:
             _reset_on_close(stream)
         with trio.CancelScope(
             shield=True, deadline=trio.current_time() + ERROR_RESPONSE_TIMEOUT_SECONDS
@@ -175,6 +253,16 @@
             await trio.aclose_forcefully(stream)
 
 
+def _unsent_bytes(stream: trio.abc.Stream) -> int:
+    """Return how many bytes written to a TCP connection its peer has not acknowledged."""
+    if not isinstance(stream, trio.SocketStream):
+        return 0
+    try:
+        return unpack("i", ioctl(stream.socket.fileno(), TIOCOUTQ, bytes(calcsize("i"))))[0]
+    except OSError:  # The socket may be closed already.
+        return 0
+
+
 def _reset_on_close(stream: trio.abc.Stream) -> None:
     """Make the close of a TCP connection a reset."""
     if isinstance(stream, trio.SocketStream):
@@ -192,7 +280,9 @@
         limits: Callable[[], ConnectionLimits],
         closing: Callable[[], bool],
         idle_connections: IdleConnections,
+        meter: ConnectionMeter,
     ) -> None:
+        self._meter = meter
         self._idle_connections = idle_connections
         self._stream = stream
         self._handler = handler
@@ -206,6 +296,11 @@
         """Whether a write was started and not completed: how much of it was sent is unknown."""
         return self._torn
 
+    @property
+    def meter(self) -> ConnectionMeter:
+        """Counts the bytes that are held for the connection."""
+        return self._meter
+
     @property
     def close_looks_complete(self) -> bool:
         """Whether closing the connection would make an incomplete response look complete.
@@ -227,7 +322,10 @@
             except _RejectedRequestError as rejected:
                 await self._reject(rejected.status)
                 return
-            await self._handle_request(request)
+            try:
+                await self._handle_request(request)
+            finally:
+                self._meter.note_request_end()
             if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
                 return
             self._h11.start_next_cycle()
@@ -252,6 +350,7 @@
                 scope.cancel()
                 return
             pipelined_bytes += len(data)
+            self._meter.note_pipelined(len(data))
             self._h11.receive_data(data)
 
     async def _read_request(self) -> IncomingRequest:
@@ -291,6 +390,7 @@
                 await self._receive(trio.current_time() + limits.idle_seconds, 408)
             elif isinstance(event, h11.Data):
                 body += event.data
+                self._meter.note_received(len(event.data))
                 if len(body) > limits.body_bytes:
                     raise _RejectedRequestError(413)
             elif isinstance(event, h11.EndOfMessage):
@@ -323,7 +423,11 @@
         if not data:
             return
         self._torn = True
-        await self._stream.send_all(data)
+        self._meter.note_writing(len(data))
+        try:
+            await self._stream.send_all(data)
+        finally:
+            self._meter.note_written()
         self._torn = False
 
     def _head(self, status: int, headers: Headers) -> h11.Response:
--- a/deckcourse/reasons.py
+++ b/deckcourse/reasons.py
@@ -35,6 +35,8 @@
     DEADLINE_PASSED = "deadline-passed"
     RETRY_BUDGET = "retry-budget"
     CALLER_GONE = "caller-gone"
+    CALLER_SLOW = "caller-slow"
+    HELD_BYTES = "held-bytes"
     IN_PROGRESS = "in-progress"
     HOLDER_GONE = "holder-gone"
 
--- a/features/gateway_world.py
+++ b/features/gateway_world.py
@@ -24,7 +24,7 @@
 from deckcourse.platform.dialect import PlatformDialect
 from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
-from deckcourse.settings import GatewaySettings
+from deckcourse.settings import GatewaySettings, LoadSettings
 
 # Makes the order of tasks the same on every run.
 trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
@@ -67,6 +67,7 @@
         self.paused_until = 0.0
         self.refusals = 0
         self.config = default_config()
+        self.load_settings = LoadSettings()
         # Seconds by which the process's wall clock is ahead of the runners' clocks.
         self.clock_lead = 0.0
 
@@ -101,6 +102,7 @@
                         self.counters,
                         self.note,
                         Random(1),
+                        lambda: self.load_settings,
                     )
                     self.network.listen(GATEWAY, self.node.gateway.handle)
                     nursery.start_soon(self.node.run)
