--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -20,6 +20,7 @@
     {
         "accept-failed",
         "configuration",
+        "connection-ended",
         "connection-failed",
         "connection-watch",
         "fault",
@@ -30,6 +31,7 @@
         "order",
         "order-withheld",
         "paused",
+        "placement-demand",
         "plan",
         "plan-lost",
         "plan-unanswered",
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -19,12 +19,14 @@
 from deckcourse.gateway.desired import CallerBounds, DesiredState
 from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.gateway import Gateway
+from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.issuing import Issuing
 from deckcourse.gateway.lapse_check import LapseCheck
 from deckcourse.gateway.loss_notices import LossNotices
 from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.placement_demand import DemandWatch
 from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
 from deckcourse.gateway.rate_limits import RateLimitBook
 from deckcourse.gateway.retry_allowance import RetryAllowance
@@ -253,6 +255,7 @@
             counters.count,
         )
         self._gateway = Gateway(context, lambda: self._desired, identity.domain, start_wait.wait)
+        self._held = HeldBytes(load_settings, counters.count, counters.gauge, log)
 
     def _follow(
         self,
@@ -279,6 +282,11 @@
         """The handler of callers' requests."""
         return self._gateway
 
+    @property
+    def held(self) -> HeldBytes:
+        """The bytes held for callers and upstreams that read slowly."""
+        return self._held
+
     @property
     def peers(self) -> Peers:
         """The state shared with the other processes of the site."""
@@ -352,6 +360,10 @@
             nursery.start_soon(self._run_forever, self._admission.run)
             nursery.start_soon(self._start_healers, nursery)
 
+    async def watch_readers(self) -> None:
+        """End callers that read too slowly, until cancelled; started with their listener."""
+        await self._run_forever(self._held.run)
+
     async def _run_forever(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
         """Run a background task forever; log its exceptions, which must not end the process."""
         while True:
@@ -377,6 +389,7 @@
                         self._random,
                         self._log,
                         self._planning_rank,
+                        self._demand_watch(name).demand,
                     )
                     self._healers[name] = healer
                     model = partial(self._model_of, name)
@@ -468,6 +481,17 @@
         services = self._desired.services.values() if self._desired is not None else ()
         return [(each.name, each.max_connections) for each in services if each.model is not None]
 
+    def _demand_watch(self, service: str) -> DemandWatch:
+        return DemandWatch(
+            service,
+            self._path_choice(service).running_streams,
+            lambda: self._load_settings().interruption_weight,
+            trio.current_time,
+            self._counters.gauge,
+            self._counters.count,
+            self._log,
+        )
+
     def _report_lost_upstream(self, domain: str) -> None:
         for healer in self._healers.values():
             healer.record_failure(domain)
--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -121,7 +121,7 @@
             self.counters,
             world.note,
             Random(f"{name} {start}"),
-            lambda: world.load_settings,
+            lambda: world.load,
         )  # fmt: skip
 
     async def run(self):
@@ -154,7 +154,7 @@
         self.seeds = ("g0-peer:1",)
         self.names = (("g0", "x"), ("g1", "y"), ("g2", "x"))
         self.settings = GatewaySettings()
-        self.load_settings = LoadSettings()
+        self.load = LoadSettings()
         for domain in "xy":
             self.add(f"{domain}1", "llm", domain, 0, 4)
             self.add(f"{domain}2", "llm", domain, 4, 8)
--- a/features/loss_world.py
+++ b/features/loss_world.py
@@ -43,7 +43,7 @@
     def __init__(self, count, **settings):
         super().__init__(count)
         self.names = tuple((f"g{each}", "xyz"[each % 3]) for each in range(count))
-        self.load_settings = LoadSettings(**settings)
+        self.load = LoadSettings(**settings)
         self.runners.clear()
         self.connects = Counter()
         for domain in "xyz":
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -12,7 +12,9 @@
 from mutants_moves import EVERY as OF_MOVES
 from mutants_notices import EVERY as OF_NOTICES
 from mutants_peers import EVERY as OF_PEERS
+from mutants_placement import EVERY as OF_PLACEMENT
 from mutants_rates import EVERY as OF_RATES
+from mutants_slow_readers import EVERY as OF_SLOW_READERS
 
 __all__ = ["MUTANTS", "switch_on"]
 
@@ -27,5 +29,7 @@
     | OF_MOVES
     | OF_ADMISSION
     | OF_LOSSES
+    | OF_PLACEMENT
+    | OF_SLOW_READERS
 ).items():
     mutant(_mechanism, *_features)(_function)
--- a/features/steps/loss_notice_steps.py
+++ b/features/steps/loss_notice_steps.py
@@ -96,11 +96,11 @@
 @when("the settings are switched off and on again around the end of an upstream")
 def switched(context):
     async def story(site):
-        on, off = site.load_settings, LoadSettings()
+        on, off = site.load, LoadSettings()
         await trio.sleep(12.0)
         context.seen = []
         for settings in (off, on):
-            site.load_settings = settings
+            site.load = settings
             await trio.sleep(1.0)
             context.seen.append(
                 sum(each.node._connection_watch.connection_count > 0 for each in site.processes)
@@ -110,7 +110,7 @@
             site.network.kill("x1:1")
             await trio.sleep(0.05)
             context.seen.append(len(site.avoiding("x1")))
-            site.load_settings = off
+            site.load = off
             context.seen.append(len(site.avoiding("x1")))
 
     context.site.play(story)
