Let the soak's shortage leave few places, so that a wrong order shows

Cause: with the order of priorities reversed, the soak's check found nothing: its reports left no places to compete for, and most requests were urgent.

Change: reports leave from -2 to 2 free slots for 3 to 4 s, and the route of most streams is the lesser one.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -28,7 +28,7 @@
   # Guards against refusing urgent requests for load while lesser ones begin in the same process.
   # Without reports of full runners, no request of the soak waits.
   Scenario: Urgent requests go first while all runners report that they are full
-    When the soak runs seed 4 for 6 seconds with reports of full runners as the only faults
+    When the soak runs seed 5 for 8 seconds with reports of full runners as the only faults
     Then it reports no violation
     And it checked refusals for load
 
--- a/soak/shortage_faults.py
+++ b/soak/shortage_faults.py
@@ -1,4 +1,4 @@
-"""Phases in which all runners of streams report that they are full, so that requests wait."""
+"""Phases in which all runners report that they are nearly full, so that requests wait."""
 
 from collections.abc import Callable
 from random import Random
@@ -12,11 +12,11 @@
 # The time between two phases, and how long one lasts: longer than callers wait for a first event.
 MIN_PAUSE_SECONDS = 1.0
 MAX_PAUSE_SECONDS = 2.0
-MIN_PHASE_SECONDS = 1.0
-MAX_PHASE_SECONDS = 3.0
-# The further streams that reports show, by the number of slots.
-MIN_UTILIZATION = 1.0
-MAX_UTILIZATION = 2.0
+MIN_PHASE_SECONDS = 3.0
+MAX_PHASE_SECONDS = 4.0
+# The free slots that reports show if nothing runs: a few places come all the time, or none.
+MIN_FREE_SLOTS = -2
+MAX_FREE_SLOTS = 2
 
 
 class ShortageFaults:
@@ -37,7 +37,7 @@
         """Play phases until a time on trio's clock; return once the last one is over."""
         while trio.current_time() < until:
             seconds = self._random.uniform(MIN_PHASE_SECONDS, MAX_PHASE_SECONDS)
-            shown = round(SLOTS * self._random.uniform(MIN_UTILIZATION, MAX_UTILIZATION))
+            shown = SLOTS - self._random.randint(MIN_FREE_SLOTS, MAX_FREE_SLOTS)
             self._log_fault(f"all runners report {shown} more streams for {seconds:.1f} s")
             for runner in self._site.runners:
                 self._site.send_order(runner, shown=shown, seconds=seconds)
--- a/soak/site.py
+++ b/soak/site.py
@@ -57,9 +57,9 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 30
 RETRY_WINDOW_SECONDS = 10
-# The slots of each runner, and the priorities of the routes of streams.
+# The slots of each runner, and the priorities of the routes of streams: most requests are lesser ones.
 SLOTS = 24
-PRIORITIES = {"stream": 0, "fragile": 2}
+PRIORITIES = {"stream": 2, "fragile": 0}
 SETTINGS = """[node]
 name = {name}
 domain = {domain}
