--- a/soak/site.py
+++ b/soak/site.py
@@ -57,7 +57,7 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 30
 RETRY_WINDOW_SECONDS = 10
-# The slots of each runner, and the priorities of the routes of streams: most requests are lesser ones.
+# The slots of each runner, and the priorities of the routes of streams: most are lesser ones.
 SLOTS = 24
 PRIORITIES = {"stream": 2, "fragile": 0}
 SETTINGS = """[node]
