No task runs for shared losses while they are off

Cause: two more tasks changed the order in which trio runs the others, so that with the settings off one scenario of restarts.feature failed.

Change: the first gossip round in which shared losses are on starts the tasks. The step that builds a stall monitor gives it a stand-in for the loss notices, which it now needs.

--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -207,6 +207,7 @@
             counters.count,
             log,
         )
+        self._shares_losses = False
         self._losses.register_handlers(self._monitor.check_upstream, self._connection_watch.on_news)
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
         context = GatewayContext(
@@ -309,6 +310,7 @@
     async def run(self) -> None:
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._peers.gossip.register_round_handler(partial(self._start_losses, nursery))
             nursery.start_soon(self._run_forever, self._peers.gossip.run)
             nursery.start_soon(self._run_forever, self._peers.feed.run)
             nursery.start_soon(self._run_forever, self._operator_feed.run)
@@ -320,8 +322,6 @@
             nursery.start_soon(self._run_forever, self._crash_watch.run)
             nursery.start_soon(self._run_forever, self._issuing.run)
             nursery.start_soon(self._run_forever, self._retry_budgets.run)
-            nursery.start_soon(self._run_forever, self._losses.run)
-            nursery.start_soon(self._run_forever, self._connection_watch.run)
             nursery.start_soon(self._start_healers, nursery)
 
     async def _run_forever(self, work: Callable[..., Awaitable[None]], *args: object) -> None:
@@ -334,6 +334,13 @@
                 self._log("fault", work=work.__qualname__, error="".join(format_exception(error)))
             await trio.sleep(FAULT_COOLDOWN_SECONDS)
 
+    def _start_losses(self, nursery: trio.Nursery) -> None:
+        """Start the sharing of losses once it is switched on; no task runs for it before."""
+        if self._load_settings().shared_losses and not self._shares_losses:
+            self._shares_losses = True
+            nursery.start_soon(self._run_forever, self._losses.run)
+            nursery.start_soon(self._run_forever, self._connection_watch.run)
+
     async def _start_healers(self, nursery: trio.Nursery) -> None:
         """Start a healer for each service whose upstreams hold layers."""
         while True:
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -64,6 +64,7 @@
         self._on_issuer_message: Callable[[bytes], Awaitable[None]] | None = None
         self._on_digest_request: Callable[[str], Awaitable[None]] | None = None
         self._on_loss_message: Callable[[bytes], None] | None = None
+        self._on_round: Callable[[], None] = lambda: None
 
     def register_crash_handlers(
         self, on_crash: Callable[[Crash], None], recent: Callable[[], Sequence[Crash]]
@@ -96,6 +97,10 @@
         """Register the handler of datagrams about lost upstreams."""
         self._on_loss_message = handler
 
+    def register_round_handler(self, handler: Callable[[], None]) -> None:
+        """Register a handler that is called in each round."""
+        self._on_round = handler
+
     async def send(self, address: str, data: bytes) -> None:
         """Send a datagram to a member."""
         await self._datagrams.send(address, data)
@@ -131,6 +136,7 @@
 
     async def _round(self) -> None:
         self._roster.advance_heartbeat()
+        self._on_round()
         domain_peers = self._domain_peers()
         for member in self._random.sample(
             domain_peers, min(DOMAIN_PEERS_PER_ROUND, len(domain_peers))
--- a/features/steps/stall_steps.py
+++ b/features/steps/stall_steps.py
@@ -1,5 +1,7 @@
 """Steps for the stall monitor, with a control that only records which upstreams are probed."""
 
+from types import SimpleNamespace
+
 import trio
 from behave import given, then, when
 from trio.testing import MockClock
@@ -65,6 +67,7 @@
             lambda domain: None,
             lambda name: None,
             lambda *_, **__: None,
+            SimpleNamespace(avoided=frozenset, report=lambda *_: None),
         )
         for stream in context.streams:
             stream.progress_at = trio.current_time()
