--- a/features/loss_world.py
+++ b/features/loss_world.py
@@ -6,7 +6,7 @@
 import trio
 from gateway_runner import StandinRunner, parse_path
 from rate_world import RateWorld
-from token_world import TokenWorld
+from token_world import TokenProcess, TokenWorld
 
 from deckcourse.counters import MemoryCounters
 from deckcourse.gateway.dialect import ProbeReply, ProbeResult
@@ -45,7 +45,6 @@
         self.names = tuple((f"g{each}", "xyz"[each % 3]) for each in range(count))
         self.load_settings = LoadSettings(**settings)
         self.runners.clear()
-        self.connects = Counter()
         for domain in "xyz":
             for number in range(3 * STAGES):
                 begin = number % STAGES * 2
@@ -53,46 +52,39 @@
                 runner.accepts_orders, runner.slots = False, 96
                 self.runners[runner.instance] = runner
 
-    async def dial(self, address):
-        self.connects[address] += 1
-        return await super().dial(address)
-
     def end_a_copy(self, domain="x"):
         """End the later stages of a copy and a further host, four hosts in all."""
         for number in (1, 2, 3, 5):
             self.runners[f"{domain}{number}"].die()
 
     def avoiding(self, instance):
-        return [each for each in self.processes if instance in each.node._losses.avoided()]
+        return sum(instance in each.node._losses.avoided() for each in self.processes)
 
-    def counted(self, name):
-        return sum(each.counters.counts.get(name, 0) for each in self.processes)
+    def watching(self):
+        return sum(each.node._connection_watch.connection_count > 0 for each in self.processes)
 
 
-class NoticeProcess:
+class NoticeProcess(TokenProcess):
     """The loss notices of one process and the parts that they need."""
 
     def __init__(self, world, name, domain):
         self.world, self.name, self.domain = world, name, domain
         self.address = f"{name}:1"
         self.counters = MemoryCounters()
-        self.checked = []
-        roster = Roster(Member(name, 1, self.address, domain), trio.current_time)
-        random = Random(name)
-        self.gossip = PeerGossip(
-            roster, Recorder(world, self.address), lambda: world.seeds, random, self.counters.count
-        )
+        self.roster = Roster(Member(name, 1, self.address, domain), trio.current_time)
+        random, count = Random(name), self.counters.count
+        datagrams = world.medium.open(self.address)
+        self.gossip = PeerGossip(self.roster, datagrams, lambda: world.seeds, random, count)
         self.upstreams = UpstreamTable(trio.current_time)
         for each in world.upstreams:
             self.upstreams.put(each)
         self.losses = LossNotices(
-            roster, self.gossip, self.upstreams, self, lambda: world.is_on, random,
-            self.counters.count, lambda what, **fields: None,
+            self.roster, self.gossip, self.upstreams, self, lambda: True, random, count,
+            lambda what, **fields: None,
         )  # fmt: skip
-        self.losses.register_handlers(self.checked.append, lambda news: None)
 
     async def probe(self, upstream, seconds):
-        self.world.probes.append((trio.current_time(), self.name, upstream.instance))
+        self.world.probes[upstream.instance] += 1
         result = self.world.answers.get(upstream.instance, ProbeResult.ALIVE)
         await trio.sleep(seconds if result is ProbeResult.SILENT else 0.001)
         return ProbeReply(result)
@@ -103,24 +95,6 @@
                 nursery.start_soon(self.gossip.run)
                 nursery.start_soon(self.losses.run)
 
-    def kill(self):
-        self.scope.cancel()
-        self.world.medium.open(self.address)
-
-
-class Recorder:
-    """The datagrams of one process; records the size of those about losses."""
-
-    def __init__(self, world, address):
-        self.world, self.address = world, address
-        self.datagrams = world.medium.open(address)
-        self.receive = self.datagrams.receive
-
-    async def send(self, address, data):
-        if data.startswith(LOSS_PREFIX):
-            self.world.sent.append((trio.current_time(), self.address, len(data)))
-        await self.datagrams.send(address, data)
-
 
 class NoticeWorld(TokenWorld):
     """Processes in three failure domains that share notices, and probes with given results."""
@@ -129,25 +103,29 @@
         super().__init__(count, None)
         self.process_type = NoticeProcess
         self.settle_seconds = 12.0
-        self.is_on = True
         self.answers = {}
-        self.probes = []
+        self.probes = Counter()
         self.upstreams = [
             Upstream(f"{domain}{each}", "llm", f"{domain}{each}:1", domain, first=0, end=1)
             for domain in "abc"
             for each in range(UPSTREAMS_PER_DOMAIN)
         ]
+        deliver = self.medium.deliver
+
+        def deliver_and_record(source, target, data):
+            if data.startswith(LOSS_PREFIX):
+                self.sent.append((trio.current_time(), source, len(data)))
+            deliver(source, target, data)
+
+        self.medium.deliver = deliver_and_record
 
     def avoiding(self, instance):
-        return [each for each in self.processes if instance in each.losses.avoided()]
+        return sum(instance in each.losses.avoided() for each in self.processes)
 
     def most_bytes_in_a_second(self):
-        """Return the largest number of bytes that one process sent in a second."""
-        by_sender = {}
+        """Return the most bytes that one process sent in a second, in steps of 10 ms."""
+        sums = Counter()
         for at, sender, size in self.sent:
-            by_sender.setdefault(sender, []).append((at, size))
-        return max(
-            sum(size for other, size in sent if at <= other < at + 1.0)
-            for sent in by_sender.values()
-            for at, _ in sent
-        )
+            for step in range(round(at * 100) - 99, round(at * 100) + 1):
+                sums[step, sender] += size
+        return max(sums.values())
