Move refusal backoffs out of the path choice

Change: RefusalBackoffs in gateway/refusal_backoffs.py; the mutant refusals-are-forgotten follows. No change of behaviour.

--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -15,6 +15,7 @@
 from deckcourse.decisions.usual_paths import preferred_paths
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.load_watch import LoadWatch
+from deckcourse.gateway.refusal_backoffs import RefusalBackoffs
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -43,24 +44,6 @@
 MAX_PREFERRED_PATHS = 3
 # Added to the cost factor of a path if all recent streams of its first upstream failed.
 FAILURE_WEIGHT = 4.0
-# How long an upstream that refused is avoided if another path exists, doubled with each refusal
-# soon after, up to the maximum: each attempt that is refused costs a retry.
-REFUSAL_BACKOFF_SECONDS = 0.15
-MAX_REFUSAL_BACKOFF_SECONDS = 1.2
-# A refusal this long after the last backoff ended starts again with the shortest backoff.
-BACKOFF_RESET_SECONDS = 0.5
-# A process with a smaller share of the traffic than this extends backoffs in proportion, up to the
-# maximum factor: its requests are rarer, and each would be refused by the same full upstream again.
-EXTENDED_BACKOFF_SHARE = 0.1
-MAX_BACKOFF_FACTOR = 4.0
-
-
-@dataclass(frozen=True)
-class _Refusal:
-    """An upstream is avoided until `ends_at`; `seconds` is the length of this backoff."""
-
-    ends_at: float
-    seconds: float
 
 
 @dataclass(frozen=True)
@@ -106,7 +89,7 @@
         self._upstreams = upstreams
         self._clock = clock
         self._cached_path_set: tuple[tuple[int, ModelSpec], PathSet] | None = None
-        self._refusals: dict[str, _Refusal] = {}
+        self._refusals = RefusalBackoffs(clock, traffic)
         self._traffic = traffic
         self._watch = LoadWatch(
             control,
@@ -273,34 +256,11 @@
 
     def note_full(self, instance: str) -> None:
         """Record that an upstream has no room at the moment."""
-        now = self._clock()
-        last_refusal = self._refusals.get(instance)
-        factor = self._backoff_factor
-        seconds = REFUSAL_BACKOFF_SECONDS * factor
-        if last_refusal is not None and now < last_refusal.ends_at + BACKOFF_RESET_SECONDS * factor:
-            # Refusals of requests that were in flight together count as one.
-            seconds = (
-                last_refusal.seconds if now < last_refusal.ends_at else last_refusal.seconds * 2
-            )
-        seconds = min(seconds, MAX_REFUSAL_BACKOFF_SECONDS * factor)
-        self._refusals[instance] = _Refusal(now + seconds, seconds)
-
-    @property
-    def _backoff_factor(self) -> float:
-        """The factor by which this process extends backoffs, by its share of the traffic."""
-        return min(MAX_BACKOFF_FACTOR, self._traffic.scale_interval(1.0, EXTENDED_BACKOFF_SHARE))
+        self._refusals.note_full(instance)
 
     def refused_recently(self, path: LayerPath) -> bool:
         """Return whether a path passes an upstream that is avoided after a refusal."""
-        return bool(path.instances & self._refusing())
-
-    def _refusing(self) -> set[str]:
-        now = self._clock()
-        oldest_end = now - BACKOFF_RESET_SECONDS * self._backoff_factor
-        self._refusals = {
-            name: each for name, each in self._refusals.items() if each.ends_at > oldest_end
-        }
-        return {name for name, each in self._refusals.items() if each.ends_at > now}
+        return bool(path.instances & self._refusals.current())
 
     def choose(self, model: ModelSpec, avoid: frozenset[str] = frozenset()) -> LayerPath | None:
         """Return the path to take, None if the usable upstreams don't hold every layer.
@@ -312,7 +272,7 @@
         # An upstream that is backing off can be a later stage if there is no other path, but never
         # the first. Existing paths are filtered, since computing new ones takes long.
         backing_off = self._upstreams.backing_off()
-        unfavoured = self._refusing() | backing_off
+        unfavoured = self._refusals.current() | backing_off
         preferred = self._preferred_with_room(model, avoid | unfavoured)
         if preferred:
             return draw_path(preferred, self._score, self._random)
@@ -337,9 +297,10 @@
           avoid: upstreams that this request must not use again.
         """
         backing_off = self._upstreams.backing_off()
+        refusing = self._refusals.current()
         paths = [
             each
-            for each in self._paths(model, avoid | self._refusing()) or self._paths(model, avoid)
+            for each in self._paths(model, avoid | refusing) or self._paths(model, avoid)
             if each.stages[0].instance not in backing_off
         ]
         beginning_at = self._stream_counts().beginning_at
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -6,7 +6,7 @@
 
 import deckcourse.gateway.calls as calls_module
 import deckcourse.gateway.events as events_module
-import deckcourse.gateway.path_choice as path_choice_module
+import deckcourse.gateway.refusal_backoffs as backoffs_module
 import deckcourse.gateway.stream_retries as stream_retries_module
 import deckcourse.http1.client as client_module
 import deckcourse.http1.server as server_module
@@ -240,7 +240,7 @@
 
 
 def refusals_are_forgotten():
-    path_choice_module.MAX_REFUSAL_BACKOFF_SECONDS = path_choice_module.REFUSAL_BACKOFF_SECONDS
+    backoffs_module.MAX_REFUSAL_BACKOFF_SECONDS = backoffs_module.REFUSAL_BACKOFF_SECONDS
 
 
 def memory_has_no_places():
