Move the load of paths out of the path choice; count streams once a choice

Stream counts were kept for one value of the clock; in the programs it differs at each reading, so every candidate had all streams of its domain counted again. Change: PathLoads in gateway/path_loads.py, with the same rules. The mutant memory-has-no-places and a step of decision_work name the new place.

--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -69,10 +69,16 @@
         self._is_limited = is_limited
         # For each upstream, when its latest report was queried and the streams sent since.
         self._sent_since_report: dict[str, tuple[float, int]] = {}
+        self._sends = 0
         self._idle_at = 0.0
         self._rounds = 0
         self._wake = trio.Event()
 
+    @property
+    def sends(self) -> int:
+        """The number of streams that this process has sent so far."""
+        return self._sends
+
     def note_request(self) -> None:
         """Record that a request came; the first one after an idle period triggers a query."""
         self._wake.set()
@@ -82,6 +88,7 @@
         """Record that this process sent a stream to an upstream."""
         at, count = self._find_sent_since(instance)
         self._sent_since_report[instance] = at, count + 1
+        self._sends += 1
 
     def _find_sent_since(self, instance: str) -> tuple[float, int]:
         """Return when an upstream's latest report was queried, and the streams sent since."""
--- a/features/decision_work.feature
+++ b/features/decision_work.feature
@@ -55,3 +55,11 @@
     And every upstream is full
     When it asks for the second time which path a request takes
     Then it takes at most 40000 calls of functions
+
+  # Guards against computing the streams of all paths again for each candidate: counts were kept for
+  # one value of the clock, which in the programs differs at each reading.
+  Scenario: A choice computes the streams of a domain once, also while the clock advances
+    Given a process that knows 900 placed upstreams of each of 3 domains and their loads
+    And its clock advances at each reading
+    When it asks for the second time which path a request takes
+    Then it takes at most 12000 calls of functions
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -28,6 +28,7 @@
 from deckcourse.gateway.lookup import ServiceCall
 from deckcourse.gateway.node import GatewayNode
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.path_loads import PathLoads
 from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.stream import StreamCall
@@ -244,7 +245,7 @@
 
 
 def memory_has_no_places():
-    PathChoice._capacity = lambda self, part: self._upstreams.get(part.instance).slots
+    PathLoads._capacity = lambda self, part: self._upstreams.get(part.instance).slots
 
 
 def taken_without_retry():
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -158,6 +158,18 @@
     )  # fmt: skip
 
 
+@given("its clock advances at each reading")
+def clock_advances(context):
+    start = context.now
+
+    def read():
+        context.now += 1e-6
+        return context.now
+
+    assert context.choice._loads._clock() == start
+    context.choice._loads._clock = read
+
+
 @given("every upstream is full")
 def all_full(context):
     for row in context.board.all():
@@ -168,7 +180,7 @@
 def ask_again(context, question):
     asked = {
         "which path a request takes": lambda: context.choice.choose(context.model),
-        "how many requests stand at all firsts": context.choice._total_requests,
+        "how many requests stand at all firsts": context.choice._loads.total_requests,
     }[question]
     context.choice.choose(context.model)
     asked()
