Check that requests return to their domain slowly; mutants of the choice of domains

Cause: no scenario failed with requests that return at once. Change: an outline over the outflow; domains-are-not-forecast switches the new choice off alone.

--- a/features/domain_choice.feature
+++ b/features/domain_choice.feature
@@ -59,6 +59,17 @@
       | none meets, another much soon  | x 1900 100 0, y 800 100 0              | y      |
       | home lacks a layer             | y 900 100 0                            | y      |
 
+  # Guards against requests that all return as soon as their absence shows, and leave again.
+  Scenario Outline: The share of requests that leaves a domain falls slowly: strain <strain>
+    Given a domain that every request leaves
+    Then <share> in 100 leave it after a second in which its strain is <strain>
+
+    Examples:
+      | strain | share |
+      | 0.85   | 100   |
+      | 0.75   | 90    |
+      | 0.50   | 70    |
+
   Scenario: Interrupted streams count until reports show them, those of one copy once
     When 30 of 50 streams are interrupted in the second 10.0, and the same 30 in 10.2
     Then 50 restart in the second 10.3, 30 in 11.1 and none in 11.8
--- a/features/mutants_load.py
+++ b/features/mutants_load.py
@@ -4,11 +4,12 @@
 import deckcourse.gateway.domain_routing as domain_routing_module
 import deckcourse.gateway.path_loads as path_loads_module
 from deckcourse.decisions.domain_choice import InterruptedStreams
-from deckcourse.gateway.domain_routing import DomainRouting
+from deckcourse.gateway.path_choice import PathChoice
 
 
 def domains_are_not_forecast():
-    DomainRouting.candidates = lambda self, *request: []
+    original = PathChoice.choose
+    PathChoice.choose = lambda self, model, avoid, limits: original(self, model, avoid)
 
 
 def interrupted_streams_are_forgotten():
--- a/features/steps/domain_steps.py
+++ b/features/steps/domain_steps.py
@@ -8,6 +8,7 @@
 from deckcourse.decisions.domain_choice import (
     DomainOutlook,
     InterruptedStreams,
+    Outflow,
     RouteLimits,
     choose_domain,
 )
@@ -99,6 +100,20 @@
     assert found == set(chosen.split(" or ")), found
 
 
+@given("a domain that every request leaves")
+def all_leave(context):
+    context.outflow = Outflow().next(0.9, 10.0)
+    assert context.outflow.share == 1.0
+
+
+@then("{share:d} in 100 leave it after a second in which its strain is {strain:g}")
+def leave_after(context, share, strain):
+    outflow = context.outflow
+    for each in range(1, 6):
+        outflow = outflow.next(strain, 10.0 + each / 5)
+    assert round(100 * outflow.share) == share, outflow
+
+
 @when("30 of 50 streams are interrupted in the second 10.0, and the same 30 in 10.2")
 def interrupted(context):
     context.interrupted = InterruptedStreams()
