--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -21,6 +21,8 @@
         "accept-failed",
         "configuration",
         "connection-failed",
+        "domain-left",
+        "domain-returned",
         "fault",
         "first-upstream-lost",
         "log-bound",
--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -5,6 +5,7 @@
 
 from trio import current_time
 
+from deckcourse.gateway.call_balances import CallBalances
 from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.dialect import Dialect
 from deckcourse.gateway.end_check import EndCheck
@@ -39,6 +40,7 @@
     timing: Callable[[str, float], None]
     log: Callable[..., None]
     retry_budgets: RetryBudgets
+    call_balances: CallBalances
     schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
 
     def budget(self, service: str) -> RetryAllowance:
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -176,7 +176,7 @@
         candidates = self._not_attempted(candidates)
         trials = self._context.crashes.trial_upstreams()
         candidates = [each for each in candidates if each.instance not in trials] or candidates
-        return min(candidates, key=self._load, default=None)
+        return self._context.call_balances.choose(name, candidates, self._load)
 
     def _not_attempted(self, rows: list[Upstream]) -> list[Upstream]:
         """Return the upstreams that the call wasn't sent to, if possible under other names."""
@@ -233,7 +233,10 @@
             return result
         failed = not isinstance(result, _Response) or result.status >= SERVER_ERROR
         context.upstreams.record_outcome(upstream.instance, failed)
-        if failed:
+        if not failed:
+            seconds = trio.current_time() - self._since
+            context.call_balances.record(upstream.service, upstream.instance, seconds)
+        else:
             self._log_failed_attempt(upstream, result)
         return result
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -9,6 +9,7 @@
 
 from deckcourse.change_feed import Follower
 from deckcourse.counters import Counters
+from deckcourse.gateway.call_balances import CallBalances
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_book import CRASH_TABLE, CrashBook
 from deckcourse.gateway.crash_check import CrashCheck
@@ -200,6 +201,9 @@
             timing=counters.timing,
             log=log,
             retry_budgets=self._retry_budgets,
+            call_balances=CallBalances(
+                load_settings, self._traffic_share, trio.current_time, random
+            ),
         )
         self._gateway = Gateway(context, lambda: self._desired, identity.domain)
 
--- a/features/domain_choice.feature
+++ b/features/domain_choice.feature
@@ -85,3 +85,18 @@
     And its paths are chosen by predicted times
     When it asks for the second time which path a request takes
     Then it takes at most 40000 calls of functions
+
+  # Guards against processes that all take the first upstream of the same list.
+  Scenario: Processes without calls in flight spread over a plain service's upstreams by their slots
+    Given 200 processes that know upstreams a with 6, b with 6 and c with 12 slots
+    When each sends one call
+    Then a and b get 30 to 70 calls each, and c gets 80 to 120
+
+  # Guards against calls to an upstream that other processes have filled.
+  Scenario: An upstream whose answers are late gets no calls until its answer times are old
+    Given 200 processes that know upstreams a with 6, b with 6 and c with 12 slots
+    When b answered each in 60 ms for 5 s, and a in 180 ms twice just now
+    And each sends one call
+    Then a gets 0 to 0 calls
+    When 3 seconds pass and each sends one call
+    Then a gets 30 to 70 calls
--- a/features/mutants_load.py
+++ b/features/mutants_load.py
@@ -1,8 +1,10 @@
 """Mutants of the choice of paths while load exceeds capacity."""
 
 import deckcourse.decisions.domain_choice as domain_choice_module
+import deckcourse.gateway.call_balances as call_balances_module
 import deckcourse.gateway.domain_routing as domain_routing_module
 import deckcourse.gateway.path_loads as path_loads_module
+from deckcourse.decisions.call_balance import CallBalance
 from deckcourse.decisions.domain_choice import InterruptedStreams
 from deckcourse.gateway.path_choice import PathChoice
 
@@ -29,11 +31,21 @@
     path_loads_module.COUNTS_TTL_SECONDS = 0.0
 
 
+def late_answers_show_no_queue():
+    CallBalance.queued_per_slot = lambda self, upstream, now: 0.0
+
+
+def calls_take_the_first_upstream():
+    call_balances_module.draw_least_loaded = lambda loads, slots, random: min(loads, key=loads.get)
+
+
 DOMAINS = ("domain_choice",)
 EVERY = {
     domains_are_not_forecast: ("domains are chosen by predicted times", DOMAINS),
     interrupted_streams_are_forgotten: ("interrupted streams count where they restart", DOMAINS),
     other_domains_take_everything: ("requests leave as far as others have room", DOMAINS),
     requests_return_at_once: ("requests return to their domain gradually", DOMAINS),
+    late_answers_show_no_queue: ("late answers tell of other processes' calls", DOMAINS),
+    calls_take_the_first_upstream: ("processes draw between equal upstreams", DOMAINS),
     stream_counts_are_not_kept: ("streams are counted once a choice", ("decision_work",)),
 }
--- a/features/steps/domain_steps.py
+++ b/features/steps/domain_steps.py
@@ -1,5 +1,6 @@
 """Steps about the choice between failure domains."""
 
+from collections import Counter
 from random import Random
 
 from behave import given, then, when
@@ -14,6 +15,9 @@
 )
 from deckcourse.decisions.path_forecast import PathForecast, StageLoad, forecast_path
 from deckcourse.decisions.path_profile import profile_path
+from deckcourse.gateway.call_balances import CallBalances
+from deckcourse.gateway.traffic_share import TrafficShare
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.settings import LoadSettings
 
 SEEDS = 4
@@ -146,3 +150,54 @@
     context.choice._settings = lambda: LoadSettings(domain_forecast=True)
     choose = context.choice.choose
     context.choice.choose = lambda model: choose(model, limits=LIMITS)
+
+
+@given("200 processes that know upstreams a with 6, b with 6 and c with 12 slots")
+def plain_processes(context):
+    context.now = 100.0
+    context.rows = [
+        Upstream(name, "plain", f"{name}:1", "x", slots=slots)
+        for name, slots in (("a", 6), ("b", 6), ("c", 12))
+    ]
+    context.balances = [
+        CallBalances(
+            lambda: LoadSettings(domain_forecast=True),
+            TrafficShare(lambda: context.now),
+            lambda: context.now,
+            Random(each),
+        )
+        for each in range(200)
+    ]
+
+
+@when("b answered each in 60 ms for 5 s, and a in 180 ms twice just now")
+def answered(context):
+    for balance in context.balances:
+        for at in range(10):
+            context.now = 100.0 + at / 2
+            balance.record("plain", "b", 0.06)
+        for _ in range(2):
+            balance.record("plain", "a", 0.18)
+
+
+@when("each sends one call")
+def send_calls(context):
+    chosen = [each.choose("plain", context.rows, lambda row: 0.0) for each in context.balances]
+    context.chosen = Counter(each.instance for each in chosen)
+
+
+@when("3 seconds pass and each sends one call")
+def send_later(context):
+    context.now += 3.0
+    send_calls(context)
+
+
+@then("a gets {low:d} to {high:d} calls")
+def gets_calls(context, low, high):
+    assert low <= context.chosen["a"] <= high, context.chosen
+
+
+@then("a and b get 30 to 70 calls each, and c gets 80 to 120")
+def spread(context):
+    assert all(30 <= context.chosen[each] <= 70 for each in "ab"), context.chosen
+    assert 80 <= context.chosen["c"] <= 120, context.chosen
