--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -7,6 +7,7 @@
 
 from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.admission_queues import AdmissionQueues
+from deckcourse.gateway.call_balances import CallBalances
 from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.dialect import Dialect
 from deckcourse.gateway.end_check import EndCheck
@@ -42,6 +43,7 @@
     log: Callable[..., None]
     retry_budgets: RetryBudgets
     admission: AdmissionQueues
+    call_balances: CallBalances
     schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
     report_loss: Callable[[str, Evidence], None] = lambda instance, evidence: None
 
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -1,34 +1,26 @@
 """Chooses a path for each request by the current load, refusals and failures of upstreams."""
 
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Sequence
 from heapq import nsmallest
 from itertools import islice
 from random import Random
 
+from deckcourse.decisions.domain_choice import RouteLimits
 from deckcourse.decisions.onward_choice import OnwardStage
 from deckcourse.decisions.path_draw import draw_path
-from deckcourse.decisions.path_forecast import (
-    PathForecast,
-    StageLoad,
-    forecast_path,
-    prefill_ms,
-)
-from deckcourse.decisions.path_load import (
-    passing_first_stages,
-    streams_by_upstream,
-    streams_started_at,
-)
+from deckcourse.decisions.path_forecast import PathForecast
 from deckcourse.decisions.usual_paths import preferred_paths
 from deckcourse.gateway.dialect import StreamControl
+from deckcourse.gateway.domain_routing import DomainRouting
 from deckcourse.gateway.load_watch import LoadWatch
+from deckcourse.gateway.path_loads import PathLoads
+from deckcourse.gateway.refusal_backoffs import RefusalBackoffs
 from deckcourse.gateway.traffic_share import TrafficShare
-from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.layers.model import ModelSpec
-from deckcourse.layers.path_set import PathSet
 from deckcourse.layers.paths import LayerPath, PathStage
 from deckcourse.peers.loads import LoadBoard
+from deckcourse.settings import LoadSettings
 
 __all__ = ["PathChoice"]
 
@@ -50,37 +42,11 @@
 MAX_PREFERRED_PATHS = 3
 # Added to the cost factor of a path if all recent streams of its first upstream failed.
 FAILURE_WEIGHT = 4.0
-# How long an upstream that refused is avoided if another path exists, doubled with each refusal
-# soon after, up to the maximum: each attempt that is refused costs a retry.
-REFUSAL_BACKOFF_SECONDS = 0.15
-MAX_REFUSAL_BACKOFF_SECONDS = 1.2
-# A refusal this long after the last backoff ended starts again with the shortest backoff.
-BACKOFF_RESET_SECONDS = 0.5
-# A process with a smaller share of the traffic than this extends backoffs in proportion, up to the
-# maximum factor: its requests are rarer, and each would be refused by the same full upstream again.
-EXTENDED_BACKOFF_SHARE = 0.1
-MAX_BACKOFF_FACTOR = 4.0
 # Paths over other replicas that are searched for each path of running streams. A layer is mostly
 # held by two or three hosts of a failure domain; each search takes half a millisecond.
 REPLICA_PATHS = 3
 
 
-@dataclass(frozen=True)
-class _Refusal:
-    """An upstream is avoided until `ends_at`; `seconds` is the length of this backoff."""
-
-    ends_at: float
-    seconds: float
-
-
-@dataclass(frozen=True)
-class _StreamCounts:
-    """Streams that begin or queue at each first upstream, and streams that pass each upstream."""
-
-    beginning_at: Mapping[str, float]
-    passing: Mapping[str, float]
-
-
 class PathChoice:
     """Chooses paths for one service; the set of paths is cached until an upstream changes.
 
@@ -95,6 +61,9 @@
       loads: the reported loads of upstreams.
       queries_loads: returns whether this process queries loads, for itself and for its peers.
       random: draws paths.
+      settings: returns the current settings for load that exceeds capacity.
+      count: receives counters.
+      log: writes the decision log.
       reported_lost: returns the upstreams that processes report as gone; new requests avoid them.
     """
 
@@ -110,44 +79,39 @@
         loads: LoadBoard,
         queries_loads: Callable[[], bool],
         random: Random,
+        settings: Callable[[], LoadSettings] = LoadSettings,
+        count: Callable[[str], None] = lambda name: None,
+        log: Callable[..., None] = lambda decision, **fields: None,
         reported_lost: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
-        self._service = service
         self._process = process
         self._domain = domain
         self._upstreams = upstreams
-        self._clock = clock
-        self._cached_path_set: tuple[tuple[int, ModelSpec], PathSet] | None = None
-        self._refusals: dict[str, _Refusal] = {}
-        self._traffic = traffic
-        self._watch = LoadWatch(
-            control,
+        self._refusals = RefusalBackoffs(clock, traffic, reported_lost)
+        self._loads = PathLoads(
+            service,
             domain,
-            self._firsts,
-            upstreams.in_flight,
+            upstreams,
+            clock,
+            control,
             traffic,
             loads,
             queries_loads,
-            self._total_requests,
-            upstreams.throttles.is_limited,
+            random,
+            settings,
         )
         self._random = random
-        self._reported_lost = reported_lost
-        self._cached_stream_counts: dict[str, tuple[float, _StreamCounts]] = {}
-        # For each domain, its paths and the upstreams whose paths pass their first upstreams.
-        self._cached_passers: dict[str, tuple[list[LayerPath], Mapping[str, Sequence[str]]]] = {}
-        # The capacities of a path's stages by the path's id, and the state that they are valid for.
-        self._cached_capacities: dict[int, tuple[LayerPath, Sequence[tuple[str, float]]]] = {}
-        self._capacities_valid_for: tuple[int, object] = (-1, None)
+        self._settings = settings
+        self._domains = DomainRouting(
+            service, process, domain, self._loads, clock, traffic, random, count, log
+        )
         # The paths inside this process's domain, and the same in the order of its preference.
         self._preferred: tuple[list[LayerPath], list[LayerPath]] = ([], [])
-        # The upstreams that hold the first layer, and the change count that they are valid for.
-        self._cached_firsts: tuple[int, list[Upstream]] | None = None
 
     @property
     def load_watch(self) -> LoadWatch:
         """The watch over the load of the first upstreams."""
-        return self._watch
+        return self._loads.watch
 
     def is_overloaded(self, path: LayerPath) -> bool:
         """Return whether a request on a path would wait for longer than its caller waits."""
@@ -157,34 +121,23 @@
         """Return whether a path has room for one more request, as far as this process knows."""
         return self.utilization(path) < ROOM_UTILIZATION and not self.refused_recently(path)
 
+    def utilization(self, path: LayerPath) -> float:
+        """Return the requests per slot of a path's most utilized stage."""
+        return self._loads.utilization(path)
+
     def forecast(
         self, model: ModelSpec, path: LayerPath, prompt_tokens: float, is_idle: bool = False
     ) -> PathForecast:
-        """Return the predicted times of one more request on a path, by the known load.
-
-        Args:
-          model: the requested model.
-          path: the path.
-          prompt_tokens: the tokens of its prompt, 0 for a usual one.
-          is_idle: whether to predict them as if nothing else ran there.
-        """
-        delay = model.delay(path.domain, self._domain)
-        tokens = prompt_tokens or model.usual_prompt
-        loads = self._stage_loads(model, path)
-        if is_idle:
-            loads = [replace(each, streams=0.0, queued_tokens=0.0) for each in loads]
-        return forecast_path(model, loads, tokens, delay)
+        """Return the predicted times of one more request on a path; see `PathLoads.forecast`."""
+        return self._loads.forecast(model, path, prompt_tokens, is_idle)
 
     def beginning_at_first(self, path: LayerPath) -> float:
         """Return how many streams begin or queue at a path's first upstream."""
-        counts = self._stream_counts("" if path.crossings else path.domain)
-        return counts.beginning_at.get(path.stages[0].instance, 0.0)
+        return self._loads.beginning_at_first(path)
 
-    def refused_for(self, path: LayerPath) -> float:
-        """Return how long a path is still avoided after a refusal, seconds."""
-        refusals = (self._refusals.get(each) for each in path.instances)
-        ends_at = max((each.ends_at for each in refusals if each is not None), default=0.0)
-        return max(0.0, ends_at - self._clock())
+    def running_streams(self, domains: frozenset[str]) -> float | None:
+        """Return how many streams run that began in some failure domains, None if unknown."""
+        return self._loads.running_streams(domains)
 
     def best_paths(
         self, model: ModelSpec, count: int, avoid: frozenset[str] = frozenset()
@@ -196,195 +149,62 @@
           count: how many paths to return at most.
           avoid: upstreams that the request must not use.
         """
-        excluded = avoid | self._refusing() | self._upstreams.backing_off()
+        excluded = avoid | self._refusals.current() | self._upstreams.backing_off()
         paths = [
-            each for each in self._path_set(model).all_paths() if not each.instances & excluded
+            each
+            for each in self._loads.path_set(model).all_paths()
+            if not each.instances & excluded
         ]
         return nsmallest(count, paths, key=self._score)
 
     def note_sent(self, instance: str) -> None:
         """Record that a stream is sent to an upstream, for the requests that follow at once."""
-        self._watch.note_sent(instance)
-        self._cached_stream_counts.clear()
+        self._loads.watch.note_sent(instance)
 
     def note_ended(self, instance: str) -> None:
         """Record that a stream that was sent to an upstream ended."""
-        self._watch.note_ended(instance)
-
-    def _stage_loads(self, model: ModelSpec, path: LayerPath) -> list[StageLoad]:
-        """Return the load of a path's stages; prompts queued at its first one wait at all."""
-        passing = self._stream_counts("" if path.crossings else path.domain).passing
-        queued = self._watch.queued(path.stages[0].instance) * model.usual_prompt
-        return [
-            StageLoad(
-                self._kind_of(each.instance),
-                each.end - each.first,
-                self._upstreams.pace(each.instance),
-                passing.get(each.instance, 0.0),
-                queued,
-            )
-            for each in path.stages
-        ]
-
-    def _kind_of(self, instance: str) -> str:
-        row = self._upstreams.last_known(instance)
-        return row.kind if row is not None else ""
-
-    def _firsts(self) -> list[Upstream]:
-        changes = self._upstreams.change_count
-        if self._cached_firsts is None or self._cached_firsts[0] != changes:
-            usable = self._upstreams.usable(self._service)
-            self._cached_firsts = changes, [each for each in usable if each.first == 0 < each.end]
-        return self._cached_firsts[1]
-
-    def utilization(self, path: LayerPath) -> float:
-        """Return the requests per slot of a path's most utilized stage.
-
-        The first stage has slots for requests that begin there, and every stage has memory for the
-        requests that pass it.
-        """
-        first = self._upstreams.get(path.stages[0].instance)
-        if first is None:
-            return 0.0
-        counts = self._stream_counts("" if path.crossings else path.domain)
-        beginning = counts.beginning_at.get(first.instance, 0.0)
-        at_first = max(self._watch.cache_share(first.instance), beginning / max(1, first.slots))
-        passing_streams = counts.passing
-        return max(
-            at_first,
-            *[
-                passing_streams[instance] / capacity
-                for instance, capacity in self._stage_capacities(path)
-            ],
-        )
-
-    def _stage_capacities(self, path: LayerPath) -> Sequence[tuple[str, float]]:
-        """Return the instance and capacity of each stage of a path, cached until rows change."""
-        changes = self._upstreams.change_count
-        if (
-            self._capacities_valid_for[0] != changes
-            or self._capacities_valid_for[1] is not self._cached_path_set
-        ):
-            self._capacities_valid_for = changes, self._cached_path_set
-            self._cached_capacities.clear()
-        cached = self._cached_capacities.get(id(path))
-        if cached is None:
-            capacities = [(each.instance, self._capacity(each)) for each in path.stages]
-            # Keeps a reference to the path, so that its id isn't reused.
-            cached = self._cached_capacities[id(path)] = path, capacities
-        return cached[1]
-
-    def _stream_counts(self, domain: str = "") -> _StreamCounts:
-        """Return how many streams begin at and pass each upstream, computed once per clock value.
-
-        Args:
-          domain: count only the paths inside this domain; all paths if empty.
-        """
-        now = self._clock()
-        cached = self._cached_stream_counts.get(domain)
-        if cached is None or cached[0] != now:
-            paths: list[LayerPath] = []
-            if self._cached_path_set is not None:
-                paths = (
-                    self._cached_path_set[1].paths_inside(domain)
-                    if domain
-                    else self._cached_path_set[1].all_paths()
-                )
-            begun = streams_started_at(
-                paths, self._watch.running, self._find_passers(domain, paths)
-            )
-            beginning_at = {name: each + self._watch.waiting(name) for name, each in begun.items()}
-            cached = self._cached_stream_counts[domain] = now, _StreamCounts(
-                beginning_at, streams_by_upstream(paths, beginning_at)
-            )
-        return cached[1]
-
-    def _find_passers(self, domain: str, paths: list[LayerPath]) -> Mapping[str, Sequence[str]]:
-        """Return the upstreams whose paths pass each first upstream, cached for a list of paths."""
-        cached = self._cached_passers.get(domain)
-        if cached is None or cached[0] is not paths:
-            cached = self._cached_passers[domain] = paths, passing_first_stages(paths)
-        return cached[1]
-
-    def _total_requests(self) -> float:
-        """Return the number of requests at all first upstreams, each counted once.
-
-        Loads that other domains report are scaled by the ratio found in this process's domain.
-        """
-        beginning_at = self._stream_counts(self._domain).beginning_at
-        domain_total = sum(map(self._watch.reported, beginning_at))
-        scale = sum(beginning_at.values()) / domain_total if domain_total else 1.0
-        return scale * sum(self._watch.reported(each.instance) for each in self._firsts())
-
-    def running_streams(self, domains: frozenset[str]) -> float | None:
-        """Return how many streams run that began in some failure domains, None if unknown.
-
-        A report of a first upstream also counts streams that pass it. They are told apart by the
-        paths of this process's own domain; computing those of other domains would take too long.
-        """
-        firsts = [each.instance for each in self._firsts() if each.domain in domains]
-        if self._cached_path_set is None or not any(map(self._watch.has_report, firsts)):
-            return None
-        beginning_at = self._stream_counts(self._domain).beginning_at
-        reported = sum(map(self._watch.reported, beginning_at))
-        begun_share = min(1.0, sum(beginning_at.values()) / reported) if reported else 1.0
-        return begun_share * sum(map(self._watch.reported, firsts))
-
-    def _capacity(self, stage: PathStage) -> float:
-        """Return how many typical requests fit into a stage's memory beside the model weights."""
-        row = self._upstreams.get(stage.instance)
-        if row is None or self._cached_path_set is None:
-            return 1.0
-        model = self._cached_path_set[1].model
-        return max(
-            1.0, model.request_capacity(row.kind, row.end - row.first, stage.end - stage.first)
-        )
+        self._loads.watch.note_ended(instance)
 
     def note_full(self, instance: str) -> None:
         """Record that an upstream has no room at the moment."""
-        now = self._clock()
-        last_refusal = self._refusals.get(instance)
-        factor = self._backoff_factor
-        seconds = REFUSAL_BACKOFF_SECONDS * factor
-        if last_refusal is not None and now < last_refusal.ends_at + BACKOFF_RESET_SECONDS * factor:
-            # Refusals of requests that were in flight together count as one.
-            seconds = (
-                last_refusal.seconds if now < last_refusal.ends_at else last_refusal.seconds * 2
-            )
-        seconds = min(seconds, MAX_REFUSAL_BACKOFF_SECONDS * factor)
-        self._refusals[instance] = _Refusal(now + seconds, seconds)
-
-    @property
-    def _backoff_factor(self) -> float:
-        """The factor by which this process extends backoffs, by its share of the traffic."""
-        return min(MAX_BACKOFF_FACTOR, self._traffic.scale_interval(1.0, EXTENDED_BACKOFF_SHARE))
+        self._refusals.note_full(instance)
 
     def refused_recently(self, path: LayerPath) -> bool:
         """Return whether a path passes an upstream that is avoided after a refusal or loss."""
-        return bool(path.instances & self._refusing())
-
-    def _refusing(self) -> set[str]:
-        """Return the upstreams that new requests avoid after a refusal or a report of a loss."""
-        now = self._clock()
-        oldest_end = now - BACKOFF_RESET_SECONDS * self._backoff_factor
-        self._refusals = {
-            name: each for name, each in self._refusals.items() if each.ends_at > oldest_end
-        }
-        refusing = {name for name, each in self._refusals.items() if each.ends_at > now}
-        return refusing | self._reported_lost()
-
-    def choose(self, model: ModelSpec, avoid: frozenset[str] = frozenset()) -> LayerPath | None:
+        return bool(path.instances & self._refusals.current())
+
+    def refused_for(self, path: LayerPath) -> float:
+        """Return how long a path is still avoided after a refusal, seconds."""
+        return self._refusals.remaining(path.instances)
+
+    def refusing(self) -> frozenset[str]:
+        """Return the upstreams that are avoided after a refusal or a report of a loss."""
+        return frozenset(self._refusals.current())
+
+    def choose(
+        self,
+        model: ModelSpec,
+        avoid: frozenset[str] = frozenset(),
+        limits: RouteLimits | None = None,
+        prompt_tokens: float = 0.0,
+    ) -> LayerPath | None:
         """Return the path to take, None if the usable upstreams don't hold every layer.
 
         Args:
           model: the requested model.
           avoid: upstreams that this request must not use again.
+          limits: what its route allows, None if the caller asks for no request of its own.
+          prompt_tokens: the tokens of its prompt, 0 for a usual one.
         """
         # An upstream that is backing off can be a later stage if there is no other path, but never
         # the first. Existing paths are filtered, since computing new ones takes long.
         backing_off = self._upstreams.backing_off()
-        unfavoured = self._refusing() | backing_off
-        preferred = self._preferred_with_room(model, avoid | unfavoured)
+        unfavoured = self._refusals.current() | backing_off
+        if limits is not None and self._settings().domain_forecast:
+            candidates = self._domains.candidates(model, limits, prompt_tokens, avoid | unfavoured)
+            preferred = self._without_overloaded(candidates)
+        else:
+            preferred = self._preferred_with_room(model, avoid | unfavoured)
         if preferred:
             return draw_path(preferred, self._score, self._random)
         path = self._draw(self._paths(model, avoid | unfavoured)) if unfavoured - avoid else None
@@ -408,19 +228,20 @@
           avoid: upstreams that this request must not use again.
         """
         backing_off = self._upstreams.backing_off()
+        refusing = self._refusals.current()
         paths = [
             each
-            for each in self._paths(model, avoid | self._refusing()) or self._paths(model, avoid)
+            for each in self._paths(model, avoid | refusing) or self._paths(model, avoid)
             if each.stages[0].instance not in backing_off
         ]
-        beginning_at = self._stream_counts().beginning_at
+        beginning_at = self._loads.stream_counts().beginning_at
         return min(
             paths, key=lambda each: beginning_at.get(each.stages[0].instance, 0.0), default=None
         )
 
     def _preferred_with_room(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
         """Return the preferred paths inside this process's domain that have room."""
-        inside = self._path_set(model).paths_inside(self._domain)
+        inside = self._loads.path_set(model).paths_inside(self._domain)
         if self._preferred[0] is not inside:
             self._preferred = inside, preferred_paths(inside, self._process, len(inside))
         avoiding = (each for each in self._preferred[1] if not each.instances & avoid)
@@ -428,28 +249,16 @@
         return list(islice(with_room, MAX_PREFERRED_PATHS))
 
     def _paths(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
-        paths = self._path_set(model)
+        paths = self._loads.path_set(model)
         avoiding = [each for each in paths.all_paths() if not each.instances & avoid]
         return avoiding or paths.all_paths(avoid)
 
-    def _path_set(self, model: ModelSpec) -> PathSet:
-        key = (self._upstreams.change_count, model)
-        if self._cached_path_set is None or self._cached_path_set[0] != key:
-            before = self._cached_path_set[1] if self._cached_path_set is not None else None
-            hosts = self._upstreams.layer_hosts(self._service)
-            listed = [each for each in hosts if not each.lapsing]
-            paths = PathSet(model, listed, before)
-            if len(listed) < len(hosts) and not paths.all_paths():
-                paths = PathSet(model, hosts, before)
-            self._cached_path_set = (key, paths)
-        return self._cached_path_set[1]
-
     def accepts_at(self, model: ModelSpec) -> float | None:
         """Return when a path's first upstream accepts requests again at the earliest, on the clock.
 
         None if one accepts them now, or if no path holds every layer.
         """
-        firsts = [each.stages[0].instance for each in self._path_set(model).all_paths()]
+        firsts = [each.stages[0].instance for each in self._loads.path_set(model).all_paths()]
         return self._upstreams.first_accepts_at(firsts)
 
     def _draw(self, paths: list[LayerPath]) -> LayerPath | None:
@@ -482,17 +291,13 @@
         row = self._upstreams.last_known(first.instance)
         if row is None:
             return None
-        return self._path_set(model).path_after(first, row.domain, avoid)
+        return self._loads.path_set(model).path_after(first, row.domain, avoid)
 
     def paths_after(
         self, running: LayerPath, model: ModelSpec, avoid: frozenset[str]
     ) -> list[LayerPath]:
         """Return paths over other replicas for requests that run on a path; see `PathSet`."""
-        return self._path_set(model).paths_after(running, avoid, REPLICA_PATHS)
-
-    def refusing(self) -> frozenset[str]:
-        """Return the upstreams that are avoided because a refusal named them."""
-        return frozenset(self._refusing())
+        return self._loads.path_set(model).paths_after(running, avoid, REPLICA_PATHS)
 
     def onward_stages(
         self,
@@ -501,26 +306,5 @@
         running: LayerPath,
         queued_ms: Callable[[str], float],
     ) -> list[list[OnwardStage]]:
-        """Return the stages of paths as a request that runs on another path meets them.
-
-        Args:
-          model: the requested model.
-          paths: the paths, of the domain of the running one.
-          running: the path on which the request runs.
-          queued_ms: returns the prefill that moves have queued at an upstream, milliseconds.
-        """
-        passing = self._stream_counts(running.domain).passing
-        ran = {each.instance: each for each in running.stages}
-
-        def onward_stage(stage: PathStage) -> OnwardStage:
-            instance, layers = stage.instance, stage.end - stage.first
-            kind, pace = self._kind_of(instance), self._upstreams.pace(instance)
-            before = ran.get(instance)
-            kept = min(stage.end, before.end) - max(stage.first, before.first) if before else 0
-            queued, prompts = queued_ms(instance), self._watch.queued(instance)
-            if prompts:
-                queued += pace * prefill_ms(model, kind, layers, prompts * model.usual_prompt)
-            load = StageLoad(kind, layers, pace, passing.get(instance, 0.0))
-            return OnwardStage(instance, load, layers - max(0, kept), queued)
-
-        return [[onward_stage(each) for each in path.stages] for path in paths]
+        """Return the stages of paths as a running request meets them; see `PathLoads`."""
+        return self._loads.onward_stages(model, paths, running, queued_ms)
--- a/deckcourse/gateway/path_prospects.py
+++ b/deckcourse/gateway/path_prospects.py
@@ -7,7 +7,6 @@
 from random import Random
 
 from deckcourse.decisions.admission_order import Prospect, SharedRoom
-from deckcourse.gateway.load_watch import OWN_STREAM_WEIGHT
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -92,7 +91,7 @@
 
         Args:
           first: the first upstream of the path.
-          begun: the streams that begin there, with this process's share of those not yet reported.
+          begun: the streams that begin there, with the estimate of those not yet reported.
           utilization: the requests per slot, with the same.
           demand: the requests that this process would have in flight if none waited.
         """
@@ -106,7 +105,7 @@
         sent = watch.sent(first)
         # By its requests in flight alone, a process that has just started would never get a share.
         share = max(self._traffic.share, min(1.0, demand / max(1.0, watch.total())))
-        reported = max(0.0, begun - OWN_STREAM_WEIGHT * sent)
+        reported = max(0.0, begun - watch.unreported(first))
         return SharedRoom(
             utilization * reported / begun if begun else 0.0,
             begun / utilization if begun and utilization else float(max(1, row.slots)),
--- a/features/mutants_placement.py
+++ b/features/mutants_placement.py
@@ -39,7 +39,9 @@
 def passing_streams_count_as_begun():
     choice = path_choice_module.PathChoice
     choice.running_streams = lambda self, domains: sum(
-        self._watch.reported(each.instance) for each in self._firsts() if each.domain in domains
+        self.load_watch.reported(each.instance)
+        for each in self._loads.firsts()
+        if each.domain in domains
     )
 
 
