Compute stream counts again when a report comes

Stream counts are reused for 5 ms. A request of the admission queue that was checked again just after a report still saw the counts before it, and began later than one of lower priority. The version of the load watch now changes with each report as well, and the estimate of unreported requests uses the same version.

--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -82,8 +82,8 @@
 
     @property
     def version(self) -> int:
-        """Changes with each request that came to this process and each stream that it sent."""
-        return self._version
+        """Changes with each request to this process, each stream that it sent and each report."""
+        return self._version + self._board.sequence
 
     def note_request(self) -> None:
         """Record that a request came; the first one after an idle period triggers a query."""
@@ -150,15 +150,21 @@
     def waiting(self, instance: str) -> float:
         """Return how many requests are queued at an upstream, including those just sent."""
         row = self._board.get(instance)
-        return row.queued + self.unreported(instance) if row is not None else 0.0
+        return row.queued + self._find_unreported(row) if row is not None else 0.0
 
     def unreported(self, instance: str) -> float:
-        """Return the estimated requests of all processes that an upstream's report doesn't show."""
-        sent = self.sent(instance)
+        """Return the requests that `waiting` adds to those that an upstream reported as queued."""
+        row = self._board.get(instance)
+        return self._find_unreported(row) if row is not None else 0.0
+
+    def _find_unreported(self, row: LoadRow) -> float:
+        """Return the estimated requests of all processes that a report doesn't show."""
+        at, count = self._sent_since_report.get(row.instance, (row.at, 0))
+        sent = count if at == row.at else 0
         unseen = None
         if self._unseen is not None:
-            unseen = self._unseen.estimate(self.sent, self._version)
-        return OWN_STREAM_WEIGHT * sent if unseen is None else unseen.get(instance, sent)
+            unseen = self._unseen.estimate(self.sent, self.version)
+        return OWN_STREAM_WEIGHT * sent if unseen is None else unseen.get(row.instance, sent)
 
     def cache_share(self, instance: str) -> float:
         """Return the used share of an upstream's request memory if requests queue there, else 0."""
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -115,11 +115,11 @@
 
     def is_overloaded(self, path: LayerPath) -> bool:
         """Return whether a request on a path would wait for longer than its caller waits."""
-        return self.utilization(path) > MAX_UTILIZATION
+        return self._loads.utilization(path) > MAX_UTILIZATION
 
     def has_room(self, path: LayerPath) -> bool:
         """Return whether a path has room for one more request, as far as this process knows."""
-        return self.utilization(path) < ROOM_UTILIZATION and not self.refused_recently(path)
+        return self._loads.utilization(path) < ROOM_UTILIZATION and not self.refused_recently(path)
 
     def utilization(self, path: LayerPath) -> float:
         """Return the requests per slot of a path's most utilized stage."""
@@ -245,7 +245,7 @@
         if self._preferred[0] is not inside:
             self._preferred = inside, preferred_paths(inside, self._process, len(inside))
         avoiding = (each for each in self._preferred[1] if not each.instances & avoid)
-        with_room = (each for each in avoiding if self.utilization(each) < 1.0)
+        with_room = (each for each in avoiding if self._loads.utilization(each) < 1.0)
         return list(islice(with_room, MAX_PREFERRED_PATHS))
 
     def _paths(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
@@ -269,7 +269,7 @@
 
     def _score(self, path: LayerPath) -> float:
         first = path.stages[0].instance
-        utilization = self.utilization(path)
+        utilization = self._loads.utilization(path)
         load = (
             1.0 + BUSY_WEIGHT * min(utilization, 1.0) + QUEUE_WEIGHT * max(0.0, utilization - 1.0)
         )
--- a/deckcourse/gateway/path_loads.py
+++ b/deckcourse/gateway/path_loads.py
@@ -31,7 +31,7 @@
 
 __all__ = ["PathLoads", "StreamCounts"]
 
-# How long stream counts are reused unless this process gets a request or sends a stream: the choice
+# How long stream counts are reused unless a request or report comes or a stream is sent: the choice
 # of one path reads them for each candidate, and the reports behind them are 0.2 to 0.6 s old.
 COUNTS_TTL_SECONDS = 0.005
 # Bound on the cached profiles, above the paths of all failure domains.
--- a/deckcourse/gateway/unseen_requests.py
+++ b/deckcourse/gateway/unseen_requests.py
@@ -23,7 +23,7 @@
 # With fewer reported requests the share of the traffic is mostly an assumption, some times too low:
 # a single process with one stream took six free slots for full.
 MIN_REPORTED_REQUESTS = 50
-# How long an estimate is reused unless a request comes or is sent.
+# How long an estimate is reused unless a request or report comes or a stream is sent.
 ESTIMATE_TTL_SECONDS = 0.005
 
 
@@ -59,7 +59,7 @@
         self._clock = clock
         self._requests = SlidingCount()
         self._place = 0.0
-        # When and for which version of the sends the estimate was made.
+        # When and for which version the estimate was made.
         self._cached: tuple[float, int, Mapping[str, float] | None] = (float("-inf"), -1, None)
 
     def note_request(self) -> None:
@@ -75,7 +75,7 @@
 
         Args:
           sent: returns how many streams this process sent to an upstream since its last report.
-          version: changes with each request and send of this process.
+          version: changes with each request and send of this process and with each report.
         """
         traffic = self._traffic
         if not self._settings().shared_room or not traffic.is_measured or traffic.share > MAX_SHARE:
--- a/deckcourse/peers/loads.py
+++ b/deckcourse/peers/loads.py
@@ -67,6 +67,11 @@
         self._sequence = 0
         self._on_recorded: Callable[[], object] = lambda: None
 
+    @property
+    def sequence(self) -> int:
+        """The sequence number of the newest load; changes with each load that is recorded."""
+        return self._sequence
+
     def set_listener(self, on_recorded: Callable[[], object]) -> None:
         """Register the callback for each new load."""
         self._on_recorded = on_recorded
