Count requests once in the choice of domains, and ignore old stream counts

The choice of domains counted a request at each choice of a path for it: again at each attempt, and at each check while it waits for admission. The rate was then too high, and too few requests could leave a strained domain. It now uses the count of the estimate of free slots, which is made once for each request.

Another domain is only looked at while this one is strained. If it had lost upstreams long before, its streams counted as restarting at the next look. Stream counts of other domains are now used for that for 10 s.

--- a/deckcourse/gateway/domain_routing.py
+++ b/deckcourse/gateway/domain_routing.py
@@ -22,7 +22,6 @@
 from deckcourse.decisions.free_streams import PathRoom, free_streams
 from deckcourse.decisions.path_forecast import PathForecast
 from deckcourse.decisions.path_profile import PathProfile
-from deckcourse.decisions.sliding_count import SlidingCount
 from deckcourse.decisions.usual_paths import preferred_paths
 from deckcourse.gateway.bounded import put_bounded
 from deckcourse.gateway.path_loads import PathLoads, StreamCounts
@@ -43,10 +42,12 @@
 # First upstreams of a domain that a process uses while they have room. With more of them,
 # connections idle longer than upstreams keep them open, and each request needs a new one.
 MAX_PREFERRED_PATHS = 3
-# Window in which this process's own requests are counted, and the time until a report shows a
-# request: it is queried every 0.4 s and 0.2 s old.
-RATE_WINDOW_SECONDS = 2.0
+# The time until a report shows a request: it is queried every 0.4 s and 0.2 s old.
 REPORT_SECONDS = 0.6
+# Stream counts of another domain that are older than this aren't taken for those before a loss:
+# other domains are only looked at while this one is strained, so the loss may be long ago. With
+# hundreds of processes, one gets a request every five seconds.
+KNOWN_TTL_SECONDS = 10.0
 # Interval between two log lines about the same service: a short return isn't worth a line.
 LOG_INTERVAL_SECONDS = 1.0
 # Bound on the kept states of routes and domains: a changed configuration leaves old ones behind.
@@ -132,12 +133,11 @@
         self._random = random
         self._count = count
         self._log = log
-        self._requests = SlidingCount()
         self._departures: dict[RouteLimits, _Departure] = {}
         self._views: dict[tuple[str, RouteLimits], _View] = {}
         self._interrupted: dict[str, InterruptedStreams] = {}
-        # For each domain, its paths and the streams on them as of the last choice.
-        self._known: dict[str, tuple[list[LayerPath], StreamCounts]] = {}
+        # For each domain, the time of the last choice, its paths and the streams on them then.
+        self._known: dict[str, tuple[float, list[LayerPath], StreamCounts]] = {}
         # For each domain, its paths, and the same in the order of this process's preference.
         self._preferred: dict[str, tuple[list[LayerPath], list[LayerPath]]] = {}
 
@@ -157,8 +157,6 @@
           unfavoured: upstreams that the path should not use.
         """
         now = self._clock()
-        self._requests.forget(now, RATE_WINDOW_SECONDS)
-        self._requests.add(now)
         tokens = prompt_tokens or model.usual_prompt
         own_paths = self._paths_of(model, self._domain, now)
         own_choices = self._timely(model, self._domain, own_paths, limits, tokens, unfavoured, now)
@@ -206,10 +204,9 @@
             return True
         # Requests of all processes until the next report, and those of them whose callers are in
         # this domain: by its streams, which are few after a loss, but at least its equal share.
-        own_rate = self._requests.at_most(now, RATE_WINDOW_SECONDS) / RATE_WINDOW_SECONDS
         elsewhere = sum(each.streams for each in others.values())
         domain_share = max(1 / (1 + len(others)), own.streams / max(1.0, own.streams + elsewhere))
-        requests = own_rate * REPORT_SECONDS / self._traffic.share * domain_share
+        requests = self._loads.own_rate * REPORT_SECONDS / self._traffic.share * domain_share
         requests += self._interrupted_in(self._domain).restarting(now)
         free = sum(each.free for each in others.values())
         return self._random.random() < min(wanted, free_share(free, requests))
@@ -259,9 +256,13 @@
         """Return the paths inside a domain; record the streams of those that were lost."""
         paths = self._loads.path_set(model).paths_inside(domain)
         known = self._known.get(domain)
-        if known is not None and known[0] is not paths:
-            self._note_losses(domain, *known, now)
-        self._known[domain] = paths, self._loads.stream_counts(domain)
+        if (
+            known is not None
+            and known[1] is not paths
+            and (domain == self._domain or now - known[0] < KNOWN_TTL_SECONDS)
+        ):
+            self._note_losses(domain, *known[1:], now)
+        self._known[domain] = now, paths, self._loads.stream_counts(domain)
         return paths
 
     def _note_losses(
--- a/deckcourse/gateway/path_loads.py
+++ b/deckcourse/gateway/path_loads.py
@@ -97,6 +97,9 @@
         self._upstreams = upstreams
         self._clock = clock
         self._cached_path_set: tuple[tuple[int, ModelSpec], PathSet] | None = None
+        self._unseen = UnseenRequests(
+            settings, self.firsts, board, traffic, self._stream_seconds, random, clock
+        )
         self._watch = LoadWatch(
             control,
             domain,
@@ -107,9 +110,7 @@
             queries_loads,
             self.total_requests,
             upstreams.throttles.is_limited,
-            UnseenRequests(
-                settings, self.firsts, board, traffic, self._stream_seconds, random, clock
-            ),
+            self._unseen,
         )
         self._cached_stream_counts: dict[str, _CachedCounts] = {}
         # For each domain, its paths and the upstreams whose paths pass their first upstreams.
@@ -126,6 +127,11 @@
         """The watch over the load of the first upstreams."""
         return self._watch
 
+    @property
+    def own_rate(self) -> float:
+        """The recent rate of this process's requests, per second; see `UnseenRequests`."""
+        return self._unseen.own_rate
+
     def forecast(
         self, model: ModelSpec, path: LayerPath, prompt_tokens: float, is_idle: bool = False
     ) -> PathForecast:
--- a/deckcourse/gateway/unseen_requests.py
+++ b/deckcourse/gateway/unseen_requests.py
@@ -63,13 +63,24 @@
         self._cached: tuple[float, int, Mapping[str, float] | None] = (float("-inf"), -1, None)
 
     def note_request(self) -> None:
-        """Count a request of this process and draw its place among those of all."""
-        if self._settings().shared_room:
+        """Count a request of this process, and draw its place among those of all for the estimate.
+
+        Called once for each request: a path may be chosen several times for one that waits or is
+        sent again.
+        """
+        settings = self._settings()
+        if settings.shared_room or settings.domain_forecast:
             now = self._clock()
             self._requests.forget(now, RATE_WINDOW_SECONDS)
             self._requests.add(now)
+        if settings.shared_room:
             self._place = self._random.random()
 
+    @property
+    def own_rate(self) -> float:
+        """The recent rate of this process's requests, per second; 0 if no setting needs it."""
+        return self._requests.at_most(self._clock(), RATE_WINDOW_SECONDS) / RATE_WINDOW_SECONDS
+
     def estimate(self, sent: Callable[[str], int], version: int) -> Mapping[str, float] | None:
         """Return the unreported requests by upstream, None if own sends tell more.
 
@@ -104,8 +115,7 @@
         total = sum(present.values())
         if total < MIN_REPORTED_REQUESTS:
             return None
-        own_rate = self._requests.at_most(now, RATE_WINDOW_SECONDS) / RATE_WINDOW_SECONDS
-        rate = own_rate / self._traffic.share
+        rate = self.own_rate / self._traffic.share
         stream_seconds = self._stream_seconds()
         estimate: dict[str, float] = {}
         for domain, loads in by_domain.items():
--- a/features/domain_choice.feature
+++ b/features/domain_choice.feature
@@ -74,6 +74,25 @@
     When 30 of 50 streams are interrupted in the second 10.0, and the same 30 in 10.2
     Then 50 restart in the second 10.3, 30 in 11.1 and none in 11.8
 
+  # Guards against streams of a loss of long ago that count as restarting, when a domain is compared
+  # for the first time since: its free streams are then too few for as long as streams restart.
+  Scenario Outline: A domain that lost a copy is compared again after <seconds> s
+    Given two domains with 3 processes each, and 3 and 9 requests a second
+    When a process of x compares y before it loses a copy, and again <seconds> s after
+    Then <restarting> of its streams restart as far as it knows
+
+    Examples:
+      | seconds | restarting |
+      | 0.3     | some       |
+      | 30      | none       |
+
+  # Guards against a request that counts at each of its attempts, or again and again while it waits
+  # for admission: fewer requests than the others have room for would leave the domain.
+  Scenario: A request counts once, however often a path is chosen for it
+    Given two domains with 3 processes each, and 13 and 3 requests a second
+    When a path is chosen 20 times for the only request of x in 10 s
+    Then its process counts one request
+
   # Guards against two forecasts of one path that differ.
   Scenario: A path's profile predicts the same times as its stages
     Then both agree for a path of a fast and a slow stage, at several loads
--- a/features/room_estimate.feature
+++ b/features/room_estimate.feature
@@ -40,3 +40,10 @@
       | 20        | 12   | the setting is switched off     | 3 to 3  |
       | 3         | 12   | nothing happens                 | 3 to 3  |
       | 20        | 12   | no report comes for 3.1 seconds | 0 to 0  |
+
+  # Guards against admission control that takes three requests for each own send off the known load
+  # while the estimate added another number: it then found more or fewer free slots than reported.
+  Scenario: Admission control takes off as many unreported requests as the estimate adds
+    Given two domains with 20 processes each that estimate free slots, 12 and 9 requests a second
+    When nothing happens and a process sends a stream
+    Then its admission control finds the reported requests there
--- a/features/steps/domain_steps.py
+++ b/features/steps/domain_steps.py
@@ -16,6 +16,7 @@
 from deckcourse.decisions.path_forecast import PathForecast, StageLoad, forecast_path
 from deckcourse.decisions.path_profile import profile_path
 from deckcourse.gateway.call_balances import CallBalances
+from deckcourse.gateway.path_prospects import PathProspects
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.settings import LoadSettings
@@ -57,6 +58,20 @@
     assert low <= context.watch.waiting("x0-first") <= high, context.watch.waiting("x0-first")
 
 
+@then("its admission control finds the reported requests there")
+def reported_found(context):
+    world = context.worlds[0]
+    process = world.processes[0]
+    paths = process.choice.best_paths(MODEL, 10)
+    (path,) = [each for each in paths if each.stages[0].instance == "x0-first"]
+    share = TrafficShare(lambda: world.now)
+    prospects = PathProspects(process.choice, process.table, share, Random(1))
+    shared = prospects.find(MODEL, path, 0.0, 0.0, 1.0).shared
+    expected = context.watch.reported("x0-first")
+    assert expected > 0 and shared.sent > 0, (expected, shared)
+    assert abs(shared.utilization * shared.capacity - expected) < 1e-6, (expected, shared)
+
+
 def replay(context, seconds, change):
     for world in context.worlds:
         change(world)
@@ -80,6 +95,38 @@
     replay(context, seconds, lambda world: world.add_copy("x", 0))
 
 
+@when("a process of x compares y before it loses a copy, and again {seconds:g} s after")
+def compare_again(context, seconds):
+    world = context.worlds[0]
+    routing = world.processes[0].choice._domains
+    assert routing._view(MODEL, "y", LIMITS, world.now).streams > 0
+    world.lose_copy("y", 0)
+    world.now += seconds
+    routing._view(MODEL, "y", LIMITS, world.now)
+    context.restarting = routing._interrupted_in("y").restarting(world.now)
+
+
+@then("{expected:w} of its streams restart as far as it knows")
+def streams_restart(context, expected):
+    assert (context.restarting > 0) == (expected == "some"), context.restarting
+
+
+@when("a path is chosen {count:d} times for the only request of x in 10 s")
+def choose_again(context, count):
+    world = context.worlds[0]
+    choice = world.processes[0].choice
+    world.now += 10.0
+    choice.load_watch._unseen.note_request()
+    for _ in range(count):
+        choice.choose(MODEL, frozenset(), LIMITS)
+    context.requests = choice._loads.own_rate * 2.0
+
+
+@then("its process counts one request")
+def one_request(context):
+    assert context.requests == 1, context.requests
+
+
 def check_share(context, most, home, since, seconds, test):
     found = [each for world in context.worlds for each in world.placed(home, since, seconds)]
     share = sum(map(test, found)) / len(found)
