--- a/deckcourse/explain.py
+++ b/deckcourse/explain.py
@@ -23,6 +23,8 @@
         "connection-ended",
         "connection-failed",
         "connection-watch",
+        "domain-left",
+        "domain-returned",
         "fault",
         "first-upstream-lost",
         "log-bound",
--- a/deckcourse/gateway/load_watch.py
+++ b/deckcourse/gateway/load_watch.py
@@ -4,7 +4,7 @@
 learn that an upstream is full by being refused. So the processes that follow the store for their
 domain query its first upstreams often, and those of other domains rarely, and publish the reports
 to their peers. A report counts the requests of all processes, so that their choices agree. Requests
-that this process has sent since the last report are added.
+that this process has sent since the last report are added, or those that all processes may have.
 """
 
 from collections.abc import Callable
@@ -13,6 +13,7 @@
 
 from deckcourse.gateway.dialect import StreamControl
 from deckcourse.gateway.traffic_share import TrafficShare
+from deckcourse.gateway.unseen_requests import UnseenRequests
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.peers.loads import LoadBoard, LoadRow
 
@@ -44,6 +45,7 @@
       queries_loads: returns whether this process queries upstreams, for itself and for its peers.
       total_requests: returns how many requests all processes have at the first upstreams.
       is_limited: returns whether an upstream is rate limited; queries would use up its limit.
+      unseen: estimates the requests of all processes that no report shows yet.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         queries_loads: Callable[[], bool],
         total_requests: Callable[[], float],
         is_limited: Callable[[str], bool] = lambda instance: False,
+        unseen: UnseenRequests | None = None,
     ) -> None:
         self._control = control
         self._domain = domain
@@ -67,16 +70,26 @@
         self._queries_loads = queries_loads
         self._total_requests = total_requests
         self._is_limited = is_limited
+        self._unseen = unseen
         # For each upstream, when its latest report was queried and the streams sent since.
         self._sent_since_report: dict[str, tuple[float, int]] = {}
         # The same for the streams that ended.
         self._ended_since_report: dict[str, tuple[float, int]] = {}
+        self._version = 0
         self._idle_at = 0.0
         self._rounds = 0
         self._wake = trio.Event()
 
+    @property
+    def version(self) -> int:
+        """Changes with each request to this process, each stream that it sent and each report."""
+        return self._version + self._board.sequence
+
     def note_request(self) -> None:
         """Record that a request came; the first one after an idle period triggers a query."""
+        if self._unseen is not None:
+            self._unseen.note_request()
+        self._version += 1
         self._wake.set()
         self._idle_at = trio.current_time() + IDLE_TIMEOUT_SECONDS
 
@@ -84,6 +97,7 @@
         """Record that this process sent a stream to an upstream."""
         at, count = self._find_since(self._sent_since_report, instance)
         self._sent_since_report[instance] = at, count + 1
+        self._version += 1
 
     def note_ended(self, instance: str) -> None:
         """Record that a stream that this process sent to an upstream ended."""
@@ -136,11 +150,21 @@
     def waiting(self, instance: str) -> float:
         """Return how many requests are queued at an upstream, including those just sent."""
         row = self._board.get(instance)
-        return (
-            row.queued + OWN_STREAM_WEIGHT * self._find_since(self._sent_since_report, instance)[1]
-            if row is not None
-            else 0.0
-        )
+        return row.queued + self._find_unreported(row) if row is not None else 0.0
+
+    def unreported(self, instance: str) -> float:
+        """Return the requests that `waiting` adds to those that an upstream reported as queued."""
+        row = self._board.get(instance)
+        return self._find_unreported(row) if row is not None else 0.0
+
+    def _find_unreported(self, row: LoadRow) -> float:
+        """Return the estimated requests of all processes that a report doesn't show."""
+        at, count = self._sent_since_report.get(row.instance, (row.at, 0))
+        sent = count if at == row.at else 0
+        unseen = None
+        if self._unseen is not None:
+            unseen = self._unseen.estimate(self.sent, self.version)
+        return OWN_STREAM_WEIGHT * sent if unseen is None else unseen.get(row.instance, sent)
 
     def cache_share(self, instance: str) -> float:
         """Return the used share of an upstream's request memory if requests queue there, else 0."""
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -10,6 +10,7 @@
 from deckcourse.change_feed import Follower
 from deckcourse.counters import Counters
 from deckcourse.gateway.admission_queues import AdmissionQueues
+from deckcourse.gateway.call_balances import CallBalances
 from deckcourse.gateway.connection_watch import ConnectionWatch
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_book import CRASH_TABLE, CrashBook
@@ -248,6 +249,9 @@
             retry_budgets=self._retry_budgets,
             report_loss=self._losses.report,
             admission=self._admission,
+            call_balances=CallBalances(
+                load_settings, self._traffic_share, trio.current_time, random
+            ),
         )
         start_wait = StartWait(
             load_settings,
@@ -474,6 +478,9 @@
                 self._peers.loads,
                 lambda: self._peers.feed.follows,
                 self._random,
+                self._load_settings,
+                self._counters.count,
+                self._log,
                 self._losses.avoided,
             )
         return self._path_choices[service]
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -8,6 +8,7 @@
 from mutants_foreign import EVERY as OF_FOREIGN_ROWS
 from mutants_gateway import EVERY as OF_THE_GATEWAY
 from mutants_layers import EVERY as OF_LAYERS
+from mutants_load import EVERY as OF_LOAD
 from mutants_losses import EVERY as OF_LOSSES
 from mutants_moves import EVERY as OF_MOVES
 from mutants_notices import EVERY as OF_NOTICES
@@ -31,5 +32,6 @@
     | OF_LOSSES
     | OF_PLACEMENT
     | OF_SLOW_READERS
+    | OF_LOAD
 ).items():
     mutant(_mechanism, *_features)(_function)
--- a/features/steps/demand_steps.py
+++ b/features/steps/demand_steps.py
@@ -254,7 +254,7 @@
     context.choice.choose(context.model)
     context.begun = dict.fromkeys("xyz", 0)
     passing = dict.fromkeys((each.instance for each in context.board.all()), 0)
-    for path in context.choice._cached_path_set[1].all_paths():
+    for path in context.choice._loads.path_set(context.model).all_paths():
         context.begun[path.domain] += count
         for stage in path.stages:
             passing[stage.instance] += count
