--- a/deckcourse/gateway/domain_routing.py
+++ b/deckcourse/gateway/domain_routing.py
@@ -30,7 +30,7 @@
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.paths import LayerPath
 
-__all__ = ["DomainRouting"]
+__all__ = ["MAX_PREFERRED_PATHS", "DomainRouting"]
 
 # How long the outlook of a domain is reused: half the interval between two reports.
 OUTLOOK_TTL_SECONDS = 0.2
@@ -148,7 +148,7 @@
         prompt_tokens: float,
         unfavoured: Set[str],
     ) -> list[LayerPath]:
-        """Return the paths among which to draw, none if every one has too many requests waiting.
+        """Return the paths among which to draw, all inside one domain; none if there is none.
 
         Args:
           model: the requested model.
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -9,7 +9,7 @@
 from deckcourse.decisions.path_forecast import PathForecast
 from deckcourse.decisions.usual_paths import preferred_paths
 from deckcourse.gateway.dialect import StreamControl
-from deckcourse.gateway.domain_routing import DomainRouting
+from deckcourse.gateway.domain_routing import MAX_PREFERRED_PATHS, DomainRouting
 from deckcourse.gateway.load_watch import LoadWatch
 from deckcourse.gateway.path_loads import PathLoads
 from deckcourse.gateway.refusal_backoffs import RefusalBackoffs
@@ -35,9 +35,6 @@
 # Requests per slot below which a path has room for one more: the known load is about 0.4 s old, and
 # other processes send requests too.
 ROOM_UTILIZATION = 0.8
-# First upstreams of its own domain that a process uses while they have room. With more of them,
-# connections idle longer than upstreams keep them open, and each request needs a new one.
-MAX_PREFERRED_PATHS = 3
 # Added to the cost factor of a path if all recent streams of its first upstream failed.
 FAILURE_WEIGHT = 4.0
 
