--- a/features/loss_notices.feature
+++ b/features/loss_notices.feature
@@ -25,8 +25,8 @@
   Scenario Outline: A storm of reports is bounded: <count> processes, <who> report <lost> <result>
     Given <count> processes that share notices
     When <who> of them report <lost> <result> upstreams within <ms> ms
-    Then at most 24000 bytes are sent by a process in a second
-    And at most <probes> probes reach an upstream meanwhile
+    Then after a loss at most 24000 bytes are sent by a process in a second
+    And after a loss at most <probes> probes reach an upstream meanwhile
     And <share> processes avoid what was lost
 
     Examples:
@@ -69,9 +69,9 @@
   Scenario Outline: A loss of four hosts costs a handful of refused attempts: <count>, <settings>
     Given <count> complete processes with <settings>
     When four hosts of a failure domain end, under 110 requests a second
-    Then at most <most> attempts are refused for it
+    Then after a loss at most <most> attempts are refused for it
     And all processes avoid what was lost
-    And at most <pause> ms pass between two events
+    And after a loss at most <pause> ms pass between two events
 
     Examples:
       | count | settings                         | most | pause |
--- a/features/steps/loss_notice_steps.py
+++ b/features/steps/loss_notice_steps.py
@@ -170,7 +170,7 @@
     assert context.seen == [0, 3, 9, 0], context.seen
 
 
-@then("at most {most:d} {what}")
+@then("after a loss at most {most:d} {what}")
 def bounded(context, most, what):
     site = context.site
     measured = {
