A copy that lost hosts is completed from the reserve; shorter tests

Hosts that healed a gap were filled for a share of the demand although they were the only holders.

Change: idle hosts first complete the copies that most layers have; hosts up to the healing fill are left as they are; the healing fill leaves memory for the whole demand.

--- a/deckcourse/decisions/interruptions.py
+++ b/deckcourse/decisions/interruptions.py
@@ -80,7 +80,7 @@
       copy_streams: the concurrent streams that each copy has memory for, with all margins.
       fill: the preferred share of a host's memory for weights.
       healing_fill: the same for hosts that load the layers of lost ones: it leaves the KV cache for
-        the demand without a burst.
+        the whole demand without a burst, since they may be the only holders of these layers.
     """
 
     streams: float
@@ -137,7 +137,7 @@
         if fits and heals:
             fill = weights / (weights + copy_streams * stream_mb)
             fill = min(max(fill, PREFERRED_FILL), MAX_PREFERRED_FILL)
-            healing_fill = weights / (weights + copy_streams / BURST_FACTOR * stream_mb)
+            healing_fill = weights / (weights + streams * stream_mb)
             return MemoryTarget(
                 streams, copies, copy_streams, fill, min(max(healing_fill, fill), MAX_FILL)
             )
--- a/deckcourse/layers/improvements.py
+++ b/deckcourse/layers/improvements.py
@@ -109,7 +109,7 @@
 
 
 def balance(
-    model: ModelSpec, hosts: Sequence[LayerHost], preferred_fill: float = PREFERRED_FILL
+    model: ModelSpec, hosts: Sequence[LayerHost], max_fill: float = BALANCE_FILL
 ) -> tuple[Assignment, ...]:
     """Let a less full neighbour load edge layers of the fullest host, which drops them later.
 
@@ -118,9 +118,8 @@
     Args:
       model: the model.
       hosts: the hosts of the group.
-      preferred_fill: hosts up to this fill are left as they are.
+      max_fill: hosts up to this fill are left as they are.
     """
-    max_fill = max(BALANCE_FILL, preferred_fill)
     for full_host in sorted(hosts, key=lambda each: -each.fill(model)):
         if full_host.is_empty or full_host.fill(model) <= max_fill:
             return ()
--- a/deckcourse/layers/leveling.py
+++ b/deckcourse/layers/leveling.py
@@ -37,7 +37,10 @@
 
 
 def level(
-    model: ModelSpec, hosts: Sequence[LayerHost], preferred_fill: float = PREFERRED_FILL
+    model: ModelSpec,
+    hosts: Sequence[LayerHost],
+    preferred_fill: float = PREFERRED_FILL,
+    max_fill: float = MIN_LEVELING_FILL,
 ) -> tuple[Assignment, ...]:
     """Return the next orders that level the fill of a group's hosts, none if it is level.
 
@@ -45,8 +48,8 @@
       model: the model, which the hosts hold whole and once.
       hosts: the hosts of the group; idle ones are ignored.
       preferred_fill: the fill down to which full hosts drop layers.
+      max_fill: hosts up to this fill are left as they are.
     """
-    max_fill = max(MIN_LEVELING_FILL, preferred_fill)
     ordered = sorted(
         (each for each in hosts if not each.is_empty),
         key=lambda each: (each.first, each.end, each.instance),
@@ -63,7 +66,9 @@
     )
     if _free_memory(new_fill) < MIN_GAIN_FACTOR * _free_memory(current_fill):
         return ()
-    return _load_orders(ordered, ranges) or _drop_orders(model, ordered, ranges, preferred_fill)
+    return _load_orders(ordered, ranges) or _drop_orders(
+        model, ordered, ranges, preferred_fill, max_fill
+    )
 
 
 def _free_memory(fill: float) -> float:
@@ -129,9 +134,9 @@
     ordered: Sequence[LayerHost],
     ranges: Mapping[str, tuple[int, int]],
     preferred_fill: float,
+    max_fill: float,
 ) -> tuple[Assignment, ...]:
     """Return orders for full hosts to drop the layers outside their ranges."""
-    max_fill = max(MIN_LEVELING_FILL, preferred_fill)
     assignments = []
     for host in ordered:
         first, end = ranges[host.instance]
--- a/deckcourse/layers/placement.py
+++ b/deckcourse/layers/placement.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 from deckcourse.decisions.interruptions import NO_DEMAND, MemoryTarget, PlacementDemand
-from deckcourse.layers.coverage import gaps, range_gaps
+from deckcourse.layers.coverage import gaps, holder_counts, range_gaps
 from deckcourse.layers.hosts import Assignment, Group, LayerHost
 from deckcourse.layers.improvements import add_copy, add_part, balance, relieve, trim
 from deckcourse.layers.layouts import best_layout, target_of
@@ -71,17 +71,21 @@
     """Return the orders that bring an idle group closer to a division of its memory."""
     idle = [each for each in hosts if each.is_empty]
     if idle:
-        # The layers with the fewest holders first: the others may be few copies for a long time.
-        for depth in range(1, target.copies + 1):
+        # A copy that lost hosts is completed before they return, although the memory of the others
+        # is divided between fewer copies. The layers with the fewest holders come first.
+        usual_holders = sorted(holder_counts(model, hosts))[model.layers // 2]
+        for depth in range(1, max(target.copies, usual_holders) + 1):
             thin_ranges = gaps(model, hosts, depth)
             if thin_ranges:
                 return add_copy(model, idle, thin_ranges[0]) or add_part(
                     model, idle, thin_ranges[0], target.fill
                 )
-    fill = target.fill
-    # Idle hosts stay in reserve for the layers of lost ones while memory suffices: layers that are
-    # held once more only make paths longer.
-    relief = relieve(model, hosts, fill, max_fill=fill)
+    # Idle hosts stay in reserve for the layers of lost ones while the others have memory for the
+    # demand without a burst: layers that are held once more only make paths longer.
+    max_fill = target.healing_fill
+    relief = relieve(model, hosts, target.fill, max_fill)
     if target.copies == 1:
-        return relief or level(model, hosts, fill)
-    return relief or trim(model, hosts, target.copies, fill) or balance(model, hosts, fill)
+        return relief or level(model, hosts, target.fill, max_fill)
+    return (
+        relief or trim(model, hosts, target.copies, target.fill) or balance(model, hosts, max_fill)
+    )
--- a/features/layer_world.py
+++ b/features/layer_world.py
@@ -89,7 +89,12 @@
 
 
 def streams_a_second(model, hosts):
-    """Return how many usual streams a second the paths of a domain serve at full capacity.
+    """Return how many usual streams a second the paths of a domain serve at full capacity."""
+    return sum(1000.0 / each.cost for each in paths_at_capacity(model, hosts))
+
+
+def paths_at_capacity(model, hosts):
+    """Return the path of each usual stream that runs at full capacity.
 
     Streams are added to the fastest path until it is full, then to the next. Each takes a request
     slot of its first stage and memory of every host on its path.
@@ -108,11 +113,11 @@
             max(slots, *(used[each.instance] + memory_share(each) for each in path.stages)) <= 1.0
         )
 
-    rate = 0.0
+    taken = []
     for path in PathSet(model, hosts).all_paths():
         while has_capacity(path):
             started[path.stages[0].instance] += 1
             for each in path.stages:
                 used[each.instance] += memory_share(each)
-            rate += 1000.0 / path.cost
-    return rate
+            taken.append(path)
+    return taken
--- a/features/mutants_placement.py
+++ b/features/mutants_placement.py
@@ -1,10 +1,12 @@
-"""Mutants of placements that follow the demand."""
+"""Mutants of placements that follow the demand, and of the bounds for slow readers."""
 
 import deckcourse.decisions.smoothed_demand as smoothed_module
-import deckcourse.gateway.path_choice as path_choice_module
+import deckcourse.gateway.held_bytes as held_module
+import deckcourse.http1.server as server_module
 import deckcourse.layers.layouts as layouts_module
 import deckcourse.layers.placement as placement_module
-from deckcourse.decisions.interruptions import PlacementDemand
+from deckcourse.gateway.held_bytes import HeldBytes
+from deckcourse.gateway.path_choice import PathChoice
 
 
 def interruptions_do_not_count():
@@ -15,42 +17,43 @@
     layouts_module._adjacent_hosts = lambda copy_hosts: copy_hosts
 
 
-def copies_use_all_hosts():
-    layouts_module._DemandPlanner._fewest_hosts = lambda self, kinds: len(kinds)
-
-
 def returned_hosts_wait_for_each_other():
     placement_module.add_part = lambda *_: ()
 
 
-def reserves_load_layers_held_already():
-    original = placement_module.relieve
-    placement_module.relieve = lambda model, hosts, fill, max_fill=0.0: original(model, hosts, fill)
-
-
 def demand_follows_each_swing():
     smoothed_module.RISE_SECONDS = smoothed_module.FALL_SECONDS = 0.1
 
 
-def nights_leave_no_memory():
-    PlacementDemand.usual_streams = lambda self, model, copies: self.streams or model.requests
-
-
 def passing_streams_count_as_begun():
-    choice = path_choice_module.PathChoice
-    choice.running_streams = lambda self, domains: sum(
+    PathChoice.running_streams = lambda self, domains: sum(
         self._watch.reported(each.instance) for each in self._firsts() if each.domain in domains
     )
 
 
-_FEATURES = ("placement_by_demand",)
+def readers_take_any_time():
+    HeldBytes._check_readers = lambda self, timeout: None
+
+
+def sent_counts_as_read():
+    server_module._unsent_bytes = lambda stream: 0
+
+
+def any_connection_ends_first():
+    def least(*values, key=None):
+        return min(*values, key=key) if key is not None else max(values)
+
+    held_module.max = least
+
+
+_DEMAND, _READERS = ("placement_by_demand",), ("slow_readers",)
 EVERY = {
-    interruptions_do_not_count: ("layouts count interrupted streams", _FEATURES),
-    adjacent_hosts_hold_the_same_layers: ("adjacent hosts are of one copy", _FEATURES),
-    copies_use_all_hosts: ("a copy takes as few hosts as the demand allows", _FEATURES),
-    returned_hosts_wait_for_each_other: ("a returned host holds layers at once", _FEATURES),
-    reserves_load_layers_held_already: ("idle hosts stay in reserve", _FEATURES),
-    demand_follows_each_swing: ("the demand is smoothed", _FEATURES),
-    nights_leave_no_memory: ("the demand has a minimum", _FEATURES),
-    passing_streams_count_as_begun: ("streams that pass aren't counted twice", _FEATURES),
+    interruptions_do_not_count: ("layouts count interrupted streams", _DEMAND),
+    adjacent_hosts_hold_the_same_layers: ("adjacent hosts are of one copy", _DEMAND),
+    returned_hosts_wait_for_each_other: ("a returned host holds layers at once", _DEMAND),
+    demand_follows_each_swing: ("the demand is smoothed", _DEMAND),
+    passing_streams_count_as_begun: ("streams that pass aren't counted twice", _DEMAND),
+    readers_take_any_time: ("a caller that reads too slowly is ended", _READERS),
+    sent_counts_as_read: ("bytes in the kernel count as not read", _READERS),
+    any_connection_ends_first: ("the connection that holds most ends first", _READERS),
 }
--- a/features/steps/work_steps.py
+++ b/features/steps/work_steps.py
@@ -1,11 +1,11 @@
 """Steps for the cost of decisions, counted in function calls: the same on every machine."""
 
+import sys
 from dataclasses import replace
 from random import Random
 
 import msgspec
 from behave import given, then, when
-from call_count import calls_of
 from layer_world import LAYER_MB, carried_out, model_of
 
 from deckcourse.decisions.path_load import streams_started_at
@@ -23,6 +23,22 @@
 KINDS = {"big100": 0.1, "v100": 0.5, "l4": 0.4}
 
 
+def calls_of(work):
+    """Return how many function calls `work` makes, including built-in functions."""
+    count = 0
+
+    def note(frame, event, argument):
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(note)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
 @given("a domain of {count:d} hosts of three kinds, placed for a model of {layers:d} layers")
 def large_domain(context, count, layers):
     context.model = model_of(layers, LAYER_MB, 96)
