--- a/deckcourse/decisions/interruptions.py
+++ b/deckcourse/decisions/interruptions.py
@@ -6,6 +6,7 @@
 further copies or larger slices, so that a loss meets fewer streams.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -38,7 +39,7 @@
 MAX_PREFERRED_FILL = 0.83
 # Share of the request slots of one first stage a copy that is the configured demand: domains run 40
 # to 70 streams at two copies with 96 slots a first stage, and larger domains have more callers.
-CONFIGURED_SLOT_SHARE = 0.5
+CONFIGURED_SLOT_SHARE = 0.36
 # The demand counts as at least this share of the configured one: at night few streams run, and the
 # first burst of the day finds the layout of the night.
 MIN_DEMAND_SHARE = 0.25
@@ -80,7 +81,7 @@
       copy_streams: the concurrent streams that each copy has memory for, with all margins.
       fill: the preferred share of a host's memory for weights.
       healing_fill: the same for hosts that load the layers of lost ones: it leaves the KV cache for
-        the demand without a burst.
+        the whole demand without a burst, since they may be the only holders of these layers.
     """
 
     streams: float
@@ -119,9 +120,10 @@
       demand: the demand on the group.
 
     Returns:
-      The target; None without a weight for interruptions, or if the demand leaves no memory unused.
+      The target; None without a weight for interruptions, if the KV cache of the model isn't known,
+      or if the demand leaves no memory unused.
     """
-    if demand.weight <= 0.0:
+    if demand.weight <= 0.0 or not model.cache_bytes:
         return None
     weights = model.layers * model.layer_mb
     stream_mb = model.cache_bytes * model.usual_tokens / BYTES_PER_MB
@@ -137,7 +139,7 @@
         if fits and heals:
             fill = weights / (weights + copy_streams * stream_mb)
             fill = min(max(fill, PREFERRED_FILL), MAX_PREFERRED_FILL)
-            healing_fill = weights / (weights + copy_streams / BURST_FACTOR * stream_mb)
+            healing_fill = weights / (weights + streams * stream_mb)
             return MemoryTarget(
                 streams, copies, copy_streams, fill, min(max(healing_fill, fill), MAX_FILL)
             )
@@ -245,8 +247,6 @@
     held = sorted((each for copy in copies for each in copy), key=lambda each: each.layers)
     lost, rest = held[-LOST_HOST_COUNTS[-1] :], held[: -LOST_HOST_COUNTS[-1]]
     spare = sum(max(0, model.max_layers(each.kind, MAX_FILL) - each.layers) for each in rest)
-    idle = list(host_kinds)
-    for each in held:
-        idle.remove(each.kind)
-    spare += sum(model.max_layers(each, MAX_FILL) for each in idle)
+    idle = Counter(host_kinds) - Counter(each.kind for each in held)
+    spare += sum(model.max_layers(kind, MAX_FILL) * count for kind, count in idle.items())
     return min(1.0, spare / max(1, sum(each.layers for each in lost)))
