--- a/deckcourse/decisions/admission_order.py
+++ b/deckcourse/decisions/admission_order.py
@@ -15,7 +15,7 @@
     "Arrivals",
     "DecayingCount",
     "Limits",
-    "PATIENCE_SECONDS",
+    "CALLER_TIMEOUT_SECONDS",
     "Prospect",
     "RequestNeed",
     "SharedRoom",
@@ -27,10 +27,10 @@
 ]
 
 # Callers give up a stream after two seconds without data; a tenth is left for delivery.
-PATIENCE_SECONDS = 1.8
+CALLER_TIMEOUT_SECONDS = 1.8
 # Half-life of what an account used: as long as a usual answer takes.
 USE_HALF_LIFE_SECONDS = 5.0
-# Each such wait doubles the rank of a request, so that within a caller's patience it overtakes
+# Each such wait doubles the rank of a request, so that within a caller's timeout it overtakes
 # requests that need a hundredth of its time.
 RANK_DOUBLING_SECONDS = 0.25
 # An account or size that asked for this long without being served goes first in its priority. A
@@ -164,7 +164,7 @@
       account: the client account, empty for none.
       cost: the capacity and time that it takes, see `service_cost`.
       objective: the time to the first event within which it keeps its value, 0 for none.
-      patience: the time from its arrival after which its caller gives up.
+      caller_timeout: the time from its arrival after which its caller gives up.
       arrived_at: when it arrived.
       is_retry: whether an upstream refused it already, so that a further refusal costs a retry.
     """
@@ -173,7 +173,7 @@
     account: str
     cost: float
     objective: float
-    patience: float
+    caller_timeout: float
     arrived_at: float
     is_retry: bool = False
 
@@ -232,8 +232,8 @@
         is_in_time = not need.objective or first_event <= need.objective
         why = "in-time" if is_in_time else "late"
     # Where only its own prompt makes it slow, no refusal would serve it better.
-    is_slow_by_load = prospect.idle_first_event <= need.patience or kind is VerdictKind.WAIT
-    if first_event > need.patience and is_slow_by_load:
+    is_slow_by_load = prospect.idle_first_event <= need.caller_timeout or kind is VerdictKind.WAIT
+    if first_event > need.caller_timeout and is_slow_by_load:
         kind = VerdictKind.REFUSE
         why = "slow" if why == "late" else why
     return Verdict(kind, why or "behind", first_event, begins_in, delivery)
--- a/deckcourse/decisions/loss_reports.py
+++ b/deckcourse/decisions/loss_reports.py
@@ -114,7 +114,7 @@
         self._records: dict[str, _Record] = {}
 
     def add(self, instance: str, evidence: Evidence, reporter: str, now: float) -> bool:
-        """Add a report or a result; return whether it is news.
+        """Add a report or a result; return whether it is new.
 
         Args:
           instance: the upstream.
@@ -130,7 +130,7 @@
             record = self._records[instance] = _Record()
         if evidence.is_result:
             return self._add_result(record, evidence, reporter, now)
-        if not self._is_news(record, evidence, reporter, now):
+        if not self._is_new(record, evidence, reporter, now):
             return False
         if len(record.reports) >= MAX_REPORTS_PER_UPSTREAM:
             record.reports = {key: until for key, until in record.reports.items() if until > now}
@@ -152,7 +152,7 @@
         record.alive_until = float("-inf")
         return not was_confirmed
 
-    def _is_news(self, record: _Record, evidence: Evidence, reporter: str, now: float) -> bool:
+    def _is_new(self, record: _Record, evidence: Evidence, reporter: str, now: float) -> bool:
         if record.confirmed_until > now:
             return False
         if record.alive_until > now and evidence in _WEAK_EVIDENCE:
--- a/deckcourse/gateway/admission_queue.py
+++ b/deckcourse/gateway/admission_queue.py
@@ -224,8 +224,8 @@
         """Return when a request must begin for its first event to come in time for its caller."""
         need, verdict = ticket.need, ticket.verdict
         if verdict is None:
-            return need.arrived_at + need.patience
-        return need.arrived_at + need.patience - verdict.delivery
+            return need.arrived_at + need.caller_timeout
+        return need.arrived_at + need.caller_timeout - verdict.delivery
 
     async def run(self) -> None:
         """Let waiting requests begin when there is room, until cancelled."""
--- a/deckcourse/gateway/connection_watch.py
+++ b/deckcourse/gateway/connection_watch.py
@@ -20,18 +20,18 @@
 from deckcourse.http1.message import ConnectionLostError
 from deckcourse.http1.transport import Dial, Transport
 from deckcourse.peers.followers import followers
-from deckcourse.peers.loss_notice import MAX_ROWS, WatchNews, encode_loss_message
+from deckcourse.peers.loss_notice import MAX_ROWS, WatchUpdate, encode_loss_message
 from deckcourse.peers.member import Member
 from deckcourse.peers.roster import Roster
 
 __all__ = ["ConnectionWatch"]
 
-# Interval between two updates of the set of watched upstreams, and between news about it.
+# Interval between two updates of the set of watched upstreams, and between messages about it.
 UPDATE_INTERVAL_SECONDS = 0.5
-NEWS_INTERVAL_SECONDS = 1.0
-# How long news that the first follower watches an upstream is valid: three times that interval, as
-# a datagram may be lost.
-NEWS_TTL_SECONDS = 3.0
+WATCH_UPDATE_INTERVAL_SECONDS = 1.0
+# How long a message that the first follower watches an upstream is valid: three times that
+# interval, as a datagram may be lost.
+WATCH_UPDATE_TTL_SECONDS = 3.0
 # Connections that one process holds; a failure domain of the largest deployment has 33 upstreams,
 # and the smallest process 1,535 descriptors.
 MAX_CONNECTIONS = 128
@@ -56,7 +56,7 @@
     Args:
       roster: the membership view.
       upstreams: the upstreams that this process knows.
-      losses: receives the losses found, and sends news about watched upstreams.
+      losses: receives the losses found, and sends updates about watched upstreams.
       dial: opens a connection.
       services: returns the services whose upstreams hold layers, with the number of connections
         that each of their upstreams takes.
@@ -87,11 +87,11 @@
         self._watches: dict[str, trio.CancelScope] = {}
         # Upstreams to which a connection is open.
         self._open: set[str] = set()
-        # Until when news that the first follower watches an upstream is valid.
+        # Until when a message that the first follower watches an upstream is valid.
         self._watched_by_first: dict[str, float] = {}
         # Since when this process is the second follower, None if it isn't.
         self._second_since: float | None = None
-        self._next_news_at = 0.0
+        self._next_update_at = 0.0
 
     @property
     def connection_count(self) -> int:
@@ -109,21 +109,21 @@
                 for instance in wanted.keys() - self._watches.keys():
                     scope = self._watches[instance] = trio.CancelScope()
                     nursery.start_soon(self._watch, wanted[instance], scope)
-                await self._send_news()
+                await self._send_update()
                 await trio.sleep(UPDATE_INTERVAL_SECONDS)
 
-    def on_news(self, news: WatchNews) -> None:
+    def on_update(self, update: WatchUpdate) -> None:
         """Record which upstreams the first follower watches."""
         domain_followers = self._followers()
-        if not domain_followers or domain_followers[0].name != news.sender:
+        if not domain_followers or domain_followers[0].name != update.sender:
             return
         now = trio.current_time()
         self._watched_by_first = {
             name: until for name, until in self._watched_by_first.items() if until > now
         }
         # The table bounds what is kept.
-        known = (each for each in news.instances if self._upstreams.get(each) is not None)
-        self._watched_by_first.update(dict.fromkeys(known, now + NEWS_TTL_SECONDS))
+        known = (each for each in update.instances if self._upstreams.get(each) is not None)
+        self._watched_by_first.update(dict.fromkeys(known, now + WATCH_UPDATE_TTL_SECONDS))
 
     def _followers(self) -> tuple[Member, ...]:
         return followers(self._roster.live(), self._roster.own.domain)
@@ -142,7 +142,7 @@
         now = trio.current_time()
         if self._second_since is None:
             self._second_since = now
-        if now < self._second_since + NEWS_TTL_SECONDS:
+        if now < self._second_since + WATCH_UPDATE_TTL_SECONDS:
             return {}  # News of the first follower may be under way.
         known = self._watched_by_first
         missing = [(name, row) for name, row in rows if known.get(name, 0.0) <= now]
@@ -165,19 +165,19 @@
             and not self._losses.is_confirmed(row.instance)
         )
 
-    async def _send_news(self) -> None:
+    async def _send_update(self) -> None:
         """Tell the second follower which upstreams this process, the first one, watches."""
         now = trio.current_time()
-        if not self._open or now < self._next_news_at:
+        if not self._open or now < self._next_update_at:
             return
         domain_followers = self._followers()
         if len(domain_followers) < 2 or domain_followers[0].name != self._roster.own.name:
             return
-        self._next_news_at = now + NEWS_INTERVAL_SECONDS
+        self._next_update_at = now + WATCH_UPDATE_INTERVAL_SECONDS
         instances = sorted(self._open)
         for begin in range(0, len(instances), MAX_ROWS):
-            news = WatchNews(self._roster.own.name, tuple(instances[begin : begin + MAX_ROWS]))
-            await self._losses.send(domain_followers[1].address, encode_loss_message(news))
+            update = WatchUpdate(self._roster.own.name, tuple(instances[begin : begin + MAX_ROWS]))
+            await self._losses.send(domain_followers[1].address, encode_loss_message(update))
 
     async def _watch(self, upstream: Upstream, scope: trio.CancelScope) -> None:
         """Hold a connection to an upstream; open the next one when it closes."""
--- a/deckcourse/gateway/loss_notices.py
+++ b/deckcourse/gateway/loss_notices.py
@@ -25,7 +25,7 @@
     MAX_ROWS,
     LossNotice,
     LossRow,
-    WatchNews,
+    WatchUpdate,
     decode_loss_message,
     encode_loss_message,
 )
@@ -121,20 +121,20 @@
         self._verifying: set[str] = set()
         self._nursery: trio.Nursery | None = None
         self._on_reported: Callable[[str], None] = lambda instance: None
-        self._on_watch_news: Callable[[WatchNews], None] = lambda news: None
+        self._on_watch_update: Callable[[WatchUpdate], None] = lambda update: None
         gossip.register_loss_handler(self._on_datagram)
 
     def register_handlers(
-        self, on_reported: Callable[[str], None], on_watch_news: Callable[[WatchNews], None]
+        self, on_reported: Callable[[str], None], on_watch_update: Callable[[WatchUpdate], None]
     ) -> None:
         """Register the handlers of what others report.
 
         Args:
           on_reported: called with each upstream that is probably gone.
-          on_watch_news: called with the upstreams whose connections another process watches.
+          on_watch_update: called with the upstreams whose connections another process watches.
         """
         self._on_reported = on_reported
-        self._on_watch_news = on_watch_news
+        self._on_watch_update = on_watch_update
 
     def report(self, instance: str, evidence: Evidence) -> None:
         """Report what this process observed about an upstream."""
@@ -192,7 +192,7 @@
         return True
 
     def _learn(self, upstream: Upstream, evidence: Evidence, reporter: str, domain: str) -> bool:
-        """Apply a report of this process or of another one; return whether it is news.
+        """Apply a report of this process or of another one; return whether it is new.
 
         Args:
           upstream: the upstream.
@@ -319,8 +319,8 @@
         message = decode_loss_message(data)
         if message is None:
             self._count("malformed.loss-notice")
-        elif isinstance(message, WatchNews):
-            self._on_watch_news(message)
+        elif isinstance(message, WatchUpdate):
+            self._on_watch_update(message)
         else:
             self._on_notice(message)
 
@@ -337,12 +337,12 @@
                 rows.append((upstream, row.evidence))
         if not self._is_believed(notice.reporter, rows):
             return
-        news = [
+        new_rows = [
             LossRow(upstream.instance, evidence)
             for upstream, evidence in rows
             if self._learn(upstream, evidence, notice.reporter, notice.domain)
         ]
-        if not notice.pass_on or not news or self._nursery is None:
+        if not notice.pass_on or not new_rows or self._nursery is None:
             return
         now = trio.current_time()
         if self._next_batch_at() > now:
@@ -355,7 +355,7 @@
             if each.domain == own.domain and each.name not in (own.name, notice.reporter)
         ]
         self._nursery.start_soon(
-            self._send_to, members, LossNotice(notice.reporter, notice.domain, tuple(news))
+            self._send_to, members, LossNotice(notice.reporter, notice.domain, tuple(new_rows))
         )
 
     def _verify_if_follower(self, instance: str) -> None:
@@ -420,10 +420,10 @@
         own = self._roster.own
         if not self._is_believed(own.name, [(upstream, result)]):
             return False  # This process is isolated: it found most of the domain to be gone.
-        is_news = self._learn(upstream, result, own.name, own.domain)
+        is_new = self._learn(upstream, result, own.name, own.domain)
         if result is Evidence.ALIVE:
             self._queue(instance, result, to_all_domains=False)
             return False
-        to_all_domains = is_news and result is Evidence.ENDED
+        to_all_domains = is_new and result is Evidence.ENDED
         self._queue(instance, result, to_all_domains)
         return True
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -219,7 +219,9 @@
             log,
         )
         self._shares_losses = False
-        self._losses.register_handlers(self._monitor.check_upstream, self._connection_watch.on_news)
+        self._losses.register_handlers(
+            self._monitor.check_upstream, self._connection_watch.on_update
+        )
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
         self._admission = AdmissionQueues(
             load_settings,
--- a/deckcourse/gateway/stream_admission.py
+++ b/deckcourse/gateway/stream_admission.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from deckcourse.decisions.admission_order import PATIENCE_SECONDS, RequestNeed, service_cost
+from deckcourse.decisions.admission_order import CALLER_TIMEOUT_SECONDS, RequestNeed, service_cost
 from deckcourse.gateway.admission_queue import Place, Refused, Ticket
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.context import GatewayContext
@@ -151,17 +151,17 @@
         admitted, caller = self._admitted, self._admitted.caller
         route, model = admitted.route, admitted.service.model
         remaining = admitted.deadline - self._arrived_at
-        patience = min(PATIENCE_SECONDS, remaining)
+        caller_timeout = min(CALLER_TIMEOUT_SECONDS, remaining)
         if attempts and route.objective:
             # A late retry could take the budget that another one needs in time.
-            patience = min(patience, route.objective)
+            caller_timeout = min(caller_timeout, route.objective)
         answer_tokens = caller.answer_tokens or caller.max_answer_tokens or model.usual_answer
         need = RequestNeed(
             admitted.priority,
             admitted.account_name,
             service_cost(caller.prompt_tokens or model.usual_prompt, answer_tokens),
             route.objective,
-            patience,
+            caller_timeout,
             self._arrived_at,
             bool(attempts),
         )
--- a/deckcourse/gateway/stream_moves.py
+++ b/deckcourse/gateway/stream_moves.py
@@ -242,7 +242,7 @@
     async def _offer_spread(self, stream: ActiveStream, batch: _Batch) -> None:
         """Offer paths to a stream's first upstream, spread over several ones, until it accepts one.
 
-        An answer that a host is gone is news for all streams, and the next path is offered at once.
+        An answer that a host is gone concerns all streams, and the next path is offered at once.
         It counts as an attempt only after the stream's pause is over. Otherwise this is as in
         `_offer_cheapest`.
         """
--- a/deckcourse/peers/loss_notice.py
+++ b/deckcourse/peers/loss_notice.py
@@ -17,7 +17,7 @@
     "LossMessage",
     "LossNotice",
     "LossRow",
-    "WatchNews",
+    "WatchUpdate",
     "decode_loss_message",
     "encode_loss_message",
 ]
@@ -53,14 +53,14 @@
     pass_on: bool = False
 
 
-class WatchNews(msgspec.Struct, frozen=True, array_like=True, tag="w"):
+class WatchUpdate(msgspec.Struct, frozen=True, array_like=True, tag="w"):
     """Upstreams to which a follower holds a connection."""
 
     sender: _Text
     instances: Annotated[tuple[_Text, ...], Meta(min_length=1, max_length=MAX_ROWS)]
 
 
-LossMessage = LossNotice | WatchNews
+LossMessage = LossNotice | WatchUpdate
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(LossMessage)
--- a/features/admission_replay.py
+++ b/features/admission_replay.py
@@ -19,7 +19,7 @@
 DURATION = 4.0
 FIRST_EVENT = 0.15
 REPORT_SECONDS = 0.4
-PATIENCE = 1.8
+CALLER_TIMEOUT = 1.8
 
 
 @dataclass
@@ -69,7 +69,9 @@
     async def ask(self, outcome, cost, returns):
         while True:
             arrived_at = trio.current_time()
-            need = RequestNeed(outcome.priority, outcome.account, cost, 0.5, PATIENCE, arrived_at)
+            need = RequestNeed(
+                outcome.priority, outcome.account, cost, 0.5, CALLER_TIMEOUT, arrived_at
+            )
             self.queue.note_arrival(outcome.priority, 0.25)
             decision = await self.queue.enter(Ticket("r", need, 0.25, 100, self.find_places))
             if isinstance(decision, Admitted):
--- a/features/mutants_losses.py
+++ b/features/mutants_losses.py
@@ -44,7 +44,7 @@
 
 
 def the_second_follower_watches_nothing():
-    watch_module.NEWS_TTL_SECONDS = 1e6
+    watch_module.WATCH_UPDATE_TTL_SECONDS = 1e6
 
 
 LOSSES = ("loss_notices",)
--- a/features/steps/admission_order_steps.py
+++ b/features/steps/admission_order_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from deckcourse.decisions.admission_order import (
-    PATIENCE_SECONDS,
+    CALLER_TIMEOUT_SECONDS,
     AccountUse,
     Limits,
     Prospect,
@@ -45,7 +45,7 @@
     "with a reserve of {reserve:g}"
 )
 def request_asks(context, waited, ahead, reserve):
-    need = RequestNeed(1, "a", 100, 0.5, PATIENCE_SECONDS, NOW - waited / 1000)
+    need = RequestNeed(1, "a", 100, 0.5, CALLER_TIMEOUT_SECONDS, NOW - waited / 1000)
     limits = Limits(0.25, reserve, ahead=ahead, ends_per_second=5.0)
     context.verdict = decide(need, context.prospect, limits, NOW)
 
@@ -59,7 +59,12 @@
     """Return the request of a text such as "p1 a 400 tokens 300 ms"."""
     priority, account, cost, _, waited, _ = text.split()
     return RequestNeed(
-        int(priority[1:]), account, float(cost), 0.5, PATIENCE_SECONDS, NOW - float(waited) / 1000
+        int(priority[1:]),
+        account,
+        float(cost),
+        0.5,
+        CALLER_TIMEOUT_SECONDS,
+        NOW - float(waited) / 1000,
     )
 
 
