Admission control only where stream routes differ in priority

Streams of one priority were held back and refused by shares of free slots, where a queue at the upstreams serves them.

Change: it takes effect for services whose stream routes state more than one priority.

--- a/deckcourse/gateway/admission_queues.py
+++ b/deckcourse/gateway/admission_queues.py
@@ -20,6 +20,7 @@
 
     Args:
       settings: returns the current settings for load that exceeds capacity.
+      ranks_streams: returns whether the streams of a service have more than one priority.
       path_choice: returns the choice of paths of a service.
       upstreams: the upstreams that this process knows.
       traffic: this process's share of all traffic.
@@ -32,6 +33,7 @@
     def __init__(
         self,
         settings: Callable[[], LoadSettings],
+        ranks_streams: Callable[[str], bool],
         path_choice: Callable[[str], PathChoice],
         upstreams: UpstreamTable,
         traffic: TrafficShare,
@@ -41,6 +43,7 @@
         log: Callable[..., None],
     ) -> None:
         self._settings = settings
+        self._ranks_streams = ranks_streams
         self._path_choice = path_choice
         self._upstreams = upstreams
         self._traffic = traffic
@@ -52,10 +55,13 @@
         self._prospects: dict[str, PathProspects] = {}
         self._added = trio.Event()
 
-    @property
-    def is_on(self) -> bool:
-        """Whether the settings turn admission control on."""
-        return self._settings().admission
+    def is_on(self, service: str) -> bool:
+        """Return whether streams of a service are admitted by rank.
+
+        That takes more than one priority: where all streams are alike, holding some back served
+        fewer of them than a queue at the upstreams (docs/design/admission.md).
+        """
+        return self._settings().admission and self._ranks_streams(service)
 
     def of(self, service: str) -> AdmissionQueue:
         """Return the queue of a service."""
@@ -83,7 +89,7 @@
 
     def note_ended(self, service: str, instance: str) -> None:
         """Record that a stream of this process ended at the first upstream of its path."""
-        if self.is_on:
+        if self.is_on(service):
             self._path_choice(service).note_ended(instance)
             self.of(service).note_end()
 
--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -144,7 +144,7 @@
     remaining = admitted.deadline - trio.current_time()
     max_seconds = max(min_seconds, remaining * MAX_RETRY_AFTER_SHARE)
     schedule = context.return_schedule(admitted.service.name)
-    if context.admission.is_on and admitted.service.model is not None:
+    if admitted.service.model is not None and context.admission.is_on(admitted.service.name):
         return schedule.take_ranked_slot(
             admitted.priority, min_seconds, context.admission.jitter(), max_seconds
         )
--- a/deckcourse/gateway/desired.py
+++ b/deckcourse/gateway/desired.py
@@ -129,6 +129,20 @@
     def _accounts_by_key(self) -> dict[str, AccountSpec]:
         return {key: account for account in self.accounts for key in account.keys}
 
+    @cached_property
+    def _ranked_services(self) -> frozenset[str]:
+        """The services whose stream routes state more than one priority."""
+        priorities: dict[str, set[int]] = defaultdict(set)
+        for route in self.routes:
+            if route.kind is RouteKind.STREAM:
+                for target in route.targets:
+                    priorities[target.service].add(route.priority)
+        return frozenset(name for name, each in priorities.items() if len(each) > 1)
+
+    def ranks_streams(self, service: str) -> bool:
+        """Return whether the stream routes of a service state more than one priority."""
+        return service in self._ranked_services
+
     def route_of(self, host: str, path: str) -> RouteSpec | None:
         """Return the route whose prefix is the longest match for the path, None if none matches."""
         for route in self._routes_by_host.get(host, ()):
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -225,6 +225,7 @@
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
         self._admission = AdmissionQueues(
             load_settings,
+            self._ranks_streams,
             self._path_choice,
             self._upstreams,
             self._traffic_share,
@@ -434,6 +435,9 @@
         roster = self._peers.roster
         return rank_of(roster.own, roster.live(), domains, group.name)
 
+    def _ranks_streams(self, service: str) -> bool:
+        return self._desired is not None and self._desired.ranks_streams(service)
+
     def _model_of(self, service: str) -> ModelSpec | None:
         spec = self._desired.services.get(service) if self._desired is not None else None
         return spec.model if spec is not None else None
--- a/deckcourse/gateway/stream_admission.py
+++ b/deckcourse/gateway/stream_admission.py
@@ -69,7 +69,7 @@
         self._avoided = avoided
         self._arrived_at = trio.current_time()
         self._counted_path: LayerPath | None = None
-        if context.admission.is_on:
+        if context.admission.is_on(admitted.service.name):
             route = admitted.route
             context.admission.of(admitted.service.name).note_arrival(
                 admitted.priority, route.gap_objective
@@ -82,7 +82,7 @@
           path: the path that was chosen for it.
           attempts: how many attempts were made.
         """
-        if not self._context.admission.is_on:
+        if not self._context.admission.is_on(self._admitted.service.name):
             refusal = await self._refuse_by_utilization(path, attempts)
             return path if refusal is None else refusal
         if attempts:
@@ -108,7 +108,7 @@
 
     def note_refused(self) -> None:
         """Record that an upstream had no room for the stream."""
-        if self._context.admission.is_on:
+        if self._context.admission.is_on(self._admitted.service.name):
             self._context.admission.of(self._admitted.service.name).note_shortage()
 
     async def _refuse_by_utilization(self, path: LayerPath, attempts: int) -> Refusal | None:
--- a/features/steps/admission_queue_steps.py
+++ b/features/steps/admission_queue_steps.py
@@ -31,6 +31,27 @@
     context.site.config = default_config(
         tenants=[{"name": name, "apiKeys": [name], "priority": each} for name, each in names]
     )
+    # Admission control takes effect where the stream routes of a service differ in priority.
+    context.site.config["routes"][1]["priority"] = 2
+
+
+@given("the stream routes of the service have one priority")
+def one_priority(context):
+    context.site.config["routes"][1]["priority"] = context.site.config["routes"][0]["priority"]
+
+
+@then("no stream waits, and the first upstreams queue what their slots don't run")
+def nobody_waits(context):
+    site, waited = context.site, []
+
+    async def story(site):
+        set_running(site, 1)
+        await trio.sleep(1.0)
+        await site.ask(name="r1", key="a")
+        waited.extend(each for each in site.lines if each[0] == "admission")
+
+    site.play(story)
+    assert not waited, waited
 
 
 def set_running(site, count):
