Don't end slow readers for a pause of the process itself

Cause: after a process was paused for longer than reader_timeout, the first check counted its own pause as that of the callers with a write under way, and ended their streams.

Change: a check that is over 0.5 s late restarts the timeout of all callers.

--- a/deckcourse/gateway/held_bytes.py
+++ b/deckcourse/gateway/held_bytes.py
@@ -25,6 +25,8 @@
 CHECKS_PER_TIMEOUT = 8
 MIN_CHECK_INTERVAL_SECONDS = 0.05
 MAX_CHECK_INTERVAL_SECONDS = 0.25
+# A check that runs this much too late shows that this process itself was paused.
+PROCESS_PAUSE_SECONDS = 0.5
 
 
 class EndReason(StrEnum):
@@ -153,6 +155,8 @@
         self._log = log
         self._holders: set[Holder] = set()
         self._total = 0
+        # When this process last continued after a pause.
+        self._resumed_at = float("-inf")
 
     @property
     def reader_timeout(self) -> float:
@@ -195,7 +199,10 @@
 
     async def run(self) -> None:
         """End the connections of callers that read too slowly, until cancelled."""
+        due_at = trio.current_time()
         while True:
+            if trio.current_time() - due_at > PROCESS_PAUSE_SECONDS:
+                self._resumed_at = trio.current_time()
             timeout = self.reader_timeout
             interval = MAX_CHECK_INTERVAL_SECONDS
             if timeout:
@@ -204,13 +211,15 @@
                 interval = max(interval, MIN_CHECK_INTERVAL_SECONDS)
             if timeout or self._settings().held_bytes:
                 self._gauge("held.bytes", self.total)
-            await trio.sleep(interval)
+            due_at = trio.current_time() + interval
+            await trio.sleep_until(due_at)
 
     def _check_readers(self, timeout: float) -> None:
         now = trio.current_time()
         for holder in list(self._holders):
             since = holder.waiting_since()
-            if since is not None and now - since > timeout:
+            # While this process was paused, no caller could take what it had yet to write.
+            if since is not None and now - max(since, self._resumed_at) > timeout:
                 self._end(holder, EndReason.CALLER_SLOW, now - since)
 
     def _end(self, holder: Holder, why: EndReason, waited: float) -> None:
--- a/features/slow_readers.feature
+++ b/features/slow_readers.feature
@@ -26,3 +26,8 @@
       | 9000  | bodies  | 2500 3000      |
       | 9000  | answers | 2500 3000      |
       | 0     | bodies  | 2500 3000 4000 |
+
+  # Guards against ending all streams after a pause of the process, which their callers didn't cause.
+  Scenario: A process that was paused gives its callers the whole timeout again
+    When a process whose callers may take 1 second is paused for 6 with a write under way
+    Then the caller is not ended on waking, but a second later if it still takes nothing
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -171,3 +171,34 @@
     ended = [fields for kind, fields in context.site.lines if kind == "connection-ended"]
     assert [each["reason"] for each in ended] == ["held-bytes"] * (3 - len(context.served)), ended
     assert context.total == 0, context.total
+
+
+@when(
+    "a process whose callers may take {timeout:g} second is paused for {pause:g} with a write "
+    "under way"
+)
+def paused_process(context, timeout, pause):
+    clock, context.ended = trio.testing.MockClock(rate=0.0, autojump_threshold=0), []
+
+    async def story():
+        settings = LoadSettings(reader_timeout=Duration(timeout))
+        held = HeldBytes(lambda: settings, lambda *_: None, lambda *_: None, lambda *_, **__: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(held.run)
+            with held.connection() as holder:
+                holder.attach(lambda: 0)
+                holder.note_writing(100)
+                await trio.sleep(timeout / 2)
+                clock.jump(pause)
+                for seconds in (timeout / 2, timeout):
+                    with trio.CancelScope(shield=True):
+                        await trio.sleep(seconds)
+                    context.ended.append(holder.end_reason is not None)
+            nursery.cancel_scope.cancel()
+
+    trio.run(story, clock=clock)
+
+
+@then("the caller is not ended on waking, but a second later if it still takes nothing")
+def not_on_waking(context):
+    assert context.ended == [False, True], context.ended
