--- a/deckcourse/settings.py
+++ b/deckcourse/settings.py
@@ -95,15 +95,16 @@
     """How the gateway decides when load exceeds capacity; everything is off by default.
 
     `admission` queues requests by rank instead of refusing them at a fixed utilization; at most
-    `max_waiting` wait in a process. With `start_wait`, requests that come before a process knows its
-    configuration wait for it, in the same number. `shared_losses` tells peers of upstreams that are gone;
-    `watch_connections` holds a connection to each upstream, whose reset shows its end at once.
-    `shared_room` estimates the free capacity of upstreams from the share of the traffic.
+    `max_waiting` wait in a process. With `start_wait`, requests that come before a process knows
+    its configuration wait for it, in the same number. `shared_losses` tells peers of upstreams that
+    are gone; `watch_connections` holds a connection to each upstream, whose reset shows its end at
+    once. `shared_room` estimates the free capacity of upstreams from the share of the traffic.
     `domain_forecast` chooses between failure domains by predicted times. `onward_spread` spreads
-    running streams over several paths after a loss. `interruption_weight` is the weight of streams
-    that a lost host interrupts in the choice of a layout, 0 for none; `expected_streams` is the
-    number of concurrent streams of a failure domain for which it is made until some are observed, 0
-    if it isn't known. A stream whose caller doesn't
+    running streams over several paths after a loss.
+
+    `interruption_weight` is the weight of streams that a lost host interrupts in the choice of a
+    layout, 0 for none; `expected_streams` is the number of concurrent streams of a failure domain
+    for which it is made until some are observed, 0 if it isn't known. A stream whose caller doesn't
     read for `reader_timeout` ends, none does if it is 0; `held_bytes` bounds what a process holds
     for callers and upstreams that read slowly, 0 for no bound.
     """
