--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -105,7 +105,7 @@
         self.address = f"{name}:1"
         self.peer_address = f"{name}-peer:1"
         self.store = ProcessStore(world)
-        pool = ConnectionPool(lambda what: None, world.dial)
+        pool = ConnectionPool(lambda what: None, world.dial_of(name))
         control = RunnerControl(pool)
         member = Member(name, start, self.peer_address, domain)
         seeds = lambda: world.seeds  # noqa: E731
@@ -162,6 +162,10 @@
         for runner in self.runners.values():
             runner.accepts_orders, runner.slots = False, 96
 
+    def dial_of(self, process):
+        """Return the function by which a process opens connections."""
+        return self.dial
+
     def add(self, instance, service="llm", domain="x", first=0, end=0):
         self.runners[instance] = CrashingRunner(self, instance, service, domain, first, end)
         return self.runners[instance]
