Tell whether a process reaches the upstreams of a service

Callers were refused as no-route at processes that were partitioned from all upstreams. No log or metric told a process without upstreams from upstreams that are gone: each connection attempt was judged alone, and the same refusals are seen when a model lacks layers.

New connections to upstreams, of requests, probes and watches alike, are now observed in one place. Once two upstreams of a service can't be reached, up to three others are probed. If none accepts a connection in two rounds, the service counts as partitioned until one does; connections that were opened before are no evidence, since they may live on. Plain calls without an answer for 0.4 s have their upstream probed, and those that may be repeated end when the partition is known. Log entries partitioned and partition-ended, the counter upstreams.partition, the gauge upstreams.partitioned-services.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -191,6 +191,7 @@
         facts = context.dialect.facts(reply)
     if facts.request_id != caller.request_id:
         raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
+    context.reachability.note_answer(admitted.service.name)
     origin = NoticeOrigin(sent_at, connection.opened_at)
     context.notices.apply(dispatch.instance, facts.notice, origin)
     return reply, facts
--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -14,6 +14,7 @@
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.rate_gate import RateGate
+from deckcourse.gateway.reachability import Reachability
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.retry_budgets import RetryBudgets
 from deckcourse.gateway.return_schedule import ReturnSchedule
@@ -44,6 +45,7 @@
     retry_budgets: RetryBudgets
     admission: AdmissionQueues
     call_balances: CallBalances
+    reachability: Reachability
     schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
     report_loss: Callable[[str, Evidence], None] = lambda instance, evidence: None
 
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -268,15 +268,18 @@
         self._executions += 1
         meter = admitted.exchange.meter
         meter.note_body_waiting(len(admitted.caller.message.body))
-        try:
-            reply, facts = await send_request(
-                self._context, admitted, connection, dispatch, meter.note_body_sent
-            )
-        except ConnectionLostError as failure:
-            self._executions -= failure.kind is FailureKind.UNSENT
-            raise
-        meter.note_response_end()
-        body = await reply.read_body(meter.note_response)
+        with self._context.reachability.waiting(
+            upstream.service, upstream.instance, self._may_execute_again()
+        ):
+            try:
+                reply, facts = await send_request(
+                    self._context, admitted, connection, dispatch, meter.note_body_sent
+                )
+            except ConnectionLostError as failure:
+                self._executions -= failure.kind is FailureKind.UNSENT
+                raise
+            meter.note_response_end()
+            body = await reply.read_body(meter.note_response)
         if facts.not_executed:
             self._executions -= 1
             return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -29,6 +29,7 @@
 from deckcourse.gateway.placement_demand import DemandWatch
 from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
 from deckcourse.gateway.rate_limits import RateLimitBook
+from deckcourse.gateway.reachability import Reachability
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.retry_budgets import RetryBudgets
 from deckcourse.gateway.retry_limits import RetryLimits
@@ -119,6 +120,16 @@
             self._upstreams, self._rate_limits, counters.count, log, ports.wall_clock
         )
         ports.control.set_notice_listener(self._notices.apply)
+        self._reachability = Reachability(
+            self._upstreams,
+            ports.control,
+            lambda: self._desired.services if self._desired is not None else (),
+            random,
+            counters.count,
+            counters.gauge,
+            log,
+        )
+        ports.pool.set_dial_observer(self._reachability.note_dial)
         self._path_choices: dict[str, PathChoice] = {}
         self._healers: dict[str, Healer] = {}
         self._plan_book = PlanBook(ports.table, identity.author)
@@ -209,6 +220,7 @@
                 random,
             ),
             self._losses.notices,
+            self._reachability.note_unreachable,
         )
         self._losses.register_handler(self._monitor.check_upstream)
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
@@ -244,6 +256,7 @@
             call_balances=CallBalances(
                 load_settings, self._traffic_share, trio.current_time, random
             ),
+            reachability=self._reachability,
         )
         start_wait = StartWait(
             load_settings,
@@ -350,6 +363,7 @@
             nursery.start_soon(self._run_forever, self._plan_feed.run)
             nursery.start_soon(self._run_forever, self._crash_feed.run)
             nursery.start_soon(self._run_forever, self._lapse_check.run)
+            nursery.start_soon(self._run_forever, self._reachability.run)
             nursery.start_soon(self._run_forever, self._monitor.run)
             nursery.start_soon(self._run_forever, self._crash_watch.run)
             nursery.start_soon(self._run_forever, self._issuing.run)
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -85,6 +85,7 @@
       log: writes an entry to the decision log.
       spread: how moved streams are spread over several paths.
       losses: receives what is observed about upstreams, and tells what others have confirmed.
+      on_unreachable: called with each upstream that answered no probes.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         log: Callable[..., None],
         spread: OnwardSpread = NO_SPREAD,
         losses: LossReports = NO_REPORTS,
+        on_unreachable: Callable[[Upstream], None] = lambda upstream: None,
     ) -> None:
         self._upstreams = upstreams
         self._control = control
@@ -105,6 +107,7 @@
         self._count = count
         self._log = log
         self._losses = losses
+        self._on_unreachable = on_unreachable
         self._streams: set[ActiveStream] = set()
         self._mover = StreamMover(
             self._streams, upstreams, control, choices, spread, losses, count, log
@@ -312,6 +315,7 @@
         self._upstreams.suspect(upstream.instance, SUSPICION_TTL_SECONDS)
         self._on_suspected(upstream.domain)
         self._losses.report(upstream.instance, Evidence.SILENT)
+        self._on_unreachable(upstream)
         if upstream.instance not in self._confirming and self._nursery is not None:
             self._confirming.add(upstream.instance)
             self._nursery.start_soon(self._confirm_suspicion, upstream)
--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -396,6 +396,10 @@
         )
         return next((each for each in departed if each.service == service), None)
 
+    def listed_at(self, address: str) -> Upstream | None:
+        """Return the listed upstream at an address, of whatever service."""
+        return self._rows.get(self._at_address.get(address, ""))
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return all listed upstreams of a service, leaving ones included."""
         self._expire()
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -281,9 +281,17 @@
 
     def __init__(self, count: Callable[[str], None], dial: Dial | None = None) -> None:
         self._dial = dial or dial_tcp
+        self._on_dial: Callable[[str, ConnectionLostError | None], None] = lambda *_: None
         self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
         self._count = count
 
+    def set_dial_observer(self, on_dial: Callable[[str, ConnectionLostError | None], None]) -> None:
+        """Register the callback for each attempt to connect: its address, and its failure if any.
+
+        Cancelled attempts aren't reported.
+        """
+        self._on_dial = on_dial
+
     async def acquire(
         self,
         address: str,
@@ -314,7 +322,7 @@
           ConnectionLostError: UNSENT, the address is unreachable.
         """
         self._count("connection.opened")
-        return UpstreamConnection(address, await self._dial(address))
+        return UpstreamConnection(address, await self.dial(address))
 
     async def dial(self, address: str) -> Transport:
         """Return a new connection to `IP:port` that is used without HTTP and not kept here.
@@ -322,7 +330,13 @@
         Raises:
           ConnectionLostError: UNSENT, the address is unreachable.
         """
-        return await self._dial(address)
+        try:
+            transport = await self._dial(address)
+        except ConnectionLostError as failure:
+            self._on_dial(address, failure)
+            raise
+        self._on_dial(address, None)
+        return transport
 
     def _take_idle(
         self, address: str, max_idle_seconds: float, without_call: str | None
