--- a/deckcourse/gateway/admitted.py
+++ b/deckcourse/gateway/admitted.py
@@ -8,12 +8,26 @@
 from deckcourse.gateway.request_identity import identity_of
 from deckcourse.http1.server import Exchange
 
-__all__ = ["Admitted"]
+__all__ = ["Admitted", "EarlierExecutions"]
+
+
+@dataclass(frozen=True)
+class EarlierExecutions:
+    """The executions of a request before a peer handed it over.
+
+    `instances` are the upstreams that may execute it still, `count` is the number of executions.
+    """
+
+    instances: tuple[str, ...] = ()
+    count: int = 0
 
 
 @dataclass(frozen=True)
 class Admitted:
-    """A request that passed routing and authorization; `deadline` is on trio's clock."""
+    """A request that passed routing and authorization; `deadline` is on trio's clock.
+
+    `earlier` is set if a peer handed it over.
+    """
 
     caller: CallerRequest
     route: RouteSpec
@@ -21,6 +35,7 @@
     account: AccountSpec | None
     deadline: float
     exchange: Exchange
+    earlier: EarlierExecutions | None = None
 
     @cached_property
     def identity(self) -> str:
--- a/deckcourse/gateway/context.py
+++ b/deckcourse/gateway/context.py
@@ -7,10 +7,12 @@
 
 from deckcourse.decisions.loss_reports import Evidence
 from deckcourse.gateway.admission_queues import AdmissionQueues
+from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.call_balances import CallBalances
 from deckcourse.gateway.crash_watch import CrashWatch
 from deckcourse.gateway.dialect import Dialect
 from deckcourse.gateway.end_check import EndCheck
+from deckcourse.gateway.handover import Handover
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.rate_gate import RateGate
@@ -46,6 +48,7 @@
     admission: AdmissionQueues
     call_balances: CallBalances
     reachability: Reachability
+    new_handover: Callable[[Admitted], Handover]
     schedules: dict[str, ReturnSchedule] = field(default_factory=dict)
     report_loss: Callable[[str, Evidence], None] = lambda instance, evidence: None
 
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -1,24 +1,30 @@
 """The gateway: serves callers' requests, from the request head to the outcome."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import msgspec
 import trio
 
-from deckcourse.gateway.admitted import Admitted
+from deckcourse.gateway.admitted import Admitted, EarlierExecutions
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.desired import DesiredState, RouteSpec
 from deckcourse.gateway.dialect import CallerRequest
+from deckcourse.gateway.handover import HandedExchange
 from deckcourse.gateway.lookup import ServiceCall
 from deckcourse.gateway.stream import StreamCall
+from deckcourse.http1.message import Headers
 from deckcourse.http1.server import Exchange, IncomingRequest
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown, response_head
+from deckcourse.peers.handover_messages import HandedRequest
 from deckcourse.reasons import NotRunReason, UnknownReason
 
 __all__ = ["Gateway"]
 
 # Retry-after value of an entry that has no configuration yet: another entry may have one.
 NOT_READY_RETRY_AFTER_SECONDS = 0.1
+# Requests of peers that a process serves at the same time.
+MAX_HANDED_REQUESTS = 256
 
 
 class Gateway:
@@ -43,6 +49,7 @@
         self._domain = domain
         self._wait_for_start = wait_for_start
         self._requests = 0
+        self._handed_requests = 0
         self._refuses_new = False
 
     @property
@@ -50,6 +57,11 @@
         """The objects that requests share."""
         return self._context
 
+    @property
+    def accepts_handovers(self) -> bool:
+        """Whether peers may hand requests over to this process."""
+        return not self._refuses_new and self._handed_requests < MAX_HANDED_REQUESTS
+
     @property
     def requests(self) -> int:
         """The number of requests in flight."""
@@ -61,14 +73,43 @@
 
     async def handle(self, message: IncomingRequest, exchange: Exchange) -> None:
         """Serve one request; an unfinished response on return means that it must be cut off."""
+        caller = self._context.dialect.read(message)
+        await self._handle(caller, exchange, exchange.respond)
+
+    async def handle_handed_over(self, handed: HandedRequest, exchange: HandedExchange) -> None:
+        """Serve a request that a peer handed over, unless this process can't take it."""
+        desired = self._desired()
+        if desired is None or desired.version < handed.version or not self.accepts_handovers:
+            await exchange.decline()
+            return
+        message = IncomingRequest(handed.method, handed.target, handed.headers, handed.body)
+        caller = replace(
+            self._context.dialect.read(message),
+            timeout_seconds=handed.remaining_seconds,
+            last_event=handed.last_event,
+        )
+        self._context.count("handover.received")
+        self._handed_requests += 1
+        try:
+            earlier = EarlierExecutions(handed.executed_by, handed.executions)
+            await self._handle(caller, exchange, exchange.respond_outcome, earlier)
+        finally:
+            self._handed_requests -= 1
+
+    async def _handle(
+        self,
+        caller: CallerRequest,
+        exchange: Exchange | HandedExchange,
+        respond: Callable[[int, Headers, bytes], Awaitable[None]],
+        earlier: EarlierExecutions | None = None,
+    ) -> None:
         self._requests += 1
         arrived_at = trio.current_time()
-        caller = self._context.dialect.read(message)
         outcome: Outcome = Unknown(UnknownReason.CALLER_GONE, "the caller disconnected")
         try:
-            outcome = await self._serve(caller, exchange)
+            outcome = await self._serve(caller, exchange, earlier)
             if not isinstance(outcome, Answered) and not exchange.started:
-                await _send_outcome(exchange, outcome)
+                await _send_outcome(respond, outcome)
         finally:
             self._requests -= 1
             if exchange.meter.end_reason is not None and not isinstance(outcome, Answered):
@@ -77,17 +118,27 @@
             if exchange.torn:
                 self._context.count("answer.torn")
 
-    async def _serve(self, caller: CallerRequest, exchange: Exchange) -> Outcome:
+    async def _serve(
+        self,
+        caller: CallerRequest,
+        exchange: Exchange | HandedExchange,
+        earlier: EarlierExecutions | None,
+    ) -> Outcome:
         if self._desired() is None and not self._refuses_new:
             await self._wait_for_start()
-        admitted = self._admit(caller, exchange)
+        admitted = self._admit(caller, exchange, earlier)
         if isinstance(admitted, NotRun):
             return admitted
         if admitted.service.model is not None:
             return await StreamCall(self._context, admitted).run()
         return await ServiceCall(self._context, admitted, self._domain).run()
 
-    def _admit(self, caller: CallerRequest, exchange: Exchange) -> Admitted | NotRun:
+    def _admit(
+        self,
+        caller: CallerRequest,
+        exchange: Exchange | HandedExchange,
+        earlier: EarlierExecutions | None,
+    ) -> Admitted | NotRun:
         if self._refuses_new:
             return NotRun(
                 NotRunReason.STOPPING, "this entry is stopping", NOT_READY_RETRY_AFTER_SECONDS
@@ -111,7 +162,7 @@
         if service is None:
             return NotRun(NotRunReason.NO_ROUTE, f"route {route.name} has no service")
         deadline = trio.current_time() + _timeout_seconds(caller, route)
-        return Admitted(caller, route, service, account, deadline, exchange)
+        return Admitted(caller, route, service, account, deadline, exchange, earlier)
 
     def _record_outcome(self, caller: CallerRequest, outcome: Outcome, seconds: float) -> None:
         context = self._context
@@ -147,8 +198,10 @@
     return NotRun(NotRunReason.NOT_READY, message, NOT_READY_RETRY_AFTER_SECONDS)
 
 
-async def _send_outcome(exchange: Exchange, outcome: NotRun | Unknown) -> None:
+async def _send_outcome(
+    respond: Callable[[int, Headers, bytes], Awaitable[None]], outcome: NotRun | Unknown
+) -> None:
     head = response_head(outcome, fractions=True)
     body = msgspec.json.encode({"error": outcome.message, "reason": str(outcome.reason)})
     headers = (*head.headers, (b"content-type", b"application/json"))
-    await exchange.respond(head.status, headers, body)
+    await respond(head.status, headers, body)
--- /dev/null
+++ b/deckcourse/gateway/handover.py
@@ -0,0 +1,390 @@
+"""Hands a request over to a peer that reaches its service, and relays the peer's response.
+
+The first header of the peer's response tells what it is: an upstream's response, to be relayed
+unchanged, the peer's own final outcome, or that the peer did not take the request. It is read by
+its position, so that no header of an upstream is taken for it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+import trio
+
+from deckcourse.gateway.admitted import Admitted
+from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.reaching_peers import ReachingPeers
+from deckcourse.http1.client import ConnectionPool, UpstreamConnection, UpstreamReply
+from deckcourse.http1.message import ConnectionLostError, FailureKind, Headers, header_value
+from deckcourse.http1.server import ConnectionMeter, Exchange
+from deckcourse.outcomes import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RETRY_AFTER_HEADER,
+    Answered,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from deckcourse.peers.handover_messages import (
+    HANDOVER_PATH,
+    HandedRequest,
+    encode_handed_request,
+)
+from deckcourse.peers.member import Member
+from deckcourse.reasons import NotRunReason, UnknownReason
+
+__all__ = ["HandedExchange", "HandedOver", "Handover", "HandoverFailure", "ReplyKind"]
+
+KIND_HEADER = b"deckcourse-reply"
+# Peers that one request is handed over to at most.
+MAX_PEERS = 2
+# A peer that sends nothing for this time is asked whether it is alive, seconds.
+SILENCE_SECONDS = 0.4
+OK = 200
+# Refusals that another peer may not have to make: this one lost its upstreams or is stopping.
+RETRIED_REASONS = frozenset(
+    {
+        NotRunReason.NO_ROUTE,
+        NotRunReason.NOT_READY,
+        NotRunReason.STOPPING,
+        NotRunReason.UPSTREAM_REFUSED,
+    }
+)
+
+
+class ReplyKind(StrEnum):
+    """What a peer's response is; see the module."""
+
+    UPSTREAM = "upstream"
+    OUTCOME = "outcome"
+    DECLINED = "declined"
+
+
+@dataclass(frozen=True)
+class HandedOver:
+    """A peer determined the outcome; after an `Answered` one the caller has the response."""
+
+    outcome: Outcome
+
+
+@dataclass(frozen=True)
+class HandoverFailure:
+    """No peer served the request; `may_have_run` tells whether one of them may have."""
+
+    message: str
+    may_have_run: bool = False
+
+
+class HandedExchange:
+    """The exchange of a request that a peer handed over: marks the response by its kind."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+
+    @property
+    def started(self) -> bool:
+        """See `Exchange`."""
+        return self._exchange.started
+
+    @property
+    def torn(self) -> bool:
+        """See `Exchange`."""
+        return self._exchange.torn
+
+    @property
+    def meter(self) -> ConnectionMeter:
+        """See `Exchange`."""
+        return self._exchange.meter
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Start an upstream's response; see `Exchange`."""
+        await self._exchange.start(status, _marked(ReplyKind.UPSTREAM, headers))
+
+    async def send(self, data: bytes) -> None:
+        """See `Exchange`."""
+        await self._exchange.send(data)
+
+    async def finish(self) -> None:
+        """See `Exchange`."""
+        await self._exchange.finish()
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an upstream's complete response; see `Exchange`."""
+        await self._exchange.respond(status, _marked(ReplyKind.UPSTREAM, headers), body)
+
+    async def respond_outcome(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send the own outcome, which is no upstream's response."""
+        await self._exchange.respond(status, _marked(ReplyKind.OUTCOME, headers), body)
+
+    async def decline(self) -> None:
+        """Tell that the request was not taken."""
+        await self._exchange.respond(503, _marked(ReplyKind.DECLINED, ()), b"")
+
+
+def _marked(kind: ReplyKind, headers: Headers) -> Headers:
+    return ((KIND_HEADER, kind.encode()), *headers)
+
+
+class Handover:
+    """Hands one request over to peers, one after the other.
+
+    Args:
+      peers: finds peers that reach the service.
+      pool: opens connections to them.
+      version: returns the version of the own desired state.
+      admitted: the request.
+      count: increments the counter of a name.
+      log: writes an entry to the decision log.
+    """
+
+    def __init__(
+        self,
+        peers: ReachingPeers,
+        pool: ConnectionPool,
+        version: Callable[[], int],
+        admitted: Admitted,
+        count: Callable[[str], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._peers = peers
+        self._pool = pool
+        self._version = version
+        self._admitted = admitted
+        self._count = count
+        self._log = log
+        self._excluded: frozenset[str] = frozenset()
+        self._last_event = admitted.caller.last_event
+        self._may_run = False
+
+    @property
+    def may_run(self) -> bool:
+        """Whether a peer has the request now, so that an upstream may run it."""
+        return self._may_run
+
+    @property
+    def is_allowed(self) -> bool:
+        """Whether the request may be handed over: once only, and to few peers."""
+        return self._admitted.earlier is None and len(self._excluded) < MAX_PEERS
+
+    @property
+    def last_event(self) -> int | None:
+        """The last event of a stream that the caller has."""
+        return self._last_event
+
+    async def serve(
+        self, last_event: int | None, executed_by: tuple[str, ...], executions: int
+    ) -> HandedOver | HandoverFailure | None:
+        """Hand the request over; return None if no peer takes it.
+
+        Args:
+          last_event: the last event of a stream that the caller has.
+          executed_by: the upstreams that may execute it already.
+          executions: how many upstreams may have executed it.
+        """
+        self._last_event = last_event
+        while self.is_allowed:
+            peer = await self._peers.choose(self._admitted.service.name, self._excluded)
+            if peer is None:
+                return None
+            self._excluded |= {peer.name}
+            with self._peers.handing_over(peer):
+                result = await self._serve_at(peer, executed_by, executions)
+            # Not after a cancellation: the request may run then.
+            self._may_run = False
+            if result is not None:
+                return result
+            self._peers.note_failed(peer)
+            self._count("handover.declined")
+        return None
+
+    async def _serve_at(
+        self, peer: Member, executed_by: tuple[str, ...], executions: int
+    ) -> HandedOver | HandoverFailure | None:
+        """Hand the request over to one peer; return None if it didn't take it."""
+        body = encode_handed_request(self._message(executed_by, executions))
+        headers = ((b"host", peer.address.encode()), (b"content-length", str(len(body)).encode()))
+        self._count("handover.sent")
+        try:
+            async with self._pool.borrow(peer.address) as connection:
+                reply = await self._call(peer, connection, headers, body)
+                kind, reply_headers = _kind_of(reply)
+                data = _PeerData(self._peers, peer, reply)
+                if kind is ReplyKind.DECLINED:
+                    await data.read_all()
+                    return None
+                if kind is ReplyKind.OUTCOME:
+                    return await self._read_outcome(data, reply_headers)
+                return await self._relay(reply.status, data, reply_headers)
+        except ConnectionLostError as failure:
+            self._peers.note_failed(peer)
+            self._log(
+                "handover-failed",
+                request=self._admitted.caller.request_id,
+                peer=peer.name,
+                what=failure.message,
+            )
+            if failure.kind is FailureKind.UNSENT:
+                return None
+            return HandoverFailure(f"{peer.name}: {failure.message}", may_have_run=True)
+
+    async def _call(
+        self, peer: Member, connection: UpstreamConnection, headers: Headers, body: bytes
+    ) -> UpstreamReply:
+        """Send the request to a peer and return the head of its response.
+
+        Raises:
+          ConnectionLostError: the connection failed, or the peer is silent.
+        """
+        reply: UpstreamReply | None = None
+        failure: ConnectionLostError | None = None
+        self._may_run = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_if_silent, peer, nursery.cancel_scope)
+            try:
+                reply = await connection.call(b"POST", HANDOVER_PATH, headers, body)
+            except ConnectionLostError as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if reply is None:
+            raise failure or ConnectionLostError(FailureKind.LOST, "the peer is silent")
+        return reply
+
+    async def _cancel_if_silent(self, peer: Member, scope: trio.CancelScope) -> None:
+        await trio.sleep(SILENCE_SECONDS)
+        while await self._peers.is_alive(peer):
+            await trio.sleep(SILENCE_SECONDS)
+        scope.cancel()
+
+    def _message(self, executed_by: tuple[str, ...], executions: int) -> HandedRequest:
+        message = self._admitted.caller.message
+        return HandedRequest(
+            self._version(),
+            message.method,
+            message.target,
+            message.headers,
+            message.body,
+            max(0.0, self._admitted.deadline - trio.current_time()),
+            self._last_event,
+            executed_by,
+            executions,
+        )
+
+    async def _read_outcome(
+        self, data: "_PeerData", headers: Headers
+    ) -> HandedOver | HandoverFailure | None:
+        outcome = _outcome_of(headers, await data.read_all())
+        if isinstance(outcome, NotRun) and outcome.reason in RETRIED_REASONS:
+            return None if self.is_allowed else HandedOver(outcome)
+        if self._admitted.exchange.started:
+            return HandoverFailure(outcome.message, isinstance(outcome, Unknown))
+        return HandedOver(outcome)
+
+    async def _relay(
+        self, status: int, data: "_PeerData", headers: Headers
+    ) -> HandedOver | HandoverFailure:
+        exchange = self._admitted.exchange
+        if status == OK and self._admitted.service.model is not None:
+            await self._relay_events(data, headers)
+            return HandedOver(Answered(0, OK))
+        exchange.meter.note_response_end()
+        body = await data.read_all(exchange.meter.note_response)
+        if exchange.started:
+            return HandoverFailure(f"an upstream answered {status}", may_have_run=True)
+        await exchange.respond(status, headers, body)
+        return HandedOver(Answered(0, status))
+
+    async def _relay_events(self, data: "_PeerData", headers: Headers) -> None:
+        reader = EventReader(self._last_event)
+        while (received := await data.receive()) is not None:
+            await self._forward(reader.feed(received), headers)
+            if reader.fault:
+                raise ConnectionLostError(FailureKind.MALFORMED, reader.fault)
+        if reader.incomplete:
+            raise ConnectionLostError(FailureKind.LOST, "the stream ended inside an event")
+        await self._start(headers)
+        if reader.trailing:
+            await self._admitted.exchange.send(reader.trailing)
+        await self._admitted.exchange.finish()
+
+    async def _forward(self, events: list[Event], headers: Headers) -> None:
+        if events:
+            await self._start(headers)
+            await self._admitted.exchange.send(b"".join(each.data for each in events))
+            self._last_event = events[-1].id
+
+    async def _start(self, headers: Headers) -> None:
+        if not self._admitted.exchange.started:
+            headers = tuple(each for each in headers if each[0] != b"content-length")
+            await self._admitted.exchange.start(OK, headers)
+
+
+class _PeerData:
+    """The body of a peer's response, whose sender is asked for a sign of life if it is silent."""
+
+    def __init__(self, peers: ReachingPeers, peer: Member, reply: UpstreamReply) -> None:
+        self._peers = peers
+        self._peer = peer
+        self._reply = reply
+
+    async def receive(self) -> bytes | None:
+        """Return the next bytes, None after the proper end.
+
+        Raises:
+          ConnectionLostError: the body was cut off, or the peer is silent.
+        """
+        while True:
+            with trio.move_on_after(SILENCE_SECONDS):
+                return await self._reply.next_data()
+            if not await self._peers.is_alive(self._peer):
+                raise ConnectionLostError(FailureKind.LOST, "the peer is silent")
+
+    async def read_all(self, on_data: Callable[[int], None] = lambda count: None) -> bytes:
+        """Return the whole body.
+
+        Args:
+          on_data: called with the number of bytes that arrived.
+
+        Raises:
+          ConnectionLostError: as `receive`.
+        """
+        body = bytearray()
+        while (received := await self.receive()) is not None:
+            body += received
+            on_data(len(received))
+        return bytes(body)
+
+
+def _kind_of(reply: UpstreamReply) -> tuple[ReplyKind, Headers]:
+    """Return what a peer's response is, and its headers without the mark.
+
+    Raises:
+      ConnectionLostError: it isn't marked.
+    """
+    name, value = reply.headers[0] if reply.headers else (b"", b"")
+    try:
+        if name != KIND_HEADER:
+            raise ValueError(name)
+        kind = ReplyKind(value.decode("latin-1"))
+    except ValueError as error:
+        raise ConnectionLostError(FailureKind.MALFORMED, "not a response of a peer") from error
+    framing = (b"transfer-encoding", b"connection")
+    return kind, tuple(each for each in reply.headers[1:] if each[0] not in framing)
+
+
+def _outcome_of(headers: Headers, body: bytes) -> NotRun | Unknown:
+    """Return the outcome in a peer's response.
+
+    Raises:
+      ConnectionLostError: it is malformed.
+    """
+    try:
+        message = str(msgspec.json.decode(body, type=dict[str, str]).get("error", ""))
+        reason = header_value(headers, REASON_HEADER).decode("latin-1")
+        seconds = float(header_value(headers, RETRY_AFTER_HEADER) or 0)
+        if header_value(headers, OUTCOME_HEADER) == b"not-run":
+            return NotRun(NotRunReason(reason), message, seconds)
+        return Unknown(UnknownReason(reason), message, retry_after=seconds)
+    except (ValueError, msgspec.MsgspecError) as error:
+        raise ConnectionLostError(FailureKind.MALFORMED, "not an outcome of a peer") from error
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -19,7 +19,9 @@
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_watch import AttemptStart
 from deckcourse.gateway.dialect import Dispatch
+from deckcourse.gateway.handover import HandedOver
 from deckcourse.gateway.rate_gate import SendingToken
+from deckcourse.gateway.reachability import MIN_UNREACHABLE
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.http1.client import UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError, FailureKind, Headers, end_to_end
@@ -83,7 +85,9 @@
         self._domain = domain
         self._attempted: set[str] = set()
         self._attempted_names: set[str] = set()
-        self._executions = 0
+        self._executions = admitted.earlier.count if admitted.earlier is not None else 0
+        self._handover = context.new_handover(admitted)
+        self._unreachable_attempts = 0
         self._failed_response: _Response | None = None
         # The upstream that has the call now, empty if none, and since when that holds.
         self._instance = ""
@@ -91,11 +95,15 @@
 
     async def run(self) -> Outcome:
         """Serve the call; after an Answered outcome the response has been sent to the caller."""
-        self._context.budget(self._admitted.service.name).earn()
+        if self._admitted.earlier is None:
+            self._context.budget(self._admitted.service.name).earn()
         return await within_deadline(
-            self._admitted, self._run_attempts, lambda: self._executions > 0, self._log_deadline
+            self._admitted, self._run_attempts, self._may_have_run, self._log_deadline
         )
 
+    def _may_have_run(self) -> bool:
+        return self._executions > 0 or self._handover.may_run
+
     def _log_deadline(self) -> None:
         waits_for = WaitsFor.UPSTREAM if self._instance else WaitsFor.ENTRY
         log_deadline(self._context, self._admitted, waits_for, self._instance, self._since)
@@ -108,7 +116,18 @@
             refusal = refuse_quarantined(self._context, self._admitted, self._executions > 0)
             if refusal is not None:
                 return refusal
-            upstream = self._choose()
+            upstream = None if self._is_partitioned else self._choose()
+            if upstream is None:
+                handed = await self._hand_over(attempts)
+                if isinstance(handed, _Lost):
+                    last_failure = handed
+                    attempts += 1
+                    if self._may_execute_again():
+                        continue
+                    break
+                if handed is not None:
+                    return handed
+                upstream = self._choose() if self._is_partitioned else None
             if upstream is None:
                 break
             if attempts and not await budget.acquire():
@@ -134,6 +153,10 @@
             elif isinstance(result, _Refused):
                 last_failure = result
                 self._context.count(f"retry.{result.reason}")
+                self._unreachable_attempts += result.reason is RetryReason.UNREACHABLE
+                if self._unreachable_attempts >= MIN_UNREACHABLE:
+                    reachability = self._context.reachability
+                    await reachability.confirm_contact(self._admitted.service.name)
             else:
                 last_failure = result
                 if not self._may_execute_again():
@@ -143,6 +166,33 @@
                 await crashes.wait_for_preceding_suspects(self._admitted, upstream.instance)
         return await self._give_up(last_failure)
 
+    @property
+    def _is_partitioned(self) -> bool:
+        return self._context.reachability.is_partitioned(self._admitted.service.name)
+
+    async def _hand_over(self, attempts: int) -> Outcome | _Lost | None:
+        """Let a peer serve the call; return None if none takes it."""
+        service = self._admitted.service.name
+        is_backing_off = self._context.upstreams.accepts_at(service) is not None
+        if self._failed_response is not None or (not self._is_partitioned and is_backing_off):
+            return None
+        budget = self._context.budget(service)
+        is_retry = attempts > 0 and self._executions > 0
+        if is_retry and not await budget.acquire():
+            return None
+        instances = tuple(sorted(self._attempted))[:MAX_ATTEMPTS] if self._executions else ()
+        result = await self._handover.serve(None, instances, self._executions)
+        if isinstance(result, HandedOver):
+            if isinstance(result.outcome, Answered):
+                self._context.return_schedule(service).note_answered()
+            return result.outcome
+        if result is None:
+            if is_retry:
+                budget.give_back()
+            return None
+        self._executions += result.may_have_run
+        return _Lost(result.message)
+
     def _may_execute_again(self) -> bool:
         route = self._admitted.route
         return route.repeatable and self._executions < route.attempts
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -19,6 +19,7 @@
 from deckcourse.gateway.desired import CallerBounds, DesiredState
 from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.gateway import Gateway
+from deckcourse.gateway.handover import HandedExchange, Handover
 from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.issuing import Issuing
 from deckcourse.gateway.lapse_check import LapseCheck
@@ -30,6 +31,7 @@
 from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
 from deckcourse.gateway.rate_limits import RateLimitBook
 from deckcourse.gateway.reachability import Reachability
+from deckcourse.gateway.reaching_peers import PeerReach, ReachingPeers
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.retry_budgets import RetryBudgets
 from deckcourse.gateway.retry_limits import RetryLimits
@@ -46,6 +48,7 @@
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook, PlanRecord
 from deckcourse.peers.followers import rank_of
+from deckcourse.peers.handover_messages import HANDOVER_PATH, decode_handed_request
 from deckcourse.peers.peers import Peers
 from deckcourse.peers.rate_limit import RateLimit
 from deckcourse.settings import GatewaySettings, LoadSettings
@@ -71,6 +74,8 @@
 # Maximum share by which a process lengthens a quarantine, chosen at random: one process retries the
 # request and publishes the result before the others do.
 MAX_QUARANTINE_EXTENSION_SHARE = 0.5
+# The largest age of a contact that peers are told, seconds.
+MAX_CONTACT_AGE_SECONDS = 3600.0
 # Pause before background work is restarted after an unexpected exception, seconds.
 FAULT_COOLDOWN_SECONDS = 0.2
 
@@ -236,6 +241,14 @@
             log,
         )
         self._peers.loads.set_listener(self._admission.note_room)
+        self._reaching_peers = ReachingPeers(
+            self._peers.roster,
+            self._peers.gossip,
+            self._describe_reach,
+            self._version,
+            random,
+            counters.count,
+        )
         context = GatewayContext(
             upstreams=self._upstreams,
             notices=self._notices,
@@ -257,6 +270,9 @@
                 load_settings, self._traffic_share, trio.current_time, random
             ),
             reachability=self._reachability,
+            new_handover=lambda admitted: Handover(
+                self._reaching_peers, ports.pool, self._version, admitted, counters.count, log
+            ),
         )
         start_wait = StartWait(
             load_settings,
@@ -325,6 +341,9 @@
     async def handle_peer(self, request: IncomingRequest, exchange: Exchange) -> None:
         """Handle a request from a peer or an operator."""
         path, _, identity = request.target.partition(b"?")
+        if path == HANDOVER_PATH:
+            await self._handle_handed_over(request, HandedExchange(exchange))
+            return
         if path != QUARANTINE_PATH:
             await self._peers.handle(request, exchange)
             return
@@ -335,6 +354,40 @@
         kind = (b"content-type", b"application/json")
         await exchange.respond(200, (kind,), encode_quarantine(self._crash_watch.view()))
 
+    async def _handle_handed_over(self, request: IncomingRequest, exchange: HandedExchange) -> None:
+        handed = decode_handed_request(request.body)
+        if handed is None:
+            self._counters.count("malformed.handover")
+        if handed is None or self._stopping:
+            await exchange.decline()
+            return
+        await self._gateway.handle_handed_over(handed, exchange)
+
+    def _describe_reach(self, service: str, version: int) -> PeerReach:
+        """Return what peers may know of a service, see `ReachingPeers`."""
+        accepts = (
+            not self._stopping
+            and self._version() >= version
+            and self.may_send()
+            and self._gateway.accepts_handovers
+            and self._has_usable(service)
+        )
+        contact_age = trio.current_time() - self._reachability.contact_at(service)
+        return PeerReach(accepts, min(contact_age, MAX_CONTACT_AGE_SECONDS), self._gateway.requests)
+
+    def _has_usable(self, service: str) -> bool:
+        """Return whether this process could send a request of a service now."""
+        spec = self._desired.services.get(service) if self._desired is not None else None
+        if spec is None or self._reachability.is_partitioned(service):
+            return False
+        if spec.model is not None:
+            return self._path_choice(service).choose(spec.model) is not None
+        return bool(self._upstreams.usable(service))
+
+    def _version(self) -> int:
+        """Return the version of the desired state, 0 before one is known."""
+        return self._desired.version if self._desired is not None else 0
+
     def stop(self) -> None:
         """Report the process as stopping and not ready; running requests continue."""
         self._stopping = True
--- a/deckcourse/gateway/reachability.py
+++ b/deckcourse/gateway/reachability.py
@@ -19,7 +19,7 @@
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.message import ConnectionLostError, FailureKind
 
-__all__ = ["Reachability"]
+__all__ = ["MIN_UNREACHABLE", "Reachability"]
 
 # Upstreams of a service that can't be reached before others are probed: one alone has crashed.
 MIN_UNREACHABLE = 2
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -1,8 +1,9 @@
 """The gateway's listeners and its orderly shutdown."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import nullcontext
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from functools import partial
 
 import trio
 
@@ -16,6 +17,7 @@
     IncomingRequest,
     serve_connection,
 )
+from deckcourse.peers.handover_messages import MAX_ENVELOPE_BYTES
 from deckcourse.settings import Address
 
 __all__ = ["GatewayServer", "ListenAddresses"]
@@ -85,7 +87,8 @@
             nursery.start_soon(self._node.watch_readers)
             await self._listen(nursery, self._addresses.ready, self._answer_ready)
             await self._listen(nursery, self._addresses.metrics, self._answer_metrics)
-            await self._listen(nursery, self._addresses.peers, self._node.handle_peer)
+            peers = self._addresses.peers
+            await self._listen(nursery, peers, self._node.handle_peer, bounds=self._peer_bounds)
             callers = self._addresses.callers
             await self._listen(nursery, callers, self._node.gateway.handle, self._node.held)
             await self._stop.wait()
@@ -112,16 +115,17 @@
         address: Address,
         handler: Handler,
         held: HeldBytes | None = None,
+        bounds: Callable[[], CallerBounds] | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=ACCEPT_BACKLOG)
-        nursery.start_soon(self._accept, listeners[0], handler, held, nursery)
+        serve = partial(self._serve, handler, held, bounds or self._bounds)
+        nursery.start_soon(self._accept, listeners[0], serve, nursery)
 
     async def _accept(
         self,
         listener: trio.SocketListener,
-        handler: Handler,
-        held: HeldBytes | None,
+        serve: Callable[[trio.SocketStream], Awaitable[None]],
         nursery: trio.Nursery,
     ) -> None:
         while True:
@@ -131,17 +135,21 @@
                 self._log("accept-failed", what=str(error))
                 await trio.sleep(ACCEPT_BACKOFF_SECONDS)
                 continue
-            nursery.start_soon(self._serve, stream, handler, held)
+            nursery.start_soon(serve, stream)
 
     async def _serve(
-        self, stream: trio.SocketStream, handler: Handler, held: HeldBytes | None
+        self,
+        handler: Handler,
+        held: HeldBytes | None,
+        bounds: Callable[[], CallerBounds],
+        stream: trio.SocketStream,
     ) -> None:
         try:
             with held.connection() if held is not None else nullcontext() as meter:
                 await serve_connection(
                     stream,
                     handler,
-                    self._bounds,
+                    bounds,
                     lambda: self._node.stopping,
                     self._idle_connections,
                     meter,
@@ -152,6 +160,12 @@
     def _bounds(self) -> CallerBounds:
         return self._node.bounds
 
+    def _peer_bounds(self) -> CallerBounds:
+        """Return the bounds for peers, which send callers' requests whole inside of their own."""
+        bounds = self._node.bounds
+        size = bounds.header_bytes + bounds.body_bytes + MAX_ENVELOPE_BYTES
+        return replace(bounds, body_bytes=size)
+
     async def _answer_ready(self, request: IncomingRequest, exchange: Exchange) -> None:
         is_ready_path = request.target.partition(b"?")[0] == self._ready_path
         status = 404 if not is_ready_path else 200 if self._node.ready else 503
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -31,8 +31,10 @@
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.events import Event, EventReader
+from deckcourse.gateway.handover import HandedOver
 from deckcourse.gateway.loss_notices import evidence_of
 from deckcourse.gateway.rate_gate import SendingToken
+from deckcourse.gateway.reachability import MIN_UNREACHABLE
 from deckcourse.gateway.stream_admission import (
     FULL_RETRY_AFTER_SECONDS,
     Refusal,
@@ -98,7 +100,9 @@
         self._admitted = admitted
         self._choice = context.path_choice(admitted.service.name)
         self._avoided: set[str] = set()
-        self._executions = 0
+        self._executions = admitted.earlier.count if admitted.earlier is not None else 0
+        self._handover = context.new_handover(admitted)
+        self._unreachable_attempts = 0
         # Whether any attempt has returned events.
         self._has_received_events = False
         self._retries = StreamRetries(context, admitted)
@@ -128,11 +132,14 @@
         self._retries.earn()
         try:
             return await within_deadline(
-                self._admitted, self._run_attempts, lambda: self._executions > 0, self._log_deadline
+                self._admitted, self._run_attempts, self._may_have_run, self._log_deadline
             )
         finally:
             self._retries.close()
 
+    def _may_have_run(self) -> bool:
+        return self._executions > 0 or self._handover.may_run
+
     def _log_deadline(self) -> None:
         waits_for, instance, since = WaitsFor.ENTRY, "", self._since
         if self._current is not None:
@@ -157,7 +164,23 @@
                 return self._give_up(
                     last_failure, NotRunReason.RETRY_BUDGET, FULL_RETRY_AFTER_SECONDS
                 )
-            path = await self._find_path()
+            path = None if self._is_partitioned else await self._find_path()
+            if path is None:
+                handed = await self._hand_over()
+                if isinstance(handed, _Broken):
+                    last_failure = handed
+                    attempts += 1
+                    if self._retries.may_run_elsewhere():
+                        continue
+                    break
+                if handed is not None:
+                    return handed
+                if self._is_partitioned and self._may_wait_for_path:
+                    if attempts:
+                        self._retries.reserve_unused()
+                    await trio.sleep(PATH_SEARCH_INTERVAL_SECONDS)
+                    continue
+                path = await self._find_path() if self._is_partitioned else None
             if path is None:
                 return self._no_path_outcome(last_failure)
             if not self._executions:
@@ -186,11 +209,46 @@
                 break
             if not self._executions and attempts == MAX_ATTEMPTS:
                 break
+            if self._unreachable_attempts >= MIN_UNREACHABLE:
+                await self._context.reachability.confirm_contact(self._admitted.service.name)
             if isinstance(result, _Broken) and not self._has_received_events:
                 first = path.stages[0].instance
                 await self._context.crashes.wait_for_preceding_suspects(self._admitted, first)
         return self._give_up(last_failure, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_AFTER_SECONDS)
 
+    @property
+    def _is_partitioned(self) -> bool:
+        return self._context.reachability.is_partitioned(self._admitted.service.name)
+
+    @property
+    def _may_wait_for_path(self) -> bool:
+        """Whether the caller of a started response waits for longer."""
+        search_ends_at = self._last_progress_at + MAX_PAUSE_SECONDS
+        return self._has_started and trio.current_time() < search_ends_at
+
+    async def _hand_over(self) -> Outcome | _Broken | None:
+        """Let a peer serve the stream; return None if none takes it."""
+        is_backing_off = self._choice.accepts_at(self._admitted.service.model) is not None
+        if not self._is_partitioned and is_backing_off:
+            return None  # It holds for peers as well.
+        result = await self._handover.serve(
+            self._last_event, self._retries.executed_by, self._executions
+        )
+        if isinstance(result, HandedOver):
+            if isinstance(result.outcome, Answered):
+                self._context.return_schedule(self._admitted.service.name).note_answered()
+            return result.outcome
+        if result is None:
+            return None
+        if self._handover.last_event != self._last_event:
+            self._last_event = self._handover.last_event
+            self._last_progress_at = trio.current_time()
+            self._has_received_events = True
+        if result.may_have_run:
+            self._executions += 1
+            self._retries.note_lost_handover()
+        return _Broken(result.message)
+
     def _refused_outcome(
         self, refusal: Refusal, last_failure: _Refused | _Broken | None
     ) -> Outcome:
@@ -236,7 +294,7 @@
                 path = self._choose_path(frozenset())
             if path is not None or not self._has_started:
                 return path
-            if trio.current_time() >= self._last_progress_at + MAX_PAUSE_SECONDS:
+            if not self._may_wait_for_path:
                 return None
             await trio.sleep(PATH_SEARCH_INTERVAL_SECONDS)
 
@@ -337,6 +395,7 @@
         if failure.kind is FailureKind.UNSENT:
             self._context.upstreams.suspect(instance, UNREACHABLE_COOLDOWN_SECONDS, lost=True)
             self._context.pool.close_idle(stream.path.stages[0].address)
+            self._unreachable_attempts += 1
             self._context.count(f"retry.{RetryReason.UNREACHABLE}")
             return _Refused(RetryReason.UNREACHABLE, failure.message)
         await self._report_interrupted(stream)
--- a/deckcourse/gateway/stream_retries.py
+++ b/deckcourse/gateway/stream_retries.py
@@ -36,11 +36,25 @@
         self._route = admitted.route
         self._has_reserved = False
         self._refusals = 0
-        self._executed_by: set[str] = set()
+        earlier = admitted.earlier
+        self._executed_by: set[str] = set(earlier.instances if earlier is not None else ())
+        self._is_first_process = earlier is None
+        # Peers that may execute the stream still.
+        self._lost_handovers = 0
+
+    @property
+    def executed_by(self) -> tuple[str, ...]:
+        """The upstreams that may execute the stream still."""
+        return tuple(sorted(self._executed_by))
 
     def earn(self) -> None:
-        """Add the stream's first attempt to the retry budget."""
-        self._budget.earn()
+        """Add the stream's first attempt to the retry budget, at one process only."""
+        if self._is_first_process:
+            self._budget.earn()
+
+    def note_lost_handover(self) -> None:
+        """Record that a peer may execute the stream and can't return its events."""
+        self._lost_handovers += 1
 
     def note_execution(self, instance: str) -> None:
         """Record that an upstream may execute the stream."""
@@ -58,7 +72,8 @@
             for each in self._executed_by
             if self._upstreams.get(each) is not None and not self._upstreams.is_suspected(each)
         ]
-        return self._route.repeatable and len(live) < self._route.attempts
+        executions = len(live) + self._lost_handovers
+        return self._route.repeatable and executions < self._route.attempts
 
     async def wait(self, progress_at: float) -> bool:
         """Spend a retry for a stream that was executed, waiting for one; return whether it got one.
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -11,6 +11,7 @@
 
 from deckcourse.peers.crash import MAX_CRASHES_PER_DIGEST, Crash
 from deckcourse.peers.datagrams import Datagrams
+from deckcourse.peers.handover_messages import REACH_PREFIX
 from deckcourse.peers.issuer_messages import ISSUER_PREFIX
 from deckcourse.peers.loss_notice import LOSS_PREFIX
 from deckcourse.peers.member import Digest, Member, decode_digest, encode_digest
@@ -64,6 +65,7 @@
         self._on_issuer_message: Callable[[bytes], Awaitable[None]] | None = None
         self._on_digest_request: Callable[[str], Awaitable[None]] | None = None
         self._on_loss_message: Callable[[bytes], None] | None = None
+        self._on_reach_message: Callable[[bytes], Awaitable[None]] | None = None
         self._on_round: Callable[[], None] = lambda: None
 
     def register_crash_handlers(
@@ -97,6 +99,10 @@
         """Register the handler of datagrams about lost upstreams."""
         self._on_loss_message = handler
 
+    def register_reach_handler(self, handler: Callable[[bytes], Awaitable[None]]) -> None:
+        """Register the handler of datagrams about which services a process reaches."""
+        self._on_reach_message = handler
+
     def register_round_handler(self, handler: Callable[[], None]) -> None:
         """Register a handler that is called in each round."""
         self._on_round = handler
@@ -183,6 +189,9 @@
             if self._on_loss_message is not None and data.startswith(LOSS_PREFIX):
                 self._on_loss_message(data)
                 continue
+            if self._on_reach_message is not None and data.startswith(REACH_PREFIX):
+                await self._on_reach_message(data)
+                continue
             digest = decode_digest(data)
             if digest is None:
                 self._count("malformed.digest")
--- /dev/null
+++ b/deckcourse/peers/handover_messages.py
@@ -0,0 +1,134 @@
+"""Messages by which a process that reaches no upstream hands requests over to a peer.
+
+The datagrams share a port with gossip digests and start with a byte that never begins a digest. A
+request itself is sent over a connection to the address for peers, where no caller can send one.
+"""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from deckcourse.peers.member import MAX_INTEGER, MAX_TEXT_LENGTH
+
+__all__ = [
+    "HANDOVER_PATH",
+    "MAX_ENVELOPE_BYTES",
+    "REACH_PREFIX",
+    "HandedRequest",
+    "ReachMessage",
+    "ReachQuery",
+    "ReachReply",
+    "decode_handed_request",
+    "decode_reach_message",
+    "encode_handed_request",
+    "encode_reach_message",
+]
+
+# In msgpack this is true, while a digest is an array.
+REACH_PREFIX = b"\xc3"
+HANDOVER_PATH = b"/handover"
+# What a request takes in addition to its own head and body, at most.
+MAX_ENVELOPE_BYTES = 8192
+# Largest number of upstreams that an earlier process may name.
+MAX_UPSTREAMS = 16
+# Longest time that a request may have left, seconds.
+MAX_SECONDS = 86_400.0
+
+_Text = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
+_Integer = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+_Seconds = Annotated[float, Meta(ge=0.0, le=MAX_SECONDS)]
+
+
+class ReachQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """Asks a peer whether it can take requests for a service.
+
+    Attributes:
+      number: correlates the reply.
+      sender: the name of the asking process.
+      service: the service.
+      version: the version of the sender's desired state.
+    """
+
+    number: _Integer
+    sender: _Text
+    service: _Text
+    version: _Integer
+
+
+class ReachReply(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """The reply of a peer.
+
+    Attributes:
+      number: that of the query.
+      sender: the name of the peer.
+      accepts: whether it takes requests for the service.
+      contact_age: how long ago an upstream of the service answered it, seconds.
+      requests: the requests that it has in hand.
+    """
+
+    number: _Integer
+    sender: _Text
+    accepts: bool
+    contact_age: _Seconds = 0.0
+    requests: _Integer = 0
+
+
+ReachMessage = ReachQuery | ReachReply
+
+
+class HandedRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A caller's request that one process hands over to another.
+
+    Attributes:
+      version: the version of the sender's desired state.
+      method: the request's method.
+      target: its path and query, byte for byte.
+      headers: its headers.
+      body: its body.
+      remaining_seconds: the time left until its deadline.
+      last_event: the last event that the caller has of a stream, None if it has none.
+      executed_by: the upstreams that may execute it already, by their instances.
+      executions: how many upstreams may have executed it.
+    """
+
+    version: _Integer
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    remaining_seconds: _Seconds
+    last_event: _Integer | None = None
+    executed_by: Annotated[tuple[_Text, ...], Meta(max_length=MAX_UPSTREAMS)] = ()
+    executions: _Integer = 0
+
+
+_encoder = msgspec.msgpack.Encoder()
+_reach_decoder = msgspec.msgpack.Decoder(ReachMessage)
+_request_decoder = msgspec.msgpack.Decoder(HandedRequest)
+
+
+def encode_reach_message(message: ReachMessage) -> bytes:
+    """Encode a message as a datagram."""
+    return REACH_PREFIX + _encoder.encode(message)
+
+
+def decode_reach_message(data: bytes) -> ReachMessage | None:
+    """Decode the message in a datagram; return None if it is malformed."""
+    try:
+        return _reach_decoder.decode(data[len(REACH_PREFIX) :])
+    except (msgspec.MsgspecError, RecursionError):
+        return None  # Unknown trailing fields may be nested too deeply.
+
+
+def encode_handed_request(request: HandedRequest) -> bytes:
+    """Encode a request that is handed over."""
+    return _encoder.encode(request)
+
+
+def decode_handed_request(data: bytes) -> HandedRequest | None:
+    """Decode a request that was handed over; return None if it is malformed."""
+    try:
+        return _request_decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError):
+        return None
--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -52,3 +52,44 @@
       | of crm      | reset  |
       | in domain x | silent |
       | in domain y | reset  |
+
+  # The peer's part: what it returns, and what happens if it is lost, leaves or can't help.
+
+  Scenario: The response of a peer reaches the caller as the upstream sent it
+    Given 3 gateway processes in two failure domains
+    And responses of upstreams that look like those of a peer
+    When g0 and g1 are partitioned from all upstreams: silent
+    Then each response has the headers and the body that its upstream sent
+
+  Scenario Outline: A request that was handed over survives the loss of the peer: <loss>
+    Given 3 gateway processes in two failure domains
+    When a stream and a call of each kind are handed over to g2, which is then <loss>
+    Then the stream reached its caller whole, over the peer that was left
+    And the call that must not be repeated isn't reported as not executed
+    And no call that must not be repeated is executed twice
+
+    Examples:
+      | loss   |
+      | killed |
+      | silent |
+
+  Scenario: A caller that leaves is known to the peer's upstream at once
+    Given 3 gateway processes in two failure domains
+    When the caller of a stream that was handed over leaves
+    Then no upstream works on its stream half a second later
+
+  Scenario: Where all processes are partitioned, callers are refused at once
+    Given 3 gateway processes in two failure domains
+    When g0 and g1 and g2 are partitioned from all upstreams: reset
+    Then callers that came 3 seconds after the start were refused within 0.2 seconds
+    And none was handed over from then on
+
+  Scenario: Requests are not handed over to a process with an older configuration
+    Given 3 gateway processes in two failure domains
+    When g2 knows an older configuration than g0, which is partitioned from all upstreams
+    Then no request was handed over to g2
+
+  Scenario: A caller can't hand a request over itself
+    Given 3 gateway processes in two failure domains
+    When a caller sends what a process hands over, and headers of a peer's response
+    Then the entry refuses the first and serves the second as any other request
--- a/features/steps/late_answer_steps.py
+++ b/features/steps/late_answer_steps.py
@@ -344,6 +344,7 @@
             reply, _ = await send_request(
                 SimpleNamespace(
                     dialect=dialect,
+                    reachability=SimpleNamespace(note_answer=lambda service: None),
                     notices=NoticeIntake(
                         UpstreamTable(trio.current_time),
                         limits,
@@ -352,7 +353,7 @@
                         trio.current_time,
                     ),
                 ),
-                SimpleNamespace(caller=caller),
+                SimpleNamespace(caller=caller, service=SimpleNamespace(name="llm")),
                 connection,
                 Dispatch("u", 1.0),
             )
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -2,9 +2,17 @@
 
 import trio
 from behave import given, then, when
+from crash_world import CrashingRunner
 from gateway_story import expected_events
 from partition_world import Cut, PartitionWorld
 
+from deckcourse.http1.client import ConnectionPool
+from deckcourse.peers.handover_messages import (
+    HANDOVER_PATH,
+    HandedRequest,
+    encode_handed_request,
+)
+
 # Interval between two requests of each route, seconds.
 REQUEST_INTERVAL_SECONDS = 0.1
 # Time after the start of a partition from which its processes must serve as the others do.
@@ -13,6 +21,8 @@
 CUT_AT_SECONDS = 2.0
 MENDED_AT_SECONDS = 9.0
 END_SECONDS = 14.0
+# Requests that earn at least one retry.
+EARNING_REQUESTS = 10
 
 
 @given("{count:d} gateway processes in two failure domains")
@@ -48,7 +58,10 @@
                 nursery.start_soon(send_regularly, context, site, route)
             await trio.sleep(CUT_AT_SECONDS)
             cut(site)
-            await trio.sleep(MENDED_AT_SECONDS - CUT_AT_SECONDS)
+            await trio.sleep(CONTACT_SECONDS)
+            context.handed_over_early = [received_by(each) for each in site.processes]
+            await trio.sleep(MENDED_AT_SECONDS - CUT_AT_SECONDS - CONTACT_SECONDS)
+            context.handed_over_late = [received_by(each) for each in site.processes]
             site.mend()
 
     context.site.play(story)
@@ -120,3 +133,181 @@
     refused = {name for *_, name, got in context.requests if got.status in (429, 503)}
     wrong = {each for each in refused & executed if each.startswith("once-")}
     assert not wrong, wrong
+
+
+class LookalikeRunner(CrashingRunner):
+    """A runner whose responses have the header that marks a peer's response."""
+
+    @property
+    def response_headers(self):
+        return ((b"deckcourse-reply", b"declined"), (b"x-kept", b"1"), *super().response_headers)
+
+
+@given("responses of upstreams that look like those of a peer")
+def lookalikes(context):
+    for runner in context.site.runners.values():
+        runner.__class__ = LookalikeRunner
+
+
+@then("each response has the headers and the body that its upstream sent")
+def unchanged(context):
+    served = [each for each in context.requests if is_served(context, *each[2:])]
+    assert len(served) > 300, len(served)
+    for _, _, route, name, got in served:
+        assert context.site.header(got, "deckcourse-reply") == "declined", got
+        assert context.site.header(got, "x-kept") == "1", got
+        assert context.site.header(got, "x-response-seal") == f"seal-{name}", got
+        if route != "stream":
+            assert got.body == f"answer to {name}".encode(), got
+
+
+def received_by(process):
+    return process.node._counters.counts.get("handover.received", 0)
+
+
+async def until(condition):
+    with trio.fail_after(5.0):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+@when("a stream and a call of each kind are handed over to g2, which is then {loss}")
+def peer_lost(context, loss):
+    context.cut_off = ["g0"]
+
+    async def story(site):
+        # Earn retries, which an issuer grants only if it is not the lost peer.
+        for number in range(EARNING_REQUESTS):
+            await site.ask_at(site.processes[0], "stream", f"w{number}", b"w")
+        context.started_at = trio.current_time()
+        site.events = 60
+        for runner in site.runners.values():
+            runner.work = 0.6
+        site.cut(["g0", "g1"], Cut.SILENT)
+        entry, other, peer = site.processes
+        for process in (entry, other):
+            for service in ("llm", "crm"):
+                await process.node._reachability.confirm_contact(service)
+        async with trio.open_nursery() as nursery:
+            for route in context.routes:
+                nursery.start_soon(send, context, site, entry, route, f"{route}-1")
+            await until(lambda: received_by(peer) == len(context.routes))
+            await trio.sleep(0.2)
+            site.cuts.pop("g1")
+            await until(lambda: not other.node._reachability.is_partitioned("llm"))
+            if loss == "killed":
+                peer.kill()
+            else:
+                peer.scope.cancel()
+                site.network.silence(peer.peer_address)
+                site.medium.open(peer.peer_address)
+
+    context.site.play(story)
+
+
+def result_of(context, route):
+    return next(got for *_, each, _, got in context.requests if each == route)
+
+
+@then("the stream reached its caller whole, over the peer that was left")
+def stream_whole(context):
+    got = result_of(context, "stream")
+    assert is_served(context, "stream", "stream-1", got), (got, context.site.lines[-20:])
+    assert received_by(context.site.processes[1]) >= 1
+
+
+@then("the call that must not be repeated isn't reported as not executed")
+def honest_about_call(context):
+    got = result_of(context, "once")
+    assert got.status in (502, 504), got
+
+
+@when("the caller of a stream that was handed over leaves")
+def caller_leaves(context):
+    async def story(site):
+        site.events = 200
+        site.cut(["g0"], Cut.SILENT)
+        entry = site.processes[0]
+        await entry.node._reachability.confirm_contact("llm")
+        await site.ask_at(entry, "stream", "left", b"left", leave_after=0.5)
+        await trio.sleep(0.5)
+        context.counts = [len(each.events) for each in site.runs]
+        await trio.sleep(1.0)
+        context.later_counts = [len(each.events) for each in site.runs]
+
+    context.site.play(story)
+
+
+@then("no upstream works on its stream half a second later")
+def nothing_runs(context):
+    assert context.counts and context.counts == context.later_counts, context.later_counts
+
+
+@then("callers that came 3 seconds after the start were refused within 0.2 seconds")
+def refused_at_once(context):
+    since, before = CUT_AT_SECONDS + CONTACT_SECONDS, MENDED_AT_SECONDS - 0.05
+    late = [
+        got for began, *_, got in context.requests if since <= began - context.started_at < before
+    ]
+    assert len(late) > 50
+    for got in late:
+        assert got.status == 503 and got.seconds <= 0.2, got
+
+
+@then("none was handed over from then on")
+def none_handed_over(context):
+    assert context.handed_over_early == context.handed_over_late, context.handed_over_late
+
+
+@when("g2 knows an older configuration than g0, which is partitioned from all upstreams")
+def older_configuration(context):
+    context.cut_off = ["g0"]
+
+    async def story(site):
+        site.processes[2].store.cut = True
+        site.apart = True
+        for each in site.processes:
+            each.node.peers.feed.server.stop()
+        await trio.sleep(1.5)
+        site.store.put("op", "config", {**site.config, "version": 2})
+        await trio.sleep(0.5)
+        site.apart = False
+        site.cut(["g0", "g1"], Cut.RESET)
+        for _ in range(10):
+            await site.ask_at(site.processes[0], "stream", "r1", b"r1")
+
+    context.site.play(story)
+
+
+@then("no request was handed over to g2")
+def not_to_older(context):
+    entry, _, peer = context.site.processes
+    assert entry.node._counters.counts.get("handover.asked", 0) > 0
+    assert entry.node._version() > peer.node._version(), peer.node._version()
+    assert not received_by(peer)
+
+
+@when("a caller sends what a process hands over, and headers of a peer's response")
+def forged_handover(context):
+    async def story(site):
+        entry = site.processes[0]
+        handed = HandedRequest(1, b"POST", b"/stream/x", (), b"{}", 5.0)
+        pool = ConnectionPool(lambda what: None, site.network.dial)
+        body = encode_handed_request(handed)
+        headers = ((b"host", b"h.example"), (b"content-length", str(len(body)).encode()))
+        async with pool.borrow(entry.address) as connection:
+            reply = await connection.call(b"POST", HANDOVER_PATH, headers, body)
+            context.forged = reply.status, await reply.read_body()
+        marks = (("deckcourse-reply", "outcome"), ("deckcourse-outcome", "not-run"))
+        context.got = await site.ask_at(entry, "stream", "r1", b"r1", headers=marks)
+        context.received = [received_by(each) for each in site.processes]
+
+    context.site.play(story)
+
+
+@then("the entry refuses the first and serves the second as any other request")
+def forgery_is_useless(context):
+    status, body = context.forged
+    assert status == 404 and b"not-found" in body, context.forged
+    assert is_served(context, "stream", "r1", context.got), context.got
+    assert not any(context.received)
