Don't take the own partition for the loss of upstreams

Cause: suspicions, loss notices, plans and the attribution of crashes took what one process saw for the state of the upstream.

A partitioned process neither reports nor verifies losses. When a partition ends, suspicions of that service go, so that the layout stays as it stood.

--- a/deckcourse/gateway/crash_check.py
+++ b/deckcourse/gateway/crash_check.py
@@ -4,7 +4,7 @@
 request becomes suspect only if its upstream ended.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -37,12 +37,18 @@
       upstreams: records lost upstreams.
       control: sends probes.
       log: writes the decision log.
+      refutes_end: returns whether an upstream may refuse connections to this process only.
     """
 
     def __init__(
-        self, upstreams: UpstreamTable, control: StreamControl, log: Callable[..., None]
+        self,
+        upstreams: UpstreamTable,
+        control: StreamControl,
+        log: Callable[..., None],
+        refutes_end: Callable[[Upstream], Awaitable[bool]],
     ) -> None:
         self._upstreams = upstreams
+        self._refutes_end = refutes_end
         self._control = control
         self._log = log
         self._probes: dict[str, _Probe] = {}
@@ -71,6 +77,8 @@
                 probe.result = reply.result
             else:
                 probe.result = await self._connect(upstream)
+            if probe.result is ProbeResult.DEAD and await self._refutes_end(upstream):
+                probe.result = ProbeResult.SILENT
         finally:
             del self._probes[upstream.instance]
             probe.done.set()
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -16,7 +16,7 @@
 from deckcourse.http1.message import Headers
 from deckcourse.http1.server import Exchange, IncomingRequest
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown, response_head
-from deckcourse.peers.handover_messages import HandedRequest
+from deckcourse.peers.handover_message import HandedRequest
 from deckcourse.reasons import NotRunReason, UnknownReason
 
 __all__ = ["Gateway"]
--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -27,7 +27,7 @@
     Outcome,
     Unknown,
 )
-from deckcourse.peers.handover_messages import (
+from deckcourse.peers.handover_message import (
     HANDOVER_PATH,
     HandedRequest,
     encode_handed_request,
--- a/deckcourse/gateway/loss_notices.py
+++ b/deckcourse/gateway/loss_notices.py
@@ -88,6 +88,8 @@
       random: chooses recipients.
       count: increments the counter of a name.
       log: writes an entry to the decision log.
+      is_partitioned: returns whether this process reaches no upstream of a service; it then reports
+        and verifies nothing about them.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         random: Random,
         count: Callable[[str], None],
         log: Callable[..., None],
+        is_partitioned: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._roster = roster
         self._gossip = gossip
@@ -109,6 +112,7 @@
         self._random = random
         self._count = count
         self._log = log
+        self._is_partitioned = is_partitioned
         self._book = LossBook()
         self._reporters = ReporterCheck()
         # The number of upstreams of each service and failure domain, valid for a change count.
@@ -144,6 +148,8 @@
         own = self._roster.own
         if upstream is None or self._upstreams.is_leaving(upstream):
             return  # An upstream that is leaving refuses requests, as announced.
+        if self._is_partitioned(upstream.service):
+            return
         if self._is_believed(own.name, [(upstream, evidence)]) and self._learn(
             upstream, evidence, own.name, own.domain
         ):
@@ -387,6 +393,8 @@
                 if upstream is None:
                     return
                 result = await self._probe(upstream)
+                if self._is_partitioned(upstream.service):
+                    return
                 if result is None or not self._apply_result(upstream, result):
                     return
                 await trio.sleep(REPEAT_INTERVAL_SECONDS)
--- a/deckcourse/gateway/loss_sharing.py
+++ b/deckcourse/gateway/loss_sharing.py
@@ -33,6 +33,7 @@
       random: chooses recipients.
       count: increments the counter of a name.
       log: writes an entry to the decision log.
+      is_partitioned: returns whether this process reaches no upstream of a service.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         random: Random,
         count: Callable[[str], None],
         log: Callable[..., None],
+        is_partitioned: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._settings = settings
         self._is_stopping = is_stopping
@@ -60,6 +62,7 @@
             random,
             count,
             log,
+            is_partitioned,
         )
         self._watch = ConnectionWatch(
             roster, upstreams, self._notices, dial, services, self._watches, count, log
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -30,8 +30,8 @@
 from deckcourse.gateway.placement_demand import DemandWatch
 from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
 from deckcourse.gateway.rate_limits import RateLimitBook
-from deckcourse.gateway.reachability import Reachability
-from deckcourse.gateway.reaching_peers import PeerReach, ReachingPeers
+from deckcourse.gateway.reach_sharing import ReachSharing
+from deckcourse.gateway.reaching_peers import PeerReach
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.retry_budgets import RetryBudgets
 from deckcourse.gateway.retry_limits import RetryLimits
@@ -48,7 +48,7 @@
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook, PlanRecord
 from deckcourse.peers.followers import rank_of
-from deckcourse.peers.handover_messages import HANDOVER_PATH, decode_handed_request
+from deckcourse.peers.handover_message import HANDOVER_PATH, decode_handed_request
 from deckcourse.peers.peers import Peers
 from deckcourse.peers.rate_limit import RateLimit
 from deckcourse.settings import GatewaySettings, LoadSettings
@@ -125,16 +125,6 @@
             self._upstreams, self._rate_limits, counters.count, log, ports.wall_clock
         )
         ports.control.set_notice_listener(self._notices.apply)
-        self._reachability = Reachability(
-            self._upstreams,
-            ports.control,
-            lambda: self._desired.services if self._desired is not None else (),
-            random,
-            counters.count,
-            counters.gauge,
-            log,
-        )
-        ports.pool.set_dial_observer(self._reachability.note_dial)
         self._path_choices: dict[str, PathChoice] = {}
         self._healers: dict[str, Healer] = {}
         self._plan_book = PlanBook(ports.table, identity.author)
@@ -152,6 +142,20 @@
             counters.gauge,
             counters.count,
         )
+        self._reach = ReachSharing(
+            self._peers.roster,
+            self._peers.gossip,
+            self._upstreams,
+            ports.control,
+            self._services_with_queries,
+            self._describe_reach,
+            self._version,
+            random,
+            counters.count,
+            counters.gauge,
+            log,
+        )
+        ports.pool.set_dial_observer(self._reach.own.note_dial)
         self._crash_watch = self._new_crash_watch()
         self._issuing = Issuing(
             self._rate_limits,
@@ -211,6 +215,7 @@
             random,
             counters.count,
             log,
+            self._reach.own.is_partitioned,
         )
         self._monitor = StallMonitor(
             self._upstreams,
@@ -225,7 +230,7 @@
                 random,
             ),
             self._losses.notices,
-            self._reachability.note_unreachable,
+            self._reach.own.note_unreachable,
         )
         self._losses.register_handler(self._monitor.check_upstream)
         self._retry_budgets = RetryBudgets(self._new_allowance, counters.count, counters.gauge, log)
@@ -241,14 +246,6 @@
             log,
         )
         self._peers.loads.set_listener(self._admission.note_room)
-        self._reaching_peers = ReachingPeers(
-            self._peers.roster,
-            self._peers.gossip,
-            self._describe_reach,
-            self._version,
-            random,
-            counters.count,
-        )
         context = GatewayContext(
             upstreams=self._upstreams,
             notices=self._notices,
@@ -269,9 +266,9 @@
             call_balances=CallBalances(
                 load_settings, self._traffic_share, trio.current_time, random
             ),
-            reachability=self._reachability,
+            reachability=self._reach.own,
             new_handover=lambda admitted: Handover(
-                self._reaching_peers, ports.pool, self._version, admitted, counters.count, log
+                self._reach.peers, ports.pool, self._version, admitted, counters.count, log
             ),
         )
         start_wait = StartWait(
@@ -372,18 +369,23 @@
             and self._gateway.accepts_handovers
             and self._has_usable(service)
         )
-        contact_age = trio.current_time() - self._reachability.contact_at(service)
+        contact_age = trio.current_time() - self._reach.own.contact_at(service)
         return PeerReach(accepts, min(contact_age, MAX_CONTACT_AGE_SECONDS), self._gateway.requests)
 
     def _has_usable(self, service: str) -> bool:
         """Return whether this process could send a request of a service now."""
         spec = self._desired.services.get(service) if self._desired is not None else None
-        if spec is None or self._reachability.is_partitioned(service):
+        if spec is None or self._reach.own.is_partitioned(service):
             return False
         if spec.model is not None:
             return self._path_choice(service).choose(spec.model) is not None
         return bool(self._upstreams.usable(service))
 
+    def _services_with_queries(self) -> dict[str, bool]:
+        """Return the services, and whether the upstreams of each accept queries."""
+        services = self._desired.services.values() if self._desired is not None else ()
+        return {each.name: each.model is not None for each in services}
+
     def _version(self) -> int:
         """Return the version of the desired state, 0 before one is known."""
         return self._desired.version if self._desired is not None else 0
@@ -416,7 +418,7 @@
             nursery.start_soon(self._run_forever, self._plan_feed.run)
             nursery.start_soon(self._run_forever, self._crash_feed.run)
             nursery.start_soon(self._run_forever, self._lapse_check.run)
-            nursery.start_soon(self._run_forever, self._reachability.run)
+            nursery.start_soon(self._run_forever, self._reach.run)
             nursery.start_soon(self._run_forever, self._monitor.run)
             nursery.start_soon(self._run_forever, self._crash_watch.run)
             nursery.start_soon(self._run_forever, self._issuing.run)
@@ -454,6 +456,8 @@
                         self._log,
                         self._planning_rank,
                         self._demand_watch(name).demand,
+                        partial(self._reach.own.confirm_contact, name),
+                        self._reach.reached_by_peers,
                     )
                     self._healers[name] = healer
                     model = partial(self._model_of, name)
@@ -505,7 +509,7 @@
         )
         return CrashWatch(
             evidence,
-            CrashCheck(self._upstreams, self._ports.control, self._log),
+            CrashCheck(self._upstreams, self._ports.control, self._log, self._reach.refutes_end),
             self._crash_book,
             self._peers.gossip,
             self._counters.count,
--- a/deckcourse/gateway/reachability.py
+++ b/deckcourse/gateway/reachability.py
@@ -276,6 +276,9 @@
     def _end_partition(self, service: str, state: _ServiceReach) -> None:
         seconds = trio.current_time() - state.partitioned_since
         state.partitioned_since = None
+        for each in self._upstreams.of_service(service):
+            # What was seen of it while nothing could be reached says nothing about it.
+            self._upstreams.clear_suspicion(each.instance)
         self._show_partitions()
         self._log("partition-ended", service=service, seconds=round(seconds, 3))
 
--- a/deckcourse/gateway/reaching_peers.py
+++ b/deckcourse/gateway/reaching_peers.py
@@ -13,13 +13,12 @@
 import trio
 
 from deckcourse.peers.gossip import PeerGossip
-from deckcourse.peers.handover_messages import (
+from deckcourse.peers.member import Member
+from deckcourse.peers.reach_messages import (
     ReachQuery,
     ReachReply,
-    decode_reach_message,
     encode_reach_message,
 )
-from deckcourse.peers.member import Member
 from deckcourse.peers.roster import Roster
 
 __all__ = ["PeerReach", "ReachingPeers"]
@@ -101,7 +100,6 @@
         self._handed_over: Counter[str] = Counter()
         self._failed_until: dict[str, float] = {}
         self._awaited_replies: dict[int, trio.Event] = {}
-        gossip.register_reach_handler(self._on_datagram)
 
     async def choose(self, service: str, excluded: frozenset[str]) -> Member | None:
         """Return the peer to hand a request over to, None if there is none.
@@ -214,17 +212,8 @@
             chosen += self._random.sample(members, min(OTHER_DOMAIN_PEERS, len(members)))
         return chosen[:MAX_ASKED]
 
-    async def _on_datagram(self, data: bytes) -> None:
-        message = decode_reach_message(data)
-        match message:
-            case ReachQuery():
-                await self._reply(message)
-            case ReachReply():
-                self._note_reply(message)
-            case _:
-                self._count("malformed.reach")
-
-    async def _reply(self, query: ReachQuery) -> None:
+    async def on_query(self, query: ReachQuery) -> None:
+        """Reply to the query of a peer."""
         # The address comes from the membership view: a query must not direct replies elsewhere.
         sender = self._roster.live_member(query.sender)
         if sender is None or sender.name == self._roster.own.name:
@@ -234,7 +223,8 @@
         reply = ReachReply(query.number, name, reach.accepts, reach.contact_age, reach.requests)
         await self._gossip.send(sender.address, encode_reach_message(reply))
 
-    def _note_reply(self, reply: ReachReply) -> None:
+    def on_reply(self, reply: ReachReply) -> None:
+        """Record the reply of a peer."""
         if reply.number in self._awaited_replies:
             self._awaited_replies[reply.number].set()
         for current in self._rounds.values():
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -17,7 +17,7 @@
     IncomingRequest,
     serve_connection,
 )
-from deckcourse.peers.handover_messages import MAX_ENVELOPE_BYTES
+from deckcourse.peers.handover_message import MAX_ENVELOPE_BYTES
 from deckcourse.settings import Address
 
 __all__ = ["GatewayServer", "ListenAddresses"]
--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -4,8 +4,8 @@
 so that usually one process writes the next plan. Processes that saw a failure wait less.
 """
 
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 from random import Random
 
 import trio
@@ -52,6 +52,8 @@
 # An upstream that rejected an order is dropping layers until its longest stream ends: a plan that
 # only improves waits this long, seconds.
 CONFLICT_COOLDOWN_SECONDS = 3.0
+# How long an upstream that answers a peer isn't planned for as lost, seconds.
+REFUTED_SECONDS = 1.0
 # Maximum duration of a usual stream, seconds: layers that an upstream drops are released by then.
 MAX_STREAM_SECONDS = 2.5
 
@@ -81,6 +83,14 @@
     demand: PlacementDemand
 
 
+async def _always_in_contact() -> bool:
+    return True
+
+
+async def _reached_by_none(instances: Iterable[str]) -> frozenset[str]:
+    return frozenset()
+
+
 class Healer:
     """One process's part in the placement of one model.
 
@@ -93,6 +103,9 @@
       log: writes decision log entries.
       turn: returns the number of processes whose turn to plan for a group is earlier.
       demand: returns the demand on a group, for which its memory is divided.
+      has_contact: returns whether this process reaches any upstream of the service; one that
+        doesn't can give no orders.
+      reached_by_peers: returns those of some upstreams that answer another process.
     """
 
     def __init__(
@@ -105,6 +118,8 @@
         log: Callable[..., None],
         turn: Callable[[Group], int] = lambda group: 0,
         demand: Callable[[Group], PlacementDemand] = lambda group: NO_DEMAND,
+        has_contact: Callable[[], Awaitable[bool]] = _always_in_contact,
+        reached_by_peers: Callable[[Iterable[str]], Awaitable[frozenset[str]]] = _reached_by_none,
     ) -> None:
         self._service = service
         self._upstreams = upstreams
@@ -114,6 +129,10 @@
         self._log = log
         self._processes_ahead = turn
         self._demand = demand
+        self._has_contact = has_contact
+        self._reached_by_peers = reached_by_peers
+        # Until when suspected upstreams that answer a peer aren't planned for as lost.
+        self._refuted_until: dict[str, float] = {}
         self._pending: dict[str, _Pending] = {}
         self._needed_since: dict[str, float] = {}
         self._wait_jitter: dict[str, float] = {}
@@ -121,8 +140,9 @@
         self._settled_at = 0.0
         self._failed_domains: set[str] = set()
         self._improve_after: dict[str, float] = {}
-        # The groups, with the upstreams' change count and the model that they were computed for.
-        self._cached_groups: tuple[int, ModelSpec, tuple[Group, ...]] | None = None
+        # The groups, with the upstreams' change count, the model and the refuted losses that they
+        # were computed for.
+        self._cached_groups: tuple[int, ModelSpec, frozenset[str], tuple[Group, ...]] | None = None
         # The last inputs with which a group needed no orders: they aren't planned for again.
         self._satisfied_inputs: dict[str, _PlanInput] = {}
 
@@ -152,11 +172,18 @@
     def _groups(self, model: ModelSpec, now: float) -> tuple[Group, ...]:
         """Return the groups of the upstreams, computed again only after a change."""
         changes = self._upstreams.change_count
-        if self._cached_groups is None or self._cached_groups[:2] != (changes, model):
-            hosts = self._upstreams.layer_hosts(self._service)
+        self._refuted_until = {
+            name: until for name, until in self._refuted_until.items() if until > now
+        }
+        refuted = frozenset(self._refuted_until)
+        if self._cached_groups is None or self._cached_groups[:3] != (changes, model, refuted):
+            hosts = [
+                each if each.leaving or each.instance not in refuted else _as_usable(each)
+                for each in self._upstreams.layer_hosts(self._service)
+            ]
             self._update_hosts(hosts, now)
-            self._cached_groups = changes, model, groups_of(model, hosts)
-        return self._cached_groups[2]
+            self._cached_groups = changes, model, refuted, groups_of(model, hosts)
+        return self._cached_groups[3]
 
     def _fits_in_memory(self, model: ModelSpec, assignment: Assignment) -> bool:
         """Return whether the held and the ordered layers together fit into the upstream's memory.
@@ -212,10 +239,29 @@
             return
         planned = plan_group(model, group, pending, plan_input.settled, rested, demand)
         assignments = tuple(each for each in planned if self._fits_in_memory(model, each))
-        if assignments:
-            await self._claim(model, group, assignments, demand)
-        else:
+        if not assignments:
             self._satisfied_inputs[group.name] = plan_input
+        elif await self._is_justified(group):
+            await self._claim(model, group, assignments, demand)
+
+    async def _is_justified(self, group: Group) -> bool:
+        """Return whether the losses that a plan makes up for aren't seen by this process alone."""
+        if not await self._has_contact():
+            return False
+        domains = domains_of(group.name)
+        suspected = [
+            each.instance
+            for each in self._upstreams.layer_hosts(self._service)
+            if each.domain in domains
+            and not (each.usable or each.leaving)
+            and each.instance not in self._refuted_until
+        ]
+        reached = await self._reached_by_peers(suspected) if suspected else frozenset()
+        until = trio.current_time() + REFUTED_SECONDS
+        self._refuted_until |= dict.fromkeys(reached, until)
+        if reached:
+            self._log("losses-refuted", group=group.name, instances=sorted(reached))
+        return not reached
 
     def _wait_seconds(self, group: Group) -> float:
         """Return how long this process waits for others to plan, with jitter drawn once a need."""
@@ -332,6 +378,10 @@
         )
 
 
+def _as_usable(host: LayerHost) -> LayerHost:
+    return replace(host, usable=True, serving=True)
+
+
 def _expected_range(host: LayerHost) -> tuple[int, int]:
     return (0, 0) if host.is_empty else (host.first, host.end)
 
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -11,10 +11,10 @@
 
 from deckcourse.peers.crash import MAX_CRASHES_PER_DIGEST, Crash
 from deckcourse.peers.datagrams import Datagrams
-from deckcourse.peers.handover_messages import REACH_PREFIX
 from deckcourse.peers.issuer_messages import ISSUER_PREFIX
 from deckcourse.peers.loss_notice import LOSS_PREFIX
 from deckcourse.peers.member import Digest, Member, decode_digest, encode_digest
+from deckcourse.peers.reach_messages import REACH_PREFIX
 from deckcourse.peers.roster import Roster
 
 __all__ = ["PeerGossip"]
--- a/deckcourse/peers/handover_messages.py
+++ b/deckcourse/peers/handover_message.py
@@ -1,7 +1,6 @@
-"""Messages by which a process that reaches no upstream hands requests over to a peer.
+"""A caller's request that one process hands over to another, over their connection.
 
-The datagrams share a port with gossip digests and start with a byte that never begins a digest. A
-request itself is sent over a connection to the address for peers, where no caller can send one.
+It is sent to the address for peers, where no caller can send one.
 """
 
 from typing import Annotated
@@ -14,19 +13,11 @@
 __all__ = [
     "HANDOVER_PATH",
     "MAX_ENVELOPE_BYTES",
-    "REACH_PREFIX",
     "HandedRequest",
-    "ReachMessage",
-    "ReachQuery",
-    "ReachReply",
     "decode_handed_request",
-    "decode_reach_message",
     "encode_handed_request",
-    "encode_reach_message",
 ]
 
-# In msgpack this is true, while a digest is an array.
-REACH_PREFIX = b"\xc3"
 HANDOVER_PATH = b"/handover"
 # What a request takes in addition to its own head and body, at most.
 MAX_ENVELOPE_BYTES = 8192
@@ -40,43 +31,6 @@
 _Seconds = Annotated[float, Meta(ge=0.0, le=MAX_SECONDS)]
 
 
-class ReachQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
-    """Asks a peer whether it can take requests for a service.
-
-    Attributes:
-      number: correlates the reply.
-      sender: the name of the asking process.
-      service: the service.
-      version: the version of the sender's desired state.
-    """
-
-    number: _Integer
-    sender: _Text
-    service: _Text
-    version: _Integer
-
-
-class ReachReply(msgspec.Struct, frozen=True, array_like=True, tag="r"):
-    """The reply of a peer.
-
-    Attributes:
-      number: that of the query.
-      sender: the name of the peer.
-      accepts: whether it takes requests for the service.
-      contact_age: how long ago an upstream of the service answered it, seconds.
-      requests: the requests that it has in hand.
-    """
-
-    number: _Integer
-    sender: _Text
-    accepts: bool
-    contact_age: _Seconds = 0.0
-    requests: _Integer = 0
-
-
-ReachMessage = ReachQuery | ReachReply
-
-
 class HandedRequest(msgspec.Struct, frozen=True, array_like=True):
     """A caller's request that one process hands over to another.
 
@@ -104,21 +58,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_reach_decoder = msgspec.msgpack.Decoder(ReachMessage)
-_request_decoder = msgspec.msgpack.Decoder(HandedRequest)
-
-
-def encode_reach_message(message: ReachMessage) -> bytes:
-    """Encode a message as a datagram."""
-    return REACH_PREFIX + _encoder.encode(message)
-
-
-def decode_reach_message(data: bytes) -> ReachMessage | None:
-    """Decode the message in a datagram; return None if it is malformed."""
-    try:
-        return _reach_decoder.decode(data[len(REACH_PREFIX) :])
-    except (msgspec.MsgspecError, RecursionError):
-        return None  # Unknown trailing fields may be nested too deeply.
+_decoder = msgspec.msgpack.Decoder(HandedRequest)
 
 
 def encode_handed_request(request: HandedRequest) -> bytes:
@@ -129,6 +69,6 @@
 def decode_handed_request(data: bytes) -> HandedRequest | None:
     """Decode a request that was handed over; return None if it is malformed."""
     try:
-        return _request_decoder.decode(data)
+        return _decoder.decode(data)
     except (msgspec.MsgspecError, RecursionError):
         return None
--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -93,3 +93,31 @@
     Given 3 gateway processes in two failure domains
     When a caller sends what a process hands over, and headers of a peer's response
     Then the entry refuses the first and serves the second as any other request
+
+  # Guards against taking the own isolation for the loss of upstreams: six partitioned processes wrote
+  # 19 plans within 3.5 s, and refused connections counted as crashes under the requests in flight.
+
+  Scenario Outline: Partitioned processes plan nothing and blame no request: <what>, <how>
+    Given 3 gateway processes in two failure domains
+    When g0 and g1 are partitioned from the upstreams <what>: <how>
+    Then nobody planned
+    And no request counts as crashing upstreams
+
+    Examples:
+      | what        | how                   |
+      | of llm      | silent                |
+      | of llm      | reset                 |
+      | of llm      | kept connections live |
+      | of crm      | reset                 |
+      | in domain x | silent                |
+      | in domain y | reset                 |
+
+  Scenario Outline: A loss is planned for by a process that reaches the other upstreams: <how>
+    Given 3 gateway processes in two failure domains
+    When an upstream ends as g0 and g1 become partitioned: <how>
+    Then only others planned, within 2 seconds of the removal of its row
+
+    Examples:
+      | how    |
+      | silent |
+      | reset  |
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -1,13 +1,15 @@
 """Steps about processes that are partitioned from upstreams."""
 
+import json
+
 import trio
 from behave import given, then, when
-from crash_world import CrashingRunner
+from crash_world import ROW_REMOVAL_DELAY_SECONDS, CrashingRunner
 from gateway_story import expected_events
 from partition_world import Cut, PartitionWorld
 
 from deckcourse.http1.client import ConnectionPool
-from deckcourse.peers.handover_messages import (
+from deckcourse.peers.handover_message import (
     HANDOVER_PATH,
     HandedRequest,
     encode_handed_request,
@@ -187,14 +189,14 @@
         entry, other, peer = site.processes
         for process in (entry, other):
             for service in ("llm", "crm"):
-                await process.node._reachability.confirm_contact(service)
+                await process.node._reach.own.confirm_contact(service)
         async with trio.open_nursery() as nursery:
             for route in context.routes:
                 nursery.start_soon(send, context, site, entry, route, f"{route}-1")
             await until(lambda: received_by(peer) == len(context.routes))
             await trio.sleep(0.2)
             site.cuts.pop("g1")
-            await until(lambda: not other.node._reachability.is_partitioned("llm"))
+            await until(lambda: not other.node._reach.own.is_partitioned("llm"))
             if loss == "killed":
                 peer.kill()
             else:
@@ -228,7 +230,7 @@
         site.events = 200
         site.cut(["g0"], Cut.SILENT)
         entry = site.processes[0]
-        await entry.node._reachability.confirm_contact("llm")
+        await entry.node._reach.own.confirm_contact("llm")
         await site.ask_at(entry, "stream", "left", b"left", leave_after=0.5)
         await trio.sleep(0.5)
         context.counts = [len(each.events) for each in site.runs]
@@ -311,3 +313,49 @@
     assert status == 404 and b"not-found" in body, context.forged
     assert is_served(context, "stream", "r1", context.got), context.got
     assert not any(context.received)
+
+
+@then("nobody planned")
+def nobody_planned(context):
+    plans = [each for each in context.site.lines if each[0] == "plan"]
+    assert len(context.requests) > 300 and not plans, plans
+
+
+@then("no request counts as crashing upstreams")
+def nothing_blamed(context):
+    crashes = [each for each in context.site.lines if each[0] == "crash"]
+    refused = [got for *_, got in context.requests if b"ends-upstreams" in got.body]
+    assert not crashes and not refused, (crashes, refused)
+
+
+@when("an upstream ends as g0 and g1 become partitioned: {how}")
+def ends_meanwhile(context, how):
+    def cut(site):
+        site.cut(["g0", "g1"], Cut(how))
+        site.runners["y1"].die()
+        site.nursery.start_soon(remove_row, site)
+
+    async def remove_row(site):
+        await trio.sleep(ROW_REMOVAL_DELAY_SECONDS)
+        site.store.put("servers", "y1", None)
+        context.removed_at = trio.current_time()
+
+    context.cut_off = ["g0", "g1"]
+    context.plans = []
+    note = context.site.note
+
+    def note_plan(decision, /, **fields):
+        note(decision, **fields)
+        if decision == "plan":
+            context.plans.append(trio.current_time())
+
+    context.site.note = note_plan
+    play(context, cut)
+
+
+@then("only others planned, within {seconds:d} seconds of the removal of its row")
+def planned_by_other(context, seconds):
+    rows = [data for _, table, _, data in context.site.store.log if table == "plans" and data]
+    authors = {json.loads(each)["author"] for each in rows}
+    assert context.plans and context.plans[0] <= context.removed_at + seconds, context.plans
+    assert authors and authors.isdisjoint({"g0/1", "g1/1"}), authors
