Soak: entries that are partitioned from runners

What callers saw: entries partitioned from all upstreams refused them, which no fault of the soak showed: each of its faults on links struck a runner for all entries alike.

The proxies now tell the entries apart by the process that holds the other end, and cut off one or more of them, from all runners or one service's: silent, reset, or new connections closed at once while kept ones live on. Judged by what callers got, with the platform's bounds. Not part of runs with all faults: the judge compares entries, which other faults strike unevenly.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,6 +32,13 @@
     Then it reports no violation
     And it checked refusals for load
 
+  # Guards against refusing callers at entries that reach no runner while others do: with this seed
+  # 15 of 32 calls were served there and 33 of 33 elsewhere.
+  Scenario: Callers of entries that are partitioned from runners are served
+    When the soak runs seed 3 for 12 seconds with partitions from runners as the only faults
+    Then it reports no violation
+    And it checked calls at partitioned entries
+
   # Guards against treating a malformed answer as one that was cut by its connection, and against
   # checking nothing after a connection is closed: a chunk without a head passed unnoticed.
   Scenario: A caller of the soak rejects every answer that a strict client rejects
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -81,6 +81,20 @@
     )
 
 
+@when(
+    "the soak runs seed {seed:d} for {seconds:d} seconds with partitions from runners"
+    " as the only faults"
+)
+def run_soak_with_partitions(context, seed, seconds):
+    run_soak(context, seed, seconds, "--only", "partitions")
+
+
+@then("it checked calls at partitioned entries")
+def check_partitions_judged(context):
+    match = re.search(r"(\d+) calls at partitioned entries", context.soak.stdout)
+    assert match and int(match[1]) >= 10, context.soak.stdout
+
+
 @then("it reports no violation")
 def check_no_violation(context):
     assert context.soak.returncode == 0, context.soak.stdout + context.soak.stderr
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
 from soak.faults import FAULT_KINDS, Faults
 from soak.notice_faults import Interruptions, NoticeFaults
 from soak.notice_judge import NoticeJudge
+from soak.partition_faults import PartitionFaults
 from soak.rate_faults import RateFaults
 from soak.rate_judge import RateJudge
 from soak.refusal_faults import RefusalFaults
@@ -57,7 +58,11 @@
 RATE_KIND = "rates"
 REFUSAL_KIND = "refusals"
 SHORTAGE_KIND = "shortage"
-SEPARATE_KINDS = {NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND}
+# Partitions last longer than other faults, so that they are judged apart from most of these.
+PARTITION_KIND = "partitions"
+SEPARATE_KINDS = {
+    NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND
+}  # fmt: skip
 # The number of violations that are printed for a seed.
 MAX_PRINTED_VIOLATIONS = 10
 
@@ -118,6 +123,9 @@
         refusal_faults = RefusalFaults(site, Random(f"refusals of {seed}"), log_fault)
         rate_faults = RateFaults(site, Random(f"rates of {seed}"), log_fault)
         shortage_faults = ShortageFaults(site, Random(f"shortage of {seed}"), log_fault)
+        partition_faults = PartitionFaults(
+            site, Random(f"partitions of {seed}"), log_fault, interruptions
+        )
         nursery.start_soon(crash_faults.restart_crashed)
         async with trio.open_nursery() as load_nursery:
             load_nursery.start_soon(callers.run, CALLER_COUNT)
@@ -132,6 +140,8 @@
                     fault_nursery.start_soon(refusal_faults.run, began_at + seconds)
                 if not only or SHORTAGE_KIND in only:
                     fault_nursery.start_soon(shortage_faults.run, began_at + seconds)
+                if PARTITION_KIND in only:
+                    fault_nursery.start_soon(partition_faults.run, began_at + seconds)
                 if not only or CRASH_KIND in only:
                     fault_nursery.start_soon(crash_faults.run, began_at + seconds)
             await trio.sleep(RECOVERY_SECONDS)
@@ -154,6 +164,7 @@
     )
     violations += RateJudge(site, callers.calls, interruptions).find_violations()
     violations += AdmissionJudge(site, callers.calls).find_violations()
+    violations += partition_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, callers.calls).find_violations()
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy on the loopback address that delays, blocks or resets its connections."""
 
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -8,7 +9,7 @@
 
 from soak.wire import BACKLOG, HOST, reset
 
-__all__ = ["Mode", "Proxy"]
+__all__ = ["Cut", "Mode", "Partition", "Proxy"]
 
 MAX_READ_BYTES = 64 * 1024
 # The read size, the socket buffers and the largest segment of a proxy with small buffers, so that a
@@ -26,6 +27,22 @@
     ONE_WAY = "one-way"
 
 
+class Cut(StrEnum):
+    """What a partition does: to all connections, or only to new ones."""
+
+    SILENT = "silent"
+    RESET = "reset"
+    NEW_REFUSED = "new connections refused"
+
+
+@dataclass(eq=False)
+class Partition:
+    """A partition of some clients; `includes` returns whether a client's port is one of theirs."""
+
+    how: Cut
+    includes: Callable[[int], bool]
+
+
 @dataclass
 class Proxy:
     """Forwards connections from `port` to `target`; blocked bytes are forwarded later.
@@ -39,7 +56,10 @@
     mode: Mode = Mode.PASS
     delay_seconds: float = 0.0
     mode_changed: trio.Event = field(default_factory=trio.Event)
+    partition: Partition | None = None
     _connections: set[tuple[trio.SocketStream, trio.SocketStream]] = field(default_factory=set)
+    # The connections whose bytes the partition holds back.
+    _silenced: set[trio.SocketStream] = field(default_factory=set)
 
     @property
     def address(self) -> str:
@@ -52,6 +72,25 @@
         self.mode_changed.set()
         self.mode_changed = trio.Event()
 
+    def begin_partition(self, partition: Partition) -> None:
+        """Partition some clients from the target, on open connections and for new ones."""
+        self.partition = partition
+        for pair in list(self._connections):
+            if partition.how is Cut.NEW_REFUSED or not partition.includes(_port_of(pair[0])):
+                continue
+            if partition.how is Cut.SILENT:
+                self._silenced |= set(pair)
+                continue
+            for stream in pair:
+                reset(stream)
+
+    def end_partition(self) -> None:
+        """End the partition; bytes that it held back are forwarded now."""
+        self.partition = None
+        self._silenced.clear()
+        self.mode_changed.set()
+        self.mode_changed = trio.Event()
+
     def reset(self) -> None:
         """Reset all open connections."""
         for pair in list(self._connections):
@@ -79,7 +118,13 @@
         return trio.SocketStream(sock)
 
     async def _forward_connection(self, accepted: trio.SocketStream) -> None:
-        await self._wait_while_blocked(True)
+        partition = self.partition
+        if partition is not None and partition.includes(_port_of(accepted)):
+            if partition.how is not Cut.SILENT:
+                reset(accepted)
+                return
+            self._silenced.add(accepted)
+        await self._wait_while_blocked(True, accepted)
         try:
             target_stream = await self._connect_to_target()
         except OSError:
@@ -97,6 +142,7 @@
             pass  # One side is closed; the other one is reset below.
         finally:
             self._connections.discard(pair)
+            self._silenced -= set(pair)
             for stream in pair:
                 reset(stream)
 
@@ -105,14 +151,26 @@
     ) -> None:
         max_bytes = SMALL_BUFFER_BYTES if self.small_buffers else MAX_READ_BYTES
         while data := await source.receive_some(max_bytes):
-            await self._wait_while_blocked(is_inbound)
+            await self._wait_while_blocked(is_inbound, source)
             await destination.send_all(data)
-        await self._wait_while_blocked(is_inbound)
+        await self._wait_while_blocked(is_inbound, source)
         await destination.send_eof()
 
-    async def _wait_while_blocked(self, is_inbound: bool) -> None:
-        """Wait while bytes in a direction are blocked or delayed."""
-        while self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and not is_inbound):
+    async def _wait_while_blocked(self, is_inbound: bool, source: trio.SocketStream) -> None:
+        """Wait while bytes from a connection in a direction are blocked or delayed."""
+        while (
+            self.mode is Mode.SILENT
+            or (self.mode is Mode.ONE_WAY and not is_inbound)
+            or source in self._silenced
+        ):
             await self.mode_changed.wait()
         if self.mode is Mode.DELAY:
             await trio.sleep(self.delay_seconds)
+
+
+def _port_of(stream: trio.SocketStream) -> int:
+    """Return the port of the client of a connection, 0 if it is gone."""
+    try:
+        return stream.socket.getpeername()[1]
+    except OSError:
+        return 0
