--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -60,7 +60,7 @@
         await super().answer(run, exchange, answer)
 
     def is_deadly(self, run):
-        return run.body.startswith(DEADLY) and not self.world.cured
+        return self.world.is_deadly_run(run)
 
     async def crash(self, run):
         await trio.sleep(CRASH_DELAY_SECONDS)
@@ -162,6 +162,10 @@
         for runner in self.runners.values():
             runner.accepts_orders, runner.slots = False, 96
 
+    def is_deadly_run(self, run):
+        """Return whether a request crashes the runner that executes it."""
+        return run.body.startswith(DEADLY) and not self.cured
+
     def dial_of(self, process):
         """Return the function by which a process opens connections."""
         return self.dial
