Probe upstreams afresh to tell a partition behind an accepting proxy

Cause: an accepted connection counted as contact, and the quiet after it as a sign of life, while a proxy takes some time to close it. Now only an answer counts: a query over a new connection where upstreams take queries, else a connection that stays quiet for 50 ms. A new connection that breaks within 0.1 s is evidence as one that could not be opened; an answer clears the evidence only on a connection that was opened after it.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -179,7 +179,14 @@
         # A repeated response without an id could be taken for the response to a control message.
         connection.close_after_call()
     sent_at = trio.current_time()
-    reply = await connection.call(message.method, message.target, headers, message.body, on_sent)
+    try:
+        reply = await connection.call(
+            message.method, message.target, headers, message.body, on_sent
+        )
+    except ConnectionLostError as failure:
+        if failure.kind is FailureKind.LOST:
+            context.reachability.note_broken(dispatch.instance, connection.opened_at)
+        raise
     facts = context.dialect.facts(reply)
     for _ in range(MAX_REMEMBERED_CALLS):
         if facts.request_id == caller.request_id or not connection.has_recent_call(
@@ -191,7 +198,7 @@
         facts = context.dialect.facts(reply)
     if facts.request_id != caller.request_id:
         raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
-    context.reachability.note_answer(admitted.service.name)
+    context.reachability.note_answer(dispatch.instance, connection.opened_at)
     origin = NoticeOrigin(sent_at, connection.opened_at)
     context.notices.apply(dispatch.instance, facts.notice, origin)
     return reply, facts
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -177,14 +177,27 @@
     async def query_load(self, upstream: Upstream) -> LoadReport | None:
         """Query the load of an upstream; None if unanswered."""
 
-    async def probe(self, upstream: Upstream, seconds: float) -> ProbeReply:
-        """Probe an upstream with a query; DEAD if its machine refuses connections."""
+    async def probe(self, upstream: Upstream, seconds: float, afresh: bool = False) -> ProbeReply:
+        """Probe an upstream with a query; DEAD if its machine refuses connections.
 
-    async def probe_connection(self, upstream: Upstream, seconds: float) -> ProbeResult:
+        Args:
+          upstream: the upstream.
+          seconds: the timeout.
+          afresh: whether to open a new connection for it.
+        """
+
+    async def probe_connection(
+        self, upstream: Upstream, seconds: float, quiet_seconds: float = 0.01
+    ) -> ProbeResult:
         """Probe an upstream by connecting only: it might run a query as a request.
 
         DEAD if its machine refuses connections, SILENT if a connection is closed at once: a proxy
         in front of the upstream may accept connections for it.
+
+        Args:
+          upstream: the upstream.
+          seconds: the timeout.
+          quiet_seconds: the time within which such a proxy closes a connection.
         """
 
     async def move(
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -155,7 +155,7 @@
             counters.gauge,
             log,
         )
-        ports.pool.set_dial_observer(self._reach.own.note_dial)
+        ports.pool.set_dial_observer(self._reach.own.note_dial_failure)
         self._crash_watch = self._new_crash_watch()
         self._issuing = Issuing(
             self._rate_limits,
--- a/deckcourse/gateway/reachability.py
+++ b/deckcourse/gateway/reachability.py
@@ -5,7 +5,7 @@
 before may live on, so only new ones are evidence.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -30,12 +30,19 @@
 # Timeouts of the rounds of probes after which a process counts as partitioned: a live upstream
 # accepts a connection within 3 ms, but a single packet may be lost.
 PROBE_TIMEOUTS_SECONDS = (0.06, 0.12)
+# A proxy that accepts connections for a plain upstream which it can't reach closes them within this
+# time, seconds.
+QUIET_SECONDS = 0.05
 # Shortest interval between two checks of a service that found it reachable.
 CHECK_INTERVAL_SECONDS = 1.0
 # Interval of the probes that find out when a partition has ended.
 RECOVERY_INTERVAL_SECONDS = 0.25
 # A plain call usually takes less than this. The upstream of one that takes longer is probed.
 SLOW_CALL_SECONDS = 0.4
+# A new connection that breaks within this time was never one to the upstream, seconds.
+BROKEN_AT_ONCE = 0.1
+# What a failure to connect shows if the upstream can't be reached.
+DIAL_EVIDENCE = (Evidence.SILENT, Evidence.UNREACHABLE)
 # How long a new connection shows that the upstreams of a service can be reached.
 CONTACT_TTL_SECONDS = 0.3
 
@@ -72,7 +79,7 @@
     Args:
       upstreams: the upstreams that this process knows.
       control: probes upstreams.
-      services: returns the names of all services.
+      services: returns the services, and whether the upstreams of each accept queries.
       random: chooses the upstreams that are probed.
       count: increments the counter of a name.
       gauge: sets a gauge by name.
@@ -83,7 +90,7 @@
         self,
         upstreams: UpstreamTable,
         control: StreamControl,
-        services: Callable[[], Iterable[str]],
+        services: Callable[[], Mapping[str, bool]],
         random: Random,
         count: Callable[[str], None],
         gauge: Callable[[str, float], None],
@@ -109,19 +116,32 @@
         """Return when an upstream of a service last answered, on trio's clock."""
         return self._state(service).contact_at
 
-    def note_dial(self, address: str, failure: ConnectionLostError | None) -> None:
-        """Record whether a new connection to an address, of an upstream or not, was opened."""
+    def note_dial_failure(self, address: str, failure: ConnectionLostError) -> None:
+        """Record that no connection to an address, of an upstream or not, could be opened."""
         upstream = self._upstreams.listed_at(address)
+        if upstream is not None and evidence_of(failure) in DIAL_EVIDENCE:
+            self.note_unreachable(upstream)
+
+    def note_answer(self, instance: str, connection_opened_at: float) -> None:
+        """Record that an upstream answered a request on a connection."""
+        upstream = self._upstreams.last_known(instance)
         if upstream is None:
             return
-        if failure is None:
-            self._note_connected(upstream)
-        elif evidence_of(failure) in (Evidence.SILENT, Evidence.UNREACHABLE):
-            self.note_unreachable(upstream)
+        state = self._state(upstream.service)
+        state.contact_at = trio.current_time()
+        # Connections that were opened before upstreams went out of reach show nothing.
+        if connection_opened_at > max(state.unreachable.values(), default=state.connected_at):
+            self._note_connected(upstream, connection_opened_at)
 
-    def note_answer(self, service: str) -> None:
-        """Record that an upstream of a service answered a request."""
-        self._state(service).contact_at = trio.current_time()
+    def note_broken(self, instance: str, connection_opened_at: float) -> None:
+        """Record that a connection broke before an answer.
+
+        A proxy in front of an upstream accepts connections for it, and closes them at once if it
+        can't reach the upstream.
+        """
+        upstream = self._upstreams.last_known(instance)
+        if upstream is not None and trio.current_time() < connection_opened_at + BROKEN_AT_ONCE:
+            self.note_unreachable(upstream)
 
     def note_unreachable(self, upstream: Upstream) -> None:
         """Record that an upstream answered neither a connection attempt nor probes."""
@@ -195,9 +215,10 @@
         started = [wait.since for each in self._states.values() for wait in each.waits]
         return min(started, default=float("inf")) + SLOW_CALL_SECONDS
 
-    def _note_connected(self, upstream: Upstream) -> None:
+    def _note_connected(self, upstream: Upstream, opened_at: float) -> None:
         state = self._state(upstream.service)
-        state.contact_at = state.connected_at = trio.current_time()
+        state.contact_at = trio.current_time()
+        state.connected_at = max(state.connected_at, opened_at)
         state.unreachable.clear()
         if state.partitioned_since is not None:
             self._end_partition(upstream.service, state)
@@ -250,9 +271,9 @@
         reached: list[str] = []
 
         async def probe(upstream: Upstream, scope: trio.CancelScope) -> None:
-            if await self._control.probe_connection(upstream, seconds) is ProbeResult.ALIVE:
+            if await self._probe(upstream, seconds) is ProbeResult.ALIVE:
                 reached.append(upstream.instance)
-                self._note_connected(upstream)
+                self._note_connected(upstream, trio.current_time())
                 scope.cancel()
 
         async with trio.open_nursery() as nursery:
@@ -260,6 +281,14 @@
                 nursery.start_soon(probe, each, nursery.cancel_scope)
         return bool(reached)
 
+    async def _probe(self, upstream: Upstream, seconds: float) -> ProbeResult:
+        """Probe an upstream over a new connection."""
+        if self._services().get(upstream.service):
+            reply = await self._control.probe(upstream, seconds, afresh=True)
+            if reply.result is not ProbeResult.NOT_SENT:
+                return reply.result
+        return await self._control.probe_connection(upstream, seconds, QUIET_SECONDS)
+
     def _begin_partition(self, service: str, state: _ServiceReach) -> None:
         state.partitioned_since = trio.current_time()
         self._count("upstreams.partition")
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -281,16 +281,16 @@
 
     def __init__(self, count: Callable[[str], None], dial: Dial | None = None) -> None:
         self._dial = dial or dial_tcp
-        self._on_dial: Callable[[str, ConnectionLostError | None], None] = lambda *_: None
+        self._on_dial_failure: Callable[[str, ConnectionLostError], None] = lambda *_: None
         self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
         self._count = count
 
-    def set_dial_observer(self, on_dial: Callable[[str, ConnectionLostError | None], None]) -> None:
-        """Register the callback for each attempt to connect: its address, and its failure if any.
+    def set_dial_observer(self, on_failure: Callable[[str, ConnectionLostError], None]) -> None:
+        """Register the callback for each failed attempt to connect, with its address.
 
         Cancelled attempts aren't reported.
         """
-        self._on_dial = on_dial
+        self._on_dial_failure = on_failure
 
     async def acquire(
         self,
@@ -331,12 +331,10 @@
           ConnectionLostError: UNSENT, the address is unreachable.
         """
         try:
-            transport = await self._dial(address)
+            return await self._dial(address)
         except ConnectionLostError as failure:
-            self._on_dial(address, failure)
+            self._on_dial_failure(address, failure)
             raise
-        self._on_dial(address, None)
-        return transport
 
     def _take_idle(
         self, address: str, max_idle_seconds: float, without_call: str | None
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -181,22 +181,24 @@
             return None
         return LoadReport(report.running, report.queued, report.kvUsed, report.kvTotal)
 
-    async def probe(self, upstream: Upstream, seconds: float) -> ProbeReply:
+    async def probe(self, upstream: Upstream, seconds: float, afresh: bool = False) -> ProbeReply:
         """Probe a runner with a query; DEAD if its machine refuses connections."""
         if not await self._admit(upstream.instance, Purpose.QUERY):
             return ProbeReply(ProbeResult.NOT_SENT)
         seconds = self._timeout(seconds)
         wait = _TimedWait(seconds)
-        reading = await self._probe_once(upstream, seconds)
+        reading = await self._probe_once(upstream, seconds, afresh)
         if reading.result is ProbeResult.SILENT:
             self._record_timeout(upstream, wait)
         if reading.result is ProbeResult.SILENT and wait.process_was_paused:
             if not await self._admit(upstream.instance, Purpose.QUERY):
                 return ProbeReply(ProbeResult.NOT_SENT)
-            return await self._probe_once(upstream, seconds)
+            return await self._probe_once(upstream, seconds, afresh)
         return reading
 
-    async def probe_connection(self, upstream: Upstream, seconds: float) -> ProbeResult:
+    async def probe_connection(
+        self, upstream: Upstream, seconds: float, quiet_seconds: float = PROXY_CLOSE_TIMEOUT_SECONDS
+    ) -> ProbeResult:
         """Probe a runner by opening a connection only: some runners would execute any request."""
         with trio.move_on_after(self._timeout(seconds)):
             try:
@@ -204,13 +206,13 @@
             except ConnectionLostError:
                 return ProbeResult.DEAD
             try:
-                await trio.sleep(PROXY_CLOSE_TIMEOUT_SECONDS)
+                await trio.sleep(quiet_seconds)
                 return ProbeResult.ALIVE if connection.is_quiet() else ProbeResult.SILENT
             finally:
                 connection.abort()
         return ProbeResult.SILENT
 
-    async def _probe_once(self, upstream: Upstream, seconds: float) -> ProbeReply:
+    async def _probe_once(self, upstream: Upstream, seconds: float, afresh: bool) -> ProbeReply:
         has_replied = False
         with trio.move_on_after(seconds):
             # An idle connection may have been closed by the runner, so a failure is retried once.
@@ -218,7 +220,7 @@
                 if attempt and not await self._admit(upstream.instance, Purpose.QUERY):
                     return ProbeReply(ProbeResult.ALIVE if has_replied else ProbeResult.NOT_SENT)
                 try:
-                    status, content = await self._exchange(upstream, b"GET", REPORT)
+                    status, content = await self._exchange(upstream, b"GET", REPORT, afresh=afresh)
                 except ConnectionLostError as failure:
                     # A malformed reply shows that the runner is alive.
                     has_replied = has_replied or failure.kind is FailureKind.MALFORMED
@@ -355,9 +357,18 @@
         target: bytes,
         value: object = None,
         call_name: str | None = None,
+        afresh: bool = False,
     ) -> tuple[int, bytes]:
         """Send a request and return the reply's status and body.
 
+        Args:
+          upstream: the recipient.
+          method: the method.
+          target: the path.
+          value: the body, sent as JSON.
+          call_name: see `ConnectionPool.acquire`.
+          afresh: whether to open a new connection.
+
         Raises:
           ConnectionLostError: there was no reply, or it belongs to another call.
         """
@@ -371,7 +382,13 @@
         if body:
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(body)).encode()))
-        async with self._pool.borrow(upstream.address, without_call=call_name) as connection:
+        address = upstream.address
+        connection = await (
+            self._pool.open(address)
+            if afresh
+            else self._pool.acquire(address, without_call=call_name)
+        )
+        with self._pool.release_after_call(connection):
             sent_at = trio.current_time()
             reply = await connection.call(method, target, tuple(headers), body)
             reply_id = _id(reply)
--- a/features/steps/late_answer_steps.py
+++ b/features/steps/late_answer_steps.py
@@ -344,7 +344,7 @@
             reply, _ = await send_request(
                 SimpleNamespace(
                     dialect=dialect,
-                    reachability=SimpleNamespace(note_answer=lambda service: None),
+                    reachability=SimpleNamespace(note_answer=lambda *_: None, note_broken=print),
                     notices=NoticeIntake(
                         UpstreamTable(trio.current_time),
                         limits,
@@ -353,7 +353,7 @@
                         trio.current_time,
                     ),
                 ),
-                SimpleNamespace(caller=caller, service=SimpleNamespace(name="llm")),
+                SimpleNamespace(caller=caller),
                 connection,
                 Dispatch("u", 1.0),
             )
