Quarantine parts of prompts that end upstreams

Cause: evidence was kept by the whole content of a request alone, so that each of them had one end (the log has another identity and ends=1 each time), and nothing was ever confirmed. Class: evidence kept by a key that the fault does not share.

Every shared part of a prompt is now suspect after an end under a request with it, until a request with it gets its first event anywhere: sound requests share all the others, and clear them within milliseconds. A process that clears a part tells its peers; ends count as a chain, as for whole requests, so that upstreams that end together count once. After three in a row a part is refused for 10 to 15 s, then tried; after four, or ends of five upstreams over a second or more, until its evidence expires or deckcourse quarantine releases it. Parts hold nobody back before that: no trial order, no avoided upstreams. Rows are written only for parts that stay suspect for 0.5 s; 64 parts of a prompt count, always the same ones, and 4096 are kept.

Ruled out: ends that aren't noticed or aren't told (each known everywhere within 30 ms, the restarted processes read them again). Weighed: counting ends without a chain, which confirms the part that all prompts begin with when several upstreams end together.

--- a/deckcourse/cli.py
+++ b/deckcourse/cli.py
@@ -288,7 +288,8 @@
         return 0
     for each in trio.run(quarantine_at, command.address):
         refused = f"refused for {each.refused_seconds:g} s" if each.refused_seconds else "may run"
-        print(f"{each.identity}: {each.ends} ended ({', '.join(each.instances)}), {refused}")
+        ended = f"{each.ends} ended ({', '.join(each.instances)})"
+        print(f"{each.kind} {each.identity}: {ended}, {refused}")
     return 0
 
 
--- a/deckcourse/decisions/quarantine.py
+++ b/deckcourse/decisions/quarantine.py
@@ -5,7 +5,12 @@
 another reason is innocent, so one crash suffices only while crashing requests are around.
 """
 
-__all__ = ["CONFIRMING_CRASHES", "had_recent_confirmed_crash", "quarantine_seconds"]
+__all__ = [
+    "CONFIRMING_CRASHES",
+    "had_recent_confirmed_crash",
+    "part_quarantine_seconds",
+    "quarantine_seconds",
+]
 
 # Number of crashes under one request that is not a coincidence.
 CONFIRMING_CRASHES = 2
@@ -23,6 +28,17 @@
 MAX_QUARANTINED_SUSPECTS = 2
 
 
+# Number of successive crashes with one part of a prompt, without a success of any request with it,
+# that is not a coincidence. Sound requests share most parts, so it takes more than for a request.
+CONFIRMING_PART_CRASHES = 3
+# After this many, or after crashes of this many upstreams, a part is refused until its record
+# expires or an operator releases it: the platform allows three more attempts after five crashes.
+PERMANENT_PART_CRASHES = 4
+PERMANENT_PART_UPSTREAMS = 5
+# Upstreams that end within this time may have ended together, for another reason, seconds.
+TOGETHER_SECONDS = 1.0
+
+
 def had_recent_confirmed_crash(confirmed_at: float, now: float) -> bool:
     """Return whether a confirmed request crashed an upstream recently.
 
@@ -47,3 +63,17 @@
         return CONFIRMED_QUARANTINE_SECONDS
     is_quarantined = crashes and is_alert and suspects <= MAX_QUARANTINED_SUSPECTS
     return SUSPECT_QUARANTINE_SECONDS if is_quarantined else 0.0
+
+
+def part_quarantine_seconds(crashes: int, upstreams: int, span: float) -> float:
+    """Return how long a part is quarantined after its last crash; infinity for permanently.
+
+    Args:
+      crashes: the number of successive crashes with the part.
+      upstreams: how many upstreams crashed.
+      span: the time from the first of these crashes to the last one, seconds.
+    """
+    are_many = upstreams >= PERMANENT_PART_UPSTREAMS and span >= TOGETHER_SECONDS
+    if crashes >= PERMANENT_PART_CRASHES or are_many:
+        return float("inf")
+    return CONFIRMED_QUARANTINE_SECONDS if crashes >= CONFIRMING_PART_CRASHES else 0.0
--- a/deckcourse/gateway/admitted.py
+++ b/deckcourse/gateway/admitted.py
@@ -5,7 +5,7 @@
 
 from deckcourse.gateway.desired import AccountSpec, RouteSpec, UpstreamService
 from deckcourse.gateway.dialect import CallerRequest
-from deckcourse.gateway.request_identity import identity_of
+from deckcourse.gateway.request_identity import identity_of, part_identities
 from deckcourse.http1.server import Exchange
 
 __all__ = ["Admitted", "EarlierExecutions"]
@@ -42,6 +42,11 @@
         """The identity that equal requests share whatever their ids; computed on first use."""
         return identity_of(self.caller, self.account_name)
 
+    @cached_property
+    def parts(self) -> tuple[str, ...]:
+        """The identities of the parts of its prompt that other requests may share."""
+        return part_identities(self.caller, self.service.name)
+
     @property
     def account_name(self) -> str:
         """The client account's name, empty for a public route."""
--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -81,7 +81,7 @@
     until = context.crashes.quarantined_until(admitted)
     if until is None:
         return None
-    message = "upstreams ended under this request"
+    message = "upstreams ended under this request or a part of its prompt"
     if has_run:
         return Unknown(UnknownReason.ENDS_UPSTREAMS, message)
     return NotRun(NotRunReason.ENDS_UPSTREAMS, message, until - trio.current_time())
--- a/deckcourse/gateway/crash_book.py
+++ b/deckcourse/gateway/crash_book.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from deckcourse.gateway.crash_evidence import CrashEvidence
+from deckcourse.gateway.part_evidence import PartEvidence
 from deckcourse.peers.crash import Crash
 from deckcourse.table import Committed, Row, TableService, Write
 
@@ -38,6 +39,7 @@
     Args:
       table: the store.
       evidence: receives the crashes in the rows.
+      parts: receives those of parts of prompts.
       may_prune: returns whether this process removes rows that are no longer needed.
       count: increments a counter by name.
     """
@@ -46,11 +48,13 @@
         self,
         table: TableService,
         evidence: CrashEvidence,
+        parts: PartEvidence,
         may_prune: Callable[[], bool],
         count: Callable[[str], None],
     ) -> None:
         self._table = table
         self._evidence = evidence
+        self._parts = parts
         self._may_prune = may_prune
         self._count = count
         # The rows in the table, the oldest first.
@@ -77,7 +81,7 @@
     def prune(self) -> None:
         """Schedule the removal of rows of forgotten requests, if this process may prune."""
         if self._may_prune():
-            suspects = set(self._evidence.identities)
+            suspects = {*self._evidence.identities, *self._parts.identities}
             for crash in [each for each in self._rows.values() if each.identity not in suspects]:
                 self._schedule(_key(crash), None)
 
@@ -143,10 +147,11 @@
             self._count("malformed.crash")
             return
         self._rows[key] = crash
-        if self._evidence.succeeded_recently(crash.identity):
+        evidence = self._evidence_of(crash)
+        if evidence.succeeded_recently(crash.identity):
             self._schedule(key, None)
             return
-        self._evidence.record(crash)
+        evidence.record(crash)
         if len(self._rows) > MAX_ROWS and self._may_prune():
             self._schedule(next(iter(self._rows)), None)
 
@@ -154,7 +159,10 @@
         """Apply a deletion: the request succeeded or was released at another process."""
         crash = self._rows.pop(key, None)
         if crash is not None:
-            self._evidence.clear(crash.identity)
+            self._evidence_of(crash).clear(crash.identity)
+
+    def _evidence_of(self, crash: Crash) -> CrashEvidence | PartEvidence:
+        return self._parts if crash.is_part else self._evidence
 
 
 def _key(crash: Crash) -> str:
--- a/deckcourse/gateway/crash_watch.py
+++ b/deckcourse/gateway/crash_watch.py
@@ -4,7 +4,8 @@
 process and under any request id. The evidence is therefore kept by the content of the request.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import trio
@@ -15,6 +16,7 @@
 from deckcourse.gateway.crash_check import CrashCheck
 from deckcourse.gateway.crash_evidence import CrashEvidence
 from deckcourse.gateway.dialect import ProbeResult
+from deckcourse.gateway.part_evidence import PartEvidence
 from deckcourse.gateway.quarantine_view import QuarantineView, quarantine_of
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.peers.crash import Crash
@@ -38,6 +40,9 @@
 # arrive within half a second.
 TRIAL_SECONDS = 0.12
 MAX_RANK = 3
+# Crashes of parts that stay suspect for this time are stored, seconds: others are cleared by the
+# next success of any request with them.
+PART_ROW_DELAY_SECONDS = 0.5
 # Interval between removals of rows that are no longer needed, seconds.
 PRUNE_INTERVAL_SECONDS = 60.0
 
@@ -46,11 +51,13 @@
 class AttemptStart:
     """The start of an attempt at an upstream.
 
-    `at` is its time on trio's clock, `known_crashes` the crash count of the request at that time.
+    `at` is its time on trio's clock, `known_crashes` the crash count of the request at that time,
+    `known_part_crashes` that of each suspect part of its prompt.
     """
 
     at: float = 0.0
     known_crashes: int = 0
+    known_part_crashes: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass
@@ -65,6 +72,7 @@
     upstream: Upstream
     has_layers: bool
     broke_at: float
+    parts: tuple[str, ...] = ()
     probed: trio.Event = field(default_factory=trio.Event)
 
 
@@ -83,6 +91,7 @@
 
     Args:
       evidence: the crashes by request.
+      parts: the crashes by part of the prompts.
       check: probes upstreams after a break.
       book: stores the crashes.
       gossip: publishes crashes to peers at once.
@@ -93,6 +102,7 @@
     def __init__(
         self,
         evidence: CrashEvidence,
+        parts: PartEvidence,
         check: CrashCheck,
         book: CrashBook,
         gossip: PeerGossip,
@@ -100,6 +110,7 @@
         log: Callable[..., None],
     ) -> None:
         self._evidence = evidence
+        self._parts = parts
         self._check = check
         self._book = book
         self._gossip = gossip
@@ -114,13 +125,24 @@
         self._trials: dict[str, _Trial] = {}
         # When each upstream crashed, as far as this process knows, in the order of its knowledge.
         self._crashed_at: dict[str, float] = {}
-        gossip.register_crash_handlers(self._on_peer_crash, evidence.crashes)
+        self._send_part, self._part_crashes = trio.open_memory_channel[tuple[float, Crash]](
+            MAX_QUEUED_BREAKS
+        )
+        self._send_cleared, self._cleared_parts = trio.open_memory_channel[list[str]](
+            MAX_QUEUED_BREAKS
+        )
+        gossip.register_crash_handlers(
+            self._on_peer_crash,
+            lambda: [*evidence.crashes(), *parts.crashes()],
+            self._on_peer_cleared,
+        )
 
     def quarantined_until(self, admitted: Admitted) -> float | None:
         """Return when the quarantine of a request ends, on trio's clock; None if it may run."""
+        until = self._parts.quarantined_until(admitted.parts) if self._parts else None
         # The usual case: no suspect requests at all.
-        if not self._evidence:
-            return None
+        if until is not None or not self._evidence:
+            return until
         until = self._evidence.quarantined_until(admitted.identity)
         if until is None and self._is_in_trial(admitted.identity):
             return trio.current_time() + MAX_TRIAL_WAIT_SECONDS
@@ -133,11 +155,11 @@
 
     def view(self) -> tuple[QuarantineView, ...]:
         """Return the evidence on each suspect request."""
-        return quarantine_of(self._evidence, trio.current_time())
+        return quarantine_of(self._evidence, self._parts, trio.current_time())
 
     def release(self, identity: str) -> bool:
-        """Clear a request here and in the store; return whether it was suspect."""
-        was_suspect = self._evidence.clear(identity)
+        """Clear a request or a part here and in the store; return whether it was suspect."""
+        was_suspect = self._evidence.clear(identity) or self._parts.clear(identity)
         if was_suspect:
             self._log("crash-released", identity=identity)
             self._book.remove(identity)
@@ -183,7 +205,10 @@
         known_crashes = self.crash_count(admitted)
         if known_crashes:
             self._trials.setdefault(instance, _Trial()).identities.add(admitted.identity)
-        return AttemptStart(trio.current_time(), known_crashes)
+        known_part_crashes: dict[str, int] = {}
+        if self._parts:
+            known_part_crashes = {each: self._parts.crash_count(each) for each in admitted.parts}
+        return AttemptStart(trio.current_time(), known_crashes, known_part_crashes)
 
     def end_attempt(self, admitted: Admitted, instance: str) -> None:
         """End the trial of a request at an upstream: its outcome is known."""
@@ -209,6 +234,7 @@
         # known yet: later attempts may crash that one.
         if start.at > self._crashed_at.get(instance, float("inf")):
             del self._crashed_at[instance]
+        self._record_part_success(admitted)
         # Recorded for requests that aren't suspect, too: a request that many callers send is then
         # known to succeed, and a crash soon after doesn't make it suspect, however few of its
         # attempts are in flight by then.
@@ -217,6 +243,21 @@
             self._log("crash-cleared", identity=admitted.identity)
             self._book.remove(admitted.identity)
 
+    def _record_part_success(self, admitted: Admitted) -> None:
+        """Clear the parts of a prompt; tell peers, whose requests may share them."""
+        cleared = self._parts.record_success(admitted.parts) if admitted.parts else []
+        for identity in cleared:
+            self._count("crash.part-cleared")
+            self._log("crash-part-cleared", identity=identity)
+            self._book.remove(identity)
+        if cleared:
+            with suppress(trio.WouldBlock):
+                self._send_cleared.send_nowait(cleared)
+
+    def _on_peer_cleared(self, identity: str) -> None:
+        """Clear a part with which a request succeeded at a peer."""
+        self._parts.record_success((identity,))
+
     async def record_broken_attempt(
         self, admitted: Admitted, upstream: Upstream, start: AttemptStart
     ) -> None:
@@ -229,7 +270,7 @@
         """
         has_layers = admitted.service.model is not None
         now = trio.current_time()
-        broken = _BrokenAttempt(admitted.identity, start, upstream, has_layers, now)
+        broken = _BrokenAttempt(admitted.identity, start, upstream, has_layers, now, admitted.parts)
         try:
             self._send.send_nowait(broken)
         except trio.WouldBlock:
@@ -257,13 +298,16 @@
         self._put_crash_time(instance, first_break_at)
         running = [each for each in unresolved if each.start.at <= first_break_at]
         crashes = [self._record_crash(each) for each in running]
-        return [each for each in crashes if each is not None]
+        part_crashes = [crash for each in running for crash in self._record_part_crashes(each)]
+        return [*(each for each in crashes if each is not None), *part_crashes]
 
     async def run(self) -> None:
         """Process broken attempts and maintain the crash table until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._book.run)
             nursery.start_soon(self._prune_regularly)
+            nursery.start_soon(self._write_part_crashes)
+            nursery.start_soon(self._publish_cleared)
             async for broken in self._broken_attempts:
                 nursery.start_soon(self._process_break, broken)
 
@@ -282,8 +326,19 @@
                 crashes = self._attribute_crash(broken.upstream.instance)
         finally:
             broken.probed.set()
-        for each in crashes:
-            await self._gossip.publish_crash(each)
+        if crashes:
+            await self._gossip.publish_crashes(crashes)
+
+    async def _write_part_crashes(self) -> None:
+        """Store the crashes of parts that stay suspect for a while."""
+        async for due_at, crash in self._part_crashes:
+            await trio.sleep_until(due_at)
+            if crash.instance in self._parts.crashed_instances(crash.identity):
+                self._book.write(crash)
+
+    async def _publish_cleared(self) -> None:
+        async for identities in self._cleared_parts:
+            await self._gossip.publish_cleared(identities)
 
     def _defer(self, broken: _BrokenAttempt) -> None:
         now = trio.current_time()
@@ -308,9 +363,33 @@
         self._book.write(crash)
         return crash
 
+    def _record_part_crashes(self, broken: _BrokenAttempt) -> list[Crash]:
+        """Record a crash for each shared part of a prompt; return those that peers need to know."""
+        instance = broken.upstream.instance
+        if broken.start.at > self._crashed_at.get(instance, float("inf")):
+            return []
+        known = broken.start.known_part_crashes
+        crashes = [Crash(each, instance, known.get(each, 0), is_part=True) for each in broken.parts]
+        new_crashes = [each for each in crashes if self._merge_part_crash(each)]
+        for each in new_crashes:
+            with suppress(trio.WouldBlock):
+                self._send_part.send_nowait((trio.current_time() + PART_ROW_DELAY_SECONDS, each))
+        return new_crashes
+
+    def _merge_part_crash(self, crash: Crash) -> bool:
+        """Merge a crash with a part; return whether it is new."""
+        if not self._parts.record(crash):
+            return False
+        self._count("crash.part-found")
+        ends = self._parts.crash_count(crash.identity)
+        self._log("crash-part", identity=crash.identity, instance=crash.instance, ends=ends)
+        return True
+
     def _on_peer_crash(self, crash: Crash) -> None:
         """Merge a crash that a peer reported, unless the request was cleared since."""
-        if not self._evidence.was_just_cleared(crash.identity):
+        if crash.is_part:
+            self._merge_part_crash(crash)
+        elif not self._evidence.was_just_cleared(crash.identity):
             self._merge_crash(crash)
 
     def _merge_crash(self, crash: Crash) -> None:
--- a/deckcourse/gateway/dialect.py
+++ b/deckcourse/gateway/dialect.py
@@ -34,6 +34,7 @@
 
     `prompt_tokens` is the size of its prompt, `max_answer_tokens` the longest answer that it allows
     and `answer_tokens` the caller's estimate of the answer, often far off; 0 if not stated.
+    `shared_parts` are the parts of its prompt that other requests may share, each by its name.
     """
 
     message: IncomingRequest
@@ -46,6 +47,7 @@
     prompt_tokens: int = 0
     max_answer_tokens: int = 0
     answer_tokens: int = 0
+    shared_parts: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -26,6 +26,7 @@
 from deckcourse.gateway.loss_sharing import LossSharing
 from deckcourse.gateway.node_ports import GatewayIdentity, GatewayPorts
 from deckcourse.gateway.notice_intake import NoticeIntake
+from deckcourse.gateway.part_evidence import PartEvidence
 from deckcourse.gateway.path_choice import PathChoice
 from deckcourse.gateway.placement_demand import DemandWatch
 from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
@@ -501,14 +502,19 @@
         return self._upstream_feed.is_loaded and self.may_send()
 
     def _new_crash_watch(self) -> CrashWatch:
-        evidence = CrashEvidence(
-            trio.current_time, 1.0 + MAX_QUARANTINE_EXTENSION_SHARE * self._random.random()
-        )
+        spread = 1.0 + MAX_QUARANTINE_EXTENSION_SHARE * self._random.random()
+        evidence = CrashEvidence(trio.current_time, spread)
+        parts = PartEvidence(trio.current_time, spread)
         self._crash_book = CrashBook(
-            self._ports.table, evidence, lambda: self._peers.feed.follows, self._counters.count
+            self._ports.table,
+            evidence,
+            parts,
+            lambda: self._peers.feed.follows,
+            self._counters.count,
         )
         return CrashWatch(
             evidence,
+            parts,
             CrashCheck(self._upstreams, self._ports.control, self._log, self._reach.refutes_end),
             self._crash_book,
             self._peers.gossip,
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -4,8 +4,9 @@
 therefore sends to a fixed number of members, and each digest holds a limited number of members.
 """
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from random import Random
+from typing import TypeVar
 
 import trio
 
@@ -19,6 +20,8 @@
 
 __all__ = ["PeerGossip"]
 
+_Item = TypeVar("_Item")
+
 # Interval between rounds, seconds; jittered by up to a tenth.
 ROUND_INTERVAL_SECONDS = 1.0
 # Digests sent to members of the own domain in each round; enough for each heartbeat to reach every
@@ -62,6 +65,7 @@
         self._rounds = 0
         self._on_crash: Callable[[Crash], None] = lambda crash: None
         self._recent_crashes: Callable[[], Sequence[Crash]] = tuple
+        self._on_cleared: Callable[[str], None] = lambda identity: None
         self._on_issuer_message: Callable[[bytes], Awaitable[None]] | None = None
         self._on_digest_request: Callable[[str], Awaitable[None]] | None = None
         self._on_loss_message: Callable[[bytes], None] | None = None
@@ -69,7 +73,10 @@
         self._on_round: Callable[[], None] = lambda: None
 
     def register_crash_handlers(
-        self, on_crash: Callable[[Crash], None], recent: Callable[[], Sequence[Crash]]
+        self,
+        on_crash: Callable[[Crash], None],
+        recent: Callable[[], Sequence[Crash]],
+        on_cleared: Callable[[str], None],
     ) -> None:
         """Register the handlers of crashes.
 
@@ -77,9 +84,11 @@
           on_crash: called with each crash that another process reports.
           recent: returns the crashes that are still valid, latest last; sent in reply to digests
             that want a reply.
+          on_cleared: called with each part of prompts that another process clears.
         """
         self._on_crash = on_crash
         self._recent_crashes = recent
+        self._on_cleared = on_cleared
 
     def register_issuer_handlers(
         self,
@@ -132,10 +141,20 @@
         for member in self._domain_peers():
             await self._send_digest(member.address, member.domain)
 
-    async def publish_crash(self, crash: Crash) -> None:
-        """Send a crash to other members at once."""
+    async def publish_crashes(self, crashes: Sequence[Crash]) -> None:
+        """Send crashes to other members at once."""
+        own = self._roster.own
+        for each in _batches(crashes):
+            await self._send_to_sample(encode_digest(Digest(own, (), False, each)))
+
+    async def publish_cleared(self, identities: Sequence[str]) -> None:
+        """Tell other members at once that requests with some parts of prompts succeeded."""
+        own = self._roster.own
+        for each in _batches(identities):
+            await self._send_to_sample(encode_digest(Digest(own, (), False, (), each)))
+
+    async def _send_to_sample(self, digest: bytes) -> None:
         own = self._roster.own
-        digest = encode_digest(Digest(own, (), False, (crash,)))
         others = [each for each in self._roster.live() if each.name != own.name]
         for member in self._random.sample(others, min(MAX_CRASH_RECIPIENTS, len(others))):
             await self._datagrams.send(member.address, digest)
@@ -199,9 +218,17 @@
             self._roster.merge((digest.sender, *digest.members))
             for crash in digest.crashes:
                 self._on_crash(crash)
+            for identity in digest.cleared:
+                self._on_cleared(identity)
             if digest.wants_reply:
                 sender = digest.sender
                 crashes = tuple(self._recent_crashes())[-MAX_CRASHES_PER_DIGEST:]
                 await self._send_digest(sender.address, sender.domain, crashes=crashes)
                 if self._on_digest_request is not None:
                     await self._on_digest_request(sender.address)
+
+
+def _batches(items: Sequence[_Item]) -> Iterator[tuple[_Item, ...]]:
+    """Yield items in groups that fit in one digest."""
+    for start in range(0, len(items), MAX_CRASHES_PER_DIGEST):
+        yield tuple(items[start : start + MAX_CRASHES_PER_DIGEST])
--- a/deckcourse/peers/member.py
+++ b/deckcourse/peers/member.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Meta
 
-from deckcourse.peers.crash import MAX_CRASHES_PER_DIGEST, Crash
+from deckcourse.peers.crash import MAX_CRASHES_PER_DIGEST, Crash, Identity
 
 __all__ = ["MAX_TEXT_LENGTH", "Digest", "Member", "decode_digest", "encode_digest"]
 
@@ -55,12 +55,14 @@
       members: some of the other members that the sender knows.
       wants_reply: whether the sender wants a digest in return.
       crashes: recent crashes of upstreams during requests.
+      cleared: parts of prompts with which a request has just succeeded.
     """
 
     sender: Member
     members: Annotated[tuple[Member, ...], Meta(max_length=MAX_ACCEPTED_MEMBERS)] = ()
     wants_reply: bool = False
     crashes: Annotated[tuple[Crash, ...], Meta(max_length=MAX_CRASHES_PER_DIGEST)] = ()
+    cleared: Annotated[tuple[Identity, ...], Meta(max_length=MAX_CRASHES_PER_DIGEST)] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/deckcourse/platform/dialect.py
+++ b/deckcourse/platform/dialect.py
@@ -20,6 +20,7 @@
     NOT_RUN,
     PATH,
     PRIORITY,
+    PROMPT_PARTS,
     REQUEST_ID,
     SEAL,
     TOKENS,
@@ -74,6 +75,7 @@
             _number(prompt.strip()) or 0,
             _number(max_answer.strip()) or 0,
             _number(header_value(headers, ANSWER_TOKENS)) or 0,
+            _shared_parts(headers),
         )
 
     def headers_for(self, request: CallerRequest, dispatch: Dispatch) -> Headers:
@@ -124,5 +126,14 @@
     return ",".join(f"{each.address}={each.first}-{each.end}" for each in path.stages)
 
 
+def _shared_parts(headers: Headers) -> tuple[bytes, ...]:
+    """Return the names of all parts of a prompt but the last, in whatever headers they stand."""
+    values = [value for name, value in headers if name == PROMPT_PARTS]
+    if not values:
+        return ()
+    names = [each.partition(b":")[0].strip().lower() for each in b",".join(values).split(b",")]
+    return tuple(each for each in names[:-1] if each)
+
+
 def _number(text: bytes) -> int | None:
     return int(text) if text.isdigit() and len(text) <= MAX_NUMBER_DIGITS else None
--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -19,6 +19,7 @@
     "ORDER",
     "PATH",
     "PRIORITY",
+    "PROMPT_PARTS",
     "RATE_LIMIT",
     "READY",
     "REPORT",
@@ -45,6 +46,8 @@
 TOKENS = b"x-token-usage"
 # The caller's estimate of the answer's tokens.
 ANSWER_TOKENS = b"length-hint"
+# The parts of the prompt in order, as NAME:TOKENS by commas; the last one is the request's own.
+PROMPT_PARTS = b"x-prompt-prefix"
 PATH = b"path"
 PRIORITY = b"priority"
 # Set by a runner that guarantees that it did not execute the request.
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -29,10 +29,10 @@
 
 
 def others_hear_of_no_end():
-    async def publish_crash(self, crash):
+    async def publish_crashes(self, crashes):
         """Publish nothing."""
 
-    PeerGossip.publish_crash = publish_crash
+    PeerGossip.publish_crashes = publish_crashes
     CrashBook.write = lambda self, crash: None
 
 
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -9,6 +9,7 @@
 from deckcourse.gateway.crash_evidence import CrashEvidence
 from deckcourse.gateway.crash_watch import AttemptStart, CrashWatch
 from deckcourse.gateway.dialect import ProbeResult
+from deckcourse.gateway.part_evidence import PartEvidence
 from deckcourse.gateway.upstream import Upstream
 
 UPSTREAM = Upstream("u", "s", "u:1", "x")
@@ -46,15 +47,15 @@
 class NullPeerGossip:
     """Sends nothing to peers."""
 
-    def register_crash_handlers(self, on_crash, crashes):
+    def register_crash_handlers(self, on_crash, crashes, on_cleared):
         pass
 
-    async def publish_crash(self, crash):
+    async def publish_crashes(self, crashes):
         pass
 
 
 def admitted(identity):
-    return SimpleNamespace(identity=identity, service=SimpleNamespace(model=None))
+    return SimpleNamespace(identity=identity, parts=(), service=SimpleNamespace(model=None))
 
 
 @given("attempts {runs} at an upstream, each from its start to its break in seconds")
@@ -82,6 +83,7 @@
         evidence = CrashEvidence(trio.current_time)
         watch = CrashWatch(
             evidence,
+            PartEvidence(trio.current_time),
             ScriptedCrashCheck(getattr(context, "dead_from", float("inf"))),
             NullCrashBook(),
             NullPeerGossip(),
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -5,7 +5,11 @@
 import trio
 from behave import given, then, when
 from crash_steps import CIRCUMSTANCES
-from part_world import SHARED_PART, PartWorld
+from part_world import DEADLY_PART, SHARED_PART, PartWorld
+
+from deckcourse.decisions.quarantine import part_quarantine_seconds
+from deckcourse.gateway.part_evidence import PartEvidence
+from deckcourse.peers.crash import Crash
 
 REASON = "ends-upstreams"
 CONTACT_SECONDS = 3.0
@@ -128,3 +132,106 @@
         assert got.status in (502, 503)
         if got.status == 503:
             assert got.seconds <= IMMEDIATE_SECONDS, got.seconds
+
+
+async def ask_deadly(site, number, name):
+    process = site.processes[number % len(site.processes)]
+    prefix = f"{SHARED_PART}:40,{DEADLY_PART}:700,{name}:20"
+    return await site.ask_part(process, "fragile", name, prefix)
+
+
+@when("a part is quarantined, its fault is fixed, and an operator releases it")
+def released(context):
+    async def story(site):
+        for number in range(5):
+            await ask_deadly(site, number, f"d{number}")
+            await trio.sleep(0.5)
+            await site.ask_part(site.processes[0], "stream", f"s{number}", f"{SHARED_PART}:40,ff:1")
+        context.listed = [await listed_at(site, each) for each in site.processes]
+        site.cured = True
+        await trio.sleep(5.0)
+        identity = next(each for each in context.listed[0] if each["kind"] == "part")["identity"]
+        target = b"/quarantine?" + identity.encode()
+        status, _ = await site.ask_peer(site.processes[0], b"DELETE", target)
+        assert status == 200
+        await trio.sleep(1.0)
+        context.after = [await ask_deadly(site, number, f"a{number}") for number in range(3)]
+
+    context.site.play(story)
+
+
+async def listed_at(site, process):
+    status, body = await site.ask_peer(process)
+    assert status == 200
+    return json.loads(body)
+
+
+@then("every process listed it as a part")
+def was_listed(context):
+    for views in context.listed:
+        parts = [each for each in views if each["kind"] == "part" and each["refused_seconds"] > 0]
+        assert len(parts) == 1 and parts[0]["ends"] >= 3, views
+
+
+@then("requests with it are served at every process within 1 second after")
+def served_after(context):
+    assert [got.status for got in context.after] == [200, 200, 200], context.after
+
+
+PREFIXES = {
+    "no parts": "",
+    "one part": "aa:10",
+    "700 parts": ",".join(f"{each:08x}:1" for each in range(700)),
+    "a part of 9000 bytes": "ab" * 4500 + ":700,aa:10",
+    "the same part twice": "aa:10,aa:10,aa:10",
+    "bytes that aren't hex": "z\x7f\xe9!:x,::,aa:10",
+    "nothing but commas": ",,,,,",
+}
+
+
+@when("a prompt has {parts}")
+def sends_parts(context, parts):
+    prefixes = ("aa:10,bb:10", "cc:10") if parts == "two headers" else (PREFIXES[parts],)
+
+    async def story(site):
+        site.deadly_parts = set()
+        headers = tuple(("X-Prompt-Prefix", each) for each in prefixes)
+        entry = site.processes[0]
+        context.got = await site.ask_at(entry, "stream", "r1", b"r1", headers=headers)
+        # An end with these parts in the prompt.
+        site.cured, site.is_deadly_run = False, lambda run: run.request == "r2"
+        await site.ask_at(entry, "fragile", "r2", b"r2", headers=headers)
+        await trio.sleep(1.5)
+        context.rows = [each for each in site.store.log if each[1] == "crashes" and each[3]]
+
+    context.site.play(story)
+
+
+@then("it is served as any other request")
+def served_as_usual(context):
+    assert context.got.status == 200 and context.got.whole, context.got
+
+
+@then("the evidence of one end stays small")
+def few_rows(context):
+    assert len(context.rows) <= 65, len(context.rows)
+
+
+@then("evidence on {count:d} parts, each with an end, takes no more than {most:d} records")
+def evidence_bounded(context, count, most):
+    now = [0.0]
+    evidence = PartEvidence(lambda: now[0])
+    for number in range(count):
+        now[0] += 0.01
+        evidence.record(Crash(f"{number:032x}", f"i{number}", 0, is_part=True))
+        evidence.record_success([f"{number + count:032x}"])
+    assert len(evidence.identities) <= most, len(evidence.identities)
+    assert len(evidence._succeeded_at) <= most
+
+
+@then(
+    "after {crashes:d} crashes in a row of {upstreams:d} upstreams within {span:g} seconds a part"
+    " is refused for {seconds:g} seconds"
+)
+def part_refused_for(context, crashes, upstreams, span, seconds):
+    assert part_quarantine_seconds(crashes, upstreams, span) == seconds
