--- a/features/gateway_runner.py
+++ b/features/gateway_runner.py
@@ -73,6 +73,8 @@
         self.unloaded_at_once = False
         self.blocks_streams = False
         self.silent_until = 0.0
+        # Until when it sends no event, on open connections and new ones.
+        self.held_until = 0.0
         # Delay before it answers queries and orders, seconds.
         self.control_delay = 0.0
         self.born = None
@@ -274,7 +276,7 @@
         await exchange.start(200, (*answer, *self.response_headers, kind))
         for number in range(first, self.world.events + 1):
             await trio.sleep(EVENT_SECONDS)
-            await trio.sleep_until(self.world.paused_until)
+            await trio.sleep_until(max(self.world.paused_until, self.held_until))
             await self.wait_for_path(run)
             if self.keeps_silent_connections:
                 await trio.sleep_forever()
--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -121,3 +121,19 @@
       | how    |
       | silent |
       | reset  |
+
+  # What the platform announced with these faults, and no disturbance in its rules.
+
+  Scenario Outline: A sound upstream that is silent for a moment costs no stream: <seconds> seconds
+    Given 3 gateway processes in two failure domains
+    When a first upstream is silent for <seconds> seconds and goes on
+    Then every stream reached its caller whole
+
+    Examples:
+      | seconds |
+      | 0.6     |
+      | 1.0     |
+      | 1.5     |
+
+  Scenario: No connection has a user timeout, which would end it whatever its keep-alive probes find
+    Then connections that a process opens and accepts have no TCP_USER_TIMEOUT
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -1,6 +1,7 @@
 """Steps about processes that are partitioned from upstreams."""
 
 import json
+import socket
 
 import trio
 from behave import given, then, when
@@ -9,6 +10,7 @@
 from partition_world import Cut, PartitionWorld
 
 from deckcourse.http1.client import ConnectionPool
+from deckcourse.http1.transport import dial_tcp
 from deckcourse.peers.handover_message import (
     HANDOVER_PATH,
     HandedRequest,
@@ -359,3 +361,38 @@
     authors = {json.loads(each)["author"] for each in rows}
     assert context.plans and context.plans[0] <= context.removed_at + seconds, context.plans
     assert authors and authors.isdisjoint({"g0/1", "g1/1"}), authors
+
+
+@when("a first upstream is silent for {seconds:g} seconds and goes on")
+def silent_and_goes_on(context, seconds):
+    def fall_silent(site):
+        runner = site.runners["x1"]
+        runner.held_until = runner.silent_until = trio.current_time() + seconds
+
+    context.cut_off = []
+    play(context, fall_silent)
+
+
+@then("every stream reached its caller whole")
+def streams_whole(context):
+    streams = [each for each in context.requests if each[2] == "stream"]
+    lost = [each for each in streams if not is_served(context, *each[2:])]
+    assert len(streams) > 100 and not lost, [(each[0], each[3], each[4].status) for each in lost]
+
+
+@then("connections that a process opens and accepts have no TCP_USER_TIMEOUT")
+def no_user_timeout(context):
+    async def main():
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = "127.0.0.1:" + str(listener.socket.getsockname()[1])
+        opened = await dial_tcp(address)
+        accepted = await listener.accept()
+        context.timeouts = [
+            each.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            for each in (opened._stream, accepted)
+        ]
+        opened.close()
+        await accepted.aclose()
+
+    trio.run(main)
+    assert context.timeouts == [0, 0], context.timeouts
