One choice of the peers that are asked; a query leaves no state behind

The same sample of peers was written twice. A query about a service that this process doesn't know left an entry for it, which a peer with ever new names could use to fill the memory; nothing is kept for a query now.

--- a/deckcourse/gateway/peer_probes.py
+++ b/deckcourse/gateway/peer_probes.py
@@ -14,7 +14,7 @@
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.peers.gossip import PeerGossip
-from deckcourse.peers.member import Member
+from deckcourse.peers.peer_sample import sample_peers
 from deckcourse.peers.reach_messages import (
     MAX_INSTANCES,
     ContactQuery,
@@ -25,9 +25,7 @@
 
 __all__ = ["PeerProbes"]
 
-# Peers that are asked: of the own failure domain, and of each other one.
-OWN_DOMAIN_PEERS = 3
-OTHER_DOMAIN_PEERS = 2
+# Peers that are asked at once.
 MAX_ASKED = 8
 # Timeout of a peer's probes, seconds: a live upstream answers within 3 ms.
 PROBE_TIMEOUT_SECONDS = 0.04
@@ -95,7 +93,7 @@
     async def reached_by_peers(self, instances: Iterable[str]) -> frozenset[str]:
         """Return those of some upstreams that answer a peer, none if no peer can be reached."""
         asked_about = tuple(sorted(instances))[:MAX_INSTANCES]
-        peers = self._peers_to_ask()
+        peers = sample_peers(self._roster, self._random, MAX_ASKED)
         if not asked_about or not peers:
             return frozenset()
         self._number += 1
@@ -113,18 +111,6 @@
             del self._rounds[query.number]
         return frozenset(current.reached) & frozenset(asked_about)
 
-    def _peers_to_ask(self) -> list[Member]:
-        own = self._roster.own
-        by_domain: dict[str, list[Member]] = {own.domain: []}
-        for each in self._roster.live():
-            if each.name != own.name and not each.leaving:
-                by_domain.setdefault(each.domain, []).append(each)
-        chosen: list[Member] = []
-        for domain, members in by_domain.items():
-            most = OWN_DOMAIN_PEERS if domain == own.domain else OTHER_DOMAIN_PEERS
-            chosen += self._random.sample(members, min(most, len(members)))
-        return self._random.sample(chosen, min(MAX_ASKED, len(chosen)))
-
     async def on_query(self, query: ContactQuery) -> None:
         """Probe the upstreams that a peer asks about, and reply."""
         # The address comes from the membership view: a query must not direct replies elsewhere.
--- a/deckcourse/gateway/reachability.py
+++ b/deckcourse/gateway/reachability.py
@@ -114,7 +114,8 @@
 
     def contact_at(self, service: str) -> float:
         """Return when an upstream of a service last answered, on trio's clock."""
-        return self._state(service).contact_at
+        state = self._states.get(service)
+        return state.contact_at if state is not None else float("-inf")
 
     def note_dial_failure(self, address: str, failure: ConnectionLostError) -> None:
         """Record that no connection to an address, of an upstream or not, could be opened."""
--- a/deckcourse/gateway/reaching_peers.py
+++ b/deckcourse/gateway/reaching_peers.py
@@ -14,6 +14,7 @@
 
 from deckcourse.peers.gossip import PeerGossip
 from deckcourse.peers.member import Member
+from deckcourse.peers.peer_sample import sample_peers
 from deckcourse.peers.reach_messages import (
     ReachQuery,
     ReachReply,
@@ -23,10 +24,7 @@
 
 __all__ = ["PeerReach", "ReachingPeers"]
 
-# Peers of the own failure domain that are asked at once, and of each other one; together at most
-# this many, so that the messages of one process don't grow with their number.
-OWN_DOMAIN_PEERS = 3
-OTHER_DOMAIN_PEERS = 2
+# Peers that are asked at once, so that the messages of one process don't grow with their number.
 MAX_ASKED = 10
 # How long the replies of one round are used, seconds: a peer may be partitioned at any time.
 REPLY_TTL_SECONDS = 0.5
@@ -183,7 +181,7 @@
 
     async def _ask(self, service: str) -> _Round:
         self._number += 1
-        peers = self._peers_to_ask()
+        peers = sample_peers(self._roster, self._random, MAX_ASKED)
         asked = {each.name: each for each in peers}
         current = _Round(self._number, asked, trio.current_time())
         self._rounds[service] = current
@@ -198,20 +196,6 @@
         await self._wait_for_replies(current)
         return current
 
-    def _peers_to_ask(self) -> list[Member]:
-        own = self._roster.own
-        by_domain: dict[str, list[Member]] = {}
-        for each in self._roster.live():
-            if each.name != own.name and not each.leaving:
-                by_domain.setdefault(each.domain, []).append(each)
-        near = by_domain.pop(own.domain, [])
-        chosen = self._random.sample(near, min(OWN_DOMAIN_PEERS, len(near)))
-        domains = list(by_domain.values())
-        self._random.shuffle(domains)
-        for members in domains:
-            chosen += self._random.sample(members, min(OTHER_DOMAIN_PEERS, len(members)))
-        return chosen[:MAX_ASKED]
-
     async def on_query(self, query: ReachQuery) -> None:
         """Reply to the query of a peer."""
         # The address comes from the membership view: a query must not direct replies elsewhere.
