Soak: different requests that share a part which crashes runners

All its prompts now share a first part; those of the new kind hold one more that crashes whichever runner begins on them, judged by the platform's bound.

Comments of the new scenarios are cut down to what they guard against.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -1,8 +1,6 @@
 Feature: A part of a prompt that ends upstreams is quarantined, whatever requests it comes in
 
-  # Guards against keeping evidence by whole requests only. Requests that shared one part of their
-  # prompts, no two of them alike, ended 18 and 19 upstreams; each had one end (`ends=1`), so that
-  # none was confirmed, and 11 and 13 were sent beyond the bound.
+  # Guards against keeping evidence by whole requests only, which differ each time.
 
   Scenario Outline: However many different requests hold it, few reach upstreams: <route>, <circumstance>
     Given three gateway processes and upstreams that end under a part of a prompt
--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -1,8 +1,6 @@
 Feature: A process that is partitioned from upstreams serves its callers through its peers
 
-  # Guards against refusing callers of a process that reaches no upstream: of nine processes six were
-  # partitioned from all upstreams, with the store, the peers and the callers in reach. They refused
-  # 92 of 93 requests as `no-route`, while the other three served 91 of 92.
+  # Guards against refusing callers of a process that reaches no upstream while its peers do.
 
   Scenario Outline: Callers of partitioned processes are served: <names>, <how>
     Given 3 gateway processes in two failure domains
@@ -99,8 +97,7 @@
     When a caller sends what a process hands over, and headers of a peer's response
     Then the entry refuses the first and serves the second as any other request
 
-  # Guards against taking the own isolation for the loss of upstreams: six partitioned processes wrote
-  # 19 plans within 3.5 s, and refused connections counted as crashes under the requests in flight.
+  # Guards against taking the own isolation for the loss of upstreams, in plans and in crashes.
 
   Scenario Outline: Partitioned processes plan nothing and blame no request: <what>, <how>
     Given 3 gateway processes in two failure domains
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,8 +32,13 @@
     Then it reports no violation
     And it checked refusals for load
 
-  # Guards against refusing callers at entries that reach no runner while others do: with this seed
-  # 15 of 32 calls were served there and 33 of 33 elsewhere.
+  # Guards against sending different requests that share a part which crashes runners.
+  Scenario: A part of prompts that crashes runners is quarantined, whatever requests hold it
+    When the soak runs seed 1 for 8 seconds with parts that crash upstreams as the only faults
+    Then it reports no violation
+    And it checked upstreams that a part had crashed
+
+  # Guards against refusing callers at entries that reach no runner while others do.
   Scenario: Callers of entries that are partitioned from runners are served
     When the soak runs seed 3 for 12 seconds with partitions from runners as the only faults
     Then it reports no violation
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -89,6 +89,20 @@
     run_soak(context, seed, seconds, "--only", "partitions")
 
 
+@when(
+    "the soak runs seed {seed:d} for {seconds:d} seconds with parts that crash upstreams"
+    " as the only faults"
+)
+def run_soak_with_parts(context, seed, seconds):
+    run_soak(context, seed, seconds, "--only", "parts")
+
+
+@then("it checked upstreams that a part had crashed")
+def check_parts_judged(context):
+    match = re.search(r"(\d+) runners ended by a part", context.soak.stdout)
+    assert match and int(match[1]) >= 3, context.soak.stdout
+
+
 @then("it checked calls at partitioned entries")
 def check_partitions_judged(context):
     match = re.search(r"(\d+) calls at partitioned entries", context.soak.stdout)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,7 @@
 from soak.budget_judge import BudgetJudge
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
 from soak.calls import Call
-from soak.deadly_faults import CrashFaults
+from soak.deadly_faults import CrashFaults, PartCrashFaults
 from soak.faults import FAULT_KINDS, Faults
 from soak.notice_faults import Interruptions, NoticeFaults
 from soak.notice_judge import NoticeJudge
@@ -58,9 +58,11 @@
 RATE_KIND = "rates"
 REFUSAL_KIND = "refusals"
 SHORTAGE_KIND = "shortage"
+PART_KIND = "parts"
 # Partitions last longer than other faults, so that they are judged apart from most of these.
 PARTITION_KIND = "partitions"
 SEPARATE_KINDS = {
+    PART_KIND,
     NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND
 }  # fmt: skip
 # The number of violations that are printed for a seed.
@@ -123,6 +125,9 @@
         refusal_faults = RefusalFaults(site, Random(f"refusals of {seed}"), log_fault)
         rate_faults = RateFaults(site, Random(f"rates of {seed}"), log_fault)
         shortage_faults = ShortageFaults(site, Random(f"shortage of {seed}"), log_fault)
+        part_faults = PartCrashFaults(
+            site, callers, Random(f"parts of {seed}"), log_fault, interruptions
+        )
         partition_faults = PartitionFaults(
             site, Random(f"partitions of {seed}"), log_fault, interruptions
         )
@@ -140,6 +145,8 @@
                     fault_nursery.start_soon(refusal_faults.run, began_at + seconds)
                 if not only or SHORTAGE_KIND in only:
                     fault_nursery.start_soon(shortage_faults.run, began_at + seconds)
+                if PART_KIND in only:
+                    fault_nursery.start_soon(part_faults.run, began_at + seconds)
                 if PARTITION_KIND in only:
                     fault_nursery.start_soon(partition_faults.run, began_at + seconds)
                 if not only or CRASH_KIND in only:
@@ -161,6 +168,7 @@
     violations = (
         NoticeJudge(site, callers.calls, interruptions).find_violations()
         + crash_faults.find_violations()
+        + part_faults.find_violations()
     )
     violations += RateJudge(site, callers.calls, interruptions).find_violations()
     violations += AdmissionJudge(site, callers.calls).find_violations()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 
 from soak.caller_connection import CallerConnection, Manner, connect
 from soak.calls import Call
+from soak.deadly import PARTS_HEADER, SHARED_PART
 from soak.events import EVENTS_PER_STREAM, PAD_HEADER, SLOW_READER_PAD_BYTES, events
 
 __all__ = [
@@ -141,8 +142,15 @@
     return call.request_id.partition("r")[0].encode()
 
 
-def request_bytes(call: Call, body: bytes) -> bytes:
-    """Return a request as it is sent on the connection."""
+def request_bytes(call: Call, body: bytes, shared_parts: tuple[str, ...] = ()) -> bytes:
+    """Return a request as it is sent on the connection.
+
+    Args:
+      call: the call.
+      body: its body.
+      shared_parts: parts of its prompt between the one that all requests share and its own.
+    """
+    parts = (SHARED_PART, *shared_parts, call.request_id.encode().hex())
     lines = (
         f"POST /{call.route}/x HTTP/1.1",
         "Host: h.example",
@@ -150,6 +158,7 @@
         f"X-Deadline-Ms: {round(DEADLINE_SECONDS * 1000)}",
         f"Authorization: Token {call.key}",
         f"{PAD_HEADER.decode()}: {call.pad_bytes}",
+        f"{PARTS_HEADER}: {','.join(f'{each}:10' for each in parts)}",
         f"Content-Length: {len(body)}",
     )
     return "\r\n".join((*lines, "", "")).encode() + body
--- a/soak/deadly_faults.py
+++ b/soak/deadly_faults.py
@@ -10,11 +10,11 @@
 from soak.caller_connection import Manner, connect
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, Callers, request_bytes
 from soak.calls import Call
-from soak.deadly import CRASH_BODY_PREFIX, CRASH_EXIT_CODE
+from soak.deadly import CRASH_BODY_PREFIX, CRASH_EXIT_CODE, CRASH_PART
 from soak.notice_faults import Interruptions
 from soak.site import RunnerProcess, Site
 
-__all__ = ["CrashFaults"]
+__all__ = ["CrashFaults", "PartCrashFaults"]
 
 # The number of crash requests; each is repeated under a new request id each time.
 CRASH_REQUEST_COUNT = 2
@@ -31,6 +31,10 @@
 # processes without an interruption for the same time.
 MAX_LATE_ATTEMPTS = 3
 CRASH_NOTICE_GRACE_SECONDS = 3.0
+# For requests that share a part, the same holds from this crash on.
+COUNTED_PART_CRASH = 5
+# Only prompts have parts.
+PART_ROUTES = ("stream", "fragile")
 
 
 class CrashFaults:
@@ -112,13 +116,13 @@
             )
             await trio.sleep(interval)
 
-    async def _send(self, call: Call, body: bytes) -> None:
+    async def _send(self, call: Call, body: bytes, shared_parts: tuple[str, ...] = ()) -> None:
         entry = self._random.choice(sorted(self._callers.ready_entries) or self._callers.entries)
         connection = await connect(entry, small_buffers=False)
         if connection is None:
             return
         try:
-            await connection.send_request(request_bytes(call, body), call, Manner())
+            await connection.send_request(request_bytes(call, body, shared_parts), call, Manner())
         finally:
             connection.close()
 
@@ -140,8 +144,8 @@
                 )
         return violations
 
-    def _is_late(self, run: tuple[float, str], third_crash_at: float) -> bool:
-        """Return whether a request was sent by a process that had to know of three crashes."""
+    def _is_late(self, run: tuple[float, str], counted_crash_at: float) -> bool:
+        """Return whether a request was sent by a process that had to know of the crashes."""
         at, request = run
         address = self._calls[request].entry
         entry_names = [
@@ -149,8 +153,48 @@
         ]
         names = [name for each in entry_names for name in (each, f"{each} to store")]
         known_from = at - CRASH_NOTICE_GRACE_SECONDS
-        return at > third_crash_at + CRASH_NOTICE_GRACE_SECONDS and not any(
+        return at > counted_crash_at + CRASH_NOTICE_GRACE_SECONDS and not any(
             self._interruptions.overlaps(name, known_from, at)
             or self._interruptions.was_reset(name, known_from, at)
             for name in names
         )
+
+
+class PartCrashFaults(CrashFaults):
+    """Sends different requests that share a part which crashes runners, and checks the result."""
+
+    async def run(self, until: float) -> None:
+        """Send such requests until a time on trio's clock."""
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                name = f"y0r{len(self._calls)}"
+                route = self._random.choice(PART_ROUTES)
+                call = Call(name, route, self._callers.keys[-1], trio.current_time())
+                self._calls[name] = call
+                nursery.start_soon(self._send_once, call)
+                interval = self._random.uniform(
+                    MIN_ATTEMPT_INTERVAL_SECONDS, MAX_ATTEMPT_INTERVAL_SECONDS
+                )
+                await trio.sleep(interval)
+
+    async def _send_once(self, call: Call) -> None:
+        with trio.move_on_after(DEADLINE_SECONDS + ANSWER_GRACE_SECONDS):
+            await self._send(call, call.request_id.encode(), (CRASH_PART,))
+        call.duration_seconds = trio.current_time() - call.sent_at
+
+    def find_violations(self) -> list[str]:
+        """Return whether too many of them were sent to runners after the counted crash."""
+        offset = trio.current_time() - time.monotonic()
+        crashes = sorted(
+            (each["clock"] + offset, each["request"])
+            for each in self._site.records
+            if "deadly_part" in each
+        )
+        self._site.judged["runners ended by a part"] += len(crashes)
+        if len(crashes) <= COUNTED_PART_CRASH:
+            return []
+        counted_at = crashes[COUNTED_PART_CRASH - 1][0]
+        late = [each for each in crashes[COUNTED_PART_CRASH:] if self._is_late(each, counted_at)]
+        if len(late) <= MAX_LATE_ATTEMPTS:
+            return []
+        return [f"a part had crashed {COUNTED_PART_CRASH} runners and was sent {len(late)} times"]
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -20,7 +20,13 @@
 from deckcourse.http1.message import ConnectionLostError, Headers
 from deckcourse.http1.server import Exchange, Handler, IncomingRequest
 from soak.conversation import Gate, GatedConnection
-from soak.deadly import CRASH_BODY_PREFIX, crash
+from soak.deadly import (
+    CRASH_BODY_PREFIX,
+    CRASH_PART,
+    PARTS_HEADER,
+    crash,
+    holds_crash_part,
+)
 from soak.events import EVENTS_PER_STREAM, PAD_HEADER, event
 from soak.notices import INCARNATION_HEADER, Notices, incarnation_name
 from soak.odd_answers import AnswerFault, AnswerFaults, raw_head
@@ -286,7 +292,9 @@
             layers=[each[1:] for each in stream.path] if stream else [],
         )
         if request.body.startswith(CRASH_BODY_PREFIX):
-            await crash(request.body, request_id, write_record)
+            await crash(request.body.decode(), request_id, write_record)
+        if holds_crash_part(headers.get(PARTS_HEADER.lower(), "")):
+            await crash(CRASH_PART, request_id, write_record, "deadly_part")
         if fault is AnswerFault.MUTE:
             await trio.sleep_until(self._answer_faults.fault_until)
             return
