Don't hand over requests that upstreams refused

Upstreams that were full got refused requests again from a peer, whose first attempt no retry budget was charged for: a request that no other upstream was left for at its own process was handed over, though nothing was partitioned. A refusal counts as an arrival and holds for whichever process sends. Such a request is handed over only from a partition, at the cost of a retry.

Found by reading the change again; the new scenario was red before.

--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -88,6 +88,7 @@
         self._executions = admitted.earlier.count if admitted.earlier is not None else 0
         self._handover = context.new_handover(admitted)
         self._unreachable_attempts = 0
+        self._was_refused = False
         self._failed_response: _Response | None = None
         # The upstream that has the call now, empty if none, and since when that holds.
         self._instance = ""
@@ -153,6 +154,7 @@
             elif isinstance(result, _Refused):
                 last_failure = result
                 self._context.count(f"retry.{result.reason}")
+                self._was_refused |= result.reason is RetryReason.REFUSED
                 self._unreachable_attempts += result.reason is RetryReason.UNREACHABLE
                 if self._unreachable_attempts >= MIN_UNREACHABLE:
                     reachability = self._context.reachability
@@ -174,10 +176,12 @@
         """Let a peer serve the call; return None if none takes it."""
         service = self._admitted.service.name
         is_backing_off = self._context.upstreams.accepts_at(service) is not None
-        if self._failed_response is not None or (not self._is_partitioned and is_backing_off):
+        if not self._is_partitioned and (is_backing_off or self._was_refused):
+            return None  # It holds for peers as well.
+        if self._failed_response is not None:
             return None
         budget = self._context.budget(service)
-        is_retry = attempts > 0 and self._executions > 0
+        is_retry = attempts > 0 and (self._executions > 0 or self._was_refused)
         if is_retry and not await budget.acquire():
             return None
         instances = tuple(sorted(self._attempted))[:MAX_ATTEMPTS] if self._executions else ()
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -229,8 +229,11 @@
     async def _hand_over(self) -> Outcome | _Broken | None:
         """Let a peer serve the stream; return None if none takes it."""
         is_backing_off = self._choice.accepts_at(self._admitted.service.model) is not None
-        if not self._is_partitioned and is_backing_off:
+        if not self._is_partitioned and (is_backing_off or self._retries.was_refused):
             return None  # It holds for peers as well.
+        is_unspent_retry = self._retries.was_refused and not self._executions
+        if is_unspent_retry and not await self._retries.acquire(was_executed=False):
+            return None
         result = await self._handover.serve(
             self._last_event, self._retries.executed_by, self._executions
         )
--- a/deckcourse/gateway/stream_retries.py
+++ b/deckcourse/gateway/stream_retries.py
@@ -42,6 +42,11 @@
         # Peers that may execute the stream still.
         self._lost_handovers = 0
 
+    @property
+    def was_refused(self) -> bool:
+        """Whether an upstream refused the stream: it is full, for whichever process sends it."""
+        return self._refusals > 0
+
     @property
     def executed_by(self) -> tuple[str, ...]:
         """The upstreams that may execute the stream still."""
--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -87,6 +87,12 @@
     Then callers that came 3 seconds after the start were refused within 0.2 seconds
     And none was handed over from then on
 
+  # A refusal counts as an arrival, and a peer's first attempt would be charged to no retry budget.
+  Scenario: Requests that full upstreams refused are not handed over
+    Given 3 gateway processes in two failure domains
+    When all upstreams are full and requests keep coming
+    Then none was handed over
+
   Scenario: Requests are not handed over to a process with an older configuration
     Given 3 gateway processes in two failure domains
     When g2 knows an older configuration than g0, which is partitioned from all upstreams
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -287,7 +287,7 @@
 def not_to_older(context):
     entry, _, peer = context.site.processes
     assert entry.node._counters.counts.get("handover.asked", 0) > 0
-    assert entry.node._version() > peer.node._version(), peer.node._version()
+    assert entry.node._desired.version > peer.node._desired.version
     assert not received_by(peer)
 
 
@@ -459,3 +459,20 @@
 def stream_reached_caller(context):
     got = result_of(context, "stream")
     assert is_served(context, "stream", "stream-1", got), (got, context.site.lines[-20:])
+
+
+@when("all upstreams are full and requests keep coming")
+def all_full(context):
+    def fill(site):
+        for runner in site.runners.values():
+            runner.behaviour = "full"
+
+    context.cut_off = []
+    play(context, fill)
+
+
+@then("none was handed over")
+def nothing_handed_over(context):
+    refusals = context.site.refusals
+    assert refusals > 50, refusals
+    assert not any(received_by(each) for each in context.site.processes)
