--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -19,7 +19,7 @@
 from deckcourse.gateway.desired import CallerBounds, DesiredState
 from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.gateway import Gateway
-from deckcourse.gateway.handover import HandedExchange, Handover
+from deckcourse.gateway.handover import Handover
 from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.issuing import Issuing
 from deckcourse.gateway.lapse_check import LapseCheck
@@ -28,11 +28,10 @@
 from deckcourse.gateway.notice_intake import NoticeIntake
 from deckcourse.gateway.part_evidence import PartEvidence
 from deckcourse.gateway.path_choice import PathChoice
+from deckcourse.gateway.peer_endpoint import PeerEndpoint
 from deckcourse.gateway.placement_demand import DemandWatch
-from deckcourse.gateway.quarantine_view import QUARANTINE_PATH, encode_quarantine
 from deckcourse.gateway.rate_limits import RateLimitBook
 from deckcourse.gateway.reach_sharing import ReachSharing
-from deckcourse.gateway.reaching_peers import PeerReach
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.retry_budgets import RetryBudgets
 from deckcourse.gateway.retry_limits import RetryLimits
@@ -49,7 +48,6 @@
 from deckcourse.layers.model import ModelSpec
 from deckcourse.layers.plan_book import PLAN_TABLE, PlanBook, PlanRecord
 from deckcourse.peers.followers import rank_of
-from deckcourse.peers.handover_message import HANDOVER_PATH, decode_handed_request
 from deckcourse.peers.peers import Peers
 from deckcourse.peers.rate_limit import RateLimit
 from deckcourse.settings import GatewaySettings, LoadSettings
@@ -75,8 +73,6 @@
 # Maximum share by which a process lengthens a quarantine, chosen at random: one process retries the
 # request and publishes the result before the others do.
 MAX_QUARANTINE_EXTENSION_SHARE = 0.5
-# The largest age of a contact that peers are told, seconds.
-MAX_CONTACT_AGE_SECONDS = 3600.0
 # Pause before background work is restarted after an unexpected exception, seconds.
 FAULT_COOLDOWN_SECONDS = 0.2
 
@@ -149,7 +145,7 @@
             self._upstreams,
             ports.control,
             self._services_with_queries,
-            self._describe_reach,
+            lambda service, version: self._endpoint.describe_reach(service, version),
             self._version,
             random,
             counters.count,
@@ -279,6 +275,17 @@
             counters.count,
         )
         self._gateway = Gateway(context, lambda: self._desired, identity.domain, start_wait.wait)
+        self._endpoint = PeerEndpoint(
+            self._peers,
+            self._crash_watch,
+            lambda: self._gateway,
+            self._reach.own,
+            self._upstreams,
+            self._path_choice,
+            lambda: self._desired,
+            lambda: not self._stopping and self.may_send(),
+            counters.count,
+        )
         self._held = HeldBytes(load_settings, counters.count, counters.gauge, log)
 
     def _follow(
@@ -338,49 +345,7 @@
 
     async def handle_peer(self, request: IncomingRequest, exchange: Exchange) -> None:
         """Handle a request from a peer or an operator."""
-        path, _, identity = request.target.partition(b"?")
-        if path == HANDOVER_PATH:
-            await self._handle_handed_over(request, HandedExchange(exchange))
-            return
-        if path != QUARANTINE_PATH:
-            await self._peers.handle(request, exchange)
-            return
-        if request.method == b"DELETE":
-            was_suspect = self._crash_watch.release(identity.decode("latin-1"))
-            await exchange.respond(200 if was_suspect else 404, (), b"")
-            return
-        kind = (b"content-type", b"application/json")
-        await exchange.respond(200, (kind,), encode_quarantine(self._crash_watch.view()))
-
-    async def _handle_handed_over(self, request: IncomingRequest, exchange: HandedExchange) -> None:
-        handed = decode_handed_request(request.body)
-        if handed is None:
-            self._counters.count("malformed.handover")
-        if handed is None or self._stopping:
-            await exchange.decline()
-            return
-        await self._gateway.handle_handed_over(handed, exchange)
-
-    def _describe_reach(self, service: str, version: int) -> PeerReach:
-        """Return what peers may know of a service, see `ReachingPeers`."""
-        accepts = (
-            not self._stopping
-            and self._version() >= version
-            and self.may_send()
-            and self._gateway.accepts_handovers
-            and self._has_usable(service)
-        )
-        contact_age = trio.current_time() - self._reach.own.contact_at(service)
-        return PeerReach(accepts, min(contact_age, MAX_CONTACT_AGE_SECONDS), self._gateway.requests)
-
-    def _has_usable(self, service: str) -> bool:
-        """Return whether this process could send a request of a service now."""
-        spec = self._desired.services.get(service) if self._desired is not None else None
-        if spec is None or self._reach.own.is_partitioned(service):
-            return False
-        if spec.model is not None:
-            return self._path_choice(service).choose(spec.model) is not None
-        return bool(self._upstreams.usable(service))
+        await self._endpoint.handle(request, exchange)
 
     def _services_with_queries(self) -> dict[str, bool]:
         """Return the services, and whether the upstreams of each accept queries."""
