--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -d target/deps ] || exit 2
+exec python3 review/3/case.py
--- a/review/lab/runner.py
+++ b/review/lab/runner.py
@@ -16,6 +16,9 @@
 __all__ = ["whole_body"]
 
 HEARTBEAT_SECONDS = 1.2
+# Told on standard input: the runner says that it is draining, or ends.
+DRAIN_LINE = "drain"
+END_LINE = "end"
 
 
 def whole_body(request_id: str, size: int) -> bytes:
@@ -28,6 +31,7 @@
     def __init__(self, spec: dict) -> None:
         self._spec = spec
         self._slots = asyncio.Semaphore(spec["slots"])
+        self._state = "ready"
 
     def _record(self, **fields: object) -> None:
         os.write(1, json.dumps({"runner": self._spec["id"], **fields}).encode() + b"\n")
@@ -35,10 +39,22 @@
     async def run(self) -> None:
         host, port = self._spec["address"].split(":")
         await serve(host, int(port), self._handle)
+        asyncio.get_running_loop().add_reader(0, self._on_line)
         while True:
             await self._write_row()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def _on_line(self) -> None:
+        line = sys.stdin.readline().strip()
+        if line == DRAIN_LINE:
+            self._state = "draining"
+            self._drained = asyncio.create_task(self._write_row())
+        elif line == END_LINE:
+            self._record(ends=self._spec["id"])
+            os._exit(0)
+        elif not line:
+            asyncio.get_running_loop().remove_reader(0)
+
     async def _write_row(self) -> None:
         spec = self._spec
         row = {
@@ -47,7 +63,7 @@
             "zone": spec["zone"],
             "version": "1",
             "slots": spec["slots"],
-            "state": "ready",
+            "state": self._state,
             "coldLeftMs": 0,
             "sequence": 1,
         }
@@ -60,6 +76,8 @@
         writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         await reader.readuntil(b"\r\n\r\n")
         writer.close()
+        if self._state == "draining":
+            self._record(acked="draining")
 
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> None:
         request_id = request.headers.get("x-request-id", "")
--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -25,6 +25,8 @@
 HOST_NAME = "ficu95.example"
 START_SECONDS = 20.0
 RECOVERY_POLL_SECONDS = 0.1
+# Lines of a process's log that are shown if it doesn't become ready.
+LOG_TAIL = 20
 
 
 class CannotRunError(Exception):
@@ -75,6 +77,7 @@
         process = subprocess.Popen(
             [sys.executable, "-m", "lab.runner", json.dumps(spec)],
             cwd=ROOT / "review",
+            stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             start_new_session=True,
         )
@@ -92,18 +95,32 @@
             self.runner_lines.append(fields)
             self.log(**fields)
 
-    async def start_gateways(self, zones: list[str], bounds: dict[str, object]) -> None:
-        """Start one process in each zone, and wait until all of them are ready."""
+    def tell(self, runner: subprocess.Popen, line: str) -> None:
+        """Write a line to a runner's standard input."""
+        runner.stdin.write(line.encode() + b"\n")
+        runner.stdin.flush()
+
+    async def start_gateways(
+        self, zones: list[str], bounds: dict[str, object], store_addresses: tuple[str, ...] = ()
+    ) -> None:
+        """Start one process in each zone, and wait until all of them are ready.
+
+        Args:
+          zones: the zones.
+          bounds: the bounds in the settings.
+          store_addresses: where each process finds the store; the store's own by default.
+        """
         control_port = free_port(self.host(11))
         hosts = {f"front-{zone}-1": self.host(11 + at) for at, zone in enumerate(zones)}
         seeds = [f"{host}:{control_port}" for host in hosts.values()]
-        for (name, host), zone in zip(hosts.items(), zones, strict=True):
+        stores = store_addresses or (self.store_address,) * len(zones)
+        for (name, host), zone, store in zip(hosts.items(), zones, stores, strict=True):
             fields = {
                 "nodeName": name,
                 "zone": zone,
                 "ip": host,
                 "seeds": seeds,
-                "platform": {"address": self.store_address},
+                "platform": {"address": store},
                 "listen": {
                     "front": f"{host}:{free_port(host)}",
                     "ready": f"{host}:{free_port(host)}",
@@ -159,6 +176,8 @@
             if answer.status == 200:
                 return
             await asyncio.sleep(RECOVERY_POLL_SECONDS)
+        for line in self.log_lines(name)[-LOG_TAIL:]:
+            self.log(event="the process wrote", line=line)
         raise CannotRunError(f"{name} is not ready after {START_SECONDS} s")
 
     def caller(self, name: str) -> Caller:
--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -21,7 +21,12 @@
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: str | None) -> None:
-        """Write a row with its encoded value, or remove it."""
+        """Write a row with its encoded value, or remove it.
+
+        A status report of a runner that changes nothing doesn't change its entry.
+        """
+        if table == "servers" and self._rows.get((table, key), (0, None))[1] == value:
+            return
         self._version += 1
         if value is None:
             self._rows.pop((table, key), None)
