--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -110,6 +110,7 @@
           bounds: the bounds in the settings.
           store_addresses: where each process finds the store; the store's own by default.
         """
+        # Ports are alike on all machines; that for peers must not be one of those drawn below.
         control_port = free_port(self.host(11))
         hosts = {f"front-{zone}-1": self.host(11 + at) for at, zone in enumerate(zones)}
         seeds = [f"{host}:{control_port}" for host in hosts.values()]
@@ -122,8 +123,8 @@
                 "seeds": seeds,
                 "platform": {"address": store},
                 "listen": {
-                    "front": f"{host}:{free_port(host)}",
-                    "ready": f"{host}:{free_port(host)}",
+                    "front": f"{host}:{_other_port(host, control_port)}",
+                    "ready": f"{host}:{_other_port(host, control_port)}",
                     "control": f"{host}:{control_port}",
                 },
                 "limits": {"linkMbps": 1000.0},
@@ -207,6 +208,13 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _other_port(host: str, taken: int) -> int:
+    """Return a free port other than the given one."""
+    while (port := free_port(host)) == taken:
+        pass
+    return port
+
+
 def caller_headers(request_id: str, deadline_ms: int) -> dict[str, str]:
     """Return the headers of a caller's request, as the pages describe them."""
     return {
