--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,7 +2,7 @@
 
 The other connections of the process work, and so do new ones and those of the other machines. Exits
 with 1 if requests that came when the machine was in touch again reached the runner later than
-`drainMs` after the store had taken that it is draining, 0 if none did, 2 if the case couldn't run.
+`drainMs` after the store had taken that it is gone, 0 if none did, 2 if the case couldn't run.
 """
 
 import asyncio
@@ -35,8 +35,8 @@
 TIMEOUT_MS = 1500
 DEADLINE_MS = 3000
 CALLERS = 6
-# How long the runner goes on serving after the store has taken that it is draining, before it ends:
-# "`drainMs` and a little longer (at times many seconds)".
+# How long the runner goes on serving after its entry is gone, before it ends. A runner that never
+# says `draining` serves on for `drainMs` and a little longer, at times many seconds.
 SERVES_ON_SECONDS = 4.6
 SETTLE_SECONDS = 6.0
 # A read of the list that waits for changes has begun this recently when its connection goes silent.
@@ -118,12 +118,12 @@
         event="the connection goes silent" if TROUBLE else "nothing happens", requests=silenced
     )
     await asyncio.sleep(0.2)
-    site.tell(runners[0], "drain")
+    site.tell(runners[0], "leave")
     acked_at = monotonic()
-    while not any(each.get("acked") == "draining" for each in site.runner_lines):
+    while not any(each.get("acked") == "gone" for each in site.runner_lines):
         await asyncio.sleep(0.005)
         acked_at = monotonic()
-    site.log(event="the store has taken that i-0 is draining")
+    site.log(event="the store has taken that i-0 is gone")
     await asyncio.sleep(SERVES_ON_SECONDS)
     site.tell(runners[0], "end")
     await asyncio.sleep(2.0)
--- a/review/lab/runner.py
+++ b/review/lab/runner.py
@@ -16,8 +16,8 @@
 __all__ = ["whole_body"]
 
 HEARTBEAT_SECONDS = 1.2
-# Told on standard input: the runner says that it is draining, or ends.
-DRAIN_LINE = "drain"
+# Told on standard input: the runner leaves (its entry goes, and it serves on), or ends.
+LEAVE_LINE = "leave"
 END_LINE = "end"
 
 
@@ -31,7 +31,8 @@
     def __init__(self, spec: dict) -> None:
         self._spec = spec
         self._slots = asyncio.Semaphore(spec["slots"])
-        self._state = "ready"
+        self._is_leaving = False
+        self._removal: asyncio.Task | None = None
 
     def _record(self, **fields: object) -> None:
         os.write(1, json.dumps({"runner": self._spec["id"], **fields}).encode() + b"\n")
@@ -41,14 +42,15 @@
         await serve(host, int(port), self._handle)
         asyncio.get_running_loop().add_reader(0, self._on_line)
         while True:
-            await self._write_row()
+            if not self._is_leaving:
+                await self._write_row()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def _on_line(self) -> None:
         line = sys.stdin.readline().strip()
-        if line == DRAIN_LINE:
-            self._state = "draining"
-            self._drained = asyncio.create_task(self._write_row())
+        if line == LEAVE_LINE:
+            self._is_leaving = True
+            self._removal = asyncio.create_task(self._remove_row())
         elif line == END_LINE:
             self._record(ends=self._spec["id"])
             os._exit(0)
@@ -63,21 +65,30 @@
             "zone": spec["zone"],
             "version": "1",
             "slots": spec["slots"],
-            "state": self._state,
+            "state": "ready",
             "coldLeftMs": 0,
             "sequence": 1,
         }
         value = b64encode(json.dumps(row).encode()).decode()
-        put = {"table": "servers", "part": "", "tlsKey": spec["id"], "value": value}
-        body = json.dumps({"expectedRev": [], "put": [put], "remove": []}).encode()
-        host, port = spec["store"].split(":")
+        await self._transact({"put": [{**self._key, "value": value}], "remove": []})
+
+    async def _remove_row(self) -> None:
+        await self._transact({"put": [], "remove": [self._key]})
+        self._record(acked="gone")
+
+    @property
+    def _key(self) -> dict[str, str]:
+        return {"table": "servers", "part": "", "tlsKey": self._spec["id"]}
+
+    async def _transact(self, entries: dict) -> None:
+        store = self._spec["store"]
+        body = json.dumps({"expectedRev": [], **entries}).encode()
+        host, port = store.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        head = f"POST /v1/rows-tx HTTP/1.1\r\nHost: {spec['store']}\r\n"
+        head = f"POST /v1/rows-tx HTTP/1.1\r\nHost: {store}\r\n"
         writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         await reader.readuntil(b"\r\n\r\n")
         writer.close()
-        if self._state == "draining":
-            self._record(acked="draining")
 
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> None:
         request_id = request.headers.get("x-request-id", "")
@@ -118,9 +129,13 @@
         self, writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes
     ) -> None:
         lines = [f"{name}: {value}" for name, value in headers.items()]
+        if self._is_leaving:
+            lines.append("Connection: close")
         head = "\r\n".join([f"HTTP/1.1 {status} .", *lines, f"Content-Length: {len(body)}", "", ""])
         writer.write(head.encode() + body)
         await writer.drain()
+        if self._is_leaving:
+            writer.close()
 
 
 if __name__ == "__main__":
