--- a/review/1/case.py
+++ b/review/1/case.py
@@ -59,7 +59,7 @@
 async def _play(site: Site) -> bool:
     await site.start_store()
     route = {"service": "records", "timeoutMs": TIMEOUT_MS, "sloMs": 400, "priority": 2}
-    services = [{"name": "records", "maxConns": 110}]
+    services = [{"name": "records", "healthPath": "/health", "maxConns": 110}]
     site.store.put_json(
         "op", "config", desired_state(7, [{**route, **each} for each in ROUTES], services)
     )
