--- a/review/lab/runner.py
+++ b/review/lab/runner.py
@@ -9,6 +9,8 @@
 import os
 import sys
 from base64 import b64encode
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from hashlib import sha256
 
 from lab.wire import Request, serve
@@ -39,7 +41,7 @@
 
     async def run(self) -> None:
         host, port = self._spec["address"].split(":")
-        await serve(host, int(port), self._handle)
+        await serve(host, int(port), self._handle, self._queue)
         asyncio.get_running_loop().add_reader(0, self._on_line)
         while True:
             if not self._is_leaving:
@@ -100,10 +102,28 @@
             headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
             await self._send(writer, 421 if request_id else 400, headers, b"")
             return
+        if self._spec["queues_bodies"]:
+            await self._run(request, writer)
+            return
+        async with self._slots:
+            await self._run(request, writer)
+
+    @asynccontextmanager
+    async def _queue(self, request: Request) -> AsyncIterator[None]:
+        """With `queues_bodies`, the body of a request is read only once it has a slot."""
+        request_id = request.headers.get("x-request-id", "")
+        if not self._spec["queues_bodies"] or not request_id:
+            yield
+            return
+        self._record(arrives=request_id)
         async with self._slots:
-            self._record(runs=request_id, method=request.method, target=request.target)
-            await asyncio.sleep(self._spec["work_s"])
-            await self._answer(request_id, writer)
+            yield
+
+    async def _run(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        request_id = request.headers["x-request-id"]
+        self._record(runs=request_id, method=request.method, target=request.target)
+        await asyncio.sleep(self._spec["work_s"])
+        await self._answer(request_id, writer)
 
     async def _answer(self, request_id: str, writer: asyncio.StreamWriter) -> None:
         body = whole_body(request_id, self._spec["size"])
--- a/review/lab/site.py
+++ b/review/lab/site.py
@@ -73,7 +73,7 @@
     def start_runner(self, **spec: object) -> subprocess.Popen:
         """Start one boot of a runner."""
         spec = {"store": self.store_address, "slots": 6, "work_s": 0.06, "size": 800, **spec}
-        spec = {"unframed": False, "pause_s": 0.0, **spec}
+        spec = {"unframed": False, "pause_s": 0.0, "queues_bodies": False, **spec}
         process = subprocess.Popen(
             [sys.executable, "-m", "lab.runner", json.dumps(spec)],
             cwd=ROOT / "review",
--- a/review/lab/wire.py
+++ b/review/lab/wire.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager, nullcontext
 from dataclasses import dataclass, field
 
 __all__ = ["Answer", "Caller", "Request", "free_port", "serve"]
@@ -36,6 +37,8 @@
 
 
 Handler = Callable[[Request, asyncio.StreamWriter], Awaitable[None]]
+# Entered with a request before its body is read, left when it is answered or its connection broke.
+Gate = Callable[[Request], AbstractAsyncContextManager[None]]
 
 
 def free_port(host: str) -> int:
@@ -56,14 +59,18 @@
 
 
 async def _serve_connection(
-    handler: Handler, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    handler: Handler,
+    gate: Gate,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
 ) -> None:
     try:
         while (head := await _read_head(reader)) is not None:
             method, target, _ = head[0].split(" ", 2)
             length = int(head[1].get("content-length", "0"))
-            body = await reader.readexactly(length)
-            await handler(Request(method, target, head[1], body), writer)
+            async with gate(Request(method, target, head[1], b"")):
+                body = await reader.readexactly(length)
+                await handler(Request(method, target, head[1], body), writer)
             if writer.is_closing():
                 return
     except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -72,10 +79,12 @@
         writer.close()
 
 
-async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
+async def serve(
+    host: str, port: int, handler: Handler, gate: Gate = lambda request: nullcontext()
+) -> asyncio.Server:
     """Serve requests at an address, one at a time on each connection."""
     return await asyncio.start_server(
-        lambda reader, writer: _serve_connection(handler, reader, writer),
+        lambda reader, writer: _serve_connection(handler, gate, reader, writer),
         host,
         port,
         limit=MAX_HEAD_BYTES,
