--- a/review/lab/wire.py
+++ b/review/lab/wire.py
@@ -100,6 +100,11 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection of an earlier request is still open, as far as it is known."""
+        return self._writer is not None and not self._reader.at_eof()
+
     async def ask(
         self, method: str, target: str, headers: dict[str, str], body: bytes, seconds: float
     ) -> Answer:
