Probe an unavailable store although earlier reads still wait there

Also five scenarios on outages turned red as soon as one idle task was added to a process.

Cause: while the store counts as unavailable, one read at a time probes it. Reads that had been sent before, and wait for changes for up to 5 s, were counted as such a probe, so that no read was sent until they had ended. Shown by a trace: a failed read at 1.25 s, the next one at 5.5 s.

Ruled out: the order of the feeds as such.

Change: only reads that are sent while the store counts as unavailable are probes. This works since such reads don't wait for changes: each ends at its timeout of 0.75 s at the latest.

--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -92,8 +92,8 @@
         self._is_follower = True
         self._follower_until = float("-inf")
         self._role_updated_at = float("-inf")
-        # Reads of the store in flight.
-        self._store_reads = 0
+        # Reads in flight that probe the unavailable store.
+        self._probes = 0
         self._reads = StoreReads(self._note_late_answer)
         # Whether the latest answer of the store was late.
         self._is_store_late = False
@@ -131,8 +131,9 @@
         """Return whether the store may be read now.
 
         While the store is unavailable, only one read at a time probes it, on behalf of all tables.
+        Reads that were sent before don't count: they may wait for seconds on silent connections.
         """
-        if self._schedule.is_unavailable and self._store_reads:
+        if self._schedule.is_unavailable and self._probes:
             return False
         return self._schedule.may_read(self._is_follower)
 
@@ -145,7 +146,7 @@
             if isinstance(answer, Success) or not self._may_read_store():
                 return answer
         requested_at = trio.current_time()
-        with self._count_store_read():
+        with self._count_probe():
             answer = await self._reads.read(
                 table,
                 partial(self._store.snapshot, table),
@@ -172,7 +173,7 @@
                 return answer
         requested_at = trio.current_time()
         wait = self._wait_at_store(seconds)
-        with self._count_store_read():
+        with self._count_probe():
             answer = await self._reads.read(
                 table,
                 partial(self._read_changes, table, after, wait, requested_at),
@@ -228,12 +229,14 @@
         self._log("store-answered-late", table=table, seconds=round(seconds, 3))
 
     @contextmanager
-    def _count_store_read(self) -> Iterator[None]:
-        self._store_reads += 1
+    def _count_probe(self) -> Iterator[None]:
+        """Count the read that is made inside if it probes the unavailable store."""
+        is_probe = self._schedule.is_unavailable
+        self._probes += is_probe
         try:
             yield
         finally:
-            self._store_reads -= 1
+            self._probes -= is_probe
 
     def _note_success(self, update: TableUpdate, as_of: float) -> None:
         # Rows may have lapsed only if the store itself was unavailable. If one process that was cut
