Give up reads of the store that stand still while others know more

Plans and crashes still waited 5 s, at the process and at all that learn from it. After a timeout the next read could take an idle connection that was as silent.

Ruled out: TCP keep-alive alone, since a proxy in between answers the probes.

Change: processes that read the store tell each other the version of the newest change of each table in their digests. A read is given up 0.3 s after the process was told of a change that it lacks, and repeated on a new connection. Without such reports the wait follows from the contact time, which the platform's settings now give.

--- a/deckcourse/change_feed.py
+++ b/deckcourse/change_feed.py
@@ -10,9 +10,9 @@
 
 from deckcourse.table import Row, TableFailure
 
-__all__ = ["LONG_POLL_SECONDS", "ChangeFeed", "Changes", "Follower", "Snapshot"]
+__all__ = ["LONG_POLL_SECONDS", "ChangeFeed", "Changes", "Follower", "Snapshot", "StoreFeed"]
 
-# Default wait of a long poll. Feeds whose answers show that the store is reachable wait for a
+# Longest wait of a long poll. Feeds whose answers show that the store is reachable wait for a
 # shorter time.
 LONG_POLL_SECONDS = 5.0
 # Timeout of an answer in addition to that wait: a slow store takes 60 times its usual 4 ms.
@@ -67,6 +67,13 @@
         """Return the changes after version `after`; wait up to `seconds` for the first one."""
 
 
+class StoreFeed(ChangeFeed, Protocol):
+    """The change feed of the store itself, over connections of this process."""
+
+    def renew_connections(self) -> None:
+        """Make later reads use new connections: the idle ones may have gone silent."""
+
+
 class Follower:
     """Follows one table and passes its rows and changes to callbacks.
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -62,9 +62,6 @@
 # Share of the revocation time that one poll for changes waits at the store. Its reply also shows
 # that the store is available: a shorter wait costs calls, a longer one delays that signal.
 POLL_WAIT_SHARE = 0.2
-# Share of the revocation time that a poll for changes of the list of upstreams waits there. If its
-# connection goes silent, an upstream that leaves gets requests until the poll has timed out.
-LIST_POLL_WAIT_SHARE = 0.25
 # Share of the revocation time by which such a reply may be late before the process reports itself
 # as not ready: the balancer then uses other processes, which may still reach the store.
 POLL_GRACE_SHARE = 0.15
@@ -137,6 +134,7 @@
             (rows.operator_table, rows.upstream_table, PLAN_TABLE, CRASH_TABLE),
             ports.pool,
             self._poll_wait,
+            lambda: self._settings().contact,
             self._on_store_recovered,
             random,
             log,
@@ -193,7 +191,6 @@
             intake.upstream_rows,
             intake.upstream_row,
             on_availability=self._on_list_contact,
-            wait=self._list_poll_wait,
         )
         self._plan_feed = self._follow(PLAN_TABLE, intake.plan_rows, intake.plan_row)
         self._crash_feed = self._follow(
@@ -305,6 +302,7 @@
         **options: Callable[..., object],
     ) -> Follower:
         """Return a follower of a table of the store; see `Follower` for the arguments."""
+        options.setdefault("wait", lambda: self._peers.feed.long_poll_wait)
         return Follower(
             self._peers.feed,
             table,
@@ -453,10 +451,6 @@
         """Return how long a poll for configuration changes waits at the store, seconds."""
         return self._settings().revocation * POLL_WAIT_SHARE
 
-    def _list_poll_wait(self) -> float:
-        """Return how long a poll for changes of the list of upstreams waits, seconds."""
-        return self._settings().revocation * LIST_POLL_WAIT_SHARE
-
     def _receives_relayed_changes(self) -> bool:
         """Return whether this process receives changes from peers rather than the store."""
         return not self._peers.feed.follows
@@ -604,7 +598,8 @@
     def _on_contact(self, recovered: bool) -> None:
         if recovered:
             self._on_store_recovered()
-        self._upstream_feed.retry_now()
+        for feed in (self._upstream_feed, self._plan_feed, self._crash_feed):
+            feed.retry_now()
         self._counters.count("store.regained" if recovered else "store.lost")
         self._log(
             "store-regained" if recovered else "store-lost", age=round(self._configuration_age(), 3)
--- a/deckcourse/gateway/node_ports.py
+++ b/deckcourse/gateway/node_ports.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from deckcourse.change_feed import ChangeFeed
+from deckcourse.change_feed import StoreFeed
 from deckcourse.gateway.dialect import Dialect, StreamControl
 from deckcourse.gateway.row_intake import RowReader
 from deckcourse.http1.client import ConnectionPool
@@ -31,7 +31,7 @@
     """
 
     table: TableService
-    feed: ChangeFeed
+    feed: StoreFeed
     rows: RowReader
     dialect: Dialect
     orderer: Orderer
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -4,7 +4,7 @@
 therefore sends to a fixed number of members, and each digest holds a limited number of members.
 """
 
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from random import Random
 from typing import TypeVar
 
@@ -12,6 +12,7 @@
 
 from deckcourse.peers.crash import MAX_CRASHES_PER_DIGEST, Crash
 from deckcourse.peers.datagrams import Datagrams
+from deckcourse.peers.followers import followers
 from deckcourse.peers.issuer_messages import ISSUER_PREFIX
 from deckcourse.peers.loss_notice import LOSS_PREFIX
 from deckcourse.peers.member import Digest, Member, decode_digest, encode_digest
@@ -71,6 +72,23 @@
         self._on_loss_message: Callable[[bytes], None] | None = None
         self._on_reach_message: Callable[[bytes], Awaitable[None]] | None = None
         self._on_round: Callable[[], None] = lambda: None
+        self._changed: Callable[[], Mapping[str, int]] = dict
+        self._on_changed: Callable[[Mapping[str, int]], None] = lambda changed: None
+
+    def register_change_handlers(
+        self,
+        changed: Callable[[], Mapping[str, int]],
+        on_changed: Callable[[Mapping[str, int]], None],
+    ) -> None:
+        """Register the handlers of reports on the newest changes in the store.
+
+        Args:
+          changed: returns the version of the newest change of each table, if this process reads the
+            store.
+          on_changed: called with what another process that reads the store reports.
+        """
+        self._changed = changed
+        self._on_changed = on_changed
 
     def register_crash_handlers(
         self,
@@ -163,15 +181,30 @@
         self._roster.advance_heartbeat()
         self._on_round()
         domain_peers = self._domain_peers()
-        for member in self._random.sample(
-            domain_peers, min(DOMAIN_PEERS_PER_ROUND, len(domain_peers))
-        ):
+        for member in self._round_recipients(domain_peers):
             await self._send_digest(member.address, member.domain)
         is_isolated = len(domain_peers) < MIN_DOMAIN_PEERS
         if is_isolated or self._rounds % ROUNDS_PER_OUTSIDE_DIGEST == 0:
             await self._send_outside_domain(is_isolated)
         self._rounds += 1
 
+    def _round_recipients(self, domain_peers: list[Member]) -> list[Member]:
+        """Return the members of the own domain that get a digest in this round.
+
+        Followers of the store send theirs to each other, so that one whose read stands still learns
+        of newer changes.
+        """
+        recipients = self._random.sample(
+            domain_peers, min(DOMAIN_PEERS_PER_ROUND, len(domain_peers))
+        )
+        own = self._roster.own
+        domain_followers = followers((*domain_peers, own), own.domain)
+        if own not in domain_followers:
+            return recipients
+        first = [each for each in domain_followers if each.name != own.name]
+        others = [each for each in recipients if each not in first]
+        return (first + others)[:DOMAIN_PEERS_PER_ROUND]
+
     def _domain_peers(self) -> list[Member]:
         own = self._roster.own
         members = self._roster.live()
@@ -196,7 +229,8 @@
         self, address: str, domain: str, wants_reply: bool = False, crashes: tuple[Crash, ...] = ()
     ) -> None:
         members = self._roster.select_for_digest(domain, MEMBERS_PER_DIGEST)
-        digest = Digest(self._roster.own, members, wants_reply, crashes)
+        changed = dict(self._changed())
+        digest = Digest(self._roster.own, members, wants_reply, crashes, (), changed)
         await self._datagrams.send(address, encode_digest(digest))
 
     async def _receive_datagrams(self) -> None:
@@ -220,6 +254,8 @@
                 self._on_crash(crash)
             for identity in digest.cleared:
                 self._on_cleared(identity)
+            if digest.changed:
+                self._on_changed(digest.changed)
             if digest.wants_reply:
                 sender = digest.sender
                 crashes = tuple(self._recent_crashes())[-MAX_CRASHES_PER_DIGEST:]
--- a/deckcourse/peers/knowledge.py
+++ b/deckcourse/peers/knowledge.py
@@ -68,6 +68,15 @@
         """The version of each replica."""
         return {name: each.version for name, each in self._replicas.items()}
 
+    @property
+    def changed_versions(self) -> dict[str, int]:
+        """The version of the newest change of each table that holds any."""
+        return {
+            name: each.changed_version
+            for name, each in self._replicas.items()
+            if each.changed_version
+        }
+
     def notify_waiters(self) -> None:
         """Wake all tasks in `wait_for_update`."""
         self._updated.set()
--- a/deckcourse/peers/member.py
+++ b/deckcourse/peers/member.py
@@ -17,6 +17,8 @@
 MAX_WEIGHT = 1e6
 # Largest number of members accepted in one digest; this version sends fewer than 20.
 MAX_ACCEPTED_MEMBERS = 256
+# Largest number of tables in one digest.
+MAX_TABLES = 64
 # The largest integer that a digest can carry from process to process.
 MAX_INTEGER = 2**63 - 1
 
@@ -47,6 +49,12 @@
     leaving: bool = False
 
 
+# The version of the newest change of each table.
+ChangedVersions = Annotated[
+    dict[Annotated[str, Meta(max_length=MAX_TEXT_LENGTH)], _Integer], Meta(max_length=MAX_TABLES)
+]
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True):
     """A gossip message.
 
@@ -56,6 +64,7 @@
       wants_reply: whether the sender wants a digest in return.
       crashes: recent crashes of upstreams during requests.
       cleared: parts of prompts with which a request has just succeeded.
+      changed: the version of the newest change of each table, if the sender reads the store.
     """
 
     sender: Member
@@ -63,6 +72,7 @@
     wants_reply: bool = False
     crashes: Annotated[tuple[Crash, ...], Meta(max_length=MAX_CRASHES_PER_DIGEST)] = ()
     cleared: Annotated[tuple[Identity, ...], Meta(max_length=MAX_CRASHES_PER_DIGEST)] = ()
+    changed: ChangedVersions = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/deckcourse/peers/peers.py
+++ b/deckcourse/peers/peers.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from deckcourse.change_feed import ChangeFeed
+from deckcourse.change_feed import StoreFeed
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.http1.server import Exchange, IncomingRequest
 from deckcourse.peers.datagrams import Datagrams
@@ -39,6 +39,7 @@
       tables: the names of the tables to follow.
       pool: opens connections to other processes.
       contact_wait: see `SharedFeed`.
+      contact: see `SharedFeed`.
       on_store_recovered: called with the time at which the store recovered, whichever process
         observed it.
       random: for choices and delays that should differ between processes.
@@ -50,10 +51,11 @@
     def __init__(
         self,
         ports: PeerPorts,
-        store: ChangeFeed,
+        store: StoreFeed,
         tables: Sequence[str],
         pool: ConnectionPool,
         contact_wait: Callable[[], float],
+        contact: Callable[[], float],
         on_store_recovered: Callable[[float], None],
         random: Random,
         log: Callable[..., None],
@@ -64,7 +66,19 @@
         self._gossip = PeerGossip(self._roster, ports.datagrams, ports.seeds, random, count)
         self._shared_state = SharedState(tables, on_store_recovered)
         self._feed = SharedFeed(
-            store, self._roster, self._shared_state, pool, contact_wait, random, log, gauge, count
+            store,
+            self._roster,
+            self._shared_state,
+            pool,
+            contact_wait,
+            contact,
+            random,
+            log,
+            gauge,
+            count,
+        )
+        self._gossip.register_change_handlers(
+            self._feed.known_changes, self._feed.note_reported_changes
         )
 
     @property
--- a/deckcourse/peers/replica.py
+++ b/deckcourse/peers/replica.py
@@ -47,6 +47,7 @@
     def __init__(self, table: str) -> None:
         self._table = table
         self._version: int | None = None
+        self._changed_version = 0
         self._rows: dict[str, tuple[bytes, int]] = {}
         self._log: deque[TableUpdate] = deque()
         self._log_bytes = 0
@@ -57,6 +58,14 @@
         """The version up to which it holds every change, None before the first snapshot."""
         return self._version
 
+    @property
+    def changed_version(self) -> int:
+        """The version of the newest change that it holds, 0 if it holds none.
+
+        `version` also rises with changes of other tables.
+        """
+        return self._changed_version
+
     @property
     def as_of(self) -> float:
         """The time on this process's clock before which it holds every change."""
@@ -90,6 +99,7 @@
         for key, value, version in update.rows:
             # Keeps the rows in the order of their last change.
             self._rows.pop(key, None)
+            self._changed_version = max(self._changed_version, version)
             if value is not None:
                 self._rows[key] = value, version
         self._version = update.version
--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -5,7 +5,7 @@
 follower that cannot reach the store subscribes to a source meanwhile and keeps serving.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from functools import partial
 from random import Random
@@ -13,15 +13,16 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from deckcourse.change_feed import ChangeFeed, Changes, Snapshot
+from deckcourse.change_feed import LONG_POLL_SECONDS, Changes, Snapshot, StoreFeed
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.peers.followers import followers, sources
 from deckcourse.peers.knowledge import SharedState
 from deckcourse.peers.member import Member
 from deckcourse.peers.relay import RelayClient, RelayEnd, RelayServer
 from deckcourse.peers.replica import TableUpdate
+from deckcourse.peers.reported_changes import MIN_CONTACT_SECONDS, ReportedChanges
 from deckcourse.peers.roster import Roster
-from deckcourse.peers.store_reads import EarlierAnswer, StoreReads
+from deckcourse.peers.store_reads import EarlierAnswer, GivenUp, StoreReads
 from deckcourse.peers.store_turn import StoreSchedule
 from deckcourse.table import TableFailure
 
@@ -42,6 +43,21 @@
 # The timeout of the reader (`change_feed`) is slightly longer. The process then turns to its
 # sources; a reply that comes after all is still used.
 STORE_TIMEOUT_SECONDS = 0.75
+# Interval between checks whether a read of the store stands still, seconds.
+READ_CHECK_INTERVAL_SECONDS = 0.25
+# A read counts as standing still if another process has reported a newer change for so long, and
+# the read was under way all the while, seconds: followers don't learn of a change together.
+MAX_BEHIND_SECONDS = 0.3
+# Shortest time between two such reads of a table that are given up, seconds. On an overloaded
+# machine the answers of all processes are late.
+MIN_RENEWAL_INTERVAL_SECONDS = 2.0
+# Time for the next read after one that timed out, with the backoff before it, seconds.
+RETRY_SECONDS = 0.75
+# Shortest wait for changes, if the contact bound allows no longer one, seconds.
+MIN_LONG_POLL_SECONDS = 0.25
+# A subscriber leaves a source that is behind another process's report for so long, seconds: longer
+# than the source needs to find that out by itself.
+MAX_SOURCE_BEHIND_SECONDS = 1.0
 # How long a snapshot may wait for the state of other processes, seconds.
 SNAPSHOT_TIMEOUT_SECONDS = 0.75
 # Shortest wait for changes from other processes before the store is read, seconds. During an outage
@@ -50,7 +66,7 @@
 
 
 class SharedFeed:
-    """The `ChangeFeed` that the tables of this process are read from.
+    """The change feed that the tables of this process are read from.
 
     Args:
       store: the feed of the store itself.
@@ -59,6 +75,7 @@
       pool: opens connections to other processes.
       contact_wait: returns the longest time for which a read of the store waits for changes, if its
         reply shows that the store is reachable, seconds.
+      contact: returns the time after which what the store has acknowledged must be known, seconds.
       random: jitters delays, so that they differ between processes.
       log: writes the decision log.
       gauge: sets a gauge by name.
@@ -67,11 +84,12 @@
 
     def __init__(
         self,
-        store: ChangeFeed,
+        store: StoreFeed,
         roster: Roster,
         shared_state: SharedState,
         pool: ConnectionPool,
         contact_wait: Callable[[], float],
+        contact: Callable[[], float],
         random: Random,
         log: Callable[..., None],
         gauge: Callable[[str, float], None],
@@ -81,6 +99,7 @@
         self._roster = roster
         self._shared_state = shared_state
         self._contact_wait = contact_wait
+        self._contact = contact
         self._log = log
         self._gauge = gauge
         self._count = count
@@ -98,6 +117,9 @@
         # Whether the latest answer of the store was late.
         self._is_store_late = False
         self._schedule = StoreSchedule(trio.current_time, random)
+        self._reported = ReportedChanges(trio.current_time)
+        # When a read of a table was last given up because another process knew more.
+        self._renewed_at: dict[str, float] = {}
 
     @property
     def server(self) -> RelayServer:
@@ -122,6 +144,34 @@
         """
         return bool(self._sources())
 
+    @property
+    def long_poll_wait(self) -> float:
+        """How long a read may wait at the store for changes, seconds.
+
+        If its connection goes silent, the reports of other processes that read the store show what
+        is missing. Without them only a timeout does, which has to come within the contact bound.
+        """
+        contact = self._contact()
+        if contact >= MIN_CONTACT_SECONDS and self._reported.is_recent:
+            return LONG_POLL_SECONDS
+        within_contact = contact - STORE_TIMEOUT_SECONDS - RETRY_SECONDS
+        return min(LONG_POLL_SECONDS, max(MIN_LONG_POLL_SECONDS, within_contact))
+
+    def known_changes(self) -> Mapping[str, int]:
+        """Return the version of the newest change of each table; none if this process reads none.
+
+        Processes that don't read the store know only what others have reported before.
+        """
+        if not self._is_follower or self._schedule.is_unavailable:
+            return {}
+        return self._shared_state.changed_versions
+
+    def note_reported_changes(self, changed: Mapping[str, int]) -> None:
+        """Record what another process that reads the store knows."""
+        for table, version in changed.items():
+            if table in self._shared_state.versions:
+                self._reported.note(table, version, self._shared_state.replica(table).version)
+
     @property
     def staleness_seconds(self) -> float:
         """The staleness of the newest replica of this process, seconds."""
@@ -158,6 +208,8 @@
                 return Success(Snapshot(rows, version, requested_at))
             case Success(EarlierAnswer()):
                 return self._replica_answer(table, None)
+            case Success(GivenUp()):
+                return await self.snapshot(table)
         self._note_failure()
         return answer
 
@@ -183,6 +235,8 @@
         match answer:
             case Success(EarlierAnswer()):
                 return self._replica_answer(table, after)
+            case Success(GivenUp()):
+                return await self.changes(table, after, 0.0)
             case Success(_):
                 return answer
         self._note_failure()
@@ -248,9 +302,11 @@
         replica = self._shared_state.replica(update.table)
         replica.merge(update)
         replica.confirm(update.version, as_of)
+        self._reported.note_read(update.table, as_of)
         self._shared_state.notify_waiters()
 
     def _note_failure(self) -> None:
+        self._store.renew_connections()
         self._schedule.note_failure(has_sources=bool(self._sources()))
         # Subscribers should learn at once that this process is cut off, and switch sources.
         self._shared_state.notify_waiters()
@@ -300,8 +356,35 @@
         """Read the store, update the role of this process and subscribe to sources."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._reads.run)
+            nursery.start_soon(self._check_reads)
             nursery.start_soon(self._follow_sources)
 
+    async def _check_reads(self) -> None:
+        """Give up reads of the store that stand still: their connections have gone silent."""
+        while True:
+            await trio.sleep(READ_CHECK_INTERVAL_SECONDS)
+            now = trio.current_time()
+            max_age = self.long_poll_wait + STORE_TIMEOUT_SECONDS
+            for table in self._shared_state.versions:
+                if self._is_renewal_due(table, now):
+                    self._give_up_read(table, now - MAX_BEHIND_SECONDS, "behind")
+                # Began while other processes reported changes, which they no longer do.
+                self._give_up_read(table, now - max_age, "alone")
+
+    def _is_renewal_due(self, table: str, now: float) -> bool:
+        """Return whether a read of a table may be given up as other processes know more."""
+        renewed_at = self._renewed_at.get(table, float("-inf"))
+        is_behind = self._behind_seconds(table) >= MAX_BEHIND_SECONDS
+        return is_behind and now >= renewed_at + MIN_RENEWAL_INTERVAL_SECONDS
+
+    def _give_up_read(self, table: str, sent_before: float, reason: str) -> None:
+        if not self._reads.give_up(table, sent_before):
+            return
+        self._renewed_at[table] = trio.current_time()
+        self._store.renew_connections()
+        self._count(f"store.read-given-up.{reason}")
+        self._log("store-read-given-up", table=table, why=reason)
+
     async def _follow_sources(self) -> None:
         while True:
             self._update_role()
@@ -385,13 +468,22 @@
         if self._is_follower and not self._schedule.is_unavailable:
             return RelayEnd.NOT_NEEDED
         candidates = {each.name for each in self._sources()}
-        if self._is_fresh() and not is_source_cut_off:
+        if self._is_fresh() and not is_source_cut_off and not self._is_source_behind():
             # A process with subscribers stays a follower: a source that no other process uses would
             # go on following the store for this one.
             return None if self._source in candidates else RelayEnd.NOT_NEEDED
         better = candidates - {self._source} - self._stale_until.keys()
         return RelayEnd.STALE if better else None
 
+    def _is_source_behind(self) -> bool:
+        """Return whether another process has known more than the source for some time."""
+        longest = max(self._behind_seconds(table) for table in self._shared_state.versions)
+        return longest >= MAX_SOURCE_BEHIND_SECONDS
+
+    def _behind_seconds(self, table: str) -> float:
+        """Return for how long another process has known more of a table, 0 if none does."""
+        return self._reported.behind_seconds(table, self._shared_state.replica(table).version)
+
 
 def _key_in_table(name: str) -> str:
     return name.partition("/")[2]
--- a/deckcourse/peers/store_reads.py
+++ b/deckcourse/peers/store_reads.py
@@ -15,7 +15,7 @@
 from deckcourse.background import Background
 from deckcourse.table import TableFailure
 
-__all__ = ["EarlierAnswer", "StoreReads"]
+__all__ = ["EarlierAnswer", "GivenUp", "StoreReads"]
 
 # How long a read goes on after its timeout, seconds. Later answers say too little about the present
 # to be worth an open connection.
@@ -29,13 +29,23 @@
     """An earlier read of the table was answered, and its value passed to its callback."""
 
 
+@dataclass(frozen=True)
+class GivenUp:
+    """The read was given up: other evidence shows that no answer will come on its connection."""
+
+
 @dataclass
 class _Read(Generic[_Value]):
-    """One read; `answer` is None until it has ended, `deadline` is its timeout on trio's clock."""
+    """One read; `answer` is None until it has ended.
+
+    `sent_at` and its timeout `deadline` are on trio's clock; `scope` ends it.
+    """
 
     table: str
+    sent_at: float
     deadline: float
-    answer: Result[_Value, TableFailure] | None = None
+    scope: trio.CancelScope
+    answer: Result[_Value | GivenUp, TableFailure] | None = None
     is_awaited: bool = True
 
     def is_pending(self, now: float) -> bool:
@@ -58,6 +68,8 @@
         self._answered: set[str] = set()
         # Reads whose reader has returned an earlier answer instead.
         self._left: dict[str, _Read] = {}
+        # Reads that a reader waits for.
+        self._awaited: dict[str, _Read] = {}
         self._ended = trio.Event()
 
     async def run(self) -> None:
@@ -70,13 +82,30 @@
         self._answered.discard(table)
         return is_answered
 
+    def give_up(self, table: str, sent_before: float) -> bool:
+        """End the read that a reader of a table waits for; the reader gets `GivenUp`.
+
+        Args:
+          table: the table.
+          sent_before: reads that were sent after this time on trio's clock are kept.
+
+        Returns:
+          Whether a read was ended.
+        """
+        read = self._awaited.get(table)
+        if read is None or read.answer is not None or read.sent_at >= sent_before:
+            return False
+        read.answer = Success(GivenUp())
+        read.scope.cancel()
+        return True
+
     async def read(
         self,
         table: str,
         call: Callable[[], Awaitable[Result[_Value, TableFailure]]],
         on_success: Callable[[_Value], None],
         timeout: float,
-    ) -> Result[_Value | EarlierAnswer, TableFailure]:
+    ) -> Result[_Value | EarlierAnswer | GivenUp, TableFailure]:
         """Return the answer of a read, or `EarlierAnswer` if an earlier read is answered before it.
 
         Args:
@@ -88,19 +117,30 @@
         left = self._left.pop(table, None)
         if left is not None and left.is_pending(trio.current_time()):
             # Otherwise each late answer would begin one more read, beside those under way.
-            return (await self._wait_for(left)).map(lambda value: EarlierAnswer())
-        read: _Read[_Value] = _Read(table, trio.current_time() + timeout)
+            answer = await self._wait_for(left)
+            return answer.map(
+                lambda value: value if isinstance(value, GivenUp) else EarlierAnswer()
+            )
+        now = trio.current_time()
+        deadline = now + timeout
+        scope = trio.CancelScope(deadline=deadline + MAX_LATE_SECONDS)
+        read: _Read[_Value] = _Read(table, now, deadline, scope)
         self._background.start(self._perform, read, call, on_success)
         return await self._wait_for(read)
 
-    async def _wait_for(self, read: _Read[_Value]) -> Result[_Value | EarlierAnswer, TableFailure]:
+    async def _wait_for(
+        self, read: _Read[_Value]
+    ) -> Result[_Value | EarlierAnswer | GivenUp, TableFailure]:
         read.is_awaited = True
+        self._awaited[read.table] = read
         try:
             with trio.move_on_at(read.deadline):
                 while read.answer is None and read.table not in self._answered:
                     await self._ended.wait()
         finally:
             read.is_awaited = False
+            if self._awaited.get(read.table) is read:
+                del self._awaited[read.table]
         if read.answer is not None:
             return read.answer
         if not self.take_answered(read.table):
@@ -115,9 +155,9 @@
         on_success: Callable[[_Value], None],
     ) -> None:
         answer: Result[_Value, TableFailure] = Failure(TableFailure.UNAVAILABLE)
-        with trio.move_on_at(read.deadline + MAX_LATE_SECONDS):
+        with read.scope:
             answer = await call()
-        read.answer = answer
+        read.answer = read.answer or answer
         match answer:
             case Success(value):
                 on_success(value)
--- a/deckcourse/platform/store.py
+++ b/deckcourse/platform/store.py
@@ -105,6 +105,10 @@
                 return Success(Changes((), after, complete=False))
         return Failure(TableFailure.UNAVAILABLE)
 
+    def renew_connections(self) -> None:
+        """Make later calls use new connections: the idle ones may have gone silent."""
+        self._pool.close_idle(self._address)
+
     async def _rows(
         self, path: str, query: dict[str, object], seconds: float
     ) -> Result[Page, TableFailure]:
@@ -135,6 +139,7 @@
                 async with self._pool.borrow(self._address) as connection:
                     reply = await connection.call(method, target.encode(), tuple(headers), body)
                     return Success((reply.status, await reply.read_body()))
+            self.renew_connections()
         except ConnectionLostError as failure:
             if failure.kind is FailureKind.UNSENT:
                 return Failure(TableFailure.UNAVAILABLE)
--- a/deckcourse/settings.py
+++ b/deckcourse/settings.py
@@ -74,8 +74,10 @@
     Other processes reach it at `peer_listen`, by TCP and UDP alike; its failure domain's processes
     with the largest `peer_weight` are the likeliest to follow the store for the others.
     `stop_grace` is the time from SIGTERM to the end; `revocation` the longest time after which a
-    key that was taken away may still open something, anywhere. In any `retry_window` all processes
-    together retry no more than `retry_ratio` of a service's requests and `retry_slack` more.
+    key that was taken away may still open something, anywhere; `contact` the time after which a
+    process that reaches the store must know what the store has acknowledged. In any `retry_window`
+    all processes together retry no more than `retry_ratio` of a service's requests and
+    `retry_slack` more.
     """
 
     listen: Address = Address("127.0.0.1:8080")
@@ -85,6 +87,7 @@
     peer_weight: float = 1.0
     stop_grace: Duration = Duration(8)
     revocation: Duration = Duration(5)
+    contact: Duration = Duration(3)
     retry_ratio: float = 0.2
     retry_slack: float = 200.0
     retry_window: Duration = Duration(10)
--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -89,6 +89,9 @@
         answer = await self.ask("changes", table, after, seconds)
         return Failure(TableFailure.UNAVAILABLE) if self.cut else answer
 
+    def renew_connections(self):
+        """Do nothing: there are no connections."""
+
     async def read(self, keys):
         return await self.ask("read", keys)
 
--- a/features/gateway_store.py
+++ b/features/gateway_store.py
@@ -71,6 +71,9 @@
             return Success(Changes((), after, complete=False))
         return Success(Changes(tuple(self._changes_after(table, after)), self._clock))
 
+    def renew_connections(self):
+        """Do nothing: there are no connections."""
+
     def _changes_after(self, table, after):
         return [(key, data, at) for at, name, key, data in self.log if name == table and at > after]
 
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -1,5 +1,7 @@
 """Mutants of the state that processes share, and of path choices under the highest load."""
 
+from contextlib import contextmanager
+
 import trio
 
 import deckcourse.gateway.retry_allowance as allowance_module
@@ -7,15 +9,18 @@
 import deckcourse.layers.layouts as layouts_module
 import deckcourse.peers.relay as relay_module
 import deckcourse.peers.store_reads as store_reads_module
+from deckcourse.change_feed import LONG_POLL_SECONDS
 from deckcourse.decisions import path_draw, path_load, usual_paths
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.retry_issuer import RetryIssuer
 from deckcourse.layers.healer import Healer
 from deckcourse.peers.knowledge import SharedState
 from deckcourse.peers.relay import RelayEnd
+from deckcourse.peers.reported_changes import ReportedChanges
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.shared_feed import SharedFeed
 from deckcourse.peers.store_reads import _Read
+from deckcourse.platform.store import Store
 
 
 def everybody_asks_the_store():
@@ -128,7 +133,36 @@
     )
 
 
+def reads_sent_before_an_outage_probe_the_store():
+    @contextmanager
+    def count_probe(self):
+        self._probes += 1
+        try:
+            yield
+        finally:
+            self._probes -= 1
+
+    SharedFeed._count_probe = count_probe
+
+
+def reports_of_changes_end_no_read():
+    SharedFeed._is_renewal_due = lambda self, table, now: False
+
+
+def a_process_alone_waits_as_long_as_others():
+    SharedFeed.long_poll_wait = LONG_POLL_SECONDS
+
+
+def each_process_counts_as_alone():
+    ReportedChanges.is_recent = False
+
+
+def idle_connections_to_the_store_are_kept():
+    Store.renew_connections = lambda self: None
+
+
 PEERS = ("peers",)
+SILENT_READS = ("silent_reads",)
 RETRIES = ("shared_limits", "shared_retries", "shared_slack")
 LAYERS = ("layers",)
 PATHS = ("path_load",)
@@ -153,4 +187,24 @@
     late_answers_add_reads: ("a late answer begins no further read", PEERS),
     reads_of_a_late_store_wait: ("reads of a store that answers late don't wait there", PEERS),
     sources_behind_are_kept: ("a source that is behind is left", PEERS),
+    reads_sent_before_an_outage_probe_the_store: (
+        "probing an unavailable store beside earlier reads",
+        SILENT_READS,
+    ),
+    reports_of_changes_end_no_read: (
+        "giving up reads that others know more than",
+        SILENT_READS,
+    ),
+    a_process_alone_waits_as_long_as_others: (
+        "shorter waits at the store without other processes",
+        SILENT_READS,
+    ),
+    each_process_counts_as_alone: (
+        "long waits at the store beside other processes",
+        SILENT_READS,
+    ),
+    idle_connections_to_the_store_are_kept: (
+        "new connections to the store after an unanswered call",
+        SILENT_READS,
+    ),
 }
--- a/features/peer_world.py
+++ b/features/peer_world.py
@@ -21,6 +21,7 @@
 
 TABLES = ("op", "servers")
 CONTACT_WAIT_SECONDS = 1.0
+CONTACT_SECONDS = 3.0
 # With more processes than this, pauses grow in proportion to their number.
 SMALL_SITE_PROCESSES = 10
 # Time for processes to discover each other and agree on the followers of the store.
@@ -50,6 +51,9 @@
     async def changes(self, table, after, seconds):
         return await self._ask("changes", table, after, seconds)
 
+    def renew_connections(self):
+        self.world.renewals += 1
+
 
 class PeerProcess:
     """One process: its peer side, and a `Follower` for each table."""
@@ -68,8 +72,9 @@
         own = Member(name, start, self.address, domain)
         ports = PeerPorts(own, world.medium.open(self.address), lambda: world.seeds)
         self.peers = Peers(
-            ports, self.store, TABLES, pool, lambda: CONTACT_WAIT_SECONDS, self.recoveries.append,
-            random, lambda *_, **__: None, count=lambda name: self.counts.update([name]),
+            ports, self.store, TABLES, pool, lambda: CONTACT_WAIT_SECONDS,
+            lambda: CONTACT_SECONDS, self.recoveries.append, random, lambda *_, **__: None,
+            count=lambda name: self.counts.update([name]),
         )  # fmt: skip
         self.followers = [
             Follower(
@@ -166,6 +171,7 @@
         self.loss_share = loss_share
         self.seeds = ()
         self.calls = []
+        self.renewals = 0
         self.frame_delay = 0.0
         # How long the store's answers take on their way.
         self.answer_delay = 0.0
--- a/features/silent_reads.feature
+++ b/features/silent_reads.feature
@@ -6,9 +6,52 @@
     When the read of the list goes silent for good, and a plain upstream leaves 0.2 seconds later
     Then 3 seconds after the silence began, no request reaches that upstream
 
+  # Guards against the same for every table, also at the processes that learn of changes from the
+  # one whose connection is silent. A longer revocation time must not lengthen it.
+  Scenario Outline: A change is known within the contact time although reads stay unanswered: <table>, <reads>, <processes>
+    Given <processes>, with a revocation time of <revocation> seconds
+    When <reads> go silent for good, and table <table> changes 0.2 seconds later
+    Then 3 seconds after the silence began, every process knows the change
+
+    Examples: One connection
+      | table   | reads                   | processes                      | revocation |
+      | servers | the reads of one        | a process alone                | 5          |
+      | servers | the reads of one        | a process alone                | 12         |
+      | servers | the reads of one        | three processes in three areas | 12         |
+      | servers | the reads of one        | eight processes in two areas   | 5          |
+      | plans   | the reads of one        | a process alone                | 5          |
+      | plans   | the reads of one        | eight processes in two areas   | 5          |
+      | crashes | the reads of one        | a process alone                | 5          |
+      | crashes | the reads of one        | eight processes in two areas   | 5          |
+      | op      | the reads of one        | eight processes in two areas   | 5          |
+
+    Examples: All open connections
+      | table   | reads                   | processes                      | revocation |
+      | servers | all reads of one        | a process alone                | 5          |
+      | servers | all reads of one        | eight processes in two areas   | 5          |
+      | servers | all reads of every one  | three processes in three areas | 5          |
+      | plans   | all reads of every one  | eight processes in two areas   | 5          |
+      | crashes | all reads of every one  | eight processes in two areas   | 5          |
+      | op      | all reads of every one  | eight processes in two areas   | 5          |
+
   # Guards against a process that reports itself as not ready for seconds after all its open
   # connections to the store went silent, though new ones work.
   Scenario: A process whose open connections to the store are all silent is ready again within the contact time
     Given a process alone, with a revocation time of 5 seconds
     When all reads of one go silent for good
     Then 3 seconds after the silence began, it is ready and serves its callers
+
+  # Guards against reads that cost the store more calls than a wait of five seconds does.
+  Scenario: While nothing changes, a process reads each table but the configuration every five seconds
+    Given three processes in three areas, with a revocation time of 5 seconds
+    Then in 20 seconds each process reads the store at most 28 times
+
+  # Guards against reads that are given up again and again because of a wrong report.
+  Scenario: Reports of a change that the store does not have cost two reads every two seconds at most
+    Given three processes in three areas, with a revocation time of 5 seconds
+    When another process reports a change of servers that the store doesn't have, each second
+    Then in 20 seconds each process reads the store at most 48 times
+
+  Scenario: A call of the store that is not answered closes the idle connections
+    When a call of the store stays unanswered beside 2 idle connections
+    Then the next call uses a new connection
--- a/features/steps/deploy_steps.py
+++ b/features/steps/deploy_steps.py
@@ -27,6 +27,7 @@
     "seeds": "127.0.0.1:8082,127.0.0.2:8082",
     "bounds.graceS": "8",
     "bounds.revokeMs": "5000",
+    "bounds.contactMs": "2500",
     "bounds.retryBudgetRatio": "0.25",
     "bounds.budgetSlack": "196",
     "bounds.budgetWindowS": "12",
@@ -59,6 +60,7 @@
         case Success(settings):
             assert settings.node.name == "front-1" and settings.node.domain == "hall-a"
             assert settings.gateway.stop_grace == 8.0 and settings.gateway.revocation == 5.0
+            assert settings.gateway.contact == 2.5
             retries = settings.gateway.retry_ratio, settings.gateway.retry_slack
             assert (*retries, settings.gateway.retry_window) == (0.25, 196.0, 12.0)
             assert settings.gateway.metrics_listen == "127.0.0.1:9464"
