Deliver whole answers of full upstreams that have no length

Seen by callers, without any disruption: of 96 requests that ran at a plain upstream with 4 slots, 92 ended with 502 though their answers were whole (8 callers, 0.4 s of work, health queries wait for a slot as the protocol says). The queries took slots from requests as well.

Cause: behind an answer without a length asks a plain upstream for its name, for 0.3 s. A query that waits, or that is rejected, counted as an upstream that may have ended.

Change: another connection that leads to the same process, and is still open after the end, shows that the process goes on. Two connections to one address lead to the same process if both were open at the same moment: its end closes both. While an upstream sends such answers, the next connection is opened beside a request, not after it. Only without such a connection is the upstream asked, one query at a time and until the caller's deadline; a rejection says nothing either way.

Ruled out: a longer wait alone, which still takes slots of a full upstream; "open before the request was sent", since the oldest connection ends first.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -178,6 +178,7 @@
     if caller.request_id == UNNAMED_CALL:
         # A repeated response without an id could be taken for the response to a control message.
         connection.close_after_call()
+    context.ends.note_request(connection)
     sent_at = trio.current_time()
     try:
         reply = await connection.call(
@@ -199,6 +200,8 @@
     if facts.request_id != caller.request_id:
         raise ConnectionLostError(FailureKind.MALFORMED, "the answer is another request's")
     context.reachability.note_answer(dispatch.instance, connection.opened_at)
+    if not facts.not_executed:
+        context.ends.note_answer(reply)
     origin = NoticeOrigin(sent_at, connection.opened_at)
     context.notices.apply(dispatch.instance, facts.notice, origin)
     return reply, facts
--- a/deckcourse/gateway/end_check.py
+++ b/deckcourse/gateway/end_check.py
@@ -6,28 +6,56 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
 
 from deckcourse.gateway.dialect import ProbeResult, StreamControl
+from deckcourse.gateway.health_queries import HealthQueries
+from deckcourse.gateway.sibling_connections import SiblingConnections
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.http1.client import UpstreamReply
+from deckcourse.http1.client import UpstreamConnection, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind
 
-__all__ = ["EndCheck"]
+__all__ = ["AnswerSource", "EndCheck"]
 
 # Probe timeout, seconds: allows for a lost packet, which is sent again after 0.2 s. The caller has
 # all that came before the end, and waits for nothing else.
 PROBE_TIMEOUT_SECONDS = 0.3
 
 
+@dataclass(frozen=True)
+class AnswerSource:
+    """The request of an answer, and the upstream that sent it.
+
+    Attributes:
+      request_id: the request, for the log.
+      instance: the upstream.
+      requested_at: when the request was sent, on trio's clock.
+      accepts_queries: whether the upstream accepts queries; a plain one would execute them.
+      health_path: where a plain upstream tells its incarnation, empty if it does so nowhere.
+      query_deadline: until when a query there may wait for its reply, on trio's clock.
+    """
+
+    request_id: str
+    instance: str
+    requested_at: float
+    accepts_queries: bool
+    health_path: str = ""
+    query_deadline: float = 0.0
+
+
 class EndCheck:
-    """Probes upstreams after the end of such an answer.
+    """Checks whether upstreams are still there after the end of such an answer.
 
-    Each answer gets a probe of its own: one that was sent before may have been answered before the
-    upstream ended.
+    Each answer is checked by what comes after its end: what came before may have been sent before
+    the upstream ended.
 
     Args:
       upstreams: the upstreams that this process knows.
       control: sends probes.
+      siblings: knows which connections lead to the same process.
       count: increments a counter by name.
       log: writes the decision log.
     """
@@ -36,30 +64,36 @@
         self,
         upstreams: UpstreamTable,
         control: StreamControl,
+        siblings: SiblingConnections,
         count: Callable[[str], None],
         log: Callable[..., None],
     ) -> None:
         self._upstreams = upstreams
         self._control = control
+        self._siblings = siblings
+        self._health = HealthQueries(control, self._may_query)
         self._count = count
         self._log = log
 
-    async def check(
-        self,
-        reply: UpstreamReply,
-        request_id: str,
-        instance: str,
-        accepts_queries: bool,
-        health_path: str = "",
-    ) -> None:
+    async def run(self) -> None:
+        """Run what requests leave to the background, until cancelled."""
+        await self._siblings.run()
+
+    def note_request(self, connection: UpstreamConnection) -> None:
+        """Prepare for the end of an answer; called before its request is sent."""
+        self._siblings.note_request(connection)
+
+    def note_answer(self, reply: UpstreamReply) -> None:
+        """Prepare for the end of an answer; called with its head."""
+        if reply.ends_with_connection:
+            self._siblings.note_unframed_answer(reply.connection)
+
+    async def check(self, reply: UpstreamReply, source: AnswerSource) -> None:
         """Check the end of an answer that was read to it.
 
         Args:
           reply: the answer.
-          request_id: the request, for the log.
-          instance: the upstream that sent it.
-          accepts_queries: whether the upstream accepts queries; a plain one would execute them.
-          health_path: the path at which a plain upstream tells its incarnation, empty if none does.
+          source: where it came from.
 
         Raises:
           ConnectionLostError: LOST, only the end of the connection marks the end of the answer, and
@@ -67,27 +101,66 @@
         """
         if not reply.ended_with_connection:
             return
-        result = await self._probe(instance, accepts_queries, health_path)
-        if self._upstreams.has_ended(instance):
-            result = ProbeResult.DEAD
+        ended_at = trio.current_time()
+        if source.accepts_queries:
+            result, evidence = await self._check_queryable(reply, source)
+        else:
+            result, evidence = await self._check_plain(reply, source)
+        if self._upstreams.has_ended(source.instance):
+            result, evidence = ProbeResult.DEAD, "superseded"
         self._count(f"unframed-end.{result}")
-        self._log("unframed-end", request=request_id, instance=instance, pulse=str(result))
+        self._log(
+            "unframed-end",
+            request=source.request_id,
+            instance=source.instance,
+            pulse=str(result),
+            evidence=evidence,
+            took_ms=round((trio.current_time() - ended_at) * 1000),
+        )
         if result is not ProbeResult.ALIVE:
             raise ConnectionLostError(FailureKind.LOST, "the upstream may have ended")
 
-    async def _probe(self, instance: str, accepts_queries: bool, health_path: str) -> ProbeResult:
-        """Return ALIVE only if it is the same incarnation that replies or accepts connections."""
-        upstream = self._upstreams.last_known(instance)
+    def _may_query(self, instance: str) -> bool:
+        """Return whether an upstream has not asked for a time without requests."""
+        return self._upstreams.backoff_until(instance) is None
+
+    async def _check_queryable(
+        self, reply: UpstreamReply, source: AnswerSource
+    ) -> tuple[ProbeResult, str]:
+        """Return ALIVE only if the same incarnation replies, and what showed the result.
+
+        At its limit of connections, an upstream resets those of a query.
+        """
+        upstream = self._upstreams.last_known(source.instance)
+        if upstream is None:
+            return ProbeResult.SILENT, "unknown"
+        answer = await self._control.probe(upstream, PROBE_TIMEOUT_SECONDS)
+        if answer.result is ProbeResult.ALIVE:
+            is_same = answer.is_identified
+            return (ProbeResult.ALIVE if is_same else ProbeResult.SILENT), "report"
+        if answer.result is ProbeResult.SILENT:
+            return answer.result, "report"
+        if await self._siblings.outlive(reply.connection, source.requested_at):
+            return ProbeResult.ALIVE, "sibling"
+        if answer.result is ProbeResult.NOT_SENT:
+            return await self._probe_connection(upstream)
+        return answer.result, "report"
+
+    async def _check_plain(
+        self, reply: UpstreamReply, source: AnswerSource
+    ) -> tuple[ProbeResult, str]:
+        """Return ALIVE only if the same incarnation is still there, and what showed the result."""
+        upstream = self._upstreams.last_known(source.instance)
         if upstream is None:
-            return ProbeResult.SILENT
-        if accepts_queries:
-            reply = await self._control.probe(upstream, PROBE_TIMEOUT_SECONDS)
-            if reply.result is ProbeResult.ALIVE and not reply.is_identified:
-                return ProbeResult.SILENT
-            if reply.result is not ProbeResult.NOT_SENT:
-                return reply.result
-        elif health_path:
-            result = await self._control.probe_health(upstream, health_path, PROBE_TIMEOUT_SECONDS)
+            return ProbeResult.SILENT, "unknown"
+        if await self._siblings.outlive(reply.connection, source.requested_at):
+            return ProbeResult.ALIVE, "sibling"
+        if source.health_path:
+            result = await self._health.query(upstream, source.health_path, source.query_deadline)
             if result is not ProbeResult.NOT_SENT:
-                return result
-        return await self._control.probe_connection(upstream, PROBE_TIMEOUT_SECONDS)
+                return result, "health"
+        return await self._probe_connection(upstream)
+
+    async def _probe_connection(self, upstream: Upstream) -> tuple[ProbeResult, str]:
+        """Return ALIVE if a process accepts connections."""
+        return await self._control.probe_connection(upstream, PROBE_TIMEOUT_SECONDS), "connect"
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -19,6 +19,7 @@
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.crash_watch import AttemptStart
 from deckcourse.gateway.dialect import Dispatch
+from deckcourse.gateway.end_check import AnswerSource
 from deckcourse.gateway.handover import HandedOver
 from deckcourse.gateway.rate_gate import SendingToken
 from deckcourse.gateway.reachability import MIN_UNREACHABLE
@@ -50,6 +51,9 @@
 # Other calls use any idle connection: none is kept for this long.
 MAX_IDLE_SECONDS = 60.0
 SERVER_ERROR = 500
+# Share of the remaining time for which the end of an answer may be checked if the request may be
+# sent to another upstream afterwards.
+RETRYABLE_QUERY_SHARE = 0.5
 
 
 @dataclass(frozen=True)
@@ -338,17 +342,25 @@
             self._executions -= 1
             return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
         check_single_response(reply, body)
-        await self._context.ends.check(
-            reply,
-            admitted.caller.request_id,
-            upstream.instance,
-            accepts_queries=False,
-            health_path=admitted.service.health_path,
-        )
+        await self._context.ends.check(reply, self._answer_source(upstream))
         if reply.status < SERVER_ERROR:
             self._context.crashes.record_success(self._admitted, upstream.instance, run)
         return _Response(reply.status, end_to_end(reply.headers), body)
 
+    def _answer_source(self, upstream: Upstream) -> AnswerSource:
+        """Return where an answer that has just been read came from."""
+        now = trio.current_time()
+        # Another attempt needs time of its own.
+        share = RETRYABLE_QUERY_SHARE if self._may_execute_again() else 1.0
+        return AnswerSource(
+            self._admitted.caller.request_id,
+            upstream.instance,
+            self._since,
+            accepts_queries=False,
+            health_path=self._admitted.service.health_path,
+            query_deadline=now + share * (self._admitted.deadline - now),
+        )
+
     async def _deliver(self, response: _Response) -> Outcome:
         await self._admitted.exchange.respond(response.status, response.headers, response.body)
         self._context.return_schedule(self._admitted.service.name).note_answered()
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -37,6 +37,7 @@
 from deckcourse.gateway.retry_budgets import RetryBudgets
 from deckcourse.gateway.retry_limits import RetryLimits
 from deckcourse.gateway.row_intake import RowIntake
+from deckcourse.gateway.sibling_connections import SiblingConnections
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.start_wait import StartWait
 from deckcourse.gateway.stream_moves import OnwardSpread
@@ -245,11 +246,18 @@
             log,
         )
         self._peers.loads.set_listener(self._admission.note_room)
+        self._ends = EndCheck(
+            self._upstreams,
+            ports.control,
+            SiblingConnections(ports.pool, counters.count),
+            counters.count,
+            log,
+        )
         context = GatewayContext(
             upstreams=self._upstreams,
             notices=self._notices,
             crashes=self._crash_watch,
-            ends=EndCheck(self._upstreams, ports.control, counters.count, log),
+            ends=self._ends,
             rates=self._issuing.rates,
             dialect=ports.dialect,
             pool=ports.pool,
@@ -401,6 +409,7 @@
             nursery.start_soon(self._run_forever, self._crash_watch.run)
             nursery.start_soon(self._run_forever, self._issuing.run)
             nursery.start_soon(self._run_forever, self._retry_budgets.run)
+            nursery.start_soon(self._run_forever, self._ends.run)
             nursery.start_soon(self._run_forever, self._admission.run)
             nursery.start_soon(self._start_healers, nursery)
 
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -30,6 +30,7 @@
 )
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
+from deckcourse.gateway.end_check import AnswerSource
 from deckcourse.gateway.events import Event, EventReader
 from deckcourse.gateway.handover import HandedOver
 from deckcourse.gateway.loss_notices import evidence_of
@@ -513,7 +514,13 @@
         first = stream.path.stages[0].instance
         with stream.interruptible():
             await self._context.ends.check(
-                reply, self._admitted.caller.request_id, first, accepts_queries=True
+                reply,
+                AnswerSource(
+                    self._admitted.caller.request_id,
+                    first,
+                    stream.execution.at,
+                    accepts_queries=True,
+                ),
             )
 
     def _record_events(self, stream: ActiveStream) -> None:
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -4,6 +4,7 @@
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from weakref import WeakValueDictionary
 
 import h11
 import trio
@@ -41,6 +42,8 @@
 UNNAMED_CALL = ""
 # Largest response body that is held in memory.
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Answers that end with their head.
+BODILESS_STATUSES = frozenset({204, 304})
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 
@@ -63,11 +66,21 @@
         """Whether the end of the body is marked by a length or chunks."""
         return any(name in _FRAMING for name, _ in self.headers)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection will mark the end of the body."""
+        return not self.is_framed and self.status not in BODILESS_STATUSES
+
     @property
     def ended_with_connection(self) -> bool:
         """Whether only the end of the connection marked the end of the body."""
         return not self.is_framed and self._connection.has_ended
 
+    @property
+    def connection(self) -> "UpstreamConnection":
+        """The connection that the answer came on."""
+        return self._connection
+
     async def next_data(self) -> bytes | None:
         """Return the next bytes of the body, None after its proper end.
 
@@ -108,13 +121,24 @@
         self._idle_deadline = 0.0
         self._recent_calls: deque[str] = deque(maxlen=MAX_REMEMBERED_CALLS)
         self._request_events: tuple[h11.Event, ...] = ()
-        self._opened_at = trio.current_time()
+        self._opened_at = self._heard_at = trio.current_time()
+        self._aborted = False
 
     @property
     def opened_at(self) -> float:
         """When the connection was established, on trio's clock."""
         return self._opened_at
 
+    @property
+    def heard_at(self) -> float:
+        """When the upstream last accepted the connection or sent bytes on it, on trio's clock."""
+        return self._heard_at
+
+    @property
+    def is_open(self) -> bool:
+        """Whether neither end has closed the connection, as far as this host knows."""
+        return not (self._aborted or self._ended) and self._transport.is_open()
+
     @property
     def has_ended(self) -> bool:
         """Whether the upstream has closed the connection in good order."""
@@ -229,6 +253,7 @@
                     return event
                 data = await self._transport.receive_some(READ_BYTES)
                 self._ended = not data
+                self._heard_at = trio.current_time()
                 self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             kind = FailureKind.LOST if self._ended else FailureKind.MALFORMED
@@ -245,9 +270,10 @@
         return self._idle_timeout_seconds > 0
 
     def park(self) -> None:
-        """Prepare for the next call and start the idle time."""
+        """Prepare for the next call, unless there was none yet, and start the idle time."""
         self._request_events = ()
-        self._h11.start_next_cycle()
+        if self._h11.our_state is h11.DONE:
+            self._h11.start_next_cycle()
         self._parked_at = trio.current_time()
         self._idle_deadline = self._parked_at + self._idle_timeout_seconds
 
@@ -268,6 +294,7 @@
 
     def abort(self) -> None:
         """Close without waiting; the upstream notices and stops the execution of the call."""
+        self._aborted = True
         self._transport.close()
 
 
@@ -283,6 +310,9 @@
         self._dial = dial or dial_tcp
         self._on_dial_failure: Callable[[str, ConnectionLostError], None] = lambda *_: None
         self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
+        # All connections in use or idle, in the order in which they were opened.
+        self._connections: WeakValueDictionary[int, UpstreamConnection] = WeakValueDictionary()
+        self._opened = 0
         self._count = count
 
     def set_dial_observer(self, on_failure: Callable[[str, ConnectionLostError], None]) -> None:
@@ -322,7 +352,15 @@
           ConnectionLostError: UNSENT, the address is unreachable.
         """
         self._count("connection.opened")
-        return UpstreamConnection(address, await self.dial(address))
+        connection = UpstreamConnection(address, await self.dial(address))
+        self._opened += 1
+        self._connections[self._opened] = connection
+        return connection
+
+    def connections(self, address: str) -> list[UpstreamConnection]:
+        """Return the connections to an address that are idle or carry a call, the newest first."""
+        every = reversed(list(self._connections.values()))
+        return [each for each in every if each.address == address]
 
     async def dial(self, address: str) -> Transport:
         """Return a new connection to `IP:port` that is used without HTTP and not kept here.
@@ -389,9 +427,17 @@
         if not connection.is_reusable():
             connection.abort()
             return
+        self.add_idle(connection)
+
+    def add_idle(self, connection: UpstreamConnection) -> None:
+        """Keep a connection for the next call: its last one is done, or it had none yet."""
         connection.park()
         self._idle[connection.address].append(connection)
 
+    def has_usable_idle(self, address: str, max_idle_seconds: float) -> bool:
+        """Return whether an idle connection is open and was used or opened that recently."""
+        return any(each.is_usable(max_idle_seconds) for each in self._idle.get(address, ()))
+
     def idle_count(self, address: str) -> int:
         """Return the number of idle connections to an address."""
         return len(self._idle.get(address, ()))
--- a/deckcourse/http1/memory.py
+++ b/deckcourse/http1/memory.py
@@ -24,10 +24,12 @@
         stream: trio.StapledStream,
         is_silent: Callable[[], bool],
         is_closed: Callable[[], bool],
+        is_open: Callable[[], bool],
     ) -> None:
         self._stream = stream
         self._is_silent = is_silent
         self._is_closed = is_closed
+        self.is_open = is_open
 
     async def receive_some(self, max_bytes: int) -> bytes:
         data = await self._stream.receive_some(max_bytes)
@@ -63,6 +65,8 @@
         self._handlers: dict[str, Handler] = {}
         self._silent: set[str] = set()
         self._server_streams: dict[str, list[trio.StapledStream]] = defaultdict(list)
+        # The streams whose server has closed its end.
+        self._ended: set[trio.StapledStream] = set()
 
     def listen(self, address: str, handler: Handler) -> None:
         """Serve requests at an address."""
@@ -103,7 +107,12 @@
             client_stream,
             lambda: address in self._silent,
             lambda: server_stream not in self._server_streams.get(address, []),
+            lambda: (
+                server_stream in self._server_streams.get(address, [])
+                and server_stream not in self._ended
+            ),
         )
 
     async def _serve(self, end: trio.StapledStream, handler: Handler) -> None:
         await serve_connection(end, handler, self._limits, lambda: False)
+        self._ended.add(end)
--- a/deckcourse/http1/transport.py
+++ b/deckcourse/http1/transport.py
@@ -1,6 +1,7 @@
 """The byte transport of a connection to an upstream, and its TCP implementation."""
 
 from collections.abc import Awaitable, Callable
+from socket import IPPROTO_TCP, TCP_INFO
 from typing import Protocol
 
 import trio
@@ -12,6 +13,10 @@
 # A host in the same region accepts within 2 ms. If the first packet is dropped, it is sent again
 # after 1 s, which is too late for most calls.
 CONNECT_TIMEOUT_SECONDS = 0.4
+# The first byte of the kernel's `struct tcp_info` is the state of the connection (tcp(7)). It
+# leaves this one as soon as the peer's close arrives.
+TCP_INFO_STATE_BYTES = 1
+TCP_ESTABLISHED = 1
 
 
 class Transport(Protocol):
@@ -26,6 +31,12 @@
     def readable(self) -> bool:
         """Return whether received bytes or the peer's close are waiting to be read."""
 
+    def is_open(self) -> bool:
+        """Return whether the peer has not closed its end yet, as far as this host knows.
+
+        Unlike `readable`, it tells a close that received bytes precede.
+        """
+
     def close(self) -> None:
         """Close without waiting."""
 
@@ -41,6 +52,16 @@
     def readable(self) -> bool:
         return self._stream.socket.is_readable()
 
+    def is_open(self) -> bool:
+        socket = self._stream.socket
+        if socket.fileno() < 0:
+            return False
+        try:
+            state = socket.getsockopt(IPPROTO_TCP, TCP_INFO, TCP_INFO_STATE_BYTES)[0]
+        except OSError:
+            return False
+        return state == TCP_ESTABLISHED
+
     def close(self) -> None:
         self._stream.socket.close()
 
--- a/deckcourse/platform/runners.py
+++ b/deckcourse/platform/runners.py
@@ -216,15 +216,19 @@
     async def probe_health(
         self, upstream: Upstream, health_path: str, seconds: float
     ) -> ProbeResult:
-        """Probe a runner by its health path, whose reply names the incarnation."""
+        """Probe a runner by its health path, whose reply names the incarnation.
+
+        The reply may take as long as that to a request, and be a refusal without a name.
+        """
         if not await self._admit(upstream.instance, Purpose.QUERY):
             return ProbeResult.NOT_SENT
-        with trio.move_on_after(self._timeout(seconds)):
+        with trio.move_on_after(seconds):
             try:
-                reply, _ = await self._exchange(upstream, b"GET", health_path.encode(), afresh=True)
+                reply, _ = await self._exchange(
+                    upstream, b"GET", health_path.encode(), afresh=True, is_timed=False
+                )
             except ConnectionLostError as failure:
-                is_refused = failure.kind is FailureKind.UNSENT
-                return ProbeResult.DEAD if is_refused else ProbeResult.SILENT
+                return ProbeResult.DEAD if _is_refused(failure) else ProbeResult.SILENT
             name = header_value(reply.headers, INSTANCE).decode("latin-1")
             if name == runner_id(upstream.instance):
                 return ProbeResult.ALIVE
@@ -378,6 +382,7 @@
         value: object = None,
         call_name: str | None = None,
         afresh: bool = False,
+        is_timed: bool = True,
     ) -> tuple[UpstreamReply, bytes]:
         """Send a request and return the reply and its body.
 
@@ -388,6 +393,7 @@
           value: the body, sent as JSON.
           call_name: see `ConnectionPool.acquire`.
           afresh: whether to open a new connection.
+          is_timed: whether the time to the reply tells how late replies are.
 
         Raises:
           ConnectionLostError: there was no reply, or it belongs to another call.
@@ -428,7 +434,8 @@
                     connection.close_after_call()
             content = await reply.read_body()
             answered_at = trio.current_time()
-            self._answer_times.record(upstream.instance, answered_at - sent_at, answered_at)
+            if is_timed:
+                self._answer_times.record(upstream.instance, answered_at - sent_at, answered_at)
         self._apply_notice(upstream, parse_notice(reply), content, sent_at, connection.opened_at)
         return reply, content
 
@@ -453,5 +460,11 @@
         self._on_notice(asked.instance, notice, origin)
 
 
+def _is_refused(failure: ConnectionLostError) -> bool:
+    """Return whether a machine refused a connection, rather than didn't accept it in time."""
+    is_late = isinstance(failure.__cause__, trio.TooSlowError)
+    return failure.kind is FailureKind.UNSENT and not is_late
+
+
 def _id(reply: UpstreamReply) -> str:
     return header_value(reply.headers, REQUEST_ID).decode("latin-1")
--- a/features/interruption_world.py
+++ b/features/interruption_world.py
@@ -53,6 +53,7 @@
         self._interruption = interruption
         self.send_all = transport.send_all
         self.readable = transport.readable
+        self.is_open = transport.is_open
         self.close = transport.close
 
     async def receive_some(self, max_bytes):
@@ -110,6 +111,9 @@
     def readable(self):
         return False
 
+    def is_open(self):
+        return True
+
     def close(self):
         self._stream.send_stream.close()
         self._stream.receive_stream.close()
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -4,6 +4,7 @@
 import mutants_requests  # noqa: F401 - registers its mutants
 from mutant_registry import MUTANTS, mutant, switch_on
 from mutants_admission import EVERY as OF_ADMISSION
+from mutants_answer_ends import EVERY as OF_ANSWER_ENDS
 from mutants_crashes import EVERY as OF_CRASHES
 from mutants_foreign import EVERY as OF_FOREIGN_ROWS
 from mutants_gateway import EVERY as OF_THE_GATEWAY
@@ -27,6 +28,7 @@
     | OF_FOREIGN_ROWS
     | OF_NOTICES
     | OF_CRASHES
+    | OF_ANSWER_ENDS
     | OF_RATES
     | OF_MOVES
     | OF_ADMISSION
--- /dev/null
+++ b/features/mutants_answer_ends.py
@@ -0,0 +1,70 @@
+"""Mutants of the check of answers whose end only the end of their connection marks."""
+
+from weakref import WeakSet
+
+import trio
+
+from deckcourse.gateway.health_queries import HealthQueries
+from deckcourse.gateway.sibling_connections import SiblingConnections
+
+
+def no_connection_shows_that_an_upstream_goes_on():
+    async def outlive(self, connection, requested_at):
+        return False
+
+    SiblingConnections.outlive = outlive
+
+
+def connections_of_any_process_are_siblings():
+    def compare(self, connection):
+        for other in self._pool.connections(connection.address):
+            if other is not connection:
+                self._siblings.setdefault(connection, WeakSet()).add(other)
+                self._siblings.setdefault(other, WeakSet()).add(connection)
+
+    SiblingConnections._compare = compare
+
+
+def siblings_count_at_once():
+    async def outlive(self, connection, requested_at):
+        return any(each.is_open for each in self._siblings.get(connection, ()))
+
+    SiblingConnections.outlive = outlive
+
+
+def health_queries_give_up_early():
+    usual = HealthQueries.query
+    HealthQueries.query = lambda self, upstream, path, deadline: usual(
+        self, upstream, path, trio.current_time() + 0.3
+    )
+
+
+def no_spare_connections_are_opened():
+    async def open_spare(self, address):
+        """Open nothing."""
+
+    SiblingConnections._open_spare = open_spare
+
+
+EVERY = {
+    no_connection_shows_that_an_upstream_goes_on: (
+        "other connections as evidence of a running upstream",
+        ("unframed_ends",),
+    ),
+    connections_of_any_process_are_siblings: (
+        "comparing connections while both are open",
+        ("unframed_ends",),
+    ),
+    siblings_count_at_once: (
+        "waiting for the close of the other connections",
+        ("unframed_ends",),
+    ),
+    no_spare_connections_are_opened: (
+        "spare connections beside answers without a length",
+        ("unframed_ends",),
+    ),
+    health_queries_give_up_early: (
+        "health queries that wait for a slot",
+        ("unframed_ends",),
+    ),
+}
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -79,7 +79,7 @@
 
 
 def the_end_of_an_upstream_ends_its_answer():
-    async def check(self, reply, request_id, instance, accepts_queries):
+    async def check(self, reply, source):
         """Accept every end of a connection as the end of its answer."""
 
     EndCheck.check = check
--- a/features/partition_world.py
+++ b/features/partition_world.py
@@ -65,6 +65,9 @@
     def readable(self):
         return self.broken.is_set() or self.transport.readable()
 
+    def is_open(self):
+        return not self.broken.is_set() and self.transport.is_open()
+
     def close(self):
         self.transport.close()
 
--- a/features/peer_world.py
+++ b/features/peer_world.py
@@ -137,6 +137,7 @@
         self.seconds = seconds
         self.send_all = transport.send_all
         self.readable = transport.readable
+        self.is_open = transport.is_open
         self.close = transport.close
 
     async def receive_some(self, max_bytes):
@@ -154,6 +155,7 @@
         self.address = address
         self.send_all = transport.send_all
         self.readable = transport.readable
+        self.is_open = transport.is_open
         self.close = transport.close
 
     async def receive_some(self, max_bytes):
--- a/features/raw_upstream.py
+++ b/features/raw_upstream.py
@@ -154,6 +154,9 @@
     def readable(self):
         return bool(self._unread) or self._transport.readable()
 
+    def is_open(self):
+        return self._transport.is_open()
+
     def close(self):
         self._upstream.closed = self._upstream.closed or self._reads is not None
         self._transport.close()
--- a/features/steps/end_check_steps.py
+++ b/features/steps/end_check_steps.py
@@ -7,7 +7,7 @@
 from connection_world import virtually
 
 from deckcourse.gateway.dialect import ProbeReply, ProbeResult
-from deckcourse.gateway.end_check import EndCheck
+from deckcourse.gateway.end_check import AnswerSource, EndCheck
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import ConnectionPool, UpstreamReply
@@ -16,6 +16,8 @@
 
 ADDRESSED = Upstream("a@1", "llm", "a:1", "x", row_name="a", start=1)
 HEALTH_PATH = "/health"
+# How long a query at a health path may take.
+QUERY_SECONDS = 1.0
 QUERY_REPLIES = {
     "alive": ProbeReply(ProbeResult.ALIVE, is_identified=True),
     "alive, not identified": ProbeReply(ProbeResult.ALIVE),
@@ -54,19 +56,43 @@
             self._upstreams.observe_start(ADDRESSED, ADDRESSED.start + 1)
 
 
+class NoSiblings:
+    """No other connection leads to the upstream."""
+
+    async def outlive(self, connection, requested_at):
+        return False
+
+
 def counts(query, connection, is_superseded, health="none"):
     """Return whether the end of an answer without a length counts as the end of its body."""
     upstreams = UpstreamTable(lambda: 0.0)
     upstreams.put(ADDRESSED)
     control = RecordedControl(upstreams, query, connection, is_superseded, health)
-    check = EndCheck(upstreams, control, lambda what: None, lambda decision, **fields: None)
+    check = EndCheck(
+        upstreams,
+        control,
+        NoSiblings(),
+        lambda what: None,
+        lambda decision, **fields: None,
+    )
     reply = UpstreamReply(200, (), SimpleNamespace(has_ended=True))
-    try:
-        path = "" if health == "none" else HEALTH_PATH
-        trio.run(check.check, reply, "r1", ADDRESSED.instance, query != "not accepted", path)
-    except ConnectionLostError:
-        return False
-    return True
+
+    async def work():
+        source = AnswerSource(
+            "r1",
+            ADDRESSED.instance,
+            0.0,
+            query != "not accepted",
+            "" if health == "none" else HEALTH_PATH,
+            trio.current_time() + QUERY_SECONDS,
+        )
+        try:
+            await check.check(reply, source)
+        except ConnectionLostError:
+            return False
+        return True
+
+    return virtually(work)
 
 
 @then("the end of its answer counts as the end of the body after these replies")
@@ -103,6 +129,9 @@
     def readable(self):
         return False
 
+    def is_open(self):
+        return True
+
     def close(self):
         pass
 
--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -116,6 +116,9 @@
     def readable(self):
         return bool(self.data)
 
+    def is_open(self):
+        return not self.closed
+
     def close(self):
         self.closed = True
 
--- a/features/steps/late_answer_steps.py
+++ b/features/steps/late_answer_steps.py
@@ -345,6 +345,7 @@
                 SimpleNamespace(
                     dialect=dialect,
                     reachability=SimpleNamespace(note_answer=lambda *_: None, note_broken=print),
+                    ends=SimpleNamespace(note_request=print, note_answer=lambda reply: None),
                     notices=NoticeIntake(
                         UpstreamTable(trio.current_time),
                         limits,
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -134,8 +134,8 @@
       | alive       | unused     | yes    |
       | dead        | unused     | no     |
       | silent      | unused     | no     |
-      | unasked    | alive      | yes    |
-      | unasked    | dead       | no     |
+      | unasked     | alive      | yes    |
+      | unasked     | dead       | no     |
 
   Scenario Outline: The reply at a health path tells the incarnation: <what>
     Then the reply <reply> at the health path of upstream "a" shows that it is <result>
--- a/features/stutter.py
+++ b/features/stutter.py
@@ -41,6 +41,7 @@
         self._due_at = math.inf
         self._counts = False
         self.close = transport.close
+        self.is_open = transport.is_open
 
     async def send_all(self, data):
         self._counts = self._sender.counts(data)
--- /dev/null
+++ b/features/unframed_ends.feature
@@ -0,0 +1,41 @@
+Feature: Answers of plain upstreams that have no length, under load and across restarts
+
+  # Guards against whole answers that callers don't get: at an upstream that is full, a health query
+  # waits like a request or is refused, and its answers counted as cut after 0.3 s.
+  Scenario Outline: The whole answers of an upstream that is full are delivered: <what>
+    Given a plain upstream with 4 slots whose answers have no length and take <work> seconds
+    When <callers> callers each call it again and again, up to 100 calls, <health>
+    Then each call that ran there is served
+    And at most <queries> health queries were sent
+
+    Examples:
+      | what                           | callers | work | health                | queries |
+      | queries wait for a slot        | 8       | 0.4  | with a health path    | 0       |
+      | queries would time out         | 5       | 0.9  | with a health path    | 0       |
+      | queries are refused            | 12      | 0.15 | with a health path    | 0       |
+      | one call at a time             | 1       | 0.1  | with a health path    | 1       |
+      | nothing may be asked           | 8       | 0.4  | without a health path | 0       |
+      | nothing may be asked, one call | 1       | 0.1  | without a health path | 0       |
+
+  # Guards against the same at an upstream that other processes have filled.
+  Scenario: The whole answer of an upstream that others have filled is delivered
+    Given a plain upstream with 4 slots whose answers have no length and take 0.5 seconds
+    And other processes that keep all its slots and its queue taken for 0.8 seconds after a call
+    When 1 caller calls it once
+    Then each call that ran there is served
+
+  # Guards against evidence from a connection that leads to another process, or went silent.
+  Scenario Outline: What another connection to the same address shows about the end of an answer
+    Then another connection that <what> shows that the process goes on: <shows>
+
+    Examples:
+      | what                                    | shows |
+      | was open with it and stays open         | yes   |
+      | closes with it                          | no    |
+      | closes 20 ms later                      | no    |
+      | was opened after its close              | no    |
+      | was closed before it was opened         | no    |
+      | is one of two, and the other one closes | yes   |
+      | closes 0.2 s after another one          | no    |
+      | was quiet for long before the request   | no    |
+      | this process has closed                 | no    |
