Let an idle connection be silent too in the scenarios on silent reads

All open connections that go silent include idle ones: the next read uses one. With one more idle task in a process, 'all reads of every one, three processes in three areas' had met a moment at which the configuration was read over a new connection, which that scenario doesn't mean.

--- a/features/steps/silent_read_steps.py
+++ b/features/steps/silent_read_steps.py
@@ -34,19 +34,27 @@
 
     Args:
       store: where a process reads.
-      table: the table, empty for all.
+      table: the table; empty for all, with an idle connection that the next read uses.
     """
-    original, silent_at = store.changes, []
+    original, silent_at, idle = store.changes, [], []
 
     async def changes(name, after, seconds):
         began_at = trio.current_time()
+        is_idle_used = bool(silent_at and idle and idle.pop())
         answer = await original(name, after, seconds)
-        if table in ("", name) and silent_at and began_at <= silent_at[0]:
+        is_silenced = table in ("", name) and silent_at and began_at <= silent_at[0]
+        if is_silenced or is_idle_used:
             await trio.sleep_forever()
         return answer
 
+    def begin():
+        silent_at.append(trio.current_time())
+        if not table:
+            idle.append(True)
+
     store.changes = changes
-    return lambda: silent_at.append(trio.current_time())
+    store.renew_connections = idle.clear
+    return begin
 
 
 @when(
