Send digests to the other followers first only while reading the store

features/loss_notices.feature, "A storm of reports is bounded: 390 processes, one report 12 dead" was red with the change of recipients: 7 probes reached an upstream, 6 are allowed. Its processes read no store, so that nothing is to be reported there; recipients are drawn as before then, and it is green.

--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -191,16 +191,16 @@
     def _round_recipients(self, domain_peers: list[Member]) -> list[Member]:
         """Return the members of the own domain that get a digest in this round.
 
-        Followers of the store send theirs to each other, so that one whose read stands still learns
-        of newer changes.
+        A process that reads the store sends one to the other followers, so that one of them whose
+        read stands still learns of newer changes.
         """
         recipients = self._random.sample(
             domain_peers, min(DOMAIN_PEERS_PER_ROUND, len(domain_peers))
         )
+        if not self._changed():
+            return recipients
         own = self._roster.own
         domain_followers = followers((*domain_peers, own), own.domain)
-        if own not in domain_followers:
-            return recipients
         first = [each for each in domain_followers if each.name != own.name]
         others = [each for each in recipients if each not in first]
         return (first + others)[:DOMAIN_PEERS_PER_ROUND]
