Believe no accepted connection after a pause of this process

The upstream had crashed and was back at its address while this process was paused.

Cause: behind the end of such an answer an accepted connection shows that some process is at the address, not which one. After a pause it may be the next one.

Ruled out: a reset that goes unnoticed, since the kernel reports a close in good order; a restart within the check of 10 ms.

Change: the monitor of the event loop notes pauses. A close that is read within 0.1 s of one may have arrived at its beginning; without a sibling connection that is open, or a reply with the name, the answer counts as broken off then. The log says what showed the result.

--- a/deckcourse/gateway/end_check.py
+++ b/deckcourse/gateway/end_check.py
@@ -23,6 +23,9 @@
 # Probe timeout, seconds: allows for a lost packet, which is sent again after 0.2 s. The caller has
 # all that came before the end, and waits for nothing else.
 PROBE_TIMEOUT_SECONDS = 0.3
+# A close that is read so soon after a pause of this process may have arrived at its beginning.
+# Another process may have taken the address since then.
+PAUSE_WINDOW_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -56,6 +59,7 @@
       upstreams: the upstreams that this process knows.
       control: sends probes.
       siblings: knows which connections lead to the same process.
+      paused_at: returns when the latest pause of this process ended, on trio's clock.
       count: increments a counter by name.
       log: writes the decision log.
     """
@@ -65,12 +69,14 @@
         upstreams: UpstreamTable,
         control: StreamControl,
         siblings: SiblingConnections,
+        paused_at: Callable[[], float],
         count: Callable[[str], None],
         log: Callable[..., None],
     ) -> None:
         self._upstreams = upstreams
         self._control = control
         self._siblings = siblings
+        self._paused_at = paused_at
         self._health = HealthQueries(control, self._may_query)
         self._count = count
         self._log = log
@@ -102,10 +108,11 @@
         if not reply.ended_with_connection:
             return
         ended_at = trio.current_time()
+        was_paused = self._paused_at() >= ended_at - PAUSE_WINDOW_SECONDS
         if source.accepts_queries:
-            result, evidence = await self._check_queryable(reply, source)
+            result, evidence = await self._check_queryable(reply, source, was_paused)
         else:
-            result, evidence = await self._check_plain(reply, source)
+            result, evidence = await self._check_plain(reply, source, was_paused)
         if self._upstreams.has_ended(source.instance):
             result, evidence = ProbeResult.DEAD, "superseded"
         self._count(f"unframed-end.{result}")
@@ -115,6 +122,7 @@
             instance=source.instance,
             pulse=str(result),
             evidence=evidence,
+            paused=was_paused,
             took_ms=round((trio.current_time() - ended_at) * 1000),
         )
         if result is not ProbeResult.ALIVE:
@@ -125,7 +133,7 @@
         return self._upstreams.backoff_until(instance) is None
 
     async def _check_queryable(
-        self, reply: UpstreamReply, source: AnswerSource
+        self, reply: UpstreamReply, source: AnswerSource, was_paused: bool
     ) -> tuple[ProbeResult, str]:
         """Return ALIVE only if the same incarnation replies, and what showed the result.
 
@@ -143,11 +151,11 @@
         if await self._siblings.outlive(reply.connection, source.requested_at):
             return ProbeResult.ALIVE, "sibling"
         if answer.result is ProbeResult.NOT_SENT:
-            return await self._probe_connection(upstream)
+            return await self._probe_connection(upstream, was_paused)
         return answer.result, "report"
 
     async def _check_plain(
-        self, reply: UpstreamReply, source: AnswerSource
+        self, reply: UpstreamReply, source: AnswerSource, was_paused: bool
     ) -> tuple[ProbeResult, str]:
         """Return ALIVE only if the same incarnation is still there, and what showed the result."""
         upstream = self._upstreams.last_known(source.instance)
@@ -159,8 +167,12 @@
             result = await self._health.query(upstream, source.health_path, source.query_deadline)
             if result is not ProbeResult.NOT_SENT:
                 return result, "health"
-        return await self._probe_connection(upstream)
+        return await self._probe_connection(upstream, was_paused)
 
-    async def _probe_connection(self, upstream: Upstream) -> tuple[ProbeResult, str]:
-        """Return ALIVE if a process accepts connections."""
+    async def _probe_connection(
+        self, upstream: Upstream, was_paused: bool
+    ) -> tuple[ProbeResult, str]:
+        """Return ALIVE if a process accepts connections that can only be the same one."""
+        if was_paused:
+            return ProbeResult.SILENT, "paused"
         return await self._control.probe_connection(upstream, PROBE_TIMEOUT_SECONDS), "connect"
--- a/deckcourse/gateway/overload.py
+++ b/deckcourse/gateway/overload.py
@@ -53,12 +53,18 @@
         self._admitted = 0
         self._admits_any_from = float("-inf")
         self._turned_away = 0
+        self._monitor: LoopMonitor | None = None
 
     @property
     def is_limiting(self) -> bool:
         """Whether the requests in flight are bounded."""
         return self._limit.limit is not None
 
+    @property
+    def paused_at(self) -> float:
+        """When the latest pause of the event loop ended, on trio's clock."""
+        return float("-inf") if self._monitor is None else self._monitor.paused_at
+
     def admit_connection(self) -> bool:
         """Return whether a new connection may be read; one that may not is to be closed unread."""
         now = trio.current_time()
@@ -73,7 +79,7 @@
 
     async def run(self) -> None:
         """Sample the event loop until cancelled."""
-        monitor = LoopMonitor(trio.current_time)
+        monitor = self._monitor = LoopMonitor(trio.current_time)
         trio.lowlevel.add_instrument(monitor)
         try:
             while True:
--- a/deckcourse/loop_monitor.py
+++ b/deckcourse/loop_monitor.py
@@ -7,6 +7,11 @@
 
 __all__ = ["LoopMonitor", "LoopSample"]
 
+# A wait that ends later than its timeout by more than this shows that the process was paused, and a
+# turn that takes longer is as good as a pause for what arrives meanwhile. No upstream restarts in a
+# shorter time.
+MIN_PAUSE_SECONDS = 0.1
+
 
 @dataclass(frozen=True)
 class LoopSample:
@@ -34,20 +39,33 @@
         self._waited = 0.0
         self._turns = 0
         self._longest_turn = 0.0
+        self._paused_at = float("-inf")
+
+    @property
+    def paused_at(self) -> float:
+        """When the latest pause of the event loop ended, on the clock."""
+        return self._paused_at
 
     def before_io_wait(self, timeout: float) -> None:
         """Record the end of a turn."""
         now = self._clock()
         self._turns += 1
         self._longest_turn = max(self._longest_turn, now - self._turn_began_at)
+        self._note_duration(now, MIN_PAUSE_SECONDS)
         self._turn_began_at = now
 
     def after_io_wait(self, timeout: float) -> None:
         """Record the end of a wait and the beginning of a turn."""
         now = self._clock()
         self._waited += now - self._turn_began_at
+        self._note_duration(now, timeout + MIN_PAUSE_SECONDS)
         self._turn_began_at = now
 
+    def _note_duration(self, now: float, max_seconds: float) -> None:
+        """Note a pause if a turn or a wait that ends now took longer than expected."""
+        if now - self._turn_began_at > max_seconds:
+            self._paused_at = now
+
     def sample(self) -> LoopSample:
         """Return the measurements since the last call; called within a turn."""
         now = self._clock()
--- a/features/mutants_answer_ends.py
+++ b/features/mutants_answer_ends.py
@@ -6,6 +6,7 @@
 
 from deckcourse.gateway.health_queries import HealthQueries
 from deckcourse.gateway.sibling_connections import SiblingConnections
+from deckcourse.loop_monitor import LoopMonitor
 
 
 def no_connection_shows_that_an_upstream_goes_on():
@@ -39,6 +40,10 @@
     )
 
 
+def a_pause_of_this_process_is_not_noticed():
+    LoopMonitor.paused_at = float("-inf")
+
+
 def no_spare_connections_are_opened():
     async def open_spare(self, address):
         """Open nothing."""
@@ -67,4 +72,8 @@
         "health queries that wait for a slot",
         ("unframed_ends",),
     ),
+    a_pause_of_this_process_is_not_noticed: (
+        "distrusting accepted connections after a pause",
+        ("unframed_ends", "cut_writes_elsewhere"),
+    ),
 }
--- a/features/steps/end_check_steps.py
+++ b/features/steps/end_check_steps.py
@@ -18,6 +18,8 @@
 HEALTH_PATH = "/health"
 # How long a query at a health path may take.
 QUERY_SECONDS = 1.0
+# A pause of the process that has just ended.
+PAUSED_AT = float("inf")
 QUERY_REPLIES = {
     "alive": ProbeReply(ProbeResult.ALIVE, is_identified=True),
     "alive, not identified": ProbeReply(ProbeResult.ALIVE),
@@ -63,7 +65,7 @@
         return False
 
 
-def counts(query, connection, is_superseded, health="none"):
+def counts(query, connection, is_superseded, health="none", is_paused=False):
     """Return whether the end of an answer without a length counts as the end of its body."""
     upstreams = UpstreamTable(lambda: 0.0)
     upstreams.put(ADDRESSED)
@@ -72,6 +74,7 @@
         upstreams,
         control,
         NoSiblings(),
+        lambda: PAUSED_AT if is_paused else float("-inf"),
         lambda what: None,
         lambda decision, **fields: None,
     )
@@ -105,7 +108,8 @@
 @then("the end of a plain upstream's answer counts as the end of the body after these replies")
 def counted_plain_ends(context):
     for row in context.table:
-        counted = counts("not accepted", row["connection"], False, row["health path"])
+        is_paused = row["paused"] == "yes"
+        counted = counts("not accepted", row["connection"], False, row["health path"], is_paused)
         assert counted == (row["counts"] == "yes"), row
 
 
--- a/features/steps/unframed_end_steps.py
+++ b/features/steps/unframed_end_steps.py
@@ -1,5 +1,7 @@
 """Steps for answers of plain upstreams that have no length."""
 
+from contextlib import asynccontextmanager
+
 import trio
 from behave import given, then, when
 from gateway_world import GatewayWorld, default_config
@@ -9,6 +11,7 @@
 MAX_CALLS = 100
 # A caller that was refused calls again after this time.
 RETRY_SECONDS = 0.05
+PAUSE_SECONDS = 0.9
 
 
 def new_world(upstream, has_health_path):
@@ -32,6 +35,15 @@
     return world
 
 
+@asynccontextmanager
+async def watched_load(world):
+    """Let a gateway watch its event loop, which shows it pauses of its process."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(world.node.watch_load)
+        yield
+        nursery.cancel_scope.cancel()
+
+
 @given(
     "a plain upstream with {slots:d} slots whose answers have no length and take {work:g} seconds"
 )
@@ -39,6 +51,13 @@
     context.upstream = UnframedUpstream("c1:1", "c1", slots, work=work)
 
 
+@given(
+    "a plain upstream with {slots:d} slots that sends its answers without a length, in two halves"
+)
+def halving_upstream(context, slots):
+    context.upstream = UnframedUpstream("c1:1", "c1", slots, work=0.05, pause=PAUSE_SECONDS)
+
+
 @given(
     "other processes that keep all its slots and its queue taken for {seconds:g} seconds"
     " after a call"
@@ -111,3 +130,46 @@
 @then("at most {most:d} health queries were sent")
 def few_queries(context, most):
     assert context.upstream.health_queries <= most, context.upstream.health_queries
+
+
+@when(
+    "it restarts between the halves of an answer to {route} while this process is paused,"
+    " with{out}a health path, beside {beside}"
+)
+def restart_between_halves(context, route, out, beside):
+    upstream = context.upstream
+    context.got = {}
+
+    async def call(world, name, delay=0.0):
+        await trio.sleep(delay)
+        context.got[name] = await world.ask(route, name)
+
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        if beside in ("a silent connection", "a kept connection"):
+            upstream.sends_length, upstream.pause = True, 0.0
+            await call(world, "earlier")
+            upstream.sends_length, upstream.pause = False, PAUSE_SECONDS
+        if beside == "a silent connection":
+            upstream.silence()
+            await trio.sleep(SETTLE_SECONDS)
+        async with watched_load(world), trio.open_nursery() as calling:
+            for number in range(3 if beside == "other calls" else 1):
+                calling.start_soon(call, world, f"r{number}", 0.02 * number)
+            await trio.sleep(0.3)
+            if beside == "a call after it":
+                calling.start_soon(call, world, "after")
+            upstream.restart("c1-next")
+            # Nothing runs during the jump, as in a process that is paused.
+            world.clock.jump(PAUSE_SECONDS)
+
+    world = new_world(upstream, out.strip() != "out")
+    world.play(story)
+
+
+@then("no caller got half an answer as whole")
+def no_half(context):
+    assert context.got
+    for name, got in context.got.items():
+        is_whole = got.status == 200 and got.whole
+        assert not is_whole or got.body == body_of(name), (name, len(got.body))
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -130,12 +130,17 @@
   # the next start accepts connections at the same address.
   Scenario: Which reply at its health path shows that a plain upstream is still there
     Then the end of a plain upstream's answer counts as the end of the body after these replies
-      | health path | connection | counts |
-      | alive       | unused     | yes    |
-      | dead        | unused     | no     |
-      | silent      | unused     | no     |
-      | unasked     | alive      | yes    |
-      | unasked     | dead       | no     |
+      | health path | connection | paused | counts |
+      | alive       | unused     | no     | yes    |
+      | alive       | unused     | yes    | yes    |
+      | dead        | unused     | no     | no     |
+      | silent      | unused     | no     | no     |
+      | unasked     | alive      | no     | yes    |
+      | unasked     | dead       | no     | no     |
+      | unasked     | unused     | yes    | no     |
+      | none        | alive      | no     | yes    |
+      | none        | dead       | no     | no     |
+      | none        | unused     | yes    | no     |
 
   Scenario Outline: The reply at a health path tells the incarnation: <what>
     Then the reply <reply> at the health path of upstream "a" shows that it is <result>
--- a/features/unframed_ends.feature
+++ b/features/unframed_ends.feature
@@ -24,7 +24,25 @@
     When 1 caller calls it once
     Then each call that ran there is served
 
-  # Guards against evidence from a connection that leads to another process, or went silent.
+  # Guards against half an answer that counts as whole because the next process of the upstream, at
+  # the same address, was there when this process went on after a pause.
+  Scenario Outline: Half an answer is not delivered as whole after a restart: <what>
+    Given a plain upstream with 4 slots that sends its answers without a length, in two halves
+    When it restarts between the halves of an answer to <route> while this process is paused, <health>, beside <beside>
+    Then no caller got half an answer as whole
+
+    Examples:
+      | what                              | route | health                | beside               |
+      | asked by its health path          | once  | with a health path    | no other calls       |
+      | asked by its health path          | again | with a health path    | no other calls       |
+      | nothing may be asked              | once  | without a health path | no other calls       |
+      | nothing may be asked              | again | without a health path | no other calls       |
+      | other calls under way             | once  | with a health path    | other calls          |
+      | other calls under way, none asked | once  | without a health path | other calls          |
+      | a call that follows the pause     | once  | without a health path | a call after it      |
+      | a connection that is silent       | once  | with a health path    | a silent connection  |
+      | a connection kept from before     | once  | without a health path | a kept connection    |
+
   Scenario Outline: What another connection to the same address shows about the end of an answer
     Then another connection that <what> shows that the process goes on: <shows>
 
--- a/features/unframed_upstream.py
+++ b/features/unframed_upstream.py
@@ -118,6 +118,9 @@
             nursery.start_soon(self._cancel_at_end, nursery.cancel_scope)
             part = await anext(self._parts, b"")
             nursery.cancel_scope.cancel()
+        # It may have ended at the moment at which it would have gone on.
+        if self._process.has_ended:
+            part = b""
         if not part:
             self._is_done = True
         return part
