Completions: believe no accepted connection after a pause

Cause: the end of such a reply counts as its end if the address accepts a connection.

Change: a process that calls plain services monitors its event loop; a close that is read within 0.1 s of a pause counts as a lost reply.

cut_writes_elsewhere.feature, "has restarted during a pause": red before ('whole'), green now.

--- a/deckcourse/http_ports.py
+++ b/deckcourse/http_ports.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable
 
 import httpcore
+import trio
 
 from deckcourse.engine_http import HttpEngine
 from deckcourse.http_client import fresh_pool, kept_pool
 from deckcourse.instance_list import ListedInstance
 from deckcourse.instance_list_http import HttpInstanceList
+from deckcourse.loop_monitor import LoopMonitor
 from deckcourse.node import Ports
 from deckcourse.object_store_http import HttpObjectStore
 from deckcourse.peer_link import PynngLink
@@ -35,7 +37,14 @@
 def _service_port(
     kept: httpcore.AsyncConnectionPool, fresh: httpcore.AsyncConnectionPool
 ) -> Callable[[ListedInstance, bool], HttpPlainService]:
+    monitor: LoopMonitor | None = None
+
     def service(upstream: ListedInstance, on_fresh: bool) -> HttpPlainService:
-        return HttpPlainService(fresh if on_fresh else kept, upstream.name, upstream.address)
+        nonlocal monitor
+        if monitor is None:
+            monitor = LoopMonitor(trio.current_time)
+            trio.lowlevel.add_instrument(monitor)
+        pool = fresh if on_fresh else kept
+        return HttpPlainService(pool, upstream.name, upstream.address, lambda: monitor.paused_at)
 
     return service
--- a/deckcourse/plain_service_http.py
+++ b/deckcourse/plain_service_http.py
@@ -1,5 +1,7 @@
 """Plain services over HTTP: all that the router knows of their wire form."""
 
+from collections.abc import Callable
+
 import httpcore
 import trio
 
@@ -15,13 +17,30 @@
 PROBE_SECONDS = 0.3
 # A proxy that accepts connections for an upstream that has ended closes them within this time.
 PROXY_CLOSE_SECONDS = 0.01
+# A close that is read so soon after a pause of this process may have arrived at its beginning.
+# Another process may have taken the address since then.
+PAUSE_WINDOW_SECONDS = 0.1
 
 
 class HttpPlainService:
-    """A plain service's upstream at `address` (IP:port)."""
+    """A plain service's upstream at `address` (IP:port).
+
+    Args:
+      pool: opens connections.
+      instance: the upstream's name.
+      address: its address.
+      paused_at: returns when the latest pause of this process ended, on trio's clock.
+    """
 
-    def __init__(self, pool: httpcore.AsyncConnectionPool, instance: str, address: str) -> None:
+    def __init__(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        instance: str,
+        address: str,
+        paused_at: Callable[[], float] = lambda: float("-inf"),
+    ) -> None:
         self._pool = pool
+        self._paused_at = paused_at
         self._instance = instance
         self._address = address
         self._base = f"http://{address}"
@@ -39,12 +58,16 @@
             return Unreachable(self._instance, reply.message)
         if not isinstance(reply, HttpReply):
             return Lost(self._instance, reply.message)
-        if not reply.is_framed and not await self._accepts_connections():
+        if not reply.is_framed and (self._was_paused() or not await self._accepts_connections()):
             # The connections of a process that exits are closed in good order.
             return Lost(self._instance, "the reply ended with its upstream")
         kind = reply.header(b"content-type").decode("latin-1") or "application/octet-stream"
         return ServiceReply(reply.status, reply.body, kind)
 
+    def _was_paused(self) -> bool:
+        """Return whether this process was paused when the close of a connection arrived."""
+        return self._paused_at() >= trio.current_time() - PAUSE_WINDOW_SECONDS
+
     async def _accepts_connections(self) -> bool:
         """Return whether the upstream accepts connections; it would run any query as a call."""
         host, _, port = self._address.rpartition(":")
--- a/features/cut_writes_elsewhere.feature
+++ b/features/cut_writes_elsewhere.feature
@@ -27,12 +27,14 @@
 
   Scenario: The end of a plain service's upstream is not the end of its answer
     When a plain service's upstream answers, closes the connection, and
-      | what                      | framing | reply |
-      | continues                 | none    | whole |
-      | continues                 | length  | whole |
-      | has exited                | none    | lost  |
-      | has exited                | length  | whole |
-      | has exited behind a proxy | none    | lost  |
+      | what                         | framing | reply |
+      | continues                    | none    | whole |
+      | continues                    | length  | whole |
+      | has exited                   | none    | lost  |
+      | has exited                   | length  | whole |
+      | has exited behind a proxy    | none    | lost  |
+      | has restarted during a pause | none    | lost  |
+      | has restarted during a pause | length  | whole |
     Then each reply is what the table says
 
   Scenario: Bytes behind an answer are no answer to the next call
--- a/features/steps/cut_write_steps.py
+++ b/features/steps/cut_write_steps.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 import tempfile
+import time
 from contextlib import suppress
 from types import SimpleNamespace
 
@@ -35,12 +36,15 @@
 from deckcourse.decision_log import DecisionLog
 from deckcourse.entry_app import EntryApp
 from deckcourse.http_client import HttpReply, fresh_pool, http_call, kept_pool
+from deckcourse.loop_monitor import LoopMonitor
 from deckcourse.plain_service import ServiceCall, ServiceReply
 from deckcourse.plain_service_http import HttpPlainService
 
 # Far more than any of these exchanges takes, seconds.
 LONGEST_SECONDS = 5.0
 IDLE_SECONDS = 0.2
+# Longer than any turn of the event loop without a pause.
+PAUSE_SECONDS = 0.3
 # Closing then resets the connection.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 TOKENS = {"the 1st token": 1, "the 2nd token": 2}
@@ -241,12 +245,19 @@
             listener.socket.close()
         await stream.send_all(f"HTTP/1.1 200 OK\r\n{length}\r\nhalf".encode())
         await stream.aclose()
+        if what == "has restarted during a pause":
+            # The next process listens at the same port; this one reads nothing meanwhile.
+            time.sleep(PAUSE_SECONDS)
 
     async with trio.open_nursery() as nursery:
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listener.socket.getsockname()[1]
         nursery.start_soon(accept_until_closed, listener, answer_once)
-        service = HttpPlainService(fresh_pool(), "p", f"127.0.0.1:{port}")
+        monitor = LoopMonitor(trio.current_time)
+        trio.lowlevel.add_instrument(monitor)
+        service = HttpPlainService(
+            fresh_pool(), "p", f"127.0.0.1:{port}", lambda: monitor.paused_at
+        )
         with trio.fail_after(LONGEST_SECONDS):
             reply = await service.call(ServiceCall("r1", "POST", "/", b"{}", ""))
         nursery.cancel_scope.cancel()
