Take later bytes of a sibling connection for a sign of a running upstream

Cause: if a sibling closes while another one is watched, the watch lasts 0.25 s, and at a busy upstream all siblings that there were end their own answers within it. That each of them had answered meanwhile was not counted.

Change: bytes that come on a sibling 0.03 s after the end, or later, show that the process goes on; what an upstream that exits has sent arrives with its closes.

Two rows of "What another connection to the same address shows" are new.

--- a/deckcourse/gateway/sibling_connections.py
+++ b/deckcourse/gateway/sibling_connections.py
@@ -21,8 +21,9 @@
 
 __all__ = ["SiblingConnections"]
 
-# How long a sibling must stay open after the end of an answer: the closes of a process that exits
-# arrive together, on a loaded machine a little apart.
+# How long a sibling must stay open after the end of an answer; bytes on it that come after that
+# time show as much. What a process that exits has sent, and its closes, arrive together, on a
+# loaded machine a little apart.
 SETTLE_SECONDS = 0.03
 CHECK_INTERVAL_SECONDS = 0.01
 # The same if another sibling closes meanwhile, or this process was paused: a lost packet with a
@@ -123,16 +124,17 @@
             if each.is_open and each.heard_at >= heard_from
         ]
         settled_at = closed_at + SETTLE_SECONDS
-        while siblings:
+        while any(each.is_open for each in siblings):
             checked_at = trio.current_time()
             if checked_at >= settled_at:
                 return True
+            open_count = sum(each.is_open for each in siblings)
             await trio.sleep(CHECK_INTERVAL_SECONDS)
-            still_open = [each for each in siblings if each.is_open]
+            if any(each.heard_at >= closed_at + SETTLE_SECONDS for each in siblings):
+                return True  # The process has sent bytes since then.
             was_paused = (
                 trio.current_time() > checked_at + CHECK_INTERVAL_SECONDS + MIN_PAUSE_SECONDS
             )
-            if len(still_open) < len(siblings) or was_paused:
+            if sum(each.is_open for each in siblings) < open_count or was_paused:
                 settled_at = closed_at + MAX_SETTLE_SECONDS
-            siblings = still_open
         return False
--- a/features/steps/sibling_connection_steps.py
+++ b/features/steps/sibling_connection_steps.py
@@ -1,5 +1,6 @@
 """Steps for what other connections to an address show about the process there."""
 
+from contextlib import suppress
 from functools import partial
 
 import trio
@@ -8,17 +9,25 @@
 
 from deckcourse.gateway.sibling_connections import SiblingConnections
 from deckcourse.http1.client import ConnectionPool
+from deckcourse.http1.message import ConnectionLostError
+
+ANSWER = b"HTTP/1.1 200 OK\r\n\r\nanswer"
 
 
 class Endpoint:
-    """A transport whose other end closes at a time."""
+    """A transport whose other end closes at a time, and may answer right before."""
 
-    def __init__(self, closes_at=float("inf")):
+    def __init__(self, closes_at=float("inf"), answers=False):
         self.closes_at = closes_at
+        self.answers = answers
+
+    async def send_all(self, data):
+        await trio.lowlevel.checkpoint()
 
     async def receive_some(self, max_bytes):
         await trio.sleep_until(self.closes_at)
-        return b""
+        data, self.answers = (ANSWER if self.answers else b""), False
+        return data
 
     def is_open(self):
         return trio.current_time() < self.closes_at
@@ -36,13 +45,13 @@
     closes = []
 
     async def dial(address):
-        return Endpoint(closes.pop(0))
+        return Endpoint(*closes.pop(0))
 
     pool = ConnectionPool(lambda what: None, dial)
     siblings = SiblingConnections(pool, lambda what: None)
 
-    async def open_one(at=float("inf")):
-        closes.append(at)
+    async def open_one(at=float("inf"), answers=False):
+        closes.append((at, answers))
         return await pool.open("a:1")
 
     other = second = None
@@ -63,19 +72,38 @@
         other, second = await open_one(), await open_one(closes_at + 0.005)
     elif what == "closes 0.2 s after another one":
         other, second = await open_one(closes_at + 0.2), await open_one(closes_at + 0.005)
+    elif what == "answers 0.1 s after another one closes":
+        other, second = await open_one(closes_at + 0.1, True), await open_one(closes_at + 0.005)
+    elif what == "has answered just before":
+        other, second = await open_one(closes_at, True), await open_one(closes_at + 0.005)
     elif what == "this process has closed":
         other = await open_one()
     requested_at = trio.current_time()
     siblings.note_unframed_answer(answered)
-    await trio.sleep_until(closes_at)
+    async with trio.open_nursery() as nursery:
+        if "answer" in what:
+            nursery.start_soon(call, other)
+        await trio.sleep_until(closes_at)
+        result = await end_of(what, pool, siblings, open_one, answered, other, requested_at)
+        nursery.cancel_scope.cancel()
+    del second
+    return result
+
+
+async def call(connection):
+    """Make a call whose answer may be cut."""
+    with suppress(ConnectionLostError):
+        await connection.call(b"GET", b"/", ((b"host", b"h"),), b"")
+
+
+async def end_of(what, pool, siblings, open_one, answered, other, requested_at):
+    """Return what the other connection shows at the end of the answered one."""
     if what == "was opened after its close":
         other = await open_one()
         siblings.note_request(other)
     if what == "this process has closed":
         other.abort()
-    result = await siblings.outlive(answered, requested_at)
-    del other, second
-    return result
+    return await siblings.outlive(answered, requested_at)
 
 
 @then("another connection that {what} shows that the process goes on: {shows}")
--- a/features/unframed_ends.feature
+++ b/features/unframed_ends.feature
@@ -55,5 +55,7 @@
       | was closed before it was opened         | no    |
       | is one of two, and the other one closes | yes   |
       | closes 0.2 s after another one          | no    |
+      | answers 0.1 s after another one closes  | yes   |
+      | has answered just before                | no    |
       | was quiet for long before the request   | no    |
       | this process has closed                 | no    |
