Soak: answers without a length of full runners that restart, and connections that go silent

Judged: no half as a whole; what ran undisturbed is served; health queries at full runners are no more than each entry's first one after a start. silence: the read of the list, all connections of an entry to the store, or all to the store and to the runners go silent for good, and a runner leaves without a word, with a revocation time of 12 s. Judged by requests that reach it later than the drain time after its row went and the contact time after the silence.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -50,6 +50,19 @@
     Then it reports no violation
     And it checked calls in waves
 
+  # Guards against whole answers of full runners that are not delivered, health queries that take
+  # their slots, and halves that are delivered as whole after a restart during a pause.
+  Scenario: Callers of full runners get whole answers without a length, and no half as a whole
+    When the soak runs seed 1 for 6 seconds with answers without a length as the only faults
+    Then it reports no violation
+    And it checked plain calls that ran undisturbed
+
+  # Guards against requests to a runner that has left, while connections to the store are silent.
+  Scenario: Runners that leave while connections are silent get no requests after the contact time
+    When the soak runs seed 1 for 10 seconds with connections that go silent as the only faults
+    Then it reports no violation
+    And it checked leaves beside silent connections
+
   # Guards against treating a malformed answer as one that was cut by its connection, and against
   # checking nothing after a connection is closed: a chunk without a head passed unnoticed.
   Scenario: A caller of the soak rejects every answer that a strict client rejects
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -49,6 +49,32 @@
     run_soak(context, seed, seconds, "--only", "shortage")
 
 
+@when(
+    "the soak runs seed {seed:d} for {seconds:d} seconds with answers without a length"
+    " as the only faults"
+)
+def run_soak_with_answer_ends(context, seed, seconds):
+    run_soak(context, seed, seconds, "--only", "answer-ends")
+
+
+@then("it checked plain calls that ran undisturbed")
+def check_plain_calls_judged(context):
+    assert re.search(r"\b[1-9]\d* plain calls that ran", context.soak.stdout), context.soak.stdout
+
+
+@when(
+    "the soak runs seed {seed:d} for {seconds:d} seconds with connections that go silent"
+    " as the only faults"
+)
+def run_soak_with_silence(context, seed, seconds):
+    run_soak(context, seed, seconds, "--only", "silence")
+
+
+@then("it checked leaves beside silent connections")
+def check_leaves_judged(context):
+    assert re.search(r"\b[1-9]\d* leaves beside", context.soak.stdout), context.soak.stdout
+
+
 @then("it checked refusals for load")
 def check_load_refusals_judged(context):
     match = re.search(r"(\d+) refusals for load", context.soak.stdout)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
 import trio
 
 from soak.admission_judge import AdmissionJudge
+from soak.answer_end_faults import PLAIN_SLOTS, AnswerEndFaults
 from soak.budget_judge import BudgetJudge
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
 from soak.calls import Call
@@ -29,6 +30,7 @@
 from soak.rate_judge import RateJudge
 from soak.refusal_faults import RefusalFaults
 from soak.shortage_faults import ShortageFaults
+from soak.silence_faults import SilenceFaults
 from soak.site import (
     ENTRY_COUNT,
     REVOCATION_SECONDS,
@@ -64,13 +66,19 @@
 # In the second kind, some callers keep their connections.
 WAVE_KIND = "wave"
 KEPT_WAVE_KIND = "kept-wave"
+# Plain answers without a length at runners that are full and restart.
+ANSWER_END_KIND = "answer-ends"
+# Open connections that go silent for good, and runners that leave without a word.
+SILENCE_KIND = "silence"
 # Partitions last longer than other faults, so that they are judged apart from most of these.
 PARTITION_KIND = "partitions"
 SEPARATE_KINDS = {
     PART_KIND,
     NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND, WAVE_KIND,
-    KEPT_WAVE_KIND,
+    KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND,
 }  # fmt: skip
+# The revocation time of sites whose connections go silent.
+LONG_REVOCATION_SECONDS = 12.0
 # The number of violations that are printed for a seed.
 MAX_PRINTED_VIOLATIONS = 10
 
@@ -104,7 +112,8 @@
     random = Random(seed)
     callers = Callers([], random, keys=["key-0", "key-1"])
     async with trio.open_nursery() as nursery:
-        site.store.put_json("op", "config", desired_state(1, list(callers.keys)))
+        state = desired_state(1, list(callers.keys), bool(site.plain_slots))
+        site.store.put_json("op", "config", state)
         await site.start(nursery)
         callers.entries = [each.caller_proxy.address for each in site.entries]
         nursery.start_soon(_watch_entries, site, callers)
@@ -137,6 +146,10 @@
         partition_faults = PartitionFaults(
             site, Random(f"partitions of {seed}"), log_fault, interruptions
         )
+        answer_end_faults = AnswerEndFaults(
+            site, callers, Random(f"answer ends of {seed}"), log_fault, interruptions
+        )
+        silence_faults = SilenceFaults(site, Random(f"silence of {seed}"), log_fault, interruptions)
         wave_faults = WaveFaults(
             site, callers, Random(f"waves of {seed}"), log_fault, KEPT_WAVE_KIND in only
         )
@@ -158,6 +171,10 @@
                     fault_nursery.start_soon(part_faults.run, began_at + seconds)
                 if PARTITION_KIND in only:
                     fault_nursery.start_soon(partition_faults.run, began_at + seconds)
+                if ANSWER_END_KIND in only:
+                    fault_nursery.start_soon(answer_end_faults.run, began_at + seconds)
+                if SILENCE_KIND in only:
+                    fault_nursery.start_soon(silence_faults.run, began_at + seconds)
                 if WAVE_KIND in only or KEPT_WAVE_KIND in only:
                     fault_nursery.start_soon(wave_faults.run, began_at + seconds)
                 if not only or CRASH_KIND in only:
@@ -185,6 +202,8 @@
     violations += AdmissionJudge(site, callers.calls).find_violations()
     violations += partition_faults.find_violations(callers.calls)
     violations += wave_faults.find_violations()
+    violations += answer_end_faults.find_violations(callers.calls)
+    violations += silence_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, callers.calls).find_violations()
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
 
@@ -196,7 +215,8 @@
     for call in callers.calls:
         violations += _check_answer(call)
         violations += _check_executions(call, runs[call.request_id])
-        violations += _check_key(call, runs[call.request_id], faults.revoked.get(call.key))
+        revoked_at = faults.revoked.get(call.key)
+        violations += _check_key(call, runs[call.request_id], revoked_at, site.revocation_seconds)
         violations += _check_duration(call)
     with_valid_key = [each for each in callers.calls if each.key not in faults.revoked]
     checked = [
@@ -226,9 +246,11 @@
     return violations
 
 
-def _check_key(call: Call, runs: int, revoked_at: float | None) -> list[str]:
+def _check_key(
+    call: Call, runs: int, revoked_at: float | None, revocation_seconds: float
+) -> list[str]:
     """Return a violation if a call was executed too long after its key was revoked."""
-    grace_seconds = REVOCATION_SECONDS + IN_FLIGHT_GRACE_SECONDS
+    grace_seconds = revocation_seconds + IN_FLIGHT_GRACE_SECONDS
     if revoked_at is None or not runs or call.sent_at <= revoked_at + grace_seconds:
         return []
     return [
@@ -256,7 +278,11 @@
     """
     fault_log: list[str] = []
     with tempfile.TemporaryDirectory() as folder:
-        site = Site(Path(folder), entry_count)
+        plain_slots = PLAIN_SLOTS if ANSWER_END_KIND in only else 0
+        # No bound but the contact time may then end a read on a silent connection.
+        is_long = SILENCE_KIND in only
+        revocation_seconds = LONG_REVOCATION_SECONDS if is_long else REVOCATION_SECONDS
+        site = Site(Path(folder), entry_count, plain_slots, revocation_seconds)
         try:
             violations = trio.run(_run_site, site, seed, seconds, only, fault_log)
         finally:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,7 +45,8 @@
     """Callers of several entries; an entry that isn't ready gets no new connection.
 
     `entries` are addresses, `ready_entries` the addresses of those that last reported ready; each
-    request uses one of `keys`. `violations` are violated guarantees that no single call shows.
+    request uses one of `keys`. `violations` are violated guarantees that no single call shows. The
+    requests are for `routes`, and their ids begin with `name_prefix`.
     """
 
     entries: list[str]
@@ -54,6 +55,8 @@
     keys: list[str] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    routes: tuple[str, ...] = DRAWN_ROUTES
+    name_prefix: str = "c"
     _is_stopped: bool = False
 
     async def run(self, count: int) -> None:
@@ -88,10 +91,10 @@
             self._close_connection(connections, each)
 
     def _new_call(self, number: int, request_count: int) -> Call:
-        route = self.random.choice(DRAWN_ROUTES)
+        route = self.random.choice(self.routes)
         is_slow = number % CALLERS_PER_SLOW_CALLER == 0 and route in STREAM_ROUTES
         return Call(
-            f"c{number}r{request_count}",
+            f"{self.name_prefix}{number}r{request_count}",
             route,
             self.random.choice(self.keys),
             trio.current_time(),
--- a/soak/odd_answers.py
+++ b/soak/odd_answers.py
@@ -2,7 +2,9 @@
 
 Each line is JSON: `{"still": SECONDS}` holds all output of the process back and then sends it at
 once; `{"aimed": SECONDS}` does so until the second of two control queries in a row has timed out;
-`{"odd": KIND, "seconds": SECONDS}` makes a share of the answers faulty for that time.
+`{"odd": KIND, "seconds": SECONDS}` makes a share of the answers faulty for that time;
+`{"halves": SECONDS}` makes it send plain answers without a length from now on, mostly in two halves
+up to so far apart; `{"unlisted": true}` makes it remove its row and serve on.
 """
 
 import json
@@ -20,6 +22,8 @@
 
 # The share of answers that are faulty while a fault is active.
 FAULTY_SHARE = 0.6
+# The share of answers without a length that come in one piece.
+WHOLE_SHARE = 0.4
 # The longest delay of a late surplus.
 MAX_SURPLUS_DELAY_SECONDS = 0.03
 # Surplus bytes that resemble nothing, an event, a chunk and an answer.
@@ -85,6 +89,8 @@
     shown: int = 0
     shown_until: float = 0.0
     timed_out_at: list[float] = field(default_factory=list)
+    max_half_pause: float | None = None
+    is_listed: bool = True
 
     async def read_orders(self, orders: trio.abc.ReceiveStream) -> None:
         """Read orders, one JSON line each, and apply them until the stream ends."""
@@ -99,6 +105,10 @@
             return
         if "still" in order:
             self.gate.close(order["still"])
+        elif "halves" in order:
+            self.max_half_pause = order["halves"]
+        elif "unlisted" in order:
+            self.is_listed = False
         elif "shown" in order:
             self.shown = order["shown"]
             self.shown_until = trio.current_time() + order["seconds"]
@@ -110,6 +120,13 @@
             self.fault = AnswerFault(order["odd"])
             self.fault_until = trio.current_time() + order["seconds"]
 
+    def draw_half_pause(self) -> float | None:
+        """Draw the time between the halves of an answer without a length, None for a length."""
+        if self.max_half_pause is None:
+            return None
+        is_whole = self.random.random() < WHOLE_SHARE
+        return 0.0 if is_whole else self.random.uniform(0.0, self.max_half_pause)
+
     def count_shown(self) -> int:
         """Return how many streams reports show in addition to those that run."""
         return self.shown if trio.current_time() < self.shown_until else 0
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -60,6 +60,10 @@
     _connections: set[tuple[trio.SocketStream, trio.SocketStream]] = field(default_factory=set)
     # The connections whose bytes the partition holds back.
     _silenced: set[trio.SocketStream] = field(default_factory=set)
+    # The connections that forward nothing any more, not even a close.
+    _silent_for_good: set[trio.SocketStream] = field(default_factory=set)
+    # The latest request line on each accepted connection.
+    _requests: dict[trio.SocketStream, bytes] = field(default_factory=dict)
 
     @property
     def address(self) -> str:
@@ -91,6 +95,17 @@
         self.mode_changed.set()
         self.mode_changed = trio.Event()
 
+    def silence_open(self, includes: Callable[[bytes], bool]) -> int:
+        """Silence open connections for good, while new ones work; return how many.
+
+        Args:
+          includes: returns whether to silence a connection, by the latest request line on it.
+        """
+        found = [each for each in self._connections if includes(self._requests.get(each[0], b""))]
+        for pair in found:
+            self._silent_for_good |= set(pair)
+        return len(found)
+
     def reset(self) -> None:
         """Reset all open connections."""
         for pair in list(self._connections):
@@ -143,6 +158,8 @@
         finally:
             self._connections.discard(pair)
             self._silenced -= set(pair)
+            self._silent_for_good -= set(pair)
+            self._requests.pop(accepted, None)
             for stream in pair:
                 reset(stream)
 
@@ -151,6 +168,8 @@
     ) -> None:
         max_bytes = SMALL_BUFFER_BYTES if self.small_buffers else MAX_READ_BYTES
         while data := await source.receive_some(max_bytes):
+            if is_inbound and b" HTTP/1.1\r\n" in data:
+                self._requests[source] = data.partition(b"\r\n")[0]
             await self._wait_while_blocked(is_inbound, source)
             await destination.send_all(data)
         await self._wait_while_blocked(is_inbound, source)
@@ -162,6 +181,7 @@
             self.mode is Mode.SILENT
             or (self.mode is Mode.ONE_WAY and not is_inbound)
             or source in self._silenced
+            or source in self._silent_for_good
         ):
             await self.mode_changed.wait()
         if self.mode is Mode.DELAY:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -31,9 +31,12 @@
 from soak.notices import INCARNATION_HEADER, Notices, incarnation_name
 from soak.odd_answers import AnswerFault, AnswerFaults, raw_head
 from soak.path_check import STALL_TIMEOUT_SECONDS, PathCheck, RunningStream
+from soak.slots import Slots
 from soak.wire import JSON_HEADERS, parse_path, parse_target, serve_connections
 
-__all__ = ["RunnerSpec"]
+__all__ = ["HEALTH_PATH", "RunnerSpec"]
+
+HEALTH_PATH = "/health"
 
 # The row's time to live, ROW_TTL_SECONDS in site.py, is three times as long.
 ROW_WRITE_INTERVAL_SECONDS = 0.4
@@ -53,6 +56,7 @@
 # Marks the requests that runners send to each other.
 PROBE_HEADER = b"x-soak-probe"
 WRITE_TIMEOUT_SECONDS = 1.0
+OK = 200
 
 
 @dataclass(frozen=True)
@@ -61,7 +65,8 @@
 
     `address` is where other processes reach it, `layers` the number of layers that it may hold and
     `load_seconds` the duration of an order. `born` is the start time in Unix milliseconds, which
-    distinguishes the incarnations of one instance.
+    distinguishes the incarnations of one instance. A runner with `slots` works on so many requests
+    at once, and queues as many more.
     """
 
     instance: str
@@ -73,6 +78,7 @@
     layers: int = 0
     born: int = 0
     load_seconds: float = LOAD_DURATION_SECONDS
+    slots: int = 0
 
     def to_json(self) -> str:
         """Return the spec as the program's argument."""
@@ -95,11 +101,13 @@
         self._is_loading = False
         # The latest run by request id; a retry may arrive before the previous run has ended.
         self._streams: dict[str, RunningStream] = {}
+        self._is_removed = False
         self._lost: set[str] = set()
         self._notices = Notices(partial(write_record, instance=spec.instance, born=spec.born))
         self._answer_faults = AnswerFaults(
             Random(spec.instance), Gate(), lambda: write_record(aim=spec.instance), self._notices
         )
+        self._slots = Slots(spec.slots) if spec.slots else None
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -113,7 +121,10 @@
 
     async def _write_rows(self) -> None:
         while True:
-            await self._write_row()
+            if self._answer_faults.is_listed:
+                await self._write_row()
+            elif not self._is_removed:
+                await self._remove_row()
             await trio.sleep(ROW_WRITE_INTERVAL_SECONDS)
 
     async def _write_row(self) -> None:
@@ -124,14 +135,24 @@
             "state": self._notices.row_state, "kind": "card" if spec.layers else "", "layers": held,
             "models": [{"name": "m"}] if held else [], "born": spec.born,
         }  # fmt: skip
-        put = {
-            "table": "servers",
-            "part": "",
-            "tlsKey": spec.instance,
-            "value": b64encode(json.dumps(row).encode()).decode(),
-        }
-        body = json.dumps({"expectedRev": [], "put": [put], "remove": []}).encode()
-        await self._call(spec.store, b"POST", b"/v1/rows-tx", body, WRITE_TIMEOUT_SECONDS)
+        value = b64encode(json.dumps(row).encode()).decode()
+        await self._transact({"put": [{**self._row_key, "value": value}], "remove": []})
+
+    async def _remove_row(self) -> None:
+        """Leave without a word: the row goes, and the runner serves on."""
+        answer = await self._transact({"put": [], "remove": [self._row_key]})
+        if answer is not None and answer[0] == OK:
+            self._is_removed = True
+            write_record(unlisted=self._spec.instance)
+
+    @property
+    def _row_key(self) -> dict[str, str]:
+        return {"table": "servers", "part": "", "tlsKey": self._spec.instance}
+
+    async def _transact(self, entries: dict[str, list]) -> tuple[int, bytes] | None:
+        body = json.dumps({"expectedRev": [], **entries}).encode()
+        store = self._spec.store
+        return await self._call(store, b"POST", b"/v1/rows-tx", body, WRITE_TIMEOUT_SECONDS)
 
     async def _call(
         self, address: str, method: bytes, target: bytes, body: bytes, timeout_seconds: float
@@ -166,6 +187,8 @@
         elif path == "/v1/order":
             self._notices.record_control_message()
             await self._handle_order(json.loads(request.body), exchange)
+        elif path == HEALTH_PATH:
+            await self._handle_health(request, exchange)
         else:
             fault = self._answer_faults.draw_fault()
             connection.begin_answer()
@@ -173,6 +196,20 @@
             answer = connection.end_answer()
             self._nursery.start_soon(self._answer_faults.send_surplus, fault, connection, answer)
 
+    async def _handle_health(self, request: IncomingRequest, exchange: Exchange) -> None:
+        """Answer a health query, which waits for a slot or is refused like a request."""
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        id_header = (b"x-request-id", headers.get("x-request-id", "").encode())
+        is_full = self._slots is not None and self._slots.is_full
+        write_record(health=self._spec.instance, full=is_full)
+        if self._slots is not None and not await self._slots.acquire():
+            await exchange.respond(503, (id_header, (b"x-not-executed", b"1")), b"")
+            return
+        if self._slots is not None:
+            self._slots.release()
+        name = (b"x-instance-id", self._spec.instance.encode())
+        await exchange.respond(200, (id_header, name), b"")
+
     def _report(self) -> dict[str, object]:
         now = trio.current_time()
         stalled = [
@@ -246,7 +283,7 @@
             return
         path = parse_path(headers.get("path", ""))
         if not path:
-            await self._run_request(request, exchange, connection, fault, None)
+            await self._run_plain(request, exchange, connection, fault, id_headers)
             return
         stream = self._streams[request_id] = RunningStream(path)
         try:
@@ -261,6 +298,26 @@
             if self._streams.get(request_id) is stream:
                 del self._streams[request_id]
 
+    async def _run_plain(
+        self,
+        request: IncomingRequest,
+        exchange: Exchange,
+        connection: GatedConnection,
+        fault: AnswerFault | None,
+        id_headers: Headers,
+    ) -> None:
+        """Run a request in a slot, if their number is limited; refuse it if too many wait."""
+        if self._slots is None:
+            await self._run_request(request, exchange, connection, fault, None)
+            return
+        if not await self._slots.acquire():
+            await exchange.respond(503, (*id_headers, (b"x-not-executed", b"1")), b"")
+            return
+        try:
+            await self._run_request(request, exchange, connection, fault, None)
+        finally:
+            self._slots.release()
+
     async def _fetch_held_range(
         self, address: str, timeout_seconds: float
     ) -> tuple[int, int] | None:
@@ -300,6 +357,7 @@
             return
         incarnation = incarnation_name(self._spec.instance, self._spec.born)
         answer = _Answer(exchange, connection, fault, request_id, incarnation, self._notices)
+        answer.half_pause = self._answer_faults.draw_half_pause()
         if stream is None:
             await trio.sleep(CALL_DURATION_SECONDS)
             await answer.send_whole(f"answer to {request_id}".encode())
@@ -380,6 +438,8 @@
             (INCARNATION_HEADER, incarnation.encode()),
         )
         self._notices = notices
+        # The time between the halves of an answer without a length, None for one with a length.
+        self.half_pause: float | None = None
 
     @property
     def _headers(self) -> Headers:
@@ -391,7 +451,12 @@
 
     async def send_whole(self, body: bytes) -> None:
         """Send a complete answer that isn't a stream."""
-        if self._fault is AnswerFault.ENDLESS_RESET:
+        if self._fault is None and self.half_pause is not None:
+            half = len(body) // 2
+            await self._connection.send_all(raw_head(self._headers) + body[:half])
+            await trio.sleep(self.half_pause)
+            await self._connection.send_all(body[half:])
+        elif self._fault is AnswerFault.ENDLESS_RESET:
             await self._connection.send_all(raw_head(self._headers) + body[: len(body) // 2])
             self._connection.reset()
         elif self._fault is AnswerFault.ENDLESS:
--- a/soak/site.py
+++ b/soak/site.py
@@ -14,7 +14,7 @@
 import trio
 
 from soak.proxy import Proxy
-from soak.runner import RunnerSpec
+from soak.runner import HEALTH_PATH, RunnerSpec
 from soak.store import StandinStore
 from soak.wire import HOST, free_port, serve
 
@@ -82,8 +82,17 @@
 """
 
 
-def desired_state(version: int, keys: list[str]) -> dict[str, object]:
-    """Return a desired state with a route of each kind and one client account."""
+def desired_state(
+    version: int, keys: list[str], has_health_path: bool = False
+) -> dict[str, object]:
+    """Return a desired state with a route of each kind and one client account.
+
+    Args:
+      version: its version.
+      keys: the keys of the account.
+      has_health_path: whether plain runners tell their names at a health path.
+    """
+    crm = {"name": "crm", "healthPath": HEALTH_PATH} if has_health_path else {"name": "crm"}
     routes = [
         {"name": name, "host": "h.example", "pathPrefix": f"/{name}/", "kind": kind,
          "timeoutMs": 5000, "sloMs": 500, "priority": PRIORITIES.get(name, 1), "service": service,
@@ -103,7 +112,7 @@
     return {
         "version": version,
         "routes": routes,
-        "services": [{"name": "llm", "maxConns": 200, "engine": engine}, {"name": "crm"}],
+        "services": [{"name": "llm", "maxConns": 200, "engine": engine}, crm],
         "limits": {},
         "tenants": [{"name": "acme", "apiKeys": keys}],
     }
@@ -117,6 +126,8 @@
     proxy: Proxy
     start_count: int = 0
     process: subprocess.Popen | None = None
+    # The id of its current incarnation, which its row has.
+    process_name: str = ""
 
 
 @dataclass
@@ -139,13 +150,16 @@
 class Site:
     """All processes of one seed and what was observed of them.
 
-    `records` are the lines that the runners wrote, `violations` the violated guarantees found so
-    far, `judged` counts the cases that were checked, and `entry_started_at` holds the start times
-    of each entry.
+    `plain_slots` is how many requests a plain runner works on at once, 0 for any number; it queues
+    as many more. `records` are the lines that the runners wrote, `violations` the violated
+    guarantees found so far, `judged` counts the cases that were checked, and `entry_started_at`
+    holds the start times of each entry.
     """
 
     folder: Path
     entry_count: int = ENTRY_COUNT
+    plain_slots: int = 0
+    revocation_seconds: float = REVOCATION_SECONDS
     store: StandinStore = field(default_factory=StandinStore)
     store_port: int = field(default_factory=free_port)
     runners: list[RunnerProcess] = field(default_factory=list)
@@ -174,8 +188,9 @@
         proxy = Proxy(free_port(), free_port())
         await self._nursery.start(proxy.run)
         spec = RunnerSpec(
-            name, service, domain, proxy.target, proxy.address, f"{HOST}:{self.store_port}", layers
-        )
+            name, service, domain, proxy.target, proxy.address, f"{HOST}:{self.store_port}", layers,
+            slots=0 if layers else self.plain_slots,
+        )  # fmt: skip
         self.runners.append(RunnerProcess(spec, proxy))
         self.start_runner(self.runners[-1])
 
@@ -198,7 +213,7 @@
             peer=self.peer_ports[len(self.entries)],
             peers=",".join(f"{HOST}:{each}" for each in self.peer_ports[:2]),
             grace=STOP_GRACE_SECONDS,
-            revocation=REVOCATION_SECONDS,
+            revocation=self.revocation_seconds,
             retry_ratio=RETRY_RATIO,
             retry_slack=RETRY_SLACK,
             retry_window=RETRY_WINDOW_SECONDS,
@@ -210,12 +225,15 @@
         self.entries.append(entry)
         self.start_entry(entry)
 
-    def start_runner(self, runner: RunnerProcess) -> None:
+    def start_runner(self, runner: RunnerProcess, has_new_id: bool = False) -> None:
         """Start a new incarnation of a runner, with no layers held.
 
-        Every second incarnation keeps the id of the one before it.
+        Every second incarnation keeps the id of the one before it, unless it has to be a new one.
         """
+        if has_new_id:
+            runner.start_count += -runner.start_count % STARTS_PER_ID
         name = f"{runner.spec.instance}.{runner.start_count // STARTS_PER_ID}"
+        runner.process_name = name
         runner.start_count += 1
         spec = replace(runner.spec, instance=name, born=int(time() * 1000))
         command = [sys.executable, "-m", "soak.runner", spec.to_json()]
@@ -277,12 +295,10 @@
     async def _expire_rows(self) -> None:
         """Remove the rows of runners that no longer write them, as the platform's store does."""
         while True:
-            latest = {
-                key: version for version, table, key, _ in self.store.log if table == "servers"
-            }
+            before = self.store.writes.copy()
             await trio.sleep(ROW_TTL_SECONDS)
             for table, key in list(self.store.rows):
-                if table == "servers" and self.store.rows[table, key][0] == latest.get(key):
+                if table == "servers" and self.store.writes[table, key] == before[table, key]:
                     self.store.put(table, key, None)
 
     async def ready(self, entry: Entry) -> bool:
--- a/soak/store.py
+++ b/soak/store.py
@@ -2,6 +2,7 @@
 
 import json
 from base64 import b64encode
+from collections import Counter
 from dataclasses import dataclass, field
 
 import trio
@@ -14,16 +15,26 @@
 
 @dataclass
 class StandinStore:
-    """Rows by (table, key); `log` holds every change as (version, table, key, value)."""
+    """Rows by (table, key); `log` holds every change as (version, table, key, value).
+
+    With `keeps_unchanged` a write of a runner that changes nothing is no change, so that reads of
+    their table wait. `writes` counts all writes of each row.
+    """
 
     rows: dict[tuple[str, str], tuple[int, str]] = field(default_factory=dict)
     log: list[tuple[int, str, str, str | None]] = field(default_factory=list)
     version: int = 0
     refuses: bool = False
+    keeps_unchanged: bool = False
+    writes: Counter[tuple[str, str]] = field(default_factory=Counter)
     changed: trio.Event = field(default_factory=trio.Event)
 
     def put(self, table: str, key: str, value: str | None) -> None:
         """Write a row with an encoded value; None removes it."""
+        self.writes[table, key] += 1
+        is_unchanged = self.rows.get((table, key), (0, None))[1] == value
+        if self.keeps_unchanged and table == "servers" and is_unchanged:
+            return
         self.version += 1
         self.log.append((self.version, table, key, value))
         if value is None:
