Take the contact time from the environment

A platform that lacks it would lay an empty value, which a settings file may not have either.

Change: the deploy file fills DECKCOURSE_CONTACT_MS, which goes before `contact` in the file. Empty, it counts as not given; a wrong value is refused with the variable's name.

--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -27,12 +27,15 @@
     "RETRY_AFTER",
     "RUNNER_TABLE",
     "SEAL",
+    "CONTACT_VARIABLE",
     "SETTINGS_VARIABLE",
     "TOKENS",
 ]
 
 # The environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "DECKCOURSE_BOOT"
+# The one with the contact time in milliseconds; it goes before that of the file.
+CONTACT_VARIABLE = "DECKCOURSE_CONTACT_MS"
 
 # Header names, in lower case.
 REQUEST_ID = b"x-request-id"
--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -22,11 +22,12 @@
 from deckcourse.peers.member import Member
 from deckcourse.peers.peers import PeerPorts
 from deckcourse.platform.dialect import PlatformDialect
+from deckcourse.platform.environment import read_deployed_settings
 from deckcourse.platform.names import READY, SETTINGS_VARIABLE
 from deckcourse.platform.rows import PlatformRows
 from deckcourse.platform.runners import RunnerControl
 from deckcourse.platform.store import Store
-from deckcourse.settings import Settings, read_settings
+from deckcourse.settings import Settings
 
 __all__ = ["main"]
 
@@ -109,7 +110,7 @@
 
     def _reload(self) -> None:
         """Reload the settings; if the new ones are invalid, the old ones stay in effect."""
-        match read_settings(self._path):
+        match read_deployed_settings(self._path, os.environ):
             case Success(settings):
                 changed = settings != self._settings
                 self._settings = settings
@@ -124,7 +125,7 @@
     if not path:
         print(f"{SETTINGS_VARIABLE}: must be set to the path of a settings file", file=sys.stderr)
         raise SystemExit(SETTINGS_EXIT_CODE)
-    match read_settings(path):
+    match read_deployed_settings(path, os.environ):
         case Success(settings):
             log = DecisionLog(settings.node.name)
             if settings.log.enabled:
--- a/features/deploy.feature
+++ b/features/deploy.feature
@@ -12,6 +12,23 @@
       | a bad listener    | listen.front        | here:80   | [gateway] listen        |
       | a word for a time | bounds.graceS       | long      | [gateway] stop_grace    |
 
+  # Guards against a bound on how late a change may be known that doesn't come from the platform.
+  Scenario Outline: The contact time comes from the environment: <what>
+    Then with <value> as the contact time in the environment, the settings <result>
+
+    Examples:
+      | what              | value  | result                          |
+      | whole number      | 2500   | have a contact time of 2.5      |
+      | fraction          | 2500.0 | have a contact time of 2.5      |
+      | not told          |        | have a contact time of 3.0      |
+      | a word            | soon   | are refused naming the variable |
+      | nothing           | 0      | are refused naming the variable |
+      | negative          | -5     | are refused naming the variable |
+      | no number         | nan    | are refused naming the variable |
+
+  Scenario: The deploy file gives the variable of the contact time
+    Then the deploy file fills the variable of the contact time from the platform's bounds
+
   Scenario: The program reports invalid settings and exits
     Then without settings, with a missing file and with an invalid one the program exits with 78
 
--- a/features/steps/deploy_steps.py
+++ b/features/steps/deploy_steps.py
@@ -12,6 +12,8 @@
 from day_files import day_problems
 from returns.result import Failure, Success
 
+from deckcourse.platform.environment import read_deployed_settings
+from deckcourse.platform.names import CONTACT_VARIABLE
 from deckcourse.settings import read_settings
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -27,7 +29,6 @@
     "seeds": "127.0.0.1:8082,127.0.0.2:8082",
     "bounds.graceS": "8",
     "bounds.revokeMs": "5000",
-    "bounds.contactMs": "2500",
     "bounds.retryBudgetRatio": "0.25",
     "bounds.budgetSlack": "196",
     "bounds.budgetWindowS": "12",
@@ -60,7 +61,6 @@
         case Success(settings):
             assert settings.node.name == "front-1" and settings.node.domain == "hall-a"
             assert settings.gateway.stop_grace == 8.0 and settings.gateway.revocation == 5.0
-            assert settings.gateway.contact == 2.5
             retries = settings.gateway.retry_ratio, settings.gateway.retry_slack
             assert (*retries, settings.gateway.retry_window) == (0.25, 196.0, 12.0)
             assert settings.gateway.metrics_listen == "127.0.0.1:9464"
@@ -78,6 +78,27 @@
             raise AssertionError(other)
 
 
+@then("with {value} as the contact time in the environment, the settings {result}")
+@then("with  as the contact time in the environment, the settings {result}")
+def contact_from_environment(context, result, value=""):
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+        file.write(filled())
+        file.flush()
+        read_result = read_deployed_settings(file.name, {CONTACT_VARIABLE: value})
+    match read_result:
+        case Success(settings):
+            assert result == f"have a contact time of {settings.gateway.contact}", settings
+        case Failure((problem,)):
+            assert result == "are refused naming the variable", problem
+            assert str(problem).startswith(CONTACT_VARIABLE) and value in str(problem), problem
+
+
+@then("the deploy file fills the variable of the contact time from the platform's bounds")
+def deploy_file_fills_contact(context):
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+    assert deploy["roles"]["gateway"]["env"] == {CONTACT_VARIABLE: "{{bounds.contactMs}}"}
+
+
 @then("without settings, with a missing file and with an invalid one the program exits with 78")
 def program_refuses(context):
     with tempfile.NamedTemporaryFile("w", suffix=".ini") as wrong:
