Believe no sibling connection that has been quiet for two seconds

Found by reading: a connection opened at the beginning of a long stream counted as evidence however long it had been quiet, so that one which had gone silent since could show that a crashed upstream goes on. And a refused connection, behind a report that failed, didn't go before it.

Change: only siblings that were heard from in the last 2 s count. Where the report of a stream's upstream failed, a sibling counts only if the machine doesn't refuse connections.

"Which replies are believed beside another connection to the upstream" is new, and "was quiet for long" of the siblings' scenarios has its connection opened 3 s before the end.

--- a/deckcourse/gateway/end_check.py
+++ b/deckcourse/gateway/end_check.py
@@ -35,7 +35,6 @@
     Attributes:
       request_id: the request, for the log.
       instance: the upstream.
-      requested_at: when the request was sent, on trio's clock.
       accepts_queries: whether the upstream accepts queries; a plain one would execute them.
       health_path: where a plain upstream tells its incarnation, empty if it does so nowhere.
       query_deadline: until when a query there may wait for its reply, on trio's clock.
@@ -43,7 +42,6 @@
 
     request_id: str
     instance: str
-    requested_at: float
     accepts_queries: bool
     health_path: str = ""
     query_deadline: float = 0.0
@@ -137,7 +135,7 @@
     ) -> tuple[ProbeResult, str]:
         """Return ALIVE only if the same incarnation replies, and what showed the result.
 
-        At its limit of connections, an upstream resets those of a query.
+        At its limit of connections, an upstream resets those of a query; its machine refuses none.
         """
         upstream = self._upstreams.last_known(source.instance)
         if upstream is None:
@@ -148,8 +146,9 @@
             return (ProbeResult.ALIVE if is_same else ProbeResult.SILENT), "report"
         if answer.result is ProbeResult.SILENT:
             return answer.result, "report"
-        if await self._siblings.outlive(reply.connection, source.requested_at):
-            return ProbeResult.ALIVE, "sibling"
+        if await self._siblings.outlive(reply.connection):
+            is_dead = answer.result is ProbeResult.DEAD and await self._is_refused(upstream)
+            return (ProbeResult.DEAD if is_dead else ProbeResult.ALIVE), "sibling"
         if answer.result is ProbeResult.NOT_SENT:
             return await self._probe_connection(upstream, was_paused)
         return answer.result, "report"
@@ -161,7 +160,7 @@
         upstream = self._upstreams.last_known(source.instance)
         if upstream is None:
             return ProbeResult.SILENT, "unknown"
-        if await self._siblings.outlive(reply.connection, source.requested_at):
+        if await self._siblings.outlive(reply.connection):
             return ProbeResult.ALIVE, "sibling"
         if source.health_path:
             result = await self._health.query(upstream, source.health_path, source.query_deadline)
@@ -169,6 +168,11 @@
                 return result, "health"
         return await self._probe_connection(upstream, was_paused)
 
+    async def _is_refused(self, upstream: Upstream) -> bool:
+        """Return whether the machine of an upstream refuses connections."""
+        result = await self._control.probe_connection(upstream, PROBE_TIMEOUT_SECONDS)
+        return result is ProbeResult.DEAD
+
     async def _probe_connection(
         self, upstream: Upstream, was_paused: bool
     ) -> tuple[ProbeResult, str]:
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -355,7 +355,6 @@
         return AnswerSource(
             self._admitted.caller.request_id,
             upstream.instance,
-            self._since,
             accepts_queries=False,
             health_path=self._admitted.service.health_path,
             query_deadline=now + share * (self._admitted.deadline - now),
--- a/deckcourse/gateway/sibling_connections.py
+++ b/deckcourse/gateway/sibling_connections.py
@@ -31,8 +31,8 @@
 MAX_SETTLE_SECONDS = 0.25
 # A wait that ends later than this much shows a pause of this process.
 MIN_PAUSE_SECONDS = 0.03
-# A sibling that was quiet for longer, and since before the request, is no evidence: an open
-# connection may have gone silent, so that the close of the other end can't arrive.
+# A sibling that was quiet for longer is no evidence: an open connection may have gone silent, so
+# that the close of the other end can't arrive.
 MAX_SILENCE_SECONDS = 2.0
 # Siblings that are compared with a connection, the newest ones first.
 MAX_SIBLINGS = 8
@@ -107,21 +107,19 @@
         self._pool.add_idle(spare)
         self._compare(spare)
 
-    async def outlive(self, connection: UpstreamConnection, requested_at: float) -> bool:
+    async def outlive(self, connection: UpstreamConnection) -> bool:
         """Return whether the process at the other end of a connection runs after its close.
 
         False if no other connection shows it.
 
         Args:
           connection: the connection, which the other end has closed.
-          requested_at: when the latest request was sent on it, on trio's clock.
         """
         closed_at = trio.current_time()
-        heard_from = min(requested_at, closed_at - MAX_SILENCE_SECONDS)
         siblings = [
             each
             for each in self._siblings.get(connection, ())
-            if each.is_open and each.heard_at >= heard_from
+            if each.is_open and each.heard_at >= closed_at - MAX_SILENCE_SECONDS
         ]
         settled_at = closed_at + SETTLE_SECONDS
         while any(each.is_open for each in siblings):
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -518,7 +518,6 @@
                 AnswerSource(
                     self._admitted.caller.request_id,
                     first,
-                    stream.execution.at,
                     accepts_queries=True,
                 ),
             )
--- a/features/steps/end_check_steps.py
+++ b/features/steps/end_check_steps.py
@@ -58,14 +58,19 @@
             self._upstreams.observe_start(ADDRESSED, ADDRESSED.start + 1)
 
 
-class NoSiblings:
-    """No other connection leads to the upstream."""
+class Siblings:
+    """Other connections to the upstream, which stay open or not."""
 
-    async def outlive(self, connection, requested_at):
-        return False
+    def __init__(self, stay_open):
+        self._stay_open = stay_open
+
+    async def outlive(self, connection):
+        return self._stay_open
 
 
-def counts(query, connection, is_superseded, health="none", is_paused=False):
+def counts(
+    query, connection, is_superseded, health="none", is_paused=False, siblings_stay_open=False
+):
     """Return whether the end of an answer without a length counts as the end of its body."""
     upstreams = UpstreamTable(lambda: 0.0)
     upstreams.put(ADDRESSED)
@@ -73,7 +78,7 @@
     check = EndCheck(
         upstreams,
         control,
-        NoSiblings(),
+        Siblings(siblings_stay_open),
         lambda: PAUSED_AT if is_paused else float("-inf"),
         lambda what: None,
         lambda decision, **fields: None,
@@ -84,7 +89,6 @@
         source = AnswerSource(
             "r1",
             ADDRESSED.instance,
-            0.0,
             query != "not accepted",
             "" if health == "none" else HEALTH_PATH,
             trio.current_time() + QUERY_SECONDS,
@@ -105,6 +109,13 @@
         assert counted == (row["counts"] == "yes"), row
 
 
+@then("beside a connection that stays open, the end of its answer counts after these replies")
+def counted_beside_sibling(context):
+    for row in context.table:
+        counted = counts(row["query"], row["connection"], False, siblings_stay_open=True)
+        assert counted == (row["counts"] == "yes"), row
+
+
 @then("the end of a plain upstream's answer counts as the end of the body after these replies")
 def counted_plain_ends(context):
     for row in context.table:
--- a/features/steps/sibling_connection_steps.py
+++ b/features/steps/sibling_connection_steps.py
@@ -41,7 +41,7 @@
 
 async def shown(what):
     """Return whether the connection beside an answered one shows that the process goes on."""
-    closes_at = trio.current_time() + 6.0
+    closes_at = trio.current_time() + 3.0
     closes = []
 
     async def dial(address):
@@ -56,11 +56,10 @@
 
     other = second = None
     if what == "was closed before it was opened":
-        other = await open_one(closes_at - 5.0)
-        await trio.sleep(1.5)
-    if what == "was quiet for long before the request":
+        other = await open_one(closes_at - 2.5)
+    if what == "was quiet for long":
         other = await open_one()
-        await trio.sleep(4.0)
+    await trio.sleep(2.0)
     answered = await open_one(closes_at)
     if what == "was open with it and stays open":
         other = await open_one()
@@ -78,13 +77,12 @@
         other, second = await open_one(closes_at, True), await open_one(closes_at + 0.005)
     elif what == "this process has closed":
         other = await open_one()
-    requested_at = trio.current_time()
     siblings.note_unframed_answer(answered)
     async with trio.open_nursery() as nursery:
         if "answer" in what:
             nursery.start_soon(call, other)
         await trio.sleep_until(closes_at)
-        result = await end_of(what, pool, siblings, open_one, answered, other, requested_at)
+        result = await end_of(what, siblings, open_one, answered, other)
         nursery.cancel_scope.cancel()
     del second
     return result
@@ -96,14 +94,14 @@
         await connection.call(b"GET", b"/", ((b"host", b"h"),), b"")
 
 
-async def end_of(what, pool, siblings, open_one, answered, other, requested_at):
+async def end_of(what, siblings, open_one, answered, other):
     """Return what the other connection shows at the end of the answered one."""
     if what == "was opened after its close":
         other = await open_one()
         siblings.note_request(other)
     if what == "this process has closed":
         other.abort()
-    return await siblings.outlive(answered, requested_at)
+    return await siblings.outlive(answered)
 
 
 @then("another connection that {what} shows that the process goes on: {shows}")
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -126,6 +126,19 @@
       | not accepted           | alive      | no                | yes    |
       | not accepted           | silent     | no                | no     |
 
+  # Guards against whole streams that count as cut at an upstream that resets the connections of
+  # queries, and against a connection that went silent in place of a close.
+  Scenario: Which replies are believed beside another connection to the upstream
+    Then beside a connection that stays open, the end of its answer counts after these replies
+      | query                  | connection | counts |
+      | alive                  | unused     | yes    |
+      | alive, not identified  | unused     | no     |
+      | silent                 | unused     | no     |
+      | dead                   | silent     | yes    |
+      | dead                   | dead       | no     |
+      | not sent               | unused     | yes    |
+      | not accepted           | unused     | yes    |
+
   # Guards against half an answer of a plain upstream that restarted while this process was paused:
   # the next start accepts connections at the same address.
   Scenario: Which reply at its health path shows that a plain upstream is still there
