--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -311,7 +311,7 @@
         **options: Callable[..., object],
     ) -> Follower:
         """Return a follower of a table of the store; see `Follower` for the arguments."""
-        options.setdefault("wait", lambda: self._peers.feed.long_poll_wait)
+        options.setdefault("wait", lambda: self._peers.feed.stalled_reads.long_poll_wait)
         return Follower(
             self._peers.feed,
             table,
--- a/deckcourse/peers/peers.py
+++ b/deckcourse/peers/peers.py
@@ -78,7 +78,7 @@
             count,
         )
         self._gossip.register_change_handlers(
-            self._feed.known_changes, self._feed.note_reported_changes
+            self._feed.known_changes, self._feed.stalled_reads.note_reported
         )
 
     @property
--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -13,16 +13,21 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from deckcourse.change_feed import LONG_POLL_SECONDS, Changes, Snapshot, StoreFeed
+from deckcourse.change_feed import Changes, Snapshot, StoreFeed
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.peers.followers import followers, sources
 from deckcourse.peers.knowledge import SharedState
 from deckcourse.peers.member import Member
 from deckcourse.peers.relay import RelayClient, RelayEnd, RelayServer
 from deckcourse.peers.replica import TableUpdate
-from deckcourse.peers.reported_changes import MIN_CONTACT_SECONDS, ReportedChanges
 from deckcourse.peers.roster import Roster
-from deckcourse.peers.store_reads import EarlierAnswer, GivenUp, StoreReads
+from deckcourse.peers.stalled_reads import StalledReads
+from deckcourse.peers.store_reads import (
+    STORE_TIMEOUT_SECONDS,
+    EarlierAnswer,
+    GivenUp,
+    StoreReads,
+)
 from deckcourse.peers.store_turn import StoreSchedule
 from deckcourse.table import TableFailure
 
@@ -39,22 +44,6 @@
 SOURCE_COOLDOWN_SECONDS = 3.0
 # A process remains a follower for this long after its last subscriber left, seconds.
 FOLLOWER_GRACE_SECONDS = 3.0
-# Timeout of a store reply, in addition to its wait, seconds: a slow store takes 60 times its 4 ms.
-# The timeout of the reader (`change_feed`) is slightly longer. The process then turns to its
-# sources; a reply that comes after all is still used.
-STORE_TIMEOUT_SECONDS = 0.75
-# Interval between checks whether a read of the store stands still, seconds.
-READ_CHECK_INTERVAL_SECONDS = 0.25
-# A read counts as standing still if another process has reported a newer change for so long, and
-# the read was under way all the while, seconds: followers don't learn of a change together.
-MAX_BEHIND_SECONDS = 0.3
-# Shortest time between two such reads of a table that are given up, seconds. On an overloaded
-# machine the answers of all processes are late.
-MIN_RENEWAL_INTERVAL_SECONDS = 2.0
-# Time for the next read after one that timed out, with the backoff before it, seconds.
-RETRY_SECONDS = 0.75
-# Shortest wait for changes, if the contact bound allows no longer one, seconds.
-MIN_LONG_POLL_SECONDS = 0.25
 # A subscriber leaves a source that is behind another process's report for so long, seconds: longer
 # than the source needs to find that out by itself.
 MAX_SOURCE_BEHIND_SECONDS = 1.0
@@ -99,7 +88,6 @@
         self._roster = roster
         self._shared_state = shared_state
         self._contact_wait = contact_wait
-        self._contact = contact
         self._log = log
         self._gauge = gauge
         self._count = count
@@ -117,9 +105,7 @@
         # Whether the latest answer of the store was late.
         self._is_store_late = False
         self._schedule = StoreSchedule(trio.current_time, random)
-        self._reported = ReportedChanges(trio.current_time)
-        # When a read of a table was last given up because another process knew more.
-        self._renewed_at: dict[str, float] = {}
+        self._stalled_reads = StalledReads(store, self._reads, shared_state, contact, count, log)
 
     @property
     def server(self) -> RelayServer:
@@ -145,17 +131,9 @@
         return bool(self._sources())
 
     @property
-    def long_poll_wait(self) -> float:
-        """How long a read may wait at the store for changes, seconds.
-
-        If its connection goes silent, the reports of other processes that read the store show what
-        is missing. Without them only a timeout does, which has to come within the contact bound.
-        """
-        contact = self._contact()
-        if contact >= MIN_CONTACT_SECONDS and self._reported.is_recent:
-            return LONG_POLL_SECONDS
-        within_contact = contact - STORE_TIMEOUT_SECONDS - RETRY_SECONDS
-        return min(LONG_POLL_SECONDS, max(MIN_LONG_POLL_SECONDS, within_contact))
+    def stalled_reads(self) -> StalledReads:
+        """Finds reads that stand still, and knows how long a read may wait for changes."""
+        return self._stalled_reads
 
     def known_changes(self) -> Mapping[str, int]:
         """Return the version of the newest change of each table; none if this process reads none.
@@ -166,12 +144,6 @@
             return {}
         return self._shared_state.changed_versions
 
-    def note_reported_changes(self, changed: Mapping[str, int]) -> None:
-        """Record what another process that reads the store knows."""
-        for table, version in changed.items():
-            if table in self._shared_state.versions:
-                self._reported.note(table, version, self._shared_state.replica(table).version)
-
     @property
     def staleness_seconds(self) -> float:
         """The staleness of the newest replica of this process, seconds."""
@@ -302,7 +274,7 @@
         replica = self._shared_state.replica(update.table)
         replica.merge(update)
         replica.confirm(update.version, as_of)
-        self._reported.note_read(update.table, as_of)
+        self._stalled_reads.note_read(update.table, as_of)
         self._shared_state.notify_waiters()
 
     def _note_failure(self) -> None:
@@ -356,35 +328,9 @@
         """Read the store, update the role of this process and subscribe to sources."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._reads.run)
-            nursery.start_soon(self._check_reads)
+            nursery.start_soon(self._stalled_reads.run)
             nursery.start_soon(self._follow_sources)
 
-    async def _check_reads(self) -> None:
-        """Give up reads of the store that stand still: their connections have gone silent."""
-        while True:
-            await trio.sleep(READ_CHECK_INTERVAL_SECONDS)
-            now = trio.current_time()
-            max_age = self.long_poll_wait + STORE_TIMEOUT_SECONDS
-            for table in self._shared_state.versions:
-                if self._is_renewal_due(table, now):
-                    self._give_up_read(table, now - MAX_BEHIND_SECONDS, "behind")
-                # Began while other processes reported changes, which they no longer do.
-                self._give_up_read(table, now - max_age, "alone")
-
-    def _is_renewal_due(self, table: str, now: float) -> bool:
-        """Return whether a read of a table may be given up as other processes know more."""
-        renewed_at = self._renewed_at.get(table, float("-inf"))
-        is_behind = self._behind_seconds(table) >= MAX_BEHIND_SECONDS
-        return is_behind and now >= renewed_at + MIN_RENEWAL_INTERVAL_SECONDS
-
-    def _give_up_read(self, table: str, sent_before: float, reason: str) -> None:
-        if not self._reads.give_up(table, sent_before):
-            return
-        self._renewed_at[table] = trio.current_time()
-        self._store.renew_connections()
-        self._count(f"store.read-given-up.{reason}")
-        self._log("store-read-given-up", table=table, why=reason)
-
     async def _follow_sources(self) -> None:
         while True:
             self._update_role()
@@ -477,13 +423,10 @@
 
     def _is_source_behind(self) -> bool:
         """Return whether another process has known more than the source for some time."""
-        longest = max(self._behind_seconds(table) for table in self._shared_state.versions)
+        tables = self._shared_state.versions
+        longest = max(self._stalled_reads.behind_seconds(table) for table in tables)
         return longest >= MAX_SOURCE_BEHIND_SECONDS
 
-    def _behind_seconds(self, table: str) -> float:
-        """Return for how long another process has known more of a table, 0 if none does."""
-        return self._reported.behind_seconds(table, self._shared_state.replica(table).version)
-
 
 def _key_in_table(name: str) -> str:
     return name.partition("/")[2]
--- a/deckcourse/peers/store_reads.py
+++ b/deckcourse/peers/store_reads.py
@@ -15,7 +15,12 @@
 from deckcourse.background import Background
 from deckcourse.table import TableFailure
 
-__all__ = ["EarlierAnswer", "GivenUp", "StoreReads"]
+__all__ = ["STORE_TIMEOUT_SECONDS", "EarlierAnswer", "GivenUp", "StoreReads"]
+
+# Timeout of a store reply, in addition to its wait, seconds: a slow store takes 60 times its 4 ms.
+# The timeout of the reader (`change_feed`) is slightly longer. The process then turns to its
+# sources; a reply that comes after all is still used.
+STORE_TIMEOUT_SECONDS = 0.75
 
 # How long a read goes on after its timeout, seconds. Later answers say too little about the present
 # to be worth an open connection.
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -19,6 +19,7 @@
 from deckcourse.peers.reported_changes import ReportedChanges
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.shared_feed import SharedFeed
+from deckcourse.peers.stalled_reads import StalledReads
 from deckcourse.peers.store_reads import _Read
 from deckcourse.platform.store import Store
 
@@ -146,11 +147,11 @@
 
 
 def reports_of_changes_end_no_read():
-    SharedFeed._is_renewal_due = lambda self, table, now: False
+    StalledReads._is_behind = lambda self, table, now: False
 
 
 def a_process_alone_waits_as_long_as_others():
-    SharedFeed.long_poll_wait = LONG_POLL_SECONDS
+    StalledReads.long_poll_wait = LONG_POLL_SECONDS
 
 
 def each_process_counts_as_alone():
--- a/features/steps/silent_read_steps.py
+++ b/features/steps/silent_read_steps.py
@@ -224,7 +224,7 @@
     async def report(world):
         while True:
             for process in world.processes:
-                process.node.peers.feed.note_reported_changes({"servers": FUTURE_VERSION})
+                process.node.peers.feed.stalled_reads.note_reported({"servers": FUTURE_VERSION})
             await trio.sleep(1.0)
 
     context.report = report
