Count only bytes that a sibling connection got after it had nothing unread

Found by reading: the time at which bytes are read is not the time at which they came. In a process that is busy, bytes that a crashed upstream had sent may be read 30 ms after the close of its answer, and would show that it goes on. After a pause of this process the closes of its connections may be read apart, too.

"has an answer unread, and then closes" was red before, and is green.

--- a/deckcourse/gateway/end_check.py
+++ b/deckcourse/gateway/end_check.py
@@ -146,7 +146,7 @@
             return (ProbeResult.ALIVE if is_same else ProbeResult.SILENT), "report"
         if answer.result is ProbeResult.SILENT:
             return answer.result, "report"
-        if await self._siblings.outlive(reply.connection):
+        if await self._siblings.outlive(reply.connection, was_paused):
             is_dead = answer.result is ProbeResult.DEAD and await self._is_refused(upstream)
             return (ProbeResult.DEAD if is_dead else ProbeResult.ALIVE), "sibling"
         if answer.result is ProbeResult.NOT_SENT:
@@ -160,7 +160,7 @@
         upstream = self._upstreams.last_known(source.instance)
         if upstream is None:
             return ProbeResult.SILENT, "unknown"
-        if await self._siblings.outlive(reply.connection):
+        if await self._siblings.outlive(reply.connection, was_paused):
             return ProbeResult.ALIVE, "sibling"
         if source.health_path:
             result = await self._health.query(upstream, source.health_path, source.query_deadline)
--- a/deckcourse/gateway/sibling_connections.py
+++ b/deckcourse/gateway/sibling_connections.py
@@ -21,9 +21,9 @@
 
 __all__ = ["SiblingConnections"]
 
-# How long a sibling must stay open after the end of an answer; bytes on it that come after that
-# time show as much. What a process that exits has sent, and its closes, arrive together, on a
-# loaded machine a little apart.
+# How long a sibling must stay open after the end of an answer. What a process that exits has sent,
+# and its closes, arrive together, on a loaded machine a little apart. Bytes that come on a sibling
+# later show as much as that it is open.
 SETTLE_SECONDS = 0.03
 CHECK_INTERVAL_SECONDS = 0.01
 # The same if another sibling closes meanwhile, or this process was paused: a lost packet with a
@@ -107,13 +107,15 @@
         self._pool.add_idle(spare)
         self._compare(spare)
 
-    async def outlive(self, connection: UpstreamConnection) -> bool:
+    async def outlive(self, connection: UpstreamConnection, was_paused: bool = False) -> bool:
         """Return whether the process at the other end of a connection runs after its close.
 
         False if no other connection shows it.
 
         Args:
           connection: the connection, which the other end has closed.
+          was_paused: whether this process was paused when the close arrived, so that others that
+            came with it may arrive late.
         """
         closed_at = trio.current_time()
         siblings = [
@@ -121,18 +123,23 @@
             for each in self._siblings.get(connection, ())
             if each.is_open and each.heard_at >= closed_at - MAX_SILENCE_SECONDS
         ]
-        settled_at = closed_at + SETTLE_SECONDS
+        settled_at = closed_at + (MAX_SETTLE_SECONDS if was_paused else SETTLE_SECONDS)
+        # When each sibling had nothing unread: what comes on it later was sent after the close.
+        quiet_at: dict[UpstreamConnection, float] = {}
         while any(each.is_open for each in siblings):
             checked_at = trio.current_time()
             if checked_at >= settled_at:
                 return True
-            open_count = sum(each.is_open for each in siblings)
+            still_open = [each for each in siblings if each.is_open]
+            if checked_at >= closed_at + SETTLE_SECONDS:
+                for each in still_open:
+                    if each.is_quiet():
+                        quiet_at.setdefault(each, checked_at)
             await trio.sleep(CHECK_INTERVAL_SECONDS)
-            if any(each.heard_at >= closed_at + SETTLE_SECONDS for each in siblings):
-                return True  # The process has sent bytes since then.
-            was_paused = (
-                trio.current_time() > checked_at + CHECK_INTERVAL_SECONDS + MIN_PAUSE_SECONDS
-            )
-            if sum(each.is_open for each in siblings) < open_count or was_paused:
-                settled_at = closed_at + MAX_SETTLE_SECONDS
+            if any(each.heard_at > at for each, at in quiet_at.items()):
+                return True
+            if trio.current_time() > checked_at + CHECK_INTERVAL_SECONDS + MIN_PAUSE_SECONDS:
+                settled_at = trio.current_time() + MAX_SETTLE_SECONDS
+            elif not all(each.is_open for each in still_open):
+                settled_at = max(settled_at, closed_at + MAX_SETTLE_SECONDS)
         return False
--- a/features/mutants_answer_ends.py
+++ b/features/mutants_answer_ends.py
@@ -10,7 +10,7 @@
 
 
 def no_connection_shows_that_an_upstream_goes_on():
-    async def outlive(self, connection):
+    async def outlive(self, connection, was_paused=False):
         return False
 
     SiblingConnections.outlive = outlive
@@ -27,7 +27,7 @@
 
 
 def siblings_count_at_once():
-    async def outlive(self, connection):
+    async def outlive(self, connection, was_paused=False):
         return any(each.is_open for each in self._siblings.get(connection, ()))
 
     SiblingConnections.outlive = outlive
--- a/features/steps/end_check_steps.py
+++ b/features/steps/end_check_steps.py
@@ -64,7 +64,7 @@
     def __init__(self, stay_open):
         self._stay_open = stay_open
 
-    async def outlive(self, connection):
+    async def outlive(self, connection, was_paused):
         return self._stay_open
 
 
--- a/features/steps/sibling_connection_steps.py
+++ b/features/steps/sibling_connection_steps.py
@@ -17,9 +17,10 @@
 class Endpoint:
     """A transport whose other end closes at a time, and may answer right before."""
 
-    def __init__(self, closes_at=float("inf"), answers=False):
+    def __init__(self, closes_at=float("inf"), answers=False, readable_at=float("inf")):
         self.closes_at = closes_at
         self.answers = answers
+        self.readable_at = readable_at
 
     async def send_all(self, data):
         await trio.lowlevel.checkpoint()
@@ -33,7 +34,7 @@
         return trio.current_time() < self.closes_at
 
     def readable(self):
-        return not self.is_open()
+        return not self.is_open() or trio.current_time() >= self.readable_at
 
     def close(self):
         self.closes_at = 0.0
@@ -50,8 +51,8 @@
     pool = ConnectionPool(lambda what: None, dial)
     siblings = SiblingConnections(pool, lambda what: None)
 
-    async def open_one(at=float("inf"), answers=False):
-        closes.append((at, answers))
+    async def open_one(at=float("inf"), answers=False, readable_at=float("inf")):
+        closes.append((at, answers, readable_at))
         return await pool.open("a:1")
 
     other = second = None
@@ -75,6 +76,10 @@
         other, second = await open_one(closes_at + 0.1, True), await open_one(closes_at + 0.005)
     elif what == "has answered just before":
         other, second = await open_one(closes_at, True), await open_one(closes_at + 0.005)
+    elif what == "has an answer unread, and then closes":
+        # It came with the close of the answered one, and is read when this process gets to it.
+        other = await open_one(closes_at + 0.1, True, closes_at)
+        second = await open_one(closes_at + 0.005)
     elif what == "this process has closed":
         other = await open_one()
     siblings.note_unframed_answer(answered)
--- a/features/unframed_ends.feature
+++ b/features/unframed_ends.feature
@@ -57,5 +57,6 @@
       | closes 0.2 s after another one          | no    |
       | answers 0.1 s after another one closes  | yes   |
       | has answered just before                | no    |
+      | has an answer unread, and then closes   | no    |
       | was quiet for long                      | no    |
       | this process has closed                 | no    |
