--- a/features/steps/restart_notice_steps.py
+++ b/features/steps/restart_notice_steps.py
@@ -11,8 +11,8 @@
 from gateway_world import GatewayWorld
 from notice_happenings import row, table
 from notice_world import Notices, arrivals_after_leaving, arrivals_during_backoff, keep_asking
+from store_reads import wait_for_read
 
-from deckcourse.change_feed import MAX_BATCH_INTERVAL_SECONDS
 from deckcourse.layers.hosts import Assignment
 
 FIRST = "p1"
@@ -88,10 +88,6 @@
     """Write the row of the current incarnation; return once the process knows it."""
     site.store.put("servers", name, site.runners[name].row())
     await trio.sleep(STEP_SECONDS / 5)
-    # The process pauses between two reads of the list, and may do so now.
-    with trio.move_on_after(MAX_BATCH_INTERVAL_SECONDS):
-        while table(site).by_name(name).start != site.runners[name].born:
-            await trio.sleep(STEP_SECONDS / 5)
     assert table(site).by_name(name).start == site.runners[name].born
 
 
@@ -364,6 +360,8 @@
         await keep_asking(site, context.notices, "once", ASKING_SECONDS)
         assert len(newer_requests(context)) > 1
         assert not table(site).throttles.is_limited(table(site).by_name(FIRST).instance)
+        # Not in the pause of the process between two reads of the list.
+        await wait_for_read(site.store, "servers")
         await write_row(site, FIRST)
         context.is_limited = table(site).throttles.is_limited(table(site).by_name(FIRST).instance)
 
--- a/features/steps/silent_read_steps.py
+++ b/features/steps/silent_read_steps.py
@@ -7,6 +7,7 @@
 from connection_world import virtually
 from crash_world import CrashWorld
 from gateway_world import GatewayWorld, default_config
+from store_reads import wait_for_read
 
 from deckcourse.http1.client import ConnectionPool
 from deckcourse.peers.crash import Crash
@@ -136,20 +137,6 @@
     return not any(each.instance == "px" for each in world.runs if each.request in names)
 
 
-async def wait_for_read(store, table):
-    """Wait until a read of a table begins: its wait for changes lasts the longest then."""
-    original, begun = store.changes, trio.Event()
-
-    async def changes(name, after, seconds):
-        if name == table and seconds > 0.0:
-            begun.set()
-        return await original(name, after, seconds)
-
-    store.changes = changes
-    await begun.wait()
-    store.changes = original
-
-
 @when("{reads} go silent for good, and table {table} changes 0.2 seconds later")
 def silent_reads_and_change(context, reads, table):
     world = context.world
