Take silent connections for no outage of the store

All connections of all processes had gone silent.

Cause, from its logs: every process knew 1.7 to 2.2 s after the silence that the row was gone, but took the unanswered reads for an outage of the store, behind which a missing row counts as lapsed for 2 s and its upstream as the last resort.

Change: the store counts as down only if it refuses a read, or leaves one unanswered that was sent after another had failed: that one uses a new connection. This works since rows lapse after seconds of silence, longer than a single read takes.

"The only upstream that leaves beside silent connections gets no requests": three rows red before, green now. gateway, peers, restarts, foreign_rows, crash_evidence and silent_reads are green.

--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -599,16 +599,21 @@
         self._upstreams.on_store_recovered(recovered_at)
         self._lapse_check.on_store_recovered()
 
+    def _note_recovery(self) -> None:
+        """Record that reads are answered again; rows may have lapsed only if the store was down."""
+        if self._peers.feed.was_store_down:
+            self._on_store_recovered()
+
     def _on_list_contact(self, recovered: bool) -> None:
         if recovered:
-            self._on_store_recovered()
+            self._note_recovery()
             if self._operator_feed.is_store_unavailable:
                 # Otherwise its backoff continues, and the configuration stays stale meanwhile.
                 self._operator_feed.retry_now()
 
     def _on_contact(self, recovered: bool) -> None:
         if recovered:
-            self._on_store_recovered()
+            self._note_recovery()
         for feed in (self._upstream_feed, self._plan_feed, self._crash_feed):
             feed.retry_now()
         self._counters.count("store.regained" if recovered else "store.lost")
--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -137,6 +137,11 @@
         """Finds reads that stand still, and knows how long a read may wait for changes."""
         return self._stalled_reads
 
+    @property
+    def was_store_down(self) -> bool:
+        """Whether the store itself was unavailable when reads of this process last failed."""
+        return self._schedule.was_down
+
     def known_changes(self) -> Mapping[str, int]:
         """Return the version of the newest change of each table; none if this process reads none.
 
@@ -185,7 +190,7 @@
                 return self._replica_answer(table, None)
             case Success(GivenUp()):
                 return await self.snapshot(table)
-        self._note_failure()
+        self._note_failure(answer, requested_at)
         return answer
 
     async def changes(
@@ -218,7 +223,7 @@
             case Success(_):
                 return answer
         self._unanswered.add(table)
-        self._note_failure()
+        self._note_failure(answer, requested_at)
         if self._is_fresh():
             return await self._read_replica(table, after, seconds)
         return answer
@@ -274,7 +279,7 @@
     def _note_success(self, update: TableUpdate, as_of: float) -> None:
         # Rows may have lapsed only if the store itself was unavailable. If one process that was cut
         # off reported a recovery, its peers would use departed upstreams for two seconds.
-        if self._is_cut_off():
+        if self._is_cut_off() and self._schedule.was_down:
             self._shared_state.note_store_recovered(trio.current_time())
         self._schedule.note_success()
         self._unanswered.discard(update.table)
@@ -285,9 +290,10 @@
         self._stalled_reads.note_read(update.table, as_of)
         self._shared_state.notify_waiters()
 
-    def _note_failure(self) -> None:
+    def _note_failure(self, failure: Result, sent_at: float) -> None:
         self._store.renew_connections()
-        self._schedule.note_failure(has_sources=bool(self._sources()))
+        is_refused = failure != Failure(TableFailure.UNKNOWN)
+        self._schedule.note_failure(bool(self._sources()), sent_at, is_refused)
         # Subscribers should learn at once that this process is cut off, and switch sources.
         self._shared_state.notify_waiters()
 
--- a/deckcourse/peers/store_reads.py
+++ b/deckcourse/peers/store_reads.py
@@ -127,6 +127,9 @@
           call: makes the read.
           on_success: called with the value that was read, also if it comes late.
           timeout: the longest time to wait for an answer, seconds.
+
+        Returns:
+          The answer; the failure is UNKNOWN if there was none in time.
         """
         left = self._left.pop(table, None)
         if left is not None and left.is_pending(trio.current_time()):
@@ -158,7 +161,7 @@
         if read.answer is not None:
             return read.answer
         if not self.take_answered(read.table):
-            return Failure(TableFailure.UNAVAILABLE)
+            return Failure(TableFailure.UNKNOWN)
         self._left[read.table] = read
         return Success(EarlierAnswer())
 
--- a/deckcourse/peers/store_turn.py
+++ b/deckcourse/peers/store_turn.py
@@ -31,6 +31,7 @@
         self._clock = clock
         self._random = random
         self._unavailable_since: float | None = None
+        self._was_down = False
         self._backoff = MIN_RETRY_BACKOFF_SECONDS
         self._retry_at = float("-inf")
         self._fallback_at = float("inf")
@@ -40,6 +41,15 @@
         """Whether the last read of the store failed."""
         return self._unavailable_since is not None
 
+    @property
+    def was_down(self) -> bool:
+        """Whether the store itself was unavailable when reads last failed.
+
+        It refused one, or left one unanswered that was sent after another had failed. A single one
+        that stays unanswered may only have a connection that has gone silent.
+        """
+        return self._was_down
+
     def was_outage(self, as_of: float) -> bool:
         """Return whether the store, now available again, was unavailable to other processes too.
 
@@ -64,16 +74,20 @@
         self._retry_at = float("-inf")
         self._fallback_at = float("inf")
 
-    def note_failure(self, has_sources: bool) -> None:
+    def note_failure(self, has_sources: bool, sent_at: float, is_refused: bool) -> None:
         """Record a failed read.
 
         Args:
+          sent_at: when it was sent, on the clock.
+          is_refused: whether the store refused it, rather than left it unanswered.
           has_sources: whether other processes can provide changes. Without sources there is no
             backoff here: the store may be read as often as readers want to.
         """
         now = self._clock()
         if self._unavailable_since is None:
             self._unavailable_since = now
+            self._was_down = False
+        self._was_down |= is_refused or sent_at >= self._unavailable_since
         if has_sources:
             self._retry_at = now + self._backoff * (1.0 + self._random.random())
         self._backoff = min(2.0 * self._backoff, MAX_RETRY_BACKOFF_SECONDS)
--- a/features/silent_reads.feature
+++ b/features/silent_reads.feature
@@ -37,6 +37,19 @@
       | op      | all reads of every one  | eight processes in two areas   | 12         |
       | servers | all reads of every one  | eight processes in two areas   | 12         |
 
+  # Guards against taking silent connections for an outage of the store, behind which a missing row
+  # counts as lapsed for 2 s, and its upstream as the last resort.
+  Scenario Outline: The only upstream that leaves beside silent connections gets no requests: <processes>
+    Given <processes>, with a revocation time of 5 seconds
+    When all reads of every one go silent for good, and the only plain upstream leaves 0.2 seconds later
+    Then 3 seconds after the silence began, every process knows the change
+
+    Examples:
+      | processes                      |
+      | a process alone                |
+      | three processes in three areas |
+      | eight processes in two areas   |
+
   # Guards against a reader that goes on waiting for the store while its process holds the change.
   Scenario: A reader whose read stands still gets what another process has sent meanwhile
     Given a process alone, with a revocation time of 5 seconds
--- a/features/steps/silent_read_steps.py
+++ b/features/steps/silent_read_steps.py
@@ -137,6 +137,15 @@
     return not any(each.instance == "px" for each in world.runs if each.request in names)
 
 
+@when(
+    "all reads of every one go silent for good,"
+    " and the only plain upstream leaves 0.2 seconds later"
+)
+def silent_reads_and_only_upstream(context):
+    del context.world.runners["py"]
+    silent_reads_and_change(context, "all reads of every one", LIST)
+
+
 @when("{reads} go silent for good, and table {table} changes 0.2 seconds later")
 def silent_reads_and_change(context, reads, table):
     world = context.world
