Name what the wait within the contact time consists of; a scenario for probing beside waiting reads

The waits are made of the pauses, backoffs and intervals that they stand for; nothing changes in them. The mutant reads-sent-before-an-outage-probe-the-store was no longer noticed since waits are shorter: a scenario shows it again, and two new mutants are red in silent_reads.

--- a/deckcourse/peers/stalled_reads.py
+++ b/deckcourse/peers/stalled_reads.py
@@ -8,8 +8,14 @@
 
 import trio
 
-from deckcourse.change_feed import LONG_POLL_SECONDS, StoreFeed
+from deckcourse.change_feed import (
+    LONG_POLL_SECONDS,
+    MAX_BATCH_INTERVAL_SECONDS,
+    MAX_RETRY_BACKOFF_SECONDS,
+    StoreFeed,
+)
 from deckcourse.peers.knowledge import SharedState
+from deckcourse.peers.relay import COALESCING_SECONDS, MAX_FRAME_INTERVAL_SECONDS
 from deckcourse.peers.reported_changes import MIN_CONTACT_SECONDS, ReportedChanges
 from deckcourse.peers.store_reads import STORE_TIMEOUT_SECONDS, StoreReads
 
@@ -23,10 +29,11 @@
 # Shortest time between two such reads of a table that are given up, seconds. On an overloaded
 # machine the answers of all processes are late.
 MIN_RENEWAL_INTERVAL_SECONDS = 2.0
-# Time beside a read that times out until a change is known everywhere, seconds: the pause before it
-# (0.25), the backoff after it (0.3), the next read (0.1), and the relay to processes that choose a
-# source anew (0.25) and get its next frame (0.3).
-RETRY_SECONDS = 1.2
+# Time beside a read that times out until the next one is answered, seconds: the pause before it,
+# the backoff after it, and the answer.
+RETRY_SECONDS = MAX_BATCH_INTERVAL_SECONDS + MAX_RETRY_BACKOFF_SECONDS + 0.1
+# Time until other processes have chosen this one as their source again and got a frame, seconds.
+RELAY_SECONDS = 0.25 + MAX_FRAME_INTERVAL_SECONDS + COALESCING_SECONDS
 # Shortest wait for changes, if the contact time allows no longer one, seconds.
 MIN_LONG_POLL_SECONDS = 0.25
 
@@ -68,7 +75,7 @@
 
         The next read is then answered within the contact time.
         """
-        within_contact = self._contact() - STORE_TIMEOUT_SECONDS - RETRY_SECONDS
+        within_contact = self._contact() - STORE_TIMEOUT_SECONDS - RETRY_SECONDS - RELAY_SECONDS
         return min(LONG_POLL_SECONDS, max(MIN_LONG_POLL_SECONDS, within_contact))
 
     @property
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -21,6 +21,7 @@
 from deckcourse.peers.shared_feed import SharedFeed
 from deckcourse.peers.stalled_reads import StalledReads
 from deckcourse.peers.store_reads import _Read
+from deckcourse.peers.store_turn import StoreSchedule
 from deckcourse.platform.store import Store
 
 
@@ -146,6 +147,14 @@
     SharedFeed._count_probe = count_probe
 
 
+def silent_connections_are_an_outage():
+    StoreSchedule.was_down = True
+
+
+def readers_wait_beside_what_the_process_holds():
+    StalledReads._is_reader_behind = lambda self, table: False
+
+
 def reports_of_changes_end_no_read():
     StalledReads._is_behind = lambda self, table, now: False
 
@@ -192,6 +201,14 @@
         "probing an unavailable store beside earlier reads",
         SILENT_READS,
     ),
+    silent_connections_are_an_outage: (
+        "telling silent connections from an outage of the store",
+        SILENT_READS,
+    ),
+    readers_wait_beside_what_the_process_holds: (
+        "giving a waiting reader what its process holds",
+        SILENT_READS,
+    ),
     reports_of_changes_end_no_read: (
         "giving up reads that others know more than",
         SILENT_READS,
--- a/features/silent_reads.feature
+++ b/features/silent_reads.feature
@@ -63,6 +63,12 @@
     When all reads of one go silent for good
     Then 3 seconds after the silence began, it is ready and serves its callers
 
+  # Guards against reads that wait at the store and keep it from being read again after a failure.
+  Scenario: A store that failed once is read again beside reads that stand still
+    Given three processes in three areas, with a revocation time of 5 seconds
+    When all reads of one but that of the configuration stand still, and that one fails
+    Then the store is read again within 0.5 seconds
+
   # Guards against reads that cost the store more calls than a wait of five seconds does.
   Scenario: While nothing changes, a process reads each table but the configuration every five seconds
     Given three processes in three areas, with a revocation time of 5 seconds
--- a/features/steps/silent_read_steps.py
+++ b/features/steps/silent_read_steps.py
@@ -7,6 +7,7 @@
 from connection_world import virtually
 from crash_world import CrashWorld
 from gateway_world import GatewayWorld, default_config
+from returns.result import Failure
 from store_reads import wait_for_read
 
 from deckcourse.http1.client import ConnectionPool
@@ -14,6 +15,7 @@
 from deckcourse.peers.replica import TableUpdate
 from deckcourse.platform.store import Store
 from deckcourse.settings import GatewaySettings
+from deckcourse.table import TableFailure
 
 LIST = "servers"
 SETTLE_SECONDS = 6.0
@@ -225,6 +227,35 @@
     assert set(context.statuses) == {200}, context.statuses
 
 
+@when("all reads of one but that of the configuration stand still, and that one fails")
+def one_read_fails(context):
+    async def story(world):
+        process = world.processes[0]
+        for table in (LIST, "plans", "crashes"):
+            silence_pending_read(process.store, table)()
+        await trio.sleep(SETTLE_SECONDS)
+        original, read_at = process.store.changes, []
+
+        async def changes(name, after, seconds):
+            if not read_at and name == "op":
+                read_at.append(trio.current_time())
+                return Failure(TableFailure.UNAVAILABLE)
+            if name == "op":
+                read_at.append(trio.current_time())
+            return await original(name, after, seconds)
+
+        process.store.changes = changes
+        await trio.sleep(SETTLE_SECONDS)
+        context.seconds = read_at[1] - read_at[0]
+
+    context.world.play(story)
+
+
+@then("the store is read again within {seconds:g} seconds")
+def read_again(context, seconds):
+    assert context.seconds <= seconds, context.seconds
+
+
 async def count_reads(world, seconds):
     """Return how often each process reads the store within some seconds."""
     counts = []
