Close idle connections behind a call on one that has gone silent

Seen by callers: after all open connections to a plain upstream had gone silent for good, each call that took an idle one ended with 504 at its deadline, one after the other, though new connections worked.

Cause: a call on a kept connection has no timeout but its deadline, and only that connection was closed.

Change: a call that ends after a second or more without a byte of an answer closes the idle connections to that address that were quiet all the while. Those that others were answered on meanwhile are kept.

silent_upstreams.feature, 4 idle connections: [504, 504, 504, 504, 200] before, all but the first call served now. Two mutants are red there.

--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -38,6 +38,9 @@
 # A duplicate answer arrives in one piece. One that is not complete this long after its head may
 # have no end, and would hide the answer that follows it.
 DUPLICATE_TIMEOUT_SECONDS = 0.03
+# A call that ends without a byte of an answer after this long may have used a connection that has
+# gone silent.
+MIN_SILENT_CALL_SECONDS = 1.0
 # The name of calls whose answers carry no request id.
 UNNAMED_CALL = ""
 # Largest response body that is held in memory.
@@ -412,13 +415,20 @@
     def release_after_call(self, connection: UpstreamConnection) -> Iterator[None]:
         """Release the connection after the call made inside, or close it if that raises.
 
+        If nothing came on it for long, it may have gone silent, and the idle ones with it: those
+        that were quiet all the while are closed, too.
+
         Args:
           connection: from `acquire`.
         """
+        began_at = trio.current_time()
         try:
             yield
         except BaseException:
             connection.abort()
+            is_silent = trio.current_time() >= began_at + MIN_SILENT_CALL_SECONDS
+            if is_silent and connection.heard_at < began_at:
+                self._close_quiet(connection.address, began_at)
             raise
         self.release(connection)
 
@@ -442,6 +452,16 @@
         """Return the number of idle connections to an address."""
         return len(self._idle.get(address, ()))
 
+    def _close_quiet(self, address: str, since: float) -> None:
+        """Close the idle connections to an address that were quiet since a time on trio's clock."""
+        idle = self._idle.pop(address, [])
+        for connection in idle:
+            if connection.heard_at < since:
+                self._count("connection.unsound")
+                connection.abort()
+            else:
+                self._idle[address].append(connection)
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address that is no longer used."""
         for connection in self._idle.pop(address, []):
--- a/features/mutants_answer_ends.py
+++ b/features/mutants_answer_ends.py
@@ -1,4 +1,4 @@
-"""Mutants of the check of answers whose end only the end of their connection marks."""
+"""Mutants of what connections to upstreams show: the ends of answers, and silence."""
 
 from weakref import WeakSet
 
@@ -6,6 +6,7 @@
 
 from deckcourse.gateway.health_queries import HealthQueries
 from deckcourse.gateway.sibling_connections import SiblingConnections
+from deckcourse.http1.client import ConnectionPool
 from deckcourse.loop_monitor import LoopMonitor
 
 
@@ -51,7 +52,23 @@
     SiblingConnections._open_spare = open_spare
 
 
+def idle_connections_outlast_a_silent_one():
+    ConnectionPool._close_quiet = lambda self, address, since: None
+
+
+def slow_calls_close_all_idle_connections():
+    ConnectionPool._close_quiet = lambda self, address, since: self.close_idle(address)
+
+
 EVERY = {
+    idle_connections_outlast_a_silent_one: (
+        "closing idle connections behind a call on a silent one",
+        ("silent_upstreams",),
+    ),
+    slow_calls_close_all_idle_connections: (
+        "keeping connections that were used meanwhile",
+        ("silent_upstreams",),
+    ),
     no_connection_shows_that_an_upstream_goes_on: (
         "other connections as evidence of a running upstream",
         ("unframed_ends",),
