Hand requests over on connections that were used lately

Found by reading: a request that a partitioned process hands over on a kept connection that has gone silent waits for its deadline: whether the peer lives is asked by datagrams, which get through.

Change: such a connection is used only within a second of its last use, else a new one is opened; hand-overs are rare.

The feature is named silent_connections now.

--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -43,6 +43,9 @@
 MAX_PEERS = 2
 # A peer that sends nothing for this time is asked whether it is alive, seconds.
 SILENCE_SECONDS = 0.4
+# Longest idle time of a connection to a peer: it may have gone silent, while the peer replies to
+# queries, which are datagrams.
+MAX_IDLE_SECONDS = 1.0
 OK = 200
 # Refusals that another peer may not have to make: this one lost its upstreams or is stopping.
 RETRIED_REASONS = frozenset(
@@ -208,7 +211,7 @@
         headers = ((b"host", peer.address.encode()), (b"content-length", str(len(body)).encode()))
         self._count("handover.sent")
         try:
-            async with self._pool.borrow(peer.address) as connection:
+            async with self._pool.borrow(peer.address, MAX_IDLE_SECONDS) as connection:
                 reply = await self._call(peer, connection, headers, body)
                 kind, reply_headers = _kind_of(reply)
                 data = _PeerData(self._peers, peer, reply)
--- a/features/mutants_answer_ends.py
+++ b/features/mutants_answer_ends.py
@@ -4,6 +4,7 @@
 
 import trio
 
+import deckcourse.gateway.handover as handover_module
 from deckcourse.gateway.health_queries import HealthQueries
 from deckcourse.gateway.sibling_connections import SiblingConnections
 from deckcourse.http1.pool import ConnectionPool
@@ -60,14 +61,22 @@
     ConnectionPool._close_quiet = lambda self, address, since: self.close_idle(address)
 
 
+def requests_are_handed_over_on_old_connections():
+    handover_module.MAX_IDLE_SECONDS = 60.0
+
+
 EVERY = {
+    requests_are_handed_over_on_old_connections: (
+        "handing requests over on connections that were used lately",
+        ("silent_connections",),
+    ),
     idle_connections_outlast_a_silent_one: (
         "closing idle connections behind a call on a silent one",
-        ("silent_upstreams",),
+        ("silent_connections",),
     ),
     slow_calls_close_all_idle_connections: (
         "keeping connections that were used meanwhile",
-        ("silent_upstreams",),
+        ("silent_connections",),
     ),
     no_connection_shows_that_an_upstream_goes_on: (
         "other connections as evidence of a running upstream",
--- a/features/steps/silent_upstream_steps.py
+++ b/features/steps/silent_connection_steps.py
@@ -1,10 +1,13 @@
-"""Steps for connections to upstreams that go silent for good."""
+"""Steps for connections to upstreams and other processes that go silent for good."""
 
 import trio
 from behave import given, then, when
 from gateway_world import GatewayWorld
+from partition_world import Cut, PartitionWorld
 
 SETTLE_SECONDS = 1.0
+# Time for a process to find that it is partitioned.
+PARTITION_SECONDS = 4.0
 
 
 class SilentTransport:
@@ -89,3 +92,48 @@
 @then("all of the others use the same connection")
 def used_again(context):
     assert len(context.used) == 1, len(context.used)
+
+
+class SilentPeersWorld(PartitionWorld):
+    """Processes whose connections to each other can go silent."""
+
+    def __init__(self, count):
+        super().__init__(count)
+        self.opened, self.silent = [], set()
+
+    def dial_of(self, process):
+        usual = super().dial_of(process)
+
+        async def dial(address):
+            transport = await usual(address)
+            if address in self.upstream_addresses():
+                return transport
+            self.opened.append(SilentTransport(transport, self.silent))
+            return self.opened[-1]
+
+        return dial
+
+
+@given("three processes, one of them partitioned from all upstreams")
+def partitioned_process(context):
+    context.world = SilentPeersWorld(3)
+
+
+@when("it has handed a request over, and its connections to the others go silent for good")
+def handed_over(context):
+    async def story(world):
+        world.cut(["g0"], Cut.RESET)
+        await trio.sleep(PARTITION_SECONDS)
+        process = world.processes[0]
+        context.first = await world.ask_at(process, "again", "first")
+        world.silent |= set(world.opened)
+        await trio.sleep(1.5)
+        context.second = await world.ask_at(process, "again", "second")
+
+    context.world.play(story)
+
+
+@then("1.5 seconds later it hands a request over, and that is served at once")
+def served_at_once(context):
+    assert context.first.status == context.second.status == 200, context.second
+    assert context.second.seconds < 0.5, context.second.seconds
