One test of whether this process was paused when something arrived

The window after a pause stood in two modules, and the time of the pause was passed to both. Both now ask the monitor of the event loop.

--- a/deckcourse/gateway/end_check.py
+++ b/deckcourse/gateway/end_check.py
@@ -23,9 +23,6 @@
 # Probe timeout, seconds: allows for a lost packet, which is sent again after 0.2 s. The caller has
 # all that came before the end, and waits for nothing else.
 PROBE_TIMEOUT_SECONDS = 0.3
-# A close that is read so soon after a pause of this process may have arrived at its beginning.
-# Another process may have taken the address since then.
-PAUSE_WINDOW_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -57,7 +54,8 @@
       upstreams: the upstreams that this process knows.
       control: sends probes.
       siblings: knows which connections lead to the same process.
-      paused_at: returns when the latest pause of this process ended, on trio's clock.
+      was_paused: returns whether this process was paused when what it reads now arrived: another
+        process may have taken the address since then.
       count: increments a counter by name.
       log: writes the decision log.
     """
@@ -67,14 +65,14 @@
         upstreams: UpstreamTable,
         control: StreamControl,
         siblings: SiblingConnections,
-        paused_at: Callable[[], float],
+        was_paused: Callable[[], bool],
         count: Callable[[str], None],
         log: Callable[..., None],
     ) -> None:
         self._upstreams = upstreams
         self._control = control
         self._siblings = siblings
-        self._paused_at = paused_at
+        self._was_paused = was_paused
         self._health = HealthQueries(control, self._may_query)
         self._count = count
         self._log = log
@@ -106,7 +104,7 @@
         if not reply.ended_with_connection:
             return
         ended_at = trio.current_time()
-        was_paused = self._paused_at() >= ended_at - PAUSE_WINDOW_SECONDS
+        was_paused = self._was_paused()
         if source.accepts_queries:
             result, evidence = await self._check_queryable(reply, source, was_paused)
         else:
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -250,7 +250,7 @@
             self._upstreams,
             ports.control,
             SiblingConnections(ports.pool, counters.count),
-            lambda: self._overload.paused_at,
+            lambda: self._overload.was_paused(),
             counters.count,
             log,
         )
--- a/deckcourse/gateway/overload.py
+++ b/deckcourse/gateway/overload.py
@@ -60,10 +60,9 @@
         """Whether the requests in flight are bounded."""
         return self._limit.limit is not None
 
-    @property
-    def paused_at(self) -> float:
-        """When the latest pause of the event loop ended, on trio's clock."""
-        return float("-inf") if self._monitor is None else self._monitor.paused_at
+    def was_paused(self) -> bool:
+        """Return whether this process was paused when what it reads now arrived."""
+        return self._monitor is not None and self._monitor.was_paused()
 
     def admit_connection(self) -> bool:
         """Return whether a new connection may be read; one that may not is to be closed unread."""
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -515,11 +515,7 @@
         with stream.interruptible():
             await self._context.ends.check(
                 reply,
-                AnswerSource(
-                    self._admitted.caller.request_id,
-                    first,
-                    accepts_queries=True,
-                ),
+                AnswerSource(self._admitted.caller.request_id, first, accepts_queries=True),
             )
 
     def _record_events(self, stream: ActiveStream) -> None:
--- a/deckcourse/http_ports.py
+++ b/deckcourse/http_ports.py
@@ -45,6 +45,6 @@
             monitor = LoopMonitor(trio.current_time)
             trio.lowlevel.add_instrument(monitor)
         pool = fresh if on_fresh else kept
-        return HttpPlainService(pool, upstream.name, upstream.address, lambda: monitor.paused_at)
+        return HttpPlainService(pool, upstream.name, upstream.address, monitor.was_paused)
 
     return service
--- a/deckcourse/loop_monitor.py
+++ b/deckcourse/loop_monitor.py
@@ -11,6 +11,8 @@
 # turn that takes longer is as good as a pause for what arrives meanwhile. No upstream restarts in a
 # shorter time.
 MIN_PAUSE_SECONDS = 0.1
+# What is read so soon after a pause may have arrived at its beginning.
+PAUSE_WINDOW_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -39,12 +41,12 @@
         self._waited = 0.0
         self._turns = 0
         self._longest_turn = 0.0
+        # When the latest pause ended.
         self._paused_at = float("-inf")
 
-    @property
-    def paused_at(self) -> float:
-        """When the latest pause of the event loop ended, on the clock."""
-        return self._paused_at
+    def was_paused(self) -> bool:
+        """Return whether the process was paused when what it reads now arrived."""
+        return self._paused_at >= self._clock() - PAUSE_WINDOW_SECONDS
 
     def before_io_wait(self, timeout: float) -> None:
         """Record the end of a turn."""
--- a/deckcourse/plain_service_http.py
+++ b/deckcourse/plain_service_http.py
@@ -17,9 +17,6 @@
 PROBE_SECONDS = 0.3
 # A proxy that accepts connections for an upstream that has ended closes them within this time.
 PROXY_CLOSE_SECONDS = 0.01
-# A close that is read so soon after a pause of this process may have arrived at its beginning.
-# Another process may have taken the address since then.
-PAUSE_WINDOW_SECONDS = 0.1
 
 
 class HttpPlainService:
@@ -29,7 +26,8 @@
       pool: opens connections.
       instance: the upstream's name.
       address: its address.
-      paused_at: returns when the latest pause of this process ended, on trio's clock.
+      was_paused: returns whether this process was paused when what it reads now arrived: another
+        process may have taken the address since then.
     """
 
     def __init__(
@@ -37,10 +35,10 @@
         pool: httpcore.AsyncConnectionPool,
         instance: str,
         address: str,
-        paused_at: Callable[[], float] = lambda: float("-inf"),
+        was_paused: Callable[[], bool] = lambda: False,
     ) -> None:
         self._pool = pool
-        self._paused_at = paused_at
+        self._was_paused = was_paused
         self._instance = instance
         self._address = address
         self._base = f"http://{address}"
@@ -64,10 +62,6 @@
         kind = reply.header(b"content-type").decode("latin-1") or "application/octet-stream"
         return ServiceReply(reply.status, reply.body, kind)
 
-    def _was_paused(self) -> bool:
-        """Return whether this process was paused when the close of a connection arrived."""
-        return self._paused_at() >= trio.current_time() - PAUSE_WINDOW_SECONDS
-
     async def _accepts_connections(self) -> bool:
         """Return whether the upstream accepts connections; it would run any query as a call."""
         host, _, port = self._address.rpartition(":")
--- a/features/mutants_answer_ends.py
+++ b/features/mutants_answer_ends.py
@@ -43,7 +43,7 @@
 
 
 def a_pause_of_this_process_is_not_noticed():
-    LoopMonitor.paused_at = float("-inf")
+    LoopMonitor.was_paused = lambda self: False
 
 
 def no_spare_connections_are_opened():
--- a/features/steps/cut_write_steps.py
+++ b/features/steps/cut_write_steps.py
@@ -255,9 +255,7 @@
         nursery.start_soon(accept_until_closed, listener, answer_once)
         monitor = LoopMonitor(trio.current_time)
         trio.lowlevel.add_instrument(monitor)
-        service = HttpPlainService(
-            fresh_pool(), "p", f"127.0.0.1:{port}", lambda: monitor.paused_at
-        )
+        service = HttpPlainService(fresh_pool(), "p", f"127.0.0.1:{port}", monitor.was_paused)
         with trio.fail_after(LONGEST_SECONDS):
             reply = await service.call(ServiceCall("r1", "POST", "/", b"{}", ""))
         nursery.cancel_scope.cancel()
--- a/features/steps/end_check_steps.py
+++ b/features/steps/end_check_steps.py
@@ -19,8 +19,6 @@
 HEALTH_PATH = "/health"
 # How long a query at a health path may take.
 QUERY_SECONDS = 1.0
-# A pause of the process that has just ended.
-PAUSED_AT = float("inf")
 QUERY_REPLIES = {
     "alive": ProbeReply(ProbeResult.ALIVE, is_identified=True),
     "alive, not identified": ProbeReply(ProbeResult.ALIVE),
@@ -80,7 +78,7 @@
         upstreams,
         control,
         Siblings(siblings_stay_open),
-        lambda: PAUSED_AT if is_paused else float("-inf"),
+        lambda: is_paused,
         lambda what: None,
         lambda decision, **fields: None,
     )
