The choice of sources in a class of its own; names for the parts of a wait

SharedFeed had grown by what tells silent connections from an outage. The interval between decisions on the role stood as a bare number in the wait of reads.

--- a/deckcourse/peers/followers.py
+++ b/deckcourse/peers/followers.py
@@ -11,11 +11,13 @@
 from deckcourse.peers.member import Member
 from deckcourse.rendezvous import ranked
 
-__all__ = ["FOLLOWERS_PER_DOMAIN", "followers", "sources", "rank_of"]
+__all__ = ["FOLLOWERS_PER_DOMAIN", "ROLE_INTERVAL_SECONDS", "followers", "sources", "rank_of"]
 
 # Followers of the store in each domain: the second one continues if the first is lost, and the next
 # in rank replaces a lost one as soon as another process uses it as a source.
 FOLLOWERS_PER_DOMAIN = 2
+# Interval between decisions of a process on whether it follows the store, seconds.
+ROLE_INTERVAL_SECONDS = 0.25
 
 
 def _ranked_members(members: Iterable[Member], domains: Collection[str], key: str) -> list[Member]:
--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -15,12 +15,13 @@
 
 from deckcourse.change_feed import Changes, Snapshot, StoreFeed
 from deckcourse.http1.pool import ConnectionPool
-from deckcourse.peers.followers import followers, sources
+from deckcourse.peers.followers import ROLE_INTERVAL_SECONDS, followers
 from deckcourse.peers.knowledge import SharedState
 from deckcourse.peers.member import Member
 from deckcourse.peers.relay import RelayClient, RelayEnd, RelayServer
 from deckcourse.peers.replica import TableUpdate
 from deckcourse.peers.roster import Roster
+from deckcourse.peers.source_choice import SourceChoice
 from deckcourse.peers.stalled_reads import StalledReads
 from deckcourse.peers.store_reads import (
     STORE_TIMEOUT_SECONDS,
@@ -33,15 +34,11 @@
 
 __all__ = ["SharedFeed"]
 
-# Interval between decisions on whether this process follows the store, seconds.
-ROLE_INTERVAL_SECONDS = 0.25
 # A store reply with changes is known to be current only as of its request, and the next reply comes
 # one wait later. The state of peers is therefore up to this many waits old, plus a margin for
 # pauses and transit, seconds.
 MAX_STALENESS_WAITS = 2.0
 STALENESS_MARGIN_SECONDS = 0.9
-# A source that was unreachable or stale is avoided for this long, seconds.
-SOURCE_COOLDOWN_SECONDS = 3.0
 # A process remains a follower for this long after its last subscriber left, seconds.
 FOLLOWER_GRACE_SECONDS = 3.0
 # A subscriber leaves a source that is behind another process's report for so long, seconds: longer
@@ -93,8 +90,7 @@
         self._count = count
         self._server = RelayServer(shared_state, self._is_cut_off)
         self._client = RelayClient(roster.own.name, shared_state, pool)
-        self._unreachable_until: dict[str, float] = {}
-        self._stale_until: dict[str, float] = {}
+        self._sources = SourceChoice(roster)
         self._source = ""
         self._is_follower = True
         self._follower_until = float("-inf")
@@ -130,7 +126,7 @@
 
         Without sources, the reader has to back off itself.
         """
-        return bool(self._sources())
+        return bool(self._sources.candidates())
 
     @property
     def stalled_reads(self) -> StalledReads:
@@ -293,7 +289,7 @@
     def _note_failure(self, failure: Result, sent_at: float) -> None:
         self._store.renew_connections()
         is_refused = failure != Failure(TableFailure.UNKNOWN)
-        self._schedule.note_failure(bool(self._sources()), sent_at, is_refused)
+        self._schedule.note_failure(bool(self._sources.candidates()), sent_at, is_refused)
         # Subscribers should learn at once that this process is cut off, and switch sources.
         self._shared_state.notify_waiters()
 
@@ -356,18 +352,11 @@
             end = await self._client.follow(source.address, self._reason_to_leave)
             self._source = ""
             self._log("source-left", source=source.name, why=str(end))
-            self._note_relay_end(source, end)
+            if end is RelayEnd.MALFORMED:
+                self._count("malformed.frame")
+            self._sources.note_end(source, end)
             await trio.lowlevel.checkpoint()
 
-    def _note_relay_end(self, source: Member, end: RelayEnd) -> None:
-        if end is RelayEnd.MALFORMED:
-            self._count("malformed.frame")
-        until = trio.current_time() + SOURCE_COOLDOWN_SECONDS
-        if end is RelayEnd.STALE:
-            self._stale_until[source.name] = until
-        elif end is not RelayEnd.NOT_NEEDED:
-            self._unreachable_until[source.name] = until
-
     def _update_role(self) -> None:
         """Decide whether this process follows the store."""
         now = self._role_updated_at = trio.current_time()
@@ -376,7 +365,7 @@
         members = self._roster.live()
         own = self._roster.own
         is_ranked = own.name in {each.name for each in followers(members, own.domain)}
-        is_alone = not self._sources()
+        is_alone = not self._sources.candidates()
         is_follower = is_ranked or is_alone or now < self._follower_until
         if is_follower != self._is_follower:
             self._is_follower = is_follower
@@ -395,23 +384,11 @@
         self._gauge("peers.serving", self._server.subscriber_count)
         self._gauge("peers.seconds-behind", self.staleness_seconds)
 
-    def _sources(self) -> tuple[Member, ...]:
-        """Return the sources that may be used, recently stale ones last."""
-        now = trio.current_time()
-        self._unreachable_until = {
-            name: at for name, at in self._unreachable_until.items() if at > now
-        }
-        self._stale_until = {name: at for name, at in self._stale_until.items() if at > now}
-        candidates = sources(
-            self._roster.own, self._roster.live(), frozenset(self._unreachable_until)
-        )
-        return tuple(sorted(candidates, key=lambda each: each.name in self._stale_until))
-
     def _next_source(self) -> Member | None:
         """Return the source to subscribe to now, None if this process reads the store."""
         if self._is_follower and not self._schedule.is_unavailable:
             return None
-        return next(iter(self._sources()), None)
+        return next(iter(self._sources.candidates()), None)
 
     def _reason_to_leave(self, is_source_cut_off: bool) -> RelayEnd | None:
         """Return why the current source should be left, None to stay.
@@ -429,13 +406,12 @@
         self._update_role()
         if self._is_follower and not self._schedule.is_unavailable:
             return RelayEnd.NOT_NEEDED
-        candidates = {each.name for each in self._sources()}
+        candidates = {each.name for each in self._sources.candidates()}
         if self._is_fresh() and not is_source_cut_off and not self._is_source_behind():
             # A process with subscribers stays a follower: a source that no other process uses would
             # go on following the store for this one.
             return None if self._source in candidates else RelayEnd.NOT_NEEDED
-        better = candidates - {self._source} - self._stale_until.keys()
-        return RelayEnd.STALE if better else None
+        return RelayEnd.STALE if self._sources.has_fresh_beside(self._source) else None
 
     def _is_source_behind(self) -> bool:
         """Return whether another process has known more than the source for some time."""
--- a/deckcourse/peers/stalled_reads.py
+++ b/deckcourse/peers/stalled_reads.py
@@ -14,6 +14,7 @@
     MAX_RETRY_BACKOFF_SECONDS,
     StoreFeed,
 )
+from deckcourse.peers.followers import ROLE_INTERVAL_SECONDS
 from deckcourse.peers.knowledge import SharedState
 from deckcourse.peers.relay import COALESCING_SECONDS, MAX_FRAME_INTERVAL_SECONDS
 from deckcourse.peers.reported_changes import MIN_CONTACT_SECONDS, ReportedChanges
@@ -29,11 +30,13 @@
 # Shortest time between two such reads of a table that are given up, seconds. On an overloaded
 # machine the answers of all processes are late.
 MIN_RENEWAL_INTERVAL_SECONDS = 2.0
+# Time until a read that doesn't wait is answered, seconds.
+ANSWER_SECONDS = 0.1
 # Time beside a read that times out until the next one is answered, seconds: the pause before it,
 # the backoff after it, and the answer.
-RETRY_SECONDS = MAX_BATCH_INTERVAL_SECONDS + MAX_RETRY_BACKOFF_SECONDS + 0.1
+RETRY_SECONDS = MAX_BATCH_INTERVAL_SECONDS + MAX_RETRY_BACKOFF_SECONDS + ANSWER_SECONDS
 # Time until other processes have chosen this one as their source again and got a frame, seconds.
-RELAY_SECONDS = 0.25 + MAX_FRAME_INTERVAL_SECONDS + COALESCING_SECONDS
+RELAY_SECONDS = ROLE_INTERVAL_SECONDS + MAX_FRAME_INTERVAL_SECONDS + COALESCING_SECONDS
 # Shortest wait for changes, if the contact time allows no longer one, seconds.
 MIN_LONG_POLL_SECONDS = 0.25
 
--- a/deckcourse/peers/store_turn.py
+++ b/deckcourse/peers/store_turn.py
@@ -78,10 +78,10 @@
         """Record a failed read.
 
         Args:
-          sent_at: when it was sent, on the clock.
-          is_refused: whether the store refused it, rather than left it unanswered.
           has_sources: whether other processes can provide changes. Without sources there is no
             backoff here: the store may be read as often as readers want to.
+          sent_at: when it was sent, on the clock.
+          is_refused: whether the store refused it, rather than left it unanswered.
         """
         now = self._clock()
         if self._unavailable_since is None:
