--- /dev/null
+++ b/features/steps/message_end_steps.py
@@ -0,0 +1,160 @@
+"""Steps about messages without an end and messages in small pieces."""
+
+import trio
+from behave import given, then, when
+
+from deckcourse.http1.client import UpstreamConnection
+from deckcourse.http1.message import ConnectionLostError
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+NAMES = {
+    b"{chunked head}": CHUNKED_HEAD,
+    b"{started head}": b"HTTP/1.1 200 OK\r\n",
+    b"{nothing}": b"",
+}
+# What an endless answer hands out before the test ends it.
+MAX_HANDED_OUT_BYTES = 1024 * 1024
+GIVE_UP_SECONDS = 60.0
+
+
+def raw(text):
+    """Return the bytes of a table cell."""
+    data = text.replace("\\r", "\r").replace("\\n", "\n").encode()
+    for name, value in NAMES.items():
+        data = data.replace(name, value)
+    return data
+
+
+class PiecesTransport:
+    """An upstream's end of a connection that sends pieces, as many as fit into a read.
+
+    Args:
+      start: sent first.
+      piece: sent again and again.
+      count: how many pieces there are, None without an end.
+      pace: pieces a second that can be sent.
+    """
+
+    def __init__(self, start, piece, count=None, pace=1_000_000):
+        self._start = start
+        self._piece = piece
+        self._count = count
+        self._pace = pace
+        self._began_at = trio.current_time()
+        self._sent_pieces = 0
+        self._unread = b""
+        self.handed_out = 0
+        self.is_closed = False
+
+    async def send_all(self, data):
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes):
+        await trio.lowlevel.checkpoint()
+        if self.handed_out > MAX_HANDED_OUT_BYTES and self._count is None:
+            raise trio.BrokenResourceError("not given up")
+        while not self._unread:
+            await self._produce(max_bytes)
+        data, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
+        self.handed_out += len(data)
+        return data
+
+    async def _produce(self, max_bytes):
+        if self._start:
+            self._unread, self._start = self._start, b""
+            return
+        if self._count is not None and self._sent_pieces == self._count:
+            self._unread = b"0\r\n\r\n"
+            return
+        due = int((trio.current_time() - self._began_at) * self._pace) + 1
+        wanted = min(due, self._count or due) - self._sent_pieces
+        fitting = min(wanted, max_bytes // len(self._piece) + 1)
+        if fitting <= 0:
+            await trio.sleep(1 / self._pace)
+            return
+        self._sent_pieces += fitting
+        self._unread = self._piece * fitting
+
+    def readable(self):
+        return True
+
+    def is_open(self):
+        return not self.is_closed
+
+    def close(self):
+        self.is_closed = True
+
+
+class TurnCounter:
+    """Counts the pieces that are parsed between two turns of another task."""
+
+    def __init__(self, connection):
+        self.longest_turn = 0
+        self._pieces = 0
+        parse = connection._h11.next_event
+
+        def next_event():
+            self._pieces += 1
+            return parse()
+
+        connection._h11.next_event = next_event
+
+    async def run(self):
+        while True:
+            self.longest_turn = max(self.longest_turn, self._pieces)
+            self._pieces = 0
+            await trio.lowlevel.checkpoint()
+
+
+async def read(context, transport):
+    """Read an answer while another task takes turns; return its body or failure."""
+    connection = UpstreamConnection("u:1", transport)
+    counter = context.counter = TurnCounter(connection)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(counter.run)
+        try:
+            reply = await connection.call(b"GET", b"/", ((b"host", b"h"),), b"")
+            return await reply.read_body()
+        except ConnectionLostError as failure:
+            return failure
+        finally:
+            nursery.cancel_scope.cancel()
+
+
+@given("an upstream whose answer begins with {start} and goes on with {piece} without an end")
+def endless_answer(context, start, piece):
+    context.transport_of = lambda: PiecesTransport(raw(start), raw(piece))
+
+
+@given("an upstream that answers with {count:d} chunks of {size:d} bytes, {pace:d} a second")
+def small_chunks(context, count, size, pace):
+    chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+    context.whole = b"x" * size * count
+    context.transport_of = lambda: PiecesTransport(CHUNKED_HEAD, chunk, count, pace)
+
+
+@when("it is read as a body while another task takes turns")
+@when("its answer is read as a body beside another task")
+def read_answer(context):
+    async def work():
+        context.transport = context.transport_of()
+        began_at = trio.current_time()
+        with trio.fail_after(GIVE_UP_SECONDS):
+            context.result = await read(context, context.transport)
+        context.seconds = trio.current_time() - began_at
+
+    trio.run(work)
+
+
+@then("it is given up as malformed after at most 64 KiB, with turns of at most {most:d} pieces")
+def given_up(context, most):
+    assert isinstance(context.result, ConnectionLostError), context.result
+    assert context.result.kind == "malformed", context.result
+    assert context.transport.handed_out <= 64 * 1024, context.transport.handed_out
+    assert context.counter.longest_turn <= most, context.counter.longest_turn
+
+
+@then("the whole body is read within {seconds:g} seconds")
+def whole_body(context, seconds):
+    assert context.result == context.whole, context.result
+    assert context.seconds <= seconds, context.seconds
