Bound the pieces of an upstream's answer, and the processor time that unpaid ones take

Cause: work was bounded in bytes and not in steps. A body of 4 MiB in chunks of a byte is 4 million events of the parser, up to 2,700 of them in a turn of the event loop; interim answers had no bound.

A connection lets others run after 32 pieces. Pieces are paid for by their bytes (a TCP segment a piece) and by a pace of 1,000 a second; unpaid ones share an eighth of the processor, so that a sound answer in small pieces is slower and not lost. An answer is malformed once it has more pieces under 32 bytes in the mean, at no such pace, than the largest body has segments; interim answers count as a head.

--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -3,17 +3,20 @@
 import re
 from collections import deque
 from collections.abc import Callable
+from time import perf_counter
 
 import h11
 import trio
 
 from deckcourse.http1.message import (
+    MAX_BODY_BYTES,
     READ_BYTES,
     ConnectionLostError,
     FailureKind,
     Headers,
     header_value,
 )
+from deckcourse.http1.pieces import PieceLane, PieceMeter
 from deckcourse.http1.transport import Transport
 
 __all__ = [
@@ -37,8 +40,11 @@
 DUPLICATE_TIMEOUT_SECONDS = 0.03
 # The name of calls whose answers carry no request id.
 UNNAMED_CALL = ""
-# Largest response body that is held in memory.
-MAX_BODY_BYTES = 4 * 1024 * 1024
+# Largest size of all interim answers before an answer: they count as parts of its head, and h11
+# bounds that by as much.
+MAX_INTERIM_BYTES = 16 * 1024
+# A status line without a reason, and the empty line that ends a head.
+MIN_HEAD_BYTES = 16
 # Answers that end with their head.
 BODILESS_STATUSES = frozenset({204, 304})
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
@@ -105,11 +111,18 @@
 
 
 class UpstreamConnection:
-    """A connection to an upstream, for one call at a time."""
+    """A connection to an upstream, for one call at a time.
 
-    def __init__(self, address: str, transport: Transport) -> None:
+    Args:
+      address: the address of the upstream.
+      transport: sends and receives bytes.
+      lane: shared with other connections whose answers come in small pieces.
+    """
+
+    def __init__(self, address: str, transport: Transport, lane: PieceLane | None = None) -> None:
         self.address = address
         self._transport = transport
+        self._pieces = PieceMeter(lane or PieceLane())
         self._h11 = h11.Connection(h11.CLIENT)
         self._closing = False
         self._ended = False
@@ -214,6 +227,8 @@
         return await self._read_head()
 
     async def _read_head(self) -> UpstreamReply:
+        self._pieces.start_message()
+        interim_bytes = 0
         while True:
             event = await self._next_event()
             if _is_merged(event):
@@ -224,6 +239,9 @@
                 return UpstreamReply(event.status_code, headers, self)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLostError(FailureKind.LOST, "closed without an answer")
+            interim_bytes += _size(event)
+            if interim_bytes > MAX_INTERIM_BYTES:
+                raise ConnectionLostError(FailureKind.MALFORMED, "interim answers do not end")
 
     def _read_keep_alive(self, headers: Headers) -> None:
         if b"close" in header_value(headers, b"connection").lower():
@@ -243,10 +261,16 @@
         raise ConnectionLostError(FailureKind.LOST, "the answer broke off")
 
     async def _next_event(self) -> h11.Event:
+        # Before the event is taken from the parser: the caller may give up the wait.
+        await self._pieces.let_others_run()
+        if self._pieces.is_exceeded:
+            raise ConnectionLostError(FailureKind.MALFORMED, "too many pieces of a few bytes")
         try:
             while True:
+                began_at = perf_counter()
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
+                    self._pieces.note(_size(event), began_at)
                     return event
                 data = await self._transport.receive_some(READ_BYTES)
                 self._ended = not data
@@ -295,6 +319,16 @@
         self._transport.close()
 
 
+def _size(event: h11.Event) -> int:
+    """Return about how many bytes an event has on the wire."""
+    if isinstance(event, h11.Data):
+        return len(event.data)
+    if isinstance(event, h11.Response | h11.InformationalResponse):
+        fields = sum(len(name) + len(value) for name, value in event.headers)
+        return MIN_HEAD_BYTES + len(event.reason) + fields
+    return 0
+
+
 def _is_merged(event: h11.Event) -> bool:
     """Return whether a response head contains the beginning of another one.
 
--- a/deckcourse/http1/message.py
+++ b/deckcourse/http1/message.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 __all__ = [
+    "MAX_BODY_BYTES",
     "READ_BYTES",
     "ConnectionLostError",
     "FailureKind",
@@ -19,6 +20,9 @@
 # Size of one read from a socket; about ten times an event of a stream.
 READ_BYTES = 16 * 1024
 
+# Largest response body that is held in memory.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
 # Headers that apply to a single connection (RFC 9110, 7.6.1).
 _HOP_BY_HOP = frozenset(
     {
--- a/deckcourse/http1/pieces.py
+++ b/deckcourse/http1/pieces.py
@@ -14,24 +14,26 @@
 
 import trio
 
+from deckcourse.http1.message import MAX_BODY_BYTES
+
 __all__ = ["MAX_UNPAID_PIECES", "PieceLane", "PieceMeter"]
 
 # Largest part of a processor that unpaid pieces take.
 LANE_SHARE = 0.125
-# Pieces for which a connection waits at once: shorter waits would cost more than the pieces.
-PIECES_PER_WAIT = 32
+# Pieces after which a connection lets other tasks run.
+PIECES_PER_TURN = 32
 # Pieces a second that are always paid for: a model upstream makes an event at each step of its
 # engine, and the fastest take about 1 ms for one.
 PACE_PER_SECOND = 1000.0
-# Pieces that may come at once after a pause: the events of a stream that was held up.
-BURST_PIECES = 64
+# Paid pieces that may come at once: a quarter of a second of a stream that was held up.
+BURST_PIECES = 256
 # Bytes that pay for a piece: the payload of a TCP segment on Ethernet.
 SEGMENT_BYTES = 1460
-# Bytes that a piece must have in the mean in a message that is not paced, as the overhead that
-# HTTP/2 counts for each field of a header (RFC 9113, 6.5.2).
+# Bytes that a piece of a message must have in the mean unless they come at that pace; HTTP/2 counts
+# as many for the overhead of a header field (RFC 9113, 6.5.2).
 MIN_MEAN_BYTES = 32
-# A message may have as many pieces below these means as the largest body fills segments.
-MAX_UNPAID_PIECES = 4 * 1024 * 1024 // SEGMENT_BYTES
+# A message may have as many pieces below that mean as the largest body fills segments.
+MAX_UNPAID_PIECES = MAX_BODY_BYTES // SEGMENT_BYTES
 
 
 class PieceLane:
@@ -79,8 +81,9 @@
         self._lane = lane
         self._for_lane = _Balance(SEGMENT_BYTES)
         self._for_message = _Balance(MIN_MEAN_BYTES)
-        self._waiting = 0
-        self._seconds = 0.0
+        # Pieces since other tasks ran, and the processor time of those that were not paid for.
+        self._turn_pieces = 0
+        self._unpaid_seconds = 0.0
 
     @property
     def is_exceeded(self) -> bool:
@@ -91,8 +94,8 @@
         """Record the start of another message."""
         self._for_message = _Balance(MIN_MEAN_BYTES)
 
-    async def take(self, count: int, began_at: float) -> None:
-        """Record a piece; wait for the lane if it was not paid for.
+    def note(self, count: int, began_at: float) -> None:
+        """Record a piece.
 
         Args:
           count: the bytes of the piece.
@@ -100,11 +103,17 @@
         """
         self._for_message.take(count)
         self._for_lane.take(count)
-        if self._for_lane.pieces >= 0:
+        self._turn_pieces += 1
+        if self._for_lane.pieces < 0:
+            self._for_lane.pieces += 1
+            self._unpaid_seconds += perf_counter() - began_at
+
+    async def let_others_run(self) -> None:
+        """Wait for the lane, or for one turn of the event loop, if enough pieces came."""
+        if self._turn_pieces < PIECES_PER_TURN:
             return
-        self._waiting += 1
-        self._seconds += perf_counter() - began_at
-        if self._waiting >= PIECES_PER_WAIT:
-            seconds, self._waiting, self._seconds = self._seconds, 0, 0.0
+        seconds, self._turn_pieces, self._unpaid_seconds = self._unpaid_seconds, 0, 0.0
+        if seconds:
             await self._lane.wait(seconds)
-            self._for_lane.pieces += PIECES_PER_WAIT
+        else:
+            await trio.lowlevel.checkpoint()
--- a/deckcourse/http1/pool.py
+++ b/deckcourse/http1/pool.py
@@ -9,6 +9,7 @@
 
 from deckcourse.http1.client import DEFAULT_IDLE_TIMEOUT_SECONDS, UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError
+from deckcourse.http1.pieces import PieceLane
 from deckcourse.http1.transport import Dial, Transport, dial_tcp
 
 __all__ = ["ConnectionPool"]
@@ -33,6 +34,7 @@
         # All connections in use or idle, in the order in which they were opened.
         self._connections: WeakValueDictionary[int, UpstreamConnection] = WeakValueDictionary()
         self._opened = 0
+        self._lane = PieceLane()
         self._count = count
 
     def set_dial_observer(self, on_failure: Callable[[str, ConnectionLostError], None]) -> None:
@@ -72,7 +74,7 @@
           ConnectionLostError: UNSENT, the address is unreachable.
         """
         self._count("connection.opened")
-        connection = UpstreamConnection(address, await self.dial(address))
+        connection = UpstreamConnection(address, await self.dial(address), self._lane)
         self._opened += 1
         self._connections[self._opened] = connection
         return connection
