--- a/features/silent_reads.feature
+++ b/features/silent_reads.feature
@@ -37,6 +37,14 @@
       | op      | all reads of every one  | eight processes in two areas   | 12         |
       | servers | all reads of every one  | eight processes in two areas   | 12         |
 
+    # One process after the other: the next ones still answer for the store while one finds out.
+    Examples: All open connections of each process in turn
+      | table   | reads                   | processes                      | revocation |
+      | servers | all reads of each       | three processes in three areas | 5          |
+      | servers | all reads of each       | eight processes in two areas   | 12         |
+      | plans   | all reads of each       | three processes in three areas | 12         |
+      | crashes | all reads of each       | eight processes in two areas   | 5          |
+
   # Guards against taking silent connections for an outage of the store, behind which a missing row
   # counts as lapsed for 2 s, and its upstream as the last resort.
   Scenario Outline: The only upstream that leaves beside silent connections gets no requests: <processes>
--- a/features/steps/silent_read_steps.py
+++ b/features/steps/silent_read_steps.py
@@ -22,6 +22,8 @@
 PLAY_SECONDS = 8.0
 # From the silence to the change.
 CHANGE_DELAY_SECONDS = 0.2
+# From the silence of the first process to that of the last one, if they fall silent in turn.
+TURN_SECONDS = 1.0
 IDENTITY = "ab" * 16
 PLAN = {"number": 1, "author": "x/1", "model": "m", "assignments": []}
 SITES = {
@@ -160,8 +162,10 @@
         await trio.sleep(SETTLE_SECONDS)
         first = next(each for each in world.processes if each.node.peers.feed.follows)
         await wait_for_read(first.store, table)
-        for each in world.processes if "every one" in reads else [first]:
+        for each in world.processes if "one" not in reads or "every" in reads else [first]:
             silences[each.name]()
+            if reads.endswith("each"):
+                await trio.sleep(TURN_SECONDS / len(world.processes))
         silent_at = trio.current_time()
         await trio.sleep(CHANGE_DELAY_SECONDS)
         change(world, table)
