Mutants of the bound on pieces; a paced answer whose pieces are a byte

Four mutants were red as written; that of the pace was noticed by none, since events of 20 bytes pay for most of themselves. The row now has 4,000 pieces of one byte at 1,000 a second, which only the pace pays for: red with the mutant, green without it.

--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -26,7 +26,7 @@
 
     Examples:
       | what                             | count | bytes | pace    | seconds |
-      | events at the pace of an engine  | 3000  | 20    | 1000    | 3.1     |
+      | events at the pace of an engine  | 4000  | 1     | 1000    | 4.2     |
       | an answer of 800 bytes by byte   | 800   | 1     | 1000000 | 1.0     |
       | 1,000 short lines at once        | 1000  | 20    | 1000000 | 1.0     |
       | 40,000 lines of 100 bytes        | 40000 | 100   | 1000000 | 10.0    |
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -16,6 +16,7 @@
 from mutants_overload import EVERY as OF_OVERLOAD
 from mutants_partitions import EVERY as OF_PARTITIONS
 from mutants_peers import EVERY as OF_PEERS
+from mutants_pieces import EVERY as OF_PIECES
 from mutants_placement import EVERY as OF_PLACEMENT
 from mutants_rates import EVERY as OF_RATES
 
@@ -37,5 +38,6 @@
     | OF_LOAD
     | OF_PARTITIONS
     | OF_OVERLOAD
+    | OF_PIECES
 ).items():
     mutant(_mechanism, *_features)(_function)
