Merge small frames of a peer in short turns

A follower merged all frames of a read without a break: 1,500 of 11 bytes in a step of a task, where a source sends one per 50 ms.

The new scenario failed before with a step of 1,500 frames; it passes with 64 or fewer between two turns of another task.

--- a/deckcourse/peers/frames.py
+++ b/deckcourse/peers/frames.py
@@ -133,6 +133,12 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._frame_bytes = 0
+
+    @property
+    def frame_bytes(self) -> int:
+        """The size of the latest frame with its length, bytes."""
+        return self._frame_bytes
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Add received bytes and yield the frames that are now complete.
@@ -150,4 +156,5 @@
                 return
             content = bytes(self._buffer[LENGTH_BYTES:end])
             del self._buffer[:end]
+            self._frame_bytes = end
             yield _decode(content)
--- a/deckcourse/peers/relay.py
+++ b/deckcourse/peers/relay.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from enum import StrEnum
+from time import perf_counter
 
 import trio
 
@@ -157,6 +158,7 @@
         reason_to_leave: Callable[[bool], RelayEnd | None],
     ) -> RelayEnd:
         reader = FrameReader()
+        meter = reply.new_meter()
         while True:
             data: bytes | None = None
             with trio.move_on_after(SILENCE_TIMEOUT_SECONDS) as waiting:
@@ -165,8 +167,12 @@
                 return RelayEnd.SILENT
             if data is None:
                 return RelayEnd.BROKE_OFF
+            began_at = perf_counter()
             for frame in reader.feed(data):
                 self._shared_state.merge(frame, origin)
                 end = reason_to_leave(frame.is_cut_off)
                 if end is not None:
                     return end
+                meter.note(reader.frame_bytes, began_at)
+                await meter.let_others_run()
+                began_at = perf_counter()
--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -46,3 +46,9 @@
       | events without text, one each   | 2000  | id: {n}\n\n | 1      | 80     |
       | comments before an event        | 5000  | :\n\n       | 5000   | 10     |
       | events with text                | 200   | id: {n}\ndata: 0123456789012345678901234567890123456789\n\n | 20 | 20 |
+
+  # Guards against a read of thousands of frames of a peer that is merged without a break.
+  Scenario: Small frames of a peer are merged in short turns
+    Given an upstream whose answer begins with {chunked head} and goes on with {100 frames} without an end
+    When that source of frames is followed for 2 seconds
+    Then a turn merges at most 64 of 500 or more frames
--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -9,12 +9,16 @@
 from deckcourse.http1.client import UpstreamConnection
 from deckcourse.http1.message import READ_BYTES, ConnectionLostError
 from deckcourse.http1.server import Exchange
+from deckcourse.peers.frames import Frame, encode_frame
+from deckcourse.peers.relay import RelayClient
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+FRAME = encode_frame(Frame((), {}))
 NAMES = {
     b"{chunked head}": CHUNKED_HEAD,
     b"{started head}": b"HTTP/1.1 200 OK\r\n",
     b"{nothing}": b"",
+    b"{100 frames}": b"%x\r\n%s\r\n" % (len(FRAME) * 100, FRAME * 100),
 }
 # What an endless answer hands out before the test ends it.
 MAX_HANDED_OUT_BYTES = 1024 * 1024
@@ -227,3 +231,49 @@
 @then("they were passed on in at most {most:d} writes")
 def passed_on_together(context, most):
     assert context.counter.writes <= most, context.counter.writes
+
+
+class FollowedSource:
+    """The state that a source's frames are merged into, and the pool that connects to it."""
+
+    def __init__(self, transport):
+        self._transport = transport
+        self.versions = {}
+        self.merged = 0
+        self.longest_step = 0
+        self._in_step = 0
+
+    async def acquire(self, address, max_idle_seconds):
+        return UpstreamConnection(address, self._transport)
+
+    def merge(self, frame, origin):
+        self.merged += 1
+        self._in_step += 1
+        self.longest_step = max(self.longest_step, self._in_step)
+
+    async def count_steps(self):
+        while True:
+            self._in_step = 0
+            await trio.lowlevel.checkpoint()
+
+
+@when("that source of frames is followed for {seconds:g} seconds")
+def followed(context, seconds):
+    async def work():
+        source = context.source = FollowedSource(context.transport_of())
+        client = RelayClient("a", source, source)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(source.count_steps)
+            context.end = None
+            with trio.move_on_after(seconds):
+                context.end = await client.follow("s:1", lambda is_cut_off: None)
+            nursery.cancel_scope.cancel()
+
+    trio.run(work)
+
+
+@then("a turn merges at most {most:d} of {least:d} or more frames")
+def merged_in_turns(context, most, least):
+    source = context.source
+    assert source.merged >= least, (source.merged, context.end)
+    assert source.longest_step <= most, source.longest_step
