Leave a source whose frame does not end

A follower counted each byte as a sign of life. A source that sent a byte of a frame now and then, and no whole frame, was followed without a bound, and its follower got no changes from it.

The new scenario, two bytes a second of a frame of 1 MiB, failed before: the source was still followed after 5 s. It is left within them now.

--- a/deckcourse/peers/frames.py
+++ b/deckcourse/peers/frames.py
@@ -135,6 +135,11 @@
         self._buffer = bytearray()
         self._frame_bytes = 0
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether a part of a frame is buffered."""
+        return bool(self._buffer)
+
     @property
     def frame_bytes(self) -> int:
         """The size of the latest frame with its length, bytes."""
--- a/deckcourse/peers/relay.py
+++ b/deckcourse/peers/relay.py
@@ -36,6 +36,9 @@
 COALESCING_SECONDS = 0.05
 # The response ends if a frame cannot be sent within this time, seconds.
 SEND_TIMEOUT_SECONDS = 2.0
+# A source whose frame is not complete after this time is left, seconds: a sound one has ended its
+# response, or what it has sent arrives before it counts as silent.
+FRAME_TIMEOUT_SECONDS = SEND_TIMEOUT_SECONDS + SILENCE_TIMEOUT_SECONDS
 OK = 200
 
 
@@ -159,14 +162,18 @@
     ) -> RelayEnd:
         reader = FrameReader()
         meter = reply.new_meter()
+        frame_began_at = float("inf")
         while True:
             data: bytes | None = None
-            with trio.move_on_after(SILENCE_TIMEOUT_SECONDS) as waiting:
+            silent_at = trio.current_time() + SILENCE_TIMEOUT_SECONDS
+            with trio.move_on_at(min(silent_at, frame_began_at + FRAME_TIMEOUT_SECONDS)) as waiting:
                 data = await reply.next_data()
             if waiting.cancelled_caught:
                 return RelayEnd.SILENT
             if data is None:
                 return RelayEnd.BROKE_OFF
+            if not reader.is_incomplete:
+                frame_began_at = trio.current_time()
             began_at = perf_counter()
             for frame in reader.feed(data):
                 self._shared_state.merge(frame, origin)
@@ -175,4 +182,7 @@
                     return end
                 meter.note(reader.frame_bytes, began_at)
                 await meter.let_others_run()
+                frame_began_at = trio.current_time()
                 began_at = perf_counter()
+            if not reader.is_incomplete:
+                frame_began_at = float("inf")
--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -52,3 +52,10 @@
     Given an upstream whose answer begins with {chunked head} and goes on with {100 frames} without an end
     When that source of frames is followed for 2 seconds
     Then a turn merges at most 64 of 500 or more frames
+
+  # Guards against a source whose frame never ends: each byte of it counted as a sign of life, and its
+  # follower got no changes.
+  Scenario: A source whose frame does not end is left
+    Given an upstream whose answer begins with {chunked head}{start of a frame} and goes on with 1\r\nx\r\n, 2 a second
+    When that source of frames is followed for 5 seconds
+    Then the source is left as silent
--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -19,6 +19,7 @@
     b"{started head}": b"HTTP/1.1 200 OK\r\n",
     b"{nothing}": b"",
     b"{100 frames}": b"%x\r\n%s\r\n" % (len(FRAME) * 100, FRAME * 100),
+    b"{start of a frame}": b"4\r\n\x00\x10\x00\x00\r\n",
 }
 # What an endless answer hands out before the test ends it.
 MAX_HANDED_OUT_BYTES = 1024 * 1024
@@ -134,6 +135,11 @@
     context.transport_of = lambda: PiecesTransport(raw(start), raw(piece))
 
 
+@given("an upstream whose answer begins with {start} and goes on with {piece}, {pace:d} a second")
+def trickling_answer(context, start, piece, pace):
+    context.transport_of = lambda: PiecesTransport(raw(start), raw(piece), None, pace)
+
+
 @given("an upstream that answers with {count:d} chunks of {size:d} bytes, {pace:d} a second")
 def small_chunks(context, count, size, pace):
     chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
@@ -277,3 +283,8 @@
     source = context.source
     assert source.merged >= least, (source.merged, context.end)
     assert source.longest_step <= most, source.longest_step
+
+
+@then("the source is left as {end}")
+def source_left(context, end):
+    assert context.end == end, context.end
