--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -16,7 +16,7 @@
     Headers,
     header_value,
 )
-from deckcourse.http1.pieces import PIECES_PER_TURN, PieceLane, PieceMeter
+from deckcourse.http1.pieces import PieceLane, PieceMeter
 from deckcourse.http1.transport import Transport
 
 __all__ = [
@@ -50,6 +50,9 @@
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 
+# What the parser returns.
+_Parsed = h11.Event | type[h11.NEED_DATA]
+
 
 class UpstreamReply:
     """The head of an answer, and its body as it arrives."""
@@ -137,7 +140,7 @@
         self._recent_calls: deque[str] = deque(maxlen=MAX_REMEMBERED_CALLS)
         self._request_events: tuple[h11.Event, ...] = ()
         # What the parser gave after the data that were handed out last.
-        self._parsed: h11.Event | h11.RemoteProtocolError | None = None
+        self._parsed: _Parsed | h11.RemoteProtocolError | None = None
         self._opened_at = self._heard_at = trio.current_time()
         self._aborted = False
 
@@ -275,20 +278,18 @@
     def _join_received(self, first: h11.Data) -> bytes:
         """Return data with those received with them: to pass on each chunk alone costs far more."""
         pieces = [bytes(first.data)]
-        while len(pieces) < PIECES_PER_TURN:
+        while self._parsed is None and not self._pieces.is_turn_over:
             began_at = perf_counter()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                self._parsed = error
-                break
-            if event is h11.NEED_DATA:
-                break
-            self._pieces.note(_size(event), began_at)
-            if not isinstance(event, h11.Data):
+                event = error
+            else:
+                self._note(event, began_at)
+            if isinstance(event, h11.Data):
+                pieces.append(bytes(event.data))
+            else:
                 self._parsed = event
-                break
-            pieces.append(bytes(event.data))
         return b"".join(pieces)
 
     async def _next_event(self) -> h11.Event:
@@ -299,14 +300,13 @@
         try:
             while True:
                 event, self._parsed = self._parsed, None
+                if event is None:
+                    began_at = perf_counter()
+                    event = self._h11.next_event()
+                    self._note(event, began_at)
                 if isinstance(event, h11.RemoteProtocolError):
                     raise event
-                if event is not None:
-                    return event
-                began_at = perf_counter()
-                event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
-                    self._pieces.note(_size(event), began_at)
                     return event
                 data = await self._transport.receive_some(READ_BYTES)
                 self._ended = not data
@@ -318,6 +318,10 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLostError(FailureKind.LOST, _error_text(error)) from error
 
+    def _note(self, event: _Parsed, began_at: float) -> None:
+        if event is not h11.NEED_DATA:
+            self._pieces.note(_size(event), began_at)
+
     def is_reusable(self) -> bool:
         """Return whether another call may follow: answer read to its end, no trailing bytes."""
         if self._closing or self._ended or self._h11.our_state is not h11.DONE:
--- a/deckcourse/http1/pieces.py
+++ b/deckcourse/http1/pieces.py
@@ -16,7 +16,7 @@
 
 from deckcourse.http1.message import MAX_BODY_BYTES
 
-__all__ = ["MAX_UNPAID_PIECES", "PIECES_PER_TURN", "PieceLane", "PieceMeter"]
+__all__ = ["MAX_UNPAID_PIECES", "PieceLane", "PieceMeter"]
 
 # Largest part of a processor that unpaid pieces take.
 LANE_SHARE = 0.125
@@ -90,6 +90,11 @@
         """Whether the message has more small pieces than any sound one."""
         return self._for_message.pieces < -MAX_UNPAID_PIECES
 
+    @property
+    def is_turn_over(self) -> bool:
+        """Whether `let_others_run` is due."""
+        return self._turn_pieces >= PIECES_PER_TURN
+
     def start_message(self) -> None:
         """Record the start of another message."""
         self._for_message = _Balance(MIN_MEAN_BYTES)
@@ -112,7 +117,7 @@
 
     async def let_others_run(self) -> None:
         """Wait for the lane, or for one turn of the event loop, if enough pieces came."""
-        if self._turn_pieces < PIECES_PER_TURN:
+        if not self.is_turn_over:
             return
         seconds, self._turn_pieces, self._unpaid_seconds = self._unpaid_seconds, 0, 0.0
         if seconds:
--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -17,6 +17,8 @@
       | a trailer                     | {chunked head}0\r\n | X-A: b\r\n                      | a body |
       | the size of a chunk           | {chunked head}  | 1                                   | a body |
       | a chunk extension             | {chunked head}1;a= | b                                | a body |
+      | chunks of a byte, a duplicate | {chunked head}  | 1\r\nx\r\n                          | a duplicate |
+      | chunks of a byte after one    | {duplicate}     | 1\r\nx\r\n                          | a duplicate |
 
   # Guards against a bound that ends sound answers: events one a chunk, and lines that are written at once.
   Scenario Outline: A whole answer in small pieces is read: <what>
@@ -32,6 +34,12 @@
       | 40,000 lines of 100 bytes        | 40000 | 100   | 1000000 | 10.0    |
       | 4 MB in pieces of 500 bytes      | 8000  | 500   | 1000000 | 2.0     |
 
+  # Guards against a bound on pieces that ends the search behind a duplicate.
+  Scenario: The answer after a duplicate in small pieces is read
+    Given an upstream that answers with {duplicate} and then 100 chunks of 5 bytes
+    When its answer is read as a duplicate beside another task
+    Then the whole body is read within 1 seconds
+
   # Guards against a read of thousands of events or comments that is parsed without a break: eight such
   # streams delayed other tasks by 74 ms a turn.
   Scenario Outline: Small events are parsed in short turns and passed on whole: <what>
--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -18,6 +18,7 @@
     b"{chunked head}": CHUNKED_HEAD,
     b"{started head}": b"HTTP/1.1 200 OK\r\n",
     b"{nothing}": b"",
+    b"{duplicate}": CHUNKED_HEAD + b"5\r\nhello\r\n" * 200 + b"0\r\n\r\n" + CHUNKED_HEAD,
     b"{100 frames}": b"%x\r\n%s\r\n" % (len(FRAME) * 100, FRAME * 100),
     b"{start of a frame}": b"4\r\n\x00\x10\x00\x00\r\n",
 }
@@ -115,14 +116,16 @@
             await trio.lowlevel.checkpoint()
 
 
-async def read(context, transport):
-    """Read an answer while another task takes turns; return its body or failure."""
+async def read(context, transport, reader):
+    """Read an answer, or the one after a duplicate, beside another task; return body or failure."""
     connection = UpstreamConnection("u:1", transport)
     counter = context.counter = TurnCounter(connection)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(counter.run)
         try:
             reply = await connection.call(b"GET", b"/", ((b"host", b"h"),), b"")
+            if reader == "a duplicate":
+                reply = await connection.next_reply()
             return await reply.read_body()
         except ConnectionLostError as failure:
             return failure
@@ -140,6 +143,13 @@
     context.transport_of = lambda: PiecesTransport(raw(start), raw(piece), None, pace)
 
 
+@given("an upstream that answers with {start} and then {count:d} chunks of {size:d} bytes")
+def answer_after(context, start, count, size):
+    small_chunks(context, count, size, 1_000_000)
+    chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+    context.transport_of = lambda: PiecesTransport(raw(start), chunk, count)
+
+
 @given("an upstream that answers with {count:d} chunks of {size:d} bytes, {pace:d} a second")
 def small_chunks(context, count, size, pace):
     chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
@@ -147,14 +157,14 @@
     context.transport_of = lambda: PiecesTransport(CHUNKED_HEAD, chunk, count, pace)
 
 
-@when("it is read as a body while another task takes turns")
-@when("its answer is read as a body beside another task")
-def read_answer(context):
+@when("it is read as {reader} while another task takes turns")
+@when("its answer is read as {reader} beside another task")
+def read_answer(context, reader):
     async def work():
         context.transport = context.transport_of()
         began_at = trio.current_time()
         with trio.fail_after(GIVE_UP_SECONDS):
-            context.result = await read(context, context.transport)
+            context.result = await read(context, context.transport, reader)
         context.seconds = trio.current_time() - began_at
 
     trio.run(work)
