--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -17,6 +17,8 @@
       | a trailer                     | {chunked head}0\r\n | X-A: b\r\n                      | a body |
       | the size of a chunk           | {chunked head}  | 1                                   | a body |
       | a chunk extension             | {chunked head}1;a= | b                                | a body |
+      | chunks of a byte, a duplicate | {chunked head}  | 1\r\nx\r\n                          | a duplicate |
+      | chunks of a byte after one    | {duplicate}     | 1\r\nx\r\n                          | a duplicate |
 
   # Guards against a bound that ends sound answers: events one a chunk, and lines that are written at once.
   Scenario Outline: A whole answer in small pieces is read: <what>
@@ -31,3 +33,37 @@
       | 1,000 short lines at once        | 1000  | 20    | 1000000 | 1.0     |
       | 40,000 lines of 100 bytes        | 40000 | 100   | 1000000 | 10.0    |
       | 4 MB in pieces of 500 bytes      | 8000  | 500   | 1000000 | 2.0     |
+
+  # Guards against a bound on pieces that ends the search behind a duplicate.
+  Scenario: The answer after a duplicate in small pieces is read
+    Given an upstream that answers with {duplicate} and then 100 chunks of 5 bytes
+    When its answer is read as a duplicate beside another task
+    Then the whole body is read within 1 seconds
+
+  # Guards against a read of thousands of events or comments that is parsed without a break: eight such
+  # streams delayed other tasks by 74 ms a turn.
+  Scenario Outline: Small events are parsed in short turns and passed on whole: <what>
+    Given a first upstream that streams <count> times <piece>, <number> a chunk
+    When a caller requests that stream while the parsing is counted
+    Then the caller received exactly these bytes, and a step of a task parsed at most 32 of them
+    And they were passed on in at most <writes> writes
+
+    Examples:
+      | what                            | count | piece       | number | writes |
+      | events without text in a chunk  | 2000  | id: {n}\n\n | 1000   | 80     |
+      | events without text, one each   | 2000  | id: {n}\n\n | 1      | 80     |
+      | comments before an event        | 5000  | :\n\n       | 5000   | 10     |
+      | events with text                | 200   | id: {n}\ndata: 0123456789012345678901234567890123456789\n\n | 20 | 20 |
+
+  # Guards against a read of thousands of frames of a peer that is merged without a break.
+  Scenario: Small frames of a peer are merged in short turns
+    Given an upstream whose answer begins with {chunked head} and goes on with {100 frames} without an end
+    When that source of frames is followed for 2 seconds
+    Then a turn merges at most 64 of 500 or more frames
+
+  # Guards against a source whose frame never ends: each byte of it counted as a sign of life, and its
+  # follower got no changes.
+  Scenario: A source whose frame does not end is left
+    Given an upstream whose answer begins with {chunked head}{start of a frame} and goes on with 1\r\nx\r\n, 2 a second
+    When that source of frames is followed for 5 seconds
+    Then the source is left as silent
--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -2,15 +2,25 @@
 
 import trio
 from behave import given, then, when
+from gateway_story import two_chains
+from raw_upstream import Answer, RawUpstream
 
+from deckcourse.gateway.events import EventReader
 from deckcourse.http1.client import UpstreamConnection
-from deckcourse.http1.message import ConnectionLostError
+from deckcourse.http1.message import READ_BYTES, ConnectionLostError
+from deckcourse.http1.server import Exchange
+from deckcourse.peers.frames import Frame, encode_frame
+from deckcourse.peers.relay import RelayClient
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+FRAME = encode_frame(Frame((), {}))
 NAMES = {
     b"{chunked head}": CHUNKED_HEAD,
     b"{started head}": b"HTTP/1.1 200 OK\r\n",
     b"{nothing}": b"",
+    b"{duplicate}": CHUNKED_HEAD + b"5\r\nhello\r\n" * 200 + b"0\r\n\r\n" + CHUNKED_HEAD,
+    b"{100 frames}": b"%x\r\n%s\r\n" % (len(FRAME) * 100, FRAME * 100),
+    b"{start of a frame}": b"4\r\n\x00\x10\x00\x00\r\n",
 }
 # What an endless answer hands out before the test ends it.
 MAX_HANDED_OUT_BYTES = 1024 * 1024
@@ -106,14 +116,16 @@
             await trio.lowlevel.checkpoint()
 
 
-async def read(context, transport):
-    """Read an answer while another task takes turns; return its body or failure."""
+async def read(context, transport, reader):
+    """Read an answer, or the one after a duplicate, beside another task; return body or failure."""
     connection = UpstreamConnection("u:1", transport)
     counter = context.counter = TurnCounter(connection)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(counter.run)
         try:
             reply = await connection.call(b"GET", b"/", ((b"host", b"h"),), b"")
+            if reader == "a duplicate":
+                reply = await connection.next_reply()
             return await reply.read_body()
         except ConnectionLostError as failure:
             return failure
@@ -126,6 +138,18 @@
     context.transport_of = lambda: PiecesTransport(raw(start), raw(piece))
 
 
+@given("an upstream whose answer begins with {start} and goes on with {piece}, {pace:d} a second")
+def trickling_answer(context, start, piece, pace):
+    context.transport_of = lambda: PiecesTransport(raw(start), raw(piece), None, pace)
+
+
+@given("an upstream that answers with {start} and then {count:d} chunks of {size:d} bytes")
+def answer_after(context, start, count, size):
+    small_chunks(context, count, size, 1_000_000)
+    chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+    context.transport_of = lambda: PiecesTransport(raw(start), chunk, count)
+
+
 @given("an upstream that answers with {count:d} chunks of {size:d} bytes, {pace:d} a second")
 def small_chunks(context, count, size, pace):
     chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
@@ -133,14 +157,14 @@
     context.transport_of = lambda: PiecesTransport(CHUNKED_HEAD, chunk, count, pace)
 
 
-@when("it is read as a body while another task takes turns")
-@when("its answer is read as a body beside another task")
-def read_answer(context):
+@when("it is read as {reader} while another task takes turns")
+@when("its answer is read as {reader} beside another task")
+def read_answer(context, reader):
     async def work():
         context.transport = context.transport_of()
         began_at = trio.current_time()
         with trio.fail_after(GIVE_UP_SECONDS):
-            context.result = await read(context, context.transport)
+            context.result = await read(context, context.transport, reader)
         context.seconds = trio.current_time() - began_at
 
     trio.run(work)
@@ -158,3 +182,119 @@
 def whole_body(context, seconds):
     assert context.result == context.whole, context.result
     assert context.seconds <= seconds, context.seconds
+
+
+class StepCounter(trio.abc.Instrument):
+    """Counts the blocks of events that a step of a task parses, and the writes to callers."""
+
+    def __init__(self, context):
+        self.longest_step = 0
+        self.writes = 0
+        self._blocks = 0
+        parse, send = EventReader._parse_event, Exchange.send
+
+        def counted_parse(reader, block):
+            self._blocks += 1
+            return parse(reader, block)
+
+        async def counted_send(exchange, data):
+            self.writes += 1
+            await send(exchange, data)
+
+        EventReader._parse_event, Exchange.send = counted_parse, counted_send
+        context.add_cleanup(setattr, EventReader, "_parse_event", parse)
+        context.add_cleanup(setattr, Exchange, "send", send)
+
+    def after_task_step(self, task):
+        self.longest_step = max(self.longest_step, self._blocks)
+        self._blocks = 0
+
+
+@given("a first upstream that streams {count:d} times {piece}, {number:d} a chunk")
+def streamed_pieces(context, count, piece, number):
+    pieces = [raw(piece.replace("{n}", str(each))) for each in range(1, count + 1)]
+    if "{n}" not in piece:
+        pieces.append(b"id: 1\n\n")
+    chunks = [b"".join(pieces[at : at + number]) for at in range(0, len(pieces), number)]
+    on_wire = b"".join(Answer("chunked", tuple(chunks)).reads())
+    reads = [on_wire[at : at + READ_BYTES] for at in range(0, len(on_wire), READ_BYTES)]
+    context.whole = b"".join(pieces)
+    two_chains(context)
+    RawUpstream(context.site, "x1:1", reads, "stays open")
+
+
+@when("a caller requests that stream while the parsing is counted")
+def stream_counted(context):
+    counter = context.counter = StepCounter(context)
+
+    async def story(site):
+        trio.lowlevel.add_instrument(counter)
+        context.got = await site.ask()
+
+    context.site.play(story)
+
+
+@then(
+    "the caller received exactly these bytes, and a step of a task parsed at most {most:d} of them"
+)
+def parsed_in_turns(context, most):
+    got = context.got
+    assert (got.status, got.whole) == (200, True), (got.status, got.whole, context.site.lines)
+    assert got.body == context.whole, (len(got.body), len(context.whole))
+    assert 0 < context.counter.longest_step <= most, context.counter.longest_step
+
+
+@then("they were passed on in at most {most:d} writes")
+def passed_on_together(context, most):
+    assert context.counter.writes <= most, context.counter.writes
+
+
+class FollowedSource:
+    """The state that a source's frames are merged into, and the pool that connects to it."""
+
+    def __init__(self, transport):
+        self._transport = transport
+        self.versions = {}
+        self.merged = 0
+        self.longest_step = 0
+        self._in_step = 0
+
+    async def acquire(self, address, max_idle_seconds):
+        return UpstreamConnection(address, self._transport)
+
+    def merge(self, frame, origin):
+        self.merged += 1
+        self._in_step += 1
+        self.longest_step = max(self.longest_step, self._in_step)
+
+    async def count_steps(self):
+        while True:
+            self._in_step = 0
+            await trio.lowlevel.checkpoint()
+
+
+@when("that source of frames is followed for {seconds:g} seconds")
+def followed(context, seconds):
+    async def work():
+        source = context.source = FollowedSource(context.transport_of())
+        client = RelayClient("a", source, source)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(source.count_steps)
+            context.end = None
+            with trio.move_on_after(seconds):
+                context.end = await client.follow("s:1", lambda is_cut_off: None)
+            nursery.cancel_scope.cancel()
+
+    trio.run(work)
+
+
+@then("a turn merges at most {most:d} of {least:d} or more frames")
+def merged_in_turns(context, most, least):
+    source = context.source
+    assert source.merged >= least, (source.merged, context.end)
+    assert source.longest_step <= most, source.longest_step
+
+
+@then("the source is left as {end}")
+def source_left(context, end):
+    assert context.end == end, context.end
