Bound unpaid pieces over all connections, and end no sound answer in short lines

Cause: the pace paid for pieces also while a connection waited for the lane or the event loop, so that many connections together earned more than a processor's work; a mean of 32 bytes ends sound messages; the lane kept to its share although nobody else wanted the processor. A call that followed on the connection paid the rest of a turn, and a wait that was given up was free for its connection and charged to the others.

The pace pays only for what is waited for at the peer. A message ends at the mean of 5 bytes, which a chunk's framing has. The lane takes a quarter of the processor, an eighth while others are late. A wait that is given up goes on with the next call; a message owes nothing for the one before.

--- a/deckcourse/gateway/metered_events.py
+++ b/deckcourse/gateway/metered_events.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable, Callable
 from time import perf_counter
 
+import trio
+
 from deckcourse.gateway.events import Event, EventReader
 from deckcourse.http1.client import UpstreamReply
 
@@ -40,7 +42,7 @@
     async def next_events(self) -> list[Event] | None:
         """Return the events that are complete now, as `EventReader.feed`; None after the end."""
         await self._meter.let_others_run()
-        data = b"" if self._reader.has_more else await self._receive()
+        data = b"" if self._reader.has_more else await self._wait_for_data()
         if data is None:
             return None
         began_at = perf_counter()
@@ -50,3 +52,9 @@
         if self._reader.blocks:
             self._meter.note(parsed, began_at, self._reader.blocks)
         return events
+
+    async def _wait_for_data(self) -> bytes | None:
+        waits_since = trio.current_time()
+        data = await self._receive()
+        self._meter.note_wait(trio.current_time() - waits_since)
+        return data
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -45,6 +45,8 @@
 MAX_INTERIM_BYTES = 16 * 1024
 # A status line without a reason, and the empty line that ends a head.
 MIN_HEAD_BYTES = 16
+# What separates a field's name and value, and fields.
+FIELD_BYTES = 4
 # Answers that end with their head.
 BODILESS_STATUSES = frozenset({204, 304})
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
@@ -308,9 +310,11 @@
                     raise event
                 if event is not h11.NEED_DATA:
                     return event
+                waits_since = trio.current_time()
                 data = await self._transport.receive_some(READ_BYTES)
                 self._ended = not data
                 self._heard_at = trio.current_time()
+                self._pieces.note_wait(self._heard_at - waits_since)
                 self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             kind = FailureKind.LOST if self._ended else FailureKind.MALFORMED
@@ -365,7 +369,7 @@
     if isinstance(event, h11.Data):
         return len(event.data)
     if isinstance(event, h11.Response | h11.InformationalResponse):
-        fields = sum(len(name) + len(value) for name, value in event.headers)
+        fields = sum(len(name) + len(value) + FIELD_BYTES for name, value in event.headers)
         return MIN_HEAD_BYTES + len(event.reason) + fields
     return 0
 
--- a/deckcourse/http1/pieces.py
+++ b/deckcourse/http1/pieces.py
@@ -4,12 +4,11 @@
 piece costs the parser the same however few bytes it has, so that a bound on bytes alone lets one
 peer occupy the event loop.
 
-Pieces are paid for by the bytes that arrive and by a pace at which they may come anyway. What is
-not paid for waits for the lane that all such messages of a process share. Waiting for the lane
-means not reading, so that the peer is held back by TCP.
+Pieces are paid for by the bytes that arrive and by a pace while a connection waits for its peer.
+What is not paid for waits for the lane that all such messages of a process share. Waiting for the
+lane means not reading, so that the peer is held back by TCP.
 """
 
-from dataclasses import dataclass, field
 from time import perf_counter
 
 import trio
@@ -18,20 +17,24 @@
 
 __all__ = ["MAX_UNPAID_PIECES", "PieceLane", "PieceMeter"]
 
-# Largest part of a processor that unpaid pieces take.
-LANE_SHARE = 0.125
+# Part of a processor that unpaid pieces take, and that while other tasks want it.
+MAX_LANE_SHARE = 0.25
+MIN_LANE_SHARE = 0.125
+# A wait that ends this much too late shows that others want the processor: the event loop waits
+# for whole milliseconds.
+CONTENTION_SECONDS = 0.002
 # Pieces after which a connection lets other tasks run.
 PIECES_PER_TURN = 32
-# Pieces a second that are always paid for: a model upstream makes an event at each step of its
-# engine, and the fastest take about 1 ms for one.
+# Pieces that each second of waiting for the peer pays for: a model upstream makes an event at each
+# step of its engine, and the fastest take about 1 ms for one.
 PACE_PER_SECOND = 1000.0
 # Paid pieces that may come at once: a quarter of a second of a stream that was held up.
 BURST_PIECES = 256
 # Bytes that pay for a piece: the payload of a TCP segment on Ethernet.
 SEGMENT_BYTES = 1460
-# Bytes that a piece of a message must have in the mean unless they come at that pace; HTTP/2 counts
-# as many for the overhead of a header field (RFC 9113, 6.5.2).
-MIN_MEAN_BYTES = 32
+# Bytes that pieces of a message must have in the mean unless they come at that pace: a chunk has
+# as many for its size and line ends at least, so that less is mostly framing.
+MIN_MEAN_BYTES = 5
 # A message may have as many pieces below that mean as the largest body fills segments.
 MAX_UNPAID_PIECES = MAX_BODY_BYTES // SEGMENT_BYTES
 
@@ -42,32 +45,33 @@
     def __init__(self) -> None:
         self._free_at = float("-inf")
 
-    async def wait(self, seconds: float) -> None:
-        """Wait until the lane has had time for work.
+    def reserve(self, seconds: float) -> float:
+        """Return until when a connection has to wait, on trio's clock.
 
         Args:
-          seconds: the processor time that the work took.
+          seconds: how much longer the lane is taken.
         """
-        self._free_at = max(trio.current_time(), self._free_at) + seconds / LANE_SHARE
-        await trio.sleep_until(self._free_at)
+        self._free_at = max(trio.current_time(), self._free_at) + seconds
+        return self._free_at
 
 
-@dataclass
 class _Balance:
     """Pieces that were paid for and have not come yet; a debt if negative."""
 
-    bytes_per_piece: float
-    pieces: float = BURST_PIECES
-    updated_at: float = field(default_factory=trio.current_time)
+    def __init__(self, bytes_per_piece: float) -> None:
+        self._bytes_per_piece = bytes_per_piece
+        self.pieces: float = BURST_PIECES
 
     def take(self, count: int, pieces: int) -> None:
         """Take pieces of some bytes altogether."""
-        self.pieces += count / self.bytes_per_piece - pieces
-        if self.pieces < 0:
-            now = trio.current_time()
-            self.pieces += (now - self.updated_at) * PACE_PER_SECOND
-            self.updated_at = now
-        self.pieces = min(self.pieces, BURST_PIECES)
+        self._add(count / self._bytes_per_piece - pieces)
+
+    def note_wait(self, seconds: float) -> None:
+        """Add what a wait for the peer pays for."""
+        self._add(seconds * PACE_PER_SECOND)
+
+    def _add(self, pieces: float) -> None:
+        self.pieces = min(self.pieces + pieces, BURST_PIECES)
 
 
 class PieceMeter:
@@ -84,6 +88,8 @@
         # Pieces since other tasks ran, and the processor time of those that were not paid for.
         self._turn_pieces = 0
         self._unpaid_seconds = 0.0
+        # Until when the lane is awaited, None if it isn't; kept when the wait is given up.
+        self._due_at: float | None = None
 
     @property
     def is_exceeded(self) -> bool:
@@ -96,8 +102,14 @@
         return self._turn_pieces >= PIECES_PER_TURN
 
     def start_message(self) -> None:
-        """Record the start of another message."""
+        """Record the start of another message, which owes nothing for the one before."""
         self._for_message = _Balance(MIN_MEAN_BYTES)
+        self._end_turn()
+
+    def note_wait(self, seconds: float) -> None:
+        """Record a wait for bytes of the peer."""
+        self._for_lane.note_wait(seconds)
+        self._for_message.note_wait(seconds)
 
     def note(self, count: int, began_at: float, pieces: int = 1) -> None:
         """Record pieces.
@@ -119,8 +131,22 @@
         """Wait for the lane, or for one turn of the event loop, if enough pieces came."""
         if not self.is_turn_over:
             return
-        seconds, self._turn_pieces, self._unpaid_seconds = self._unpaid_seconds, 0, 0.0
-        if seconds:
-            await self._lane.wait(seconds)
+        if self._unpaid_seconds:
+            await self._wait_for_lane(self._unpaid_seconds)
         else:
             await trio.lowlevel.checkpoint()
+        self._end_turn()
+
+    async def _wait_for_lane(self, seconds: float) -> None:
+        """Wait for the lane, for longer if other tasks wanted the processor meanwhile."""
+        if self._due_at is None:
+            self._due_at = self._lane.reserve(seconds / MAX_LANE_SHARE)
+        await trio.sleep_until(self._due_at)
+        if trio.current_time() - self._due_at > CONTENTION_SECONDS:
+            self._due_at = self._lane.reserve(seconds / MIN_LANE_SHARE)
+            await trio.sleep_until(self._due_at)
+
+    def _end_turn(self) -> None:
+        self._turn_pieces = 0
+        self._unpaid_seconds = 0.0
+        self._due_at = None
--- a/deckcourse/peers/relay.py
+++ b/deckcourse/peers/relay.py
@@ -165,13 +165,15 @@
         frame_began_at = float("inf")
         while True:
             data: bytes | None = None
-            silent_at = trio.current_time() + SILENCE_TIMEOUT_SECONDS
+            waits_since = trio.current_time()
+            silent_at = waits_since + SILENCE_TIMEOUT_SECONDS
             with trio.move_on_at(min(silent_at, frame_began_at + FRAME_TIMEOUT_SECONDS)) as waiting:
                 data = await reply.next_data()
             if waiting.cancelled_caught:
                 return RelayEnd.SILENT
             if data is None:
                 return RelayEnd.BROKE_OFF
+            meter.note_wait(trio.current_time() - waits_since)
             if not reader.is_incomplete:
                 frame_began_at = trio.current_time()
             began_at = perf_counter()
--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -20,6 +20,18 @@
       | chunks of a byte, a duplicate | {chunked head}  | 1\r\nx\r\n                          | a duplicate |
       | chunks of a byte after one    | {duplicate}     | 1\r\nx\r\n                          | a duplicate |
 
+  # Guards against a bound for each connection alone: many together take the whole processor.
+  Scenario: Many answers without an end leave the processor to others
+    When 64 connections of a pool read chunks of a byte without an end for 2 seconds
+    Then they use at most half of a processor, and another task is late by at most 10 milliseconds in the median
+    And an answer of 800 bytes in 80 chunks is read within 0.2 seconds meanwhile
+
+  # Guards against a debt that the next call on a connection pays, and a wait that starts anew with each
+  # reader that gives up.
+  Scenario: A wait for the lane belongs to one message and goes on when it is given up
+    Then the next message of a connection waits for nothing
+    And a wait that ends each millisecond reads no more than one that goes on
+
   # Guards against a bound that ends sound answers: events one a chunk, and lines that are written at once.
   Scenario Outline: A whole answer in small pieces is read: <what>
     Given an upstream that answers with <count> chunks of <bytes> bytes, <pace> a second
@@ -31,6 +43,9 @@
       | events at the pace of an engine  | 4000  | 1     | 1000    | 4.2     |
       | an answer of 800 bytes by byte   | 800   | 1     | 1000000 | 1.0     |
       | 1,000 short lines at once        | 1000  | 20    | 1000000 | 1.0     |
+      | 3,000 lines of a byte at once    | 3000  | 1     | 1000000 | 2.0     |
+      | 8,000 lines of 10 bytes at once  | 8000  | 10    | 1000000 | 3.0     |
+      | 12,000 lines of 12 bytes at once | 12000 | 12    | 1000000 | 4.0     |
       | 40,000 lines of 100 bytes        | 40000 | 100   | 1000000 | 10.0    |
       | 4 MB in pieces of 500 bytes      | 8000  | 500   | 1000000 | 2.0     |
 
