--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -67,3 +67,32 @@
     Given an upstream whose answer begins with {chunked head}{start of a frame} and goes on with 1\r\nx\r\n, 2 a second
     When that source of frames is followed for 5 seconds
     Then the source is left as silent
+
+  # Guards against a control message or a call of the store that lasts as long as its reply does.
+  Scenario Outline: A reply without an end fails its query in time: <query>, <what>
+    Given an upstream whose answer begins with {chunked head} and goes on with <piece> without an end
+    When it gets the <query>
+    Then the query fails as <result> within <seconds> seconds
+
+    Examples:
+      | query              | what             | piece          | result      | seconds |
+      | query for its load | chunks of a byte | 1\r\nx\r\n     | None        | 1.0     |
+      | query for its load | large chunks     | {large chunk}  | None        | 1.0     |
+      | query by health    | chunks of a byte | 1\r\nx\r\n     | silent      | 1.0     |
+      | query by health    | large chunks     | {large chunk}  | silent      | 1.0     |
+      | order              | chunks of a byte | 1\r\nx\r\n     | unanswered  | 1.0     |
+      | order              | large chunks     | {large chunk}  | unanswered  | 1.0     |
+      | read of a table    | chunks of a byte | 1\r\nx\r\n     | Failure     | 3.0     |
+      | read of a table    | large chunks     | {large chunk}  | Failure     | 3.0     |
+
+  # Guards against a bound on pieces that slows the pages of the store.
+  Scenario Outline: A page of 1 MB is read from the store: <what>
+    Given a store whose page of 500 rows and 1 MB comes in <what>
+    When it gets the read of a table
+    Then the whole page came within 0.5 seconds
+
+    Examples:
+      | what                 |
+      | one piece            |
+      | chunks of 16384      |
+      | chunks of 2000       |
--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -1,16 +1,24 @@
 """Steps about messages without an end and messages in small pieces."""
 
+import json
+from base64 import b64encode
+
 import trio
 from behave import given, then, when
 from gateway_story import two_chains
 from raw_upstream import Answer, RawUpstream
 
 from deckcourse.gateway.events import EventReader
+from deckcourse.gateway.upstream import Upstream
 from deckcourse.http1.client import UpstreamConnection
-from deckcourse.http1.message import READ_BYTES, ConnectionLostError
+from deckcourse.http1.message import MAX_BODY_BYTES, READ_BYTES, ConnectionLostError
+from deckcourse.http1.pool import ConnectionPool
 from deckcourse.http1.server import Exchange
+from deckcourse.layers.hosts import Assignment
 from deckcourse.peers.frames import Frame, encode_frame
 from deckcourse.peers.relay import RelayClient
+from deckcourse.platform.runners import RunnerControl
+from deckcourse.platform.store import Store
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 FRAME = encode_frame(Frame((), {}))
@@ -19,6 +27,7 @@
     b"{started head}": b"HTTP/1.1 200 OK\r\n",
     b"{nothing}": b"",
     b"{duplicate}": CHUNKED_HEAD + b"5\r\nhello\r\n" * 200 + b"0\r\n\r\n" + CHUNKED_HEAD,
+    b"{large chunk}": b"%x\r\n%s\r\n" % (READ_BYTES, b"x" * READ_BYTES),
     b"{100 frames}": b"%x\r\n%s\r\n" % (len(FRAME) * 100, FRAME * 100),
     b"{start of a frame}": b"4\r\n\x00\x10\x00\x00\r\n",
 }
@@ -51,6 +60,7 @@
         self._count = count
         self._pace = pace
         self._began_at = trio.current_time()
+        self.max_bytes = MAX_HANDED_OUT_BYTES
         self._sent_pieces = 0
         self._unread = b""
         self.handed_out = 0
@@ -61,7 +71,7 @@
 
     async def receive_some(self, max_bytes):
         await trio.lowlevel.checkpoint()
-        if self.handed_out > MAX_HANDED_OUT_BYTES and self._count is None:
+        if self.handed_out > self.max_bytes and self._count is None:
             raise trio.BrokenResourceError("not given up")
         while not self._unread:
             await self._produce(max_bytes)
@@ -298,3 +308,56 @@
 @then("the source is left as {end}")
 def source_left(context, end):
     assert context.end == end, context.end
+
+
+# The calls that a process makes of its own accord, by their names in the tables.
+UPSTREAM = Upstream("i-0", "llm", "u:1", "z0")
+QUERIES = {
+    "query for its load": lambda pool: RunnerControl(pool).query_load(UPSTREAM),
+    "query by health": lambda pool: RunnerControl(pool).probe_health(UPSTREAM, "/health", 0.5),
+    "order": lambda pool: RunnerControl(pool).place(UPSTREAM, Assignment("i-0", 0, 4, "copy"), 1),
+    "read of a table": lambda pool: Store(pool, "s:1").snapshot("t"),
+}
+
+
+@given("a store whose page of 500 rows and 1 MB comes in {framing}")
+def page_of_rows(context, framing):
+    value = b64encode(b"x" * 1500).decode()
+    rows = [{"tlsKey": f"k{n:04}", "ver": n, "table": "t", "value": value} for n in range(1, 501)]
+    page = json.dumps({"rows": rows, "ver": 500}).encode()
+    if framing == "one piece":
+        head, pieces = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(page), [page]
+    else:
+        size = int(framing.removeprefix("chunks of "))
+        parts = [page[at : at + size] for at in range(0, len(page), size)]
+        pieces = [b"%x\r\n%s\r\n" % (len(each), each) for each in [*parts, b""]]
+        head = CHUNKED_HEAD
+    context.transport_of = lambda: PiecesTransport(head + b"".join(pieces), b"", 0)
+
+
+@when("it gets the {query}")
+def queried(context, query):
+    async def work():
+        async def dial(address):
+            transport = context.transport_of()
+            transport.max_bytes = 2 * MAX_BODY_BYTES
+            return transport
+
+        began_at = trio.current_time()
+        with trio.move_on_after(GIVE_UP_SECONDS):
+            context.result = await QUERIES[query](ConnectionPool(lambda name: None, dial))
+        context.seconds = trio.current_time() - began_at
+
+    trio.run(work)
+
+
+@then("the query fails as {result} within {seconds:g} seconds")
+def query_failed(context, result, seconds):
+    assert str(context.result).strip("<").startswith(result), context.result
+    assert context.seconds <= seconds, context.seconds
+
+
+@then("the whole page came within {seconds:g} seconds")
+def page_came(context, seconds):
+    assert len(context.result.unwrap().rows) == 500, context.result
+    assert context.seconds <= seconds, context.seconds
