Give an upstream that fails each call few calls, however loaded the others are

Cause: failures counted as 20 calls in flight at most. Once each of the others had more, the upstream that failed at once and so had few in flight got as many calls as they did.

The penalty now grows with the heaviest load of the candidates and with the calls whose results are not known yet, by the eighth power of the share of failures: it weighs on an upstream whose calls fail one after the other.

The new scenario failed before with 60 callers (216 of 1,793 calls, of 30) and passed with 6.

--- a/deckcourse/decisions/call_balance.py
+++ b/deckcourse/decisions/call_balance.py
@@ -11,7 +11,7 @@
 from math import exp
 from random import Random
 
-__all__ = ["CallBalance", "draw_least_loaded"]
+__all__ = ["CallBalance", "draw_least_loaded", "failure_penalty"]
 
 # How long an upstream's answer times are used: calls take some 60 ms and callers want an answer in
 # 120 to 300 ms, so a queue of this age is gone or has been refused.
@@ -25,6 +25,11 @@
 # Loads that differ by less than this many calls count as equal; an upstream in another domain
 # counts as having half a call more.
 NEAR_CALLS = 0.25
+# Calls in flight that an upstream counts as having in addition if all its recent calls failed.
+FAILURE_PENALTY = 20.0
+# Exponent of the share of failed calls for a penalty that grows with the load of all upstreams: it
+# weighs on an upstream whose calls fail one after the other, and not on one with a single failure.
+REPEATED_EXPONENT = 8
 # Bound on the upstreams kept for a service.
 MAX_UPSTREAMS = 64
 
@@ -72,6 +77,21 @@
         return max(0.0, recent.seconds / max(self._usual.seconds, 1e-6) - LATE_FACTOR)
 
 
+def failure_penalty(failure_share: float, in_flight: int, heaviest: float) -> float:
+    """Return the calls that an upstream counts as having in addition for its failures.
+
+    A fixed number of calls holds an upstream back only while the others have fewer in flight. Then
+    it would get as many calls as they do, since an upstream that fails at once has few in flight.
+
+    Args:
+      failure_share: the share of its recent calls that failed.
+      in_flight: its calls in flight, whose results are not known yet.
+      heaviest: the largest load of an upstream of the service, calls.
+    """
+    repeated = heaviest * (2 + in_flight) * failure_share**REPEATED_EXPONENT
+    return FAILURE_PENALTY * failure_share**2 + repeated
+
+
 def draw_least_loaded(
     loads: Mapping[str, float], slots: Mapping[str, int], random: Random
 ) -> str | None:
--- a/deckcourse/gateway/call_balances.py
+++ b/deckcourse/gateway/call_balances.py
@@ -44,7 +44,11 @@
             balance.record(instance, seconds, self._clock())
 
     def choose(
-        self, service: str, candidates: Sequence[Upstream], own_load: Callable[[Upstream], float]
+        self,
+        service: str,
+        candidates: Sequence[Upstream],
+        own_load: Callable[[Upstream], float],
+        penalty: Callable[[Upstream, float], float] = lambda upstream, heaviest: 0.0,
     ) -> Upstream | None:
         """Return the upstream for a call, None if there are no candidates.
 
@@ -52,9 +56,16 @@
           service: the name of the service.
           candidates: the upstreams that accept calls.
           own_load: returns the load of an upstream by this process's own calls.
+          penalty: returns what its failures add to a load, from the largest load of a candidate.
         """
         if not self._settings().domain_forecast:
-            return min(candidates, key=own_load, default=None)
+            own_loads = {each.instance: own_load(each) for each in candidates}
+            heaviest = max(own_loads.values(), default=0.0)
+            return min(
+                candidates,
+                key=lambda each: own_loads[each.instance] + penalty(each, heaviest),
+                default=None,
+            )
         balance = self._balances.setdefault(service, CallBalance())
         now = self._clock()
         # This process's own calls are in its own load already.
@@ -64,6 +75,8 @@
             name: own_load(each) + others * balance.queued_per_slot(name, now)
             for name, each in rows.items()
         }
+        heaviest = max(loads.values(), default=0.0)
+        loads = {name: load + penalty(rows[name], heaviest) for name, load in loads.items()}
         slots = {name: each.slots for name, each in rows.items()}
         chosen = draw_least_loaded(loads, slots, self._random)
         return rows[chosen] if chosen is not None else None
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from deckcourse.decisions.call_balance import failure_penalty
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.calls import (
     WaitsFor,
@@ -43,8 +44,6 @@
 REFERENCE_SLOTS = 6.0
 # Calls in flight that an upstream in another failure domain counts as having in addition.
 REMOTE_PENALTY = 0.5
-# Calls in flight that an upstream counts as having in addition if all its recent calls failed.
-FAILURE_PENALTY = 20.0
 # Longest idle time of a connection for a call that must not be executed twice: if the upstream had
 # closed the connection, it would be unknown whether the call was executed.
 MAX_IDLE_ONCE_SECONDS = 1.0
@@ -234,7 +233,7 @@
         candidates = self._not_attempted(candidates)
         trials = self._context.crashes.trial_upstreams()
         candidates = [each for each in candidates if each.instance not in trials] or candidates
-        return self._context.call_balances.choose(name, candidates, self._load)
+        return self._context.call_balances.choose(name, candidates, self._load, self._penalty)
 
     def _not_attempted(self, rows: list[Upstream]) -> list[Upstream]:
         """Return the upstreams that the call wasn't sent to, if possible under other names."""
@@ -251,7 +250,12 @@
         load = upstreams.in_flight(upstream.instance) * REFERENCE_SLOTS / max(1, upstream.slots)
         if upstream.domain != self._domain:
             load += REMOTE_PENALTY
-        return load + FAILURE_PENALTY * upstreams.failure_share(upstream.instance) ** 2
+        return load
+
+    def _penalty(self, upstream: Upstream, heaviest: float) -> float:
+        upstreams = self._context.upstreams
+        share = upstreams.failure_share(upstream.instance)
+        return failure_penalty(share, upstreams.in_flight(upstream.instance), heaviest)
 
     async def _send_with_token(self, upstream: Upstream) -> _Response | _Refused | _Lost | Withheld:
         """Send the call with a token for the upstream; gives an unused token back."""
--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -96,3 +96,15 @@
       | one piece            |
       | chunks of 16384      |
       | chunks of 2000       |
+
+  # Guards against a fixed penalty for failures: once the others had 20 calls in flight each, an upstream
+  # that failed each call got as many as they did.
+  Scenario Outline: An upstream that fails each call gets few of <callers> callers' calls
+    Given three plain upstreams, the first of which fails each call
+    When <callers> callers call them without a pause for 6 seconds
+    Then at most <most> of <least> or more calls fail, and the others share the rest evenly
+
+    Examples:
+      | callers | most | least |
+      | 6       | 15   | 150   |
+      | 60      | 30   | 1500  |
--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -2,10 +2,13 @@
 
 import json
 from base64 import b64encode
+from collections import Counter
+from itertools import count
 
 import trio
 from behave import given, then, when
 from gateway_story import two_chains
+from gateway_world import GatewayWorld
 from raw_upstream import Answer, RawUpstream
 
 from deckcourse.gateway.events import EventReader
@@ -361,3 +364,39 @@
 def page_came(context, seconds):
     assert len(context.result.unwrap().rows) == 500, context.result
     assert context.seconds <= seconds, context.seconds
+
+
+@given("three plain upstreams, the first of which fails each call")
+def plain_upstreams(context):
+    context.site = GatewayWorld()
+    for number, behaviour in enumerate(["foreign", "", ""], start=1):
+        runner = context.site.add(f"p{number}", "crm", "x")
+        runner.behaviour, runner.work = behaviour, 0.2
+
+
+@when("{callers:d} callers call them without a pause for {seconds:d} seconds")
+def call_them(context, callers, seconds):
+    context.statuses = Counter()
+
+    async def story(site):
+        async def call_on(caller):
+            calls = count()
+            while trio.current_time() < ends_at:
+                got = await site.ask("once", f"{caller}-{next(calls)}")
+                context.statuses[got.status] += 1
+
+        ends_at = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            for caller in range(callers):
+                nursery.start_soon(call_on, caller)
+
+    context.site.play(story)
+
+
+@then("at most {most:d} of {least:d} or more calls fail, and the others share the rest evenly")
+def few_fail(context, most, least):
+    statuses = context.statuses
+    assert statuses.total() >= least, statuses
+    assert statuses.total() - statuses[200] <= most, statuses
+    served = Counter(each.instance for each in context.site.runs)
+    assert abs(served["p2"] - served["p3"]) <= 0.1 * statuses[200], served
