Bound the pieces of a caller's request, and the processor time that unpaid ones take

Cause: a body was bounded in bytes and not in steps, as answers of upstreams were.

Connections of callers count pieces with the same meter. All connections of a listener share a lane of their own, so that callers can't hold up answers of upstreams nor requests of peers. A request with more unpaid pieces than any sound one is refused with 400.

The two scenarios of chunks failed before: 1 MiB of chunks was read without a refusal. The other scenarios passed before and guard uploads that are sound.

--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -10,6 +10,7 @@
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.node import GatewayNode
+from deckcourse.http1.pieces import PieceLane
 from deckcourse.http1.server import (
     Exchange,
     Handler,
@@ -122,7 +123,7 @@
         admit: Callable[[], bool] = lambda: True,
     ) -> None:
         listener = Listener(address, ACCEPT_BACKLOG)
-        serve = partial(self._serve, handler, held, bounds or self._bounds)
+        serve = partial(self._serve, handler, held, bounds or self._bounds, PieceLane())
         nursery.start_soon(self._accept, listener, admit, serve, nursery)
 
     async def _accept(
@@ -152,6 +153,7 @@
         handler: Handler,
         held: HeldBytes | None,
         bounds: Callable[[], CallerBounds],
+        lane: PieceLane,
         stream: trio.SocketStream,
     ) -> None:
         try:
@@ -163,6 +165,7 @@
                     lambda: self._node.stopping,
                     self._idle_connections,
                     meter,
+                    lane,
                 )
         except Exception as error:  # A fault in one connection must not end the process.
             self._log("connection-failed", what=repr(error))
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -11,12 +11,14 @@
 from socket import SO_LINGER, SOL_SOCKET
 from struct import calcsize, unpack
 from termios import TIOCOUTQ
+from time import perf_counter
 from typing import Protocol
 
 import h11
 import trio
 
 from deckcourse.http1.message import READ_BYTES, Headers
+from deckcourse.http1.pieces import PieceLane, PieceMeter
 from deckcourse.listener import RESET_ON_CLOSE
 
 __all__ = [
@@ -221,6 +223,7 @@
     closing: Callable[[], bool],
     idle_connections: IdleConnections | None = None,
     meter: ConnectionMeter | None = None,
+    lane: PieceLane | None = None,
 ) -> None:
     """Serve the requests of one connection until either side closes it.
 
@@ -232,11 +235,18 @@
       closing: returns whether responses should ask the client to close the connection.
       idle_connections: the set that holds the connection while it has no request in progress.
       meter: counts the bytes that are held for the connection.
+      lane: shared with other connections whose requests come in small pieces.
     """
     meter = meter or _NoMeter()
     meter.attach(lambda: _unsent_bytes(stream))
     connection = _Connection(
-        stream, handler, limits, closing, idle_connections or IdleConnections(), meter
+        stream,
+        handler,
+        limits,
+        closing,
+        idle_connections or IdleConnections(),
+        meter,
+        lane or PieceLane(),
     )
     try:
         await connection.run()
@@ -272,6 +282,15 @@
             stream.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
 
 
+def _size(event: h11.Event | type[h11.PAUSED]) -> int:
+    """Return about how many bytes a part of a request has on the wire."""
+    if isinstance(event, h11.Data):
+        return len(event.data)
+    if isinstance(event, h11.Request):
+        return sum(len(name) + len(value) for name, value in event.headers) + len(event.target)
+    return 0
+
+
 class _Connection:
     """The state of one accepted connection."""
 
@@ -283,8 +302,10 @@
         closing: Callable[[], bool],
         idle_connections: IdleConnections,
         meter: ConnectionMeter,
+        lane: PieceLane,
     ) -> None:
         self._meter = meter
+        self._pieces = PieceMeter(lane)
         self._idle_connections = idle_connections
         self._stream = stream
         self._handler = handler
@@ -357,6 +378,7 @@
 
     async def _read_request(self) -> IncomingRequest:
         limits = self._limits()
+        self._pieces.start_message()
         try:
             head = await self._read_head(limits)
             body = await self._read_body(limits)
@@ -366,19 +388,18 @@
         return IncomingRequest(bytes(head.method), bytes(head.target), headers, body)
 
     async def _read_head(self, limits: ConnectionLimits) -> h11.Request:
-        event = self._h11.next_event()
+        event = await self._next_event()
         if event is h11.NEED_DATA:
             with self._idle_connections.waiting_for_request():
                 await self._receive(trio.current_time() + limits.idle_seconds, None)
-            event = self._h11.next_event()
+            event = await self._next_event()
         deadline = trio.current_time() + limits.header_seconds
         while event is h11.NEED_DATA:
             await self._receive(deadline, 408)
-            event = self._h11.next_event()
+            event = await self._next_event()
         if not isinstance(event, h11.Request):
             raise _ClientGoneError
-        size = sum(len(name) + len(value) for name, value in event.headers) + len(event.target)
-        if size > limits.header_bytes:
+        if _size(event) > limits.header_bytes:
             raise _RejectedRequestError(431)
         return event
 
@@ -387,7 +408,7 @@
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         body = bytearray()
         while True:
-            event = self._h11.next_event()
+            event = await self._next_event()
             if event is h11.NEED_DATA:
                 await self._receive(trio.current_time() + limits.idle_seconds, 408)
             elif isinstance(event, h11.Data):
@@ -400,6 +421,16 @@
             else:
                 raise _ClientGoneError
 
+    async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        await self._pieces.let_others_run()
+        if self._pieces.is_exceeded:
+            raise _RejectedRequestError(400)
+        began_at = perf_counter()
+        event = self._h11.next_event()
+        if event is not h11.NEED_DATA:
+            self._pieces.note(_size(event), began_at)
+        return event
+
     async def _receive(self, deadline: float, timeout_status: int | None) -> None:
         data = None
         with trio.move_on_at(deadline):
--- /dev/null
+++ b/features/requests_without_end.feature
@@ -0,0 +1,30 @@
+Feature: Requests without an end, and in very small pieces, leave the event loop to others
+
+  # Guards against bodies that are bounded in bytes alone: one caller without a key that sends chunks
+  # of a byte takes the event loop of all others.
+  Scenario Outline: A request without an end is refused: <what>
+    Given a caller whose request begins with <start> and goes on with <piece> without an end
+    When it is served while another task takes turns
+    Then it is answered with <status> after at most 80 KiB, with turns of at most 64 pieces
+
+    Examples:
+      | what                         | start              | piece          | status |
+      | chunks of a byte             | {chunked head}     | 1\r\nx\r\n     | 400    |
+      | chunks of a byte, extensions | {chunked head}     | 1;a=b\r\nx\r\n | 400    |
+      | a trailer                    | {chunked head}0\r\n | X-A: b\r\n    | 431    |
+      | the size of a chunk          | {chunked head}     | 1              | 431    |
+      | a chunk extension            | {chunked head}1;a= | b              | 431    |
+
+  # Guards against a bound that ends sound uploads: lines as they are made, and files in small writes.
+  Scenario Outline: A whole request in small pieces is served: <what>
+    Given a caller that sends <count> chunks of <bytes> bytes, <pace> a second
+    When it is served beside another task
+    Then the handler gets the whole body within <seconds> seconds
+
+    Examples:
+      | what                          | count | bytes | pace    | seconds |
+      | lines at the pace of a log    | 3000  | 20    | 1000    | 3.2     |
+      | 800 bytes by byte             | 800   | 1     | 1000000 | 1.0     |
+      | 1,000 short lines at once     | 1000  | 20    | 1000000 | 1.0     |
+      | 4 MiB in pieces of 100 bytes  | 41943 | 100   | 1000000 | 10.0    |
+      | 4 MiB in pieces of 500 bytes  | 8388  | 500   | 1000000 | 2.0     |
--- /dev/null
+++ b/features/steps/request_end_steps.py
@@ -0,0 +1,176 @@
+"""Steps about requests without an end and requests in small pieces."""
+
+import trio
+from behave import given, then, when
+
+from deckcourse.gateway.desired import CallerBounds
+from deckcourse.http1 import server
+
+BOUNDS = CallerBounds(body_bytes=4 * 1024 * 1024, header_seconds=1.0, idle_seconds=5.0)
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+NAMES = {
+    b"{chunked head}": CHUNKED_HEAD,
+}
+# What an endless request hands out before its answer.
+MAX_HANDED_OUT_BYTES = 1024 * 1024
+GIVE_UP_SECONDS = 60.0
+
+
+def raw(text):
+    """Return the bytes of a table cell."""
+    data = text.replace("\\r", "\r").replace("\\n", "\n").encode()
+    for name, value in NAMES.items():
+        data = data.replace(name, value)
+    return data
+
+
+class CallerStream(trio.abc.HalfCloseableStream):
+    """The server's end of a connection whose caller sends pieces, as many as fit into a read.
+
+    Args:
+      start: sent first.
+      piece: sent again and again.
+      count: how many pieces there are, None without an end.
+      pace: pieces a second that can be sent.
+    """
+
+    def __init__(self, start, piece, count=None, pace=1_000_000):
+        self._unread = start
+        self._piece = piece
+        self._count = count
+        self._pace = pace
+        self._began_at = trio.current_time()
+        self._sent_pieces = 0
+        self._handed_out = 0
+        self.answer = b""
+        self.handed_out_before_answer = 0
+
+    async def send_all(self, data):
+        await trio.lowlevel.checkpoint()
+        if not self.answer:
+            self.handed_out_before_answer = self._handed_out
+        self.answer += data
+
+    async def receive_some(self, max_bytes=None):
+        await trio.lowlevel.checkpoint()
+        if self._handed_out > MAX_HANDED_OUT_BYTES and self._count is None and not self.answer:
+            raise trio.BrokenResourceError("not refused")
+        while not self._unread:
+            await self._produce(max_bytes)
+        data, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
+        self._handed_out += len(data)
+        return data
+
+    async def _produce(self, max_bytes):
+        if self._count is not None and self._sent_pieces >= self._count:
+            if self._sent_pieces > self._count:
+                await trio.sleep_forever()
+            self._sent_pieces += 1
+            self._unread = b"0\r\n\r\n"
+            return
+        due = int((trio.current_time() - self._began_at) * self._pace) + 1
+        wanted = min(due, self._count or due) - self._sent_pieces
+        fitting = min(wanted, max_bytes // len(self._piece) + 1)
+        if fitting <= 0:
+            await trio.sleep(1 / self._pace)
+            return
+        self._sent_pieces += fitting
+        self._unread = self._piece * fitting
+
+    async def wait_send_all_might_not_block(self):
+        await trio.lowlevel.checkpoint()
+
+    async def send_eof(self):
+        await trio.lowlevel.checkpoint()
+
+    async def aclose(self):
+        await trio.lowlevel.checkpoint()
+
+
+class TurnCounter:
+    """Counts the pieces that are parsed between two turns of another task."""
+
+    def __init__(self, make_parser):
+        self._make_parser = make_parser
+        self.longest_turn = 0
+        self._pieces = 0
+
+    def make_parser(self, *args, **kwargs):
+        """Return a parser whose events are counted."""
+        parser = self._make_parser(*args, **kwargs)
+        parse = parser.next_event
+
+        def next_event():
+            self._pieces += 1
+            return parse()
+
+        parser.next_event = next_event
+        return parser
+
+    async def run(self):
+        """Take turns until cancelled."""
+        while True:
+            self.longest_turn = max(self.longest_turn, self._pieces)
+            self._pieces = 0
+            await trio.lowlevel.checkpoint()
+
+
+async def serve(context, stream):
+    """Serve a connection while another task takes turns."""
+    parser_class = server.h11.Connection
+    counter = context.counter = TurnCounter(parser_class)
+    server.h11.Connection = counter.make_parser
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(counter.run)
+            await server.serve_connection(stream, context.handle, lambda: BOUNDS, lambda: True)
+            nursery.cancel_scope.cancel()
+    finally:
+        server.h11.Connection = parser_class
+
+
+@given("a caller whose request begins with {start} and goes on with {piece} without an end")
+def endless_request(context, start, piece):
+    context.stream_of = lambda: CallerStream(raw(start), raw(piece))
+
+
+@given("a caller that sends {count:d} chunks of {size:d} bytes, {pace:d} a second")
+def small_chunks(context, count, size, pace):
+    chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+    context.whole = b"x" * size * count
+    context.stream_of = lambda: CallerStream(CHUNKED_HEAD, chunk, count, pace)
+
+
+@when("it is served while another task takes turns")
+@when("it is served beside another task")
+def serve_request(context):
+    context.body = None
+
+    async def handle(request, exchange):
+        context.body = request.body
+        context.body_seconds = trio.current_time() - context.began_at
+        await exchange.respond(200, (), b"")
+
+    async def work():
+        context.stream = context.stream_of()
+        context.began_at = trio.current_time()
+        with trio.fail_after(GIVE_UP_SECONDS):
+            await serve(context, context.stream)
+
+    context.handle = handle
+    trio.run(work)
+
+
+@then("it is answered with {status} after at most 80 KiB, with turns of at most {most:d} pieces")
+def refused(context, status, most):
+    stream = context.stream
+    assert stream.answer.startswith(b"HTTP/1.1 " + status.encode()), stream.answer
+    assert b"connection: close" in stream.answer.lower(), stream.answer
+    assert stream.handed_out_before_answer <= 80 * 1024, stream.handed_out_before_answer
+    assert context.counter.longest_turn <= most, context.counter.longest_turn
+
+
+@then("the handler gets the whole body within {seconds:g} seconds")
+def whole_body(context, seconds):
+    assert context.body == context.whole, context.stream.answer
+    assert context.body_seconds <= seconds, context.body_seconds
