Let a refused caller finish its request, so that it gets the refusal

Callers saw: a reset in place of 413, 431 or 400 when they sent their request whole before they read.

Cause: the connection was closed as soon as the refusal was written. A close with unread bytes is a reset, at which the caller's host drops what was not read yet.

The server now ends its side of the connection and discards what still comes, at most as much as a request may have and for at most 2 s. The three scenarios over TCP failed before with ConnectionResetError.

--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -33,6 +33,11 @@
 
 # How long sending an error response may take.
 ERROR_RESPONSE_TIMEOUT_SECONDS = 1.0
+# How long a refused client may go on sending before the connection is closed: a close with unread
+# bytes is a reset, at which the client's host drops a response that was not read yet.
+DISCARD_TIMEOUT_SECONDS = 2.0
+# Size of one read of bytes that are discarded: few reads, since each takes a turn of the event loop.
+DISCARD_READ_BYTES = 256 * 1024
 # Bytes that a client may send while its current request is being answered.
 MAX_PIPELINED_BYTES = 64 * 1024
 
@@ -482,3 +487,15 @@
         with trio.move_on_after(ERROR_RESPONSE_TIMEOUT_SECONDS):
             head = h11.Response(status_code=status, headers=list(headers))
             await self.send(head, h11.EndOfMessage())
+        with trio.move_on_after(DISCARD_TIMEOUT_SECONDS):
+            await self._discard_received()
+
+    async def _discard_received(self) -> None:
+        """Tell the client that nothing follows, and read on for as much as a request may have."""
+        if self._torn or not isinstance(self._stream, trio.abc.HalfCloseableStream):
+            return
+        await self._stream.send_eof()
+        limits = self._limits()
+        remaining = limits.header_bytes + limits.body_bytes
+        while remaining > 0 and (data := await self._stream.receive_some(DISCARD_READ_BYTES)):
+            remaining -= len(data)
--- a/features/requests_without_end.feature
+++ b/features/requests_without_end.feature
@@ -6,6 +6,7 @@
     Given a caller whose request begins with <start> and goes on with <piece> without an end
     When it is served while another task takes turns
     Then it is answered with <status> after at most 80 KiB, with turns of at most 64 pieces
+    And the connection is closed at most 2.1 seconds after the answer
 
     Examples:
       | what                         | start              | piece          | status |
@@ -28,3 +29,13 @@
       | 1,000 short lines at once     | 1000  | 20    | 1000000 | 1.0     |
       | 4 MiB in pieces of 100 bytes  | 41943 | 100   | 1000000 | 10.0    |
       | 4 MiB in pieces of 500 bytes  | 8388  | 500   | 1000000 | 2.0     |
+
+  # Guards against a close with unread bytes: the reset drops the answer at the caller's host.
+  Scenario Outline: A caller that sends its whole request before it reads gets the refusal: <what>
+    Then a caller that sends <bytes> and then reads gets <status> over TCP
+
+    Examples:
+      | what                         | bytes                                       | status |
+      | a body that is too large     | {long head}{5000000}                        | 413    |
+      | a body that is not a chunk   | {chunked head}no size\r\n{3000000}          | 400    |
+      | a head that is too large     | GET / HTTP/1.1\r\nHost: h\r\nA: {3000000}   | 431    |
--- a/features/steps/request_end_steps.py
+++ b/features/steps/request_end_steps.py
@@ -10,6 +10,9 @@
 CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 NAMES = {
     b"{chunked head}": CHUNKED_HEAD,
+    b"{long head}": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n",
+    b"{3000000}": b"x" * 3_000_000,
+    b"{5000000}": b"x" * 5_000_000,
 }
 # What an endless request hands out before its answer.
 MAX_HANDED_OUT_BYTES = 1024 * 1024
@@ -43,12 +46,14 @@
         self._sent_pieces = 0
         self._handed_out = 0
         self.answer = b""
+        self.answered_at = None
         self.handed_out_before_answer = 0
 
     async def send_all(self, data):
         await trio.lowlevel.checkpoint()
         if not self.answer:
             self.handed_out_before_answer = self._handed_out
+            self.answered_at = trio.current_time()
         self.answer += data
 
     async def receive_some(self, max_bytes=None):
@@ -156,6 +161,7 @@
         context.began_at = trio.current_time()
         with trio.fail_after(GIVE_UP_SECONDS):
             await serve(context, context.stream)
+        context.ended_at = trio.current_time()
 
     context.handle = handle
     trio.run(work)
@@ -170,7 +176,38 @@
     assert context.counter.longest_turn <= most, context.counter.longest_turn
 
 
+@then("the connection is closed at most {seconds:g} seconds after the answer")
+def closed_after_answer(context, seconds):
+    taken = context.ended_at - context.stream.answered_at
+    assert taken <= seconds, taken
+
+
 @then("the handler gets the whole body within {seconds:g} seconds")
 def whole_body(context, seconds):
     assert context.body == context.whole, context.stream.answer
     assert context.body_seconds <= seconds, context.body_seconds
+
+
+@then("a caller that sends {text} and then reads gets {status} over TCP")
+def refused_over_tcp(context, text, status):
+    async def handle(request, exchange):
+        await exchange.respond(200, (), b"")
+
+    async def accept(listener):
+        stream = await listener.accept()
+        await server.serve_connection(stream, handle, lambda: BOUNDS, lambda: False)
+
+    async def work():
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(accept, listener)
+            address = listener.socket.getsockname()
+            with trio.fail_after(GIVE_UP_SECONDS):
+                caller = await trio.open_tcp_stream(*address)
+                await caller.send_all(raw(text))
+                # The answer has arrived by now; a reset would come no later.
+                await trio.sleep(0.2)
+                return await caller.receive_some(4096)
+
+    answer = trio.run(work)
+    assert answer.startswith(b"HTTP/1.1 " + status.encode()), answer
