Bound the number of fields in the head and in the trailer of a request

A head or a trailer may have one field for each 32 bytes of the largest head, but at least 100; more are answered with 431 and a close once the lane had the time that the parser took. Both scenarios of 3,000 fields failed before with 200.

--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -36,8 +36,13 @@
 # How long a refused client may go on sending before the connection is closed: a close with unread
 # bytes is a reset, at which the client's host drops a response that was not read yet.
 DISCARD_TIMEOUT_SECONDS = 2.0
-# Size of one read of bytes that are discarded: few reads, since each takes a turn of the event loop.
+# Size of one read of bytes that are discarded: few reads, as each takes a turn of the event loop.
 DISCARD_READ_BYTES = 256 * 1024
+# Bytes of the largest head for each field that it may have: the parser's work is by fields. HTTP/2
+# counts as many for the overhead of a field (RFC 9113, 6.5.2).
+MIN_FIELD_BYTES = 32
+# Fields that a head may have however small the largest one is: servers commonly allow as many.
+MIN_FIELDS_ALLOWED = 100
 # Bytes that a client may send while its current request is being answered.
 MAX_PIPELINED_BYTES = 64 * 1024
 
@@ -310,6 +315,7 @@
         lane: PieceLane,
     ) -> None:
         self._meter = meter
+        self._lane = lane
         self._pieces = PieceMeter(lane)
         self._idle_connections = idle_connections
         self._stream = stream
@@ -434,8 +440,16 @@
         event = self._h11.next_event()
         if event is not h11.NEED_DATA:
             self._pieces.note(_size(event), began_at)
+        if isinstance(event, h11.Request | h11.EndOfMessage):
+            await self._check_fields(len(event.headers), perf_counter() - began_at)
         return event
 
+    async def _check_fields(self, count: int, seconds: float) -> None:
+        """Refuse a head or a trailer of too many fields once the lane had time to parse it."""
+        if count > max(MIN_FIELDS_ALLOWED, self._limits().header_bytes // MIN_FIELD_BYTES):
+            await self._lane.wait(seconds)
+            raise _RejectedRequestError(431)
+
     async def _receive(self, deadline: float, timeout_status: int | None) -> None:
         data = None
         with trio.move_on_at(deadline):
--- a/features/requests_without_end.feature
+++ b/features/requests_without_end.feature
@@ -39,3 +39,15 @@
       | a body that is too large     | {long head}{5000000}                        | 413    |
       | a body that is not a chunk   | {chunked head}no size\r\n{3000000}          | 400    |
       | a head that is too large     | GET / HTTP/1.1\r\nHost: h\r\nA: {3000000}   | 431    |
+
+  # Guards against heads that are bounded in bytes alone: thousands of fields of a byte fit into one.
+  Scenario Outline: The number of fields is bounded: <what>
+    When a caller sends a request with <fields> in its <part>
+    Then it gets <status>, and the lane has <time> for it
+
+    Examples:
+      | what                  | fields               | part    | status | time    |
+      | fields of a byte      | 3000 times a:        | head    | 431    | time    |
+      | a trailer of these    | 3000 times a:        | trailer | 431    | time    |
+      | many fields           | 400 times a: {text}  | head    | 200    | no time |
+      | a trailer             | 400 times a: {text}  | trailer | 200    | no time |
--- a/features/steps/request_end_steps.py
+++ b/features/steps/request_end_steps.py
@@ -1,7 +1,10 @@
 """Steps about requests without an end and requests in small pieces."""
 
+from functools import partial
+
 import trio
 from behave import given, then, when
+from connection_world import virtually
 
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.http1 import server
@@ -211,3 +214,41 @@
 
     answer = trio.run(work)
     assert answer.startswith(b"HTTP/1.1 " + status.encode()), answer
+
+
+class RecordingLane:
+    """A lane that grants all time at once."""
+
+    def __init__(self):
+        self.seconds = 0.0
+
+    async def wait(self, seconds):
+        self.seconds += seconds
+
+
+@when("a caller sends a request with {count:d} times {field} in its {part}")
+def send_fields(context, count, field, part):
+    fields = (field.replace("{text}", "x" * 30).encode() + b"\r\n") * count
+    in_head, in_trailer = (fields, b"") if part == "head" else (b"", fields)
+    request = CHUNKED_HEAD[:-2] + in_head + b"\r\n0\r\n" + in_trailer + b"\r\n"
+    context.lane = RecordingLane()
+
+    async def handle(request, exchange):
+        await exchange.respond(200, (), b"")
+
+    async def work():
+        caller, stream = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            serve = partial(server.serve_connection, lane=context.lane)
+            nursery.start_soon(serve, stream, handle, lambda: BOUNDS, lambda: False)
+            await caller.send_all(request)
+            context.answer = await caller.receive_some(4096)
+            await caller.aclose()
+
+    virtually(work)
+
+
+@then("it gets {status}, and the lane has {time} for it")
+def fields_bounded(context, status, time):
+    assert context.answer.startswith(b"HTTP/1.1 " + status.encode()), context.answer
+    assert (context.lane.seconds > 0) == (time == "time"), context.lane.seconds
