Refuse the first request of a fresh connection while the process stops

Callers saw: from 2.6 s after SIGTERM on, a new connection was closed, or reset from the accept queue, without an answer to its request; the 503 that refuses new requests was meant for it.

Cause: the drain closed every connection that waits for a request, also one that had just been accepted.

A connection that has had no request yet is now fresh. The drain closes served connections as before, and leaves fresh ones their first request, which is refused with 503, Retry-After and Connection: close. When the last request has ended, or 0.2 s before the reserve for the exit, the listeners accept what waits in the queue and close; what has arrived is read and refused within 0.2 s, and the other fresh connections are closed. Without a request that is still being sent this takes 10 ms, and the end of the grace period stays where it was.

The scenario that an idle connection is closed at once when the server drains used a fresh connection and asked for this fault. In its place a table checks both kinds with the same precision: a served one closes at once, a fresh one is answered and closed, or closed at the end, and both after the idle timeout.

--- a/deckcourse/gateway/held_bytes.py
+++ b/deckcourse/gateway/held_bytes.py
@@ -168,6 +168,11 @@
         """The bytes held for all connections that are not being ended."""
         return self._total
 
+    @property
+    def connections(self) -> int:
+        """The number of callers' connections that are not being ended."""
+        return len(self._holders)
+
     @contextmanager
     def connection(self) -> Iterator[Holder]:
         """Register a connection of a caller; it is served inside, until it is ended."""
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -1,9 +1,10 @@
 """The gateway's listeners and its orderly shutdown."""
 
 from collections.abc import Awaitable, Callable
-from contextlib import nullcontext
+from contextlib import nullcontext, suppress
 from dataclasses import dataclass, replace
 from functools import partial
+from socket import socket
 
 import trio
 
@@ -31,6 +32,10 @@
 BALANCER_GRACE_SECONDS = 2.6
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_RESERVE_SECONDS = 0.7
+# How long the requests that arrived last may take to be read and refused as the process ends, and
+# the part of it in which fresh connections are read.
+LAST_REFUSALS_SECONDS = 0.2
+LAST_READS_SECONDS = 0.01
 # Interval between two checks whether all requests have ended.
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 # Pause after a failure to accept a connection, such as for a lack of file descriptors.
@@ -47,6 +52,15 @@
     peers: Address
 
 
+@dataclass(frozen=True)
+class _Port:
+    """A listener and what is done with its connections."""
+
+    listener: Listener
+    admit: Callable[[], bool]
+    serve: Callable[[trio.SocketStream], Awaitable[None]]
+
+
 class GatewayServer:
     """Serves callers, the balancer's readiness check, metrics and the peers of one node.
 
@@ -76,6 +90,7 @@
         self._log = log
         self._stop = trio.Event()
         self._idle_connections = IdleConnections()
+        self._ports: list[_Port] = []
 
     def stop(self) -> None:
         """Begin the orderly shutdown."""
@@ -97,22 +112,42 @@
             self._listen(nursery, callers, self._node.gateway.handle, self._node.held, admit=admit)
             await self._stop.wait()
             await self._node.peers.leave()
-            await self._drain()
+            await self._drain(nursery)
             nursery.cancel_scope.cancel()
 
-    async def _drain(self) -> None:
+    async def _drain(self, nursery: trio.Nursery) -> None:
         grace = self._stop_grace()
         started = trio.current_time()
         self._log("stopping", requests=self._node.gateway.requests, grace=grace)
         await trio.sleep(min(BALANCER_GRACE_SECONDS, grace / 2))
         self._node.refuse_new()
-        self._idle_connections.close()
-        while self._node.gateway.requests:
-            if trio.current_time() >= started + grace - EXIT_RESERVE_SECONDS:
-                break
+        self._idle_connections.close_served()
+        refuses_last_at = started + grace - EXIT_RESERVE_SECONDS - LAST_REFUSALS_SECONDS
+        while self._node.gateway.requests and trio.current_time() < refuses_last_at:
             await trio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
+        with trio.move_on_after(LAST_REFUSALS_SECONDS):
+            await self._refuse_last(nursery)
         self._log("stopped", unfinished=self._node.gateway.requests)
 
+    async def _refuse_last(self, nursery: trio.Nursery) -> None:
+        """Close the listeners and refuse the requests that arrived before."""
+        for port in self._ports:
+            self._accept_last(port, nursery)
+        await trio.sleep(LAST_READS_SECONDS)
+        self._idle_connections.close_all()
+        while self._node.held.connections:
+            await trio.sleep(LAST_READS_SECONDS)
+
+    def _accept_last(self, port: _Port, nursery: trio.Nursery) -> None:
+        count = 0
+        try:
+            while count < ACCEPT_BACKLOG and (accepted := port.listener.accept_waiting()):
+                self._start(port, accepted, nursery)
+                count += len(accepted)
+        except OSError as error:
+            self._log("accept-failed", what=str(error))
+        port.listener.close()
+
     def _listen(
         self,
         nursery: trio.Nursery,
@@ -122,31 +157,29 @@
         bounds: Callable[[], CallerBounds] | None = None,
         admit: Callable[[], bool] = lambda: True,
     ) -> None:
-        listener = Listener(address, ACCEPT_BACKLOG)
         serve = partial(self._serve, handler, held, bounds or self._bounds, PieceLane())
-        nursery.start_soon(self._accept, listener, admit, serve, nursery)
+        port = _Port(Listener(address, ACCEPT_BACKLOG), admit, serve)
+        self._ports.append(port)
+        nursery.start_soon(self._accept, port, nursery)
 
-    async def _accept(
-        self,
-        listener: Listener,
-        admit: Callable[[], bool],
-        serve: Callable[[trio.SocketStream], Awaitable[None]],
-        nursery: trio.Nursery,
-    ) -> None:
-        with listener:
+    async def _accept(self, port: _Port, nursery: trio.Nursery) -> None:
+        with port.listener, suppress(trio.ClosedResourceError):
             while True:
                 try:
-                    accepted = await listener.accept()
+                    accepted = await port.listener.accept()
                 except OSError as error:
                     self._log("accept-failed", what=str(error))
                     await trio.sleep(ACCEPT_BACKOFF_SECONDS)
                     continue
-                for connection in accepted:
-                    if not admit():
-                        reset(connection)
-                        continue
-                    stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
-                    nursery.start_soon(serve, stream)
+                self._start(port, accepted, nursery)
+
+    def _start(self, port: _Port, accepted: list[socket], nursery: trio.Nursery) -> None:
+        for connection in accepted:
+            if not port.admit():
+                reset(connection)
+                continue
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+            nursery.start_soon(port.serve, stream)
 
     async def _serve(
         self,
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -146,33 +146,54 @@
 
 
 class IdleConnections:
-    """The connections without a request in progress; they may be closed at any time."""
+    """The connections without a request in progress, the served and the fresh ones.
+
+    A served connection may be closed at any time. The client of a fresh one, which has not had a
+    request yet, is owed an answer to its first.
+    """
 
     def __init__(self) -> None:
-        self._scopes: set[trio.CancelScope] = set()
-        self._closed = False
+        # The value says whether the connection is fresh.
+        self._scopes: dict[trio.CancelScope, bool] = {}
+        self._closes_served = False
+        self._closes_fresh = False
+
+    def close_served(self) -> None:
+        """Close the served connections, and from now on each one as soon as it becomes idle."""
+        self._closes_served = True
+        self._close_due()
+
+    def close_all(self) -> None:
+        """Close the fresh connections too."""
+        self._closes_served = self._closes_fresh = True
+        self._close_due()
+
+    def _close_due(self) -> None:
+        for scope, is_fresh in list(self._scopes.items()):
+            if self._closes(is_fresh):
+                scope.cancel()
 
-    def close(self) -> None:
-        """Close these connections, and from now on each one as soon as it becomes idle."""
-        self._closed = True
-        for scope in list(self._scopes):
-            scope.cancel()
+    def _closes(self, is_fresh: bool) -> bool:
+        return self._closes_fresh if is_fresh else self._closes_served
 
     @contextmanager
-    def waiting_for_request(self) -> Iterator[None]:
+    def waiting_for_request(self, is_fresh: bool) -> Iterator[None]:
         """Count a connection as idle while the next request is awaited inside.
 
+        Args:
+          is_fresh: whether the connection has not had a request yet.
+
         Raises:
           _ClientGoneError: the connection is to be closed.
         """
         with trio.CancelScope() as scope:
-            if self._closed:
+            if self._closes(is_fresh):
                 scope.cancel()
-            self._scopes.add(scope)
+            self._scopes[scope] = is_fresh
             try:
                 yield
             finally:
-                self._scopes.discard(scope)
+                del self._scopes[scope]
         if scope.cancelled_caught:
             raise _ClientGoneError
 
@@ -324,6 +345,7 @@
         self._closing = closing
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=READ_BYTES * 4)
         self._torn = False
+        self._is_fresh = True
 
     @property
     def torn(self) -> bool:
@@ -363,6 +385,7 @@
             if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
                 return
             self._h11.start_next_cycle()
+            self._is_fresh = False
 
     async def _handle_request(self, request: IncomingRequest) -> None:
         """Run the handler; cancel it as soon as the client disconnects."""
@@ -401,7 +424,7 @@
     async def _read_head(self, limits: ConnectionLimits) -> h11.Request:
         event = await self._next_event()
         if event is h11.NEED_DATA:
-            with self._idle_connections.waiting_for_request():
+            with self._idle_connections.waiting_for_request(self._is_fresh):
                 await self._receive(trio.current_time() + limits.idle_seconds, None)
             event = await self._next_event()
         deadline = trio.current_time() + limits.header_seconds
--- a/deckcourse/listener.py
+++ b/deckcourse/listener.py
@@ -52,20 +52,33 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._socket.close()
+        self.close()
+
+    def close(self) -> None:
+        """Stop listening; connections that were not accepted are reset."""
+        if self._socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
 
     async def accept(self) -> list[socket.socket]:
         """Wait for connections and return those that wait, at least one, as non-blocking sockets.
 
         Raises:
           OSError: no connection could be accepted, such as for a lack of file descriptors.
+          trio.ClosedResourceError: the listener was closed.
         """
-        while True:
+        while self._socket.fileno() >= 0:
             await trio.lowlevel.wait_readable(self._socket)
-            if accepted := self._accept_waiting():
+            if accepted := self.accept_waiting():
                 return accepted
+        raise trio.ClosedResourceError("the listener was closed")
+
+    def accept_waiting(self) -> list[socket.socket]:
+        """Return connections that wait, as many as are accepted in a turn; may be empty.
 
-    def _accept_waiting(self) -> list[socket.socket]:
+        Raises:
+          OSError: no connection could be accepted, such as for a lack of file descriptors.
+        """
         accepted: list[socket.socket] = []
         while len(accepted) < MAX_ACCEPTED_AT_ONCE:
             try:
--- a/features/http1.feature
+++ b/features/http1.feature
@@ -16,8 +16,21 @@
       | a header that is too large  | GET /a HTTP/1.1\r\nHost: h\r\nX: {3000}\r\n\r\n                                             | 431             |
       | a connection to be closed   | GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n    | 200 /a          |
 
-  Scenario: An idle connection is closed after the idle timeout, and at once when the server drains
-    Then an idle connection is closed after 5 seconds, and at once when the server drains
+  # Guards against a drain that leaves served connections open, and against one that closes a fresh
+  # connection before its first request was answered.
+  Scenario Outline: An idle connection is closed in time: <which>
+    When an idle connection <state> and the server <does> after 1 second
+    Then it is closed after <seconds> seconds, with <answers> answers
+
+    Examples:
+      | which                           | state                  | does                 | seconds | answers |
+      | fresh                           | was never used         | goes on              | 5       | 0       |
+      | served                          | was served             | goes on              | 5       | 1       |
+      | served, drain                   | was served             | drains               | 1       | 1       |
+      | fresh, drain                    | was never used         | drains               | 5       | 0       |
+      | fresh, asking after the drain   | asks after 2 seconds   | drains               | 2       | 1       |
+      | fresh, end                      | was never used         | drains and ends      | 1       | 0       |
+      | served, end                     | was served             | drains and ends      | 1       | 1       |
 
   Scenario: A response that its handler leaves incomplete is cut off, not ended properly
     Then a stream whose handler returns early ends without its last chunk
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -293,7 +293,7 @@
 
 
 def no_drain():
-    IdleConnections.close = lambda self: None
+    IdleConnections.close_served = lambda self: None
 
 
 def log_without_bound():
--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+from functools import partial
 
 import trio
 from behave import given, then, when
@@ -53,29 +54,42 @@
     assert ", ".join(result) == answers, context.read
 
 
-@then("an idle connection is closed after {seconds:g} seconds, and at once when the server drains")
-def idle_connection_closes(context, seconds):
-    async def closed_after(drain):
+@when("an idle connection {state} and the server {does} after 1 second")
+def idle_connection(context, state, does):
+    request = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+    async def stop(idle_connections):
+        await trio.sleep(1)
+        if "drains" in does:
+            idle_connections.close_served()
+        if "ends" in does:
+            idle_connections.close_all()
+
+    async def ask(client_stream):
+        if state == "asks after 2 seconds":
+            await trio.sleep(2)
+        if state != "was never used":
+            await client_stream.send_all(request)
+
+    async def work():
         client_stream, server_stream = trio.testing.memory_stream_pair()
         idle_connections = IdleConnections()
         started = trio.current_time()
+        serve = partial(serve_connection, idle_connections=idle_connections)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                serve_connection,
-                server_stream,
-                echo,
-                lambda: BOUNDS,
-                lambda: False,
-                idle_connections,
-            )
-            if drain:
-                await trio.sleep(1)
-                idle_connections.close()
-            await read_until_end(client_stream)
-        return trio.current_time() - started
-
-    assert abs(virtually(lambda: closed_after(False)) - seconds) < 0.01
-    assert abs(virtually(lambda: closed_after(True)) - 1.0) < 0.01
+            nursery.start_soon(serve, server_stream, echo, lambda: BOUNDS, lambda: False)
+            nursery.start_soon(stop, idle_connections)
+            nursery.start_soon(ask, client_stream)
+            context.read = await read_until_end(client_stream)
+            context.seconds = trio.current_time() - started
+
+    virtually(work)
+
+
+@then("it is closed after {seconds:g} seconds, with {count:d} answers")
+def idle_connection_closes(context, seconds, count):
+    assert abs(context.seconds - seconds) < 0.01, context.seconds
+    assert context.read.count(b"HTTP/1.1 200") == count, context.read
 
 
 @then("a stream whose handler returns early ends without its last chunk")
