Don't send a stream again to the upstream that answered with a failure

Callers saw: a stream whose first upstream answers 500 before any event was answered late, or with 502.

Cause: an upstream that answers with a failure was not avoided, as one is that breaks off.

The upstream is avoided for the rest of the stream, as calls avoid every upstream that they were sent to.

--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -456,12 +456,15 @@
             return self._on_refusal(stream, reply.status, facts)
         check_single_response(reply, body)
         await self._check_end(reply, stream)
-        return await self._on_other_response(reply, body)
+        return await self._on_other_response(reply, body, dispatch.instance)
 
-    async def _on_other_response(self, reply: UpstreamReply, body: bytes) -> _AttemptResult:
+    async def _on_other_response(
+        self, reply: UpstreamReply, body: bytes, instance: str
+    ) -> _AttemptResult:
         if self._has_started or (
             reply.status >= SERVER_ERROR and self._retries.may_run_elsewhere()
         ):
+            self._avoided.add(instance)
             return _Broken(f"upstream answered {reply.status}")
         await self._admitted.exchange.respond(reply.status, end_to_end(reply.headers), body)
         return _Finished(reply.status)
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -108,6 +108,16 @@
       | that is repeated survives a reset    | reset  | answer | again | 200    | 2    |
       | ends at the route's time             | sleep  | sleep  | once  | 504    | 1    |
 
+  # Guards against sending a stream to the same failing upstream until the retry budget is spent.
+  Scenario Outline: A stream that fails before its first event: <case>
+    Given two chains of runners whose first upstreams <first> and <second>
+    When a caller asks for a stream
+    Then the caller gets <status> and <runs> executions are recorded
+
+    Examples:
+      | case                        | first | second | status | runs |
+      | another upstream serves it  | errs  | serve  | 200    | 2    |
+
   Scenario Outline: A request is refused before it is sent: <case>
     Given two chains of runners
     When a caller asks with <case>
--- a/features/gateway_runner.py
+++ b/features/gateway_runner.py
@@ -271,6 +271,12 @@
             extra = ((b"x-not-executed", b"1"), (b"at-server", missing.encode()))
             await exchange.respond(421, (*answer[:1], *extra), b"")
             return
+        if self.behaviour == "errs":
+            run.ended = "answered"
+            await exchange.respond(500, (*answer, *self.response_headers), b"failed")
+            return
+        if self.behaviour == "hangs":
+            await trio.sleep_forever()
         first = int(run.headers.get("last-event-id", 0)) + 1
         kind = (b"content-type", b"text/event-stream")
         await exchange.start(200, (*answer, *self.response_headers, kind))
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -24,6 +24,13 @@
     context.site.runners["x1"].behaviour = "breaks"
 
 
+@given("two chains of runners whose first upstreams {first} and {second}")
+def chains_failing(context, first, second):
+    two_chains(context)
+    context.site.runners["x1"].behaviour = first
+    context.site.runners["y1"].behaviour = second
+
+
 @when("a caller asks for a stream")
 def asks(context):
     async def story(site):
