Answer with the upstream's own failure when nothing better came

Callers saw: 504 or 502 of this process in place of the sealed failure that an upstream had answered. A call got 504 if its deadline passed while it was sent again after a 500; a stream lost such an answer in any case: 502 if no other upstream took it, 504 at its deadline.

Cause: a call kept the answer for the end of its attempts only, and the deadline ends them earlier. A stream kept the status in a message and dropped the answer.

Both keep the last failure that an upstream answered, and send it in place of any outcome of this process unless a response has started. Such a stream is not handed over to a peer, as such a call never was: the caller is owed this answer.

--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -93,6 +93,7 @@
         self._handover = context.new_handover(admitted)
         self._unreachable_attempts = 0
         self._was_refused = False
+        # The last failure that an upstream answered: told unless another attempt has an answer.
         self._failed_response: _Response | None = None
         # The upstream that has the call now, empty if none, and since when that holds.
         self._instance = ""
@@ -102,9 +103,13 @@
         """Serve the call; after an Answered outcome the response has been sent to the caller."""
         if self._admitted.earlier is None:
             self._context.budget(self._admitted.service.name).earn()
-        return await within_deadline(
+        outcome = await within_deadline(
             self._admitted, self._run_attempts, self._may_have_run, self._log_deadline
         )
+        failed = self._failed_response
+        if isinstance(outcome, Answered) or failed is None or self._admitted.exchange.started:
+            return outcome
+        return await self._deliver(failed)
 
     def _may_have_run(self) -> bool:
         return self._executions > 0 or self._handover.may_run
@@ -170,7 +175,7 @@
                 self._context.count(f"retry.{RetryReason.REPLY_LOST}")
                 crashes = self._context.crashes
                 await crashes.wait_for_preceding_suspects(self._admitted, upstream.instance)
-        return await self._give_up(last_failure)
+        return self._give_up(last_failure)
 
     @property
     def _is_partitioned(self) -> bool:
@@ -208,9 +213,7 @@
     def _is_worth_retry(self, response: _Response) -> bool:
         return response.status >= SERVER_ERROR and self._may_execute_again()
 
-    async def _give_up(self, last_failure: _Refused | _Lost | None) -> Outcome:
-        if self._failed_response is not None:
-            return await self._deliver(self._failed_response)
+    def _give_up(self, last_failure: _Refused | _Lost | None) -> Outcome:
         if self._executions:
             message = last_failure.message if last_failure is not None else "the answer was lost"
             return Unknown(UnknownReason.UPSTREAM_LOST, message)
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -43,7 +43,7 @@
 )
 from deckcourse.gateway.stream_retries import StreamRetries
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
-from deckcourse.http1.message import ConnectionLostError, FailureKind, end_to_end
+from deckcourse.http1.message import ConnectionLostError, FailureKind, Headers, end_to_end
 from deckcourse.layers.paths import LayerPath
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
 from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
@@ -68,6 +68,15 @@
 LOSS_STATUSES = (421, 503)
 
 
+@dataclass(frozen=True)
+class _Response:
+    """A complete response of an upstream that is no stream."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 @dataclass(frozen=True)
 class _Finished:
     """The complete response was delivered to the caller."""
@@ -106,6 +115,8 @@
         self._unreachable_attempts = 0
         # Whether any attempt has returned events.
         self._has_received_events = False
+        # The last failure that an upstream answered: told unless another attempt has an answer.
+        self._failed_response: _Response | None = None
         self._retries = StreamRetries(context, admitted)
         self._admission = StreamAdmission(
             context,
@@ -132,11 +143,15 @@
         """Serve the stream; an Answered outcome means that the caller has the full response."""
         self._retries.earn()
         try:
-            return await within_deadline(
+            outcome = await within_deadline(
                 self._admitted, self._run_attempts, self._may_have_run, self._log_deadline
             )
         finally:
             self._retries.close()
+        failed = self._failed_response
+        if isinstance(outcome, Answered) or failed is None or self._has_started:
+            return outcome
+        return Answered(0, (await self._respond(failed)).status)
 
     def _may_have_run(self) -> bool:
         return self._executions > 0 or self._handover.may_run
@@ -232,6 +247,8 @@
         is_backing_off = self._choice.accepts_at(self._admitted.service.model) is not None
         if not self._is_partitioned and (is_backing_off or self._retries.was_refused):
             return None  # It holds for peers as well.
+        if self._failed_response is not None and not self._has_started:
+            return None
         is_unspent_retry = self._retries.was_refused and not self._executions
         if is_unspent_retry and not await self._retries.acquire(was_executed=False):
             return None
@@ -461,13 +478,19 @@
     async def _on_other_response(
         self, reply: UpstreamReply, body: bytes, instance: str
     ) -> _AttemptResult:
+        response = _Response(reply.status, end_to_end(reply.headers), body)
         if self._has_started or (
             reply.status >= SERVER_ERROR and self._retries.may_run_elsewhere()
         ):
             self._avoided.add(instance)
+            self._failed_response = response
             return _Broken(f"upstream answered {reply.status}")
-        await self._admitted.exchange.respond(reply.status, end_to_end(reply.headers), body)
-        return _Finished(reply.status)
+        return await self._respond(response)
+
+    async def _respond(self, response: _Response) -> _Finished:
+        exchange = self._admitted.exchange
+        await exchange.respond(response.status, response.headers, response.body)
+        return _Finished(response.status)
 
     def _on_refusal(self, stream: ActiveStream, status: int, facts: ReplyFacts) -> _AttemptResult:
         """Record which upstream of the path refused: it is full, lost or lacks its layers."""
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -107,8 +107,10 @@
       | never gets another request's answer  | foreign | foreign | once | 502    | 1    |
       | that is repeated survives a reset    | reset  | answer | again | 200    | 2    |
       | ends at the route's time             | sleep  | sleep  | once  | 504    | 1    |
+      | keeps a failure until its time ends  | fails  | sleep  | again | 500    | 2    |
 
-  # Guards against sending a stream to the same failing upstream until the retry budget is spent.
+  # Guards against sending a stream to the same failing upstream until the retry budget is spent, and
+  # against replacing a failure that an upstream answered with one of this process.
   Scenario Outline: A stream that fails before its first event: <case>
     Given two chains of runners whose first upstreams <first> and <second>
     When a caller asks for a stream
@@ -117,6 +119,9 @@
     Examples:
       | case                        | first | second | status | runs |
       | another upstream serves it  | errs  | serve  | 200    | 2    |
+      | all upstreams fail          | errs  | errs   | 500    | 2    |
+      | the others are full         | errs  | full   | 500    | 1    |
+      | the time ends at the second | errs  | hangs  | 500    | 2    |
 
   Scenario Outline: A request is refused before it is sent: <case>
     Given two chains of runners
