--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -11,12 +11,14 @@
 from socket import SO_LINGER, SOL_SOCKET
 from struct import calcsize, unpack
 from termios import TIOCOUTQ
+from time import perf_counter
 from typing import Protocol
 
 import h11
 import trio
 
 from deckcourse.http1.message import READ_BYTES, Headers
+from deckcourse.http1.pieces import PieceLane, PieceMeter
 from deckcourse.listener import RESET_ON_CLOSE
 
 __all__ = [
@@ -31,6 +33,16 @@
 
 # How long sending an error response may take.
 ERROR_RESPONSE_TIMEOUT_SECONDS = 1.0
+# How long a refused client may go on sending before the connection is closed: a close with unread
+# bytes is a reset, at which the client's host drops a response that was not read yet.
+DISCARD_TIMEOUT_SECONDS = 2.0
+# Size of one read of bytes that are discarded: few reads, as each takes a turn of the event loop.
+DISCARD_READ_BYTES = 256 * 1024
+# Bytes of the largest head for each field that it may have: the parser's work is by fields. HTTP/2
+# counts as many for the overhead of a field (RFC 9113, 6.5.2).
+MIN_FIELD_BYTES = 32
+# Fields that a head may have however small the largest one is: servers commonly allow as many.
+MIN_FIELDS_ALLOWED = 100
 # Bytes that a client may send while its current request is being answered.
 MAX_PIPELINED_BYTES = 64 * 1024
 
@@ -134,33 +146,54 @@
 
 
 class IdleConnections:
-    """The connections without a request in progress; they may be closed at any time."""
+    """The connections without a request in progress, the served and the fresh ones.
+
+    A served connection may be closed at any time. The client of a fresh one, which has not had a
+    request yet, is owed an answer to its first.
+    """
 
     def __init__(self) -> None:
-        self._scopes: set[trio.CancelScope] = set()
-        self._closed = False
+        # The value says whether the connection is fresh.
+        self._scopes: dict[trio.CancelScope, bool] = {}
+        self._closes_served = False
+        self._closes_fresh = False
+
+    def close_served(self) -> None:
+        """Close the served connections, and from now on each one as soon as it becomes idle."""
+        self._closes_served = True
+        self._close_due()
+
+    def close_all(self) -> None:
+        """Close the fresh connections too."""
+        self._closes_served = self._closes_fresh = True
+        self._close_due()
+
+    def _close_due(self) -> None:
+        for scope, is_fresh in list(self._scopes.items()):
+            if self._closes(is_fresh):
+                scope.cancel()
 
-    def close(self) -> None:
-        """Close these connections, and from now on each one as soon as it becomes idle."""
-        self._closed = True
-        for scope in list(self._scopes):
-            scope.cancel()
+    def _closes(self, is_fresh: bool) -> bool:
+        return self._closes_fresh if is_fresh else self._closes_served
 
     @contextmanager
-    def waiting_for_request(self) -> Iterator[None]:
+    def waiting_for_request(self, is_fresh: bool) -> Iterator[None]:
         """Count a connection as idle while the next request is awaited inside.
 
+        Args:
+          is_fresh: whether the connection has not had a request yet.
+
         Raises:
           _ClientGoneError: the connection is to be closed.
         """
         with trio.CancelScope() as scope:
-            if self._closed:
+            if self._closes(is_fresh):
                 scope.cancel()
-            self._scopes.add(scope)
+            self._scopes[scope] = is_fresh
             try:
                 yield
             finally:
-                self._scopes.discard(scope)
+                del self._scopes[scope]
         if scope.cancelled_caught:
             raise _ClientGoneError
 
@@ -221,6 +254,7 @@
     closing: Callable[[], bool],
     idle_connections: IdleConnections | None = None,
     meter: ConnectionMeter | None = None,
+    lane: PieceLane | None = None,
 ) -> None:
     """Serve the requests of one connection until either side closes it.
 
@@ -232,11 +266,18 @@
       closing: returns whether responses should ask the client to close the connection.
       idle_connections: the set that holds the connection while it has no request in progress.
       meter: counts the bytes that are held for the connection.
+      lane: shared with other connections whose requests come in small pieces.
     """
     meter = meter or _NoMeter()
     meter.attach(lambda: _unsent_bytes(stream))
     connection = _Connection(
-        stream, handler, limits, closing, idle_connections or IdleConnections(), meter
+        stream,
+        handler,
+        limits,
+        closing,
+        idle_connections or IdleConnections(),
+        meter,
+        lane or PieceLane(),
     )
     try:
         await connection.run()
@@ -272,6 +313,15 @@
             stream.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
 
 
+def _size(event: h11.Event | type[h11.PAUSED]) -> int:
+    """Return about how many bytes a part of a request has on the wire."""
+    if isinstance(event, h11.Data):
+        return len(event.data)
+    if isinstance(event, h11.Request):
+        return sum(len(name) + len(value) for name, value in event.headers) + len(event.target)
+    return 0
+
+
 class _Connection:
     """The state of one accepted connection."""
 
@@ -283,8 +333,11 @@
         closing: Callable[[], bool],
         idle_connections: IdleConnections,
         meter: ConnectionMeter,
+        lane: PieceLane,
     ) -> None:
         self._meter = meter
+        self._lane = lane
+        self._pieces = PieceMeter(lane)
         self._idle_connections = idle_connections
         self._stream = stream
         self._handler = handler
@@ -292,6 +345,7 @@
         self._closing = closing
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=READ_BYTES * 4)
         self._torn = False
+        self._is_fresh = True
 
     @property
     def torn(self) -> bool:
@@ -331,6 +385,7 @@
             if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
                 return
             self._h11.start_next_cycle()
+            self._is_fresh = False
 
     async def _handle_request(self, request: IncomingRequest) -> None:
         """Run the handler; cancel it as soon as the client disconnects."""
@@ -357,6 +412,7 @@
 
     async def _read_request(self) -> IncomingRequest:
         limits = self._limits()
+        self._pieces.start_message()
         try:
             head = await self._read_head(limits)
             body = await self._read_body(limits)
@@ -366,19 +422,18 @@
         return IncomingRequest(bytes(head.method), bytes(head.target), headers, body)
 
     async def _read_head(self, limits: ConnectionLimits) -> h11.Request:
-        event = self._h11.next_event()
+        event = await self._next_event()
         if event is h11.NEED_DATA:
-            with self._idle_connections.waiting_for_request():
+            with self._idle_connections.waiting_for_request(self._is_fresh):
                 await self._receive(trio.current_time() + limits.idle_seconds, None)
-            event = self._h11.next_event()
+            event = await self._next_event()
         deadline = trio.current_time() + limits.header_seconds
         while event is h11.NEED_DATA:
             await self._receive(deadline, 408)
-            event = self._h11.next_event()
+            event = await self._next_event()
         if not isinstance(event, h11.Request):
             raise _ClientGoneError
-        size = sum(len(name) + len(value) for name, value in event.headers) + len(event.target)
-        if size > limits.header_bytes:
+        if _size(event) > limits.header_bytes:
             raise _RejectedRequestError(431)
         return event
 
@@ -387,7 +442,7 @@
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         body = bytearray()
         while True:
-            event = self._h11.next_event()
+            event = await self._next_event()
             if event is h11.NEED_DATA:
                 await self._receive(trio.current_time() + limits.idle_seconds, 408)
             elif isinstance(event, h11.Data):
@@ -400,6 +455,24 @@
             else:
                 raise _ClientGoneError
 
+    async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        await self._pieces.let_others_run()
+        if self._pieces.is_exceeded:
+            raise _RejectedRequestError(400)
+        began_at = perf_counter()
+        event = self._h11.next_event()
+        if event is not h11.NEED_DATA:
+            self._pieces.note(_size(event), began_at)
+        if isinstance(event, h11.Request | h11.EndOfMessage):
+            await self._check_fields(len(event.headers), perf_counter() - began_at)
+        return event
+
+    async def _check_fields(self, count: int, seconds: float) -> None:
+        """Refuse a head or a trailer of too many fields once the lane had time to parse it."""
+        if count > max(MIN_FIELDS_ALLOWED, self._limits().header_bytes // MIN_FIELD_BYTES):
+            await self._lane.wait(seconds)
+            raise _RejectedRequestError(431)
+
     async def _receive(self, deadline: float, timeout_status: int | None) -> None:
         data = None
         with trio.move_on_at(deadline):
@@ -451,3 +524,15 @@
         with trio.move_on_after(ERROR_RESPONSE_TIMEOUT_SECONDS):
             head = h11.Response(status_code=status, headers=list(headers))
             await self.send(head, h11.EndOfMessage())
+        with trio.move_on_after(DISCARD_TIMEOUT_SECONDS):
+            await self._discard_received()
+
+    async def _discard_received(self) -> None:
+        """Tell the client that nothing follows, and read on for as much as a request may have."""
+        if self._torn or not isinstance(self._stream, trio.abc.HalfCloseableStream):
+            return
+        await self._stream.send_eof()
+        limits = self._limits()
+        remaining = limits.header_bytes + limits.body_bytes
+        while remaining > 0 and (data := await self._stream.receive_some(DISCARD_READ_BYTES)):
+            remaining -= len(data)
