connection-ended names the request, and whether it was handed on

A connection that this process ended was logged with its reason and its bytes only, so that the log did not tell which request was closed without an answer, nor whether an upstream may have run it. The meter of a connection learns the request id from the gateway and notes each time that the request is sent to an upstream or a peer; both stand in the line. A request whose body is still coming in has no id yet.

--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -105,6 +105,7 @@
     ) -> None:
         self._requests += 1
         arrived_at = trio.current_time()
+        exchange.meter.note_request(caller.request_id)
         outcome: Outcome = Unknown(UnknownReason.CALLER_GONE, "the caller disconnected")
         try:
             outcome = await self._serve(caller, exchange, earlier)
--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -244,6 +244,7 @@
         reply: UpstreamReply | None = None
         failure: ConnectionLostError | None = None
         self._may_run = True
+        self._admitted.exchange.meter.note_handed_on()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_if_silent, peer, nursery.cancel_scope)
             try:
--- a/deckcourse/gateway/held_bytes.py
+++ b/deckcourse/gateway/held_bytes.py
@@ -54,6 +54,9 @@
         self._pending: deque[tuple[int, float]] = deque()
         self._count_unsent: Callable[[], int] = lambda: 0
         self._end_reason: EndReason | None = None
+        # The request that is served, empty between two, and whether it was sent to an upstream.
+        self._request_id = ""
+        self._handed_on = False
 
     @property
     def held(self) -> int:
@@ -65,6 +68,16 @@
         """Why the connection was ended, None if it was not."""
         return self._end_reason
 
+    @property
+    def request_id(self) -> str:
+        """The request that is served, empty if there is none."""
+        return self._request_id
+
+    @property
+    def handed_on(self) -> bool:
+        """Whether the request that is served was sent to an upstream or a peer."""
+        return self._handed_on
+
     def _hold(self, part: int, count: int) -> None:
         change = count - self._held[part]
         if change:
@@ -75,6 +88,14 @@
         """Set the callback that returns the bytes written that the caller's host has not taken."""
         self._count_unsent = count_unsent
 
+    def note_request(self, request_id: str) -> None:
+        """Record that a request is being served, for the log."""
+        self._request_id = request_id
+
+    def note_handed_on(self) -> None:
+        """Record that the request is sent to an upstream or a peer now."""
+        self._handed_on = True
+
     def note_received(self, count: int) -> None:
         """Record bytes of a request body that came from the caller."""
         self._hold(_BODY, self._held[_BODY] + count)
@@ -103,6 +124,7 @@
         """Record that a request was served; what its caller has not taken is still held."""
         for part in (_BODY, _RESPONSE, _PIPELINED):
             self._hold(part, 0)
+        self._request_id, self._handed_on = "", False
 
     def note_writing(self, count: int) -> None:
         """Record the start of a write to the caller."""
@@ -231,5 +253,7 @@
             held=holder.held,
             total=self.total,
             waited_ms=round(waited * 1000),
+            request=holder.request_id,
+            handed_on=holder.handed_on,
         )
         holder.end(why)
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -325,6 +325,7 @@
         )
         self._executions += 1
         meter = admitted.exchange.meter
+        meter.note_handed_on()
         meter.note_body_waiting(len(admitted.caller.message.body))
         with self._context.reachability.waiting(
             upstream.service, upstream.instance, self._may_execute_again()
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -435,6 +435,7 @@
         self._retries.note_execution(dispatch.instance)
         self._admission.note_sent(stream.path)
         meter = admitted.exchange.meter
+        meter.note_handed_on()
         meter.note_body_waiting(len(admitted.caller.message.body))
         try:
             with stream.interruptible():
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -57,6 +57,12 @@
     def attach(self, count_unsent: Callable[[], int]) -> None:
         """Set the callback that returns the bytes written that the client's host has not taken."""
 
+    def note_request(self, request_id: str) -> None:
+        """Record that a request is being served, for the log."""
+
+    def note_handed_on(self) -> None:
+        """Record that the request is sent on now."""
+
     def note_received(self, count: int) -> None:
         """Record bytes of a request body that came from the client."""
 
@@ -92,6 +98,10 @@
 
     def attach(self, count_unsent: Callable[[], int]) -> None: ...
 
+    def note_request(self, request_id: str) -> None: ...
+
+    def note_handed_on(self) -> None: ...
+
     def note_received(self, count: int) -> None: ...
 
     def note_pipelined(self, count: int) -> None: ...
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -137,6 +137,8 @@
 def calls_come(context, bound, what, sizes):
     site = context.site = GatewayWorld()
     site.load = LoadSettings(held_bytes=Size(bound))
+    # Bodies wait for a connection, answers have come from an upstream.
+    context.handed_on = what == "answers"
     runner, context.served = site.add("v1", "crm"), []
 
     async def slow_dial(address):
@@ -170,6 +172,11 @@
     assert sorted(context.served) == [int(each) for each in served.split()], context.served
     ended = [fields for kind, fields in context.site.lines if kind == "connection-ended"]
     assert [each["reason"] for each in ended] == ["held-bytes"] * (3 - len(context.served)), ended
+    # The log tells whose connection was ended, and whether an upstream may have the request. A
+    # request is known by its name once it came in whole.
+    names = ("4000",) if context.handed_on else ("", "4000")
+    assert all(each["request"] in names for each in ended), ended
+    assert all(each["handed_on"] == context.handed_on for each in ended), ended
     assert context.total == 0, context.total
 
 
