Refuse a head of too many fields before it is parsed

The lines of a head that isn't whole yet are counted as they come; beyond the bound on fields it is refused with 431. The new scenario was red before: the head was parsed. A wait for bytes of a caller pays for pieces, as for upstreams.

--- a/deckcourse/http1/pieces.py
+++ b/deckcourse/http1/pieces.py
@@ -54,6 +54,10 @@
         self._free_at = max(trio.current_time(), self._free_at) + seconds
         return self._free_at
 
+    async def wait(self, seconds: float) -> None:
+        """Wait until the lane has had time for work that took some seconds of the processor."""
+        await trio.sleep_until(self.reserve(seconds / MIN_LANE_SHARE))
+
 
 class _Balance:
     """Pieces that were paid for and have not come yet; a debt if negative."""
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -43,6 +43,8 @@
 MIN_FIELD_BYTES = 32
 # Fields that a head may have however small the largest one is: servers commonly allow as many.
 MIN_FIELDS_ALLOWED = 100
+# The request line, an empty line before it and one at the end.
+OTHER_HEAD_LINES = 3
 # Bytes that a client may send while its current request is being answered.
 MAX_PIPELINED_BYTES = 64 * 1024
 
@@ -379,6 +381,11 @@
             stream.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
 
 
+def _max_fields(limits: ConnectionLimits) -> int:
+    """Return how many fields a head or a trailer may have."""
+    return max(MIN_FIELDS_ALLOWED, limits.header_bytes // MIN_FIELD_BYTES)
+
+
 def _size(event: h11.Event | type[h11.PAUSED]) -> int:
     """Return about how many bytes a part of a request has on the wire."""
     if isinstance(event, h11.Data):
@@ -489,13 +496,18 @@
 
     async def _read_head(self, limits: ConnectionLimits) -> h11.Request:
         event = await self._next_event()
+        line_count = 0
         if event is h11.NEED_DATA:
             with self._idle_connections.waiting_for_request(self._is_fresh):
-                await self._receive(trio.current_time() + limits.idle_seconds, None)
+                data = await self._receive(trio.current_time() + limits.idle_seconds, None)
+            line_count = data.count(b"\n")
             event = await self._next_event()
         deadline = trio.current_time() + limits.header_seconds
         while event is h11.NEED_DATA:
-            await self._receive(deadline, 408)
+            # Before the head is whole, since the parser takes all of its fields at once.
+            if line_count > _max_fields(limits) + OTHER_HEAD_LINES:
+                raise _RejectedRequestError(431)
+            line_count += (await self._receive(deadline, 408)).count(b"\n")
             event = await self._next_event()
         if not isinstance(event, h11.Request):
             raise _ClientGoneError
@@ -550,19 +562,22 @@
 
     async def _check_fields(self, count: int, seconds: float) -> None:
         """Refuse a head or a trailer of too many fields once the lane had time to parse it."""
-        if count > max(MIN_FIELDS_ALLOWED, self._limits().header_bytes // MIN_FIELD_BYTES):
+        if count > _max_fields(self._limits()):
             await self._lane.wait(seconds)
             raise _RejectedRequestError(431)
 
-    async def _receive(self, deadline: float, timeout_status: int | None) -> None:
+    async def _receive(self, deadline: float, timeout_status: int | None) -> bytes:
         data = None
+        waits_since = trio.current_time()
         with trio.move_on_at(deadline):
             data = await self._stream.receive_some(READ_BYTES)
+        self._pieces.note_wait(trio.current_time() - waits_since)
         if data is None and timeout_status is not None:
             raise _RejectedRequestError(timeout_status)
         if not data:
             raise _ClientGoneError
         self._h11.receive_data(data)
+        return data
 
     async def send(self, *events: h11.Event) -> None:
         """Send events in one write.
--- a/features/requests_without_end.feature
+++ b/features/requests_without_end.feature
@@ -51,3 +51,8 @@
       | a trailer of these    | 3000 times a:        | trailer | 431    | time    |
       | many fields           | 400 times a: {text}  | head    | 200    | no time |
       | a trailer             | 400 times a: {text}  | trailer | 200    | no time |
+
+  # Guards against a head of thousands of fields that is parsed whole before they are counted.
+  Scenario: A head of too many fields is refused before it is parsed
+    When a caller sends a head of 16000 fields of a byte
+    Then it gets 431, and the parser has seen no whole head
--- a/features/steps/request_end_steps.py
+++ b/features/steps/request_end_steps.py
@@ -252,3 +252,33 @@
 def fields_bounded(context, status, time):
     assert context.answer.startswith(b"HTTP/1.1 " + status.encode()), context.answer
     assert (context.lane.seconds > 0) == (time == "time"), context.lane.seconds
+
+
+@when("a caller sends a head of {count:d} fields of a byte")
+def many_fields(context, count):
+    parser_class = server.h11.Connection
+    parsers = context.parsers = []
+
+    def make_parser(*args, **kwargs):
+        parsers.append(parser_class(*args, **kwargs))
+        return parsers[0]
+
+    async def handle(request, exchange):
+        await exchange.respond(200, (), b"")
+
+    async def work():
+        stream = CallerStream(b"GET / HTTP/1.1\r\nHost: h\r\n", b"a:\r\n", count)
+        await server.serve_connection(stream, handle, lambda: BOUNDS, lambda: True)
+        return stream.answer
+
+    server.h11.Connection = make_parser
+    try:
+        context.answer = trio.run(work)
+    finally:
+        server.h11.Connection = parser_class
+
+
+@then("it gets {status}, and the parser has seen no whole head")
+def refused_unparsed(context, status):
+    assert context.answer.startswith(b"HTTP/1.1 " + status.encode()), context.answer
+    assert context.parsers[0].their_state is server.h11.IDLE, context.parsers[0].their_state
