Count an answer in unpaid pieces that a deadline cancels as a failure of its upstream

Answers of chunks of a byte share an eighth of the processor.

An attempt that is cancelled while its answer has had more small pieces than its bytes and the pace of an engine pay for is recorded as a failure of its upstream. Answers in other pieces, and silent upstreams, are not touched.

--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -1,5 +1,7 @@
 """One call to a plain service, retried only if the route and the upstream's response allow it."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 import trio
@@ -285,7 +287,8 @@
             async with context.pool.borrow(
                 upstream.address, max_idle_seconds, request_id
             ) as connection:
-                result = await self._exchange(connection, upstream, token, run)
+                with self._noting_unpaid_answer(connection, upstream):
+                    result = await self._exchange(connection, upstream, token, run)
         except ConnectionLostError as failure:
             result = await self._on_failure(upstream, failure, run)
         finally:
@@ -302,6 +305,22 @@
             self._log_failed_attempt(upstream, result)
         return result
 
+    @contextmanager
+    def _noting_unpaid_answer(
+        self, connection: UpstreamConnection, upstream: Upstream
+    ) -> Iterator[None]:
+        """Count an answer that is cancelled while its pieces wait as a failure of its upstream.
+
+        Many answers without an end wait for each other until their deadlines pass; their upstream
+        would get calls as one that never failed.
+        """
+        try:
+            yield
+        except trio.Cancelled:
+            if connection.has_unpaid_pieces:
+                self._context.upstreams.record_outcome(upstream.instance, failed=True)
+            raise
+
     async def _on_failure(
         self, upstream: Upstream, failure: ConnectionLostError, run: AttemptStart
     ) -> _Refused | _Lost:
--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -177,6 +177,11 @@
         """Return whether a recent call had this name: a duplicate of its answer may arrive."""
         return name in self._recent_calls
 
+    @property
+    def has_unpaid_pieces(self) -> bool:
+        """Whether the answer has had more small pieces so far than its bytes and a pace pay for."""
+        return self._pieces.has_unpaid_pieces
+
     def new_meter(self) -> PieceMeter:
         """See `UpstreamReply.new_meter`."""
         return PieceMeter(self._lane)
--- a/deckcourse/http1/pieces.py
+++ b/deckcourse/http1/pieces.py
@@ -90,6 +90,11 @@
         """Whether the message has more small pieces than any sound one."""
         return self._for_message.pieces < -MAX_UNPAID_PIECES
 
+    @property
+    def has_unpaid_pieces(self) -> bool:
+        """Whether the message has more small pieces so far than its bytes and the pace pay for."""
+        return self._for_message.pieces < 0
+
     @property
     def is_turn_over(self) -> bool:
         """Whether `let_others_run` is due."""
--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -108,3 +108,9 @@
       | callers | most | least |
       | 6       | 15   | 150   |
       | 60      | 30   | 1500  |
+
+  # Guards against answers that wait for each other until their deadlines pass, and count as no failures.
+  Scenario: An answer in unpaid pieces that its caller's deadline cancels counts as a failure
+    Given a plain upstream whose answer is chunks of a byte without an end
+    When a caller with 100 ms left calls it
+    Then the caller gets 504, and the upstream counts as failing
--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from gateway_story import two_chains
 from gateway_world import GatewayWorld
-from raw_upstream import Answer, RawUpstream
+from raw_upstream import HEAD, Answer, RawUpstream
 
 from deckcourse.gateway.events import EventReader
 from deckcourse.gateway.upstream import Upstream
@@ -400,3 +400,27 @@
     assert statuses.total() - statuses[200] <= most, statuses
     served = Counter(each.instance for each in context.site.runs)
     assert abs(served["p2"] - served["p3"]) <= 0.1 * statuses[200], served
+
+
+@given("a plain upstream whose answer is chunks of a byte without an end")
+def plain_endless(context):
+    context.site = GatewayWorld()
+    context.site.add("p1", "crm", "x")
+    chunks = b"1\r\nx\r\n" * 20_000
+    head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    RawUpstream(context.site, "p1:1", [head + chunks], "stays open")
+
+
+@when("a caller with {remaining:d} ms left calls it")
+def call_with(context, remaining):
+    async def story(site):
+        context.got = await site.ask("once", headers=[("X-Deadline-Ms", str(remaining))])
+        context.share = site.node.gateway.context.upstreams.failure_share("p1")
+
+    context.site.play(story)
+
+
+@then("the caller gets {status:d}, and the upstream counts as failing")
+def counts_as_failing(context, status):
+    assert context.got.status == status, (context.got, context.site.lines)
+    assert context.share > 0.4, context.share
