Judge in the soak the requests that end without an answer

A call whose connection was closed without an answer, or whose stream was cut, violated nothing in the soak: only what arrived was checked.

A call now records how it ended, when its last byte was sent and how many bytes it got. The soak records what it disturbs, and planned work (stops, reloads, changes of the configuration), and the runners record when they end a run and when they break off. A request is lost if its entry closed a kept connection without an answer after a sound runner had got it (more than three of them), or if its connection ended around planned work, without an unplanned disturbance at its entry, the links of this, the store or its runners in the contact time before. Silent runners excuse nothing. Time limits, runs in the last sixth of the grace period, requests that crossed a close and runners that broke off do. Each play writes the calls that were cut to cut_calls.log.

--- a/features/steps/suspended_steps.py
+++ b/features/steps/suspended_steps.py
@@ -17,7 +17,7 @@
 
 from deckcourse.lease import Lease
 from deckcourse.table import MemoryTable
-from soak.site import Site, desired_state
+from soak.site import Site
 
 SUSPENDED_SECONDS = 6.0
 PROGRAMS = (
@@ -70,7 +70,7 @@
 def process_suspended(context):
     async def play(site):
         async with trio.open_nursery() as nursery:
-            site.store.put_json("op", "config", desired_state(1, ["key-0", "key-1"]))
+            site.configure(keys=("key-0", "key-1"))
             await site.start(nursery)
             entry = site.entries[-1]
             assert entry.program == "soak.suspendable"
@@ -84,7 +84,7 @@
             for other in site.entries[:-1]:
                 other.process.kill()
             entry.process.send_signal(signal.SIGSTOP)
-            site.store.put_json("op", "config", desired_state(2, ["key-1"]))
+            site.configure(version=2, keys=("key-1",))
             site.store.refuses = True
             entry.store.reset()
             await trio.sleep(SUSPENDED_SECONDS)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections import Counter
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -23,6 +24,7 @@
 from soak.calls import Call
 from soak.deadly_faults import CrashFaults, PartCrashFaults
 from soak.faults import FAULT_KINDS, Faults
+from soak.lost_judge import LostJudge, histories
 from soak.notice_faults import Interruptions, NoticeFaults
 from soak.notice_judge import NoticeJudge
 from soak.partition_faults import PartitionFaults
@@ -33,10 +35,10 @@
 from soak.silence_faults import SilenceFaults
 from soak.site import (
     ENTRY_COUNT,
+    MIN_TIMEOUT_SECONDS,
     REVOCATION_SECONDS,
     STOP_GRACE_SECONDS,
     Site,
-    desired_state,
 )
 from soak.wave_faults import WaveFaults
 
@@ -112,8 +114,11 @@
     random = Random(seed)
     callers = Callers([], random, keys=["key-0", "key-1"])
     async with trio.open_nursery() as nursery:
-        state = desired_state(1, list(callers.keys), bool(site.plain_slots))
-        site.store.put_json("op", "config", state)
+        site.configure(
+            keys=tuple(callers.keys),
+            has_health_path=bool(site.plain_slots),
+            second_share=0.0 if site.has_second_service else None,
+        )
         await site.start(nursery)
         callers.entries = [each.caller_proxy.address for each in site.entries]
         nursery.start_soon(_watch_entries, site, callers)
@@ -205,9 +210,27 @@
     violations += answer_end_faults.find_violations(callers.calls)
     violations += silence_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, callers.calls).find_violations()
+    violations += _find_lost(site, callers.calls)
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
 
 
+def _find_lost(site: Site, calls: list[Call]) -> list[str]:
+    """Return the requests whose connections were ended without a complete answer."""
+    runners = {each.spec.address: each.spec.instance for each in site.runners}
+    judge = LostJudge(
+        calls,
+        histories(site.records, trio.current_time() - time.monotonic(), runners),
+        site.disturbances,
+        {each.caller_proxy.address: each.name for each in site.entries},
+        STOP_GRACE_SECONDS,
+        MIN_TIMEOUT_SECONDS,
+    )
+    violations = judge.find_violations()
+    site.judged += judge.judged
+    (site.folder / "cut_calls.log").write_text("\n".join(judge.describe_cut()), encoding="utf-8")
+    return violations
+
+
 def _check_calls(site: Site, callers: Callers, faults: Faults, checked_from: float) -> list[str]:
     """Return the violations that calls and executions show together."""
     runs = Counter(each["run"] for each in site.records if "run" in each)
--- a/soak/answer_end_faults.py
+++ b/soak/answer_end_faults.py
@@ -116,6 +116,8 @@
             _Span(runner.spec.instance, began_at, now),
         ]
         self.interruptions.record_reset(runner.spec.instance)
+        for name in (entry.name, runner.spec.instance):
+            self.site.disturbances.record(name, since=began_at)
         self.interruptions.spans.append((entry.name, began_at, now))
 
     def _signal(self, entry: Entry, number: int) -> None:
--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from soak.calls import Call
+from soak.calls import Call, Ending
 
 __all__ = ["CallerConnection", "Manner", "connect"]
 
@@ -73,10 +73,13 @@
         with trio.move_on_after(manner.disconnects_after_seconds) as cancel_scope:
             try:
                 await self._stream.send_all(request)
+                call.whole_sent_at = trio.current_time()
                 await self._read(call, manner)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self._end(call, Ending.RESET)
                 return False
         call.has_disconnected |= cancel_scope.cancelled_caught
+        self._end(call, _ending(call))
         if not call.is_complete or call.parse_error:
             return False
         if b"close" in call.answer.header(b"connection").lower():
@@ -84,12 +87,17 @@
             return False
         return True
 
+    @staticmethod
+    def _end(call: Call, ending: Ending) -> None:
+        call.ending, call.ended_at = ending, trio.current_time()
+
     async def _read(self, call: Call, manner: Manner) -> None:
         pauses = list(manner.pauses)
         received_bytes = 0
         while not call.is_complete:
             data = await self._stream.receive_some(MAX_READ_BYTES)
             received_bytes += len(data)
+            call.received_bytes = received_bytes
             if not data or not call.feed(data):
                 return
             if (
@@ -114,6 +122,13 @@
         self._stream.socket.close()
 
 
+def _ending(call: Call) -> Ending:
+    """Return how a call ended whose connection wasn't reset."""
+    if call.is_complete:
+        return Ending.ANSWERED
+    return Ending.DISCONNECTED if call.has_disconnected else Ending.CLOSED
+
+
 async def connect(entry: str, small_buffers: bool) -> CallerConnection | None:
     """Return a new connection, or None if it can't be opened.
 
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -1,12 +1,13 @@
 """One call of a caller: its result, and the checks of its answer."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from os.path import commonprefix
 
 from soak.events import EVENTS_PER_STREAM, events
 from soak.reader import AnswerReader, MalformedAnswerError
 
-__all__ = ["Call"]
+__all__ = ["Call", "Ending"]
 
 OK = 200
 EVENT_END = b"\n\n"
@@ -14,13 +15,27 @@
 MAX_SHOWN_BYTES = 120
 
 
+class Ending(StrEnum):
+    """How a call ended, as its caller saw it.
+
+    An unfinished one was given up at its deadline, or never began.
+    """
+
+    UNFINISHED = "unfinished"
+    ANSWERED = "answered"
+    CLOSED = "closed"
+    RESET = "reset"
+    DISCONNECTED = "disconnected by the caller"
+
+
 @dataclass
 class Call:
     """One request and its result.
 
     `pad_bytes` is the number of bytes by which its events are longer, `number_on_connection` counts
     the requests on its connection. `has_disconnected` says that the caller closed the connection
-    before the end, `parse_error` why the answer is malformed.
+    before the end, `parse_error` why the answer is malformed. `whole_sent_at` is when the last byte
+    of the request had been sent, `ended_at` when its connection ended or its answer was complete.
     """
 
     request_id: str
@@ -34,6 +49,16 @@
     parse_error: str = ""
     has_disconnected: bool = False
     duration_seconds: float = 0.0
+    ending: Ending = Ending.UNFINISHED
+    whole_sent_at: float = float("inf")
+    ended_at: float = float("inf")
+    received_bytes: int = 0
+
+    @property
+    def was_cut(self) -> bool:
+        """Whether the connection ended after the whole request and before a whole answer."""
+        was_ended = self.ending in (Ending.CLOSED, Ending.RESET)
+        return was_ended and self.whole_sent_at < self.ended_at
 
     @property
     def status(self) -> int:
--- a/soak/deadly_faults.py
+++ b/soak/deadly_faults.py
@@ -93,6 +93,8 @@
     async def _restart(self, runner: RunnerProcess) -> None:
         crashed_process = runner.process
         self._interruptions.record_reset(runner.spec.instance)
+        crashed_at = trio.current_time() - POLL_INTERVAL_SECONDS
+        self._site.disturbances.record(runner.spec.instance, since=crashed_at)
         await trio.sleep(self._random.uniform(MIN_RESTART_DELAY_SECONDS, MAX_RESTART_DELAY_SECONDS))
         # Another fault may have restarted it in the meantime.
         if runner.process is crashed_process:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,10 +8,11 @@
 import trio
 
 from soak.callers import Callers
+from soak.disturbances import STORE, PlannedKind
 from soak.notice_faults import Interruptions
 from soak.odd_answers import AnswerFault
 from soak.proxy import Mode, Proxy
-from soak.site import Entry, RunnerProcess, Site, desired_state
+from soak.site import Entry, RunnerProcess, Site
 
 __all__ = ["FAULT_KINDS", "Faults"]
 
@@ -73,7 +74,6 @@
         self._affected: set[str] = set()
         self._endless_answer_runners: set[str] = set()
         self._ends_at = 0.0
-        self._version = 1
         self.revoked: dict[str, float] = {}
         self._fault_methods = [self._fault_method(name) for name in only or FAULT_KINDS]
 
@@ -113,6 +113,7 @@
                 # A close of its connections would complete the answers that have no length.
                 runner.proxy.reset()
             self._interruptions.record_reset(runner.spec.instance)
+            self._site.disturbances.record(runner.spec.instance, seconds)
             killed_process = runner.process
             killed_process.kill()
             await trio.sleep(seconds)
@@ -152,6 +153,7 @@
         self._log_fault(
             f"runner {runner.spec.instance} sends faulty answers for {seconds:.1f} s: {kind}"
         )
+        self._site.disturbances.record(runner.spec.instance, seconds)
         self._site.send_order(runner, odd=kind, seconds=seconds)
         if kind in (AnswerFault.ENDLESS, AnswerFault.ENDLESS_RESET):
             self._endless_answer_runners.add(runner.spec.instance)
@@ -181,12 +183,16 @@
         if action == "pause":
             seconds = self._random.uniform(0.2, 1.5)
             self._interruptions.record(entry.name, seconds)
+            self._site.disturbances.record(entry.name, seconds)
             await self._pause(entry.process, seconds)
         elif action == "reload":
+            self._site.disturbances.plan(PlannedKind.RELOAD, entry.name)
             entry.process.send_signal(signal.SIGHUP)
         else:
             entry.is_stopping = True
             stopped_at = trio.current_time()
+            if action == "stop":
+                self._site.disturbances.plan(PlannedKind.STOP, entry.name)
             entry.process.send_signal(signal.SIGKILL if action == "kill" else signal.SIGTERM)
             await trio.to_thread.run_sync(entry.process.wait)
             if action == "stop" and entry.process.returncode != 0:
@@ -194,6 +200,10 @@
             await trio.sleep(RESTART_DELAY_SECONDS)
             self._site.start_entry(entry)
             self._interruptions.spans.append((entry.name, stopped_at, trio.current_time()))
+            if action == "stop":
+                self._site.disturbances.record_absence(entry.name, stopped_at)
+            else:
+                self._site.disturbances.record(entry.name, since=stopped_at)
 
     async def _disrupt_link(self, proxy: Proxy, name: str, max_seconds: float) -> None:
         mode = self._random.choice((Mode.DELAY, Mode.SILENT, Mode.ONE_WAY, None))
@@ -201,9 +211,11 @@
         self._log_fault(f"link {name}: {mode or 'reset'} for {seconds:.1f} s")
         if mode is None:
             self._interruptions.record_reset(name)
+            self._site.disturbances.record(name)
             proxy.reset()
             return
         self._interruptions.record(name, seconds)
+        self._site.disturbances.record(name, seconds)
         proxy.set_mode(mode, self._random.uniform(0.02, 0.2))
         await trio.sleep(seconds)
         proxy.set_mode(Mode.PASS)
@@ -223,20 +235,21 @@
     async def _store_refuses(self) -> None:
         seconds = self._random.uniform(0.3, 2.0)
         self._log_fault(f"store unavailable for {seconds:.1f} s")
+        self._site.disturbances.record(STORE, seconds)
         self._site.store.refuses = True
         await trio.sleep(seconds)
         self._site.store.refuses = False
 
     async def _change(self) -> None:
         """Write a new desired state; half of them revoke a key and issue a new one."""
-        self._version += self._random.randint(1, 3)
+        version = self._site.configuration.version + self._random.randint(1, 3)
         keys = [each for each in self._callers.keys if each not in self.revoked]
         if self._random.random() < 0.5:
             revoked_key = self._random.choice(keys)
-            new_key = f"key-{self._version}"
+            new_key = f"key-{version}"
             keys = [each for each in keys if each != revoked_key] + [new_key]
             self.revoked[revoked_key] = trio.current_time()
             self._callers.keys.append(new_key)
             self._log_fault(f"key {revoked_key} revoked, {new_key} issued")
-        self._log_fault(f"desired state {self._version}")
-        self._site.store.put_json("op", "config", desired_state(self._version, keys))
+        self._log_fault(f"desired state {version}")
+        self._site.configure(version=version, keys=tuple(keys))
--- a/soak/notice_faults.py
+++ b/soak/notice_faults.py
@@ -131,6 +131,7 @@
         # the same runner would exit at once, since its port is in use.
         if runner.process is process and process.poll() is None:
             self._interruptions.record_reset(name)
+            self._site.disturbances.record(name)
             process.kill()
             self._site.start_runner(runner)
         self._leaving.discard(name)
--- a/soak/partition_faults.py
+++ b/soak/partition_faults.py
@@ -79,6 +79,7 @@
         runners = [each for each in self._site.runners if service in ("", each.spec.service)]
         for each in runners:
             self._interruptions.record(each.spec.instance, seconds)
+            self._site.disturbances.record(each.spec.instance, seconds)
             each.proxy.begin_partition(Partition(how, lambda port: _is_held(entries, port)))
         await trio.sleep(seconds)
         for each in runners:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -9,6 +9,7 @@
 import json
 import os
 import sys
+import time
 from base64 import b64encode
 from dataclasses import asdict, dataclass
 from functools import partial
@@ -347,7 +348,25 @@
             service=self._spec.service,
             account=headers.get("x-tenant", ""),
             layers=[each[1:] for each in stream.path] if stream else [],
+            path=[each[0] for each in stream.path] if stream else [],
+            time=time.monotonic(),
         )
+        try:
+            await self._answer_request(request, exchange, connection, fault, stream)
+        finally:
+            # Also when the handler is cancelled, since the sender has closed the connection.
+            write_record(run_ended=request_id, instance=self._spec.instance, time=time.monotonic())
+
+    async def _answer_request(
+        self,
+        request: IncomingRequest,
+        exchange: Exchange,
+        connection: GatedConnection,
+        fault: AnswerFault | None,
+        stream: RunningStream | None,
+    ) -> None:
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        request_id = headers.get("x-request-id", "")
         if request.body.startswith(CRASH_BODY_PREFIX):
             await crash(request.body.decode(), request_id, write_record)
         if holds_crash_part(headers.get(PARTS_HEADER.lower(), "")):
@@ -381,6 +400,7 @@
             due_at += EVENT_INTERVAL_SECONDS
             await trio.sleep_until(due_at)
             if not await self._wait_for_lost_stages(stream):
+                write_record(broke_off=request_id)
                 answer.cut()
                 return
             if not await answer.send(event(request_id, number, pad)):
--- a/soak/silence_faults.py
+++ b/soak/silence_faults.py
@@ -66,6 +66,9 @@
         runner = self.random.choice(self.site.runners)
         choice = self.random.choice((self._silence_list, self._silence_entry, self._silence_all))
         what = choice()
+        # The silence counts as a reset of the connections of all machines.
+        for each in self.site.entries:
+            self.site.disturbances.record(each.name)
         leave = _Leave(runner.process_name, trio.current_time())
         self.log_fault(f"{what} silent for good, {leave.instance} leaves without a word")
         self._leaves.append(leave)
@@ -81,6 +84,7 @@
         if runner.process is not process or runner.process.poll() is not None:
             return
         self.interruptions.record_reset(runner.spec.instance)
+        self.site.disturbances.record(runner.spec.instance)
         runner.process.kill()
         self.site.start_runner(runner, has_new_id=True)
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from soak.disturbances import Disturbances, PlannedKind
 from soak.proxy import Proxy
 from soak.runner import HEALTH_PATH, RunnerSpec
 from soak.store import StandinStore
@@ -24,9 +25,12 @@
     "RETRY_WINDOW_SECONDS",
     "STOP_GRACE_SECONDS",
     "ENTRY_COUNT",
+    "MIN_TIMEOUT_SECONDS",
     "REVOCATION_SECONDS",
     "PRIORITIES",
+    "SECOND_SERVICE",
     "SLOTS",
+    "Configuration",
     "Entry",
     "RunnerProcess",
     "Site",
@@ -57,6 +61,10 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 30
 RETRY_WINDOW_SECONDS = 10
+# The timeout of the routes; a change never sets a shorter one.
+MIN_TIMEOUT_SECONDS = 5
+# The second service of plain runners, at sites that have one.
+SECOND_SERVICE = "erp"
 # The slots of each runner, and the priorities of the routes of streams: most are lesser ones.
 SLOTS = 24
 PRIORITIES = {"stream": 2, "fragile": 0}
@@ -82,21 +90,62 @@
 """
 
 
-def desired_state(
-    version: int, keys: list[str], has_health_path: bool = False
-) -> dict[str, object]:
-    """Return a desired state with a route of each kind and one client account.
+@dataclass(frozen=True)
+class Configuration:
+    """What the desired state of a site says.
 
-    Args:
-      version: its version.
-      keys: the keys of the account.
-      has_health_path: whether plain runners tell their names at a health path.
+    `keys` are those of the callers' account, `extra_accounts` counts the accounts and
+    `extra_routes` the routes that no caller uses. With `has_health_path` plain runners tell their
+    names at a health path. `second_share` is the share of plain requests that go to the second
+    plain service, None where there is none.
     """
+
+    version: int
+    keys: tuple[str, ...]
+    has_health_path: bool = False
+    timeout_seconds: float = MIN_TIMEOUT_SECONDS
+    idle_timeout_seconds: float = 15.0
+    extra_accounts: int = 0
+    extra_routes: int = 0
+    second_share: float | None = None
+
+
+def desired_state(configuration: Configuration) -> dict[str, object]:
+    """Return the desired state with a route of each kind and one client account."""
+    has_health_path = configuration.has_health_path
     crm = {"name": "crm", "healthPath": HEALTH_PATH} if has_health_path else {"name": "crm"}
+    share = configuration.second_share
+    backends = (
+        {
+            "crm": [
+                {"service": "crm", "weight": 1.0 - share},
+                {"service": SECOND_SERVICE, "weight": share},
+            ]
+        }
+        if share is not None
+        else {}
+    )
+    extra_routes = [
+        {
+            "name": f"extra-{number}",
+            "host": "h.example",
+            "pathPrefix": f"/extra-{number}/",
+            "kind": "idempotent",
+            "timeoutMs": 5000,
+            "sloMs": 500,
+            "service": "crm",
+        }
+        for number in range(configuration.extra_routes)
+    ]
+    extra_accounts = [
+        {"name": f"account-{number}", "apiKeys": [f"unused-{number}"]}
+        for number in range(configuration.extra_accounts)
+    ]
     routes = [
         {"name": name, "host": "h.example", "pathPrefix": f"/{name}/", "kind": kind,
-         "timeoutMs": 5000, "sloMs": 500, "priority": PRIORITIES.get(name, 1), "service": service,
-         "maxAttempts": 3,
+         "timeoutMs": configuration.timeout_seconds * 1000, "sloMs": 500,
+         "priority": PRIORITIES.get(name, 1), "service": service, "maxAttempts": 3,
+         "backends": backends.get(service, []),
          "resumable": name == "stream", "gap_aim_ms": 200}
         for name, kind, service in (
             ("stream", "streaming", "llm"), ("fragile", "streaming", "llm"),
@@ -110,11 +159,15 @@
         "kinds": [{"name": "card", "mb": LAYER_MB * LAYER_CAPACITY, "pace": 1.0, "read_x": 1.0}],
     }  # fmt: skip
     return {
-        "version": version,
-        "routes": routes,
-        "services": [{"name": "llm", "maxConns": 200, "engine": engine}, crm],
-        "limits": {},
-        "tenants": [{"name": "acme", "apiKeys": keys}],
+        "version": configuration.version,
+        "routes": [*routes, *extra_routes],
+        "services": [
+            {"name": "llm", "maxConns": 200, "engine": engine},
+            crm,
+            *([] if share is None else [{"name": SECOND_SERVICE}]),
+        ],
+        "limits": {"idleTimeoutMs": configuration.idle_timeout_seconds * 1000},
+        "tenants": [{"name": "acme", "apiKeys": list(configuration.keys)}, *extra_accounts],
     }
 
 
@@ -153,13 +206,14 @@
     `plain_slots` is how many requests a plain runner works on at once, 0 for any number; it queues
     as many more. `records` are the lines that the runners wrote, `violations` the violated
     guarantees found so far, `judged` counts the cases that were checked, and `entry_started_at`
-    holds the start times of each entry.
+    holds the start times of each entry. `disturbances` are those that the soak has caused.
     """
 
     folder: Path
     entry_count: int = ENTRY_COUNT
     plain_slots: int = 0
     revocation_seconds: float = REVOCATION_SECONDS
+    has_second_service: bool = False
     store: StandinStore = field(default_factory=StandinStore)
     store_port: int = field(default_factory=free_port)
     runners: list[RunnerProcess] = field(default_factory=list)
@@ -169,6 +223,8 @@
     judged: Counter[str] = field(default_factory=Counter)
     entry_started_at: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     peer_ports: list[int] = field(default_factory=list)
+    disturbances: Disturbances = field(default_factory=Disturbances)
+    configuration: Configuration = Configuration(1, ())
     _nursery: trio.Nursery | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -180,6 +236,8 @@
             for number in range(4):
                 await self._add_runner(f"l{domain}{number}", "llm", domain, LAYER_CAPACITY)
             await self._add_runner(f"p{domain}", "crm", domain, 0)
+            if self.has_second_service:
+                await self._add_runner(f"q{domain}", SECOND_SERVICE, domain, 0)
         for number in range(self.entry_count):
             await self._add_entry(number, "ab"[number % 2])
         nursery.start_soon(self._expire_rows)
@@ -240,6 +298,12 @@
         runner.process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         self._nursery.start_soon(self._read_records, runner.process)
 
+    def configure(self, **changes: object) -> None:
+        """Change the configuration and write it to the store, which takes it at once."""
+        self.disturbances.plan(PlannedKind.CHANGE)
+        self.configuration = replace(self.configuration, **changes)
+        self.store.put_json("op", "config", desired_state(self.configuration))
+
     def send_order(self, runner: RunnerProcess, **order: object) -> None:
         """Send an order to a runner's standard input; do nothing if the runner has exited."""
         with suppress(BrokenPipeError):
@@ -287,6 +351,8 @@
         that they handle both at once.
         """
         processes = [each.process for each in self.entries]
+        for each in self.entries:
+            self.disturbances.record(each.name, ENTRY_PAUSE_SECONDS)
         for signal_number in (signal.SIGSTOP, signal.SIGCONT):
             for process in processes:
                 process.send_signal(signal_number)
