Play planned work in series, and messages without an end, in the soak

Two conditions of an incident were never played: changes, stops and reloads that overlap beside upstreams that are silent, and answers or bodies that go on until their connection is closed.

`--only planned` changes weights, timeouts, idle times, accounts and many routes, stops and reloads entries in series, and pauses runners for 0.6 to 1.5 s, while callers keep to their connections until the process is gone. A second plain service gets a share of the plain requests; the retry budget is counted at each service. `--only unending` lets runners send chunks of a byte, interim answers, large pieces, a head or an event, and callers send bodies in chunks of a byte; `unending-answers` leaves the bodies out. Nine tenths of the other calls are to be served, as at the end of each play; none of them may be cut, and an answer without an end becomes a 502 or a 504 or comes from elsewhere.

Signals go to entries that handle SIGTERM already: the interpreter's own start took 0.3 s on a busy machine, and SIGHUP and SIGTERM ended it there. A call whose proxy found no listener is refused and not cut. A caller's own pauses in reading excuse what they move into the last sixth of the grace period: three streams of slow callers had ended there 2.4 to 3.1 s after they were sent, their runs after 0.6 s.

--- a/features/steps/soak_lost_steps.py
+++ b/features/steps/soak_lost_steps.py
@@ -30,6 +30,7 @@
         whole_sent_at=float("inf") if how == "unsent" else sent,
         ended_at=float("inf") if how == "late" else ended,
         received_bytes=received_bytes,
+        paused_seconds=0.3 if how == "slow" else 0.0,
     )
 
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -25,6 +25,8 @@
     "waves of new connections to one of 10 entries": ("--only", "wave", "--entries", "10"),
     "answers without a length": ("--only", "answer-ends"),
     "connections that go silent": ("--only", "silence"),
+    "answers without an end": ("--only", "unending-answers"),
+    "planned work": ("--only", "planned"),
 }
 # What the soak counts of the cases that it checked, and how many it must have found at least.
 JUDGED = {
@@ -37,6 +39,8 @@
     "calls in waves": ("calls in waves", 1),
     "plain calls that ran undisturbed": ("plain calls that ran undisturbed", 1),
     "leaves beside silent connections": ("leaves beside silent connections", 1),
+    "calls whose answers had no end": ("calls whose answers had no end", 1),
+    "calls around planned work": ("calls around planned work", 100),
 }
 HEAD = (
     b"HTTP/1.1 200 \r\nx-request-id: r1\r\nx-response-seal: seal-r1\r\n"
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,13 +21,14 @@
 from soak.answer_end_faults import PLAIN_SLOTS, AnswerEndFaults
 from soak.budget_judge import BudgetJudge
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
-from soak.calls import Call
+from soak.calls import Call, Ending
 from soak.deadly_faults import CrashFaults, PartCrashFaults
 from soak.faults import FAULT_KINDS, Faults
 from soak.lost_judge import LostJudge, histories
 from soak.notice_faults import Interruptions, NoticeFaults
 from soak.notice_judge import NoticeJudge
 from soak.partition_faults import PartitionFaults
+from soak.planned_faults import PlannedFaults
 from soak.rate_faults import RateFaults
 from soak.rate_judge import RateJudge
 from soak.refusal_faults import RefusalFaults
@@ -40,6 +41,7 @@
     STOP_GRACE_SECONDS,
     Site,
 )
+from soak.unending_faults import UnendingFaults
 from soak.wave_faults import WaveFaults
 
 # The time from the start of all processes to the first calls and faults.
@@ -74,8 +76,13 @@
 SILENCE_KIND = "silence"
 # Partitions last longer than other faults, so that they are judged apart from most of these.
 PARTITION_KIND = "partitions"
+# Changes, stops and reloads that overlap, beside runners that are silent.
+PLANNED_KIND = "planned"
+# Answers and bodies without an end, and such answers alone.
+UNENDING_KIND = "unending"
+UNENDING_ANSWER_KIND = "unending-answers"
 SEPARATE_KINDS = {
-    PART_KIND,
+    PART_KIND, PLANNED_KIND, UNENDING_KIND, UNENDING_ANSWER_KIND,
     NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND, WAVE_KIND,
     KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND,
 }  # fmt: skip
@@ -155,6 +162,12 @@
             site, callers, Random(f"answer ends of {seed}"), log_fault, interruptions
         )
         silence_faults = SilenceFaults(site, Random(f"silence of {seed}"), log_fault, interruptions)
+        planned_faults = PlannedFaults(
+            site, callers, Random(f"planned of {seed}"), log_fault, interruptions
+        )
+        unending_faults = UnendingFaults(
+            site, callers, Random(f"unending of {seed}"), log_fault, UNENDING_KIND in only
+        )
         wave_faults = WaveFaults(
             site, callers, Random(f"waves of {seed}"), log_fault, KEPT_WAVE_KIND in only
         )
@@ -180,6 +193,10 @@
                     fault_nursery.start_soon(answer_end_faults.run, began_at + seconds)
                 if SILENCE_KIND in only:
                     fault_nursery.start_soon(silence_faults.run, began_at + seconds)
+                if UNENDING_KIND in only or UNENDING_ANSWER_KIND in only:
+                    fault_nursery.start_soon(unending_faults.run, began_at + seconds)
+                if PLANNED_KIND in only:
+                    fault_nursery.start_soon(planned_faults.run, began_at + seconds)
                 if WAVE_KIND in only or KEPT_WAVE_KIND in only:
                     fault_nursery.start_soon(wave_faults.run, began_at + seconds)
                 if not only or CRASH_KIND in only:
@@ -198,6 +215,7 @@
             )
         site.violations += _exited_runners(site)
         nursery.cancel_scope.cancel()
+    _mark_refused(site, callers.calls)
     violations = (
         NoticeJudge(site, callers.calls, interruptions).find_violations()
         + crash_faults.find_violations()
@@ -209,11 +227,21 @@
     violations += wave_faults.find_violations()
     violations += answer_end_faults.find_violations(callers.calls)
     violations += silence_faults.find_violations(callers.calls)
+    violations += unending_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, callers.calls).find_violations()
     violations += _find_lost(site, callers.calls)
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
 
 
+def _mark_refused(site: Site, calls: list[Call]) -> None:
+    """Mark the calls that a proxy ended, since its entry took no connection."""
+    refused_at = {each.caller_proxy.address: each.caller_proxy.refused_at for each in site.entries}
+    for call in calls:
+        at = refused_at.get(call.entry, {}).get(call.port, float("-inf"))
+        if call.was_cut and call.sent_at <= at <= call.ended_at:
+            call.ending = Ending.REFUSED
+
+
 def _find_lost(site: Site, calls: list[Call]) -> list[str]:
     """Return the requests whose connections were ended without a complete answer."""
     runners = {each.spec.address: each.spec.instance for each in site.runners}
@@ -305,7 +333,8 @@
         # No bound but the contact time may then end a read on a silent connection.
         is_long = SILENCE_KIND in only
         revocation_seconds = LONG_REVOCATION_SECONDS if is_long else REVOCATION_SECONDS
-        site = Site(Path(folder), entry_count, plain_slots, revocation_seconds)
+        has_second_service = PLANNED_KIND in only
+        site = Site(Path(folder), entry_count, plain_slots, revocation_seconds, has_second_service)
         try:
             violations = trio.run(_run_site, site, seed, seconds, only, fault_log)
         finally:
--- a/soak/budget_judge.py
+++ b/soak/budget_judge.py
@@ -7,12 +7,15 @@
 import trio
 
 from soak.calls import Call
-from soak.site import RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS, Site
+from soak.site import RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS, SECOND_SERVICE, Site
 
 __all__ = ["BudgetJudge"]
 
-# The service that each route's requests go to.
-SERVICES = {"stream": "llm", "fragile": "llm", "once": "crm", "again": "crm"}
+# The services that each route's requests may go to.
+PLAIN_SERVICES = ("crm", SECOND_SERVICE)
+SERVICES = {
+    "stream": ("llm",), "fragile": ("llm",), "once": PLAIN_SERVICES, "again": PLAIN_SERVICES,
+}  # fmt: skip
 
 
 class BudgetJudge:
@@ -27,21 +30,24 @@
         self._site = site
         self._requests: dict[str, list[float]] = defaultdict(list)
         for each in calls:
-            self._requests[SERVICES[each.route]].append(each.sent_at)
+            for service in SERVICES[each.route]:
+                self._requests[service].append(each.sent_at)
         self._retries = self._find_retries(calls)
 
     def _find_retries(self, calls: list[Call]) -> dict[str, list[float]]:
         """Return the times of all arrivals beyond the first of each request, by service."""
         offset = trio.current_time() - time.monotonic()
-        routes = {each.request_id: each.route for each in calls}
-        arrivals: dict[str, list[float]] = defaultdict(list)
+        sent = {each.request_id for each in calls}
+        services = {each.spec.instance: each.spec.service for each in self._site.runners}
+        arrivals: dict[tuple[str, str], list[float]] = defaultdict(list)
         for each in self._site.records:
             request_id = each.get("arrived") or each.get("misdirected")
-            if request_id in routes:
-                arrivals[request_id].append(each["clock"] + offset)
+            if request_id in sent:
+                service = services[each["instance"].partition(".")[0]]
+                arrivals[request_id, service].append(each["clock"] + offset)
         retries: dict[str, list[float]] = defaultdict(list)
-        for request_id, times in arrivals.items():
-            retries[SERVICES[routes[request_id]]] += sorted(times)[1:]
+        for (_, service), times in arrivals.items():
+            retries[service] += sorted(times)[1:]
         return retries
 
     def find_violations(self) -> list[str]:
--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -56,6 +56,7 @@
         self.entry = entry
         self.surplus = b""
         self._stream = stream
+        self._port = stream.socket.getsockname()[1]
         self._requests = 0
 
     async def is_usable(self) -> bool:
@@ -70,6 +71,7 @@
         """Send a request and read its answer; return whether the connection is reusable."""
         self._requests += 1
         call.number_on_connection, call.entry = self._requests, self.entry
+        call.port = self._port
         with trio.move_on_after(manner.disconnects_after_seconds) as cancel_scope:
             try:
                 await self._stream.send_all(request)
@@ -108,7 +110,9 @@
                 call.has_disconnected = True
                 return
             while pauses and pauses[0][0] < received_bytes:
-                await trio.sleep(pauses.pop(0)[1])
+                seconds = pauses.pop(0)[1]
+                call.paused_seconds += seconds
+                await trio.sleep(seconds)
 
     async def _check_for_surplus(self, call: Call) -> None:
         """Check that no bytes follow an answer with `Connection: close`."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -46,7 +46,8 @@
 
     `entries` are addresses, `ready_entries` the addresses of those that last reported ready; each
     request uses one of `keys`. `violations` are violated guarantees that no single call shows. The
-    requests are for `routes`, and their ids begin with `name_prefix`.
+    requests are for `routes`, and their ids begin with `name_prefix`. For `switch_share` of them a
+    caller switches to another entry without need.
     """
 
     entries: list[str]
@@ -57,6 +58,7 @@
     violations: list[str] = field(default_factory=list)
     routes: tuple[str, ...] = DRAWN_ROUTES
     name_prefix: str = "c"
+    switch_share: float = SWITCH_ENTRY_SHARE
     _is_stopped: bool = False
 
     async def run(self, count: int) -> None:
@@ -76,7 +78,7 @@
         while not self._is_stopped:
             # A caller keeps its entry while its connection lasts.
             must_choose = entry not in connections and entry not in self.ready_entries
-            if must_choose or self.random.random() < SWITCH_ENTRY_SHARE:
+            if must_choose or self.random.random() < self.switch_share:
                 entry = self.random.choice(sorted(self.ready_entries) or self.entries)
             request_count += 1
             call = self._new_call(number, request_count)
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -18,13 +18,15 @@
 class Ending(StrEnum):
     """How a call ended, as its caller saw it.
 
-    An unfinished one was given up at its deadline, or never began.
+    An unfinished one was given up at its deadline, or never began. A refused one reached a proxy
+    whose target took no connection.
     """
 
     UNFINISHED = "unfinished"
     ANSWERED = "answered"
     CLOSED = "closed"
     RESET = "reset"
+    REFUSED = "refused"
     DISCONNECTED = "disconnected by the caller"
 
 
@@ -36,6 +38,7 @@
     the requests on its connection. `has_disconnected` says that the caller closed the connection
     before the end, `parse_error` why the answer is malformed. `whole_sent_at` is when the last byte
     of the request had been sent, `ended_at` when its connection ended or its answer was complete.
+    The caller didn't read for `paused_seconds` in between. `port` is the caller's.
     """
 
     request_id: str
@@ -53,6 +56,8 @@
     whole_sent_at: float = float("inf")
     ended_at: float = float("inf")
     received_bytes: int = 0
+    paused_seconds: float = 0.0
+    port: int = 0
 
     @property
     def was_cut(self) -> bool:
--- a/soak/conversation.py
+++ b/soak/conversation.py
@@ -87,6 +87,14 @@
             self._answer_bytes += data
             await self._inner.send_all(data)
 
+    async def send_until_closed(self, head: bytes, piece: bytes) -> None:
+        """Send a head and then a piece over and over, until the peer closes the connection."""
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async with self._send_lock:
+                await self._inner.send_all(head)
+                while True:
+                    await self._inner.send_all(piece)
+
     async def wait_send_all_might_not_block(self) -> None:
         """Wait until the connection accepts bytes."""
         await self._inner.wait_send_all_might_not_block()
--- a/soak/lost_judge.py
+++ b/soak/lost_judge.py
@@ -15,7 +15,7 @@
 from soak.calls import Call
 from soak.disturbances import STORE, Disturbances, PlannedKind
 
-__all__ = ["Loss", "LostJudge", "RequestHistory", "histories"]
+__all__ = ["LIMIT_MARGIN_SECONDS", "Loss", "LostJudge", "RequestHistory", "histories"]
 
 # What the platform guarantees: the time without disturbances before a request is sent, the time
 # after which a sent request counts as read, and the time in which a change takes effect.
@@ -82,8 +82,8 @@
     for each in records:
         if "arrived" in each:
             found[each["arrived"]].runners.add(each["instance"].partition(".")[0])
-        elif "broke_off" in each:
-            found[each["broke_off"]].has_broken_off = True
+        elif "broke_off" in each or "unending" in each:
+            found[each.get("broke_off") or each["unending"]].has_broken_off = True
         elif "run" in each:
             begun[each["run"], each["instance"]] = each["time"] + offset
             found[each["run"]].runners.update(runners[address] for address in each["path"])
@@ -217,17 +217,30 @@
         }
 
     def _was_last_of_grace(self, call: Call) -> bool:
-        """Return whether a runner was still at work when the grace period of a stop ran out."""
+        """Return whether an answer couldn't be whole when the grace period of a stop ran out.
+
+        A runner was still at work, or nothing but the caller's own pauses in its reading made the
+        answer last until then.
+        """
         history = self._history(call)
         return any(
-            each.kind is PlannedKind.STOP
-            and each.entry == self._name(call)
-            and call.sent_at <= each.at + LATE_SEND_SECONDS
-            and call.ended_at >= each.at + LAST_PART_OF_GRACE * self._grace_seconds
-            and history.is_running(each.at + LAST_PART_OF_GRACE * self._grace_seconds)
-            for each in self._disturbances.planned
+            call.sent_at <= stopped_at + LATE_SEND_SECONDS
+            and call.ended_at >= (last_part := stopped_at + self._until_last_part)
+            and (history.is_running(last_part) or call.ended_at - call.paused_seconds < last_part)
+            for stopped_at in self._stops(self._name(call))
         )
 
+    @property
+    def _until_last_part(self) -> float:
+        return LAST_PART_OF_GRACE * self._grace_seconds
+
+    def _stops(self, entry: str) -> list[float]:
+        return [
+            each.at
+            for each in self._disturbances.planned
+            if each.kind is PlannedKind.STOP and each.entry == entry
+        ]
+
     def _changes_cut_more(self, entry: str) -> bool:
         """Return whether an entry cuts requests more often around changes than at other times."""
         at_changes, at_other_times = [], []
--- a/soak/odd_answers.py
+++ b/soak/odd_answers.py
@@ -4,7 +4,8 @@
 once; `{"aimed": SECONDS}` does so until the second of two control queries in a row has timed out;
 `{"odd": KIND, "seconds": SECONDS}` makes a share of the answers faulty for that time;
 `{"halves": SECONDS}` makes it send plain answers without a length from now on, mostly in two halves
-up to so far apart; `{"unlisted": true}` makes it remove its row and serve on.
+up to so far apart; `{"unlisted": true}` makes it remove its row and serve on; and
+`{"unending": KIND, "seconds": SECONDS}` gives a share of the answers no end for that time.
 """
 
 import json
@@ -17,6 +18,7 @@
 
 from soak.conversation import Gate, GatedConnection
 from soak.notices import Notices
+from soak.unending import Unending
 
 __all__ = ["AnswerFault", "AnswerFaults", "raw_head"]
 
@@ -91,6 +93,8 @@
     timed_out_at: list[float] = field(default_factory=list)
     max_half_pause: float | None = None
     is_listed: bool = True
+    unending: Unending | None = None
+    unending_until: float = 0.0
 
     async def read_orders(self, orders: trio.abc.ReceiveStream) -> None:
         """Read orders, one JSON line each, and apply them until the stream ends."""
@@ -107,6 +111,9 @@
             self.gate.close(order["still"])
         elif "halves" in order:
             self.max_half_pause = order["halves"]
+        elif "unending" in order:
+            self.unending = Unending(order["unending"])
+            self.unending_until = trio.current_time() + order["seconds"]
         elif "unlisted" in order:
             self.is_listed = False
         elif "shown" in order:
@@ -137,6 +144,12 @@
             return self.fault
         return None
 
+    def draw_unending(self) -> Unending | None:
+        """Draw why the next answer has no end, or None if it has one."""
+        if trio.current_time() < self.unending_until and self.random.random() < FAULTY_SHARE:
+            return self.unending
+        return None
+
     async def delay_report(self) -> None:
         """Delay the answer to a control query beyond its timeout during an aimed hold.
 
--- /dev/null
+++ b/soak/planned_faults.py
@@ -0,0 +1,174 @@
+"""Planned work in series, beside runners that are silent: changes, SIGTERM and SIGHUP overlap.
+
+None of it is a fault: no request may be lost by it, and silence is no reason to end an answer.
+"""
+
+import re
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import trio
+
+from soak.callers import Callers
+from soak.disturbances import PlannedKind
+from soak.notice_faults import Interruptions
+from soak.site import MIN_TIMEOUT_SECONDS, Entry, RunnerProcess, Site
+
+__all__ = ["PlannedFaults"]
+
+# Callers that keep to the entry of an open connection.
+CALLER_COUNT = 8
+# The time between two works of each kind; stops and changes overlap.
+MIN_CHANGE_INTERVAL_SECONDS = 0.1
+MAX_CHANGE_INTERVAL_SECONDS = 1.0
+MIN_SIGNAL_INTERVAL_SECONDS = 0.3
+MAX_SIGNAL_INTERVAL_SECONDS = 1.5
+RESTART_DELAY_SECONDS = 0.4
+STOP_SHARE = 0.5
+# The mask of the signals that a process handles, as the kernel tells it.
+CAUGHT_SIGNALS = re.compile(r"^SigCgt:\s*([0-9a-f]+)$", re.MULTILINE)
+# How long a runner is silent, and the time between two silences of any.
+MIN_SILENCE_SECONDS = 0.6
+MAX_SILENCE_SECONDS = 1.5
+MIN_SILENCE_INTERVAL_SECONDS = 0.3
+MAX_SILENCE_INTERVAL_SECONDS = 1.2
+MAX_SILENT_RUNNERS = 2
+# What changes may set.
+MAX_TIMEOUT_SECONDS = 9.0
+MIN_IDLE_SECONDS = 5.0
+MAX_IDLE_SECONDS = 15.0
+MAX_EXTRA_ACCOUNTS = 20
+MAX_EXTRA_ROUTES = 400
+
+
+@dataclass
+class PlannedFaults:
+    """Does planned work at a site, and silences runners meanwhile.
+
+    Args:
+      site: the site to work on; it has a second plain service.
+      callers: knows the keys and which entries are ready.
+      random: chooses the work and its times.
+      log_fault: called with a description of each work and each silence.
+      interruptions: where the silences are recorded.
+    """
+
+    site: Site
+    callers: Callers
+    random: Random
+    log_fault: Callable[[str], None]
+    interruptions: Interruptions
+    _silent: set[str] = field(default_factory=set)
+
+    async def run(self, until: float) -> None:
+        """Work until a time on trio's clock; return once all entries and runners are back."""
+        load = Callers(
+            self.callers.entries,
+            self.random,
+            self.callers.ready_entries,
+            self.callers.keys,
+            self.callers.calls,
+            name_prefix="k",
+            switch_share=0.0,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(load.run, CALLER_COUNT)
+            async with trio.open_nursery() as work_nursery:
+                work_nursery.start_soon(self._change_repeatedly, until)
+                work_nursery.start_soon(self._signal_repeatedly, until)
+                work_nursery.start_soon(self._silence_repeatedly, until)
+            load.stop()
+        self.callers.violations += load.violations
+
+    async def _change_repeatedly(self, until: float) -> None:
+        while trio.current_time() < until:
+            name, value = self._draw_change()
+            version = self.site.configuration.version + 1
+            self.log_fault(f"desired state {version}: {name} {value}")
+            self.site.configure(version=version, **{name: value})
+            await trio.sleep(
+                self.random.uniform(MIN_CHANGE_INTERVAL_SECONDS, MAX_CHANGE_INTERVAL_SECONDS)
+            )
+
+    def _draw_change(self) -> tuple[str, object]:
+        random = self.random
+        return random.choice(
+            (
+                ("second_share", round(random.random(), 2)),
+                ("timeout_seconds", random.uniform(MIN_TIMEOUT_SECONDS, MAX_TIMEOUT_SECONDS)),
+                ("idle_timeout_seconds", random.uniform(MIN_IDLE_SECONDS, MAX_IDLE_SECONDS)),
+                ("extra_accounts", random.randint(0, MAX_EXTRA_ACCOUNTS)),
+                ("extra_routes", random.randint(0, MAX_EXTRA_ROUTES)),
+            )
+        )
+
+    async def _signal_repeatedly(self, until: float) -> None:
+        """Stop or reload one entry after the other; a stop may begin during the one before."""
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                running = [each for each in self.site.entries if self._handles_signals(each)]
+                if len(running) > 1 and self.random.random() < STOP_SHARE:
+                    nursery.start_soon(self._stop, self.random.choice(running))
+                elif running:
+                    self._reload(self.random.choice(running))
+                await trio.sleep(
+                    self.random.uniform(MIN_SIGNAL_INTERVAL_SECONDS, MAX_SIGNAL_INTERVAL_SECONDS)
+                )
+
+    def _handles_signals(self, entry: Entry) -> bool:
+        """Return whether an entry runs and handles SIGTERM.
+
+        A program can't handle it until its interpreter has started.
+        """
+        if entry.is_stopping or entry.process.poll() is not None:
+            return False
+        status = Path(f"/proc/{entry.process.pid}/status").read_text(encoding="ascii")
+        caught = int(CAUGHT_SIGNALS.search(status)[1], base=16)
+        return bool(caught >> (signal.SIGTERM - 1) & 1)
+
+    def _reload(self, entry: Entry) -> None:
+        self.log_fault(f"entry {entry.name}: reload")
+        self.site.disturbances.plan(PlannedKind.RELOAD, entry.name)
+        entry.process.send_signal(signal.SIGHUP)
+
+    async def _stop(self, entry: Entry) -> None:
+        self.log_fault(f"entry {entry.name}: stop")
+        entry.is_stopping = True
+        stopped_at = trio.current_time()
+        self.site.disturbances.plan(PlannedKind.STOP, entry.name)
+        entry.process.terminate()
+        await trio.to_thread.run_sync(entry.process.wait)
+        if entry.process.returncode != 0:
+            self.site.violations.append(f"{entry.name}: exit {entry.process.returncode}")
+        await trio.sleep(RESTART_DELAY_SECONDS)
+        self.log_fault(f"entry {entry.name}: start")
+        self.site.start_entry(entry)
+        self.site.disturbances.record_absence(entry.name, stopped_at)
+        self.interruptions.spans.append((entry.name, stopped_at, trio.current_time()))
+
+    async def _silence_repeatedly(self, until: float) -> None:
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                runner = self.random.choice(self.site.runners)
+                seconds = self.random.uniform(MIN_SILENCE_SECONDS, MAX_SILENCE_SECONDS)
+                if (
+                    len(self._silent) < MAX_SILENT_RUNNERS
+                    and runner.spec.instance not in self._silent
+                ):
+                    nursery.start_soon(self._silence, runner, seconds)
+                await trio.sleep(
+                    self.random.uniform(MIN_SILENCE_INTERVAL_SECONDS, MAX_SILENCE_INTERVAL_SECONDS)
+                )
+
+    async def _silence(self, runner: RunnerProcess, seconds: float) -> None:
+        name = runner.spec.instance
+        self.log_fault(f"runner {name} silent for {seconds:.1f} s")
+        self.interruptions.record(name, seconds)
+        self._silent.add(name)
+        runner.process.send_signal(signal.SIGSTOP)
+        await trio.sleep(seconds)
+        runner.process.send_signal(signal.SIGCONT)
+        self._silent.discard(name)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -57,6 +57,8 @@
     delay_seconds: float = 0.0
     mode_changed: trio.Event = field(default_factory=trio.Event)
     partition: Partition | None = None
+    # When the target refused a connection, by the port of its client.
+    refused_at: dict[int, float] = field(default_factory=dict)
     _connections: set[tuple[trio.SocketStream, trio.SocketStream]] = field(default_factory=set)
     # The connections whose bytes the partition holds back.
     _silenced: set[trio.SocketStream] = field(default_factory=set)
@@ -143,6 +145,7 @@
         try:
             target_stream = await self._connect_to_target()
         except OSError:
+            self.refused_at[_port_of(accepted)] = trio.current_time()
             reset(accepted)
             return
         if self.small_buffers:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -33,6 +33,7 @@
 from soak.odd_answers import AnswerFault, AnswerFaults, raw_head
 from soak.path_check import STALL_TIMEOUT_SECONDS, PathCheck, RunningStream
 from soak.slots import Slots
+from soak.unending import send_unending
 from soak.wire import JSON_HEADERS, parse_path, parse_target, serve_connections
 
 __all__ = ["HEALTH_PATH", "RunnerSpec"]
@@ -371,6 +372,11 @@
             await crash(request.body.decode(), request_id, write_record)
         if holds_crash_part(headers.get(PARTS_HEADER.lower(), "")):
             await crash(CRASH_PART, request_id, write_record, "deadly_part")
+        unending = self._answer_faults.draw_unending()
+        if unending is not None:
+            write_record(unending=request_id, kind=unending)
+            await send_unending(connection, unending, request_id, stream is not None)
+            return
         if fault is AnswerFault.MUTE:
             await trio.sleep_until(self._answer_faults.fault_until)
             return
