--- a/features/soak_lost.feature
+++ b/features/soak_lost.feature
@@ -35,6 +35,7 @@
       | at work in the last part of grace | stop 97      |                    | 100  | 101.3 | closed | 0     | pa      | 100.1 102   |                       |
       | done before it                    | stop 97      |                    | 100  | 101.3 | closed | 0     | pa      | 100.1 101   | lost around a stop    |
       | done before it, read slowly       | stop 97      |                    | 100  | 101.3 | slow   | 70    | pa      | 100.1 101   |                       |
+      | the same beside a change          | stop 97, change 100 |             | 100  | 101.3 | slow   | 70    | pa      | 100.1 101   |                       |
       | read slowly, cut before it        | stop 97      |                    | 100  | 101.1 | slow   | 70    | pa      | 100.1 101   | lost around a stop    |
       | the same, sent later              | stop 96.9    |                    | 100  | 101.3 | closed | 0     | pa      | 100.1 102   | lost around a stop    |
       | 1 s after the grace period        | stop 94.4    |                    | 100  | 100.3 | closed | 0     | pa      | 100.1 102   | lost around a stop    |
--- a/features/steps/soak_lost_steps.py
+++ b/features/steps/soak_lost_steps.py
@@ -36,8 +36,8 @@
 
 def make_disturbances(planned, disturbed):
     disturbances = Disturbances()
-    if planned:
-        kind, at = planned.split()
+    for work in filter(None, planned.split(", ")):
+        kind, at = work.split()
         kind, _, entry = kind.partition("-")
         is_change = kind == PlannedKind.CHANGE
         entry = "" if is_change else entry or "e0"
--- a/soak/lost_judge.py
+++ b/soak/lost_judge.py
@@ -157,7 +157,7 @@
         if not self._is_cut_by_entry(call):
             return None
         kinds = self._planned_kinds(call)
-        if PlannedKind.STOP in kinds and not self._was_last_of_grace(call):
+        if PlannedKind.STOP in kinds:
             return Loss.STOP
         if PlannedKind.RELOAD in kinds:
             return Loss.RELOAD
@@ -175,6 +175,7 @@
             and self._seconds(call) < self._limit_seconds - LIMIT_MARGIN_SECONDS
             and not history.has_broken_off
             and not self._is_disturbed(call)
+            and not self._was_last_of_grace(call)
         )
 
     def _was_read(self, call: Call) -> bool:
