--- a/soak/unending_faults.py
+++ b/soak/unending_faults.py
@@ -27,6 +27,8 @@
 MIN_FAULT_SECONDS = 1.0
 MAX_FAULT_SECONDS = 3.0
 POLL_INTERVAL_SECONDS = 0.1
+# The site has started once so many calls in a row were served.
+STARTED_CALLS = 20
 # Affected runners of each service at a time.
 MAX_AFFECTED_RUNNERS = {"llm": 2, "crm": 1}
 # The share of these faults that are a caller's.
@@ -84,13 +86,12 @@
         self.callers.violations += load.violations
 
     def _has_started(self) -> bool:
-        """Return whether every entry has served a stream and a plain call."""
-        served = {
-            (each.entry, each.route in STREAM_ROUTES)
-            for each in self.callers.calls
-            if each.is_served
-        }
-        return len(served) == 2 * len(self.site.entries)
+        """Return whether every entry is ready and the latest calls were served."""
+        ended = [each for each in self.callers.calls if each.ended_at < float("inf")]
+        latest = ended[-STARTED_CALLS:]
+        are_served = all(each.is_served or each.has_disconnected for each in latest)
+        are_ready = len(self.callers.ready_entries) == len(self.site.entries)
+        return are_ready and are_served and len(latest) == STARTED_CALLS
 
     async def _inject(self, until: float) -> None:
         async with trio.open_nursery() as nursery:
