--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from soak.calls import Call
+from soak.calls import Call, Ending
 
 __all__ = ["CallerConnection", "Manner", "connect"]
 
@@ -56,6 +56,7 @@
         self.entry = entry
         self.surplus = b""
         self._stream = stream
+        self._port = stream.socket.getsockname()[1]
         self._requests = 0
 
     async def is_usable(self) -> bool:
@@ -70,13 +71,17 @@
         """Send a request and read its answer; return whether the connection is reusable."""
         self._requests += 1
         call.number_on_connection, call.entry = self._requests, self.entry
+        call.port = self._port
         with trio.move_on_after(manner.disconnects_after_seconds) as cancel_scope:
             try:
                 await self._stream.send_all(request)
+                call.whole_sent_at = trio.current_time()
                 await self._read(call, manner)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self._end(call, Ending.RESET)
                 return False
         call.has_disconnected |= cancel_scope.cancelled_caught
+        self._end(call, _ending(call))
         if not call.is_complete or call.parse_error:
             return False
         if b"close" in call.answer.header(b"connection").lower():
@@ -84,12 +89,17 @@
             return False
         return True
 
+    @staticmethod
+    def _end(call: Call, ending: Ending) -> None:
+        call.ending, call.ended_at = ending, trio.current_time()
+
     async def _read(self, call: Call, manner: Manner) -> None:
         pauses = list(manner.pauses)
         received_bytes = 0
         while not call.is_complete:
             data = await self._stream.receive_some(MAX_READ_BYTES)
             received_bytes += len(data)
+            call.received_bytes = received_bytes
             if not data or not call.feed(data):
                 return
             if (
@@ -100,7 +110,9 @@
                 call.has_disconnected = True
                 return
             while pauses and pauses[0][0] < received_bytes:
-                await trio.sleep(pauses.pop(0)[1])
+                seconds = pauses.pop(0)[1]
+                call.paused_seconds += seconds
+                await trio.sleep(seconds)
 
     async def _check_for_surplus(self, call: Call) -> None:
         """Check that no bytes follow an answer with `Connection: close`."""
@@ -114,6 +126,13 @@
         self._stream.socket.close()
 
 
+def _ending(call: Call) -> Ending:
+    """Return how a call ended whose connection wasn't reset."""
+    if call.is_complete:
+        return Ending.ANSWERED
+    return Ending.DISCONNECTED if call.has_disconnected else Ending.CLOSED
+
+
 async def connect(entry: str, small_buffers: bool) -> CallerConnection | None:
     """Return a new connection, or None if it can't be opened.
 
