Bound the replies of engines and plain services of the completions interface

The reply of a refused stream was read without any deadline.

Both are read within the bounds of other replies now: 4 MiB, and the bound on small pieces, in turns. Each reply has a lane of its own, so that many at once take more than an eighth of the processor until they are given up.

--- a/deckcourse/engine_http.py
+++ b/deckcourse/engine_http.py
@@ -30,6 +30,7 @@
     HttpReply,
     NotSent,
     http_call,
+    read_body,
 )
 
 __all__ = [
@@ -144,7 +145,11 @@
             return response
         if response.status == OK:
             return self._frames(response)
-        return self._failure(response.status, await response.aread())
+        try:
+            body = await read_body(response)
+        except LOST_ERRORS as error:
+            return Lost(self._instance, str(error) or type(error).__name__)
+        return self._failure(response.status, body)
 
     async def _frames(self, response) -> AsyncIterator[tuple[Frame, ...]]:
         rest = b""
--- a/deckcourse/http_client.py
+++ b/deckcourse/http_client.py
@@ -2,11 +2,15 @@
 
 from collections.abc import AsyncIterable, AsyncIterator
 from dataclasses import dataclass
+from time import perf_counter
 
 import httpcore
 import trio
 
-__all__ = ["HttpReply", "NotSent", "ReplyLost", "fresh_pool", "http_call", "kept_pool"]
+from deckcourse.http1.message import MAX_BODY_BYTES
+from deckcourse.http1.pieces import PieceLane, PieceMeter
+
+__all__ = ["HttpReply", "NotSent", "ReplyLost", "fresh_pool", "http_call", "kept_pool", "read_body"]
 
 MAX_CONNECTIONS = 1000
 MAX_IDLE = 200
@@ -142,11 +146,32 @@
 async def _call(pool, method, url, body, headers) -> HttpReply | NotSent | ReplyLost:
     extensions = {"timeout": {"connect": CONNECT_SECONDS}}
     try:
-        response = await pool.request(
+        async with pool.stream(
             method, url, content=body, headers=list(headers), extensions=extensions
-        )
+        ) as response:
+            content = await read_body(response)
     except NOT_SENT_ERRORS as error:
         return NotSent(f"{method} {url}: {error or type(error).__name__}")
     except LOST_ERRORS as error:
         return ReplyLost(f"{method} {url}: {error or type(error).__name__}")
-    return HttpReply(response.status, tuple(response.headers), response.content)
+    return HttpReply(response.status, tuple(response.headers), content)
+
+
+async def read_body(response: httpcore.Response) -> bytes:
+    """Return the whole body of a reply.
+
+    Raises:
+      httpcore.RemoteProtocolError: it exceeds MAX_BODY_BYTES, or has more small pieces than any
+        sound one.
+    """
+    body = bytearray()
+    meter = PieceMeter(PieceLane())
+    began_at = perf_counter()
+    async for data in response.aiter_stream():
+        body += data
+        meter.note(len(data), began_at)
+        if len(body) > MAX_BODY_BYTES or meter.is_exceeded:
+            raise httpcore.RemoteProtocolError("the reply does not end")
+        await meter.let_others_run()
+        began_at = perf_counter()
+    return bytes(body)
--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -114,3 +114,14 @@
     Given a plain upstream whose answer is chunks of a byte without an end
     When a caller with 100 ms left calls it
     Then the caller gets 504, and the upstream counts as failing
+
+  # Guards against replies of engines and plain services that are held without a bound.
+  Scenario Outline: A reply without an end to a call over httpcore is given up: <what>
+    Given a server whose reply begins with {chunked head} and goes on with <piece> without an end
+    When it is called with 10 seconds for the reply
+    Then the reply is lost as one that does not end
+
+    Examples:
+      | what             | piece         |
+      | chunks of a byte | 1\r\nx\r\n    |
+      | large chunks     | {large chunk} |
--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -3,6 +3,7 @@
 import json
 from base64 import b64encode
 from collections import Counter
+from contextlib import suppress
 from itertools import count
 
 import trio
@@ -17,6 +18,7 @@
 from deckcourse.http1.message import MAX_BODY_BYTES, READ_BYTES, ConnectionLostError
 from deckcourse.http1.pool import ConnectionPool
 from deckcourse.http1.server import Exchange
+from deckcourse.http_client import ReplyLost, http_call, kept_pool
 from deckcourse.layers.hosts import Assignment
 from deckcourse.peers.frames import Frame, encode_frame
 from deckcourse.peers.relay import RelayClient
@@ -424,3 +426,37 @@
 def counts_as_failing(context, status):
     assert context.got.status == status, (context.got, context.site.lines)
     assert context.share > 0.4, context.share
+
+
+@given("a server whose reply begins with {start} and goes on with {piece} without an end")
+def endless_server(context, start, piece):
+    async def serve(stream):
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await stream.receive_some()
+            await stream.send_all(raw(start))
+            while True:
+                await stream.send_all(raw(piece) * 100)
+
+    context.serve = serve
+
+
+@when("it is called with {seconds:d} seconds for the reply")
+def call_server(context, seconds):
+    async def work():
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listener.socket.getsockname()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, context.serve, [listener])
+            deadline = trio.current_time() + seconds
+            context.result = await http_call(
+                kept_pool(), "GET", f"http://{host}:{port}/", deadline=deadline
+            )
+            nursery.cancel_scope.cancel()
+
+    trio.run(work)
+
+
+@then("the reply is lost as one that does not end")
+def reply_lost(context):
+    assert isinstance(context.result, ReplyLost), context.result
+    assert "does not end" in context.result.message, context.result
