--- a/deckcourse/http_client.py
+++ b/deckcourse/http_client.py
@@ -169,6 +169,7 @@
     began_at = perf_counter()
     async for data in response.aiter_stream():
         body += data
+        meter.note_wait(perf_counter() - began_at)
         meter.note(len(data), began_at)
         if len(body) > MAX_BODY_BYTES or meter.is_exceeded:
             raise httpcore.RemoteProtocolError("the reply does not end")
