--- a/soak/lost_judge.py
+++ b/soak/lost_judge.py
@@ -78,21 +78,22 @@
       runners: the name of each runner by its address.
     """
     found: dict[str, RequestHistory] = defaultdict(RequestHistory)
-    begun: dict[tuple[str, str], float] = {}
+    # A request may run twice at once at a runner.
+    begun: dict[tuple[str, str], list[float]] = defaultdict(list)
     for each in records:
         if "arrived" in each:
             found[each["arrived"]].runners.add(each["instance"].partition(".")[0])
         elif "broke_off" in each or "unending" in each:
             found[each.get("broke_off") or each["unending"]].has_broken_off = True
         elif "run" in each:
-            begun[each["run"], each["instance"]] = each["time"] + offset
+            begun[each["run"], each["instance"]].append(each["time"] + offset)
             found[each["run"]].runners.update(runners[address] for address in each["path"])
         elif "run_ended" in each:
             name = each["run_ended"]
-            begin = begun.pop((name, each["instance"]))
+            begin = begun[name, each["instance"]].pop(0)
             found[name].work.append((begin, each["time"] + offset))
-    for (name, _), begin in begun.items():
-        found[name].work.append((begin, float("inf")))
+    for (name, _), begins in begun.items():
+        found[name].work += [(begin, float("inf")) for begin in begins]
     return found
 
 
