--- a/features/steps/message_end_steps.py
+++ b/features/steps/message_end_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from gateway_story import two_chains
 from gateway_world import GatewayWorld
+from piece_streams import CHUNKED_HEAD, PiecesTransport, TurnCounter, raw_cell
 from raw_upstream import HEAD, Answer, RawUpstream
 
 from deckcourse.gateway.events import EventReader
@@ -25,7 +26,6 @@
 from deckcourse.platform.runners import RunnerControl
 from deckcourse.platform.store import Store
 
-CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 FRAME = encode_frame(Frame((), {}))
 NAMES = {
     b"{chunked head}": CHUNKED_HEAD,
@@ -36,105 +36,19 @@
     b"{100 frames}": b"%x\r\n%s\r\n" % (len(FRAME) * 100, FRAME * 100),
     b"{start of a frame}": b"4\r\n\x00\x10\x00\x00\r\n",
 }
-# What an endless answer hands out before the test ends it.
-MAX_HANDED_OUT_BYTES = 1024 * 1024
 GIVE_UP_SECONDS = 60.0
 
 
 def raw(text):
     """Return the bytes of a table cell."""
-    data = text.replace("\\r", "\r").replace("\\n", "\n").encode()
-    for name, value in NAMES.items():
-        data = data.replace(name, value)
-    return data
-
-
-class PiecesTransport:
-    """An upstream's end of a connection that sends pieces, as many as fit into a read.
-
-    Args:
-      start: sent first.
-      piece: sent again and again.
-      count: how many pieces there are, None without an end.
-      pace: pieces a second that can be sent.
-    """
-
-    def __init__(self, start, piece, count=None, pace=1_000_000):
-        self._start = start
-        self._piece = piece
-        self._count = count
-        self._pace = pace
-        self._began_at = trio.current_time()
-        self.max_bytes = MAX_HANDED_OUT_BYTES
-        self._sent_pieces = 0
-        self._unread = b""
-        self.handed_out = 0
-        self.is_closed = False
-
-    async def send_all(self, data):
-        await trio.lowlevel.checkpoint()
-
-    async def receive_some(self, max_bytes):
-        await trio.lowlevel.checkpoint()
-        if self.handed_out > self.max_bytes and self._count is None:
-            raise trio.BrokenResourceError("not given up")
-        while not self._unread:
-            await self._produce(max_bytes)
-        data, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
-        self.handed_out += len(data)
-        return data
-
-    async def _produce(self, max_bytes):
-        if self._start:
-            self._unread, self._start = self._start, b""
-            return
-        if self._count is not None and self._sent_pieces == self._count:
-            self._unread = b"0\r\n\r\n"
-            return
-        due = int((trio.current_time() - self._began_at) * self._pace) + 1
-        wanted = min(due, self._count or due) - self._sent_pieces
-        fitting = min(wanted, max_bytes // len(self._piece) + 1)
-        if fitting <= 0:
-            await trio.sleep(1 / self._pace)
-            return
-        self._sent_pieces += fitting
-        self._unread = self._piece * fitting
-
-    def readable(self):
-        return True
-
-    def is_open(self):
-        return not self.is_closed
-
-    def close(self):
-        self.is_closed = True
-
-
-class TurnCounter:
-    """Counts the pieces that are parsed between two turns of another task."""
-
-    def __init__(self, connection):
-        self.longest_turn = 0
-        self._pieces = 0
-        parse = connection._h11.next_event
-
-        def next_event():
-            self._pieces += 1
-            return parse()
-
-        connection._h11.next_event = next_event
-
-    async def run(self):
-        while True:
-            self.longest_turn = max(self.longest_turn, self._pieces)
-            self._pieces = 0
-            await trio.lowlevel.checkpoint()
+    return raw_cell(text, NAMES)
 
 
 async def read(context, transport, reader):
     """Read an answer, or the one after a duplicate, beside another task; return body or failure."""
     connection = UpstreamConnection("u:1", transport)
-    counter = context.counter = TurnCounter(connection)
+    counter = context.counter = TurnCounter()
+    counter.watch(connection._h11)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(counter.run)
         try:
--- a/features/steps/piece_lane_steps.py
+++ b/features/steps/piece_lane_steps.py
@@ -6,7 +6,7 @@
 
 import trio
 from behave import then, when
-from message_end_steps import CHUNKED_HEAD, PiecesTransport
+from piece_streams import CHUNKED_HEAD, PiecesTransport
 
 from deckcourse.http1.client import UpstreamConnection
 from deckcourse.http1.message import ConnectionLostError
--- a/features/steps/request_end_steps.py
+++ b/features/steps/request_end_steps.py
@@ -5,6 +5,7 @@
 import trio
 from behave import given, then, when
 from connection_world import virtually
+from piece_streams import CallerStream, TurnCounter, raw_cell
 
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.http1 import server
@@ -17,117 +18,19 @@
     b"{3000000}": b"x" * 3_000_000,
     b"{5000000}": b"x" * 5_000_000,
 }
-# What an endless request hands out before its answer.
-MAX_HANDED_OUT_BYTES = 1024 * 1024
 GIVE_UP_SECONDS = 60.0
 
 
 def raw(text):
     """Return the bytes of a table cell."""
-    data = text.replace("\\r", "\r").replace("\\n", "\n").encode()
-    for name, value in NAMES.items():
-        data = data.replace(name, value)
-    return data
-
-
-class CallerStream(trio.abc.HalfCloseableStream):
-    """The server's end of a connection whose caller sends pieces, as many as fit into a read.
-
-    Args:
-      start: sent first.
-      piece: sent again and again.
-      count: how many pieces there are, None without an end.
-      pace: pieces a second that can be sent.
-    """
-
-    def __init__(self, start, piece, count=None, pace=1_000_000):
-        self._unread = start
-        self._piece = piece
-        self._count = count
-        self._pace = pace
-        self._began_at = trio.current_time()
-        self._sent_pieces = 0
-        self._handed_out = 0
-        self.answer = b""
-        self.answered_at = None
-        self.handed_out_before_answer = 0
-
-    async def send_all(self, data):
-        await trio.lowlevel.checkpoint()
-        if not self.answer:
-            self.handed_out_before_answer = self._handed_out
-            self.answered_at = trio.current_time()
-        self.answer += data
-
-    async def receive_some(self, max_bytes=None):
-        await trio.lowlevel.checkpoint()
-        if self._handed_out > MAX_HANDED_OUT_BYTES and self._count is None and not self.answer:
-            raise trio.BrokenResourceError("not refused")
-        while not self._unread:
-            await self._produce(max_bytes)
-        data, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
-        self._handed_out += len(data)
-        return data
-
-    async def _produce(self, max_bytes):
-        if self._count is not None and self._sent_pieces >= self._count:
-            if self._sent_pieces > self._count:
-                await trio.sleep_forever()
-            self._sent_pieces += 1
-            self._unread = b"0\r\n\r\n"
-            return
-        due = int((trio.current_time() - self._began_at) * self._pace) + 1
-        wanted = min(due, self._count or due) - self._sent_pieces
-        fitting = min(wanted, max_bytes // len(self._piece) + 1)
-        if fitting <= 0:
-            await trio.sleep(1 / self._pace)
-            return
-        self._sent_pieces += fitting
-        self._unread = self._piece * fitting
-
-    async def wait_send_all_might_not_block(self):
-        await trio.lowlevel.checkpoint()
-
-    async def send_eof(self):
-        await trio.lowlevel.checkpoint()
-
-    async def aclose(self):
-        await trio.lowlevel.checkpoint()
-
-
-class TurnCounter:
-    """Counts the pieces that are parsed between two turns of another task."""
-
-    def __init__(self, make_parser):
-        self._make_parser = make_parser
-        self.longest_turn = 0
-        self._pieces = 0
-
-    def make_parser(self, *args, **kwargs):
-        """Return a parser whose events are counted."""
-        parser = self._make_parser(*args, **kwargs)
-        parse = parser.next_event
-
-        def next_event():
-            self._pieces += 1
-            return parse()
-
-        parser.next_event = next_event
-        return parser
-
-    async def run(self):
-        """Take turns until cancelled."""
-        while True:
-            self.longest_turn = max(self.longest_turn, self._pieces)
-            self._pieces = 0
-            await trio.lowlevel.checkpoint()
+    return raw_cell(text, NAMES)
 
 
 async def serve(context, stream):
     """Serve a connection while another task takes turns."""
     parser_class = server.h11.Connection
-    counter = context.counter = TurnCounter(parser_class)
-    server.h11.Connection = counter.make_parser
+    counter = context.counter = TurnCounter()
+    server.h11.Connection = lambda *args, **kwargs: counter.watch(parser_class(*args, **kwargs))
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(counter.run)
