--- a/features/soak.feature
+++ b/features/soak.feature
@@ -38,44 +38,6 @@
     Then it reports no violation
     And it checked upstreams that a part had crashed
 
-  # Guards against refusing callers at entries that reach no runner while others do.
-  Scenario: Callers of entries that are partitioned from runners are served
-    When the soak runs seed 3 for 12 seconds with partitions from runners as the only faults
-    Then it reports no violation
-    And it checked calls at partitioned entries
-
-  # Guards against an entry that takes more requests than its processor time allows.
-  Scenario: Callers of an entry that gets most new connections are served
-    When the soak runs seed 9101 for 12 seconds with waves of new connections to one of 10 entries as the only faults
-    Then it reports no violation
-    And it checked calls in waves
-
-  # Guards against whole answers of full runners that are not delivered, health queries that take
-  # their slots, and halves that are delivered as whole after a restart during a pause.
-  Scenario: Callers of full runners get whole answers without a length, and no half as a whole
-    When the soak runs seed 1 for 6 seconds with answers without a length as the only faults
-    Then it reports no violation
-    And it checked plain calls that ran undisturbed
-
-  # Guards against requests to a runner that has left, while connections to the store are silent.
-  Scenario: Runners that leave while connections are silent get no requests after the contact time
-    When the soak runs seed 1 for 10 seconds with connections that go silent as the only faults
-    Then it reports no violation
-    And it checked leaves beside silent connections
-
-  # Guards against an entry that spends its processor time on the answers of one upstream.
-  Scenario: Callers of sound upstreams are served beside answers without an end
-    When the soak runs seed 3 for 5 seconds with answers without an end as the only faults
-    Then it reports no violation
-    And it checked calls whose answers had no end
-
-  # Guards against requests that end without an answer when processes stop, reload or change their
-  # configuration, and against taking silent upstreams for lost ones meanwhile.
-  Scenario: Stops, reloads and changes that overlap lose no request beside silent upstreams
-    When the soak runs seed 22 for 5 seconds with planned work as the only faults
-    Then it reports no violation
-    And it checked calls around planned work
-
   # Guards against treating a malformed answer as one that was cut by its connection, and against
   # checking nothing after a connection is closed: a chunk without a head passed unnoticed.
   Scenario: A caller of the soak rejects every answer that a strict client rejects
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -22,6 +22,8 @@
 WILDCARD = "*"
 # A feature file that runs longer than this is taken to hang.
 FEATURE_TIMEOUT_SECONDS = 400
+SOAK = "features/soak.feature"
+CONNECTION_SOAK = "features/soak_connections.feature"
 PASSED = "passed"
 NOT_RUN = ("skipped", "untested")
 
@@ -113,7 +115,12 @@
     """Run the given feature files, or all, and print a summary; return the exit code."""
     features = sys.argv[1:] or sorted(
         (str(path.relative_to(ROOT)) for path in (ROOT / "features").glob("*.feature")),
-        key=lambda name: ("processes" not in name, "fault_matrix" not in name, name),
+        # Those that take longest begin first; no more than two soaks run at a time.
+        key=lambda name: (
+            "processes" not in name and name != SOAK,
+            "fault_matrix" not in name and name != CONNECTION_SOAK,
+            name,
+        ),
     )
     statuses, incomplete = run_all(features)
     listed = read_known_red()
