--- a/features/messages_without_end.feature
+++ b/features/messages_without_end.feature
@@ -55,8 +55,7 @@
     When its answer is read as a duplicate beside another task
     Then the whole body is read within 1 seconds
 
-  # Guards against a read of thousands of events or comments that is parsed without a break: eight such
-  # streams delayed other tasks by 74 ms a turn.
+  # Guards against a read of thousands of events or comments that is parsed without a break.
   Scenario Outline: Small events are parsed in short turns and passed on whole: <what>
     Given a first upstream that streams <count> times <piece>, <number> a chunk
     When a caller requests that stream while the parsing is counted
