Log where a stream may have run before it is sent again

runs counts attempts: from it nobody can tell on how many upstreams a stream ran, nor which of them counted when it was let go. The line run-again names both, so that a count that leaves out silent upstreams can be told from one that misses what a peer did. No logic is changed.

--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -449,6 +449,7 @@
             self._last_event,
         )
         stream.progress_at = trio.current_time()
+        self._retries.log_repeat(dispatch.instance)
         self._executions += 1
         stream.execution = self._context.crashes.begin_attempt(admitted, dispatch.instance)
         self._retries.note_execution(dispatch.instance)
--- a/deckcourse/gateway/stream_retries.py
+++ b/deckcourse/gateway/stream_retries.py
@@ -32,6 +32,8 @@
 
     def __init__(self, context: GatewayContext, admitted: Admitted) -> None:
         self._upstreams = context.upstreams
+        self._log = context.log
+        self._request_id = admitted.caller.request_id
         self._budget: RetryAllowance = context.budget(admitted.service.name)
         self._route = admitted.route
         self._has_reserved = False
@@ -72,13 +74,28 @@
 
     def may_run_elsewhere(self) -> bool:
         """Return whether another upstream may execute it; lost upstreams don't count."""
-        live = [
+        executions = len(self._live()) + self._lost_handovers
+        return self._route.repeatable and executions < self._route.attempts
+
+    def _live(self) -> list[str]:
+        return [
             each
-            for each in self._executed_by
+            for each in self.executed_by
             if self._upstreams.get(each) is not None and not self._upstreams.is_suspected(each)
         ]
-        executions = len(live) + self._lost_handovers
-        return self._route.repeatable and executions < self._route.attempts
+
+    def log_repeat(self, instance: str) -> None:
+        """Log where the stream may have run before it is sent to an upstream again."""
+        if self._executed_by or self._lost_handovers:
+            self._log(
+                "run-again",
+                request=self._request_id,
+                instance=instance,
+                executed_by=self.executed_by,
+                counted=self._live(),
+                lost_handovers=self._lost_handovers,
+                allowed=self._route.attempts,
+            )
 
     async def wait(self, progress_at: float) -> bool:
         """Spend a retry for a stream that was executed, waiting for one; return whether it got one.
