Reproduce streams on more upstreams than their routes allow, red

Callers of a route that allows two upstreams get streams that ran on three, or a 502 beside three sound upstreams, if upstreams fall silent for a second and go on.

--- /dev/null
+++ b/features/steps/bound_steps.py
@@ -0,0 +1,79 @@
+"""Steps about how many upstreams execute one request."""
+
+import trio
+from behave import given, then, when
+from bound_world import POLL_SECONDS, BoundWorld
+from gateway_story import expected_events, play_outage
+
+# How many upstreams fall silent one after the other, each once it executes the stream.
+IN_SERIES = {
+    "the first one": 1,
+    "two, one after the other": 2,
+    "three, one after the other": 3,
+    "four, one after the other": 4,
+}
+# The events of its run after which an upstream falls silent.
+EVENTS_BEFORE = {"before its first event": 0, "after five events": 5}
+# The time after an outage of the store in which live upstreams write their rows again, seconds.
+ROWS_RETURN_SECONDS = 1.5
+
+
+@given("{count:d} first upstreams and a route that allows {bound:d}")
+def first_upstreams(context, count, bound):
+    context.site = BoundWorld(count, bound)
+
+
+async def silence_upstreams(site, silences, events):
+    if silences in IN_SERIES:
+        await site.silence_in_series("r1", IN_SERIES[silences], events)
+        return
+    while not site.executed_by("r1") or len(site.runs[0].events) < events:
+        await trio.sleep(POLL_SECONDS)
+    for instance in site.runners:
+        site.silence(instance)
+
+
+async def lapse_rows(site):
+    await play_outage(site, tuple(site.runners))
+    await trio.sleep(ROWS_RETURN_SECONDS)
+    for runner in site.runners.values():
+        site.store.put("servers", runner.instance, runner.row())
+
+
+def play(context, silences, events, beside=None):
+    async def story(site):
+        site.earn_retries()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(silence_upstreams, site, silences, events)
+            if beside is not None:
+                nursery.start_soon(beside, site)
+            context.got = await site.ask()
+            nursery.cancel_scope.cancel()
+
+    context.site.play(story)
+
+
+@when("upstreams that run a stream fall silent for a second {moment}: {silences}")
+def fall_silent(context, moment, silences):
+    play(context, silences, EVENTS_BEFORE[moment])
+
+
+@when(
+    "rows lapse in an outage, and upstreams fall silent for a second after five events: {silences}"
+)
+def fall_silent_in_outage(context, silences):
+    play(context, silences, 5, beside=lapse_rows)
+
+
+@then("its caller got the whole stream")
+def stream_whole(context):
+    got, site = context.got, context.site
+    body = expected_events(site, "r1", site.events)
+    assert (got.status, got.whole, got.body) == (200, True, body), (got, site.lines[-20:])
+
+
+@then("it was executed by no more than {bound:d} upstreams")
+def within_bound(context, bound):
+    site = context.site
+    instances = site.executed_by("r1")
+    assert 0 < len(instances) <= bound, (instances, site.lines[-20:])
--- /dev/null
+++ b/features/upstream_bound.feature
@@ -0,0 +1,38 @@
+Feature: A request is executed by no more upstreams than its route allows
+
+  # Guards against a third upstream for a stream of a route that allows two, and against a stream that
+  # was ended beside sound upstreams: those that were silent for a second were left out of the count.
+  Scenario Outline: Sound upstreams fall silent, go on: <bound> of <count>, <silences>, <moment>
+    Given <count> first upstreams and a route that allows <bound>
+    When upstreams that run a stream fall silent for a second <moment>: <silences>
+    Then its caller got the whole stream
+    And it was executed by no more than <bound> upstreams
+
+    Examples:
+      | bound | count | silences                   | moment                 |
+      | 1     | 2     | the first one              | before its first event |
+      | 1     | 2     | the first one              | after five events      |
+      | 2     | 3     | the first one              | before its first event |
+      | 2     | 3     | the first one              | after five events      |
+      | 2     | 3     | two, one after the other   | before its first event |
+      | 2     | 3     | two, one after the other   | after five events      |
+      | 2     | 4     | three, one after the other | before its first event |
+      | 2     | 4     | three, one after the other | after five events      |
+      | 2     | 3     | all at once                | before its first event |
+      | 2     | 3     | all at once                | after five events      |
+      | 3     | 4     | three, one after the other | after five events      |
+      | 3     | 5     | four, one after the other  | before its first event |
+      | 3     | 5     | four, one after the other  | after five events      |
+
+  # Guards against rows that went in an outage of the store: their upstreams were left out as well.
+  Scenario Outline: Sound upstreams fall silent, go on, their rows lapse: <bound> of <count>, <silences>
+    Given <count> first upstreams and a route that allows <bound>
+    When rows lapse in an outage, and upstreams fall silent for a second after five events: <silences>
+    Then its caller got the whole stream
+    And it was executed by no more than <bound> upstreams
+
+    Examples:
+      | bound | count | silences                   |
+      | 1     | 2     | the first one              |
+      | 2     | 3     | two, one after the other   |
+      | 2     | 4     | three, one after the other |
