Reproduce handovers that count as one upstream whatever the peer did, red

A stream of a process that reaches no upstream is handed to a peer, which runs it on two upstreams before it is killed; the next peer does the same. The stream has run on four upstreams where its route allows two, or three.

--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -2,7 +2,7 @@
 
 import trio
 from behave import given, then, when
-from bound_world import POLL_SECONDS, BoundWorld
+from bound_world import POLL_SECONDS, BoundPartitionWorld, BoundWorld, executed_by
 from gateway_story import expected_events, play_outage
 
 # How many upstreams fall silent one after the other, each once it executes the stream.
@@ -16,6 +16,8 @@
 EVENTS_BEFORE = {"before its first event": 0, "after five events": 5}
 # The time after an outage of the store in which live upstreams write their rows again, seconds.
 ROWS_RETURN_SECONDS = 1.5
+# Requests that earn retries at each of the processes.
+EARNING_REQUESTS = 60
 
 
 @given("{count:d} first upstreams and a route that allows {bound:d}")
@@ -77,3 +79,65 @@
     site = context.site
     instances = site.executed_by("r1")
     assert 0 < len(instances) <= bound, (instances, site.lines[-20:])
+
+
+@given("{processes:d} gateway processes, {count:d} first upstreams and routes that allow {bound:d}")
+def partitioned_site(context, processes, count, bound):
+    context.site = BoundPartitionWorld(count, bound)
+    context.losses = []
+
+
+@when(
+    "{route} requests of a partitioned process are handed over,"
+    " and {count:d} runners of each are silent"
+)
+def handed_over(context, route, count):
+    context.route, context.lost_runners = route, count
+
+
+@when("each peer is then {loss}")
+def each_peer_lost(context, loss):
+    async def lose_peers(site):
+        lost = set()
+        for _ in site.processes[1:]:
+            await site.lose_runners("r1", context.lost_runners, lost)
+            peer = next((each for each in site.processes[1:] if has_request(each)), None)
+            if peer is None:
+                return
+            lost |= set(executed_by(site, "r1"))
+            if loss == "killed":
+                peer.kill()
+            else:
+                peer.scope.cancel()
+                site.network.silence(peer.peer_address)
+                site.medium.open(peer.peer_address)
+            context.losses.append(peer.name)
+            await site.next_runner("r1", lost)
+        site.mend()
+
+    async def story(site):
+        for number in range(EARNING_REQUESTS):
+            process = site.processes[number % len(site.processes)]
+            await site.ask_at(process, context.route, f"w{number}", b"w")
+        site.events = 200
+        await site.partition_entry()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lose_peers, site)
+            context.got = await site.ask_at(site.processes[0], context.route, "r1", b"r1")
+            nursery.cancel_scope.cancel()
+
+    context.site.play(story)
+
+
+def has_request(process):
+    """Return whether a live process serves a request that was handed over to it."""
+    return process.node.gateway._handed_requests > 0 and not process.scope.cancel_called
+
+
+@then("no request was executed by more than {bound:d} upstreams")
+def all_within_bound(context, bound):
+    site = context.site
+    found = {each.request: executed_by(site, each.request) for each in site.runs}
+    over = {name: instances for name, instances in found.items() if len(instances) > bound}
+    assert context.losses, (context.got, site.lines[-20:])
+    assert found["r1"] and not over, (over, context.losses, site.lines[-40:])
--- a/features/upstream_bound.feature
+++ b/features/upstream_bound.feature
@@ -36,3 +36,22 @@
       | 1     | 2     | the first one              |
       | 2     | 3     | two, one after the other   |
       | 2     | 4     | three, one after the other |
+
+  # Guards against a handover to a peer that counted as one upstream, whatever the peer had used before
+  # it was lost.
+  Scenario Outline: Peers that are lost with a request: <route>, <bound> allowed, <loss> after <silences>
+    Given 3 gateway processes, 6 first upstreams and routes that allow <bound>
+    When <route> requests of a partitioned process are handed over, and <silences> runners of each are silent
+    And each peer is then <loss>
+    Then no request was executed by more than <bound> upstreams
+
+    Examples:
+      | route  | bound | silences | loss   |
+      | stream | 2     | 0        | killed |
+      | stream | 2     | 1        | killed |
+      | stream | 2     | 1        | silent |
+      | stream | 3     | 1        | killed |
+      | stream | 3     | 2        | killed |
+      | stream | 3     | 2        | silent |
+      | again  | 2     | 1        | killed |
+      | again  | 3     | 2        | killed |
