Count the upstreams of a stream by what was sent to them

What callers saw: streams of routes that allow two upstreams ran on three, and others were ended with 502, or cut, beside sound upstreams, where upstreams fall silent for a second and go on.

Cause: a stream's retries counted the upstreams that may have run it by what was believed of them at that moment: one that was suspected, after two unanswered queries, or whose row had gone, in an outage of the store too, was left out. Silence raised the allowance, and its end lowered it again while the stream was between two upstreams, which ended it.

Change: Executions counts an upstream from the moment at which the request is sent to it until it is known to have ended: a newer incarnation is known, or its machine has refused a connection since. Within the bound nothing changes. At the bound a stream goes on, by its last event, at one of the upstreams that ran it already; it leaves a silent upstream only if there is such a path, and otherwise stays, since that upstream may go on. A refusal takes an upstream out of the count only if it has not run the stream before. An upstream where the stream failed without an event isn't tried again.

Ruled out by reading: UNSENT after a part of a request was written; it is only raised before the first byte.

--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -14,6 +14,7 @@
 
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.events import Event
+from deckcourse.gateway.executions import Executions
 from deckcourse.gateway.metered_events import MeteredEvents
 from deckcourse.gateway.reaching_peers import ReachingPeers
 from deckcourse.gateway.whole_messages import read_whole
@@ -33,6 +34,7 @@
 )
 from deckcourse.peers.handover_message import (
     HANDOVER_PATH,
+    MAX_UPSTREAMS,
     HandedRequest,
     encode_handed_request,
 )
@@ -181,14 +183,13 @@
         return self._last_event
 
     async def serve(
-        self, last_event: int | None, executed_by: tuple[str, ...], executions: int
+        self, last_event: int | None, executions: Executions
     ) -> HandedOver | HandoverFailure | None:
         """Hand the request over; return None if no peer takes it.
 
         Args:
           last_event: the last event of a stream that the caller has.
-          executed_by: the upstreams that may execute it already.
-          executions: how many upstreams may have executed it.
+          executions: the upstreams that may have executed it, to which those of peers are added.
         """
         self._last_event = last_event
         while self.is_allowed:
@@ -197,9 +198,11 @@
                 return None
             self._excluded |= {peer.name}
             with self._peers.handing_over(peer):
-                result = await self._serve_at(peer, executed_by, executions)
+                result = await self._serve_at(peer, executions)
             # Not after a cancellation: the request may run then.
             self._may_run = False
+            if isinstance(result, HandoverFailure) and result.may_have_run:
+                executions.note_lost_handover()
             if result is not None:
                 return result
             self._peers.note_failed(peer)
@@ -207,10 +210,10 @@
         return None
 
     async def _serve_at(
-        self, peer: Member, executed_by: tuple[str, ...], executions: int
+        self, peer: Member, executions: Executions
     ) -> HandedOver | HandoverFailure | None:
         """Hand the request over to one peer; return None if it didn't take it."""
-        body = encode_handed_request(self._message(executed_by, executions))
+        body = encode_handed_request(self._message(executions))
         headers = ((b"host", peer.address.encode()), (b"content-length", str(len(body)).encode()))
         self._count("handover.sent")
         try:
@@ -271,7 +274,7 @@
             await trio.sleep(SILENCE_SECONDS)
         scope.cancel()
 
-    def _message(self, executed_by: tuple[str, ...], executions: int) -> HandedRequest:
+    def _message(self, executions: Executions) -> HandedRequest:
         message = self._admitted.caller.message
         return HandedRequest(
             self._version(),
@@ -281,8 +284,8 @@
             message.body,
             max(0.0, self._admitted.deadline - trio.current_time()),
             self._last_event,
-            executed_by,
-            executions,
+            executions.instances[:MAX_UPSTREAMS],
+            executions.runs,
         )
 
     async def _read_outcome(
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -23,6 +23,7 @@
 from deckcourse.gateway.crash_watch import AttemptStart
 from deckcourse.gateway.dialect import Dispatch
 from deckcourse.gateway.end_check import AnswerSource
+from deckcourse.gateway.executions import Executions
 from deckcourse.gateway.handover import HandedOver
 from deckcourse.gateway.rate_gate import SendingToken
 from deckcourse.gateway.reachability import MIN_UNREACHABLE
@@ -91,7 +92,7 @@
         self._domain = domain
         self._attempted: set[str] = set()
         self._attempted_names: set[str] = set()
-        self._executions = admitted.earlier.count if admitted.earlier is not None else 0
+        self._executions = Executions(admitted.route.attempts, earlier=admitted.earlier)
         self._handover = context.new_handover(admitted)
         self._unreachable_attempts = 0
         self._was_refused = False
@@ -114,7 +115,7 @@
         return await self._deliver(failed)
 
     def _may_have_run(self) -> bool:
-        return self._executions > 0 or self._handover.may_run
+        return self._executions.runs > 0 or self._handover.may_run
 
     def _log_deadline(self) -> None:
         waits_for = WaitsFor.UPSTREAM if self._instance else WaitsFor.ENTRY
@@ -125,7 +126,7 @@
         budget = self._context.budget(self._admitted.service.name)
         attempts = 0
         while attempts < MAX_ATTEMPTS:
-            refusal = refuse_quarantined(self._context, self._admitted, self._executions > 0)
+            refusal = refuse_quarantined(self._context, self._admitted, self._executions.runs > 0)
             if refusal is not None:
                 return refusal
             upstream = None if self._is_partitioned else self._choose()
@@ -192,11 +193,10 @@
         if self._failed_response is not None:
             return None
         budget = self._context.budget(service)
-        is_retry = attempts > 0 and (self._executions > 0 or self._was_refused)
+        is_retry = attempts > 0 and (self._executions.runs > 0 or self._was_refused)
         if is_retry and not await budget.acquire():
             return None
-        instances = tuple(sorted(self._attempted))[:MAX_ATTEMPTS] if self._executions else ()
-        result = await self._handover.serve(None, instances, self._executions)
+        result = await self._handover.serve(None, self._executions)
         if isinstance(result, HandedOver):
             if isinstance(result.outcome, Answered):
                 self._context.return_schedule(service).note_answered()
@@ -205,18 +205,16 @@
             if is_retry:
                 budget.give_back()
             return None
-        self._executions += result.may_have_run
         return _Lost(result.message)
 
     def _may_execute_again(self) -> bool:
-        route = self._admitted.route
-        return route.repeatable and self._executions < route.attempts
+        return self._admitted.route.repeatable and self._executions.allowance > 0
 
     def _is_worth_retry(self, response: _Response) -> bool:
         return response.status >= SERVER_ERROR and self._may_execute_again()
 
     def _give_up(self, last_failure: _Refused | _Lost | None) -> Outcome:
-        if self._executions:
+        if self._executions.runs:
             message = last_failure.message if last_failure is not None else "the answer was lost"
             return Unknown(UnknownReason.UPSTREAM_LOST, message)
         accepts_at = self._context.upstreams.accepts_at(self._admitted.service.name)
@@ -236,6 +234,9 @@
         name = self._admitted.service.name
         candidates = self._accepting(upstreams.usable(name))
         candidates = candidates or self._accepting(upstreams.of_service(name))
+        allowed = self._executions.candidates
+        if allowed is not None:
+            candidates = [each for each in candidates if each.instance in allowed]
         candidates = self._not_attempted(candidates)
         trials = self._context.crashes.trial_upstreams()
         candidates = [each for each in candidates if each.instance not in trials] or candidates
@@ -350,7 +351,7 @@
             admitted.account_name,
             admitted.priority,
         )
-        self._executions += 1
+        self._executions.note_sent(upstream.instance)
         meter = admitted.exchange.meter
         meter.note_handed_on()
         meter.note_body_waiting(len(admitted.caller.message.body))
@@ -362,11 +363,12 @@
                     self._context, admitted, connection, dispatch, meter.note_body_sent
                 )
             except ConnectionLostError as failure:
-                self._executions -= failure.kind is FailureKind.UNSENT
+                if failure.kind is FailureKind.UNSENT:
+                    self._executions.note_not_executed(upstream.instance)
                 raise
             body = await read_whole(reply.next_data, reply.headers, meter)
         if facts.not_executed:
-            self._executions -= 1
+            self._executions.note_not_executed(upstream.instance)
             return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
         await check_single_response(reply, body)
         await self._context.ends.check(reply, self._answer_source(upstream))
@@ -399,6 +401,6 @@
             request=self._admitted.caller.request_id,
             instance=upstream.instance,
             what=description,
-            runs=self._executions,
+            runs=self._executions.runs,
             identity=self._admitted.identity if isinstance(result, _Lost) else "",
         )
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -44,7 +44,7 @@
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstream import StartOrder, Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.http1.message import IncomingRequest
+from deckcourse.http1.message import ConnectionLostError, IncomingRequest
 from deckcourse.http1.server import Exchange
 from deckcourse.layers.healer import Healer
 from deckcourse.layers.hosts import Group
@@ -156,7 +156,7 @@
             counters.gauge,
             log,
         )
-        ports.pool.set_dial_observer(self._reach.own.note_dial_failure)
+        ports.pool.set_dial_observer(self._on_dial_failure)
         self._crash_watch = self._new_crash_watch()
         self._issuing = Issuing(
             self._rate_limits,
@@ -589,6 +589,12 @@
         if not upstream.leaving:
             self._crash_watch.note_ended(upstream.instance)
 
+    def _on_dial_failure(self, address: str, failure: ConnectionLostError) -> None:
+        """Record that no connection to an address, of an upstream or not, could be opened."""
+        if failure.is_refusal:
+            self._upstreams.note_refused_connection(address)
+        self._reach.own.note_dial_failure(address, failure)
+
     def _on_observed_start(self, addressed: Upstream, start: int) -> StartOrder:
         """Record the start time in a reply; peers may not know of a newer incarnation yet."""
         listed = self._upstreams.get(addressed.instance) is not None
--- a/deckcourse/gateway/path_choice.py
+++ b/deckcourse/gateway/path_choice.py
@@ -236,6 +236,25 @@
             paths, key=lambda each: beginning_at.get(each.stages[0].instance, 0.0), default=None
         )
 
+    def choose_from(
+        self, firsts: frozenset[str], model: ModelSpec, avoid: frozenset[str] = frozenset()
+    ) -> LayerPath | None:
+        """Return the path to take for a request that only some upstreams may execute.
+
+        Args:
+          firsts: the upstreams at which the path may begin.
+          model: the requested model.
+          avoid: upstreams that this request must not use again.
+        """
+        excluded = self._upstreams.backing_off()
+        return self._draw(
+            [
+                each
+                for each in self._paths(model, avoid)
+                if each.stages[0].instance in firsts - excluded
+            ]
+        )
+
     def _preferred_with_room(self, model: ModelSpec, avoid: frozenset[str]) -> list[LayerPath]:
         """Return the preferred paths inside this process's domain that have room."""
         inside = self._loads.path_set(model).paths_inside(self._domain)
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -4,6 +4,7 @@
 resumes on another path after the last forwarded event; the caller sees a single response.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -32,6 +33,7 @@
 from deckcourse.gateway.dialect import Dispatch, ReplyFacts
 from deckcourse.gateway.end_check import AnswerSource
 from deckcourse.gateway.events import Event
+from deckcourse.gateway.executions import Executions
 from deckcourse.gateway.handover import HandedOver
 from deckcourse.gateway.loss_notices import evidence_of
 from deckcourse.gateway.metered_events import MeteredEvents
@@ -112,7 +114,11 @@
         self._admitted = admitted
         self._choice = context.path_choice(admitted.service.name)
         self._avoided: set[str] = set()
-        self._executions = admitted.earlier.count if admitted.earlier is not None else 0
+        # Upstreams whose runs failed without an event: they aren't tried again.
+        self._failed: set[str] = set()
+        self._executions = Executions(
+            admitted.route.attempts, context.upstreams.has_ended_since, admitted.earlier
+        )
         self._handover = context.new_handover(admitted)
         self._unreachable_attempts = 0
         # Whether any attempt has returned events.
@@ -156,7 +162,7 @@
         return Answered(0, (await self._respond(failed)).status)
 
     def _may_have_run(self) -> bool:
-        return self._executions > 0 or self._handover.may_run
+        return self._executions.runs > 0 or self._handover.may_run
 
     def _log_deadline(self) -> None:
         waits_for, instance, since = WaitsFor.ENTRY, "", self._since
@@ -171,12 +177,12 @@
         last_failure: _Refused | _Broken | None = None
         attempts = 0
         while True:
-            refusal = refuse_quarantined(self._context, self._admitted, self._executions > 0)
+            refusal = refuse_quarantined(self._context, self._admitted, self._executions.runs > 0)
             if refusal is not None and not self._has_received_events:
                 return refusal
             if (
                 attempts
-                and self._executions
+                and self._executions.runs
                 and not await self._retries.wait(self._last_progress_at)
             ):
                 return self._give_up(
@@ -188,7 +194,7 @@
                 if isinstance(handed, _Broken):
                     last_failure = handed
                     attempts += 1
-                    if self._retries.may_run_elsewhere():
+                    if self._may_run_again:
                         continue
                     break
                 if handed is not None:
@@ -201,7 +207,7 @@
                 path = await self._find_path() if self._is_partitioned else None
             if path is None:
                 return self._no_path_outcome(last_failure)
-            if not self._executions:
+            if not self._executions.runs:
                 path = await self._admission.admit(path, attempts)
                 if isinstance(path, Refusal):
                     return self._refused_outcome(path, last_failure)
@@ -223,9 +229,9 @@
                 return Answered(0, result.status)
             last_failure = result
             self._log_attempt(path, result)
-            if isinstance(result, _Broken) and not self._retries.may_run_elsewhere():
+            if isinstance(result, _Broken) and not self._may_run_again:
                 break
-            if not self._executions and attempts == MAX_ATTEMPTS:
+            if not self._executions.runs and attempts == MAX_ATTEMPTS:
                 break
             if self._unreachable_attempts >= MIN_UNREACHABLE:
                 await self._context.reachability.confirm_contact(self._admitted.service.name)
@@ -238,11 +244,44 @@
     def _is_partitioned(self) -> bool:
         return self._context.reachability.is_partitioned(self._admitted.service.name)
 
+    @property
+    def _may_run_again(self) -> bool:
+        """Whether some upstream may execute the stream from now on."""
+        candidates = self._executions.candidates
+        return self._admitted.route.repeatable and (
+            candidates is None or bool(candidates - self._failed)
+        )
+
+    @property
+    def _is_bound(self) -> bool:
+        """Whether only upstreams that may have executed the stream may do so again."""
+        return self._executions.candidates is not None
+
     @property
     def _may_wait_for_path(self) -> bool:
-        """Whether the caller of a started response waits for longer."""
+        """Whether its caller waits for longer, once a response has started or may have."""
         search_ends_at = self._last_progress_at + MAX_PAUSE_SECONDS
-        return self._has_started and trio.current_time() < search_ends_at
+        may_start_late = self._has_started or self._is_bound
+        return may_start_late and trio.current_time() < search_ends_at
+
+    def _reserve_retry(self, when_granted: Callable[[], object]) -> bool:
+        """Reserve a retry if the stream may leave its upstream; see `StreamRetries.reserve`."""
+        return self._may_leave() and self._retries.reserve(when_granted)
+
+    def _may_leave(self) -> bool:
+        """Return whether the stream may be detached from its upstream.
+
+        Silence is no reason to end it: unless there is another path, it stays, since its upstream
+        may still go on.
+        """
+        if self._current is None or not self._admitted.route.repeatable:
+            return False
+        instance = self._current.path.stages[0].instance
+        if self._has_started and not self._is_bound:
+            return True
+        if instance not in self._executions.instances:
+            return self._may_run_again
+        return self._choose_path(frozenset(self._avoided | {instance})) is not None
 
     async def _hand_over(self) -> Outcome | _Broken | None:
         """Let a peer serve the stream; return None if none takes it."""
@@ -251,12 +290,12 @@
             return None  # It holds for peers as well.
         if self._failed_response is not None and not self._has_started:
             return None
-        is_unspent_retry = self._retries.was_refused and not self._executions
+        if self._is_bound and not self._is_partitioned:
+            return None  # Peers may use the same upstreams only.
+        is_unspent_retry = self._retries.was_refused and not self._executions.runs
         if is_unspent_retry and not await self._retries.acquire(was_executed=False):
             return None
-        result = await self._handover.serve(
-            self._last_event, self._retries.executed_by, self._executions
-        )
+        result = await self._handover.serve(self._last_event, self._executions)
         if isinstance(result, HandedOver):
             if isinstance(result.outcome, Answered):
                 self._context.return_schedule(self._admitted.service.name).note_answered()
@@ -267,9 +306,6 @@
             self._last_event = self._handover.last_event
             self._last_progress_at = trio.current_time()
             self._has_received_events = True
-        if result.may_have_run:
-            self._executions += 1
-            self._retries.note_lost_handover()
         return _Broken(result.message)
 
     def _refused_outcome(
@@ -290,14 +326,14 @@
             if last_failure is not None
             else "no usable upstreams hold every layer"
         )
-        if self._executions:
+        if self._executions.runs:
             return Unknown(UnknownReason.UPSTREAM_LOST, f"{message}; given up: {reason}")
         return NotRun(reason, message, self._retry_after(retry_after))
 
     def _no_path_outcome(self, last_failure: _Refused | _Broken | None) -> Outcome:
         """Return the outcome if no path is usable, with the end of the backoffs as retry-after."""
         accepts_at = self._choice.accepts_at(self._admitted.service.model)
-        if self._executions or accepts_at is None:
+        if self._executions.runs or accepts_at is None:
             return self._give_up(last_failure, NotRunReason.NO_ROUTE, NO_PATH_RETRY_AFTER_SECONDS)
         # Refused immediately: waiting here would not serve the caller sooner.
         seconds = max(0.0, accepts_at - trio.current_time())
@@ -313,16 +349,17 @@
         while True:
             avoid = frozenset(self._avoided)
             path = self._choose_path(avoid)
-            if path is None and avoid and self._has_started:
+            if path is None and avoid and (self._has_started or self._is_bound):
                 path = self._choose_path(frozenset())
-            if path is not None or not self._has_started:
+            if path is not None or not self._may_wait_for_path:
                 return path
-            if not self._may_wait_for_path:
-                return None
             await trio.sleep(PATH_SEARCH_INTERVAL_SECONDS)
 
     def _choose_path(self, avoid: frozenset[str]) -> LayerPath | None:
-        """Return a path, if possible one without upstreams that are executing suspect requests."""
+        """Return a path, if possible one without upstreams that are executing suspect requests.
+
+        With as many upstreams as its route allows, it begins at one of these.
+        """
         model = self._admitted.service.model
         trials = self._context.crashes.trial_upstreams()
         route, caller = self._admitted.route, self._admitted.caller
@@ -333,6 +370,9 @@
         )
         if self._context.crashes.crash_count(self._admitted):
             choose = self._choice.choose_least_busy
+        candidates = self._executions.candidates
+        if candidates is not None:
+            choose = partial(self._choice.choose_from, candidates - self._failed)
         path = choose(model, avoid | trials) if trials else None
         return path or choose(model, avoid)
 
@@ -361,13 +401,13 @@
             prompt_tokens=self._admitted.caller.prompt_tokens,
             events=self._last_event or 0,
             event_at=self._last_progress_at if self._has_started else 0.0,
-            reserve_retry=self._retries.reserve,
+            reserve_retry=self._reserve_retry,
             upstream=context.upstreams.last_known(first.instance),
         )
         self._current = stream
         context.upstreams.begin_request(first.instance)
         context.monitor.add(stream)
-        executions = self._executions
+        runs = self._executions.runs
         try:
             with stream.interruptible():
                 connection = await context.pool.acquire(
@@ -383,7 +423,7 @@
             context.monitor.discard(stream)
             context.crashes.end_attempt(self._admitted, first.instance)
             context.upstreams.end_request(first.instance)
-            if self._executions > executions:
+            if self._executions.runs > runs:
                 context.admission.note_ended(stream.service, first.instance)
         if isinstance(result, _Finished | _Broken):
             context.upstreams.record_outcome(first.instance, isinstance(result, _Broken))
@@ -421,6 +461,8 @@
             self._unreachable_attempts += 1
             self._context.count(f"retry.{RetryReason.UNREACHABLE}")
             return _Refused(RetryReason.UNREACHABLE, failure.message)
+        if not stream.has_events:
+            self._failed.add(instance)
         await self._report_interrupted(stream)
         self._context.count(f"retry.{RetryReason.STAGE_LOST}")
         return _Broken(failure.message)
@@ -449,10 +491,9 @@
             self._last_event,
         )
         stream.progress_at = trio.current_time()
-        self._retries.log_repeat(dispatch.instance)
-        self._executions += 1
+        self._log_repeat(dispatch.instance)
+        self._executions.note_sent(dispatch.instance)
         stream.execution = self._context.crashes.begin_attempt(admitted, dispatch.instance)
-        self._retries.note_execution(dispatch.instance)
         self._admission.note_sent(stream.path)
         meter = admitted.exchange.meter
         meter.note_handed_on()
@@ -464,7 +505,8 @@
                     self._context, admitted, connection, dispatch, meter.note_body_sent
                 )
         except ConnectionLostError as failure:
-            self._executions -= failure.kind is FailureKind.UNSENT
+            if failure.kind is FailureKind.UNSENT:
+                self._executions.note_not_executed(dispatch.instance)
             raise
         if reply.status == OK:
             return await self._relay(reply, stream)
@@ -472,8 +514,8 @@
         with stream.interruptible():
             body = await read_whole(reply.next_data, reply.headers, meter)
         if facts.not_executed:
-            self._executions -= 1
-            self._retries.note_refused(stream.path.stages[0].instance)
+            self._executions.note_not_executed(dispatch.instance)
+            self._retries.note_refused()
             return self._on_refusal(stream, reply.status, facts)
         await check_single_response(reply, body)
         await self._check_end(reply, stream)
@@ -483,10 +525,10 @@
         self, reply: UpstreamReply, body: bytes, instance: str
     ) -> _AttemptResult:
         response = _Response(reply.status, end_to_end(reply.headers), body)
-        if self._has_started or (
-            reply.status >= SERVER_ERROR and self._retries.may_run_elsewhere()
-        ):
+        may_run_elsewhere = self._admitted.route.repeatable and not self._is_bound
+        if self._has_started or (reply.status >= SERVER_ERROR and may_run_elsewhere):
             self._avoided.add(instance)
+            self._failed.add(instance)
             self._failed_response = response
             return _Broken(f"upstream answered {reply.status}")
         return await self._respond(response)
@@ -577,7 +619,7 @@
                 event=event.id,
                 waited_ms=round(waited * 1000),
                 instance=stream.path.stages[0].instance,
-                runs=self._executions,
+                runs=self._executions.runs,
             )
 
     async def _forward_events(
@@ -598,6 +640,17 @@
             )
             await self._admitted.exchange.start(OK, headers)
 
+    def _log_repeat(self, instance: str) -> None:
+        """Log where the stream may have run before it is sent to an upstream again."""
+        if self._executions.runs:
+            self._context.log(
+                "run-again",
+                request=self._admitted.caller.request_id,
+                instance=instance,
+                executed_by=self._executions.instances,
+                allowance=self._executions.allowance,
+            )
+
     def _log_attempt(self, path: LayerPath, result: _Refused | _Broken) -> None:
         self._context.log(
             "try-failed",
@@ -607,6 +660,6 @@
             kind=type(result).__name__.strip("_").lower(),
             what=result.message,
             last_event=self._last_event,
-            runs=self._executions,
+            runs=self._executions.runs,
             identity=self._admitted.identity if isinstance(result, _Broken) else "",
         )
--- a/deckcourse/gateway/stream_retries.py
+++ b/deckcourse/gateway/stream_retries.py
@@ -1,4 +1,4 @@
-"""The retries of one stream: whether another upstream may execute it, and the budget for that."""
+"""The retries of one stream, out of the budget of its service."""
 
 from collections.abc import Callable
 
@@ -31,71 +31,24 @@
     """
 
     def __init__(self, context: GatewayContext, admitted: Admitted) -> None:
-        self._upstreams = context.upstreams
-        self._log = context.log
-        self._request_id = admitted.caller.request_id
         self._budget: RetryAllowance = context.budget(admitted.service.name)
-        self._route = admitted.route
         self._has_reserved = False
         self._refusals = 0
-        earlier = admitted.earlier
-        self._executed_by: set[str] = set(earlier.instances if earlier is not None else ())
-        self._is_first_process = earlier is None
-        # Peers that may execute the stream still.
-        self._lost_handovers = 0
+        self._is_first_process = admitted.earlier is None
 
     @property
     def was_refused(self) -> bool:
         """Whether an upstream refused the stream: it is full, for whichever process sends it."""
         return self._refusals > 0
 
-    @property
-    def executed_by(self) -> tuple[str, ...]:
-        """The upstreams that may execute the stream still."""
-        return tuple(sorted(self._executed_by))
-
     def earn(self) -> None:
         """Add the stream's first attempt to the retry budget, at one process only."""
         if self._is_first_process:
             self._budget.earn()
 
-    def note_lost_handover(self) -> None:
-        """Record that a peer may execute the stream and can't return its events."""
-        self._lost_handovers += 1
-
-    def note_execution(self, instance: str) -> None:
-        """Record that an upstream may execute the stream."""
-        self._executed_by.add(instance)
-
-    def note_refused(self, instance: str) -> None:
+    def note_refused(self) -> None:
         """Record that an upstream refused the stream without executing it."""
         self._refusals += 1
-        self._executed_by.discard(instance)
-
-    def may_run_elsewhere(self) -> bool:
-        """Return whether another upstream may execute it; lost upstreams don't count."""
-        executions = len(self._live()) + self._lost_handovers
-        return self._route.repeatable and executions < self._route.attempts
-
-    def _live(self) -> list[str]:
-        return [
-            each
-            for each in self.executed_by
-            if self._upstreams.get(each) is not None and not self._upstreams.is_suspected(each)
-        ]
-
-    def log_repeat(self, instance: str) -> None:
-        """Log where the stream may have run before it is sent to an upstream again."""
-        if self._executed_by or self._lost_handovers:
-            self._log(
-                "run-again",
-                request=self._request_id,
-                instance=instance,
-                executed_by=self.executed_by,
-                counted=self._live(),
-                lost_handovers=self._lost_handovers,
-                allowed=self._route.attempts,
-            )
 
     async def wait(self, progress_at: float) -> bool:
         """Spend a retry for a stream that was executed, waiting for one; return whether it got one.
@@ -122,13 +75,11 @@
         return await self._budget.acquire(0.0 if was_executed else URGENT_RESERVE_SHARE)
 
     def reserve(self, when_granted: Callable[[], object]) -> bool:
-        """Reserve a retry before the stream is detached from its upstream, if it may be retried.
+        """Reserve a retry before the stream is detached from its upstream.
 
         Args:
           when_granted: called later if no retry is available now but one is granted soon.
         """
-        if not self.may_run_elsewhere():
-            return False
         self._has_reserved = self._budget.spend(DETACHING_RESERVE_SHARE)
         if not self._has_reserved:
             self._budget.request_ahead(when_granted)
--- a/deckcourse/http1/memory.py
+++ b/deckcourse/http1/memory.py
@@ -99,7 +99,8 @@
             await trio.sleep_forever()
         handler = self._handlers.get(address)
         if handler is None:
-            raise ConnectionLostError(FailureKind.UNSENT, f"{address}: refused")
+            error = ConnectionLostError(FailureKind.UNSENT, f"{address}: refused")
+            raise error from ConnectionRefusedError()
         client_stream, server_stream = memory_stream_pair()
         self._server_streams[address].append(server_stream)
         self._nursery.start_soon(self._serve, server_stream, handler)
--- a/deckcourse/http1/message.py
+++ b/deckcourse/http1/message.py
@@ -78,6 +78,11 @@
     kind: FailureKind
     message: str
 
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the machine refused the connection: no process listens at the address."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
     def __str__(self) -> str:
         return f"{self.kind}: {self.message}"
 
--- a/features/bound_world.py
+++ b/features/bound_world.py
@@ -39,15 +39,29 @@
         for _ in range(EARLIER_REQUESTS):
             self.node.gateway.context.budget("llm").earn()
 
-    async def silence_in_series(self, request, count, events):
-        """Silence each further upstream that executes a request, after some events of its run."""
-        silenced = set()
-        while len(silenced) < count:
+    def end(self, instance):
+        """Let the process of an upstream end: its machine resets and refuses connections."""
+        self.runners[instance].die()
+
+    def reset(self, instance):
+        self.network.reset(self.runners[instance].address)
+
+    async def fail_in_series(self, request, count, events, fail):
+        """Let each further upstream that executes a request fail, after some events of its run.
+
+        Args:
+          request: the request.
+          count: the number of upstreams that fail.
+          events: the events of the run before that.
+          fail: lets an upstream fail, by its instance.
+        """
+        failed = set()
+        while len(failed) < count:
             await trio.sleep(POLL_SECONDS)
-            for instance in set(self.executed_by(request)) - silenced:
+            for instance in set(self.executed_by(request)) - failed:
                 await trio.sleep(events * EVENT_SECONDS)
-                self.silence(instance)
-                silenced.add(instance)
+                fail(instance)
+                failed.add(instance)
 
 
 class BoundPartitionWorld(PartitionWorld):
--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -27,7 +27,7 @@
 
 async def silence_upstreams(site, silences, events):
     if silences in IN_SERIES:
-        await site.silence_in_series("r1", IN_SERIES[silences], events)
+        await site.fail_in_series("r1", IN_SERIES[silences], events, site.silence)
         return
     while not site.executed_by("r1") or len(site.runs[0].events) < events:
         await trio.sleep(POLL_SECONDS)
@@ -42,13 +42,14 @@
         site.store.put("servers", runner.instance, runner.row())
 
 
-def play(context, silences, events, beside=None):
+def play(context, *faults):
+    """Play one stream beside faults, async functions of the site."""
+
     async def story(site):
         site.earn_retries()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(silence_upstreams, site, silences, events)
-            if beside is not None:
-                nursery.start_soon(beside, site)
+            for fault in faults:
+                nursery.start_soon(fault, site)
             context.got = await site.ask()
             nursery.cancel_scope.cancel()
 
@@ -57,14 +58,38 @@
 
 @when("upstreams that run a stream fall silent for a second {moment}: {silences}")
 def fall_silent(context, moment, silences):
-    play(context, silences, EVENTS_BEFORE[moment])
+    play(context, lambda site: silence_upstreams(site, silences, EVENTS_BEFORE[moment]))
 
 
 @when(
     "rows lapse in an outage, and upstreams fall silent for a second after five events: {silences}"
 )
 def fall_silent_in_outage(context, silences):
-    play(context, silences, 5, beside=lapse_rows)
+    play(context, lambda site: silence_upstreams(site, silences, 5), lapse_rows)
+
+
+@when("upstreams that run a stream end one after the other {moment}: {count:d} of them")
+def end_in_series(context, moment, count):
+    async def end_upstreams(site):
+        await site.fail_in_series("r1", count, EVENTS_BEFORE[moment], site.end)
+
+    play(context, end_upstreams)
+
+
+@when("that upstream resets the connection of each stream before its first event")
+def reset_before_events(context):
+    async def reset_streams(site):
+        while True:
+            await site.fail_in_series("r1", 1, 0, site.reset)
+            await trio.sleep(POLL_SECONDS)
+
+    play(context, reset_streams)
+
+
+@then("it executed the stream once")
+def executed_once(context):
+    site = context.site
+    assert [each.request for each in site.runs] == ["r1"], (site.runs, site.lines[-20:])
 
 
 @then("its caller got the whole stream")
@@ -74,6 +99,12 @@
     assert (got.status, got.whole, got.body) == (200, True, body), (got, site.lines[-20:])
 
 
+@then("its caller got the whole stream, with no pause over {seconds:g} seconds")
+def stream_whole_in_time(context, seconds):
+    stream_whole(context)
+    assert context.got.max_pause <= seconds, (context.got.max_pause, context.site.lines[-20:])
+
+
 @then("it was executed by no more than {bound:d} upstreams")
 def within_bound(context, bound):
     site = context.site
--- a/features/upstream_bound.feature
+++ b/features/upstream_bound.feature
@@ -37,6 +37,25 @@
       | 2     | 3     | two, one after the other   |
       | 2     | 4     | three, one after the other |
 
+  # Guards against a bound that counts upstreams that have ended: their streams would be cut.
+  Scenario Outline: Upstreams that end don't count: <bound> of <count>, <ends> end, <moment>
+    Given <count> first upstreams and a route that allows <bound>
+    When upstreams that run a stream end one after the other <moment>: <ends> of them
+    Then its caller got the whole stream, with no pause over 0.2 seconds
+
+    Examples:
+      | bound | count | ends | moment                 |
+      | 1     | 2     | 1    | before its first event |
+      | 1     | 2     | 1    | after five events      |
+      | 2     | 4     | 3    | after five events      |
+      | 3     | 5     | 4    | after five events      |
+
+  # Guards against retries that are spent at once at the one upstream that is left.
+  Scenario: A stream isn't sent again to an upstream where it failed without an event
+    Given 1 first upstreams and a route that allows 1
+    When that upstream resets the connection of each stream before its first event
+    Then it executed the stream once
+
   # Guards against a handover to a peer that counted as one upstream, whatever the peer had used before
   # it was lost.
   Scenario Outline: Peers that are lost with a request: <route>, <bound> allowed, <loss> after <silences>
