Count the upstreams that a lost peer may have used

What callers saw: a stream that a process without upstreams handed to its peers ran on four upstreams where its route allows two, or three, if the peers were killed one after the other.

Cause: a handover whose peer was lost counted as one upstream, whatever the peer had done; the second peer and later own attempts began with what was left.

Change: a handover grants the upstreams that are left, and the peer counts only further ones. The head of its response names those that it has used so far. If it is lost, as many count as were granted; the named ones may go on with the request, so that the next peer continues a stream there. A peer of an earlier release names none, and what it was granted counts as used.

--- a/deckcourse/gateway/admitted.py
+++ b/deckcourse/gateway/admitted.py
@@ -1,5 +1,6 @@
 """An admitted request with its route, service and client account."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import cached_property
 
@@ -15,11 +16,15 @@
 class EarlierExecutions:
     """The executions of a request before a peer handed it over.
 
-    `instances` are the upstreams that may execute it still, `count` is the number of executions.
+    `instances` are the upstreams that may execute it still, `count` is the number of executions,
+    `allowance` the number of further upstreams that may execute it. `on_sent` is called with each
+    upstream to which the request is sent from now on.
     """
 
     instances: tuple[str, ...] = ()
     count: int = 0
+    allowance: int = 0
+    on_sent: Callable[[str], None] = lambda instance: None
 
 
 @dataclass(frozen=True)
--- a/deckcourse/gateway/executions.py
+++ b/deckcourse/gateway/executions.py
@@ -5,7 +5,7 @@
 go on with the request; only its known end takes it out of the count.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import trio
 
@@ -37,10 +37,13 @@
         # How many runs each upstream may have executed, and when the latest was sent to it.
         self._runs_at: dict[str, int] = {}
         self._sent_at: dict[str, float] = {}
-        self._lost_handovers = 0
+        # Upstreams that peers may have used before they were lost, without having named them.
+        self._unnamed = 0
+        self._on_sent: Callable[[str], None] = lambda instance: None
         if earlier is not None:
             self._runs = earlier.count
-            self._allowed = max(0, allowed - earlier.count)
+            self._allowed = min(allowed, earlier.allowance)
+            self._on_sent = earlier.on_sent
             self._counted_elsewhere = frozenset(earlier.instances)
             self._runs_at = dict.fromkeys(earlier.instances, 1)
             self._sent_at = dict.fromkeys(earlier.instances, trio.current_time())
@@ -61,7 +64,7 @@
     @property
     def allowance(self) -> int:
         """How many further upstreams may execute it."""
-        counted = len(set(self.instances) - self._counted_elsewhere) + self._lost_handovers
+        counted = len(set(self.instances) - self._counted_elsewhere) + self._unnamed
         return max(0, self._allowed - counted)
 
     @property
@@ -77,6 +80,7 @@
         self._runs += 1
         self._runs_at[instance] = self._runs_at.get(instance, 0) + 1
         self._sent_at[instance] = trio.current_time()
+        self._on_sent(instance)
 
     def note_not_executed(self, instance: str) -> None:
         """Record that an upstream did not execute the request that was sent to it last."""
@@ -86,7 +90,15 @@
             del self._runs_at[instance]
             self._sent_at.pop(instance, None)
 
-    def note_lost_handover(self) -> None:
-        """Record that a peer was lost that may have had the request executed."""
+    def note_lost_handover(self, granted: int, named: Collection[str]) -> None:
+        """Record that a peer was lost that may have had the request executed.
+
+        Args:
+          granted: how many further upstreams the peer was allowed to use.
+          named: the upstreams that it had named as those to which it sent the request.
+        """
         self._runs += 1
-        self._lost_handovers += 1
+        self._unnamed += max(0, granted - len(set(named) - self._runs_at.keys()))
+        for instance in named:
+            self._runs_at.setdefault(instance, 1)
+            self._sent_at[instance] = trio.current_time()
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -104,7 +104,9 @@
         self._context.count("handover.received")
         self._handed_requests += 1
         try:
-            earlier = EarlierExecutions(handed.executed_by, handed.executions)
+            earlier = EarlierExecutions(
+                handed.executed_by, handed.executions, handed.allowance, exchange.note_execution
+            )
             await self._handle(caller, exchange, exchange.respond_outcome, earlier)
         finally:
             self._handed_requests -= 1
--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -1,8 +1,9 @@
 """Hands a request over to a peer that reaches its service, and relays the peer's response.
 
 The first header of the peer's response tells what it is: an upstream's response, to be relayed
-unchanged, the peer's own final outcome, or that the peer did not take the request. It is read by
-its position, so that no header of an upstream is taken for it.
+unchanged, the peer's own final outcome, or that the peer did not take the request. The second one
+names the upstreams to which the peer has sent the request so far. Both are read by their position,
+so that no header of an upstream is taken for them.
 """
 
 from collections.abc import Callable
@@ -44,6 +45,7 @@
 __all__ = ["HandedExchange", "HandedOver", "Handover", "HandoverFailure", "ReplyKind"]
 
 KIND_HEADER = b"deckcourse-reply"
+EXECUTED_BY_HEADER = b"deckcourse-executed-by"
 # Peers that one request is handed over to at most.
 MAX_PEERS = 2
 # A peer that sends nothing for this time is asked whether it is alive, seconds.
@@ -62,6 +64,8 @@
     }
 )
 
+_decoder = msgspec.json.Decoder(frozenset[str])
+
 
 class ReplyKind(StrEnum):
     """What a peer's response is; see the module."""
@@ -91,6 +95,7 @@
 
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
+        self._executed_by: dict[str, None] = {}
 
     @property
     def started(self) -> bool:
@@ -107,9 +112,13 @@
         """See `Exchange`."""
         return self._exchange.meter
 
+    def note_execution(self, instance: str) -> None:
+        """Record that the request is sent to an upstream, which the response will name."""
+        self._executed_by[instance] = None
+
     async def start(self, status: int, headers: Headers) -> None:
         """Start an upstream's response; see `Exchange`."""
-        await self._exchange.start(status, _marked(ReplyKind.UPSTREAM, headers))
+        await self._exchange.start(status, self._marked(ReplyKind.UPSTREAM, headers))
 
     async def send(self, data: bytes) -> None:
         """See `Exchange`."""
@@ -121,19 +130,19 @@
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send an upstream's complete response; see `Exchange`."""
-        await self._exchange.respond(status, _marked(ReplyKind.UPSTREAM, headers), body)
+        await self._exchange.respond(status, self._marked(ReplyKind.UPSTREAM, headers), body)
 
     async def respond_outcome(self, status: int, headers: Headers, body: bytes) -> None:
         """Send the own outcome, which is no upstream's response."""
-        await self._exchange.respond(status, _marked(ReplyKind.OUTCOME, headers), body)
+        await self._exchange.respond(status, self._marked(ReplyKind.OUTCOME, headers), body)
 
     async def decline(self) -> None:
         """Tell that the request was not taken."""
-        await self._exchange.respond(503, _marked(ReplyKind.DECLINED, ()), b"")
+        await self._exchange.respond(503, self._marked(ReplyKind.DECLINED, ()), b"")
 
-
-def _marked(kind: ReplyKind, headers: Headers) -> Headers:
-    return ((KIND_HEADER, kind.encode()), *headers)
+    def _marked(self, kind: ReplyKind, headers: Headers) -> Headers:
+        executed_by = msgspec.json.encode(list(self._executed_by))
+        return ((KIND_HEADER, kind.encode()), (EXECUTED_BY_HEADER, executed_by), *headers)
 
 
 class Handover:
@@ -166,6 +175,8 @@
         self._excluded: frozenset[str] = frozenset()
         self._last_event = admitted.caller.last_event
         self._may_run = False
+        # The upstreams that the current peer has named.
+        self._named: frozenset[str] = frozenset()
 
     @property
     def may_run(self) -> bool:
@@ -187,22 +198,28 @@
     ) -> HandedOver | HandoverFailure | None:
         """Hand the request over; return None if no peer takes it.
 
+        A peer that is lost can't tell what it did since the head of its response: as many upstreams
+        as it was allowed to use count as used.
+
         Args:
           last_event: the last event of a stream that the caller has.
           executions: the upstreams that may have executed it, to which those of peers are added.
         """
         self._last_event = last_event
         while self.is_allowed:
+            granted = executions.allowance
+            if not granted and not executions.instances:
+                return None
             peer = await self._peers.choose(self._admitted.service.name, self._excluded)
             if peer is None:
                 return None
             self._excluded |= {peer.name}
             with self._peers.handing_over(peer):
-                result = await self._serve_at(peer, executions)
+                result = await self._serve_at(peer, executions, granted)
             # Not after a cancellation: the request may run then.
             self._may_run = False
             if isinstance(result, HandoverFailure) and result.may_have_run:
-                executions.note_lost_handover()
+                executions.note_lost_handover(granted, self._named)
             if result is not None:
                 return result
             self._peers.note_failed(peer)
@@ -210,16 +227,17 @@
         return None
 
     async def _serve_at(
-        self, peer: Member, executions: Executions
+        self, peer: Member, executions: Executions, granted: int
     ) -> HandedOver | HandoverFailure | None:
         """Hand the request over to one peer; return None if it didn't take it."""
-        body = encode_handed_request(self._message(executions))
+        self._named = frozenset()
+        body = encode_handed_request(self._message(executions, granted))
         headers = ((b"host", peer.address.encode()), (b"content-length", str(len(body)).encode()))
         self._count("handover.sent")
         try:
             async with self._pool.borrow(peer.address, MAX_IDLE_SECONDS) as connection:
                 reply = await self._call(peer, connection, headers, body)
-                kind, reply_headers = _kind_of(reply)
+                kind, self._named, reply_headers = _read_marks(reply)
                 data = _PeerData(self._peers, peer, reply)
                 if kind is ReplyKind.DECLINED:
                     await data.read_all()
@@ -274,7 +292,7 @@
             await trio.sleep(SILENCE_SECONDS)
         scope.cancel()
 
-    def _message(self, executions: Executions) -> HandedRequest:
+    def _message(self, executions: Executions, granted: int) -> HandedRequest:
         message = self._admitted.caller.message
         return HandedRequest(
             self._version(),
@@ -286,6 +304,7 @@
             self._last_event,
             executions.instances[:MAX_UPSTREAMS],
             executions.runs,
+            granted,
         )
 
     async def _read_outcome(
@@ -375,21 +394,26 @@
         return bytes(body)
 
 
-def _kind_of(reply: UpstreamReply) -> tuple[ReplyKind, Headers]:
-    """Return what a peer's response is, and its headers without the mark.
+def _read_marks(reply: UpstreamReply) -> tuple[ReplyKind, frozenset[str], Headers]:
+    """Return what a peer's response is, the upstreams that it names, and its other headers.
+
+    A peer of an earlier release names none.
 
     Raises:
       ConnectionLostError: it isn't marked.
     """
-    name, value = reply.headers[0] if reply.headers else (b"", b"")
+    (name, kind), *headers = reply.headers or ((b"", b""),)
+    named: frozenset[str] = frozenset()
     try:
         if name != KIND_HEADER:
             raise ValueError(name)
-        kind = ReplyKind(value.decode("latin-1"))
-    except ValueError as error:
+        reply_kind = ReplyKind(kind.decode("latin-1"))
+        if headers and headers[0][0] == EXECUTED_BY_HEADER:
+            named = _decoder.decode(headers.pop(0)[1])
+    except (ValueError, msgspec.MsgspecError) as error:
         raise ConnectionLostError(FailureKind.MALFORMED, "not a response of a peer") from error
     framing = (b"transfer-encoding", b"connection")
-    return kind, tuple(each for each in reply.headers[1:] if each[0] not in framing)
+    return reply_kind, named, tuple(each for each in headers if each[0] not in framing)
 
 
 def _outcome_of(headers: Headers, body: bytes) -> NotRun | Unknown:
--- a/deckcourse/peers/handover_message.py
+++ b/deckcourse/peers/handover_message.py
@@ -13,6 +13,7 @@
 __all__ = [
     "HANDOVER_PATH",
     "MAX_ENVELOPE_BYTES",
+    "MAX_UPSTREAMS",
     "HandedRequest",
     "decode_handed_request",
     "encode_handed_request",
@@ -43,7 +44,8 @@
       remaining_seconds: the time left until its deadline.
       last_event: the last event that the caller has of a stream, None if it has none.
       executed_by: the upstreams that may execute it already, by their instances.
-      executions: how many upstreams may have executed it.
+      executions: how often it may have been executed.
+      allowance: how many upstreams besides `executed_by` may execute it.
     """
 
     version: _Integer
@@ -55,6 +57,7 @@
     last_event: _Integer | None = None
     executed_by: Annotated[tuple[_Text, ...], Meta(max_length=MAX_UPSTREAMS)] = ()
     executions: _Integer = 0
+    allowance: _Integer = 1
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/features/mutants_partitions.py
+++ b/features/mutants_partitions.py
@@ -1,5 +1,6 @@
 """Mutants of what processes know of the upstreams that they and their peers reach."""
 
+from deckcourse.gateway.executions import Executions
 from deckcourse.gateway.handover import Handover
 from deckcourse.gateway.part_evidence import PartEvidence
 from deckcourse.gateway.reach_sharing import ReachSharing
@@ -30,6 +31,10 @@
     ReachingPeers.is_alive = is_alive
 
 
+def a_lost_peer_used_no_upstream():
+    Executions.note_lost_handover = lambda self, granted, named: None
+
+
 def plans_follow_own_suspicions():
     async def is_justified(self, group):
         return True
@@ -59,6 +64,10 @@
     partitions_go_unnoticed: ("a process knows that it reaches no upstream", PARTITIONS),
     a_handed_request_counts_as_not_run: ("a peer may run what it was handed", PARTITIONS),
     silent_peers_are_waited_for: ("a peer that is silent is left", PARTITIONS),
+    a_lost_peer_used_no_upstream: (
+        "what a lost peer may have used counts",
+        ("upstream_bound",),
+    ),
     plans_follow_own_suspicions: ("upstreams that answer a peer are not lost", PARTITIONS),
     refusals_to_one_process_end_upstreams: ("a refusal to one process is no end", PARTITIONS),
     parts_are_not_suspected: ("a part that ends upstreams is quarantined", PARTS),
--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -1,9 +1,15 @@
 """Steps about how many upstreams execute one request."""
 
+import re
+
 import trio
 from behave import given, then, when
 from bound_world import POLL_SECONDS, BoundPartitionWorld, BoundWorld, executed_by
 from gateway_story import expected_events, play_outage
+from trio.testing import MockClock
+
+from deckcourse.gateway.admitted import EarlierExecutions
+from deckcourse.gateway.executions import Executions
 
 # How many upstreams fall silent one after the other, each once it executes the stream.
 IN_SERIES = {
@@ -172,3 +178,55 @@
     over = {name: instances for name, instances in found.items() if len(instances) > bound}
     assert context.losses, (context.got, site.lines[-20:])
     assert found["r1"] and not over, (over, context.losses, site.lines[-40:])
+
+
+@given("a request that {allowed:d} upstreams may execute")
+def allowed_upstreams(context, allowed):
+    context.allowed = allowed
+
+
+@when("this happens: {events}")
+def events_happen(context, events):
+    async def main():
+        context.executions = replay(context.allowed, events)
+
+    trio.run(main, clock=MockClock())
+
+
+def replay(allowed, events):
+    """Return the executions of a request after events that are described in a table."""
+    sent_at, ended_at = {}, {}
+
+    def has_ended(instance, since):
+        return ended_at.get(instance, -1) > sent_at.get(instance, 0)
+
+    executions = Executions(allowed, has_ended)
+    for now, event in enumerate(re.split(r", (?!granted|named)", events)):
+        words = event.replace(",", "").split()
+        match words:
+            case ["sent", "to", instance]:
+                sent_at[instance] = now
+                executions.note_sent(instance)
+            case ["refused", "by", instance]:
+                executions.note_not_executed(instance)
+            case [instance, "ends"]:
+                ended_at[instance] = now
+            case ["peer", "lost", "granted", granted, "named", *named]:
+                named = [each for each in named if each != "none"]
+                executions.note_lost_handover(int(granted), named)
+            case ["handed", "over", "by", instance, "granted", granted]:
+                earlier = EarlierExecutions((instance,), 1, int(granted))
+                executions = Executions(allowed, has_ended, earlier)
+            case _:
+                raise ValueError(event)
+    return executions
+
+
+@then("{left:d} further ones may execute it, and again {again}")
+def further_upstreams(context, left, again):
+    executions = context.executions
+    expected = () if again == "none" else tuple(again.split())
+    assert (executions.allowance, executions.instances) == (left, expected), (
+        executions.allowance,
+        executions.instances,
+    )
--- a/features/upstream_bound.feature
+++ b/features/upstream_bound.feature
@@ -74,3 +74,31 @@
       | stream | 3     | 2        | silent |
       | again  | 2     | 1        | killed |
       | again  | 3     | 2        | killed |
+
+  # Guards against events that take an upstream out of the count that may have executed the request.
+  Scenario Outline: What counts against the bound: <events>
+    Given a request that <allowed> upstreams may execute
+    When this happens: <events>
+    Then <left> further ones may execute it, and again <again>
+
+    Examples: At one process
+      | allowed | events                            | left | again |
+      | 2       | sent to a                         | 1    | a     |
+      | 2       | sent to a, sent to a              | 1    | a     |
+      | 2       | sent to a, refused by a           | 2    | none  |
+      | 2       | sent to a, sent to a, refused by a | 1   | a     |
+      | 2       | sent to a, sent to b              | 0    | a b   |
+      | 2       | sent to a, sent to b, a ends      | 1    | b     |
+      | 2       | a ends, sent to a, sent to b      | 0    | a b   |
+
+    Examples: Before and after handovers
+      | allowed | events                                         | left | again |
+      | 2       | peer lost, granted 2, named none               | 0    | none  |
+      | 2       | peer lost, granted 2, named a                  | 0    | a     |
+      | 2       | peer lost, granted 1, named a                  | 1    | a     |
+      | 3       | sent to a, peer lost, granted 2, named a b     | 0    | a b   |
+      | 3       | handed over by a, granted 2                    | 2    | a     |
+      | 3       | handed over by a, granted 1, sent to a         | 1    | a     |
+      | 3       | handed over by a, granted 1, sent to b         | 0    | a b   |
+      | 3       | handed over by a, granted 1, sent to b, b ends | 1    | a     |
+      | 3       | handed over by a, granted 1, sent to b, a ends | 0    | b     |
