Ask for a retry for a stream whose upstream was silent for over a second

What callers saw: a stream whose upstream was silent for more than a second and then ended was cut, although retries and other upstreams were available.

Cause: the wait for a retry ends one second after the last event, and a stream that came later than that did not ask for one at all. Since streams stay at their last allowed upstream while it is silent, they come later.

Change: such a stream takes a retry that is available, up to 1.8 s after its last event, since its caller leaves after two. It doesn't wait for one. No further retries are granted than the budget allows.

Evidence: on a virtual clock one of three examples (1.2 s of silence, one upstream allowed) was cut after five events before, all are whole now.

--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -44,7 +44,7 @@
     Refusal,
     StreamAdmission,
 )
-from deckcourse.gateway.stream_retries import StreamRetries
+from deckcourse.gateway.stream_retries import MAX_PAUSE_SECONDS, StreamRetries
 from deckcourse.gateway.whole_messages import read_whole
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
 from deckcourse.http1.message import ConnectionLostError, FailureKind, Headers, end_to_end
@@ -56,8 +56,6 @@
 
 # Attempts after which a request that no upstream has executed is refused.
 MAX_ATTEMPTS = 5
-# Callers abandon a stream after two seconds without data; the search for a path ends before that.
-MAX_PAUSE_SECONDS = 1.8
 # Interval between two searches for a path for a stream whose response has started.
 PATH_SEARCH_INTERVAL_SECONDS = 0.03
 # Retry-after value while some layers of a model are unavailable: neighbouring upstreams load them
--- a/deckcourse/gateway/stream_retries.py
+++ b/deckcourse/gateway/stream_retries.py
@@ -9,8 +9,10 @@
 from deckcourse.gateway.retry_allowance import RetryAllowance
 from deckcourse.gateway.retry_issuer import URGENT_RESERVE_SHARE
 
-__all__ = ["StreamRetries"]
+__all__ = ["MAX_PAUSE_SECONDS", "StreamRetries"]
 
+# Callers abandon a stream after two seconds without data; attempts for it end before that.
+MAX_PAUSE_SECONDS = 1.8
 # How long after its last event an interrupted stream may wait for a retry: each stream that ends
 # frees capacity. After that its connection is cut, so that its caller can resume it.
 MAX_RETRY_WAIT_SECONDS = 1.0
@@ -53,6 +55,9 @@
     async def wait(self, progress_at: float) -> bool:
         """Spend a retry for a stream that was executed, waiting for one; return whether it got one.
 
+        A stream that comes after the wait, since its upstream was silent, takes one that is
+        available as long as its caller waits.
+
         Args:
           progress_at: when its caller last received an event, on trio's clock.
         """
@@ -61,11 +66,13 @@
         if self._refusals:
             backoff = REFUSAL_BACKOFF_SECONDS * 2**self._refusals
             await trio.sleep(min(backoff, MAX_REFUSAL_BACKOFF_SECONDS))
-        while trio.current_time() < progress_at + MAX_RETRY_WAIT_SECONDS:
-            if await self.acquire():
-                return True
+        if trio.current_time() >= progress_at + MAX_PAUSE_SECONDS:
+            return False
+        while not await self.acquire():
+            if trio.current_time() >= progress_at + MAX_RETRY_WAIT_SECONDS:
+                return False
             await trio.sleep(REFUSAL_BACKOFF_SECONDS)
-        return False
+        return True
 
     async def acquire(self, was_executed: bool = True) -> bool:
         """Spend a retry; return whether there was one for this stream."""
--- a/features/bound_world.py
+++ b/features/bound_world.py
@@ -32,8 +32,8 @@
     def executed_by(self, request):
         return executed_by(self, request)
 
-    def silence(self, instance):
-        silence(self, instance)
+    def silence(self, instance, seconds=SILENCE_SECONDS):
+        silence(self, instance, seconds)
 
     def earn_retries(self):
         for _ in range(EARLIER_REQUESTS):
--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -82,6 +82,17 @@
     play(context, end_upstreams)
 
 
+@when("upstreams that run a stream are silent for {seconds:g} seconds after five events, and end")
+def silent_then_ends(context, seconds):
+    async def silence_and_end(site):
+        await site.fail_in_series("r1", 1, 5, lambda instance: site.silence(instance, seconds))
+        (instance,) = site.executed_by("r1")
+        await trio.sleep(seconds)
+        site.end(instance)
+
+    play(context, silence_and_end)
+
+
 @when("that upstream resets the connection of each stream before its first event")
 def reset_before_events(context):
     async def reset_streams(site):
--- a/features/upstream_bound.feature
+++ b/features/upstream_bound.feature
@@ -50,6 +50,18 @@
       | 2     | 4     | 3    | after five events      |
       | 3     | 5     | 4    | after five events      |
 
+  # Guards against a stream that is cut without asking for a retry once its pause exceeds a second.
+  Scenario Outline: An upstream is silent for a while and then ends: <bound> of <count>, <seconds> s
+    Given <count> first upstreams and a route that allows <bound>
+    When upstreams that run a stream are silent for <seconds> seconds after five events, and end
+    Then its caller got the whole stream
+
+    Examples:
+      | bound | count | seconds |
+      | 1     | 2     | 0.8     |
+      | 1     | 2     | 1.2     |
+      | 2     | 3     | 1.2     |
+
   # Guards against retries that are spent at once at the one upstream that is left.
   Scenario: A stream isn't sent again to an upstream where it failed without an event
     Given 1 first upstreams and a route that allows 1
