Keep a stream that is at its bound at its upstream if that one is alive

Cause: at the bound, a stream may leave for an upstream that ran it already, which is meant for one that is silent or can't go on. A better path is no such reason, and each return costs a retry and another prefill.

--- a/deckcourse/gateway/active_stream.py
+++ b/deckcourse/gateway/active_stream.py
@@ -78,7 +78,9 @@
     prompt_tokens: int = 0
     events: int = 0
     event_at: float = 0.0
-    reserve_retry: Callable[[Callable[[], object]], bool] = lambda when_granted: False
+    reserve_retry: Callable[["Interruption", Callable[[], object]], bool] = (
+        lambda why, when_granted: False
+    )
     interruption: Interruption | None = None
     _wait_scope: trio.CancelScope | None = field(default=None, init=False)
 
@@ -146,7 +148,7 @@
         A stream that may not be retried stays: its upstream may still continue it or end it. If its
         retry has to be granted first, it is detached once that has come.
         """
-        if self.is_at_upstream and self.reserve_retry(partial(self.interrupt, why)):
+        if self.is_at_upstream and self.reserve_retry(why, partial(self.interrupt, why)):
             self.interruption = why
             if self._wait_scope is not None:
                 self._wait_scope.cancel()
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -262,21 +262,23 @@
         may_start_late = self._has_started or self._is_bound
         return may_start_late and trio.current_time() < search_ends_at
 
-    def _reserve_retry(self, when_granted: Callable[[], object]) -> bool:
+    def _reserve_retry(self, why: Interruption, when_granted: Callable[[], object]) -> bool:
         """Reserve a retry if the stream may leave its upstream; see `StreamRetries.reserve`."""
-        return self._may_leave() and self._retries.reserve(when_granted)
+        return self._may_leave(why) and self._retries.reserve(when_granted)
 
-    def _may_leave(self) -> bool:
+    def _may_leave(self, why: Interruption) -> bool:
         """Return whether the stream may be detached from its upstream.
 
         Silence is no reason to end it: unless there is another path, it stays, since its upstream
-        may still go on.
+        may still go on. It doesn't return to an upstream only for a better path.
         """
         if self._current is None or not self._admitted.route.repeatable:
             return False
         instance = self._current.path.stages[0].instance
         if self._has_started and not self._is_bound:
             return True
+        if self._is_bound and why is Interruption.BETTER_ELSEWHERE:
+            return False
         if instance not in self._executions.instances:
             return self._may_run_again
         return self._choose_path(frozenset(self._avoided | {instance})) is not None
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -253,7 +253,7 @@
     original = ActiveStream.interrupt
 
     def interrupt(self, why):
-        self.reserve_retry = lambda when_granted: True
+        self.reserve_retry = lambda why, when_granted: True
         return original(self, why)
 
     ActiveStream.interrupt = interrupt
