Leave upstreams that refused a request out of what a peer names

The peer named all five and was killed; the next one sent the stream to one that had refused it, the second upstream of one.

Cause: a peer named each upstream to which it sent the request, and a refusal did not take the name back. The end of a named upstream also gave back a place that the lost peer might have used meanwhile.

Change: a refusal takes the name back; all that was granted to a lost peer counts for good, whichever of its upstreams end; a peer that gives up itself has named all, so that nothing else counts.

--- a/deckcourse/gateway/admitted.py
+++ b/deckcourse/gateway/admitted.py
@@ -18,13 +18,15 @@
 
     `instances` are the upstreams that may execute it still, `count` is the number of executions,
     `allowance` the number of further upstreams that may execute it. `on_sent` is called with each
-    upstream to which the request is sent from now on.
+    upstream to which the request is sent from now on, `on_not_executed` with each that did not
+    execute what was sent to it.
     """
 
     instances: tuple[str, ...] = ()
     count: int = 0
     allowance: int = 0
     on_sent: Callable[[str], None] = lambda instance: None
+    on_not_executed: Callable[[str], None] = lambda instance: None
 
 
 @dataclass(frozen=True)
--- a/deckcourse/gateway/executions.py
+++ b/deckcourse/gateway/executions.py
@@ -37,16 +37,14 @@
         # How many runs each upstream may have executed, and when the latest was sent to it.
         self._runs_at: dict[str, int] = {}
         self._sent_at: dict[str, float] = {}
-        # Upstreams that peers may have used before they were lost, without having named them.
-        self._unnamed = 0
-        self._on_sent: Callable[[str], None] = lambda instance: None
+        # Upstreams that peers which were lost since were allowed to use.
+        self._granted = 0
+        self._earlier = earlier or EarlierExecutions()
         if earlier is not None:
             self._runs = earlier.count
             self._allowed = min(allowed, earlier.allowance)
-            self._on_sent = earlier.on_sent
             self._counted_elsewhere = frozenset(earlier.instances)
-            self._runs_at = dict.fromkeys(earlier.instances, 1)
-            self._sent_at = dict.fromkeys(earlier.instances, trio.current_time())
+            self._add(earlier.instances)
 
     @property
     def runs(self) -> int:
@@ -64,7 +62,7 @@
     @property
     def allowance(self) -> int:
         """How many further upstreams may execute it."""
-        counted = len(set(self.instances) - self._counted_elsewhere) + self._unnamed
+        counted = len(set(self.instances) - self._counted_elsewhere) + self._granted
         return max(0, self._allowed - counted)
 
     @property
@@ -80,7 +78,7 @@
         self._runs += 1
         self._runs_at[instance] = self._runs_at.get(instance, 0) + 1
         self._sent_at[instance] = trio.current_time()
-        self._on_sent(instance)
+        self._earlier.on_sent(instance)
 
     def note_not_executed(self, instance: str) -> None:
         """Record that an upstream did not execute the request that was sent to it last."""
@@ -89,16 +87,34 @@
         if self._runs_at[instance] <= 0:
             del self._runs_at[instance]
             self._sent_at.pop(instance, None)
+            self._earlier.on_not_executed(instance)
 
     def note_lost_handover(self, granted: int, named: Collection[str]) -> None:
         """Record that a peer was lost that may have had the request executed.
 
+        All that was granted counts for good: the peer may have used others in place of named
+        upstreams that have ended.
+
         Args:
           granted: how many further upstreams the peer was allowed to use.
-          named: the upstreams that it had named as those to which it sent the request.
+          named: the upstreams that it had named as those that may have executed the request. They
+            may do so again.
         """
         self._runs += 1
-        self._unnamed += max(0, granted - len(set(named) - self._runs_at.keys()))
-        for instance in named:
-            self._runs_at.setdefault(instance, 1)
-            self._sent_at[instance] = trio.current_time()
+        self._granted += granted
+        added = frozenset(named) - self._runs_at.keys()
+        self._counted_elsewhere |= added
+        self._add(added)
+
+    def note_ended_handover(self, named: Collection[str]) -> None:
+        """Record the end of a handover that was not successful.
+
+        Args:
+          named: all upstreams that may have executed the request there.
+        """
+        self._runs += 1
+        self._add(frozenset(named) - self._runs_at.keys())
+
+    def _add(self, instances: Collection[str]) -> None:
+        self._runs_at |= dict.fromkeys(instances, 1)
+        self._sent_at |= dict.fromkeys(instances, trio.current_time())
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -105,7 +105,11 @@
         self._handed_requests += 1
         try:
             earlier = EarlierExecutions(
-                handed.executed_by, handed.executions, handed.allowance, exchange.note_execution
+                handed.executed_by,
+                handed.executions,
+                handed.allowance,
+                exchange.note_execution,
+                exchange.note_not_executed,
             )
             await self._handle(caller, exchange, exchange.respond_outcome, earlier)
         finally:
--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -84,10 +84,14 @@
 
 @dataclass(frozen=True)
 class HandoverFailure:
-    """No peer served the request; `may_have_run` tells whether one of them may have."""
+    """No peer served the request; `may_have_run` tells whether one of them may have.
+
+    `is_final` is set if the peer itself gave up, and named all upstreams that it used.
+    """
 
     message: str
     may_have_run: bool = False
+    is_final: bool = False
 
 
 class HandedExchange:
@@ -116,6 +120,10 @@
         """Record that the request is sent to an upstream, which the response will name."""
         self._executed_by[instance] = None
 
+    def note_not_executed(self, instance: str) -> None:
+        """Record that an upstream did not execute the request that was sent to it."""
+        self._executed_by.pop(instance, None)
+
     async def start(self, status: int, headers: Headers) -> None:
         """Start an upstream's response; see `Exchange`."""
         await self._exchange.start(status, self._marked(ReplyKind.UPSTREAM, headers))
@@ -219,7 +227,10 @@
             # Not after a cancellation: the request may run then.
             self._may_run = False
             if isinstance(result, HandoverFailure) and result.may_have_run:
-                executions.note_lost_handover(granted, self._named)
+                if result.is_final:
+                    executions.note_ended_handover(self._named)
+                else:
+                    executions.note_lost_handover(granted, self._named)
             if result is not None:
                 return result
             self._peers.note_failed(peer)
@@ -315,7 +326,7 @@
         if isinstance(outcome, NotRun) and outcome.reason in RETRIED_REASONS:
             return None if self.is_allowed or has_started else HandedOver(outcome)
         if has_started:
-            return HandoverFailure(outcome.message, isinstance(outcome, Unknown))
+            return HandoverFailure(outcome.message, isinstance(outcome, Unknown), is_final=True)
         return HandedOver(outcome)
 
     async def _relay(
