Take a refused connection for an end only if no other one is open

Cause: a refusal shows that no process accepts connections there for this one, not that the process has ended, which would have closed the others.

Change: a refusal counts only if no connection of this process to that address is open. Evidence: 'New connections to an upstream are refused while open ones live' fails before and passes now.

--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -591,7 +591,9 @@
 
     def _on_dial_failure(self, address: str, failure: ConnectionLostError) -> None:
         """Record that no connection to an address, of an upstream or not, could be opened."""
-        if failure.is_refusal:
+        # The end of a process closes its connections: one that is open shows that it goes on.
+        connections = self._ports.pool.connections(address) if failure.is_refusal else []
+        if failure.is_refusal and not any(each.is_open for each in connections):
             self._upstreams.note_refused_connection(address)
         self._reach.own.note_dial_failure(address, failure)
 
