Count upstreams that answer no probe for three seconds as cut off

What callers would have seen (found by a review before a landing): a stream at its bound stayed at a host that had gone dark until the deadline of 20 s, if its caller was patient, and two dark hosts in a row, seconds apart, used up the two upstreams of a route for good.

Cause: a host that goes dark refuses no connection, so that its end showed only with a newer incarnation.

Change: the probes that confirm a suspicion tell after three seconds without an answer that the upstream has ended or is cut off. No probe is added.

Now the pause is under 5 s at the bound, and under 0.5 s with another upstream left or if the first has been dark for five seconds. Rejected: a shorter time, such as 1.5 s, which would let a stream leave before its caller does, and would rest the count on a guess about how long sound ones are silent.

--- a/deckcourse/gateway/upstreams.py
+++ b/deckcourse/gateway/upstreams.py
@@ -28,8 +28,8 @@
 # An upstream that leaves without a notice runs its streams for some seconds, at times longer, after
 # its row is gone. Its row is retained for this time, seconds, to query and move these streams.
 DEPARTED_RETENTION_SECONDS = 20.0
-# Bound on the upstreams whose refused connections are remembered.
-MAX_REFUSING = 10_000
+# Bound on the upstreams that are remembered to have ended.
+MAX_ENDED = 10_000
 
 
 class UpstreamTable:
@@ -77,8 +77,8 @@
         # thousands of entries for a few changes would be slow.
         self._host_cache: dict[str, LayerHost] = {}
         self._in_flight: Counter[str] = Counter()
-        # When the machine of an upstream last refused a connection.
-        self._refused_at: dict[str, float] = {}
+        # When an upstream was last found to have ended or to be cut off.
+        self._ended_at: dict[str, float] = {}
         self._changes = 0
         self._at_next_change: set[Callable[[], object]] = set()
         self._store_recovered_at = float("-inf")
@@ -185,15 +185,19 @@
         departed = (row for row, _ in self._departed.values() if row.address == address)
         listed = self.listed_at(address)
         for row in (*departed, listed) if listed is not None else departed:
-            put_bounded(self._refused_at, row.instance, self._clock(), MAX_REFUSING)
+            self.note_cut_off(row.instance)
+
+    def note_cut_off(self, instance: str) -> None:
+        """Record that an upstream has ended, or has been cut off for longer than sound ones are."""
+        put_bounded(self._ended_at, instance, self._clock(), MAX_ENDED)
 
     def has_ended_since(self, instance: str, since: float) -> bool:
         """Return whether an upstream is known to have ended after a time on the clock.
 
-        Silence, a suspicion or a missing row doesn't show that: the upstream may go on.
+        A short silence, a suspicion or a missing row doesn't show that: the upstream may go on.
         """
-        refused_at = self._refused_at.get(instance, float("-inf"))
-        return self.has_ended(instance) or refused_at > since
+        ended_at = self._ended_at.get(instance, float("-inf"))
+        return self.has_ended(instance) or ended_at > since
 
     def row_of(self, instance: str) -> Upstream | None:
         """Return the last known row of an instance, also of one that a newer one superseded."""
--- a/features/bound_world.py
+++ b/features/bound_world.py
@@ -26,6 +26,7 @@
         super().__init__()
         self.config = with_bound(default_config(), bound)
         self.events = 120
+        self.dark = set()
         for number in range(1, count + 1):
             self.add(f"x{number}", "llm", "x", 0, LAYERS)
 
@@ -43,10 +44,16 @@
         """Let the process of an upstream end: its machine resets and refuses connections."""
         self.runners[instance].die()
 
+    def darken(self, instance):
+        """Let the host of an upstream go dark for good."""
+        self.dark.add(instance)
+        self.runners[instance].dead = True
+        self.network.silence(self.runners[instance].address)
+
     def reset(self, instance):
         self.network.reset(self.runners[instance].address)
 
-    async def fail_in_series(self, request, count, events, fail):
+    async def fail_in_series(self, request, count, events, fail, failed=()):
         """Let each further upstream that executes a request fail, after some events of its run.
 
         Args:
@@ -54,8 +61,10 @@
           count: the number of upstreams that fail.
           events: the events of the run before that.
           fail: lets an upstream fail, by its instance.
+          failed: those that have failed before.
         """
-        failed = set()
+        failed = set(failed)
+        count += len(failed)
         while len(failed) < count:
             await trio.sleep(POLL_SECONDS)
             for instance in set(self.executed_by(request)) - failed:
--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -4,8 +4,16 @@
 
 import trio
 from behave import given, then, when
-from bound_world import POLL_SECONDS, BoundPartitionWorld, BoundWorld, executed_by
+from bound_world import (
+    LONG_SILENCE_SECONDS,
+    POLL_SECONDS,
+    BoundPartitionWorld,
+    BoundWorld,
+    executed_by,
+    silence,
+)
 from gateway_story import expected_events, play_outage
+from partition_world import Cut
 from trio.testing import MockClock
 
 from deckcourse.gateway.admitted import EarlierExecutions
@@ -93,6 +101,20 @@
     play(context, silence_and_end)
 
 
+@when(
+    "upstreams that run a stream go dark after five events,"
+    " {gap:g} seconds apart: {count:d} of them"
+)
+def go_dark(context, gap, count):
+    async def darken(site):
+        site.events = 400
+        for number in range(count):
+            await trio.sleep(gap if number else 0)
+            await site.fail_in_series("r1", 1, 5, site.darken, site.dark)
+
+    play(context, darken)
+
+
 @when("that upstream resets the connection of each stream before its first event")
 def reset_before_events(context):
     async def reset_streams(site):
@@ -177,6 +199,67 @@
     context.site.play(story)
 
 
+async def play_beside(context, site, disturb, prepare=trio.lowlevel.checkpoint):
+    """Play a stream of g0 beside a disturbance of the site, after requests that earn retries."""
+    for number in range(EARNING_REQUESTS):
+        process = site.processes[number % len(site.processes)]
+        await site.ask_at(process, "stream", f"w{number}", b"w")
+    site.events = 200
+    await prepare()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(disturb)
+        context.got = await site.ask_at(site.processes[0], "stream", "r1", b"r1")
+        nursery.cancel_scope.cancel()
+
+
+async def events_of(site, count):
+    """Wait until the stream has had so many events; return the upstream that runs it."""
+    while not any(each.request == "r1" and len(each.events) >= count for each in site.runs):
+        await trio.sleep(POLL_SECONDS)
+    return executed_by(site, "r1")[0]
+
+
+@when("all but one first upstream refuse a stream that is handed over, and its peer is then killed")
+def refused_at_peer(context):
+    async def story(site):
+        async def disturb():
+            instance = await events_of(site, 3)
+            for runner in site.runners.values():
+                runner.behaviour = ""
+            silence(site, instance, LONG_SILENCE_SECONDS)
+            peer = next(each for each in site.processes[1:] if has_request(each))
+            peer.kill()
+            context.losses.append(peer.name)
+
+        async def prepare():
+            await site.partition_entry()
+            for instance, runner in site.runners.items():
+                runner.behaviour = "full" if runner.end and instance != "f1" else ""
+
+        await play_beside(context, site, disturb, prepare)
+
+    context.site.play(story)
+
+
+@when("new connections to an upstream are refused, and it is silent for a second")
+def refused_beside_open(context):
+    async def story(site):
+        async def disturb():
+            instance = await events_of(site, 5)
+            context.losses.append(instance)
+            site.cuts["g0"] = (Cut.KEPT_LIVE, {site.runners[instance].address})
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    ask = site.ask_at, site.processes[0], "stream", f"o{number}", b"o"
+                    nursery.start_soon(*ask)
+                await trio.sleep(0.1)
+                silence(site, instance)
+
+        await play_beside(context, site, disturb)
+
+    context.site.play(story)
+
+
 def has_request(process):
     """Return whether a live process serves a request that was handed over to it."""
     return process.node.gateway._handed_requests > 0 and not process.scope.cancel_called
--- a/features/upstream_bound.feature
+++ b/features/upstream_bound.feature
@@ -62,6 +62,22 @@
       | 1     | 2     | 1.2     |
       | 2     | 3     | 1.2     |
 
+  # Guards against a stream that stays at a host that went dark until the deadline of a patient caller.
+  Scenario Outline: Upstreams that go dark for good count for some seconds: <bound> of <count>, <dark> dark
+    Given <count> first upstreams and a route that allows <bound>
+    When upstreams that run a stream go dark after five events, <gap> seconds apart: <dark> of them
+    Then its caller got the whole stream, with no pause over <pause> seconds
+
+    Examples: The bound is reached
+      | bound | count | dark | gap | pause |
+      | 1     | 2     | 1    | 0   | 5     |
+      | 2     | 4     | 2    | 0   | 5     |
+
+    Examples: It isn't, or the first one has been dark for long
+      | bound | count | dark | gap | pause |
+      | 2     | 4     | 1    | 0   | 0.5   |
+      | 2     | 4     | 2    | 5   | 0.5   |
+
   # Guards against retries that are spent at once at the one upstream that is left.
   Scenario: A stream isn't sent again to an upstream where it failed without an event
     Given 1 first upstreams and a route that allows 1
@@ -87,6 +103,18 @@
       | again  | 2     | 1        | killed |
       | again  | 3     | 2        | killed |
 
+  # Guards against upstreams that refused a request and would get it from the next peer.
+  Scenario: A peer that is lost had been refused by other upstreams
+    Given 3 gateway processes, 3 first upstreams and routes that allow 1
+    When all but one first upstream refuse a stream that is handed over, and its peer is then killed
+    Then no request was executed by more than 1 upstreams
+
+  # Guards against a refused connection that counts as the end of an upstream that still answers.
+  Scenario: New connections to an upstream are refused while open ones live
+    Given 3 gateway processes, 3 first upstreams and routes that allow 1
+    When new connections to an upstream are refused, and it is silent for a second
+    Then no request was executed by more than 1 upstreams
+
   # Guards against events that take an upstream out of the count that may have executed the request.
   Scenario Outline: What counts against the bound: <events>
     Given a request that <allowed> upstreams may execute
@@ -109,6 +137,7 @@
       | 2       | peer lost, granted 2, named a                  | 0    | a     |
       | 2       | peer lost, granted 1, named a                  | 1    | a     |
       | 3       | sent to a, peer lost, granted 2, named a b     | 0    | a b   |
+      | 2       | peer lost, granted 2, named a, a ends          | 0    | none  |
       | 3       | handed over by a, granted 2                    | 2    | a     |
       | 3       | handed over by a, granted 1, sent to a         | 1    | a     |
       | 3       | handed over by a, granted 1, sent to b         | 0    | a b   |
