Soak: judge on how many upstreams each request runs

The judge counts the incarnations of runners that recorded a run of a request, less those whose process ended or whose link was cut between the run and the end of the call. Runners that were silent count. The runners' records of runs name their incarnation, the site records when runners' processes end, and the times in which links are cut are recorded apart from other disturbances, so that a slow link or a wrong answer is no excuse. The numbers of attempts are data of the configuration; they are still 3 everywhere.

The scenarios of the judge pass on 26 synthetic cases.

--- /dev/null
+++ b/features/soak_bound.feature
@@ -0,0 +1,42 @@
+Feature: The soak's judge of the upstreams that a request runs on
+
+  # Guards against a soak that reports nothing while requests run on more upstreams than their routes
+  # allow, and against one that counts runners that have ended or been cut off. Silence is neither.
+  Scenario: A run counts unless its runner ends or is cut off before the end of the call
+    When a call is sent at 100 s, and runners record its runs
+      | case                              | runs                                             | ended                | cut             | call end | bound | count | verdict |
+      | one runner of one                 | la0.0@1 100.1                                    |                      |                 | 102      | 1     | 1     | at      |
+      | one runner of two                 | la0.0@1 100.1                                    |                      |                 | 102      | 2     | 1     | below   |
+      | two of two                        | la0.0@1 100.1, la1.0@1 100.6                     |                      |                 | 102      | 2     | 2     | at      |
+      | two of one                        | la0.0@1 100.1, la1.0@1 100.6                     |                      |                 | 102      | 1     | 2     | over    |
+      | three of two, all sound or silent | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      |                 | 102      | 2     | 3     | over    |
+      | three of three                    | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      |                 | 102      | 3     | 3     | at      |
+      | again at the same runner          | la0.0@1 100.1, la1.0@1 100.6, la0.0@1 101.1      |                      |                 | 102      | 2     | 2     | at      |
+      | a runner ended in between         | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      | la0.0@1 101.5        |                 | 102      | 2     | 2     | at      |
+      | a runner ended after the call     | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      | la0.0@1 102.1        |                 | 102      | 2     | 3     | over    |
+      | started again under its id        | la0.0@1 100.1, la1.0@1 100.6, la0.0@2 101.1      | la0.0@1 100.7        |                 | 102      | 2     | 2     | at      |
+      | started again under a new id      | la0.0@1 100.1, la1.0@1 100.6, la0.1@2 101.1      | la0.0@1 100.7        |                 | 102      | 2     | 2     | at      |
+      | both incarnations ended           | la0.0@1 100.1, la1.0@1 100.6, la0.0@2 101.1      | la0.0@1 100.7, la0.0@2 101.2 |         | 102      | 2     | 1     | below   |
+      | another incarnation ended         | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      | la0.0@2 101.5        |                 | 102      | 2     | 3     | over    |
+      | its link cut in between           | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      | la1 101 101.5   | 102      | 2     | 2     | at      |
+      | its link reset in between         | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      | la1 101 101     | 102      | 2     | 2     | at      |
+      | its link cut since before the run | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      | la1 99 101      | 102      | 2     | 2     | at      |
+      | held back by a cut until the run  | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      | la1 99 100.55   | 102      | 2     | 2     | at      |
+      | its link cut before the run       | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      | la1 99 100.4    | 102      | 2     | 3     | over    |
+      | its link cut after the call       | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      | la1 102.1 103   | 102      | 2     | 3     | over    |
+      | the link of another cut           | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      | lb1 101 101.5   | 102      | 2     | 3     | over    |
+      | one ended, one cut, of four       | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1, la3.0@1 101.2 | la0.0@1 101 | la1 101 101    | 102      | 2     | 2     | at      |
+      | a run that begins after the call  | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 102.5      |                      |                 | 102      | 2     | 3     | over    |
+      | a runner ended before that run    | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 102.5      | la0.0@1 102.2        |                 | 102      | 2     | 2     | at      |
+      | given up by the caller            | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      |                      |                 | given up | 2     | 3     | over    |
+      | given up, a runner ended before   | la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1      | la0.0@1 107.9        |                 | given up | 2     | 2     | at      |
+      | runs of another request           | other la0.0@1 100.1, la1.0@1 100.6, la2.0@1 101.1 |                     |                 | 102      | 1     | 2     | over    |
+    Then the soak's judge counts the upstreams of each of them as told
+
+  # Guards against reporting the few requests that may exceed the bound, and against passing over more.
+  Scenario: More than three requests on too many upstreams break a promise
+    Then the soak reports this many of the requests that ran on too many upstreams
+      | over | reported |
+      | 0    | 0        |
+      | 3    | 0        |
+      | 4    | 4        |
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
 
 from soak.admission_judge import AdmissionJudge
 from soak.answer_end_faults import PLAIN_SLOTS, AnswerEndFaults
+from soak.bound_judge import BoundJudge, find_runs
 from soak.budget_judge import BudgetJudge
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
 from soak.calls import Call, Ending
@@ -230,6 +231,7 @@
     violations += unending_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, callers.calls).find_violations()
     violations += _find_lost(site, callers.calls)
+    violations += _find_over_bound(site, callers.calls)
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
 
 
@@ -259,6 +261,22 @@
     return violations
 
 
+def _find_over_bound(site: Site, calls: list[Call]) -> list[str]:
+    """Return the requests that ran on more upstreams than their routes allow, if too many did."""
+    judge = BoundJudge(
+        calls,
+        find_runs(site.records, trio.current_time() - time.monotonic()),
+        site.runner_ended_at,
+        site.disturbances.cuts,
+        site.configuration.max_attempts,
+    )
+    violations = judge.find_violations()
+    # `update` keeps the counts that are 0.
+    site.judged.update(judge.judged)
+    (site.folder / "over_bound.log").write_text("\n".join(judge.describe_over()), encoding="utf-8")
+    return violations
+
+
 def _check_calls(site: Site, callers: Callers, faults: Faults, checked_from: float) -> list[str]:
     """Return the violations that calls and executions show together."""
     runs = Counter(each["run"] for each in site.records if "run" in each)
@@ -317,7 +335,10 @@
 
 
 def run_seed(
-    seed: int, seconds: float, only: Sequence[str] = (), entry_count: int = ENTRY_COUNT
+    seed: int,
+    seconds: float,
+    only: Sequence[str] = (),
+    entry_count: int = ENTRY_COUNT,
 ) -> int:
     """Run one seed and print its result; return the exit code.
 
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -47,9 +47,13 @@
 
 @dataclass
 class Disturbances:
-    """The disturbances of a site: the unplanned ones, the absences after a stop, planned work."""
+    """The disturbances of a site: the unplanned ones, the absences after a stop, planned work.
+
+    `cuts` are the times in which a link lost its connections or forwarded nothing in a direction.
+    """
 
     unplanned: list[Span] = field(default_factory=list)
+    cuts: list[Span] = field(default_factory=list)
     absences: list[Span] = field(default_factory=list)
     planned: list[PlannedWork] = field(default_factory=list)
 
@@ -64,6 +68,11 @@
         now = trio.current_time()
         self.unplanned.append(Span(name, now if since is None else since, now + seconds))
 
+    def record_cut(self, name: str, seconds: float = 0.0) -> None:
+        """Record that the link of `name` is cut from now on."""
+        now = trio.current_time()
+        self.cuts.append(Span(name, now, now + seconds))
+
     def plan(self, kind: PlannedKind, entry: str = "") -> None:
         """Record planned work that is done now."""
         self.planned.append(PlannedWork(kind, trio.current_time(), entry))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -212,10 +212,13 @@
         if mode is None:
             self._interruptions.record_reset(name)
             self._site.disturbances.record(name)
+            self._site.disturbances.record_cut(name)
             proxy.reset()
             return
         self._interruptions.record(name, seconds)
         self._site.disturbances.record(name, seconds)
+        if mode is not Mode.DELAY:
+            self._site.disturbances.record_cut(name, seconds)
         proxy.set_mode(mode, self._random.uniform(0.02, 0.2))
         await trio.sleep(seconds)
         proxy.set_mode(Mode.PASS)
--- a/soak/partition_faults.py
+++ b/soak/partition_faults.py
@@ -80,6 +80,7 @@
         for each in runners:
             self._interruptions.record(each.spec.instance, seconds)
             self._site.disturbances.record(each.spec.instance, seconds)
+            self._site.disturbances.record_cut(each.spec.instance, seconds)
             each.proxy.begin_partition(Partition(how, lambda port: _is_held(entries, port)))
         await trio.sleep(seconds)
         for each in runners:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -346,6 +346,7 @@
         write_record(
             run=request_id,
             instance=self._spec.instance,
+            born=self._spec.born,
             service=self._spec.service,
             account=headers.get("x-tenant", ""),
             layers=[each[1:] for each in stream.path] if stream else [],
--- a/soak/silence_faults.py
+++ b/soak/silence_faults.py
@@ -105,6 +105,7 @@
         count = sum(each.store.silence_open(lambda request: True) for each in self.site.entries)
         for each in self.site.runners:
             self.interruptions.record(each.spec.instance, CONTACT_SECONDS)
+            self.site.disturbances.record_cut(each.spec.instance, CONTACT_SECONDS)
             count += each.proxy.silence_open(lambda request: True)
         return f"all {count} connections to the store and to runners"
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from collections import Counter, defaultdict
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -25,6 +26,7 @@
     "RETRY_WINDOW_SECONDS",
     "STOP_GRACE_SECONDS",
     "ENTRY_COUNT",
+    "MAX_ATTEMPTS",
     "MIN_TIMEOUT_SECONDS",
     "REVOCATION_SECONDS",
     "PRIORITIES",
@@ -67,6 +69,8 @@
 SECOND_SERVICE = "erp"
 # The slots of each runner, and the priorities of the routes of streams: most are lesser ones.
 SLOTS = 24
+# The upstreams on which a request of each route may run.
+MAX_ATTEMPTS = {"stream": 3, "fragile": 3, "once": 3, "again": 3}
 PRIORITIES = {"stream": 2, "fragile": 0}
 SETTINGS = """[node]
 name = {name}
@@ -97,7 +101,7 @@
     `keys` are those of the callers' account, `extra_accounts` counts the accounts and
     `extra_routes` the routes that no caller uses. With `has_health_path` plain runners tell their
     names at a health path. `second_share` is the share of plain requests that go to the second
-    plain service, None where there is none.
+    plain service, None where there is none. `max_attempts` are those of each route of callers.
     """
 
     version: int
@@ -108,6 +112,7 @@
     extra_accounts: int = 0
     extra_routes: int = 0
     second_share: float | None = None
+    max_attempts: Mapping[str, int] = field(default_factory=MAX_ATTEMPTS.copy)
 
 
 def desired_state(configuration: Configuration) -> dict[str, object]:
@@ -144,8 +149,8 @@
     routes = [
         {"name": name, "host": "h.example", "pathPrefix": f"/{name}/", "kind": kind,
          "timeoutMs": configuration.timeout_seconds * 1000, "sloMs": 500,
-         "priority": PRIORITIES.get(name, 1), "service": service, "maxAttempts": 3,
-         "backends": backends.get(service, []),
+         "priority": PRIORITIES.get(name, 1), "service": service,
+         "maxAttempts": configuration.max_attempts[name], "backends": backends.get(service, []),
          "resumable": name == "stream", "gap_aim_ms": 200}
         for name, kind, service in (
             ("stream", "streaming", "llm"), ("fragile", "streaming", "llm"),
@@ -207,6 +212,7 @@
     as many more. `records` are the lines that the runners wrote, `violations` the violated
     guarantees found so far, `judged` counts the cases that were checked, and `entry_started_at`
     holds the start times of each entry. `disturbances` are those that the soak has caused.
+    `runner_ended_at` holds when the process of an incarnation of a runner, (id, born), ended.
     """
 
     folder: Path
@@ -224,6 +230,7 @@
     entry_started_at: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     peer_ports: list[int] = field(default_factory=list)
     disturbances: Disturbances = field(default_factory=Disturbances)
+    runner_ended_at: dict[tuple[str, int], float] = field(default_factory=dict)
     configuration: Configuration = Configuration(1, ())
     _nursery: trio.Nursery | None = None
 
@@ -296,7 +303,7 @@
         spec = replace(runner.spec, instance=name, born=int(time() * 1000))
         command = [sys.executable, "-m", "soak.runner", spec.to_json()]
         runner.process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
-        self._nursery.start_soon(self._read_records, runner.process)
+        self._nursery.start_soon(self._read_records, runner.process, (name, spec.born))
 
     def configure(self, **changes: object) -> None:
         """Change the configuration and write it to the store, which takes it at once."""
@@ -324,7 +331,7 @@
                 env=environment,
             )
 
-    async def _read_records(self, process: subprocess.Popen) -> None:
+    async def _read_records(self, process: subprocess.Popen, incarnation: tuple[str, int]) -> None:
         stream = trio.lowlevel.FdStream(os.dup(process.stdout.fileno()))
         incomplete_line = b""
         async with stream:
@@ -332,6 +339,7 @@
                 *lines, incomplete_line = (incomplete_line + data).split(b"\n")
                 for line in lines:
                     self._add_record(json.loads(line))
+        self.runner_ended_at[incarnation] = trio.current_time()
 
     def _add_record(self, record: dict) -> None:
         record["at"] = trio.current_time()
