--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -37,6 +38,8 @@
 from soak.silence_faults import SilenceFaults
 from soak.site import (
     ENTRY_COUNT,
+    IDEMPOTENT_ROUTES,
+    MAX_ATTEMPTS,
     MIN_TIMEOUT_SECONDS,
     REVOCATION_SECONDS,
     STOP_GRACE_SECONDS,
@@ -339,6 +342,7 @@
     seconds: float,
     only: Sequence[str] = (),
     entry_count: int = ENTRY_COUNT,
+    attempts: int | None = None,
 ) -> int:
     """Run one seed and print its result; return the exit code.
 
@@ -347,6 +351,8 @@
       seconds: how long faults are injected.
       only: the kinds of faults; all if it is empty.
       entry_count: the number of entries.
+      attempts: on how many upstreams a request of the idempotent routes may run, None for the
+        usual number.
     """
     fault_log: list[str] = []
     with tempfile.TemporaryDirectory() as folder:
@@ -356,6 +362,9 @@
         revocation_seconds = LONG_REVOCATION_SECONDS if is_long else REVOCATION_SECONDS
         has_second_service = PLANNED_KIND in only
         site = Site(Path(folder), entry_count, plain_slots, revocation_seconds, has_second_service)
+        if attempts is not None:
+            max_attempts = {**MAX_ATTEMPTS, **dict.fromkeys(IDEMPOTENT_ROUTES, attempts)}
+            site.configuration = replace(site.configuration, max_attempts=max_attempts)
         try:
             violations = trio.run(_run_site, site, seed, seconds, only, fault_log)
         finally:
@@ -388,11 +397,17 @@
     parser.add_argument(
         "--only", action="append", default=[], choices=sorted({*FAULT_KINDS, *SEPARATE_KINDS})
     )
+    parser.add_argument(
+        "--attempts", type=int, help="maxAttempts of the idempotent routes, if not the usual one"
+    )
     parser.add_argument("seeds", nargs="+", type=int)
     options = parser.parse_args()
     if len(options.seeds) == 1:
-        return run_seed(options.seeds[0], options.seconds, options.only, options.entries)
+        return run_seed(
+            options.seeds[0], options.seconds, options.only, options.entries, options.attempts
+        )
     only = [each for kind in options.only for each in ("--only", kind)]
+    attempts = ["--attempts", str(options.attempts)] if options.attempts is not None else []
 
     def run_in_subprocess(seed: int) -> int:
         command = [
@@ -404,6 +419,7 @@
             "--entries",
             str(options.entries),
             *only,
+            *attempts,
             str(seed),
         ]
         return subprocess.run(command, check=False).returncode
--- a/soak/site.py
+++ b/soak/site.py
@@ -26,6 +26,7 @@
     "RETRY_WINDOW_SECONDS",
     "STOP_GRACE_SECONDS",
     "ENTRY_COUNT",
+    "IDEMPOTENT_ROUTES",
     "MAX_ATTEMPTS",
     "MIN_TIMEOUT_SECONDS",
     "REVOCATION_SECONDS",
@@ -69,8 +70,10 @@
 SECOND_SERVICE = "erp"
 # The slots of each runner, and the priorities of the routes of streams: most are lesser ones.
 SLOTS = 24
-# The upstreams on which a request of each route may run.
+# The upstreams on which a request of each route may run, and the routes for which a run of the soak
+# may set another number.
 MAX_ATTEMPTS = {"stream": 3, "fragile": 3, "once": 3, "again": 3}
+IDEMPOTENT_ROUTES = ("stream", "again")
 PRIORITIES = {"stream": 2, "fragile": 0}
 SETTINGS = """[node]
 name = {name}
