Soak: sound runners that fall silent for about a second

No kind of fault let a sound runner fall silent and go on with nothing else disturbed: the pauses of `runner` come beside kills, those of `planned` beside changes and stops.

`silent-runners` silences one, some or all runners of a domain or a service for 0.9 to 1.2 s, or the runner of most streams and then each next one to which these are sent. Alone it also checks that no stream ends before a gap of 2 s or its time limit, other than by a refusal. Callers measure the gaps in their answers for that.

--- a/features/soak_bound.feature
+++ b/features/soak_bound.feature
@@ -1,4 +1,4 @@
-Feature: The soak's judge of the upstreams that a request runs on
+Feature: The soak's judge of the upstreams that a request runs on, and sound runners that fall silent
 
   # Guards against a soak that reports nothing while requests run on more upstreams than their routes
   # allow, and against one that counts runners that have ended or been cut off. Silence is neither.
@@ -40,3 +40,24 @@
       | 0    | 0        |
       | 3    | 0        |
       | 4    | 4        |
+
+  # Guards against calling a stream ended by silence whose caller left, or that ended for another
+  # reason, and against passing over one that was ended early.
+  Scenario: A stream that ends beside silent runners needs another reason than their silence
+    When streams that are sent at 100 s end while sound runners are silent
+      | case                             | route   | status | how    | ended | gap | arrived | verdict |
+      | whole                            | stream  | 200    | whole  | 101   | 0.5 | yes     | kept    |
+      | whole after a long gap           | stream  | 200    | whole  | 104   | 2.5 | yes     | kept    |
+      | cut                              | stream  | 200    | closed | 101.5 | 1.2 | yes     | ended   |
+      | cut, may run only once           | fragile | 200    | closed | 101.5 | 1.2 | yes     | ended   |
+      | reset before its answer          | stream  | 0      | reset  | 101.5 | 1.5 | yes     | ended   |
+      | a gateway error                  | stream  | 502    | whole  | 101.5 | 1.5 | yes     | ended   |
+      | a gateway error without a runner | stream  | 502    | whole  | 101.5 | 1.5 | no      | ended   |
+      | refused                          | stream  | 503    | whole  | 101.5 | 1.5 | yes     | kept    |
+      | refused for its rate             | stream  | 429    | whole  | 101.5 | 1.5 | no      | kept    |
+      | cut after the client's gap       | stream  | 200    | closed | 103   | 2.1 | yes     | kept    |
+      | the caller left                  | stream  | 200    | left   | 101.5 | 1.2 | yes     | kept    |
+      | time limit reached               | stream  | 200    | closed | 105   | 1.2 | yes     | kept    |
+      | crossed a close                  | stream  | 0      | closed | 100.1 | 0.1 | no      | kept    |
+      | no stream                        | again   | 502    | whole  | 101.5 | 1.5 | yes     | kept    |
+    Then the soak reports those of them that silence ended
--- a/features/steps/soak_bound_steps.py
+++ b/features/steps/soak_bound_steps.py
@@ -1,15 +1,20 @@
-"""Steps for the soak's judge of upstreams."""
+"""Steps for the soak's judge of upstreams and for its silent runners."""
+
+from random import Random
+from types import SimpleNamespace
 
 from behave import then, when
 
 from soak.bound_judge import BoundJudge, find_runs
-from soak.calls import Call
+from soak.calls import Call, Ending
 from soak.disturbances import Span
+from soak.silent_runner_faults import SilentRunnerFaults
 
 SENT_AT = 100.0
 # The runners' clock is behind by this much.
 CLOCK_OFFSET = 40.0
 GIVEN_UP_SECONDS = 8.0
+ENDINGS = {"closed": Ending.CLOSED, "reset": Ending.RESET, "left": Ending.DISCONNECTED}
 
 
 def parse_incarnation(text):
@@ -77,3 +82,36 @@
         reported = judge.find_violations()
         assert len(reported) == int(row["reported"]), reported
         assert judge.judged["requests over their upstream bound"] == len(names)
+
+
+def make_stream(row):
+    call = make_call(row["case"], row["ended"])
+    call.route = row["route"]
+    call.whole_sent_at = SENT_AT
+    call.longest_gap_seconds = float(row["gap"])
+    call.has_disconnected = row["how"] == "left"
+    call.answer.status = int(row["status"])
+    call.answer.is_complete = row["how"] == "whole"
+    call.ending = ENDINGS.get(row["how"], Ending.ANSWERED)
+    return call
+
+
+@when("streams that are sent at 100 s end while sound runners are silent")
+def end_streams(context):
+    site = SimpleNamespace(records=[], judged={})
+    calls = []
+    for row in context.table:
+        calls.append(make_stream(row))
+        if row["arrived"] == "yes":
+            site.records.append({"arrived": row["case"]})
+    reported = SilentRunnerFaults(site, None, Random(0), print, None).find_violations(calls)
+    context.reported = [
+        (row["case"], any(f" {row['case']} (" in each for each in reported), row["verdict"])
+        for row in context.table
+    ]
+
+
+@then("the soak reports those of them that silence ended")
+def check_ended(context):
+    wrong = [each for each in context.reported if each[1] != (each[2] == "ended")]
+    assert not wrong, wrong
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -36,6 +36,7 @@
 from soak.refusal_faults import RefusalFaults
 from soak.shortage_faults import ShortageFaults
 from soak.silence_faults import SilenceFaults
+from soak.silent_runner_faults import SilentRunnerFaults
 from soak.site import (
     ENTRY_COUNT,
     IDEMPOTENT_ROUTES,
@@ -85,10 +86,12 @@
 # Answers and bodies without an end, and such answers alone.
 UNENDING_KIND = "unending"
 UNENDING_ANSWER_KIND = "unending-answers"
+# Sound runners that fall silent for about a second and go on.
+SILENT_RUNNER_KIND = "silent-runners"
 SEPARATE_KINDS = {
     PART_KIND, PLANNED_KIND, UNENDING_KIND, UNENDING_ANSWER_KIND,
     NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND, WAVE_KIND,
-    KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND,
+    KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND, SILENT_RUNNER_KIND,
 }  # fmt: skip
 # The revocation time of sites whose connections go silent.
 LONG_REVOCATION_SECONDS = 12.0
@@ -172,6 +175,9 @@
         unending_faults = UnendingFaults(
             site, callers, Random(f"unending of {seed}"), log_fault, UNENDING_KIND in only
         )
+        silent_runner_faults = SilentRunnerFaults(
+            site, callers, Random(f"silent runners of {seed}"), log_fault, interruptions
+        )
         wave_faults = WaveFaults(
             site, callers, Random(f"waves of {seed}"), log_fault, KEPT_WAVE_KIND in only
         )
@@ -199,6 +205,8 @@
                     fault_nursery.start_soon(silence_faults.run, began_at + seconds)
                 if UNENDING_KIND in only or UNENDING_ANSWER_KIND in only:
                     fault_nursery.start_soon(unending_faults.run, began_at + seconds)
+                if SILENT_RUNNER_KIND in only:
+                    fault_nursery.start_soon(silent_runner_faults.run, began_at + seconds)
                 if PLANNED_KIND in only:
                     fault_nursery.start_soon(planned_faults.run, began_at + seconds)
                 if WAVE_KIND in only or KEPT_WAVE_KIND in only:
@@ -233,6 +241,8 @@
     violations += silence_faults.find_violations(callers.calls)
     violations += unending_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, callers.calls).find_violations()
+    if set(only) == {SILENT_RUNNER_KIND}:
+        violations += silent_runner_faults.find_violations(callers.calls)
     violations += _find_lost(site, callers.calls)
     violations += _find_over_bound(site, callers.calls)
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -19,6 +19,8 @@
 # How long a caller waits for surplus bytes after an answer with `Connection: close`.
 SURPLUS_TIMEOUT_SECONDS = 0.3
 CONNECT_TIMEOUT_SECONDS = 1.0
+# A caller that waits for bytes for less time found them arrived.
+MIN_WAIT_SECONDS = 0.05
 
 
 @dataclass(frozen=True)
@@ -96,8 +98,10 @@
     async def _read(self, call: Call, manner: Manner) -> None:
         pauses = list(manner.pauses)
         received_bytes = 0
+        received_at = call.whole_sent_at
         while not call.is_complete:
-            data = await self._stream.receive_some(MAX_READ_BYTES)
+            data = await self._receive(call, received_at)
+            received_at = trio.current_time()
             received_bytes += len(data)
             call.received_bytes = received_bytes
             if not data or not call.feed(data):
@@ -114,6 +118,19 @@
                 call.paused_seconds += seconds
                 await trio.sleep(seconds)
 
+    async def _receive(self, call: Call, since: float) -> bytes:
+        """Receive the next bytes of an answer; measure the gap since the ones before.
+
+        If they had arrived during a pause of the caller, their time is unknown and no gap counts.
+        """
+        began_at = trio.current_time()
+        try:
+            return await self._stream.receive_some(MAX_READ_BYTES)
+        finally:
+            now = trio.current_time()
+            if now - began_at >= MIN_WAIT_SECONDS:
+                call.longest_gap_seconds = max(call.longest_gap_seconds, now - since)
+
     async def _check_for_surplus(self, call: Call) -> None:
         """Check that no bytes follow an answer with `Connection: close`."""
         with trio.move_on_after(SURPLUS_TIMEOUT_SECONDS):
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -38,7 +38,8 @@
     the requests on its connection. `has_disconnected` says that the caller closed the connection
     before the end, `parse_error` why the answer is malformed. `whole_sent_at` is when the last byte
     of the request had been sent, `ended_at` when its connection ended or its answer was complete.
-    The caller didn't read for `paused_seconds` in between. `port` is the caller's.
+    The caller didn't read for `paused_seconds` in between. `longest_gap_seconds` is the longest
+    time in which no byte came to it. `port` is the caller's.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     ended_at: float = float("inf")
     received_bytes: int = 0
     paused_seconds: float = 0.0
+    longest_gap_seconds: float = 0.0
     port: int = 0
 
     @property
