Soak: count incomplete streams beside silent runners apart

Streams that end at their time limit or after a gap of 2 s break no promise beside silent runners, so that a gateway which waits for silent upstreams too long would pass unnoticed. The judged line now counts them, and the incomplete streams whose callers never paused.

--- a/soak/silent_runner_faults.py
+++ b/soak/silent_runner_faults.py
@@ -193,8 +193,16 @@
         ]
         self.site.judged["streams beside silent runners"] = len(streams)
         self.site.judged["streams that silence ended"] = len(ended)
+        # What these end for is allowed, but a gateway that waits too long ends more of them.
+        incomplete = [each for each in streams if not (each.is_served or each.has_disconnected)]
         self.site.judged["streams that reached their time limit"] = sum(
-            not each.is_served and _has_reached_limit(each) for each in streams
+            _has_reached_limit(each) for each in incomplete
+        )
+        self.site.judged["incomplete streams whose callers never paused"] = sum(
+            not each.paused_seconds and each.status not in REFUSAL_STATUSES for each in incomplete
+        )
+        self.site.judged["incomplete streams with a gap that ends them"] = sum(
+            _has_client_gap(each) for each in incomplete
         )
         return [
             f"ended beside silent runners: {each.description} {each.ending}, status {each.status},"
@@ -211,11 +219,15 @@
         or call.has_disconnected
         or call.status in REFUSAL_STATUSES
         or call.whole_sent_at == float("inf")
-        or call.longest_gap_seconds >= CLIENT_GAP_SECONDS - LIMIT_MARGIN_SECONDS
+        or _has_client_gap(call)
         or _has_reached_limit(call)
     )
 
 
+def _has_client_gap(call: Call) -> bool:
+    return call.longest_gap_seconds >= CLIENT_GAP_SECONDS - LIMIT_MARGIN_SECONDS
+
+
 def _has_reached_limit(call: Call) -> bool:
     limit_seconds = min(DEADLINE_SECONDS, MIN_TIMEOUT_SECONDS) - LIMIT_MARGIN_SECONDS
     return call.ended_at - call.sent_at >= limit_seconds
