--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -19,6 +20,7 @@
 
 from soak.admission_judge import AdmissionJudge
 from soak.answer_end_faults import PLAIN_SLOTS, AnswerEndFaults
+from soak.bound_judge import BoundJudge, find_runs
 from soak.budget_judge import BudgetJudge
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
 from soak.calls import Call, Ending
@@ -34,8 +36,11 @@
 from soak.refusal_faults import RefusalFaults
 from soak.shortage_faults import ShortageFaults
 from soak.silence_faults import SilenceFaults
+from soak.silent_runner_faults import SilentRunnerFaults
 from soak.site import (
     ENTRY_COUNT,
+    IDEMPOTENT_ROUTES,
+    MAX_ATTEMPTS,
     MIN_TIMEOUT_SECONDS,
     REVOCATION_SECONDS,
     STOP_GRACE_SECONDS,
@@ -81,10 +86,12 @@
 # Answers and bodies without an end, and such answers alone.
 UNENDING_KIND = "unending"
 UNENDING_ANSWER_KIND = "unending-answers"
+# Sound runners that fall silent for about a second and go on.
+SILENT_RUNNER_KIND = "silent-runners"
 SEPARATE_KINDS = {
     PART_KIND, PLANNED_KIND, UNENDING_KIND, UNENDING_ANSWER_KIND,
     NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND, WAVE_KIND,
-    KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND,
+    KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND, SILENT_RUNNER_KIND,
 }  # fmt: skip
 # The revocation time of sites whose connections go silent.
 LONG_REVOCATION_SECONDS = 12.0
@@ -168,6 +175,9 @@
         unending_faults = UnendingFaults(
             site, callers, Random(f"unending of {seed}"), log_fault, UNENDING_KIND in only
         )
+        silent_runner_faults = SilentRunnerFaults(
+            site, callers, Random(f"silent runners of {seed}"), log_fault, interruptions
+        )
         wave_faults = WaveFaults(
             site, callers, Random(f"waves of {seed}"), log_fault, KEPT_WAVE_KIND in only
         )
@@ -195,6 +205,8 @@
                     fault_nursery.start_soon(silence_faults.run, began_at + seconds)
                 if UNENDING_KIND in only or UNENDING_ANSWER_KIND in only:
                     fault_nursery.start_soon(unending_faults.run, began_at + seconds)
+                if SILENT_RUNNER_KIND in only:
+                    fault_nursery.start_soon(silent_runner_faults.run, began_at + seconds)
                 if PLANNED_KIND in only:
                     fault_nursery.start_soon(planned_faults.run, began_at + seconds)
                 if WAVE_KIND in only or KEPT_WAVE_KIND in only:
@@ -229,7 +241,10 @@
     violations += silence_faults.find_violations(callers.calls)
     violations += unending_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, callers.calls).find_violations()
+    if set(only) == {SILENT_RUNNER_KIND}:
+        violations += silent_runner_faults.find_violations(callers.calls)
     violations += _find_lost(site, callers.calls)
+    violations += _find_over_bound(site, callers.calls)
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
 
 
@@ -259,6 +274,22 @@
     return violations
 
 
+def _find_over_bound(site: Site, calls: list[Call]) -> list[str]:
+    """Return the requests that ran on more upstreams than their routes allow, if too many did."""
+    judge = BoundJudge(
+        calls,
+        find_runs(site.records, trio.current_time() - time.monotonic()),
+        site.runner_ended_at,
+        site.disturbances.cuts,
+        site.configuration.max_attempts,
+    )
+    violations = judge.find_violations()
+    # `update` keeps the counts that are 0.
+    site.judged.update(judge.judged)
+    (site.folder / "over_bound.log").write_text("\n".join(judge.describe_over()), encoding="utf-8")
+    return violations
+
+
 def _check_calls(site: Site, callers: Callers, faults: Faults, checked_from: float) -> list[str]:
     """Return the violations that calls and executions show together."""
     runs = Counter(each["run"] for each in site.records if "run" in each)
@@ -317,7 +348,11 @@
 
 
 def run_seed(
-    seed: int, seconds: float, only: Sequence[str] = (), entry_count: int = ENTRY_COUNT
+    seed: int,
+    seconds: float,
+    only: Sequence[str] = (),
+    entry_count: int = ENTRY_COUNT,
+    attempts: int | None = None,
 ) -> int:
     """Run one seed and print its result; return the exit code.
 
@@ -326,6 +361,8 @@
       seconds: how long faults are injected.
       only: the kinds of faults; all if it is empty.
       entry_count: the number of entries.
+      attempts: on how many upstreams a request of the idempotent routes may run, None for the
+        usual number.
     """
     fault_log: list[str] = []
     with tempfile.TemporaryDirectory() as folder:
@@ -335,6 +372,9 @@
         revocation_seconds = LONG_REVOCATION_SECONDS if is_long else REVOCATION_SECONDS
         has_second_service = PLANNED_KIND in only
         site = Site(Path(folder), entry_count, plain_slots, revocation_seconds, has_second_service)
+        if attempts is not None:
+            max_attempts = {**MAX_ATTEMPTS, **dict.fromkeys(IDEMPOTENT_ROUTES, attempts)}
+            site.configuration = replace(site.configuration, max_attempts=max_attempts)
         try:
             violations = trio.run(_run_site, site, seed, seconds, only, fault_log)
         finally:
@@ -367,11 +407,17 @@
     parser.add_argument(
         "--only", action="append", default=[], choices=sorted({*FAULT_KINDS, *SEPARATE_KINDS})
     )
+    parser.add_argument(
+        "--attempts", type=int, help="maxAttempts of the idempotent routes, if not the usual one"
+    )
     parser.add_argument("seeds", nargs="+", type=int)
     options = parser.parse_args()
     if len(options.seeds) == 1:
-        return run_seed(options.seeds[0], options.seconds, options.only, options.entries)
+        return run_seed(
+            options.seeds[0], options.seconds, options.only, options.entries, options.attempts
+        )
     only = [each for kind in options.only for each in ("--only", kind)]
+    attempts = ["--attempts", str(options.attempts)] if options.attempts is not None else []
 
     def run_in_subprocess(seed: int) -> int:
         command = [
@@ -383,6 +429,7 @@
             "--entries",
             str(options.entries),
             *only,
+            *attempts,
             str(seed),
         ]
         return subprocess.run(command, check=False).returncode
