--- a/features/soak.feature
+++ b/features/soak.feature
@@ -63,4 +63,5 @@
       | a trailer                 | {head}{all}0\r\nx: 1\r\n\r\n                         | no HTTP answer |
       | another's request id      | HTTP/1.1 503 \r\nX-Request-Id: r2\r\nContent-Length: 2\r\n\r\nno | request id |
       | no seal                   | HTTP/1.1 200 \r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\nid | seal      |
+      | a failure with a seal     | HTTP/1.1 502 \r\nX-Request-Id: r1\r\nX-Response-Seal: seal-r1\r\nContent-Length: 2\r\n\r\nno | 502 carries the seal |
     Then each verdict is as expected, at every position at which the bytes may be split in two
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -6,6 +6,7 @@
 
 from soak.events import EVENTS_PER_STREAM, events
 from soak.reader import AnswerReader, MalformedAnswerError
+from soak.sent_request import SentRequest
 
 __all__ = ["Call", "Ending"]
 
@@ -38,7 +39,8 @@
     the requests on its connection. `has_disconnected` says that the caller closed the connection
     before the end, `parse_error` why the answer is malformed. `whole_sent_at` is when the last byte
     of the request had been sent, `ended_at` when its connection ended or its answer was complete.
-    The caller didn't read for `paused_seconds` in between. `port` is the caller's.
+    The caller didn't read for `paused_seconds` in between. `port` is the caller's, `request` what
+    it began to send, None if it never did. A runner works for `work_seconds` before its answer.
     """
 
     request_id: str
@@ -58,6 +60,8 @@
     received_bytes: int = 0
     paused_seconds: float = 0.0
     port: int = 0
+    request: SentRequest | None = None
+    work_seconds: float = 0.0
 
     @property
     def was_cut(self) -> bool:
@@ -120,6 +124,9 @@
             return f"the answer carries the request id {request!r}"
         if seal != b"seal-" + self.request_id.encode() and (seal or self.status == OK):
             return f"the answer carries the seal {seal!r}"
+        if seal and self.status != OK:
+            # Runners of the soak seal only their answers with 200.
+            return f"the answer with status {self.status} carries the seal of an answer with 200"
         return None
 
     def _check_body(self) -> str | None:
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -47,11 +47,16 @@
 
 @dataclass
 class Disturbances:
-    """The disturbances of a site: the unplanned ones, the absences after a stop, planned work."""
+    """The disturbances of a site: the unplanned ones, the absences after a stop, planned work.
+
+    `slowed` are the times in which entries had only a part of a processor; requests may get lost
+    then no more than at other times.
+    """
 
     unplanned: list[Span] = field(default_factory=list)
     absences: list[Span] = field(default_factory=list)
     planned: list[PlannedWork] = field(default_factory=list)
+    slowed: list[Span] = field(default_factory=list)
 
     def record(self, name: str, seconds: float = 0.0, since: float | None = None) -> None:
         """Record an unplanned disturbance.
@@ -76,6 +81,10 @@
         """Return whether one of the names had an unplanned disturbance at some time."""
         return any(each.name in names and each.overlaps(begin, end) for each in self.unplanned)
 
+    def is_slowed(self, entry: str, begin: float, end: float) -> bool:
+        """Return whether an entry had only a part of a processor at some time."""
+        return any(each.name == entry and each.overlaps(begin, end) for each in self.slowed)
+
     def is_absent(self, entry: str, begin: float, end: float) -> bool:
         """Return whether an entry was stopped, away or started at some time."""
         return any(each.name == entry and each.overlaps(begin, end) for each in self.absences)
