Play the judges of single rules in the soak, and callers that leave long requests

The judges had no records to read. Runners now record what a run received (method, target, prompt headers, a digest of the body), the deadline of an arrival and each path that replaces another one, which is checked as the first is (LAYERS); callers keep what they sent, the site its desired states. Random sequences of other kinds are unchanged.

--- a/features/soak_planned.feature
+++ b/features/soak_planned.feature
@@ -1,4 +1,4 @@
-Feature: The real processes under planned work in series, and answers without an end
+Feature: The real processes under planned work in series, answers without an end and callers that leave
 
   # Guards against an entry that spends its processor time on the answers of one upstream.
   Scenario: Callers of sound upstreams are served beside answers without an end
@@ -12,3 +12,10 @@
     When the soak runs seed 22 for 5 seconds with planned work as the only faults
     Then it reports no violation
     And it checked calls around planned work
+
+  # Guards against runners that work on for callers who have left. In the other kinds of faults few
+  # requests take so long that it shows.
+  Scenario: Requests of callers that leave are given up at their runners
+    When the soak runs seed 1 for 4 seconds with callers that leave as the only faults
+    Then it reports no violation
+    And it checked long runs of callers that had left
--- a/features/soak_runner.feature
+++ b/features/soak_runner.feature
@@ -16,6 +16,14 @@
     Then the second stream is complete
     And the stand-in runner is still running
 
+  # Guards against records from which the judges can't tell what a request had become on its way, and
+  # against paths that are checked only as they are when a run begins.
+  Scenario: The records of a run tell what was received, and each path of it
+    Given a stand-in runner with a capacity of 8 layers and a load time of 0.15 second
+    And it holds layers 0-8
+    When a stream is requested with a deadline, an account and a query, and its path is replaced
+    Then its records say what it received, and the layers of both paths
+
   # Guards against refusing a stream because another runner on its path is slow to respond.
   Scenario Outline: A stream starts once every runner on its path reports holding its layers: <case>
     Given a stand-in runner with a capacity of 8 layers and a load time of 0.15 second
--- a/features/steps/soak_runner_steps.py
+++ b/features/steps/soak_runner_steps.py
@@ -1,6 +1,7 @@
 """Steps for the soak's stand-in runner."""
 
 import json
+import os
 import subprocess
 import sys
 import time
@@ -12,8 +13,11 @@
 
 from behave import given, then, when
 
+from soak.arrivals import arrivals
 from soak.events import events
+from soak.run_judge import runs
 from soak.runner import RunnerSpec
+from soak.sent_request import SentRequest
 from soak.wire import HOST, free_port
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -22,6 +26,7 @@
 # The delay of a slow runner's first response, in seconds.
 RESPONSE_DELAY_SECONDS = 0.6
 REQUEST_ID = "r1"
+MAX_RECORD_BYTES = 64 * 1024
 
 
 @given(
@@ -33,7 +38,7 @@
     spec = replace(spec, born=1, load_seconds=seconds)
     command = [sys.executable, "-m", "soak.runner", spec.to_json()]
     context.runner = subprocess.Popen(
-        command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE
+        command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE
     )
     context.add_cleanup(kill_process, context.runner)
     context.port = port
@@ -215,3 +220,33 @@
     assert context.response.getheader("X-Not-Executed"), context.response.headers
     at_server = context.response.getheader("At-Server")
     assert at_server == f"{HOST}:{context.other_port}", at_server
+
+
+@when("a stream is requested with a deadline, an account and a query, and its path is replaced")
+def request_and_move_stream(context):
+    connection = new_connection(context)
+    path = f"{HOST}:{context.port}=0-8"
+    headers = {
+        "X-Request-Id": REQUEST_ID, "X-Deadline-Ms": "4000", "X-Tenant": "acme", "X-Model": "m",
+        "Path": path,
+    }  # fmt: skip
+    connection.request("POST", "/stream/x?q=1", "body", headers)
+    context.response = connection.getresponse()
+    order = {"op": "repath", "id": REQUEST_ID, "path": f"{HOST}:{context.port}=0-7"}
+    second_connection = new_connection(context)
+    second_connection.request("POST", "/v1/order", json.dumps(order))
+    assert second_connection.getresponse().status == 200
+    context.response.read()
+
+
+@then("its records say what it received, and the layers of both paths")
+def check_records(context):
+    # They are fewer than a pipe holds.
+    lines = os.read(context.runner.stdout.fileno(), MAX_RECORD_BYTES).splitlines()
+    records = [json.loads(line) for line in lines]
+    (run,) = runs(records)
+    sent = SentRequest.of(b"POST", b"/stream/x?q=1", [(b"x-model", b"m")], b"body")
+    assert (run.request_id, run.account, run.received) == (REQUEST_ID, "acme", sent), run
+    (arrival,) = arrivals(records, 0.0)
+    assert (arrival.request_id, arrival.deadline_ms) == (REQUEST_ID, 4000), arrival
+    assert [each["layers"] for each in records if "layers" in each] == [[[0, 8]], [[0, 7]]]
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -27,6 +27,7 @@
     "connections that go silent": ("--only", "silence"),
     "answers without an end": ("--only", "unending-answers"),
     "planned work": ("--only", "planned"),
+    "callers that leave": ("--only", "departures"),
 }
 # What the soak counts of the cases that it checked, and how many it must have found at least.
 JUDGED = {
@@ -41,6 +42,7 @@
     "leaves beside silent connections": ("leaves beside silent connections", 1),
     "calls whose answers had no end": ("calls whose answers had no end", 1),
     "calls around planned work": ("calls around planned work", 100),
+    "long runs of callers that had left": ("long runs of callers gone", 10),
 }
 HEAD = (
     b"HTTP/1.1 200 \r\nx-request-id: r1\r\nx-response-seal: seal-r1\r\n"
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
 from soak.calls import Call, Ending
 from soak.deadly_faults import CrashFaults, PartCrashFaults
+from soak.departure_faults import DepartureFaults
 from soak.faults import FAULT_KINDS, Faults
 from soak.lost_judge import LostJudge, histories
 from soak.notice_faults import Interruptions, NoticeFaults
@@ -32,6 +33,7 @@
 from soak.rate_faults import RateFaults
 from soak.rate_judge import RateJudge
 from soak.refusal_faults import RefusalFaults
+from soak.rule_judges import RuleJudges
 from soak.shortage_faults import ShortageFaults
 from soak.silence_faults import SilenceFaults
 from soak.site import (
@@ -41,6 +43,7 @@
     STOP_GRACE_SECONDS,
     Site,
 )
+from soak.stop_judge import find_still_ready, observe_stop
 from soak.unending_faults import UnendingFaults
 from soak.wave_faults import WaveFaults
 
@@ -81,7 +84,10 @@
 # Answers and bodies without an end, and such answers alone.
 UNENDING_KIND = "unending"
 UNENDING_ANSWER_KIND = "unending-answers"
+# Callers that leave in the middle of long requests.
+DEPARTURE_KIND = "departures"
 SEPARATE_KINDS = {
+    DEPARTURE_KIND,
     PART_KIND, PLANNED_KIND, UNENDING_KIND, UNENDING_ANSWER_KIND,
     NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND, WAVE_KIND,
     KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND,
@@ -171,6 +177,9 @@
         wave_faults = WaveFaults(
             site, callers, Random(f"waves of {seed}"), log_fault, KEPT_WAVE_KIND in only
         )
+        departure_faults = DepartureFaults(
+            site, callers, Random(f"departures of {seed}"), log_fault
+        )
         nursery.start_soon(crash_faults.restart_crashed)
         async with trio.open_nursery() as load_nursery:
             load_nursery.start_soon(callers.run, CALLER_COUNT)
@@ -195,6 +204,8 @@
                     fault_nursery.start_soon(silence_faults.run, began_at + seconds)
                 if UNENDING_KIND in only or UNENDING_ANSWER_KIND in only:
                     fault_nursery.start_soon(unending_faults.run, began_at + seconds)
+                if DEPARTURE_KIND in only:
+                    fault_nursery.start_soon(departure_faults.run, began_at + seconds)
                 if PLANNED_KIND in only:
                     fault_nursery.start_soon(planned_faults.run, began_at + seconds)
                 if WAVE_KIND in only or KEPT_WAVE_KIND in only:
@@ -204,10 +215,16 @@
             await trio.sleep(RECOVERY_SECONDS)
             callers.stop()
         checked_from = trio.current_time() - JUDGED_SECONDS
+        stopped_at = trio.current_time()
+        ready_before = frozenset(
+            each.name for each in site.entries if each.caller_proxy.address in callers.ready_entries
+        )
         for entry in site.entries:
             entry.is_stopping = True
             entry.process.terminate()
-        await trio.sleep(STOP_GRACE_SECONDS)
+        seen_stop = await observe_stop(site, ready_before)
+        site.violations += find_still_ready(seen_stop)
+        await trio.sleep_until(stopped_at + STOP_GRACE_SECONDS)
         running_entries = [each.name for each in site.entries if each.process.poll() is None]
         if running_entries:
             site.violations.append(
@@ -230,6 +247,11 @@
     violations += unending_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, callers.calls).find_violations()
     violations += _find_lost(site, callers.calls)
+    proper_calls = [*callers.calls, *wave_faults.calls, *departure_faults.calls]
+    crash_calls = [*crash_faults.calls, *part_faults.calls]
+    all_calls = [*proper_calls, *crash_calls]
+    violations += RuleJudges(site, all_calls, proper_calls, interruptions).find_violations()
+    violations += _check_fault_calls(site, all_calls[len(callers.calls) :])
     return site.violations + violations + _check_calls(site, callers, faults, checked_from)
 
 
@@ -279,6 +301,16 @@
     return violations
 
 
+def _check_fault_calls(site: Site, calls: Sequence[Call]) -> list[str]:
+    """Return the violations of the requests that faults sent, by their answers and executions."""
+    runs = Counter(each["run"] for each in site.records if "run" in each)
+    return [
+        violation
+        for call in calls
+        for violation in _check_answer(call) + _check_executions(call, runs[call.request_id])
+    ]
+
+
 def _check_answer(call: Call) -> list[str]:
     violation = call.find_violation()
     return [violation] if violation else []
--- a/soak/budget_judge.py
+++ b/soak/budget_judge.py
@@ -9,7 +9,7 @@
 from soak.calls import Call
 from soak.site import RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS, SECOND_SERVICE, Site
 
-__all__ = ["BudgetJudge"]
+__all__ = ["SERVICES", "BudgetJudge"]
 
 # The services that each route's requests may go to.
 PLAIN_SERVICES = ("crm", SECOND_SERVICE)
--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -8,6 +8,7 @@
 import trio
 
 from soak.calls import Call, Ending
+from soak.sent_request import parse_request
 
 __all__ = ["CallerConnection", "Manner", "connect"]
 
@@ -72,6 +73,7 @@
         self._requests += 1
         call.number_on_connection, call.entry = self._requests, self.entry
         call.port = self._port
+        call.request = parse_request(request)
         with trio.move_on_after(manner.disconnects_after_seconds) as cancel_scope:
             try:
                 await self._stream.send_all(request)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,7 +8,7 @@
 from soak.caller_connection import CallerConnection, Manner, connect
 from soak.calls import Call
 from soak.deadly import PARTS_HEADER, SHARED_PART
-from soak.events import EVENTS_PER_STREAM, PAD_HEADER, SLOW_READER_PAD_BYTES, events
+from soak.events import EVENTS_PER_STREAM, PAD_HEADER, SLOW_READER_PAD_BYTES, WORK_HEADER, events
 
 __all__ = [
     "DEADLINE_SECONDS",
@@ -166,4 +166,6 @@
         f"{PARTS_HEADER}: {','.join(f'{each}:10' for each in parts)}",
         f"Content-Length: {len(body)}",
     )
+    if call.work_seconds:
+        lines += (f"{WORK_HEADER.decode()}: {round(call.work_seconds * 1000)}",)
     return "\r\n".join((*lines, "", "")).encode() + body
--- /dev/null
+++ b/soak/departure_faults.py
@@ -0,0 +1,84 @@
+"""Callers that leave in the middle of long requests."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from soak.caller_connection import Manner, connect
+from soak.callers import (
+    ANSWER_GRACE_SECONDS,
+    DEADLINE_SECONDS,
+    Callers,
+    request_body,
+    request_bytes,
+)
+from soak.calls import Call
+from soak.site import Site
+
+__all__ = ["DepartureFaults"]
+
+CALLER_COUNT = 10
+ROUTES = ("stream", "fragile", "again", "once")
+# How long a runner works before its answer begins, and when the caller leaves.
+MIN_WORK_SECONDS = 0.5
+MAX_WORK_SECONDS = 2.0
+MAX_STAY_SECONDS = 1.5
+MEAN_PAUSE_SECONDS = 0.1
+
+
+@dataclass
+class DepartureFaults:
+    """Sends requests that take long, and leaves them.
+
+    Args:
+      site: the site whose entries get them.
+      callers: knows the keys and which entries are ready.
+      random: chooses the entries, the requests and the times.
+      log_fault: called with a description of each departure.
+    """
+
+    site: Site
+    callers: Callers
+    random: Random
+    log_fault: Callable[[str], None]
+    calls: list[Call] = field(default_factory=list)
+
+    async def run(self, until: float) -> None:
+        """Send requests until a time on trio's clock; return once all of them have ended."""
+        async with trio.open_nursery() as nursery:
+            for number in range(CALLER_COUNT):
+                nursery.start_soon(self._run_caller, number, until)
+
+    async def _run_caller(self, number: int, until: float) -> None:
+        count = 0
+        while trio.current_time() < until:
+            count += 1
+            call = Call(
+                f"g{number}r{count}",
+                self.random.choice(ROUTES),
+                self.callers.keys[-1],
+                trio.current_time(),
+                work_seconds=round(self.random.uniform(MIN_WORK_SECONDS, MAX_WORK_SECONDS), 3),
+            )
+            self.calls.append(call)
+            with trio.move_on_after(DEADLINE_SECONDS + ANSWER_GRACE_SECONDS):
+                await self._send(call)
+            call.duration_seconds = trio.current_time() - call.sent_at
+            await trio.sleep(MEAN_PAUSE_SECONDS * self.random.uniform(0.5, 1.5))
+
+    async def _send(self, call: Call) -> None:
+        entry = self.random.choice(sorted(self.callers.ready_entries) or self.callers.entries)
+        stay = self.random.uniform(0.0, MAX_STAY_SECONDS)
+        connection = await connect(entry, small_buffers=False)
+        if connection is None:
+            return
+        request = request_bytes(call, request_body(call))
+        try:
+            manner = Manner(disconnects_after_seconds=stay)
+            await connection.send_request(request, call, manner)
+        finally:
+            connection.close()
+        if call.has_disconnected:
+            self.log_fault(f"the caller of {call.request_id} ({call.route}) left {entry}")
--- a/soak/notices.py
+++ b/soak/notices.py
@@ -87,9 +87,9 @@
             return False
         return True
 
-    def record_arrival(self, request: str) -> None:
-        """Record a client request with the time of the clock that all processes share."""
-        self.write_record(arrived=request, clock=time.monotonic())
+    def record_arrival(self, request: str, deadline_ms: str) -> None:
+        """Record a client request and its deadline, with the time of the clock of all processes."""
+        self.write_record(arrived=request, deadline_ms=deadline_ms, clock=time.monotonic())
 
     def record_misdirected(self, request: str) -> None:
         """Record a client request for another incarnation, which is refused."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -28,10 +28,11 @@
     crash,
     holds_crash_part,
 )
-from soak.events import EVENTS_PER_STREAM, PAD_HEADER, event
+from soak.events import EVENTS_PER_STREAM, PAD_HEADER, WORK_HEADER, event
 from soak.notices import INCARNATION_HEADER, Notices, incarnation_name
 from soak.odd_answers import AnswerFault, AnswerFaults, raw_head
 from soak.path_check import STALL_TIMEOUT_SECONDS, PathCheck, RunningStream
+from soak.sent_request import SentRequest
 from soak.slots import Slots
 from soak.unending import send_unending
 from soak.wire import JSON_HEADERS, parse_path, parse_target, serve_connections
@@ -242,6 +243,8 @@
             stream = self._streams.get(order["id"])
             if stream is not None:
                 stream.path = parse_path(order["path"])
+                layers = [each[1:] for each in stream.path]
+                write_record(moved=order["id"], instance=self._spec.instance, layers=layers)
             await exchange.respond(404 if stream is None else 200, headers, body)
             return
         if self._is_loading or order["expectedRev"] != self._order_count:
@@ -278,7 +281,7 @@
             self._notices.record_misdirected(request_id)
             await exchange.respond(421, (*id_headers, (b"x-not-executed", b"1")), b"")
             return
-        self._notices.record_arrival(request_id)
+        self._notices.record_arrival(request_id, headers.get("x-deadline-ms", ""))
         refusal = self._notices.refusal_headers(request_id)
         if refusal is not None:
             await exchange.respond(503, (*id_headers, *refusal), b"")
@@ -351,6 +354,9 @@
             layers=[each[1:] for each in stream.path] if stream else [],
             path=[each[0] for each in stream.path] if stream else [],
             time=time.monotonic(),
+            received=SentRequest.of(
+                request.method, request.target, request.headers, request.body
+            ).to_record(),
         )
         try:
             await self._answer_request(request, exchange, connection, fault, stream)
@@ -380,6 +386,8 @@
         if fault is AnswerFault.MUTE:
             await trio.sleep_until(self._answer_faults.fault_until)
             return
+        if WORK_HEADER.decode() in headers:
+            await trio.sleep(int(headers[WORK_HEADER.decode()]) / 1000)
         incarnation = incarnation_name(self._spec.instance, self._spec.born)
         answer = _Answer(exchange, connection, fault, request_id, incarnation, self._notices)
         answer.half_pause = self._answer_faults.draw_half_pause()
--- a/soak/site.py
+++ b/soak/site.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from soak.desired_history import DesiredHistory
 from soak.disturbances import Disturbances, PlannedKind
 from soak.proxy import Proxy
 from soak.runner import HEALTH_PATH, RunnerSpec
@@ -20,6 +21,7 @@
 from soak.wire import HOST, free_port, serve
 
 __all__ = [
+    "ACCOUNT",
     "RETRY_RATIO",
     "RETRY_SLACK",
     "RETRY_WINDOW_SECONDS",
@@ -63,6 +65,8 @@
 RETRY_WINDOW_SECONDS = 10
 # The timeout of the routes; a change never sets a shorter one.
 MIN_TIMEOUT_SECONDS = 5
+# The account of all callers.
+ACCOUNT = "acme"
 # The second service of plain runners, at sites that have one.
 SECOND_SERVICE = "erp"
 # The slots of each runner, and the priorities of the routes of streams: most are lesser ones.
@@ -167,7 +171,7 @@
             *([] if share is None else [{"name": SECOND_SERVICE}]),
         ],
         "limits": {"idleTimeoutMs": configuration.idle_timeout_seconds * 1000},
-        "tenants": [{"name": "acme", "apiKeys": list(configuration.keys)}, *extra_accounts],
+        "tenants": [{"name": ACCOUNT, "apiKeys": list(configuration.keys)}, *extra_accounts],
     }
 
 
@@ -206,7 +210,8 @@
     `plain_slots` is how many requests a plain runner works on at once, 0 for any number; it queues
     as many more. `records` are the lines that the runners wrote, `violations` the violated
     guarantees found so far, `judged` counts the cases that were checked, and `entry_started_at`
-    holds the start times of each entry. `disturbances` are those that the soak has caused.
+    holds the start times of each entry. `disturbances` are those that the soak has caused,
+    `desired_history` holds the desired states that the store took.
     """
 
     folder: Path
@@ -224,6 +229,7 @@
     entry_started_at: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     peer_ports: list[int] = field(default_factory=list)
     disturbances: Disturbances = field(default_factory=Disturbances)
+    desired_history: DesiredHistory = field(default_factory=DesiredHistory)
     configuration: Configuration = Configuration(1, ())
     _nursery: trio.Nursery | None = None
 
@@ -302,6 +308,7 @@
         """Change the configuration and write it to the store, which takes it at once."""
         self.disturbances.plan(PlannedKind.CHANGE)
         self.configuration = replace(self.configuration, **changes)
+        self.desired_history.add(trio.current_time(), self.configuration)
         self.store.put_json("op", "config", desired_state(self.configuration))
 
     def send_order(self, runner: RunnerProcess, **order: object) -> None:
--- a/soak/wave_faults.py
+++ b/soak/wave_faults.py
@@ -15,6 +15,7 @@
 from soak.caller_connection import CallerConnection, Manner, connect
 from soak.callers import Callers, request_body, request_bytes
 from soak.calls import Call
+from soak.disturbances import Span
 from soak.site import Entry, Site
 
 __all__ = ["ProcessorQuota", "WaveFaults"]
@@ -67,6 +68,7 @@
 
     async def run(self) -> None:
         """Limit the entries until cancelled; they go on then."""
+        began_at = trio.current_time()
         try:
             while True:
                 self._signal(signal.SIGCONT)
@@ -75,6 +77,9 @@
                 await trio.sleep(QUOTA_PERIOD_SECONDS * (1.0 - self._share))
         finally:
             self._signal(signal.SIGCONT)
+            self._site.disturbances.slowed += [
+                Span(each.name, began_at, trio.current_time()) for each in self._site.entries
+            ]
 
     def _signal(self, number: int) -> None:
         for entry in self._site.entries:
@@ -121,6 +126,11 @@
         self._waves: list[float] = []
         self._seen_ready_at: dict[str, float] = {}
 
+    @property
+    def calls(self) -> list[Call]:
+        """All requests, one call for each attempt."""
+        return [call for each in self._sent for call in each.calls]
+
     async def run(self, until: float) -> None:
         """Send waves until a time on trio's clock; return once the last one has ended."""
         async with trio.open_nursery() as nursery:
