--- a/features/steps/believed_lost_steps.py
+++ b/features/steps/believed_lost_steps.py
@@ -44,7 +44,8 @@
 
 
 @when(
-    "{count:d} {route} requests of a partitioned process are handed over while all upstreams are full"
+    "{count:d} {route} requests of a partitioned process are handed over"
+    " while all upstreams are full"
 )
 def handed_over_to_full(context, count, route):
     async def story(site):
