--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,6 +28,8 @@
     "answers without an end": ("--only", "unending-answers"),
     "planned work": ("--only", "planned"),
     "callers that leave": ("--only", "departures"),
+    "silent upstreams and 1 attempt": ("--only", "silent-runners", "--attempts", "1"),
+    "silent upstreams and 2 attempts": ("--only", "silent-runners", "--attempts", "2"),
 }
 # What the soak counts of the cases that it checked, and how many it must have found at least.
 JUDGED = {
@@ -43,6 +45,8 @@
     "calls whose answers had no end": ("calls whose answers had no end", 1),
     "calls around planned work": ("calls around planned work", 100),
     "long runs of callers that had left": ("long runs of callers gone", 10),
+    "requests at their upstream bound": ("requests at their upstream bound", 1),
+    "silences of sound upstreams": ("silences of sound runners", 3),
 }
 HEAD = (
     b"HTTP/1.1 200 \r\nx-request-id: r1\r\nx-response-seal: seal-r1\r\n"
