--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -280,6 +280,7 @@
         if self._is_bound and why is Interruption.BETTER_ELSEWHERE:
             return False
         if instance not in self._executions.instances:
+            # It has ended, or the request wasn't sent there yet.
             return self._may_run_again
         return self._choose_path(frozenset(self._avoided | {instance})) is not None
 
