--- /dev/null
+++ b/features/kept_attempts.feature
@@ -0,0 +1,44 @@
+Feature: A stream leaves a silent upstream only once another one has its next event
+
+  # Guards against a stream that was ended beside a sound upstream: it had left it when that one fell
+  # silent for a second, and the next upstream refused it or the retry budget was spent.
+  Scenario Outline: A sound upstream is silent for a second <moment>: <others>, <retries> retries of <bound>
+    Given 3 first upstreams and a route that allows <bound>
+    When the upstream of a stream falls silent for a second <moment>, with <retries> retries left: <others>
+    Then its caller got the whole stream
+    And it was executed by no more than <bound> upstreams
+    And its arrivals beyond the first are no more than the retries that were spent
+
+    Examples: The others refuse the stream
+      | others               | bound | retries | moment                 |
+      | the others refuse it | 2     | 1       | before its first event |
+      | the others refuse it | 2     | 1       | after five events      |
+      | the others refuse it | 2     | 3       | before its first event |
+      | the others refuse it | 2     | 3       | after five events      |
+      | the others refuse it | 3     | 1       | after five events      |
+
+    Examples: The others fall silent as well
+      | others                           | bound | retries | moment                 |
+      | the others are silent for longer | 2     | 1       | before its first event |
+      | the others are silent for longer | 2     | 1       | after five events      |
+      | the others are silent for longer | 3     | 2       | after five events      |
+
+  # Guards against events of two upstreams in one answer, and against one that works on for nobody.
+  Scenario Outline: Another upstream has the next event <seconds> seconds after the silent one goes on
+    Given 3 first upstreams and a route that allows 2
+    When the upstream of a stream is silent, and another one has its next event <seconds> seconds after it
+    Then its caller got the whole stream
+    And one upstream ran it to its end, and the other one stopped within half a second
+
+    Examples:
+      | seconds |
+      | -0.4    |
+      | 0       |
+      | 0.4     |
+
+  # Guards against a retry that is spent although the upstream goes on before another one was asked.
+  Scenario: A stream whose upstream goes on before another one takes requests spends no retry
+    Given 1 first upstreams and a route that allows 2
+    When the upstream of a stream falls silent for a second after five events, with 3 retries left: there are none
+    Then its caller got the whole stream
+    And no retry was spent
--- /dev/null
+++ b/features/steps/kept_attempt_steps.py
@@ -0,0 +1,115 @@
+"""Steps about streams whose upstream is silent while others refuse them or take them over."""
+
+import trio
+from behave import then, when
+from bound_steps import EVENTS_BEFORE
+from bound_world import POLL_SECONDS, SILENCE_SECONDS
+from gateway_runner import EVENT_SECONDS
+
+from deckcourse.gateway.retry_issuer import RetryGrant
+
+# Requests that earn so many retries together with the one that spends them.
+EARNING_REQUESTS = {1: 7, 2: 12, 3: 17}
+LONG_SILENCE_SECONDS = 3.0
+DENIED_SECONDS = 2.0
+# The runners' records of a cancelled run may be this late by the rules.
+CANCEL_SECONDS = 0.5
+
+
+async def deny(need):
+    return RetryGrant(0, DENIED_SECONDS)
+
+
+def limit_retries(site, count):
+    """Let the process have so many retries for its next stream, and none of the shared slack."""
+    budget = site.node.gateway.context.budget("llm")
+    budget._request = deny
+    for _ in range(EARNING_REQUESTS[count]):
+        budget.earn()
+
+
+def count_retries(context, site):
+    """Count in `context.spent` the retries that are spent and not returned."""
+    budget = site.node.gateway.context.budget("llm")
+    add_to_tally = budget._add_to_tally
+    context.spent = 0
+
+    def add_counted(**counts):
+        context.spent += counts.get("retries", 0)
+        add_to_tally(**counts)
+
+    budget._add_to_tally = add_counted
+
+
+async def find_upstream(site, events):
+    """Return the upstream that runs the stream once it has sent so many events."""
+    while not any(len(each.events) >= events for each in site.runs):
+        await trio.sleep(POLL_SECONDS)
+    return site.runs[0].instance
+
+
+def play(context, retries, fault):
+    async def story(site):
+        limit_retries(site, retries)
+        count_retries(context, site)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fault, site)
+            context.got = await site.ask()
+            nursery.cancel_scope.cancel()
+        await trio.sleep(CANCEL_SECONDS)
+
+    context.site.play(story)
+
+
+@when(
+    "the upstream of a stream falls silent for a second {moment}, with {retries:d} retries left:"
+    " {others}"
+)
+def silent_beside_others(context, moment, retries, others):
+    async def fault(site):
+        first = await find_upstream(site, EVENTS_BEFORE[moment])
+        site.silence(first)
+        for instance in site.runners.keys() - {first}:
+            if others == "the others refuse it":
+                site.runners[instance].behaviour = "full"
+            else:
+                site.silence(instance, LONG_SILENCE_SECONDS)
+
+    play(context, retries, fault)
+
+
+@when(
+    "the upstream of a stream is silent, and another one has its next event {seconds:g} seconds"
+    " after it"
+)
+def next_event_elsewhere(context, seconds):
+    async def fault(site):
+        first = await find_upstream(site, EVENTS_BEFORE["after five events"])
+        site.silence(first)
+        goes_on_at = trio.current_time() + SILENCE_SECONDS
+        for instance in site.runners.keys() - {first}:
+            # Each next one sends no event before then, but answers queries.
+            site.runners[instance].held_until = goes_on_at + seconds
+
+    play(context, 3, fault)
+
+
+@then("its arrivals beyond the first are no more than the retries that were spent")
+def arrivals_are_paid(context):
+    arrivals = [each for each in context.site.received_requests if each.request == "r1"]
+    assert len(arrivals) - 1 <= context.spent, (arrivals, context.spent)
+
+
+@then("one upstream ran it to its end, and the other one stopped within half a second")
+def one_runs_to_its_end(context):
+    site = context.site
+    assert [each.ended for each in site.runs].count("answered") == 1, site.runs
+    # An upstream that worked on for longer would have sent the last event.
+    stopped = [each for each in site.runs if each.ended != "answered"]
+    last = max((number for each in stopped for number, _ in each.events), default=0)
+    assert stopped and last <= site.events - CANCEL_SECONDS / EVENT_SECONDS, (last, site.lines)
+
+
+@then("no retry was spent")
+def no_retry_spent(context):
+    assert context.spent == 0, (context.spent, context.site.lines[-20:])
