Keep a stream's silent upstream until another attempt has its next event

What callers saw: a stream that began was closed, or one that waited for its first event got 502, although every upstream was sound. One was silent for a second, the next refused the stream, and the log said "given up: retry-budget" or "no-route" half a second before the first one went on.

Cause: an interruption cancelled the attempt at the silent upstream before anyone else had taken the stream. A refusal, a spent budget or a second silence then left it with nothing. Class: something that works is given up before its replacement is certain.

Change: the attempts of a stream are tasks of their own. A detached one keeps waiting for its upstream; the first attempt, or peer, that has the next event takes the response over and ends the others. If no further attempt can be made, the stream waits for those in progress until their upstreams are known to have ended, and is monitored again once they answer. A retry is reserved until it is used, and returned if the upstream goes on before. A write to the caller is never overtaken: a stream is detached only while it waits for its upstream.

Weighed: moving a stream only if the budget holds a reserve for a second move leaves streams at hosts that have really ended; going back to the first upstream after a refusal costs one more arrival, and finds nothing while it is still silent.

--- a/deckcourse/gateway/active_stream.py
+++ b/deckcourse/gateway/active_stream.py
@@ -81,8 +81,17 @@
     reserve_retry: Callable[["Interruption", Callable[[], object]], bool] = (
         lambda why, when_granted: False
     )
+    on_detached: Callable[[], object] = lambda: None
     interruption: Interruption | None = None
     _wait_scope: trio.CancelScope | None = field(default=None, init=False)
+    # Whether the stream waits for an upstream that may go on with it.
+    _awaits_upstream: bool = field(default=False, init=False)
+    _is_detached: bool = field(default=False, init=False)
+
+    @property
+    def is_detached(self) -> bool:
+        """Whether another attempt is to take the place of this one unless it goes on before."""
+        return self._is_detached
 
     @property
     def stalled_at(self) -> float:
@@ -113,13 +122,10 @@
 
     @contextmanager
     def interruptible(self) -> Iterator[None]:
-        """Enclose a wait for the upstream; writes to the caller must stay outside.
-
-        An interruption may cancel only the wait for the upstream: when it also cancelled a write to
-        the caller, a response head counted as sent that never was.
+        """Enclose a wait for a connection, before the request is sent; an interruption ends it.
 
         Raises:
-          StreamInterruptedError: the stream was detached from its upstream, now or earlier.
+          StreamInterruptedError: the stream was interrupted, now or earlier.
         """
         with trio.CancelScope() as scope:
             self._wait_scope = scope
@@ -132,6 +138,31 @@
         if scope.cancelled_caught:
             raise StreamInterruptedError
 
+    @contextmanager
+    def awaiting_upstream(self) -> Iterator[None]:
+        """Enclose a wait for an upstream that has the request; an interruption doesn't end it.
+
+        The stream is only detached, and only while it waits: during a write to its caller, its last
+        event isn't known yet, and another attempt would repeat it.
+        """
+        self._awaits_upstream = True
+        if self.interruption is not None:
+            self._detach()
+        try:
+            yield
+        finally:
+            self._awaits_upstream = False
+
+    def _detach(self) -> None:
+        if not self._is_detached:
+            self._is_detached = True
+            self.on_detached()
+
+    def attach(self) -> None:
+        """Let the stream go on at its upstream, as if it had not been interrupted."""
+        self.interruption = None
+        self._is_detached = False
+
     def note_event(self, now: float, count: int = 1) -> None:
         """Record that events came."""
         if self.has_events:
@@ -152,9 +183,12 @@
             self.interruption = why
             if self._wait_scope is not None:
                 self._wait_scope.cancel()
+            if self._awaits_upstream:
+                self._detach()
             return True
         return False
 
     def is_stalled(self, now: float) -> bool:
         """Return whether no event came for longer than expected."""
-        return self.is_waiting and not self.is_moving and now > self.stalled_at
+        is_waiting = self.is_waiting and self.interruption is None and not self.is_moving
+        return is_waiting and now > self.stalled_at
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -177,7 +177,9 @@
     def _seconds_until_check(self, now: float) -> float:
         """Return the seconds until the next stream can become stalled, within the bounds."""
         moments = [
-            each.stalled_at for each in self._streams if each.is_waiting and not each.is_moving
+            each.stalled_at
+            for each in self._streams
+            if each.is_waiting and each.interruption is None and not each.is_moving
         ]
         earliest = min(moments, default=now + MAX_CHECK_INTERVAL_SECONDS)
         return max(MIN_CHECK_INTERVAL_SECONDS, min(MAX_CHECK_INTERVAL_SECONDS, earliest - now))
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -44,6 +44,7 @@
     Refusal,
     StreamAdmission,
 )
+from deckcourse.gateway.stream_attempts import StreamAttempt, StreamAttempts
 from deckcourse.gateway.stream_retries import MAX_PAUSE_SECONDS, StreamRetries
 from deckcourse.gateway.whole_messages import read_whole
 from deckcourse.http1.client import UpstreamConnection, UpstreamReply
@@ -102,6 +103,7 @@
 
 
 _AttemptResult = _Finished | _Refused | _Broken | Withheld
+_Attempt = StreamAttempt[_AttemptResult]
 
 
 class StreamCall:
@@ -134,8 +136,13 @@
         self._last_event = admitted.caller.last_event
         self._last_progress_at = trio.current_time()
         self._arrived_at = trio.current_time()
-        # The current attempt, None between attempts, and since when that holds.
-        self._current: ActiveStream | None = None
+        # How often an attempt failed or was detached, and how the last one did.
+        self._tries = 0
+        self._last_failure: _Refused | _Broken | None = None
+        self._attempts: StreamAttempts[_AttemptResult] = StreamAttempts()
+        # Attempts that were detached since the last change was handled.
+        self._detached: list[_Attempt] = []
+        # When the last attempt ended.
         self._since = trio.current_time()
         # Since when events are being written to the caller, None if none are.
         self._writing_since: float | None = None
@@ -164,79 +171,153 @@
 
     def _log_deadline(self) -> None:
         waits_for, instance, since = WaitsFor.ENTRY, "", self._since
-        if self._current is not None:
-            waits_for, since = WaitsFor.UPSTREAM, self._current.progress_at
-            instance = self._current.path.stages[0].instance
+        current = self._attempts.live[-1] if self._attempts.live else None
+        if current is not None and current.stream is not None:
+            waits_for, since = WaitsFor.UPSTREAM, current.stream.progress_at
+            instance = current.instance
         if self._writing_since is not None:
             waits_for, since = WaitsFor.CALLER, self._writing_since
         log_deadline(self._context, self._admitted, waits_for, instance, since)
 
     async def _run_attempts(self) -> Outcome:
-        last_failure: _Refused | _Broken | None = None
-        attempts = 0
+        async with self._attempts.running():
+            return await self._continue_attempts()
+
+    async def _continue_attempts(self) -> Outcome:
+        """Make attempts until one has the outcome, or none can be made and none is in progress."""
+        needs_attempt = True
+        # The outcome unless an attempt that is in progress goes on.
+        given_up: Outcome | None = None
+        while True:
+            if needs_attempt:
+                given_up = await self._search()
+            if given_up is not None and (_is_final(given_up) or not self._attempts.live):
+                return given_up
+            await self._wait_for_change(given_up is not None)
+            needs_attempt = False
+            while self._detached:
+                attempt = self._detached.pop(0)
+                if attempt.is_detached:
+                    await self._note_detached(attempt)
+                needs_attempt = not self._attempts.is_any_attached
+            while (ended := self._attempts.take_ended()) is not None:
+                given_up = await self._note_end(ended)
+                if isinstance(given_up, Answered):
+                    return given_up
+                needs_attempt = given_up is None and not self._attempts.is_any_attached
+
+    async def _search(self) -> Outcome | None:
+        """Start a further attempt, unless one that is in progress goes on before.
+
+        Returns:
+          The outcome if no attempt can be made, or if a peer has served the stream.
+        """
+        outcome: Outcome | None = None
+        with self._attempts.searching() as scope:
+            outcome = await self._start_attempt()
+        if scope.cancelled_caught:
+            self._retries.close()
+        return outcome
+
+    async def _start_attempt(self) -> Outcome | None:
         while True:
             refusal = refuse_quarantined(self._context, self._admitted, self._executions.runs > 0)
             if refusal is not None and not self._has_received_events:
                 return refusal
             if (
-                attempts
+                self._tries
                 and self._executions.runs
                 and not await self._retries.wait(self._last_progress_at)
             ):
-                return self._give_up(
-                    last_failure, NotRunReason.RETRY_BUDGET, FULL_RETRY_AFTER_SECONDS
-                )
+                return self._give_up(NotRunReason.RETRY_BUDGET, FULL_RETRY_AFTER_SECONDS)
             path = None if self._is_partitioned else await self._find_path()
             if path is None:
                 handed = await self._hand_over()
                 if isinstance(handed, _Broken):
-                    last_failure = handed
-                    attempts += 1
+                    self._last_failure = handed
+                    self._tries += 1
                     if self._may_run_again:
                         continue
-                    break
+                    return self._give_up(NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_AFTER_SECONDS)
                 if handed is not None:
                     return handed
                 if self._is_partitioned and self._may_wait_for_path:
-                    if attempts:
-                        self._retries.reserve_unused()
                     await trio.sleep(PATH_SEARCH_INTERVAL_SECONDS)
                     continue
                 path = await self._find_path() if self._is_partitioned else None
             if path is None:
-                return self._no_path_outcome(last_failure)
+                return self._no_path_outcome()
             if not self._executions.runs:
-                path = await self._admission.admit(path, attempts)
+                path = await self._admission.admit(path, self._tries)
                 if isinstance(path, Refusal):
-                    return self._refused_outcome(path, last_failure)
+                    return self._refused_outcome(path)
             if not self._context.may_send():
-                return self._give_up(last_failure, NotRunReason.NOT_READY, FULL_RETRY_AFTER_SECONDS)
+                return self._give_up(NotRunReason.NOT_READY, FULL_RETRY_AFTER_SECONDS)
             if await self._context.crashes.wait_for_trial(self._admitted, path.stages[0].instance):
-                if attempts:
-                    self._retries.reserve_unused()
-                continue
-            result = await self._attempt_with_token(path)
-            if isinstance(result, Withheld):
-                if attempts:
-                    self._retries.reserve_unused()
-                await trio.lowlevel.checkpoint()
                 continue
-            attempts += 1
-            if isinstance(result, _Finished):
-                self._context.return_schedule(self._admitted.service.name).note_answered()
-                return Answered(0, result.status)
-            last_failure = result
-            self._log_attempt(path, result)
-            if isinstance(result, _Broken) and not self._may_run_again:
-                break
-            if not self._executions.runs and attempts == MAX_ATTEMPTS:
-                break
-            if self._unreachable_attempts >= MIN_UNREACHABLE:
-                await self._context.reachability.confirm_contact(self._admitted.service.name)
-            if isinstance(result, _Broken) and not self._has_received_events:
-                first = path.stages[0].instance
-                await self._context.crashes.wait_for_preceding_suspects(self._admitted, first)
-        return self._give_up(last_failure, NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_AFTER_SECONDS)
+            # An attempt that is in progress may have gone on since the last checkpoint.
+            await trio.lowlevel.checkpoint_if_cancelled()
+            self._retries.use()
+            self._attempts.start(path, self._attempt_with_token)
+            return None
+
+    async def _wait_for_change(self, has_given_up: bool) -> None:
+        """Wait until an attempt was detached, has taken over or has ended.
+
+        If no further one can be made, those are ended whose upstreams have ended, and those whose
+        upstreams answer again are monitored again.
+        """
+        poll_seconds = float("inf")
+        if has_given_up:
+            for attempt in self._attempts.live:
+                if not attempt.is_detached:
+                    continue
+                if attempt.instance not in self._executions.instances:
+                    self._attempts.cancel(attempt)
+                elif not self._context.upstreams.is_suspected(attempt.instance):
+                    attempt.stream.attach()
+                poll_seconds = PATH_SEARCH_INTERVAL_SECONDS
+        if not self._detached and not self._attempts.has_ended:
+            with trio.move_on_after(poll_seconds):
+                await self._attempts.wait_for_change()
+
+    async def _note_detached(self, attempt: _Attempt) -> None:
+        """Prepare for the attempt that is to take the place of a detached one."""
+        self._tries += 1
+        self._log_attempt(attempt.path, self._note_interruption(attempt))
+        if attempt.stream.interruption is Interruption.FIRST_SILENT:
+            await self._report_interrupted(attempt.stream)
+        self._context.crashes.end_attempt(self._admitted, attempt.instance)
+        await self._wait_for_preceding_suspects(attempt)
+
+    async def _note_end(self, attempt: _Attempt) -> Outcome | None:
+        """Record the end of an attempt; return the outcome if no other one may be made."""
+        result = attempt.result
+        if isinstance(result, Withheld):
+            if self._tries:
+                self._retries.reserve_unused()
+            await trio.lowlevel.checkpoint()
+            return None
+        self._tries += 1
+        if isinstance(result, _Finished):
+            self._context.return_schedule(self._admitted.service.name).note_answered()
+            return Answered(0, result.status)
+        self._last_failure = result
+        self._log_attempt(attempt.path, result)
+        is_broken = isinstance(result, _Broken)
+        is_last = not self._executions.runs and self._tries == MAX_ATTEMPTS
+        if is_last or (is_broken and not self._may_run_again):
+            return self._give_up(NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_AFTER_SECONDS)
+        if self._unreachable_attempts >= MIN_UNREACHABLE:
+            await self._context.reachability.confirm_contact(self._admitted.service.name)
+        if is_broken:
+            await self._wait_for_preceding_suspects(attempt)
+        return None
+
+    async def _wait_for_preceding_suspects(self, attempt: _Attempt) -> None:
+        if not self._has_received_events:
+            crashes = self._context.crashes
+            await crashes.wait_for_preceding_suspects(self._admitted, attempt.instance)
 
     @property
     def _is_partitioned(self) -> bool:
@@ -247,7 +328,7 @@
         """Whether some upstream may execute the stream from now on."""
         candidates = self._executions.candidates
         return self._admitted.route.repeatable and (
-            candidates is None or bool(candidates - self._failed)
+            candidates is None or bool(candidates - self._failed - self._attempts.instances)
         )
 
     @property
@@ -262,19 +343,20 @@
         may_start_late = self._has_started or self._is_bound
         return may_start_late and trio.current_time() < search_ends_at
 
-    def _reserve_retry(self, why: Interruption, when_granted: Callable[[], object]) -> bool:
-        """Reserve a retry if the stream may leave its upstream; see `StreamRetries.reserve`."""
-        return self._may_leave(why) and self._retries.reserve(when_granted)
+    def _reserve_retry(
+        self, instance: str, why: Interruption, when_granted: Callable[[], object]
+    ) -> bool:
+        """Reserve a retry if the stream may leave an upstream; see `StreamRetries.reserve`."""
+        return self._may_leave(instance, why) and self._retries.reserve(when_granted)
 
-    def _may_leave(self, why: Interruption) -> bool:
-        """Return whether the stream may be detached from its upstream.
+    def _may_leave(self, instance: str, why: Interruption) -> bool:
+        """Return whether the stream may be detached from an upstream.
 
-        Silence is no reason to end it: unless there is another path, it stays, since its upstream
-        may still go on. It doesn't return to an upstream only for a better path.
+        Unless there is another path, it stays. It doesn't return to an upstream only for a better
+        path.
         """
-        if self._current is None or not self._admitted.route.repeatable:
+        if not self._admitted.route.repeatable:
             return False
-        instance = self._current.path.stages[0].instance
         if self._has_started and not self._is_bound:
             return True
         if self._is_bound and why is Interruption.BETTER_ELSEWHERE:
@@ -296,7 +378,12 @@
         is_unspent_retry = self._retries.was_refused and not self._executions.runs
         if is_unspent_retry and not await self._retries.acquire(was_executed=False):
             return None
-        result = await self._handover.serve(self._last_event, self._executions)
+        is_paid = self._retries.use()
+        result = await self._handover.serve(
+            self._last_event, self._executions, self._give_up_attempts
+        )
+        if result is None and is_paid:
+            self._retries.reserve_unused()
         if isinstance(result, HandedOver):
             if isinstance(result.outcome, Answered):
                 self._context.return_schedule(self._admitted.service.name).note_answered()
@@ -309,33 +396,29 @@
             self._has_received_events = True
         return _Broken(result.message)
 
-    def _refused_outcome(
-        self, refusal: Refusal, last_failure: _Refused | _Broken | None
-    ) -> Outcome:
+    def _refused_outcome(self, refusal: Refusal) -> Outcome:
         """Return the outcome of a stream that was not admitted and not executed."""
         if refusal.reason is NotRunReason.NO_ROUTE:
-            return self._no_path_outcome(last_failure)
+            return self._no_path_outcome()
         if not refusal.message:
-            return self._give_up(last_failure, refusal.reason, refusal.retry_after)
+            return self._give_up(refusal.reason, refusal.retry_after)
         return NotRun(refusal.reason, refusal.message, self._retry_after(refusal.retry_after))
 
-    def _give_up(
-        self, last_failure: _Refused | _Broken | None, reason: NotRunReason, retry_after: float
-    ) -> Outcome:
+    def _give_up(self, reason: NotRunReason, retry_after: float) -> Outcome:
         message = (
-            last_failure.message
-            if last_failure is not None
+            self._last_failure.message
+            if self._last_failure is not None
             else "no usable upstreams hold every layer"
         )
         if self._executions.runs:
             return Unknown(UnknownReason.UPSTREAM_LOST, f"{message}; given up: {reason}")
         return NotRun(reason, message, self._retry_after(retry_after))
 
-    def _no_path_outcome(self, last_failure: _Refused | _Broken | None) -> Outcome:
+    def _no_path_outcome(self) -> Outcome:
         """Return the outcome if no path is usable, with the end of the backoffs as retry-after."""
         accepts_at = self._choice.accepts_at(self._admitted.service.model)
         if self._executions.runs or accepts_at is None:
-            return self._give_up(last_failure, NotRunReason.NO_ROUTE, NO_PATH_RETRY_AFTER_SECONDS)
+            return self._give_up(NotRunReason.NO_ROUTE, NO_PATH_RETRY_AFTER_SECONDS)
         # Refused immediately: waiting here would not serve the caller sooner.
         seconds = max(0.0, accepts_at - trio.current_time())
         message = f"every path begins at an upstream that takes no request for {seconds:.2f} s"
@@ -359,8 +442,10 @@
     def _choose_path(self, avoid: frozenset[str]) -> LayerPath | None:
         """Return a path, if possible one without upstreams that are executing suspect requests.
 
-        With as many upstreams as its route allows, it begins at one of these.
+        With as many upstreams as its route allows, it begins at one of these. Those that may still
+        go on with an earlier attempt are left out.
         """
+        avoid |= self._attempts.instances
         model = self._admitted.service.model
         trials = self._context.crashes.trial_upstreams()
         route, caller = self._admitted.route, self._admitted.caller
@@ -377,20 +462,20 @@
         path = choose(model, avoid | trials) if trials else None
         return path or choose(model, avoid)
 
-    async def _attempt_with_token(self, path: LayerPath) -> _AttemptResult:
-        """Attempt a path with a token for its first upstream; gives an unused token back."""
-        token = await self._context.rates.acquire(path.stages[0].instance)
+    async def _attempt_with_token(self, attempt: _Attempt) -> _AttemptResult:
+        """Make an attempt with a token for its first upstream; gives an unused token back."""
+        token = await self._context.rates.acquire(attempt.instance)
         if token is None:
             return Withheld()
         try:
-            result = await self._attempt(path, token)
+            result = await self._attempt(attempt, token)
         finally:
             await self._context.rates.return_token(token)
-        self._current, self._since = None, trio.current_time()
+        self._since = trio.current_time()
         return result
 
-    async def _attempt(self, path: LayerPath, token: SendingToken) -> _AttemptResult:
-        context = self._context
+    async def _attempt(self, attempt: _Attempt, token: SendingToken) -> _AttemptResult:
+        context, path = self._context, attempt.path
         first = path.stages[0]
         stream = ActiveStream(
             self._admitted.caller.request_id,
@@ -402,51 +487,79 @@
             prompt_tokens=self._admitted.caller.prompt_tokens,
             events=self._last_event or 0,
             event_at=self._last_progress_at if self._has_started else 0.0,
-            reserve_retry=self._reserve_retry,
+            reserve_retry=partial(self._reserve_retry, first.instance),
+            on_detached=partial(self._on_detached, attempt),
             upstream=context.upstreams.last_known(first.instance),
         )
-        self._current = stream
+        attempt.stream = stream
         context.upstreams.begin_request(first.instance)
         context.monitor.add(stream)
-        runs = self._executions.runs
         try:
             with stream.interruptible():
                 connection = await context.pool.acquire(
                     first.address, without_call=stream.request_id
                 )
             with context.pool.release_after_call(connection):
-                result = await self._exchange(connection, stream, token)
+                result = await self._exchange(connection, attempt, token)
         except ConnectionLostError as failure:
             result = await self._on_failure(stream, failure)
         except StreamInterruptedError:
-            return await self._on_interruption(stream)
+            return self._note_interruption(attempt)
         finally:
             context.monitor.discard(stream)
             context.crashes.end_attempt(self._admitted, first.instance)
             context.upstreams.end_request(first.instance)
-            if self._executions.runs > runs:
+            if attempt.has_run:
                 context.admission.note_ended(stream.service, first.instance)
         if isinstance(result, _Finished | _Broken):
             context.upstreams.record_outcome(first.instance, isinstance(result, _Broken))
         return result
 
-    async def _on_interruption(self, stream: ActiveStream) -> _AttemptResult:
-        if stream.interruption is not Interruption.BETTER_ELSEWHERE:
-            self._avoided.add(stream.path.stages[0].instance)
-        if stream.interruption is Interruption.FIRST_SILENT:
-            await self._report_interrupted(stream)
+    def _on_detached(self, attempt: _Attempt) -> None:
+        self._detached.append(attempt)
+        self._attempts.note_change()
+
+    def _note_interruption(self, attempt: _Attempt) -> _Broken:
+        interruption, exchange = attempt.stream.interruption, self._admitted.exchange
+        if interruption is not Interruption.BETTER_ELSEWHERE:
+            self._avoided.add(attempt.instance)
         self._context.count(f"retry.{RetryReason.STAGE_STALLED}")
-        exchange = self._admitted.exchange
         self._context.log(
             "try-interrupted",
             request=self._admitted.caller.request_id,
-            instance=stream.path.stages[0].instance,
-            why=str(stream.interruption),
+            instance=attempt.instance,
+            why=str(interruption),
             begun=exchange.started,
             torn=exchange.torn,
             last_event=self._last_event,
         )
-        return _Broken(str(stream.interruption))
+        self._last_failure = _Broken(str(interruption))
+        return self._last_failure
+
+    async def _take_over(self, attempt: _Attempt) -> None:
+        """Let an attempt continue the response, since it has the next event."""
+        # Another one may have taken over in the tick in which this one received it.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        if attempt.is_detached:
+            if attempt in self._detached:
+                self._detached.remove(attempt)
+                self._note_interruption(attempt)
+            self._retries.close()
+            self._avoided.discard(attempt.instance)
+            self._context.log(
+                "try-continues",
+                request=self._admitted.caller.request_id,
+                instance=attempt.instance,
+                silent_ms=round((trio.current_time() - attempt.stream.progress_at) * 1000),
+                last_event=self._last_event,
+            )
+        self._attempts.take_over(attempt)
+
+    async def _give_up_attempts(self) -> None:
+        """End all attempts, since a peer has the next event."""
+        await trio.lowlevel.checkpoint_if_cancelled()
+        for attempt in self._attempts.live:
+            self._attempts.cancel(attempt)
 
     async def _on_failure(
         self, stream: ActiveStream, failure: ConnectionLostError
@@ -477,10 +590,10 @@
             )
 
     async def _exchange(
-        self, connection: UpstreamConnection, stream: ActiveStream, token: SendingToken
+        self, connection: UpstreamConnection, attempt: _Attempt, token: SendingToken
     ) -> _AttemptResult:
         """Send the request and forward its response."""
-        admitted = self._admitted
+        admitted, stream = self._admitted, attempt.stream
         if is_withheld(self._context, token):
             return Withheld()
         dispatch = Dispatch(
@@ -494,6 +607,7 @@
         stream.progress_at = trio.current_time()
         self._log_repeat(dispatch.instance)
         self._executions.note_sent(dispatch.instance)
+        attempt.has_run = True
         stream.execution = self._context.crashes.begin_attempt(admitted, dispatch.instance)
         self._admission.note_sent(stream.path)
         meter = admitted.exchange.meter
@@ -501,37 +615,45 @@
         meter.note_response_end()  # That of an earlier attempt.
         meter.note_body_waiting(len(admitted.caller.message.body))
         try:
-            with stream.interruptible():
+            with stream.awaiting_upstream():
                 reply, facts = await send_request(
                     self._context, admitted, connection, dispatch, meter.note_body_sent
                 )
         except ConnectionLostError as failure:
             if failure.kind is FailureKind.UNSENT:
-                self._executions.note_not_executed(dispatch.instance)
+                self._note_not_executed(attempt)
             raise
         if reply.status == OK:
-            return await self._relay(reply, stream)
+            return await self._relay(reply, attempt)
         stream.is_waiting = False
-        with stream.interruptible():
+        with stream.awaiting_upstream():
             body = await read_whole(reply.next_data, reply.headers, meter)
         if facts.not_executed:
-            self._executions.note_not_executed(dispatch.instance)
+            self._note_not_executed(attempt)
             self._retries.note_refused()
             return self._on_refusal(stream, reply.status, facts)
         await check_single_response(reply, body)
         await self._check_end(reply, stream)
-        return await self._on_other_response(reply, body, dispatch.instance)
+        return await self._on_other_response(reply, body, attempt)
+
+    def _note_not_executed(self, attempt: _Attempt) -> None:
+        self._executions.note_not_executed(attempt.instance)
+        attempt.has_run = False
 
     async def _on_other_response(
-        self, reply: UpstreamReply, body: bytes, instance: str
+        self, reply: UpstreamReply, body: bytes, attempt: _Attempt
     ) -> _AttemptResult:
         response = _Response(reply.status, end_to_end(reply.headers), body)
         may_run_elsewhere = self._admitted.route.repeatable and not self._is_bound
-        if self._has_started or (reply.status >= SERVER_ERROR and may_run_elsewhere):
-            self._avoided.add(instance)
-            self._failed.add(instance)
+        is_other_in_progress = len(self._attempts.live) > 1
+        if self._has_started or (
+            reply.status >= SERVER_ERROR and (may_run_elsewhere or is_other_in_progress)
+        ):
+            self._avoided.add(attempt.instance)
+            self._failed.add(attempt.instance)
             self._failed_response = response
             return _Broken(f"upstream answered {reply.status}")
+        await self._take_over(attempt)
         return await self._respond(response)
 
     async def _respond(self, response: _Response) -> _Finished:
@@ -553,11 +675,13 @@
         self._context.count(f"retry.{RetryReason.REFUSED}.{status}")
         return _Refused(RetryReason.REFUSED, f"{refusing_instance} answered {status}")
 
-    async def _relay(self, reply: UpstreamReply, stream: ActiveStream) -> _AttemptResult:
+    async def _relay(self, reply: UpstreamReply, attempt: _Attempt) -> _AttemptResult:
+        stream = attempt.stream
         source = MeteredEvents(self._last_event, reply, partial(self._receive, reply, stream))
         reader = source.reader
         while (events := await source.next_events()) is not None:
             if events:
+                await self._take_over(attempt)
                 self._record_events(stream)
                 await self._forward_events(reply, stream, events)
                 stream.note_event(trio.current_time(), len(events))
@@ -569,12 +693,16 @@
         if self._last_event is None:
             raise ConnectionLostError(FailureKind.LOST, "the stream ended before its first event")
         await self._check_end(reply, stream)
+        if attempt in self._detached:  # No other attempt is needed.
+            self._detached.remove(attempt)
+            stream.attach()
+        await self._take_over(attempt)
         await self._finish_response(reply, reader.trailing)
         return _Finished(OK)
 
     async def _receive(self, reply: UpstreamReply, stream: ActiveStream) -> bytes | None:
         stream.is_waiting = True
-        with stream.interruptible():
+        with stream.awaiting_upstream():
             data = await reply.next_data()
         stream.is_waiting = False
         return data
@@ -586,7 +714,7 @@
           ConnectionLostError: it may be.
         """
         first = stream.path.stages[0].instance
-        with stream.interruptible():
+        with stream.awaiting_upstream():
             await self._context.ends.check(
                 reply,
                 AnswerSource(self._admitted.caller.request_id, first, accepts_queries=True),
@@ -664,3 +792,13 @@
             runs=self._executions.runs,
             identity=self._admitted.identity if isinstance(result, _Broken) else "",
         )
+
+
+def _is_final(outcome: Outcome) -> bool:
+    """Return whether an outcome holds though an upstream may still go on.
+
+    A request that ends its upstreams must not wait for them.
+    """
+    if isinstance(outcome, Answered):
+        return True
+    return outcome.reason in (NotRunReason.ENDS_UPSTREAMS, UnknownReason.ENDS_UPSTREAMS)
--- a/deckcourse/gateway/stream_admission.py
+++ b/deckcourse/gateway/stream_admission.py
@@ -78,6 +78,8 @@
     async def admit(self, path: LayerPath, attempts: int) -> LayerPath | Refusal:
         """Return the path on which the stream may be sent now, or its refusal.
 
+        The retry of a further attempt is reserved.
+
         Args:
           path: the path that was chosen for it.
           attempts: how many attempts were made.
@@ -95,8 +97,6 @@
         outcome = await queue.enter(self._new_ticket(path, attempts))
         if isinstance(outcome, Refused):
             return self._refusal_of(outcome)
-        if attempts:
-            await self._retries.acquire(was_executed=False)
         self._counted_path = outcome.path
         return outcome.path
 
@@ -118,8 +118,10 @@
             )
         if attempts and self._choice.refused_recently(path):
             return Refusal(NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_AFTER_SECONDS)
-        if attempts and not await self._retries.acquire(was_executed=False):
-            return Refusal(NotRunReason.RETRY_BUDGET, FULL_RETRY_AFTER_SECONDS)
+        if attempts:
+            if not await self._retries.acquire(was_executed=False):
+                return Refusal(NotRunReason.RETRY_BUDGET, FULL_RETRY_AFTER_SECONDS)
+            self._retries.reserve_unused()
         return None
 
     async def _wait_for_retry(self, path: LayerPath) -> Refusal | None:
--- a/deckcourse/gateway/stream_retries.py
+++ b/deckcourse/gateway/stream_retries.py
@@ -53,7 +53,7 @@
         self._refusals += 1
 
     async def wait(self, progress_at: float) -> bool:
-        """Spend a retry for a stream that was executed, waiting for one; return whether it got one.
+        """Reserve a retry for an executed stream, waiting for one; return whether it got one.
 
         A stream that comes after the wait, since its upstream was silent, takes one that is
         available as long as its caller waits.
@@ -62,7 +62,7 @@
           progress_at: when its caller last received an event, on trio's clock.
         """
         if self._has_reserved:
-            return await self.acquire()
+            return True
         if self._refusals:
             backoff = REFUSAL_BACKOFF_SECONDS * 2**self._refusals
             await trio.sleep(min(backoff, MAX_REFUSAL_BACKOFF_SECONDS))
@@ -72,8 +72,14 @@
             if trio.current_time() >= progress_at + MAX_RETRY_WAIT_SECONDS:
                 return False
             await trio.sleep(REFUSAL_BACKOFF_SECONDS)
+        self._has_reserved = True
         return True
 
+    def use(self) -> bool:
+        """Use the reserved retry, if any, as the stream is sent again; return whether there was."""
+        had_reserved, self._has_reserved = self._has_reserved, False
+        return had_reserved
+
     async def acquire(self, was_executed: bool = True) -> bool:
         """Spend a retry; return whether there was one for this stream."""
         if self._has_reserved:
@@ -87,7 +93,8 @@
         Args:
           when_granted: called later if no retry is available now but one is granted soon.
         """
-        self._has_reserved = self._budget.spend(DETACHING_RESERVE_SHARE)
+        if not self._has_reserved:
+            self._has_reserved = self._budget.spend(DETACHING_RESERVE_SHARE)
         if not self._has_reserved:
             self._budget.request_ahead(when_granted)
         return self._has_reserved
--- a/features/mutants_moves.py
+++ b/features/mutants_moves.py
@@ -6,6 +6,9 @@
 from deckcourse.gateway.executions import Executions
 from deckcourse.gateway.onward_paths import OnwardPaths
 from deckcourse.gateway.stalls import StallMonitor
+from deckcourse.gateway.stream import StreamCall
+from deckcourse.gateway.stream_attempts import StreamAttempts
+from deckcourse.gateway.stream_retries import StreamRetries
 from deckcourse.gateway.upstreams import UpstreamTable
 
 
@@ -38,13 +41,35 @@
     UpstreamTable.has_ended_since = lambda self, instance, since: False
 
 
+def silent_upstreams_are_left_at_once():
+    detach = StreamCall._on_detached
+
+    def detach_and_cancel(self, attempt):
+        detach(self, attempt)
+        self._attempts.cancel(attempt)
+
+    StreamCall._on_detached = detach_and_cancel
+
+
+def events_of_all_attempts_count():
+    StreamAttempts.take_over = lambda self, attempt: None
+
+
+def unused_retries_are_lost():
+    StreamRetries.close = lambda self: None
+
+
 MOVES = ("onward_paths",)
 BOUND = ("upstream_bound",)
+KEPT = ("kept_attempts",)
 EVERY = {
     moves_take_the_cheapest_path: ("moved streams are spread over replicas", MOVES),
     gone_hosts_are_forgotten: ("hosts found to be gone are left out for all streams", MOVES),
     reports_are_not_verified: ("a reported upstream that answers isn't left", MOVES),
     replicas_are_searched_late: ("replicas are searched ahead of a loss", MOVES),
     any_upstream_is_allowed: ("a request stays within the upstreams that its route allows", BOUND),
+    silent_upstreams_are_left_at_once: ("a silent upstream is left once another one goes on", KEPT),
+    events_of_all_attempts_count: ("one attempt alone continues a response", KEPT),
+    unused_retries_are_lost: ("a retry that is not used is returned", KEPT),
     ended_upstreams_count: ("upstreams that ended don't count against that bound", BOUND),
 }
