Split the attempts of a stream into modules of their own

What a stream's attempts share is in stream_state.py, the choice of their paths in stream_paths.py, and one attempt in stream_runner.py; StreamCall decides between attempts. No change of behaviour: kept_attempts, torn_writes, interruptions and upstream_bound are green (76 scenarios).

--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -13,6 +13,7 @@
 from deckcourse.gateway.dialect import ProbeResult
 from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.node import GatewayNode
+from deckcourse.gateway.stream_runner import AttemptRunner
 from deckcourse.peers.crash import Crash
 from deckcourse.peers.gossip import PeerGossip
 from deckcourse.plain_service_http import HttpPlainService
@@ -116,13 +117,13 @@
 
 
 def superseded_first_stages_are_forgotten():
-    usual = stream_module.StreamCall._report_interrupted
+    usual = AttemptRunner.report_interrupted
 
     async def report_interrupted(self, stream):
         stream.upstream = self._context.upstreams.last_known(stream.path.stages[0].instance)
         await usual(self, stream)
 
-    stream_module.StreamCall._report_interrupted = report_interrupted
+    AttemptRunner.report_interrupted = report_interrupted
 
 
 def an_answer_of_the_next_start_shows_nothing():
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -33,6 +33,7 @@
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.stream import StreamCall
 from deckcourse.gateway.stream_retries import StreamRetries
+from deckcourse.gateway.stream_runner import AttemptRunner
 from deckcourse.gateway.traffic_share import TrafficShare
 from deckcourse.gateway.upstream import StartOrder
 from deckcourse.gateway.upstreams import UpstreamTable
@@ -260,13 +261,13 @@
 
 
 def interruptions_reach_the_caller():
-    original = StreamCall._forward_events
+    original = AttemptRunner._forward_events
 
     async def pass_on(self, reply, stream, events):
         with stream.interruptible():
             await original(self, reply, stream, events)
 
-    StreamCall._forward_events = pass_on
+    AttemptRunner._forward_events = pass_on
 
 
 def torn_connections_go_on():
--- a/features/mutants_moves.py
+++ b/features/mutants_moves.py
@@ -42,13 +42,13 @@
 
 
 def silent_upstreams_are_left_at_once():
-    detach = StreamCall._on_detached
+    detach = StreamCall.on_detached
 
     def detach_and_cancel(self, attempt):
         detach(self, attempt)
         self._attempts.cancel(attempt)
 
-    StreamCall._on_detached = detach_and_cancel
+    StreamCall.on_detached = detach_and_cancel
 
 
 def events_of_all_attempts_count():
--- a/features/mutants_notices.py
+++ b/features/mutants_notices.py
@@ -1,7 +1,7 @@
 """Mutants of the handling of upstreams that request a backoff or announce their shutdown."""
 
 import deckcourse.gateway.lookup as lookup_module
-import deckcourse.gateway.stream as stream_module
+import deckcourse.gateway.stream_runner as stream_runner_module
 import deckcourse.platform.notices as notices_module
 from deckcourse.gateway.backoffs import Backoffs
 from deckcourse.gateway.leaving_incarnations import LeavingIncarnations
@@ -29,7 +29,7 @@
 
 
 def no_look_before_a_request_is_sent():
-    stream_module.is_withheld = lambda context, instance: False
+    stream_runner_module.is_withheld = lambda context, instance: False
     lookup_module.is_withheld = lambda context, instance: False
 
 
--- a/features/steps/gateway_fault_steps.py
+++ b/features/steps/gateway_fault_steps.py
@@ -10,7 +10,7 @@
 from gateway_story import ask_while, assert_whole, two_chains
 
 from deckcourse.gateway.rate_gate import RateGate
-from deckcourse.gateway.stream import StreamCall
+from deckcourse.gateway.stream_runner import AttemptRunner
 
 # The difference that is allowed between a wait and what the log says of it.
 TIMING_TOLERANCE_MS = 25
@@ -216,7 +216,7 @@
                 make_upstreams_stand_still(site)
             elif fault.startswith("the caller never reads"):
                 hold_events_back(site, 0.5 if "after 0.5 s" in fault else 0.0)
-                patches.enter_context(patch.object(StreamCall, "_start_response", wait_for_ever))
+                patches.enter_context(patch.object(AttemptRunner, "_start_response", wait_for_ever))
             else:
                 patches.enter_context(patch.object(RateGate, "acquire", wait_for_ever))
             await site.ask(route, headers=[("X-Deadline-Ms", "1000")])
