Log what a request was offered when admission refuses it or lets it wait

Callers were refused for load beside lesser requests that began, and the log line didn't tell why: it lacked the attempt, the request's age and the time it was allowed, which priorities waited, and what the room at the best place was thought to be. It now has all of them, and a request that begins at once while others wait is logged as well. The ticket and its log fields move to a module of their own.

--- a/deckcourse/gateway/admission_queue.py
+++ b/deckcourse/gateway/admission_queue.py
@@ -5,9 +5,7 @@
 would stand behind all others. All state is lost with the process; callers see a closed connection.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from math import ceil
+from collections.abc import Callable
 
 import trio
 
@@ -16,17 +14,22 @@
     Arrivals,
     DecayingCount,
     Limits,
-    Prospect,
-    RequestNeed,
     Verdict,
     VerdictKind,
     decide,
     rank_of,
 )
-from deckcourse.layers.paths import LayerPath
+from deckcourse.gateway.admission_ticket import (
+    Admitted,
+    Offer,
+    Place,
+    Refused,
+    Ticket,
+    log_fields,
+)
 from deckcourse.reasons import NotRunReason
 
-__all__ = ["Admitted", "AdmissionQueue", "Place", "Refused", "Ticket"]
+__all__ = ["AdmissionQueue"]
 
 # Shortest time between two passes over the waiting requests: load reports come in bursts, and a
 # pass takes some milliseconds on a third of a core.
@@ -45,58 +48,6 @@
 STOPPING_RETRY_AFTER_SECONDS = 0.1
 
 
-@dataclass(frozen=True)
-class Place:
-    """A path and what it offers a request."""
-
-    path: LayerPath
-    prospect: Prospect
-
-
-@dataclass(frozen=True)
-class Admitted:
-    """The request begins on this path."""
-
-    path: LayerPath
-
-
-@dataclass(frozen=True)
-class Refused:
-    """The request is refused; `retry_after` is when capacity for it is predicted, seconds.
-
-    `why` names what was missing.
-    """
-
-    reason: NotRunReason
-    why: str
-    retry_after: float
-
-
-@dataclass(eq=False)
-class Ticket:
-    """One request that wants to begin.
-
-    Attributes:
-      request_id: the request.
-      need: what it needs.
-      max_pause: the longest pause of its route, seconds; 0 for none.
-      body_bytes: the size of its body.
-      find_places: returns the places that it may take, the preferred one first.
-      is_paused: whether it waits for a retry, not for a place.
-    """
-
-    request_id: str
-    need: RequestNeed
-    max_pause: float
-    body_bytes: int
-    find_places: Callable[[], Iterable[Place]]
-    is_paused: bool = False
-    outcome: Admitted | Refused | None = field(default=None, init=False)
-    verdict: Verdict | None = field(default=None, init=False)
-    rank: tuple[float, ...] = field(default=(), init=False)
-    decided: trio.Event = field(default_factory=trio.Event, init=False)
-
-
 class AdmissionQueue:
     """Decides which requests of one service begin in this process, and holds those that wait.
 
@@ -274,21 +225,23 @@
         if ticket.outcome is not None:
             return
         ticket.rank = self._rank(ticket, now)
-        best: tuple[Verdict, Place] | None = None
+        best: tuple[Verdict, Offer] | None = None
         for place in ticket.find_places():
-            verdict = decide(ticket.need, place.prospect, self._limits(ticket, place, ahead), now)
+            limits = self._limits(ticket, place, ahead)
+            verdict = decide(ticket.need, place.prospect, limits, now)
             if best is None or _is_better(verdict, best[0]):
-                best = verdict, place
+                best = verdict, Offer(place, limits)
             if place.prospect.utilization >= 1.0:
                 self.note_shortage()
             if ahead or (verdict.kind is VerdictKind.BEGIN and verdict.why != "late"):
                 break
         if best is None:
+            ticket.offer = None
             self._refuse(ticket, NotRunReason.NO_ROUTE, "no-path")
             return
-        ticket.verdict, place = best
+        ticket.verdict, ticket.offer = best
         if ticket.verdict.kind is VerdictKind.BEGIN:
-            self._begin(ticket, place, now)
+            self._begin(ticket, ticket.offer.place, now)
         elif ticket.verdict.kind is VerdictKind.REFUSE:
             is_refusing = ticket.verdict.why == "refusing"
             self._refuse(
@@ -367,7 +320,7 @@
         self._gauge(f"admission.bytes.{self._service}", size)
 
     def _report(self, ticket: Ticket, entered_at: float | None) -> None:
-        """Count how a request left; log it if it waited or was refused.
+        """Count how a request left; log it if it or others waited, or if it was refused.
 
         Args:
           ticket: the request.
@@ -381,20 +334,17 @@
         else:
             result, why = "begun", verdict.why
         self._count(f"admission.{result}.{why}")
-        if result == "begun" and entered_at is None:
+        if result == "begun" and entered_at is None and not self._waiting:
             return
-        waited = self._clock() - entered_at if entered_at is not None else 0.0
+        now = self._clock()
+        waited = now - entered_at if entered_at is not None else 0.0
         self._log(
             "admission",
             request=ticket.request_id,
             result=result,
             why=why,
-            priority=ticket.need.priority,
-            rank=[round(each, 2) for each in ticket.rank],
             waited_ms=round(waited * 1000),
-            first_event_ms=ceil(verdict.first_event * 1000) if verdict is not None else None,
-            begins_in_ms=ceil(verdict.begins_in * 1000) if verdict is not None else None,
-            waiting=len(self._waiting),
+            **log_fields(ticket, now, self._waiting),
         )
 
 
--- a/deckcourse/gateway/stream_admission.py
+++ b/deckcourse/gateway/stream_admission.py
@@ -10,7 +10,7 @@
 import trio
 
 from deckcourse.decisions.admission_order import CALLER_TIMEOUT_SECONDS, RequestNeed, service_cost
-from deckcourse.gateway.admission_queue import Place, Refused, Ticket
+from deckcourse.gateway.admission_ticket import Place, Refused, Ticket
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.stream_retries import StreamRetries
--- a/features/admission_queue.feature
+++ b/features/admission_queue.feature
@@ -27,6 +27,12 @@
       | the settings turn admission off       | 200, 200, 200         | 1.5     |
       | the settings allow one waiting request | 200, 429, 429        | 1.5     |
 
+  # Guards against refusals for load whose cause the log doesn't show.
+  Scenario: The log of a refusal for load tells the time, those that waited and the known room
+    Given two chains of runners with admission control
+    When the chains are full, three callers wait, and no capacity comes
+    Then each refusal is logged with its age, those that waited by priority, and a full upstream
+
   # Guards against refusals that only the choice of the first upstream caused.
   Scenario Outline: A request whose first upstream refused it waits for its retry: <case>
     Given two chains of runners with admission control and no retry until <seconds> s have passed
--- a/features/admission_replay.py
+++ b/features/admission_replay.py
@@ -10,7 +10,8 @@
 from trio.testing import MockClock
 
 from deckcourse.decisions.admission_order import Prospect, RequestNeed, SharedRoom
-from deckcourse.gateway.admission_queue import AdmissionQueue, Admitted, Place, Ticket
+from deckcourse.gateway.admission_queue import AdmissionQueue
+from deckcourse.gateway.admission_ticket import Admitted, Place, Ticket
 from deckcourse.gateway.return_schedule import ReturnSchedule
 from deckcourse.layers.paths import LayerPath, PathStage
 
--- a/features/steps/admission_queue_steps.py
+++ b/features/steps/admission_queue_steps.py
@@ -224,3 +224,19 @@
 @then("the caller got {status:d} within {most:g} seconds")
 def caller_got(context, status, most):
     assert context.got.status == status and context.got.seconds <= most, context.got
+
+
+@then("each refusal is logged with its age, those that waited by priority, and a full upstream")
+def refusals_are_logged(context):
+    lines = [
+        fields
+        for kind, fields in context.site.lines
+        if kind == "admission" and fields["result"] == "refused"
+    ]
+    assert len(lines) == CALLERS, context.site.lines
+    for each in lines:
+        assert not each["retry"] and each["age_ms"] == each["waited_ms"] > 1000, each
+        assert sum(each["waiting_by_priority"].values()) == each["waiting"] < CALLERS, each
+        assert each["instance"] and each["utilization"] >= 1.0, each
+        assert each["age_ms"] <= each["allowed_ms"] == 1800, each
+    assert max(each["waiting"] for each in lines) == CALLERS - 1, lines
