Reproduce the refusal for load of streams that an upstream refused late (red)

An urgent stream that its upstream refuses 0.7 s after it came is refused for load at once, with "every path has more waiting than it can serve in time", although a place is free (begins_in 0) or the next one goes to a lesser stream that waits.

--- a/features/admission_queue.feature
+++ b/features/admission_queue.feature
@@ -44,6 +44,20 @@
       | a retry is earned in time | 0.15    | 200    | 0.9  |
       | it isn't                  | 5       | 503    | 0.5  |
 
+  # Guards against urgent requests that are refused for load, since an upstream refused them late,
+  # while lesser ones get the places: at first those that came meanwhile, then those that wait.
+  Scenario Outline: A request that an upstream refuses late has its place by rank: <case>
+    Given two runners that begin streams in one failure domain, with admission control
+    When an upstream refuses an urgent request after 0.7 s, and a lesser one comes <lesser> s after it
+    And the other runner has room <room> s after it
+    Then the requests that began are <begun>, the others got 429, within <most> s
+
+    Examples:
+      | case                 | lesser | room | begun  | most |
+      | there is room        | 0.2    | 0    | p2, p0 | 1.3  |
+      | both wait for room   | 0.6    | 0.9  | p0, p2 | 1.9  |
+      | no room comes        | 0.6    | 3    | none   | 2.2  |
+
   # Guards against holding streams back that need no order: a queue at the upstreams, which batch,
   # serves more of them than shares of the free slots.
   Scenario: Only streams of a service whose routes differ in priority wait in the process
--- a/features/gateway_runner.py
+++ b/features/gateway_runner.py
@@ -76,6 +76,8 @@
         # Until when it sends no event, on open connections and new ones.
         self.held_until = 0.0
         # Delay before it answers queries and orders, seconds.
+        # How long it takes to refuse a request while it is full.
+        self.refusal_delay = 0.0
         self.control_delay = 0.0
         self.born = None
         self.keeps_silent_connections = False
@@ -238,6 +240,7 @@
             await exchange.respond(421, (answer[0], *self.response_headers), b"")
             return
         if self.behaviour == "full":
+            await trio.sleep(self.refusal_delay)
             self.world.refusals += 1
             await exchange.respond(503, (answer[0], *self.refusal()), b"")
             return
--- a/features/steps/admission_queue_steps.py
+++ b/features/steps/admission_queue_steps.py
@@ -13,7 +13,10 @@
 from deckcourse.settings import LoadSettings
 
 WAIT_SECONDS = 0.1
+# The reports of all runners have been queried by then.
+REPORTED_AFTER_SECONDS = 1.5
 CALLERS = 3
+SLOTS = 4
 
 
 @given("two chains of runners with admission control")
@@ -35,6 +38,14 @@
     context.site.config["routes"][1]["priority"] = 2
 
 
+@given("two runners that begin streams in one failure domain, with admission control")
+def beginning_runners(context):
+    chains_with_admission(context)
+    context.site.add("x3", "llm", "x", 0, 4)
+    for runner in context.site.runners.values():
+        runner.slots = SLOTS
+
+
 @given("the stream routes of the service have one priority")
 def one_priority(context):
     context.site.config["routes"][1]["priority"] = context.site.config["routes"][0]["priority"]
@@ -240,3 +251,54 @@
         assert each["instance"] and each["utilization"] >= 1.0, each
         assert each["age_ms"] <= each["allowed_ms"] == 1800, each
     assert max(each["waiting"] for each in lines) == CALLERS - 1, lines
+
+
+@when(
+    "an upstream refuses an urgent request after {refuses:g} s, "
+    "and a lesser one comes {lesser:g} s after it"
+)
+def refused_late(context, refuses, lesser):
+    context.refuses_after, context.lesser_after = refuses, lesser
+
+
+@when("the other runner has room {room:g} s after it")
+def room_after(context, room):
+    context.got = {}
+
+    async def ask(site, key):
+        context.got[key] = await site.ask(route="fragile", name=f"r-{key}", key=key)
+
+    async def ask_at(site, key, after):
+        await trio.sleep(after)
+        await ask(site, key)
+
+    async def story(site):
+        first, other = site.runners["x1"], site.runners["x3"]
+        first.behaviour, first.refusal_delay = "full", context.refuses_after
+        for each in ("x3", "y1"):
+            site.runners[each].running = SLOTS
+        await site.ask(name="warm", key="a", leave_after=0.01)
+        await trio.sleep(REPORTED_AFTER_SECONDS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, site, "p0")
+            await trio.sleep(0.01)
+            first.running = SLOTS
+            nursery.start_soon(ask_at, site, "p2", context.lesser_after)
+            await trio.sleep(room)
+            other.running = 0
+
+    context.site.play(story)
+
+
+@then("the requests that began are {begun}, the others got 429, within {most:g} s")
+def began_by_rank(context, begun, most):
+    got = context.got
+    runs = [each.request for each in context.site.runs if each.request.startswith("r-")]
+    assert runs == [f"r-{each}" for each in begun.split(", ") if each != "none"], (
+        runs,
+        context.site.lines,
+    )
+    for key, each in got.items():
+        assert each.status == (200 if f"r-{key}" in runs else 429), (key, each, context.site.lines)
+        assert each.whole and each.seconds <= most, (key, each)
+    assert len(got) == 2 and context.site.refusals == 1, (got, context.site.refusals)
