Let streams that an upstream refused wait for a place as long as others

Callers of urgent streams got 429 "every path has more waiting than it can serve in time" 0.7 to 1.3 s after they came, while lesser streams of the same process began. It was refused with a free place (begins_in 0), nobody waited, and a lesser stream that did wait would have got the place.

The cut is gone: once a stream has its retry, it waits by its rank until its caller gives up. That needs no further retry, which it has before it waits; what interrupted streams need is kept apart in the budget. Ending only the wait at the objective, and letting it begin late where a place is free, was tried too: the lesser stream that waits still gets the next place ("both wait for room" is red).

--- a/deckcourse/gateway/stream_admission.py
+++ b/deckcourse/gateway/stream_admission.py
@@ -152,9 +152,6 @@
         route, model = admitted.route, admitted.service.model
         remaining = admitted.deadline - self._arrived_at
         caller_timeout = min(CALLER_TIMEOUT_SECONDS, remaining)
-        if attempts and route.objective:
-            # A late retry could take the budget that another one needs in time.
-            caller_timeout = min(caller_timeout, route.objective)
         answer_tokens = caller.answer_tokens or caller.max_answer_tokens or model.usual_answer
         need = RequestNeed(
             admitted.priority,
--- a/features/mutants_admission.py
+++ b/features/mutants_admission.py
@@ -1,11 +1,14 @@
 """Mutants of admission control."""
 
+from dataclasses import replace
+
 import deckcourse.decisions.admission_order as order_module
 import deckcourse.gateway.admission_queue as queue_module
 import deckcourse.gateway.stream_admission as stream_admission_module
 from deckcourse.decisions.admission_order import AccountUse, Arrivals, SharedRoom
 from deckcourse.gateway.admission_queue import AdmissionQueue
 from deckcourse.gateway.return_schedule import ReturnSchedule
+from deckcourse.gateway.stream_admission import StreamAdmission
 
 
 def waiting_requests_have_no_rank():
@@ -54,6 +57,18 @@
     stream_admission_module.RETRY_INTERVAL_SECONDS = 10.0
 
 
+def late_refusals_end_the_wait():
+    original = StreamAdmission._new_ticket
+
+    def new_ticket(self, path, attempts):
+        ticket = original(self, path, attempts)
+        if attempts:
+            ticket.need = replace(ticket.need, caller_timeout=ticket.need.objective)
+        return ticket
+
+    StreamAdmission._new_ticket = new_ticket
+
+
 def refused_callers_return_at_once():
     ReturnSchedule.take_ranked_slot = (
         lambda self, priority, min_seconds, jitter, max_seconds=6.0: min_seconds
@@ -74,5 +89,6 @@
     stopping_forgets_waiting_requests: ("what waits is refused when the process stops", QUEUE),
     queue_has_no_bound: ("the queue is bounded", QUEUE),
     retries_are_not_waited_for: ("a refused request waits for its retry", QUEUE),
+    late_refusals_end_the_wait: ("streams that are refused late wait by their rank", QUEUE),
     refused_callers_return_at_once: ("refused callers return in turn", ORDER),
 }
