Reproduce the refusal for load of streams whose caller's time went by at an upstream (red)

A stream that its upstream refuses 1.9 s after it came is told that every path has more waiting than it can serve in time, although nobody waits and a place is free.

--- a/features/admission_queue.feature
+++ b/features/admission_queue.feature
@@ -58,6 +58,13 @@
       | both wait for room   | 0.6    | 0.9  | p0, p2 | 1.9  |
       | no room comes        | 0.6    | 3    | none   | 2.2  |
 
+  # Guards against refusals that blame a queue, though the time went by at an upstream.
+  Scenario: A request that an upstream refuses once its caller's time is over isn't refused for load
+    Given two runners that begin streams in one failure domain, with admission control
+    When an upstream refuses an urgent request after 1.9 s, and a lesser one comes 0.6 s after it
+    And the other runner has room 0 s after it
+    Then the urgent request is told that the upstream refused it, within 2 s, and spent no retry
+
   # Guards against holding streams back that need no order: a queue at the upstreams, which batch,
   # serves more of them than shares of the free slots.
   Scenario: Only streams of a service whose routes differ in priority wait in the process
--- a/features/steps/admission_queue_steps.py
+++ b/features/steps/admission_queue_steps.py
@@ -302,3 +302,18 @@
         assert each.status == (200 if f"r-{key}" in runs else 429), (key, each, context.site.lines)
         assert each.whole and each.seconds <= most, (key, each)
     assert len(got) == 2 and context.site.refusals == 1, (got, context.site.refusals)
+
+
+@then(
+    "the urgent request is told that the upstream refused it, within {most:g} s, and spent no retry"
+)
+def told_of_refusal(context, most):
+    urgent, lesser = context.got["p0"], context.got["p2"]
+    site = context.site
+    assert (urgent.status, lesser.status) == (503, 200), (context.got, site.lines)
+    assert site.header(urgent, "deckcourse-reason") == "upstream-refused", urgent
+    assert float(site.header(urgent, "retry-after")) > 0 and urgent.seconds <= most, urgent
+    (refused,) = [each for kind, each in site.lines if kind == "admission"]
+    assert refused["why"] == "refused-late" and refused["retry"], site.lines
+    spent = sum(each["retries"] for kind, each in site.lines if kind == "retry-budget")
+    assert spent == 0, site.lines
