Tell streams that an upstream refused too late so, not that they were refused for load

A caller whose stream an upstream refuses 1.9 s after it came got 429 "every path has more waiting than it can serve in time" (and the log why=slow), although nobody waited and a place was free: the time that went by at the silent upstream counted as if the path were slow. It also counted as a sign of a shortage, during which free places are shared out. A request now knows how long after its arrival it asked for its place; if that alone leaves no time for its caller, it is refused as upstream-refused (503, why=refused-late). A request that waited in the queue, or whose path is slow for whoever comes, is refused for load as before.

--- a/deckcourse/decisions/admission_order.py
+++ b/deckcourse/decisions/admission_order.py
@@ -167,6 +167,7 @@
       caller_timeout: the time from its arrival after which its caller gives up.
       arrived_at: when it arrived.
       is_retry: whether an upstream refused it already, so that a further refusal costs a retry.
+      asked_after: the time from its arrival until it asked for this place; it went by elsewhere.
     """
 
     priority: int
@@ -176,6 +177,7 @@
     caller_timeout: float
     arrived_at: float
     is_retry: bool = False
+    asked_after: float = 0.0
 
     @property
     def size(self) -> int:
@@ -235,7 +237,10 @@
     is_slow_by_load = prospect.idle_first_event <= need.caller_timeout or kind is VerdictKind.WAIT
     if first_event > need.caller_timeout and is_slow_by_load:
         kind = VerdictKind.REFUSE
-        why = "slow" if why == "late" else why
+        if need.asked_after + delivery > need.caller_timeout >= delivery:
+            why = "refused-late"
+        elif why == "late":
+            why = "slow"
     return Verdict(kind, why or "behind", first_event, begins_in, delivery)
 
 
--- a/deckcourse/gateway/admission_queue.py
+++ b/deckcourse/gateway/admission_queue.py
@@ -243,11 +243,16 @@
         if ticket.verdict.kind is VerdictKind.BEGIN:
             self._begin(ticket, ticket.offer.place, now)
         elif ticket.verdict.kind is VerdictKind.REFUSE:
-            is_refusing = ticket.verdict.why == "refusing"
+            why = ticket.verdict.why
+            if why == "refused-late":
+                # The time went by at an upstream, which says nothing about the room.
+                self._refuse(ticket, NotRunReason.UPSTREAM_REFUSED, why)
+                return
+            is_refusing = why == "refusing"
             self._refuse(
                 ticket,
                 NotRunReason.UPSTREAM_REFUSED if is_refusing else NotRunReason.OVERLOADED,
-                ticket.verdict.why,
+                why,
             )
             self.note_shortage()
         elif self._stopping:
--- a/deckcourse/gateway/stream_admission.py
+++ b/deckcourse/gateway/stream_admission.py
@@ -161,6 +161,7 @@
             caller_timeout,
             self._arrived_at,
             bool(attempts),
+            trio.current_time() - self._arrived_at if attempts else 0.0,
         )
         places = _Places(path, self._choose, self._place, self._other_places)
         return Ticket(
--- a/features/mutants_admission.py
+++ b/features/mutants_admission.py
@@ -69,6 +69,17 @@
     StreamAdmission._new_ticket = new_ticket
 
 
+def time_at_upstreams_counts_as_load():
+    original = StreamAdmission._new_ticket
+
+    def new_ticket(self, path, attempts):
+        ticket = original(self, path, attempts)
+        ticket.need = replace(ticket.need, asked_after=0.0)
+        return ticket
+
+    StreamAdmission._new_ticket = new_ticket
+
+
 def refused_callers_return_at_once():
     ReturnSchedule.take_ranked_slot = (
         lambda self, priority, min_seconds, jitter, max_seconds=6.0: min_seconds
@@ -90,5 +101,6 @@
     queue_has_no_bound: ("the queue is bounded", QUEUE),
     retries_are_not_waited_for: ("a refused request waits for its retry", QUEUE),
     late_refusals_end_the_wait: ("streams that are refused late wait by their rank", QUEUE),
+    time_at_upstreams_counts_as_load: ("time at an upstream that refused isn't load", QUEUE),
     refused_callers_return_at_once: ("refused callers return in turn", ORDER),
 }
