Reproduce urgent requests that a path has no room for, though it has for lesser ones (red)

During a shortage a lesser request takes its process's share of the reported free slots and those that streams of the process left; an urgent one, which need not share, was held to the estimate of all processes' sends instead.

--- a/features/admission_order.feature
+++ b/features/admission_order.feature
@@ -25,6 +25,12 @@
     When a request that waited 0 ms asks for it behind 0 others, with a reserve of 0
     Then it begins because of "late"
 
+  # Guards against urgent requests that wait or are refused as if their path were full, while a lesser
+  # one would take the share of it that a stream of this process left.
+  Scenario: An urgent request begins wherever a lesser one would
+    Given the room that 2000 drawn reports show to a process, with streams that it sent and that ended
+    Then each path on which a lesser request begins takes an urgent one as well
+
   # Guards against an order that leaves an account or size out for good, and against late requests
   # that make all others late too.
   Scenario Outline: <first> goes before <second>: <case>
--- a/features/steps/admission_order_steps.py
+++ b/features/steps/admission_order_steps.py
@@ -1,6 +1,8 @@
 """Steps about the decisions of admission control, and replays of traffic against its queues."""
 
 from collections import Counter
+from dataclasses import replace
+from random import Random
 
 from admission_replay import Replay
 from behave import given, then, when
@@ -11,6 +13,7 @@
     Limits,
     Prospect,
     RequestNeed,
+    SharedRoom,
     decide,
     rank_of,
 )
@@ -55,6 +58,39 @@
     assert (context.verdict.kind, context.verdict.why) == (VERDICTS[verdict], why), context.verdict
 
 
+@given(
+    "the room that {count:d} drawn reports show to a process, with streams that it sent and that "
+    "ended"
+)
+def drawn_rooms(context, count):
+    random = Random("rooms")
+    context.prospects = []
+    for _ in range(count):
+        shared = SharedRoom(
+            random.uniform(0.5, 1.5),
+            random.randint(1, 40),
+            random.uniform(0.02, 1.0),
+            random.randint(0, 4),
+            random.randint(0, 4),
+            random.random(),
+        )
+        prospect = Prospect(0.1, 0.05, 0.1, 0.02, shared.estimated_utilization, 4.0)
+        context.prospects.append(replace(prospect, shared=shared))
+
+
+@then("each path on which a lesser request begins takes an urgent one as well")
+def urgent_begin_as_well(context):
+    lesser = RequestNeed(2, "a", 100, 0.5, CALLER_TIMEOUT_SECONDS, NOW)
+    urgent = replace(lesser, priority=0)
+    taken = [
+        each
+        for each in context.prospects
+        if decide(lesser, each, Limits(reserve=0.1, is_short=True), NOW).kind == "begin"
+    ]
+    left = [each for each in taken if decide(urgent, each, Limits(), NOW).kind != "begin"]
+    assert len(taken) >= 100 and not left, (len(taken), len(left), left[:1])
+
+
 def need_of(text):
     """Return the request of a text such as "p1 a 400 tokens 300 ms"."""
     priority, account, cost, _, waited, _ = text.split()
