Give lesser requests no share of a path that is full for urgent ones

During a shortage requests that must share began by their process's share of the reported free slots, those left by its own streams among them; urgent ones, which need not share, were held to the estimate of what all processes sent. A path that is full by that estimate is now full for all. A request of a middle priority that need not share is still held to its own reserve.

--- a/deckcourse/decisions/admission_order.py
+++ b/deckcourse/decisions/admission_order.py
@@ -258,7 +258,8 @@
     ending_in = prospect.duration / min(1.0, max(room, prospect.utilization))
     shared = prospect.shared
     if limits.is_short and shared is not None:
-        if shared.places(room) < 1:
+        # A share of a path that is full for urgent requests is no place for a lesser one.
+        if shared.places(room) < 1 or prospect.utilization >= 1.0:
             excess = max(0.0, shared.utilization - room) * ending_in
             return max(REPORT_INTERVAL_SECONDS / 2, excess), "shared"
     elif prospect.utilization >= room:
--- a/deckcourse/gateway/admission_ticket.py
+++ b/deckcourse/gateway/admission_ticket.py
@@ -104,12 +104,13 @@
 
 def _offer_fields(offer: Offer) -> dict[str, object]:
     prospect, limits = offer.place.prospect, offer.limits
-    shared = prospect.shared if limits.is_short else None
+    shared = prospect.shared
     return {
         "instance": offer.place.path.stages[0].instance,
         "utilization": round(prospect.utilization, 2),
         "reserve": round(limits.reserve, 2),
         "ahead": limits.ahead,
+        "must_share": limits.is_short,
         "refusing_ms": ceil(prospect.refusing_for * 1000),
         "free_share": shared.places(1.0 - limits.reserve) if shared is not None else None,
     }
--- a/features/mutants_admission.py
+++ b/features/mutants_admission.py
@@ -80,6 +80,17 @@
     StreamAdmission._new_ticket = new_ticket
 
 
+def lesser_requests_take_shares_of_full_paths():
+    original = order_module._find_missing_time
+
+    def find(need, prospect, limits, waited):
+        if limits.is_short and prospect.shared is not None:
+            prospect = replace(prospect, utilization=min(0.99, prospect.utilization))
+        return original(need, prospect, limits, waited)
+
+    order_module._find_missing_time = find
+
+
 def refused_callers_return_at_once():
     ReturnSchedule.take_ranked_slot = (
         lambda self, priority, min_seconds, jitter, max_seconds=6.0: min_seconds
@@ -102,5 +113,9 @@
     retries_are_not_waited_for: ("a refused request waits for its retry", QUEUE),
     late_refusals_end_the_wait: ("streams that are refused late wait by their rank", QUEUE),
     time_at_upstreams_counts_as_load: ("time at an upstream that refused isn't load", QUEUE),
+    lesser_requests_take_shares_of_full_paths: (
+        "a path that is full for urgent requests is full for all",
+        ORDER,
+    ),
     refused_callers_return_at_once: ("refused callers return in turn", ORDER),
 }
