--- a/features/gateway_runner.py
+++ b/features/gateway_runner.py
@@ -240,7 +240,8 @@
             await exchange.respond(421, (answer[0], *self.response_headers), b"")
             return
         if self.behaviour == "full":
-            await trio.sleep(self.refusal_delay)
+            if self.refusal_delay:
+                await trio.sleep(self.refusal_delay)
             self.world.refusals += 1
             await exchange.respond(503, (answer[0], *self.refusal()), b"")
             return
