--- a/deckcourse/gateway/stream_admission.py
+++ b/deckcourse/gateway/stream_admission.py
@@ -10,7 +10,7 @@
 import trio
 
 from deckcourse.decisions.admission_order import CALLER_TIMEOUT_SECONDS, RequestNeed, service_cost
-from deckcourse.gateway.admission_queue import Place, Refused, Ticket
+from deckcourse.gateway.admission_ticket import Place, Refused, Ticket
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.stream_retries import StreamRetries
@@ -154,9 +154,6 @@
         route, model = admitted.route, admitted.service.model
         remaining = admitted.deadline - self._arrived_at
         caller_timeout = min(CALLER_TIMEOUT_SECONDS, remaining)
-        if attempts and route.objective:
-            # A late retry could take the budget that another one needs in time.
-            caller_timeout = min(caller_timeout, route.objective)
         answer_tokens = caller.answer_tokens or caller.max_answer_tokens or model.usual_answer
         need = RequestNeed(
             admitted.priority,
@@ -166,6 +163,7 @@
             caller_timeout,
             self._arrived_at,
             bool(attempts),
+            trio.current_time() - self._arrived_at if attempts else 0.0,
         )
         places = _Places(path, self._choose, self._place, self._other_places)
         return Ticket(
