Log requests that this process ends with their cause and what they waited for

The server's connection now records whether its client closed it. A request that was cancelled without that is logged as `unknown reason=stopping`, beside a line `interrupted` with what it waited for and whether its answer had begun, as a passed deadline is. An error while a request is handled is logged as `unknown reason=internal-error` with the request's id; `connection-failed` named none. A plain call whose answer is being written now waits for its caller, one at a peer for an upstream.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -103,11 +103,17 @@
       admitted: the request.
       attempts: makes attempts until there is an outcome; cancelled at the deadline.
       may_have_run: returns whether an upstream may have executed the request so far.
-      on_passed: called if the deadline passed first.
+      on_passed: called if the deadline passed first, or this process ends the request.
     """
     outcome: Outcome | None = None
-    with trio.move_on_at(admitted.deadline):
-        outcome = await attempts()
+    try:
+        with trio.move_on_at(admitted.deadline):
+            outcome = await attempts()
+    except BaseException as error:
+        is_cancelled = not isinstance(error, Exception)
+        if is_cancelled and not admitted.exchange.client_gone:
+            on_passed()
+        raise
     if outcome is not None:
         return outcome
     on_passed()
@@ -119,7 +125,7 @@
 def log_deadline(
     context: GatewayContext, admitted: Admitted, waits_for: WaitsFor, instance: str, since: float
 ) -> None:
-    """Log what a request waited for when its deadline passed.
+    """Log what a request waited for when its deadline passed, or it was cancelled before.
 
     Args:
       context: writes the decision log.
@@ -129,10 +135,11 @@
       since: the start of that wait or the last event, on trio's clock.
     """
     context.log(
-        "deadline",
+        "deadline" if trio.current_time() >= admitted.deadline else "interrupted",
         request=admitted.caller.request_id,
         waits_for=str(waits_for),
         instance=instance,
+        begun=admitted.exchange.started,
         waited_ms=round((trio.current_time() - since) * 1000),
     )
 
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -125,13 +125,17 @@
         self._requests += 1
         arrived_at = trio.current_time()
         exchange.meter.note_request(caller.request_id)
-        outcome: Outcome = Unknown(UnknownReason.CALLER_GONE, "the caller disconnected")
+        outcome: Outcome | None = None
         try:
             outcome = await self._serve(caller, exchange, earlier)
             if not isinstance(outcome, Answered) and not exchange.started:
                 await _send_outcome(respond, outcome)
+        except Exception as error:
+            outcome = outcome or _failed(error, exchange)
+            raise
         finally:
             self._requests -= 1
+            outcome = outcome or _cut_off(exchange)
             if exchange.meter.end_reason is not None and not isinstance(outcome, Answered):
                 outcome = _ended(exchange.meter.end_reason)
             self._record_outcome(caller, outcome, trio.current_time() - arrived_at)
@@ -213,6 +217,20 @@
     )
 
 
+def _cut_off(exchange: Exchange | HandedExchange) -> Unknown:
+    """Return the outcome of a request that was cancelled: by its caller's leaving, or by a stop."""
+    if exchange.client_gone:
+        return Unknown(UnknownReason.CALLER_GONE, "the caller disconnected")
+    return Unknown(UnknownReason.STOPPING, "this process ended before the answer was whole")
+
+
+def _failed(error: Exception, exchange: Exchange | HandedExchange) -> Unknown:
+    """Return the outcome of a request whose handling raised an error."""
+    if exchange.client_gone:
+        return _cut_off(exchange)
+    return Unknown(UnknownReason.INTERNAL_ERROR, repr(error))
+
+
 def _ended(reason: str) -> Unknown:
     """Return the outcome of a request whose connection this process ended."""
     return Unknown(UnknownReason(reason), "the connection of the caller was ended")
--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -111,6 +111,11 @@
         """See `Exchange`."""
         return self._exchange.torn
 
+    @property
+    def client_gone(self) -> bool:
+        """See `Exchange`."""
+        return self._exchange.client_gone
+
     @property
     def meter(self) -> ConnectionMeter:
         """See `Exchange`."""
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -118,7 +118,11 @@
         return self._executions.runs > 0 or self._handover.may_run
 
     def _log_deadline(self) -> None:
-        waits_for = WaitsFor.UPSTREAM if self._instance else WaitsFor.ENTRY
+        waits_for = WaitsFor.ENTRY
+        if self._admitted.exchange.started:
+            waits_for = WaitsFor.CALLER
+        elif self._instance or self._handover.may_run:
+            waits_for = WaitsFor.UPSTREAM
         log_deadline(self._context, self._admitted, waits_for, self._instance, self._since)
 
     async def _run_attempts(self) -> Outcome:
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -146,6 +146,11 @@
         """Whether a write of the response was started and not completed."""
         return self._connection.torn
 
+    @property
+    def client_gone(self) -> bool:
+        """Whether the client has closed the connection, or reset it."""
+        return self._connection.client_gone
+
     @property
     def meter(self) -> ConnectionMeter:
         """Counts the bytes that are held for the connection."""
@@ -277,6 +282,7 @@
         self._closing = closing
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=READ_BYTES * 4)
         self._torn = False
+        self._client_gone = False
         self._is_fresh = True
 
     @property
@@ -284,6 +290,11 @@
         """Whether a write was started and not completed: how much of it was sent is unknown."""
         return self._torn
 
+    @property
+    def client_gone(self) -> bool:
+        """Whether the client has closed the connection, or reset it."""
+        return self._client_gone
+
     @property
     def meter(self) -> ConnectionMeter:
         """Counts the bytes that are held for the connection."""
@@ -336,6 +347,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
+                self._client_gone = True
                 scope.cancel()
                 return
             pipelined_bytes += len(data)
@@ -456,6 +468,9 @@
         self._meter.note_writing(len(data))
         try:
             await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._client_gone = True
+            raise
         finally:
             self._meter.note_written()
         self._torn = False
--- a/deckcourse/reasons.py
+++ b/deckcourse/reasons.py
@@ -38,6 +38,8 @@
     CALLER_GONE = "caller-gone"
     CALLER_SLOW = "caller-slow"
     HELD_BYTES = "held-bytes"
+    STOPPING = "stopping"
+    INTERNAL_ERROR = "internal-error"
     IN_PROGRESS = "in-progress"
     HOLDER_GONE = "holder-gone"
 
