Reproduce requests that a stopping process ends without an answer, red

Three processes on a virtual clock run their real server over connections in memory and are stopped with grace periods of 8, 5 and 2 s. All ten requests without a byte of an answer, at silent upstreams, at a peer and not sent yet, are closed 0.7 s before the end. With 5 and 2 s, answers that callers read slowly and begun streams are cut in the same moment, which for 5 s is before the last sixth of the grace period. That the log names what a stop cuts is green already.

--- a/deckcourse/http1/memory.py
+++ b/deckcourse/http1/memory.py
@@ -1,7 +1,8 @@
 """Connections in memory instead of TCP, for tests: hosts can crash or become unresponsive."""
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 from trio.testing import memory_stream_pair
@@ -15,6 +16,8 @@
 # One-way delay between two hosts of a failure domain.
 DELAY_SECONDS = 0.0002
 
+_Serve = Callable[[trio.abc.Stream], Awaitable[None]]
+
 
 class _MemoryTransport:
     """The client end of a connection in memory."""
@@ -62,7 +65,8 @@
     def __init__(self, nursery: trio.Nursery, limits: Callable[[], ConnectionLimits]) -> None:
         self._nursery = nursery
         self._limits = limits
-        self._handlers: dict[str, Handler] = {}
+        # For each address, the nursery of its server and what that does with a connection.
+        self._servers: dict[str, tuple[trio.Nursery, _Serve]] = {}
         self._silent: set[str] = set()
         self._server_streams: dict[str, list[trio.StapledStream]] = defaultdict(list)
         # The streams whose server has closed its end.
@@ -70,12 +74,16 @@
 
     def listen(self, address: str, handler: Handler) -> None:
         """Serve requests at an address."""
-        self._handlers[address] = handler
+        self.accept(address, self._nursery, partial(self._serve_requests, handler))
+
+    def accept(self, address: str, nursery: trio.Nursery, serve: _Serve) -> None:
+        """Let a server of its own serve the connections to an address, in its nursery."""
+        self._servers[address] = nursery, serve
         self._silent.discard(address)
 
     def kill(self, address: str) -> None:
         """Reset all connections to an address, and refuse new ones."""
-        self._handlers.pop(address, None)
+        self._servers.pop(address, None)
         self.reset(address)
 
     def reset(self, address: str) -> None:
@@ -97,13 +105,13 @@
         await trio.sleep(2 * DELAY_SECONDS)
         if address in self._silent:
             await trio.sleep_forever()
-        handler = self._handlers.get(address)
-        if handler is None:
+        if address not in self._servers:
             error = ConnectionLostError(FailureKind.UNSENT, f"{address}: refused")
             raise error from ConnectionRefusedError()
         client_stream, server_stream = memory_stream_pair()
         self._server_streams[address].append(server_stream)
-        self._nursery.start_soon(self._serve, server_stream, handler)
+        nursery, serve = self._servers[address]
+        nursery.start_soon(self._serve, server_stream, serve)
         return _MemoryTransport(
             client_stream,
             lambda: address in self._silent,
@@ -114,6 +122,11 @@
             ),
         )
 
-    async def _serve(self, end: trio.StapledStream, handler: Handler) -> None:
+    async def _serve(self, end: trio.StapledStream, serve: _Serve) -> None:
+        try:
+            await serve(end)
+        finally:
+            self._ended.add(end)
+
+    async def _serve_requests(self, handler: Handler, end: trio.abc.Stream) -> None:
         await serve_connection(end, handler, self._limits, lambda: False)
-        self._ended.add(end)
--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -144,6 +144,8 @@
 class CrashWorld(GatewayWorld):
     """Two chains and two plain runners, and three gateway processes in two failure domains."""
 
+    process_type = GatewayProcess
+
     def __init__(self):
         super().__init__()
         self.crashes = []
@@ -185,7 +187,7 @@
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
                 self.medium = MemoryMedium(lambda source, target: self.apart)
-                self.processes = [GatewayProcess(self, *each) for each in self.names]
+                self.processes = [self.process_type(self, *each) for each in self.names]
                 for each in self.processes:
                     nursery.start_soon(each.run)
                 await trio.sleep(3.0)
--- /dev/null
+++ b/features/stopping_requests.feature
@@ -0,0 +1,47 @@
+@planned-stop
+Feature: A process that stops ends each request that it has read with an answer
+
+  # Guards against a stop that closes the connections of requests without a byte of an answer.
+  Scenario Outline: A request whose upstream doesn't answer is answered before the process ends: <what>, <grace> s
+    Given a process that is stopped with a grace period of <grace> s
+    And upstreams that begin each request and never answer
+    When a caller sends <request> 0.1 s before the stop
+    Then it gets <status> with outcome <outcome>, reason stopping and a Retry-After
+    And the process has ended by itself within its grace period
+
+    Examples:
+      | what                     | grace | request                      | status | outcome |
+      | runs at most once        | 8     | once                         | 504    | unknown |
+      | may run again            | 8     | again                        | 504    | unknown |
+      | a stream                 | 8     | stream                       | 504    | unknown |
+      | a stream that runs once  | 8     | fragile                      | 504    | unknown |
+      | runs at most once        | 2     | once                         | 504    | unknown |
+      | a stream                 | 2     | stream                       | 504    | unknown |
+      | at a peer                | 8     | once while partitioned       | 504    | unknown |
+      | a stream at a peer       | 8     | stream while partitioned     | 504    | unknown |
+      | not sent to an upstream  | 8     | again without a token        | 503    | not-run |
+      | a stream, not sent       | 5     | stream without a token       | 503    | not-run |
+
+  # Guards against answers and streams that are cut while the grace period lasts.
+  Scenario Outline: What was begun may use the grace period until shortly before its end: <what>, <grace> s
+    Given a process that is stopped with a grace period of <grace> s
+    When <what> goes on until 0.9 of the grace period
+    Then its caller got the whole answer
+    And the process has ended by itself within its grace period
+
+    Examples:
+      | what                                    | grace |
+      | an answer that its caller reads slowly  | 8     |
+      | an answer that its caller reads slowly  | 5     |
+      | an answer that its caller reads slowly  | 2     |
+      | a stream                                | 8     |
+      | a stream                                | 5     |
+      | a stream                                | 2     |
+
+  # Guards against a stop whose log says that the callers left.
+  Scenario: The log names each request that a stop cuts, and what it waited for
+    Given a process that is stopped with a grace period of 5 s
+    When a stream goes on until 1.5 of the grace period
+    Then the log says that r1, which had begun, was cut by the stop and waited for its upstream
+    And the log says that 1 request was unfinished
+    And the process has ended by itself within its grace period
