Answer each request before a stopping process ends

Callers saw: requests in flight at a silent upstream when the grace period of their process ran out were closed without a byte, and so were requests at peers and those that waited for a token. With a grace period of 5 s, begun streams and answers that were read slowly were cut 4.1 to 4.3 s after SIGTERM, before the last sixth, in which a cut is allowed.

Cause: the drain ended with the cancellation of everything, 0.7 s before the end whatever its length, and no request was told of it before.

A stop now sets two bounds for all requests, derived from the grace period: the last sixth of it is for ending, half of that (at most 0.7 s, as before) for the exit. What has not begun to answer when the sixth begins is ended by the scope of its deadline, with 504 if it may have run and else 503, reason `stopping` and a Retry-After of 0.1 s. What has begun goes on until the reserve for the exit: 7.33 s instead of 7.3 s of 8, 4.58 instead of 4.3 of 5. Upstreams and peers are handed the time until then, and queues that consider the deadline see the earlier one. A stop with nothing in flight ends as soon as before.

Considered as well: cancelling what is unanswered without a deadline that others see. Callers get the same; upstreams would be told 20 s by a process that exists for 6.

The stub gateway in the steps of stopping_server.feature has the new bounds; its checks are unchanged.

--- a/deckcourse/gateway/admitted.py
+++ b/deckcourse/gateway/admitted.py
@@ -7,6 +7,7 @@
 from deckcourse.gateway.desired import AccountSpec, RouteSpec, UpstreamService
 from deckcourse.gateway.dialect import CallerRequest
 from deckcourse.gateway.request_identity import identity_of, part_identities
+from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.http1.server import Exchange
 
 __all__ = ["Admitted", "EarlierExecutions"]
@@ -31,19 +32,32 @@
 
 @dataclass(frozen=True)
 class Admitted:
-    """A request that passed routing and authorization; `deadline` is on trio's clock.
+    """A request that passed routing and authorization.
 
-    `earlier` is set if a peer handed it over.
+    `limit` is its own deadline, on trio's clock; `stop` may set an earlier one. `earlier` is set if
+    a peer handed it over.
     """
 
     caller: CallerRequest
     route: RouteSpec
     service: UpstreamService
     account: AccountSpec | None
-    deadline: float
+    limit: float
     exchange: Exchange
+    stop: StopBounds
     earlier: EarlierExecutions | None = None
 
+    @property
+    def deadline(self) -> float:
+        """When it gets its outcome if its response has not started, else when that ends."""
+        return self.stop.bound(self.limit, self.exchange.started)
+
+    @property
+    def work_deadline(self) -> float:
+        """Until when an upstream may work on it: the response of a stream starts meanwhile."""
+        has_started = self.exchange.started or self.service.model is not None
+        return self.stop.bound(self.limit, has_started)
+
     @cached_property
     def identity(self) -> str:
         """The identity that equal requests share whatever their ids; computed on first use."""
--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -25,6 +25,7 @@
 __all__ = [
     "Withheld",
     "WaitsFor",
+    "STOPPING_RETRY_AFTER_SECONDS",
     "check_single_response",
     "is_withheld",
     "log_deadline",
@@ -43,6 +44,8 @@
 # Largest retry-after value as a share of the request's remaining time. By the platform's
 # definition, callers honour values up to a third of it.
 MAX_RETRY_AFTER_SHARE = 0.3
+# Retry-after value of a process that stops: others are ready.
+STOPPING_RETRY_AFTER_SECONDS = 0.1
 
 
 class WaitsFor(StrEnum):
@@ -97,7 +100,7 @@
     may_have_run: Callable[[], bool],
     on_passed: Callable[[], None],
 ) -> Outcome:
-    """Return the outcome of all attempts, or that the deadline passed first.
+    """Return the outcome of all attempts, or that the deadline or that of a stop passed first.
 
     Args:
       admitted: the request.
@@ -107,7 +110,7 @@
     """
     outcome: Outcome | None = None
     try:
-        with trio.move_on_at(admitted.deadline):
+        with admitted.stop.until(admitted.limit, admitted.exchange):
             outcome = await attempts()
     except BaseException as error:
         is_cancelled = not isinstance(error, Exception)
@@ -117,11 +120,21 @@
     if outcome is not None:
         return outcome
     on_passed()
+    if trio.current_time() < admitted.limit:
+        return _stopped(may_have_run())
     if may_have_run():
         return Unknown(UnknownReason.DEADLINE_PASSED, "the time for the answer is over")
     return NotRun(NotRunReason.DEADLINE, "the time was over before an upstream took it")
 
 
+def _stopped(may_have_run: bool) -> Outcome:
+    """Return the outcome of a request whose time ended since this process stops."""
+    message = "this entry stops before there is an answer"
+    if may_have_run:
+        return Unknown(UnknownReason.STOPPING, message, retry_after=STOPPING_RETRY_AFTER_SECONDS)
+    return NotRun(NotRunReason.STOPPING, message, STOPPING_RETRY_AFTER_SECONDS)
+
+
 def log_deadline(
     context: GatewayContext, admitted: Admitted, waits_for: WaitsFor, instance: str, since: float
 ) -> None:
@@ -135,7 +148,7 @@
       since: the start of that wait or the last event, on trio's clock.
     """
     context.log(
-        "deadline" if trio.current_time() >= admitted.deadline else "interrupted",
+        "deadline" if trio.current_time() >= admitted.limit else "interrupted",
         request=admitted.caller.request_id,
         waits_for=str(waits_for),
         instance=instance,
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -7,12 +7,13 @@
 import trio
 
 from deckcourse.gateway.admitted import Admitted, EarlierExecutions
-from deckcourse.gateway.calls import schedule_retry_after
+from deckcourse.gateway.calls import STOPPING_RETRY_AFTER_SECONDS, schedule_retry_after
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.desired import CallerBounds, DesiredState, RouteSpec
 from deckcourse.gateway.dialect import CallerRequest
 from deckcourse.gateway.handover import HandedExchange
 from deckcourse.gateway.lookup import ServiceCall
+from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.gateway.stream import StreamCall
 from deckcourse.http1.message import Headers, IncomingRequest
 from deckcourse.http1.server import Exchange
@@ -54,6 +55,7 @@
         self._requests = 0
         self._handed_requests = 0
         self._refuses_new = False
+        self._stop_bounds = StopBounds()
 
     @property
     def context(self) -> GatewayContext:
@@ -70,6 +72,11 @@
         """The number of requests in flight."""
         return self._requests
 
+    @property
+    def stop_bounds(self) -> StopBounds:
+        """The bounds that a stop sets for requests."""
+        return self._stop_bounds
+
     def refuse_new(self) -> None:
         """Refuse all new requests from now on; those in flight continue."""
         self._refuses_new = True
@@ -149,7 +156,8 @@
         earlier: EarlierExecutions | None,
     ) -> Outcome:
         if self._desired() is None and not self._refuses_new:
-            await self._wait_for_start()
+            with self._stop_bounds.until(float("inf"), exchange):
+                await self._wait_for_start()
         admitted = self._admit(caller, exchange, earlier)
         if isinstance(admitted, NotRun):
             return admitted
@@ -168,7 +176,7 @@
     ) -> Admitted | NotRun:
         if self._refuses_new:
             return NotRun(
-                NotRunReason.STOPPING, "this entry is stopping", NOT_READY_RETRY_AFTER_SECONDS
+                NotRunReason.STOPPING, "this entry is stopping", STOPPING_RETRY_AFTER_SECONDS
             )
         desired = self._desired()
         if desired is None:
@@ -190,7 +198,9 @@
             return NotRun(NotRunReason.NO_ROUTE, f"route {route.name} has no service")
         seconds = _timeout_seconds(caller, route) - caller.message.body_waited
         deadline = trio.current_time() + seconds
-        return Admitted(caller, route, service, account, deadline, exchange, earlier)
+        return Admitted(
+            caller, route, service, account, deadline, exchange, self._stop_bounds, earlier
+        )
 
     def _record_outcome(self, caller: CallerRequest, outcome: Outcome, seconds: float) -> None:
         context = self._context
--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -316,7 +316,7 @@
             message.target,
             message.headers,
             message.body,
-            max(0.0, self._admitted.deadline - trio.current_time()),
+            max(0.0, self._admitted.work_deadline - trio.current_time()),
             self._last_event,
             executions.instances[:MAX_UPSTREAMS],
             executions.runs,
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -351,7 +351,7 @@
         admitted = self._admitted
         dispatch = Dispatch(
             upstream.instance,
-            admitted.deadline - trio.current_time(),
+            admitted.work_deadline - trio.current_time(),
             admitted.account_name,
             admitted.priority,
         )
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -25,8 +25,11 @@
 # How long new callers still come after SIGTERM: the balancer checks readiness once a second and
 # needs two failed checks.
 BALANCER_GRACE_SECONDS = 2.6
-# Part of the grace period that is reserved for the exit of the process.
+# What may be cut off by a stop goes on into the last sixth of the grace period. Half of that, at
+# most as long as the exit of a busy process takes, is reserved for the exit; before it, as much for
+# the outcomes of requests without an answer.
 EXIT_RESERVE_SECONDS = 0.7
+EXIT_RESERVE_SHARE = 1 / 12
 # How long the requests that arrived last may take to be read and refused as the process ends, and
 # the part of it in which fresh connections are read.
 LAST_REFUSALS_SECONDS = 0.2
@@ -113,24 +116,32 @@
     async def _drain(self, nursery: trio.Nursery) -> None:
         grace = self._stop_grace()
         started = trio.current_time()
-        self._log("stopping", requests=self._node.gateway.requests, grace=grace)
+        gateway = self._node.gateway
+        reserve = min(EXIT_RESERVE_SECONDS, grace * EXIT_RESERVE_SHARE)
+        end_by = started + grace - reserve
+        answer_by = end_by - reserve
+        gateway.stop_bounds.begin(answer_by, end_by)
+        self._log("stopping", requests=gateway.requests, grace=grace)
         await trio.sleep(min(BALANCER_GRACE_SECONDS, grace / 2))
         self._node.refuse_new()
         self._idle_connections.close_served()
-        refuses_last_at = started + grace - EXIT_RESERVE_SECONDS - LAST_REFUSALS_SECONDS
-        while self._node.gateway.requests and trio.current_time() < refuses_last_at:
+        while gateway.requests and trio.current_time() < answer_by:
             await trio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
-        with trio.move_on_after(LAST_REFUSALS_SECONDS):
+        gateway.stop_bounds.end_unanswered()
+        with trio.move_on_at(end_by):
             await self._refuse_last(nursery)
-        self._log("stopped", unfinished=self._node.gateway.requests)
+        self._log("stopped", unfinished=gateway.requests)
 
     async def _refuse_last(self, nursery: trio.Nursery) -> None:
-        """Close the listeners and refuse the requests that arrived before."""
+        """Close the listeners, refuse the requests that arrived before, and wait for all others."""
         for port in self._ports:
             self._accept_last(port, nursery)
         await trio.sleep(LAST_READS_SECONDS)
         self._idle_connections.close_all()
-        while self._node.held.connections:
+        refuses_until = trio.current_time() + LAST_REFUSALS_SECONDS
+        while self._node.gateway.requests or (
+            self._node.held.connections and trio.current_time() < refuses_until
+        ):
             await trio.sleep(LAST_READS_SECONDS)
 
     def _accept_last(self, port: _Port, nursery: trio.Nursery) -> None:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -485,7 +485,7 @@
             return Withheld()
         dispatch = Dispatch(
             stream.path.stages[0].instance,
-            admitted.deadline - trio.current_time(),
+            admitted.work_deadline - trio.current_time(),
             admitted.account_name,
             admitted.priority,
             stream.path,
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -19,6 +19,7 @@
 from mutants_pieces import EVERY as OF_PIECES
 from mutants_placement import EVERY as OF_PLACEMENT
 from mutants_rates import EVERY as OF_RATES
+from mutants_stop import EVERY as OF_STOP
 
 __all__ = ["MUTANTS", "switch_on"]
 
@@ -39,5 +40,6 @@
     | OF_PARTITIONS
     | OF_OVERLOAD
     | OF_PIECES
+    | OF_STOP
 ).items():
     mutant(_mechanism, *_features)(_function)
--- a/features/steps/stopping_request_steps.py
+++ b/features/steps/stopping_request_steps.py
@@ -58,6 +58,26 @@
     context.site.play(story)
 
 
+@when("a caller sends {route} {delay:g} s after the stop")
+def sends_after(context, route, delay):
+    async def story(site):
+        process = site.processes[0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_and_wait, context, process)
+            await trio.sleep(delay)
+            context.got = await site.ask_at(process, route)
+        answer = expected_events(site, "r1", site.events)
+        context.expected = b"answer to r1" if route == "once" else answer
+
+    context.site.play(story)
+
+
+@then("its upstream was handed between {least:g} and {most:g} s")
+def handed(context, least, most):
+    (run,) = context.site.runs
+    assert least <= float(run.headers["x-deadline-ms"]) / 1000 <= most, run.headers
+
+
 @then("it gets {status:d} with outcome {outcome}, reason {reason} and a Retry-After")
 def refused(context, status, outcome, reason):
     got, header = context.got, context.site.header
--- a/features/steps/stopping_server_steps.py
+++ b/features/steps/stopping_server_steps.py
@@ -10,6 +10,7 @@
 from deckcourse.gateway import server
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.gateway.held_bytes import HeldBytes
+from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.settings import LoadSettings
 
 STOP_GRACE_SECONDS = 8.0
@@ -26,7 +27,7 @@
         self.held = HeldBytes(LoadSettings, lambda *_: None, lambda *_: None, lambda *_: None)
         self.overload = SimpleNamespace(admit_connection=lambda: True)
         self.peers = SimpleNamespace(leave=trio.lowlevel.checkpoint)
-        self.gateway = SimpleNamespace(requests=0, handle=self._handle)
+        self.gateway = SimpleNamespace(requests=0, handle=self._handle, stop_bounds=StopBounds())
         self.run = self.watch_readers = self.watch_load = trio.sleep_forever
         self.stopping = False
         self.ready = True
--- a/features/stopping_requests.feature
+++ b/features/stopping_requests.feature
@@ -38,6 +38,18 @@
       | a stream                                | 5     |
       | a stream                                | 2     |
 
+  # Guards against upstreams that work on requests for longer than the process exists.
+  Scenario Outline: A request that comes while the process stops is served in the time that is left: <route>
+    Given a process that is stopped with a grace period of 8 s
+    When a caller sends <route> 1 s after the stop
+    Then its caller got the whole answer
+    And its upstream was handed between 5 and 7 s
+
+    Examples:
+      | route  |
+      | once   |
+      | stream |
+
   # Guards against a stop whose log says that the callers left.
   Scenario: The log names each request that a stop cuts, and what it waited for
     Given a process that is stopped with a grace period of 5 s
