Refuse at once the streams that a stopping process can't end

Callers saw: a stream that came up to 2.6 s after SIGTERM was taken whatever its length, and cut when the process ended, while other processes were ready.

A stop tells each request when its process ends. Before a stream is sent, that is compared with the forecast of the path for a usual answer, or for the longest one that the caller allows if that is shorter; if it doesn't fit, the stream gets 503 with Retry-After 0.1 s. There is no forecast for plain calls: they are taken as before and get an outcome in time. Handed-over requests were declined from SIGTERM on already.

--- a/deckcourse/gateway/stream_admission.py
+++ b/deckcourse/gateway/stream_admission.py
@@ -12,6 +12,7 @@
 from deckcourse.decisions.admission_order import CALLER_TIMEOUT_SECONDS, RequestNeed, service_cost
 from deckcourse.gateway.admission_queue import Place, Refused, Ticket
 from deckcourse.gateway.admitted import Admitted
+from deckcourse.gateway.calls import STOPPING_RETRY_AFTER_SECONDS
 from deckcourse.gateway.context import GatewayContext
 from deckcourse.gateway.stream_retries import StreamRetries
 from deckcourse.layers.paths import LayerPath
@@ -82,6 +83,9 @@
           path: the path that was chosen for it.
           attempts: how many attempts were made.
         """
+        if self._outlasts_process(path):
+            message = "this entry stops before a usual stream ends"
+            return Refusal(NotRunReason.STOPPING, STOPPING_RETRY_AFTER_SECONDS, message)
         if not self._context.admission.is_on(self._admitted.service.name):
             refusal = await self._refuse_by_utilization(path, attempts)
             return path if refusal is None else refusal
@@ -100,6 +104,17 @@
         self._counted_path = outcome.path
         return outcome.path
 
+    def _outlasts_process(self, path: LayerPath) -> bool:
+        """Return whether this process stops and ends before the stream would on a path."""
+        end_by = self._admitted.stop.end_by
+        if end_by == float("inf"):
+            return False
+        caller, model = self._admitted.caller, self._admitted.service.model
+        tokens = min(model.usual_answer, caller.max_answer_tokens or model.usual_answer)
+        forecast = self._choice.forecast(model, path, caller.prompt_tokens)
+        seconds = forecast.first_event + tokens * forecast.pause / model.event_tokens
+        return trio.current_time() + seconds > end_by
+
     def note_sent(self, path: LayerPath) -> None:
         """Record that the stream is sent, unless that was counted when it was admitted."""
         if self._counted_path is not path:
--- a/features/steps/stopping_request_steps.py
+++ b/features/steps/stopping_request_steps.py
@@ -12,6 +12,8 @@
 
 from deckcourse.gateway.rate_gate import RateGate
 
+AT_ONCE_SECONDS = 0.05
+
 
 async def wait_for_ever(*_args):
     await trio.sleep_forever()
@@ -28,6 +30,12 @@
     context.site.let_upstreams_work_forever()
 
 
+@given("streams that usually take {seconds:g} s")
+def usual_streams(context, seconds):
+    engine = context.site.config["services"][0]["engine"]
+    engine["usual"] = {"answer": seconds * 1000 / engine["step_ms"]}
+
+
 async def stop_and_wait(context, process):
     """Stop a process, and wait until its grace period is over."""
     context.process, context.stopped_at = process, trio.current_time()
@@ -87,6 +95,11 @@
     assert float(header(got, "retry-after")) > 0, got.headers
 
 
+@then("it is refused at once, before it is sent to an upstream")
+def refused_at_once(context):
+    assert context.got.seconds < AT_ONCE_SECONDS and not context.site.runs, context.got
+
+
 @then("the process has ended by itself within its grace period")
 def ended_in_time(context):
     seconds = (context.process.ended_at or float("inf")) - context.stopped_at
--- a/features/stopping_requests.feature
+++ b/features/stopping_requests.feature
@@ -50,6 +50,19 @@
       | once   |
       | stream |
 
+  # Guards against streams that are taken by a process that ends in their middle.
+  Scenario Outline: A stream is taken while the process stops only if it can end before: usually <seconds> s
+    Given a process that is stopped with a grace period of 8 s
+    And streams that usually take <seconds> s
+    When a caller sends stream 1 s after the stop
+    Then <outcome>
+
+    Examples:
+      | seconds | outcome                                                             |
+      | 7       | it gets 503 with outcome not-run, reason stopping and a Retry-After |
+      | 7       | it is refused at once, before it is sent to an upstream             |
+      | 5       | its caller got the whole answer                                     |
+
   # Guards against a stop whose log says that the callers left.
   Scenario: The log names each request that a stop cuts, and what it waited for
     Given a process that is stopped with a grace period of 5 s
