--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -111,6 +111,11 @@
         """See `Exchange`."""
         return self._exchange.torn
 
+    @property
+    def client_gone(self) -> bool:
+        """See `Exchange`."""
+        return self._exchange.client_gone
+
     @property
     def meter(self) -> ConnectionMeter:
         """See `Exchange`."""
@@ -317,7 +322,7 @@
             message.target,
             message.headers,
             message.body,
-            max(0.0, self._admitted.deadline - trio.current_time()),
+            max(0.0, self._admitted.work_deadline - trio.current_time()),
             self._last_event,
             executions.instances[:MAX_UPSTREAMS],
             executions.runs,
