--- a/features/gateway_runner.py
+++ b/features/gateway_runner.py
@@ -75,9 +75,9 @@
         self.silent_until = 0.0
         # Until when it sends no event, on open connections and new ones.
         self.held_until = 0.0
-        # Delay before it answers queries and orders, seconds.
-        # How long it takes to refuse a request while it is full.
+        # How long it takes to refuse a request while it is full, seconds.
         self.refusal_delay = 0.0
+        # Delay before it answers queries and orders, seconds.
         self.control_delay = 0.0
         self.born = None
         self.keeps_silent_connections = False
