Reproduce streams that the kept attempt delays or stops, red

A stream that left its first upstream because of a host behind it waits 1.86 s although another host holds the layers after 0.2 s: its upstream isn't chosen again. One whose connection no longer works is cut at its deadline although its upstream answers.

--- a/features/kept_attempts.feature
+++ b/features/kept_attempts.feature
@@ -42,3 +42,27 @@
     When the upstream of a stream falls silent for a second after five events, with 3 retries left: there are none
     Then its caller got the whole stream
     And no retry was spent
+
+  # Guards against a stream that waits for the upstream that it has left because of a host behind it,
+  # while another host has taken that one's place.
+  Scenario Outline: A host behind the only first upstream is lost, and replaced after <seconds> seconds
+    Given a first upstream, and a host behind it
+    When that host is lost after five events, and another one holds its layers after <seconds> seconds
+    Then its caller got the whole stream, with no pause over <pause> seconds
+
+    Examples:
+      | seconds | pause |
+      | 0.2     | 0.5   |
+      | 1.0     | 1.3   |
+
+  # Guards against a stream that waits until its deadline on a connection that no longer works.
+  Scenario: An upstream answers again after silence, but not on the stream's connection, and the other one fails
+    Given 2 first upstreams and a route that allows 2
+    When the stream's connection is silent for good, its upstream for 0.6 seconds, and the other one resets it
+    Then its caller got the whole stream
+
+  # Guards against a retry that other streams lack while nothing can be sent.
+  Scenario: A stream that waits for its silent upstream alone keeps no retry
+    Given 1 first upstreams and a route that allows 2
+    When the upstream of a stream is silent for four seconds after five events, with 1 retries left
+    Then it kept no retry after three seconds
--- a/features/steps/kept_attempt_steps.py
+++ b/features/steps/kept_attempt_steps.py
@@ -1,10 +1,11 @@
 """Steps about streams whose upstream is silent while others refuse them or take them over."""
 
 import trio
-from behave import then, when
+from behave import given, then, when
 from bound_steps import EVENTS_BEFORE
 from bound_world import POLL_SECONDS, SILENCE_SECONDS
 from gateway_runner import EVENT_SECONDS
+from gateway_world import LAYERS, GatewayWorld
 
 from deckcourse.gateway.retry_issuer import RetryGrant
 
@@ -12,6 +13,8 @@
 EARNING_REQUESTS = {1: 7, 2: 12, 3: 17}
 LONG_SILENCE_SECONDS = 3.0
 DENIED_SECONDS = 2.0
+# A run that the other upstream resets has had no event by then.
+RESET_AFTER_SECONDS = 0.3
 # The runners' records of a cancelled run may be this late by the rules.
 CANCEL_SECONDS = 0.5
 
@@ -113,3 +116,72 @@
 @then("no retry was spent")
 def no_retry_spent(context):
     assert context.spent == 0, (context.spent, context.site.lines[-20:])
+
+
+@given("a first upstream, and a host behind it")
+def first_and_host(context):
+    context.site = site = GatewayWorld()
+    for name, start, end in (("x1", 0, LAYERS // 2), ("x2", LAYERS // 2, LAYERS)):
+        site.add(name, "llm", "x", start, end).accepts_orders = False
+
+
+@when(
+    "that host is lost after five events, and another one holds its layers after {seconds:g}"
+    " seconds"
+)
+def host_replaced(context, seconds):
+    async def fault(site):
+        await find_upstream(site, EVENTS_BEFORE["after five events"])
+        lost = site.runners["x2"]
+        lost.dead = True
+        site.network.silence(lost.address)
+        await trio.sleep(seconds)
+        site.add("x3", "llm", "x", lost.first, lost.end).start()
+
+    play(context, 3, fault)
+
+
+@when(
+    "the stream's connection is silent for good, its upstream for {seconds:g} seconds, and the"
+    " other one resets it"
+)
+def connection_lost(context, seconds):
+    async def fault(site):
+        first = await find_upstream(site, EVENTS_BEFORE["after five events"])
+        (other,) = site.runners.keys() - {first}
+        site.silence(first, seconds)
+        site.runners[first].keeps_silent_connections = True
+        site.runners[other].held_until = site.runners[first].held_until + LONG_SILENCE_SECONDS
+
+        async def reset_other():
+            while len(site.runs) < 2:
+                await trio.sleep(POLL_SECONDS)
+            await trio.sleep(RESET_AFTER_SECONDS)
+            site.reset(other)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reset_other)
+            # The run on the old connection goes on before that and never sends again.
+            await trio.sleep(seconds + EVENT_SECONDS)
+            site.runners[first].keeps_silent_connections = False
+
+    play(context, 3, fault)
+
+
+@when(
+    "the upstream of a stream is silent for four seconds after five events, with {retries:d}"
+    " retries left"
+)
+def silent_for_long(context, retries):
+    async def fault(site):
+        first = await find_upstream(site, EVENTS_BEFORE["after five events"])
+        site.silence(first, 4.0)
+        await trio.sleep(3.0)
+        context.kept = context.spent
+
+    play(context, retries, fault)
+
+
+@then("it kept no retry after three seconds")
+def no_retry_kept(context):
+    assert context.kept == 0, (context.kept, context.site.lines[-20:])
