Let a stream return to a first upstream that it left because of a host behind it

Since a stream whose later host was lost paused for 1.86 s, also when another host held the layers after 0.2 s: the attempt that it left stays open, and upstreams of open attempts were left out of new paths.

--- a/deckcourse/gateway/stream_attempts.py
+++ b/deckcourse/gateway/stream_attempts.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from deckcourse.gateway.active_stream import ActiveStream
+from deckcourse.gateway.active_stream import ActiveStream, Interruption
 from deckcourse.layers.paths import LayerPath
 
 __all__ = ["StreamAttempt", "StreamAttempts"]
@@ -46,6 +46,14 @@
         """Whether another attempt is to take its place unless it goes on before."""
         return self.stream is not None and self.stream.is_detached
 
+    @property
+    def may_be_replaced(self) -> bool:
+        """Whether another attempt may run at its first upstream, which answers.
+
+        It left that one because of a host behind it, and another path may have become usable.
+        """
+        return self.is_detached and self.stream.interruption is not Interruption.FIRST_SILENT
+
     @property
     def scope(self) -> trio.CancelScope:
         """The scope of its task."""
@@ -86,8 +94,8 @@
 
     @property
     def instances(self) -> frozenset[str]:
-        """The first upstreams of the attempts that have not ended."""
-        return frozenset(each.instance for each in self._live)
+        """The first upstreams of the attempts that no other one at these may replace."""
+        return frozenset(each.instance for each in self._live if not each.may_be_replaced)
 
     @property
     def is_any_attached(self) -> bool:
@@ -97,13 +105,16 @@
     def start(
         self, path: LayerPath, run: Callable[[StreamAttempt[_Result]], Awaitable[_Result]]
     ) -> None:
-        """Start an attempt in the background.
+        """Start an attempt in the background, in place of one at the same first upstream.
 
         Args:
           path: the path that it runs on.
           run: makes the attempt and returns its result.
         """
         attempt = StreamAttempt[_Result](path)
+        for each in self.live:
+            if each.instance == attempt.instance:
+                self.cancel(each)
         self._live.append(attempt)
         self._nursery.start_soon(self._run, attempt, run)
 
--- a/deckcourse/gateway/stream_paths.py
+++ b/deckcourse/gateway/stream_paths.py
@@ -101,8 +101,8 @@
     def choose(self, avoid: frozenset[str]) -> LayerPath | None:
         """Return a path, if possible one without upstreams that are executing suspect requests.
 
-        With as many upstreams as its route allows, it begins at one of these. Those that may still
-        go on with an earlier attempt are left out.
+        With as many upstreams as its route allows, it begins at one of these. Silent ones that may
+        still go on with an earlier attempt are left out.
         """
         avoid |= self._attempts.instances
         model = self._admitted.service.model
