--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -154,13 +154,15 @@
     async def _search(self) -> Outcome | None:
         """Start a further attempt, unless one that is in progress goes on before.
 
+        A retry that it didn't use is returned: other streams may need it.
+
         Returns:
           The outcome if no attempt can be made, or if a peer has served the stream.
         """
         outcome: Outcome | None = None
         with self._attempts.searching() as scope:
             outcome = await self._start_attempt()
-        if scope.cancelled_caught:
+        if scope.cancelled_caught or outcome is not None:
             self._retries.close()
         return outcome
 
