Leave a connection on which a stream has gone silent while its upstream answers

What callers saw: a stream waited until its deadline on a connection that had gone silent for good, while its upstream answered queries on others.

Change: a stream that has had no event for 1.5 s, and whose first upstream answers and reports no blocking host, is interrupted, and may be sent to the same upstream again on another connection. It needs a retry like any other move.

Evidence, virtual clock: both scenarios (kept_attempts, believed_lost) were red and are green; a mutant makes one red.

--- a/deckcourse/gateway/active_stream.py
+++ b/deckcourse/gateway/active_stream.py
@@ -39,6 +39,7 @@
     FIRST_SILENT = "first-silent"
     NO_OTHER_PATH = "no-other-path"
     BETTER_ELSEWHERE = "better-elsewhere"
+    CONNECTION_SILENT = "connection-silent"
 
 
 class StreamInterruptedError(Exception):
--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -61,6 +61,10 @@
 SUSPICION_TTL_SECONDS = 4.0
 # Consecutive unanswered queries after which the first upstream itself is suspected.
 MAX_UNANSWERED_QUERIES = 2
+# A stream waits this long for its next event at an upstream that answers queries and reports no
+# blocking one. After that its connection may have gone silent for good, which no reset tells; its
+# caller abandons it after two seconds.
+SILENT_CONNECTION_SECONDS = 1.5
 # Shortest interval between log entries about a blocking upstream that answers probes.
 STALL_LOG_INTERVAL_SECONDS = 1.0
 
@@ -371,6 +375,7 @@
           waiting_for: for each waiting request, the address of the upstream that it waits for.
           query_state: the state of the queries to the first upstream.
         """
+        self._interrupt_on_silent_connections(first, waiting_for)
         if not waiting_for:
             if query_state.queries >= QUERIES_BEFORE_BACKOFF:
                 query_state.interval = min(query_state.interval * 2, MAX_QUERY_INTERVAL_SECONDS)
@@ -393,6 +398,18 @@
             )
         await self._move_all()
 
+    def _interrupt_on_silent_connections(
+        self, first: Upstream, waiting_for: Mapping[str, str]
+    ) -> None:
+        """Interrupt streams that wait too long for an upstream which answers and isn't blocked."""
+        now = trio.current_time()
+        for stream in list(self._streams):
+            is_at_first = stream.path.stages[0].instance == first.instance
+            is_late = stream.has_events and now >= stream.event_at + SILENT_CONNECTION_SECONDS
+            is_blocked = stream.request_id in waiting_for
+            if is_at_first and is_late and not is_blocked and stream.is_stalled(now):
+                stream.interrupt(Interruption.CONNECTION_SILENT)
+
     def _record_blocking(
         self, blocking: Upstream, is_lost: bool, first: Upstream, waiting_for: Mapping[str, str]
     ) -> None:
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -46,6 +46,8 @@
 
 # Attempts after which a request that no upstream has executed is refused.
 MAX_ATTEMPTS = 5
+# Why a stream is interrupted at an upstream that it may be sent to again.
+LEAVING_A_SOUND_UPSTREAM = (Interruption.BETTER_ELSEWHERE, Interruption.CONNECTION_SILENT)
 # Retry-after value while some layers of a model are unavailable: neighbouring upstreams load them
 # within this time.
 NO_PATH_RETRY_AFTER_SECONDS = 1.0
@@ -347,7 +349,7 @@
     def note_interruption(self, attempt: Attempt) -> Broken:
         """Record that an attempt was interrupted; see `AttemptObserver`."""
         interruption, exchange = attempt.stream.interruption, self._admitted.exchange
-        if interruption is not Interruption.BETTER_ELSEWHERE:
+        if interruption not in LEAVING_A_SOUND_UPSTREAM:
             self._state.avoided.add(attempt.instance)
         self._context.count(f"retry.{RetryReason.STAGE_STALLED}")
         self._context.log(
--- a/deckcourse/gateway/stream_paths.py
+++ b/deckcourse/gateway/stream_paths.py
@@ -74,11 +74,11 @@
         """Return whether the stream may be detached from an upstream.
 
         Unless there is another path, it stays. It doesn't return to an upstream only for a better
-        path.
+        path; on another connection, it may be sent to the same one again.
         """
         if not self._admitted.route.repeatable:
             return False
-        if self._has_started and not self.is_bound:
+        if why is Interruption.CONNECTION_SILENT or (self._has_started and not self.is_bound):
             return True
         if self.is_bound and why is Interruption.BETTER_ELSEWHERE:
             return False
--- a/features/mutants_moves.py
+++ b/features/mutants_moves.py
@@ -55,6 +55,10 @@
     StreamAttempts.take_over = lambda self, attempt: None
 
 
+def connections_are_never_silent():
+    StallMonitor._interrupt_on_silent_connections = lambda self, first, waiting_for: None
+
+
 def unused_retries_are_lost():
     StreamRetries.close = lambda self: None
 
@@ -70,6 +74,7 @@
     any_upstream_is_allowed: ("a request stays within the upstreams that its route allows", BOUND),
     silent_upstreams_are_left_at_once: ("a silent upstream is left once another one goes on", KEPT),
     events_of_all_attempts_count: ("one attempt alone continues a response", KEPT),
+    connections_are_never_silent: ("a connection that has gone silent is left", KEPT),
     unused_retries_are_lost: ("a retry that is not used is returned", KEPT),
     ended_upstreams_count: ("upstreams that ended don't count against that bound", BOUND),
 }
--- a/features/steps/admission_queue_steps.py
+++ b/features/steps/admission_queue_steps.py
@@ -295,7 +295,7 @@
     got = context.got
     runs = [each.request for each in context.site.runs if each.request.startswith("r-")]
     expected = [f"r-{each}" for each in begun.split(", ") if each != "none"]
-    # Of those that begin at the same time, one may arrive a round trip later: it opens a connection.
+    # Of those that begin at the same time, one may arrive a round trip later on a new connection.
     last_arrival = {each.request: round(each.at, 2) for each in context.site.received_requests}
     arrivals = [last_arrival[each] for each in expected]
     assert sorted(runs) == sorted(expected) and arrivals == sorted(arrivals), (
