Log connections that are closed unread, and long turns of the event loop

Callers whose connection is closed before their request is read get a reset or a close, and no line of any log named them: the log said that the event loop is saturated, not which connections were turned away or closed as idle, how long these may have waited, or whether a request lay in them.

Each such close is counted by reason (load, stopping, idle) and reported in one line a second and reason at most. The log also tells each turn of the event loop of 100 ms and more with the processor time of this process meanwhile, and the processor time that reading a configuration takes. No decision changes.

--- a/deckcourse/gateway/overload.py
+++ b/deckcourse/gateway/overload.py
@@ -5,11 +5,12 @@
 """
 
 from collections.abc import Callable
+from time import process_time
 
 import trio
 
 from deckcourse.decisions.concurrency_limit import SATURATED_SHARE, ConcurrencyLimit
-from deckcourse.loop_monitor import LoopMonitor, LoopSample
+from deckcourse.loop_monitor import MIN_PAUSE_SECONDS, LoopMonitor, LoopSample
 
 __all__ = ["OverloadWatch"]
 
@@ -54,6 +55,8 @@
         self._admits_any_from = float("-inf")
         self._turned_away = 0
         self._monitor: LoopMonitor | None = None
+        # The processor time of this process at the last sample.
+        self._processor_seconds = process_time()
 
     @property
     def is_limiting(self) -> bool:
@@ -95,6 +98,7 @@
         self._gauge("loop.busy", sample.busy_share)
         self._gauge("requests.limit", self._limit.limit or 0.0)
         self._timing("loop.turn", sample.longest_turn)
+        self._note_long_turn(sample, in_flight)
         is_saturated = sample.busy_share >= SATURATED_SHARE
         self._contrary_samples += 1
         if is_saturated == self._is_saturated:
@@ -112,3 +116,16 @@
                 longest_turn_ms=round(sample.longest_turn * 1000, 1),
             )
             self._turned_away = 0
+
+    def _note_long_turn(self, sample: LoopSample, in_flight: int) -> None:
+        """Log a turn that is as good as a pause, and whether this process itself ran meanwhile."""
+        used = process_time() - self._processor_seconds
+        self._processor_seconds += used
+        if sample.longest_turn >= MIN_PAUSE_SECONDS:
+            self._log(
+                "long-turn",
+                requests=in_flight,
+                longest_turn_ms=round(sample.longest_turn * 1000),
+                busy=round(sample.busy_share, 2),
+                processor_ms=round(used * 1000),
+            )
--- a/deckcourse/gateway/row_intake.py
+++ b/deckcourse/gateway/row_intake.py
@@ -1,6 +1,7 @@
 """Decodes rows of the store, logs changes and applies them."""
 
 from collections.abc import Callable, Sequence
+from time import process_time
 from typing import Protocol
 
 from returns.result import Failure, Result, Success
@@ -79,12 +80,19 @@
         """Apply one changed row of the operator table."""
         if key != self._reader.desired_key or value is None:
             return
+        began_at = process_time()
         match self._reader.desired_state(value):
             case Success(desired):
                 self._listed.add_services(desired.services)
                 for each in self._listed.unconfigured():
                     self._check_service(each)
                 self._on_desired(desired)
+                self._log(
+                    "configuration-read",
+                    version=desired.version,
+                    bytes=len(value),
+                    processor_ms=round((process_time() - began_at) * 1000, 1),
+                )
             case Failure(error):
                 self._count("malformed.desired-state")
                 self._log("malformed", what=error[:MAX_ERROR_CHARS])
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -11,9 +11,11 @@
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.node import GatewayNode
+from deckcourse.gateway.unread_closes import UnreadCloses
+from deckcourse.http1.idle_connections import CloseReason, IdleConnections
 from deckcourse.http1.message import IncomingRequest
 from deckcourse.http1.pieces import PieceLane
-from deckcourse.http1.server import Exchange, Handler, IdleConnections, serve_connection
+from deckcourse.http1.server import Exchange, Handler, serve_connection
 from deckcourse.listener import Listener, reset
 from deckcourse.peers.handover_message import MAX_ENVELOPE_BYTES
 from deckcourse.settings import Address
@@ -66,6 +68,7 @@
       metrics: returns the metrics as text.
       ready_path: the path of the balancer's readiness check.
       log: writes an entry to the decision log.
+      count: increments a counter by name.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         metrics: Callable[[], bytes],
         ready_path: bytes,
         log: Callable[..., None],
+        count: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._node = node
         self._addresses = addresses
@@ -84,7 +88,8 @@
         self._ready_path = ready_path
         self._log = log
         self._stop = trio.Event()
-        self._idle_connections = IdleConnections()
+        self._unread_closes = UnreadCloses(count, log)
+        self._idle_connections = IdleConnections(self._unread_closes.note_stream)
         self._ports: list[_Port] = []
 
     def stop(self) -> None:
@@ -98,6 +103,7 @@
             nursery.start_soon(self._node.run)
             nursery.start_soon(self._node.watch_readers)
             nursery.start_soon(self._node.watch_load)
+            nursery.start_soon(self._unread_closes.run)
             self._listen(nursery, self._addresses.ready, self._answer_ready)
             self._listen(nursery, self._addresses.metrics, self._answer_metrics)
             peers = self._addresses.peers
@@ -122,6 +128,7 @@
             await trio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
         with trio.move_on_after(LAST_REFUSALS_SECONDS):
             await self._refuse_last(nursery)
+        self._unread_closes.report()
         self._log("stopped", unfinished=self._node.gateway.requests)
 
     async def _refuse_last(self, nursery: trio.Nursery) -> None:
@@ -170,11 +177,13 @@
 
     def _start(self, port: _Port, accepted: list[socket], nursery: trio.Nursery) -> None:
         for connection in accepted:
+            trio_socket = trio.socket.from_stdlib_socket(connection)
             if not port.admit():
+                waited = port.listener.longest_wait
+                self._unread_closes.note(CloseReason.LOAD, trio_socket, waited)
                 reset(connection)
                 continue
-            stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
-            nursery.start_soon(port.serve, stream)
+            nursery.start_soon(port.serve, trio.SocketStream(trio_socket))
 
     async def _serve(
         self,
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -4,8 +4,8 @@
 it is closed. HTTP server libraries do not leave that decision to the application.
 """
 
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import replace
 from fcntl import ioctl
 from socket import SO_LINGER, SOL_SOCKET
@@ -18,6 +18,7 @@
 import trio
 
 from deckcourse.http1.connection_meter import NO_METER, ConnectionMeter
+from deckcourse.http1.idle_connections import CloseReason, IdleConnections
 from deckcourse.http1.message import READ_BYTES, Headers, IncomingRequest, declared_length
 from deckcourse.http1.pieces import PieceLane, PieceMeter
 from deckcourse.listener import RESET_ON_CLOSE
@@ -26,7 +27,6 @@
     "ConnectionLimits",
     "Exchange",
     "Handler",
-    "IdleConnections",
     "serve_connection",
 ]
 
@@ -72,59 +72,6 @@
     """The client closed the connection, or was idle for too long between requests."""
 
 
-class IdleConnections:
-    """The connections without a request in progress, the served and the fresh ones.
-
-    A served connection may be closed at any time. The client of a fresh one, which has not had a
-    request yet, is owed an answer to its first.
-    """
-
-    def __init__(self) -> None:
-        # The value says whether the connection is fresh.
-        self._scopes: dict[trio.CancelScope, bool] = {}
-        self._closes_served = False
-        self._closes_fresh = False
-
-    def close_served(self) -> None:
-        """Close the served connections, and from now on each one as soon as it becomes idle."""
-        self._closes_served = True
-        self._close_due()
-
-    def close_all(self) -> None:
-        """Close the fresh connections too."""
-        self._closes_served = self._closes_fresh = True
-        self._close_due()
-
-    def _close_due(self) -> None:
-        for scope, is_fresh in list(self._scopes.items()):
-            if self._closes(is_fresh):
-                scope.cancel()
-
-    def _closes(self, is_fresh: bool) -> bool:
-        return self._closes_fresh if is_fresh else self._closes_served
-
-    @contextmanager
-    def waiting_for_request(self, is_fresh: bool) -> Iterator[None]:
-        """Count a connection as idle while the next request is awaited inside.
-
-        Args:
-          is_fresh: whether the connection has not had a request yet.
-
-        Raises:
-          _ClientGoneError: the connection is to be closed.
-        """
-        with trio.CancelScope() as scope:
-            if self._closes(is_fresh):
-                scope.cancel()
-            self._scopes[scope] = is_fresh
-            try:
-                yield
-            finally:
-                del self._scopes[scope]
-        if scope.cancelled_caught:
-            raise _ClientGoneError
-
-
 class Exchange:
     """The response to one request: streamed by `start`, `send` and `finish`, or sent by `respond`.
 
@@ -357,9 +304,7 @@
         event = await self._next_event()
         line_count = 0
         if event is h11.NEED_DATA:
-            with self._idle_connections.waiting_for_request(self._is_fresh):
-                data = await self._receive(trio.current_time() + limits.idle_seconds, None)
-            line_count = data.count(b"\n")
+            line_count = (await self._receive_first(limits.idle_seconds)).count(b"\n")
             event = await self._next_event()
         deadline = trio.current_time() + limits.header_seconds
         while event is h11.NEED_DATA:
@@ -425,14 +370,35 @@
             await self._lane.wait(seconds)
             raise _RejectedRequestError(431)
 
-    async def _receive(self, deadline: float, timeout_status: int | None) -> bytes:
+    async def _receive_first(self, idle_seconds: float) -> bytes:
+        """Receive the first bytes of a request, for which the connection is idle."""
+        waits_since = trio.current_time()
+        data, reason = None, CloseReason.STOPPING
+        with self._idle_connections.waiting_for_request(self._is_fresh):
+            data = await self._receive_until(waits_since + idle_seconds)
+            reason = CloseReason.IDLE
+        if data is None:
+            waited = trio.current_time() - waits_since
+            self._idle_connections.note_closed(reason, self._stream, waited)
+            raise _ClientGoneError
+        return self._take(data)
+
+    async def _receive(self, deadline: float, timeout_status: int) -> bytes:
+        data = await self._receive_until(deadline)
+        if data is None:
+            raise _RejectedRequestError(timeout_status)
+        return self._take(data)
+
+    async def _receive_until(self, deadline: float) -> bytes | None:
+        """Return what the client sends next, empty at its close, None if nothing comes in time."""
         data = None
         waits_since = trio.current_time()
         with trio.move_on_at(deadline):
             data = await self._stream.receive_some(READ_BYTES)
         self._pieces.note_wait(trio.current_time() - waits_since)
-        if data is None and timeout_status is not None:
-            raise _RejectedRequestError(timeout_status)
+        return data
+
+    def _take(self, data: bytes) -> bytes:
         if not data:
             raise _ClientGoneError
         self._h11.receive_data(data)
--- a/deckcourse/listener.py
+++ b/deckcourse/listener.py
@@ -37,6 +37,13 @@
         host, _, port = address.rpartition(":")
         self._socket = socket.create_server((host, int(port)), backlog=backlog)
         self._socket.setblocking(False)
+        # When the queue was last found empty, and that time as of the last accept.
+        self._empty_at = self._arrived_after = trio.current_time()
+
+    @property
+    def longest_wait(self) -> float:
+        """The longest time for which the connections accepted last may have waited, seconds."""
+        return trio.current_time() - self._arrived_after
 
     @property
     def address(self) -> tuple[str, int]:
@@ -80,10 +87,15 @@
           OSError: no connection could be accepted, such as for a lack of file descriptors.
         """
         accepted: list[socket.socket] = []
+        self._arrived_after = self._empty_at
         while len(accepted) < MAX_ACCEPTED_AT_ONCE:
+            tried_at = trio.current_time()
             try:
                 connection, _ = self._socket.accept()
-            except (BlockingIOError, ConnectionAbortedError):
+            except BlockingIOError:
+                self._empty_at = tried_at
+                break
+            except ConnectionAbortedError:
                 break
             except OSError:
                 if accepted:
--- a/deckcourse/loop_monitor.py
+++ b/deckcourse/loop_monitor.py
@@ -5,7 +5,7 @@
 
 from trio.abc import Instrument
 
-__all__ = ["LoopMonitor", "LoopSample"]
+__all__ = ["MIN_PAUSE_SECONDS", "LoopMonitor", "LoopSample"]
 
 # A wait that ends later than its timeout by more than this shows that the process was paused, and a
 # turn that takes longer is as good as a pause for what arrives meanwhile. No upstream restarts in a
--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -80,6 +80,7 @@
             counters.text,
             READY,
             log.log,
+            counters.count,
         )
 
     def _peer_ports(self) -> PeerPorts:
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -37,9 +37,9 @@
 from deckcourse.gateway.upstream import StartOrder
 from deckcourse.gateway.upstreams import UpstreamTable
 from deckcourse.http1.client import UpstreamConnection
+from deckcourse.http1.idle_connections import IdleConnections
 from deckcourse.http1.message import ConnectionLostError, FailureKind
 from deckcourse.http1.pool import ConnectionPool
-from deckcourse.http1.server import IdleConnections
 from deckcourse.layers.healer import Healer
 from deckcourse.layers.plan_book import PlanBook
 from deckcourse.platform.dialect import PlatformDialect
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -37,3 +37,8 @@
   Scenario: The bound falls while the event loop is overloaded, and rises while there is room
     When 100 requests are in flight, the event loop is overloaded for 2 seconds and has little room for 5
     Then the bound falls below 50 and then rises above 80
+
+  # Guards against connections that are closed unread without a trace in the log.
+  Scenario: The log tells of connections that are closed unread, in a bounded number of lines
+    When 20 connections are closed unread for "load", 12 of them with a request in the socket
+    Then one line of the log tells the reason "load", 20 connections, 12 with something to read and 8 clients
--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -12,10 +12,11 @@
 from deckcourse.decision_log import MAX_BURST_LINES, DecisionLog
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.http1.client import UpstreamConnection
+from deckcourse.http1.idle_connections import IdleConnections
 from deckcourse.http1.memory import MemoryNetwork
 from deckcourse.http1.message import ConnectionLostError
 from deckcourse.http1.pool import ConnectionPool
-from deckcourse.http1.server import IdleConnections, serve_connection
+from deckcourse.http1.server import serve_connection
 from deckcourse.metrics import RegistryCounters
 from deckcourse.platform.store import Store
 from deckcourse.table import Committed, Conflict, TableFailure, Write
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -8,6 +8,8 @@
 
 from deckcourse.decisions.concurrency_limit import ConcurrencyLimit
 from deckcourse.gateway.overload import OverloadWatch
+from deckcourse.gateway.unread_closes import UnreadCloses
+from deckcourse.http1.idle_connections import CloseReason
 from deckcourse.listener import Listener
 from deckcourse.loop_monitor import LoopMonitor, LoopSample
 
@@ -152,3 +154,43 @@
     lowest = min(each for each in context.bounds if each is not None)
     assert lowest < low, context.bounds
     assert context.bounds[-1] > high, context.bounds
+
+
+@when(
+    '{count:d} connections are closed unread for "{reason}",'
+    " {asked:d} of them with a request in the socket"
+)
+def close_unread(context, count, reason, asked):
+    context.closes, context.counted = [], []
+
+    async def work():
+        closes = UnreadCloses(
+            context.counted.append, lambda kind, **fields: context.closes.append((kind, fields))
+        )
+        with Listener("127.0.0.1:0", 64) as listener:
+            clients = [socket.create_connection(listener.address) for _ in range(count)]
+            for each in clients[:asked]:
+                each.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            for number, each in enumerate(await listener.accept()):
+                accepted = trio.socket.from_stdlib_socket(each)
+                closes.note(CloseReason(reason), accepted, number / 100)
+                accepted.close()
+            closes.report()
+            closes.report()
+            for each in clients:
+                each.close()
+
+    trio.run(work)
+
+
+@then(
+    'one line of the log tells the reason "{reason}", {count:d} connections,'
+    " {asked:d} with something to read and {named:d} clients"
+)
+def check_closes(context, reason, count, asked, named):
+    assert context.counted == [f"connection.closed-{reason}"] * count, context.counted
+    ((kind, fields),) = context.closes
+    assert kind == "connections-closed" and fields["reason"] == reason, context.closes
+    assert (fields["count"], fields["readable"]) == (count, asked), fields
+    assert len(fields["clients"]) == named, fields
+    assert fields["longest_wait_ms"] == 10 * (count - 1), fields
