Scenarios of requests that are closed unread, red

A request that has waited in the accept queue of a late process is reset if it is beyond the bound on requests; one that lies in a connection which is closed as idle is reset as well; and a stopping process whose turns last 0.25 s closes what it has read 0.2 s after its listener, without an answer.

--- /dev/null
+++ b/features/steps/unread_connection_steps.py
@@ -0,0 +1,174 @@
+"""Steps about connections whose requests a server doesn't read."""
+
+import time
+from contextlib import suppress
+
+import trio
+from behave import given, then, when
+from server_world import REQUEST, Caller, play, read_beside, run_late
+
+# What a caller sends before the event loop goes on, and after it.
+SENDS = {
+    "sends a request": (REQUEST, b""),
+    "sends it at once": (b"", REQUEST),
+    "sends half a head": (REQUEST[:10], b""),
+    "sends nothing": (b"", b""),
+}
+# The head of a response by what the scenario calls it.
+STATUSES = {"a 200": b"HTTP/1.1 200", "a 503": b"HTTP/1.1 503"}
+IDLE_SECONDS = 0.2
+MOMENT_SECONDS = 0.02
+
+
+def check_answer(answer, gets):
+    """Check what a caller read: one refusal with its Retry-After, or nothing."""
+    if gets in ("reset", "close"):
+        assert answer == (b"{reset}" if gets == "reset" else b""), answer
+        return
+    status, _, closes = gets.partition(" with a close")
+    assert answer.startswith(STATUSES[status]), answer
+    assert not answer.endswith(b"{reset}"), answer
+    if status == "a 503":
+        lower = answer.lower()
+        assert b"retry-after: 0.1\r\n" in lower and b"connection: close\r\n" in lower, answer
+        assert lower.count(b"http/1.1") == 1, answer
+
+
+@given("a server that admits no connection")
+def server_without_room(context):
+    context.admits = False
+
+
+@given("a server that admits {admits}, whose turns of the event loop last {turn:g} s")
+def late_server(context, admits, turn):
+    context.admits = admits == "all connections"
+    context.turn = turn
+
+
+@given("a server whose idle timeout is {seconds:g} s, and a caller with a served connection")
+def server_with_idle_timeout(context, seconds):
+    assert seconds == IDLE_SECONDS
+
+
+async def make_queue_empty(address):
+    """Connect and wait for the reset: the accept queue is found empty then."""
+    await read_beside(Caller(address))
+
+
+@when(
+    "the event loop is late by {late:g} s, and a caller connects {before:g} s before it goes on"
+    " and {sends}"
+)
+def late_turn(context, late, before, sends):
+    first, later = SENDS[sends]
+
+    async def part(server, node, address):
+        await make_queue_empty(address)
+        time.sleep(late - before)
+        caller = Caller(address)
+        caller.send(first)
+        time.sleep(before)
+
+        def ask():
+            with suppress(ConnectionError):  # Told by what is read then.
+                caller.send(later)
+            return caller.read()
+
+        answer = await trio.to_thread.run_sync(ask)
+        return answer, node.asked
+
+    context.answer, context.asked = play(part, context.admits)
+
+
+@then("the caller reads {gets} while no request is handled")
+def gets_and_none_handled(context, gets):
+    check_answer(context.answer, gets)
+    assert context.asked == 0, context.asked
+
+
+@when(
+    "{count:d} callers connect while the event loop is late by {late:g} s,"
+    " every second one with a request"
+)
+def many_callers(context, count, late):
+    async def part(server, node, address):
+        await make_queue_empty(address)
+        callers = [Caller(address) for _ in range(count)]
+        for each in callers[::2]:
+            each.send()
+        time.sleep(late)
+        began_at = time.monotonic()
+        answers = await trio.to_thread.run_sync(lambda: [each.read() for each in callers])
+        return answers, node.asked, time.monotonic() - began_at
+
+    context.answers, context.asked, context.seconds = play(part, context.admits)
+
+
+@then("each that sent a request gets a 503, and no request is handled")
+def each_refused(context):
+    for each in context.answers[::2]:
+        check_answer(each, "a 503")
+    assert context.asked == 0, context.asked
+
+
+@then("all connections are closed within {seconds:g} s")
+def closed_within(context, seconds):
+    assert all(each in (b"", b"{reset}") for each in context.answers[1::2]), context.answers
+    assert context.seconds <= seconds, context.seconds
+
+
+@when("the caller sends a request in the turn of the event loop in which {what}")
+def request_at_close(context, what):
+    async def part(server, node, address):
+        caller = Caller(address)
+        caller.send()
+        while not node.asked:
+            await trio.sleep(0.01)
+        # Until the connection waits for its next request.
+        await trio.sleep(MOMENT_SECONDS)
+        if what == "the idle timeout passes":
+            time.sleep(IDLE_SECONDS + MOMENT_SECONDS)
+        caller.send()
+        if what == "idle connections are closed":
+            server._idle_connections.close_served()
+        elif what == "idle connections all end":
+            server._idle_connections.close_all()
+        return await read_beside(caller)
+
+    context.answer = play(part, idle_seconds=IDLE_SECONDS)
+
+
+@then("the second answer is {gets}")
+def gets_second(context, gets):
+    # The answer to the first request comes before that to the second one.
+    answers = context.answer.split(b"HTTP/1.1")
+    assert len(answers) == 3, context.answer
+    check_answer(b"HTTP/1.1" + answers[2], gets)
+
+
+@when(
+    "it stops, and a caller sends a request after {seconds:g} s in a turn that lasts"
+    " {longer:g} s more"
+)
+def stop_late(context, seconds, longer):
+    async def part(server, node, address):
+        async with trio.open_nursery() as nursery:
+            node.stop()
+            server.stop()
+            stopped_at = trio.current_time()
+            if context.turn:
+                nursery.start_soon(run_late, context.turn)
+            await trio.sleep_until(stopped_at + seconds)
+            caller = Caller(address)
+            caller.send()
+            time.sleep(longer)
+            answer = await read_beside(caller)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    context.answer = play(part, context.admits)
+
+
+@then("the refusal reaches the caller with a close")
+def refused_with_close(context):
+    check_answer(context.answer, "a 503 with a close")
--- /dev/null
+++ b/features/unread_connections.feature
@@ -0,0 +1,48 @@
+Feature: Connections whose requests this process doesn't read
+
+  # Guards against a reset of connections whose whole request has waited in the accept queue of a
+  # late process: their callers get neither an answer nor a refusal.
+  Scenario Outline: A connection beyond the bound is refused if it has waited for long: <what>
+    Given a server that admits no connection
+    When the event loop is late by <late> s, and a caller connects <before> s before it goes on and <sends>
+    Then the caller reads <gets> while no request is handled
+
+    Examples: a request counts as read 0.2 s after it was sent
+      | what                          | late | before | sends             | gets  |
+      | sent with the connect         | 0.5  | 0.45   | sends a request   | a 503 |
+      | nothing sent yet              | 0.5  | 0.45   | sends it at once  | a 503 |
+      | a part of a request sent      | 0.5  | 0.45   | sends half a head | a 503 |
+      | connected a moment before     | 0.02 | 0.01   | sends a request   | reset |
+      | a moment before, nothing sent | 0.02 | 0.01   | sends nothing     | reset |
+      | never sent                    | 0.5  | 0.45   | sends nothing     | close |
+
+  # Guards against a refusal that costs as much as a request, and against refusals without a bound.
+  Scenario: Refusals of a late process are bounded in number, and each caller gets its end at once
+    Given a server that admits no connection
+    When 200 callers connect while the event loop is late by 0.5 s, every second one with a request
+    Then each that sent a request gets a 503, and no request is handled
+    And all connections are closed within 1 s
+
+  # Guards against a reset of the request that a caller sends as its idle connection is closed.
+  Scenario Outline: A request that lies in an idle connection is answered: <what>
+    Given a server whose idle timeout is 0.2 s, and a caller with a served connection
+    When the caller sends a request in the turn of the event loop in which <what>
+    Then the second answer is <gets>
+
+    Examples:
+      | what                        | gets            |
+      | the idle timeout passes     | a 200           |
+      | idle connections are closed | a 200           |
+      | idle connections all end    | a 200           |
+
+  # Guards against a stop that ends before a late process has refused what had arrived.
+  Scenario Outline: A late process refuses what arrived before its end: <what>
+    Given a server that admits <admits>, whose turns of the event loop last <turn> s
+    When it stops, and a caller sends a request after <seconds> s in a turn that lasts <longer> s more
+    Then the refusal reaches the caller with a close
+
+    Examples: it refuses requests 0.3 s after it was stopped
+      | what                                    | turn | admits          | seconds | longer |
+      | beyond the bound, as the listener closes | 0.0  | no connection   | 0.05    | 0.4    |
+      | each turn late, as the listener closes   | 0.06 | all connections | 0.2     | 0.1    |
+      | each turn very late                      | 0.25 | all connections | 0.2     | 0.1    |
