--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -135,7 +135,8 @@
 
     async def _check_for_surplus(self, call: Call) -> None:
         """Check that no bytes follow an answer with `Connection: close`."""
-        with trio.move_on_after(SURPLUS_TIMEOUT_SECONDS):
+        # A reset brings no bytes either.
+        with trio.move_on_after(SURPLUS_TIMEOUT_SECONDS), suppress(trio.BrokenResourceError):
             data = await self._stream.receive_some(MAX_READ_BYTES)
             if data:
                 call.feed(data)
