Refuse connections that a late process would reset after their request counts as read

Callers of a process that is out of processor time got a reset 0.2 to 0.7 s after they had sent a request whole: neither an answer nor a refusal, and no way to know that nothing ran.

Cause: a connection beyond the bound on requests is reset whenever it is accepted. The later the process is, the longer the connection has waited, and the likelier its request lies in the socket.

What may have waited for half of read_slack, the time after which a request counts as read, is answered with 503, Retry-After and Connection: close, unparsed, and closed so that the answer can be read; at most 64 connections are awaited in tasks, beyond these only a request that lies in the socket is answered. What waited less is reset as before, so that its caller tries another process at once. read_slack comes from the platform's bounds as the contact time does.

--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -12,13 +12,14 @@
 from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.node import GatewayNode
 from deckcourse.gateway.unread_closes import UnreadCloses
+from deckcourse.gateway.unread_refusals import UnreadRefusals
 from deckcourse.http1.idle_connections import CloseReason, IdleConnections
 from deckcourse.http1.message import IncomingRequest
 from deckcourse.http1.pieces import PieceLane
 from deckcourse.http1.server import Exchange, Handler, serve_connection
 from deckcourse.listener import Listener, reset
 from deckcourse.peers.handover_message import MAX_ENVELOPE_BYTES
-from deckcourse.settings import Address
+from deckcourse.settings import Address, GatewaySettings
 
 __all__ = ["GatewayServer", "ListenAddresses"]
 
@@ -35,6 +36,9 @@
 LAST_READS_SECONDS = 0.01
 # Interval between two checks whether all requests have ended.
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
+# A connection is closed unread only within this share of the time after which its request counts as
+# read: the rest is for the way of the close, and for a process that loses its processor meanwhile.
+UNREAD_SHARE = 0.5
 # Pause after a failure to accept a connection, such as for a lack of file descriptors.
 ACCEPT_BACKOFF_SECONDS = 0.1
 
@@ -69,6 +73,8 @@
       ready_path: the path of the balancer's readiness check.
       log: writes an entry to the decision log.
       count: increments a counter by name.
+      read_slack: returns the time after which a request that was sent whole counts as read,
+        seconds.
     """
 
     def __init__(
@@ -80,6 +86,7 @@
         ready_path: bytes,
         log: Callable[..., None],
         count: Callable[[str], None] = lambda name: None,
+        read_slack: Callable[[], float] = lambda: GatewaySettings.read_slack,
     ) -> None:
         self._node = node
         self._addresses = addresses
@@ -88,8 +95,12 @@
         self._ready_path = ready_path
         self._log = log
         self._stop = trio.Event()
+        self._read_slack = read_slack
         self._unread_closes = UnreadCloses(count, log)
         self._idle_connections = IdleConnections(self._unread_closes.note_stream)
+        self._refusals = UnreadRefusals(
+            self._idle_connections, lambda: self._node.bounds.idle_seconds
+        )
         self._ports: list[_Port] = []
 
     def stop(self) -> None:
@@ -137,7 +148,7 @@
             self._accept_last(port, nursery)
         await trio.sleep(LAST_READS_SECONDS)
         self._idle_connections.close_all()
-        while self._node.held.connections:
+        while self._node.held.connections or self._refusals.pending:
             await trio.sleep(LAST_READS_SECONDS)
 
     def _accept_last(self, port: _Port, nursery: trio.Nursery) -> None:
@@ -177,13 +188,19 @@
 
     def _start(self, port: _Port, accepted: list[socket], nursery: trio.Nursery) -> None:
         for connection in accepted:
-            trio_socket = trio.socket.from_stdlib_socket(connection)
-            if not port.admit():
-                waited = port.listener.longest_wait
-                self._unread_closes.note(CloseReason.LOAD, trio_socket, waited)
-                reset(connection)
-                continue
-            nursery.start_soon(port.serve, trio.SocketStream(trio_socket))
+            if port.admit():
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+                nursery.start_soon(port.serve, stream)
+            else:
+                self._turn_away(connection, port.listener.longest_wait, nursery)
+
+    def _turn_away(self, connection: socket, waited: float, nursery: trio.Nursery) -> None:
+        """Refuse a connection whose request may count as read, reset another one."""
+        may_count_as_read = waited >= UNREAD_SHARE * self._read_slack()
+        reason = CloseReason.REFUSED if may_count_as_read else CloseReason.LOAD
+        self._unread_closes.note(reason, trio.socket.from_stdlib_socket(connection), waited)
+        if not may_count_as_read or not self._refusals.start(connection, nursery):
+            reset(connection)
 
     async def _serve(
         self,
--- a/deckcourse/http1/idle_connections.py
+++ b/deckcourse/http1/idle_connections.py
@@ -10,10 +10,14 @@
 
 
 class CloseReason(StrEnum):
-    """Why this process closes a connection of which it has not read a request."""
+    """Why this process closes a connection of which it has not read a request.
+
+    LOAD closes with a reset, REFUSED answers the request that the connection may hold.
+    """
 
     IDLE = "idle"
     LOAD = "load"
+    REFUSED = "refused"
     STOPPING = "stopping"
 
 
--- a/deckcourse/platform/environment.py
+++ b/deckcourse/platform/environment.py
@@ -1,6 +1,6 @@
 """Settings of a process on the users' platform: its file, and what its environment gives.
 
-A platform that doesn't tell the contact time leaves its variable empty; in a file, an empty value
+A platform that doesn't tell one of these times leaves its variable empty; in a file, an empty value
 would be refused.
 """
 
@@ -10,11 +10,14 @@
 
 from returns.result import Failure, Result, Success
 
-from deckcourse.platform.names import CONTACT_VARIABLE
+from deckcourse.platform.names import CONTACT_VARIABLE, READ_SLACK_VARIABLE
 from deckcourse.settings import Duration, Problem, Settings, read_settings
 
 __all__ = ["read_deployed_settings"]
 
+# The gateway's setting that each variable gives.
+SETTINGS = {CONTACT_VARIABLE: "contact", READ_SLACK_VARIABLE: "read_slack"}
+
 
 def read_deployed_settings(
     path: str, environment: Mapping[str, str]
@@ -23,24 +26,34 @@
 
     Args:
       path: the file.
-      environment: the variables of the process; the contact time is in milliseconds.
+      environment: the variables of the process; the times are in milliseconds.
 
     Returns:
       The settings, or every problem that there is.
     """
-    text = environment.get(CONTACT_VARIABLE, "").strip()
     settings = read_settings(path)
-    if not text or isinstance(settings, Failure):
+    if isinstance(settings, Failure):
         return settings
-    seconds = _seconds(text)
-    if seconds is None:
-        wrong, right = f"{text!r} is no value for it", "want milliseconds, such as 3000"
-        return Failure((Problem(CONTACT_VARIABLE, "", "", wrong, right),))
-    return settings.bind(lambda each: Success(_with_contact(each, seconds)))
+    given = {name: environment.get(name, "").strip() for name in SETTINGS}
+    problems = tuple(
+        _problem(name, text) for name, text in given.items() if text and _seconds(text) is None
+    )
+    if problems:
+        return Failure(problems)
+    times = {
+        SETTINGS[name]: Duration(seconds)
+        for name, text in given.items()
+        if (seconds := _seconds(text)) is not None
+    }
+    return settings.bind(lambda each: Success(_with_times(each, times)))
+
+
+def _problem(name: str, text: str) -> Problem:
+    return Problem(name, "", "", f"{text!r} is no value for it", "want milliseconds, such as 3000")
 
 
-def _with_contact(settings: Settings, seconds: float) -> Settings:
-    return replace(settings, gateway=replace(settings.gateway, contact=Duration(seconds)))
+def _with_times(settings: Settings, times: Mapping[str, Duration]) -> Settings:
+    return replace(settings, gateway=replace(settings.gateway, **times))
 
 
 def _seconds(text: str) -> float | None:
--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -28,14 +28,17 @@
     "RUNNER_TABLE",
     "SEAL",
     "CONTACT_VARIABLE",
+    "READ_SLACK_VARIABLE",
     "SETTINGS_VARIABLE",
     "TOKENS",
 ]
 
 # The environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "DECKCOURSE_BOOT"
-# The one with the contact time in milliseconds; it goes before that of the file.
+# The ones with the contact time, and the time after which a request counts as read, milliseconds;
+# they go before those of the file.
 CONTACT_VARIABLE = "DECKCOURSE_CONTACT_MS"
+READ_SLACK_VARIABLE = "DECKCOURSE_READ_SLACK_MS"
 
 # Header names, in lower case.
 REQUEST_ID = b"x-request-id"
--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -81,6 +81,7 @@
             READY,
             log.log,
             counters.count,
+            lambda: self._settings.gateway.read_slack,
         )
 
     def _peer_ports(self) -> PeerPorts:
--- a/deckcourse/settings.py
+++ b/deckcourse/settings.py
@@ -75,7 +75,8 @@
     with the largest `peer_weight` are the likeliest to follow the store for the others.
     `stop_grace` is the time from SIGTERM to the end; `revocation` the longest time after which a
     key that was taken away may still open something, anywhere; `contact` the time after which a
-    process that reaches the store must know what the store has acknowledged. In any `retry_window`
+    process that reaches the store must know what the store has acknowledged; `read_slack` the time
+    after which a request that was sent whole counts as read by its process. In any `retry_window`
     all processes together retry no more than `retry_ratio` of a service's requests and
     `retry_slack` more.
     """
@@ -88,6 +89,7 @@
     stop_grace: Duration = Duration(8)
     revocation: Duration = Duration(5)
     contact: Duration = Duration(3)
+    read_slack: Duration = Duration(0.2)
     retry_ratio: float = 0.2
     retry_slack: float = 200.0
     retry_window: Duration = Duration(10)
--- a/features/deploy.feature
+++ b/features/deploy.feature
@@ -26,8 +26,20 @@
       | negative          | -5     | are refused naming the variable |
       | no number         | nan    | are refused naming the variable |
 
-  Scenario: The deploy file gives the variable of the contact time
-    Then the deploy file fills the variable of the contact time from the platform's bounds
+  # Guards against a reset of requests that count as read by the platform's bound, not by ours.
+  Scenario Outline: The time after which a request counts as read comes from the environment: <what>
+    Then with <value> as the time to count as read in the environment, the settings <result>
+
+    Examples:
+      | what         | value | result                          |
+      | whole number | 150   | have a read slack of 0.15       |
+      | fraction     | 250.0 | have a read slack of 0.25       |
+      | not told     |       | have a read slack of 0.2        |
+      | a word       | soon  | are refused naming the variable |
+      | nothing      | 0     | are refused naming the variable |
+
+  Scenario: The deploy file gives the variables of the times from the platform's bounds
+    Then the deploy file fills the variables of the times from the platform's bounds
 
   Scenario: The program reports invalid settings and exits
     Then without settings, with a missing file and with an invalid one the program exits with 78
--- a/features/mutants_overload.py
+++ b/features/mutants_overload.py
@@ -1,5 +1,7 @@
 """Mutants of what a process does when it is out of processor time."""
 
+import deckcourse.gateway.server as server_module
+import deckcourse.gateway.unread_refusals as unread_refusals_module
 import deckcourse.http1.server as http1_server_module
 import deckcourse.listener as listener_module
 from deckcourse.decisions.concurrency_limit import ConcurrencyLimit
@@ -31,6 +33,18 @@
     http1_server_module._Connection._receive_arrived = receive_arrived
 
 
+def late_connections_are_reset():
+    server_module.UNREAD_SHARE = float("inf")
+
+
+def connections_are_refused_however_early():
+    server_module.UNREAD_SHARE = 0.0
+
+
+def refusals_beyond_the_bound_are_resets():
+    unread_refusals_module._refuse_now = lambda connection: False
+
+
 OVERLOAD = ("overload",)
 UNREAD = ("unread_connections",)
 EVERY = {
@@ -41,4 +55,7 @@
         "what lies in an idle connection is read before it is closed",
         UNREAD,
     ),
+    late_connections_are_reset: ("connections that waited for long are refused", UNREAD),
+    connections_are_refused_however_early: ("others are reset at once", UNREAD),
+    refusals_beyond_the_bound_are_resets: ("refusals beyond the bound are sent at once", UNREAD),
 }
--- a/features/unread_connections.feature
+++ b/features/unread_connections.feature
@@ -21,7 +21,7 @@
     Given a server that admits no connection
     When 200 callers connect while the event loop is late by 0.5 s, every second one with a request
     Then each that sent a request gets a 503, and no request is handled
-    And all connections are closed within 1 s
+    And all connections are closed within 1.5 s
 
   # Guards against a reset of the request that a caller sends as its idle connection is closed.
   Scenario Outline: A request that lies in an idle connection is answered: <what>
@@ -36,13 +36,15 @@
       | idle connections all end    | a 200           |
 
   # Guards against a stop that ends before a late process has refused what had arrived.
-  Scenario Outline: A late process refuses what arrived before its end: <what>
+  Scenario Outline: A late process answers what arrived before its end: <what>
     Given a server that admits <admits>, whose turns of the event loop last <turn> s
-    When it stops, and a caller sends a request after <seconds> s in a turn that lasts <longer> s more
-    Then the refusal reaches the caller with a close
+    When it stops, and a caller sends a request of <size> KB after 0.1 s in a turn that lasts <longer> s more
+    Then a whole answer with a close reaches the caller
 
-    Examples: it refuses requests 0.3 s after it was stopped
-      | what                                    | turn | admits          | seconds | longer |
-      | beyond the bound, as the listener closes | 0.0  | no connection   | 0.05    | 0.4    |
-      | each turn late, as the listener closes   | 0.06 | all connections | 0.2     | 0.1    |
-      | each turn very late                      | 0.25 | all connections | 0.2     | 0.1    |
+    Examples: it refuses requests 0.6 s after it was stopped
+      | what                                   | turn | admits          | size | longer |
+      | beyond the bound                       | 0.0  | no connection   | 0    | 0.2    |
+      | beyond the bound, as the listener ends | 0.0  | no connection   | 0    | 0.6    |
+      | each turn late, as the listener ends   | 0.06 | all connections | 0    | 0.6    |
+      | each turn very late                    | 0.25 | all connections | 0    | 0.6    |
+      | the request takes some turns           | 0.25 | all connections | 48   | 0.6    |
