Give the last refusals of a late process the turns that they take

Cause: what arrived last is refused within 0.2 s after the listeners were closed, then everything ends. A refusal takes some turns of the event loop, one more for each 16 KB of a body; a late process doesn't make them in 0.2 s. It could also end before the tasks of the connections that it had just accepted had begun, since these didn't count as connections yet.

The refusals get at least ten turns now, until the reserve for the exit at most, and the tasks begin before the first look at what is open. A process that isn't late ends as soon as before: ten turns take 0.1 s, the time before was 0.2 s. Red before: requests in a process whose turns last 0.25 s, one of them with a body; without the turns the latter is red again (features/mutants_overload.py).

--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -34,6 +34,9 @@
 # the part of it in which fresh connections are read.
 LAST_REFUSALS_SECONDS = 0.2
 LAST_READS_SECONDS = 0.01
+# The least turns of the event loop for these refusals: each takes some five from the accept to the
+# close, which may last longer than that time in a late process.
+MIN_LAST_TURNS = 10
 # Interval between two checks whether all requests have ended.
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 # A connection is closed unread only within this share of the time after which its request counts as
@@ -137,7 +140,7 @@
         refuses_last_at = started + grace - EXIT_RESERVE_SECONDS - LAST_REFUSALS_SECONDS
         while self._node.gateway.requests and trio.current_time() < refuses_last_at:
             await trio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
-        with trio.move_on_after(LAST_REFUSALS_SECONDS):
+        with trio.move_on_at(started + grace - EXIT_RESERVE_SECONDS):
             await self._refuse_last(nursery)
         self._unread_closes.report()
         self._log("stopped", unfinished=self._node.gateway.requests)
@@ -146,10 +149,17 @@
         """Close the listeners and refuse the requests that arrived before."""
         for port in self._ports:
             self._accept_last(port, nursery)
+        ends_at = trio.current_time() + LAST_REFUSALS_SECONDS
         await trio.sleep(LAST_READS_SECONDS)
+        # The tasks of connections accepted in the turn before may run after this one.
+        await trio.lowlevel.checkpoint()
         self._idle_connections.close_all()
-        while self._node.held.connections or self._refusals.pending:
+        turns = 0
+        while (self._node.held.connections or self._refusals.pending) and (
+            turns < MIN_LAST_TURNS or trio.current_time() < ends_at
+        ):
             await trio.sleep(LAST_READS_SECONDS)
+            turns += 1
 
     def _accept_last(self, port: _Port, nursery: trio.Nursery) -> None:
         count = 0
--- a/features/mutants_overload.py
+++ b/features/mutants_overload.py
@@ -45,6 +45,10 @@
     unread_refusals_module._refuse_now = lambda connection: False
 
 
+def the_last_refusals_of_a_late_process_are_cut():
+    server_module.MIN_LAST_TURNS = 0
+
+
 OVERLOAD = ("overload",)
 UNREAD = ("unread_connections",)
 EVERY = {
@@ -55,6 +59,7 @@
         "what lies in an idle connection is read before it is closed",
         UNREAD,
     ),
+    the_last_refusals_of_a_late_process_are_cut: ("last refusals get some turns", UNREAD),
     late_connections_are_reset: ("connections that waited for long are refused", UNREAD),
     connections_are_refused_however_early: ("others are reset at once", UNREAD),
     refusals_beyond_the_bound_are_resets: ("refusals beyond the bound are sent at once", UNREAD),
