--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -11,12 +11,15 @@
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.gateway.held_bytes import HeldBytes
 from deckcourse.gateway.node import GatewayNode
+from deckcourse.gateway.unread_closes import UnreadCloses
+from deckcourse.gateway.unread_refusals import UnreadRefusals
+from deckcourse.http1.idle_connections import CloseReason, IdleConnections
 from deckcourse.http1.message import IncomingRequest
 from deckcourse.http1.pieces import PieceLane
-from deckcourse.http1.server import Exchange, Handler, IdleConnections, serve_connection
+from deckcourse.http1.server import Exchange, Handler, serve_connection
 from deckcourse.listener import Listener, reset
 from deckcourse.peers.handover_message import MAX_ENVELOPE_BYTES
-from deckcourse.settings import Address
+from deckcourse.settings import Address, GatewaySettings
 
 __all__ = ["GatewayServer", "ListenAddresses"]
 
@@ -34,8 +37,14 @@
 # the part of it in which fresh connections are read.
 LAST_REFUSALS_SECONDS = 0.2
 LAST_READS_SECONDS = 0.01
+# The least turns of the event loop for these refusals: each takes some five from the accept to the
+# close, which may last longer than that time in a late process.
+MIN_LAST_TURNS = 10
 # Interval between two checks whether all requests have ended.
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
+# A connection is closed unread only within this share of the time after which its request counts as
+# read: the rest is for the way of the close, and for a process that loses its processor meanwhile.
+UNREAD_SHARE = 0.5
 # Pause after a failure to accept a connection, such as for a lack of file descriptors.
 ACCEPT_BACKOFF_SECONDS = 0.1
 
@@ -69,6 +78,9 @@
       metrics: returns the metrics as text.
       ready_path: the path of the balancer's readiness check.
       log: writes an entry to the decision log.
+      count: increments a counter by name.
+      read_slack: returns the time after which a request that was sent whole counts as read,
+        seconds.
     """
 
     def __init__(
@@ -79,6 +91,8 @@
         metrics: Callable[[], bytes],
         ready_path: bytes,
         log: Callable[..., None],
+        count: Callable[[str], None] = lambda name: None,
+        read_slack: Callable[[], float] = lambda: GatewaySettings.read_slack,
     ) -> None:
         self._node = node
         self._addresses = addresses
@@ -87,7 +101,12 @@
         self._ready_path = ready_path
         self._log = log
         self._stop = trio.Event()
-        self._idle_connections = IdleConnections()
+        self._read_slack = read_slack
+        self._unread_closes = UnreadCloses(count, log)
+        self._idle_connections = IdleConnections(self._unread_closes.note_stream)
+        self._refusals = UnreadRefusals(
+            self._idle_connections, lambda: self._node.bounds.idle_seconds
+        )
         self._ports: list[_Port] = []
 
     def stop(self) -> None:
@@ -101,6 +120,7 @@
             nursery.start_soon(self._node.run)
             nursery.start_soon(self._node.watch_readers)
             nursery.start_soon(self._node.watch_load)
+            nursery.start_soon(self._unread_closes.run)
             self._listen(nursery, self._addresses.ready, self._answer_ready)
             self._listen(nursery, self._addresses.metrics, self._answer_metrics)
             peers = self._addresses.peers
@@ -130,19 +150,25 @@
         gateway.stop_bounds.end_unanswered()
         with trio.move_on_at(end_by):
             await self._refuse_last(nursery)
+        self._unread_closes.report()
         self._log("stopped", unfinished=gateway.requests)
 
     async def _refuse_last(self, nursery: trio.Nursery) -> None:
         """Close the listeners, refuse the requests that arrived before, and wait for all others."""
         for port in self._ports:
             self._accept_last(port, nursery)
+        ends_at = trio.current_time() + LAST_REFUSALS_SECONDS
         await trio.sleep(LAST_READS_SECONDS)
+        # The tasks of connections accepted in the turn before may run after this one.
+        await trio.lowlevel.checkpoint()
         self._idle_connections.close_all()
-        refuses_until = trio.current_time() + LAST_REFUSALS_SECONDS
+        turns = 0
         while self._node.gateway.requests or (
-            self._node.held.connections and trio.current_time() < refuses_until
+            (self._node.held.connections or self._refusals.pending)
+            and (turns < MIN_LAST_TURNS or trio.current_time() < ends_at)
         ):
             await trio.sleep(LAST_READS_SECONDS)
+            turns += 1
 
     def _accept_last(self, port: _Port, nursery: trio.Nursery) -> None:
         count = 0
@@ -181,11 +207,19 @@
 
     def _start(self, port: _Port, accepted: list[socket], nursery: trio.Nursery) -> None:
         for connection in accepted:
-            if not port.admit():
-                reset(connection)
-                continue
-            stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
-            nursery.start_soon(port.serve, stream)
+            if port.admit():
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+                nursery.start_soon(port.serve, stream)
+            else:
+                self._turn_away(connection, port.listener.longest_wait, nursery)
+
+    def _turn_away(self, connection: socket, waited: float, nursery: trio.Nursery) -> None:
+        """Refuse a connection whose request may count as read, reset another one."""
+        may_count_as_read = waited >= UNREAD_SHARE * self._read_slack()
+        reason = CloseReason.REFUSED if may_count_as_read else CloseReason.LOAD
+        self._unread_closes.note(reason, trio.socket.from_stdlib_socket(connection), waited)
+        if not may_count_as_read or not self._refusals.start(connection, nursery):
+            reset(connection)
 
     async def _serve(
         self,
--- a/deckcourse/platform/program.py
+++ b/deckcourse/platform/program.py
@@ -80,6 +80,8 @@
             counters.text,
             READY,
             log.log,
+            counters.count,
+            lambda: self._settings.gateway.read_slack,
         )
 
     def _peer_ports(self) -> PeerPorts:
