--- a/features/server_world.py
+++ b/features/server_world.py
@@ -9,6 +9,7 @@
 from deckcourse.gateway import server
 from deckcourse.gateway.desired import CallerBounds
 from deckcourse.gateway.held_bytes import HeldBytes
+from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.settings import LoadSettings
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -29,7 +30,7 @@
         self.held = HeldBytes(LoadSettings, lambda *_: None, lambda *_: None, lambda *_: None)
         self.overload = SimpleNamespace(admit_connection=lambda: self.admits)
         self.peers = SimpleNamespace(leave=trio.lowlevel.checkpoint)
-        self.gateway = SimpleNamespace(requests=0, handle=self._handle)
+        self.gateway = SimpleNamespace(requests=0, handle=self._handle, stop_bounds=StopBounds())
         self.run = self.watch_readers = self.watch_load = trio.sleep_forever
         self._refuses = False
 
