--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
 from soak.budget_judge import BudgetJudge
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
 from soak.calls import Call, Ending
+from soak.configuration import IDEMPOTENT_ROUTES, MAX_ATTEMPTS, MIN_TIMEOUT_SECONDS
 from soak.deadly_faults import CrashFaults, PartCrashFaults
 from soak.departure_faults import DepartureFaults
 from soak.faults import FAULT_KINDS, Faults
@@ -41,9 +42,6 @@
 from soak.silent_runner_faults import SilentRunnerFaults
 from soak.site import (
     ENTRY_COUNT,
-    IDEMPOTENT_ROUTES,
-    MAX_ATTEMPTS,
-    MIN_TIMEOUT_SECONDS,
     REVOCATION_SECONDS,
     STOP_GRACE_SECONDS,
     Site,
--- a/soak/admission_judge.py
+++ b/soak/admission_judge.py
@@ -6,7 +6,8 @@
 import trio
 
 from soak.calls import Call
-from soak.site import PRIORITIES, Site
+from soak.configuration import PRIORITIES
+from soak.site import Site
 
 __all__ = ["AdmissionJudge"]
 
--- a/soak/budget_judge.py
+++ b/soak/budget_judge.py
@@ -7,7 +7,13 @@
 import trio
 
 from soak.calls import Call
-from soak.site import RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS, SECOND_SERVICE, Site
+from soak.configuration import SECOND_SERVICE
+from soak.site import (
+    RETRY_RATIO,
+    RETRY_SLACK,
+    RETRY_WINDOW_SECONDS,
+    Site,
+)
 
 __all__ = ["SERVICES", "BudgetJudge"]
 
--- a/soak/planned_faults.py
+++ b/soak/planned_faults.py
@@ -13,9 +13,10 @@
 import trio
 
 from soak.callers import Callers
+from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.disturbances import PlannedKind
 from soak.notice_faults import Interruptions
-from soak.site import MIN_TIMEOUT_SECONDS, Entry, RunnerProcess, Site
+from soak.site import Entry, RunnerProcess, Site
 
 __all__ = ["PlannedFaults"]
 
--- a/soak/rule_judges.py
+++ b/soak/rule_judges.py
@@ -9,6 +9,7 @@
 from soak.budget_judge import SERVICES
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS
 from soak.calls import Call
+from soak.configuration import ACCOUNT
 from soak.contact import CONTACT_SECONDS, Contact
 from soak.deadline_judge import DeadlineJudge
 from soak.gone_judge import GoneJudge, departures
@@ -16,7 +17,7 @@
 from soak.lost_judge import histories
 from soak.notice_faults import Interruptions
 from soak.run_judge import RunJudge, runs
-from soak.site import ACCOUNT, Site
+from soak.site import Site
 from soak.timeout_judge import TimeoutJudge
 
 __all__ = ["RuleJudges"]
--- a/soak/shortage_faults.py
+++ b/soak/shortage_faults.py
@@ -5,7 +5,8 @@
 
 import trio
 
-from soak.site import SLOTS, Site
+from soak.configuration import SLOTS
+from soak.site import Site
 
 __all__ = ["ShortageFaults"]
 
--- a/soak/silent_runner_faults.py
+++ b/soak/silent_runner_faults.py
@@ -14,9 +14,10 @@
 
 from soak.callers import DEADLINE_SECONDS, Callers
 from soak.calls import Call
+from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.lost_judge import LIMIT_MARGIN_SECONDS
 from soak.notice_faults import Interruptions
-from soak.site import MIN_TIMEOUT_SECONDS, RunnerProcess, Site
+from soak.site import RunnerProcess, Site
 
 __all__ = ["SilentRunnerFaults"]
 
--- a/soak/unending_faults.py
+++ b/soak/unending_faults.py
@@ -12,8 +12,9 @@
 
 from soak.callers import Callers
 from soak.calls import Call, Ending
+from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.lost_judge import LIMIT_MARGIN_SECONDS
-from soak.site import MIN_TIMEOUT_SECONDS, RunnerProcess, Site
+from soak.site import RunnerProcess, Site
 from soak.unending import ENDLESS_BODY_PIECE, Unending
 from soak.wire import HOST
 
