Soak: changes of each kind under the callers that they concern, and judges for them

The kind `changes` plays storms of changes of the desired state between calm times: routes that come, go, move, are split or get another timeout while callers use them, keys that come, go and pass to another account, limits and numbers of routes and accounts. Callers use older states' routes and keys as well, and keys that were never valid. The kind `early-answers` sends long bodies to runners that answer before they have read them.

The judges of runs, keys and timeouts follow the desired states of each route instead of fixed names: they now report a run at a service that a route has left, on a dropped route, or for an account that never held the key.

--- a/features/steps/soak_rule_steps.py
+++ b/features/steps/soak_rule_steps.py
@@ -27,7 +27,6 @@
 TIMEOUT_SECONDS = 5.0
 ENDINGS = {"whole": Ending.ANSWERED, "left": Ending.DISCONNECTED, "late": Ending.UNFINISHED}
 HEADERS = {"x-model": "m", "x-token-usage": "1,2", "x-prompt-prefix": "a:1,b:2"}
-SERVICES = {"once": ("crm", "erp")}
 
 
 @dataclass(frozen=True)
@@ -36,6 +35,17 @@
 
     keys: tuple[str, ...] = ("a", "b")
     timeout_seconds: float = TIMEOUT_SECONDS
+    services: tuple[str, ...] = ("crm", "erp")
+    account: str = "acme"
+
+    def account_of(self, key):
+        return self.account if key in self.keys else ""
+
+    def services_of(self, path):
+        return self.services if path == "once" else ()
+
+    def timeout_of(self, path):
+        return self.timeout_seconds
 
 
 def make_contact(disturbed=""):
@@ -70,6 +80,7 @@
 def record_runs(context):
     context.verdicts = []
     sent = Call("r1", "once", "a", SENT_AT, request=parse_request(write_request()))
+    history = DesiredHistory([(50.0, State())])
     for row in context.table:
         name, _, value = row["changed"].partition(" ")
         run = Run("r1", "crm", "acme", parse_request(write_request()))
@@ -77,7 +88,7 @@
             run = replace(run, **{name: value})
         elif name:
             run = replace(run, received=parse_request(write_request(**{name: value})))
-        found = RunJudge([sent], SERVICES, "acme").find_violations([run])
+        found = RunJudge([sent], history).find_violations([run])
         context.verdicts.append((row["case"], found, row["verdict"]))
 
 
@@ -204,8 +215,8 @@
             duration_seconds=0.05,
         )
         judge = KeyJudge(calls, ENTRIES, history, make_contact(row["disturbed"]))
-        run_ids = {each.request_id for each in calls} if row["runs"] == "yes" else set()
-        found = judge.find_violations(run_ids)
+        services = {each.request_id: ("crm",) for each in calls} if row["runs"] == "yes" else {}
+        found = judge.find_violations(services)
         context.reported.append((row["case"], found, int(row["reported"])))
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,9 +24,11 @@
 from soak.budget_judge import BudgetJudge
 from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
 from soak.calls import Call, Ending
+from soak.change_faults import ChangeFaults
 from soak.configuration import IDEMPOTENT_ROUTES, MAX_ATTEMPTS, MIN_TIMEOUT_SECONDS
 from soak.deadly_faults import CrashFaults, PartCrashFaults
 from soak.departure_faults import DepartureFaults
+from soak.early_faults import EarlyFaults
 from soak.faults import FAULT_KINDS, Faults
 from soak.lost_judge import LostJudge, histories
 from soak.notice_faults import Interruptions, NoticeFaults
@@ -46,6 +48,7 @@
     STOP_GRACE_SECONDS,
     Site,
 )
+from soak.state_judges import StateJudges
 from soak.stop_judge import find_still_ready, observe_stop
 from soak.unending_faults import UnendingFaults
 from soak.wave_faults import WaveFaults
@@ -91,8 +94,12 @@
 SILENT_RUNNER_KIND = "silent-runners"
 # Callers that leave in the middle of long requests.
 DEPARTURE_KIND = "departures"
+# Changes under the callers that they concern, in storms between calm times.
+CHANGES_KIND = "changes"
+# Long bodies at runners that answer before they have read them.
+EARLY_KIND = "early-answers"
 SEPARATE_KINDS = {
-    DEPARTURE_KIND,
+    CHANGES_KIND, DEPARTURE_KIND, EARLY_KIND,
     PART_KIND, PLANNED_KIND, UNENDING_KIND, UNENDING_ANSWER_KIND,
     NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND, WAVE_KIND,
     KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND, SILENT_RUNNER_KIND,
@@ -112,6 +119,7 @@
                 site.violations.append(f"{entry.name} exited unexpectedly with code {code}")
                 entry.is_stopping = True
             ready = await site.ready(entry)
+            site.readiness.add(entry.name, trio.current_time(), ready)
             (callers.ready_entries.add if ready else callers.ready_entries.discard)(
                 entry.caller_proxy.address
             )
@@ -174,7 +182,12 @@
         )
         silence_faults = SilenceFaults(site, Random(f"silence of {seed}"), log_fault, interruptions)
         planned_faults = PlannedFaults(
-            site, callers, Random(f"planned of {seed}"), log_fault, interruptions
+            site,
+            callers,
+            Random(f"planned of {seed}"),
+            log_fault,
+            interruptions,
+            has_changes=CHANGES_KIND not in only,
         )
         unending_faults = UnendingFaults(
             site, callers, Random(f"unending of {seed}"), log_fault, UNENDING_KIND in only
@@ -188,6 +201,8 @@
         departure_faults = DepartureFaults(
             site, callers, Random(f"departures of {seed}"), log_fault
         )
+        change_faults = ChangeFaults(site, callers, Random(f"changes of {seed}"), log_fault)
+        early_faults = EarlyFaults(site, callers, Random(f"early answers of {seed}"), log_fault)
         nursery.start_soon(crash_faults.restart_crashed)
         async with trio.open_nursery() as load_nursery:
             load_nursery.start_soon(callers.run, CALLER_COUNT)
@@ -216,6 +231,10 @@
                     fault_nursery.start_soon(silent_runner_faults.run, began_at + seconds)
                 if DEPARTURE_KIND in only:
                     fault_nursery.start_soon(departure_faults.run, began_at + seconds)
+                if CHANGES_KIND in only:
+                    fault_nursery.start_soon(change_faults.run, began_at + seconds)
+                if EARLY_KIND in only:
+                    fault_nursery.start_soon(early_faults.run, began_at + seconds)
                 if PLANNED_KIND in only:
                     fault_nursery.start_soon(planned_faults.run, began_at + seconds)
                 if WAVE_KIND in only or KEPT_WAVE_KIND in only:
@@ -242,7 +261,7 @@
             )
         site.violations += _exited_runners(site)
         nursery.cancel_scope.cancel()
-    _mark_refused(site, callers.calls)
+    _mark_refused(site, [*callers.calls, *change_faults.calls])
     violations = (
         NoticeJudge(site, callers.calls, interruptions).find_violations()
         + crash_faults.find_violations()
@@ -255,12 +274,17 @@
     violations += answer_end_faults.find_violations(callers.calls)
     violations += silence_faults.find_violations(callers.calls)
     violations += unending_faults.find_violations(callers.calls)
-    violations += BudgetJudge(site, callers.calls).find_violations()
+    violations += BudgetJudge(site, [*callers.calls, *change_faults.calls]).find_violations()
     if set(only) == {SILENT_RUNNER_KIND}:
         violations += silent_runner_faults.find_violations(callers.calls)
-    violations += _find_lost(site, callers.calls)
-    violations += _find_over_bound(site, callers.calls)
-    proper_calls = [*callers.calls, *wave_faults.calls, *departure_faults.calls]
+    change_faults.set_limits()
+    site_calls = [*callers.calls, *change_faults.calls]
+    violations += _find_lost(site, site_calls)
+    violations += _find_over_bound(site, site_calls)
+    violations += early_faults.find_violations()
+    proper_calls = [*site_calls, *wave_faults.calls, *departure_faults.calls, *early_faults.calls]
+    offset = trio.current_time() - time.monotonic()
+    violations += StateJudges(site, proper_calls, interruptions, offset).find_violations()
     crash_calls = [*crash_faults.calls, *part_faults.calls]
     all_calls = [*proper_calls, *crash_calls]
     violations += RuleJudges(site, all_calls, proper_calls, interruptions).find_violations()
@@ -400,7 +424,7 @@
         # No bound but the contact time may then end a read on a silent connection.
         is_long = SILENCE_KIND in only
         revocation_seconds = LONG_REVOCATION_SECONDS if is_long else REVOCATION_SECONDS
-        has_second_service = PLANNED_KIND in only
+        has_second_service = bool({PLANNED_KIND, CHANGES_KIND} & set(only))
         site = Site(Path(folder), entry_count, plain_slots, revocation_seconds, has_second_service)
         if attempts is not None:
             max_attempts = {**MAX_ATTEMPTS, **dict.fromkeys(IDEMPOTENT_ROUTES, attempts)}
--- /dev/null
+++ b/soak/added_judge.py
@@ -0,0 +1,74 @@
+"""Checks that routes added later are served about as often as the first ones, in calm times."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from soak.calls import Call
+from soak.contact import Contact
+from soak.desired_history import DesiredHistory
+
+__all__ = ["AddedRoutesJudge"]
+
+# What the platform allows: with so many requests on added routes, no smaller ratio of their served
+# share to that of the first routes.
+MIN_REQUESTS = 20
+MIN_SERVED_RATIO = 1 / 4
+
+
+class AddedRoutesJudge:
+    """Checks the calls of a seed once it has finished.
+
+    Args:
+      calls: all requests of callers.
+      entries: the name of each entry by its address.
+      history: the desired states of the site; the first routes are those of its first state.
+      contact: tells which entries were in touch.
+      is_calm: whether nothing was disturbed from a time to another.
+    """
+
+    def __init__(
+        self,
+        calls: Iterable[Call],
+        entries: Mapping[str, str],
+        history: DesiredHistory,
+        contact: Contact,
+        is_calm: Callable[[float, float], bool],
+    ) -> None:
+        self._history = history
+        judged = [
+            each
+            for each in calls
+            if each.entry in entries
+            and self._is_proper(each)
+            and is_calm(each.sent_at, self._end(each))
+            and contact.is_in_touch(entries[each.entry], each.sent_at, self._end(each))
+        ]
+        self.added = [each for each in judged if not self._is_first(each)]
+        self._first = [each for each in judged if self._is_first(each)]
+
+    def find_violations(self) -> list[str]:
+        """Return a violation if added routes are served far less often than the first ones."""
+        served, first_served = _count_served(self.added), _count_served(self._first)
+        if len(self.added) < MIN_REQUESTS or not self._first:
+            return []
+        if served / len(self.added) >= MIN_SERVED_RATIO * first_served / len(self._first):
+            return []
+        return [
+            f"{served} of {len(self.added)} requests on added routes were served,"
+            f" {first_served} of {len(self._first)} on the first ones"
+        ]
+
+    def _is_first(self, call: Call) -> bool:
+        return bool(self._history.versions[0][1].services_of(call.path))
+
+    def _is_proper(self, call: Call) -> bool:
+        """Return whether all states in force allow a call, which its caller didn't give up."""
+        is_allowed = self._history.allows(call.key, call.path, call.sent_at, self._end(call))
+        return is_allowed and not call.has_disconnected
+
+    @staticmethod
+    def _end(call: Call) -> float:
+        return call.sent_at + call.duration_seconds
+
+
+def _count_served(calls: Iterable[Call]) -> int:
+    return sum(each.is_served for each in calls)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -88,10 +88,13 @@
             if cancel_scope.cancelled_caught:
                 self._close_connection(connections, entry)
             call.duration_seconds = trio.current_time() - call.sent_at
-            await trio.sleep(MEAN_REQUEST_PAUSE_SECONDS * (0.5 + self.random.random()))
+            await self._pause()
         for each in list(connections):
             self._close_connection(connections, each)
 
+    async def _pause(self) -> None:
+        await trio.sleep(MEAN_REQUEST_PAUSE_SECONDS * (0.5 + self.random.random()))
+
     def _new_call(self, number: int, request_count: int) -> Call:
         route = self.random.choice(self.routes)
         is_slow = number % CALLERS_PER_SLOW_CALLER == 0 and route in STREAM_ROUTES
@@ -144,7 +147,7 @@
 
 def request_body(call: Call) -> bytes:
     """Return the body of a call, which is the same for all calls of one caller."""
-    return call.request_id.partition("r")[0].encode()
+    return call.caller.encode()
 
 
 def request_bytes(call: Call, body: bytes, shared_parts: tuple[str, ...] = ()) -> bytes:
@@ -157,7 +160,7 @@
     """
     parts = (SHARED_PART, *shared_parts, call.request_id.encode().hex())
     lines = (
-        f"POST /{call.route}/x HTTP/1.1",
+        f"POST /{call.path}/x HTTP/1.1",
         "Host: h.example",
         f"X-Request-Id: {call.request_id}",
         f"X-Deadline-Ms: {round(DEADLINE_SECONDS * 1000)}",
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -41,7 +41,9 @@
     of the request had been sent, `ended_at` when its connection ended or its answer was complete.
     The caller didn't read for `paused_seconds` in between. `longest_gap_seconds` is the longest
     time in which no byte came to it. `port` is the caller's, `request` what it began to send, None
-    if it never did. A runner works for `work_seconds` before its answer.
+    if it never did. A runner works for `work_seconds` before its answer. `route_name` is the route
+    if it is not `route` itself but one like it. `limit_seconds` is the shortest timeout that a
+    state in force may have given the request, if it is known.
     """
 
     request_id: str
@@ -64,6 +66,18 @@
     port: int = 0
     request: SentRequest | None = None
     work_seconds: float = 0.0
+    route_name: str = ""
+    limit_seconds: float = float("inf")
+
+    @property
+    def path(self) -> str:
+        """The path of the route, as desired states name it."""
+        return self.route_name or self.route
+
+    @property
+    def caller(self) -> str:
+        """The name of the caller, which all its requests have."""
+        return self.request_id.partition("r")[0]
 
     @property
     def was_cut(self) -> bool:
@@ -90,7 +104,7 @@
     def description(self) -> str:
         """The call as it is described in reports, with what identifies it in the logs."""
         return (
-            f"{self.request_id} ({self.route}, request {self.number_on_connection}"
+            f"{self.request_id} ({self.path}, request {self.number_on_connection}"
             f" on its connection to {self.entry})"
         )
 
--- a/soak/planned_faults.py
+++ b/soak/planned_faults.py
@@ -55,6 +55,7 @@
       random: chooses the work and its times.
       log_fault: called with a description of each work and each silence.
       interruptions: where the silences are recorded.
+      has_changes: whether it changes the desired state, besides its other work.
     """
 
     site: Site
@@ -62,6 +63,7 @@
     random: Random
     log_fault: Callable[[str], None]
     interruptions: Interruptions
+    has_changes: bool = True
     _silent: set[str] = field(default_factory=set)
 
     async def run(self, until: float) -> None:
@@ -78,7 +80,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(load.run, CALLER_COUNT)
             async with trio.open_nursery() as work_nursery:
-                work_nursery.start_soon(self._change_repeatedly, until)
+                if self.has_changes:
+                    work_nursery.start_soon(self._change_repeatedly, until)
                 work_nursery.start_soon(self._signal_repeatedly, until)
                 work_nursery.start_soon(self._silence_repeatedly, until)
             load.stop()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -9,7 +9,7 @@
 
 from soak.wire import BACKLOG, HOST, reset
 
-__all__ = ["Cut", "Mode", "Partition", "Proxy"]
+__all__ = ["Cut", "Mode", "Opening", "Partition", "Proxy"]
 
 MAX_READ_BYTES = 64 * 1024
 # The read size, the socket buffers and the largest segment of a proxy with small buffers, so that a
@@ -43,6 +43,15 @@
     includes: Callable[[int], bool]
 
 
+@dataclass
+class Opening:
+    """A connection that a client opened, by its port, and whether the target took it."""
+
+    port: int
+    at: float
+    is_taken: bool = False
+
+
 @dataclass
 class Proxy:
     """Forwards connections from `port` to `target`; blocked bytes are forwarded later.
@@ -59,6 +68,7 @@
     partition: Partition | None = None
     # When the target refused a connection, by the port of its client.
     refused_at: dict[int, float] = field(default_factory=dict)
+    openings: list[Opening] = field(default_factory=list)
     _connections: set[tuple[trio.SocketStream, trio.SocketStream]] = field(default_factory=set)
     # The connections whose bytes the partition holds back.
     _silenced: set[trio.SocketStream] = field(default_factory=set)
@@ -135,6 +145,8 @@
         return trio.SocketStream(sock)
 
     async def _forward_connection(self, accepted: trio.SocketStream) -> None:
+        opening = Opening(_port_of(accepted), trio.current_time())
+        self.openings.append(opening)
         partition = self.partition
         if partition is not None and partition.includes(_port_of(accepted)):
             if partition.how is not Cut.SILENT:
@@ -148,6 +160,7 @@
             self.refused_at[_port_of(accepted)] = trio.current_time()
             reset(accepted)
             return
+        opening.is_taken = True
         if self.small_buffers:
             accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
         pair = (accepted, target_stream)
--- a/soak/site.py
+++ b/soak/site.py
@@ -20,6 +20,7 @@
     Configuration,
     desired_state,
 )
+from soak.connection_judge import Readiness
 from soak.desired_history import DesiredHistory
 from soak.disturbances import Disturbances, PlannedKind
 from soak.proxy import Proxy
@@ -118,7 +119,7 @@
     guarantees found so far, `judged` counts the cases that were checked, and `entry_started_at`
     holds the start times of each entry. `disturbances` are those that the soak has caused.
     `runner_ended_at` holds when the process of an incarnation of a runner, (id, born), ended,
-    `desired_history` the desired states that the store took.
+    `desired_history` the desired states that the store took, `readiness` what the entries answered.
     """
 
     folder: Path
@@ -138,6 +139,7 @@
     disturbances: Disturbances = field(default_factory=Disturbances)
     runner_ended_at: dict[tuple[str, int], float] = field(default_factory=dict)
     desired_history: DesiredHistory = field(default_factory=DesiredHistory)
+    readiness: Readiness = field(default_factory=Readiness)
     configuration: Configuration = Configuration(1, ())
     _nursery: trio.Nursery | None = None
 
--- a/soak/timeout_judge.py
+++ b/soak/timeout_judge.py
@@ -69,7 +69,7 @@
         return is_judged and self._contact.is_in_touch(self._entries[call.entry], call.sent_at, end)
 
     def _timeout(self, call: Call) -> float:
-        return self._history.longest_timeout(call.sent_at, call.whole_sent_at)
+        return self._history.longest_timeout(call.path, call.sent_at, call.whole_sent_at)
 
     def _overrun(self, call: Call) -> float:
         """Return the time from a request's timeout to its end, in seconds."""
