--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -61,7 +61,8 @@
     "requests after a newer state was seen": ("requests after a newer state was seen", 20),
     "requests with unknown keys": ("requests with unknown keys", 1),
     "calls far from changes": ("calls far from changes", 50),
-    "answers before the body was read": ("answers before the body was read", 10),
+    "answers before the body was read": ("answers before the body was read", 5),
+    "bodies that were given up": ("such bodies given up", 1),
 }
 HEAD = (
     b"HTTP/1.1 200 \r\nx-request-id: r1\r\nx-response-seal: seal-r1\r\n"
--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -29,12 +29,14 @@
     """How a caller reads one answer.
 
     `pauses` are (bytes, seconds): the caller pauses for this time after this number of bytes. It
-    disconnects after `disconnects_after_bytes` or `disconnects_after_seconds`, whichever is first.
+    disconnects after `disconnects_after_bytes`, after `disconnects_after_seconds` or, counted from
+    the end of its request, after `disconnects_after_sent_seconds`, whichever is first.
     """
 
     pauses: tuple[tuple[int, float], ...] = ()
     disconnects_after_bytes: int | None = None
     disconnects_after_seconds: float = float("inf")
+    disconnects_after_sent_seconds: float = float("inf")
 
     @classmethod
     def slow(
@@ -80,6 +82,8 @@
             try:
                 await self._stream.send_all(request)
                 call.whole_sent_at = trio.current_time()
+                left_at = call.whole_sent_at + manner.disconnects_after_sent_seconds
+                cancel_scope.deadline = min(cancel_scope.deadline, left_at)
                 await self._read(call, manner)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self._end(call, Ending.RESET)
--- a/soak/early_faults.py
+++ b/soak/early_faults.py
@@ -21,9 +21,9 @@
 
 CALLER_COUNT = 6
 DOMAINS = "ab"
-# The share of callers that leave during a request, and when at the latest.
+# The share of callers that leave after they have sent a request, and when at the latest.
 LEAVE_SHARE = 0.5
-MAX_SECONDS_UNTIL_LEFT = 1.5
+MAX_SECONDS_UNTIL_LEFT = 1.0
 MEAN_PAUSE_SECONDS = 0.1
 READY_POLL_SECONDS = 0.1
 
@@ -97,7 +97,7 @@
         manner = Manner()
         if self.random.random() < LEAVE_SHARE:
             seconds = self.random.uniform(0.0, MAX_SECONDS_UNTIL_LEFT)
-            manner = Manner(disconnects_after_seconds=seconds)
+            manner = Manner(disconnects_after_sent_seconds=seconds)
         if entry in connections and not await connections[entry].is_usable():
             connections.pop(entry).close()
         if entry not in connections:
@@ -117,7 +117,7 @@
         judged["answers before the body was read"] += sum(
             each.early_answers for each in self._runners
         )
-        judged["such requests given up"] += sum(each.given_up for each in self._runners)
+        judged["such bodies given up"] += sum(each.given_up for each in self._runners)
         sent = {each.request_id for each in self.calls}
         return [
             violation
--- a/soak/early_runner.py
+++ b/soak/early_runner.py
@@ -76,7 +76,10 @@
 
     async def more(self) -> bool:
         """Receive some bytes; return whether the connection is still open."""
-        received = await self.stream.receive_some(MAX_READ_BYTES)
+        try:
+            received = await self.stream.receive_some(MAX_READ_BYTES)
+        except trio.BrokenResourceError:  # It was reset, since our answer wasn't read.
+            return False
         self.data += received
         return bool(received)
 
