--- a/soak/callers.py
+++ b/soak/callers.py
@@ -47,7 +47,8 @@
     `entries` are addresses, `ready_entries` the addresses of those that last reported ready; each
     request uses one of `keys`. `violations` are violated guarantees that no single call shows. The
     requests are for `routes`, and their ids begin with `name_prefix`. For `switch_share` of them a
-    caller switches to another entry without need.
+    caller switches to another entry without need, and after `reconnect_share` of them it closes its
+    connection.
     """
 
     entries: list[str]
@@ -59,6 +60,7 @@
     routes: tuple[str, ...] = DRAWN_ROUTES
     name_prefix: str = "c"
     switch_share: float = SWITCH_ENTRY_SHARE
+    reconnect_share: float = 0.0
     _is_stopped: bool = False
 
     async def run(self, count: int) -> None:
@@ -88,6 +90,9 @@
             if cancel_scope.cancelled_caught:
                 self._close_connection(connections, entry)
             call.duration_seconds = trio.current_time() - call.sent_at
+            # Draws nothing where callers keep their connections.
+            if self.reconnect_share and self.random.random() < self.reconnect_share:
+                self._close_connection(connections, entry)
             await self._pause()
         for each in list(connections):
             self._close_connection(connections, each)
--- a/soak/change_faults.py
+++ b/soak/change_faults.py
@@ -19,6 +19,9 @@
 __all__ = ["ChangeFaults"]
 
 CALLER_COUNT = 10
+# So often that an entry that takes no new connection meets seven callers within 3 s.
+SWITCH_SHARE = 0.4
+RECONNECT_SHARE = 0.4
 # A storm, and the time between two changes in it: some come at once.
 MIN_STORM_SECONDS = 0.8
 MAX_STORM_SECONDS = 2.5
@@ -60,6 +63,8 @@
             self.callers.ready_entries,
             calls=self.calls,
             name_prefix="a",
+            switch_share=SWITCH_SHARE,
+            reconnect_share=RECONNECT_SHARE,
             site=self.site,
         )
         async with trio.open_nursery() as nursery:
