--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,6 @@
 import sys
 import tempfile
 import time
-from collections import Counter
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
@@ -22,7 +21,8 @@
 from soak.answer_end_faults import PLAIN_SLOTS, AnswerEndFaults
 from soak.bound_judge import BoundJudge, find_runs
 from soak.budget_judge import BudgetJudge
-from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
+from soak.call_checks import check_calls, check_fault_calls
+from soak.callers import Callers
 from soak.calls import Call, Ending
 from soak.change_faults import ChangeFaults
 from soak.configuration import IDEMPOTENT_ROUTES, MAX_ATTEMPTS, MIN_TIMEOUT_SECONDS
@@ -56,16 +56,10 @@
 # The time from the start of all processes to the first calls and faults.
 STARTUP_SECONDS = 5.0
 CALLER_COUNT = 12
-# The time without faults at the end. The site must have recovered before its last JUDGED_SECONDS:
-# of the calls sent in these, at least the share MIN_SERVED_SHARE must be served.
+# The time without faults at the end. The site must have recovered before its last JUDGED_SECONDS.
 RECOVERY_SECONDS = 10.0
 JUDGED_SECONDS = 4.0
-MIN_SERVED_SHARE = 0.9
 READY_POLL_INTERVAL_SECONDS = 0.15
-# A request in flight may be executed this long after the revocation of its key takes effect.
-IN_FLIGHT_GRACE_SECONDS = 1.0
-# The excess over a call's time limit that is ignored, since the caller's process is busy too.
-MEASUREMENT_GRACE_SECONDS = 1.0
 # Kinds of faults that use random sequences of their own: notices in answers of runners, requests
 # that crash their runners, rate limits that runners announce, and phases in which all refuse or
 # report that they are full.
@@ -293,8 +287,8 @@
     crash_calls = [*crash_faults.calls, *part_faults.calls]
     all_calls = [*proper_calls, *crash_calls]
     violations += RuleJudges(site, all_calls, proper_calls, interruptions).find_violations()
-    violations += _check_fault_calls(site, all_calls[len(callers.calls) :])
-    return site.violations + violations + _check_calls(site, callers, faults, checked_from)
+    violations += check_fault_calls(site, all_calls[len(callers.calls) :])
+    return site.violations + violations + check_calls(site, callers, faults, checked_from)
 
 
 def _mark_refused(site: Site, calls: list[Call]) -> None:
@@ -342,73 +336,6 @@
     return violations
 
 
-def _check_calls(site: Site, callers: Callers, faults: Faults, checked_from: float) -> list[str]:
-    """Return the violations that calls and executions show together."""
-    runs = Counter(each["run"] for each in site.records if "run" in each)
-    violations = list(callers.violations)
-    for call in callers.calls:
-        violations += _check_answer(call)
-        violations += _check_executions(call, runs[call.request_id])
-        revoked_at = faults.revoked.get(call.key)
-        violations += _check_key(call, runs[call.request_id], revoked_at, site.revocation_seconds)
-        violations += _check_duration(call)
-    with_valid_key = [each for each in callers.calls if each.key not in faults.revoked]
-    checked = [
-        each for each in with_valid_key if each.sent_at > checked_from and not each.has_disconnected
-    ]
-    served = sum(each.is_served for each in checked)
-    if not checked or served < MIN_SERVED_SHARE * len(checked):
-        violations.append(f"at the end {served} of {len(checked)} calls were served")
-    return violations
-
-
-def _check_fault_calls(site: Site, calls: Sequence[Call]) -> list[str]:
-    """Return the violations of the requests that faults sent, by their answers and executions."""
-    runs = Counter(each["run"] for each in site.records if "run" in each)
-    return [
-        violation
-        for call in calls
-        for violation in _check_answer(call) + _check_executions(call, runs[call.request_id])
-    ]
-
-
-def _check_answer(call: Call) -> list[str]:
-    violation = call.find_violation()
-    return [violation] if violation else []
-
-
-def _check_executions(call: Call, runs: int) -> list[str]:
-    """Return the violations of a call that may be executed only once."""
-    violations = []
-    if call.route in ("once", "fragile"):
-        if runs > 1:
-            violations.append(f"{call.request_id} ({call.route}) was executed {runs} times")
-        if call.status in NOT_EXECUTED_STATUSES and runs:
-            violations.append(
-                f"{call.request_id} ({call.route}) got {call.status} but was executed"
-            )
-    return violations
-
-
-def _check_key(
-    call: Call, runs: int, revoked_at: float | None, revocation_seconds: float
-) -> list[str]:
-    """Return a violation if a call was executed too long after its key was revoked."""
-    grace_seconds = revocation_seconds + IN_FLIGHT_GRACE_SECONDS
-    if revoked_at is None or not runs or call.sent_at <= revoked_at + grace_seconds:
-        return []
-    return [
-        f"{call.request_id} was executed with a key revoked"
-        f" {call.sent_at - revoked_at:.1f} s before"
-    ]
-
-
-def _check_duration(call: Call) -> list[str]:
-    if call.duration_seconds <= DEADLINE_SECONDS + ANSWER_GRACE_SECONDS + MEASUREMENT_GRACE_SECONDS:
-        return []
-    return [f"{call.request_id} took {call.duration_seconds:.1f} s"]
-
-
 def run_seed(
     seed: int,
     seconds: float,
