--- a/features/soak_states.feature
+++ b/features/soak_states.feature
@@ -108,6 +108,7 @@
       | not ready in between          | 8       |       | 101       |                  | 110   | 0        |
       | not ready before              | 8       |       | 99        |                  | 110   | 1        |
       | one question without answer   | 8       |       | 101 miss  |                  | 110   | 1        |
+      | no answer until then          | 8       |       | 95 unborn |                  | 110   | 0        |
       | two in a row                  | 8       |       | 101 two misses |             | 110   | 0        |
       | out of touch                  | 8       |       |           | e0 97.5          | 110   | 0        |
       | its link cut                  | 8       |       |           | callers to e0 101 | 110  | 0        |
--- a/features/steps/soak_state_steps.py
+++ b/features/steps/soak_state_steps.py
@@ -201,7 +201,8 @@
 def make_readiness(until, not_ready):
     """Return answers of an entry that is ready but for one or two questions."""
     since, _, how = not_ready.partition(" ")
-    count = 2 if how == "two misses" else 1
+    # One that is unborn answers from 100.5 s on.
+    count = {"two misses": 2, "unborn": 11}.get(how, 1)
     readiness = Readiness()
     at = 95.0
     while at <= until:
