--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,6 @@
 import sys
 import tempfile
 import time
-from collections import Counter
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
@@ -22,10 +21,14 @@
 from soak.answer_end_faults import PLAIN_SLOTS, AnswerEndFaults
 from soak.bound_judge import BoundJudge, find_runs
 from soak.budget_judge import BudgetJudge
-from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, NOT_EXECUTED_STATUSES, Callers
+from soak.call_checks import check_calls, check_fault_calls
+from soak.callers import Callers
 from soak.calls import Call, Ending
+from soak.change_faults import ChangeFaults
+from soak.configuration import IDEMPOTENT_ROUTES, MAX_ATTEMPTS, MIN_TIMEOUT_SECONDS
 from soak.deadly_faults import CrashFaults, PartCrashFaults
 from soak.departure_faults import DepartureFaults
+from soak.early_faults import EarlyFaults
 from soak.faults import FAULT_KINDS, Faults
 from soak.lost_judge import LostJudge, histories
 from soak.notice_faults import Interruptions, NoticeFaults
@@ -41,13 +44,11 @@
 from soak.silent_runner_faults import SilentRunnerFaults
 from soak.site import (
     ENTRY_COUNT,
-    IDEMPOTENT_ROUTES,
-    MAX_ATTEMPTS,
-    MIN_TIMEOUT_SECONDS,
     REVOCATION_SECONDS,
     STOP_GRACE_SECONDS,
     Site,
 )
+from soak.state_judges import StateJudges
 from soak.stop_judge import find_still_ready, observe_stop
 from soak.unending_faults import UnendingFaults
 from soak.wave_faults import WaveFaults
@@ -55,16 +56,10 @@
 # The time from the start of all processes to the first calls and faults.
 STARTUP_SECONDS = 5.0
 CALLER_COUNT = 12
-# The time without faults at the end. The site must have recovered before its last JUDGED_SECONDS:
-# of the calls sent in these, at least the share MIN_SERVED_SHARE must be served.
+# The time without faults at the end. The site must have recovered before its last JUDGED_SECONDS.
 RECOVERY_SECONDS = 10.0
 JUDGED_SECONDS = 4.0
-MIN_SERVED_SHARE = 0.9
 READY_POLL_INTERVAL_SECONDS = 0.15
-# A request in flight may be executed this long after the revocation of its key takes effect.
-IN_FLIGHT_GRACE_SECONDS = 1.0
-# The excess over a call's time limit that is ignored, since the caller's process is busy too.
-MEASUREMENT_GRACE_SECONDS = 1.0
 # Kinds of faults that use random sequences of their own: notices in answers of runners, requests
 # that crash their runners, rate limits that runners announce, and phases in which all refuse or
 # report that they are full.
@@ -93,12 +88,18 @@
 SILENT_RUNNER_KIND = "silent-runners"
 # Callers that leave in the middle of long requests.
 DEPARTURE_KIND = "departures"
+# Changes under the callers that they concern, in storms between calm times.
+CHANGES_KIND = "changes"
+# Long bodies at runners that answer before they have read them.
+EARLY_KIND = "early-answers"
 SEPARATE_KINDS = {
-    DEPARTURE_KIND,
+    CHANGES_KIND, DEPARTURE_KIND, EARLY_KIND,
     PART_KIND, PLANNED_KIND, UNENDING_KIND, UNENDING_ANSWER_KIND,
     NOTICE_KIND, CRASH_KIND, RATE_KIND, REFUSAL_KIND, SHORTAGE_KIND, PARTITION_KIND, WAVE_KIND,
     KEPT_WAVE_KIND, ANSWER_END_KIND, SILENCE_KIND, SILENT_RUNNER_KIND,
 }  # fmt: skip
+# Beside silent runners, the kinds that are no faults.
+SILENCE_AND_PLANNED_KINDS = {SILENT_RUNNER_KIND, PLANNED_KIND, CHANGES_KIND}
 # The revocation time of sites whose connections go silent.
 LONG_REVOCATION_SECONDS = 12.0
 # The number of violations that are printed for a seed.
@@ -113,7 +114,8 @@
             if code is not None and not entry.is_stopping:
                 site.violations.append(f"{entry.name} exited unexpectedly with code {code}")
                 entry.is_stopping = True
-            ready = await site.ready(entry)
+            ready = await site.ask_ready(entry)
+            site.readiness.add(entry.name, trio.current_time(), ready)
             (callers.ready_entries.add if ready else callers.ready_entries.discard)(
                 entry.caller_proxy.address
             )
@@ -176,7 +178,12 @@
         )
         silence_faults = SilenceFaults(site, Random(f"silence of {seed}"), log_fault, interruptions)
         planned_faults = PlannedFaults(
-            site, callers, Random(f"planned of {seed}"), log_fault, interruptions
+            site,
+            callers,
+            Random(f"planned of {seed}"),
+            log_fault,
+            interruptions,
+            has_changes=CHANGES_KIND not in only,
         )
         unending_faults = UnendingFaults(
             site, callers, Random(f"unending of {seed}"), log_fault, UNENDING_KIND in only
@@ -190,6 +197,8 @@
         departure_faults = DepartureFaults(
             site, callers, Random(f"departures of {seed}"), log_fault
         )
+        change_faults = ChangeFaults(site, callers, Random(f"changes of {seed}"), log_fault)
+        early_faults = EarlyFaults(site, callers, Random(f"early answers of {seed}"), log_fault)
         nursery.start_soon(crash_faults.restart_crashed)
         async with trio.open_nursery() as load_nursery:
             load_nursery.start_soon(callers.run, CALLER_COUNT)
@@ -218,6 +227,10 @@
                     fault_nursery.start_soon(silent_runner_faults.run, began_at + seconds)
                 if DEPARTURE_KIND in only:
                     fault_nursery.start_soon(departure_faults.run, began_at + seconds)
+                if CHANGES_KIND in only:
+                    fault_nursery.start_soon(change_faults.run, began_at + seconds)
+                if EARLY_KIND in only:
+                    fault_nursery.start_soon(early_faults.run, began_at + seconds)
                 if PLANNED_KIND in only:
                     fault_nursery.start_soon(planned_faults.run, began_at + seconds)
                 if WAVE_KIND in only or KEPT_WAVE_KIND in only:
@@ -244,7 +257,7 @@
             )
         site.violations += _exited_runners(site)
         nursery.cancel_scope.cancel()
-    _mark_refused(site, callers.calls)
+    _mark_refused(site, [*callers.calls, *change_faults.calls])
     violations = (
         NoticeJudge(site, callers.calls, interruptions).find_violations()
         + crash_faults.find_violations()
@@ -257,17 +270,25 @@
     violations += answer_end_faults.find_violations(callers.calls)
     violations += silence_faults.find_violations(callers.calls)
     violations += unending_faults.find_violations(callers.calls)
-    violations += BudgetJudge(site, callers.calls).find_violations()
-    if set(only) == {SILENT_RUNNER_KIND}:
-        violations += silent_runner_faults.find_violations(callers.calls)
-    violations += _find_lost(site, callers.calls)
-    violations += _find_over_bound(site, callers.calls)
-    proper_calls = [*callers.calls, *wave_faults.calls, *departure_faults.calls]
+    violations += BudgetJudge(site, [*callers.calls, *change_faults.calls]).find_violations()
+    change_faults.set_limits()
+    site_calls = [*callers.calls, *change_faults.calls]
+    lost_judge = _make_lost_judge(site, site_calls)
+    if SILENT_RUNNER_KIND in only and set(only) <= SILENCE_AND_PLANNED_KINDS:
+        violations += silent_runner_faults.find_violations(
+            callers.calls, lost_judge.was_last_of_grace
+        )
+    violations += _find_lost(site, lost_judge)
+    violations += _find_over_bound(site, site_calls)
+    violations += early_faults.find_violations()
+    proper_calls = [*site_calls, *wave_faults.calls, *departure_faults.calls, *early_faults.calls]
+    offset = trio.current_time() - time.monotonic()
+    violations += StateJudges(site, proper_calls, interruptions, offset).find_violations()
     crash_calls = [*crash_faults.calls, *part_faults.calls]
     all_calls = [*proper_calls, *crash_calls]
     violations += RuleJudges(site, all_calls, proper_calls, interruptions).find_violations()
-    violations += _check_fault_calls(site, all_calls[len(callers.calls) :])
-    return site.violations + violations + _check_calls(site, callers, faults, checked_from)
+    violations += check_fault_calls(site, all_calls[len(callers.calls) :])
+    return site.violations + violations + check_calls(site, callers, faults, checked_from)
 
 
 def _mark_refused(site: Site, calls: list[Call]) -> None:
@@ -279,10 +300,9 @@
             call.ending = Ending.REFUSED
 
 
-def _find_lost(site: Site, calls: list[Call]) -> list[str]:
-    """Return the requests whose connections were ended without a complete answer."""
+def _make_lost_judge(site: Site, calls: list[Call]) -> LostJudge:
     runners = {each.spec.address: each.spec.instance for each in site.runners}
-    judge = LostJudge(
+    return LostJudge(
         calls,
         histories(site.records, trio.current_time() - time.monotonic(), runners),
         site.disturbances,
@@ -290,6 +310,10 @@
         STOP_GRACE_SECONDS,
         MIN_TIMEOUT_SECONDS,
     )
+
+
+def _find_lost(site: Site, judge: LostJudge) -> list[str]:
+    """Return the requests whose connections were ended without a complete answer."""
     violations = judge.find_violations()
     site.judged += judge.judged
     (site.folder / "cut_calls.log").write_text("\n".join(judge.describe_cut()), encoding="utf-8")
@@ -312,73 +336,6 @@
     return violations
 
 
-def _check_calls(site: Site, callers: Callers, faults: Faults, checked_from: float) -> list[str]:
-    """Return the violations that calls and executions show together."""
-    runs = Counter(each["run"] for each in site.records if "run" in each)
-    violations = list(callers.violations)
-    for call in callers.calls:
-        violations += _check_answer(call)
-        violations += _check_executions(call, runs[call.request_id])
-        revoked_at = faults.revoked.get(call.key)
-        violations += _check_key(call, runs[call.request_id], revoked_at, site.revocation_seconds)
-        violations += _check_duration(call)
-    with_valid_key = [each for each in callers.calls if each.key not in faults.revoked]
-    checked = [
-        each for each in with_valid_key if each.sent_at > checked_from and not each.has_disconnected
-    ]
-    served = sum(each.is_served for each in checked)
-    if not checked or served < MIN_SERVED_SHARE * len(checked):
-        violations.append(f"at the end {served} of {len(checked)} calls were served")
-    return violations
-
-
-def _check_fault_calls(site: Site, calls: Sequence[Call]) -> list[str]:
-    """Return the violations of the requests that faults sent, by their answers and executions."""
-    runs = Counter(each["run"] for each in site.records if "run" in each)
-    return [
-        violation
-        for call in calls
-        for violation in _check_answer(call) + _check_executions(call, runs[call.request_id])
-    ]
-
-
-def _check_answer(call: Call) -> list[str]:
-    violation = call.find_violation()
-    return [violation] if violation else []
-
-
-def _check_executions(call: Call, runs: int) -> list[str]:
-    """Return the violations of a call that may be executed only once."""
-    violations = []
-    if call.route in ("once", "fragile"):
-        if runs > 1:
-            violations.append(f"{call.request_id} ({call.route}) was executed {runs} times")
-        if call.status in NOT_EXECUTED_STATUSES and runs:
-            violations.append(
-                f"{call.request_id} ({call.route}) got {call.status} but was executed"
-            )
-    return violations
-
-
-def _check_key(
-    call: Call, runs: int, revoked_at: float | None, revocation_seconds: float
-) -> list[str]:
-    """Return a violation if a call was executed too long after its key was revoked."""
-    grace_seconds = revocation_seconds + IN_FLIGHT_GRACE_SECONDS
-    if revoked_at is None or not runs or call.sent_at <= revoked_at + grace_seconds:
-        return []
-    return [
-        f"{call.request_id} was executed with a key revoked"
-        f" {call.sent_at - revoked_at:.1f} s before"
-    ]
-
-
-def _check_duration(call: Call) -> list[str]:
-    if call.duration_seconds <= DEADLINE_SECONDS + ANSWER_GRACE_SECONDS + MEASUREMENT_GRACE_SECONDS:
-        return []
-    return [f"{call.request_id} took {call.duration_seconds:.1f} s"]
-
-
 def run_seed(
     seed: int,
     seconds: float,
@@ -402,7 +359,7 @@
         # No bound but the contact time may then end a read on a silent connection.
         is_long = SILENCE_KIND in only
         revocation_seconds = LONG_REVOCATION_SECONDS if is_long else REVOCATION_SECONDS
-        has_second_service = PLANNED_KIND in only
+        has_second_service = bool({PLANNED_KIND, CHANGES_KIND} & set(only))
         site = Site(Path(folder), entry_count, plain_slots, revocation_seconds, has_second_service)
         if attempts is not None:
             max_attempts = {**MAX_ATTEMPTS, **dict.fromkeys(IDEMPOTENT_ROUTES, attempts)}
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -47,7 +47,8 @@
     `entries` are addresses, `ready_entries` the addresses of those that last reported ready; each
     request uses one of `keys`. `violations` are violated guarantees that no single call shows. The
     requests are for `routes`, and their ids begin with `name_prefix`. For `switch_share` of them a
-    caller switches to another entry without need.
+    caller switches to another entry without need, and after `reconnect_share` of them it closes its
+    connection.
     """
 
     entries: list[str]
@@ -59,6 +60,7 @@
     routes: tuple[str, ...] = DRAWN_ROUTES
     name_prefix: str = "c"
     switch_share: float = SWITCH_ENTRY_SHARE
+    reconnect_share: float = 0.0
     _is_stopped: bool = False
 
     async def run(self, count: int) -> None:
@@ -88,10 +90,16 @@
             if cancel_scope.cancelled_caught:
                 self._close_connection(connections, entry)
             call.duration_seconds = trio.current_time() - call.sent_at
-            await trio.sleep(MEAN_REQUEST_PAUSE_SECONDS * (0.5 + self.random.random()))
+            # Draws nothing where callers keep their connections.
+            if self.reconnect_share and self.random.random() < self.reconnect_share:
+                self._close_connection(connections, entry)
+            await self._pause()
         for each in list(connections):
             self._close_connection(connections, each)
 
+    async def _pause(self) -> None:
+        await trio.sleep(MEAN_REQUEST_PAUSE_SECONDS * (0.5 + self.random.random()))
+
     def _new_call(self, number: int, request_count: int) -> Call:
         route = self.random.choice(self.routes)
         is_slow = number % CALLERS_PER_SLOW_CALLER == 0 and route in STREAM_ROUTES
@@ -144,7 +152,7 @@
 
 def request_body(call: Call) -> bytes:
     """Return the body of a call, which is the same for all calls of one caller."""
-    return call.request_id.partition("r")[0].encode()
+    return call.caller.encode()
 
 
 def request_bytes(call: Call, body: bytes, shared_parts: tuple[str, ...] = ()) -> bytes:
@@ -157,7 +165,7 @@
     """
     parts = (SHARED_PART, *shared_parts, call.request_id.encode().hex())
     lines = (
-        f"POST /{call.route}/x HTTP/1.1",
+        f"POST /{call.path}/x HTTP/1.1",
         "Host: h.example",
         f"X-Request-Id: {call.request_id}",
         f"X-Deadline-Ms: {round(DEADLINE_SECONDS * 1000)}",
--- a/soak/lost_judge.py
+++ b/soak/lost_judge.py
@@ -135,6 +135,9 @@
         self.judged["calls around planned work"] = sum(
             bool(self._planned_kinds(each)) for each in self._calls
         )
+        self.judged["calls far from changes"] = sum(
+            PlannedKind.CHANGE not in self._planned_kinds(each) for each in self._calls
+        )
         closed = [call for call, loss in losses if loss is Loss.CLOSED_UNANSWERED]
         self.judged[Loss.CLOSED_UNANSWERED] = len(closed)
         allowed = closed if len(closed) <= MAX_CLOSED_UNANSWERED else []
@@ -154,6 +157,20 @@
         found = [(each, self._find_loss(each, self._name(each) in often)) for each in self._calls]
         return [(call, loss) for call, loss in found if loss]
 
+    def was_last_of_grace(self, call: Call) -> bool:
+        """Return whether an answer couldn't be whole when the grace period of a stop ran out.
+
+        A runner was still at work, or nothing but the caller's own pauses in its reading made the
+        answer last until then.
+        """
+        history = self._history(call)
+        return any(
+            call.sent_at <= stopped_at + LATE_SEND_SECONDS
+            and call.ended_at >= (last_part := stopped_at + self._until_last_part)
+            and (history.is_running(last_part) or call.ended_at - call.paused_seconds < last_part)
+            for stopped_at in self._stops(self._name(call))
+        )
+
     def _find_loss(self, call: Call, changes_cut_more: bool) -> Loss | None:
         if not self._is_cut_by_entry(call):
             return None
@@ -162,7 +179,7 @@
             return Loss.STOP
         if PlannedKind.RELOAD in kinds:
             return Loss.RELOAD
-        has_time_left = self._seconds(call) < USED_SHARE * self._limit_seconds
+        has_time_left = self._seconds(call) < USED_SHARE * self._limit(call)
         if PlannedKind.CHANGE in kinds and has_time_left and changes_cut_more:
             return Loss.CHANGE
         return Loss.CLOSED_UNANSWERED if self._was_closed_unanswered(call) else None
@@ -173,10 +190,10 @@
         return (
             call.was_cut
             and self._was_read(call)
-            and self._seconds(call) < self._limit_seconds - LIMIT_MARGIN_SECONDS
+            and self._seconds(call) < self._limit(call) - LIMIT_MARGIN_SECONDS
             and not history.has_broken_off
             and not self._is_disturbed(call)
-            and not self._was_last_of_grace(call)
+            and not self.was_last_of_grace(call)
         )
 
     def _was_read(self, call: Call) -> bool:
@@ -218,20 +235,6 @@
             and (each.kind is not PlannedKind.RELOAD or sent_at <= each.at + APPLY_SECONDS)
         }
 
-    def _was_last_of_grace(self, call: Call) -> bool:
-        """Return whether an answer couldn't be whole when the grace period of a stop ran out.
-
-        A runner was still at work, or nothing but the caller's own pauses in its reading made the
-        answer last until then.
-        """
-        history = self._history(call)
-        return any(
-            call.sent_at <= stopped_at + LATE_SEND_SECONDS
-            and call.ended_at >= (last_part := stopped_at + self._until_last_part)
-            and (history.is_running(last_part) or call.ended_at - call.paused_seconds < last_part)
-            for stopped_at in self._stops(self._name(call))
-        )
-
     @property
     def _until_last_part(self) -> float:
         return LAST_PART_OF_GRACE * self._grace_seconds
@@ -259,6 +262,9 @@
     def _name(self, call: Call) -> str:
         return self._entries[call.entry]
 
+    def _limit(self, call: Call) -> float:
+        return min(self._limit_seconds, call.limit_seconds)
+
     def _seconds(self, call: Call) -> float:
         return call.ended_at - call.sent_at
 
