Reproduce the outcome of a stopping peer that ends its sender's requests, red

A request that was handed over to a peer gets the peer's 504 once that stops, although its own process has time, retries and other peers left. Before the peer answered, the sender saw a lost connection, which counts all upstreams that it granted as used: 502.

--- a/features/steps/stopping_request_steps.py
+++ b/features/steps/stopping_request_steps.py
@@ -8,10 +8,12 @@
 from gateway_runner import EVENT_SECONDS
 from gateway_story import expected_events
 from gateway_world import Got
+from interruption_world import EARLIER_REQUESTS
 from stop_world import StopWorld
 
 from deckcourse.gateway.rate_gate import RateGate
 
+SERVICES = ("llm", "crm")
 AT_ONCE_SECONDS = 0.05
 
 
@@ -100,6 +102,42 @@
     assert context.got.seconds < AT_ONCE_SECONDS and not context.site.runs, context.got
 
 
+@when(
+    "{route} of a partitioned process is at a peer that stops, and upstreams work again after that"
+)
+def peer_stops(context, route):
+    async def story(site):
+        await site.partition_entry()
+        for budget in (site.processes[0].node.gateway.context.budget(each) for each in SERVICES):
+            for _ in range(EARLIER_REQUESTS):
+                budget.earn()
+        async with trio.open_nursery() as nursery:
+
+            async def ask():
+                context.got = await site.ask_at(site.processes[0], route)
+
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            (peer,) = [
+                each for each in site.processes if each.node.gateway.requests and each.name != "g0"
+            ]
+            for each in site.runners.values():
+                each.behaviour, each.work = "", 0.1
+            await stop_and_wait(context, peer)
+        answer = expected_events(site, "r1", site.events)
+        context.expected = answer if route == "stream" else b"answer to r1"
+
+    context.site.play(story)
+
+
+@then("it gets {status:d} with outcome {outcome}, and one upstream has it")
+def one_upstream(context, status, outcome):
+    got = context.got
+    assert got.status == status and got.whole, got
+    assert context.site.header(got, "deckcourse-outcome") == outcome, got.headers
+    assert len(context.site.runs) == 1, context.site.runs
+
+
 @then("the process has ended by itself within its grace period")
 def ended_in_time(context):
     seconds = (context.process.ended_at or float("inf")) - context.stopped_at
