Go on with what a stopping peer leaves unanswered

Callers saw: a request that may be repeated and was at a peer ended with that peer's 504 once it stopped, although their own process and its upstreams had time left.

Cause: the outcome of a peer was passed on as that of the request. With the reason `stopping` it says that the peer's time is over. A sender now treats it as the end of a handover for requests that may be repeated: the upstreams that the peer named count, retries and allowance are spent as after a lost peer, and what may not be repeated gets the 504.

In the scenario of the stream the grace period is now 0.8 s, not 5: after four silent seconds its caller has left, and no retry is spent on it by design.

--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -330,8 +330,11 @@
         has_started = self._admitted.exchange.started
         if isinstance(outcome, NotRun) and outcome.reason in RETRIED_REASONS:
             return None if self.is_allowed or has_started else HandedOver(outcome)
-        if has_started:
-            return HandoverFailure(outcome.message, isinstance(outcome, Unknown), is_final=True)
+        is_unknown = isinstance(outcome, Unknown)
+        # The peer's time is over, not that of the request.
+        has_stopped = is_unknown and outcome.reason is UnknownReason.STOPPING
+        if has_started or (has_stopped and self._admitted.route.repeatable):
+            return HandoverFailure(outcome.message, is_unknown, is_final=True)
         return HandedOver(outcome)
 
     async def _relay(
--- a/features/mutants_stop.py
+++ b/features/mutants_stop.py
@@ -1,9 +1,13 @@
 """Mutants of what a process does with its requests when it stops."""
 
+from dataclasses import replace
+
+import deckcourse.gateway.handover as handover_module
 import deckcourse.gateway.server as server_module
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.gateway.stream_admission import StreamAdmission
+from deckcourse.reasons import UnknownReason
 
 
 def a_stop_leaves_requests_unanswered():
@@ -22,10 +26,23 @@
     StreamAdmission._outlasts_process = lambda self, path: False
 
 
+def the_end_of_a_peer_is_final():
+    original = handover_module._outcome_of
+
+    def outcome_of(headers, body):
+        outcome = original(headers, body)
+        if outcome.reason is UnknownReason.STOPPING:
+            return replace(outcome, reason=UnknownReason.DEADLINE_PASSED)
+        return outcome
+
+    handover_module._outcome_of = outcome_of
+
+
 STOP = ("stopping_requests",)
 EVERY = {
     a_stop_leaves_requests_unanswered: ("a stop ends each request with an outcome", STOP),
     every_exit_takes_as_long: ("a stop cuts nothing before the last part of its time", STOP),
     a_stopping_process_takes_any_stream: ("a stream that a stop would cut is refused", STOP),
+    the_end_of_a_peer_is_final: ("what a stopping peer leaves goes on elsewhere", STOP),
     upstreams_get_their_usual_time: ("upstreams are handed the time before a stop", STOP),
 }
--- a/features/stopping_requests.feature
+++ b/features/stopping_requests.feature
@@ -65,16 +65,16 @@
 
   # Guards against callers that get the end of another process than theirs as their outcome.
   Scenario Outline: What a stopping peer leaves unanswered goes on at another one: <request>
-    Given a process that is stopped with a grace period of 5 s
+    Given a process that is stopped with a grace period of <grace> s
     And upstreams that begin each request and never answer
     When <request> of a partitioned process is at a peer that stops, and upstreams work again after that
     Then <outcome>
 
     Examples:
-      | request | outcome                                                 |
-      | again   | its caller got the whole answer                         |
-      | stream  | its caller got the whole answer                         |
-      | once    | it gets 504 with outcome unknown, and one upstream has it |
+      | request | grace | outcome                                                   |
+      | again   | 5     | its caller got the whole answer                           |
+      | stream  | 0.8   | its caller got the whole answer                           |
+      | once    | 5     | it gets 504 with outcome unknown, and one upstream has it |
 
   # Guards against a stop whose log says that the callers left.
   Scenario: The log names each request that a stop cuts, and what it waited for
