--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -149,6 +149,19 @@
       | no token comes          | again   | requests for tokens get no reply     | entry    | 1000 |
       | no token for a stream   | stream  | requests for tokens get no reply     | entry    | 1000 |
 
+  # Guards against a fault of this program that closes a caller's connection without an answer, and
+  # that the log names without its request.
+  Scenario Outline: A request whose handling raises an error is answered, and the log names it: <route>
+    Given two chains of runners and a plain one
+    When the handling of a <route> request raises an error
+    Then its caller gets 502 with reason internal-error
+    And the log names the request and the error
+
+    Examples:
+      | route  |
+      | once   |
+      | stream |
+
   Scenario: A gateway without a configuration refuses requests as not ready
     Given two chains of runners and no configuration
     When a caller asks for a stream
--- a/features/steps/gateway_fault_steps.py
+++ b/features/steps/gateway_fault_steps.py
@@ -230,3 +230,28 @@
     assert (line["request"], line["waits_for"]) == ("r1", what), line
     assert abs(line["waited_ms"] - ms) <= TIMING_TOLERANCE_MS, line
     assert bool(line["instance"]) == (what != "entry"), line
+
+
+@when("the handling of a {route} request raises an error")
+def handling_fails(context, route):
+    def fail(*_args, **_more):
+        raise LookupError("a fault of this program")
+
+    async def story(site):
+        with patch.object(RateGate, "acquire", fail):
+            context.got = await site.ask(route)
+
+    context.site.play(story)
+
+
+@then("its caller gets {status:d} with reason {reason}")
+def got_reason(context, status, reason):
+    got = context.got
+    assert got.status == status and got.whole, got
+    assert context.site.header(got, "deckcourse-reason") == reason, got.headers
+
+
+@then("the log names the request and the error")
+def log_names_error(context):
+    (line,) = [fields for decision, fields in context.site.lines if decision == "unknown"]
+    assert line["request"] == "r1" and "LookupError" in line["what"], line
