Answer requests whose handling raises an error

Callers saw: a fault of this program closed their connection without a byte, and the log had only `connection-failed` without a request.

Unless the answer has begun or the caller has left, the request now gets 502 with outcome unknown and reason `internal-error`: whether it ran isn't known. An answer that has begun is cut as before.

Both scenarios failed before; a mutant makes them red.

--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -139,7 +139,9 @@
                 await _send_outcome(respond, outcome)
         except Exception as error:
             outcome = outcome or _failed(error, exchange)
-            raise
+            if exchange.client_gone or exchange.started:
+                raise
+            await _send_outcome(respond, outcome)
         finally:
             self._requests -= 1
             outcome = outcome or _cut_off(exchange)
--- a/features/mutants_stop.py
+++ b/features/mutants_stop.py
@@ -1,4 +1,4 @@
-"""Mutants of what a process does with its requests when it stops."""
+"""Mutants of how a process ends requests: when it stops, and after an error of its own."""
 
 from dataclasses import replace
 
@@ -7,6 +7,7 @@
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.gateway.stream_admission import StreamAdmission
+from deckcourse.http1.server import Exchange
 from deckcourse.reasons import UnknownReason
 
 
@@ -38,8 +39,14 @@
     handover_module._outcome_of = outcome_of
 
 
+def errors_close_connections():
+    Exchange.client_gone = property(lambda self: True)
+
+
 STOP = ("stopping_requests",)
+GATEWAY = ("gateway",)
 EVERY = {
+    errors_close_connections: ("a request whose handling fails is answered", GATEWAY),
     a_stop_leaves_requests_unanswered: ("a stop ends each request with an outcome", STOP),
     every_exit_takes_as_long: ("a stop cuts nothing before the last part of its time", STOP),
     a_stopping_process_takes_any_stream: ("a stream that a stop would cut is refused", STOP),
