--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -25,9 +25,9 @@
 # How long new callers still come after SIGTERM: the balancer checks readiness once a second and
 # needs two failed checks.
 BALANCER_GRACE_SECONDS = 2.6
-# What may be cut off by a stop goes on into the last sixth of the grace period. Half of that, at
-# most as long as the exit of a busy process takes, is reserved for the exit; before it, as much for
-# the outcomes of requests without an answer.
+# A stop may cut off answers in the last sixth of the grace period only. Half of that, or this long
+# if that is shorter, is reserved for the exit of the process, and as much before it for the
+# outcomes of requests without an answer.
 EXIT_RESERVE_SECONDS = 0.7
 EXIT_RESERVE_SHARE = 1 / 12
 # How long the requests that arrived last may take to be read and refused as the process ends, and
