--- a/deckcourse/http1/memory.py
+++ b/deckcourse/http1/memory.py
@@ -62,15 +62,26 @@
     def __init__(self, nursery: trio.Nursery, limits: Callable[[], ConnectionLimits]) -> None:
         self._nursery = nursery
         self._limits = limits
-        self._handlers: dict[str, Handler] = {}
+        self._handlers: dict[str, tuple[Handler, Callable[[], ConnectionLimits]]] = {}
         self._silent: set[str] = set()
         self._server_streams: dict[str, list[trio.StapledStream]] = defaultdict(list)
         # The streams whose server has closed its end.
         self._ended: set[trio.StapledStream] = set()
 
-    def listen(self, address: str, handler: Handler) -> None:
-        """Serve requests at an address."""
-        self._handlers[address] = handler
+    def listen(
+        self,
+        address: str,
+        handler: Handler,
+        limits: Callable[[], ConnectionLimits] | None = None,
+    ) -> None:
+        """Serve requests at an address.
+
+        Args:
+          address: the address.
+          handler: responds to a request.
+          limits: returns the limits of this server, by default those of all servers.
+        """
+        self._handlers[address] = handler, limits or self._limits
         self._silent.discard(address)
 
     def kill(self, address: str) -> None:
@@ -97,13 +108,13 @@
         await trio.sleep(2 * DELAY_SECONDS)
         if address in self._silent:
             await trio.sleep_forever()
-        handler = self._handlers.get(address)
-        if handler is None:
+        server = self._handlers.get(address)
+        if server is None:
             error = ConnectionLostError(FailureKind.UNSENT, f"{address}: refused")
             raise error from ConnectionRefusedError()
         client_stream, server_stream = memory_stream_pair()
         self._server_streams[address].append(server_stream)
-        self._nursery.start_soon(self._serve, server_stream, handler)
+        self._nursery.start_soon(self._serve, server_stream, *server)
         return _MemoryTransport(
             client_stream,
             lambda: address in self._silent,
@@ -114,6 +125,8 @@
             ),
         )
 
-    async def _serve(self, end: trio.StapledStream, handler: Handler) -> None:
-        await serve_connection(end, handler, self._limits, lambda: False)
+    async def _serve(
+        self, end: trio.StapledStream, handler: Handler, limits: Callable[[], ConnectionLimits]
+    ) -> None:
+        await serve_connection(end, handler, limits, lambda: False)
         self._ended.add(end)
--- a/features/gateway_runner.py
+++ b/features/gateway_runner.py
@@ -90,6 +90,8 @@
         # queries and orders state them as well.
         self.rate_limits = ()
         self.limits_control_calls = True
+        # Returns the limits of its server; None for those of all servers of the network.
+        self.server_limits = None
 
     @property
     def response_headers(self):
@@ -138,7 +140,7 @@
         }
 
     def start(self, state="ready"):
-        self.world.network.listen(self.address, self.handle)
+        self.world.network.listen(self.address, self.handle, self.server_limits)
         self.world.store.put("servers", self.instance, self.row(state))
 
     def die(self):
