Reproduce plain calls that are given up while their upstream goes on, red

All upstreams that are silent at once look like a partition, for which the call is cancelled before another upstream or a peer has it.

--- /dev/null
+++ b/features/steps/silent_call_steps.py
@@ -0,0 +1,59 @@
+"""Steps about plain calls whose upstreams are silent and go on."""
+
+from behave import given, then, when
+from silent_call_world import Silent, SilentCallWorld
+
+ROUTES = ("again", "public", "once")
+BOUNDS = (1, 2, 3)
+BESIDE = {
+    "their rows go": SilentCallWorld.lapse_rows,
+    "the routes are dropped": SilentCallWorld.change,
+    "the process stops": SilentCallWorld.stop,
+}
+
+
+@given("{processes:d} processes, and {count:d} plain upstreams")
+def plain_upstreams(context, processes, count):
+    context.new_site = lambda bound: SilentCallWorld(processes, count, bound)
+
+
+@when("{count:d} of them are silent for a second as a {what}, with {retries} retries")
+def silent_upstreams(context, count, what, retries):
+    play(context, count, what, retries)
+
+
+@when(
+    "{count:d} of them are silent for a second as a {what}, with {retries} retries, while {beside}"
+)
+def silent_beside(context, count, what, retries, beside):
+    play(context, count, what, retries, BESIDE[beside])
+
+
+def play(context, count, what, retries, beside=None):
+    context.results = []
+    for route in ROUTES:
+        for bound in BOUNDS:
+            site = context.new_site(bound)
+            site.silent = Silent(what)
+            others = [] if beside is None else [lambda site=site: beside(site)]
+            got = site.play_calls(route, count, retries == "many", others)
+            context.results.append((route, bound, site, got))
+
+
+@then("all calls were answered, with 1 to 3 upstreams allowed")
+def all_answered(context):
+    bad = [
+        (route, bound, each.status, round(each.seconds, 3), site.lines[-2:])
+        for route, bound, site, got in context.results
+        for each in got.values()
+        if each.status != 200 or not each.whole
+    ]
+    assert not bad, "\n".join(map(str, bad))
+
+
+@then("no more upstreams executed them than allowed")
+def executed_within_bound(context):
+    for route, bound, site, got in context.results:
+        allowed = 1 if route == "once" else bound
+        used = [site.executed_by(name) for name in got]
+        assert all(1 <= len(each) <= allowed for each in used), (route, bound, used)
