Keep a plain call at a silent upstream until another attempt has its answer

What callers saw: 502 "no upstream can be reached any more" after 0.69 s, though their upstreams went on after 1.1 s. Cause: when no upstream answered a probe, Reachability cancelled all calls that may be repeated, before a peer or another upstream had them. Without a retry or with one upstream nothing was left. Ruled out: silent processes whose hosts accept connections (answered before), and calls that no other upstream may execute (never cancelled).

A call is now told that its upstreams are out of reach and goes on waiting; peers and other upstreams are tried beside it, the first answer wins and ends the others. The search repeats while the first attempt is open, and gives an upstream that is in reach again the usual time of a call. maxAttempts counts all attempts; a retry is held until the call is sent again, and goes back if it isn't. A failed answer (5xx) is told only if no other attempt is open.

--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -6,7 +6,7 @@
 so that no header of an upstream is taken for them.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -183,6 +183,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._last_event = admitted.caller.last_event
         self._may_run = False
+        self._on_response: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
         # The upstreams that the current peer has named.
         self._named: frozenset[str] = frozenset()
 
@@ -202,7 +203,10 @@
         return self._last_event
 
     async def serve(
-        self, last_event: int | None, executions: Executions
+        self,
+        last_event: int | None,
+        executions: Executions,
+        on_response: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
     ) -> HandedOver | HandoverFailure | None:
         """Hand the request over; return None if no peer takes it.
 
@@ -212,8 +216,10 @@
         Args:
           last_event: the last event of a stream that the caller has.
           executions: the upstreams that may have executed it, to which those of peers are added.
+          on_response: called before each write of a peer's response to the caller.
         """
         self._last_event = last_event
+        self._on_response = on_response
         while self.is_allowed:
             granted = executions.allowance
             if not granted and not executions.instances:
@@ -339,6 +345,7 @@
         body = await read_whole(data.receive, headers, exchange.meter)
         if exchange.started:
             return HandoverFailure(f"an upstream answered {status}", may_have_run=True)
+        await self._on_response()
         await exchange.respond(status, headers, body)
         return HandedOver(Answered(0, status))
 
@@ -351,6 +358,7 @@
                 raise ConnectionLostError(FailureKind.MALFORMED, reader.fault)
         if reader.incomplete:
             raise ConnectionLostError(FailureKind.LOST, "the stream ended inside an event")
+        await self._on_response()
         await self._start(headers)
         if reader.trailing:
             await self._admitted.exchange.send(reader.trailing)
@@ -358,6 +366,7 @@
 
     async def _forward(self, events: list[Event], headers: Headers) -> None:
         if events:
+            await self._on_response()
             await self._start(headers)
             await self._admitted.exchange.send(b"".join(each.data for each in events))
             self._last_event = events[-1].id
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -1,13 +1,17 @@
 """One call to a plain service, retried only if the route and the upstream's response allow it."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from functools import partial
 
 import trio
 
-from deckcourse.decisions.call_balance import failure_penalty
 from deckcourse.gateway.admitted import Admitted
+from deckcourse.gateway.call_attempts import CallAttempts
+from deckcourse.gateway.call_give_up import give_up
+from deckcourse.gateway.call_load import CallLoad
+from deckcourse.gateway.call_results import LostAnswer, RefusedCall, UpstreamResponse
+from deckcourse.gateway.call_retry import CallRetry
 from deckcourse.gateway.calls import (
     WaitsFor,
     Withheld,
@@ -15,7 +19,6 @@
     is_withheld,
     log_deadline,
     refuse_quarantined,
-    schedule_retry_after,
     send_request,
     within_deadline,
 )
@@ -30,24 +33,16 @@
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.whole_messages import read_whole
 from deckcourse.http1.client import UpstreamConnection
-from deckcourse.http1.message import ConnectionLostError, FailureKind, Headers, end_to_end
+from deckcourse.http1.message import ConnectionLostError, FailureKind, end_to_end
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
-from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
+from deckcourse.reasons import NotRunReason, RetryReason
 
 __all__ = ["ServiceCall"]
 
 # Attempts after which a request is refused.
 MAX_ATTEMPTS = 4
-# Retry-after value when every upstream refused; a call takes about 60 ms.
-REFUSED_RETRY_AFTER_SECONDS = 0.1
 # Retry-after value of a process whose configuration may be out of date.
 NOT_READY_RETRY_AFTER_SECONDS = 0.2
-# Retry-after value while no upstream is listed as usable.
-NO_ROUTE_RETRY_AFTER_SECONDS = 0.5
-# Calls in flight are scaled to an upstream with this many slots, the number that both sites state.
-REFERENCE_SLOTS = 6.0
-# Calls in flight that an upstream in another failure domain counts as having in addition.
-REMOTE_PENALTY = 0.5
 # Longest idle time of a connection for a call that must not be executed twice: if the upstream had
 # closed the connection, it would be unknown whether the call was executed.
 MAX_IDLE_ONCE_SECONDS = 1.0
@@ -59,28 +54,8 @@
 RETRYABLE_QUERY_SHARE = 0.5
 
 
-@dataclass(frozen=True)
-class _Response:
-    """A complete response of an upstream."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-@dataclass(frozen=True)
-class _Refused:
-    """No upstream executed the call."""
-
-    reason: RetryReason
-    message: str
-
-
-@dataclass(frozen=True)
-class _Lost:
-    """The response was lost; the call may have been executed."""
-
-    message: str
+_Ended = UpstreamResponse | RefusedCall | LostAnswer
+_AttemptResult = _Ended | Withheld
 
 
 class ServiceCall:
@@ -89,26 +64,34 @@
     def __init__(self, context: GatewayContext, admitted: Admitted, domain: str) -> None:
         self._context = context
         self._admitted = admitted
-        self._domain = domain
+        self._load = CallLoad(context.upstreams, domain)
         self._attempted: set[str] = set()
         self._attempted_names: set[str] = set()
+        self._unreached: set[str] = set()
         self._executions = Executions(admitted.route.attempts, earlier=admitted.earlier)
         self._handover = context.new_handover(admitted)
         self._unreachable_attempts = 0
         self._was_refused = False
         # The last failure that an upstream answered: told unless another attempt has an answer.
-        self._failed_response: _Response | None = None
-        # The upstream that has the call now, empty if none, and since when that holds.
-        self._instance = ""
+        self._failed_response: UpstreamResponse | None = None
+        self._last_failure: RefusedCall | LostAnswer | None = None
+        self._attempts = 0
+        self._retry = CallRetry(context.budget(admitted.service.name))
+        self._in_progress = CallAttempts(self._run_others, lambda: self._is_partitioned)
+        # The upstreams that have the call now and since when, and since when none has it.
+        self._waits: dict[str, float] = {}
         self._since = trio.current_time()
 
     async def run(self) -> Outcome:
         """Serve the call; after an Answered outcome the response has been sent to the caller."""
         if self._admitted.earlier is None:
             self._context.budget(self._admitted.service.name).earn()
-        outcome = await within_deadline(
-            self._admitted, self._run_attempts, self._may_have_run, self._log_deadline
-        )
+        try:
+            outcome = await within_deadline(
+                self._admitted, self._run_attempts, self._may_have_run, self._log_deadline
+            )
+        finally:
+            self._retry.close()
         failed = self._failed_response
         if isinstance(outcome, Answered) or failed is None or self._admitted.exchange.started:
             return outcome
@@ -118,23 +101,22 @@
         return self._executions.runs > 0 or self._handover.may_run
 
     def _log_deadline(self) -> None:
-        waits_for = WaitsFor.UPSTREAM if self._instance else WaitsFor.ENTRY
-        log_deadline(self._context, self._admitted, waits_for, self._instance, self._since)
+        # The upstream that has had the call for longest, if any.
+        instance, since = next(iter(self._waits.items()), ("", self._since))
+        waits_for = WaitsFor.UPSTREAM if instance else WaitsFor.ENTRY
+        log_deadline(self._context, self._admitted, waits_for, instance, since)
 
     async def _run_attempts(self) -> Outcome:
-        last_failure: _Refused | _Lost | None = None
-        budget = self._context.budget(self._admitted.service.name)
-        attempts = 0
-        while attempts < MAX_ATTEMPTS:
+        while self._attempts < MAX_ATTEMPTS:
             refusal = refuse_quarantined(self._context, self._admitted, self._executions.runs > 0)
             if refusal is not None:
                 return refusal
             upstream = None if self._is_partitioned else self._choose()
             if upstream is None:
-                handed = await self._hand_over(attempts)
-                if isinstance(handed, _Lost):
-                    last_failure = handed
-                    attempts += 1
+                handed = await self._hand_over()
+                if isinstance(handed, LostAnswer):
+                    self._last_failure = handed
+                    self._attempts += 1
                     if self._may_execute_again():
                         continue
                     break
@@ -143,48 +125,62 @@
                 upstream = self._choose() if self._is_partitioned else None
             if upstream is None:
                 break
-            if attempts and not await budget.acquire():
+            if self._attempts and not await self._retry.acquire():
                 break
             if not self._context.may_send():
                 message = "the configuration may be out of date"
                 return NotRun(NotRunReason.NOT_READY, message, NOT_READY_RETRY_AFTER_SECONDS)
             if await self._context.crashes.wait_for_trial(self._admitted, upstream.instance):
-                if attempts:
-                    budget.give_back()
                 continue
-            result = await self._send_with_token(upstream)
+            self._attempts += 1
+            result = await self._in_progress.run(
+                partial(self._send_with_token, upstream), self._is_answer
+            )
             if isinstance(result, Withheld):
-                if attempts:
-                    budget.give_back()
+                self._attempts -= 1
                 continue
-            attempts += 1
+            if isinstance(result, Answered | NotRun | Unknown):
+                return result
             self._attempted_names.add(upstream.name)
-            if isinstance(result, _Response):
-                if not self._is_worth_retry(result):
-                    return await self._deliver(result)
-                self._failed_response = result
-            elif isinstance(result, _Refused):
-                last_failure = result
-                self._context.count(f"retry.{result.reason}")
-                self._was_refused |= result.reason is RetryReason.REFUSED
-                self._unreachable_attempts += result.reason is RetryReason.UNREACHABLE
-                if self._unreachable_attempts >= MIN_UNREACHABLE:
-                    reachability = self._context.reachability
-                    await reachability.confirm_contact(self._admitted.service.name)
-            else:
-                last_failure = result
-                if not self._may_execute_again():
-                    break
-                self._context.count(f"retry.{RetryReason.REPLY_LOST}")
-                crashes = self._context.crashes
-                await crashes.wait_for_preceding_suspects(self._admitted, upstream.instance)
-        return self._give_up(last_failure)
+            if self._is_answer(result):
+                return await self._deliver(result)
+            await self._note_failure(result, upstream)
+            if isinstance(result, LostAnswer) and not self._may_execute_again():
+                break
+        return self._give_up()
+
+    async def _run_others(self) -> Outcome:
+        """Make attempts beside one in progress; what was out of reach before is tried again."""
+        self._attempted -= self._unreached
+        self._attempts -= len(self._unreached)
+        self._unreached.clear()
+        return await self._run_attempts()
+
+    async def _note_failure(self, result: _Ended, upstream: Upstream) -> None:
+        """Record an attempt without an answer for the caller; wait where the next must wait."""
+        if isinstance(result, UpstreamResponse):
+            self._failed_response = result
+            return
+        self._last_failure = result
+        if isinstance(result, RefusedCall):
+            self._context.count(f"retry.{result.reason}")
+            self._was_refused |= result.reason is RetryReason.REFUSED
+            if result.reason is RetryReason.UNREACHABLE:
+                self._unreached.add(upstream.instance)
+                self._unreachable_attempts += 1
+            if self._unreachable_attempts >= MIN_UNREACHABLE:
+                reachability = self._context.reachability
+                await reachability.confirm_contact(self._admitted.service.name)
+        elif self._may_execute_again():
+            self._context.count(f"retry.{RetryReason.REPLY_LOST}")
+            crashes = self._context.crashes
+            await crashes.wait_for_preceding_suspects(self._admitted, upstream.instance)
 
     @property
     def _is_partitioned(self) -> bool:
         return self._context.reachability.is_partitioned(self._admitted.service.name)
 
-    async def _hand_over(self, attempts: int) -> Outcome | _Lost | None:
+    async def _hand_over(self) -> Outcome | LostAnswer | None:
         """Let a peer serve the call; return None if none takes it."""
         service = self._admitted.service.name
         is_backing_off = self._context.upstreams.accepts_at(service) is not None
@@ -192,42 +188,32 @@
             return None  # It holds for peers as well.
         if self._failed_response is not None:
             return None
-        budget = self._context.budget(service)
-        is_retry = attempts > 0 and (self._executions.runs > 0 or self._was_refused)
-        if is_retry and not await budget.acquire():
-            return None
-        result = await self._handover.serve(None, self._executions)
-        if isinstance(result, HandedOver):
-            if isinstance(result.outcome, Answered):
-                self._context.return_schedule(service).note_answered()
-            return result.outcome
-        if result is None:
-            if is_retry:
-                budget.give_back()
+        is_retry = self._attempts > 0 and (self._executions.runs > 0 or self._was_refused)
+        if is_retry and not await self._retry.acquire():
             return None
-        return _Lost(result.message)
+        result = await self._handover.serve(None, self._executions, self._in_progress.take_over)
+        if result is not None:
+            self._retry.use()
+        if not isinstance(result, HandedOver):
+            return LostAnswer(result.message) if result is not None else None
+        if isinstance(result.outcome, Answered):
+            self._context.return_schedule(service).note_answered()
+        return result.outcome
 
     def _may_execute_again(self) -> bool:
         return self._admitted.route.repeatable and self._executions.allowance > 0
 
-    def _is_worth_retry(self, response: _Response) -> bool:
-        return response.status >= SERVER_ERROR and self._may_execute_again()
-
-    def _give_up(self, last_failure: _Refused | _Lost | None) -> Outcome:
-        if self._executions.runs:
-            message = last_failure.message if last_failure is not None else "the answer was lost"
-            return Unknown(UnknownReason.UPSTREAM_LOST, message)
-        accepts_at = self._context.upstreams.accepts_at(self._admitted.service.name)
-        if accepts_at is not None:
-            min_seconds = max(REFUSED_RETRY_AFTER_SECONDS, accepts_at - trio.current_time())
-            retry_after = schedule_retry_after(self._context, self._admitted, min_seconds)
-            message = f"no upstream takes a request for {min_seconds:.2f} s"
-            return NotRun(NotRunReason.UPSTREAM_BACKOFF, message, retry_after)
-        if isinstance(last_failure, _Refused):
-            return NotRun(
-                NotRunReason.UPSTREAM_REFUSED, last_failure.message, REFUSED_RETRY_AFTER_SECONDS
-            )
-        return NotRun(NotRunReason.NO_ROUTE, "no usable upstream", NO_ROUTE_RETRY_AFTER_SECONDS)
+    def _is_answer(self, result: _AttemptResult) -> bool:
+        """Return whether a result is what the caller gets."""
+        if not isinstance(result, UpstreamResponse):
+            return False
+        if result.status < SERVER_ERROR:
+            return True
+        return not self._may_execute_again() and not self._in_progress.has_others
+
+    def _give_up(self) -> Outcome:
+        has_run = self._executions.runs > 0
+        return give_up(self._context, self._admitted, has_run, self._last_failure)
 
     def _choose(self) -> Upstream | None:
         upstreams = self._context.upstreams
@@ -240,7 +226,9 @@
         candidates = self._not_attempted(candidates)
         trials = self._context.crashes.trial_upstreams()
         candidates = [each for each in candidates if each.instance not in trials] or candidates
-        return self._context.call_balances.choose(name, candidates, self._load, self._penalty)
+        return self._context.call_balances.choose(
+            name, candidates, self._load.load, self._load.penalty
+        )
 
     def _not_attempted(self, rows: list[Upstream]) -> list[Upstream]:
         """Return the upstreams that the call wasn't sent to, if possible under other names."""
@@ -252,36 +240,29 @@
         # Even if no row remains: an upstream's refusal would use up the caller's only attempt.
         return [each for each in rows if self._context.upstreams.is_available(each.instance)]
 
-    def _load(self, upstream: Upstream) -> float:
-        upstreams = self._context.upstreams
-        load = upstreams.in_flight(upstream.instance) * REFERENCE_SLOTS / max(1, upstream.slots)
-        if upstream.domain != self._domain:
-            load += REMOTE_PENALTY
-        return load
-
-    def _penalty(self, upstream: Upstream, heaviest: float) -> float:
-        upstreams = self._context.upstreams
-        share = upstreams.failure_share(upstream.instance)
-        return failure_penalty(share, upstreams.in_flight(upstream.instance), heaviest)
-
-    async def _send_with_token(self, upstream: Upstream) -> _Response | _Refused | _Lost | Withheld:
+    async def _send_with_token(
+        self, upstream: Upstream, on_unreachable: Callable[[], None]
+    ) -> _AttemptResult:
         """Send the call with a token for the upstream; gives an unused token back."""
         token = await self._context.rates.acquire(upstream.instance)
         if token is None:
             return Withheld()
         self._attempted.add(upstream.instance)
-        self._instance, self._since = upstream.instance, trio.current_time()
+        self._waits[upstream.instance] = trio.current_time()
         try:
-            result = await self._send(upstream, token)
+            result = await self._send(upstream, token, on_unreachable)
         finally:
             await self._context.rates.return_token(token)
-        self._instance, self._since = "", trio.current_time()
+        # Not after a cancellation: the log then says what the call waited for.
+        self._waits.pop(upstream.instance, None)
+        self._since = trio.current_time()
         return result
 
     async def _send(
-        self, upstream: Upstream, token: SendingToken
-    ) -> _Response | _Refused | _Lost | Withheld:
+        self, upstream: Upstream, token: SendingToken, on_unreachable: Callable[[], None]
+    ) -> _AttemptResult:
         context = self._context
+        began_at = trio.current_time()
         context.upstreams.begin_request(upstream.instance)
         run = context.crashes.begin_attempt(self._admitted, upstream.instance)
         max_idle_seconds = (
@@ -293,7 +274,7 @@
                 upstream.address, max_idle_seconds, request_id
             ) as connection:
                 with self._noting_unpaid_answer(connection, upstream):
-                    result = await self._exchange(connection, upstream, token, run)
+                    result = await self._exchange(connection, upstream, token, run, on_unreachable)
         except ConnectionLostError as failure:
             result = await self._on_failure(upstream, failure, run)
         finally:
@@ -301,10 +282,10 @@
             context.upstreams.end_request(upstream.instance)
         if isinstance(result, Withheld):
             return result
-        failed = not isinstance(result, _Response) or result.status >= SERVER_ERROR
+        failed = not isinstance(result, UpstreamResponse) or result.status >= SERVER_ERROR
         context.upstreams.record_outcome(upstream.instance, failed)
         if not failed:
-            seconds = trio.current_time() - self._since
+            seconds = trio.current_time() - began_at
             context.call_balances.record(upstream.service, upstream.instance, seconds)
         else:
             self._log_failed_attempt(upstream, result)
@@ -328,12 +309,12 @@
 
     async def _on_failure(
         self, upstream: Upstream, failure: ConnectionLostError, run: AttemptStart
-    ) -> _Refused | _Lost:
+    ) -> RefusedCall | LostAnswer:
         if failure.kind is FailureKind.UNSENT:
             self._context.pool.close_idle(upstream.address)
-            return _Refused(RetryReason.UNREACHABLE, failure.message)
+            return RefusedCall(RetryReason.UNREACHABLE, failure.message)
         await self._context.crashes.record_broken_attempt(self._admitted, upstream, run)
-        return _Lost(failure.message)
+        return LostAnswer(failure.message)
 
     async def _exchange(
         self,
@@ -341,7 +322,8 @@
         upstream: Upstream,
         token: SendingToken,
         run: AttemptStart,
-    ) -> _Response | _Refused | _Lost | Withheld:
+        on_unreachable: Callable[[], None],
+    ) -> _AttemptResult:
         if is_withheld(self._context, token):
             return Withheld()
         admitted = self._admitted
@@ -351,12 +333,15 @@
             admitted.account_name,
             admitted.priority,
         )
+        self._retry.use()
         self._executions.note_sent(upstream.instance)
         meter = admitted.exchange.meter
         meter.note_handed_on()
         meter.note_body_waiting(len(admitted.caller.message.body))
         with self._context.reachability.waiting(
-            upstream.service, upstream.instance, self._may_execute_again()
+            upstream.service,
+            upstream.instance,
+            on_unreachable if self._may_execute_again() else None,
         ):
             try:
                 reply, facts = await send_request(
@@ -369,12 +354,12 @@
             body = await read_whole(reply.next_data, reply.headers, meter)
         if facts.not_executed:
             self._executions.note_not_executed(upstream.instance)
-            return _Refused(RetryReason.REFUSED, f"upstream answered {reply.status}")
+            return RefusedCall(RetryReason.REFUSED, f"upstream answered {reply.status}")
         await check_single_response(reply, body)
         await self._context.ends.check(reply, self._answer_source(upstream))
         if reply.status < SERVER_ERROR:
             self._context.crashes.record_success(self._admitted, upstream.instance, run)
-        return _Response(reply.status, end_to_end(reply.headers), body)
+        return UpstreamResponse(reply.status, end_to_end(reply.headers), body)
 
     def _answer_source(self, upstream: Upstream) -> AnswerSource:
         """Return where an answer that has just been read came from."""
@@ -389,18 +374,21 @@
             query_deadline=now + share * (self._admitted.deadline - now),
         )
 
-    async def _deliver(self, response: _Response) -> Outcome:
+    async def _deliver(self, response: UpstreamResponse) -> Outcome:
+        await self._in_progress.take_over()
+        self._waits.clear()
         await self._admitted.exchange.respond(response.status, response.headers, response.body)
         self._context.return_schedule(self._admitted.service.name).note_answered()
         return Answered(0, response.status)
 
-    def _log_failed_attempt(self, upstream: Upstream, result: _Response | _Refused | _Lost) -> None:
-        description = f"status {result.status}" if isinstance(result, _Response) else result.message
+    def _log_failed_attempt(self, upstream: Upstream, result: _Ended) -> None:
+        is_response = isinstance(result, UpstreamResponse)
+        description = f"status {result.status}" if is_response else result.message
         self._context.log(
             "try-failed",
             request=self._admitted.caller.request_id,
             instance=upstream.instance,
             what=description,
             runs=self._executions.runs,
-            identity=self._admitted.identity if isinstance(result, _Lost) else "",
+            identity=self._admitted.identity if isinstance(result, LostAnswer) else "",
         )
--- a/deckcourse/gateway/reachability.py
+++ b/deckcourse/gateway/reachability.py
@@ -17,7 +17,7 @@
 from deckcourse.gateway.loss_notices import evidence_of
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
-from deckcourse.http1.message import ConnectionLostError, FailureKind
+from deckcourse.http1.message import ConnectionLostError
 
 __all__ = ["MIN_UNREACHABLE", "Reachability"]
 
@@ -49,11 +49,11 @@
 
 @dataclass(eq=False)
 class _Wait:
-    """A plain call that waits for its upstream; `scope` is None if it must not be repeated."""
+    """A plain call that waits for its upstream; `on_unreachable` is None if it isn't repeated."""
 
     instance: str
     since: float
-    scope: trio.CancelScope | None
+    on_unreachable: Callable[[], None] | None
 
 
 @dataclass
@@ -169,25 +169,27 @@
         return state.partitioned_since is None
 
     @contextmanager
-    def waiting(self, service: str, instance: str, repeatable: bool) -> Iterator[None]:
+    def waiting(
+        self, service: str, instance: str, on_unreachable: Callable[[], None] | None
+    ) -> Iterator[None]:
         """Enclose a plain call's wait for its upstream.
 
-        Raises:
-          ConnectionLostError: LOST, this process is partitioned from the service, and the call may
-            be repeated.
+        The wait isn't ended by a partition: an upstream that is silent for a moment looks the same.
+
+        Args:
+          service: the service.
+          instance: the upstream.
+          on_unreachable: called when this process is found to be partitioned from the service; None
+            if the call must not be repeated.
         """
-        scope = trio.CancelScope()
-        wait = _Wait(instance, trio.current_time(), scope if repeatable else None)
+        wait = _Wait(instance, trio.current_time(), on_unreachable)
         waits = self._state(service).waits
         waits.add(wait)
         self._wake()
         try:
-            with scope:
-                yield
+            yield
         finally:
             waits.discard(wait)
-        if scope.cancelled_caught:
-            raise ConnectionLostError(FailureKind.LOST, "no upstream can be reached any more")
 
     async def run(self) -> None:
         """Check services whose upstreams are slow or out of reach, until cancelled."""
@@ -298,8 +300,8 @@
         self._show_partitions()
         self._log("partitioned", service=service, unreachable=len(state.unreachable))
         for wait in list(state.waits):
-            if wait.scope is not None:
-                wait.scope.cancel()
+            if wait.on_unreachable is not None:
+                wait.on_unreachable()
         for other in self._services():
             if other != service:
                 self._start_check(other)
--- a/features/mutants_partitions.py
+++ b/features/mutants_partitions.py
@@ -1,5 +1,9 @@
 """Mutants of what processes know of the upstreams that they and their peers reach."""
 
+import trio
+
+from deckcourse.gateway.call_attempts import CallAttempts
+from deckcourse.gateway.call_results import LostAnswer
 from deckcourse.gateway.executions import Executions
 from deckcourse.gateway.handover import Handover
 from deckcourse.gateway.part_evidence import PartEvidence
@@ -20,6 +24,17 @@
     Reachability._begin_partition = lambda self, service, state: None
 
 
+def calls_out_of_reach_are_ended():
+    async def end(self, attempt, is_answer):
+        async with trio.open_nursery() as nursery:
+            result = await attempt(nursery.cancel_scope.cancel)
+        if nursery.cancel_scope.cancelled_caught:
+            return LostAnswer("out of reach")
+        return result
+
+    CallAttempts.run = end
+
+
 def a_handed_request_counts_as_not_run():
     Handover.may_run = property(lambda self: False)
 
@@ -62,6 +77,10 @@
 EVERY = {
     nothing_is_handed_over: ("a process without upstreams hands requests over", PARTITIONS),
     partitions_go_unnoticed: ("a process knows that it reaches no upstream", PARTITIONS),
+    calls_out_of_reach_are_ended: (
+        "a call stays at a silent upstream until another attempt has its answer",
+        ("silent_calls",),
+    ),
     a_handed_request_counts_as_not_run: ("a peer may run what it was handed", PARTITIONS),
     silent_peers_are_waited_for: ("a peer that is silent is left", PARTITIONS),
     a_lost_peer_used_no_upstream: (
--- a/features/silent_call_world.py
+++ b/features/silent_call_world.py
@@ -15,9 +15,12 @@
 from gateway_world import default_config
 
 from deckcourse.gateway.retry_allowance import RetryAllowance
+from deckcourse.http1.message import ConnectionLostError, FailureKind
 
 SILENCE_SECONDS = 1.0
 TIMEOUT_MS = 5000
+# How long a process waits for a connection.
+CONNECT_SECONDS = 0.4
 WORK_SECONDS = 0.3
 # From the sending of the calls to the silence.
 SILENT_AFTER_SECONDS = 0.1
@@ -44,8 +47,12 @@
         await super().handle(request, exchange)
 
     async def answer(self, run, exchange, answer):
-        await trio.sleep(self.work)
-        await trio.sleep_until(self.held_until)
+        try:
+            await trio.sleep(self.work)
+            await trio.sleep_until(self.held_until)
+        except trio.Cancelled:
+            self.world.cancelled_at[run.request] = trio.current_time()
+            raise
         run.ended = "answered"
         await exchange.respond(200, answer, f"answer to {run.request}".encode())
 
@@ -64,6 +71,11 @@
         self.names = tuple((f"g{each}", "xy"[each % 2]) for each in range(processes))
         self.config = with_bound(call_config(), bound)
         self.silent = Silent.HOST
+        # How long the first upstreams of calls are silent.
+        self.first_silence = SILENCE_SECONDS
+        self.calls = CALLS
+        self.cancelled_at = {}
+        self.answered_at = {}
         self.runners.clear()
         for number in range(count):
             runner = SilentRunner(self, f"c{number}", PLAIN, "xy"[number % 2])
@@ -74,16 +86,21 @@
         async def dial(address):
             runner = next((each for each in self.runners.values() if each.address == address), None)
             if runner is not None and self.silent is Silent.HOST:
-                await trio.sleep_until(runner.held_until)
+                with trio.move_on_after(CONNECT_SECONDS):
+                    await trio.sleep_until(runner.held_until)
+                if runner.held_until > trio.current_time():
+                    error = ConnectionLostError(FailureKind.UNSENT, f"no connection: {address}")
+                    raise error from trio.TooSlowError()
             return await self.network.dial(address)
 
         return dial
 
-    def fall_silent(self, count, seconds=SILENCE_SECONDS):
+    def fall_silent(self, count):
         """Let so many upstreams be silent: first those that run calls."""
         running = Counter(each.instance for each in self.runs if each.ended == "cancelled")
         names = sorted(self.runners, key=lambda each: -running[each])
         for name in names[:count]:
+            seconds = self.first_silence if running[name] else SILENCE_SECONDS
             self.runners[name].held_until = trio.current_time() + seconds
 
     async def lapse_rows(self):
@@ -120,17 +137,16 @@
         spend = RetryAllowance._spend
 
         async def story(site):
-            self.calls_from = len(self.runs)
-
             async def call(number):
                 name = f"call{number}"
                 got[name] = await self.ask_at(self.processes[0], route, name, b"r")
+                self.answered_at[name] = trio.current_time()
 
             for process in self.processes:
                 for _ in range(EARNED):
                     process.node.gateway.context.budget(PLAIN).earn()
             async with trio.open_nursery() as nursery:
-                for number in range(CALLS):
+                for number in range(self.calls):
                     nursery.start_soon(call, number)
                 await trio.sleep(SILENT_AFTER_SECONDS)
                 self.fall_silent(silent_count)
--- a/features/silent_calls.feature
+++ b/features/silent_calls.feature
@@ -20,7 +20,21 @@
       | host    | 3         | 3     | 3      | no      |
       | host    | 3         | 3     | 3      | many    |
 
-  # Guards against the same beside what takes the upstreams, the route or the process away meanwhile.
+  # Guards against a second attempt that the first one prevents, that isn't paid, or that leaves the first
+  # one running.
+  Scenario Outline: The upstream of a call stays silent, another one answers: <processes> processes
+    Given <processes> processes, and 3 plain upstreams
+    When 3 of them are silent for a second as a host, and that of a call for 4 s
+    Then the call was answered within 2.5 seconds by another upstream
+    And the first one's run was cancelled within half a second of the answer
+    And <retries> retries were spent
+
+    Examples: At three processes, the peer spends another on an upstream that it doesn't reach either
+      | processes | retries |
+      | 1         | 1       |
+      | 3         | 2       |
+
+  # Guards against calls that are given up beside what takes the upstreams, the route or the process away meanwhile.
   Scenario Outline: All hosts are silent while <beside>: <processes> processes, <retries> retries
     Given <processes> processes, and 3 plain upstreams
     When 3 of them are silent for a second as a host, with <retries> retries, while <beside>
--- a/features/steps/silent_call_steps.py
+++ b/features/steps/silent_call_steps.py
@@ -1,10 +1,11 @@
 """Steps about plain calls whose upstreams are silent and go on."""
 
 from behave import given, then, when
-from silent_call_world import Silent, SilentCallWorld
+from silent_call_world import PLAIN, Silent, SilentCallWorld
 
 ROUTES = ("again", "public", "once")
 BOUNDS = (1, 2, 3)
+MAX_CANCEL_SECONDS = 0.5
 BESIDE = {
     "their rows go": SilentCallWorld.lapse_rows,
     "the routes are dropped": SilentCallWorld.change,
@@ -57,3 +58,32 @@
         allowed = 1 if route == "once" else bound
         used = [site.executed_by(name) for name in got]
         assert all(1 <= len(each) <= allowed for each in used), (route, bound, used)
+
+
+@when("{count:d} of them are silent for a second as a host, and that of a call for {seconds:g} s")
+def first_silent_for_longer(context, count, seconds):
+    context.site = site = context.new_site(2)
+    site.first_silence, site.calls = seconds, 1
+    context.got = site.play_calls("again", count, has_retries=True)["call0"]
+
+
+@then("the call was answered within {seconds:g} seconds by another upstream")
+def answered_elsewhere(context, seconds):
+    got, runs = context.got, context.site.runs
+    assert got.status == 200 and got.whole and got.seconds <= seconds, (got, context.site.lines)
+    assert [each.ended for each in runs] == ["cancelled", "answered"], runs
+
+
+@then("the first one's run was cancelled within half a second of the answer")
+def first_run_cancelled(context):
+    site = context.site
+    late = site.cancelled_at["call0"] - site.answered_at["call0"]
+    assert late <= MAX_CANCEL_SECONDS, late
+
+
+@then("{count:d} retries were spent")
+def retries_spent(context, count):
+    budgets = [each.node.gateway.context.budget(PLAIN) for each in context.site.processes]
+    spent = sum(each.take_tally().retries for each in budgets)
+    spent += sum(each["retries"] for kind, each in context.site.lines if kind == "retry-budget")
+    assert spent == count, spent
