--- a/deckcourse/http1/memory.py
+++ b/deckcourse/http1/memory.py
@@ -72,9 +72,21 @@
         # The streams whose server has closed its end.
         self._ended: set[trio.StapledStream] = set()
 
-    def listen(self, address: str, handler: Handler) -> None:
-        """Serve requests at an address."""
-        self.accept(address, self._nursery, partial(self._serve_requests, handler))
+    def listen(
+        self,
+        address: str,
+        handler: Handler,
+        limits: Callable[[], ConnectionLimits] | None = None,
+    ) -> None:
+        """Serve requests at an address.
+
+        Args:
+          address: the address.
+          handler: responds to a request.
+          limits: returns the limits of this server, by default those of all servers.
+        """
+        serve = partial(self._serve_requests, handler, limits or self._limits)
+        self.accept(address, self._nursery, serve)
 
     def accept(self, address: str, nursery: trio.Nursery, serve: _Serve) -> None:
         """Let a server of its own serve the connections to an address, in its nursery."""
@@ -128,5 +140,7 @@
         finally:
             self._ended.add(end)
 
-    async def _serve_requests(self, handler: Handler, end: trio.abc.Stream) -> None:
-        await serve_connection(end, handler, self._limits, lambda: False)
+    async def _serve_requests(
+        self, handler: Handler, limits: Callable[[], ConnectionLimits], end: trio.abc.Stream
+    ) -> None:
+        await serve_connection(end, handler, limits, lambda: False)
