Count an upstream as cut off only if no event came from it for three seconds

What operators saw could be a request on more upstreams than its route allows: an upstream that answered no probe for three seconds stopped to count against the bound although events of the stream came from it meanwhile, and the stream was sent to another one.

Cause: the three seconds were counted from the begin of the suspicion. Now they begin again with each event over that upstream.

Evidence: a route that allows one upstream, which answers no query for six seconds and sends an event each 0.7 s: executed by x1 and x2 before, by x1 alone now (upstream_bound.feature).

--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -37,7 +37,7 @@
 # upstream may only have paused.
 CONFIRMING_PROBE_TIMEOUT_SECONDS = 0.1
 CONFIRMING_PROBE_INTERVAL_SECONDS = 0.4
-# An upstream that answers no probe for this time has ended or is cut off: sound ones are silent for
+# An upstream that answers no probe and sends no event for this time has ended or is cut off: sound ones are silent for
 # about a second. The platform counts a machine without a path for this time as out of contact.
 CUT_OFF_SECONDS = 3.0
 # If more than this share of a path's upstreams is silent, this process is probably isolated itself.
@@ -332,8 +332,8 @@
     async def _confirm_suspicion(self, upstream: Upstream) -> None:
         """Probe a suspected upstream until it answers, is no longer suspected, or time is up."""
         instance = upstream.instance
-        began_at = trio.current_time()
-        deadline = began_at + SUSPICION_TTL_SECONDS
+        silent_since = trio.current_time()
+        deadline = silent_since + SUSPICION_TTL_SECONDS
         try:
             while trio.current_time() < deadline and self._upstreams.is_suspected(instance):
                 reply = await self._control.probe(upstream, CONFIRMING_PROBE_TIMEOUT_SECONDS)
@@ -343,7 +343,9 @@
                     return
                 if reply.result is not ProbeResult.NOT_SENT:
                     self._upstreams.suspect(instance, 0.0, lost=True)
-                    if trio.current_time() >= began_at + CUT_OFF_SECONDS:
+                    if instance in self._with_events_since(silent_since):
+                        silent_since = trio.current_time()
+                    if trio.current_time() >= silent_since + CUT_OFF_SECONDS:
                         self._upstreams.note_cut_off(instance)
                 await trio.sleep(CONFIRMING_PROBE_INTERVAL_SECONDS)
         finally:
--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -12,6 +12,7 @@
     executed_by,
     silence,
 )
+from gateway_runner import EVENT_SECONDS
 from gateway_story import expected_events, play_outage
 from partition_world import Cut
 from trio.testing import MockClock
@@ -115,6 +116,23 @@
     play(context, darken)
 
 
+@when(
+    "the upstream of a stream answers no query for six seconds, and sends events every {seconds:g}"
+    " seconds"
+)
+def answers_no_query(context, seconds):
+    async def pause_between_events(site):
+        await events_of(site, 5)
+        instance = site.runs[0].instance
+        runner = site.runners[instance]
+        runner.silent_until = trio.current_time() + 6.0
+        while trio.current_time() < runner.silent_until:
+            runner.held_until = trio.current_time() + seconds
+            await trio.sleep(seconds + EVENT_SECONDS)
+
+    play(context, pause_between_events)
+
+
 @when("that upstream resets the connection of each stream before its first event")
 def reset_before_events(context):
     async def reset_streams(site):
--- a/features/upstream_bound.feature
+++ b/features/upstream_bound.feature
@@ -78,6 +78,14 @@
       | 2     | 4     | 1    | 0   | 0.5   |
       | 2     | 4     | 2    | 5   | 0.5   |
 
+  # Guards against a sound upstream that is taken out of the count, since its probes fail for three
+  # seconds, though events came from it meanwhile.
+  Scenario: An upstream that answers no probe but sends events counts
+    Given 2 first upstreams and a route that allows 1
+    When the upstream of a stream answers no query for six seconds, and sends events every 0.7 seconds
+    Then its caller got the whole stream
+    And it was executed by no more than 1 upstreams
+
   # Guards against retries that are spent at once at the one upstream that is left.
   Scenario: A stream isn't sent again to an upstream where it failed without an event
     Given 1 first upstreams and a route that allows 1
