Pay for a plain call before a peer has it

What upstreams saw: arrivals beyond the first of a call that no retry had paid. A handover beside a silent upstream was cancelled by that one's answer, and the retry went back to the budget though the peer had sent the call. It is used before the handover now, and held again if no peer takes the call. An attempt that another one has overtaken in the same tick takes nothing over.

--- a/deckcourse/gateway/call_attempts.py
+++ b/deckcourse/gateway/call_attempts.py
@@ -49,6 +49,8 @@
 
     async def take_over(self) -> None:
         """End all other attempts; called without a suspension before the caller is answered."""
+        # Another one may have taken over in the tick in which this one has its answer.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self._is_decided = True
         for scope in self._scopes:
             scope.cancel()
--- a/deckcourse/gateway/call_retry.py
+++ b/deckcourse/gateway/call_retry.py
@@ -25,9 +25,14 @@
             self._is_held = await self._budget.acquire()
         return self._is_held
 
-    def use(self) -> None:
-        """Record that the call is sent again."""
-        self._is_held = False
+    def use(self) -> bool:
+        """Use the held retry, if any, as the call is sent again; return whether there was one."""
+        was_held, self._is_held = self._is_held, False
+        return was_held
+
+    def hold(self) -> None:
+        """Hold a retry for the next attempt: the call was not sent with it."""
+        self._is_held = True
 
     def close(self) -> None:
         """Return an unused retry to the budget."""
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -195,9 +195,11 @@
         is_retry = self._attempts > 0 and (self._executions.runs > 0 or self._was_refused)
         if is_retry and not await self._retry.acquire():
             return None
+        # Not after the handover: it may be cancelled while the peer has the call.
+        is_paid = self._retry.use()
         result = await self._handover.serve(None, self._executions, self._in_progress.take_over)
-        if result is not None:
-            self._retry.use()
+        if result is None and is_paid:
+            self._retry.hold()
         if not isinstance(result, HandedOver):
             return LostAnswer(result.message) if result is not None else None
         if isinstance(result.outcome, Answered):
--- a/features/silent_calls.feature
+++ b/features/silent_calls.feature
@@ -34,6 +34,13 @@
       | 1         | 1       |
       | 3         | 2       |
 
+  # Guards against arrivals that nobody pays: a handover is cancelled by the answer of the first upstream
+  # while the peer has the call.
+  Scenario: A peer has the call as its silent upstream answers
+    Given 3 processes, and 3 plain upstreams
+    When 3 of them are silent for 0.7 s as a host, with calls that take 1.5 s
+    Then the arrivals beyond the first of each call are no more than the retries that were spent
+
   # Guards against calls that are given up beside what takes the upstreams, the route or the process away meanwhile.
   Scenario Outline: All hosts are silent while <beside>: <processes> processes, <retries> retries
     Given <processes> processes, and 3 plain upstreams
--- a/features/steps/silent_call_steps.py
+++ b/features/steps/silent_call_steps.py
@@ -1,5 +1,7 @@
 """Steps about plain calls whose upstreams are silent and go on."""
 
+from collections import Counter
+
 from behave import given, then, when
 from silent_call_world import PLAIN, Silent, SilentCallWorld
 
@@ -81,9 +83,30 @@
     assert late <= MAX_CANCEL_SECONDS, late
 
 
+@when("3 of them are silent for {silence:g} s as a host, with calls that take {work:g} s")
+def silent_beside_long_calls(context, silence, work):
+    context.site = site = context.new_site(2)
+    site.first_silence = silence
+    for runner in site.runners.values():
+        runner.work = work
+    site.play_calls("again", 3, has_retries=True)
+
+
+@then("the arrivals beyond the first of each call are no more than the retries that were spent")
+def arrivals_are_paid(context):
+    arrivals = Counter(each.request for each in context.site.received_requests)
+    further = sum(arrivals.values()) - len(arrivals)
+    assert further <= count_spent(context.site), (further, arrivals, context.site.lines[-20:])
+
+
+def count_spent(site):
+    """Return the retries that all processes spent and did not return."""
+    budgets = [each.node.gateway.context.budget(PLAIN) for each in site.processes]
+    spent = sum(each.take_tally().retries for each in budgets)
+    return spent + sum(each["retries"] for kind, each in site.lines if kind == "retry-budget")
+
+
 @then("{count:d} retries were spent")
 def retries_spent(context, count):
-    budgets = [each.node.gateway.context.budget(PLAIN) for each in context.site.processes]
-    spent = sum(each.take_tally().retries for each in budgets)
-    spent += sum(each["retries"] for kind, each in context.site.lines if kind == "retry-budget")
+    spent = count_spent(context.site)
     assert spent == count, spent
