--- a/deckcourse/gateway/stalls.py
+++ b/deckcourse/gateway/stalls.py
@@ -37,8 +37,9 @@
 # upstream may only have paused.
 CONFIRMING_PROBE_TIMEOUT_SECONDS = 0.1
 CONFIRMING_PROBE_INTERVAL_SECONDS = 0.4
-# An upstream that answers no probe and sends no event for this time has ended or is cut off: sound ones are silent for
-# about a second. The platform counts a machine without a path for this time as out of contact.
+# An upstream that answers no probe and sends no event for this time has ended or is cut off: sound
+# ones are silent for about a second. The platform counts a machine without a path for this time as
+# out of contact.
 CUT_OFF_SECONDS = 3.0
 # If more than this share of a path's upstreams is silent, this process is probably isolated itself.
 ISOLATION_SHARE = 0.5
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -255,7 +255,7 @@
         self._last_failure = result
         self._log_attempt(attempt, result)
         is_broken = isinstance(result, Broken)
-        is_last = not self._executions.runs and self._tries == MAX_ATTEMPTS
+        is_last = not self._executions.runs and self._tries >= MAX_ATTEMPTS
         if is_last or (is_broken and not self._paths.may_run_again):
             return self._give_up(NotRunReason.UPSTREAM_REFUSED, FULL_RETRY_AFTER_SECONDS)
         if self._state.unreachable_attempts >= MIN_UNREACHABLE:
--- a/deckcourse/gateway/unread_refusals.py
+++ b/deckcourse/gateway/unread_refusals.py
@@ -96,6 +96,7 @@
 def _refuse_now(connection: socket) -> bool:
     """Refuse the request that lies in a connection and close it; return whether there is one."""
     data = b""
+    connection.setblocking(False)
     with suppress(OSError):  # Nothing more lies in it, or the client has reset it.
         for _ in range(MAX_READS):
             data = connection.recv(DISCARD_READ_BYTES) or data
