Soak: a request counts as sent once its proxy has passed it on

The judge of lost requests took a request for read 0.2 s after its caller had sent it, though the soak's own proxy may not have passed it on. The time now counts from when the proxy had written the bytes to the entry; a request that it never passed on was never read. What a runner got counts as read as before. Three rows of soak_lost.feature say so.

--- a/features/soak_lost.feature
+++ b/features/soak_lost.feature
@@ -30,6 +30,9 @@
       | cut in its answer after SIGTERM   | stop 99      |                    | 100  | 100.5 | closed | 70    | pa      | 100.1 101   | lost around a stop    |
       | never handed on after SIGTERM     | stop 99      |                    | 100  | 100.3 | closed | 0     |         |             | lost around a stop    |
       | crossed a close after SIGTERM     | stop 99      |                    | 100  | 100.1 | closed | 0     |         |             |                       |
+      | held by a proxy, closed at once  | stop 99    |                    | 100  | 100.3 | held   | 0     |             |             |                       |
+      | held by a proxy, closed later    | stop 99    |                    | 100  | 100.5 | held   | 0     |             |             | lost around a stop    |
+      | never passed on by a proxy       | stop 99    |                    | 100  | 100.5 | held back | 0  |             |             |                       |
       | handed on and cut at once         | stop 99      |                    | 100  | 100.1 | closed | 0     | pa      | 100.05 101  | lost around a stop    |
       | SIGTERM and a kill                | stop 99      | e0 100.4           | 100  | 100.5 | closed | 70    | pa      | 100.1 101   |                       |
       | at work in the last part of grace | stop 97      |                    | 100  | 101.3 | closed | 0     | pa      | 100.1 102   |                       |
--- a/features/steps/soak_lost_steps.py
+++ b/features/steps/soak_lost_steps.py
@@ -19,6 +19,10 @@
 }
 
 
+# When calls reach their entry that a proxy passes on late or never.
+REACHED_AT = {"held": 100.2, "held back": float("inf")}
+
+
 def make_call(name, sent, ended, how, received_bytes):
     return Call(
         name,
@@ -31,6 +35,7 @@
         whole_sent_at=float("inf") if how == "unsent" else sent,
         ended_at=float("inf") if how == "late" else ended,
         received_bytes=received_bytes,
+        reached_entry_at=REACHED_AT.get(how, sent),
         paused_seconds=0.3 if how == "slow" else 0.0,
     )
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -258,6 +258,7 @@
         site.violations += _exited_runners(site)
         nursery.cancel_scope.cancel()
     _mark_refused(site, [*callers.calls, *change_faults.calls])
+    _mark_passed_on(site, [*callers.calls, *change_faults.calls])
     violations = (
         NoticeJudge(site, callers.calls, interruptions).find_violations()
         + crash_faults.find_violations()
@@ -300,6 +301,20 @@
             call.ending = Ending.REFUSED
 
 
+def _mark_passed_on(site: Site, calls: list[Call]) -> None:
+    """Mark when the proxies passed the calls on that ended without an answer.
+
+    A call that ends so is the last one on its connection.
+    """
+    passed_on_at = {
+        each.caller_proxy.address: each.caller_proxy.passed_on_at for each in site.entries
+    }
+    for call in calls:
+        if call.was_cut and call.entry in passed_on_at:
+            at = passed_on_at[call.entry].get(call.port, float("-inf"))
+            call.reached_entry_at = at if at >= call.sent_at else float("inf")
+
+
 def _make_lost_judge(site: Site, calls: list[Call]) -> LostJudge:
     runners = {each.spec.address: each.spec.instance for each in site.runners}
     return LostJudge(
--- a/soak/lost_judge.py
+++ b/soak/lost_judge.py
@@ -198,7 +198,9 @@
 
     def _was_read(self, call: Call) -> bool:
         was_passed_on = bool(self._history(call).runners)
-        return was_passed_on or call.ended_at > call.whole_sent_at + READ_SLACK_SECONDS
+        # A proxy that gets no processor is late itself.
+        sent_at = max(call.whole_sent_at, call.reached_entry_at)
+        return was_passed_on or call.ended_at > sent_at + READ_SLACK_SECONDS
 
     def _is_disturbed(self, call: Call) -> bool:
         entry = self._name(call)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -69,6 +69,8 @@
     # When the target refused a connection, by the port of its client.
     refused_at: dict[int, float] = field(default_factory=dict)
     openings: list[Opening] = field(default_factory=list)
+    # When the latest bytes of a client were passed on to the target, by the port of the client.
+    passed_on_at: dict[int, float] = field(default_factory=dict)
     _connections: set[tuple[trio.SocketStream, trio.SocketStream]] = field(default_factory=set)
     # The connections whose bytes the partition holds back.
     _silenced: set[trio.SocketStream] = field(default_factory=set)
@@ -188,6 +190,8 @@
                 self._requests[source] = data.partition(b"\r\n")[0]
             await self._wait_while_blocked(is_inbound, source)
             await destination.send_all(data)
+            if is_inbound:
+                self.passed_on_at[_port_of(source)] = trio.current_time()
         await self._wait_while_blocked(is_inbound, source)
         await destination.send_eof()
 
