Pay for the second peer of a handover once upstreams have refused the request

A peer whose upstreams had all refused a request was followed by the next one, whose first arrival nobody paid. A retry is spent for it now; without one the caller gets the first peer's refusal.

--- a/deckcourse/gateway/call_retry.py
+++ b/deckcourse/gateway/call_retry.py
@@ -25,6 +25,10 @@
             self._is_held = await self._budget.acquire()
         return self._is_held
 
+    async def spend(self) -> bool:
+        """Spend a retry for a call that is sent again at once; return whether there was one."""
+        return await self.acquire() and self.use()
+
     def use(self) -> bool:
         """Use the held retry, if any, as the call is sent again; return whether there was one."""
         was_held, self._is_held = self._is_held, False
--- a/deckcourse/gateway/handover.py
+++ b/deckcourse/gateway/handover.py
@@ -189,6 +189,8 @@
         self._last_event = admitted.caller.last_event
         self._may_run = False
         self._on_response: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
+        # The outcome of the current peer if its upstreams refused the request.
+        self._refusal: NotRun | None = None
         # The upstreams that the current peer has named.
         self._named: frozenset[str] = frozenset()
 
@@ -211,7 +213,8 @@
         self,
         last_event: int | None,
         executions: Executions,
-        on_response: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
+        on_response: Callable[[], Awaitable[None]],
+        acquire_retry: Callable[[], Awaitable[bool]],
     ) -> HandedOver | HandoverFailure | None:
         """Hand the request over; return None if no peer takes it.
 
@@ -222,6 +225,8 @@
           last_event: the last event of a stream that the caller has.
           executions: the upstreams that may have executed it, to which those of peers are added.
           on_response: called before each write of a peer's response to the caller.
+          acquire_retry: spends a retry for another peer once upstreams have refused the request;
+            returns whether there was one.
         """
         self._last_event = last_event
         self._on_response = on_response
@@ -246,6 +251,9 @@
                 return result
             self._peers.note_failed(peer)
             self._count("handover.declined")
+            refusal, self._refusal = self._refusal, None
+            if refusal is not None and self.is_allowed and not await acquire_retry():
+                return None if self._admitted.exchange.started else HandedOver(refusal)
         return None
 
     async def _serve_at(
@@ -335,6 +343,8 @@
         outcome = _outcome_of(headers, await data.read_all())
         has_started = self._admitted.exchange.started
         if isinstance(outcome, NotRun) and outcome.reason in RETRIED_REASONS:
+            if outcome.reason is NotRunReason.UPSTREAM_REFUSED:
+                self._refusal = outcome
             return None if self.is_allowed or has_started else HandedOver(outcome)
         is_unknown = isinstance(outcome, Unknown)
         # The peer's time is over, not that of the request.
--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -197,7 +197,9 @@
             return None
         # Not after the handover: it may be cancelled while the peer has the call.
         is_paid = self._retry.use()
-        result = await self._handover.serve(None, self._executions, self._in_progress.take_over)
+        result = await self._handover.serve(
+            None, self._executions, self._in_progress.take_over, self._retry.spend
+        )
         if result is None and is_paid:
             self._retry.hold()
         if not isinstance(result, HandedOver):
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 
 import trio
 
@@ -293,7 +294,10 @@
             return None
         is_paid = self._retries.use()
         result = await self._handover.serve(
-            self._state.last_event, self._executions, self._give_up_attempts
+            self._state.last_event,
+            self._executions,
+            self._give_up_attempts,
+            partial(self._retries.acquire, was_executed=False),
         )
         if result is None and is_paid:
             self._retries.reserve_unused()
