Let the kernel deliver answers that are whole as a process ends

Cause: the rest of the answer waited in the process, which may not outlast the grace period; trio lets the kernel take 16 KiB that it hasn't sent. Once only begun answers are left, these bounds are raised, and what the kernel has reaches the caller after the exit.

An earlier end of the stop, or none of the exit reserve, would have helped only those who read fast enough.

--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -4,7 +4,7 @@
 from contextlib import nullcontext, suppress
 from dataclasses import dataclass, replace
 from functools import partial
-from socket import socket
+from socket import IPPROTO_TCP, SO_SNDBUF, SOL_SOCKET, TCP_NOTSENT_LOWAT, socket
 
 import trio
 
@@ -40,6 +40,9 @@
 # The least turns of the event loop for these refusals: each takes some five from the accept to the
 # close, which may last longer than that time in a late process.
 MIN_LAST_TURNS = 10
+# Bytes of each connection that the kernel takes from a process that ends, up to its own maximum:
+# what it has reaches the caller after the process has ended.
+LAST_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 # Interval between two checks whether all requests have ended.
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 # A connection is closed unread only within this share of the time after which its request counts as
@@ -108,6 +111,7 @@
             self._idle_connections, lambda: self._node.bounds.idle_seconds
         )
         self._ports: list[_Port] = []
+        self._streams: set[trio.SocketStream] = set()
 
     def stop(self) -> None:
         """Begin the orderly shutdown."""
@@ -148,11 +152,20 @@
         while gateway.requests and trio.current_time() < answer_by:
             await trio.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
         gateway.stop_bounds.end_unanswered()
+        self._enlarge_send_buffers()
         with trio.move_on_at(end_by):
             await self._refuse_last(nursery)
         self._unread_closes.report()
         self._log("stopped", unfinished=gateway.requests)
 
+    def _enlarge_send_buffers(self) -> None:
+        """Let the kernel take the rest of answers that are whole here and read slowly."""
+        for stream in self._streams:
+            with suppress(OSError):  # The connection may be closed.
+                stream.setsockopt(SOL_SOCKET, SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
+                # trio lets the kernel take little that it hasn't sent.
+                stream.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, LAST_SEND_BUFFER_BYTES)
+
     async def _refuse_last(self, nursery: trio.Nursery) -> None:
         """Close the listeners, refuse the requests that arrived before, and wait for all others."""
         for port in self._ports:
@@ -229,6 +242,7 @@
         lane: PieceLane,
         stream: trio.SocketStream,
     ) -> None:
+        self._streams.add(stream)
         try:
             with held.connection() if held is not None else nullcontext() as meter:
                 await serve_connection(
@@ -242,6 +256,8 @@
                 )
         except Exception as error:  # A fault in one connection must not end the process.
             self._log("connection-failed", what=repr(error))
+        finally:
+            self._streams.discard(stream)
 
     def _bounds(self) -> CallerBounds:
         return self._node.bounds
--- a/features/steps/stopping_server_steps.py
+++ b/features/steps/stopping_server_steps.py
@@ -15,6 +15,9 @@
 
 STOP_GRACE_SECONDS = 8.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+LARGE_REQUEST = REQUEST.replace(b" / ", b" /large ")
+LARGE_BYTES = 300_000
+SMALL_BUFFER_BYTES = 4096
 SENT = {"nothing": b"", "half a head": REQUEST[:10]}
 RETRY_AFTER = ((b"retry-after", b"0.1"),)
 
@@ -46,6 +49,11 @@
         await exchange.respond(404, (), b"")
 
     async def _handle(self, request, exchange):
+        if request.target == b"/large":
+            self.gateway.requests += 1
+            await exchange.respond(200, (), bytes(LARGE_BYTES))
+            self.gateway.requests -= 1
+            return
         if request.target != b"/long":
             await exchange.respond(503 if self._refuses else 200, RETRY_AFTER, b"")
             return
@@ -66,13 +74,17 @@
 class Caller:
     """A caller with a blocking socket, whose steps take no turn of the event loop."""
 
-    def __init__(self, address):
+    def __init__(self, address, receive_buffer=None):
         self._address = address
+        self._receive_buffer = receive_buffer
         self._socket = None
 
     def connect(self):
         host, port = self._address.split(":")
-        self._socket = socket.create_connection((host, int(port)))
+        self._socket = socket.socket()
+        if self._receive_buffer is not None:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer)
+        self._socket.connect((host, int(port)))
 
     def send(self, data):
         self._socket.sendall(data)
@@ -184,3 +196,35 @@
 @then("the server ends at most {seconds:g} s after the running request")
 def ends_soon(context, seconds):
     assert context.exit_seconds <= seconds, context.exit_seconds
+
+
+@given("a server that has {grace:g} s to stop")
+def server_with_grace(context, grace):
+    context.grace = grace
+
+
+@when("a caller has an answer of 300000 bytes and reads it once the server has ended")
+def reads_after_the_end(context):
+    node = StubNode()
+    addresses = server.ListenAddresses(*(free_address() for _ in range(4)))
+    under_test = server.GatewayServer(
+        node, addresses, lambda: context.grace, bytes, b"/ready", lambda *_, **__: None
+    )
+
+    async def work():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(under_test.run)
+            await trio.sleep(0.05)
+            caller = context.caller = Caller(addresses.callers, SMALL_BUFFER_BYTES)
+            caller.connect()
+            caller.send(LARGE_REQUEST)
+            await trio.sleep(0.1)
+            under_test.stop()
+
+    trio.run(work)
+
+
+@then("it gets the whole answer")
+def gets_whole_answer(context):
+    head, _, body = context.caller.read().partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200") and len(body) == LARGE_BYTES, (head, len(body))
--- a/features/stopping_server.feature
+++ b/features/stopping_server.feature
@@ -17,6 +17,12 @@
       | sent as the last request ends         | before the stop      | at the end           |
       | in the accept queue as the last ends  | at the end           | at the end           |
 
+  # Guards against whole answers that are cut off since their callers read slowly.
+  Scenario: An answer that is whole reaches a caller who reads it after the process has ended
+    Given a server that has 1.2 s to stop
+    When a caller has an answer of 300000 bytes and reads it once the server has ended
+    Then it gets the whole answer
+
   Scenario Outline: Connections without a whole request end with the process: <what>
     Given a server whose requests are refused 0.3 s after its stop, and a request that runs for 0.8 s
     When a caller connects before the stop and sends <sent>
