Turn a connection away unread by when its last bytes came, where the kernel tells

The kernel tells when the latest bytes of a connection came; the smaller one of both counts. Where it doesn't tell, the wait of the queue counts as before.

--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -17,7 +17,7 @@
 from deckcourse.http1.message import IncomingRequest
 from deckcourse.http1.pieces import PieceLane
 from deckcourse.http1.server import Exchange, Handler, serve_connection
-from deckcourse.listener import Listener, reset
+from deckcourse.listener import Listener, reset, seconds_since_received
 from deckcourse.peers.handover_message import MAX_ENVELOPE_BYTES
 from deckcourse.settings import Address, GatewaySettings
 
@@ -228,6 +228,9 @@
 
     def _turn_away(self, connection: socket, waited: float, nursery: trio.Nursery) -> None:
         """Refuse a connection whose request may count as read, reset another one."""
+        since_received = seconds_since_received(connection)
+        if since_received is not None:
+            waited = min(waited, since_received)
         may_count_as_read = waited >= UNREAD_SHARE * self._read_slack()
         reason = CloseReason.REFUSED if may_count_as_read else CloseReason.LOAD
         self._unread_closes.note(reason, trio.socket.from_stdlib_socket(connection), waited)
--- a/deckcourse/listener.py
+++ b/deckcourse/listener.py
@@ -6,7 +6,7 @@
 
 import socket
 from contextlib import suppress
-from struct import pack
+from struct import Struct, pack
 from types import TracebackType
 from typing import Self
 
@@ -14,8 +14,11 @@
 
 from deckcourse.settings import Address
 
-__all__ = ["RESET_ON_CLOSE", "Listener", "reset"]
+__all__ = ["RESET_ON_CLOSE", "Listener", "reset", "seconds_since_received"]
 
+# Of the kernel's `struct tcp_info` (tcp(7)): the size of the segments that are sent, which is never
+# 0, and the milliseconds since the latest data were received.
+_TCP_INFO = Struct("16xI32xI")
 # Connections accepted in one turn at most, which bounds its length.
 MAX_ACCEPTED_AT_ONCE = 64
 # SO_LINGER value that makes a close send a reset: on, with a linger time of 0.
@@ -106,6 +109,21 @@
         return accepted
 
 
+def seconds_since_received(connection: socket.socket) -> float | None:
+    """Return how long ago the latest bytes of a connection arrived, None if that isn't known.
+
+    Without any bytes, it is the time since the connection was established.
+    """
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    except OSError:
+        return None
+    if len(info) < _TCP_INFO.size:
+        return None
+    segment_bytes, milliseconds = _TCP_INFO.unpack(info)
+    return milliseconds / 1000 if segment_bytes else None
+
+
 def reset(connection: socket.socket) -> None:
     """Close a connection with a reset, which tells its peer that nothing more was read."""
     with suppress(OSError):  # The peer may have reset it already.
