Soak: reload an entry only once it handles signals

Planned work waits for that already; the check is a module of its own now, and other reloads wait too.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from soak.notice_faults import Interruptions
 from soak.odd_answers import AnswerFault
 from soak.proxy import Mode, Proxy
+from soak.signal_handlers import handles_signals
 from soak.site import Entry, RunnerProcess, Site
 
 __all__ = ["FAULT_KINDS", "Faults"]
@@ -29,6 +30,8 @@
 MAX_FAULT_INTERVAL_SECONDS = 1.2
 # The time between the exit of an entry and its restart.
 RESTART_DELAY_SECONDS = 0.4
+# The interval in which an entry that has just been started is asked whether it handles signals.
+SIGNAL_POLL_SECONDS = 0.02
 # How long a runner holds its output back before it sends all of it at once. The two control queries
 # whose timeouts make the gateway move its streams end within that time.
 MIN_HOLD_SECONDS = 0.1
@@ -186,6 +189,10 @@
             self._site.disturbances.record(entry.name, seconds)
             await self._pause(entry.process, seconds)
         elif action == "reload":
+            while not handles_signals(entry):
+                if entry.is_stopping:  # It has ended by itself, which is reported.
+                    return
+                await trio.sleep(SIGNAL_POLL_SECONDS)
             self._site.disturbances.plan(PlannedKind.RELOAD, entry.name)
             entry.process.send_signal(signal.SIGHUP)
         else:
--- a/soak/planned_faults.py
+++ b/soak/planned_faults.py
@@ -3,11 +3,9 @@
 None of it is a fault: no request may be lost by it, and silence is no reason to end an answer.
 """
 
-import re
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from pathlib import Path
 from random import Random
 
 import trio
@@ -16,6 +14,7 @@
 from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.disturbances import PlannedKind
 from soak.notice_faults import Interruptions
+from soak.signal_handlers import handles_signals
 from soak.site import Entry, RunnerProcess, Site
 
 __all__ = ["PlannedFaults"]
@@ -29,8 +28,6 @@
 MAX_SIGNAL_INTERVAL_SECONDS = 1.5
 RESTART_DELAY_SECONDS = 0.4
 STOP_SHARE = 0.5
-# The mask of the signals that a process handles, as the kernel tells it.
-CAUGHT_SIGNALS = re.compile(r"^SigCgt:\s*([0-9a-f]+)$", re.MULTILINE)
 # How long a runner is silent, and the time between two silences of any.
 MIN_SILENCE_SECONDS = 0.6
 MAX_SILENCE_SECONDS = 1.5
@@ -113,7 +110,7 @@
         """Stop or reload one entry after the other; a stop may begin during the one before."""
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until:
-                running = [each for each in self.site.entries if self._handles_signals(each)]
+                running = [each for each in self.site.entries if handles_signals(each)]
                 if len(running) > 1 and self.random.random() < STOP_SHARE:
                     nursery.start_soon(self._stop, self.random.choice(running))
                 elif running:
@@ -122,17 +119,6 @@
                     self.random.uniform(MIN_SIGNAL_INTERVAL_SECONDS, MAX_SIGNAL_INTERVAL_SECONDS)
                 )
 
-    def _handles_signals(self, entry: Entry) -> bool:
-        """Return whether an entry runs and handles SIGTERM.
-
-        A program can't handle it until its interpreter has started.
-        """
-        if entry.is_stopping or entry.process.poll() is not None:
-            return False
-        status = Path(f"/proc/{entry.process.pid}/status").read_text(encoding="ascii")
-        caught = int(CAUGHT_SIGNALS.search(status)[1], base=16)
-        return bool(caught >> (signal.SIGTERM - 1) & 1)
-
     def _reload(self, entry: Entry) -> None:
         self.log_fault(f"entry {entry.name}: reload")
         self.site.disturbances.plan(PlannedKind.RELOAD, entry.name)
