--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -161,6 +161,8 @@
     def _enlarge_send_buffers(self) -> None:
         """Let the kernel take the rest of answers that are whole here and read slowly."""
         for stream in self._streams:
+            if not isinstance(stream, trio.SocketStream):  # It is in memory.
+                continue
             with suppress(OSError):  # The connection may be closed.
                 stream.setsockopt(SOL_SOCKET, SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
                 # trio lets the kernel take little that it hasn't sent.
