Soak: a profile with short plain routes, single attempts and longer streams

The sites where requests were lost have plain routes of 0.8 s, one of them with a single attempt, and streams of some seconds; the soak knew only routes of 5 s with three attempts and streams of 0.6 s.

--profile short-calls plays these. The lost judge compares a call with the shortest timeout that it may have had, at all sites.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,6 +35,7 @@
 from soak.notice_judge import NoticeJudge
 from soak.partition_faults import PartitionFaults
 from soak.planned_faults import PlannedFaults
+from soak.profiles import PROFILES, USUAL
 from soak.rate_faults import RateFaults
 from soak.rate_judge import RateJudge
 from soak.refusal_faults import RefusalFaults
@@ -272,8 +273,8 @@
     violations += silence_faults.find_violations(callers.calls)
     violations += unending_faults.find_violations(callers.calls)
     violations += BudgetJudge(site, [*callers.calls, *change_faults.calls]).find_violations()
-    change_faults.set_limits()
     site_calls = [*callers.calls, *change_faults.calls]
+    _set_limits(site, site_calls)
     lost_judge = _make_lost_judge(site, site_calls)
     if SILENT_RUNNER_KIND in only and set(only) <= SILENCE_AND_PLANNED_KINDS:
         violations += silent_runner_faults.find_violations(
@@ -315,6 +316,13 @@
             call.reached_entry_at = at if at >= call.sent_at else float("inf")
 
 
+def _set_limits(site: Site, calls: list[Call]) -> None:
+    """Note the shortest timeout that each call may have had."""
+    for call in calls:
+        end = call.sent_at + call.duration_seconds
+        call.limit_seconds = site.desired_history.shortest_timeout(call.path, call.sent_at, end)
+
+
 def _make_lost_judge(site: Site, calls: list[Call]) -> LostJudge:
     runners = {each.spec.address: each.spec.instance for each in site.runners}
     return LostJudge(
@@ -357,6 +365,7 @@
     only: Sequence[str] = (),
     entry_count: int = ENTRY_COUNT,
     attempts: int | None = None,
+    profile_name: str = USUAL,
 ) -> int:
     """Run one seed and print its result; return the exit code.
 
@@ -367,7 +376,9 @@
       entry_count: the number of entries.
       attempts: on how many upstreams a request of the idempotent routes may run, None for the
         usual number.
+      profile_name: the name of the site's profile.
     """
+    profile = PROFILES[profile_name]
     fault_log: list[str] = []
     with tempfile.TemporaryDirectory() as folder:
         plain_slots = PLAIN_SLOTS if ANSWER_END_KIND in only else 0
@@ -375,10 +386,20 @@
         is_long = SILENCE_KIND in only
         revocation_seconds = LONG_REVOCATION_SECONDS if is_long else REVOCATION_SECONDS
         has_second_service = bool({PLANNED_KIND, CHANGES_KIND} & set(only))
-        site = Site(Path(folder), entry_count, plain_slots, revocation_seconds, has_second_service)
-        if attempts is not None:
-            max_attempts = {**MAX_ATTEMPTS, **dict.fromkeys(IDEMPOTENT_ROUTES, attempts)}
-            site.configuration = replace(site.configuration, max_attempts=max_attempts)
+        site = Site(
+            Path(folder),
+            entry_count,
+            plain_slots,
+            revocation_seconds,
+            has_second_service,
+            profile.event_interval_seconds,
+        )
+        set_attempts = {} if attempts is None else dict.fromkeys(IDEMPOTENT_ROUTES, attempts)
+        site.configuration = replace(
+            site.configuration,
+            max_attempts={**MAX_ATTEMPTS, **profile.max_attempts, **set_attempts},
+            timeout_shares=profile.timeout_shares,
+        )
         try:
             violations = trio.run(_run_site, site, seed, seconds, only, fault_log)
         finally:
@@ -414,11 +435,17 @@
     parser.add_argument(
         "--attempts", type=int, help="maxAttempts of the idempotent routes, if not the usual one"
     )
+    parser.add_argument("--profile", choices=sorted(PROFILES), default=USUAL, help="kind of site")
     parser.add_argument("seeds", nargs="+", type=int)
     options = parser.parse_args()
     if len(options.seeds) == 1:
         return run_seed(
-            options.seeds[0], options.seconds, options.only, options.entries, options.attempts
+            options.seeds[0],
+            options.seconds,
+            options.only,
+            options.entries,
+            options.attempts,
+            options.profile,
         )
     only = [each for kind in options.only for each in ("--only", kind)]
     attempts = ["--attempts", str(options.attempts)] if options.attempts is not None else []
@@ -432,6 +459,8 @@
             str(options.seconds),
             "--entries",
             str(options.entries),
+            "--profile",
+            options.profile,
             *only,
             *attempts,
             str(seed),
--- a/soak/change_faults.py
+++ b/soak/change_faults.py
@@ -92,11 +92,3 @@
         self.log_fault(f"desired state {version}: {kind}")
         self.site.judged["changes under callers"] += 1
         self.site.configure(version=version, **fields)
-
-    def set_limits(self) -> None:
-        """Note the shortest timeout that each call may have had, once the seed has finished."""
-        for call in self.calls:
-            end = call.sent_at + call.duration_seconds
-            call.limit_seconds = self.site.desired_history.shortest_timeout(
-                call.path, call.sent_at, end
-            )
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -90,7 +90,8 @@
     `extra_routes` the routes that no caller uses; `added_accounts` and `added_routes` are used.
     With `has_health_path` plain runners tell their names at a health path. `second_share` is the
     share of plain requests that go to the second plain service, None where there is none.
-    `max_attempts` are those of each route of callers. Sites with `has_early_route` have runners
+    `max_attempts` are those of each route of callers. The timeout of a route in `timeout_shares` is
+    that share of `timeout_seconds`. Sites with `has_early_route` have runners
     that answer before they have read a long body.
     """
 
@@ -98,6 +99,7 @@
     keys: tuple[str, ...]
     has_health_path: bool = False
     timeout_seconds: float = MIN_TIMEOUT_SECONDS
+    timeout_shares: Mapping[str, float] = field(default_factory=dict)
     idle_timeout_seconds: float = 15.0
     extra_accounts: int = 0
     extra_routes: int = 0
@@ -132,7 +134,9 @@
         added = self._added_route(path)
         if added is not None:
             return added.timeout_seconds
-        return self.timeout_seconds if self.services_of(path) else 0.0
+        if not self.services_of(path):
+            return 0.0
+        return self.timeout_seconds * self.timeout_shares.get(path, 1.0)
 
     def _added_route(self, path: str) -> AddedRoute | None:
         return next((each for each in self.added_routes if each.name == path), None)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -69,7 +69,7 @@
     `address` is where other processes reach it, `layers` the number of layers that it may hold and
     `load_seconds` the duration of an order. `born` is the start time in Unix milliseconds, which
     distinguishes the incarnations of one instance. A runner with `slots` works on so many requests
-    at once, and queues as many more.
+    at once, and queues as many more. A stream has an event each `event_interval_seconds`.
     """
 
     instance: str
@@ -82,6 +82,7 @@
     born: int = 0
     load_seconds: float = LOAD_DURATION_SECONDS
     slots: int = 0
+    event_interval_seconds: float = EVENT_INTERVAL_SECONDS
 
     def to_json(self) -> str:
         """Return the spec as the program's argument."""
@@ -412,7 +413,7 @@
         due_at = trio.current_time()
         await answer.start()
         for number in numbers:
-            due_at += EVENT_INTERVAL_SECONDS
+            due_at += self._spec.event_interval_seconds
             await trio.sleep_until(due_at)
             if not await self._wait_for_lost_stages(stream):
                 write_record(broke_off=request_id)
--- a/soak/site.py
+++ b/soak/site.py
@@ -115,9 +115,10 @@
     """All processes of one seed and what was observed of them.
 
     `plain_slots` is how many requests a plain runner works on at once, 0 for any number; it queues
-    as many more. `records` are the lines that the runners wrote, `violations` the violated
-    guarantees found so far, `judged` counts the cases that were checked, and `entry_started_at`
-    holds the start times of each entry. `disturbances` are those that the soak has caused.
+    as many more. Streams have an event each `event_interval_seconds`. `records` are the lines that
+    the runners wrote, `violations` the violated guarantees found so far, `judged` counts the cases
+    that were checked, and `entry_started_at` holds the start times of each entry. `disturbances`
+    are those that the soak has caused.
     `runner_ended_at` holds when the process of an incarnation of a runner, (id, born), ended,
     `desired_history` the desired states that the store took, `readiness` what the entries answered.
     """
@@ -127,6 +128,7 @@
     plain_slots: int = 0
     revocation_seconds: float = REVOCATION_SECONDS
     has_second_service: bool = False
+    event_interval_seconds: float = 0.02
     store: StandinStore = field(default_factory=StandinStore)
     store_port: int = field(default_factory=free_port)
     runners: list[RunnerProcess] = field(default_factory=list)
@@ -164,6 +166,7 @@
         spec = RunnerSpec(
             name, service, domain, proxy.target, proxy.address, f"{HOST}:{self.store_port}", layers,
             slots=0 if layers else self.plain_slots,
+            event_interval_seconds=self.event_interval_seconds,
         )  # fmt: skip
         self.runners.append(RunnerProcess(spec, proxy))
         self.start_runner(self.runners[-1])
