--- a/features/soak_planned.feature
+++ b/features/soak_planned.feature
@@ -19,3 +19,11 @@
     When the soak runs seed 1 for 4 seconds with callers that leave as the only faults
     Then it reports no violation
     And it checked long runs of callers that had left
+
+  # Guards against requests lost by stops where streams outlast silences and plain calls have one
+  # short attempt.
+  Scenario: Planned work loses no request of short routes and long streams beside silent upstreams
+    When the soak runs seed 6 for 7 seconds with planned work and silent upstreams beside short routes as the only faults
+    Then it reports no violation
+    And it checked calls around planned work
+    And it checked silences of sound upstreams
