Run the tutorial's commands once at a time on a host

The page uses fixed ports, and so did both runs. Two runs started at the same moment (load 30): one of them red after 17 s, as its processes met those of the other.

A lock file in the folder for temporary files lets runs take turns; the time limit is that of the script alone, as before.

--- a/features/steps/page_steps.py
+++ b/features/steps/page_steps.py
@@ -1,5 +1,6 @@
 """Steps that check the documentation and the command line by running them."""
 
+import fcntl
 import os
 import re
 import signal
@@ -7,6 +8,8 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 from behave import then
@@ -18,6 +21,14 @@
 ENVIRONMENT = {**os.environ, "PATH": f"{BIN}:{os.environ['PATH']}"}
 
 
+@contextmanager
+def tutorial_ports() -> Iterator[None]:
+    """Wait until no other run of the tests on this host uses the tutorial's fixed ports."""
+    with (Path(tempfile.gettempdir()) / "deckcourse-tutorial.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
 def run_command(command: list[str], cwd: Path, seconds: float) -> subprocess.CompletedProcess:
     """Run a command; after `seconds`, kill its whole process group and fail.
 
@@ -46,7 +57,7 @@
     text = (ROOT / "docs" / "TUTORIAL.md").read_text(encoding="utf-8")
     blocks = re.findall(r"```sh\n(.*?)```", text, re.DOTALL)
     assert len(blocks) > 4
-    with tempfile.TemporaryDirectory() as folder:
+    with tutorial_ports(), tempfile.TemporaryDirectory() as folder:
         script = Path(folder) / "tutorial.sh"
         cleanup = "trap 'kill $(jobs -p) 2> /dev/null || true' EXIT\n"
         script.write_text("set -eu\n" + cleanup + "\n".join(blocks), encoding="utf-8")
