End what an entry has in flight with an outcome before its process ends

Callers of an entry that reached the end of its stop saw their connections closed: streams broke off without an error event, and completions, calls and half-sent bodies got no bytes at all.

Cause: once `longest_stop` was over, the server library cancelled whatever was in flight when the second for closing connections had passed. The end of the process was no bound of its requests, as it is in the gateway.

Ruled out: the deadline of the requests (60 s here), and the wait for the upstreams to be told of the end, which takes up to a second and now ends in time for the outcome to be sent.

`StopBounds` of the gateway now also ends all requests at once, and the entry, its pipeline and its application bound each wait by it: the body, admission, the claim, the upstream. Half a second before the process ends, what is left gets "not run" if nothing was sent, else an unknown outcome; a stream that began gets the error event. The stop takes as long as before.

--- a/deckcourse/entry.py
+++ b/deckcourse/entry.py
@@ -21,6 +21,7 @@
 )
 from deckcourse.configuration import Account, ServiceSpec
 from deckcourse.engine import Lost, Refused, Unreachable
+from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.instance_list import ListedInstance
 from deckcourse.node import Node
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
@@ -31,7 +32,7 @@
 from deckcourse.retry_budget import RetryBudget
 from deckcourse.router import RouteChooser, Router
 
-__all__ = ["Entry", "ServiceRequest"]
+__all__ = ["Entry", "ServiceRequest", "stopped"]
 
 # What a plain call counts against its account's limit, in tokens.
 SERVICE_CALL_TOKENS = 1.0
@@ -72,6 +73,7 @@
         self._router = router or Router(node.membership, node.random)
         self._new_admission = new_admission
         self._budget = RetryBudget()
+        self._stop_bounds = StopBounds()
         self._pipeline = Pipeline(
             self._router,
             node.membership,
@@ -79,6 +81,7 @@
             node.ports.engine,
             self._budget,
             node.counters,
+            self._stop_bounds,
         )
         self._background = Background()
         self._claims = Claims(
@@ -96,6 +99,11 @@
         """The node behind the entry."""
         return self._node
 
+    @property
+    def stop_bounds(self) -> StopBounds:
+        """The bounds that the stop of this process sets for requests."""
+        return self._stop_bounds
+
     @property
     def requests(self) -> int:
         """How many requests are in flight."""
@@ -156,7 +164,9 @@
             account.worth,
             completion.deadline,
         )
-        refusal = await admission.enter(request)
+        refusal: NotRun | None = stopped()
+        with self._stop_bounds.until(float("inf")):
+            refusal = await admission.enter(request)
         if refusal is not None:
             return refusal
         try:
@@ -172,7 +182,7 @@
         if not self._node.holder.confirmed:
             return NotRun(NotRunReason.NOT_READY, "this entry does not know its configuration yet")
         if self._node.stopping:
-            return NotRun(NotRunReason.STOPPING, "this entry is stopping", STOPPING_RETRY_SECONDS)
+            return stopped()
         spec = self._node.holder.configuration.accounts.get(account)
         if spec is None:
             return NotRun(NotRunReason.UNAUTHORIZED, "the client account is not known")
@@ -270,13 +280,19 @@
             if isinstance(reply, ServiceReply):
                 return _answered(reply)
             ran = ran or isinstance(reply, Lost)
+            if self._stop_bounds.ended:
+                break
             self._node.counters.count(f"retry.{_retry_reason(reply)}")
             if not self._budget.spend():
                 break
         if ran:
-            return Unknown(UnknownReason.UPSTREAM_LOST, "the upstream's reply was lost")
+            return Unknown(self._lost_reason(), "the upstream's reply was lost")
         return self._no_upstream(request, tried)
 
+    def _lost_reason(self) -> UnknownReason:
+        """Return why the reply of an upstream is lost."""
+        return UnknownReason.STOPPING if self._stop_bounds.ended else UnknownReason.UPSTREAM_LOST
+
     async def _call_once(self, request: ServiceRequest, name: str) -> Outcome:
         """Dispatch once; another upstream is tried only where no byte was sent to the first."""
         self._budget.earn()
@@ -292,13 +308,15 @@
             if isinstance(reply, ServiceReply):
                 return _answered(reply)
             if isinstance(reply, Lost):
-                return Unknown(UnknownReason.UPSTREAM_LOST, reply.message, repeatable=False)
+                return Unknown(self._lost_reason(), reply.message, repeatable=False)
             self._node.counters.count(f"retry.{_retry_reason(reply)}")
             if not self._budget.spend():
                 break
         return self._no_upstream(request, tried)
 
     def _no_upstream(self, request: ServiceRequest, tried: set[str]) -> NotRun:
+        if self._stop_bounds.ended:
+            return stopped()
         if tried:
             message = f"no upstream of {request.service} could be reached"
             return NotRun(NotRunReason.UPSTREAM_UNREACHABLE, message)
@@ -317,8 +335,10 @@
         call = ServiceCall(
             name, request.method, request.path, request.body, request.content_type, request.action
         )
-        with trio.move_on_at(request.deadline):
+        with self._stop_bounds.until(request.deadline):
             return await service.call(call)
+        if self._stop_bounds.ended:
+            return Lost(upstream.name, "this entry stopped before the reply")
         return Lost(upstream.name, "the deadline passed before the reply")
 
     async def _call_claimed(self, request: ServiceRequest) -> Outcome:
@@ -328,9 +348,11 @@
         )
         attempt = uuid4().hex
         result = None
-        with trio.move_on_at(request.deadline):
+        with self._stop_bounds.until(request.deadline):
             result = await self._claims.claim(request.account, request.key, attempt, digest)
         match result:
+            case None if self._stop_bounds.ended:
+                return stopped()
             case None:
                 return NotRun(NotRunReason.DEADLINE, "the deadline passed before the claim")
             case ClaimGranted():
@@ -372,6 +394,11 @@
         return outcome
 
 
+def stopped() -> NotRun:
+    """Return the refusal of a request that was not run since this process stops."""
+    return NotRun(NotRunReason.STOPPING, "this entry is stopping", STOPPING_RETRY_SECONDS)
+
+
 def _answered(reply: ServiceReply) -> Answered:
     return Answered(0, reply.status, reply.body, reply.content_type)
 
--- a/deckcourse/entry_app.py
+++ b/deckcourse/entry_app.py
@@ -29,7 +29,7 @@
 )
 from deckcourse.configuration import Account
 from deckcourse.engine import TokenFrame
-from deckcourse.entry import Entry, ServiceRequest
+from deckcourse.entry import Entry, ServiceRequest, stopped
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown, response_head
 from deckcourse.pipeline import Completion
 from deckcourse.reasons import NotRunReason, UnknownReason
@@ -133,7 +133,11 @@
                 await self._send_error(request, NotRun(NotRunReason.NOT_FOUND, message))
 
     async def _body(self, request: Request) -> bytes | NotRun:
-        body = await read_body(request, self._limits.body_bytes)
+        body: bytes | BodyTooLarge | None = None
+        with self._entry.stop_bounds.until(float("inf")):
+            body = await read_body(request, self._limits.body_bytes)
+        if body is None:
+            return stopped()
         if isinstance(body, BodyTooLarge):
             return NotRun(NotRunReason.TOO_LARGE, f"body: larger than {body.limit} bytes")
         return body
--- a/deckcourse/entry_server.py
+++ b/deckcourse/entry_server.py
@@ -10,8 +10,11 @@
 __all__ = ["EntryServer"]
 
 DRAIN_LOOK_SECONDS = 0.05
-# After the last stream is done, connections get this long to close.
+# After the last stream is done, connections get this long to close. What is in flight ends half of
+# it before the process; of that, half is for telling upstreams, the rest for sending the outcomes.
 CLOSE_SECONDS = 1.0
+OUTCOME_SHARE = 1 / 2
+SEND_SHARE = 1 / 4
 
 
 class EntryServer:
@@ -49,9 +52,18 @@
             await self._stop.wait()
             await self._drain()
             shutdown.set()
-            await trio.sleep(CLOSE_SECONDS)
+            await self._end_requests()
             nursery.cancel_scope.cancel()
 
+    async def _end_requests(self) -> None:
+        """End what is still in flight with an outcome, and wait until connections have closed."""
+        ends_at = trio.current_time() + CLOSE_SECONDS
+        answer_by = ends_at - CLOSE_SECONDS * OUTCOME_SHARE
+        self._entry.stop_bounds.begin(answer_by, ends_at - CLOSE_SECONDS * SEND_SHARE)
+        await trio.sleep_until(answer_by)
+        self._entry.stop_bounds.end_all()
+        await trio.sleep_until(ends_at)
+
     async def _drain(self) -> None:
         """Turn away the balancer, then new work, then wait for what is in flight."""
         give_up_at = trio.current_time() + self._longest_stop
--- a/deckcourse/gateway/stop_bounds.py
+++ b/deckcourse/gateway/stop_bounds.py
@@ -28,7 +28,13 @@
     def __init__(self) -> None:
         self._answer_by = float("inf")
         self._end_by = float("inf")
-        self._scopes: dict[trio.CancelScope, Response] = {}
+        self._scopes: dict[trio.CancelScope, Response | None] = {}
+        self._ended = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether `end_all` was called: a request that ended early may have ended for that."""
+        return self._ended
 
     @property
     def end_by(self) -> float:
@@ -54,9 +60,16 @@
         return min(deadline, self._end_by if has_started else self._answer_by)
 
     @contextmanager
-    def until(self, deadline: float, response: Response) -> Iterator[None]:
-        """Cancel what is done inside at a deadline, or by `end_unanswered`."""
+    def until(self, deadline: float, response: Response | None = None) -> Iterator[None]:
+        """Cancel what is done inside at a deadline, or by `end_unanswered` or `end_all`.
+
+        Args:
+          deadline: on trio's clock.
+          response: tells whether the response has started; without it, only `end_all` cancels.
+        """
         with trio.move_on_at(deadline) as scope:
+            if self._ended:
+                scope.cancel()
             self._scopes[scope] = response
             try:
                 yield
@@ -66,5 +79,11 @@
     def end_unanswered(self) -> None:
         """Cancel the requests whose response has not started: their time is over."""
         for scope, response in self._scopes.items():
-            if not response.started:
+            if response is not None and not response.started:
                 scope.cancel()
+
+    def end_all(self) -> None:
+        """Cancel all requests, and from now on each one that waits for something."""
+        self._ended = True
+        for scope in self._scopes:
+            scope.cancel()
--- a/deckcourse/pipeline.py
+++ b/deckcourse/pipeline.py
@@ -20,6 +20,7 @@
     TokenFrame,
     Unreachable,
 )
+from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.membership import Membership
 from deckcourse.outcomes import Answered, NotRun, Outcome, Unknown
 from deckcourse.reasons import NotRunReason, RetryReason, UnknownReason
@@ -85,7 +86,9 @@
         dial: Callable[[str, str], Engine],
         budget: RetryBudget,
         counters: Counters,
+        stop_bounds: StopBounds | None = None,
     ) -> None:
+        self._stop_bounds = stop_bounds or StopBounds()
         self._router = router
         self._membership = membership
         self._configuration = configuration
@@ -128,13 +131,17 @@
         self._pipeline._budget.earn()
         whole = False
         try:
-            with trio.move_on_at(self._completion.deadline):
+            with self._pipeline._stop_bounds.until(self._completion.deadline):
                 outcome = await self._attempts()
                 whole = isinstance(outcome, Answered)
                 return outcome
         finally:
             if not whole and self._may_have_run:
                 await self._cancel_all()
+        if self._pipeline._stop_bounds.ended:
+            return self._given_up(
+                NotRunReason.STOPPING, UnknownReason.STOPPING, "this entry has stopped"
+            )
         return self._given_up(
             NotRunReason.DEADLINE, UnknownReason.DEADLINE_PASSED, "the deadline passed"
         )
@@ -250,7 +257,10 @@
 
     async def _cancel_all(self) -> None:
         """Tell every upstream that was given a part to let go of it, as far as they answer."""
-        with trio.move_on_after(CANCEL_SECONDS, shield=True):
+        give_up_at = trio.current_time() + CANCEL_SECONDS
+        # The outcome is sent after it.
+        give_up_at = min(give_up_at, self._pipeline._stop_bounds.end_by)
+        with trio.CancelScope(deadline=give_up_at, shield=True):
             async with trio.open_nursery() as nursery:
                 for stage in self._stages.values():
                     engine = self._dial(stage)
--- a/features/loopback_entry.py
+++ b/features/loopback_entry.py
@@ -12,6 +12,7 @@
 from deckcourse.configuration import Account
 from deckcourse.counters import MemoryCounters
 from deckcourse.engine import FinishFrame, TokenFrame
+from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.membership import Membership
 from deckcourse.outcomes import Answered
 from deckcourse.pipeline import Pipeline
@@ -32,6 +33,7 @@
         holder = SimpleNamespace(configuration=SimpleNamespace(models={MODEL: None}))
         self.node = SimpleNamespace(counters=MemoryCounters(), holder=holder)
         self.requests = 0
+        self.stop_bounds = StopBounds()
         self.ready = True
         self.served = []
         router = SimpleNamespace(
--- a/features/mutants_stop.py
+++ b/features/mutants_stop.py
@@ -39,6 +39,10 @@
     handover_module._outcome_of = outcome_of
 
 
+def an_entry_stops_without_outcomes():
+    StopBounds.end_all = lambda self: None
+
+
 def errors_close_connections():
     Exchange.client_gone = property(lambda self: True)
 
@@ -46,6 +50,7 @@
 STOP = ("stopping_requests",)
 GATEWAY = ("gateway",)
 EVERY = {
+    an_entry_stops_without_outcomes: ("an entry's stop ends each request", ("entry_stops",)),
     errors_close_connections: ("a request whose handling fails is answered", GATEWAY),
     a_stop_leaves_requests_unanswered: ("a stop ends each request with an outcome", STOP),
     every_exit_takes_as_long: ("a stop cuts nothing before the last part of its time", STOP),
