--- a/soak/answer_end_faults.py
+++ b/soak/answer_end_faults.py
@@ -14,8 +14,9 @@
 
 from soak.callers import Callers
 from soak.calls import Call
-from soak.notice_faults import Interruptions
+from soak.interruptions import Interruptions
 from soak.site import Entry, RunnerProcess, Site
+from soak.trouble import SiteTrouble
 
 __all__ = ["PLAIN_SLOTS", "AnswerEndFaults"]
 
@@ -47,7 +48,7 @@
 
 
 @dataclass
-class AnswerEndFaults:
+class AnswerEndFaults(SiteTrouble):
     """Restarts plain runners under load, and checks their answers.
 
     Args:
--- a/soak/call_checks.py
+++ b/soak/call_checks.py
@@ -10,7 +10,6 @@
     Callers,
 )
 from soak.calls import Call
-from soak.faults import Faults
 from soak.site import Site
 
 __all__ = ["check_calls", "check_fault_calls"]
@@ -23,17 +22,17 @@
 MEASUREMENT_GRACE_SECONDS = 1.0
 
 
-def check_calls(site: Site, callers: Callers, faults: Faults, checked_from: float) -> list[str]:
+def check_calls(site: Site, callers: Callers, checked_from: float) -> list[str]:
     """Return the violations that calls and executions show together."""
     runs = Counter(each["run"] for each in site.records if "run" in each)
     violations = list(callers.violations)
     for call in callers.calls:
         violations += _check_answer(call)
         violations += _check_executions(call, runs[call.request_id])
-        revoked_at = faults.revoked.get(call.key)
+        revoked_at = callers.revoked.get(call.key)
         violations += _check_key(call, runs[call.request_id], revoked_at, site.revocation_seconds)
         violations += _check_duration(call)
-    with_valid_key = [each for each in callers.calls if each.key not in faults.revoked]
+    with_valid_key = [each for each in callers.calls if each.key not in callers.revoked]
     checked = [
         each for each in with_valid_key if each.sent_at > checked_from and not each.has_disconnected
     ]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,10 +45,10 @@
     """Callers of several entries; an entry that isn't ready gets no new connection.
 
     `entries` are addresses, `ready_entries` the addresses of those that last reported ready; each
-    request uses one of `keys`. `violations` are violated guarantees that no single call shows. The
-    requests are for `routes`, and their ids begin with `name_prefix`. For `switch_share` of them a
-    caller switches to another entry without need, and after `reconnect_share` of them it closes its
-    connection.
+    request uses one of `keys`, of which `revoked` tells when some were revoked. `violations` are
+    violated guarantees that no single call shows. The requests are for `routes`, and their ids
+    begin with `name_prefix`. For `switch_share` of them a caller switches to another entry without
+    need, and after `reconnect_share` of them it closes its connection.
     """
 
     entries: list[str]
@@ -61,6 +61,7 @@
     name_prefix: str = "c"
     switch_share: float = SWITCH_ENTRY_SHARE
     reconnect_share: float = 0.0
+    revoked: dict[str, float] = field(default_factory=dict)
     _is_stopped: bool = False
 
     async def run(self, count: int) -> None:
--- a/soak/change_faults.py
+++ b/soak/change_faults.py
@@ -4,17 +4,14 @@
 end around changes can be compared with that of other times.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 import trio
 
-from soak.callers import Callers
-from soak.calls import Call
 from soak.change_callers import ChangeCallers
 from soak.change_draws import ChangeDraws
-from soak.site import Site
+from soak.trouble import SiteTrouble
 
 __all__ = ["ChangeFaults"]
 
@@ -37,21 +34,8 @@
 
 
 @dataclass
-class ChangeFaults:
-    """Changes the desired state of a site, whose callers use what comes and goes.
-
-    Args:
-      site: the site to change; it has a second plain service.
-      callers: knows which entries are ready.
-      random: chooses the changes and their times.
-      log_fault: called with a description of each change.
-    """
-
-    site: Site
-    callers: Callers
-    random: Random
-    log_fault: Callable[[str], None]
-    calls: list[Call] = field(default_factory=list)
+class ChangeFaults(SiteTrouble):
+    """Changes the desired state of a site, whose callers use what comes and goes."""
 
     async def run(self, until: float) -> None:
         """Change until a time on trio's clock; return once the callers have ended."""
--- a/soak/deadly_faults.py
+++ b/soak/deadly_faults.py
@@ -2,19 +2,19 @@
 
 import time
 from collections import defaultdict
-from collections.abc import Callable
-from random import Random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
 
 import trio
 
 from soak.caller_connection import Manner, connect
-from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, Callers, request_bytes
+from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, request_bytes
 from soak.calls import Call
 from soak.deadly import CRASH_BODY_PREFIX, CRASH_EXIT_CODE, CRASH_PART
-from soak.notice_faults import Interruptions
-from soak.site import RunnerProcess, Site
+from soak.site import RunnerProcess
+from soak.trouble import SiteTrouble
 
-__all__ = ["CrashFaults", "PartCrashFaults"]
+__all__ = ["CrashFaults", "CrashRestarts", "PartCrashFaults"]
 
 # The number of crash requests; each is repeated under a new request id each time.
 CRASH_REQUEST_COUNT = 2
@@ -37,37 +37,11 @@
 PART_ROUTES = ("stream", "fragile")
 
 
-class CrashFaults:
-    """Sends crash requests, restarts the runners that crashed, and checks the result.
-
-    Args:
-      site: the site whose runners crash.
-      callers: the callers whose entries and keys are used.
-      random: chooses the times and the entries.
-      log_fault: called with a description of each crash.
-      interruptions: when processes were paused or links were cut, which excuses missing knowledge.
-    """
-
-    def __init__(
-        self,
-        site: Site,
-        callers: Callers,
-        random: Random,
-        log_fault: Callable[[str], None],
-        interruptions: Interruptions,
-    ) -> None:
-        self._site = site
-        self._callers = callers
-        self._random = random
-        self._log_fault = log_fault
-        self._interruptions = interruptions
-        self._calls: dict[str, Call] = {}
-        self._restarting: set[str] = set()
-
-    @property
-    def calls(self) -> list[Call]:
-        """All crash requests, one call for each attempt."""
-        return list(self._calls.values())
+@dataclass
+class CrashFaults(SiteTrouble):
+    """Sends crash requests, and checks the result; `calls` has one call for each attempt."""
+
+    _calls: dict[str, Call] = field(default_factory=dict)
 
     async def run(self, until: float) -> None:
         """Send crash requests until a time on trio's clock."""
@@ -75,51 +49,29 @@
             for number in range(CRASH_REQUEST_COUNT):
                 nursery.start_soon(self._send_repeatedly, number, until)
 
-    async def restart_crashed(self) -> None:
-        """Restart the runners that crashed by such a request, until cancelled."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                for runner in self._site.runners:
-                    name = runner.spec.instance
-                    has_crashed = (
-                        runner.process is not None and runner.process.poll() == CRASH_EXIT_CODE
-                    )
-                    if has_crashed and name not in self._restarting:
-                        self._restarting.add(name)
-                        self._log_fault(f"runner {name} was crashed by a request")
-                        nursery.start_soon(self._restart, runner)
-                await trio.sleep(POLL_INTERVAL_SECONDS)
-
-    async def _restart(self, runner: RunnerProcess) -> None:
-        crashed_process = runner.process
-        self._interruptions.record_reset(runner.spec.instance)
-        crashed_at = trio.current_time() - POLL_INTERVAL_SECONDS
-        self._site.disturbances.record(runner.spec.instance, since=crashed_at)
-        await trio.sleep(self._random.uniform(MIN_RESTART_DELAY_SECONDS, MAX_RESTART_DELAY_SECONDS))
-        # Another fault may have restarted it in the meantime.
-        if runner.process is crashed_process:
-            self._site.start_runner(runner)
-        self._restarting.discard(runner.spec.instance)
+    def _add(self, call: Call) -> None:
+        self.calls.append(call)
+        self._calls[call.request_id] = call
 
     async def _send_repeatedly(self, number: int, until: float) -> None:
-        route, body = self._random.choice(DRAWN_ROUTES), CRASH_BODY_PREFIX + str(number).encode()
+        route, body = self.random.choice(DRAWN_ROUTES), CRASH_BODY_PREFIX + str(number).encode()
         attempt_count = 0
         while trio.current_time() < until:
             attempt_count += 1
             call = Call(
-                f"x{number}r{attempt_count}", route, self._callers.keys[-1], trio.current_time()
+                f"x{number}r{attempt_count}", route, self.callers.keys[-1], trio.current_time()
             )
-            self._calls[call.request_id] = call
+            self._add(call)
             with trio.move_on_after(DEADLINE_SECONDS + ANSWER_GRACE_SECONDS):
                 await self._send(call, body)
             call.duration_seconds = trio.current_time() - call.sent_at
-            interval = self._random.uniform(
+            interval = self.random.uniform(
                 MIN_ATTEMPT_INTERVAL_SECONDS, MAX_ATTEMPT_INTERVAL_SECONDS
             )
             await trio.sleep(interval)
 
     async def _send(self, call: Call, body: bytes, shared_parts: tuple[str, ...] = ()) -> None:
-        entry = self._random.choice(sorted(self._callers.ready_entries) or self._callers.entries)
+        entry = self.random.choice(sorted(self.callers.ready_entries) or self.callers.entries)
         connection = await connect(entry, small_buffers=False)
         if connection is None:
             return
@@ -128,17 +80,17 @@
         finally:
             connection.close()
 
-    def find_violations(self) -> list[str]:
+    def find_violations(self, calls: Sequence[Call]) -> list[str]:
         """Return the requests that were still sent to runners after three crashes."""
         offset = trio.current_time() - time.monotonic()
         runs_by_body: dict[str, list[tuple[float, str]]] = defaultdict(list)
-        for each in self._site.records:
+        for each in self.site.records:
             if "deadly" in each:
                 runs_by_body[each["deadly"]].append((each["clock"] + offset, each["request"]))
         violations = []
         for body, runs in runs_by_body.items():
             crashes = sorted(runs)
-            self._site.judged["runners ended by requests"] += len(crashes)
+            self.site.judged["runners ended by requests"] += len(crashes)
             late_attempts = [each for each in crashes[3:] if self._is_late(each, crashes[2][0])]
             if len(late_attempts) > MAX_LATE_ATTEMPTS:
                 violations.append(
@@ -151,17 +103,50 @@
         at, request = run
         address = self._calls[request].entry
         entry_names = [
-            each.name for each in self._site.entries if each.caller_proxy.address == address
+            each.name for each in self.site.entries if each.caller_proxy.address == address
         ]
         names = [name for each in entry_names for name in (each, f"{each} to store")]
         known_from = at - CRASH_NOTICE_GRACE_SECONDS
         return at > counted_crash_at + CRASH_NOTICE_GRACE_SECONDS and not any(
-            self._interruptions.overlaps(name, known_from, at)
-            or self._interruptions.was_reset(name, known_from, at)
+            self.interruptions.overlaps(name, known_from, at)
+            or self.interruptions.was_reset(name, known_from, at)
             for name in names
         )
 
 
+@dataclass
+class CrashRestarts(SiteTrouble):
+    """Restarts the runners that requests have crashed."""
+
+    _restarting: set[str] = field(default_factory=set)
+
+    async def run(self, until: float) -> None:
+        """Restart them until a time on trio's clock, or until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                for runner in self.site.runners:
+                    name = runner.spec.instance
+                    has_crashed = (
+                        runner.process is not None and runner.process.poll() == CRASH_EXIT_CODE
+                    )
+                    if has_crashed and name not in self._restarting:
+                        self._restarting.add(name)
+                        self.log_fault(f"runner {name} was crashed by a request")
+                        nursery.start_soon(self._restart, runner)
+                await trio.sleep(POLL_INTERVAL_SECONDS)
+
+    async def _restart(self, runner: RunnerProcess) -> None:
+        crashed_process = runner.process
+        self.interruptions.record_reset(runner.spec.instance)
+        crashed_at = trio.current_time() - POLL_INTERVAL_SECONDS
+        self.site.disturbances.record(runner.spec.instance, since=crashed_at)
+        await trio.sleep(self.random.uniform(MIN_RESTART_DELAY_SECONDS, MAX_RESTART_DELAY_SECONDS))
+        # Another fault may have restarted it in the meantime.
+        if runner.process is crashed_process:
+            self.site.start_runner(runner)
+        self._restarting.discard(runner.spec.instance)
+
+
 class PartCrashFaults(CrashFaults):
     """Sends different requests that share a part which crashes runners, and checks the result."""
 
@@ -170,11 +155,11 @@
         async with trio.open_nursery() as nursery:
             while trio.current_time() < until:
                 name = f"y0r{len(self._calls)}"
-                route = self._random.choice(PART_ROUTES)
-                call = Call(name, route, self._callers.keys[-1], trio.current_time())
-                self._calls[name] = call
+                route = self.random.choice(PART_ROUTES)
+                call = Call(name, route, self.callers.keys[-1], trio.current_time())
+                self._add(call)
                 nursery.start_soon(self._send_once, call)
-                interval = self._random.uniform(
+                interval = self.random.uniform(
                     MIN_ATTEMPT_INTERVAL_SECONDS, MAX_ATTEMPT_INTERVAL_SECONDS
                 )
                 await trio.sleep(interval)
@@ -184,15 +169,15 @@
             await self._send(call, call.request_id.encode(), (CRASH_PART,))
         call.duration_seconds = trio.current_time() - call.sent_at
 
-    def find_violations(self) -> list[str]:
+    def find_violations(self, calls: Sequence[Call]) -> list[str]:
         """Return whether too many of them were sent to runners after the counted crash."""
         offset = trio.current_time() - time.monotonic()
         crashes = sorted(
             (each["clock"] + offset, each["request"])
-            for each in self._site.records
+            for each in self.site.records
             if "deadly_part" in each
         )
-        self._site.judged["runners ended by a part"] += len(crashes)
+        self.site.judged["runners ended by a part"] += len(crashes)
         if len(crashes) <= COUNTED_PART_CRASH:
             return []
         counted_at = crashes[COUNTED_PART_CRASH - 1][0]
--- a/soak/departure_faults.py
+++ b/soak/departure_faults.py
@@ -1,8 +1,6 @@
 """Callers that leave in the middle of long requests."""
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from random import Random
+from dataclasses import dataclass
 
 import trio
 
@@ -10,12 +8,11 @@
 from soak.callers import (
     ANSWER_GRACE_SECONDS,
     DEADLINE_SECONDS,
-    Callers,
     request_body,
     request_bytes,
 )
 from soak.calls import Call
-from soak.site import Site
+from soak.trouble import SiteTrouble
 
 __all__ = ["DepartureFaults"]
 
@@ -29,21 +26,8 @@
 
 
 @dataclass
-class DepartureFaults:
-    """Sends requests that take long, and leaves them.
-
-    Args:
-      site: the site whose entries get them.
-      callers: knows the keys and which entries are ready.
-      random: chooses the entries, the requests and the times.
-      log_fault: called with a description of each departure.
-    """
-
-    site: Site
-    callers: Callers
-    random: Random
-    log_fault: Callable[[str], None]
-    calls: list[Call] = field(default_factory=list)
+class DepartureFaults(SiteTrouble):
+    """Sends requests that take long, and leaves them."""
 
     async def run(self, until: float) -> None:
         """Send requests until a time on trio's clock; return once all of them have ended."""
--- a/soak/early_faults.py
+++ b/soak/early_faults.py
@@ -4,18 +4,18 @@
 runner that reads on must receive that rest or the end of the connection, never other bytes.
 """
 
-from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
 
 import trio
 
 from soak.caller_connection import CallerConnection, Manner, connect
-from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, Callers, request_bytes
+from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, request_bytes
 from soak.calls import Call
 from soak.configuration import EARLY_ROUTE
 from soak.early_runner import EarlyRunner, early_body
-from soak.site import Site
+from soak.trouble import SiteTrouble
 
 __all__ = ["EarlyFaults"]
 
@@ -29,21 +29,9 @@
 
 
 @dataclass
-class EarlyFaults:
-    """Sends long bodies to runners that answer early.
+class EarlyFaults(SiteTrouble):
+    """Sends long bodies to runners that answer early."""
 
-    Args:
-      site: the site whose entries get the requests.
-      callers: knows the keys and which entries are ready.
-      random: chooses the runners' and the callers' manners.
-      log_fault: called with a description of each caller that leaves.
-    """
-
-    site: Site
-    callers: Callers
-    random: Random
-    log_fault: Callable[[str], None]
-    calls: list[Call] = field(default_factory=list)
     _runners: list[EarlyRunner] = field(default_factory=list)
 
     async def run(self, until: float) -> None:
@@ -111,7 +99,7 @@
             self.log_fault(f"the caller of {call.request_id} left {entry}")
         return is_reusable
 
-    def find_violations(self) -> list[str]:
+    def find_violations(self, calls: Sequence[Call]) -> list[str]:
         """Return the bodies at whose place other bytes came."""
         judged = self.site.judged
         judged["answers before the body was read"] += sum(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,17 +3,16 @@
 import signal
 import subprocess
 from collections.abc import Awaitable, Callable, Sequence
-from random import Random
+from dataclasses import dataclass, field
 
 import trio
 
-from soak.callers import Callers
 from soak.disturbances import STORE, PlannedKind
-from soak.notice_faults import Interruptions
 from soak.odd_answers import AnswerFault
 from soak.proxy import Mode, Proxy
 from soak.signal_handlers import handles_signals
-from soak.site import Entry, RunnerProcess, Site
+from soak.site import Entry, RunnerProcess
+from soak.trouble import SiteTrouble
 
 __all__ = ["FAULT_KINDS", "Faults"]
 
@@ -48,48 +47,28 @@
 MAX_AFFECTED_RUNNERS = 2
 
 
-class Faults:
+@dataclass
+class Faults(SiteTrouble):
     """Injects random faults into a site; several faults may overlap.
 
-    Args:
-      site: the site to inject faults into.
-      callers: the callers whose keys are revoked.
-      random: chooses the faults, their targets and their durations.
-      log_fault: called with a description of each fault.
-      interruptions: where pauses and cut links are recorded.
-      only: the kinds of faults to choose from; all if it is empty.
+    They are of the kinds `only`, or of all if it is empty.
     """
 
-    def __init__(
-        self,
-        site: Site,
-        callers: Callers,
-        random: Random,
-        log_fault: Callable[[str], None],
-        interruptions: Interruptions,
-        only: Sequence[str] = (),
-    ) -> None:
-        self._site = site
-        self._callers = callers
-        self._random = random
-        self._log_fault = log_fault
-        self._interruptions = interruptions
-        self._affected: set[str] = set()
-        self._endless_answer_runners: set[str] = set()
-        self._ends_at = 0.0
-        self.revoked: dict[str, float] = {}
-        self._fault_methods = [self._fault_method(name) for name in only or FAULT_KINDS]
+    only: Sequence[str] = ()
+    _affected: set[str] = field(default_factory=set)
+    _endless_answer_runners: set[str] = field(default_factory=set)
+    _ends_at: float = 0.0
 
     async def run(self, until: float) -> None:
         """Inject faults until a time on trio's clock; return once all of them have ended."""
         self._ends_at = until
-        async with trio.open_nursery() as nursery:
-            while trio.current_time() < until:
-                nursery.start_soon(self._random.choice(self._fault_methods))
-                interval = self._random.uniform(
-                    MIN_FAULT_INTERVAL_SECONDS, MAX_FAULT_INTERVAL_SECONDS
-                )
-                await trio.sleep(interval)
+        methods = [self._fault_method(name) for name in self.only or FAULT_KINDS]
+        await self.start_repeatedly(
+            until,
+            lambda: self.random.choice(methods),
+            MIN_FAULT_INTERVAL_SECONDS,
+            MAX_FAULT_INTERVAL_SECONDS,
+        )
 
     def _fault_method(self, name: str) -> Callable[[], Awaitable[None]]:
         return getattr(self, f"_{name}")
@@ -98,10 +77,10 @@
         """Choose a name without a fault, or None if `max_affected` of them have one already."""
         if len(self._affected & set(names)) >= max_affected:
             return None
-        return self._random.choice([each for each in names if each not in self._affected])
+        return self.random.choice([each for each in names if each not in self._affected])
 
     async def _runner(self) -> None:
-        by_name = {each.spec.instance: each for each in self._site.runners}
+        by_name = {each.spec.instance: each for each in self.site.runners}
         name = self._choose_unaffected(list(by_name), MAX_AFFECTED_RUNNERS)
         if name is not None:
             self._affected.add(name)
@@ -109,22 +88,22 @@
             self._affected.discard(name)
 
     async def _disrupt_runner(self, runner: RunnerProcess) -> None:
-        seconds = self._random.uniform(0.3, 2.0)
-        if self._random.random() < 0.5:
-            self._log_fault(f"runner {runner.spec.instance} killed for {seconds:.1f} s")
+        seconds = self.random.uniform(0.3, 2.0)
+        if self.random.random() < 0.5:
+            self.log_fault(f"runner {runner.spec.instance} killed for {seconds:.1f} s")
             if runner.spec.instance in self._endless_answer_runners:
                 # A close of its connections would complete the answers that have no length.
                 runner.proxy.reset()
-            self._interruptions.record_reset(runner.spec.instance)
-            self._site.disturbances.record(runner.spec.instance, seconds)
+            self.interruptions.record_reset(runner.spec.instance)
+            self.site.disturbances.record(runner.spec.instance, seconds)
             killed_process = runner.process
             killed_process.kill()
             await trio.sleep(seconds)
             if runner.process is killed_process:
-                self._site.start_runner(runner)
+                self.site.start_runner(runner)
         else:
-            self._log_fault(f"runner {runner.spec.instance} paused for {seconds:.1f} s")
-            self._interruptions.record(runner.spec.instance, seconds)
+            self.log_fault(f"runner {runner.spec.instance} paused for {seconds:.1f} s")
+            self.interruptions.record(runner.spec.instance, seconds)
             await self._pause(runner.process, seconds)
 
     async def _pause(self, process: subprocess.Popen, seconds: float) -> None:
@@ -133,133 +112,133 @@
         process.send_signal(signal.SIGCONT)
 
     async def _still(self) -> None:
-        runner = self._random.choice(self._site.runners)
-        seconds = self._random.uniform(MIN_HOLD_SECONDS, MAX_HOLD_SECONDS)
-        self._log_fault(f"runner {runner.spec.instance} holds its output for {seconds:.3f} s")
-        self._interruptions.record(runner.spec.instance, seconds)
-        self._site.send_order(runner, still=seconds)
+        runner = self.random.choice(self.site.runners)
+        seconds = self.random.uniform(MIN_HOLD_SECONDS, MAX_HOLD_SECONDS)
+        self.log_fault(f"runner {runner.spec.instance} holds its output for {seconds:.3f} s")
+        self.interruptions.record(runner.spec.instance, seconds)
+        self.site.send_order(runner, still=seconds)
         await trio.sleep(seconds)
 
     async def _aimed(self) -> None:
-        runner = self._random.choice([each for each in self._site.runners if each.spec.layers])
-        self._log_fault(
+        runner = self.random.choice([each for each in self.site.runners if each.spec.layers])
+        self.log_fault(
             f"runner {runner.spec.instance} holds its output until its streams are moved"
         )
-        self._interruptions.record(runner.spec.instance, MAX_AIMED_HOLD_SECONDS)
-        self._site.send_order(runner, aimed=MAX_AIMED_HOLD_SECONDS)
+        self.interruptions.record(runner.spec.instance, MAX_AIMED_HOLD_SECONDS)
+        self.site.send_order(runner, aimed=MAX_AIMED_HOLD_SECONDS)
         await trio.sleep(MAX_AIMED_HOLD_SECONDS)
 
     async def _odd(self) -> None:
-        runner = self._random.choice(self._site.runners)
-        kind = self._random.choice(list(AnswerFault))
-        seconds = self._random.uniform(MIN_ANSWER_FAULT_SECONDS, MAX_ANSWER_FAULT_SECONDS)
-        self._log_fault(
+        runner = self.random.choice(self.site.runners)
+        kind = self.random.choice(list(AnswerFault))
+        seconds = self.random.uniform(MIN_ANSWER_FAULT_SECONDS, MAX_ANSWER_FAULT_SECONDS)
+        self.log_fault(
             f"runner {runner.spec.instance} sends faulty answers for {seconds:.1f} s: {kind}"
         )
-        self._site.disturbances.record(runner.spec.instance, seconds)
-        self._site.send_order(runner, odd=kind, seconds=seconds)
+        self.site.disturbances.record(runner.spec.instance, seconds)
+        self.site.send_order(runner, odd=kind, seconds=seconds)
         if kind in (AnswerFault.ENDLESS, AnswerFault.ENDLESS_RESET):
             self._endless_answer_runners.add(runner.spec.instance)
 
     async def _series(self) -> None:
         """Restart all entries, one after the other."""
-        names = {each.name for each in self._site.entries}
+        names = {each.name for each in self.site.entries}
         if self._affected & names or trio.current_time() + MIN_SERIES_SECONDS > self._ends_at:
             return
         self._affected |= names
-        for entry in self._site.entries:
-            await self._disrupt_entry(entry, self._random.choice(("kill", "stop")))
+        for entry in self.site.entries:
+            await self._disrupt_entry(entry, self.random.choice(("kill", "stop")))
             await trio.sleep(SERIES_INTERVAL_SECONDS)
         self._affected -= names
 
     async def _entry(self) -> None:
-        by_name = {each.name: each for each in self._site.entries}
+        by_name = {each.name: each for each in self.site.entries}
         name = self._choose_unaffected(list(by_name), 1)
         if name is not None:
             self._affected.add(name)
-            action = self._random.choice(("kill", "stop", "pause", "reload"))
+            action = self.random.choice(("kill", "stop", "pause", "reload"))
             await self._disrupt_entry(by_name[name], action)
             self._affected.discard(name)
 
     async def _disrupt_entry(self, entry: Entry, action: str) -> None:
-        self._log_fault(f"entry {entry.name}: {action}")
+        self.log_fault(f"entry {entry.name}: {action}")
         if action == "pause":
-            seconds = self._random.uniform(0.2, 1.5)
-            self._interruptions.record(entry.name, seconds)
-            self._site.disturbances.record(entry.name, seconds)
+            seconds = self.random.uniform(0.2, 1.5)
+            self.interruptions.record(entry.name, seconds)
+            self.site.disturbances.record(entry.name, seconds)
             await self._pause(entry.process, seconds)
         elif action == "reload":
             while not handles_signals(entry):
                 if entry.is_stopping:  # It has ended by itself, which is reported.
                     return
                 await trio.sleep(SIGNAL_POLL_SECONDS)
-            self._site.disturbances.plan(PlannedKind.RELOAD, entry.name)
+            self.site.disturbances.plan(PlannedKind.RELOAD, entry.name)
             entry.process.send_signal(signal.SIGHUP)
         else:
             entry.is_stopping = True
             stopped_at = trio.current_time()
             if action == "stop":
-                self._site.disturbances.plan(PlannedKind.STOP, entry.name)
+                self.site.disturbances.plan(PlannedKind.STOP, entry.name)
             entry.process.send_signal(signal.SIGKILL if action == "kill" else signal.SIGTERM)
             await trio.to_thread.run_sync(entry.process.wait)
             if action == "stop" and entry.process.returncode != 0:
-                self._site.violations.append(f"{entry.name}: exit {entry.process.returncode}")
+                self.site.violations.append(f"{entry.name}: exit {entry.process.returncode}")
             await trio.sleep(RESTART_DELAY_SECONDS)
-            self._site.start_entry(entry)
-            self._interruptions.spans.append((entry.name, stopped_at, trio.current_time()))
+            self.site.start_entry(entry)
+            self.interruptions.spans.append((entry.name, stopped_at, trio.current_time()))
             if action == "stop":
-                self._site.disturbances.record_absence(entry.name, stopped_at)
+                self.site.disturbances.record_absence(entry.name, stopped_at)
             else:
-                self._site.disturbances.record(entry.name, since=stopped_at)
+                self.site.disturbances.record(entry.name, since=stopped_at)
 
     async def _disrupt_link(self, proxy: Proxy, name: str, max_seconds: float) -> None:
-        mode = self._random.choice((Mode.DELAY, Mode.SILENT, Mode.ONE_WAY, None))
-        seconds = self._random.uniform(0.2, max_seconds)
-        self._log_fault(f"link {name}: {mode or 'reset'} for {seconds:.1f} s")
+        mode = self.random.choice((Mode.DELAY, Mode.SILENT, Mode.ONE_WAY, None))
+        seconds = self.random.uniform(0.2, max_seconds)
+        self.log_fault(f"link {name}: {mode or 'reset'} for {seconds:.1f} s")
         if mode is None:
-            self._interruptions.record_reset(name)
-            self._site.disturbances.record(name)
-            self._site.disturbances.record_cut(name)
+            self.interruptions.record_reset(name)
+            self.site.disturbances.record(name)
+            self.site.disturbances.record_cut(name)
             proxy.reset()
             return
-        self._interruptions.record(name, seconds)
-        self._site.disturbances.record(name, seconds)
+        self.interruptions.record(name, seconds)
+        self.site.disturbances.record(name, seconds)
         if mode is not Mode.DELAY:
-            self._site.disturbances.record_cut(name, seconds)
-        proxy.set_mode(mode, self._random.uniform(0.02, 0.2))
+            self.site.disturbances.record_cut(name, seconds)
+        proxy.set_mode(mode, self.random.uniform(0.02, 0.2))
         await trio.sleep(seconds)
         proxy.set_mode(Mode.PASS)
 
     async def _runner_link(self) -> None:
-        runner = self._random.choice(self._site.runners)
+        runner = self.random.choice(self.site.runners)
         await self._disrupt_link(runner.proxy, runner.spec.instance, 1.5)
 
     async def _store_link(self) -> None:
-        entry = self._random.choice(self._site.entries)
+        entry = self.random.choice(self.site.entries)
         await self._disrupt_link(entry.store, f"{entry.name} to store", 4.0)
 
     async def _front_link(self) -> None:
-        entry = self._random.choice(self._site.entries)
+        entry = self.random.choice(self.site.entries)
         await self._disrupt_link(entry.caller_proxy, f"callers to {entry.name}", 0.5)
 
     async def _store_refuses(self) -> None:
-        seconds = self._random.uniform(0.3, 2.0)
-        self._log_fault(f"store unavailable for {seconds:.1f} s")
-        self._site.disturbances.record(STORE, seconds)
-        self._site.store.refuses = True
+        seconds = self.random.uniform(0.3, 2.0)
+        self.log_fault(f"store unavailable for {seconds:.1f} s")
+        self.site.disturbances.record(STORE, seconds)
+        self.site.store.refuses = True
         await trio.sleep(seconds)
-        self._site.store.refuses = False
+        self.site.store.refuses = False
 
     async def _change(self) -> None:
         """Write a new desired state; half of them revoke a key and issue a new one."""
-        version = self._site.configuration.version + self._random.randint(1, 3)
-        keys = [each for each in self._callers.keys if each not in self.revoked]
-        if self._random.random() < 0.5:
-            revoked_key = self._random.choice(keys)
+        version = self.site.configuration.version + self.random.randint(1, 3)
+        keys = [each for each in self.callers.keys if each not in self.callers.revoked]
+        if self.random.random() < 0.5:
+            revoked_key = self.random.choice(keys)
             new_key = f"key-{version}"
             keys = [each for each in keys if each != revoked_key] + [new_key]
-            self.revoked[revoked_key] = trio.current_time()
-            self._callers.keys.append(new_key)
-            self._log_fault(f"key {revoked_key} revoked, {new_key} issued")
-        self._log_fault(f"desired state {version}")
-        self._site.configure(version=version, keys=tuple(keys))
+            self.callers.revoked[revoked_key] = trio.current_time()
+            self.callers.keys.append(new_key)
+            self.log_fault(f"key {revoked_key} revoked, {new_key} issued")
+        self.log_fault(f"desired state {version}")
+        self.site.configure(version=version, keys=tuple(keys))
--- a/soak/notice_judge.py
+++ b/soak/notice_judge.py
@@ -6,7 +6,7 @@
 import trio
 
 from soak.calls import Call
-from soak.notice_faults import Interruptions
+from soak.interruptions import Interruptions
 from soak.notices import INCARNATION_HEADER, incarnation_name
 from soak.site import Site
 
--- a/soak/partition_faults.py
+++ b/soak/partition_faults.py
@@ -5,16 +5,16 @@
 """
 
 import os
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
+from dataclasses import dataclass, field
 from pathlib import Path
-from random import Random
 
 import trio
 
 from soak.calls import Call
-from soak.notice_faults import Interruptions
 from soak.proxy import Cut, Partition
-from soak.site import Entry, Site
+from soak.site import Entry
+from soak.trouble import SiteTrouble
 
 __all__ = ["PartitionFaults"]
 
@@ -33,54 +33,35 @@
 ONE_SERVICE_SHARE = 0.3
 
 
-class PartitionFaults:
-    """Partitions entries, one partition after the other, and checks the result.
-
-    Args:
-      site: the site whose entries are partitioned.
-      random: chooses the entries, the services, the kinds and the durations.
-      log_fault: called with a description of each partition.
-      interruptions: where the interrupted links are recorded.
-    """
-
-    def __init__(
-        self,
-        site: Site,
-        random: Random,
-        log_fault: Callable[[str], None],
-        interruptions: Interruptions,
-    ) -> None:
-        self._site = site
-        self._random = random
-        self._log_fault = log_fault
-        self._interruptions = interruptions
-        # The names of the entries of each partition, its begin and its end.
-        self._spans: list[tuple[frozenset[str], float, float]] = []
+@dataclass
+class PartitionFaults(SiteTrouble):
+    """Partitions entries, one partition after the other, and checks the result."""
+
+    # The names of the entries of each partition, its begin and its end.
+    _spans: list[tuple[frozenset[str], float, float]] = field(default_factory=list)
 
     async def run(self, until: float) -> None:
         """Partition entries until a time on trio's clock; return once the last one has ended."""
-        while trio.current_time() < until:
-            await self._partition()
-            await trio.sleep(self._random.uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS))
+        await self.repeat(until, self._partition, MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS)
 
     async def _partition(self) -> None:
-        entries = self._random.sample(
-            self._site.entries, self._random.randint(1, len(self._site.entries) - 1)
+        entries = self.random.sample(
+            self.site.entries, self.random.randint(1, len(self.site.entries) - 1)
         )
-        how = self._random.choice(list(Cut))
+        how = self.random.choice(list(Cut))
         service = ""
-        if self._random.random() < ONE_SERVICE_SHARE:
-            service = self._random.choice(("llm", "crm"))
-        seconds = self._random.uniform(MIN_PARTITION_SECONDS, MAX_PARTITION_SECONDS)
+        if self.random.random() < ONE_SERVICE_SHARE:
+            service = self.random.choice(("llm", "crm"))
+        seconds = self.random.uniform(MIN_PARTITION_SECONDS, MAX_PARTITION_SECONDS)
         names = frozenset(each.name for each in entries)
         target = f"{service or 'all'} runners"
-        self._log_fault(f"{sorted(names)} partitioned from {target} for {seconds:.1f} s: {how}")
+        self.log_fault(f"{sorted(names)} partitioned from {target} for {seconds:.1f} s: {how}")
         began_at = trio.current_time()
-        runners = [each for each in self._site.runners if service in ("", each.spec.service)]
+        runners = [each for each in self.site.runners if service in ("", each.spec.service)]
         for each in runners:
-            self._interruptions.record(each.spec.instance, seconds)
-            self._site.disturbances.record(each.spec.instance, seconds)
-            self._site.disturbances.record_cut(each.spec.instance, seconds)
+            self.interruptions.record(each.spec.instance, seconds)
+            self.site.disturbances.record(each.spec.instance, seconds)
+            self.site.disturbances.record_cut(each.spec.instance, seconds)
             each.proxy.begin_partition(Partition(how, lambda port: _is_held(entries, port)))
         await trio.sleep(seconds)
         for each in runners:
@@ -89,7 +70,7 @@
 
     def find_violations(self, calls: Sequence[Call]) -> list[str]:
         """Return the partitions whose callers were served too seldom."""
-        names = {each.caller_proxy.address: each.name for each in self._site.entries}
+        names = {each.caller_proxy.address: each.name for each in self.site.entries}
         violations = []
         for partitioned, began_at, ended_at in self._spans:
             judged = [
@@ -101,7 +82,7 @@
             ]
             inside = [each for each in judged if names[each.entry] in partitioned]
             outside = [each for each in judged if names[each.entry] not in partitioned]
-            self._site.judged["calls at partitioned entries"] += len(inside)
+            self.site.judged["calls at partitioned entries"] += len(inside)
             served, others = (sum(each.is_served for each in group) for group in (inside, outside))
             too_few = served * len(outside) < MIN_SERVED_RATIO * others * len(inside)
             failed = len(inside) - served
--- a/soak/planned_faults.py
+++ b/soak/planned_faults.py
@@ -4,18 +4,15 @@
 """
 
 import signal
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from random import Random
 
 import trio
 
-from soak.callers import Callers
 from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.disturbances import PlannedKind
-from soak.notice_faults import Interruptions
 from soak.signal_handlers import handles_signals
-from soak.site import Entry, RunnerProcess, Site
+from soak.site import Entry, RunnerProcess
+from soak.trouble import SiteTrouble
 
 __all__ = ["PlannedFaults"]
 
@@ -43,56 +40,37 @@
 
 
 @dataclass
-class PlannedFaults:
+class PlannedFaults(SiteTrouble):
     """Does planned work at a site, and silences runners meanwhile.
 
-    Args:
-      site: the site to work on; it has a second plain service.
-      callers: knows the keys and which entries are ready.
-      random: chooses the work and its times.
-      log_fault: called with a description of each work and each silence.
-      interruptions: where the silences are recorded.
-      has_changes: whether it changes the desired state, besides its other work.
+    With `has_changes` it changes the desired state, besides its other work.
     """
 
-    site: Site
-    callers: Callers
-    random: Random
-    log_fault: Callable[[str], None]
-    interruptions: Interruptions
     has_changes: bool = True
     _silent: set[str] = field(default_factory=set)
 
     async def run(self, until: float) -> None:
         """Work until a time on trio's clock; return once all entries and runners are back."""
-        load = Callers(
-            self.callers.entries,
-            self.random,
-            self.callers.ready_entries,
-            self.callers.keys,
-            self.callers.calls,
-            name_prefix="k",
-            switch_share=0.0,
-        )
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(load.run, CALLER_COUNT)
-            async with trio.open_nursery() as work_nursery:
-                if self.has_changes:
-                    work_nursery.start_soon(self._change_repeatedly, until)
-                work_nursery.start_soon(self._signal_repeatedly, until)
-                work_nursery.start_soon(self._silence_repeatedly, until)
-            load.stop()
-        self.callers.violations += load.violations
-
-    async def _change_repeatedly(self, until: float) -> None:
-        while trio.current_time() < until:
-            name, value = self._draw_change()
-            version = self.site.configuration.version + 1
-            self.log_fault(f"desired state {version}: {name} {value}")
-            self.site.configure(version=version, **{name: value})
-            await trio.sleep(
-                self.random.uniform(MIN_CHANGE_INTERVAL_SECONDS, MAX_CHANGE_INTERVAL_SECONDS)
-            )
+        async with (
+            self.further_callers(CALLER_COUNT, name_prefix="k", switch_share=0.0),
+            trio.open_nursery() as nursery,
+        ):
+            if self.has_changes:
+                nursery.start_soon(
+                    self.repeat,
+                    until,
+                    self._change,
+                    MIN_CHANGE_INTERVAL_SECONDS,
+                    MAX_CHANGE_INTERVAL_SECONDS,
+                )
+            nursery.start_soon(self._signal_repeatedly, until)
+            nursery.start_soon(self._silence_repeatedly, until)
+
+    async def _change(self) -> None:
+        name, value = self._draw_change()
+        version = self.site.configuration.version + 1
+        self.log_fault(f"desired state {version}: {name} {value}")
+        self.site.configure(version=version, **{name: value})
 
     def _draw_change(self) -> tuple[str, object]:
         random = self.random
--- a/soak/rule_judges.py
+++ b/soak/rule_judges.py
@@ -12,9 +12,9 @@
 from soak.contact import CONTACT_SECONDS, Contact
 from soak.deadline_judge import DeadlineJudge
 from soak.gone_judge import GoneJudge, departures
+from soak.interruptions import Interruptions
 from soak.key_judge import KeyJudge
 from soak.lost_judge import histories
-from soak.notice_faults import Interruptions
 from soak.run_judge import RunJudge, runs
 from soak.site import Site
 from soak.timeout_judge import TimeoutJudge
--- a/soak/silence_faults.py
+++ b/soak/silence_faults.py
@@ -4,15 +4,14 @@
 out of touch for some time after a silence, as after a reset of their connections.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
-from random import Random
 
 import trio
 
 from soak.calls import Call
-from soak.notice_faults import Interruptions
-from soak.site import RunnerProcess, Site
+from soak.site import RunnerProcess
+from soak.trouble import SiteTrouble
 
 __all__ = ["SilenceFaults"]
 
@@ -39,28 +38,15 @@
 
 
 @dataclass
-class SilenceFaults:
-    """Silences connections, lets runners leave, and checks which requests reach these.
-
-    Args:
-      site: the site whose connections go silent.
-      random: chooses the connections, the runners and the times.
-      log_fault: called with a description of each fault.
-      interruptions: where the silences of runners' connections are recorded.
-    """
-
-    site: Site
-    random: Random
-    log_fault: Callable[[str], None]
-    interruptions: Interruptions
+class SilenceFaults(SiteTrouble):
+    """Silences connections, lets runners leave, and checks which requests reach these."""
+
     _leaves: list[_Leave] = field(default_factory=list)
 
     async def run(self, until: float) -> None:
         """Silence connections until a time on trio's clock; return once all runners are back."""
         self.site.store.keeps_unchanged = True
-        while trio.current_time() < until:
-            await self._silence_and_leave()
-            await trio.sleep(self.random.uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS))
+        await self.repeat(until, self._silence_and_leave, MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS)
 
     async def _silence_and_leave(self) -> None:
         runner = self.random.choice(self.site.runners)
--- a/soak/silent_runner_faults.py
+++ b/soak/silent_runner_faults.py
@@ -12,12 +12,12 @@
 
 import trio
 
-from soak.callers import DEADLINE_SECONDS, Callers
+from soak.callers import DEADLINE_SECONDS
 from soak.calls import Call
 from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.lost_judge import LIMIT_MARGIN_SECONDS
-from soak.notice_faults import Interruptions
-from soak.site import RunnerProcess, Site
+from soak.site import RunnerProcess
+from soak.trouble import SiteTrouble
 
 __all__ = ["SilentRunnerFaults"]
 
@@ -44,40 +44,18 @@
 
 
 @dataclass
-class SilentRunnerFaults:
-    """Silences sound runners, and checks that their streams go on.
-
-    Args:
-      site: the site whose runners fall silent.
-      callers: knows the keys and which entries are ready.
-      random: chooses the runners and the times.
-      log_fault: called with a description of each silence.
-      interruptions: where the silences are recorded.
-    """
-
-    site: Site
-    callers: Callers
-    random: Random
-    log_fault: Callable[[str], None]
-    interruptions: Interruptions
+class SilentRunnerFaults(SiteTrouble):
+    """Silences sound runners, and checks that their streams go on."""
+
     _silent: set[str] = field(default_factory=set)
 
     async def run(self, until: float) -> None:
         """Silence runners until a time on trio's clock; return once all of them go on."""
-        load = Callers(
-            self.callers.entries,
-            Random(self.random.random()),
-            self.callers.ready_entries,
-            self.callers.keys,
-            self.callers.calls,
-            routes=("stream",),
-            name_prefix="s",
-        )
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(load.run, CALLER_COUNT)
+        load_random = Random(self.random.random())
+        async with self.further_callers(
+            CALLER_COUNT, load_random, routes=("stream",), name_prefix="s"
+        ):
             await self._silence_repeatedly(until)
-            load.stop()
-        self.callers.violations += load.violations
 
     async def _silence_repeatedly(self, until: float) -> None:
         choices = (
@@ -90,12 +68,12 @@
             self._silence_series,
             self._silence_series,
         )
-        async with trio.open_nursery() as nursery:
-            while trio.current_time() < until:
-                nursery.start_soon(self.random.choice(choices))
-                await trio.sleep(
-                    self.random.uniform(MIN_FAULT_INTERVAL_SECONDS, MAX_FAULT_INTERVAL_SECONDS)
-                )
+        await self.start_repeatedly(
+            until,
+            lambda: self.random.choice(choices),
+            MIN_FAULT_INTERVAL_SECONDS,
+            MAX_FAULT_INTERVAL_SECONDS,
+        )
 
     async def _silence_one(self) -> None:
         await self._silence_together([self.random.choice(self.site.runners)])
--- a/soak/state_judges.py
+++ b/soak/state_judges.py
@@ -7,8 +7,8 @@
 from soak.connection_judge import Attempt, ConnectionJudge
 from soak.contact import CONTACT_SECONDS, Contact
 from soak.downgrade_judge import DowngradeJudge, ServiceRun
+from soak.interruptions import Interruptions
 from soak.key_judge import find_revoked
-from soak.notice_faults import Interruptions
 from soak.site import Site
 from soak.unknown_key_judge import UnknownKeyJudge
 
--- a/soak/unending_faults.py
+++ b/soak/unending_faults.py
@@ -4,17 +4,16 @@
 faults; one whose answer had none gets a failure or is served elsewhere.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
-from random import Random
 
 import trio
 
-from soak.callers import Callers
 from soak.calls import Call, Ending
 from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.lost_judge import LIMIT_MARGIN_SECONDS
-from soak.site import RunnerProcess, Site
+from soak.site import RunnerProcess
+from soak.trouble import SiteTrouble
 from soak.unending import ENDLESS_BODY_PIECE, Unending
 from soak.wire import HOST
 
@@ -44,22 +43,10 @@
 
 
 @dataclass
-class UnendingFaults:
-    """Makes runners and callers send messages without an end.
-
-    Args:
-      site: the site whose runners do so.
-      callers: the callers of its entries, who are judged.
-      random: chooses who sends what, and how long.
-      log_fault: called with a description of each fault.
-      has_bodies: whether callers send bodies without an end, beside the answers of runners.
-    """
+class UnendingFaults(SiteTrouble):
+    """Makes runners send answers without an end, and callers such bodies with `has_bodies`."""
 
-    site: Site
-    callers: Callers
-    random: Random
-    log_fault: Callable[[str], None]
-    has_bodies: bool
+    has_bodies: bool = True
     _affected: set[str] = field(default_factory=set)
     _began_at: float = float("inf")
 
@@ -71,20 +58,10 @@
         while not self._has_started() and trio.current_time() < until:
             await trio.sleep(POLL_INTERVAL_SECONDS)
         self._began_at = trio.current_time()
-        load = Callers(
-            self.callers.entries,
-            self.random,
-            self.callers.ready_entries,
-            self.callers.keys,
-            self.callers.calls,
-            routes=LOAD_ROUTES,
-            name_prefix="u",
-        )
-        async with trio.open_nursery() as load_nursery:
-            load_nursery.start_soon(load.run, CALLER_COUNT)
-            await self._inject(until)
-            load.stop()
-        self.callers.violations += load.violations
+        async with self.further_callers(CALLER_COUNT, routes=LOAD_ROUTES, name_prefix="u"):
+            await self.start_repeatedly(
+                until, self._draw_fault, MIN_INTERVAL_SECONDS, MAX_INTERVAL_SECONDS
+            )
 
     def _has_started(self) -> bool:
         """Return whether every entry is ready and the latest calls were served."""
@@ -94,12 +71,9 @@
         are_ready = len(self.callers.ready_entries) == len(self.site.entries)
         return are_ready and are_served and len(latest) == STARTED_CALLS
 
-    async def _inject(self, until: float) -> None:
-        async with trio.open_nursery() as nursery:
-            while trio.current_time() < until:
-                is_caller = self.has_bodies and self.random.random() < CALLER_SHARE
-                nursery.start_soon(self._send_body if is_caller else self._answer_without_end)
-                await trio.sleep(self.random.uniform(MIN_INTERVAL_SECONDS, MAX_INTERVAL_SECONDS))
+    def _draw_fault(self) -> Callable[[], Awaitable[None]]:
+        is_caller = self.has_bodies and self.random.random() < CALLER_SHARE
+        return self._send_body if is_caller else self._answer_without_end
 
     async def _answer_without_end(self) -> None:
         seconds = self.random.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
--- a/soak/wave_faults.py
+++ b/soak/wave_faults.py
@@ -5,18 +5,18 @@
 """
 
 import signal
-from collections.abc import Callable
+from collections.abc import Sequence
 from contextlib import suppress
-from dataclasses import dataclass
-from random import Random
+from dataclasses import dataclass, field
 
 import trio
 
 from soak.caller_connection import CallerConnection, Manner, connect
-from soak.callers import Callers, request_body, request_bytes
+from soak.callers import request_body, request_bytes
 from soak.calls import Call
 from soak.disturbances import Span
 from soak.site import Entry, Site
+from soak.trouble import SiteTrouble
 
 __all__ = ["ProcessorQuota", "WaveFaults"]
 
@@ -96,45 +96,25 @@
     sent_at: float
 
 
-class WaveFaults:
+@dataclass
+class WaveFaults(SiteTrouble):
     """Sends waves of new connections, one after the other, and checks the result.
 
-    Args:
-      site: the site whose entries get them.
-      callers: knows the keys and which entries are ready.
-      random: chooses the entries, the rates and the requests.
-      log_fault: called with a description of each wave.
-      keeps_connections: whether some callers send more requests on their connections.
+    With `keeps_connections`, some callers send more requests on theirs. `calls` has one call for
+    each attempt.
     """
 
-    def __init__(
-        self,
-        site: Site,
-        callers: Callers,
-        random: Random,
-        log_fault: Callable[[str], None],
-        keeps_connections: bool = False,
-    ) -> None:
-        self._keeps_connections = keeps_connections
-        self._site = site
-        self._callers = callers
-        self._random = random
-        self._log_fault = log_fault
-        self._sent: list[_Attempts] = []
-        self._count = 0
-        # The begin of each wave.
-        self._waves: list[float] = []
-        self._seen_ready_at: dict[str, float] = {}
-
-    @property
-    def calls(self) -> list[Call]:
-        """All requests, one call for each attempt."""
-        return [call for each in self._sent for call in each.calls]
+    keeps_connections: bool = False
+    _sent: list[_Attempts] = field(default_factory=list)
+    _count: int = 0
+    # The begin of each wave.
+    _waves: list[float] = field(default_factory=list)
+    _seen_ready_at: dict[str, float] = field(default_factory=dict)
 
     async def run(self, until: float) -> None:
         """Send waves until a time on trio's clock; return once the last one has ended."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(ProcessorQuota(self._site, PROCESSOR_SHARE).run)
+            nursery.start_soon(ProcessorQuota(self.site, PROCESSOR_SHARE).run)
             nursery.start_soon(self._watch_ready)
             async with trio.open_nursery() as call_nursery:
                 while trio.current_time() < until:
@@ -144,16 +124,16 @@
 
     async def _watch_ready(self) -> None:
         while True:
-            for entry in self._site.entries:
-                if entry.caller_proxy.address in self._callers.ready_entries:
+            for entry in self.site.entries:
+                if entry.caller_proxy.address in self.callers.ready_entries:
                     self._seen_ready_at[entry.name] = trio.current_time()
             await trio.sleep(READY_POLL_SECONDS)
 
     async def _send_wave(self, nursery: trio.Nursery) -> None:
-        rate = self._random.uniform(MIN_WAVE_RATE, MAX_WAVE_RATE)
-        seconds = self._random.uniform(MIN_WAVE_SECONDS, MAX_WAVE_SECONDS)
-        target = self._random.choice(self._site.entries)
-        self._log_fault(f"{rate:.0f} new connections a second to {target.name} for {seconds:.1f} s")
+        rate = self.random.uniform(MIN_WAVE_RATE, MAX_WAVE_RATE)
+        seconds = self.random.uniform(MIN_WAVE_SECONDS, MAX_WAVE_SECONDS)
+        target = self.random.choice(self.site.entries)
+        self.log_fault(f"{rate:.0f} new connections a second to {target.name} for {seconds:.1f} s")
         self._waves.append(trio.current_time())
         await self._send(nursery, rate, seconds, target)
 
@@ -165,11 +145,11 @@
         while trio.current_time() < ends_at:
             if target is not None and self._is_out(target):
                 target = self._choose(target)
-                self._log_fault(f"new connections go to {target.name}")
-            is_aimed = target is not None and self._random.random() < TARGET_SHARE
+                self.log_fault(f"new connections go to {target.name}")
+            is_aimed = target is not None and self.random.random() < TARGET_SHARE
             entry = target if is_aimed else self._choose(target)
             nursery.start_soon(self._call, entry, len(self._waves) - 1 if target else None)
-            due_at += self._random.uniform(0.5, 1.5) / rate
+            due_at += self.random.uniform(0.5, 1.5) / rate
             await trio.sleep_until(due_at)
 
     def _is_out(self, entry: Entry) -> bool:
@@ -177,20 +157,20 @@
         return trio.current_time() - seen_at > OUT_SECONDS
 
     def _choose(self, avoided: Entry | None) -> Entry:
-        others = [each for each in self._site.entries if each is not avoided]
-        return self._random.choice([each for each in others if not self._is_out(each)] or others)
+        others = [each for each in self.site.entries if each is not avoided]
+        return self.random.choice([each for each in others if not self._is_out(each)] or others)
 
     async def _call(self, entry: Entry, wave: int | None) -> None:
         """Send one request with its retry, and in some cases more on the same connection."""
         requests = 1
-        if self._keeps_connections and self._random.random() < KEPT_SHARE:
+        if self.keeps_connections and self.random.random() < KEPT_SHARE:
             requests += KEPT_REQUESTS
         connection: CallerConnection | None = None
         for _ in range(requests):
             connection = await self._send_one(entry, wave, connection)
             if connection is None:
                 return
-            pause = self._random.uniform(MIN_KEPT_PAUSE_SECONDS, MAX_KEPT_PAUSE_SECONDS)
+            pause = self.random.uniform(MIN_KEPT_PAUSE_SECONDS, MAX_KEPT_PAUSE_SECONDS)
             await trio.sleep(pause if requests > 1 else 0.0)
         connection.close()
 
@@ -200,20 +180,21 @@
         """Send one request; return its connection if another may follow on it."""
         self._count += 1
         number = self._count
-        route = self._random.choice(ROUTES)
+        route = self.random.choice(ROUTES)
         body = b""
-        if self._random.random() < LARGE_BODY_SHARE:
+        if self.random.random() < LARGE_BODY_SHARE:
             body = bytes(LARGE_BODY_BYTES)
         sent_at = trio.current_time()
         calls: list[Call] = []
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            call = Call(f"w{number}r{attempt}", route, self._callers.keys[-1], trio.current_time())
+            call = Call(f"w{number}r{attempt}", route, self.callers.keys[-1], trio.current_time())
             calls.append(call)
             connection = await self._attempt(entry, call, body or request_body(call), connection)
             call.duration_seconds = trio.current_time() - call.sent_at
             if call.status or call.duration_seconds >= ATTEMPT_SECONDS:
                 break
             entry = self._choose(entry)
+        self.calls += calls
         self._sent.append(_Attempts(tuple(calls), wave, sent_at))
         return connection
 
@@ -235,9 +216,9 @@
             connection.close()
         return connection if is_reusable else None
 
-    def find_violations(self) -> list[str]:
+    def find_violations(self, calls: Sequence[Call]) -> list[str]:
         """Return the waves in which requests that were read were served too seldom."""
-        arrived = {each["arrived"] for each in self._site.records if "arrived" in each}
+        arrived = {each["arrived"] for each in self.site.records if "arrived" in each}
         before = [
             each for attempts in self._sent if attempts.wave is None
             for each in self._first_read(attempts, arrived)
@@ -249,7 +230,7 @@
                 if attempts.wave == wave and attempts.sent_at >= began_at + CONTACT_SECONDS
                 for each in self._first_read(attempts, arrived)
             ]  # fmt: skip
-            self._site.judged["calls in waves"] += len(inside)
+            self.site.judged["calls in waves"] += len(inside)
             if min(len(inside), len(before)) < MIN_JUDGED_CALLS:
                 continue
             served, served_before = (sum(each.is_served for each in x) for x in (inside, before))
