Soak: a runner's proxy refuses connections once its runner is gone

Callers saw half a plain answer as whole behind runners of a service without a health path. One of its causes is the stand-in: a runner that is gone refuses connections, but its proxy went on accepting them and reset each one only once its own connection to the runner had failed. A gateway that opens a connection to learn whether the runner is there was told that it is.

A runner's proxy now closes its listener before it passes on the end of a connection whose runner has gone, looks again for a time after each end, since a process that exits may close its listener last, and listens again once the runner does. Whether the runner listens is asked of the system, without a connection. Behind a link that is silent nothing is refused, as no refusal would arrive. The proxies of entries and of the store are unchanged.

With the proxy's look at its runner switched off, the five rows of the new scenario that expect a refusal are red.

--- a/features/soak_runner.feature
+++ b/features/soak_runner.feature
@@ -37,3 +37,22 @@
       | slow        | holds layers 4-8 and delays its first response | 200    | the stream is complete              |
       | not held    | holds layers 4-6                               | 421    | the response names the other runner |
       | unreachable | is not listening                               | 503    | the response names the other runner |
+
+  # Guards against a gateway that is told by an accepted connection that a runner which has ended is
+  # there: half an answer without a length then counts as whole.
+  Scenario Outline: A runner's proxy accepts connections only while the runner does: <case>
+    Given a proxy of a target that <state>
+    When the target <event>
+    Then a client that sees this connects to the proxy and is <outcome>
+
+    Examples:
+      | case               | state                  | event                                    | outcome  |
+      | not started        | has not started        | has still to start                       | refused  |
+      | started            | has not started        | starts                                   | accepted |
+      | ended              | has an open connection | ends                                     | refused  |
+      | ended by a reset   | has an open connection | ends with unread bytes                   | refused  |
+      | listener ends last | has an open connection | closes its connection, then ends         | refused  |
+      | ended the answer   | has an open connection | closes its connection                    | accepted |
+      | restarted          | has an open connection | ends and starts again                    | accepted |
+      | ended, link silent | has an open connection | ends behind a link that is silent        | accepted |
+      | ended during a cut | has an open connection | ends while its link is silent for a time | refused  |
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,12 +2,13 @@
 
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 import trio
 
-from soak.wire import BACKLOG, HOST, reset
+from soak.wire import BACKLOG, HOST, is_listening, reset
 
 __all__ = ["Cut", "Mode", "Opening", "Partition", "Proxy"]
 
@@ -16,6 +17,10 @@
 # slow reader soon blocks the sender.
 SMALL_BUFFER_BYTES = 4096
 SMALL_SEGMENT_BYTES = 1400
+# How often a proxy that follows its target looks for it: while it is gone, and for some time after
+# an end of a connection. A process that exits may close its connections before its listener.
+TARGET_POLL_SECONDS = 0.005
+TARGET_WATCH_SECONDS = 0.3
 
 
 class Mode(StrEnum):
@@ -57,11 +62,14 @@
     """Forwards connections from `port` to `target`; blocked bytes are forwarded later.
 
     With `small_buffers` it buffers little of the output, so that a slow reader blocks its sender.
+    With `follows_target` it refuses connections while its target does, as the target's own address
+    would; on a link that is silent nothing is refused, since no refusal would arrive.
     """
 
     port: int
     target: int
     small_buffers: bool = False
+    follows_target: bool = False
     mode: Mode = Mode.PASS
     delay_seconds: float = 0.0
     mode_changed: trio.Event = field(default_factory=trio.Event)
@@ -78,6 +86,10 @@
     _silent_for_good: set[trio.SocketStream] = field(default_factory=set)
     # The latest request line on each accepted connection.
     _requests: dict[trio.SocketStream, bytes] = field(default_factory=dict)
+    _listener: trio.SocketListener | None = None
+    # Until when an end of a connection may have been the end of the target, on trio's clock.
+    _watch_until: float = float("-inf")
+    _connection_ended: trio.Event = field(default_factory=trio.Event)
 
     @property
     def address(self) -> str:
@@ -87,6 +99,7 @@
     def set_mode(self, mode: Mode, delay_seconds: float = 0.0) -> None:
         """Change the mode from now on."""
         self.mode, self.delay_seconds = mode, delay_seconds
+        self._close_if_target_gone()
         self.mode_changed.set()
         self.mode_changed = trio.Event()
 
@@ -106,6 +119,7 @@
         """End the partition; bytes that it held back are forwarded now."""
         self.partition = None
         self._silenced.clear()
+        self._close_if_target_gone()
         self.mode_changed.set()
         self.mode_changed = trio.Event()
 
@@ -128,12 +142,54 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Accept and forward connections until cancelled."""
-        (listener,) = await trio.open_tcp_listeners(self.port, host=HOST, backlog=BACKLOG)
-        task_status.started()
         async with trio.open_nursery() as nursery:
+            if self.follows_target:
+                nursery.start_soon(self._watch_target)
+                task_status.started()
+            while True:
+                while self._is_target_gone():
+                    await trio.sleep(TARGET_POLL_SECONDS)
+                (self._listener,) = await trio.open_tcp_listeners(
+                    self.port, host=HOST, backlog=BACKLOG
+                )
+                if not self.follows_target:
+                    task_status.started()
+                await self._accept_connections(self._listener, nursery)
+
+    async def _accept_connections(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Accept connections until the listener is closed."""
+        with suppress(trio.ClosedResourceError):
             while True:
                 nursery.start_soon(self._forward_connection, await listener.accept())
 
+    async def _watch_target(self) -> None:
+        """Look for the target after each end of a connection, until cancelled."""
+        while True:
+            await self._connection_ended.wait()
+            self._connection_ended = trio.Event()
+            while trio.current_time() < self._watch_until:
+                self._close_if_target_gone()
+                await trio.sleep(TARGET_POLL_SECONDS)
+
+    def _note_end(self) -> None:
+        """Note that the target ended a connection; called before its client is told."""
+        self._close_if_target_gone()
+        self._watch_until = trio.current_time() + TARGET_WATCH_SECONDS
+        self._connection_ended.set()
+
+    def _close_if_target_gone(self) -> None:
+        if self._listener is not None and self._is_target_gone():
+            self._listener.socket.close()
+            self._listener = None
+
+    def _is_target_gone(self) -> bool:
+        is_silent = self.mode in (Mode.SILENT, Mode.ONE_WAY) or (
+            self.partition is not None and self.partition.how is Cut.SILENT
+        )
+        return self.follows_target and not is_silent and not is_listening(self.target)
+
     async def _connect_to_target(self) -> trio.SocketStream:
         sock = trio.socket.socket()
         try:
@@ -160,6 +216,7 @@
             target_stream = await self._connect_to_target()
         except OSError:
             self.refused_at[_port_of(accepted)] = trio.current_time()
+            self._note_end()
             reset(accepted)
             return
         opening.is_taken = True
@@ -174,6 +231,7 @@
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass  # One side is closed; the other one is reset below.
         finally:
+            self._note_end()
             self._connections.discard(pair)
             self._silenced -= set(pair)
             self._silent_for_good -= set(pair)
@@ -193,6 +251,8 @@
             if is_inbound:
                 self.passed_on_at[_port_of(source)] = trio.current_time()
         await self._wait_while_blocked(is_inbound, source)
+        if not is_inbound:
+            self._note_end()
         await destination.send_eof()
 
     async def _wait_while_blocked(self, is_inbound: bool, source: trio.SocketStream) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -161,7 +161,7 @@
         nursery.start_soon(self._expire_rows)
 
     async def _add_runner(self, name: str, service: str, domain: str, layers: int) -> None:
-        proxy = Proxy(free_port(), free_port())
+        proxy = Proxy(free_port(), free_port(), follows_target=True)
         await self._nursery.start(proxy.run)
         spec = RunnerSpec(
             name, service, domain, proxy.target, proxy.address, f"{HOST}:{self.store_port}", layers,
--- a/soak/wire.py
+++ b/soak/wire.py
@@ -18,6 +18,7 @@
     "JSON_HEADERS",
     "parse_target",
     "free_port",
+    "is_listening",
     "parse_path",
     "serve",
     "serve_connections",
@@ -68,6 +69,20 @@
     raise AssertionError("the sequence of ports is endless")
 
 
+def is_listening(port: int) -> bool:
+    """Return whether a socket listens on a local port, without opening a connection to it.
+
+    Beside connections whose sockets allow reuse the port may be bound, beside a listener it can't.
+    """
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return True
+        return False
+
+
 def parse_target(request: IncomingRequest) -> tuple[str, dict[str, str]]:
     """Return the path of a request and the fields of its query."""
     path, _, query = request.target.decode().partition("?")
