Soak: record when the soak itself is late, and tell so of calls that were cut

Its entry had closed nine connections for load, the longest of which had waited 96 ms, so that the callers may have seen the resets 0.2 s later than they were sent; the soak couldn't tell.

A task of the soak notes each time at which it was late by 30 ms or more. Reports of cut calls say when the call had reached its entry and for how long the soak was late from then to the end. No judge uses it.

--- a/soak/lost_judge.py
+++ b/soak/lost_judge.py
@@ -284,7 +284,9 @@
         return (
             f"{call.description} ({entry}) {call.ending} after {self._seconds(call):.2f} s and"
             f" {call.received_bytes} bytes, sent at {call.sent_at:.2f}, passed on to"
-            f" {sorted(history.runners)}, runs {runs}, {work}"
+            f" {sorted(history.runners)}, runs {runs}, {work}, reached its entry after"
+            f" {call.reached_entry_at - call.sent_at:.2f} s, then the soak was late for"
+            f" {call.late_seconds:.2f} s"
         )
 
 
--- a/soak/seed_judges.py
+++ b/soak/seed_judges.py
@@ -84,6 +84,7 @@
         if call.was_cut and call.entry in passed_on_at:
             at = passed_on_at[call.entry].get(call.port, float("-inf"))
             call.reached_entry_at = at if at >= call.sent_at else float("inf")
+            call.late_seconds = site.lateness.seconds_within(call.reached_entry_at, call.ended_at)
 
 
 def _set_limits(site: Site, calls: list[Call]) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -23,6 +23,7 @@
 from soak.connection_judge import Readiness
 from soak.desired_history import DesiredHistory
 from soak.disturbances import Disturbances, PlannedKind
+from soak.lateness import Lateness
 from soak.pauses import Pauses
 from soak.proxy import Proxy
 from soak.runner import RunnerSpec
@@ -123,7 +124,8 @@
     that were checked, and `entry_started_at` holds the start times of each entry. `disturbances`
     are those that the soak has caused.
     `runner_ended_at` holds when the process of an incarnation of a runner, (id, born), ended,
-    `desired_history` the desired states that the store took, `readiness` what the entries answered.
+    `desired_history` the desired states that the store took, `readiness` what the entries answered,
+    `lateness` when the soak itself was late.
     """
 
     folder: Path
@@ -145,6 +147,7 @@
     runner_ended_at: dict[tuple[str, int], float] = field(default_factory=dict)
     desired_history: DesiredHistory = field(default_factory=DesiredHistory)
     readiness: Readiness = field(default_factory=Readiness)
+    lateness: Lateness = field(default_factory=Lateness)
     configuration: Configuration = Configuration(1, ())
     pauses: Pauses = field(default_factory=Pauses)
     _nursery: trio.Nursery | None = None
@@ -153,6 +156,7 @@
         """Start the store, the runners and the entries in the order in which the platform does."""
         self._nursery = nursery
         self.peer_ports = [free_port() for _ in range(self.entry_count)]
+        nursery.start_soon(self.lateness.run)
         await nursery.start(serve, self.store_port, self.store.handle)
         for domain in "ab":
             for number in range(4):
