Wait for orders as long as the loads of all domains make them take

After a loss of all upstreams of a model, callers were refused for want of a path for 18.7 s, although every upstream was back after 0.6 s. Layers that were loaded again were dropped once more before any path was complete.

Cause: a plan's orders count as pending for as long as their loads may take, and only the plan's own loads counted as concurrent. The loads of all domains share one store: with three domains loading at once, 55 of 164 accepted orders showed later than their bound (58 of 153 in a second log, none never). The planner then took the ranges for not held and gave upstreams that were still loading other ones. 136 of 342 orders were refused by busy upstreams; a refused plan moved the next ones.

Change: the deadline of a pending order follows the number of all loads in progress, those of earlier plans and of other domains included; a later plan lengthens the earlier deadlines. Once a row shows an ordered range, its load no longer counts, and layers that it drops are waited for as before.

Scenario: two domains and three domains of empty upstreams load from one store. Before: 19 and 112 orders reached a loading upstream; now none, and each domain is whole within the same bound. The mutant loads-count-as-alone is caught by it.

What it costs: an order that an upstream accepts and drops is noticed later while many others load.

--- a/deckcourse/layers/healer.py
+++ b/deckcourse/layers/healer.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from random import Random
+from typing import Self
 
 import trio
 
@@ -63,12 +64,29 @@
     """An ordered range, pending until the deadline or until the row shows it.
 
     With `busy`, it is the range of an upstream that accepts no order before the deadline.
+    `load_seconds` is how long its load takes alone, 0 if none is in progress; `slowdown` is the
+    factor by which concurrent loads make it longer, which the deadline contains.
     """
 
     first: int
     end: int
     deadline: float
     busy: bool = False
+    load_seconds: float = 0.0
+    slowdown: float = 1.0
+
+    def slowed_to(self, slowdown: float) -> Self:
+        """Return the same with a deadline for a larger slowdown."""
+        if slowdown <= self.slowdown or not self.load_seconds:
+            return self
+        added_seconds = self.load_seconds * (slowdown - self.slowdown)
+        return replace(self, deadline=self.deadline + added_seconds, slowdown=slowdown)
+
+    def loaded_at(self, now: float) -> Self:
+        """Return the same after its load: layers that it drops are released soon."""
+        return replace(
+            self, deadline=min(self.deadline, now + MAX_STREAM_SECONDS), load_seconds=0.0
+        )
 
 
 @dataclass(frozen=True)
@@ -220,6 +238,8 @@
             holds_range = row is not None and (row.first, row.end) == (pending.first, pending.end)
             if (holds_range and not pending.busy) or row is None or now >= pending.deadline:
                 del self._pending[instance]
+            elif holds_range and pending.load_seconds:
+                self._pending[instance] = pending.loaded_at(now)
 
     async def _plan(self, model: ModelSpec, group: Group, now: float) -> None:
         pending = {name: (each.first, each.end) for name, each in self._pending.items()}
@@ -312,19 +332,24 @@
         self._improve_after[group] = trio.current_time() + IMPROVEMENT_COOLDOWN_SECONDS
 
     def _mark_pending(self, model: ModelSpec, record: PlanRecord) -> None:
-        """Mark a plan's orders as pending, for as long as they may take."""
+        """Mark a plan's orders as pending, for as long as they may take.
+
+        The loads of all groups slow each other down, those of earlier plans included.
+        """
         now = trio.current_time()
-        slowdown = max(1, len(record.assignments) / max(1, model.parallel_loads))
         for each in record.assignments:
             row = self._upstreams.get(each.instance)
             if row is None:
                 continue
             held, ordered = set(range(row.first, row.end)), set(range(each.first, each.end))
-            seconds = model.load_seconds * len(ordered - held) / model.layers * slowdown
+            seconds = model.load_seconds * len(ordered - held) / model.layers
             # An upstream that drops layers accepts no order until the streams on them end.
             busy = bool(held - ordered) and not each.at_once
-            seconds += MAX_STREAM_SECONDS if busy else MAX_ROW_LAG_SECONDS
-            self._pending[each.instance] = _Pending(each.first, each.end, now + seconds, busy)
+            deadline = now + seconds + (MAX_STREAM_SECONDS if busy else MAX_ROW_LAG_SECONDS)
+            self._pending[each.instance] = _Pending(each.first, each.end, deadline, busy, seconds)
+        loads = sum(each.load_seconds > 0.0 for each in self._pending.values())
+        slowdown = loads / max(1, model.parallel_loads)
+        self._pending = {name: each.slowed_to(slowdown) for name, each in self._pending.items()}
 
     async def _order_all(
         self, group: Group, record: PlanRecord, deadline: float
--- a/features/healer_standins.py
+++ b/features/healer_standins.py
@@ -1,5 +1,7 @@
 """Stand-ins for the collaborators of a healer: tables, and upstreams that accept orders."""
 
+from collections import Counter
+
 import trio
 from returns.result import Failure
 
@@ -154,3 +156,50 @@
         busy = self._is_loading(name, trio.current_time() - self.REPORT_LAG_SECONDS)
         held = (0, 0) if busy else self._ranges[name]
         return LayerReport(self._orders[name], held, busy)
+
+
+class SharedStoreUpstreams:
+    """In-memory upstreams that load their layers from one store.
+
+    Beyond `model.parallel_loads` loads at a time each takes longer in proportion. An order
+    conflicts while another is in progress; `conflicts` counts these.
+    """
+
+    TICK_SECONDS = 0.02
+
+    def __init__(self, model, on_range_changed):
+        self.model = model
+        self.conflicts = 0
+        self._on_range_changed = on_range_changed
+        self._ranges = {}
+        self._orders = Counter()
+        # The range and the remaining seconds, if it ran alone, of each load in progress.
+        self._loads = {}
+
+    async def run(self):
+        while True:
+            await trio.sleep(self.TICK_SECONDS)
+            rate = min(1.0, self.model.parallel_loads / max(1, len(self._loads)))
+            for name, (held, seconds) in list(self._loads.items()):
+                self._loads[name] = held, seconds - rate * self.TICK_SECONDS
+                if self._loads[name][1] <= 0.0:
+                    del self._loads[name]
+                    self._ranges[name] = held
+                    self._on_range_changed(name, *held)
+
+    async def place(self, upstream, assignment, orders):
+        name = upstream.instance
+        if name in self._loads or orders != self._orders[name]:
+            self.conflicts += 1
+            return OrderResult.CONFLICT
+        wanted = range(assignment.first, assignment.end)
+        missing = len(set(wanted) - set(range(*self._ranges.get(name, (0, 0)))))
+        seconds = self.model.load_seconds * missing / self.model.layers
+        self._loads[name] = (wanted.start, wanted.stop), seconds
+        self._orders[name] += 1
+        return OrderResult.ACCEPTED
+
+    async def layer_report(self, upstream):
+        name = upstream.instance
+        held = self._ranges.get(name, (0, 0))
+        return LayerReport(self._orders[name], held, name in self._loads)
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -151,3 +151,16 @@
   Scenario: An upstream that is busy gets no further order during a cooldown
     Given a process whose orders are answered with a conflict
     Then it sends at most 24 orders in 2.8 seconds
+
+  # Guards against plans that give loading upstreams other layers, since the loads of other domains
+  # were not taken into account.
+  Scenario Outline: Upstreams get no order while the loads of other domains slow theirs down: <count>
+    Given <count> domains of empty upstreams that load from one store
+    When processes place the model for 20 seconds
+    Then each domain is whole within <seconds> seconds and no order reached a loading upstream
+
+    Examples:
+      | count | seconds |
+      | 1     | 6       |
+      | 2     | 9       |
+      | 3     | 12      |
--- a/features/mutants_layers.py
+++ b/features/mutants_layers.py
@@ -1,5 +1,6 @@
 """Mutants of the checks on orders to upstreams and of the answer timeouts."""
 
+import deckcourse.layers.healer as healer_module
 import deckcourse.layers.orders as orders_module
 from deckcourse.decisions.answer_times import AnswerTimes
 
@@ -16,6 +17,10 @@
     AnswerTimes.timeout = lambda self, base_seconds, now: base_seconds
 
 
+def loads_count_as_alone():
+    healer_module._Pending.slowed_to = lambda self, slowdown: self
+
+
 EVERY = {
     orders_skip_report_check: (
         "an order is checked against its upstream's report",
@@ -29,4 +34,8 @@
         "answer timeouts follow recent answer times",
         ("busy_upstreams",),
     ),
+    loads_count_as_alone: (
+        "loads of all domains lengthen the wait for an order",
+        ("layers",),
+    ),
 }
--- a/features/steps/healer_steps.py
+++ b/features/steps/healer_steps.py
@@ -4,13 +4,20 @@
 
 import trio
 from behave import given, then, when
-from healer_standins import CountingOrderer, NotifyingTable, SilentOrderer, SlowTable
+from healer_standins import (
+    CountingOrderer,
+    NotifyingTable,
+    SharedStoreUpstreams,
+    SilentOrderer,
+    SlowTable,
+)
 from layer_world import LAYER_MB, model_of
 from returns.result import Success
 from trio.testing import MockClock
 
 from deckcourse.gateway.upstream import Upstream
 from deckcourse.gateway.upstreams import UpstreamTable
+from deckcourse.layer_bench import DOMAINS, MODEL
 from deckcourse.layers.healer import CHECK_INTERVAL_SECONDS, TURN_SECONDS, Healer
 from deckcourse.layers.orders import OrderResult
 from deckcourse.layers.plan_book import ClaimLost, ClaimUnanswered, PlanBook, PlanWon
@@ -184,3 +191,66 @@
 def few_claims(context, seconds, max_claims):
     assert context.ordered_at is not None and context.ordered_at <= seconds, context.ordered_at
     assert 0 < context.plan_table.claims <= max_claims, context.plan_table.claims
+
+
+@given("{count:d} domains of empty upstreams that load from one store")
+def domains_load(context, count):
+    context.domains = DOMAINS[:count]
+
+
+@when("processes place the model for {seconds:d} seconds")
+def model_placed(context, seconds):
+    """Run two processes that know of each other's plans."""
+    plan_table = NotifyingTable(0.1)
+    tables = [UpstreamTable(trio.current_time) for _ in range(2)]
+    kinds = {
+        f"{domain}-{index}": (f"d{domain}", kind)
+        for domain, domain_kinds in enumerate(context.domains)
+        for index, kind in enumerate(domain_kinds)
+    }
+    context.held = {}
+    context.whole_at = {}
+
+    def put_row(name, first, end):
+        domain, kind = kinds[name]
+        context.held[name] = first, end
+        for each in tables:
+            each.put(Upstream(name, "s", name, domain, kind=kind, first=first, end=end))
+        layers = {
+            layer
+            for other, held in context.held.items()
+            if kinds[other][0] == domain
+            for layer in range(*held)
+        }
+        if len(layers) == MODEL.layers:
+            context.whole_at.setdefault(domain, trio.current_time() - context.began_at)
+
+    context.upstreams = SharedStoreUpstreams(MODEL, put_row)
+
+    async def run():
+        context.began_at = trio.current_time()
+        for name in kinds:
+            put_row(name, 0, 0)
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                plan_table.nursery = nursery
+                nursery.start_soon(context.upstreams.run)
+                for turn, upstreams in enumerate(tables):
+                    book = PlanBook(plan_table, f"p{turn}")
+                    healer = Healer(
+                        "s", upstreams, book, context.upstreams, Random(turn),
+                        lambda *_, **__: None, lambda group, turn=turn: turn,
+                    )  # fmt: skip
+                    plan_table.listeners.append((book, healer, MODEL))
+                    nursery.start_soon(healer.run, lambda: MODEL, lambda: True)
+
+    trio._core._run._r.seed(0)
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+@then("each domain is whole within {seconds:g} seconds and no order reached a loading upstream")
+def whole_without_conflicts(context, seconds):
+    seen = context.whole_at, context.upstreams.conflicts
+    assert len(context.whole_at) == len(context.domains), seen
+    assert max(context.whole_at.values()) <= seconds, seen
+    assert context.upstreams.conflicts == 0, seen
