Soak: one table of what a kind excuses for the judge of another one

Where the judge of ended streams plays stood as a set of kinds beside the calls of all judges, and its excuse was passed by hand.

Nothing is judged otherwise than before: the only judge with a condition plays beside planned work and changes as before, and no excuse was added. Alone and beside changes it is no longer passed the excuse of the end of a stop, which could not apply there, since no entry is stopped. Judges of waves, partitions and endless answers beside kills and stops still report what these have ended.

--- a/features/soak_kinds.feature
+++ b/features/soak_kinds.feature
@@ -20,3 +20,18 @@
       | --only partitions --only kept-wave --entries 1 1 | partitions and kept-wave: compares entries               |
       | --only unknown 1                                | invalid choice: 'unknown'                                |
     Then each is rejected with its error
+
+  # Guards against a judge that reports what another kind has done, and against one that is off
+  # beside a kind that is no fault.
+  Scenario: The judge of ended streams plays beside planned work alone, and excuses the end of a stop
+    Then beside these kinds a judge plays and excuses
+      | judge          | kinds                            | excuses       |
+      | silent-runners | silent-runners                   | nothing       |
+      | silent-runners | silent-runners, planned          | last_of_grace |
+      | silent-runners | silent-runners, changes          | nothing       |
+      | silent-runners | silent-runners, changes, planned | last_of_grace |
+      | silent-runners | silent-runners, runner           | not played    |
+      | silent-runners | silent-runners, planned, odd     | not played    |
+      | partitions     | partitions, entry                | nothing       |
+      | wave           | wave, planned                    | nothing       |
+      | unending       | unending, entry, odd             | nothing       |
--- a/features/steps/soak_kind_steps.py
+++ b/features/steps/soak_kind_steps.py
@@ -12,6 +12,7 @@
 from dry_site import DrySite, play_dry
 
 from soak.callers import Callers
+from soak.excuses import excuses_beside
 from soak.kinds import KINDS, Play, needs_of
 from soak.seed_judges import find_violations
 from soak.seed_play import Options, make_site
@@ -97,3 +98,12 @@
 def check_rejected(context):
     for arguments, error, done in context.rejected:
         assert done.returncode == 2 and error in done.stderr, (arguments, done.stderr)
+
+
+@then("beside these kinds a judge plays and excuses")
+def check_excuses(context):
+    for row in context.table:
+        found = excuses_beside(row["judge"], row["kinds"].split(", "))
+        names = sorted(each.name.lower() for each in found or ())
+        text = "not played" if found is None else ", ".join(names) or "nothing"
+        assert text == row["excuses"], (row["kinds"], text)
--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -92,10 +92,10 @@
             return self.callers.random
         return self._randoms.setdefault(sequence, Random(f"{sequence} of {self.seed}"))
 
-    def make_troubles(self) -> list[tuple["Kind", Trouble]]:
-        """Make the trouble of all kinds that are played."""
-        kinds = _played(self.names)
-        return [(kind, kind.make(self)) for kind in {each.make: each for each in kinds}.values()]
+    def make_troubles(self) -> list[tuple[str, Trouble]]:
+        """Make the trouble of all kinds that are played, each with the name of one of its kinds."""
+        makers = {KINDS[name].make: name for name in played_names(self.names)}
+        return [(name, make(self)) for make, name in makers.items()]
 
     def make_crash_restarts(self) -> Trouble:
         """Make what restarts the runners that requests have crashed."""
@@ -233,16 +233,17 @@
 }
 
 
-def _played(names: Iterable[str]) -> list[Kind]:
+def played_names(names: Iterable[str]) -> list[str]:
+    """Return the names of the kinds that are played, in the order of the table."""
     chosen = set(names)
     return [
-        kind for name, kind in KINDS.items() if name in chosen or (not chosen and kind.is_usual)
+        name for name, kind in KINDS.items() if name in chosen or (not chosen and kind.is_usual)
     ]
 
 
 def needs_of(names: Iterable[str]) -> Needs:
     """Return what the kinds need together."""
-    needs = [each.needs for each in _played(names)]
+    needs = [KINDS[name].needs for name in played_names(names)]
     return Needs(
         max(each.plain_slots for each in needs),
         max(each.revocation_seconds for each in needs),
@@ -260,8 +261,11 @@
     return ""
 
 
-def calls_of(troubles: Iterable[tuple[Kind, Trouble]], *groups: CallGroup) -> list[Call]:
+def calls_of(troubles: Iterable[tuple[str, Trouble]], *groups: CallGroup) -> list[Call]:
     """Return the calls that trouble of some groups has sent itself."""
     return [
-        call for kind, trouble in troubles if kind.call_group in groups for call in trouble.calls
+        call
+        for name, trouble in troubles
+        if KINDS[name].call_group in groups
+        for call in trouble.calls
     ]
--- a/soak/seed_judges.py
+++ b/soak/seed_judges.py
@@ -11,30 +11,27 @@
 from soak.call_checks import check_calls, check_fault_calls
 from soak.calls import Call, Ending
 from soak.configuration import MIN_TIMEOUT_SECONDS
-from soak.kinds import CallGroup, Kind, Play, calls_of
+from soak.excuses import Excuse, excuses_beside
+from soak.kinds import CallGroup, Play, calls_of
 from soak.lost_judge import LostJudge, histories
 from soak.notice_judge import NoticeJudge
 from soak.rate_judge import RateJudge
 from soak.rule_judges import RuleJudges
-from soak.silent_runner_faults import SilentRunnerFaults
 from soak.site import STOP_GRACE_SECONDS, Site
 from soak.state_judges import StateJudges
 from soak.trouble import Trouble
 
 __all__ = ["find_violations"]
 
-# Beside silent runners, the kinds that are no faults.
-SILENCE_AND_PLANNED_KINDS = {"silent-runners", "planned", "changes"}
-
 
 def find_violations(
-    play: Play, troubles: Sequence[tuple[Kind, Trouble]], checked_from: float
+    play: Play, troubles: Sequence[tuple[str, Trouble]], checked_from: float
 ) -> list[str]:
     """Return the broken promises of a seed.
 
     Args:
       play: the seed's site and its callers.
-      troubles: the trouble of each kind that was played.
+      troubles: the trouble that was made, by a kind of its own.
       checked_from: from when on the site must have recovered, on trio's clock.
     """
     site, calls, interruptions = play.site, play.callers.calls, play.interruptions
@@ -46,11 +43,7 @@
     violations = NoticeJudge(site, calls, interruptions).find_violations()
     violations += RateJudge(site, calls, interruptions).find_violations()
     violations += AdmissionJudge(site, calls).find_violations()
-    for _, trouble in troubles:
-        if not isinstance(trouble, SilentRunnerFaults):
-            violations += trouble.find_violations(calls)
-        elif set(play.names) <= SILENCE_AND_PLANNED_KINDS:
-            violations += trouble.find_violations(calls, lost_judge.was_last_of_grace)
+    violations += _find_by_kinds(play, troubles, lost_judge)
     violations += BudgetJudge(site, common_calls).find_violations()
     violations += _find_lost(site, lost_judge)
     violations += _find_over_bound(site, common_calls)
@@ -63,6 +56,20 @@
     return site.violations + violations + check_calls(site, play.callers, checked_from)
 
 
+def _find_by_kinds(
+    play: Play, troubles: Sequence[tuple[str, Trouble]], lost_judge: LostJudge
+) -> list[str]:
+    """Return what the judges of single kinds find."""
+    violations = []
+    for name, trouble in troubles:
+        excuses = excuses_beside(name, play.names)
+        if excuses == frozenset():
+            violations += trouble.find_violations(play.callers.calls)
+        elif excuses == {Excuse.LAST_OF_GRACE}:
+            violations += trouble.find_violations(play.callers.calls, lost_judge.was_last_of_grace)
+    return violations
+
+
 def _mark_refused(site: Site, calls: list[Call]) -> None:
     """Mark the calls that a proxy ended, since its entry took no connection."""
     refused_at = {each.caller_proxy.address: each.caller_proxy.refused_at for each in site.entries}
--- a/soak/silent_runner_faults.py
+++ b/soak/silent_runner_faults.py
@@ -154,15 +154,15 @@
             await trio.sleep(seconds)
 
     def find_violations(
-        self, calls: Sequence[Call], may_have_ended: Callable[[Call], bool] = lambda call: False
+        self, calls: Sequence[Call], is_excused: Callable[[Call], bool] = lambda call: False
     ) -> list[str]:
         """Return the streams that were ended although nothing but silence occurred.
 
-        It applies only if no other faults are played, beside planned work.
+        `soak/excuses.py` tells beside which kinds it applies.
 
         Args:
           calls: the calls of all callers.
-          may_have_ended: whether planned work is a reason to end a call's answer.
+          is_excused: whether planned work is a reason to end a call's answer.
         """
         passed_on = {each["arrived"] for each in self.site.records if "arrived" in each}
         streams = [each for each in calls if each.route in STREAM_ROUTES]
@@ -170,7 +170,7 @@
             each
             for each in streams
             if not _was_allowed_to_end(each)
-            and not may_have_ended(each)
+            and not is_excused(each)
             and (each.request_id in passed_on or each.status)
         ]
         self.site.judged["streams beside silent runners"] = len(streams)
