Refuse what arrives as an entry ends, instead of closing it unread

Callers that sent a request on an open connection in the last second of an entry's stop, or that waited in its accept queue, read a close or a reset. A caller that did not read a large answer kept the process from ending at all. A request that came as its idle connection timed out was reset.

Cause: the loop of the server library closes its listener and all idle connections as soon as it is told to end, with what lies in them, and shields its writes from the cancellation that ends them.

Ruled out: the entry refusing requests too early; those that were read in that second got their 503, though without a close, so that callers sent the next one on a connection about to end.

The library still serves each connection; `HttpServer` has the loop. At the end it accepts what waits, reads the open connections for half of the second in which they close, asks callers to close in each answer, reads an idle connection once more before it is closed, and lets the kernel take the rest of whole answers, as the gateway does. What is left is closed at the end of that second.

Evidence: features/entry_stops.feature, on loopback: before, 9 of the 9 new examples red: 2 read nothing, 20 callers in the accept queue got resets, the stop beside an unread answer had not ended after 6 s, and of 12 requests in idle connections 12 were closed or reset; 4 lacked only the close. Two mutants make them red.

--- a/deckcourse/asgi.py
+++ b/deckcourse/asgi.py
@@ -8,7 +8,8 @@
 import msgspec
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve as hypercorn_serve
+
+from deckcourse.http_server import HttpServer
 
 __all__ = [
     "App",
@@ -28,7 +29,6 @@
 JSON_TYPE = b"application/json"
 LARGEST_HEADERS = 64 * 1024
 KEEPALIVE_SECONDS = 30.0
-BACKLOG = 1024
 
 _encode = msgspec.json.Encoder().encode
 
@@ -47,7 +47,14 @@
 class Request:
     """One HTTP request and the way to answer it."""
 
-    def __init__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    def __init__(
+        self,
+        scope: dict[str, Any],
+        receive: Receive,
+        send: Send,
+        closing: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._closing = closing
         self._scope = scope
         self.receive = receive
         self._send = send
@@ -91,6 +98,8 @@
           message: a part as ASGI has it.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
+        if message["type"] == "http.response.start" and self._closing():
+            message = message | {"headers": [*message["headers"], (b"connection", b"close")]}
         # Behind the last part the library also waits for the application to take in what came, so
         # that this one can be cancelled: what cancels it also ends the connection.
         self._ended = _is_last(message)
@@ -165,6 +174,7 @@
     bind: str,
     shutdown: trio.Event,
     graceful_seconds: float = 0.0,
+    closing: Callable[[], bool] = lambda: False,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application until `shutdown` is set.
@@ -172,48 +182,23 @@
     Args:
       handle: answers one request.
       bind: IP:port; port 0 takes a free one.
-      shutdown: set to stop; streams in flight may then go on for `graceful_seconds`.
+      shutdown: set to stop; requests in flight may then go on for `graceful_seconds`, and for half
+        of it the connections that are open are read.
       graceful_seconds: see `shutdown`.
+      closing: returns whether responses ask the caller to close the connection.
       task_status: started with the bound IP:port.
     """
 
     async def app(scope: dict[str, Any], receive: Receive, send: Send) -> None:
-        if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
-        elif scope["type"] == "http":
+        if scope["type"] == "http":
             # Whoever sent half a request is gone: there is nobody to answer.
             with suppress(SenderGoneError):
-                await handle(Request(scope, receive, send))
+                await handle(Request(scope, receive, send, closing))
 
     config = Config()
-    config.bind = [bind]
-    config.graceful_timeout = graceful_seconds
     config.keep_alive_timeout = KEEPALIVE_SECONDS
     config.h11_max_incomplete_size = LARGEST_HEADERS
-    config.backlog = BACKLOG
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
-    async with trio.open_nursery() as nursery:
-        bound = await nursery.start(_serve, app, config, shutdown)
-        task_status.started(bound)
-
-
-async def _serve(app: App, config: Config, shutdown: trio.Event, task_status) -> None:
-    class Started:
-        """Passes the bound address on without its scheme."""
-
-        def started(self, binds: list[str]) -> None:
-            task_status.started(binds[0].removeprefix("http://"))
-
-    await hypercorn_serve(
-        app, config, shutdown_trigger=shutdown.wait, mode="asgi", task_status=Started()
-    )
-
-
-async def _lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
+    await HttpServer(app, config, bind).run(shutdown, graceful_seconds, task_status)
--- a/deckcourse/entry_server.py
+++ b/deckcourse/entry_server.py
@@ -47,7 +47,9 @@
             nursery.start_soon(listener.run, self._entry.node.gossip.answer)
             nursery.start_soon(self._entry.run)
             app = EntryApp(self._entry, self._limits)
-            bound = await nursery.start(serve, app, self._listen, shutdown, CLOSE_SECONDS)
+            bound = await nursery.start(
+                serve, app, self._listen, shutdown, CLOSE_SECONDS, lambda: self._entry.node.stopping
+            )
             task_status.started(bound)
             await self._stop.wait()
             await self._drain()
--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -4,7 +4,7 @@
 from contextlib import nullcontext, suppress
 from dataclasses import dataclass, replace
 from functools import partial
-from socket import IPPROTO_TCP, SO_SNDBUF, SOL_SOCKET, TCP_NOTSENT_LOWAT, socket
+from socket import socket
 
 import trio
 
@@ -17,7 +17,7 @@
 from deckcourse.http1.message import IncomingRequest
 from deckcourse.http1.pieces import PieceLane
 from deckcourse.http1.server import Exchange, Handler, serve_connection
-from deckcourse.listener import Listener, reset, seconds_since_received
+from deckcourse.listener import Listener, enlarge_send_buffer, reset, seconds_since_received
 from deckcourse.peers.handover_message import MAX_ENVELOPE_BYTES
 from deckcourse.settings import Address, GatewaySettings
 
@@ -40,9 +40,6 @@
 # The least turns of the event loop for these refusals: each takes some five from the accept to the
 # close, which may last longer than that time in a late process.
 MIN_LAST_TURNS = 10
-# Bytes of each connection that the kernel takes from a process that ends, up to its own maximum:
-# what it has reaches the caller after the process has ended.
-LAST_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 # Interval between two checks whether all requests have ended.
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 # A connection is closed unread only within this share of the time after which its request counts as
@@ -161,12 +158,7 @@
     def _enlarge_send_buffers(self) -> None:
         """Let the kernel take the rest of answers that are whole here and read slowly."""
         for stream in self._streams:
-            if not isinstance(stream, trio.SocketStream):  # It is in memory.
-                continue
-            with suppress(OSError):  # The connection may be closed.
-                stream.setsockopt(SOL_SOCKET, SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
-                # trio lets the kernel take little that it hasn't sent.
-                stream.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, LAST_SEND_BUFFER_BYTES)
+            enlarge_send_buffer(stream)
 
     async def _refuse_last(self, nursery: trio.Nursery) -> None:
         """Close the listeners, refuse the requests that arrived before, and wait for all others."""
--- a/deckcourse/listener.py
+++ b/deckcourse/listener.py
@@ -14,7 +14,13 @@
 
 from deckcourse.settings import Address
 
-__all__ = ["RESET_ON_CLOSE", "Listener", "reset", "seconds_since_received"]
+__all__ = [
+    "RESET_ON_CLOSE",
+    "Listener",
+    "enlarge_send_buffer",
+    "reset",
+    "seconds_since_received",
+]
 
 # Of the kernel's `struct tcp_info` (tcp(7)): the size of the segments that are sent, which is never
 # 0, and the milliseconds since the latest data were received.
@@ -23,6 +29,9 @@
 MAX_ACCEPTED_AT_ONCE = 64
 # SO_LINGER value that makes a close send a reset: on, with a linger time of 0.
 RESET_ON_CLOSE = pack("ii", 1, 0)
+# Bytes of each connection that the kernel takes from a process that ends, up to its own maximum:
+# what it has reaches the caller after the process has ended.
+LAST_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 
 
 class Listener:
@@ -38,7 +47,9 @@
 
     def __init__(self, address: Address, backlog: int) -> None:
         host, _, port = address.rpartition(":")
-        self._socket = socket.create_server((host, int(port)), backlog=backlog)
+        host = host.strip("[]")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.create_server((host, int(port)), family=family, backlog=backlog)
         self._socket.setblocking(False)
         # When the queue was last found empty, and that time as of the last accept.
         self._empty_at = self._arrived_after = trio.current_time()
@@ -129,3 +140,13 @@
     with suppress(OSError):  # The peer may have reset it already.
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     connection.close()
+
+
+def enlarge_send_buffer(stream: trio.abc.Stream) -> None:
+    """Let the kernel take the rest of an answer that is whole here and read slowly."""
+    if not isinstance(stream, trio.SocketStream):  # It is in memory.
+        return
+    with suppress(OSError):  # The connection may be closed.
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
+        # trio lets the kernel take little that it hasn't sent.
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, LAST_SEND_BUFFER_BYTES)
--- a/features/entry_stop_world.py
+++ b/features/entry_stop_world.py
@@ -1,15 +1,18 @@
 """A small site whose entry can be stopped, and requests that do not end by themselves."""
 
 import math
+import time
 
 import h11
 import msgspec
 import trio
-from loopback_entry import connect, events_of
+from loopback_entry import StubEntry, connect, events_of, listening, whole_answer
+from server_world import Caller, run_late
 
+from deckcourse import asgi
 from deckcourse.admission import Admission
 from deckcourse.entry import Entry
-from deckcourse.entry_app import CallerLimits
+from deckcourse.entry_app import CallerLimits, EntryApp
 from deckcourse.entry_server import EntryServer
 from deckcourse.gossip import ENTRY_ROLE
 from deckcourse.porcelain import Operator, confirm_plan, hash_key, state_intent
@@ -26,7 +29,11 @@
 TOKENS = 400
 # How long a request takes to come to where it stays.
 SETTLE_SECONDS = 0.4
-LONGEST_READ_SECONDS = 10.0
+LONGEST_READ_SECONDS = 6.0
+SMALL_BUFFER_BYTES = 4096
+HEALTH_REQUEST = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
+IDLE_SECONDS = 0.3
+LATE_TURN_SECONDS = 0.03
 
 
 class PartAdmission(Admission):
@@ -38,6 +45,20 @@
         return await super().enter(request)
 
 
+class WatchedEntry(Entry):
+    """An entry that calls `on_drained` in the turn in which its stop finds nothing unfinished."""
+
+    on_drained = None
+
+    @property
+    def unfinished(self):
+        count = super().unfinished
+        if not count and self.on_drained is not None and self.node.stopping:
+            step, self.on_drained = self.on_drained, None
+            step()
+        return count
+
+
 class StoppableSite(Site):
     """A site whose entry ends when it is stopped; `ended_at` says when.
 
@@ -52,7 +73,8 @@
         self.ended_at = math.inf
 
     async def _start_entry(self, platform, peer, nursery):
-        self.entry = Entry(self._node(ENTRY_ROLE, platform, peer), new_admission=PartAdmission)
+        node = self._node(ENTRY_ROLE, platform, peer)
+        self.entry = WatchedEntry(node, new_admission=PartAdmission)
         limits = CallerLimits()
         self.server = EntryServer(self.entry, limits, "127.0.0.1:0", 0.0, self.longest_stop)
         self.entry_address = await nursery.start(self._run_entry)
@@ -157,6 +179,77 @@
     return f"{head.status_code} {outcome} {reason}".strip()
 
 
+async def stop_to_end(site):
+    """Stop the entry; return how long that took, seconds."""
+    stopped_at = trio.current_time()
+    site.server.stop()
+    with trio.move_on_after(LONGEST_READ_SECONDS):
+        await until(lambda: site.ended_at < math.inf)
+    return site.ended_at - stopped_at
+
+
+async def read_at_end(site, size):
+    """Stop the entry with an answer that its caller doesn't read until the end.
+
+    Returns:
+      What the caller then reads, and how long the stop took, seconds.
+    """
+    caller = Caller(site.entry_address, SMALL_BUFFER_BYTES)
+    caller.send(request_bytes(f"/services/{SERVICE_NAME}/go", bytes(size)))
+    await trio.sleep(SETTLE_SECONDS)
+    seconds = await stop_to_end(site)
+    return await trio.to_thread.run_sync(caller.read), seconds
+
+
+async def arrive_at_end(site, connection, after, late):
+    """Stop the entry; a caller sends a call some time after its last request.
+
+    Args:
+      site: the site.
+      connection: what the caller has before.
+      after: when it sends, seconds after the turn in which nothing is unfinished.
+      late: whether each turn of the entry's event loop then lasts for long.
+
+    Returns:
+      What the caller reads, and how long the stop took, seconds.
+    """
+    callers = []
+    if connection.endswith("connection") and connection != "no connection":
+        callers.append(Caller(site.entry_address))
+    if connection == "a served connection":
+        callers[0].send(call())
+        await trio.sleep(SETTLE_SECONDS)
+        callers[0].discard()
+    await trio.sleep(SETTLE_SECONDS)
+
+    def send():
+        count = int(connection.split()[0]) + 1 if connection.endswith("others") else 1
+        while len(callers) < count:
+            callers.append(Caller(site.entry_address))
+        for each in callers:
+            each.send(call())
+
+    async def send_later():
+        await trio.sleep(after)
+        send()
+
+    async with trio.open_nursery() as nursery:
+
+        def on_drained():
+            if after:
+                nursery.start_soon(send_later)
+            else:
+                send()
+            if late:
+                nursery.start_soon(run_late, LATE_TURN_SECONDS)
+
+        site.entry.on_drained = on_drained
+        seconds = await stop_to_end(site)
+        nursery.cancel_scope.cancel()
+    answers = {await trio.to_thread.run_sync(each.read) for each in callers}
+    return answers, seconds
+
+
 async def play_stop(site, requests):
     """Stop the entry beside requests.
 
@@ -181,24 +274,38 @@
             if name in SENT:
                 nursery.start_soon(ask, name, SENT[name])
         await trio.sleep(SETTLE_SECONDS)
-        stopped_at = trio.current_time()
-        site.server.stop()
         nursery.cancel_scope.deadline = trio.current_time() + LONGEST_READ_SECONDS
-    with trio.move_on_after(LONGEST_READ_SECONDS):
-        await until(lambda: site.ended_at < math.inf)
-    return got, site.ended_at - stopped_at
+        seconds = await stop_to_end(site)
+    return got, seconds
 
 
-def run_stop(longest_stop, requests):
-    """Return what `play_stop` returns, of a site of its own."""
+def on_a_site(longest_stop, play, *arguments):
+    """Return what an async function returns that plays on a configured site of its own."""
 
     async def work():
         site = StoppableSite(longest_stop)
         async with trio.open_nursery() as nursery:
             await nursery.start(site.run)
             await site.configure()
-            result = await play_stop(site, requests)
+            result = await play(site, *arguments)
             nursery.cancel_scope.cancel()
         return result
 
     return trio.run(work)
+
+
+async def send_at_idle_timeout(count):
+    """Return what callers with idle connections to an entry read who send as these time out."""
+    async with listening(EntryApp(StubEntry(whole_answer))) as bound:
+        callers = [Caller(bound) for _ in range(count)]
+        for each in callers:
+            each.send(HEALTH_REQUEST)
+        await trio.sleep(asgi.KEEPALIVE_SECONDS / 2)
+        for each in callers:
+            each.discard()
+        # The timeouts pass and the requests come in the same turn.
+        time.sleep(asgi.KEEPALIVE_SECONDS)
+        for each in callers:
+            each.send(HEALTH_REQUEST)
+        await trio.sleep(2 * asgi.KEEPALIVE_SECONDS)
+        return [await trio.to_thread.run_sync(each.read) for each in callers]
--- a/features/entry_stops.feature
+++ b/features/entry_stops.feature
@@ -17,3 +17,32 @@
       | half of a body                             | 503 not-run stopping                |
     Then each caller gets what the table says
     And the entry ends at most 2.3 s after it was stopped
+
+  # Guards against connections that the end of a stop closes with a request in them.
+  Scenario Outline: A request that arrives as an entry ends is refused: <what>
+    Given a small site whose entry has 1 s to stop
+    When a caller with <connection> sends a call <seconds> s after the last request of the stop
+    Then it gets 503 not-run stopping and a close
+    And the entry ends at most 1.5 s after it was stopped
+
+    Examples:
+      | what                           | connection             | seconds |
+      | on a served connection         | a served connection    | 0       |
+      | the same, a moment later       | a served connection    | 0.2     |
+      | on a fresh connection          | a fresh connection     | 0       |
+      | the same, a moment later       | a fresh connection     | 0.2     |
+      | in the accept queue            | no connection          | 0       |
+      | in the accept queue with others | 20 others             | 0       |
+      | in a late process              | no connection          | 0 late  |
+
+  # Guards against an end that cuts whole answers, and against one that waits for their callers.
+  Scenario: An answer that is whole reaches a caller who reads it after the entry has ended
+    Given a small site whose entry has 1 s to stop
+    When a caller gets an answer of 1000000 bytes and reads it once the entry has ended
+    Then it gets the whole answer of the entry
+    And the entry ends at most 1.5 s after it was stopped
+
+  # Guards against a reset of the request that a caller sends as its idle connection is closed.
+  Scenario: Requests that lie in idle connections are answered as the idle timeout passes
+    When 12 callers send requests in the turn in which the idle timeout of an entry passes
+    Then each of them gets an answer
--- a/features/mutants_stop.py
+++ b/features/mutants_stop.py
@@ -2,12 +2,16 @@
 
 from dataclasses import replace
 
+from hypercorn.trio.tcp_server import TCPServer
+
 import deckcourse.gateway.handover as handover_module
 import deckcourse.gateway.server as server_module
+import deckcourse.http_server as http_server_module
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.gateway.stream_admission import StreamAdmission
 from deckcourse.http1.server import Exchange
+from deckcourse.http_server import HttpServer
 from deckcourse.reasons import UnknownReason
 
 
@@ -43,14 +47,25 @@
     StopBounds.end_all = lambda self: None
 
 
+def an_entry_closes_idle_connections_unread():
+    http_server_module._Connection._idle_timeout = TCPServer._idle_timeout
+
+
+def an_entry_resets_its_accept_queue():
+    HttpServer._accept_last = lambda self, listener, nursery: None
+
+
 def errors_close_connections():
     Exchange.client_gone = property(lambda self: True)
 
 
 STOP = ("stopping_requests",)
 GATEWAY = ("gateway",)
+ENTRY = ("entry_stops",)
 EVERY = {
-    an_entry_stops_without_outcomes: ("an entry's stop ends each request", ("entry_stops",)),
+    an_entry_closes_idle_connections_unread: ("an idle connection is read once more", ENTRY),
+    an_entry_resets_its_accept_queue: ("an entry accepts what waits before it ends", ENTRY),
+    an_entry_stops_without_outcomes: ("an entry's stop ends each request", ENTRY),
     errors_close_connections: ("a request whose handling fails is answered", GATEWAY),
     a_stop_leaves_requests_unanswered: ("a stop ends each request with an outcome", STOP),
     every_exit_takes_as_long: ("a stop cuts nothing before the last part of its time", STOP),
--- a/features/server_world.py
+++ b/features/server_world.py
@@ -51,13 +51,20 @@
 class Caller:
     """A caller with a blocking socket, whose steps take no turn of the event loop."""
 
-    def __init__(self, address):
+    def __init__(self, address, receive_buffer=None):
         host, port = address.split(":")
-        self._socket = socket.create_connection((host, int(port)))
+        self._socket = socket.socket()
+        if receive_buffer is not None:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self._socket.connect((host, int(port)))
 
     def send(self, data=REQUEST):
         self._socket.sendall(data)
 
+    def discard(self):
+        """Read what has arrived."""
+        self._socket.recv(65536)
+
     def read(self):
         """Return what arrives until the end, which is marked if it is a reset."""
         self._socket.settimeout(ANSWER_TIMEOUT_SECONDS)
