--- a/features/soak_kinds.feature
+++ b/features/soak_kinds.feature
@@ -21,6 +21,13 @@
       | --only unknown 1                                | invalid choice: 'unknown'                                |
     Then each is rejected with its error
 
+  # Guards against a drawn play that can't be played, or not again by the command that it names.
+  Scenario: What a seed draws is a play of its own, which the printed command repeats
+    When each of 200 seeds draws 2 and 3 kinds
+    Then each play has so many kinds of different classes, and no conflict
+    And the arguments of each play are read as the same play
+    And all kinds, profiles and numbers of attempts and entries were drawn
+
   # Guards against a judge that reports what another kind has done, and against one that is off
   # beside a kind that is no fault.
   Scenario: The judge of ended streams plays beside planned work alone, and excuses the end of a stop
--- a/features/steps/soak_kind_steps.py
+++ b/features/steps/soak_kind_steps.py
@@ -11,9 +11,12 @@
 from behave import then, when
 from dry_site import DrySite, play_dry
 
+from soak.__main__ import make_parser, read_options
 from soak.callers import Callers
+from soak.draws import ATTEMPTS, ENTRY_COUNTS, draw_options
 from soak.excuses import excuses_beside
-from soak.kinds import KINDS, Play, needs_of
+from soak.kinds import KINDS, Play, find_conflict, needs_of
+from soak.profiles import PROFILES
 from soak.seed_judges import find_violations
 from soak.seed_play import Options, make_site
 
@@ -107,3 +110,33 @@
         names = sorted(each.name.lower() for each in found or ())
         text = "not played" if found is None else ", ".join(names) or "nothing"
         assert text == row["excuses"], (row["kinds"], text)
+
+
+@when("each of {count:d} seeds draws 2 and 3 kinds")
+def draw_plays(context, count):
+    given = Options(8.0)
+    context.plays = [
+        (number, draw_options(seed, number, given)) for seed in range(count) for number in (2, 3)
+    ]
+
+
+@then("each play has so many kinds of different classes, and no conflict")
+def check_drawn(context):
+    for number, options in context.plays:
+        assert len({KINDS[each].make for each in options.only}) == number, options
+        assert not find_conflict(options.only, options.entry_count), options
+
+
+@then("the arguments of each play are read as the same play")
+def check_arguments(context):
+    for _, options in context.plays:
+        assert read_options(make_parser().parse_args([*options.arguments, "1"])) == options, options
+
+
+@then("all kinds, profiles and numbers of attempts and entries were drawn")
+def check_all_drawn(context):
+    plays = [options for _, options in context.plays]
+    assert {name for each in plays for name in each.only} == set(KINDS)
+    assert {each.profile for each in plays} == set(PROFILES)
+    assert {each.attempts for each in plays} == set(ATTEMPTS)
+    assert {each.entry_count for each in plays} == set(ENTRY_COUNTS)
