Soak: shared parts of kinds and judges

- Own requests of kinds: an entry that is ready, the time after which a caller gives up, a connection of their own (`SiteTrouble`, `send_alone`).
- `phase_faults`: phases of refusals and of shortages.
- `CallJudge`: what the four judges hold that compare calls with desired states.
- The table of kinds has a row for each.

Every kind, judge, bound and check is kept.

--- a/features/dry_site.py
+++ b/features/dry_site.py
@@ -89,7 +89,7 @@
 
 # What would open connections, and the modules that use it.
 CALLING_MODULES = (
-    "soak.callers", "soak.deadly_faults", "soak.departure_faults", "soak.early_faults",
+    "soak.callers", "soak.early_faults", "soak.trouble",
     "soak.wave_faults",
 )  # fmt: skip
 SIGNALLING_MODULES = ("soak.faults", "soak.planned_faults")
--- a/soak/added_judge.py
+++ b/soak/added_judge.py
@@ -3,11 +3,11 @@
 The requests on the first routes are those that were sent while callers used the added ones.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
+from soak.call_judge import CallJudge
 from soak.calls import Call
-from soak.contact import Contact
-from soak.desired_history import DesiredHistory
 
 __all__ = ["AddedRoutesJudge"]
 
@@ -17,33 +17,23 @@
 MIN_SERVED_RATIO = 1 / 4
 
 
-class AddedRoutesJudge:
-    """Checks the calls of a seed once it has finished.
+@dataclass
+class AddedRoutesJudge(CallJudge):
+    """The first routes are those of the first state of the history.
 
-    Args:
-      calls: all requests of callers.
-      entries: the name of each entry by its address.
-      history: the desired states of the site; the first routes are those of its first state.
-      contact: tells which entries were in touch.
-      is_calm: whether nothing was disturbed from a time to another.
+    `is_calm` tells whether nothing was disturbed from a time to another.
     """
 
-    def __init__(
-        self,
-        calls: Iterable[Call],
-        entries: Mapping[str, str],
-        history: DesiredHistory,
-        contact: Contact,
-        is_calm: Callable[[float, float], bool],
-    ) -> None:
-        self._history = history
+    is_calm: Callable[[float, float], bool]
+
+    def __post_init__(self) -> None:
         judged = [
             each
-            for each in calls
-            if each.entry in entries
+            for each in self.calls
+            if each.entry in self.entries
             and self._is_proper(each)
-            and is_calm(each.sent_at, self._end(each))
-            and contact.is_in_touch(entries[each.entry], each.sent_at, self._end(each))
+            and self.is_calm(each.sent_at, self._end(each))
+            and self.contact.is_in_touch(self.entries[each.entry], each.sent_at, self._end(each))
         ]
         self.added = [each for each in judged if not self._is_first(each)]
         # Others were sent while the site was in another condition, such as its start.
@@ -66,11 +56,11 @@
         ]
 
     def _is_first(self, call: Call) -> bool:
-        return bool(self._history.versions[0][1].services_of(call.path))
+        return bool(self.history.versions[0][1].services_of(call.path))
 
     def _is_proper(self, call: Call) -> bool:
         """Return whether all states in force allow a call, which its caller didn't give up."""
-        is_allowed = self._history.allows(call.key, call.path, call.sent_at, self._end(call))
+        is_allowed = self.history.allows(call.key, call.path, call.sent_at, self._end(call))
         return is_allowed and not call.has_disconnected
 
     @staticmethod
--- a/soak/deadly_faults.py
+++ b/soak/deadly_faults.py
@@ -2,17 +2,17 @@
 
 import time
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
-from soak.caller_connection import Manner, connect
-from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, request_bytes
+from soak.callers import request_bytes
 from soak.calls import Call
 from soak.deadly import CRASH_BODY_PREFIX, CRASH_EXIT_CODE, CRASH_PART
 from soak.site import RunnerProcess
-from soak.trouble import SiteTrouble
+from soak.trouble import SiteTrouble, send_alone
 
 __all__ = ["CrashFaults", "CrashRestarts", "PartCrashFaults"]
 
@@ -41,18 +41,12 @@
 class CrashFaults(SiteTrouble):
     """Sends crash requests, and checks the result; `calls` has one call for each attempt."""
 
-    _calls: dict[str, Call] = field(default_factory=dict)
-
     async def run(self, until: float) -> None:
         """Send crash requests until a time on trio's clock."""
         async with trio.open_nursery() as nursery:
             for number in range(CRASH_REQUEST_COUNT):
                 nursery.start_soon(self._send_repeatedly, number, until)
 
-    def _add(self, call: Call) -> None:
-        self.calls.append(call)
-        self._calls[call.request_id] = call
-
     async def _send_repeatedly(self, number: int, until: float) -> None:
         route, body = self.random.choice(DRAWN_ROUTES), CRASH_BODY_PREFIX + str(number).encode()
         attempt_count = 0
@@ -61,32 +55,20 @@
             call = Call(
                 f"x{number}r{attempt_count}", route, self.callers.keys[-1], trio.current_time()
             )
-            self._add(call)
-            with trio.move_on_after(DEADLINE_SECONDS + ANSWER_GRACE_SECONDS):
+            with self.own_call(call):
                 await self._send(call, body)
-            call.duration_seconds = trio.current_time() - call.sent_at
-            interval = self.random.uniform(
-                MIN_ATTEMPT_INTERVAL_SECONDS, MAX_ATTEMPT_INTERVAL_SECONDS
+            await trio.sleep(
+                self.random.uniform(MIN_ATTEMPT_INTERVAL_SECONDS, MAX_ATTEMPT_INTERVAL_SECONDS)
             )
-            await trio.sleep(interval)
 
     async def _send(self, call: Call, body: bytes, shared_parts: tuple[str, ...] = ()) -> None:
-        entry = self.random.choice(sorted(self.callers.ready_entries) or self.callers.entries)
-        connection = await connect(entry, small_buffers=False)
-        if connection is None:
-            return
-        try:
-            await connection.send_request(request_bytes(call, body, shared_parts), call, Manner())
-        finally:
-            connection.close()
+        await send_alone(self.draw_entry(), request_bytes(call, body, shared_parts), call)
 
     def find_violations(self, calls: Sequence[Call]) -> list[str]:
         """Return the requests that were still sent to runners after three crashes."""
-        offset = trio.current_time() - time.monotonic()
         runs_by_body: dict[str, list[tuple[float, str]]] = defaultdict(list)
-        for each in self.site.records:
-            if "deadly" in each:
-                runs_by_body[each["deadly"]].append((each["clock"] + offset, each["request"]))
+        for body, *crash in self._crashes("deadly"):
+            runs_by_body[body].append(tuple(crash))
         violations = []
         for body, runs in runs_by_body.items():
             crashes = sorted(runs)
@@ -98,10 +80,19 @@
                 )
         return violations
 
+    def _crashes(self, field_name: str) -> list[tuple[str, float, str]]:
+        """Return the value of a field of the records that have it, when they were, the request."""
+        offset = trio.current_time() - time.monotonic()
+        return [
+            (each[field_name], each["clock"] + offset, each["request"])
+            for each in self.site.records
+            if field_name in each
+        ]
+
     def _is_late(self, run: tuple[float, str], counted_crash_at: float) -> bool:
         """Return whether a request was sent by a process that had to know of the crashes."""
         at, request = run
-        address = self._calls[request].entry
+        address = next(each.entry for each in self.calls if each.request_id == request)
         entry_names = [
             each.name for each in self.site.entries if each.caller_proxy.address == address
         ]
@@ -152,31 +143,22 @@
 
     async def run(self, until: float) -> None:
         """Send such requests until a time on trio's clock."""
-        async with trio.open_nursery() as nursery:
-            while trio.current_time() < until:
-                name = f"y0r{len(self._calls)}"
-                route = self.random.choice(PART_ROUTES)
-                call = Call(name, route, self.callers.keys[-1], trio.current_time())
-                self._add(call)
-                nursery.start_soon(self._send_once, call)
-                interval = self.random.uniform(
-                    MIN_ATTEMPT_INTERVAL_SECONDS, MAX_ATTEMPT_INTERVAL_SECONDS
-                )
-                await trio.sleep(interval)
+        await self.start_repeatedly(
+            until, self._draw_call, MIN_ATTEMPT_INTERVAL_SECONDS, MAX_ATTEMPT_INTERVAL_SECONDS
+        )
+
+    def _draw_call(self) -> Callable[[], Awaitable[None]]:
+        name, route = f"y0r{len(self.calls)}", self.random.choice(PART_ROUTES)
+        call = Call(name, route, self.callers.keys[-1], trio.current_time())
+        return partial(self._send_once, call)
 
     async def _send_once(self, call: Call) -> None:
-        with trio.move_on_after(DEADLINE_SECONDS + ANSWER_GRACE_SECONDS):
+        with self.own_call(call):
             await self._send(call, call.request_id.encode(), (CRASH_PART,))
-        call.duration_seconds = trio.current_time() - call.sent_at
 
     def find_violations(self, calls: Sequence[Call]) -> list[str]:
         """Return whether too many of them were sent to runners after the counted crash."""
-        offset = trio.current_time() - time.monotonic()
-        crashes = sorted(
-            (each["clock"] + offset, each["request"])
-            for each in self.site.records
-            if "deadly_part" in each
-        )
+        crashes = sorted(tuple(crash) for _, *crash in self._crashes("deadly_part"))
         self.site.judged["runners ended by a part"] += len(crashes)
         if len(crashes) <= COUNTED_PART_CRASH:
             return []
--- a/soak/departure_faults.py
+++ b/soak/departure_faults.py
@@ -4,15 +4,13 @@
 
 import trio
 
-from soak.caller_connection import Manner, connect
+from soak.caller_connection import Manner
 from soak.callers import (
-    ANSWER_GRACE_SECONDS,
-    DEADLINE_SECONDS,
     request_body,
     request_bytes,
 )
 from soak.calls import Call
-from soak.trouble import SiteTrouble
+from soak.trouble import SiteTrouble, send_alone
 
 __all__ = ["DepartureFaults"]
 
@@ -46,23 +44,13 @@
                 trio.current_time(),
                 work_seconds=round(self.random.uniform(MIN_WORK_SECONDS, MAX_WORK_SECONDS), 3),
             )
-            self.calls.append(call)
-            with trio.move_on_after(DEADLINE_SECONDS + ANSWER_GRACE_SECONDS):
+            with self.own_call(call):
                 await self._send(call)
-            call.duration_seconds = trio.current_time() - call.sent_at
             await trio.sleep(MEAN_PAUSE_SECONDS * self.random.uniform(0.5, 1.5))
 
     async def _send(self, call: Call) -> None:
-        entry = self.random.choice(sorted(self.callers.ready_entries) or self.callers.entries)
-        stay = self.random.uniform(0.0, MAX_STAY_SECONDS)
-        connection = await connect(entry, small_buffers=False)
-        if connection is None:
-            return
-        request = request_bytes(call, request_body(call))
-        try:
-            manner = Manner(disconnects_after_seconds=stay)
-            await connection.send_request(request, call, manner)
-        finally:
-            connection.close()
+        entry = self.draw_entry()
+        manner = Manner(disconnects_after_seconds=self.random.uniform(0.0, MAX_STAY_SECONDS))
+        await send_alone(entry, request_bytes(call, request_body(call)), call, manner)
         if call.has_disconnected:
             self.log_fault(f"the caller of {call.request_id} ({call.route}) left {entry}")
--- a/soak/early_faults.py
+++ b/soak/early_faults.py
@@ -11,7 +11,7 @@
 import trio
 
 from soak.caller_connection import CallerConnection, Manner, connect
-from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, request_bytes
+from soak.callers import request_bytes
 from soak.calls import Call
 from soak.configuration import EARLY_ROUTE
 from soak.early_runner import EarlyRunner, early_body
@@ -68,14 +68,12 @@
                 trio.current_time(),
                 route_name=EARLY_ROUTE,
             )
-            self.calls.append(call)
-            entry = self.random.choice(sorted(self.callers.ready_entries) or self.callers.entries)
+            entry = self.draw_entry()
             is_kept = False
-            with trio.move_on_after(DEADLINE_SECONDS + ANSWER_GRACE_SECONDS):
+            with self.own_call(call):
                 is_kept = await self._send(connections, entry, call)
             if not is_kept and entry in connections:
                 connections.pop(entry).close()
-            call.duration_seconds = trio.current_time() - call.sent_at
             await trio.sleep(MEAN_PAUSE_SECONDS * self.random.uniform(0.5, 1.5))
         for each in connections.values():
             each.close()
--- a/soak/key_judge.py
+++ b/soak/key_judge.py
@@ -7,9 +7,10 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
 
+from soak.call_judge import CallJudge
 from soak.calls import Call
-from soak.contact import Contact
 from soak.desired_history import DesiredHistory
 
 __all__ = ["KeyJudge", "find_revoked"]
@@ -25,29 +26,12 @@
 MAX_DENIALS_OUT_OF_TOUCH = 10
 
 
-class KeyJudge:
-    """Checks the calls of a seed once it has finished.
+@dataclass
+class KeyJudge(CallJudge):
+    """All calls are proper but for their keys and routes."""
 
-    All of them are proper but for their keys and routes.
-
-    Args:
-      calls: all requests of callers.
-      entries: the name of each entry by its address.
-      history: the desired states of the site.
-      contact: tells which entries were in touch.
-    """
-
-    def __init__(
-        self,
-        calls: Iterable[Call],
-        entries: Mapping[str, str],
-        history: DesiredHistory,
-        contact: Contact,
-    ) -> None:
-        self._calls = [each for each in calls if each.entry in entries]
-        self._entries = entries
-        self._history = history
-        self._contact = contact
+    def __post_init__(self) -> None:
+        self.calls = [each for each in self.calls if each.entry in self.entries]
 
     def find_violations(self, services: Mapping[str, Collection[str]]) -> list[str]:
         """Return the violations; `services` are those that have run each request, by its id."""
@@ -56,7 +40,7 @@
     def _find_stale(self, services: Mapping[str, Collection[str]]) -> list[str]:
         """Return the requests that entries in touch handled as only an older state allows."""
         stale = []
-        for call in self._calls:
+        for call in self.calls:
             reason = self._find_old_run(call, services.get(call.request_id, ()))
             if not reason and call.status in NOT_ALLOWED_STATUSES and self._was_added(call):
                 reason = f"got {call.status} with {call.key}, which is new or on a new route"
@@ -68,7 +52,7 @@
         """Return what is wrong with the runs of a request, or an empty text."""
         if not services:
             return ""
-        states = self._history.in_force(call.sent_at, self._end(call))
+        states = self.history.in_force(call.sent_at, self._end(call))
         if not any(each.account_of(call.key) for each in states):
             return f"ran with {call.key}, which was taken away"
         allowed = {name for each in states for name in each.services_of(call.path)}
@@ -77,16 +61,16 @@
 
     def _was_added(self, call: Call) -> bool:
         """Return whether an entry in touch has to know what an older state didn't have."""
-        was_added = self._history.was_added(call.key, call.path, call.sent_at)
+        was_added = self.history.was_added(call.key, call.path, call.sent_at)
         return was_added and self._is_allowed(call)
 
     def _is_allowed(self, call: Call) -> bool:
-        return self._history.allows(call.key, call.path, call.sent_at, self._end(call))
+        return self.history.allows(call.key, call.path, call.sent_at, self._end(call))
 
     def _find_denied(self) -> list[str]:
         denied = [
             each
-            for each in self._calls
+            for each in self.calls
             if each.status in DENIAL_STATUSES
             and each.status not in NO_DENIAL_STATUSES
             and self._is_allowed(each)
@@ -97,10 +81,10 @@
             for each in denied
             if each not in in_touch
             and each.status in NOT_ALLOWED_STATUSES
-            and self._history.always_allows(each.key, each.path)
+            and self.history.always_allows(each.key, each.path)
         ]
         violations = []
-        if len(in_touch) > MAX_DENIALS + MAX_DENIED_SHARE * len(self._calls):
+        if len(in_touch) > MAX_DENIALS + MAX_DENIED_SHARE * len(self.calls):
             violations += [f"{each.description} got {each.status}" for each in in_touch]
         if len(elsewhere) > MAX_DENIALS_OUT_OF_TOUCH:
             violations += [
@@ -109,8 +93,8 @@
         return violations
 
     def _is_in_touch(self, call: Call) -> bool:
-        entry = self._entries[call.entry]
-        return self._contact.is_in_touch(entry, call.sent_at, self._end(call))
+        entry = self.entries[call.entry]
+        return self.contact.is_in_touch(entry, call.sent_at, self._end(call))
 
     @staticmethod
     def _end(call: Call) -> float:
--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -20,10 +20,9 @@
 from soak.interruptions import Interruptions
 from soak.notice_faults import NoticeFaults
 from soak.partition_faults import PartitionFaults
+from soak.phase_faults import RefusalFaults, ShortageFaults
 from soak.planned_faults import PlannedFaults
 from soak.rate_faults import RateFaults
-from soak.refusal_faults import RefusalFaults
-from soak.shortage_faults import ShortageFaults
 from soak.silence_faults import SilenceFaults
 from soak.silent_runner_faults import SilentRunnerFaults
 from soak.site import REVOCATION_SECONDS, Site
@@ -157,79 +156,41 @@
         name: Kind(description, _make_faults, is_usual=True)
         for name, description in FAULT_DESCRIPTIONS.items()
     },
-    "notices": Kind(
-        "runners ask for a backoff or announce their shutdown",
-        _simple(NoticeFaults, "notices"),
-        is_usual=True,
-    ),
+    # fmt: off
+    "notices": Kind("runners ask for a backoff or announce their shutdown",
+        _simple(NoticeFaults, "notices"), is_usual=True),
     "rates": Kind("runners announce rate limits", _simple(RateFaults, "rates"), is_usual=True),
-    "refusals": Kind(
-        "phases in which all runners refuse", _simple(RefusalFaults, "refusals"), is_usual=True
-    ),
-    "shortage": Kind(
-        "phases in which all runners report that they are full",
-        _simple(ShortageFaults, "shortage"),
-        is_usual=True,
-    ),
-    "deadly": Kind(
-        "requests that crash their runners",
-        _simple(CrashFaults, "deadly"),
-        call_group=CallGroup.CRASH,
-        is_usual=True,
-    ),
-    "parts": Kind(
-        "different requests that share a part which crashes their runners",
-        _simple(PartCrashFaults, "parts"),
-        call_group=CallGroup.CRASH,
-    ),
-    "partitions": Kind(
-        "entries that are cut off from runners",
-        _simple(PartitionFaults, "partitions"),
-        SEVERAL_ENTRIES,
-    ),
-    "answer-ends": Kind(
-        "answers without a length of runners that are full and restart",
-        _simple(AnswerEndFaults, "answer ends"),
-        Needs(plain_slots=PLAIN_SLOTS),
-    ),
-    "silence": Kind(
-        "open connections that go silent for good while runners leave",
-        _simple(SilenceFaults, "silence"),
-        Needs(revocation_seconds=LONG_REVOCATION_SECONDS),
-    ),
-    "planned": Kind(
-        "changes, stops and reloads in series beside silent runners",
-        _make_planned,
-        SECOND_SERVICE_NEEDS,
-    ),
+    "refusals": Kind("phases in which all runners refuse",
+        _simple(RefusalFaults, "refusals"), is_usual=True),
+    "shortage": Kind("phases in which all runners report that they are full",
+        _simple(ShortageFaults, "shortage"), is_usual=True),
+    "deadly": Kind("requests that crash their runners",
+        _simple(CrashFaults, "deadly"), call_group=CallGroup.CRASH, is_usual=True),
+    "parts": Kind("different requests that share a part which crashes their runners",
+        _simple(PartCrashFaults, "parts"), call_group=CallGroup.CRASH),
+    "partitions": Kind("entries that are cut off from runners",
+        _simple(PartitionFaults, "partitions"), SEVERAL_ENTRIES),
+    "answer-ends": Kind("answers without a length of runners that are full and restart",
+        _simple(AnswerEndFaults, "answer ends"), Needs(plain_slots=PLAIN_SLOTS)),
+    "silence": Kind("open connections that go silent for good while runners leave",
+        _simple(SilenceFaults, "silence"), Needs(revocation_seconds=LONG_REVOCATION_SECONDS)),
+    "planned": Kind("changes, stops and reloads in series beside silent runners",
+        _make_planned, SECOND_SERVICE_NEEDS),
     "unending": Kind("answers and bodies without an end", _make_unending),
     "unending-answers": Kind("answers without an end", _make_unending),
-    "silent-runners": Kind(
-        "sound runners that fall silent for about a second",
-        _simple(SilentRunnerFaults, "silent runners"),
-    ),
-    "departures": Kind(
-        "callers that leave in the middle of long requests",
-        _simple(DepartureFaults, "departures"),
-    ),
-    "changes": Kind(
-        "changes under the callers that they concern, in storms between calm times",
-        _simple(ChangeFaults, "changes"),
-        SECOND_SERVICE_NEEDS,
-        CallGroup.COMMON,
-    ),
-    "early-answers": Kind(
-        "long bodies at runners that answer before they have read them",
-        _simple(EarlyFaults, "early answers"),
-    ),
-    "wave": Kind(
-        "most new connections go to one entry, each of which has a part of a processor",
-        _make_waves,
-        SEVERAL_ENTRIES,
-    ),
-    "kept-wave": Kind(
-        "such waves, in which some callers keep their connections", _make_waves, SEVERAL_ENTRIES
-    ),
+    "silent-runners": Kind("sound runners that fall silent for about a second",
+        _simple(SilentRunnerFaults, "silent runners")),
+    "departures": Kind("callers that leave in the middle of long requests",
+        _simple(DepartureFaults, "departures")),
+    "changes": Kind("changes under the callers that they concern, in storms between calm times",
+        _simple(ChangeFaults, "changes"), SECOND_SERVICE_NEEDS, CallGroup.COMMON),
+    "early-answers": Kind("long bodies at runners that answer before they have read them",
+        _simple(EarlyFaults, "early answers")),
+    "wave": Kind("most new connections go to one entry, each of which has a part of a processor",
+        _make_waves, SEVERAL_ENTRIES),
+    "kept-wave": Kind("such waves, in which some callers keep their connections",
+        _make_waves, SEVERAL_ENTRIES),
+    # fmt: on
 }
 
 
--- a/soak/timeout_judge.py
+++ b/soak/timeout_judge.py
@@ -1,10 +1,9 @@
 """Checks that requests which reach their timeout get an answer, or an end, soon after it."""
 
-from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
+from soak.call_judge import CallJudge
 from soak.calls import Call, Ending
-from soak.contact import Contact
-from soak.desired_history import DesiredHistory
 
 __all__ = ["TimeoutJudge"]
 
@@ -16,30 +15,16 @@
 MAX_MANY_UNANSWERED_SHARE = 1 / 4
 
 
-class TimeoutJudge:
-    """Checks the calls of a seed once it has finished.
+@dataclass
+class TimeoutJudge(CallJudge):
+    """Callers wait `patience_seconds` for an answer."""
 
-    Args:
-      calls: all requests of callers.
-      entries: the name of each entry by its address.
-      history: the desired states of the site.
-      contact: tells which entries were in touch.
-      patience_seconds: how long callers wait for an answer.
-    """
+    patience_seconds: float
 
-    def __init__(
-        self,
-        calls: Iterable[Call],
-        entries: Mapping[str, str],
-        history: DesiredHistory,
-        contact: Contact,
-        patience_seconds: float,
-    ) -> None:
-        self._entries = entries
-        self._history = history
-        self._contact = contact
-        self._patience_seconds = patience_seconds
-        self.reached = [each for each in calls if each.entry in entries and self._reached(each)]
+    def __post_init__(self) -> None:
+        self.reached = [
+            each for each in self.calls if each.entry in self.entries and self._reached(each)
+        ]
 
     def find_violations(self) -> list[str]:
         """Return the requests without an answer soon after the timeout, if they are too many."""
@@ -65,11 +50,11 @@
         if call.ending is Ending.REFUSED or self._overrun(call) < 0:
             return False
         end = call.whole_sent_at + self._timeout(call) + GRACE_SECONDS
-        is_judged = end < call.sent_at + self._patience_seconds
-        return is_judged and self._contact.is_in_touch(self._entries[call.entry], call.sent_at, end)
+        is_judged = end < call.sent_at + self.patience_seconds
+        return is_judged and self.contact.is_in_touch(self.entries[call.entry], call.sent_at, end)
 
     def _timeout(self, call: Call) -> float:
-        return self._history.longest_timeout(call.path, call.sent_at, call.whole_sent_at)
+        return self.history.longest_timeout(call.path, call.sent_at, call.whole_sent_at)
 
     def _overrun(self, call: Call) -> float:
         """Return the time from a request's timeout to its end, in seconds."""
--- a/soak/trouble.py
+++ b/soak/trouble.py
@@ -1,19 +1,20 @@
 """What each kind of trouble can do, and what most of them have in common."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
 
 import trio
 
-from soak.callers import Callers
+from soak.caller_connection import Manner, connect
+from soak.callers import ANSWER_GRACE_SECONDS, DEADLINE_SECONDS, Callers
 from soak.calls import Call
 from soak.interruptions import Interruptions
 from soak.site import Site
 
-__all__ = ["SiteTrouble", "Trouble"]
+__all__ = ["SiteTrouble", "Trouble", "send_alone"]
 
 
 class Trouble(Protocol):
@@ -102,3 +103,26 @@
             yield load
             load.stop()
         self.callers.violations += load.violations
+
+    def draw_entry(self) -> str:
+        """Draw the address of an entry that is ready, or of any if none is."""
+        return self.random.choice(sorted(self.callers.ready_entries) or self.callers.entries)
+
+    @contextmanager
+    def own_call(self, call: Call) -> Iterator[None]:
+        """Add a request of the trouble's own; give it up after the time that callers wait."""
+        self.calls.append(call)
+        with trio.move_on_after(DEADLINE_SECONDS + ANSWER_GRACE_SECONDS):
+            yield
+        call.duration_seconds = trio.current_time() - call.sent_at
+
+
+async def send_alone(entry: str, request: bytes, call: Call, manner: Manner | None = None) -> None:
+    """Send a request on a connection of its own, and close that with the end of the answer."""
+    connection = await connect(entry, small_buffers=False)
+    if connection is None:
+        return
+    try:
+        await connection.send_request(request, call, manner or Manner())
+    finally:
+        connection.close()
