--- a/soak/admission_judge.py
+++ b/soak/admission_judge.py
@@ -1,10 +1,7 @@
 """Checks that entries refuse no urgent request for load while lesser ones begin there."""
 
-import time
 from collections import defaultdict
 
-import trio
-
 from soak.calls import Call
 from soak.configuration import PRIORITIES
 from soak.site import Site
@@ -54,7 +51,7 @@
 
     def _find_begin_times(self) -> dict[str, float]:
         """Return when each request first arrived at a runner, on trio's clock."""
-        offset = trio.current_time() - time.monotonic()
+        offset = self._site.clock_offset
         begun_at: dict[str, float] = {}
         for each in self._site.records:
             name = each.get("arrived") or each.get("misdirected")
--- a/soak/budget_judge.py
+++ b/soak/budget_judge.py
@@ -1,11 +1,8 @@
 """Checks by the runners' records whether all entries together kept to the retry budget."""
 
-import time
 from bisect import bisect_left
 from collections import defaultdict
 
-import trio
-
 from soak.calls import Call
 from soak.configuration import SECOND_SERVICE
 from soak.site import (
@@ -42,7 +39,7 @@
 
     def _find_retries(self, calls: list[Call]) -> dict[str, list[float]]:
         """Return the times of all arrivals beyond the first of each request, by service."""
-        offset = trio.current_time() - time.monotonic()
+        offset = self._site.clock_offset
         sent = {each.request_id for each in calls}
         services = {each.spec.instance: each.spec.service for each in self._site.runners}
         arrivals: dict[tuple[str, str], list[float]] = defaultdict(list)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,7 +6,7 @@
 import trio
 
 from soak.caller_connection import CallerConnection, Manner, connect
-from soak.calls import Call
+from soak.calls import STREAM_ROUTES, Call
 from soak.deadly import PARTS_HEADER, SHARED_PART
 from soak.events import EVENTS_PER_STREAM, PAD_HEADER, SLOW_READER_PAD_BYTES, WORK_HEADER, events
 
@@ -30,7 +30,6 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # The routes that are drawn from. Streams, the longest requests, are drawn twice as often.
 DRAWN_ROUTES = ("stream", "stream", "fragile", "once", "again")
-STREAM_ROUTES = ("stream", "fragile")
 # Every n-th caller reads slowly, with some pauses in each answer.
 CALLERS_PER_SLOW_CALLER = 3
 MAX_PAUSES = 3
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -11,6 +11,7 @@
 __all__ = ["Call", "Ending"]
 
 OK = 200
+STREAM_ROUTES = ("stream", "fragile")
 EVENT_END = b"\n\n"
 # The length to which the bytes of a wrong body are cut in messages.
 MAX_SHOWN_BYTES = 120
--- a/soak/deadly_faults.py
+++ b/soak/deadly_faults.py
@@ -1,6 +1,5 @@
 """Callers that repeat requests which crash their runners, and the check of their quarantine."""
 
-import time
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
@@ -82,7 +81,7 @@
 
     def _crashes(self, field_name: str) -> list[tuple[str, float, str]]:
         """Return the value of a field of the records that have it, when they were, the request."""
-        offset = trio.current_time() - time.monotonic()
+        offset = self.site.clock_offset
         return [
             (each[field_name], each["clock"] + offset, each["request"])
             for each in self.site.records
--- a/soak/lost_judge.py
+++ b/soak/lost_judge.py
@@ -12,16 +12,14 @@
 from enum import StrEnum
 
 from soak.callers import DEADLINE_SECONDS
-from soak.calls import Call
+from soak.calls import STREAM_ROUTES, Call
+from soak.contact import APPLY_SECONDS, CONTACT_SECONDS
 from soak.disturbances import STORE, Disturbances, PlannedKind
 
 __all__ = ["LIMIT_MARGIN_SECONDS", "Loss", "LostJudge", "RequestHistory", "histories"]
 
-# What the platform guarantees: the time without disturbances before a request is sent, the time
-# after which a sent request counts as read, and the time in which a change takes effect.
-CONTACT_SECONDS = 3.0
+# What the platform guarantees: the time after which a sent request counts as read.
 READ_SLACK_SECONDS = 0.2
-APPLY_SECONDS = 2.0
 # What follows the grace period and the time in which a change takes effect is still planned work.
 PLANNED_SLACK_SECONDS = 1.0
 MAX_CLOSED_UNANSWERED = 3
@@ -37,7 +35,6 @@
 LIMIT_MARGIN_SECONDS = 0.1
 # Reports name the planned work that is this close to the end of a call.
 SHOWN_WORK_SECONDS = 8.0
-STREAM_ROUTES = ("stream", "fragile")
 
 
 class Loss(StrEnum):
--- a/soak/notice_judge.py
+++ b/soak/notice_judge.py
@@ -1,10 +1,7 @@
 """Checks by the runners' records of arrivals whether entries complied with their notices."""
 
-import time
 from collections import defaultdict
 
-import trio
-
 from soak.calls import Call
 from soak.interruptions import Interruptions
 from soak.notices import INCARNATION_HEADER, incarnation_name
@@ -35,12 +32,11 @@
     """
 
     def __init__(self, site: Site, calls: list[Call], interruptions: Interruptions) -> None:
-        # Records use the monotonic clock that all processes share, calls use trio's clock.
-        offset = trio.current_time() - time.monotonic()
+        offset = site.clock_offset
         self._site = site
         self._calls = {each.request_id: each for each in calls}
         self._interruptions = interruptions
-        self._entries = {entry.caller_proxy.address: entry.name for entry in site.entries}
+        self._entries = site.entry_names
         self._records = [
             each | {"at": each["clock"] + offset} for each in site.records if "clock" in each
         ]
--- a/soak/partition_faults.py
+++ b/soak/partition_faults.py
@@ -12,6 +12,7 @@
 import trio
 
 from soak.calls import Call
+from soak.contact import CONTACT_SECONDS
 from soak.proxy import Cut, Partition
 from soak.site import Entry
 from soak.trouble import SiteTrouble
@@ -23,9 +24,8 @@
 MAX_PARTITION_SECONDS = 7.0
 MIN_PAUSE_SECONDS = 1.0
 MAX_PAUSE_SECONDS = 2.0
-# What the platform allows: from this time after the start of a partition, first attempts at its
-# entries are served at least this share as often as at the others, or fail at most this often.
-CONTACT_SECONDS = 3.0
+# What the platform allows: from the contact time after the start of a partition, first attempts at
+# its entries are served at least this share as often as at the others, or fail at most this often.
 MIN_SERVED_RATIO = 2 / 3
 MAX_FAILURES = 10
 MAX_FAILED_SHARE = 1 / 50
@@ -70,7 +70,7 @@
 
     def find_violations(self, calls: Sequence[Call]) -> list[str]:
         """Return the partitions whose callers were served too seldom."""
-        names = {each.caller_proxy.address: each.name for each in self.site.entries}
+        names = self.site.entry_names
         violations = []
         for partitioned, began_at, ended_at in self._spans:
             judged = [
--- a/soak/rate_judge.py
+++ b/soak/rate_judge.py
@@ -5,12 +5,9 @@
 arrive too late on a busy machine.
 """
 
-import time
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-import trio
-
 from soak.calls import Call
 from soak.interruptions import Interruptions
 from soak.notices import INCARNATION_HEADER, incarnation_name
@@ -50,10 +47,10 @@
     """
 
     def __init__(self, site: Site, calls: list[Call], interruptions: Interruptions) -> None:
-        offset = trio.current_time() - time.monotonic()
+        offset = site.clock_offset
         self._site = site
         self._interruptions = interruptions
-        self._entries = {entry.caller_proxy.address: entry.name for entry in site.entries}
+        self._entries = site.entry_names
         by_name = {each.request_id: each for each in calls}
         self._incarnations: dict[str, _IncarnationRecord] = defaultdict(
             lambda: _IncarnationRecord("")
--- a/soak/seed_judges.py
+++ b/soak/seed_judges.py
@@ -1,10 +1,7 @@
 """Plays all judges on what a seed has shown once it has finished."""
 
-import time
 from collections.abc import Sequence
 
-import trio
-
 from soak.admission_judge import AdmissionJudge
 from soak.bound_judge import BoundJudge, find_runs
 from soak.budget_judge import BudgetJudge
@@ -48,11 +45,10 @@
     violations += _find_lost(site, lost_judge)
     violations += _find_over_bound(site, common_calls)
     proper_calls = [*common_calls, *calls_of(troubles, CallGroup.APART)]
-    offset = trio.current_time() - time.monotonic()
-    violations += StateJudges(site, proper_calls, interruptions, offset).find_violations()
-    all_calls = [*proper_calls, *calls_of(troubles, CallGroup.CRASH)]
-    violations += RuleJudges(site, all_calls, proper_calls, interruptions).find_violations()
-    violations += check_fault_calls(site, all_calls[len(calls) :])
+    crash_calls = calls_of(troubles, CallGroup.CRASH)
+    violations += StateJudges(site, proper_calls, interruptions).find_violations()
+    violations += RuleJudges(site, proper_calls, interruptions, crash_calls).find_violations()
+    violations += check_fault_calls(site, [*proper_calls, *crash_calls][len(calls) :])
     return site.violations + violations + check_calls(site, play.callers, checked_from)
 
 
@@ -104,9 +100,9 @@
     runners = {each.spec.address: each.spec.instance for each in site.runners}
     return LostJudge(
         calls,
-        histories(site.records, trio.current_time() - time.monotonic(), runners),
+        histories(site.records, site.clock_offset, runners),
         site.disturbances,
-        {each.caller_proxy.address: each.name for each in site.entries},
+        site.entry_names,
         STOP_GRACE_SECONDS,
         MIN_TIMEOUT_SECONDS,
     )
@@ -124,7 +120,7 @@
     """Return the requests that ran on more upstreams than their routes allow, if too many did."""
     judge = BoundJudge(
         calls,
-        find_runs(site.records, trio.current_time() - time.monotonic()),
+        find_runs(site.records, site.clock_offset),
         site.runner_ended_at,
         site.disturbances.cuts,
         site.configuration.max_attempts,
--- a/soak/silence_faults.py
+++ b/soak/silence_faults.py
@@ -10,15 +10,15 @@
 import trio
 
 from soak.calls import Call
+from soak.contact import CONTACT_SECONDS
 from soak.site import RunnerProcess
 from soak.trouble import SiteTrouble
 
 __all__ = ["SilenceFaults"]
 
-# What the platform allows: requests that are sent later than this after the store has taken that a
-# runner is gone, and after the latest silence, don't reach it.
+# What the platform allows: requests don't reach a runner that are sent later than this after the
+# store has taken that it is gone, and later than the contact time after the latest silence.
 DRAIN_SECONDS = 2.0
-CONTACT_SECONDS = 3.0
 # From a silence to the removal of the row, at most, and from that to the end of the runner.
 MAX_LEAVE_DELAY_SECONDS = 0.4
 MIN_SERVES_ON_SECONDS = 5.0
@@ -101,7 +101,7 @@
         removed_at = {
             each["unlisted"]: each["at"] for each in self.site.records if "unlisted" in each
         }
-        names = {each.caller_proxy.address: each.name for each in self.site.entries}
+        names = self.site.entry_names
         violations = []
         for leave in self._leaves:
             if leave.instance not in removed_at:
--- a/soak/silent_runner_faults.py
+++ b/soak/silent_runner_faults.py
@@ -12,7 +12,7 @@
 import trio
 
 from soak.callers import DEADLINE_SECONDS
-from soak.calls import Call
+from soak.calls import STREAM_ROUTES, Call
 from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.lost_judge import LIMIT_MARGIN_SECONDS
 from soak.site import RunnerProcess
@@ -38,7 +38,6 @@
 MAX_SERIES_DELAY_SECONDS = 0.2
 # A client gives up a stream after so long a gap.
 CLIENT_GAP_SECONDS = 2.0
-STREAM_ROUTES = ("stream", "fragile")
 REFUSAL_STATUSES = (429, 503)
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from time import time
+from time import monotonic, time
 
 import trio
 
@@ -149,6 +149,16 @@
     pauses: Pauses = field(default_factory=Pauses)
     _nursery: trio.Nursery | None = None
 
+    @property
+    def clock_offset(self) -> float:
+        """The difference from the monotonic clock, which all processes share, to trio's."""
+        return trio.current_time() - monotonic()
+
+    @property
+    def entry_names(self) -> dict[str, str]:
+        """The name of each entry by the address at which callers reach it."""
+        return {each.caller_proxy.address: each.name for each in self.entries}
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the store, the runners and the entries in the order in which the platform does."""
         self._nursery = nursery
--- a/soak/unending_faults.py
+++ b/soak/unending_faults.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from soak.calls import Call, Ending
+from soak.calls import OK, STREAM_ROUTES, Call, Ending
 from soak.configuration import MIN_TIMEOUT_SECONDS
 from soak.lost_judge import LIMIT_MARGIN_SECONDS
 from soak.site import RunnerProcess
@@ -38,8 +38,6 @@
 # The share of the other calls that is to be served, as at the end of the soak, when no fault is
 # left.
 MIN_SERVED_SHARE = 0.9
-STREAM_ROUTES = ("stream", "fragile")
-OK = 200
 
 
 @dataclass
--- a/soak/wave_faults.py
+++ b/soak/wave_faults.py
@@ -13,6 +13,7 @@
 from soak.caller_connection import CallerConnection, Manner, connect
 from soak.callers import request_body, request_bytes
 from soak.calls import Call
+from soak.contact import CONTACT_SECONDS
 from soak.disturbances import Span
 from soak.site import Entry, Site
 from soak.trouble import SiteTrouble
@@ -35,9 +36,8 @@
 # An entry that isn't ready for this time gets no new connections; the wave goes to another.
 OUT_SECONDS = 2.0
 READY_POLL_SECONDS = 0.2
-# What the platform allows: from this time after the start of a wave, requests are served at the
-# first attempt that an entry has read at least this share as often as before the wave.
-CONTACT_SECONDS = 3.0
+# What the platform allows: from the contact time after the start of a wave, requests are served at
+# the first attempt that an entry has read at least this share as often as before the wave.
 MIN_SERVED_RATIO = 3 / 4
 # With fewer calls, the shares say little.
 MIN_JUDGED_CALLS = 10
