Read a request by the limits in force when it comes

Callers on connections that were open before a change of the limits got a 413 or 431 for requests that the new limits allow, until the connection was closed.

Cause: the limits of a request were taken before the wait for its first bytes, which may last as long as a connection may be idle.

Ruled out: the handler's own view of the configuration, which is read once the request is whole; the idle time, which a change leaves to the connections that wait already.

The limits of the head are now taken once its first bytes are there, those of the body once the head is whole.

Evidence, http1.feature on the virtual clock: before, 3 of the 4 new examples red; after, 42 of 42 scenarios of the file green, and the mutant makes these 3 red.

--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -302,22 +302,23 @@
             self._h11.receive_data(data)
 
     async def _read_request(self) -> IncomingRequest:
-        limits = self._limits()
         self._pieces.start_message()
         try:
-            event = await self._read_head(limits)
+            event = await self._read_head()
             headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
             head = IncomingRequest(bytes(event.method), bytes(event.target), headers, b"")
-            return await self._read_body(head, limits)
+            return await self._read_body(head)
         except h11.RemoteProtocolError as error:
             raise _RejectedRequestError(error.error_status_hint) from error
 
-    async def _read_head(self, limits: ConnectionLimits) -> h11.Request:
+    async def _read_head(self) -> h11.Request:
         event = await self._next_event()
         line_count = 0
         if event is h11.NEED_DATA:
-            line_count = (await self._receive_first(limits.idle_seconds)).count(b"\n")
+            line_count = (await self._receive_first(self._limits().idle_seconds)).count(b"\n")
             event = await self._next_event()
+        # They may have changed while the connection was idle.
+        limits = self._limits()
         deadline = trio.current_time() + limits.header_seconds
         while event is h11.NEED_DATA:
             # Before the head is whole, since the parser takes all of its fields at once.
@@ -331,8 +332,9 @@
             raise _RejectedRequestError(431)
         return event
 
-    async def _read_body(self, head: IncomingRequest, limits: ConnectionLimits) -> IncomingRequest:
+    async def _read_body(self, head: IncomingRequest) -> IncomingRequest:
         """Return the request with its body; without it if there is no room for it in time."""
+        limits = self._limits()
         meter, body, size, is_kept = self._meter, bytearray(), 0, True
         meter.note_body_start(head, declared_length(head.headers), limits.body_bytes)
         while True:
--- a/features/http1.feature
+++ b/features/http1.feature
@@ -32,6 +32,19 @@
       | fresh, end                      | was never used         | drains and ends      | 1       | 0       |
       | served, end                     | was served             | drains and ends      | 1       | 1       |
 
+  # Guards against a proper request that is refused by limits which were replaced while its connection
+  # was idle.
+  Scenario Outline: The limits change while a connection is idle: <connection>, <what>
+    When the limits triple after 1 second on a connection that <state>, and a client writes <bytes>
+    Then it reads <answer>
+
+    Examples:
+      | connection | what                       | state          | bytes                                                             | answer                |
+      | served     | a larger body              | was served     | POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n{2000} | 200 /a, 200 /b {2000} |
+      | fresh      | a larger body              | was never used | POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n{2000} | 200 /b {2000}         |
+      | served     | a larger header            | was served     | GET /b HTTP/1.1\r\nHost: h\r\nX: {2000}\r\n\r\n                   | 200 /a, 200 /b        |
+      | served     | a header that is too large | was served     | GET /b HTTP/1.1\r\nHost: h\r\nX: {3000}\r\n\r\n                   | 200 /a, 431           |
+
   Scenario: A response that its handler leaves incomplete is cut off, not ended properly
     Then a stream whose handler returns early ends without its last chunk
 
--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -16,6 +16,7 @@
 from deckcourse.entry import Entry
 from deckcourse.http1.client import UpstreamConnection
 from deckcourse.http1.pool import ConnectionPool
+from deckcourse.http1.server import _Connection
 from deckcourse.outcomes import NotRun
 from deckcourse.pipeline import _Run, _Stalled
 from deckcourse.reasons import NotRunReason
@@ -205,6 +206,18 @@
     asgi_module.Request.send = send
 
 
+@mutant("the limits of a request are those when it comes", "http1")
+def limits_are_read_before_the_wait():
+    receive_first = _Connection._receive_first
+
+    async def receive(self, idle_seconds):
+        limits = self._limits()
+        self._limits = lambda: limits
+        return await receive_first(self, idle_seconds)
+
+    _Connection._receive_first = receive
+
+
 @mutant("half a body is no request", "cut_writes_elsewhere")
 def half_bodies_are_served():
     def more(message):
--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+from dataclasses import replace
 from functools import partial
 
 import trio
@@ -46,8 +47,34 @@
     virtually(work)
 
 
+@when(
+    "the limits triple after {seconds:g} second on a connection that {state}, and a client "
+    "writes {text}"
+)
+def limits_change(context, seconds, state, text):
+    limits = BOUNDS
+
+    async def work():
+        nonlocal limits
+        client_stream, server_stream = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_connection, server_stream, echo, lambda: limits, lambda: False)
+            if state != "was never used":
+                await client_stream.send_all(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            await trio.sleep(seconds)
+            limits = replace(
+                limits, header_bytes=3 * limits.header_bytes, body_bytes=3 * limits.body_bytes
+            )
+            await trio.sleep(seconds)
+            await client_stream.send_all(raw(text))
+            context.read = await read_until_end(client_stream)
+
+    virtually(work)
+
+
 @then("it reads {answers}")
 def reads(context, answers):
+    answers = raw(answers).decode()
     result = []
     for part in context.read.split(b"HTTP/1.1 ")[1:]:
         head, _, body = part.partition(b"\r\n\r\n")
