Answer a pipelined request before its connection closes at a stop

Callers that had sent another request behind the one in progress, on a process that stops, got a close in place of an answer to it, although it had been read.

Cause: while a process stops, each response announced the close of its connection, whatever had been read behind its request. No request is served behind such a response (RFC 9112, 9.6), so the bytes were dropped.

Ruled out: the close of idle connections, which reads what lies in the socket.

A response now announces the close only if no bytes of another request were read; the last one does. Between two of them the connection isn't idle, so that a drain doesn't close it, and one that then waits for the rest of a request is closed as an idle one. The stop takes no longer: what comes once new requests are refused gets its refusal at once.

--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -142,7 +142,8 @@
       handler: responds to one request; cancelled when the client disconnects. A response that it
         started and did not finish is cut off, so that it does not look complete.
       limits: returns the limits in force.
-      closing: returns whether responses should ask the client to close the connection.
+      closing: returns whether responses should ask the client to close the connection, unless
+        another request of it was read already.
       idle_connections: the set that holds the connection while it has no request in progress.
       meter: counts the bytes that are held for the connection.
       lane: shared with other connections whose requests come in small pieces.
@@ -455,8 +456,14 @@
             self._meter.note_written()
         self._torn = False
 
+    @property
+    def _has_further_request(self) -> bool:
+        """Whether bytes of another request were read behind the current one."""
+        return bool(self._h11.trailing_data[0])
+
     def _head(self, status: int, headers: Headers) -> h11.Response:
-        if self._closing():
+        # No request is served behind a response that announces the close (RFC 9112, 9.6).
+        if self._closing() and not self._has_further_request:
             headers = (*headers, (b"connection", b"close"))
         return h11.Response(status_code=status, headers=list(headers))
 
--- a/features/http1.feature
+++ b/features/http1.feature
@@ -16,6 +16,20 @@
       | a header that is too large  | GET /a HTTP/1.1\r\nHost: h\r\nX: {3000}\r\n\r\n                                             | 431             |
       | a connection to be closed   | GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n    | 200 /a          |
 
+  # Guards against a request that was read and gets no answer, since the answer to the one before it
+  # closes the connection.
+  Scenario Outline: A process that stops is sent <what>
+    When a server that closes its connections is sent <bytes>
+    Then it reads <answer>
+    And only the last answer announces the close
+
+    Examples:
+      | what                              | bytes                                                                                                         | answer                 |
+      | one request                       | GET /a HTTP/1.1\r\nHost: h\r\n\r\n                                                                            | 200 /a                 |
+      | two requests at once              | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n                                          | 200 /a, 200 /b         |
+      | a second request during the first | GET /a HTTP/1.1\r\nHost: h\r\n\r\n{later}GET /b HTTP/1.1\r\nHost: h\r\n\r\n                                   | 200 /a, 200 /b         |
+      | three requests, one after another | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n{later}GET /c HTTP/1.1\r\nHost: h\r\n\r\n | 200 /a, 200 /b, 200 /c |
+
   # Guards against a drain that leaves served connections open, and against one that closes a fresh
   # connection before its first request was answered.
   Scenario Outline: An idle connection is closed in time: <which>
--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -72,6 +72,33 @@
     virtually(work)
 
 
+@when("a server that closes its connections is sent {text}")
+def sender_writes_at_stop(context, text):
+    async def echo_late(request, exchange):
+        await trio.sleep(1)
+        await echo(request, exchange)
+
+    async def work():
+        client_stream, server_stream = trio.testing.memory_stream_pair()
+        idle_connections = IdleConnections()
+        idle_connections.close_served()
+        serve = partial(serve_connection, idle_connections=idle_connections)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, server_stream, echo_late, lambda: BOUNDS, lambda: True)
+            for part in text.split("{later}"):
+                await client_stream.send_all(raw(part))
+                await trio.sleep(0.5)
+            context.read = await read_until_end(client_stream)
+
+    virtually(work)
+
+
+@then("only the last answer announces the close")
+def last_answer_closes(context):
+    closes = [b"connection: close" in each for each in context.read.split(b"HTTP/1.1 ")[1:]]
+    assert closes == [False] * (len(closes) - 1) + [True], context.read
+
+
 @then("it reads {answers}")
 def reads(context, answers):
     answers = raw(answers).decode()
