--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -16,6 +16,7 @@
 from deckcourse.entry import Entry
 from deckcourse.http1.client import UpstreamConnection
 from deckcourse.http1.pool import ConnectionPool
+from deckcourse.http1.server import _Connection
 from deckcourse.outcomes import NotRun
 from deckcourse.pipeline import _Run, _Stalled
 from deckcourse.reasons import NotRunReason
@@ -205,6 +206,23 @@
     asgi_module.Request.send = send
 
 
+@mutant("the limits of a request are those when it comes", "http1")
+def limits_are_read_before_the_wait():
+    receive_first = _Connection._receive_first
+
+    async def receive(self, idle_seconds):
+        limits = self._limits()
+        self._limits = lambda: limits
+        return await receive_first(self, idle_seconds)
+
+    _Connection._receive_first = receive
+
+
+@mutant("a request that was read is served before its connection closes", "http1")
+def any_response_announces_the_close():
+    _Connection._has_further_request = property(lambda self: False)
+
+
 @mutant("half a body is no request", "cut_writes_elsewhere")
 def half_bodies_are_served():
     def more(message):
