Repeat the failed search of a stream that waits at a silent upstream

Callers of a stream whose upstream went dark waited for that upstream, or were cut when it counted as ended, although another upstream had come into reach meanwhile: the search for another attempt was made once. After it had failed, only the upstream's answer or end led to anything, and its end led to the outcome of the search that had failed seconds before.

Ruled out: the monitor. It interrupts a stream again only while the stream is attached, and a stream whose search failed stays detached.

The search is now repeated while an attempt is in progress: at once when an upstream that counted has ended, else in intervals that grow to 0.4 s. Only what this process knows is read for that; a search begins once there is a path, and takes a retry only beyond those that are kept for urgent ones. The end of the last attempt leads to one more search before the outcome, which comes no sooner than before. A service that counts as partitioned is left out: its peers were asked by the first search.

features/failed_searches.feature, virtual clock: 8 of 10 examples red before (no path, refused by all, retry budget spent, at the bound of upstreams): each stream was cut after 3.66 to 3.69 s. All are green, and go on within half a second of the change.

--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -23,6 +23,7 @@
 from deckcourse.gateway.executions import Executions
 from deckcourse.gateway.handover import HandedOver
 from deckcourse.gateway.reachability import MIN_UNREACHABLE
+from deckcourse.gateway.repeated_search import RepeatedSearch
 from deckcourse.gateway.stream_admission import (
     FULL_RETRY_AFTER_SECONDS,
     Refusal,
@@ -68,6 +69,7 @@
         self._attempts: StreamAttempts[AttemptResult] = StreamAttempts()
         self._paths = StreamPaths(context, admitted, self._state, self._executions, self._attempts)
         self._handover = context.new_handover(admitted)
+        self._repeated_search = RepeatedSearch(lambda: self._paths.may_be_found)
         self._retries = StreamRetries(context, admitted)
         self._admission = StreamAdmission(
             context,
@@ -138,33 +140,39 @@
         given_up: Outcome | None = None
         while True:
             if needs_attempt:
-                given_up = await self._search()
+                given_up = await self._search(given_up)
             if given_up is not None and (_is_final(given_up) or not self._attempts.live):
                 return given_up
-            await self._wait_for_change(given_up is not None)
-            needs_attempt = False
+            needs_attempt = await self._wait_for_change(given_up is not None)
             while self._detached:
                 attempt = self._detached.pop(0)
                 if attempt.is_detached:
                     await self._note_detached(attempt)
                 needs_attempt = not self._attempts.is_any_attached
+                given_up = None if needs_attempt else given_up
             while (ended := self._attempts.take_ended()) is not None:
                 given_up = await self._note_end(ended)
                 if isinstance(given_up, Answered):
                     return given_up
                 needs_attempt = given_up is None and not self._attempts.is_any_attached
 
-    async def _search(self) -> Outcome | None:
+    async def _search(self, given_up: Outcome | None) -> Outcome | None:
         """Start a further attempt, unless one that is in progress goes on before.
 
         A retry that it didn't use is returned: other streams may need it.
 
+        Args:
+          given_up: the outcome of the search that failed before, None if this one isn't repeated.
+
         Returns:
           The outcome if no attempt can be made, or if a peer has served the stream.
         """
         outcome: Outcome | None = None
         with self._attempts.searching() as scope:
-            outcome = await self._start_attempt()
+            if given_up is None or await self._retries.reserve_spare():
+                outcome = await self._start_attempt()
+            else:
+                outcome = given_up
         if scope.cancelled_caught or outcome is not None:
             self._retries.close()
         return outcome
@@ -211,11 +219,14 @@
             self._attempts.start(path, self._runner.run)
             return None
 
-    async def _wait_for_change(self, has_given_up: bool) -> None:
+    async def _wait_for_change(self, has_given_up: bool) -> bool:
         """Wait until an attempt was detached, has taken over or has ended.
 
-        If no further one can be made, those are ended whose upstreams have ended, and those whose
+        If no further one could be made, those are ended whose upstreams have ended, and those whose
         upstreams answer again are monitored again.
+
+        Returns:
+          Whether a further attempt is to be sought again.
         """
         poll_seconds = float("inf")
         if has_given_up:
@@ -224,12 +235,25 @@
                     continue
                 if attempt.instance not in self._executions.instances:
                     self._attempts.cancel(attempt)
+                    self._repeated_search.note_upstream_ended()
                 elif not self._context.upstreams.is_suspected(attempt.instance):
                     attempt.stream.attach()
                 poll_seconds = PATH_SEARCH_INTERVAL_SECONDS
         if not self._detached and not self._attempts.has_ended:
             with trio.move_on_after(poll_seconds):
                 await self._attempts.wait_for_change()
+        return has_given_up and self._may_search_again
+
+    @property
+    def _may_search_again(self) -> bool:
+        is_settled = not self._detached and not self._attempts.has_ended
+        is_waiting = is_settled and not self._attempts.is_any_attached
+        if self._is_partitioned or not is_waiting or not self._repeated_search.is_due():
+            return False
+        # An upstream that refused the stream may have room by now.
+        self._state.avoided &= self._state.failed
+        self._context.count("retry.sought-again")
+        return True
 
     async def _note_detached(self, attempt: Attempt) -> None:
         """Prepare for the attempt that is to take the place of a detached one."""
--- a/deckcourse/gateway/stream_paths.py
+++ b/deckcourse/gateway/stream_paths.py
@@ -63,6 +63,11 @@
         """Whether only upstreams that may have executed the stream may do so again."""
         return self._executions.candidates is not None
 
+    @property
+    def may_be_found(self) -> bool:
+        """Whether there is a path now, also if upstreams refused the stream before."""
+        return self.may_run_again and self.choose(frozenset(self._state.failed)) is not None
+
     @property
     def may_wait(self) -> bool:
         """Whether its caller waits for longer, once a response has started or may have."""
--- a/deckcourse/gateway/stream_retries.py
+++ b/deckcourse/gateway/stream_retries.py
@@ -99,6 +99,15 @@
             self._budget.request_ahead(when_granted)
         return self._has_reserved
 
+    async def reserve_spare(self) -> bool:
+        """Reserve a retry for a search that failed before; return whether there was one.
+
+        It leaves what is kept for urgent ones: streams that have just lost their upstream.
+        """
+        if not self._has_reserved:
+            self._has_reserved = await self._budget.acquire(URGENT_RESERVE_SHARE)
+        return self._has_reserved
+
     def reserve_unused(self) -> None:
         """Reserve a spent but unused retry for the next attempt."""
         self._has_reserved = True
--- a/features/mutants_moves.py
+++ b/features/mutants_moves.py
@@ -5,6 +5,7 @@
 from deckcourse.gateway.dialect import ProbeResult
 from deckcourse.gateway.executions import Executions
 from deckcourse.gateway.onward_paths import OnwardPaths
+from deckcourse.gateway.repeated_search import RepeatedSearch
 from deckcourse.gateway.stalls import StallMonitor
 from deckcourse.gateway.stream import StreamCall
 from deckcourse.gateway.stream_attempts import StreamAttempt, StreamAttempts
@@ -67,6 +68,10 @@
     StreamRetries.close = lambda self: None
 
 
+def searches_are_not_repeated():
+    RepeatedSearch.is_due = lambda self: False
+
+
 MOVES = ("onward_paths",)
 BOUND = ("upstream_bound",)
 KEPT = ("kept_attempts",)
@@ -84,5 +89,9 @@
         KEPT,
     ),
     unused_retries_are_lost: ("a retry that is not used is returned", KEPT),
+    searches_are_not_repeated: (
+        "a stream at a silent upstream seeks another one again",
+        ("failed_searches",),
+    ),
     ended_upstreams_count: ("upstreams that ended don't count against that bound", BOUND),
 }
--- a/features/steps/kept_attempt_steps.py
+++ b/features/steps/kept_attempt_steps.py
@@ -10,7 +10,7 @@
 from deckcourse.gateway.retry_issuer import RetryGrant
 
 # Requests that earn so many retries together with the one that spends them.
-EARNING_REQUESTS = {1: 7, 2: 12, 3: 17}
+EARNING_REQUESTS = {1: 7, 2: 12, 3: 17, 12: 67}
 LONG_SILENCE_SECONDS = 3.0
 DENIED_SECONDS = 2.0
 # A run that the other upstream resets has had no event by then.
