--- a/features/soak_changes.feature
+++ b/features/soak_changes.feature
@@ -1,4 +1,4 @@
-Feature: The real processes under changes of what callers use, and runners that answer early
+Feature: The real processes under changes of what callers use, runners that answer early and drawn kinds
 
   # Guards against an entry that follows an old desired state for too long, takes one back, serves
   # added routes worse or accepts unknown keys. In the other kinds of faults callers use none of what
@@ -18,3 +18,11 @@
     Then it reports no violation
     And it checked answers before the body was read
     And it checked bodies that were given up
+
+  # Guards against trouble where two kinds meet that nobody has joined by hand: here planned work and
+  # runners that answer early, with short calls and single attempts.
+  Scenario: Two kinds of trouble that a seed draws break no promise together
+    When the soak runs seed 5 for 5 seconds with two drawn kinds as the only faults
+    Then it reports no violation
+    And it checked calls around planned work
+    And it checked answers before the body was read
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -38,6 +38,7 @@
     ),
     "changes under their callers": ("--only", "changes"),
     "long bodies answered early": ("--only", "early-answers"),
+    "two drawn kinds": ("--draw", "2"),
     "silent upstreams and 1 attempt": ("--only", "silent-runners", "--attempts", "1"),
     "silent upstreams and 2 attempts": ("--only", "silent-runners", "--attempts", "2"),
 }
