Soak: callers of waves wait longer than a stream takes

A caller now waits for the time that a stream takes and 1.9 s more, which is 2.5 s as before with the usual streams.

--- a/features/soak_kinds.feature
+++ b/features/soak_kinds.feature
@@ -11,6 +11,11 @@
   Scenario: A site is built as each of its kinds needs it
     Then the site of each pair of kinds has what both of them need
 
+  # Guards against callers of waves that leave before a stream of the site can end: with streams of
+  # 2.4 s nearly none was served, in a wave or before it.
+  Scenario: Callers of waves wait longer than a stream of any profile takes
+    Then in each profile a caller of waves waits 1.9 s longer than a stream takes
+
   # Guards against a play that ends in an error instead of telling what it needs.
   Scenario: Kinds that compare entries are rejected where there is only one
     When the command line of the soak is
--- a/features/steps/soak_kind_steps.py
+++ b/features/steps/soak_kind_steps.py
@@ -14,6 +14,7 @@
 from soak.__main__ import make_parser, read_options
 from soak.callers import Callers
 from soak.draws import ATTEMPTS, ENTRY_COUNTS, draw_options
+from soak.events import EVENTS_PER_STREAM
 from soak.excuses import excuses_beside
 from soak.kinds import KINDS, Play, find_conflict, needs_of
 from soak.profiles import PROFILES
@@ -88,6 +89,17 @@
         assert needs_of(names) == needs_of(names[::-1]), names
 
 
+@then("in each profile a caller of waves waits {seconds:g} s longer than a stream takes")
+def check_attempts(context, seconds):
+    for name, profile in PROFILES.items():
+        with tempfile.TemporaryDirectory() as folder:
+            site = make_site(Path(folder), Options(1.0, ("wave",), profile=name), DrySite)
+        play = Play(site, Callers([], Random(SEED)), SEED, ("wave",), print)
+        ((_, waves),) = play.make_troubles()
+        stream_seconds = EVENTS_PER_STREAM * profile.event_interval_seconds
+        assert abs(waves.attempt_seconds - stream_seconds - seconds) < 1e-6, name
+
+
 @when("the command line of the soak is")
 def run_command_lines(context):
     context.rejected = []
--- a/soak/wave_faults.py
+++ b/soak/wave_faults.py
@@ -15,6 +15,7 @@
 from soak.calls import Call
 from soak.contact import CONTACT_SECONDS
 from soak.disturbances import Span
+from soak.events import EVENTS_PER_STREAM
 from soak.site import Entry, Site
 from soak.trouble import SiteTrouble
 
@@ -42,7 +43,8 @@
 # With fewer calls, the shares say little.
 MIN_JUDGED_CALLS = 10
 MAX_ATTEMPTS = 2
-ATTEMPT_SECONDS = 2.5
+# How long a caller waits for an answer, beyond the time that a stream takes.
+ATTEMPT_SLACK_SECONDS = 1.9
 ROUTES = ("stream", "stream", "stream", "once", "again")
 # The share of callers that keep a connection on which they were served, for some more requests.
 KEPT_SHARE = 0.5
@@ -103,6 +105,11 @@
     _waves: list[float] = field(default_factory=list)
     _seen_ready_at: dict[str, float] = field(default_factory=dict)
 
+    @property
+    def attempt_seconds(self) -> float:
+        """How long a caller waits for the answer to one attempt."""
+        return EVENTS_PER_STREAM * self.site.event_interval_seconds + ATTEMPT_SLACK_SECONDS
+
     async def run(self, until: float) -> None:
         """Send waves until a time on trio's clock; return once the last one has ended."""
         async with trio.open_nursery() as nursery:
@@ -183,7 +190,7 @@
             calls.append(call)
             connection = await self._attempt(entry, call, body or request_body(call), connection)
             call.duration_seconds = trio.current_time() - call.sent_at
-            if call.status or call.duration_seconds >= ATTEMPT_SECONDS:
+            if call.status or call.duration_seconds >= self.attempt_seconds:
                 break
             entry = self._choose(entry)
         self.calls += calls
@@ -198,7 +205,7 @@
         if connection is not None and not await connection.is_usable():
             connection.close()
             connection = None
-        with trio.move_on_after(ATTEMPT_SECONDS):
+        with trio.move_on_after(self.attempt_seconds):
             connection = connection or await connect(f"127.0.0.1:{entry.port}", small_buffers=False)
             if connection is not None:
                 with suppress(OSError):
@@ -233,15 +240,14 @@
                 )
         return violations
 
-    @staticmethod
-    def _first_read(attempts: _Attempts, arrived: set[str]) -> list[Call]:
+    def _first_read(self, attempts: _Attempts, arrived: set[str]) -> list[Call]:
         """Return the first attempt that an entry has read, none if no attempt was.
 
         One that was refused, or closed without a byte of an answer and without reaching a runner,
         wasn't read.
         """
         for call in attempts.calls:
-            was_closed = not call.status and call.duration_seconds < ATTEMPT_SECONDS
+            was_closed = not call.status and call.duration_seconds < self.attempt_seconds
             if not was_closed or call.request_id in arrived:
                 return [call]
         return list(attempts.calls[-1:])
