Believe no accepted connection at the end of an answer

Callers of a service without a health path saw half a plain answer as whole. The end of an answer without a length counted as its proper end if the address of its upstream accepted a connection and kept it for 10 ms, unless this process had been paused within the last 0.1 s.

A longer wait was ruled out: a listener that outlives its process accepts and keeps connections for good.

An accepted connection is no evidence any more. What counts without a health path is a connection that was open together with the answered one and stays open, with a new connection beside it, which tells that the machine hasn't gone silent. So each such upstream gets a witness, a connection without requests, until an answer of it has a length.

The tables of the end check expected that an accepted connection shows that the upstream is there; the same rows now fail if a connection is opened at all, or expect it beside a sibling only.

Evidence: the new outline is red in 5 of 6 rows without the change, and two mutants turn unframed_ends red.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -202,7 +202,7 @@
     if caller.request_id == UNNAMED_CALL:
         # A repeated response without an id could be taken for the response to a control message.
         connection.close_after_call()
-    context.ends.note_request(connection)
+    context.ends.note_request(connection, bool(admitted.service.health_path))
     sent_at = trio.current_time()
     try:
         reply = await connection.call(
--- a/deckcourse/gateway/end_check.py
+++ b/deckcourse/gateway/end_check.py
@@ -3,8 +3,12 @@
 The connections of a process that exits are closed in good order, unless they hold unread bytes. An
 answer without a length or chunks that such a process was sending then looks complete. It counts as
 complete only if the same incarnation of its upstream is still there after the end.
+
+An accepted connection doesn't show that: a proxy or a listener that outlives the process accepts
+connections for it, and so does the next process, of which this one may learn late.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -81,14 +85,21 @@
         """Run what requests leave to the background, until cancelled."""
         await self._siblings.run()
 
-    def note_request(self, connection: UpstreamConnection) -> None:
-        """Prepare for the end of an answer; called before its request is sent."""
-        self._siblings.note_request(connection)
+    def note_request(self, connection: UpstreamConnection, can_be_asked: bool = True) -> None:
+        """Prepare for the end of an answer; called before its request is sent.
+
+        Args:
+          connection: the connection of the request.
+          can_be_asked: whether the upstream has a health path, or accepts queries.
+        """
+        self._siblings.note_request(connection, can_be_asked)
 
     def note_answer(self, reply: UpstreamReply) -> None:
         """Prepare for the end of an answer; called with its head."""
         if reply.ends_with_connection:
             self._siblings.note_unframed_answer(reply.connection)
+        else:
+            self._siblings.note_framed_answer(reply.connection)
 
     async def check(self, reply: UpstreamReply, source: AnswerSource) -> None:
         """Check the end of an answer that was read to it.
@@ -148,7 +159,7 @@
             is_dead = answer.result is ProbeResult.DEAD and await self._is_refused(upstream)
             return (ProbeResult.DEAD if is_dead else ProbeResult.ALIVE), "sibling"
         if answer.result is ProbeResult.NOT_SENT:
-            return await self._probe_connection(upstream, was_paused)
+            return ProbeResult.SILENT, "none"
         return answer.result, "report"
 
     async def _check_plain(
@@ -158,23 +169,31 @@
         upstream = self._upstreams.last_known(source.instance)
         if upstream is None:
             return ProbeResult.SILENT, "unknown"
+        if not source.health_path:
+            return await self._check_unaskable(reply, upstream, was_paused)
         if await self._siblings.outlive(reply.connection, was_paused):
             return ProbeResult.ALIVE, "sibling"
-        if source.health_path:
-            result = await self._health.query(upstream, source.health_path, source.query_deadline)
-            if result is not ProbeResult.NOT_SENT:
-                return result, "health"
-        return await self._probe_connection(upstream, was_paused)
+        result = await self._health.query(upstream, source.health_path, source.query_deadline)
+        if result is not ProbeResult.NOT_SENT:
+            return result, "health"
+        return ProbeResult.SILENT, "none"
+
+    async def _check_unaskable(
+        self, reply: UpstreamReply, upstream: Upstream, was_paused: bool
+    ) -> tuple[ProbeResult, str]:
+        """Return ALIVE only if siblings stay open and the machine is not silent.
+
+        A sibling stays open on a machine that went silent, too; a new connection tells these apart.
+        It may be closed at once: an upstream at its limit of connections does that.
+        """
+        if not await self._siblings.outlive(reply.connection, was_paused, math.inf):
+            return ProbeResult.SILENT, "none"
+        result = await self._control.probe_connection(
+            upstream, PROBE_TIMEOUT_SECONDS, quiet_seconds=0.0
+        )
+        return result, "sibling"
 
     async def _is_refused(self, upstream: Upstream) -> bool:
         """Return whether the machine of an upstream refuses connections."""
         result = await self._control.probe_connection(upstream, PROBE_TIMEOUT_SECONDS)
         return result is ProbeResult.DEAD
-
-    async def _probe_connection(
-        self, upstream: Upstream, was_paused: bool
-    ) -> tuple[ProbeResult, str]:
-        """Return ALIVE if a process accepts connections that can only be the same one."""
-        if was_paused:
-            return ProbeResult.SILENT, "paused"
-        return await self._control.probe_connection(upstream, PROBE_TIMEOUT_SECONDS), "connect"
--- a/features/mutants_answer_ends.py
+++ b/features/mutants_answer_ends.py
@@ -5,6 +5,7 @@
 import trio
 
 import deckcourse.gateway.handover as handover_module
+from deckcourse.gateway.end_check import EndCheck
 from deckcourse.gateway.health_queries import HealthQueries
 from deckcourse.gateway.sibling_connections import SiblingConnections
 from deckcourse.http1.pool import ConnectionPool
@@ -12,7 +13,7 @@
 
 
 def no_connection_shows_that_an_upstream_goes_on():
-    async def outlive(self, connection, was_paused=False):
+    async def outlive(self, connection, was_paused=False, max_silence_seconds=2.0):
         return False
 
     SiblingConnections.outlive = outlive
@@ -29,7 +30,7 @@
 
 
 def siblings_count_at_once():
-    async def outlive(self, connection, was_paused=False):
+    async def outlive(self, connection, was_paused=False, max_silence_seconds=2.0):
         return any(each.is_open for each in self._siblings.get(connection, ()))
 
     SiblingConnections.outlive = outlive
@@ -53,6 +54,25 @@
     SiblingConnections._open_spare = open_spare
 
 
+def no_witnesses_are_opened():
+    async def open_witness(self, address):
+        """Open nothing."""
+
+    SiblingConnections._open_witness = open_witness
+
+
+def accepted_connections_show_that_an_upstream_goes_on():
+    usual = EndCheck._check_unaskable
+
+    async def check(self, reply, upstream, was_paused):
+        result, evidence = await usual(self, reply, upstream, was_paused)
+        if evidence == "none" and not was_paused:
+            return await self._control.probe_connection(upstream, 0.3), "connect"
+        return result, evidence
+
+    EndCheck._check_unaskable = check
+
+
 def idle_connections_outlast_a_silent_one():
     ConnectionPool._close_quiet = lambda self, address, since: None
 
@@ -102,4 +122,12 @@
         "distrusting accepted connections after a pause",
         ("unframed_ends", "cut_writes_elsewhere"),
     ),
+    no_witnesses_are_opened: (
+        "witnesses beside upstreams that can't be asked",
+        ("unframed_ends",),
+    ),
+    accepted_connections_show_that_an_upstream_goes_on: (
+        "distrusting accepted connections",
+        ("unframed_ends", "stream_events"),
+    ),
 }
--- a/features/steps/end_check_steps.py
+++ b/features/steps/end_check_steps.py
@@ -43,7 +43,7 @@
         self._note_newer_start()
         return QUERY_REPLIES[self._query]
 
-    async def probe_connection(self, upstream, seconds):
+    async def probe_connection(self, upstream, seconds, quiet_seconds=0.01):
         assert self._connection != "unused", "a connection was opened"
         self._note_newer_start()
         return ProbeResult(self._connection)
@@ -63,7 +63,7 @@
     def __init__(self, stay_open):
         self._stay_open = stay_open
 
-    async def outlive(self, connection, was_paused):
+    async def outlive(self, connection, was_paused, max_silence_seconds=2.0):
         return self._stay_open
 
 
--- a/features/steps/unframed_end_steps.py
+++ b/features/steps/unframed_end_steps.py
@@ -136,7 +136,19 @@
     "it restarts between the halves of an answer to {route} while this process is paused,"
     " with{out}a health path, beside {beside}"
 )
-def restart_between_halves(context, route, out, beside):
+def restart_during_pause(context, route, out, beside):
+    restart_between_halves(context, route, out, beside, is_paused=True)
+
+
+@when(
+    "it restarts between the halves of an answer to {route},"
+    " with{out}a health path, beside {beside}"
+)
+def restart_unpaused(context, route, out, beside):
+    restart_between_halves(context, route, out, beside, is_paused=False)
+
+
+def restart_between_halves(context, route, out, beside, is_paused):
     upstream = context.upstream
     context.got = {}
 
@@ -160,8 +172,9 @@
             if beside == "a call after it":
                 calling.start_soon(call, world, "after")
             upstream.restart("c1-next")
-            # Nothing runs during the jump, as in a process that is paused.
-            world.clock.jump(PAUSE_SECONDS)
+            if is_paused:
+                # Nothing runs during the jump, as in a process that is paused.
+                world.clock.jump(PAUSE_SECONDS)
 
     world = new_world(upstream, out.strip() != "out")
     world.play(story)
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -119,12 +119,8 @@
       | alive, not identified  | unused     | no                | no     |
       | dead                   | unused     | no                | no     |
       | silent                 | unused     | no                | no     |
-      | not sent               | alive      | no                | yes    |
-      | not sent               | alive      | yes               | no     |
-      | not sent               | dead       | no                | no     |
-      | not sent               | silent     | no                | no     |
-      | not accepted           | alive      | no                | yes    |
-      | not accepted           | silent     | no                | no     |
+      | not sent               | unused     | no                | no     |
+      | not accepted           | unused     | no                | no     |
 
   # Guards against whole streams that count as cut at an upstream that resets the connections of
   # queries, and against a connection that went silent in place of a close.
@@ -137,7 +133,9 @@
       | dead                   | silent     | yes    |
       | dead                   | dead       | no     |
       | not sent               | unused     | yes    |
-      | not accepted           | unused     | yes    |
+      | not accepted           | alive      | yes    |
+      | not accepted           | silent     | no     |
+      | not accepted           | dead       | no     |
 
   # Guards against half an answer of a plain upstream that restarted while this process was paused:
   # the next start accepts connections at the same address.
@@ -148,11 +146,9 @@
       | alive       | unused     | yes    | yes    |
       | dead        | unused     | no     | no     |
       | silent      | unused     | no     | no     |
-      | unasked     | alive      | no     | yes    |
-      | unasked     | dead       | no     | no     |
+      | unasked     | unused     | no     | no     |
       | unasked     | unused     | yes    | no     |
-      | none        | alive      | no     | yes    |
-      | none        | dead       | no     | no     |
+      | none        | unused     | no     | no     |
       | none        | unused     | yes    | no     |
 
   Scenario Outline: The reply at a health path tells the incarnation: <what>
--- a/features/unframed_ends.feature
+++ b/features/unframed_ends.feature
@@ -43,6 +43,23 @@
       | a connection that is silent       | once  | with a health path    | a silent connection  |
       | a connection kept from before     | once  | without a health path | a kept connection    |
 
+  # Guards against half an answer that counts as whole because a connection was accepted in place of
+  # the process that has ended: by a proxy or a listener that outlives it, or by the next process,
+  # long after a pause of this one.
+  Scenario Outline: Half an answer is not delivered as whole where connections are still accepted: <what>
+    Given a plain upstream with 4 slots that sends its answers without a length, in two halves
+    When it restarts between the halves of an answer to <route>, <health>, beside <beside>
+    Then no caller got half an answer as whole
+
+    Examples:
+      | what                          | route | health                | beside            |
+      | asked by its health path      | once  | with a health path    | no other calls    |
+      | nothing may be asked          | once  | without a health path | no other calls    |
+      | nothing may be asked          | again | without a health path | no other calls    |
+      | other calls under way         | once  | without a health path | other calls       |
+      | a call that follows           | once  | without a health path | a call after it   |
+      | a connection kept from before | once  | without a health path | a kept connection |
+
   Scenario Outline: What another connection to the same address shows about the end of an answer
     Then another connection that <what> shows that the process goes on: <shows>
 
