Keep an idle connection for as long as the newest configuration allows

After a change had lengthened the idle time, callers that used a connection within the new time met its close: the process closed connections that had been idle before the change by the old time.

Cause: the end of the wait for a request was computed once, at its begin.

Ruled out: the check of what lies in the socket before a close, which catches a request that came before it, not one that comes a moment later.

At the end of that time the limits are asked once more, and the wait goes on if they allow it. A shorter idle time applies from the next wait on, as before.

--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -316,7 +316,7 @@
         event = await self._next_event()
         line_count = 0
         if event is h11.NEED_DATA:
-            line_count = (await self._receive_first(self._limits().idle_seconds)).count(b"\n")
+            line_count = (await self._receive_first()).count(b"\n")
             event = await self._next_event()
         # They may have changed while the connection was idle.
         limits = self._limits()
@@ -385,12 +385,18 @@
             await self._lane.wait(seconds)
             raise _RejectedRequestError(431)
 
-    async def _receive_first(self, idle_seconds: float) -> bytes:
-        """Receive the first bytes of a request, for which the connection is idle."""
+    async def _receive_first(self) -> bytes:
+        """Receive the first bytes of a request, for which the connection is idle.
+
+        A change may lengthen the idle time: clients then use the connection for longer.
+        """
         waits_since = trio.current_time()
         data, reason = None, CloseReason.STOPPING
         with self._idle_connections.waiting_for_request(self._is_fresh):
-            data = await self._receive_until(waits_since + idle_seconds)
+            closes_at = float("-inf")
+            while data is None and closes_at < waits_since + self._limits().idle_seconds:
+                closes_at = waits_since + self._limits().idle_seconds
+                data = await self._receive_until(closes_at)
             reason = CloseReason.IDLE
         if data is None:
             data = await self._receive_arrived()
--- a/features/http1.feature
+++ b/features/http1.feature
@@ -30,21 +30,27 @@
       | a second request during the first | GET /a HTTP/1.1\r\nHost: h\r\n\r\n{later}GET /b HTTP/1.1\r\nHost: h\r\n\r\n                                   | 200 /a, 200 /b         |
       | three requests, one after another | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n{later}GET /c HTTP/1.1\r\nHost: h\r\n\r\n | 200 /a, 200 /b, 200 /c |
 
-  # Guards against a drain that leaves served connections open, and against one that closes a fresh
-  # connection before its first request was answered.
+  # Guards against a drain that leaves served connections open, against one that closes a fresh
+  # connection before its first request was answered, and against a close after an idle time that a
+  # change has lengthened: clients use a connection for as long as the new one allows.
   Scenario Outline: An idle connection is closed in time: <which>
     When an idle connection <state> and the server <does> after 1 second
     Then it is closed after <seconds> seconds, with <answers> answers
 
     Examples:
-      | which                           | state                  | does                 | seconds | answers |
-      | fresh                           | was never used         | goes on              | 5       | 0       |
-      | served                          | was served             | goes on              | 5       | 1       |
-      | served, drain                   | was served             | drains               | 1       | 1       |
-      | fresh, drain                    | was never used         | drains               | 5       | 0       |
-      | fresh, asking after the drain   | asks after 2 seconds   | drains               | 2       | 1       |
-      | fresh, end                      | was never used         | drains and ends      | 1       | 0       |
-      | served, end                     | was served             | drains and ends      | 1       | 1       |
+      | which                           | state                | does                              | seconds | answers |
+      | fresh                           | was never used       | goes on                           | 5       | 0       |
+      | served                          | was served           | goes on                           | 5       | 1       |
+      | served, drain                   | was served           | drains                            | 1       | 1       |
+      | fresh, drain                    | was never used       | drains                            | 5       | 0       |
+      | fresh, asking after the drain   | asks after 2 seconds | drains                            | 2       | 1       |
+      | fresh, end                      | was never used       | drains and ends                   | 1       | 0       |
+      | served, end                     | was served           | drains and ends                   | 1       | 1       |
+      | fresh, longer idle time         | was never used       | lets it idle for 12 s             | 12      | 0       |
+      | served, longer idle time        | was served           | lets it idle for 12 s             | 12      | 1       |
+      | fresh, asking in a longer one   | asks after 8 seconds | lets it idle for 12 s             | 20      | 1       |
+      | served, shorter idle time       | was served           | lets it idle for 2 s              | 5       | 1       |
+      | served, longer idle time, drain | was served           | lets it idle for 12 s, and drains | 1       | 1       |
 
   # Guards against a proper request that is refused by limits which were replaced while its connection
   # was idle.
--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -206,14 +206,14 @@
     asgi_module.Request.send = send
 
 
-@mutant("the limits of a request are those when it comes", "http1")
+@mutant("an idle connection takes over changes of the limits", "http1")
 def limits_are_read_before_the_wait():
     receive_first = _Connection._receive_first
 
-    async def receive(self, idle_seconds):
+    async def receive(self):
         limits = self._limits()
         self._limits = lambda: limits
-        return await receive_first(self, idle_seconds)
+        return await receive_first(self)
 
     _Connection._receive_first = receive
 
--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import re
 from dataclasses import replace
 from functools import partial
 
@@ -112,17 +113,21 @@
 @when("an idle connection {state} and the server {does} after 1 second")
 def idle_connection(context, state, does):
     request = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+    limits = BOUNDS
 
-    async def stop(idle_connections):
+    async def act(idle_connections):
+        nonlocal limits
         await trio.sleep(1)
+        if idle := re.search(r"idle for (\d+) s", does):
+            limits = replace(limits, idle_seconds=float(idle[1]))
         if "drains" in does:
             idle_connections.close_served()
         if "ends" in does:
             idle_connections.close_all()
 
     async def ask(client_stream):
-        if state == "asks after 2 seconds":
-            await trio.sleep(2)
+        if asks := re.fullmatch(r"asks after (\d+) seconds", state):
+            await trio.sleep(int(asks[1]))
         if state != "was never used":
             await client_stream.send_all(request)
 
@@ -132,8 +137,8 @@
         started = trio.current_time()
         serve = partial(serve_connection, idle_connections=idle_connections)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve, server_stream, echo, lambda: BOUNDS, lambda: False)
-            nursery.start_soon(stop, idle_connections)
+            nursery.start_soon(serve, server_stream, echo, lambda: limits, lambda: False)
+            nursery.start_soon(act, idle_connections)
             nursery.start_soon(ask, client_stream)
             context.read = await read_until_end(client_stream)
             context.seconds = trio.current_time() - started
