Soak: a close that the soak saw late was no request lost

A request counts as read after 0.2 s.

The trace: the soak's own process did nothing for 0.24 s of these 0.27 s, right before it saw the reset. Its caller and its proxy share that process, so that the reset may have come 0.03 s after the request.

The judge takes the time in which the soak was late right before it saw the end off a request that no runner got. What was handed on counts as before, and so does a close that is seen when the soak was not late. Three rows, and a scenario for how far back that time goes. Reports of timeouts tell it, without using it.

--- a/features/soak_lost.feature
+++ b/features/soak_lost.feature
@@ -33,6 +33,9 @@
       | held by a proxy, closed at once  | stop 99    |                    | 100  | 100.3 | held   | 0     |             |             |                       |
       | held by a proxy, closed later    | stop 99    |                    | 100  | 100.5 | held   | 0     |             |             | lost around a stop    |
       | never passed on by a proxy       | stop 99    |                    | 100  | 100.5 | held back | 0  |             |             |                       |
+      | seen 0.15 s late, closed at once | stop 99    |                    | 100  | 100.3 | seen late | 0  |             |             |                       |
+      | seen 0.15 s late, closed later   | stop 99    |                    | 100  | 100.4 | seen late | 0  |             |             | lost around a stop    |
+      | seen late, handed on             | stop 99    |                    | 100  | 100.3 | seen late | 0  | pa          | 100.1 101   | lost around a stop    |
       | handed on and cut at once         | stop 99      |                    | 100  | 100.1 | closed | 0     | pa      | 100.05 101  | lost around a stop    |
       | SIGTERM and a kill                | stop 99      | e0 100.4           | 100  | 100.5 | closed | 70    | pa      | 100.1 101   |                       |
       | at work in the last part of grace | stop 97      |                    | 100  | 101.3 | closed | 0     | pa      | 100.1 102   |                       |
@@ -62,3 +65,16 @@
       | closed | reported |
       | 3      | 0        |
       | 4      | 4        |
+
+  # Guards against excusing a late close by a time in which the soak was late before it had to come.
+  Scenario: What the soak sees may have happened as far back as it was late right before
+    When the soak was late from 100 to 100.2 s and from 100.23 to 100.5 s
+      | seen at | earliest |
+      | 99.9    | 99.9     |
+      | 100.1   | 100      |
+      | 100.2   | 100      |
+      | 100.4   | 100      |
+      | 100.53  | 100      |
+      | 100.55  | 100.55   |
+      | 101     | 101      |
+    Then what it saw may have happened no sooner than told
--- a/features/steps/soak_lost_steps.py
+++ b/features/steps/soak_lost_steps.py
@@ -5,6 +5,7 @@
 
 from soak.calls import Call, Ending
 from soak.disturbances import Disturbances
+from soak.lateness import Lateness
 from soak.lost_judge import Loss, LostJudge, RequestHistory
 
 ENTRIES = {"127.0.0.1:1": "e0", "127.0.0.1:2": "e1"}
@@ -37,6 +38,7 @@
         received_bytes=received_bytes,
         reached_entry_at=REACHED_AT.get(how, sent),
         paused_seconds=0.3 if how == "slow" else 0.0,
+        late_seconds=0.15 if how == "seen late" else 0.0,
     )
 
 
@@ -75,3 +77,17 @@
         reported = judge.find_violations()
         assert len(reported) == int(row["reported"]), reported
         assert judge.judged[Loss.CLOSED_UNANSWERED] == len(calls)
+
+
+@when("the soak was late from 100 to 100.2 s and from 100.23 to 100.5 s")
+def note_lateness(context):
+    lateness = Lateness([(100.0, 100.2), (100.23, 100.5)])
+    context.earliest = [
+        (lateness.earliest(float(row["seen at"])), float(row["earliest"])) for row in context.table
+    ]
+
+
+@then("what it saw may have happened no sooner than told")
+def check_earliest(context):
+    wrong = [each for each in context.earliest if each[0] != each[1]]
+    assert not wrong, wrong
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -40,8 +40,8 @@
     the requests on its connection. `has_disconnected` says that the caller closed the connection
     before the end, `parse_error` why the answer is malformed. `whole_sent_at` is when the last byte
     of the request had been sent, `reached_entry_at` when a proxy had passed it on, infinity if it
-    never did, `ended_at` when its connection ended or its answer was complete. From when a proxy
-    had passed it on to its end, the soak itself was late for `late_seconds`.
+    never did, `ended_at` when its connection ended or its answer was complete. The soak
+    itself may have seen that end `late_seconds` too late.
     The caller didn't read for `paused_seconds` in between. `longest_gap_seconds` is the longest
     time in which no byte came to it. `port` is the caller's, `request` what it began to send, None
     if it never did. A runner works for `work_seconds` before its answer. `route_name` is the route
--- a/soak/lateness.py
+++ b/soak/lateness.py
@@ -9,6 +9,8 @@
 # The longest time between two looks, and how late a look is recorded.
 INTERVAL_SECONDS = 0.01
 MIN_LATE_SECONDS = 0.03
+# The time between two such times, and from one to what is seen then: a look that isn't late enough.
+MAX_GAP_SECONDS = INTERVAL_SECONDS + MIN_LATE_SECONDS
 
 
 @dataclass
@@ -29,9 +31,13 @@
             if now >= due_at + MIN_LATE_SECONDS:
                 self.spans.append((due_at, now))
 
-    def seconds_within(self, begin: float, end: float) -> float:
-        """Return for how long this process was late between two times."""
-        return sum(
-            max(0.0, min(end, span_end) - max(begin, span_begin))
-            for span_begin, span_end in self.spans
-        )
+    def earliest(self, seen_at: float) -> float:
+        """Return when what this process saw at a time may have happened at the earliest.
+
+        Only a time in which it was late right before counts: it would have seen the rest then.
+        """
+        for begin, end in reversed(self.spans):
+            if end + MAX_GAP_SECONDS < seen_at:
+                break
+            seen_at = min(seen_at, begin)
+        return seen_at
--- a/soak/seed_judges.py
+++ b/soak/seed_judges.py
@@ -35,6 +35,7 @@
     common_calls = [*calls, *calls_of(troubles, CallGroup.COMMON)]
     _mark_refused(site, common_calls)
     _mark_passed_on(site, common_calls)
+    _note_lateness(site, common_calls)
     _set_limits(site, common_calls)
     lost_judge = _make_lost_judge(site, common_calls)
     violations = NoticeJudge(site, calls, interruptions).find_violations()
@@ -87,7 +88,13 @@
         if call.was_cut and call.entry in passed_on_at:
             at = passed_on_at[call.entry].get(call.port, float("-inf"))
             call.reached_entry_at = at if at >= call.sent_at else float("inf")
-            call.late_seconds = site.lateness.seconds_within(call.reached_entry_at, call.ended_at)
+
+
+def _note_lateness(site: Site, calls: list[Call]) -> None:
+    """Note how much sooner each call may have ended than the soak saw it."""
+    for call in calls:
+        if call.ended_at < float("inf"):
+            call.late_seconds = call.ended_at - site.lateness.earliest(call.ended_at)
 
 
 def _set_limits(site: Site, calls: list[Call]) -> None:
--- a/soak/timeout_judge.py
+++ b/soak/timeout_judge.py
@@ -36,7 +36,8 @@
         if not are_too_many:
             return []
         return [f"{count} of {total} requests had no answer after their timeout"] + [
-            f"{each.description} ended {self._overrun(each):.2f} s after its timeout"
+            f"{each.description} ended {self._overrun(each):.2f} s after its timeout,"
+            f" seen up to {each.late_seconds:.2f} s late"
             for each in unanswered
         ]
 
