Don't close a connection as idle on which a request has begun

A caller that had sent the begin of another request behind the one in progress met the close of an idle connection at a stop, or got no 408 for a head that never became whole.

Cause: a connection counted as idle as soon as its parser wanted more bytes, although some of the next request had been read behind the one before.

Ruled out: the check of what lies in the socket before a close; these bytes had left the socket.

The rest of such a request is now awaited as that of any other: for as long as a head may take. At the end of a stop it is bounded like other requests that are being read.

--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -315,7 +315,8 @@
     async def _read_head(self) -> h11.Request:
         event = await self._next_event()
         line_count = 0
-        if event is h11.NEED_DATA:
+        # A connection on which a request has begun isn't idle: it must not be closed as such.
+        if event is h11.NEED_DATA and not self._has_begun_request:
             line_count = (await self._receive_first()).count(b"\n")
             event = await self._next_event()
         # They may have changed while the connection was idle.
@@ -463,13 +464,13 @@
         self._torn = False
 
     @property
-    def _has_further_request(self) -> bool:
-        """Whether bytes of another request were read behind the current one."""
+    def _has_begun_request(self) -> bool:
+        """Whether bytes of a request were read that is not parsed yet."""
         return bool(self._h11.trailing_data[0])
 
     def _head(self, status: int, headers: Headers) -> h11.Response:
         # No request is served behind a response that announces the close (RFC 9112, 9.6).
-        if self._closing() and not self._has_further_request:
+        if self._closing() and not self._has_begun_request:
             headers = (*headers, (b"connection", b"close"))
         return h11.Response(status_code=status, headers=list(headers))
 
--- a/features/http1.feature
+++ b/features/http1.feature
@@ -5,16 +5,17 @@
     Then it reads <answer>
 
     Examples:
-      | what                        | bytes                                                                                   | answer          |
-      | two requests at once        | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n                        | 200 /a, 200 /b  |
-      | a chunked body              | POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n       | 200 /a abc      |
-      | both framings               | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | 200 /a      |
-      | no request                  | what is this\r\n\r\n                                                                       | 400             |
-      | two lengths                 | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n               | 400             |
-      | half a head, then nothing   | GET /a HTTP/1.1\r\nHos                                                                     | 408             |
-      | a body that is too large    | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n{2000}                           | 413             |
-      | a header that is too large  | GET /a HTTP/1.1\r\nHost: h\r\nX: {3000}\r\n\r\n                                             | 431             |
-      | a connection to be closed   | GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n    | 200 /a          |
+      | what                             | bytes                                                                                            | answer         |
+      | two requests at once             | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n                             | 200 /a, 200 /b |
+      | a chunked body                   | POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n           | 200 /a abc     |
+      | both framings                    | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | 200 /a         |
+      | no request                       | what is this\r\n\r\n                                                                             | 400            |
+      | two lengths                      | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n                    | 400            |
+      | half a head, then nothing        | GET /a HTTP/1.1\r\nHos                                                                           | 408            |
+      | a body that is too large         | POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n{2000}                                | 413            |
+      | a header that is too large       | GET /a HTTP/1.1\r\nHost: h\r\nX: {3000}\r\n\r\n                                                  | 431            |
+      | a connection to be closed        | GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n        | 200 /a         |
+      | half a second head, then nothing | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHos                                         | 200 /a, 408    |
 
   # Guards against a request that was read and gets no answer, since the answer to the one before it
   # closes the connection.
@@ -24,11 +25,12 @@
     And only the last answer announces the close
 
     Examples:
-      | what                              | bytes                                                                                                         | answer                 |
-      | one request                       | GET /a HTTP/1.1\r\nHost: h\r\n\r\n                                                                            | 200 /a                 |
-      | two requests at once              | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n                                          | 200 /a, 200 /b         |
-      | a second request during the first | GET /a HTTP/1.1\r\nHost: h\r\n\r\n{later}GET /b HTTP/1.1\r\nHost: h\r\n\r\n                                   | 200 /a, 200 /b         |
-      | three requests, one after another | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n{later}GET /c HTTP/1.1\r\nHost: h\r\n\r\n | 200 /a, 200 /b, 200 /c |
+      | what                                    | bytes                                                                                                         | answer                 |
+      | one request                             | GET /a HTTP/1.1\r\nHost: h\r\n\r\n                                                                            | 200 /a                 |
+      | two requests at once                    | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n                                          | 200 /a, 200 /b         |
+      | a second request during the first       | GET /a HTTP/1.1\r\nHost: h\r\n\r\n{later}GET /b HTTP/1.1\r\nHost: h\r\n\r\n                                   | 200 /a, 200 /b         |
+      | three requests, one after another       | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n{later}GET /c HTTP/1.1\r\nHost: h\r\n\r\n | 200 /a, 200 /b, 200 /c |
+      | half of a second request, then the rest | GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHos{later}{later}{later}t: h\r\n\r\n                     | 200 /a, 200 /b         |
 
   # Guards against a drain that leaves served connections open, against one that closes a fresh
   # connection before its first request was answered, and against a close after an idle time that a
--- a/features/mutants_requests.py
+++ b/features/mutants_requests.py
@@ -220,7 +220,7 @@
 
 @mutant("a request that was read is served before its connection closes", "http1")
 def any_response_announces_the_close():
-    _Connection._has_further_request = property(lambda self: False)
+    _Connection._has_begun_request = property(lambda self: False)
 
 
 @mutant("half a body is no request", "cut_writes_elsewhere")
