Cut no answer as an entry ends that can't accept connections

Cause: the last accept, which takes the connections that wait before the listener closes, raised its error through the server.

--- a/deckcourse/http_server.py
+++ b/deckcourse/http_server.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from contextlib import suppress
 
 import trio
 from hypercorn.app_wrappers import ASGIWrapper
@@ -94,9 +95,10 @@
     def _accept_last(self, listener: Listener, nursery: trio.Nursery) -> None:
         """Take the connections that wait: closing the listener would reset them."""
         count = 0
-        while count < BACKLOG and (accepted := listener.accept_waiting()):
-            self._start(accepted, nursery)
-            count += len(accepted)
+        with suppress(OSError):  # What was accepted before is served all the same.
+            while count < BACKLOG and (accepted := listener.accept_waiting()):
+                self._start(accepted, nursery)
+                count += len(accepted)
 
     def _start(self, accepted: list, nursery: trio.Nursery) -> None:
         for connection in accepted:
--- a/features/entry_stop_world.py
+++ b/features/entry_stop_world.py
@@ -1,6 +1,8 @@
 """A small site whose entry can be stopped, and requests that do not end by themselves."""
 
+import errno
 import math
+import os
 import time
 
 import h11
@@ -15,6 +17,7 @@
 from deckcourse.entry_app import CallerLimits, EntryApp
 from deckcourse.entry_server import EntryServer
 from deckcourse.gossip import ENTRY_ROLE
+from deckcourse.listener import Listener
 from deckcourse.porcelain import Operator, confirm_plan, hash_key, state_intent
 from deckcourse.site import SERVICE_NAME, Site
 
@@ -188,16 +191,31 @@
     return site.ended_at - stopped_at
 
 
-async def read_at_end(site, size):
+def fail_to_accept(listener):
+    """Accept no connection, as a process does that has as many files open as it may."""
+    raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+
+async def read_at_end(site, size, can_accept=True):
     """Stop the entry with an answer that its caller doesn't read until the end.
 
+    Args:
+      site: the site.
+      size: the size of the answer, bytes.
+      can_accept: whether the entry can accept connections as it ends.
+
     Returns:
       What the caller then reads, and how long the stop took, seconds.
     """
     caller = Caller(site.entry_address, SMALL_BUFFER_BYTES)
     caller.send(request_bytes(f"/services/{SERVICE_NAME}/go", bytes(size)))
     await trio.sleep(SETTLE_SECONDS)
-    seconds = await stop_to_end(site)
+    accept = Listener.accept_waiting
+    Listener.accept_waiting = accept if can_accept else fail_to_accept
+    try:
+        seconds = await stop_to_end(site)
+    finally:
+        Listener.accept_waiting = accept
     return await trio.to_thread.run_sync(caller.read), seconds
 
 
--- a/features/entry_stops.feature
+++ b/features/entry_stops.feature
@@ -42,6 +42,13 @@
     Then it gets the whole answer of the entry
     And the entry ends at most 1.5 s after it was stopped
 
+  # Guards against an error of the last accept that ends all connections with what is in flight.
+  Scenario: A failure to accept as an entry ends cuts no answer
+    Given a small site whose entry has 1 s to stop
+    And the entry can accept no connection as it ends
+    When a caller gets an answer of 1000000 bytes and reads it once the entry has ended
+    Then it gets the whole answer of the entry
+
   # Guards against a reset of the request that a caller sends as its idle connection is closed.
   Scenario: Requests that lie in idle connections are answered as the idle timeout passes
     When 12 callers send requests in the turn in which the idle timeout of an entry passes
--- a/features/steps/entry_stop_steps.py
+++ b/features/steps/entry_stop_steps.py
@@ -19,6 +19,11 @@
     context.longest_stop = seconds
 
 
+@given("the entry can accept no connection as it ends")
+def no_accept(context):
+    context.can_accept = False
+
+
 @when("the entry is stopped beside these requests")
 def stopped_beside(context):
     context.wanted = {row["request"]: row["gets"] for row in context.table}
@@ -56,7 +61,10 @@
 @when("a caller gets an answer of {size:d} bytes and reads it once the entry has ended")
 def reads_at_end(context, size):
     context.size = size
-    context.got, context.stop_seconds = on_a_site(context.longest_stop, read_at_end, size)
+    can_accept = getattr(context, "can_accept", True)
+    context.got, context.stop_seconds = on_a_site(
+        context.longest_stop, read_at_end, size, can_accept
+    )
 
 
 @then("it gets the whole answer of the entry")
