Log whose deadline ended a request, and that it cut an answer

A stream that ends at its route's timeout has its caller's connection closed in the middle of its answer. That is allowed, but the log named neither the route nor whether its timeout or the caller's own deadline was the limit, and the line about the outcome didn't tell that this process had closed the connection.

The deadline and interrupted lines now have the route, the limit (route or caller) and its time; the refused and unknown lines have cut, which holds only if an answer had begun that this process didn't complete and the caller hadn't left. Nothing but the log changes.

--- a/deckcourse/gateway/admitted.py
+++ b/deckcourse/gateway/admitted.py
@@ -58,6 +58,17 @@
         has_started = self.exchange.started or self.service.model is not None
         return self.stop.bound(self.limit, has_started)
 
+    @property
+    def is_limited_by_route(self) -> bool:
+        """Whether its route's timeout ends it no later than the caller's own deadline."""
+        own = self.caller.timeout_seconds
+        return own is None or own >= self.route.timeout
+
+    @property
+    def timeout_seconds(self) -> float:
+        """The time that it has from its arrival: the smaller one of these two limits."""
+        return self.route.timeout if self.is_limited_by_route else self.caller.timeout_seconds
+
     @cached_property
     def identity(self) -> str:
         """The identity that equal requests share whatever their ids; computed on first use."""
--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -140,6 +140,8 @@
 ) -> None:
     """Log what a request waited for when its deadline passed, or it was cancelled before.
 
+    The line also tells its route, and whether that route or the caller set the deadline.
+
     Args:
       context: writes the decision log.
       admitted: the request.
@@ -153,6 +155,9 @@
         waits_for=str(waits_for),
         instance=instance,
         begun=admitted.exchange.started,
+        route=admitted.route.name,
+        limit="route" if admitted.is_limited_by_route else "caller",
+        timeout_ms=round(admitted.timeout_seconds * 1000),
         waited_ms=round((trio.current_time() - since) * 1000),
     )
 
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -133,21 +133,25 @@
         arrived_at = trio.current_time()
         exchange.meter.note_request(caller.request_id)
         outcome: Outcome | None = None
+        is_told = False
         try:
             outcome = await self._serve(caller, exchange, earlier)
             if not isinstance(outcome, Answered) and not exchange.started:
                 await _send_outcome(respond, outcome)
+                is_told = True
         except Exception as error:
             outcome = outcome or _failed(error, exchange)
             if exchange.client_gone or exchange.started:
                 raise
             await _send_outcome(respond, outcome)
+            is_told = True
         finally:
             self._requests -= 1
             outcome = outcome or _cut_off(exchange)
             if exchange.meter.end_reason is not None and not isinstance(outcome, Answered):
                 outcome = _ended(exchange.meter.end_reason)
-            self._record_outcome(caller, outcome, trio.current_time() - arrived_at)
+            is_cut = exchange.started and not is_told and not exchange.client_gone
+            self._record_outcome(caller, outcome, trio.current_time() - arrived_at, is_cut)
             if exchange.torn:
                 self._context.count("answer.torn")
 
@@ -204,7 +208,18 @@
             caller, route, service, account, deadline, exchange, self._stop_bounds, earlier
         )
 
-    def _record_outcome(self, caller: CallerRequest, outcome: Outcome, seconds: float) -> None:
+    def _record_outcome(
+        self, caller: CallerRequest, outcome: Outcome, seconds: float, is_cut: bool
+    ) -> None:
+        """Count and log an outcome.
+
+        Args:
+          caller: the request.
+          outcome: what became of it.
+          seconds: how long this process had it.
+          is_cut: whether this process closes the caller's connection in the middle of the answer,
+            unless the request was answered.
+        """
         context = self._context
         context.timing("hold", seconds)
         match outcome:
@@ -218,6 +233,7 @@
                     request=caller.request_id,
                     reason=str(reason),
                     what=message,
+                    cut=is_cut,
                     held_ms=round(seconds * 1000),
                 )
 
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -149,6 +149,22 @@
       | no token comes          | again   | requests for tokens get no reply     | entry    | 1000 |
       | no token for a stream   | stream  | requests for tokens get no reply     | entry    | 1000 |
 
+  # Guards against a log from which nobody can tell that this process closed a caller's connection in
+  # the middle of a stream, and that the timeout of the route, not the caller, set the time.
+  Scenario Outline: The log says that a deadline cut an answer, and whose deadline: <case>
+    Given two chains of runners and a plain one
+    And each route has a timeout of <timeout> ms
+    When a caller asks for <route> with a deadline of <deadline> ms, and <fault>
+    Then the log says that the limit was the one of the <whose>, <limit> ms on <route>, and cut <cut>
+
+    Examples:
+      | case                        | timeout | route  | deadline | fault                       | whose  | limit | cut |
+      | the route's, midway         | 300     | stream | 9000     | its upstream then is silent | route  | 300   | yes |
+      | the caller's, midway        | 9000    | stream | 300      | its upstream then is silent | caller | 300   | yes |
+      | the route's, not begun      | 300     | stream | 9000     | all upstreams stand still   | route  | 300   | no  |
+      | the route's, of a plain one | 300     | again  | 9000     | all upstreams stand still   | route  | 300   | no  |
+      | the caller's, of a plain one | 9000   | again  | 300      | all upstreams stand still   | caller | 300   | no  |
+
   # Guards against a fault of this program that closes a caller's connection without an answer, and
   # that the log names without its request.
   Scenario Outline: A request whose handling raises an error is answered, and the log names it: <route>
--- a/features/steps/gateway_fault_steps.py
+++ b/features/steps/gateway_fault_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from gateway_runner import EVENT_SECONDS
 from gateway_story import ask_while, assert_whole, two_chains
+from gateway_world import default_config
 
 from deckcourse.gateway.rate_gate import RateGate
 from deckcourse.gateway.stream_runner import AttemptRunner
@@ -232,6 +233,56 @@
     assert bool(line["instance"]) == (what != "entry"), line
 
 
+@given("each route has a timeout of {timeout:d} ms")
+def route_timeouts(context, timeout):
+    config = default_config()
+    for route in config["routes"]:
+        route["timeoutMs"] = timeout
+    context.site.config = config
+
+
+@when("a caller asks for {route} with a deadline of {deadline:d} ms, and {fault}")
+def asks_until_limit(context, route, deadline, fault):
+    async def story(site):
+        if fault == "all upstreams stand still":
+            make_upstreams_stand_still(site)
+        else:
+            send_part(site)
+        context.got = await site.ask(route, headers=[("X-Deadline-Ms", str(deadline))])
+
+    context.site.play(story)
+
+
+def send_part(site):
+    """Let the runners send one event of a stream and then nothing."""
+
+    async def run_part(request, exchange):
+        headers = {name.decode().lower(): value for name, value in request.headers}
+        name = headers["x-request-id"]
+        seal = (b"x-response-seal", b"seal-" + name)
+        kind = (b"content-type", b"text/event-stream")
+        await exchange.start(200, [(b"x-request-id", name), seal, kind])
+        await exchange.send(b"id: 1\ndata: part\n\n")
+        await trio.sleep_forever()
+
+    for runner in site.runners.values():
+        site.network.listen(runner.address, run_part)
+
+
+@then(
+    "the log says that the limit was the one of the {whose}, {limit:d} ms on {route}, and cut {cut}"
+)
+def log_says_limit(context, whose, limit, route, cut):
+    lines = context.site.lines
+    (line,) = [fields for decision, fields in lines if decision == "deadline"]
+    assert (line["limit"], line["timeout_ms"], line["route"]) == (whose, limit, route), line
+    assert line["begun"] == (cut == "yes"), line
+    (ended,) = [fields for decision, fields in lines if decision in ("unknown", "refused")]
+    assert (ended["request"], ended["reason"]) == (line["request"], "deadline-passed"), ended
+    assert ended["cut"] == (cut == "yes"), ended
+    assert context.got.whole == (cut == "no"), context.got
+
+
 @when("the handling of a {route} request raises an error")
 def handling_fails(context, route):
     def fail(*_args, **_more):
