Answer what became whole before a late process ends, or close it at once

Callers of a gateway process that stopped while its event loop was late read a reset 0.25 s to several seconds after they had sent their whole request, which lay in the socket or was read and not answered.

Cause: the last phase of a stop counts ten turns, and a request takes as many turns as it has reads of 16 KB and some five more. Then the tasks of connections were cancelled, whatever had arrived, and closed them some turns later, so that what came in between was lost too.

Ruled out: idle connections, which are read once more before they are closed, and the accept queue, which is emptied in the turn that closes the listener.

While a process stops it reads up to 256 KB in a turn. The last phase goes on for five turns after the last arrival, up to 40 turns and the bound of the stop; a turn that isn't late takes 10 ms. Connections whose request isn't whole are closed in the turn that decides so: their callers learn it within their slack.

--- a/deckcourse/gateway/server.py
+++ b/deckcourse/gateway/server.py
@@ -40,6 +40,10 @@
 # The least turns of the event loop for these refusals: each takes some five from the accept to the
 # close, which may last longer than that time in a late process.
 MIN_LAST_TURNS = 10
+# Turns after the last one in which bytes of a request came, in which it is parsed and answered, and
+# the most turns that such bytes may lead to: a caller may send without an end.
+TURNS_AFTER_ARRIVAL = 5
+MAX_LAST_TURNS = 40
 # Interval between two checks whether all requests have ended.
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 # A connection is closed unread only within this share of the time after which its request counts as
@@ -152,6 +156,7 @@
         self._enlarge_send_buffers()
         with trio.move_on_at(end_by):
             await self._refuse_last(nursery)
+        self._idle_connections.close_reading()
         self._unread_closes.report()
         self._log("stopped", unfinished=gateway.requests)
 
@@ -169,14 +174,27 @@
         # The tasks of connections accepted in the turn before may run after this one.
         await trio.lowlevel.checkpoint()
         self._idle_connections.close_all()
-        turns = 0
-        while self._node.gateway.requests or (
-            (self._node.held.connections or self._refusals.pending)
-            and (turns < MIN_LAST_TURNS or trio.current_time() < ends_at)
-        ):
+        turns, min_turns, received = 0, MIN_LAST_TURNS, self._idle_connections.received
+        while True:
+            if self._idle_connections.received > received or self._has_unread_bytes():
+                received = self._idle_connections.received
+                min_turns = min(max(min_turns, turns + TURNS_AFTER_ARRIVAL), MAX_LAST_TURNS)
+            has_time = turns < min_turns or trio.current_time() < ends_at
+            is_busy = self._node.held.connections or self._refusals.pending
+            if not self._node.gateway.requests and not (is_busy and has_time):
+                return
             await trio.sleep(LAST_READS_SECONDS)
             turns += 1
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether something lies in a connection; it may be the rest of a request."""
+        return any(
+            isinstance(stream, trio.SocketStream)
+            and stream.socket.fileno() >= 0
+            and stream.socket.is_readable()
+            for stream in self._streams
+        )
+
     def _accept_last(self, port: _Port, nursery: trio.Nursery) -> None:
         count = 0
         try:
--- a/deckcourse/http1/idle_connections.py
+++ b/deckcourse/http1/idle_connections.py
@@ -41,6 +41,17 @@
         self._scopes: dict[trio.CancelScope, bool] = {}
         self._closes_served = False
         self._closes_fresh = False
+        self._received = 0
+        self._reading: set[trio.SocketStream] = set()
+
+    @property
+    def received(self) -> int:
+        """How often bytes of a request came, on any of the connections."""
+        return self._received
+
+    def note_received(self) -> None:
+        """Record that bytes of a request came."""
+        self._received += 1
 
     def close_served(self) -> None:
         """Close the served connections, and from now on each one as soon as it becomes idle."""
@@ -60,6 +71,26 @@
     def _closes(self, is_fresh: bool) -> bool:
         return self._closes_fresh if is_fresh else self._closes_served
 
+    @contextmanager
+    def reading_request(self, stream: trio.abc.Stream) -> Iterator[None]:
+        """Count a connection as one whose request is awaited or read inside."""
+        if not isinstance(stream, trio.SocketStream):  # It is in memory.
+            yield
+            return
+        self._reading.add(stream)
+        try:
+            yield
+        finally:
+            self._reading.discard(stream)
+
+    def close_reading(self) -> None:
+        """Close the connections whose request is not whole, in this turn of the event loop.
+
+        Cancelled, their tasks would close them some turns later, after the rest has come.
+        """
+        for stream in self._reading:
+            stream.socket.close()
+
     @contextmanager
     def waiting_for_request(self, is_fresh: bool) -> Iterator[trio.CancelScope]:
         """Count a connection as idle while the next request is awaited inside.
--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -37,6 +37,8 @@
 DISCARD_TIMEOUT_SECONDS = 2.0
 # Size of one read of bytes that are discarded: few reads, as each takes a turn of the event loop.
 DISCARD_READ_BYTES = 256 * 1024
+# Size of one read while connections are closing: a late process has few turns left.
+CLOSING_READ_BYTES = 256 * 1024
 # Bytes of the largest head for each field that it may have: the parser's work is by fields. HTTP/2
 # counts as many for the overhead of a field (RFC 9113, 6.5.2).
 MIN_FIELD_BYTES = 32
@@ -264,7 +266,8 @@
     async def run(self) -> None:
         while True:
             try:
-                request = await self._read_request()
+                with self._idle_connections.reading_request(self._stream):
+                    request = await self._read_request()
             except _RejectedRequestError as rejected:
                 await self._reject(rejected.status)
                 return
@@ -407,9 +410,12 @@
         """Return what the client sends next, empty at its close, None if nothing comes in time."""
         data = None
         waits_since = trio.current_time()
+        size = CLOSING_READ_BYTES if self._closing() else READ_BYTES
         with trio.move_on_at(deadline):
-            data = await self._stream.receive_some(READ_BYTES)
+            data = await self._stream.receive_some(size)
         self._pieces.note_wait(trio.current_time() - waits_since)
+        if data:
+            self._idle_connections.note_received()
         return data
 
     async def _receive_arrived(self) -> bytes | None:
--- a/features/mutants_stop.py
+++ b/features/mutants_stop.py
@@ -6,10 +6,12 @@
 
 import deckcourse.gateway.handover as handover_module
 import deckcourse.gateway.server as server_module
+import deckcourse.http1.server as http1_server_module
 import deckcourse.http_server as http_server_module
 from deckcourse.gateway.admitted import Admitted
 from deckcourse.gateway.stop_bounds import StopBounds
 from deckcourse.gateway.stream_admission import StreamAdmission
+from deckcourse.http1.idle_connections import IdleConnections
 from deckcourse.http1.server import Exchange
 from deckcourse.http_server import HttpServer
 from deckcourse.reasons import UnknownReason
@@ -55,6 +57,14 @@
     HttpServer._accept_last = lambda self, listener, nursery: None
 
 
+def a_late_process_reads_as_little_as_ever():
+    http1_server_module.CLOSING_READ_BYTES = http1_server_module.READ_BYTES
+
+
+def half_read_requests_are_closed_turns_later():
+    IdleConnections.close_reading = lambda self: None
+
+
 def errors_close_connections():
     Exchange.client_gone = property(lambda self: True)
 
@@ -62,7 +72,10 @@
 STOP = ("stopping_requests",)
 GATEWAY = ("gateway",)
 ENTRY = ("entry_stops",)
+UNREAD = ("unread_connections",)
 EVERY = {
+    a_late_process_reads_as_little_as_ever: ("a stopping process reads more in a turn", UNREAD),
+    half_read_requests_are_closed_turns_later: ("the end closes at once what it read", UNREAD),
     an_entry_closes_idle_connections_unread: ("an idle connection is read once more", ENTRY),
     an_entry_resets_its_accept_queue: ("an entry accepts what waits before it ends", ENTRY),
     an_entry_stops_without_outcomes: ("an entry's stop ends each request", ENTRY),
--- a/features/server_world.py
+++ b/features/server_world.py
@@ -51,7 +51,8 @@
 class Caller:
     """A caller with a blocking socket, whose steps take no turn of the event loop."""
 
-    def __init__(self, address, receive_buffer=None):
+    def __init__(self, address, receive_buffer=None, answer_timeout=ANSWER_TIMEOUT_SECONDS):
+        self._answer_timeout = answer_timeout
         host, port = address.split(":")
         self._socket = socket.socket()
         if receive_buffer is not None:
@@ -67,7 +68,7 @@
 
     def read(self):
         """Return what arrives until the end, which is marked if it is a reset."""
-        self._socket.settimeout(ANSWER_TIMEOUT_SECONDS)
+        self._socket.settimeout(self._answer_timeout)
         data = b""
         try:
             while part := self._socket.recv(4096):
--- a/features/steps/unread_connection_steps.py
+++ b/features/steps/unread_connection_steps.py
@@ -1,6 +1,10 @@
 """Steps about connections whose requests a server doesn't read."""
 
+import threading
 import time
+from contextlib import suppress
+from dataclasses import replace
+from functools import partial
 
 import trio
 from behave import given, then, when
@@ -21,6 +25,8 @@
 MOMENT_SECONDS = 0.02
 # How long a server that was stopped takes requests.
 STOP_WAIT_SECONDS = 0.6
+# Longer than any stop here.
+LONG_READ_SECONDS = 10.0
 
 
 def check_answer(answer, gets):
@@ -179,6 +185,86 @@
     context.answer = play(part, context.admits, balancer_grace=STOP_WAIT_SECONDS)
 
 
+@when("it stops, and a caller's request of {size:d} KB is being sent after {seconds:g} s")
+def stop_beside_long_request(context, size, seconds):
+    async def part(server, node, address):
+        async with trio.open_nursery() as nursery:
+            node.stop()
+            server.stop()
+            await trio.sleep(seconds)
+            nursery.start_soon(run_late, context.turn)
+            caller = Caller(address, answer_timeout=LONG_READ_SECONDS)
+            # The kernel doesn't take all of it at once.
+            send = partial(send_if_open, caller, request_with_body(1024 * size))
+            threading.Thread(target=send, daemon=True).start()
+            answer = await read_beside(caller)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    context.answer = play(part, context.admits, balancer_grace=STOP_WAIT_SECONDS)
+
+
+def send_if_open(caller, data):
+    with suppress(OSError):
+        caller.send(data)
+
+
+@when("it stops, and a caller with half a head sends the rest {turn:d} turns after the last accept")
+def stop_beside_half(context, turn):
+    async def part(server, node, address):
+        caller = Caller(address, answer_timeout=LONG_READ_SECONDS)
+        caller.send(REQUEST[:10])
+        node.bounds = replace(node.bounds, header_seconds=LONG_READ_SECONDS)
+        node.held = TurnCounter(node.held, turn, lambda: send_if_open(caller, REQUEST[10:]))
+        async with trio.open_nursery() as nursery:
+            node.stop()
+            server.stop()
+            nursery.start_soon(run_late, context.turn)
+            # The time is taken outside of the late event loop.
+            answer, read_at = await trio.to_thread.run_sync(
+                lambda: (caller.read(), time.monotonic())
+            )
+            nursery.cancel_scope.cancel()
+        return answer, read_at - node.held.acted_at
+
+    context.answer, context.waited = play(part, context.admits, balancer_grace=MOMENT_SECONDS)
+
+
+class TurnCounter:
+    """Held bytes that act when the end of a stop asks for the connections once more.
+
+    Args:
+      held: what is held.
+      turn: how often it was asked before.
+      act: called then.
+    """
+
+    def __init__(self, held, turn, act):
+        self._held = held
+        self._turns_left = turn
+        self._act = act
+        self.acted_at = float("inf")
+
+    def connection(self):
+        return self._held.connection()
+
+    @property
+    def connections(self):
+        if self._turns_left == 0:
+            self._act()
+            self.acted_at = time.monotonic()
+        self._turns_left -= 1
+        return self._held.connections
+
+
+@then("the caller gets a whole answer, or a close within {seconds:g} s")
+def answered_or_closed_at_once(context, seconds):
+    if context.answer in (b"", b"{reset}"):
+        assert context.waited <= seconds, context.waited
+    else:
+        check_answer(context.answer, "a 503")
+
+
 @then("a whole answer with a close reaches the caller")
 def answered_with_close(context):
     # It may have been served before the server refuses requests.
--- a/features/unread_connections.feature
+++ b/features/unread_connections.feature
@@ -48,3 +48,29 @@
       | each turn late, as the listener ends   | 0.06 | all connections | 0    | 0.6    |
       | each turn very late                    | 0.25 | all connections | 0    | 0.6    |
       | the request takes some turns           | 0.25 | all connections | 48   | 0.6    |
+
+  # Guards against a stop that ends while a late process still reads what has long been sent.
+  Scenario Outline: A late process reads a long request to its end before its own: <size> KB, <turn> s
+    Given a server that admits all connections, whose turns of the event loop last <turn> s
+    When it stops, and a caller's request of <size> KB is being sent after 0.1 s
+    Then a whole answer with a close reaches the caller
+
+    Examples: it refuses requests 0.6 s after it was stopped
+      | size | turn |
+      | 600  | 0.25 |
+      | 900  | 0.25 |
+      | 900  | 0.1  |
+      | 900  | 0.05 |
+
+  # Guards against a request that comes whole in the last turns of a late process.
+  Scenario Outline: A late process answers a request that becomes whole in one of its last turns: <turn>
+    Given a server that admits all connections, whose turns of the event loop last 0.25 s
+    When it stops, and a caller with half a head sends the rest <turn> turns after the last accept
+    Then the caller gets a whole answer, or a close within 0.2 s
+
+    Examples:
+      | turn |
+      | 7    |
+      | 8    |
+      | 9    |
+      | 10   |
