Refuse at once what a partitioned process and its peers can't serve

Callers of a process that reaches no upstream of a service, while its peers have an older configuration, were held: each plain call made attempts whose connections could not be opened, or was sent on an open connection that had gone silent and waited there until its timeout.

The cause: without a peer, a partitioned process sent requests on as a last resort, whatever it knew. That serves callers only where open connections still work.

A request is now sent on only while some open connection has had an answer since the check that found the partition, within a second; otherwise it is refused at once with the usual Retry-After. Requests that were sent before the partition was known stay where they are: silence is no reason to end them.

Connections that are kept live go on serving.

--- a/deckcourse/gateway/lookup.py
+++ b/deckcourse/gateway/lookup.py
@@ -126,7 +126,8 @@
                     break
                 if handed is not None:
                     return handed
-                upstream = self._choose() if self._is_partitioned else None
+                if self._is_partitioned and self._may_send:
+                    upstream = self._choose()
             if upstream is None:
                 break
             if self._attempts and not await self._retry.acquire():
@@ -184,6 +185,10 @@
     def _is_partitioned(self) -> bool:
         return self._context.reachability.is_partitioned(self._admitted.service.name)
 
+    @property
+    def _may_send(self) -> bool:
+        return self._context.reachability.may_send(self._admitted.service.name)
+
     async def _hand_over(self) -> Outcome | LostAnswer | None:
         """Let a peer serve the call; return None if none takes it."""
         service = self._admitted.service.name
--- a/deckcourse/gateway/reach_sharing.py
+++ b/deckcourse/gateway/reach_sharing.py
@@ -60,7 +60,9 @@
     ) -> None:
         self._count = count
         self._own = Reachability(upstreams, control, services, random, count, gauge, log)
-        self._peers = ReachingPeers(roster, gossip, describe, version, random, count)
+        self._peers = ReachingPeers(
+            roster, gossip, describe, version, self._own.is_partitioned, random, count
+        )
         self._probes = PeerProbes(
             roster,
             gossip,
--- a/deckcourse/gateway/reachability.py
+++ b/deckcourse/gateway/reachability.py
@@ -37,6 +37,9 @@
 CHECK_INTERVAL_SECONDS = 1.0
 # Interval of the probes that find out when a partition has ended.
 RECOVERY_INTERVAL_SECONDS = 0.25
+# While a service is partitioned, open connections are used as long as one of them has had an answer
+# within this time.
+KEPT_CONTACT_SECONDS = 1.0
 # A plain call usually takes less than this. The upstream of one that takes longer is probed.
 SLOW_CALL_SECONDS = 0.4
 # A new connection that breaks within this time was never one to the upstream, seconds.
@@ -61,13 +64,15 @@
     """What is known of one service; all times are on trio's clock.
 
     `contact_at` is the time of the last answer or new connection, `connected_at` that of the last
-    new connection. `unreachable` holds when each upstream could not be reached.
+    new connection. `unreachable` holds when each upstream could not be reached. `checked_since` is
+    when the last check began.
     """
 
     contact_at: float = float("-inf")
     connected_at: float = float("-inf")
     unreachable: dict[str, float] = field(default_factory=dict)
     partitioned_since: float | None = None
+    checked_since: float = float("-inf")
     next_check_at: float = float("-inf")
     check: trio.Event | None = None
     waits: set[_Wait] = field(default_factory=set)
@@ -112,6 +117,18 @@
         state = self._states.get(service)
         return state is not None and state.partitioned_since is not None
 
+    def may_send(self, service: str) -> bool:
+        """Return whether a request may be sent to an upstream of a service.
+
+        While the service is partitioned, only connections that were open before can carry it, and
+        it waits until its timeout if they have gone silent: others must have had answers since.
+        """
+        state = self._states.get(service)
+        if state is None or state.partitioned_since is None:
+            return True
+        recently = trio.current_time() - KEPT_CONTACT_SECONDS
+        return state.contact_at >= max(state.checked_since, recently)
+
     def contact_at(self, service: str) -> float:
         """Return when an upstream of a service last answered, on trio's clock."""
         state = self._states.get(service)
@@ -239,6 +256,7 @@
             await state.check.wait()
             return
         check = state.check = trio.Event()
+        state.checked_since = trio.current_time()
         try:
             for seconds in PROBE_TIMEOUTS_SECONDS:
                 upstreams = self._sample(service)
--- a/deckcourse/gateway/reaching_peers.py
+++ b/deckcourse/gateway/reaching_peers.py
@@ -74,6 +74,7 @@
       describe: returns what this process tells of a service, for a process whose desired state has
         the given version.
       version: returns the version of the own desired state.
+      is_partitioned: returns whether this process reaches no upstream of a service.
       random: chooses the peers that are asked.
       count: increments the counter of a name.
     """
@@ -84,9 +85,11 @@
         gossip: PeerGossip,
         describe: Callable[[str, int], PeerReach],
         version: Callable[[], int],
+        is_partitioned: Callable[[str], bool],
         random: Random,
         count: Callable[[str], None],
     ) -> None:
+        self._is_partitioned = is_partitioned
         self._roster = roster
         self._gossip = gossip
         self._describe = describe
@@ -106,10 +109,15 @@
           service: the service that the request is for.
           excluded: the names of peers that the request was handed over to before.
         """
+        arrived_at = trio.current_time()
         current = await self._current_round(service)
         best = self._best_reply(current, excluded)
-        if best is None and trio.current_time() >= current.asked_at + MIN_ROUND_INTERVAL_SECONDS:
-            current = await self._ask(service)
+        is_due = trio.current_time() >= current.asked_at + MIN_ROUND_INTERVAL_SECONDS
+        # A peer may have become able to take requests since it was asked. A partitioned process
+        # has no other way to serve them.
+        may_wait = self._is_partitioned(service) and current.asked_at < arrived_at
+        if best is None and (is_due or may_wait):
+            current = await self._next_round(service, current)
             best = self._best_reply(current, excluded)
         return current.asked[best.sender] if best is not None else None
 
@@ -120,6 +128,15 @@
         await self._wait_for_replies(current)
         return current
 
+    async def _next_round(self, service: str, last: _Round) -> _Round:
+        """Ask peers again, as soon as the interval since the last round is over."""
+        await trio.sleep_until(last.asked_at + MIN_ROUND_INTERVAL_SECONDS)
+        current = self._rounds[service]
+        if current is last:
+            return await self._ask(service)
+        await self._wait_for_replies(current)
+        return current
+
     async def _wait_for_replies(self, current: _Round) -> None:
         if not current.finished.is_set():
             with trio.move_on_at(current.asked_at + ROUND_TIMEOUT_SECONDS):
--- a/deckcourse/gateway/stream.py
+++ b/deckcourse/gateway/stream.py
@@ -202,7 +202,8 @@
                 if self._is_partitioned and self._paths.may_wait:
                     await trio.sleep(PATH_SEARCH_INTERVAL_SECONDS)
                     continue
-                path = await self._paths.find() if self._is_partitioned else None
+                if self._is_partitioned and self._may_send:
+                    path = await self._paths.find()
             if path is None:
                 return self._no_path_outcome()
             if not self._executions.runs:
@@ -298,6 +299,10 @@
     def _is_partitioned(self) -> bool:
         return self._context.reachability.is_partitioned(self._admitted.service.name)
 
+    @property
+    def _may_send(self) -> bool:
+        return self._context.reachability.may_send(self._admitted.service.name)
+
     def reserve_retry(
         self, instance: str, why: Interruption, when_granted: Callable[[], object]
     ) -> bool:
--- a/features/mutants_partitions.py
+++ b/features/mutants_partitions.py
@@ -39,6 +39,10 @@
     Handover.may_run = property(lambda self: False)
 
 
+def requests_are_sent_out_of_reach():
+    Reachability.may_send = lambda self, service: True
+
+
 def silent_peers_are_waited_for():
     async def is_alive(self, peer):
         return True
@@ -89,6 +93,10 @@
     ),
     plans_follow_own_suspicions: ("upstreams that answer a peer are not lost", PARTITIONS),
     refusals_to_one_process_end_upstreams: ("a refusal to one process is no end", PARTITIONS),
+    requests_are_sent_out_of_reach: (
+        "no request waits for an upstream that is known to be out of reach",
+        PARTITIONS,
+    ),
     parts_are_not_suspected: ("a part that ends upstreams is quarantined", PARTS),
     answers_clear_no_part: ("a success clears the parts of its prompt", PARTS),
 }
--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -98,6 +98,27 @@
     When g2 knows an older configuration than g0, which is partitioned from all upstreams
     Then no request was handed over to g2
 
+  # Guards against requests that were sent on open connections which have gone silent, and held until
+  # their timeouts, though the partition was known and no peer could take them.
+  Scenario Outline: Only a partitioned process knows the newest configuration: <how>
+    Given 3 gateway processes in two failure domains
+    When g0 knows a newer configuration than its peers, and is partitioned from all upstreams: <how>
+    Then each request that came 3 seconds later was served or refused within 0.2 seconds
+    And <share> of them were served
+    And each refusal asked its caller to return within a third of its time
+
+    Examples:
+      | how                   | share |
+      | silent                | none  |
+      | reset                 | none  |
+      | kept connections live | most  |
+
+  # Guards against a refusal while a peer that has just read the configuration can take the request.
+  Scenario: A peer reads the newest configuration while a partitioned process refuses its callers
+    Given 3 gateway processes in two failure domains
+    When g0 knows a newer configuration than its peers for 3 seconds of a partition, then g2 reads it
+    Then each request that came after that was served
+
   Scenario: A caller can't hand a request over itself
     Given 3 gateway processes in two failure domains
     When a caller sends what a process hands over, and headers of a peer's response
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -25,6 +25,10 @@
 CUT_AT_SECONDS = 2.0
 MENDED_AT_SECONDS = 9.0
 END_SECONDS = 14.0
+# Connections of a process that are open when its partition begins.
+OPEN_CONNECTIONS = 30
+# Longer than a scenario: no request ends at its timeout before.
+LONG_TIMEOUT_MS = 6000
 # Requests that earn at least one retry.
 EARNING_REQUESTS = 10
 
@@ -169,6 +173,12 @@
     return process.node._counters.counts.get("handover.received", 0)
 
 
+def with_timeouts(config, timeout_ms):
+    """Return a desired state with this timeout of all routes."""
+    routes = [{**each, "timeoutMs": timeout_ms} for each in config["routes"]]
+    return {**config, "routes": routes}
+
+
 async def until(condition):
     with trio.fail_after(5.0):
         while not condition():
@@ -291,6 +301,101 @@
     assert not received_by(peer)
 
 
+async def outdate_peers(site):
+    """Let g0 alone learn of a newer configuration, after requests that left connections open."""
+    async with trio.open_nursery() as nursery:
+        for number in range(OPEN_CONNECTIONS):
+            for route in ("stream", "again"):
+                ask = site.ask_at, site.processes[0], route, f"w{number}", b"w"
+                nursery.start_soon(*ask)
+    for each in site.processes[1:]:
+        each.store.cut = True
+    site.apart = True
+    for each in site.processes:
+        each.node.peers.feed.server.stop()
+    site.store.put("op", "config", {**site.config, "version": 2})
+    await trio.sleep(0.5)
+    site.apart = False
+    await site.ask_at(site.processes[0], "again", "w", b"w")
+    assert [each.node._desired.version for each in site.processes] == [2, 1, 1]
+
+
+async def send_to_first(context, site, seconds):
+    until = trio.current_time() + seconds
+    number = len(context.requests)
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < until:
+            for route in context.routes:
+                number += 1
+                nursery.start_soon(send, context, site, site.processes[0], route, f"n{number}")
+            await trio.sleep(REQUEST_INTERVAL_SECONDS)
+
+
+@when("g0 knows a newer configuration than its peers, and is partitioned from all upstreams: {how}")
+def newer_configuration(context, how):
+    async def story(site):
+        await outdate_peers(site)
+        context.judged_from = trio.current_time() + CONTACT_SECONDS
+        site.cut(["g0"], Cut(how))
+        await send_to_first(context, site, CONTACT_SECONDS + 3.0)
+
+    context.site.config = with_timeouts(context.site.config, LONG_TIMEOUT_MS)
+    context.site.play(story)
+
+
+@when(
+    "g0 knows a newer configuration than its peers for 3 seconds of a partition, then g2 reads it"
+)
+def configuration_comes_late(context):
+    async def story(site):
+        await outdate_peers(site)
+        site.cut(["g0"], Cut.RESET)
+        await send_to_first(context, site, 3.0)
+        peer = site.processes[2]
+        peer.store.cut = False
+        await until(lambda: peer.node._desired.version == 2)
+        context.judged_from = trio.current_time()
+        await send_to_first(context, site, 2.0)
+
+    context.site.play(story)
+
+
+def judged(context):
+    found = [each for each in context.requests if each[0] >= context.judged_from]
+    assert len(found) >= 45, len(found)
+    return found
+
+
+@then("each request that came 3 seconds later was served or refused within {seconds:g} seconds")
+def ended_soon(context, seconds):
+    for *_, route, name, got in judged(context):
+        is_ended = is_served(context, route, name, got) or (
+            got.status == 503 and got.seconds <= seconds
+        )
+        assert is_ended, (route, name, got)
+
+
+@then("{share} of them were served")
+def share_served(context, share):
+    found = judged(context)
+    served = sum(is_served(context, *each[2:]) for each in found)
+    assert served == 0 if share == "none" else served > len(found) / 2, (served, len(found))
+
+
+@then("each refusal asked its caller to return within a third of its time")
+def return_soon(context):
+    for *_, got in judged(context):
+        if got.status == 503:
+            seconds = float(context.site.header(got, "retry-after"))
+            assert 0 < seconds <= LONG_TIMEOUT_MS / 1000 / 3, got
+
+
+@then("each request that came after that was served")
+def all_served(context):
+    for *_, route, name, got in judged(context):
+        assert is_served(context, route, name, got), (route, name, got)
+
+
 @when("a caller sends what a process hands over, and headers of a peer's response")
 def forged_handover(context):
     async def story(site):
