Ask a silent upstream whose row goes before it counts as crashed

A request was counted as having crashed upstreams that were sound: they were silent for a second before its first event, and their rows went meanwhile. Requests with enough such crashes are refused.

An upstream that left the probe after a break unanswered counted as crashed as soon as its row was dropped. The row tells that its upstream isn't listed, not that its process has ended.

Upstreams that accept queries are now probed once their row is dropped. One that answers has not crashed; one that refuses connections has; one that stays silent has, once it was silent for longer than sound ones are. A newer incarnation counts at once, as before.

--- a/deckcourse/gateway/crash_watch.py
+++ b/deckcourse/gateway/crash_watch.py
@@ -30,6 +30,10 @@
 # An upstream that left the probe unanswered counts as crashed if its row is removed, or a newer
 # incarnation appears, within this time after the break, seconds: rows lapse after three reports.
 UNANSWERED_TTL_SECONDS = 10.0
+# A sound upstream may be silent for about a second: one whose row goes counts as crashed only if it
+# has not answered for this time after the break, seconds. It is probed in this interval until then.
+SILENT_SECONDS = 1.5
+SILENT_PROBE_INTERVAL_SECONDS = 0.2
 # Maximum time that a suspect request waits for another one's trial, seconds.
 MAX_TRIAL_WAIT_SECONDS = 0.5
 # Time for peers to report the other requests that a crashed upstream ran, seconds.
@@ -272,9 +276,31 @@
         await broken.probed.wait()
 
     def note_ended(self, instance: str) -> None:
-        """Record that an upstream ended: its row was dropped or a newer incarnation is known."""
+        """Record that an upstream ended: a newer incarnation is known."""
         self._attribute_crash(instance)
 
+    def note_row_dropped(self, instance: str) -> None:
+        """Record that the row of an upstream was dropped: it has ended unless it answers."""
+        unresolved, _ = self._unresolved.get(instance, ([], 0.0))
+        if self._nursery is None or not any(each.has_layers for each in unresolved):
+            # A plain upstream that accepts connections can't be told from a proxy in front of it.
+            self._attribute_crash(instance)
+            return
+        self._nursery.start_soon(self._resolve_dropped, instance)
+
+    async def _resolve_dropped(self, instance: str) -> None:
+        """Probe an upstream without a row until it answers, is dead or was silent for too long."""
+        while instance in self._unresolved:
+            latest = self._unresolved[instance][0][-1]
+            result = await self._check.probe(latest.upstream, latest.has_layers)
+            if result is ProbeResult.ALIVE:
+                self._unresolved.pop(instance, None)
+            is_silent_for_long = trio.current_time() >= latest.broke_at + SILENT_SECONDS
+            if result is ProbeResult.DEAD or is_silent_for_long:
+                self._attribute_crash(instance)
+                return
+            await trio.sleep(SILENT_PROBE_INTERVAL_SECONDS)
+
     def _attribute_crash(self, instance: str) -> list[Crash]:
         """Attribute the end of an upstream to the attempts that it was running.
 
--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -585,9 +585,9 @@
         self._issuing.rates.on_limit_change(limit, source)
 
     def _on_row_dropped(self, upstream: Upstream) -> None:
-        """Treat the upstream of a dropped row as ended, unless it left."""
+        """Treat the upstream of a dropped row as ended, unless it left or answers."""
         if not upstream.leaving:
-            self._crash_watch.note_ended(upstream.instance)
+            self._crash_watch.note_row_dropped(upstream.instance)
 
     def _on_dial_failure(self, address: str, failure: ConnectionLostError) -> None:
         """Record that no connection to an address, of an upstream or not, could be opened."""
--- a/features/mutants_crashes.py
+++ b/features/mutants_crashes.py
@@ -148,10 +148,18 @@
     host_clock.CLOCK_ID = time.CLOCK_MONOTONIC
 
 
+def upstreams_without_rows_have_ended():
+    CrashWatch.note_row_dropped = CrashWatch.note_ended
+
+
 CRASHES = ("crashing_requests",)
 EVENTS = ("stream_events",)
 EVERY = {
     requests_that_end_upstreams_go_on: ("the refusal of requests that end upstreams", CRASHES),
+    upstreams_without_rows_have_ended: (
+        "an upstream that answers has not ended, whatever became of its row",
+        ("believed_lost",),
+    ),
     ends_are_kept_in_no_row: ("the rows of ends", CRASHES),
     others_hear_of_no_end: ("telling others of ends", CRASHES),
     what_ran_well_stays_under_suspicion: ("clearing what ran well", CRASHES),
