Soak: bytes that cross an entry's close don't count as passed on

Requests counted as lost around a stop although their entry had closed their connection before a late proxy passed them on. By the rule such requests aren't counted: their process has not read them. The proxy recorded that it had passed bytes on once its own send succeeded, which it also does on a connection that the other end has closed.

The proxy now asks the system before it sends whether the other end has closed the connection, also where bytes are unread before the close; such bytes leave no record. What an entry could have read counts as before.

Two of the three rows of the new outline are red without the change.

--- a/features/soak_runner.feature
+++ b/features/soak_runner.feature
@@ -56,3 +56,16 @@
       | restarted          | has an open connection | ends and starts again                    | accepted |
       | ended, link silent | has an open connection | ends behind a link that is silent        | accepted |
       | ended during a cut | has an open connection | ends while its link is silent for a time | refused  |
+
+  # Guards against requests that count as lost at a process that closed their connection before a
+  # late proxy passed them on.
+  Scenario Outline: Bytes count as passed on by a proxy unless they cross the close: <case>
+    Given a proxy of a target that has an open connection
+    When the client's bytes reach the proxy <when>
+    Then they count as passed on: <counts>
+
+    Examples:
+      | case             | when                                        | counts |
+      | open             | while the connection is open                | yes    |
+      | closed           | once the target has closed it               | no     |
+      | answered, closed | once the target has sent bytes and closed it | no     |
--- a/features/steps/soak_proxy_steps.py
+++ b/features/steps/soak_proxy_steps.py
@@ -33,6 +33,9 @@
     async def accept(self):
         self._connection, _ = await trio.to_thread.run_sync(self._listener.accept)
 
+    def send(self, data):
+        self._connection.sendall(data)
+
     def close_connection(self):
         self._connection.close()
 
@@ -142,3 +145,34 @@
             proxy.set_mode(Mode.PASS)
         case _:
             raise AssertionError(event)
+
+
+@when("the client's bytes reach the proxy {when}")
+def bytes_reach_proxy(context, when):
+    context.when = when
+
+
+@then("they count as passed on: {counts}")
+def bytes_count(context, counts):
+    assert trio.run(pass_bytes, context.when) == (counts == "yes")
+
+
+async def pass_bytes(when):
+    """Return whether bytes that reach a proxy at some time count as passed on."""
+    proxy = Proxy(free_port(), free_port())
+    target = Target(proxy.target)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(proxy.run)
+        target.start()
+        client = await connect(proxy)
+        await target.accept()
+        if "sent bytes" in when:
+            target.send(b"x")
+        if "closed" in when:
+            target.close_connection()
+            await wait_for_end(client)
+        await client.send_all(b"x")
+        await trio.sleep(EXIT_SECONDS)
+        target.end()
+        nursery.cancel_scope.cancel()
+    return bool(proxy.passed_on_at)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,5 +1,6 @@
 """A TCP proxy on the loopback address that delays, blocks or resets its connections."""
 
+import select
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -78,6 +79,7 @@
     refused_at: dict[int, float] = field(default_factory=dict)
     openings: list[Opening] = field(default_factory=list)
     # When the latest bytes of a client were passed on to the target, by the port of the client.
+    # Bytes that cross the target's close of the connection don't count: it has not read them.
     passed_on_at: dict[int, float] = field(default_factory=dict)
     _connections: set[tuple[trio.SocketStream, trio.SocketStream]] = field(default_factory=set)
     # The connections whose bytes the partition holds back.
@@ -247,8 +249,9 @@
             if is_inbound and b" HTTP/1.1\r\n" in data:
                 self._requests[source] = data.partition(b"\r\n")[0]
             await self._wait_while_blocked(is_inbound, source)
+            crosses_close = is_inbound and _has_ended(destination)
             await destination.send_all(data)
-            if is_inbound:
+            if is_inbound and not crosses_close:
                 self.passed_on_at[_port_of(source)] = trio.current_time()
         await self._wait_while_blocked(is_inbound, source)
         if not is_inbound:
@@ -274,3 +277,10 @@
         return stream.socket.getpeername()[1]
     except OSError:
         return 0
+
+
+def _has_ended(stream: trio.SocketStream) -> bool:
+    """Return whether the other end has closed a connection, also if there are bytes to read."""
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
