Show a stream that is cut beside its sound upstream, which has no room

Callers saw a stream end after a few events although its upstream was sound: it answered queries but held the stream back for more than two seconds, and had no room for others. The stream's connection then counts as silent, and the attempt on it is cancelled for another one at the same upstream before that one is accepted. It is refused, and nothing is left to go on with.

--- a/features/kept_attempts.feature
+++ b/features/kept_attempts.feature
@@ -60,3 +60,23 @@
     Given 1 first upstreams and a route that allows 2
     When the upstream of a stream is silent for four seconds after five events, with 1 retries left
     Then it kept no retry after three seconds
+
+  # Guards against a stream that is cut beside its sound upstream: that one was left for a new attempt
+  # at the same upstream, on another connection, before it had room for that one.
+  Scenario Outline: A sound upstream holds a stream back and has no room: <count>, <seconds> s
+    Given <count> first upstreams and a route that allows 2
+    When the upstream of a stream sends no event for <seconds> seconds, but answers queries, and all are full
+    Then its caller got the whole stream
+    And it was executed by no more than 2 upstreams
+
+    Examples:
+      | count | seconds |
+      | 1     | 2.6     |
+      | 1     | 3.5     |
+      | 1     | 5       |
+      | 2     | 2.6     |
+      | 2     | 3.5     |
+      | 2     | 5       |
+      | 3     | 2.6     |
+      | 3     | 3.5     |
+      | 3     | 5       |
--- a/features/steps/kept_attempt_steps.py
+++ b/features/steps/kept_attempt_steps.py
@@ -15,6 +15,8 @@
 DENIED_SECONDS = 2.0
 # A run that the other upstream resets has had no event by then.
 RESET_AFTER_SECONDS = 0.3
+# The events of a stream that its upstream holds back.
+HELD_BACK_EVENTS = 60
 # The runners' records of a cancelled run may be this late by the rules.
 CANCEL_SECONDS = 0.5
 
@@ -97,6 +99,28 @@
     play(context, 3, fault)
 
 
+@when(
+    "the upstream of a stream sends no event for {seconds:g} seconds, but answers queries, and all"
+    " are full"
+)
+def held_back_beside_full(context, seconds):
+    async def fault(site):
+        site.events = HELD_BACK_EVENTS
+        first = await find_upstream(site, EVENTS_BEFORE["after five events"])
+        site.runners[first].held_until = trio.current_time() + seconds
+        for runner in site.runners.values():
+            runner.behaviour = "full"
+
+    async def story(site):
+        site.earn_retries()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fault, site)
+            context.got = await site.ask()
+            nursery.cancel_scope.cancel()
+
+    context.site.play(story)
+
+
 @then("its arrivals beyond the first are no more than the retries that were spent")
 def arrivals_are_paid(context):
     arrivals = [each for each in context.site.received_requests if each.request == "r1"]
