Keep a stream's attempt until its upstream accepts the next one there

Callers saw a stream end although its upstream was sound: that one answered queries but sent no event for more than two seconds, and had no room for others. After such a silence the stream is sent to the same upstream on another connection, and the earlier attempt was cancelled before that one was accepted. It was refused with 503, and nothing was left to go on with.

The earlier attempt now goes on until the upstream has accepted the new one with a response, as an attempt at another upstream is kept until one has the next event. Of several earlier ones at an upstream only the first is kept: there are two at most, which count as one upstream. The same holds for an attempt that is left because of a host behind its first upstream.

Ruled out: that the refusal takes the upstream out of the count, and that repeated tries spend the budget at once. Each run that was sent counts by itself, so a refusal takes back its own only.

A second scenario holds that an upstream which accepts the stream again works on it once. Each mutant fails one of the two.

--- a/deckcourse/gateway/stream_attempts.py
+++ b/deckcourse/gateway/stream_attempts.py
@@ -105,19 +105,32 @@
     def start(
         self, path: LayerPath, run: Callable[[StreamAttempt[_Result]], Awaitable[_Result]]
     ) -> None:
-        """Start an attempt in the background, in place of one at the same first upstream.
+        """Start an attempt in the background.
+
+        An earlier one at the same first upstream goes on until that one accepts this one: it may
+        have no room for it. Of several, only the first is kept, so that there are no more than two.
 
         Args:
           path: the path that it runs on.
           run: makes the attempt and returns its result.
         """
         attempt = StreamAttempt[_Result](path)
-        for each in self.live:
-            if each.instance == attempt.instance:
-                self.cancel(each)
+        for each in self._others_at(attempt)[1:]:
+            self.cancel(each)
         self._live.append(attempt)
         self._nursery.start_soon(self._run, attempt, run)
 
+    def note_accepted(self, attempt: StreamAttempt[_Result]) -> None:
+        """End earlier attempts at the first upstream of one that this upstream has accepted."""
+        if attempt in self._live:
+            for each in self._others_at(attempt):
+                self.cancel(each)
+
+    def _others_at(self, attempt: StreamAttempt[_Result]) -> list[StreamAttempt[_Result]]:
+        """Return the other attempts in progress at the first upstream of one, the latest last."""
+        others = (each for each in self._live if each is not attempt)
+        return [each for each in others if each.instance == attempt.instance]
+
     async def _run(
         self,
         attempt: StreamAttempt[_Result],
--- a/deckcourse/gateway/stream_runner.py
+++ b/deckcourse/gateway/stream_runner.py
@@ -230,6 +230,7 @@
                 self._note_not_executed(attempt)
             raise
         if reply.status == OK:
+            self._attempts.note_accepted(attempt)
             return await self._relay(reply, attempt)
         stream.is_waiting = False
         with stream.awaiting_upstream():
--- a/features/kept_attempts.feature
+++ b/features/kept_attempts.feature
@@ -68,6 +68,8 @@
     When the upstream of a stream sends no event for <seconds> seconds, but answers queries, and all are full
     Then its caller got the whole stream
     And it was executed by no more than 2 upstreams
+    And its arrivals beyond the first are no more than the retries that were spent
+    And its arrivals are at least 0.1 seconds apart
 
     Examples:
       | count | seconds |
@@ -80,3 +82,10 @@
       | 3     | 2.6     |
       | 3     | 3.5     |
       | 3     | 5       |
+
+  # Guards against an upstream that works twice on one stream, on a connection that was left as well.
+  Scenario: An upstream that holds a stream back accepts it again on another connection
+    Given 1 first upstreams and a route that allows 2
+    When the upstream of a stream sends no event for 3.5 seconds, but answers queries, and has room
+    Then its caller got the whole stream
+    And its upstream had 2 arrivals of it, and one run in progress at the end of the pause
--- a/features/mutants_moves.py
+++ b/features/mutants_moves.py
@@ -64,6 +64,22 @@
     StreamAttempt.may_be_replaced = property(lambda self: False)
 
 
+def earlier_attempts_end_before_the_next_is_accepted():
+    start = StreamAttempts.start
+
+    def cancel_and_start(self, path, run):
+        for each in self.live:
+            if each.instance == path.stages[0].instance:
+                self.cancel(each)
+        start(self, path, run)
+
+    StreamAttempts.start = cancel_and_start
+
+
+def accepted_attempts_end_no_earlier_one():
+    StreamAttempts.note_accepted = lambda self, attempt: None
+
+
 def unused_retries_are_lost():
     StreamRetries.close = lambda self: None
 
@@ -88,6 +104,11 @@
         "a stream may return to an upstream that it left for a host behind it",
         KEPT,
     ),
+    earlier_attempts_end_before_the_next_is_accepted: (
+        "an upstream that answers is left once it accepts the stream again",
+        KEPT,
+    ),
+    accepted_attempts_end_no_earlier_one: ("an upstream works once on a stream", KEPT),
     unused_retries_are_lost: ("a retry that is not used is returned", KEPT),
     searches_are_not_repeated: (
         "a stream at a silent upstream seeks another one again",
--- a/features/steps/kept_attempt_steps.py
+++ b/features/steps/kept_attempt_steps.py
@@ -1,5 +1,7 @@
 """Steps about streams whose upstream is silent while others refuse them or take them over."""
 
+from itertools import pairwise
+
 import trio
 from behave import given, then, when
 from bound_steps import EVENTS_BEFORE
@@ -100,19 +102,23 @@
 
 
 @when(
-    "the upstream of a stream sends no event for {seconds:g} seconds, but answers queries, and all"
-    " are full"
+    "the upstream of a stream sends no event for {seconds:g} seconds, but answers queries, and"
+    " {others}"
 )
-def held_back_beside_full(context, seconds):
+def held_back(context, seconds, others):
     async def fault(site):
         site.events = HELD_BACK_EVENTS
         first = await find_upstream(site, EVENTS_BEFORE["after five events"])
-        site.runners[first].held_until = trio.current_time() + seconds
+        held_until = trio.current_time() + seconds
         for runner in site.runners.values():
-            runner.behaviour = "full"
+            runner.behaviour = "full" if others == "all are full" else ""
+        site.runners[first].held_until = held_until
+        await trio.sleep_until(held_until - POLL_SECONDS)
+        context.in_flight = site.node.gateway.context.upstreams.in_flight(first)
 
     async def story(site):
         site.earn_retries()
+        count_retries(context, site)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(fault, site)
             context.got = await site.ask()
@@ -127,6 +133,22 @@
     assert len(arrivals) - 1 <= context.spent, (arrivals, context.spent)
 
 
+@then("its arrivals are at least {seconds:g} seconds apart")
+def arrivals_are_apart(context, seconds):
+    times = [each.at for each in context.site.received_requests if each.request == "r1"]
+    pauses = [later - earlier for earlier, later in pairwise(times)]
+    assert pauses and min(pauses) >= seconds, (times, context.site.lines[-20:])
+
+
+@then(
+    "its upstream had {arrivals:d} arrivals of it, and one run in progress at the end of the pause"
+)
+def one_run_in_progress(context, arrivals):
+    received = [each for each in context.site.received_requests if each.request == "r1"]
+    found = len(received), context.in_flight
+    assert found == (arrivals, 1), (found, context.site.lines[-20:])
+
+
 @then("one upstream ran it to its end, and the other one stopped within half a second")
 def one_runs_to_its_end(context):
     site = context.site
