--- a/deckcourse/gateway/sibling_connections.py
+++ b/deckcourse/gateway/sibling_connections.py
@@ -177,7 +177,6 @@
           was_paused: whether this process was paused when the close arrived, so that others that
             came with it may arrive late.
           max_silence_seconds: siblings that were quiet for longer don't count.
-          max_silence_seconds: siblings that were quiet for longer don't count.
         """
         closed_at = trio.current_time()
         siblings = [
