Open no connection beside streams for the check of their ends

Each stream to an upstream that had sent no plain answer with a length got a connection of this process without requests, as a witness of the end of an answer.

Cause: whether an upstream can be asked was taken from the health path of its service alone. A service with a model accepts queries.

That a further connection leads to unpaid arrivals at all isn't traced.

--- a/deckcourse/gateway/calls.py
+++ b/deckcourse/gateway/calls.py
@@ -207,7 +207,9 @@
     if caller.request_id == UNNAMED_CALL:
         # A repeated response without an id could be taken for the response to a control message.
         connection.close_after_call()
-    context.ends.note_request(connection, bool(admitted.service.health_path))
+    accepts_queries = admitted.service.model is not None
+    can_be_asked = accepts_queries or bool(admitted.service.health_path)
+    context.ends.note_request(connection, can_be_asked)
     sent_at = trio.current_time()
     try:
         reply = await connection.call(
--- a/features/steps/bound_steps.py
+++ b/features/steps/bound_steps.py
@@ -342,3 +342,14 @@
         executions.allowance,
         executions.instances,
     )
+
+
+@when("a stream is sent to its upstream, which answers queries")
+def stream_sent(context):
+    play(context)
+    assert context.got.status == 200, context.got
+
+
+@then("no connection was opened beside that of the stream")
+def none_beside(context):
+    assert "sibling.opened" not in context.site.counters.counts, context.site.counters.counts
--- a/features/unframed_ends.feature
+++ b/features/unframed_ends.feature
@@ -77,3 +77,9 @@
       | has an answer unread, and then closes   | no    |
       | was quiet for long                      | no    |
       | this process has closed                 | no    |
+
+  # Guards against connections that only plain upstreams without a health path need.
+  Scenario: No connection is kept beside a stream for the check of its end
+    Given 1 first upstreams and a route that allows 2
+    When a stream is sent to its upstream, which answers queries
+    Then no connection was opened beside that of the stream
