Read more of a body in a turn at a stop only if its length is declared

A request in chunks of a byte, without an end, was refused after 270 KB instead of 80 KiB by a process that stops: it reads up to 256 KB in a turn then, so that long bodies become whole in the few turns that a late process has left.

Bodies of a declared length are read so; others have the usual reads, as they may come in pieces that take long to parse.

--- a/deckcourse/http1/server.py
+++ b/deckcourse/http1/server.py
@@ -37,7 +37,8 @@
 DISCARD_TIMEOUT_SECONDS = 2.0
 # Size of one read of bytes that are discarded: few reads, as each takes a turn of the event loop.
 DISCARD_READ_BYTES = 256 * 1024
-# Size of one read while connections are closing: a late process has few turns left.
+# Size of one read of a body of a declared length while connections are closing: a late process has
+# few turns left. One without a length may come in pieces that take longer to parse.
 CLOSING_READ_BYTES = 256 * 1024
 # Bytes of the largest head for each field that it may have: the parser's work is by fields. HTTP/2
 # counts as many for the overhead of a field (RFC 9113, 6.5.2).
@@ -341,7 +342,8 @@
         """Return the request with its body; without it if there is no room for it in time."""
         limits = self._limits()
         meter, body, size, is_kept = self._meter, bytearray(), 0, True
-        meter.note_body_start(head, declared_length(head.headers), limits.body_bytes)
+        length = declared_length(head.headers)
+        meter.note_body_start(head, length, limits.body_bytes)
         while True:
             event = await self._next_event()
             if event is h11.NEED_DATA:
@@ -350,7 +352,11 @@
                     await self.send(h11.InformationalResponse(status_code=100, headers=[]))
                 with trio.CancelScope() as scope:
                     meter.note_body_read(scope)
-                    await self._receive(trio.current_time() + limits.idle_seconds, 408)
+                    deadline = trio.current_time() + limits.idle_seconds
+                    is_large = self._closing() and length is not None
+                    await self._receive(
+                        deadline, 408, CLOSING_READ_BYTES if is_large else READ_BYTES
+                    )
                 if scope.cancelled_caught:
                     raise _RejectedRequestError(408)
             elif isinstance(event, h11.Data):
@@ -410,17 +416,16 @@
             raise _ClientGoneError
         return self._take(data)
 
-    async def _receive(self, deadline: float, timeout_status: int) -> bytes:
-        data = await self._receive_until(deadline)
+    async def _receive(self, deadline: float, timeout_status: int, size: int = READ_BYTES) -> bytes:
+        data = await self._receive_until(deadline, size)
         if data is None:
             raise _RejectedRequestError(timeout_status)
         return self._take(data)
 
-    async def _receive_until(self, deadline: float) -> bytes | None:
+    async def _receive_until(self, deadline: float, size: int = READ_BYTES) -> bytes | None:
         """Return what the client sends next, empty at its close, None if nothing comes in time."""
         data = None
         waits_since = trio.current_time()
-        size = CLOSING_READ_BYTES if self._closing() else READ_BYTES
         with trio.move_on_at(deadline):
             data = await self._stream.receive_some(size)
         self._pieces.note_wait(trio.current_time() - waits_since)
