--- a/features/steps/late_answer_steps.py
+++ b/features/steps/late_answer_steps.py
@@ -353,7 +353,7 @@
                         trio.current_time,
                     ),
                 ),
-                SimpleNamespace(caller=caller),
+                SimpleNamespace(caller=caller, service=SimpleNamespace(model=None, health_path="")),
                 connection,
                 Dispatch("u", 1.0),
             )
