--- a/features/soak_changes.feature
+++ b/features/soak_changes.feature
@@ -22,7 +22,7 @@
   # Guards against trouble where two kinds meet that nobody has joined by hand: here planned work and
   # runners that answer early, with short calls and single attempts.
   Scenario: Two kinds of trouble that a seed draws break no promise together
-    When the soak runs seed 5 for 5 seconds with two drawn kinds as the only faults
+    When the soak runs seed 5 for 8 seconds with two drawn kinds as the only faults
     Then it reports no violation
     And it checked calls around planned work
     And it checked answers before the body was read
