--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -25,6 +25,9 @@
         self.log: list[tuple[int, str, str, str, str | None]] = []
         self.version = 0
         self.read_at: dict[tuple[str, str], float] = {}
+        # The entries that are cut off: what the store answers them is held until the cut heals.
+        self.cut: set[str] = set()
+        self._healed = asyncio.Event()
         self._changed = asyncio.Event()
         self._servers: list[asyncio.Server] = []
 
@@ -33,6 +36,12 @@
         serve = partial(self._serve, reader_name)
         self._servers.append(await asyncio.start_server(serve, HOST, port))
 
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cut.clear()
+        self._healed.set()
+        self._healed = asyncio.Event()
+
     def put_json(self, table: str, key: str, value: object) -> float:
         """Write a row, as an operator or a runner does; return when it was acknowledged."""
         self._put(table, "", key, b64encode(json.dumps(value).encode()).decode())
@@ -59,7 +68,10 @@
             while (request := await read_message(reader)) is not None:
                 parts = urlsplit(request.target)
                 request.query = {k: v[0] for k, v in parse_qs(parts.query).items()}
-                writer.write(await self._answer(name, parts.path, request))
+                reply = await self._answer(name, parts.path, request)
+                while name in self.cut:
+                    await self._healed.wait()
+                writer.write(reply)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass  # The connection is reset, or the case is over.
