--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Both processes that follow the store for a failure domain freeze just before a change."""
+"""The last client account is taken away: the keys that it had must open nothing from then on."""
 
 import asyncio
 import os
@@ -11,76 +11,65 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins2.service import Runner  # noqa: E402 - after the path is set
-from standins2.site import BOUNDS, CannotRunError, Entry, Site, desired_state, route  # noqa: E402
+from standins2.site import BOUNDS, CannotRunError, Site, desired_state, route  # noqa: E402
 
-ZONES = {"zone-a": 4, "zone-b": 3, "zone-c": 2}
-SETTLING_SECONDS = 14.0
-FREEZE_SECONDS = 4.0
-ROUNDS = 3
-PAUSE_SECONDS = 14.0
-FROZEN = 2
-APPLY_SECONDS = BOUNDS["configApplyMs"] / 1000
+ZONES = {"zone-a": 1, "zone-b": 1, "zone-c": 1}
+SERVICE = "records"
+HELD_KEY = "n2ctnfzs989anu6wsjnb"
+NEVER_HELD_KEY = "anfqasnmgkcuyj8pjbvk"
+USUAL_SECONDS = 5.0
+JUDGED_SECONDS = 6.0
+REVOKE_SECONDS = BOUNDS["revokeMs"] / 1000
 
 
 async def play(site: Site, has_trouble: bool) -> int:
-    """Play all rounds; return how many requests were handled as only an older version allows."""
-    for service in ("old-records", "new-records"):
-        for zone in ZONES:
-            await site.add_runner(Runner(f"i-{service}-{zone}", service, zone))
-    services = ["old-records", "new-records"]
-    names = [f"moved-{number}" for number in range(ROUNDS)]
-    routes = {each: route(each, f"/{each}/", "old-records") for each in names}
-    version = 1
-    site.store.put_json("op", "config", desired_state(version, list(routes.values()), services))
+    """Play the case; return how many requests ran that no key allowed."""
+    for zone in ZONES:
+        await site.add_runner(Runner(f"i-{zone}", SERVICE, zone))
+    tenant = {"name": "hule930", "apiKeys": [HELD_KEY], "priority": 1}
+    routes = [
+        route("lookup", "/lookup/", SERVICE),
+        route("log", "/log/", SERVICE, "non_idempotent"),
+    ]
+    site.store.put_json("op", "config", desired_state(1, routes, [SERVICE], [tenant]))
     await site.start_entries()
-    await asyncio.sleep(SETTLING_SECONDS)
+    numbers = count()
+    sent: dict[str, tuple[float, str]] = {}
+    await send_for(site, USUAL_SECONDS, numbers, sent)
+    tenants = [] if has_trouble else [tenant]
+    acked_at = site.store.put_json("op", "config", desired_state(2, routes, [SERVICE], tenants))
+    site.record(f"version 2 is acknowledged; its tenants: {tenants}")
+    await send_for(site, REVOKE_SECONDS + JUDGED_SECONDS, numbers, sent)
     broken = 0
-    for name in names:
-        frozen = followers(site)
-        if has_trouble:
-            for each in frozen:
-                each.pause()
-                site.record(f"{each.name} freezes")
-        await asyncio.sleep(0.05)
-        routes[name] = route(name, f"/{name}/", "new-records")
-        version += 1
-        state = desired_state(version, list(routes.values()), services)
-        acked_at = site.store.put_json("op", "config", state)
-        site.record(f"version {version} is acknowledged: {name} moves to new-records")
-        others = [each for each in site.entries if each not in frozen]
-        broken += await probe(site, others, name, acked_at)
-        for each in frozen:
-            if has_trouble:
-                each.wake()
-                site.record(f"{each.name} wakes")
-        await asyncio.sleep(PAUSE_SECONDS)
+    for runner in site.runners:
+        for _, request_id, path, account in runner.runs:
+            sent_at, key = sent[request_id]
+            late = sent_at - acked_at
+            is_revoked = has_trouble and key == HELD_KEY and late > REVOKE_SECONDS
+            if is_revoked or key == NEVER_HELD_KEY:
+                broken += 1
+                site.record(
+                    f"{runner.name} ran {request_id} {path}, tenant {account!r}, key {key}, "
+                    f"sent {late:+.2f} s after the ack: BROKEN"
+                )
     return broken
 
 
-def followers(site: Site) -> list[Entry]:
-    """Return the machines of the first zone that read the platform's store last."""
-    entries = [each for each in site.entries if each.zone == "zone-a"]
-    entries.sort(key=lambda each: -site.store.read_at.get((each.name, "op"), 0.0))
-    return entries[:FROZEN]
-
-
-async def probe(site: Site, entries: list[Entry], name: str, acked_at: float) -> int:
-    """Send requests to the entries that run until the others wake; return the broken ones."""
-    broken = 0
-    numbers = count()
-    while time.monotonic() < acked_at + FREEZE_SECONDS - 0.1:
-        sent_after = time.monotonic() - acked_at
-        request_id = f"{name}-{next(numbers)}"
-        sent = [site.send(each, f"{request_id}-{each.name}", f"/{name}/x") for each in entries]
-        for each, reply in zip(entries, await asyncio.gather(*sent), strict=True):
-            body = "" if reply is None else reply.body.decode()
-            status = 0 if reply is None else reply.status
-            is_old = body.startswith("old-records") and sent_after > APPLY_SECONDS
-            broken += is_old
-            verdict = " BROKEN" if is_old else ""
-            site.record(f"{each.name} +{sent_after:.2f} s: {status} {body}{verdict}")
-        await asyncio.sleep(0.2)
-    return broken
+async def send_for(
+    site: Site, seconds: float, numbers: count, sent: dict[str, tuple[float, str]]
+) -> None:
+    """Send requests with both keys to all entries for a time."""
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+        for entry in site.entries:
+            for key in (HELD_KEY, NEVER_HELD_KEY):
+                path, method = ("/log/x", "POST") if key == HELD_KEY else ("/lookup/x", "GET")
+                request_id = f"r{next(numbers)}"
+                sent[request_id] = time.monotonic(), key
+                reply = await site.send(entry, request_id, path, key, method=method)
+                status = 0 if reply is None else reply.status
+                site.record(f"{entry.name}: {method} {path} {request_id}, key {key}: {status}")
+        await asyncio.sleep(0.3)
 
 
 async def main() -> int:
@@ -88,7 +77,7 @@
     site = Site(FOLDER, ZONES)
     try:
         broken = await play(site, os.environ.get("TROUBLE", "1") != "0")
-        site.record(f"{broken} requests were run by the service that the route had left")
+        site.record(f"{broken} requests ran that no key allowed")
         return 1 if broken else 0
     except CannotRunError as error:
         site.record(f"cannot run: {error}")
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Both processes that follow the store for a failure domain are cut off from it before a change."""
+"""Both processes that follow the store for a failure domain freeze just before a change."""
 
 import asyncio
 import os
@@ -15,10 +15,10 @@
 
 ZONES = {"zone-a": 4, "zone-b": 3, "zone-c": 2}
 SETTLING_SECONDS = 14.0
-CUT_SECONDS = 5.5
+FREEZE_SECONDS = 4.0
 ROUNDS = 3
 PAUSE_SECONDS = 14.0
-CUT_OFF = 2
+FROZEN = 2
 APPLY_SECONDS = BOUNDS["configApplyMs"] / 1000
 
 
@@ -36,23 +36,23 @@
     await asyncio.sleep(SETTLING_SECONDS)
     broken = 0
     for name in names:
-        cut_off = followers(site)
+        frozen = followers(site)
         if has_trouble:
-            for each in cut_off:
-                site.store.cut.add(each.name)
-                site.record(f"{each.name} is cut from the store")
+            for each in frozen:
+                each.pause()
+                site.record(f"{each.name} freezes")
         await asyncio.sleep(0.05)
         routes[name] = route(name, f"/{name}/", "new-records")
         version += 1
         state = desired_state(version, list(routes.values()), services)
         acked_at = site.store.put_json("op", "config", state)
         site.record(f"version {version} is acknowledged: {name} moves to new-records")
-        others = [each for each in site.entries if each not in cut_off]
+        others = [each for each in site.entries if each not in frozen]
         broken += await probe(site, others, name, acked_at)
-        for each in cut_off:
+        for each in frozen:
             if has_trouble:
-                site.store.heal()
-                site.record(f"{each.name} reaches the store")
+                each.wake()
+                site.record(f"{each.name} wakes")
         await asyncio.sleep(PAUSE_SECONDS)
     return broken
 
@@ -61,14 +61,14 @@
     """Return the machines of the first zone that read the platform's store last."""
     entries = [each for each in site.entries if each.zone == "zone-a"]
     entries.sort(key=lambda each: -site.store.read_at.get((each.name, "op"), 0.0))
-    return entries[:CUT_OFF]
+    return entries[:FROZEN]
 
 
 async def probe(site: Site, entries: list[Entry], name: str, acked_at: float) -> int:
     """Send requests to the entries that run until the others wake; return the broken ones."""
     broken = 0
     numbers = count()
-    while time.monotonic() < acked_at + CUT_SECONDS - 0.1:
+    while time.monotonic() < acked_at + FREEZE_SECONDS - 0.1:
         sent_after = time.monotonic() - acked_at
         request_id = f"{name}-{next(numbers)}"
         sent = [site.send(each, f"{request_id}-{each.name}", f"/{name}/x") for each in entries]
