--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -194,6 +194,12 @@
                 each.process.kill()
             if each.process is not None:
                 each.process.wait()
+        for runner in self.runners:
+            for at, request_id, target, account in runner.runs:
+                seconds = at - self._began_at
+                self._record.write(
+                    f"{seconds:8.3f} {runner.name} ran {request_id} {target} {account}\n"
+                )
         self._record.close()
         self._temporary.cleanup()
 
--- a/review/standins2/wire.py
+++ b/review/standins2/wire.py
@@ -6,7 +6,8 @@
 import socket
 from dataclasses import dataclass, field
 
-HOST = "127.0.0.1"
+# A loopback address for this run alone, so that runs at the same time share no ports.
+HOST = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}.1"
 FIRST_PORT = 12_000
 END_PORT = 32_000
 
