--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -25,7 +25,7 @@
         self.log: list[tuple[int, str, str, str, str | None]] = []
         self.version = 0
         self.read_at: dict[tuple[str, str], float] = {}
-        # The entries that are cut off: what the store answers them is held until the cut heals.
+        # The entries that are cut off: requests and answers are held until the cut heals.
         self.cut: set[str] = set()
         self._healed = asyncio.Event()
         self._changed = asyncio.Event()
@@ -36,6 +36,10 @@
         serve = partial(self._serve, reader_name)
         self._servers.append(await asyncio.start_server(serve, HOST, port))
 
+    async def _wait_for_heal(self, name: str) -> None:
+        while name in self.cut:
+            await self._healed.wait()
+
     def heal(self) -> None:
         """End all cuts."""
         self.cut.clear()
@@ -68,9 +72,9 @@
             while (request := await read_message(reader)) is not None:
                 parts = urlsplit(request.target)
                 request.query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+                await self._wait_for_heal(name)  # The request is under way until then.
                 reply = await self._answer(name, parts.path, request)
-                while name in self.cut:
-                    await self._healed.wait()
+                await self._wait_for_heal(name)  # And the answer, if the cut began meanwhile.
                 writer.write(reply)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
--- a/review/standins2/wire.py
+++ b/review/standins2/wire.py
@@ -33,6 +33,11 @@
         """The target of a request."""
         return self.start.split(" ")[1]
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the message itself tells where its body ends."""
+        return bool(self.headers.keys() & {"content-length", "transfer-encoding"})
+
     @property
     def status(self) -> int:
         """The status of an answer."""
