Let no key in by a desired state whose client accounts are empty

Callers saw: after a desired state with "tenants": [] every route was open for good, to the key that it took away, to keys that no version had held, and without a key.

Cause: the decoder gave an empty list where the field is missing and where it is empty, and DesiredState.has_accounts read an empty list as a deployment that needs no keys. Ruled out: a late state (every process had it) and the removal of a key from an account that stays (401 as it should).

Change: `accounts` is None only where the state has no field `tenants`. What is null counts as empty, so that it can't make a state invalid that takes keys away: null lists, accounts, keys, names and `public`. An empty key belongs to nobody; a key that two accounts hold opens nothing, and the log tells how many such keys a state has. A deleted state is told, and the last one stays in force.

The step for "An older desired state never replaces a newer one" relied on the fault: its version 3 had no accounts, and its caller was served. It keeps the account now and is as strict: version 1, if applied, would refuse the caller's key.

--- a/deckcourse/gateway/desired.py
+++ b/deckcourse/gateway/desired.py
@@ -112,13 +112,17 @@
 
 @dataclass(frozen=True)
 class DesiredState:
-    """One complete version of the desired state."""
+    """One complete version of the desired state.
+
+    `accounts` is None if it says nothing of client accounts, so that no request needs a key. An
+    empty one has lost all of them: then no key is valid.
+    """
 
     version: int
     routes: tuple[RouteSpec, ...]
     services: dict[str, UpstreamService] = field(default_factory=dict)
     bounds: CallerBounds = CallerBounds()
-    accounts: tuple[AccountSpec, ...] = ()
+    accounts: tuple[AccountSpec, ...] | None = None
 
     @cached_property
     def _routes_by_host(self) -> dict[str, list[RouteSpec]]:
@@ -131,7 +135,11 @@
 
     @cached_property
     def _accounts_by_key(self) -> dict[str, AccountSpec]:
-        return {key: account for account in self.accounts for key in account.keys}
+        holders: dict[str, list[AccountSpec]] = defaultdict(list)
+        for account in self.accounts or ():
+            for key in set(account.keys):
+                holders[key].append(account)
+        return {key: each[0] for key, each in holders.items() if key and len(each) == 1}
 
     @cached_property
     def _ranked_services(self) -> frozenset[str]:
@@ -155,10 +163,19 @@
         return None
 
     def account_of(self, key: str) -> AccountSpec | None:
-        """Return the client account that holds an API key, None if there is none."""
+        """Return the client account that holds an API key, None if not exactly one holds it.
+
+        An empty key belongs to nobody. One that several accounts hold would give the caller of one
+        the name of another.
+        """
         return self._accounts_by_key.get(key)
 
+    def needs_key(self, route: RouteSpec) -> bool:
+        """Return whether requests of a route need the API key of a client account."""
+        return self.accounts is not None and not route.public
+
     @property
-    def has_accounts(self) -> bool:
-        """Whether requests need an API key, except on public routes."""
-        return bool(self.accounts)
+    def unusable_keys(self) -> int:
+        """The number of API keys that are empty or that several accounts hold."""
+        keys = {key for account in self.accounts or () for key in account.keys}
+        return len(keys) - len(self._accounts_by_key)
--- a/deckcourse/gateway/gateway.py
+++ b/deckcourse/gateway/gateway.py
@@ -188,7 +188,7 @@
         if desired is None:
             return _not_ready("this entry does not know its configuration yet")
         route = desired.route_of(caller.host, caller.path)
-        needs_key = route is not None and desired.has_accounts and not route.public
+        needs_key = route is not None and desired.needs_key(route)
         # Routes and keys of an outdated configuration may no longer be valid.
         if (route is None or needs_key) and not self._context.may_send():
             return _not_ready("this entry's configuration may be out of date")
--- a/deckcourse/gateway/row_intake.py
+++ b/deckcourse/gateway/row_intake.py
@@ -78,7 +78,13 @@
 
     def operator_row(self, key: str, value: bytes | None, version: int) -> None:
         """Apply one changed row of the operator table."""
-        if key != self._reader.desired_key or value is None:
+        if key != self._reader.desired_key:
+            return
+        if value is None:
+            self._count("malformed.desired-state")
+            self._log(
+                "malformed", what="the desired state was deleted; the last one stays in force"
+            )
             return
         began_at = process_time()
         match self._reader.desired_state(value):
@@ -91,6 +97,7 @@
                     "configuration-read",
                     version=desired.version,
                     bytes=len(value),
+                    unusable_keys=desired.unusable_keys,
                     processor_ms=round((process_time() - began_at) * 1000, 1),
                 )
             case Failure(error):
--- a/deckcourse/platform/rows.py
+++ b/deckcourse/platform/rows.py
@@ -1,6 +1,6 @@
 """Decoding of the store's rows: the operators' desired state and the runners' rows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from msgspec import UNSET, Struct, UnsetType, field
 from returns.result import Failure, Result, Success
@@ -61,7 +61,7 @@
     service: str = ""
     backends: list[_Backend] = []
     maxAttempts: int = 1  # noqa: N815
-    public: bool = False
+    public: bool | None = False
     resumable: bool = False
     gap_aim_ms: float = 0.0
 
@@ -142,21 +142,28 @@
 
 
 class _Tenant(Struct):
-    """A client account and its API keys."""
+    """A client account and its API keys.
 
-    name: str
-    apiKeys: list[str] = []  # noqa: N815
+    A name or keys that are missing or null give no access, rather than make the whole desired state
+    invalid: the one before it would stay in force, with the keys that this one takes away.
+    """
+
+    name: str | None = None
+    apiKeys: list[str | None] | None = None  # noqa: N815
     priority: int | None = None
 
 
 class _Config(Struct):
-    """The desired state in the format that operators write."""
+    """The desired state in the format that operators write.
+
+    Only without the field `tenants` does it say nothing of client accounts; null is as empty.
+    """
 
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    tenants: list[_Tenant | None] | None | UnsetType = UNSET
 
 
 class _LayerRange(Struct):
@@ -260,9 +267,16 @@
         tuple(_route(each) for each in config.routes),
         {each.name: _service(each) for each in config.services},
         _bounds(config.limits),
-        tuple(
-            AccountSpec(each.name, tuple(each.apiKeys), each.priority) for each in config.tenants
-        ),
+        None if config.tenants is UNSET else _accounts(config.tenants or []),
+    )
+
+
+def _accounts(tenants: Sequence[_Tenant | None]) -> tuple[AccountSpec, ...]:
+    """Return the client accounts that can be named to runners, with the keys that open them."""
+    return tuple(
+        AccountSpec(each.name, tuple(key for key in each.apiKeys or () if key), each.priority)
+        for each in tenants
+        if each is not None and each.name
     )
 
 
@@ -278,7 +292,7 @@
         route.priority,
         tuple(targets or [Target(route.service, 1.0)]),
         route.maxAttempts,
-        route.public,
+        route.public is True,
         route.resumable,
         route.gap_aim_ms / 1000,
     )
--- a/features/mutants_gateway.py
+++ b/features/mutants_gateway.py
@@ -22,6 +22,7 @@
 from deckcourse.change_feed import Follower
 from deckcourse.decision_log import DecisionLog
 from deckcourse.gateway.active_stream import ActiveStream
+from deckcourse.gateway.desired import DesiredState
 from deckcourse.gateway.events import Event, EventReader
 from deckcourse.gateway.known_starts import KnownIncarnations
 from deckcourse.gateway.lapse_check import LapseCheck
@@ -371,7 +372,15 @@
 LATE = ("late_answers",)
 RESTARTS = ("restarts",)
 EVENTS = ("stream_events",)
+ACCOUNTS = ("client_accounts",)
+
+
+def no_account_needs_no_key():
+    DesiredState.needs_key = lambda self, route: bool(self.accounts) and not route.public
+
+
 EVERY = {
+    no_account_needs_no_key: ("without any client account no key is valid", ACCOUNTS),
     half_events_go_on: ("only whole events go on", GATEWAY),
     any_line_is_an_event: ("lines of an event begin with a field's name", EVENTS),
     ids_may_repeat: ("ids of a run rise by one", EVENTS),
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -208,7 +208,8 @@
 @then("version 1 written after version 3 is not applied")
 def never_back(context):
     async def story(site):
-        for version, tenants in ((3, []), (1, [{"name": "acme", "apiKeys": ["other"]}])):
+        for version, key in ((3, KEY), (1, "other")):
+            tenants = [{"name": "acme", "apiKeys": [key]}]
             site.store.put("op", "config", default_config(version, tenants=tenants))
             await trio.sleep(0.5)
         assert (await site.ask()).status == 200
