Read the store where the source confirms nothing, within the bounds of the settings

Callers saw: after both followers of a failure domain had frozen, or had been cut off from the store, the other processes of the domain sent requests by an older desired state until 2.5 to 3.1 s after the ack of the newer one, where the platform allows 2 s. The list of upstreams came as late.

Cause: no process knew the time within which a change must be known. Subscribers left a source after 1.3 s of silence, then the next one after as long, and read the store themselves only once their state was 4 s old and another 4 to 8 s had passed. The settings tell both times (configApplyMs, drainMs), and nothing read them. Ruled out: a slow store and late long polls (followers that were sound had each change at once), and a single late step: each of them kept its own limit.

Change: the settings have `apply` and `drain`. A replica holds every change before its `as_of`; a process whose source doesn't confirm a table within its bound, less the time of a read and a spread by chance, reads it from the store itself. The wait of a follower with subscribers is worked out from the same bound, so that a sound one confirms in time. If more processes than may be lost at once (`lost_machines`, from the platform's fault tolerance) report that the store did not answer, the others don't ask it too.

Why it works: the age of a table at a process that reaches the store is bounded by itself, whatever its sources do, so no number of lost sources and no order of losses matters.

--- a/deckcourse/gateway/node.py
+++ b/deckcourse/gateway/node.py
@@ -1,6 +1,6 @@
 """Assembles one gateway process: store feeds, request handling and layer healing."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 from random import Random
 from traceback import format_exception
@@ -137,6 +137,8 @@
             ports.pool,
             self._poll_wait,
             lambda: self._settings().contact,
+            self._change_bounds,
+            lambda: self._settings().lost_machines,
             self._on_store_recovered,
             random,
             log,
@@ -314,13 +316,15 @@
         **options: Callable[..., object],
     ) -> Follower:
         """Return a follower of a table of the store; see `Follower` for the arguments."""
-        options.setdefault("wait", lambda: self._peers.feed.stalled_reads.long_poll_wait)
+        feed = self._peers.feed
+        longest = options.pop("wait", lambda: feed.stalled_reads.long_poll_wait)
         return Follower(
-            self._peers.feed,
+            feed,
             table,
             on_snapshot,
             on_change,
             self._random,
+            wait=lambda: feed.wait_for_changes(table, longest()),
             process_factor=self._process_factor,
             is_batched=self._receives_relayed_changes,
             is_paced=self._is_paced,
@@ -465,6 +469,14 @@
         by_revocation = self._settings().revocation * POLL_WAIT_SHARE
         return min(by_revocation, self._peers.feed.stalled_reads.wait_within_contact)
 
+    def _change_bounds(self) -> Mapping[str, float]:
+        """Return the time after which each change of a table must be known here, seconds."""
+        settings = self._settings()
+        return {
+            self._ports.rows.operator_table: min(settings.apply, settings.revocation),
+            self._ports.rows.upstream_table: settings.drain,
+        }
+
     def _receives_relayed_changes(self) -> bool:
         """Return whether this process receives changes from peers rather than the store."""
         return not self._peers.feed.follows
--- a/deckcourse/peers/gossip.py
+++ b/deckcourse/peers/gossip.py
@@ -18,6 +18,7 @@
 from deckcourse.peers.member import Digest, Member, decode_digest, encode_digest
 from deckcourse.peers.reach_messages import REACH_PREFIX
 from deckcourse.peers.roster import Roster
+from deckcourse.peers.store_reports import STORE_REPORT_PREFIX
 
 __all__ = ["PeerGossip"]
 
@@ -71,6 +72,7 @@
         self._on_digest_request: Callable[[str], Awaitable[None]] | None = None
         self._on_loss_message: Callable[[bytes], None] | None = None
         self._on_reach_message: Callable[[bytes], Awaitable[None]] | None = None
+        self._on_store_report: Callable[[bytes], None] | None = None
         self._on_round: Callable[[], None] = lambda: None
         self._changed: Callable[[], Mapping[str, int]] = dict
         self._on_changed: Callable[[Mapping[str, int]], None] = lambda changed: None
@@ -130,6 +132,10 @@
         """Register the handler of datagrams about which services a process reaches."""
         self._on_reach_message = handler
 
+    def register_store_report_handler(self, handler: Callable[[bytes], None]) -> None:
+        """Register the handler of datagrams which tell that the store did not answer a process."""
+        self._on_store_report = handler
+
     def register_round_handler(self, handler: Callable[[], None]) -> None:
         """Register a handler that is called in each round."""
         self._on_round = handler
@@ -145,6 +151,11 @@
             if member.name != own.name:
                 await self._datagrams.send(member.address, data)
 
+    async def send_to_domain(self, data: bytes) -> None:
+        """Send a datagram to every other live member of the own domain."""
+        for member in self._domain_peers():
+            await self._datagrams.send(member.address, data)
+
     async def run(self) -> None:
         """Send and receive digests until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -245,6 +256,9 @@
             if self._on_reach_message is not None and data.startswith(REACH_PREFIX):
                 await self._on_reach_message(data)
                 continue
+            if self._on_store_report is not None and data.startswith(STORE_REPORT_PREFIX):
+                self._on_store_report(data)
+                continue
             digest = decode_digest(data)
             if digest is None:
                 self._count("malformed.digest")
--- a/deckcourse/peers/knowledge.py
+++ b/deckcourse/peers/knowledge.py
@@ -43,6 +43,7 @@
         self._replicas = {name: TableReplica(name) for name in tables}
         self._on_store_recovered = on_store_recovered
         self._recovered_at = float("-inf")
+        self._relayed_as_of = dict.fromkeys(tables, float("-inf"))
         self._updated = trio.Event()
         self._loads = LoadBoard(trio.current_time)
 
@@ -63,6 +64,13 @@
         """
         return max(each.as_of for each in self._replicas.values())
 
+    def relayed_as_of(self, table: str) -> float:
+        """Return the latest time as of which another process has confirmed the replica of a table.
+
+        It is on this process's clock; that of own reads of the store may be later.
+        """
+        return self._relayed_as_of[table]
+
     @property
     def versions(self) -> dict[str, int | None]:
         """The version of each replica."""
@@ -134,7 +142,9 @@
                 self._replicas[update.table].merge(update)
         for name, (version, seconds) in frame.as_of.items():
             if name in self._replicas:
-                self._replicas[name].confirm(version, min(now, origin + seconds))
+                as_of = min(now, origin + seconds)
+                self._replicas[name].confirm(version, as_of)
+                self._relayed_as_of[name] = max(self._relayed_as_of[name], as_of)
         for row in frame.loads:
             self._loads.record(replace(row, at=min(now, origin + row.at)))
         self.notify_waiters()
--- a/deckcourse/peers/peers.py
+++ b/deckcourse/peers/peers.py
@@ -1,6 +1,6 @@
 """The peer side of one process: gossip, the shared change feed and the relay, assembled."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -17,6 +17,7 @@
 from deckcourse.peers.member import Member
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.shared_feed import SharedFeed
+from deckcourse.peers.store_reports import StoreReports
 from deckcourse.peers.view import MEMBERS_PATH, encode_view, view_of
 
 __all__ = ["PeerPorts", "Peers"]
@@ -41,6 +42,8 @@
       pool: opens connections to other processes.
       contact_wait: see `SharedFeed`.
       contact: see `SharedFeed`.
+      bounds: see `SharedFeed`.
+      max_lost: returns how many machines may be lost at once.
       on_store_recovered: called with the time at which the store recovered, whichever process
         observed it.
       random: for choices and delays that should differ between processes.
@@ -57,6 +60,8 @@
         pool: ConnectionPool,
         contact_wait: Callable[[], float],
         contact: Callable[[], float],
+        bounds: Callable[[], Mapping[str, float]],
+        max_lost: Callable[[], int],
         on_store_recovered: Callable[[float], None],
         random: Random,
         log: Callable[..., None],
@@ -66,6 +71,10 @@
         self._roster = Roster(ports.own, trio.current_time)
         self._gossip = PeerGossip(self._roster, ports.datagrams, ports.seeds, random, count)
         self._shared_state = SharedState(tables, on_store_recovered)
+        reports = StoreReports(
+            ports.own.name, self._gossip.send_to_domain, max_lost, trio.current_time, count
+        )
+        self._gossip.register_store_report_handler(reports.note_datagram)
         self._feed = SharedFeed(
             store,
             self._roster,
@@ -73,6 +82,8 @@
             pool,
             contact_wait,
             contact,
+            bounds,
+            reports,
             random,
             log,
             gauge,
--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -2,7 +2,8 @@
 
 A follower reads the store and relays the changes to its subscribers (`relay`); every other process
 subscribes to one follower. A process that can reach no other process follows the store itself. A
-follower that cannot reach the store subscribes to a source meanwhile and keeps serving.
+follower that cannot reach the store subscribes to a source meanwhile and keeps serving. A process
+whose source doesn't confirm a table in time reads it itself (`staleness_limits`).
 """
 
 from collections.abc import Callable, Iterator, Mapping
@@ -22,6 +23,7 @@
 from deckcourse.peers.replica import TableUpdate
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.source_choice import SourceChoice
+from deckcourse.peers.staleness_limits import StalenessLimits
 from deckcourse.peers.stalled_reads import StalledReads
 from deckcourse.peers.store_reads import (
     STORE_TIMEOUT_SECONDS,
@@ -29,6 +31,7 @@
     GivenUp,
     StoreReads,
 )
+from deckcourse.peers.store_reports import StoreReports
 from deckcourse.peers.store_turn import StoreSchedule
 from deckcourse.table import TableFailure
 
@@ -62,6 +65,8 @@
       contact_wait: returns the longest time for which a read of the store waits for changes, if its
         reply shows that the store is reachable, seconds.
       contact: returns the time after which what the store has acknowledged must be known, seconds.
+      bounds: returns the tables for which that time is another one, with that time, seconds.
+      reports: the reports of processes that the store did not answer.
       random: jitters delays, so that they differ between processes.
       log: writes the decision log.
       gauge: sets a gauge by name.
@@ -76,6 +81,8 @@
         pool: ConnectionPool,
         contact_wait: Callable[[], float],
         contact: Callable[[], float],
+        bounds: Callable[[], Mapping[str, float]],
+        reports: StoreReports,
         random: Random,
         log: Callable[..., None],
         gauge: Callable[[str, float], None],
@@ -104,6 +111,10 @@
         self._is_store_late = False
         self._schedule = StoreSchedule(trio.current_time, random)
         self._stalled_reads = StalledReads(store, self._reads, shared_state, contact, count, log)
+        self._limits = StalenessLimits(
+            shared_state, bounds, contact, reports, trio.current_time, random
+        )
+        self._reports = reports
 
     @property
     def server(self) -> RelayServer:
@@ -152,23 +163,38 @@
         """The staleness of the newest replica of this process, seconds."""
         return trio.current_time() - self._shared_state.latest_as_of
 
-    def _may_read_store(self) -> bool:
-        """Return whether the store may be read now.
+    def wait_for_changes(self, table: str, longest: float) -> float:
+        """Return how long a read of a table may wait for changes, `longest` at most, seconds.
 
-        While the store is unavailable, only one read at a time probes it, on behalf of all tables.
-        Reads that were sent before don't count: they may wait for seconds on silent connections.
+        It is shorter while other processes rely on this one to confirm that nothing has changed.
         """
-        if self._schedule.is_unavailable and self._probes:
+        has_subscribers = self._is_follower and self._server.subscriber_count > 0
+        return min(longest, self._limits.wait(table)) if has_subscribers else longest
+
+    def _may_read_store(self, table: str) -> bool:
+        """Return whether a table may be read from the store now.
+
+        While the store is unavailable, or to a process that doesn't follow it, only one read at a
+        time probes it, on behalf of all tables. Reads that were sent before don't count: they may
+        wait for seconds on silent connections.
+        """
+        if (self._schedule.is_unavailable or not self._is_follower) and self._probes:
             return False
-        return self._schedule.may_read(self._is_follower)
+        return trio.current_time() >= self._next_read_at(table)
+
+    def _next_read_at(self, table: str) -> float:
+        """Return the time from which on a table may be read from the store."""
+        if self._is_follower:
+            return self._schedule.next_read_at
+        return self._limits.read_due_at(table)
 
     async def snapshot(self, table: str) -> Result[Snapshot, TableFailure]:
         """Return all rows of a table."""
         if self._reads.take_answered(table):
             return self._replica_answer(table, None)
-        if not self._may_read_store():
+        if not self._may_read_store(table):
             answer = await self._read_replica(table, None, SNAPSHOT_TIMEOUT_SECONDS)
-            if isinstance(answer, Success) or not self._may_read_store():
+            if not self._should_read_store(table, answer):
                 return answer
         requested_at = trio.current_time()
         with self._count_probe():
@@ -181,6 +207,7 @@
             )
         match answer:
             case Success(Snapshot(rows, version)):
+                self._limits.note_success()
                 return Success(Snapshot(rows, version, requested_at))
             case Success(EarlierAnswer()):
                 return self._replica_answer(table, None)
@@ -195,12 +222,13 @@
         """Return the changes after a version, as soon as there are any or the wait is over."""
         if self._reads.take_answered(table):
             return self._replica_answer(table, after)
-        if not self._may_read_store():
+        if not self._may_read_store(table):
             answer = await self._read_replica(table, after, max(seconds, MIN_WAIT_SECONDS))
-            if isinstance(answer, Success) or not self._may_read_store():
+            if not self._should_read_store(table, answer):
                 return answer
         requested_at = trio.current_time()
-        wait = 0.0 if table in self._unanswered else self._wait_at_store(seconds)
+        is_waiting = self._is_follower and table not in self._unanswered
+        wait = self._wait_at_store(seconds) if is_waiting else 0.0
         with self._count_probe():
             answer = await self._reads.read(
                 table,
@@ -217,6 +245,7 @@
                     return self._replica_answer(table, after)
                 return await self.changes(table, after, 0.0)
             case Success(_):
+                self._limits.note_success()
                 return answer
         self._unanswered.add(table)
         self._note_failure(answer, requested_at)
@@ -224,6 +253,15 @@
             return await self._read_replica(table, after, seconds)
         return answer
 
+    def _should_read_store(self, table: str, answer: Result) -> bool:
+        """Return whether the store is read after other processes have given an answer.
+
+        A follower that they have told of changes returns these first. For any other process the
+        read is due because they have not confirmed the table.
+        """
+        is_told = self._is_follower and isinstance(answer, Success)
+        return not is_told and self._may_read_store(table)
+
     def _wait_at_store(self, seconds: float) -> float:
         """Return how long a read waits at the store for changes, of at most `seconds`.
 
@@ -264,8 +302,8 @@
 
     @contextmanager
     def _count_probe(self) -> Iterator[None]:
-        """Count the read that is made inside if it probes the unavailable store."""
-        is_probe = self._schedule.is_unavailable
+        """Count the read that is made inside if it is one of those made one at a time."""
+        is_probe = self._schedule.is_unavailable or not self._is_follower
         self._probes += is_probe
         try:
             yield
@@ -290,6 +328,8 @@
         self._store.renew_connections()
         is_refused = failure != Failure(TableFailure.UNKNOWN)
         self._schedule.note_failure(bool(self._sources.candidates()), sent_at, is_refused)
+        if not self._is_follower:
+            self._limits.note_failure(sent_at, is_refused)
         # Subscribers should learn at once that this process is cut off, and switch sources.
         self._shared_state.notify_waiters()
 
@@ -308,11 +348,14 @@
         """Return changes from other processes, as soon as there are any or the time is over."""
         replica = self._shared_state.replica(table)
         as_of = replica.as_of
-        next_read_at = self._schedule.next_read_at(self._is_follower)
-        with trio.move_on_at(min(trio.current_time() + seconds, next_read_at)):
-            while replica.version in (None, after) and replica.as_of <= as_of:
-                if self._may_read_store():
-                    break
+        deadline = trio.current_time() + seconds
+        while replica.version in (None, after) and replica.as_of <= as_of:
+            now = trio.current_time()
+            if now >= deadline or self._may_read_store(table):
+                break
+            next_read_at = self._next_read_at(table)
+            # One that is due already waits for another table's read, whose end wakes this task.
+            with trio.move_on_at(min(deadline, next_read_at) if next_read_at > now else deadline):
                 await self._shared_state.wait_for_update()
         if replica.version is None or not self._is_fresh():
             return Failure(TableFailure.UNAVAILABLE)
@@ -339,6 +382,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._reads.run)
             nursery.start_soon(self._stalled_reads.run)
+            nursery.start_soon(self._reports.run)
             nursery.start_soon(self._follow_sources)
 
     async def _follow_sources(self) -> None:
@@ -375,7 +419,7 @@
                 "duty", follows=is_follower, chosen=is_ranked, alone=is_alone, members=len(members)
             )
             self._shared_state.notify_waiters()
-        self._schedule.note_staleness(is_follower, self.staleness_seconds)
+        self._limits.note_source()
         self._set_gauges(members)
 
     def _set_gauges(self, members: tuple[Member, ...]) -> None:
@@ -398,6 +442,8 @@
             When it was left only once it was stale, a leaving upstream became known 3.1 s late in
             a run with a third of the processes cut off.
         """
+        if is_source_cut_off:
+            self._reports.note_unanswered(self._source)
         if (
             trio.current_time() < self._role_updated_at + ROLE_INTERVAL_SECONDS
             and not is_source_cut_off
--- a/deckcourse/peers/store_turn.py
+++ b/deckcourse/peers/store_turn.py
@@ -1,8 +1,7 @@
-"""The schedule of one process's reads from the store: followers at once, other processes rarely.
+"""The schedule of a follower's reads from the store, and what failed reads tell of the store.
 
 Load pattern: the store is unavailable, or rejects some machines, while hundreds of processes wait
-for its recovery. Followers retry at short intervals and the others learn the outcome from them. A
-process whose state is stale for long reads the store itself, since its sources may be cut off too.
+for its recovery. Followers retry at short intervals and the others learn the outcome from them.
 """
 
 from collections.abc import Callable
@@ -14,13 +13,10 @@
 # may see the recovery first and relay it.
 MIN_RETRY_BACKOFF_SECONDS = 0.15
 MAX_RETRY_BACKOFF_SECONDS = 0.2
-# A process that doesn't follow and heard nothing new for so long tries the store all the same, up
-# to as much later by chance, and again after as long.
-FALLBACK_SECONDS = 4.0
 
 
 class StoreSchedule:
-    """The times at which one process may read the store.
+    """The times at which a process that follows the store may read it.
 
     Args:
       clock: monotonic clock, seconds.
@@ -34,7 +30,6 @@
         self._was_down = False
         self._backoff = MIN_RETRY_BACKOFF_SECONDS
         self._retry_at = float("-inf")
-        self._fallback_at = float("inf")
 
     @property
     def is_unavailable(self) -> bool:
@@ -59,20 +54,16 @@
         """
         return self._unavailable_since is not None and as_of <= self._unavailable_since
 
-    def may_read(self, is_follower: bool) -> bool:
-        """Return whether the store may be read now."""
-        return self._clock() >= self.next_read_at(is_follower)
-
-    def next_read_at(self, is_follower: bool) -> float:
-        """Return the time from which on the store may be read."""
-        return min(self._retry_at, self._fallback_at) if is_follower else self._fallback_at
+    @property
+    def next_read_at(self) -> float:
+        """The time from which on the store may be read."""
+        return self._retry_at
 
     def note_success(self) -> None:
         """Record that the store answered."""
         self._unavailable_since = None
         self._backoff = MIN_RETRY_BACKOFF_SECONDS
         self._retry_at = float("-inf")
-        self._fallback_at = float("inf")
 
     def note_failure(self, has_sources: bool, sent_at: float, is_refused: bool) -> None:
         """Record a failed read.
@@ -91,19 +82,7 @@
         if has_sources:
             self._retry_at = now + self._backoff * (1.0 + self._random.random())
         self._backoff = min(2.0 * self._backoff, MAX_RETRY_BACKOFF_SECONDS)
-        if self._fallback_at <= now:
-            self._fallback_at = now + self._fallback_delay()
 
     def clear_outage(self) -> None:
         """Forget the outage: other processes provide current state in place of the store."""
         self._unavailable_since = None
-
-    def note_staleness(self, is_follower: bool, seconds: float) -> None:
-        """Schedule or cancel the fallback read by how stale the state of this process is."""
-        if is_follower or seconds < FALLBACK_SECONDS:
-            self._fallback_at = float("inf")
-        elif self._fallback_at == float("inf"):
-            self._fallback_at = self._clock() + self._fallback_delay()
-
-    def _fallback_delay(self) -> float:
-        return FALLBACK_SECONDS * (1.0 + self._random.random())
--- a/deckcourse/platform/environment.py
+++ b/deckcourse/platform/environment.py
@@ -10,13 +10,23 @@
 
 from returns.result import Failure, Result, Success
 
-from deckcourse.platform.names import CONTACT_VARIABLE, READ_SLACK_VARIABLE
+from deckcourse.platform.names import (
+    APPLY_VARIABLE,
+    CONTACT_VARIABLE,
+    DRAIN_VARIABLE,
+    READ_SLACK_VARIABLE,
+)
 from deckcourse.settings import Duration, Problem, Settings, read_settings
 
 __all__ = ["read_deployed_settings"]
 
 # The gateway's setting that each variable gives.
-SETTINGS = {CONTACT_VARIABLE: "contact", READ_SLACK_VARIABLE: "read_slack"}
+SETTINGS = {
+    CONTACT_VARIABLE: "contact",
+    APPLY_VARIABLE: "apply",
+    DRAIN_VARIABLE: "drain",
+    READ_SLACK_VARIABLE: "read_slack",
+}
 
 
 def read_deployed_settings(
--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -27,7 +27,9 @@
     "RETRY_AFTER",
     "RUNNER_TABLE",
     "SEAL",
+    "APPLY_VARIABLE",
     "CONTACT_VARIABLE",
+    "DRAIN_VARIABLE",
     "READ_SLACK_VARIABLE",
     "SETTINGS_VARIABLE",
     "TOKENS",
@@ -35,9 +37,12 @@
 
 # The environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "DECKCOURSE_BOOT"
-# The ones with the contact time, and the time after which a request counts as read, milliseconds;
-# they go before those of the file.
+# The ones with the contact time, the times after which a desired state and a leaving upstream must
+# be known, and the time after which a request counts as read, milliseconds; they go before those of
+# the file.
 CONTACT_VARIABLE = "DECKCOURSE_CONTACT_MS"
+APPLY_VARIABLE = "DECKCOURSE_APPLY_MS"
+DRAIN_VARIABLE = "DECKCOURSE_DRAIN_MS"
 READ_SLACK_VARIABLE = "DECKCOURSE_READ_SLACK_MS"
 
 # Header names, in lower case.
--- a/deckcourse/settings.py
+++ b/deckcourse/settings.py
@@ -75,10 +75,11 @@
     with the largest `peer_weight` are the likeliest to follow the store for the others.
     `stop_grace` is the time from SIGTERM to the end; `revocation` the longest time after which a
     key that was taken away may still open something, anywhere; `contact` the time after which a
-    process that reaches the store must know what the store has acknowledged; `read_slack` the time
-    after which a request that was sent whole counts as read by its process. In any `retry_window`
-    all processes together retry no more than `retry_ratio` of a service's requests and
-    `retry_slack` more.
+    process that reaches the store must know what the store has acknowledged; `apply` and `drain`
+    the same for the desired state and for upstreams that leave; `lost_machines` how many machines
+    may be frozen, cut off or gone at once; `read_slack` the time after which a request that was
+    sent whole counts as read by its process. In any `retry_window` all processes together retry no
+    more than `retry_ratio` of a service's requests and `retry_slack` more.
     """
 
     listen: Address = Address("127.0.0.1:8080")
@@ -89,6 +90,9 @@
     stop_grace: Duration = Duration(8)
     revocation: Duration = Duration(5)
     contact: Duration = Duration(3)
+    apply: Duration = Duration(2)
+    drain: Duration = Duration(2)
+    lost_machines: int = 2
     read_slack: Duration = Duration(0.2)
     retry_ratio: float = 0.2
     retry_slack: float = 200.0
--- /dev/null
+++ b/features/change_bounds.feature
@@ -0,0 +1,47 @@
+Feature: Every process that reaches the store knows each change in time, whatever its sources do
+
+  # Guards against changes of the desired state and of the list of upstreams that the other processes
+  # of a failure domain learn late, when those that read the store for them freeze, are cut off from
+  # it or are gone: together or in turn, before a change or between changes.
+  Scenario Outline: A change is known within two seconds beside <trouble>: <count> processes in <domains> domains
+    Given <count> processes in each of <domains> domains that know only 3 seeds
+    When they have settled and changes come each <pace> seconds while <trouble>
+    Then every process beside those knew each change within 2 seconds
+
+    Examples: Two machines of one failure domain
+      | count | domains | pace | trouble                                          |
+      | 4     | 3       | 5    | both followers of a domain freeze                |
+      | 4     | 3       | 0.3  | both followers of a domain freeze                |
+      | 4     | 1       | 5    | both followers of a domain freeze                |
+      | 3     | 1       | 0.3  | both followers of a domain freeze                |
+      | 30    | 1       | 5    | both followers of a domain freeze                |
+      | 4     | 3       | 5    | both followers of a domain are cut off           |
+      | 4     | 3       | 0.3  | both followers of a domain are cut off           |
+      | 4     | 1       | 5    | both followers of a domain are cut off           |
+      | 30    | 1       | 0.3  | both followers of a domain are cut off           |
+      | 4     | 3       | 5    | both followers of a domain are refused           |
+      | 4     | 1       | 0.3  | both followers of a domain are gone              |
+      | 4     | 3       | 5    | one follower freezes and the other is cut off    |
+      | 4     | 1       | 0.3  | one follower freezes and the other is cut off    |
+      | 4     | 3       | 5    | both followers of a domain freeze in turn        |
+      | 4     | 1       | 0.3  | both followers of a domain are cut off in turn   |
+      | 12    | 1       | 5    | both followers of a domain freeze in turn        |
+
+    Examples: Machines of several failure domains
+      | count | domains | pace | trouble                                          |
+      | 4     | 3       | 5    | one follower of each domain freezes              |
+      | 4     | 3       | 0.3  | one follower of each domain is cut off           |
+      | 4     | 3       | 5    | all followers of all domains freeze              |
+      | 4     | 3       | 0.3  | all followers of all domains are cut off         |
+
+  # Guards against processes that each read the store during its outage since nobody confirms their
+  # state: hundreds of them, all at once.
+  Scenario Outline: A dark store and its return cost half of the reads that it bears at most: <count>, <how>
+    Given <count> processes in each of 3 domains that know only 3 seeds
+    When they have settled and the store <how> for 8 seconds, and changes as it returns
+    Then it got 1000 reads in each second of that time and of its return at most, and all knew the change within 3 seconds
+
+    Examples:
+      | count | how              |
+      | 130   | refuses all      |
+      | 40    | is silent to all |
--- a/features/deploy.feature
+++ b/features/deploy.feature
@@ -26,6 +26,17 @@
       | negative          | -5     | are refused naming the variable |
       | no number         | nan    | are refused naming the variable |
 
+  # Guards against changes that are known later than the platform's bounds ask, since ours are longer.
+  Scenario Outline: The times after which changes must be known come from the environment: <time>, <value>
+    Then with <value> as the <time> time in the environment, the settings have <seconds> seconds
+
+    Examples:
+      | time  | value  | seconds |
+      | apply | 1500   | 1.5     |
+      | apply | -      | 2       |
+      | drain | 2500.0 | 2.5     |
+      | drain | -      | 2       |
+
   # Guards against a reset of requests that count as read by the platform's bound, not by ours.
   Scenario Outline: The time after which a request counts as read comes from the environment: <what>
     Then with <value> as the time to count as read in the environment, the settings <result>
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -26,7 +26,7 @@
 
 
 def everybody_asks_the_store():
-    SharedFeed._may_read_store = lambda self: True
+    SharedFeed._may_read_store = lambda self, table: True
 
 
 def silence_goes_unnoticed():
--- a/features/peer_world.py
+++ b/features/peer_world.py
@@ -22,6 +22,10 @@
 TABLES = ("op", "servers")
 CONTACT_WAIT_SECONDS = 1.0
 CONTACT_SECONDS = 3.0
+# How many processes may be lost at once.
+MAX_LOST = 2
+# The time after which each change of a table must be known, seconds.
+BOUNDS = {"op": 2.0, "servers": 2.0}
 # With more processes than this, pauses grow in proportion to their number.
 SMALL_SITE_PROCESSES = 10
 # Time for processes to discover each other and agree on the followers of the store.
@@ -34,6 +38,8 @@
     def __init__(self, world):
         self.world = world
         self.is_cut_off = False
+        # Whether reads stay unanswered, those under way included.
+        self.is_held = False
 
     async def _ask(self, call, *args):
         self.world.calls.append(trio.current_time())
@@ -41,6 +47,8 @@
         if self.is_cut_off:
             return Failure(TableFailure.UNAVAILABLE)
         answer = await getattr(self.world.store, call)(*args)
+        if self.is_held:
+            await trio.sleep_forever()
         if self.world.answer_delay:
             await trio.sleep(self.world.answer_delay)
         return answer
@@ -73,13 +81,16 @@
         ports = PeerPorts(own, world.medium.open(self.address), lambda: world.seeds)
         self.peers = Peers(
             ports, self.store, TABLES, pool, lambda: CONTACT_WAIT_SECONDS,
-            lambda: CONTACT_SECONDS, self.recoveries.append, random, lambda *_, **__: None,
+            lambda: CONTACT_SECONDS, lambda: BOUNDS, lambda: MAX_LOST,
+            self.recoveries.append, random, lambda *_, **__: None,
             count=lambda name: self.counts.update([name]),
         )  # fmt: skip
         self.followers = [
             Follower(
                 self.peers.feed, table, self.on_all_rows, self.on_change, random,
-                wait=lambda: CONTACT_WAIT_SECONDS,
+                wait=lambda table=table: self.peers.feed.wait_for_changes(
+                    table, CONTACT_WAIT_SECONDS
+                ),
                 process_factor=lambda: max(1.0, len(world.processes) / SMALL_SITE_PROCESSES),
                 is_batched=lambda: not self.peers.feed.follows,
                 is_paced=lambda: self.peers.feed.paces_reads,
--- a/features/steps/deploy_steps.py
+++ b/features/steps/deploy_steps.py
@@ -13,7 +13,12 @@
 from returns.result import Failure, Success
 
 from deckcourse.platform.environment import read_deployed_settings
-from deckcourse.platform.names import CONTACT_VARIABLE, READ_SLACK_VARIABLE
+from deckcourse.platform.names import (
+    APPLY_VARIABLE,
+    CONTACT_VARIABLE,
+    DRAIN_VARIABLE,
+    READ_SLACK_VARIABLE,
+)
 from deckcourse.settings import read_settings
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -108,11 +113,23 @@
             assert str(problem).startswith(READ_SLACK_VARIABLE) and value in str(problem), problem
 
 
+@then("with {value} as the {time} time in the environment, the settings have {seconds:g} seconds")
+def change_time_from_environment(context, value, time, seconds):
+    variable = {"apply": APPLY_VARIABLE, "drain": DRAIN_VARIABLE}[time]
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+        file.write(filled())
+        file.flush()
+        settings = read_deployed_settings(file.name, {variable: value.strip("-")}).unwrap()
+    assert getattr(settings.gateway, time) == seconds, settings
+
+
 @then("the deploy file fills the variables of the times from the platform's bounds")
 def deploy_file_fills_times(context):
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
     assert deploy["roles"]["gateway"]["env"] == {
         CONTACT_VARIABLE: "{{bounds.contactMs}}",
+        APPLY_VARIABLE: "{{bounds.configApplyMs}}",
+        DRAIN_VARIABLE: "{{bounds.drainMs}}",
         READ_SLACK_VARIABLE: "{{bounds.lossSlackMs}}",
     }
 
