--- a/deckcourse/peers/shared_feed.py
+++ b/deckcourse/peers/shared_feed.py
@@ -304,6 +304,8 @@
     def _count_probe(self) -> Iterator[None]:
         """Count the read that is made inside if it is one of those made one at a time."""
         is_probe = self._schedule.is_unavailable or not self._is_follower
+        if not self._is_follower:
+            self._count("store.read-unconfirmed")
         self._probes += is_probe
         try:
             yield
--- a/deckcourse/platform/names.py
+++ b/deckcourse/platform/names.py
@@ -30,6 +30,7 @@
     "APPLY_VARIABLE",
     "CONTACT_VARIABLE",
     "DRAIN_VARIABLE",
+    "LOST_MACHINES_VARIABLE",
     "READ_SLACK_VARIABLE",
     "SETTINGS_VARIABLE",
     "TOKENS",
@@ -38,11 +39,12 @@
 # The environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "DECKCOURSE_BOOT"
 # The ones with the contact time, the times after which a desired state and a leaving upstream must
-# be known, and the time after which a request counts as read, milliseconds; they go before those of
-# the file.
+# be known, and the time after which a request counts as read, milliseconds, and with the number of
+# machines that may be lost at once; they go before those of the file.
 CONTACT_VARIABLE = "DECKCOURSE_CONTACT_MS"
 APPLY_VARIABLE = "DECKCOURSE_APPLY_MS"
 DRAIN_VARIABLE = "DECKCOURSE_DRAIN_MS"
+LOST_MACHINES_VARIABLE = "DECKCOURSE_LOST_MACHINES"
 READ_SLACK_VARIABLE = "DECKCOURSE_READ_SLACK_MS"
 
 # Header names, in lower case.
--- a/features/deploy.feature
+++ b/features/deploy.feature
@@ -37,6 +37,18 @@
       | drain | 2500.0 | 2.5     |
       | drain | -      | 2       |
 
+  Scenario Outline: The number of machines that may be lost comes from the environment: <value>
+    Then with <value> as the number of lost machines in the environment, the settings <result>
+
+    Examples:
+      | value   | result                          |
+      | 3       | have 3                          |
+      | 0       | have 0                          |
+      | nothing | have 2                          |
+      | some    | are refused naming the variable |
+      | -1      | are refused naming the variable |
+      | 9999999 | are refused naming the variable |
+
   # Guards against a reset of requests that count as read by the platform's bound, not by ours.
   Scenario Outline: The time after which a request counts as read comes from the environment: <what>
     Then with <value> as the time to count as read in the environment, the settings <result>
--- a/features/steps/deploy_steps.py
+++ b/features/steps/deploy_steps.py
@@ -17,6 +17,7 @@
     APPLY_VARIABLE,
     CONTACT_VARIABLE,
     DRAIN_VARIABLE,
+    LOST_MACHINES_VARIABLE,
     READ_SLACK_VARIABLE,
 )
 from deckcourse.settings import read_settings
@@ -123,6 +124,22 @@
     assert getattr(settings.gateway, time) == seconds, settings
 
 
+@then("with {value} as the number of lost machines in the environment, the settings {result}")
+def lost_machines_from_environment(context, value, result):
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+        file.write(filled())
+        file.flush()
+        read_result = read_deployed_settings(
+            file.name, {LOST_MACHINES_VARIABLE: value.replace("nothing", "")}
+        )
+    match read_result:
+        case Success(settings):
+            assert result == f"have {settings.gateway.lost_machines}", settings
+        case Failure((problem,)):
+            assert result == "are refused naming the variable", problem
+            assert str(problem).startswith(LOST_MACHINES_VARIABLE) and value in str(problem)
+
+
 @then("the deploy file fills the variables of the times from the platform's bounds")
 def deploy_file_fills_times(context):
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
@@ -130,6 +147,7 @@
         CONTACT_VARIABLE: "{{bounds.contactMs}}",
         APPLY_VARIABLE: "{{bounds.configApplyMs}}",
         DRAIN_VARIABLE: "{{bounds.drainMs}}",
+        LOST_MACHINES_VARIABLE: "{{faultTolerance.machines}}",
         READ_SLACK_VARIABLE: "{{bounds.lossSlackMs}}",
     }
 
