Take no answer whose status is a number that HTTP doesn't have

Callers saw: an answer of an upstream with the status 600 to 999 came to them as it was; with X-Not-Executed it counted as a refusal, though it may have run.

Cause: the parser takes 200 to 999 for a status. Ruled out: 000 to 099 and 100 to 199 as a last answer, which it refuses (new rows show it).

Change: a head with a number above 599 is malformed, on connections to upstreams, peers and the store and in calls over httpcore.

--- a/deckcourse/http1/client.py
+++ b/deckcourse/http1/client.py
@@ -47,6 +47,8 @@
 MIN_HEAD_BYTES = 16
 # What separates a field's name and value, and fields.
 FIELD_BYTES = 4
+# Numbers above are no status (RFC 9110, section 15); the parser refuses those below 100.
+MAX_STATUS = 599
 # Answers that end with their head.
 BODILESS_STATUSES = frozenset({204, 304})
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
@@ -257,6 +259,9 @@
             if _is_merged(event):
                 raise ConnectionLostError(FailureKind.MALFORMED, "a head inside another one")
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    message = f"{event.status_code} is not a status"
+                    raise ConnectionLostError(FailureKind.MALFORMED, message)
                 headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
                 self._read_keep_alive(headers)
                 return UpstreamReply(event.status_code, headers, self)
--- a/deckcourse/http_client.py
+++ b/deckcourse/http_client.py
@@ -17,6 +17,8 @@
 KEEPALIVE_SECONDS = 30.0
 CONNECT_SECONDS = 1.0
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+# Numbers above are no status (RFC 9110, section 15); the parser refuses those below 100.
+MAX_STATUS = 599
 # Replies with these statuses have no body, so that no header says where it ends.
 BODILESS_STATUSES = (204, 304)
 # Failures in which no byte of the request has left; everything else may have been run.
@@ -150,6 +152,8 @@
             method, url, content=body, headers=list(headers), extensions=extensions
         ) as response:
             content = await read_body(response)
+            if response.status > MAX_STATUS:
+                raise httpcore.RemoteProtocolError(f"{response.status} is not a status")
     except NOT_SENT_ERRORS as error:
         return NotSent(f"{method} {url}: {error or type(error).__name__}")
     except LOST_ERRORS as error:
--- a/features/http1.feature
+++ b/features/http1.feature
@@ -84,6 +84,13 @@
       | a chunk cut off          | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab{end}             | lost       | closed |
       | no answer at all         | {end}                                                                        | lost       | closed |
       | bytes that are no answer | 12345 what\r\n\r\n                                                            | malformed  | closed |
+      | 000 as its status        | HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok                               | malformed  | closed |
+      | 099 as its status        | HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok                               | malformed  | closed |
+      | 199, then its end        | HTTP/1.1 199 X\r\nContent-Length: 2\r\n\r\nok{end}                          | lost       | closed |
+      | 600 as its status        | HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok                               | malformed  | closed |
+      | 999 as its status        | HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok                               | malformed  | closed |
+      | four digits              | HTTP/1.1 2000 X\r\nContent-Length: 2\r\n\r\nok                              | malformed  | closed |
+      | a word for its status    | HTTP/1.1 abc X\r\nContent-Length: 2\r\n\r\nok                               | malformed  | closed |
       | a time for idling        | HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=0\r\n\r\n          | 200        | closed |
 
   Scenario: The log never blocks on its reader, and reports what it dropped
