Test requests late in a planned stop, and rows with numbers out of range

Reported of other systems: requests that came late in the grace period were passed on and closed without an answer; rows with numbers too large or a port out of range ended processes.

Change: scenarios for both, beside an earlier request that keeps the process going, and for rows whose numbers have 5,000 digits or are 1e999. The table's values now reach a row as they stand: the JSON module turned them into others.

--- a/features/foreign_rows.feature
+++ b/features/foreign_rows.feature
@@ -34,6 +34,14 @@
       | with slots = -1                         |
       | with slots = 1000000000000000000000     |
       | with slots = NaN                        |
+      | with slots = 1e999                      |
+      | with slots = {5000 digits}              |
+      | with sequence = {5000 digits}           |
+      | with coldLeftMs = 1e999                 |
+      | with born = {5000 digits}               |
+      | with address = "10.1.2.3:65536"         |
+      | with address = "10.1.2.3:{5000 digits}" |
+      | with service = "\u0000"                 |
       | with sequence = "many"                  |
       | with coldLeftMs = "long"                |
       | with coldLeftMs = -1                    |
--- a/features/foreign_rows.py
+++ b/features/foreign_rows.py
@@ -19,6 +19,8 @@
 
 # Nesting deeper than any decoder supports.
 NESTING_DEPTH = 100_000
+# Stands for a value that is put into a row.
+PLACE = "the value"
 NESTED = b"[" * NESTING_DEPTH + b"]" * NESTING_DEPTH
 # A service of the first desired state, and one that is added later.
 NAMED, UNNAMED = "crm", "later"
@@ -51,8 +53,9 @@
         return cases[what]
     field, is_set, value = what.removeprefix("with ").partition(" = ")
     if is_set:
-        # Python's json module reads and writes NaN, which is not valid JSON.
-        return json.dumps({**row, field: json.loads(value)}).encode()
+        # As it stands in the table: Python's json module changes numbers that are out of range.
+        value = value.replace("{5000 digits}", "9" * 5000)
+        return json.dumps({**row, field: PLACE}).replace(json.dumps(PLACE), value).encode()
     field = what.removeprefix("without ")
     assert field in row, what
     return json.dumps({name: each for name, each in row.items() if name != field}).encode()
--- a/features/steps/stopping_request_steps.py
+++ b/features/steps/stopping_request_steps.py
@@ -68,7 +68,7 @@
     context.site.play(story)
 
 
-@when("a caller sends {route} {delay:g} s after the stop")
+@when("a caller sends {route:w} {delay:g} s after the stop")
 def sends_after(context, route, delay):
     async def story(site):
         process = site.processes[0]
@@ -82,6 +82,20 @@
     context.site.play(story)
 
 
+@when("a caller sends {route} {delay:g} s after the stop, beside an earlier request that goes on")
+def sends_late(context, route, delay):
+    async def story(site):
+        process = site.processes[0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.ask_at, process, "again", "earlier")
+            await trio.sleep(0.1)
+            nursery.start_soon(stop_and_wait, context, process)
+            await trio.sleep(delay)
+            context.got = await site.ask_at(process, route)
+
+    context.site.play(story)
+
+
 @then("its upstream was handed between {least:g} and {most:g} s")
 def handed(context, least, most):
     (run,) = context.site.runs
--- a/features/stopping_requests.feature
+++ b/features/stopping_requests.feature
@@ -50,6 +50,26 @@
       | once   |
       | stream |
 
+  # Guards against requests that come late in the grace period, are passed on and then closed without
+  # an answer as the process ends, among them those that may run once only.
+  Scenario Outline: A request that comes while the process stops is answered or refused: <route>, <delay> s after
+    Given a process that is stopped with a grace period of <grace> s
+    And upstreams that begin each request and never answer
+    When a caller sends <route> <delay> s after the stop, beside an earlier request that goes on
+    Then it gets <status> with outcome <outcome>, reason stopping and a Retry-After
+    And the process has ended by itself within its grace period
+
+    Examples:
+      | route  | delay | grace | status | outcome |
+      | once   | 2.4   | 8     | 504    | unknown |
+      | stream | 0.9   | 8     | 504    | unknown |
+      | once   | 0.9   | 2     | 504    | unknown |
+      | once   | 2.8   | 8     | 503    | not-run |
+      | again  | 5     | 8     | 503    | not-run |
+      | stream | 5     | 8     | 503    | not-run |
+      | once   | 6.5   | 8     | 503    | not-run |
+      | once   | 1.2   | 2     | 503    | not-run |
+
   # Guards against streams that are taken by a process that ends in their middle.
   Scenario Outline: A stream is taken while the process stops only if it can end before: usually <seconds> s
     Given a process that is stopped with a grace period of 8 s
