Soak: two entries of a failure domain in trouble at once, beside changes and leaving runners

Change: `--only pairs` freezes, cuts off from the store, kills or slows two entries of a domain, together or in turn, mostly those that read the store last. Beside it the desired state changes, keys are taken away and pass over, a route moves, and runners leave without a word. Entries that are undisturbed are judged by the apply time and the drain time. Revocation is 12 s there: with a short one a state that is too old shows in refusals alone.

--- a/features/soak_connections.feature
+++ b/features/soak_connections.feature
@@ -19,6 +19,14 @@
     Then it reports no violation
     And it checked plain calls that ran undisturbed
 
+  # Guards against changes that the other entries of a failure domain learn late, when two of it freeze,
+  # are cut off from the store, are killed or turn slow at once, and requests to runners that have left.
+  Scenario: Entries know each change in time beside pairs of entries in trouble
+    When the soak runs seed 1 for 18 seconds with pairs of entries in trouble as the only faults
+    Then it reports no violation
+    And it checked pairs of entries in trouble
+    And it checked leaves beside pairs in trouble
+
   # Guards against requests to a runner that has left, while connections to the store are silent.
   Scenario: Runners that leave while connections are silent get no requests after the contact time
     When the soak runs seed 1 for 10 seconds with connections that go silent as the only faults
--- a/soak/change_faults.py
+++ b/soak/change_faults.py
@@ -35,7 +35,13 @@
 
 @dataclass
 class ChangeFaults(SiteTrouble):
-    """Changes the desired state of a site, whose callers use what comes and goes."""
+    """Changes the desired state of a site, whose callers use what comes and goes.
+
+    Between two storms it is calm for `min_calm_seconds` to `max_calm_seconds`.
+    """
+
+    min_calm_seconds: float = MIN_CALM_SECONDS
+    max_calm_seconds: float = MAX_CALM_SECONDS
 
     async def run(self, until: float) -> None:
         """Change until a time on trio's clock; return once the callers have ended."""
@@ -55,7 +61,7 @@
             nursery.start_soon(load.run, CALLER_COUNT)
             while trio.current_time() < until:
                 await self._storm(draws, until)
-                calm = self.random.uniform(MIN_CALM_SECONDS, MAX_CALM_SECONDS)
+                calm = self.random.uniform(self.min_calm_seconds, self.max_calm_seconds)
                 await trio.sleep(min(calm, max(0.0, until - trio.current_time())))
             load.stop()
         self.callers.violations += load.violations
--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -19,6 +19,7 @@
 from soak.faults import FAULT_KINDS, Faults
 from soak.interruptions import Interruptions
 from soak.notice_faults import NoticeFaults
+from soak.pair_faults import PairFaults
 from soak.partition_faults import PartitionFaults
 from soak.phase_faults import RefusalFaults, ShortageFaults
 from soak.planned_faults import PlannedFaults
@@ -32,8 +33,8 @@
 
 __all__ = ["KINDS", "CallGroup", "Kind", "Needs", "Play", "calls_of", "find_conflict", "needs_of"]
 
-# The revocation time of sites whose connections go silent: no bound but the contact time may then
-# end a read on a silent connection.
+# The revocation time of sites whose connections go silent, or whose entries lose their source: only
+# the contact time and the apply time may then end a wait, and no state is too old to serve by.
 LONG_REVOCATION_SECONDS = 12.0
 
 
@@ -174,6 +175,9 @@
         _simple(AnswerEndFaults, "answer ends"), Needs(plain_slots=PLAIN_SLOTS)),
     "silence": Kind("open connections that go silent for good while runners leave",
         _simple(SilenceFaults, "silence"), Needs(revocation_seconds=LONG_REVOCATION_SECONDS)),
+    "pairs": Kind("two entries of a domain in trouble at once beside changes and leaving runners",
+        _simple(PairFaults, "pairs"), Needs(0, LONG_REVOCATION_SECONDS, True, 5),
+        CallGroup.COMMON),
     "planned": Kind("changes, stops and reloads in series beside silent runners",
         _make_planned, SECOND_SERVICE_NEEDS),
     "unending": Kind("answers and bodies without an end", _make_unending),
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -88,6 +88,8 @@
     _silent_for_good: set[trio.SocketStream] = field(default_factory=set)
     # The latest request line on each accepted connection.
     _requests: dict[trio.SocketStream, bytes] = field(default_factory=dict)
+    # When the latest request came whose line holds certain bytes.
+    _noted_at: dict[bytes, float] = field(default_factory=dict)
     _listener: trio.SocketListener | None = None
     # Until when an end of a connection may have been the end of the target, on trio's clock.
     _watch_until: float = float("-inf")
@@ -125,6 +127,20 @@
         self.mode_changed.set()
         self.mode_changed = trio.Event()
 
+    def note_requests(self, part: bytes) -> None:
+        """Note when requests come whose line holds some bytes; see `noted_at`."""
+        self._noted_at.setdefault(part, float("-inf"))
+
+    def noted_at(self, part: bytes) -> float:
+        """Return when the latest such request came, on trio's clock."""
+        return self._noted_at[part]
+
+    def _note_request(self, source: trio.SocketStream, line: bytes) -> None:
+        self._requests[source] = line
+        for part in self._noted_at:
+            if part in line:
+                self._noted_at[part] = trio.current_time()
+
     def silence_open(self, includes: Callable[[bytes], bool]) -> int:
         """Silence open connections for good, while new ones work; return how many.
 
@@ -247,7 +263,7 @@
         max_bytes = SMALL_BUFFER_BYTES if self.small_buffers else MAX_READ_BYTES
         while data := await source.receive_some(max_bytes):
             if is_inbound and b" HTTP/1.1\r\n" in data:
-                self._requests[source] = data.partition(b"\r\n")[0]
+                self._note_request(source, data.partition(b"\r\n")[0])
             await self._wait_while_blocked(is_inbound, source)
             crosses_close = is_inbound and _has_ended(destination)
             await destination.send_all(data)
--- a/soak/silence_faults.py
+++ b/soak/silence_faults.py
@@ -41,6 +41,8 @@
 class SilenceFaults(SiteTrouble):
     """Silences connections, lets runners leave, and checks which requests reach these."""
 
+    # What the judged leaves are counted as.
+    judged_leaves = "leaves beside silent connections"
     _leaves: list[_Leave] = field(default_factory=list)
 
     async def run(self, until: float) -> None:
@@ -55,8 +57,18 @@
         # The silence counts as a reset of the connections of all machines.
         for each in self.site.entries:
             self.site.disturbances.record(each.name)
-        leave = _Leave(runner.process_name, trio.current_time())
-        self.log_fault(f"{what} silent for good, {leave.instance} leaves without a word")
+        self.log_fault(f"{what} silent for good")
+        await self.let_leave(runner, trio.current_time())
+
+    async def let_leave(self, runner: RunnerProcess, silent_at: float) -> None:
+        """Let a runner leave without a word and serve on for some time, and start it again.
+
+        Args:
+          runner: the runner.
+          silent_at: when connections of all machines went silent, on trio's clock.
+        """
+        leave = _Leave(runner.process_name, silent_at)
+        self.log_fault(f"{leave.instance} leaves without a word")
         self._leaves.append(leave)
         await trio.sleep(self.random.uniform(0.0, MAX_LEAVE_DELAY_SECONDS))
         self.site.send_order(runner, unlisted=True)
@@ -106,7 +118,7 @@
         for leave in self._leaves:
             if leave.instance not in removed_at:
                 continue
-            self.site.judged["leaves beside silent connections"] += 1
+            self.site.judged[self.judged_leaves] += 1
             judged_from = max(
                 leave.silent_at + CONTACT_SECONDS, removed_at[leave.instance] + DRAIN_SECONDS
             )
