Wait for a lost close before another connection shows that an upstream goes on

Callers saw: the first half of an answer without a length as a whole 200, after its upstream had crashed on a link that loses packets.

Cause: another connection that stays open for 0.03 s after the end counted as evidence that the upstream had ended the answer itself; a close whose packet is lost is sent again after 0.2 s. Ruled out: the next process at the same address, since the connection led to the one that had crashed.

Change: the other connection must stay open for 0.25 s. Bytes on it still show it earlier. Whether this process was paused makes no difference for that any more.

--- a/deckcourse/gateway/end_check.py
+++ b/deckcourse/gateway/end_check.py
@@ -117,9 +117,9 @@
         ended_at = trio.current_time()
         was_paused = self._was_paused()
         if source.accepts_queries:
-            result, evidence = await self._check_queryable(reply, source, was_paused)
+            result, evidence = await self._check_queryable(reply, source)
         else:
-            result, evidence = await self._check_plain(reply, source, was_paused)
+            result, evidence = await self._check_plain(reply, source)
         if self._upstreams.has_ended(source.instance):
             result, evidence = ProbeResult.DEAD, "superseded"
         self._count(f"unframed-end.{result}")
@@ -140,7 +140,7 @@
         return self._upstreams.backoff_until(instance) is None
 
     async def _check_queryable(
-        self, reply: UpstreamReply, source: AnswerSource, was_paused: bool
+        self, reply: UpstreamReply, source: AnswerSource
     ) -> tuple[ProbeResult, str]:
         """Return ALIVE only if the same incarnation replies, and what showed the result.
 
@@ -155,7 +155,7 @@
             return (ProbeResult.ALIVE if is_same else ProbeResult.SILENT), "report"
         if answer.result is ProbeResult.SILENT:
             return answer.result, "report"
-        if await self._siblings.outlive(reply.connection, was_paused):
+        if await self._siblings.outlive(reply.connection):
             is_dead = answer.result is ProbeResult.DEAD and await self._is_refused(upstream)
             return (ProbeResult.DEAD if is_dead else ProbeResult.ALIVE), "sibling"
         if answer.result is ProbeResult.NOT_SENT:
@@ -163,15 +163,15 @@
         return answer.result, "report"
 
     async def _check_plain(
-        self, reply: UpstreamReply, source: AnswerSource, was_paused: bool
+        self, reply: UpstreamReply, source: AnswerSource
     ) -> tuple[ProbeResult, str]:
         """Return ALIVE only if the same incarnation is still there, and what showed the result."""
         upstream = self._upstreams.last_known(source.instance)
         if upstream is None:
             return ProbeResult.SILENT, "unknown"
         if not source.health_path:
-            return await self._check_unaskable(reply, upstream, was_paused)
-        if await self._siblings.outlive(reply.connection, was_paused):
+            return await self._check_unaskable(reply, upstream)
+        if await self._siblings.outlive(reply.connection):
             return ProbeResult.ALIVE, "sibling"
         result = await self._health.query(upstream, source.health_path, source.query_deadline)
         if result is not ProbeResult.NOT_SENT:
@@ -179,14 +179,14 @@
         return ProbeResult.SILENT, "none"
 
     async def _check_unaskable(
-        self, reply: UpstreamReply, upstream: Upstream, was_paused: bool
+        self, reply: UpstreamReply, upstream: Upstream
     ) -> tuple[ProbeResult, str]:
         """Return ALIVE only if siblings stay open and the machine is not silent.
 
         A sibling stays open on a machine that went silent, too; a new connection tells these apart.
         It may be closed at once: an upstream at its limit of connections does that.
         """
-        if not await self._siblings.outlive(reply.connection, was_paused, math.inf):
+        if not await self._siblings.outlive(reply.connection, math.inf):
             return ProbeResult.SILENT, "none"
         result = await self._control.probe_connection(
             upstream, PROBE_TIMEOUT_SECONDS, quiet_seconds=0.0
--- a/deckcourse/gateway/sibling_connections.py
+++ b/deckcourse/gateway/sibling_connections.py
@@ -25,14 +25,13 @@
 
 _Value = TypeVar("_Value")
 
-# How long a sibling must stay open after the end of an answer. What a process that exits has sent,
-# and its closes, arrive together, on a loaded machine a little apart. Bytes that come on a sibling
-# later show as much as that it is open.
-SETTLE_SECONDS = 0.03
+# How long a sibling must stay open after the end of an answer: the closes of a process that exits
+# arrive together, but a packet that is lost is sent again after 0.2 s.
+SETTLE_SECONDS = 0.25
 CHECK_INTERVAL_SECONDS = 0.01
-# The same if another sibling closes meanwhile, or this process was paused: a lost packet with a
-# close is sent again after 0.2 s.
-MAX_SETTLE_SECONDS = 0.25
+# What a process that exits has sent arrives within this time of its closes, on a loaded machine
+# too, seconds. Bytes that come on a sibling later show that the process goes on.
+TRANSIT_SECONDS = 0.03
 # A wait that ends later than this much shows a pause of this process.
 MIN_PAUSE_SECONDS = 0.03
 # A sibling that was quiet for longer is no evidence: an open connection may have gone silent, so
@@ -165,7 +164,6 @@
     async def outlive(
         self,
         connection: UpstreamConnection,
-        was_paused: bool = False,
         max_silence_seconds: float = MAX_SILENCE_SECONDS,
     ) -> bool:
         """Return whether the process at the other end of a connection runs after its close.
@@ -174,8 +172,6 @@
 
         Args:
           connection: the connection, which the other end has closed.
-          was_paused: whether this process was paused when the close arrived, so that others that
-            came with it may arrive late.
           max_silence_seconds: siblings that were quiet for longer don't count.
         """
         closed_at = trio.current_time()
@@ -184,7 +180,7 @@
             for each in self._siblings.get(connection, ())
             if each.is_open and each.heard_at >= closed_at - max_silence_seconds
         ]
-        settled_at = closed_at + (MAX_SETTLE_SECONDS if was_paused else SETTLE_SECONDS)
+        settled_at = closed_at + SETTLE_SECONDS
         # When each sibling had nothing unread: what comes on it later was sent after the close.
         quiet_at: dict[UpstreamConnection, float] = {}
         while any(each.is_open for each in siblings):
@@ -192,7 +188,7 @@
             if checked_at >= settled_at:
                 return True
             still_open = [each for each in siblings if each.is_open]
-            if checked_at >= closed_at + SETTLE_SECONDS:
+            if checked_at >= closed_at + TRANSIT_SECONDS:
                 for each in still_open:
                     if each.is_quiet():
                         quiet_at.setdefault(each, checked_at)
@@ -200,9 +196,7 @@
             if any(each.heard_at > at for each, at in quiet_at.items()):
                 return True
             if trio.current_time() > checked_at + CHECK_INTERVAL_SECONDS + MIN_PAUSE_SECONDS:
-                settled_at = trio.current_time() + MAX_SETTLE_SECONDS
-            elif not all(each.is_open for each in still_open):
-                settled_at = max(settled_at, closed_at + MAX_SETTLE_SECONDS)
+                settled_at = trio.current_time() + SETTLE_SECONDS
         return False
 
 
--- a/features/mutants_answer_ends.py
+++ b/features/mutants_answer_ends.py
@@ -13,7 +13,7 @@
 
 
 def no_connection_shows_that_an_upstream_goes_on():
-    async def outlive(self, connection, was_paused=False, max_silence_seconds=2.0):
+    async def outlive(self, connection, max_silence_seconds=2.0):
         return False
 
     SiblingConnections.outlive = outlive
@@ -30,7 +30,7 @@
 
 
 def siblings_count_at_once():
-    async def outlive(self, connection, was_paused=False, max_silence_seconds=2.0):
+    async def outlive(self, connection, max_silence_seconds=2.0):
         return any(each.is_open for each in self._siblings.get(connection, ()))
 
     SiblingConnections.outlive = outlive
--- a/features/steps/end_check_steps.py
+++ b/features/steps/end_check_steps.py
@@ -63,7 +63,7 @@
     def __init__(self, stay_open):
         self._stay_open = stay_open
 
-    async def outlive(self, connection, was_paused, max_silence_seconds=2.0):
+    async def outlive(self, connection, max_silence_seconds=2.0):
         return self._stay_open
 
 
--- a/features/steps/sibling_connection_steps.py
+++ b/features/steps/sibling_connection_steps.py
@@ -68,6 +68,9 @@
         other = await open_one(closes_at)
     elif what == "closes 20 ms later":
         other = await open_one(closes_at + 0.02)
+    elif what == "closes 0.2 s later":
+        # The packet with its close is lost, and sent again.
+        other = await open_one(closes_at + 0.2)
     elif what == "is one of two, and the other one closes":
         other, second = await open_one(), await open_one(closes_at + 0.005)
     elif what == "closes 0.2 s after another one":
--- a/features/unframed_ends.feature
+++ b/features/unframed_ends.feature
@@ -68,6 +68,7 @@
       | was open with it and stays open         | yes   |
       | closes with it                          | no    |
       | closes 20 ms later                      | no    |
+      | closes 0.2 s later                      | no    |
       | was opened after its close              | no    |
       | was closed before it was opened         | no    |
       | is one of two, and the other one closes | yes   |
