Give no layers to an upstream whose accelerator isn't described beside others

Cause: what is absent counted as without a limit, as with client accounts.

Change: where kinds are described, an undescribed one has no room. Where none is, as before. Mutants for the own reads of the store and for the reports of an outage.

--- a/deckcourse/layers/model.py
+++ b/deckcourse/layers/model.py
@@ -78,11 +78,16 @@
         return self.usual_prompt + self.usual_answer / 2
 
     def kind_of(self, name: str) -> AcceleratorKind:
-        """Return a kind; an undescribed one holds the whole model and has the model's own speed."""
+        """Return a kind.
+
+        Where kinds are described, one that isn't has no room, rather than an unknown amount. Where
+        none is, each holds the whole model and has the model's own speed.
+        """
         described = self.kinds.get(name)
         if described is not None:
             return described
-        return AcceleratorKind(name, self.layer_mb * self.layers, 1.0, 1.0)
+        memory_mb = 0.0 if self.kinds else self.layer_mb * self.layers
+        return AcceleratorKind(name, memory_mb, 1.0, 1.0)
 
     def max_layers(self, kind: str, fill: float = 1.0) -> int:
         """Return how many layers fit into a share `fill` of an accelerator's memory."""
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -164,3 +164,12 @@
       | 1     | 6       |
       | 2     | 9       |
       | 3     | 12      |
+
+  # Guards against orders beyond the memory of an upstream whose accelerator nobody has described.
+  Scenario Outline: An accelerator that isn't described has <room> where <kinds>
+    Then with <kinds> an upstream of an undescribed accelerator has room for <layers> of 8 layers
+
+    Examples:
+      | kinds                  | room                     | layers |
+      | others are described   | no room                  | 0      |
+      | none is described      | room for the whole model | 8      |
--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -19,8 +19,10 @@
 from deckcourse.peers.reported_changes import ReportedChanges
 from deckcourse.peers.roster import Roster
 from deckcourse.peers.shared_feed import SharedFeed
+from deckcourse.peers.staleness_limits import StalenessLimits
 from deckcourse.peers.stalled_reads import StalledReads
 from deckcourse.peers.store_reads import _Read
+from deckcourse.peers.store_reports import StoreReports
 from deckcourse.peers.store_turn import StoreSchedule
 from deckcourse.platform.store import Store
 
@@ -171,12 +173,23 @@
     Store.renew_connections = lambda self: None
 
 
+def nobody_reads_for_itself():
+    StalenessLimits.read_due_at = lambda self, table: float("inf")
+
+
+def reports_are_ignored():
+    StoreReports.is_store_unavailable = False
+
+
 PEERS = ("peers",)
 SILENT_READS = ("silent_reads",)
 RETRIES = ("shared_limits", "shared_retries", "shared_slack")
 LAYERS = ("layers",)
 PATHS = ("path_load",)
+BOUNDS = ("change_bounds",)
 EVERY = {
+    nobody_reads_for_itself: ("what no source confirms is read from the store", BOUNDS),
+    reports_are_ignored: ("a store that doesn't answer is asked by few", BOUNDS),
     everybody_asks_the_store: ("few ask the store for all", PEERS),
     silence_goes_unnoticed: ("a source that is silent is left", PEERS),
     frames_count_from_arrival: ("no moment counts for later than it was", PEERS),
--- a/features/steps/layer_steps.py
+++ b/features/steps/layer_steps.py
@@ -256,3 +256,10 @@
         rest = random.sample(hosts, len(hosts) - 1)
         if groups_of(model, rest):
             assert best_rate(model, rest)[1] <= max_factor * rate
+
+
+@then("with {kinds} an upstream of an undescribed accelerator has room for {layers:d} of 8 layers")
+def undescribed_room(context, kinds, layers):
+    described = {"card": AcceleratorKind("card", 500.0, 1.0, 1.0)}
+    model = replace(model_of(8, 100.0), kinds=described if kinds.startswith("others") else {})
+    assert model.max_layers("another") == layers
