--- a/features/mutants_peers.py
+++ b/features/mutants_peers.py
@@ -189,7 +189,7 @@
 BOUNDS = ("change_bounds",)
 EVERY = {
     nobody_reads_for_itself: ("what no source confirms is read from the store", BOUNDS),
-    reports_are_ignored: ("a store that doesn't answer is asked by few", BOUNDS),
+    reports_are_ignored: ("a store that doesn't answer is asked by few", PEERS),
     everybody_asks_the_store: ("few ask the store for all", PEERS),
     silence_goes_unnoticed: ("a source that is silent is left", PEERS),
     frames_count_from_arrival: ("no moment counts for later than it was", PEERS),
