--- a/soak/pair_faults.py
+++ b/soak/pair_faults.py
@@ -5,7 +5,7 @@
 nothing disturbs them.
 """
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
@@ -92,12 +92,10 @@
                 is_late = number and self.random.random() >= TOGETHER_SHARE
                 delay = self.random.uniform(0.0, MAX_TURN_SECONDS) if is_late else 0.0
                 nursery.start_soon(self._after, delay, partial(act, entry, seconds))
-            domain = self.site.entries[
-                self.site.entries.index(pair[0]) % len(DOMAINS) :: len(DOMAINS)
-            ]
+            domain = self._domain(self.site.entries.index(pair[0]))
             nursery.start_soon(self._move_route, [each for each in domain if each not in pair])
 
-    async def _after(self, delay: float, act: partial) -> None:
+    async def _after(self, delay: float, act: Callable[[], Awaitable[None]]) -> None:
         await trio.sleep(delay)
         await act()
 
@@ -139,13 +137,16 @@
 
     def _draw_pair(self) -> Sequence[Entry]:
         """Draw two entries of a domain, mostly those that read the store for the others."""
-        start = self.random.randrange(len(DOMAINS))
-        entries = self.site.entries[start :: len(DOMAINS)]
+        entries = self._domain(self.random.randrange(len(DOMAINS)))
         pair = self.random.sample(entries, min(2, len(entries)))
         if self.random.random() < READER_SHARE:
             pair = sorted(entries, key=lambda each: each.store.noted_at(STATE_READ))[-2:]
         return pair
 
+    def _domain(self, number: int) -> Sequence[Entry]:
+        """Return the entries in the failure domain of the one with a number."""
+        return self.site.entries[number % len(DOMAINS) :: len(DOMAINS)]
+
     def _note(self, entry: Entry, what: str, seconds: float) -> None:
         self.log_fault(f"entry {entry.name}: {what} for {seconds:.1f} s")
         self.site.judged["pairs of entries in trouble"] += 1
