--- a/features/peers.feature
+++ b/features/peers.feature
@@ -53,10 +53,10 @@
     Examples:
       | case                          | event                                        | late | age |
       | one that follows is killed    | the first that follows is killed             | 2.0  | 3.5 |
-      | both are killed               | both that follow are killed                  | 2.5  | 4.0 |
-      | one falls silent              | the first that follows falls silent          | 3.0  | 4.0 |
+      | both are killed               | both that follow are killed                  | 2.0  | 3.0 |
+      | one falls silent              | the first that follows falls silent          | 2.0  | 3.0 |
       | one loses the store           | the first that follows loses the store       | 2.0  | 3.0 |
-      | both lose the store           | both that follow lose the store              | 9.0  | 9.5 |
+      | both lose the store           | both that follow lose the store              | 2.0  | 3.0 |
       | most lose it, not those       | all but the first that follows lose the store | 2.0 | 3.5 |
 
   Scenario Outline: Only an outage that affects all processes ends in a recovery: <case>
