Soak: draw pairs of entries apart, so that other seeds play what they played

Change: pairs are drawn by a sequence of their own, in a tenth of the seeds, in the place of one other kind.

--- a/soak/draws.py
+++ b/soak/draws.py
@@ -12,6 +12,9 @@
 # Half of the draws keep the usual numbers.
 ATTEMPTS = (None, None, 1, 2)
 ENTRY_COUNTS = (2, 3, 3, 5)
+PAIRS = "pairs"
+PAIRS_SHARE = 0.1
+PAIRS_ENTRY_COUNT = max(ENTRY_COUNTS)
 
 
 def draw_options(seed: int, kind_count: int, given: Options) -> Options:
@@ -23,8 +26,20 @@
       given: the options that aren't drawn.
     """
     random = Random(f"draw {kind_count} of {seed}")
+    options = _draw_usual(random, kind_count, given)
+    # Drawn apart: what the other seeds play stays as it was.
+    pairs = Random(f"pairs of {seed}")
+    if pairs.random() >= PAIRS_SHARE:
+        return options
+    kept = pairs.sample(options.only, kind_count - 1)
+    names = tuple(sorted((PAIRS, *kept)))
+    return replace(options, only=names, entry_count=PAIRS_ENTRY_COUNT)
+
+
+def _draw_usual(random: Random, kind_count: int, given: Options) -> Options:
+    """Draw from all kinds but pairs of entries in trouble, which need a larger site."""
     while True:
-        names = tuple(sorted(random.sample(sorted(KINDS), kind_count)))
+        names = tuple(sorted(random.sample(sorted(KINDS.keys() - {PAIRS}), kind_count)))
         options = replace(
             given,
             only=names,
