--- a/deckcourse/peers/staleness_limits.py
+++ b/deckcourse/peers/staleness_limits.py
@@ -24,8 +24,7 @@
 
 # Time that an own read takes on a new connection, and beside late timers, seconds.
 OWN_READ_SECONDS = 0.3
-# Own reads of processes that lose their sources together are spread over this time, seconds: those
-# of 390 processes for two tables stay below 2,000 calls a second.
+# Own reads of processes that lose their sources together are spread over this time, seconds.
 SPREAD_SECONDS = 0.4
 # Time from the end of a source's wait at the store until its subscribers have the confirmation,
 # seconds: the answer, the pause before the next read, and the next frame.
@@ -99,6 +98,7 @@
     def read_due_at(self, table: str) -> float:
         """Return the time at which this process reads a table itself unless its source confirms it.
 
+        A read that is due is put off if other processes report that the store does not answer them.
         The time is on the clock.
         """
         bounds = self._bounds()
