Read plans and crashes as soon as a source stops confirming the desired state

Seen in a new scenario: beside followers that freeze or are cut off, plans and crashes were known after 3.1 and 3.35 s, where the contact time is 3 s.

Cause: tables without a bound of their own were read only once they were 2.3 to 2.7 s old, and only while the source confirmed nothing. A subscriber that had turned to another source, whose desired state was confirmed by then, didn't read them though that source had not read them yet either.

Change: once a table with a bound was unconfirmed for too long, the others are due as well, unless they were read since. Ruled out: own reads that fail (none did in these scenarios).

--- a/deckcourse/peers/staleness_limits.py
+++ b/deckcourse/peers/staleness_limits.py
@@ -74,6 +74,8 @@
         # The time before which own reads are not repeated after a failure.
         self._retry_at = float("-inf")
         self._has_unanswered_read = False
+        # When a table with a bound was last unconfirmed for too long.
+        self._was_unconfirmed_at = float("-inf")
 
     @cached_property
     def _spread(self) -> float:
@@ -101,18 +103,30 @@
         A read that is due is put off if other processes report that the store does not answer them.
         The time is on the clock.
         """
-        bounds = self._bounds()
-        as_of = self._shared_state.replica(table).as_of
-        due_at = as_of + self._longest_age(bounds.get(table, self._contact()))
-        if table not in bounds:
-            source_due_at = self._confirmed_at() + self._longest_age(min(bounds.values()))
-            due_at = max(due_at, source_due_at)
+        now = self._clock()
+        due_at = self._unconfirmed_at(table)
+        if table in self._bounds() and due_at <= now:
+            self._was_unconfirmed_at = now
         due_at = max(due_at, self._retry_at)
-        if due_at <= self._clock() and self._reports.is_store_unavailable:
+        if due_at <= now and self._reports.is_store_unavailable:
             self._put_off(RETRY_SECONDS)
             return self._retry_at
         return due_at
 
+    def _unconfirmed_at(self, table: str) -> float:
+        """Return when a table will have been unconfirmed for too long.
+
+        One without a bound is, once one with a bound was unconfirmed and it wasn't read since.
+        """
+        bounds = self._bounds()
+        as_of = self._shared_state.replica(table).as_of
+        if table in bounds:
+            return as_of + self._longest_age(bounds[table])
+        if as_of < self._was_unconfirmed_at:
+            return self._was_unconfirmed_at
+        source_due_at = self._confirmed_at() + self._longest_age(min(bounds.values()))
+        return max(as_of + self._longest_age(self._contact()), source_due_at)
+
     def _put_off(self, seconds: float, spread: float = SPREAD_SECONDS) -> None:
         self._retry_at = self._clock() + seconds + spread * self._random.random()
 
--- a/features/change_bounds.feature
+++ b/features/change_bounds.feature
@@ -34,6 +34,21 @@
       | 4     | 3       | 5    | all followers of all domains freeze              |
       | 4     | 3       | 0.3  | all followers of all domains are cut off         |
 
+  # Guards against the same for the tables that nobody confirms as often: they are known within the
+  # contact time.
+  Scenario Outline: A plan and a crash are known within three seconds beside <trouble>: <count> processes
+    Given <count> processes in each of 1 domains that also read plans and crashes
+    When they have settled and changes come each <pace> seconds while <trouble>
+    Then every process beside those knew each change within 3 seconds
+
+    Examples:
+      | count | pace | trouble                                        |
+      | 4     | 5    | both followers of a domain freeze              |
+      | 12    | 0.3  | both followers of a domain freeze              |
+      | 4     | 5    | both followers of a domain are cut off         |
+      | 12    | 5    | one follower freezes and the other is cut off  |
+      | 4     | 5    | both followers of a domain are cut off in turn |
+
   # Guards against processes that each read the store during its outage since nobody confirms their
   # state: hundreds of them, all at once.
   Scenario Outline: A dark store and its return cost half of the reads that it bears at most: <count>, <how>
--- a/features/peer_world.py
+++ b/features/peer_world.py
@@ -80,7 +80,7 @@
         own = Member(name, start, self.address, domain)
         ports = PeerPorts(own, world.medium.open(self.address), lambda: world.seeds)
         self.peers = Peers(
-            ports, self.store, TABLES, pool, lambda: CONTACT_WAIT_SECONDS,
+            ports, self.store, world.tables, pool, lambda: CONTACT_WAIT_SECONDS,
             lambda: CONTACT_SECONDS, lambda: BOUNDS, lambda: MAX_LOST,
             self.recoveries.append, random, lambda *_, **__: None,
             count=lambda name: self.counts.update([name]),
@@ -89,15 +89,20 @@
             Follower(
                 self.peers.feed, table, self.on_all_rows, self.on_change, random,
                 wait=lambda table=table: self.peers.feed.wait_for_changes(
-                    table, CONTACT_WAIT_SECONDS
+                    table, self.longest_wait(table)
                 ),
                 process_factor=lambda: max(1.0, len(world.processes) / SMALL_SITE_PROCESSES),
                 is_batched=lambda: not self.peers.feed.follows,
                 is_paced=lambda: self.peers.feed.paces_reads,
             )
-            for table in TABLES
+            for table in world.tables
         ]  # fmt: skip
 
+    def longest_wait(self, table):
+        """Return how long a read waits for changes if nobody relies on its answer."""
+        is_bounded = table in BOUNDS
+        return CONTACT_WAIT_SECONDS if is_bounded else self.peers.feed.stalled_reads.long_poll_wait
+
     async def dial(self, address):
         transport = await self.world.network.dial(address)
         if self.world.frame_delay:
@@ -177,7 +182,8 @@
 class PeerWorld:
     """The processes, the store and the network between them."""
 
-    def __init__(self, count, domains, seeds=3, loss_share=0.0):
+    def __init__(self, count, domains, seeds=3, loss_share=0.0, tables=TABLES):
+        self.tables = tables
         self.random = Random(7)
         self.is_partitioned = False
         self.medium = MemoryMedium(self.is_lost)
--- a/features/steps/change_bound_steps.py
+++ b/features/steps/change_bound_steps.py
@@ -3,11 +3,12 @@
 from collections import Counter
 
 import trio
-from behave import then, when
-from peer_world import SETTLE_SECONDS, TABLES
+from behave import given, then, when
+from peer_world import SETTLE_SECONDS, TABLES, PeerWorld
 
 from deckcourse.peers.followers import followers
 
+FURTHER_TABLES = ("plans", "crashes")
 TURN_SECONDS = 0.7
 TROUBLE_SECONDS = 8.0
 # The change that comes right after the trouble begins.
@@ -54,26 +55,33 @@
     return [(first, trouble), (second, trouble)]
 
 
-async def change_tables(world, pace, changes, until):
+async def change_tables(world, tables, pace, changes, until):
     """Change the tables in turn; record when each change was made."""
     await trio.sleep(FIRST_CHANGE_SECONDS)
     while trio.current_time() < until:
-        for table in TABLES:
+        for table in tables:
             key = f"change-{len(changes)}"
             world.store.put(table, key, {"n": 1})
             changes[key] = trio.current_time()
         await trio.sleep(pace)
 
 
+@given("{count:d} processes in each of {domains:d} domains that also read plans and crashes")
+def reads_further_tables(context, count, domains):
+    context.world = PeerWorld(count, domains, tables=(*TABLES, *FURTHER_TABLES))
+    context.changed_tables = FURTHER_TABLES
+
+
 @when("they have settled and changes come each {pace:g} seconds while {trouble}")
 def trouble_beside_changes(context, pace, trouble):
     context.late = {}
+    tables = getattr(context, "changed_tables", TABLES)
 
     async def story(world):
         await trio.sleep(SETTLE_SECONDS)
         disturbed, changes = chosen(world, trouble), {}
         ends_at = trio.current_time() + TROUBLE_SECONDS
-        world.nursery.start_soon(change_tables, world, pace, changes, ends_at - 3.0)
+        world.nursery.start_soon(change_tables, world, tables, pace, changes, ends_at - 3.0)
         names = {each.name for each, _ in disturbed}
         for process, how in disturbed:
             disturb(process, how)
@@ -84,7 +92,7 @@
         while trio.current_time() < ends_at:
             note_late(context.late, others, changes)
             await trio.sleep(CHECK_SECONDS)
-        assert len(changes) >= len(TABLES)
+        assert len(changes) >= len(tables)
 
     context.world.play(story)
 
