Leave plans and crashes to a source that confirms again, and floor the age at which tables are read

Seen when the price was measured again: at the return of a store that had refused all, 390 processes read plans and crashes themselves all at once, 180 reads in 0.1 s where the store bears 200; before these tables were read with the others it was 30. With a bound of 0 seconds, which the settings file allows, four processes read the store 5,194 times in 10 s.

Cause: what was unconfirmed during the outage was due at once for every process as soon as its source confirmed the desired state. The age at which a table is read had no floor.

Change: a source that confirms again has 1 s to bring the other tables. No table is read more often than each 0.1 s. The scenario of a dark store has plans and crashes too.

--- a/deckcourse/peers/staleness_limits.py
+++ b/deckcourse/peers/staleness_limits.py
@@ -33,6 +33,11 @@
 )
 # Shortest wait for changes, if a time allows no longer one, seconds.
 MIN_WAIT_SECONDS = 0.1
+# Shortest age at which a table is read, if a time allows no longer one, seconds.
+MIN_AGE_SECONDS = 0.1
+# Time in which a source that confirms the tables with a bound again reads the others, and its
+# subscribers have them, seconds.
+CATCH_UP_SECONDS = 1.0
 # Pause after an own read that the store refused, or that stayed unanswered twice, and before one
 # that others report to be of no use, plus a random time of up to the spread, seconds. Meanwhile the
 # followers, which retry often, tell of the store's recovery.
@@ -76,6 +81,8 @@
         self._has_unanswered_read = False
         # When a table with a bound was last unconfirmed for too long.
         self._was_unconfirmed_at = float("-inf")
+        # When the source first confirmed them all after that.
+        self._confirmed_again_at = float("-inf")
 
     @cached_property
     def _spread(self) -> float:
@@ -116,14 +123,18 @@
     def _unconfirmed_at(self, table: str) -> float:
         """Return when a table will have been unconfirmed for too long.
 
-        One without a bound is, once one with a bound was unconfirmed and it wasn't read since.
+        One without a bound is, once one with a bound was unconfirmed and it wasn't read since. A
+        source that confirms those with a bound again is given time for it: otherwise all processes
+        would read it as the store returns.
         """
         bounds = self._bounds()
         as_of = self._shared_state.replica(table).as_of
         if table in bounds:
             return as_of + self._longest_age(bounds[table])
         if as_of < self._was_unconfirmed_at:
-            return self._was_unconfirmed_at
+            if self._confirmed_again_at < self._was_unconfirmed_at:
+                return self._was_unconfirmed_at
+            return self._confirmed_again_at + CATCH_UP_SECONDS + self._spread
         source_due_at = self._confirmed_at() + self._longest_age(min(bounds.values()))
         return max(as_of + self._longest_age(self._contact()), source_due_at)
 
@@ -131,7 +142,7 @@
         self._retry_at = self._clock() + seconds + spread * self._random.random()
 
     def _longest_age(self, bound: float) -> float:
-        return max(0.0, bound - OWN_READ_SECONDS - self._spread)
+        return max(MIN_AGE_SECONDS, bound - OWN_READ_SECONDS - self._spread)
 
     def _confirmed_at(self) -> float:
         """Return the time as of which other processes have confirmed every table with a bound."""
@@ -165,5 +176,9 @@
 
     def note_source(self) -> None:
         """Forget failures of own reads once the source confirms in time: it reaches the store."""
-        if self._clock() < self._confirmed_at() + STORE_TIMEOUT_SECONDS:
-            self.note_success()
+        now = self._clock()
+        if now >= self._confirmed_at() + STORE_TIMEOUT_SECONDS:
+            return
+        self.note_success()
+        if self._confirmed_again_at < self._was_unconfirmed_at:
+            self._confirmed_again_at = now
--- a/features/change_bounds.feature
+++ b/features/change_bounds.feature
@@ -34,6 +34,12 @@
       | 4     | 3       | 5    | all followers of all domains freeze              |
       | 4     | 3       | 0.3  | all followers of all domains are cut off         |
 
+  # Guards against a time of nothing that a process spends in reads of the store without a pause.
+  Scenario: A bound of 0 seconds costs each process ten reads of a table a second at most
+    Given 4 processes in each of 1 domains that know only 3 seeds
+    And changes must be known within 0 seconds
+    Then in 10 seconds the store is read at most 800 times
+
   # Guards against the same for the tables that nobody confirms as often: they are known within the
   # contact time.
   Scenario Outline: A plan and a crash are known within three seconds beside <trouble>: <count> processes
@@ -52,7 +58,7 @@
   # Guards against processes that each read the store during its outage since nobody confirms their
   # state: hundreds of them, all at once.
   Scenario Outline: A dark store and its return cost half of the reads that it bears at most: <count>, <how>
-    Given <count> processes in each of 3 domains that know only 3 seeds
+    Given <count> processes in each of 3 domains that also read plans and crashes
     When they have settled and the store <how> for 8 seconds, and changes as it returns
     Then it got 1000 reads in each second of that time and of its return at most, and all knew the change within 3 seconds
 
--- a/features/peer_world.py
+++ b/features/peer_world.py
@@ -81,7 +81,7 @@
         ports = PeerPorts(own, world.medium.open(self.address), lambda: world.seeds)
         self.peers = Peers(
             ports, self.store, world.tables, pool, lambda: CONTACT_WAIT_SECONDS,
-            lambda: CONTACT_SECONDS, lambda: BOUNDS, lambda: MAX_LOST,
+            lambda: CONTACT_SECONDS, lambda: world.bounds, lambda: MAX_LOST,
             self.recoveries.append, random, lambda *_, **__: None,
             count=lambda name: self.counts.update([name]),
         )  # fmt: skip
@@ -184,6 +184,7 @@
 
     def __init__(self, count, domains, seeds=3, loss_share=0.0, tables=TABLES):
         self.tables = tables
+        self.bounds = BOUNDS
         self.random = Random(7)
         self.is_partitioned = False
         self.medium = MemoryMedium(self.is_lost)
--- a/features/steps/change_bound_steps.py
+++ b/features/steps/change_bound_steps.py
@@ -72,6 +72,23 @@
     context.changed_tables = FURTHER_TABLES
 
 
+@given("changes must be known within {seconds:g} seconds")
+def bound_is(context, seconds):
+    context.world.bounds = dict.fromkeys(TABLES, seconds)
+
+
+@then("in {seconds:d} seconds the store is read at most {most:d} times")
+def reads_in_calm(context, seconds, most):
+    async def story(world):
+        await trio.sleep(SETTLE_SECONDS)
+        world.calls.clear()
+        await trio.sleep(seconds)
+        context.calls = len(world.calls)
+
+    context.world.play(story)
+    assert context.calls <= most, context.calls
+
+
 @when("they have settled and changes come each {pace:g} seconds while {trouble}")
 def trouble_beside_changes(context, pace, trouble):
     context.late = {}
